--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Two commands do it all on a fresh machine: make demo and make test.
+SHELL := /bin/bash
+TOOLS := $(CURDIR)/.tools
+LINT_VERSION := v2.15.0
+export PATH := $(TOOLS):$(PATH)
+GOFILES := $(shell git ls-files '*.go')
+
+.PHONY: build demo test bench fuzz generate lint format spec tools slopes
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	bash demo/run
+
+test: lint
+	go vet ./...
+	bash .ci/known-red
+	bash .ci/go-test
+	$(MAKE) --no-print-directory spec
+
+lint: tools
+	@unformatted=$$(gofmt -l $(GOFILES)); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	golangci-lint run ./...
+	bash .ci/check-generated
+
+format:
+	gofmt -w $(GOFILES)
+
+tools: $(TOOLS)/golangci-lint-$(LINT_VERSION) $(TOOLS)/protoc-gen-go
+
+# The linter is installed as a program of its own, so that its requirements stay out of our modules.
+$(TOOLS)/golangci-lint-$(LINT_VERSION):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	touch $@
+
+$(TOOLS)/protoc-gen-go: tools/go.mod tools/go.sum
+	cd tools && go build -o $(TOOLS)/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	touch $@
+
+generate: tools
+	protoc --go_out=. --go_opt=module=daisyswitch --go-drpc_out=. --go-drpc_opt=module=daisyswitch wire/wire.proto
+
+spec:
+	bash spec/run
+
+bench:
+	bash .ci/bench
+
+fuzz:
+	bash .ci/fuzz
--- /dev/null
+++ b/resource/doc.go
@@ -0,0 +1,2 @@
+// Package resource counts what a worker offers and a task takes: processors, memory and accelerators.
+package resource
