--- /dev/null
+++ b/disk/snapshot.go
@@ -0,0 +1,125 @@
+package disk
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"daisyswitch/wire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// WriteSnapshot makes a snapshot durable under its own name, whole or not at all; the log is not touched.
+func (d *Disk) WriteSnapshot(s *wire.Snapshot) error {
+	payload, err := proto.Marshal(s)
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	path := filepath.Join(d.dir, snapshotName(s.GetIndex()))
+	if err := d.writeTemporary(path+temporarySuffix, frame(payload)); err != nil {
+		return err
+	}
+	if err := d.Rename(path+temporarySuffix, path); err != nil {
+		return fmt.Errorf("rename %s: %w", path, err)
+	}
+	return d.syncDir()
+}
+
+func (d *Disk) writeTemporary(path string, b []byte) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	defer file.Close()
+	if err := d.Write(file, b, 0); err != nil {
+		return fmt.Errorf("write %s: %w", path, err)
+	}
+	if err := d.Sync(file); err != nil {
+		return fmt.Errorf("sync %s: %w", path, err)
+	}
+	return nil
+}
+
+// ReadSnapshot returns the snapshot written last, for a follower that was left behind.
+func (d *Disk) ReadSnapshot() (*wire.Snapshot, error) {
+	return readSnapshot(filepath.Join(d.dir, snapshotName(d.snapshot)))
+}
+
+func readSnapshot(path string) (*wire.Snapshot, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	payload, size, ok := unframe(b)
+	if !ok || size != len(b) {
+		return nil, &Corrupt{File: path, Offset: 0}
+	}
+	s := &wire.Snapshot{}
+	if err := proto.Unmarshal(payload, s); err != nil {
+		return nil, &Corrupt{File: path, Offset: headerBytes}
+	}
+	return s, nil
+}
+
+// Install makes a leader's snapshot durable and begins the log anew after it.
+func (d *Disk) Install(state *wire.HardState, s *wire.Snapshot) error {
+	return d.do(func() error {
+		if state != nil {
+			d.state = state
+		}
+		if err := d.WriteSnapshot(s); err != nil {
+			return err
+		}
+		first := &wire.LogGroup{State: d.state, ResetIndex: s.GetIndex(), ResetTerm: s.GetTerm()}
+		if err := d.roll(first); err != nil {
+			return err
+		}
+		d.snapshot = s.GetIndex()
+		return d.prune(d.current().number, s.GetIndex())
+	})
+}
+
+// Compact removes older snapshots than the given one, which was written, and the segments that hold nothing after keepFrom.
+func (d *Disk) Compact(snapshot, keepFrom uint64) error {
+	return d.do(func() error {
+		if snapshot <= d.snapshot {
+			return nil
+		}
+		d.snapshot = snapshot
+		return d.prune(d.firstNeeded(min(snapshot, keepFrom)), snapshot)
+	})
+}
+
+// firstNeeded returns the number of the first segment that may hold an entry after index.
+func (d *Disk) firstNeeded(index uint64) uint64 {
+	for _, s := range d.segments {
+		if s.last > index {
+			return s.number
+		}
+	}
+	return d.current().number
+}
+
+// prune removes, oldest first, the segments before a number and the snapshots before an index.
+func (d *Disk) prune(segment, snapshot uint64) error {
+	for d.segments[0].number < segment {
+		if err := d.Remove(d.segments[0].path); err != nil {
+			return fmt.Errorf("remove %s: %w", d.segments[0].path, err)
+		}
+		d.segments = d.segments[1:]
+	}
+	names, err := d.list()
+	if err != nil {
+		return err
+	}
+	for _, index := range names.snapshots {
+		if index >= snapshot {
+			continue
+		}
+		if err := d.Remove(filepath.Join(d.dir, snapshotName(index))); err != nil {
+			return fmt.Errorf("remove snapshot: %w", err)
+		}
+	}
+	return d.syncDir()
+}
--- /dev/null
+++ b/raft/follower.go
@@ -0,0 +1,81 @@
+package raft
+
+import "daisyswitch/wire"
+
+// hear notes a message of the term's leader.
+func (n *Node) hear(leader uint64) {
+	if n.role == Leader {
+		panic("raft: two leaders in one term")
+	}
+	n.role, n.leader = Follower, leader
+	if n.recovering && n.vote != leader {
+		n.setTerm(n.term, leader)
+	}
+	n.heard = 0
+	n.resetTimer()
+}
+
+func (n *Node) takeAppend(m *wire.Message) {
+	reply := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.GetFrom(), Term: n.term}
+	defer n.send(reply)
+	previous := m.GetIndex()
+	if previous < n.log.offset {
+		// What lies before the offset is committed, so it agrees.
+		previous = n.log.offset
+	} else if term, ok := n.log.term(previous); !ok || term != m.GetLogTerm() {
+		reply.Reject, reply.Index = true, previous
+		reply.Hint = n.log.last()
+		if ok {
+			reply.Hint = n.log.conflict(previous)
+		}
+		return
+	}
+	n.log.merge(m.GetEntries())
+	end := m.GetIndex() + uint64(len(m.GetEntries()))
+	n.matched = max(n.matched, end, previous)
+	reply.Index = n.matched
+	n.commitTo(m.GetCommit())
+}
+
+// commitTo takes over the leader's commit index as far as the log is known to agree with the leader's.
+func (n *Node) commitTo(commit uint64) {
+	commit = min(commit, n.matched)
+	if commit <= n.log.commit {
+		return
+	}
+	n.log.commit = commit
+	n.endRecovery()
+}
+
+// takeHeartbeat answers a round; round 0 only carries a commit index.
+func (n *Node) takeHeartbeat(m *wire.Message) {
+	n.commitTo(m.GetCommit())
+	if m.GetRound() == 0 {
+		return
+	}
+	n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, To: m.GetFrom(), Term: n.term, Round: m.GetRound(), Index: n.matched})
+}
+
+func (n *Node) takeSnapshot(m *wire.Message) {
+	reply := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.GetFrom(), Term: n.term}
+	defer n.send(reply)
+	if m.GetIndex() > n.log.commit {
+		n.takeState(m)
+	}
+	// What is committed agrees with the leader's log.
+	n.matched = max(n.matched, m.GetIndex())
+	reply.Index = n.matched
+	n.endRecovery()
+}
+
+func (n *Node) takeState(m *wire.Message) {
+	if term, ok := n.log.term(m.GetIndex()); ok && term == m.GetLogTerm() {
+		// The log holds it all; only the commit index was behind.
+		n.log.commit = m.GetIndex()
+		return
+	}
+	n.log.reset(m.GetIndex(), m.GetLogTerm())
+	n.delivered = m.GetIndex()
+	n.snapshotIndex = m.GetIndex()
+	n.install = &wire.Snapshot{Index: m.GetIndex(), Term: m.GetLogTerm(), Data: m.GetSnapshot()}
+}
--- /dev/null
+++ b/raft/recovery.go
@@ -0,0 +1,118 @@
+package raft
+
+import (
+	"slices"
+
+	"daisyswitch/wire"
+)
+
+// recovery is the part of the state that only a replica without its former disk uses.
+type recovery struct {
+	fresh   map[uint64]struct{} // peers that have never voted nor held a record
+	awaited uint64              // barrier that must be committed and held, 0 until a leader has named it
+}
+
+// recover asks the group whether this is its first start or a lost disk.
+func (n *Node) recover() {
+	n.endRecovery()
+	if !n.recovering {
+		return
+	}
+	for _, id := range n.others {
+		n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER, To: id, Nonce: n.disk})
+	}
+}
+
+func (n *Node) tickRecovery() {
+	if n.elapsed%n.heartbeatTicks == 0 {
+		n.recover()
+	}
+}
+
+// blank says whether the node has never voted nor held a record.
+func (n *Node) blank() bool {
+	return n.term == 0 && n.log.last() == 0
+}
+
+// stepRecovery handles the messages of recovery, which stand outside of terms.
+func (n *Node) stepRecovery(m *wire.Message) bool {
+	switch m.GetKind() {
+	case wire.MessageKind_MESSAGE_KIND_RECOVER:
+		n.answerRecover(m)
+	case wire.MessageKind_MESSAGE_KIND_RECOVER_REPLY:
+		n.takeRecoverReply(m)
+	default:
+		return false
+	}
+	return true
+}
+
+func (n *Node) answerRecover(m *wire.Message) {
+	reply := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER_REPLY, To: m.GetFrom(), Term: n.term, Nonce: m.GetNonce()}
+	switch {
+	case n.blank():
+		reply.Fresh = true
+	case n.role == Leader && n.barrierDone(m):
+		reply.Index = n.progress[m.GetFrom()].barrier
+	default:
+		return
+	}
+	n.send(reply)
+}
+
+// barrierDone says whether a barrier begun after the loss of the disk has been committed without the replica that lost it.
+func (n *Node) barrierDone(m *wire.Message) bool {
+	p := n.progress[m.GetFrom()]
+	if slices.Contains(p.retired, m.GetNonce()) {
+		return false
+	}
+	if p.disk != m.GetNonce() {
+		n.retire(p, m.GetNonce())
+	}
+	p.silent = 0
+	if p.barrier == 0 {
+		p.voter = false
+		n.appendLocal(nil)
+		p.barrier = n.log.last()
+		n.broadcast()
+	}
+	return p.barrier <= n.log.commit
+}
+
+// retire forgets all that a lost disk had answered.
+func (n *Node) retire(p *progress, disk uint64) {
+	if p.disk != 0 {
+		p.retired = append(p.retired, p.disk)
+	}
+	*p = progress{next: n.log.last() + 1, disk: disk, retired: p.retired, probing: true}
+}
+
+func (n *Node) takeRecoverReply(m *wire.Message) {
+	if !n.recovering || m.GetNonce() != n.disk {
+		return
+	}
+	if m.GetFresh() {
+		if n.fresh == nil {
+			n.fresh = map[uint64]struct{}{}
+		}
+		n.fresh[m.GetFrom()] = struct{}{}
+	} else {
+		n.awaited = max(n.awaited, m.GetIndex())
+	}
+	n.endRecovery()
+}
+
+// endRecovery makes the node a full member if the whole group is fresh or the barrier is held and committed.
+func (n *Node) endRecovery() {
+	if !n.recovering {
+		return
+	}
+	first := n.blank() && len(n.fresh) == len(n.others)
+	caughtUp := n.awaited > 0 && n.log.commit >= n.awaited
+	if !first && !caughtUp {
+		return
+	}
+	n.recovering = false
+	n.stateChanged = true
+	n.resetTimer()
+}
--- /dev/null
+++ b/replica/apply.go
@@ -0,0 +1,122 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"daisyswitch/event"
+	"daisyswitch/wire"
+)
+
+// applier runs what the loop hands it, in order, in one goroutine; the loop never waits for it.
+type applier struct {
+	mu       sync.Mutex
+	queue    []func()
+	wake     chan struct{}
+	snapshot uint64      // index of the last snapshot begun
+	saving   atomic.Bool // a snapshot is being written
+}
+
+func (a *applier) init(snapshot uint64) {
+	a.wake = make(chan struct{}, 1)
+	a.snapshot = snapshot
+}
+
+func (a *applier) push(task func()) {
+	a.mu.Lock()
+	a.queue = append(a.queue, task)
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (a *applier) take() []func() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	queue := a.queue
+	a.queue = nil
+	return queue
+}
+
+func (a *applier) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.wake:
+		}
+		for _, task := range a.take() {
+			if ctx.Err() != nil {
+				return
+			}
+			task()
+		}
+	}
+}
+
+// committed is an entry with the proposal that waits for it, if it was made here.
+type committed struct {
+	*wire.Entry
+	proposal *proposal
+}
+
+// apply runs in the applier.
+func (r *Replica) apply(entries []committed) {
+	for _, e := range entries {
+		var result any
+		if len(e.GetData()) > 0 {
+			result = r.o.Apply(e.GetIndex(), e.GetData())
+		}
+		r.applied.Store(e.GetIndex())
+		if e.proposal != nil {
+			e.proposal.done <- outcome{result: result}
+		}
+		r.snapshotAfter(e.Entry)
+	}
+}
+
+// snapshotAfter takes a snapshot when enough entries were applied since the last; writing it does not hold up the next ones.
+func (r *Replica) snapshotAfter(e *wire.Entry) {
+	a := &r.applier
+	if e.GetIndex() < a.snapshot+r.o.SnapshotEvery || !a.saving.CompareAndSwap(false, true) {
+		return
+	}
+	a.snapshot = e.GetIndex()
+	s := &wire.Snapshot{Index: e.GetIndex(), Term: e.GetTerm(), Data: r.o.Snapshot()}
+	r.tasks.Go(func() {
+		defer a.saving.Store(false)
+		r.save(s)
+	})
+}
+
+func (r *Replica) save(s *wire.Snapshot) {
+	if err := r.disk.WriteSnapshot(s); err != nil {
+		select {
+		case r.broken <- err:
+		case <-r.ended:
+		}
+		return
+	}
+	event.SnapshotSaved.Info("replica", r.o.ID, "index", s.GetIndex(), "bytes", len(s.GetData()))
+	select {
+	case r.saved <- s.GetIndex():
+	case <-r.ended:
+	}
+}
+
+// restore runs in the applier.
+func (r *Replica) restore(s *wire.Snapshot) {
+	if err := r.o.Restore(s.GetData()); err != nil {
+		select {
+		case r.broken <- err:
+		case <-r.ended:
+		}
+		return
+	}
+	r.applier.snapshot = s.GetIndex()
+	r.applied.Store(s.GetIndex())
+	event.SnapshotInstalled.Info("replica", r.o.ID, "index", s.GetIndex(), "bytes", len(s.GetData()))
+}
--- /dev/null
+++ b/replica/info.go
@@ -0,0 +1,92 @@
+package replica
+
+import (
+	"errors"
+
+	"daisyswitch/raft"
+	"daisyswitch/verdict"
+)
+
+// Info is what a replica knows of itself and, if it leads, of its peers.
+type Info struct {
+	ID            uint64
+	Leader        uint64 // 0 if unknown
+	LeaderAddress string
+	Term          uint64
+	Commit        uint64
+	Applied       uint64
+	Last          uint64
+	Recovering    bool  // lost its disk and is not yet a full member
+	Err           error // what ended its part in the group, nil while it takes part
+	Peers         []PeerInfo
+}
+
+// PeerInfo is a leader's view of one other replica.
+type PeerInfo struct {
+	ID      uint64
+	Address string
+	Match   uint64 // index up to which its log is known to agree
+	Active  bool   // answered within the election timeout
+}
+
+// Info returns the replica's view of the group.
+func (r *Replica) Info() Info {
+	info := *r.info.Load()
+	info.Applied = r.applied.Load()
+	return info
+}
+
+// publish lets others see the loop's state.
+func (r *Replica) publish() {
+	n := r.node
+	info := &Info{
+		ID:            r.o.ID,
+		Leader:        n.Leader(),
+		LeaderAddress: r.o.Peers[n.Leader()],
+		Term:          n.Term(),
+		Commit:        n.Commit(),
+		Last:          n.Last(),
+		Recovering:    n.Recovering(),
+		Err:           r.err,
+	}
+	if n.Role() == raft.Leader {
+		for id, p := range r.peers {
+			match, active := n.Progress(id)
+			info.Peers = append(info.Peers, PeerInfo{ID: id, Address: p.address, Match: match, Active: active})
+		}
+	}
+	r.info.Store(info)
+}
+
+// NotLeader is the cause of a refusal by a replica that does not lead.
+type NotLeader struct {
+	Leader  uint64 // 0 if unknown
+	Address string // drpc address of the leader, empty if unknown
+}
+
+// Error names the leader if it is known.
+func (e *NotLeader) Error() string {
+	if e.Leader == 0 {
+		return "no leader is known"
+	}
+	return "the leader is at " + e.Address
+}
+
+// LeaderOf returns the address of the leader that a refusal names, empty if it names none.
+func LeaderOf(err error) string {
+	var not *NotLeader
+	if errors.As(err, &not) {
+		return not.Address
+	}
+	return ""
+}
+
+// refusal says that this replica does not lead.
+func (r *Replica) refusal(v verdict.Verdict, reason string) error {
+	info := r.info.Load()
+	not := &NotLeader{}
+	if info.Leader != r.o.ID {
+		not.Leader, not.Address = info.Leader, info.LeaderAddress
+	}
+	return verdict.New(v, reason, not)
+}
--- /dev/null
+++ b/replica/loop.go
@@ -0,0 +1,255 @@
+package replica
+
+import (
+	"time"
+
+	"daisyswitch/event"
+	"daisyswitch/raft"
+	"daisyswitch/wire"
+)
+
+// maxSteps bounds the messages that are taken in before their records are synced.
+const maxSteps = 256
+
+// leaseMargin is by how many ticks a leader trusts its quorum less than followers promise: a follower's clock may have ticks due when it hears a leader.
+const leaseMargin = 2
+
+// loopState belongs to the loop's goroutine.
+type loopState struct {
+	pending    map[uint64]*proposal // appended here and not committed, by index
+	arrived    []*read
+	asked      []*read
+	rounds     []roundStart
+	ledTerm    uint64 // term in which this replica leads, 0 if it does not
+	leading    bool   // told by Leading
+	delivered  uint64 // last index handed to the applier
+	recovering bool
+	broken     chan error
+	err        error
+}
+
+// roundStart is when a heartbeat round was begun at the latest.
+type roundStart struct {
+	round uint64
+	at    time.Duration
+}
+
+func (r *Replica) loop() {
+	defer close(r.ended)
+	defer r.leaseUntil.Store(0)
+	ticker := time.NewTicker(r.o.Tick)
+	defer ticker.Stop()
+	if !r.flush(r.since()) {
+		return
+	}
+	for r.step(ticker.C) {
+	}
+	r.abandon("this replica no longer takes part")
+	r.refuseReads()
+}
+
+// step waits for one event, takes in what else is at hand, and does what the node asks for; it returns false at the end.
+func (r *Replica) step(ticks <-chan time.Time) bool {
+	var now time.Duration
+	select {
+	case <-r.ctx.Done():
+		return false
+	case err := <-r.broken:
+		return r.fail(err)
+	case <-ticks:
+		now = r.since()
+		r.node.Tick()
+		r.watchPeers(now)
+	case m := <-r.inbox:
+		now = r.since()
+		r.receive(m, now)
+	case p := <-r.proposals:
+		now = r.since()
+		r.propose(p)
+	case q := <-r.reads:
+		now = r.since()
+		r.arrived = append(r.arrived, q)
+	case index := <-r.saved:
+		return r.compact(index)
+	}
+	r.drain(now)
+	return r.flush(now)
+}
+
+// drain takes in more without waiting, so that one sync serves it all.
+func (r *Replica) drain(now time.Duration) {
+	for range maxSteps {
+		select {
+		case m := <-r.inbox:
+			r.receive(m, now)
+		case q := <-r.reads:
+			r.arrived = append(r.arrived, q)
+		case p := <-r.proposals:
+			r.propose(p)
+		default:
+			return
+		}
+	}
+}
+
+func (r *Replica) receive(m *wire.Message, now time.Duration) {
+	p := r.peers[m.GetFrom()]
+	if m.GetKind() == wire.MessageKind_MESSAGE_KIND_HEARTBEAT && m.GetRound() > 0 {
+		p.noteAcked(m, now, r.silence())
+	}
+	r.node.Step(m)
+}
+
+// flush syncs, sends and applies until the node asks for nothing more.
+func (r *Replica) flush(now time.Duration) bool {
+	r.noteRole()
+	r.startReads()
+	for {
+		r.noteRounds(now)
+		ready := r.node.Ready()
+		if ready.Empty() {
+			break
+		}
+		if err := r.persist(&ready); err != nil {
+			return r.fail(err)
+		}
+		r.node.Synced()
+		if err := r.sendAll(ready.Messages); err != nil {
+			return r.fail(err)
+		}
+		r.handOver(&ready)
+		r.noteRole()
+	}
+	r.finishReads()
+	r.noteLeading()
+	r.publish()
+	return true
+}
+
+func (r *Replica) persist(ready *raft.Ready) error {
+	state := ready.State
+	if ready.Snapshot != nil {
+		if err := r.disk.Install(state, ready.Snapshot); err != nil {
+			return err
+		}
+		state = nil
+	}
+	if state == nil && len(ready.Entries) == 0 {
+		return nil
+	}
+	return r.disk.Append(state, ready.Entries)
+}
+
+func (r *Replica) sendAll(messages []*wire.Message) error {
+	for _, m := range messages {
+		if m.GetKind() == wire.MessageKind_MESSAGE_KIND_SNAPSHOT {
+			s, err := r.disk.ReadSnapshot()
+			if err != nil {
+				return err
+			}
+			m.Index, m.LogTerm, m.Snapshot = s.GetIndex(), s.GetTerm(), s.GetData()
+		}
+		r.peers[m.GetTo()].enqueue(m)
+	}
+	return nil
+}
+
+// handOver gives the applier what is committed.
+func (r *Replica) handOver(ready *raft.Ready) {
+	if s := ready.Snapshot; s != nil {
+		r.delivered = s.GetIndex()
+		r.applier.push(func() { r.restore(s) })
+	}
+	if len(ready.Commit) == 0 {
+		return
+	}
+	entries := make([]committed, len(ready.Commit))
+	for i, e := range ready.Commit {
+		entries[i] = committed{Entry: e, proposal: r.pending[e.GetIndex()]}
+		delete(r.pending, e.GetIndex())
+	}
+	r.delivered = entries[len(entries)-1].GetIndex()
+	r.applier.push(func() { r.apply(entries) })
+}
+
+// noteRole notices that this replica began or ended to lead.
+func (r *Replica) noteRole() {
+	led := uint64(0)
+	if r.node.Role() == raft.Leader {
+		led = r.node.Term()
+	}
+	if r.recovering && !r.node.Recovering() {
+		r.recovering = false
+		event.ReplicaRecovered.Info("replica", r.o.ID, "commit", r.node.Commit())
+	}
+	if led == r.ledTerm {
+		return
+	}
+	r.ledTerm = led
+	r.rounds = nil
+	r.leaseUntil.Store(0)
+	r.publish()
+	r.abandon("this replica lost its leadership")
+	r.refuseReads()
+}
+
+// noteRounds keeps when rounds began and extends the leader's lease by those that a quorum answered.
+func (r *Replica) noteRounds(now time.Duration) {
+	if r.ledTerm == 0 {
+		return
+	}
+	last := uint64(0)
+	if len(r.rounds) > 0 {
+		last = r.rounds[len(r.rounds)-1].round
+	}
+	if round := r.node.Round(); round > max(last, r.node.Confirmed()) || len(r.peers) == 0 {
+		r.rounds = append(r.rounds, roundStart{round: round, at: now})
+		r.assignReads(round)
+	}
+	lease := time.Duration(r.o.ElectionTicks-leaseMargin) * r.o.Tick
+	for len(r.rounds) > 0 && r.rounds[0].round <= r.node.Confirmed() {
+		r.leaseUntil.Store(int64(r.rounds[0].at + lease))
+		r.rounds = r.rounds[1:]
+	}
+}
+
+// noteLeading tells of a change of leadership after what was committed before it.
+func (r *Replica) noteLeading() {
+	leading := r.serves()
+	if leading == r.leading {
+		return
+	}
+	r.leading = leading
+	term := r.node.Term()
+	if leading {
+		event.ReplicaLeads.Info("replica", r.o.ID, "term", term)
+	} else {
+		event.ReplicaStopsLead.Info("replica", r.o.ID, "term", term)
+	}
+	r.applier.push(func() { r.o.Leading(leading, term) })
+}
+
+// compact removes the log before a snapshot, but for a tail for followers that are only a little behind.
+func (r *Replica) compact(index uint64) bool {
+	keepFrom := index - min(index, r.o.SnapshotEvery/2)
+	if err := r.disk.Compact(index, keepFrom); err != nil {
+		return r.fail(err)
+	}
+	r.node.Compact(index, keepFrom)
+	return true
+}
+
+// fail ends the replica's part in the group: after a failed sync nobody knows what is on disk.
+func (r *Replica) fail(err error) bool {
+	event.ReplicaFailed.Error(err, "replica", r.o.ID)
+	r.err = err
+	r.leaseUntil.Store(0)
+	r.publish()
+	if r.leading {
+		term := r.node.Term()
+		r.applier.push(func() { r.o.Leading(false, term) })
+	}
+	r.applier.push(func() { r.o.Failed(err) })
+	r.abandon("this replica's disk failed")
+	return false
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,188 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"daisyswitch/disk"
+	"daisyswitch/event"
+	"daisyswitch/raft"
+	"daisyswitch/wire"
+
+	"github.com/sourcegraph/conc"
+)
+
+// The defaults of Options.
+const (
+	DefaultTick          = 50 * time.Millisecond
+	DefaultElectionTicks = 10
+	DefaultSnapshotEvery = 10_000
+)
+
+// Bounds on what waits in memory.
+const (
+	inboxMessages    = 1024
+	waitingProposals = 1024
+)
+
+// Options says who the group is, where its data lies and what the log drives; Snapshot, Restore and Apply are called from one goroutine.
+type Options struct {
+	ID            uint64
+	Peers         map[uint64]string // drpc addresses of all replicas, its own included
+	Dir           string
+	Dial          func(ctx context.Context, address string) (net.Conn, error)
+	Tick          time.Duration
+	ElectionTicks int
+	SnapshotEvery uint64                              // records
+	Seed          uint64                              // of the election timeouts, 0 for a random one
+	Disk          disk.Options                        // its folder is Dir
+	Apply         func(index uint64, data []byte) any // in order, from one goroutine; nil data never reaches it
+	Snapshot      func() []byte                       // called between two Applies
+	Restore       func([]byte) error
+	Leading       func(leading bool, term uint64) // after a change of leadership, once the new leader has applied its own first record
+	Failed        func(error)                     // the disk failed, which ends this replica's part in the group; may be nil
+}
+
+// Replica is one member of the group.
+type Replica struct {
+	o       Options
+	disk    *disk.Disk
+	node    *raft.Node // used by the loop only
+	started time.Time
+	ctx     context.Context
+	stop    context.CancelFunc
+	tasks   conc.WaitGroup
+	ended   chan struct{} // closed when the loop has ended
+
+	inbox     chan *wire.Message
+	proposals chan *proposal
+	reads     chan *read
+	saved     chan uint64 // indexes of snapshots on disk
+	peers     map[uint64]*peer
+	applier   applier
+
+	loopState
+	info       atomic.Pointer[Info]
+	applied    atomic.Uint64
+	leaseUntil atomic.Int64 // since started, nanoseconds
+}
+
+// New opens the data folder, restores the state machine and starts taking part.
+func New(o Options) (*Replica, error) {
+	o = withDefaults(o)
+	d, loaded, err := disk.Open(o.Disk)
+	if err != nil {
+		return nil, fmt.Errorf("replica %d: %w", o.ID, err)
+	}
+	if loaded.Torn != nil {
+		event.ReplicaTailCut.Info("file", loaded.Torn.File, "offset", loaded.Torn.Offset, "bytes", loaded.Torn.Bytes)
+	}
+	if loaded.Snapshot != nil {
+		if err := o.Restore(loaded.Snapshot.GetData()); err != nil {
+			err = fmt.Errorf("replica %d: restore snapshot %d: %w", o.ID, loaded.Snapshot.GetIndex(), err)
+			return nil, errors.Join(err, d.Close())
+		}
+	}
+	r := build(o, d, loaded)
+	r.start()
+	return r, nil
+}
+
+func withDefaults(o Options) Options {
+	if o.Tick == 0 {
+		o.Tick = DefaultTick
+	}
+	if o.ElectionTicks == 0 {
+		o.ElectionTicks = DefaultElectionTicks
+	}
+	if o.SnapshotEvery == 0 {
+		o.SnapshotEvery = DefaultSnapshotEvery
+	}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	if o.Failed == nil {
+		o.Failed = func(error) {}
+	}
+	o.Disk.Dir = o.Dir
+	return o
+}
+
+func build(o Options, d *disk.Disk, loaded *disk.Loaded) *Replica {
+	r := &Replica{
+		o:         o,
+		disk:      d,
+		started:   time.Now(),
+		ended:     make(chan struct{}),
+		inbox:     make(chan *wire.Message, inboxMessages),
+		proposals: make(chan *proposal, waitingProposals),
+		reads:     make(chan *read, waitingProposals),
+		saved:     make(chan uint64),
+		peers:     map[uint64]*peer{},
+	}
+	r.ctx, r.stop = context.WithCancel(context.Background())
+	r.applier.init(loaded.Snapshot.GetIndex())
+	r.applied.Store(loaded.Snapshot.GetIndex())
+	r.node = raft.New(raft.Options{
+		ID:            o.ID,
+		Peers:         ids(o.Peers),
+		ElectionTicks: o.ElectionTicks,
+		Rand:          rand.New(rand.NewPCG(o.Seed, o.ID)),
+		State:         loaded.State,
+		Snapshot:      loaded.Snapshot,
+		Entries:       loaded.Entries,
+	})
+	for id, address := range o.Peers {
+		if id != o.ID {
+			r.peers[id] = newPeer(r, id, address)
+		}
+	}
+	r.pending = map[uint64]*proposal{}
+	r.broken = make(chan error)
+	r.delivered = loaded.Snapshot.GetIndex()
+	r.recovering = r.node.Recovering()
+	r.publish()
+	return r
+}
+
+func ids(peers map[uint64]string) []uint64 {
+	var all []uint64
+	for id := range peers {
+		all = append(all, id)
+	}
+	return all
+}
+
+func (r *Replica) start() {
+	event.ReplicaStarted.Info("replica", r.o.ID, "term", r.node.Term(), "last", r.node.Last())
+	if r.recovering {
+		event.ReplicaRecovering.Info("replica", r.o.ID)
+	}
+	r.tasks.Go(r.loop)
+	r.tasks.Go(func() { r.applier.run(r.ctx) })
+	for _, p := range r.peers {
+		r.tasks.Go(func() { p.run(r.ctx) })
+	}
+}
+
+// IsLeader says whether this replica leads and a quorum has answered within the election timeout, by the monotonic clock.
+func (r *Replica) IsLeader() bool {
+	return r.since() < time.Duration(r.leaseUntil.Load())
+}
+
+// since returns the time since the replica was started.
+func (r *Replica) since() time.Duration {
+	return time.Since(r.started)
+}
+
+// Close ends the replica's part in the group and waits for its goroutines.
+func (r *Replica) Close() error {
+	r.stop()
+	r.tasks.Wait()
+	return r.disk.Close()
+}
