--- /dev/null
+++ b/raft/node_test.go
@@ -0,0 +1,146 @@
+package raft_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"daisyswitch/raft"
+	"daisyswitch/wire"
+
+	"gotest.tools/v3/assert"
+)
+
+// The disks of the replicas in these tests.
+const (
+	diskOf1 = iota + 11
+	diskOf2
+	diskOf3
+	newDisk
+)
+
+// node returns replica 1 of 3 with a log of the given terms.
+func node(state *wire.HardState, terms ...uint64) *raft.Node {
+	var entries []*wire.Entry
+	for i, term := range terms {
+		entries = append(entries, &wire.Entry{Index: uint64(i + 1), Term: term, Data: []byte{1}})
+	}
+	state.Disk = diskOf1
+	return raft.New(raft.Options{ID: 1, Peers: []uint64{1, 2, 3}, ElectionTicks: electionTicks, Rand: rand.New(rand.NewPCG(1, 1)), State: state, Entries: entries})
+}
+
+// flush makes all durable and returns the messages of a kind.
+func flush(n *raft.Node, kind wire.MessageKind) []*wire.Message {
+	var found []*wire.Message
+	for r := n.Ready(); !r.Empty(); r = n.Ready() {
+		n.Synced()
+		for _, m := range r.Messages {
+			if m.GetKind() == kind {
+				found = append(found, m)
+			}
+		}
+	}
+	return found
+}
+
+func elect(t *testing.T, n *raft.Node) {
+	for range 2 * electionTicks {
+		n.Tick()
+	}
+	term := n.Term() + 1
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, From: 2, To: 1, Term: term, Disk: diskOf2})
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: 2, To: 1, Term: term, Disk: diskOf2})
+	assert.Equal(t, n.Role(), raft.Leader)
+	flush(n, 0)
+}
+
+func acknowledge(n *raft.Node, from, disk, index uint64, recovering bool) {
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: from, To: 1, Term: n.Term(), Disk: disk, Index: index, Recovering: recovering})
+}
+
+func TestRecoveringReplicaCountsForNothing(t *testing.T) {
+	n := node(&wire.HardState{Term: 1}, 1)
+	elect(t, n)
+	acknowledge(n, 3, newDisk, n.Last(), true)
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, From: 3, To: 1, Term: n.Term(), Disk: newDisk, Recovering: true, Round: n.Round(), Index: n.Last()})
+	assert.Equal(t, n.Commit(), uint64(0))
+	assert.Equal(t, n.Confirmed(), uint64(0))
+	acknowledge(n, 2, diskOf2, n.Last(), false)
+	assert.Equal(t, n.Commit(), n.Last())
+}
+
+func TestAnswersOfLostDiskAreForgotten(t *testing.T) {
+	n := node(&wire.HardState{Term: 1}, 1)
+	elect(t, n)
+	recoverDisk := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER, From: 3, To: 1, Nonce: newDisk, Disk: newDisk, Recovering: true}
+	acknowledge(n, 3, diskOf3, 1, false)
+	n.Step(recoverDisk)
+	acknowledge(n, 3, diskOf3, n.Last(), false)
+	assert.Equal(t, n.Commit(), uint64(0), "an answer of the lost disk was counted")
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER, From: 3, To: 1, Nonce: diskOf3, Disk: diskOf3, Recovering: true})
+	acknowledge(n, 3, diskOf3, n.Last(), false)
+	assert.Equal(t, n.Commit(), uint64(0), "a late message brought the lost disk back")
+	assert.Equal(t, len(flush(n, wire.MessageKind_MESSAGE_KIND_RECOVER_REPLY)), 0, "let in without a quorum of the others")
+	acknowledge(n, 2, diskOf2, n.Last(), false)
+	n.Step(recoverDisk)
+	replies := flush(n, wire.MessageKind_MESSAGE_KIND_RECOVER_REPLY)
+	assert.Equal(t, len(replies), 1)
+	assert.Equal(t, replies[0].GetIndex(), n.Last())
+}
+
+func TestEntriesOfOlderTermsAreNotCommittedByCount(t *testing.T) {
+	n := node(&wire.HardState{Term: 3}, 1, 2)
+	elect(t, n)
+	acknowledge(n, 2, diskOf2, 2, false)
+	assert.Equal(t, n.Commit(), uint64(0))
+	acknowledge(n, 2, diskOf2, n.Last(), false)
+	assert.Equal(t, n.Commit(), n.Last())
+}
+
+func TestFollowerCommitsOnlyWhatAgrees(t *testing.T) {
+	n := node(&wire.HardState{Term: 1}, 1, 1, 1)
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_APPEND, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1, Commit: 3, Entries: []*wire.Entry{{Index: 2, Term: 1, Data: []byte{1}}}})
+	assert.Equal(t, n.Commit(), uint64(2))
+}
+
+func TestReplicaWithoutItsDiskIsLetInOnlyWithAllThatWasCommitted(t *testing.T) {
+	n := node(&wire.HardState{Recovering: true})
+	reply := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER_REPLY, From: 2, To: 1, Term: 4, Nonce: diskOf1, Index: 2}
+	n.Step(reply)
+	assert.Assert(t, n.Recovering(), "let in without the log")
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_APPEND, From: 2, To: 1, Term: 4, Commit: 2, Entries: []*wire.Entry{{Index: 1, Term: 1}, {Index: 2, Term: 4}}})
+	assert.Assert(t, !n.Recovering())
+	for range electionTicks {
+		n.Tick()
+	}
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_VOTE, From: 3, To: 1, Term: 4, Index: 9, LogTerm: 4})
+	votes := flush(n, wire.MessageKind_MESSAGE_KIND_VOTE_REPLY)
+	assert.Assert(t, len(votes) == 1 && votes[0].GetReject(), "voted in a term in which it may have voted before the loss")
+}
+
+func TestFirstStartNeedsAllToBeFresh(t *testing.T) {
+	n := node(&wire.HardState{Recovering: true})
+	fresh := func(from uint64) *wire.Message {
+		return &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER_REPLY, From: from, To: 1, Nonce: diskOf1, Fresh: true}
+	}
+	n.Step(fresh(2))
+	n.Step(fresh(2))
+	assert.Assert(t, n.Recovering())
+	n.Step(fresh(3))
+	assert.Assert(t, !n.Recovering())
+
+	voted := node(&wire.HardState{Term: 1, Vote: 2})
+	voted.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER, From: 3, To: 1, Nonce: newDisk})
+	assert.Equal(t, len(flush(voted, wire.MessageKind_MESSAGE_KIND_RECOVER_REPLY)), 0)
+}
+
+func TestRestartedFollowerKeepsTheLeadersLease(t *testing.T) {
+	n := node(&wire.HardState{Term: 1}, 1)
+	ask := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_VOTE, From: 3, To: 1, Term: 2, Index: 9, LogTerm: 1}
+	n.Step(ask)
+	assert.Equal(t, n.Term(), uint64(1), "voted before a lease that it may have granted had ended")
+	for range electionTicks {
+		n.Tick()
+	}
+	n.Step(ask)
+	assert.Equal(t, n.Term(), uint64(2))
+}
