Prove the data folder at every write, sync, rename and removal

Change: a test stops or fails each of the disk's operations in turn (kill, kill within a write, power cut, error that a retry would get past) and opens the folder again: exactly what was synced is there, and it can go on. Torn tails at every byte are cut off; every flipped byte, a lost sector, a missing file and a cut segment are refused by file and offset. The first try of it found faults: a missing newest segment went unnoticed (a segment is now sealed once its successor is durable, and the successor names its size), and files with a suffix counted as segments.

--- a/disk/disk.go
+++ b/disk/disk.go
@@ -88,6 +88,7 @@
 	path   string
 	size   int64
 	last   uint64 // highest index of an entry in it
+	sealed bool   // says that another one follows
 }
 
 // Open reads the data folder and makes it if it is empty; a new folder gets an identity and has to recover.
@@ -160,16 +161,19 @@
 
 // append writes one frame at the end of the current segment and syncs it.
 func (d *Disk) append(group *wire.LogGroup) error {
+	return d.appendTo(d.file, d.current(), group)
+}
+
+func (d *Disk) appendTo(file *os.File, s *segment, group *wire.LogGroup) error {
 	payload, err := proto.Marshal(group)
 	if err != nil {
 		return fmt.Errorf("log group: %w", err)
 	}
-	s := d.current()
 	b := frame(payload)
-	if err := d.Write(d.file, b, s.size); err != nil {
+	if err := d.Write(file, b, s.size); err != nil {
 		return fmt.Errorf("write %s: %w", s.path, err)
 	}
-	if err := d.Sync(d.file); err != nil {
+	if err := d.Sync(file); err != nil {
 		return fmt.Errorf("sync %s: %w", s.path, err)
 	}
 	s.size += int64(len(b))
@@ -179,26 +183,37 @@
 	return nil
 }
 
-// roll begins a new segment whose first group is the given one.
+// roll begins a new segment whose first group is the given one, and then seals the one before, so that the loss of the new one would show.
 func (d *Disk) roll(first *wire.LogGroup) error {
+	before := d.file
+	if before != nil {
+		defer before.Close()
+	}
 	number := uint64(1)
 	if len(d.segments) > 0 {
 		number = d.current().number + 1
+		first.PreviousBytes = d.current().size
 	}
 	path := filepath.Join(d.dir, segmentName(number))
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
 	if err != nil {
 		return fmt.Errorf("new segment: %w", err)
 	}
-	if d.file != nil {
-		d.file.Close()
-	}
 	d.file = file
 	d.segments = append(d.segments, &segment{number: number, path: path})
 	if err := d.append(first); err != nil {
 		return err
 	}
-	return d.syncDir()
+	if err := d.syncDir(); err != nil || before == nil {
+		return err
+	}
+	return d.seal(before, d.segments[len(d.segments)-2])
+}
+
+// seal says at the end of a segment that another one follows.
+func (d *Disk) seal(file *os.File, s *segment) error {
+	s.sealed = true
+	return d.appendTo(file, s, &wire.LogGroup{Sealed: true})
 }
 
 func (d *Disk) syncDir() error {
--- a/disk/load.go
+++ b/disk/load.go
@@ -58,7 +58,7 @@
 
 func scan(name, format string, number *uint64) bool {
 	_, err := fmt.Sscanf(name, format, number)
-	return err == nil
+	return err == nil && name == fmt.Sprintf(format, *number)
 }
 
 // load reads the newest snapshot and the log after it.
@@ -80,10 +80,13 @@
 		if number != found.segments[0]+uint64(i) {
 			return nil, &Corrupt{File: filepath.Join(d.dir, segmentName(number-1)), Offset: 0}
 		}
-		if err := l.readSegment(number, i == len(found.segments)-1); err != nil {
+		if err := l.readSegment(number, len(found.segments)-1-i); err != nil {
 			return nil, err
 		}
 	}
+	if len(l.segments) > 0 && l.current().sealed {
+		return nil, &Corrupt{File: filepath.Join(d.dir, segmentName(l.current().number+1)), Offset: 0}
+	}
 	return l.finish()
 }
 
@@ -111,7 +114,8 @@
 	return nil
 }
 
-func (l *loader) readSegment(number uint64, last bool) error {
+// readSegment reads a segment that the given count of others follow.
+func (l *loader) readSegment(number uint64, following int) error {
 	s := &segment{number: number, path: filepath.Join(l.dir, segmentName(number))}
 	b, err := os.ReadFile(s.path)
 	if err != nil {
@@ -122,7 +126,7 @@
 	for offset := 0; offset < len(b); {
 		payload, size, ok := unframe(b[offset:])
 		if !ok {
-			return l.endSegment(s, b, offset, last)
+			return l.endSegment(s, b, offset, following)
 		}
 		if !l.take(s, payload) {
 			return &Corrupt{File: s.path, Offset: int64(offset)}
@@ -134,9 +138,9 @@
 	return nil
 }
 
-// endSegment accepts an invalid frame only as the torn end of the last segment.
-func (l *loader) endSegment(s *segment, b []byte, offset int, last bool) error {
-	if !last || !torn(b[offset:], offset) {
+// endSegment accepts an invalid frame only as the torn end of the last segment, or as the torn seal of the one before it.
+func (l *loader) endSegment(s *segment, b []byte, offset, following int) error {
+	if following > 1 || s.sealed || !torn(b[offset:], offset) {
 		return &Corrupt{File: s.path, Offset: int64(offset)}
 	}
 	l.torn = &Torn{File: s.path, Offset: int64(offset), Bytes: int64(len(b) - offset)}
@@ -149,6 +153,10 @@
 	if proto.Unmarshal(payload, group) != nil {
 		return false
 	}
+	s.sealed = group.GetSealed()
+	if before := l.precursor(s); before != nil && s.size == 0 && before.size < group.GetPreviousBytes() {
+		return false
+	}
 	if group.GetState() != nil {
 		l.state = group.GetState()
 	}
@@ -164,6 +172,14 @@
 	return true
 }
 
+// precursor returns the segment read before s, nil if s is the first one left.
+func (l *loader) precursor(s *segment) *segment {
+	if l.segments[0] == s {
+		return nil
+	}
+	return l.segments[len(l.segments)-2]
+}
+
 // place puts an entry where its index says, in place of all from there on.
 func (l *loader) place(e *wire.Entry) bool {
 	if len(l.log) == 0 && l.before == 0 {
@@ -239,23 +255,60 @@
 // reopen cuts off a torn end and writes the last frame once more, since after a failed sync it may be in memory only.
 func (l *loader) reopen() error {
 	s := l.current()
-	file, err := os.OpenFile(s.path, os.O_RDWR, fileMode)
+	file, err := l.cut(s)
 	if err != nil {
-		return fmt.Errorf("log: %w", err)
+		return err
 	}
 	l.file = file
-	if err := file.Truncate(s.size); err != nil {
-		return fmt.Errorf("truncate %s: %w", s.path, err)
-	}
+	before := l.precursor(s)
 	if s.size == 0 {
 		// Every segment begins with the hard state, so that older ones can be removed.
-		return l.append(&wire.LogGroup{State: l.state})
+		first := &wire.LogGroup{State: l.state}
+		if before != nil {
+			first.PreviousBytes = before.size
+		}
+		err = l.append(first)
+	} else {
+		err = l.rewrite(file, s)
 	}
+	if err != nil {
+		return err
+	}
+	if err := l.syncDir(); err != nil || before == nil || before.sealed {
+		return err
+	}
+	return l.reseal(before)
+}
+
+// cut opens a segment and removes what lies after its last valid frame.
+func (l *loader) cut(s *segment) (*os.File, error) {
+	file, err := os.OpenFile(s.path, os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, fmt.Errorf("log: %w", err)
+	}
+	if err := file.Truncate(s.size); err != nil {
+		file.Close()
+		return nil, fmt.Errorf("truncate %s: %w", s.path, err)
+	}
+	return file, nil
+}
+
+func (l *loader) rewrite(file *os.File, s *segment) error {
 	if err := l.Write(file, l.tail, s.size-int64(len(l.tail))); err != nil {
 		return fmt.Errorf("write %s: %w", s.path, err)
 	}
 	if err := l.Sync(file); err != nil {
 		return fmt.Errorf("sync %s: %w", s.path, err)
 	}
-	return l.syncDir()
+	return nil
+}
+
+// reseal makes up for the seal that a crash kept from being written.
+func (l *loader) reseal(s *segment) error {
+	file, err := l.cut(s)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return l.seal(file, s)
 }
