--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -24,6 +24,10 @@
 }
 
 func (n *Node) tickRecovery() {
+	if n.elapsed >= n.timeout {
+		n.leader = 0
+		n.resetTimer()
+	}
 	if n.elapsed%n.heartbeatTicks == 0 {
 		n.recover()
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -5,11 +5,14 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"daisyswitch/disk"
 	"daisyswitch/replica"
 	"daisyswitch/verdict"
 
@@ -18,12 +21,15 @@
 	"storj.io/drpc/drpcserver"
 )
 
-// group is a few replicas over in-memory connections that can be cut, silenced or left hanging.
+// group is a few replicas over in-memory connections that can be cut off or go silent.
 type group struct {
 	t        *testing.T
+	size     int
 	mu       sync.Mutex
 	members  map[string]*member
 	isolated map[string]bool // dials fail and connections swallow all bytes
+	open     []*silenced
+	disk     disk.Options
 }
 
 type member struct {
@@ -39,23 +45,23 @@
 }
 
 func newGroup(t *testing.T, size int) *group {
-	g := &group{t: t, members: map[string]*member{}, isolated: map[string]bool{}}
+	g := &group{t: t, size: size, members: map[string]*member{}, isolated: map[string]bool{}}
 	for id := 1; id <= size; id++ {
-		g.start(uint64(id), size, t.TempDir())
+		g.start(uint64(id), t.TempDir())
 	}
 	return g
 }
 
 func address(id uint64) string { return fmt.Sprint("replica-", id) }
 
-func (g *group) start(id uint64, size int, dir string) *member {
+func (g *group) start(id uint64, dir string) *member {
 	m := &member{name: address(id), id: id, dir: dir}
 	peers := map[uint64]string{}
-	for other := 1; other <= size; other++ {
+	for other := 1; other <= g.size; other++ {
 		peers[uint64(other)] = address(uint64(other))
 	}
 	r, err := replica.New(replica.Options{
-		ID: id, Peers: peers, Dir: dir, Seed: 7, SnapshotEvery: 100,
+		ID: id, Peers: peers, Dir: dir, Seed: 7, SnapshotEvery: 100, Disk: g.disk,
 		Dial:     func(_ context.Context, to string) (net.Conn, error) { return g.dial(m.name, to) },
 		Apply:    m.apply,
 		Snapshot: m.snapshot,
@@ -108,19 +114,22 @@
 	}
 	near, far := net.Pipe()
 	go m.server.ServeOne(m.ctx, far)
-	return &silenced{Conn: near, g: g, from: from, to: to}, nil
+	conn := &silenced{Conn: near, g: g, from: from, to: to}
+	g.open = append(g.open, conn)
+	return conn, nil
 }
 
-// silenced swallows what is written while either end is isolated.
+// silenced swallows what is written while either end is isolated, or for good.
 type silenced struct {
 	net.Conn
 	g        *group
 	from, to string
+	dead     bool
 }
 
 func (s *silenced) Write(b []byte) (int, error) {
 	s.g.mu.Lock()
-	dead := s.g.isolated[s.from] || s.g.isolated[s.to]
+	dead := s.dead || s.g.isolated[s.from] || s.g.isolated[s.to]
 	s.g.mu.Unlock()
 	if dead {
 		return len(b), nil
@@ -134,6 +143,15 @@
 	g.isolated[m.name] = isolated
 }
 
+// silence makes the connections that are open now, of one replica or of all, swallow all bytes for good; new ones work.
+func (g *group) silence(from string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, conn := range g.open {
+		conn.dead = conn.dead || from == "" || conn.from == from
+	}
+}
+
 func (g *group) stop(m *member) {
 	g.mu.Lock()
 	delete(g.members, m.name)
@@ -153,7 +171,7 @@
 func (g *group) leader(within time.Duration) *member {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		for _, m := range g.members {
-			if m.IsLeader() && m.Confirm(context.Background()) == nil {
+			if m.IsLeader() && m.confirms() {
 				return m
 			}
 		}
@@ -162,6 +180,13 @@
 	return nil
 }
 
+// confirms says whether the member confirms a read within a second.
+func (m *member) confirms() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return m.Confirm(ctx) == nil
+}
+
 func TestElectsAndApplies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 3)
@@ -222,3 +247,163 @@
 		assert.Equal(t, old.Info().Leader, next.id)
 	})
 }
+
+// propose proposes count records at whoever leads.
+func (g *group) propose(count int) {
+	for range count {
+		_, err := g.leader(5*time.Second).Propose(context.Background(), []byte("record"))
+		assert.NilError(g.t, err)
+	}
+}
+
+// settled waits until all members have applied count records and none is recovering.
+func (g *group) settled(count int) {
+	g.t.Helper()
+	time.Sleep(5 * time.Second)
+	for _, m := range g.members {
+		assert.Equal(g.t, m.count(), count, m.name)
+		assert.Assert(g.t, !m.Info().Recovering, m.name)
+	}
+}
+
+func TestSecondDiskLostRightAfterTheFirstOnesRepair(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		g.propose(20)
+		for _, id := range []uint64{1, 2, 3} {
+			g.stop(g.members[address(id)])
+			m := g.start(id, t.TempDir())
+			for m.Info().Recovering {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		g.propose(1)
+		g.settled(21)
+	})
+}
+
+func TestLostDiskDoesNotVoteWithOneOtherLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		g.propose(5)
+		g.stop(g.members[address(1)])
+		g.stop(g.members[address(2)])
+		wiped := g.start(1, t.TempDir())
+		time.Sleep(time.Minute)
+		assert.Assert(t, wiped.Info().Recovering)
+		for _, m := range g.members {
+			assert.Equal(t, m.Info().Leader, uint64(0), "a leader without two memories")
+		}
+	})
+}
+
+func TestFollowerLeftBehindCatchesUpBySnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		behind := g.members[address(1)]
+		g.leader(5 * time.Second)
+		g.stop(behind)
+		g.propose(450)
+		again := g.start(1, behind.dir)
+		g.settled(450)
+		again.mu.Lock()
+		defer again.mu.Unlock()
+		assert.Equal(t, again.applied[0], "", "records before the snapshot came one by one")
+	})
+}
+
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		g.propose(1)
+		for range 3 {
+			g.silence("")
+			g.leader(5 * time.Second)
+			g.propose(1)
+		}
+		g.settled(4)
+		for _, follower := range g.members {
+			g.silence(follower.name)
+			time.Sleep(10 * time.Second)
+			for _, peer := range g.leader(5 * time.Second).Info().Peers {
+				assert.Assert(t, peer.Active, "answers of %s are lost for good", peer.Address)
+			}
+		}
+	})
+}
+
+func TestFrozenLeaderAnswersNothingStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		var frozen atomic.Int64 // replica whose disk does not answer
+		system := disk.System()
+		for id := uint64(1); id <= 3; id++ {
+			g.disk.Operations = system
+			g.disk.Operations.Sync = func(f *os.File) error {
+				if frozen.Load() == int64(id) {
+					time.Sleep(time.Minute)
+				}
+				return system.Sync(f)
+			}
+			m := g.members[address(id)]
+			g.stop(m)
+			g.start(id, m.dir)
+		}
+		g.propose(1)
+		old := g.leader(5 * time.Second)
+		frozen.Store(int64(old.id))
+		stuck := make(chan error, 1)
+		go func() {
+			_, err := old.Propose(context.Background(), []byte("stuck"))
+			stuck <- err
+		}()
+		time.Sleep(10 * time.Millisecond)
+		next := g.leader(5 * time.Second)
+		frozen.Store(0)
+		assert.Assert(t, next != old)
+		assert.Assert(t, !old.IsLeader())
+		_, err := old.Propose(t.Context(), []byte("x"))
+		assert.Equal(t, verdict.Of(err), verdict.NotRun)
+		assert.Assert(t, old.Confirm(t.Context()) != nil)
+		g.propose(1)
+		var unknown *verdict.Error
+		assert.Assert(t, errors.As(<-stuck, &unknown))
+		assert.Equal(t, unknown.Verdict, verdict.Unknown)
+		g.settled(2)
+		assert.Equal(t, old.Info().Leader, g.leader(5*time.Second).id)
+	})
+}
+
+func TestFailedSyncEndsTheReplicasPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		g.propose(1)
+		old := g.leader(5 * time.Second)
+		g.stop(old)
+		var failing atomic.Bool
+		system := disk.System()
+		g.disk.Operations = system
+		g.disk.Operations.Sync = func(f *os.File) error {
+			if failing.Load() {
+				return errors.New("sync failed")
+			}
+			return system.Sync(f)
+		}
+		sick := g.start(old.id, old.dir)
+		g.settled(1)
+		failing.Store(true)
+		g.propose(1)
+		failing.Store(false)
+		time.Sleep(10 * time.Second)
+		assert.ErrorContains(t, sick.Info().Err, "sync failed")
+		assert.Equal(t, sick.count(), 1, "it went on after a failed sync")
+		_, err := sick.Propose(t.Context(), []byte("x"))
+		assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	})
+}
