--- /dev/null
+++ b/settings/bounds.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+)
+
+// bound is the default and the range of a whole number.
+type bound struct {
+	Default  int64
+	Min, Max int64
+	Required bool // has no default
+}
+
+func (b bound) allowed() string {
+	return fmt.Sprintf("a whole number from %d to %d", b.Min, b.Max)
+}
+
+const (
+	minuteMS = 60 * 1000
+	mib      = 1 << 20
+)
+
+// bounds is the one table of defaults; units stand in the names of the keys.
+var bounds = map[string]bound{
+	"id":                        {Min: 1, Max: math.MaxInt32, Required: true},
+	"control[].id":              {Min: 1, Max: math.MaxInt32, Required: true},
+	"drain_ms":                  {Default: 4000, Min: 0, Max: 10 * minuteMS},
+	"limits.header_bytes":       {Default: 64 << 10, Min: 4 << 10, Max: mib},
+	"limits.body_bytes":         {Default: 8 * mib, Min: 1 << 10, Max: 1024 * mib},
+	"limits.header_timeout_ms":  {Default: 5000, Min: 100, Max: minuteMS},
+	"limits.request_timeout_ms": {Default: 10000, Min: 10, Max: 10 * minuteMS},
+	"limits.queue_timeout_ms":   {Default: 500, Min: 1, Max: minuteMS},
+	"limits.retry_percent":      {Default: 10, Min: 0, Max: 100},
+	"tick_ms":                   {Default: 50, Min: 5, Max: 1000},
+	"election_ticks":            {Default: 10, Min: 3, Max: 100},
+	"lease_ms":                  {Default: 10000, Min: 1000, Max: 10 * minuteMS},
+	"drift_ppm":                 {Default: 1000, Min: 1, Max: 100000},
+	"snapshot_every":            {Default: 10000, Min: 10, Max: 10000000},
+	"audit_keep":                {Default: 10000, Min: 10, Max: 10000000},
+	"answers_keep":              {Default: 1000, Min: 10, Max: 1000000},
+}
+
+// text is what a string may be.
+type text struct {
+	allowed string
+	valid   func(string) bool
+}
+
+var labelPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+var (
+	label   = text{"1 to 63 of a-z, 0-9, '.', '_' and '-', with a letter or digit first", labelPattern.MatchString}
+	address = text{"IP:port by numbers, such as 127.0.0.1:7000, with a port from 1 to 65535", validAddress}
+	folder  = text{"a folder's path", func(s string) bool { return s != "" }}
+)
+
+// texts holds the rule of each string by the last part of its key.
+var texts = map[string]text{
+	"name":      label,
+	"domain":    label,
+	"inner":     address,
+	"admin":     address,
+	"callers":   address,
+	"platform":  address,
+	"operators": address,
+	"data":      folder,
+}
+
+func validAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0
+}
+
+// clash reports whether two valid addresses can't be listened on at once.
+func clash(a, b string) bool {
+	x, errX := netip.ParseAddrPort(a)
+	y, errY := netip.ParseAddrPort(b)
+	if errX != nil || errY != nil || x.Port() != y.Port() {
+		return false
+	}
+	return x.Addr() == y.Addr() || x.Addr().IsUnspecified() || y.Addr().IsUnspecified()
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,91 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"daisyswitch/settings"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+func TestBadFilesAreRefused(t *testing.T) {
+	files, err := filepath.Glob("testdata/bad/*.jsonc")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			_, err := settings.Check(file)
+			assert.Assert(t, err != nil, "accepted")
+			golden.Assert(t, err.Error()+"\n", strings.TrimPrefix(file, "testdata/")+".golden")
+		})
+	}
+}
+
+func TestExamplesAreAccepted(t *testing.T) {
+	files, err := filepath.Glob("../examples/*/*.jsonc")
+	assert.NilError(t, err)
+	assert.Equal(t, len(files), 4)
+	for _, file := range files {
+		role, err := settings.Check(file)
+		assert.NilError(t, err)
+		assert.Equal(t, role, strings.TrimSuffix(filepath.Base(file), ".jsonc"))
+	}
+}
+
+func TestKeysLeftOutHaveDefaults(t *testing.T) {
+	e, err := settings.LoadEntry("../examples/verhoeven/entry.jsonc")
+	assert.NilError(t, err)
+	assert.Equal(t, e.Limits.QueueTimeoutMS, int64(200)) // from the file
+	assert.Equal(t, e.Limits.HeaderBytes, int64(65536))  // from the table
+	assert.Equal(t, len(e.Entries), 8)
+	c, err := settings.LoadControl("../examples/verhoeven/control.jsonc")
+	assert.NilError(t, err)
+	assert.Equal(t, c.ElectionTicks, int64(10))
+	assert.Equal(t, len(c.Control), 5)
+}
+
+func TestMissingFileIsNamed(t *testing.T) {
+	_, err := settings.Check("testdata/absent.jsonc")
+	assert.ErrorIs(t, err, os.ErrNotExist)
+	assert.ErrorContains(t, err, "testdata/absent.jsonc")
+}
+
+// FuzzParse holds every refusal to lines that exist, in order, and every acceptance to settings in range.
+func FuzzParse(f *testing.F) {
+	for _, pattern := range []string{"testdata/bad/*.jsonc", "../examples/*/*.jsonc"} {
+		files, err := filepath.Glob(pattern)
+		assert.NilError(f, err)
+		for _, file := range files {
+			source, err := os.ReadFile(file)
+			assert.NilError(f, err)
+			f.Add(source)
+		}
+	}
+	f.Fuzz(func(t *testing.T, source []byte) {
+		e, err := settings.ParseEntry("f", source)
+		checkRefusal(t, source, err)
+		assert.Assert(t, err != nil || (e.Name != "" && len(e.Control)%2 == 1 && e.Limits.BodyBytes > 0))
+		c, err := settings.ParseControl("f", source)
+		checkRefusal(t, source, err)
+		assert.Assert(t, err != nil || (c.ID > 0 && c.LeaseMS >= 2*c.TickMS*c.ElectionTicks))
+	})
+}
+
+func checkRefusal(t *testing.T, source []byte, err error) {
+	if err == nil {
+		return
+	}
+	var refusal *settings.Error
+	assert.Assert(t, errors.As(err, &refusal))
+	last := 1
+	for _, fault := range refusal.Faults {
+		assert.Assert(t, fault.Line >= last && fault.Line <= strings.Count(string(source), "\n")+1, "%v", fault)
+		assert.Assert(t, fault.Text != "")
+		last = fault.Line
+	}
+}
