--- /dev/null
+++ b/fakeupstream/announce.go
@@ -0,0 +1,70 @@
+package fakeupstream
+
+import (
+	"context"
+	"time"
+
+	"daisyswitch/event"
+)
+
+const (
+	announcePath    = "/v1/upstreams"
+	announceEvery   = time.Second
+	announceTimeout = 500 * time.Millisecond
+	announceRetry   = 50 * time.Millisecond // to the next entry, after a failure
+)
+
+// announcement is the body that an upstream posts to an entry.
+type announcement struct {
+	ID          string   `json:"id"`
+	Address     string   `json:"address"`
+	Domain      string   `json:"domain"`
+	Classes     []string `json:"classes"`
+	Slots       int      `json:"slots"`
+	Connections int      `json:"connections"`
+	Sequence    uint64   `json:"sequence"`
+	Leaving     bool     `json:"leaving"`
+	Instance    string   `json:"instance,omitempty"`
+}
+
+// announce tells the entries about the upstream until ctx ends.
+func (u *Upstream) announce(ctx context.Context) {
+	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
+		wait := announceEvery
+		if err := u.announceOnce(ctx, sequence); err != nil && ctx.Err() == nil {
+			event.StandinAnnounceFailed.Error(err, "upstream", u.id)
+			wait = announceRetry
+		}
+		select {
+		case <-time.After(wait):
+		case <-u.wake:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (u *Upstream) announceOnce(ctx context.Context, sequence uint64) error {
+	u.mu.Lock()
+	leaving := u.leaving
+	u.mu.Unlock()
+	err := u.client.Post(ctx, announcePath, announceTimeout, announcement{
+		ID:          u.id,
+		Address:     u.Address(),
+		Domain:      u.options.Domain,
+		Classes:     u.options.Classes,
+		Slots:       u.options.Slots,
+		Connections: u.options.Connections,
+		Sequence:    sequence,
+		Leaving:     leaving,
+		Instance:    u.options.Instance,
+	}, nil)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if leaving && u.left.IsZero() {
+		u.left = time.Now()
+	}
+	return nil
+}
--- /dev/null
+++ b/fakeupstream/serve.go
@@ -0,0 +1,169 @@
+package fakeupstream
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"daisyswitch/standin"
+	"daisyswitch/verdict"
+)
+
+const (
+	headerClass     = "Daisyswitch-Class"
+	headerRequestID = "Daisyswitch-Request-Id"
+	headerVerdict   = "Daisyswitch-Verdict"
+	bodyLimit       = 64 << 20
+)
+
+// serve takes a slot, has the effect once, and answers as the mode says.
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, bodyLimit))
+	if err != nil {
+		http.Error(w, "the request broke off", http.StatusBadRequest)
+		return
+	}
+	if !u.takeSlot(r.Context()) {
+		u.recordRequest(standin.RequestRefused, r)
+		refuse(w)
+		return
+	}
+	defer u.freeSlot()
+	u.recordRequest(standin.RequestRan, r)
+	mode, changed := u.currentMode()
+	u.work(r.Context(), mode, changed)
+	answer := newAnswer(r.Header.Get(headerRequestID), body, u.options.BodyBytes)
+	if mode.Truncate {
+		truncate(w, answer)
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	w.Write(answer) //nolint:errcheck // the caller's side counts broken answers
+}
+
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(headerVerdict, verdict.NotRun.String())
+	http.Error(w, "no free slot", http.StatusServiceUnavailable)
+}
+
+func (u *Upstream) takeSlot(ctx context.Context) bool {
+	wait := time.NewTimer(u.options.QueueWait)
+	defer wait.Stop()
+	select {
+	case u.slots <- struct{}{}:
+	case <-wait.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.progress++
+	return true
+}
+
+func (u *Upstream) freeSlot() {
+	u.mu.Lock()
+	u.progress--
+	u.mu.Unlock()
+	<-u.slots
+}
+
+func (u *Upstream) recordRequest(kind string, r *http.Request) {
+	u.mu.Lock()
+	left := u.left
+	u.mu.Unlock()
+	e := standin.RequestEffect{
+		Kind:      kind,
+		RequestID: r.Header.Get(headerRequestID),
+		Class:     r.Header.Get(headerClass),
+		Method:    r.Method,
+	}
+	if !left.IsZero() {
+		e.LeavingMS = max(time.Since(left).Milliseconds(), 1)
+	}
+	u.record(e)
+}
+
+// work takes the service time, longer in slow mode and until the mode changes in silent mode.
+func (u *Upstream) work(ctx context.Context, mode Mode, changed <-chan struct{}) {
+	if mode.Silent {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		return
+	}
+	took := u.draw.next() * time.Duration(max(mode.SlowBy, 1))
+	select {
+	case <-time.After(took):
+	case <-ctx.Done():
+	}
+}
+
+// truncate sends half of what it announces, then cuts the connection.
+func truncate(w http.ResponseWriter, answer []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	w.Write(answer[:len(answer)/2]) //nolint:errcheck // cut anyway
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// Answer is the first line of an upstream's body; as many bytes as Length follow it.
+type Answer struct {
+	RequestID string `json:"request_id"`
+	Received  uint32 `json:"received"` // checksum of the request's body
+	Length    int    `json:"length"`   // bytes that follow this line
+	Checksum  uint32 `json:"checksum"` // of these bytes
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Checksum is what requests and answers are compared by.
+func Checksum(data []byte) uint32 {
+	return crc32.Checksum(data, castagnoli)
+}
+
+func newAnswer(id string, received []byte, length int) []byte {
+	filling := make([]byte, length)
+	for i := range filling {
+		filling[i] = 'a' + byte((i+len(id))%26)
+	}
+	line, _ := json.Marshal(Answer{RequestID: id, Received: Checksum(received), Length: length, Checksum: Checksum(filling)})
+	return append(append(line, '\n'), filling...)
+}
+
+// CheckAnswer says why an answer that looked complete is not whole, or not the one to the request with this id and body.
+func CheckAnswer(answer []byte, id string, sent []byte) error {
+	end := 0
+	for end < len(answer) && answer[end] != '\n' {
+		end++
+	}
+	if end == len(answer) {
+		return errors.New("the answer has no end of its first line")
+	}
+	var a Answer
+	if err := json.Unmarshal(answer[:end], &a); err != nil {
+		return fmt.Errorf("the answer's first line: %w", err)
+	}
+	filling := answer[end+1:]
+	switch {
+	case a.RequestID != id:
+		return fmt.Errorf("the answer is to %q, the request was %q", a.RequestID, id)
+	case a.Received != Checksum(sent):
+		return errors.New("the upstream received another body than was sent")
+	case a.Length != len(filling):
+		return fmt.Errorf("%d bytes of %d", len(filling), a.Length)
+	case a.Checksum != Checksum(filling):
+		return errors.New("the answer's checksum differs")
+	}
+	return nil
+}
--- /dev/null
+++ b/fakeworker/worker.go
@@ -0,0 +1,196 @@
+package fakeworker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"daisyswitch/event"
+	"daisyswitch/resource"
+	"daisyswitch/standin"
+	"daisyswitch/worker"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Options says what the worker offers and whom it polls.
+type Options struct {
+	Name     string
+	Domain   string // failure domain
+	Rack     string
+	Capacity resource.Size
+	Entries  []string      // platform addresses of its domain's entries
+	Poll     time.Duration // between polls
+	Lag      time.Duration // of reported use
+	Scale    float64       // on the declared run times
+	FailAll  bool          // every task fails
+	Journal  string        // file of effects; empty for none
+}
+
+const (
+	stepEvery   = 20 * time.Millisecond
+	pollTimeout = time.Second
+	pollRetry   = 50 * time.Millisecond // to the next entry, after a failure
+)
+
+// Worker is one running stand-in.
+type Worker struct {
+	options     Options
+	incarnation string
+	journal     *standin.Journal
+	client      standin.Client
+	running     conc.WaitGroup
+	stop        context.CancelFunc
+
+	mu       sync.Mutex // guards what follows
+	table    *table
+	sequence uint64
+}
+
+// New starts a worker; its error says what is missing or can't be opened.
+func New(o Options) (*Worker, error) {
+	if o.Name == "" || len(o.Entries) == 0 || !o.Capacity.Valid() {
+		return nil, errors.New("fakeworker: a name, entries and capacity are needed")
+	}
+	journal, err := standin.OpenJournal(o.Journal)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	w := &Worker{
+		options:     o,
+		incarnation: fmt.Sprintf("%d.%d", os.Getpid(), time.Now().UnixMilli()),
+		journal:     journal,
+		client:      standin.Client{Entries: o.Entries},
+		stop:        stop,
+	}
+	w.table = newTable(o, w.record)
+	w.table.last = time.Now()
+	w.record(standin.TaskEffect{Kind: standin.TaskBooted})
+	w.running.Go(func() { w.steps(ctx) })
+	w.running.Go(func() { w.polls(ctx) })
+	return w, nil
+}
+
+// record fills in what is common to all effects; a journal that fails ends the process.
+func (w *Worker) record(e standin.TaskEffect) {
+	e.TimeUS = time.Now().UnixMicro()
+	e.Worker = w.options.Name
+	e.Incarnation = w.incarnation
+	e.Domain = w.options.Domain
+	if err := w.journal.Append(e); err != nil {
+		event.StandinJournalFailed.Error(err)
+		os.Exit(1)
+	}
+}
+
+// steps runs the tasks, and with them the lease's end, whatever becomes of the polls.
+func (w *Worker) steps(ctx context.Context) {
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			w.step()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *Worker) step() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	held := !w.table.lease.IsZero()
+	w.table.step(time.Now())
+	if held && w.table.lease.IsZero() {
+		event.StandinLeaseEnded.Info("worker", w.options.Name)
+	}
+}
+
+// polls keeps one poll open at a time.
+func (w *Worker) polls(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := w.options.Poll
+		if err := w.poll(ctx); err != nil && ctx.Err() == nil {
+			event.StandinPollFailed.Error(err, "worker", w.options.Name)
+			wait = pollRetry
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (w *Worker) poll(ctx context.Context) error {
+	sent := time.Now()
+	report := w.report(sent)
+	var reply worker.Reply
+	path := strings.Replace(worker.PollPath, ":name", w.options.Name, 1)
+	if err := w.client.Post(ctx, path, pollTimeout, report, &reply); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	dropped := w.table.dropped
+	w.table.take(sent, time.Now(), reply)
+	if w.table.dropped > dropped {
+		event.StandinStartDropped.Info("worker", w.options.Name, "starts", w.table.dropped-dropped)
+	}
+	if reply.Refusal != "" {
+		return errors.New(reply.Refusal)
+	}
+	return nil
+}
+
+func (w *Worker) report(now time.Time) worker.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sequence++
+	return worker.Report{
+		Name:        w.options.Name,
+		Domain:      w.options.Domain,
+		Rack:        w.options.Rack,
+		Incarnation: w.incarnation,
+		Sequence:    w.sequence,
+		Capacity:    w.options.Capacity,
+		Leaving:     w.table.leaving,
+		Tasks:       w.table.report(now),
+	}
+}
+
+// Leave checkpoints and stops all tasks and keeps reporting until control has recorded their ends, or ctx ends.
+func (w *Worker) Leave(ctx context.Context) error {
+	w.mu.Lock()
+	w.table.leaving = true
+	w.table.stopAll(time.Now(), standin.ReasonLeaving, true)
+	w.mu.Unlock()
+	for {
+		w.mu.Lock()
+		left := len(w.table.tasks)
+		w.mu.Unlock()
+		if left == 0 {
+			return nil
+		}
+		select {
+		case <-time.After(stepEvery):
+		case <-ctx.Done():
+			return fmt.Errorf("%d attempts are not yet forgotten: %w", left, ctx.Err())
+		}
+	}
+}
+
+// Close ends the worker and everything that runs on it, and waits.
+func (w *Worker) Close() error {
+	w.stop()
+	w.running.Wait()
+	w.mu.Lock()
+	w.table.stopAll(time.Now(), standin.ReasonLeaving, true)
+	w.mu.Unlock()
+	return errors.Join(w.client.Close(), w.journal.Close())
+}
