--- a/cmd/standin/caller.go
+++ b/cmd/standin/caller.go
@@ -24,10 +24,6 @@
 	JSON      bool          `long:"json" description:"print the summary as JSON"`
 }
 
-func newCallerCommand() *callerCommand {
-	return &callerCommand{}
-}
-
 // Execute makes the load and prints its summary; a wrong or missing answer is a failure.
 func (c *callerCommand) Execute([]string) error {
 	ctx, cancel := stopped()
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -32,9 +32,11 @@
 
 func commands() []command {
 	return []command{
-		{"worker", "run a worker with fake tasks", "standin worker --name w1 --domain east --entry 127.0.0.1:8081", newWorkerCommand()},
-		{"upstream", "run an upstream that serves requests", "standin upstream --name u1 --domain east --class bids --entry 127.0.0.1:8081", newUpstreamCommand()},
-		{"caller", "load entries with requests and check the answers", "standin caller --class bids --rate 200 --entry 127.0.0.1:8080", newCallerCommand()},
+		{"worker", "run a worker with fake tasks", "standin worker --name w1 --domain east --entry 127.0.0.1:8081", &workerCommand{}},
+		{"upstream", "run an upstream that serves requests", "standin upstream --name u1 --domain east --class bids --entry 127.0.0.1:8081", &upstreamCommand{}},
+		{"caller", "load entries with requests and check the answers", "standin caller --class bids --rate 200 --entry 127.0.0.1:8080", &callerCommand{}},
+		{"check", "hold journals against the promises", "standin check --journals demo/out", &checkCommand{}},
+		{"note", "write down what an operator or script did", "standin note --journal events.jsonl --domain east domain_out", &noteCommand{}},
 	}
 }
 
--- a/cmd/standin/upstream.go
+++ b/cmd/standin/upstream.go
@@ -29,10 +29,6 @@
 	Journal     string        `long:"journal" description:"file to append effects to, JSON lines"`
 }
 
-func newUpstreamCommand() *upstreamCommand {
-	return &upstreamCommand{}
-}
-
 // Execute runs the upstream until it is told to stop or leave.
 func (c *upstreamCommand) Execute([]string) error {
 	ctx, cancel := stopped()
--- a/cmd/standin/worker.go
+++ b/cmd/standin/worker.go
@@ -24,10 +24,6 @@
 	Journal      string        `long:"journal" description:"file to append effects to, JSON lines"`
 }
 
-func newWorkerCommand() *workerCommand {
-	return &workerCommand{}
-}
-
 // Execute runs the worker until it is told to stop.
 func (c *workerCommand) Execute([]string) error {
 	const milli, mibPerGiB = 1000, 1024
