--- /dev/null
+++ b/event/place.go
@@ -0,0 +1,8 @@
+package event
+
+// Events of the policy, 500 to 599.
+var (
+	WorkerSuspended = register(500, "worker_suspended", "A worker failed the tasks of several jobs in a row and starts only single probes for some time.")
+	WorkerTrusted   = register(501, "worker_trusted", "A suspended worker ran its probes well and starts tasks as before.")
+	JobGivenUp      = register(502, "job_given_up", "A job failed on several workers that run other jobs well, and its waiting tasks are given up.")
+)
