--- a/place/decide.go
+++ b/place/decide.go
@@ -2,18 +2,27 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"daisyswitch/resource"
 	"daisyswitch/wire"
 )
 
-// Decide returns what should happen next; its time is bounded by the limits in Options, however long the queues are.
+// Decide returns what should happen next; its time is bounded by the limits in Options and by what was measured since the last, however long the queues are.
 func (p *Placer) Decide(now time.Time) Decisions {
 	p.now = now
 	p.expire()
 	d := &round{Placer: p}
+	d.giveUp()
+	d.resize()
+	d.relieve()
 	d.serve()
+	for _, t := range p.throttled {
+		d.Throttles = append(d.Throttles, t.throttled())
+	}
+	d.Throttles = append(d.Throttles, p.released...)
+	p.released = p.released[:0]
 	return d.Decisions
 }
 
@@ -24,23 +33,52 @@
 	full []resource.Size // sizes that fit nowhere now
 }
 
-// expire takes back proposals that the state has not answered in time.
+// decide marks a task as decided, until the state answers or the time for it is over.
+func (p *Placer) decide(t *task, what decision) {
+	t.decision, t.decided = what, p.now
+	p.pending = append(p.pending, pending{t, p.now})
+}
+
+// expire takes back decisions that the state has not answered in time, and lets suspended workers probe.
 func (p *Placer) expire() {
-	kept := p.proposed[:0]
-	for _, t := range p.proposed {
-		if t.decided.IsZero() {
-			continue
+	n := 0
+	for _, each := range p.pending {
+		if p.now.Sub(each.at) < p.options.StartTimeout {
+			break
 		}
-		if p.now.Sub(t.decided) < p.options.StartTimeout {
-			kept = append(kept, t)
-			continue
+		n++
+		if each.task.decision != undecided && each.task.decided.Equal(each.at) {
+			p.takeBack(each.task)
+		}
+	}
+	p.pending = append(p.pending[:0], p.pending[n:]...)
+	kept := p.suspended[:0]
+	for _, w := range p.suspended {
+		p.offer(w)
+		if w.blame.Suspended() && w.domain != nil {
+			kept = append(kept, w)
+		}
+	}
+	p.suspended = kept
+	for _, w := range slices.Clone(p.reserved) {
+		if !p.now.Before(w.until) {
+			p.unreserve(w.reserved)
 		}
-		t.decided = time.Time{}
+	}
+}
+
+func (p *Placer) takeBack(t *task) {
+	what := t.decision
+	t.decision = undecided
+	switch what {
+	case decidedStart:
 		p.release(t)
 		p.enqueue(t)
+	case decidedEnd:
+		p.enqueue(t)
+	case decidedResize:
+		p.recommit(t, t.before)
 	}
-	clear(p.proposed[len(kept):])
-	p.proposed = kept
 }
 
 // serve starts tasks, one of the foremost lane at a time, until nothing more fits or the limit is reached.
@@ -87,51 +125,77 @@
 func (d *round) startOne(j *job) bool {
 	t := j.queue.first
 	if d.impossible(j) {
-		d.dequeue(t)
-		t.decided = d.now
-		d.proposed = append(d.proposed, t)
-		d.event(t, wire.TaskEventKind_TASK_EVENT_KIND_CANNOT_RUN, "no worker is large enough", resource.Size{})
+		d.end(t, wire.TaskEventKind_TASK_EVENT_KIND_CANNOT_RUN, "no worker is large enough")
 		return true
 	}
-	if !d.withinQuota(j.team, j.size) || d.knownFull(j.size) {
+	size := d.startSize(j)
+	if !d.withinQuota(j.team, size) {
 		return false
 	}
-	w := d.choose(j, j.size)
-	if w == nil {
-		return false
+	if w := d.holder(t, size); w != nil {
+		d.start(t, w, size)
+		return true
 	}
-	d.start(t, w, j.size)
-	return true
+	if !d.knownFull(size) {
+		if w := d.choose(t, size); w != nil {
+			d.start(t, w, size)
+			return true
+		}
+	}
+	if j.GetUrgent() || j.class.service() {
+		d.makeRoom(t, size)
+	}
+	return false
+}
+
+// startSize is what a task is committed with: the declared size, or the peak of the job's earlier tasks once that is known.
+func (d *round) startSize(j *job) resource.Size {
+	if !d.ideas.learn || !j.warm {
+		return j.size
+	}
+	size := marginOf(j.class).Commit(j.peak.Value(), j.size)
+	for capacity := range d.shapes {
+		if size.Fits(capacity) {
+			return size
+		}
+	}
+	return j.size
 }
 
 func (d *round) start(t *task, w *worker, size resource.Size) {
 	d.dequeue(t)
 	d.hold(t, w, size)
-	t.decided = d.now
-	d.proposed = append(d.proposed, t)
+	d.decide(t, decidedStart)
 	d.Starts = append(d.Starts, &wire.Start{
 		Job: t.job.GetId(), Index: t.index, Attempt: t.attempt + 1, Worker: w.name, Size: size.Wire(),
 	})
 }
 
-func (d *round) event(t *task, kind wire.TaskEventKind, reason string, size resource.Size) {
-	e := &wire.TaskEvent{
+// end takes a waiting task out of the queue for good.
+func (d *round) end(t *task, kind wire.TaskEventKind, reason string) {
+	d.dequeue(t)
+	d.decide(t, decidedEnd)
+	d.event(t, kind, reason, nil)
+}
+
+func (d *round) event(t *task, kind wire.TaskEventKind, reason string, size *wire.Size) {
+	d.Events = append(d.Events, &wire.TaskEvent{
 		Task:   &wire.TaskRef{Job: t.job.GetId(), Index: t.index, Attempt: t.attempt},
 		Kind:   kind,
 		Reason: reason,
-	}
-	if kind == wire.TaskEventKind_TASK_EVENT_KIND_RESIZE {
-		e.Size = size.Wire()
-	}
-	d.Events = append(d.Events, e)
+		Size:   size,
+	})
 }
 
-// impossible reports whether no worker that is known, out, or lately gone could ever hold the job's tasks.
+// impossible reports whether no worker that is known, in a domain that is out, or lately gone could ever hold the job's tasks.
 func (p *Placer) impossible(j *job) bool {
 	if len(p.shapes) == 0 || p.now.Sub(p.changed) < p.options.Settle {
 		return false
 	}
-	for capacity := range p.shapes {
+	for capacity, s := range p.shapes {
+		if s.workers == 0 && p.now.Sub(s.gone) > p.options.Return {
+			continue
+		}
 		if j.size.Fits(capacity) {
 			return false
 		}
@@ -151,108 +215,3 @@
 	}
 	return false
 }
-
-// choose returns the best of some workers with room for one task of a job, or nil.
-func (d *round) choose(j *job, size resource.Size) *worker {
-	var best *worker
-	bestScore, found := 0.0, false
-	for _, each := range d.allowed(j) {
-		d.candidates(each, size, func(w *worker) {
-			found = true
-			score := d.score(j, w, size)
-			if best == nil || score > bestScore {
-				best, bestScore = w, score
-			}
-		})
-	}
-	if !found && j.GetMinDomains() <= 1 {
-		d.full = append(d.full, size)
-	}
-	return best
-}
-
-// candidates calls f for some workers of a domain that have room, beginning anywhere.
-func (d *round) candidates(each *domain, size resource.Size, f func(*worker)) {
-	length := each.rooms.Len()
-	if length == 0 {
-		return
-	}
-	begin := d.random.IntN(length)
-	at, wrapped := begin, false
-	for n := 0; n < d.options.Candidates; n++ {
-		slot := each.rooms.Next(size, at)
-		if slot < 0 && !wrapped {
-			wrapped = true
-			slot = each.rooms.Next(size, 0)
-		}
-		if slot < 0 || wrapped && slot >= begin {
-			return
-		}
-		f(each.workers[slot])
-		at = slot + 1
-	}
-}
-
-// allowed returns the domains that a job's next task may start in.
-func (d *round) allowed(j *job) []*domain {
-	counts := j.domains()
-	needed := int(j.GetMinDomains()) - len(counts)
-	fresh := needed > 0 && j.queue.length <= needed
-	var list []*domain
-	for _, each := range d.domains {
-		if each.out || fresh && counts[each] > 0 {
-			continue
-		}
-		list = append(list, each)
-	}
-	sortDomains(list)
-	return list
-}
-
-// domains counts a job's committed tasks by failure domain.
-func (j *job) domains() map[*domain]int {
-	if j.GetMinDomains() <= 1 && !j.class.service() {
-		return nil
-	}
-	counts := make(map[*domain]int)
-	for _, t := range j.tasks {
-		if t.worker != nil && t.worker != nowhere {
-			counts[t.worker.domain]++
-		}
-	}
-	return counts
-}
-
-// score says how well a worker suits a task; higher is better.
-func (d *round) score(j *job, w *worker, size resource.Size) float64 {
-	if j.class.service() {
-		return d.spreadScore(j, w)
-	}
-	left := w.free.Sub(size)
-	return -float64(left.MilliCPU) / float64(max(1, w.capacity.MilliCPU))
-}
-
-// spreadScore prefers the domain, then the rack, then the worker with fewest replicas of the job, then the emptier one.
-func (d *round) spreadScore(j *job, w *worker) float64 {
-	score := float64(w.free.MilliCPU) / float64(max(1, w.capacity.MilliCPU))
-	for _, t := range j.tasks {
-		if t.worker == nil || t.worker == nowhere || t.worker.domain != w.domain {
-			continue
-		}
-		score -= domainWeight
-		if t.worker.rack == w.rack {
-			score -= rackWeight
-		}
-		if t.worker == w {
-			score -= workerWeight
-		}
-	}
-	return score
-}
-
-// Weights of spreadScore: each outweighs the sum of those below it.
-const (
-	domainWeight = 1e6
-	rackWeight   = 1e4
-	workerWeight = 1e2
-)
--- a/place/place.go
+++ b/place/place.go
@@ -1,9 +1,12 @@
 package place
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
+	"daisyswitch/blame"
+	"daisyswitch/interference"
 	"daisyswitch/resource"
 	"daisyswitch/wire"
 )
@@ -15,8 +18,14 @@
 	MaxEvents    int           // per Decide
 	Candidates   int           // workers compared for one start
 	BlockedJobs  int           // jobs of one lane passed over in one Decide because they do not fit
-	StartTimeout time.Duration // how long a proposed start is waited for before the task is decided again
+	StartTimeout time.Duration // how long a decision is waited for before it is taken again
 	Settle       time.Duration // without a new worker, after which all workers are taken as known
+	Return       time.Duration // how long a worker that is gone is expected back
+	Lag          time.Duration // from an order to the first measurement that shows its effect
+	Warmup       time.Duration // a task is measured for before its commitment shrinks
+	PeakHalf     time.Duration // half of the sliding time over which a peak is taken
+	Blame        blame.Options
+	Interference interference.Options
 }
 
 var defaults = Options{
@@ -27,33 +36,39 @@
 	BlockedJobs:  16,
 	StartTimeout: 5 * time.Second,
 	Settle:       15 * time.Second,
+	Return:       time.Hour,
+	Lag:          5 * time.Second,
+	Warmup:       20 * time.Second,
+	PeakHalf:     5 * time.Minute,
 }
 
 func (o Options) withDefaults() Options {
-	if o.Seed == 0 {
-		o.Seed = defaults.Seed
-	}
-	if o.MaxStarts == 0 {
-		o.MaxStarts = defaults.MaxStarts
-	}
-	if o.MaxEvents == 0 {
-		o.MaxEvents = defaults.MaxEvents
-	}
-	if o.Candidates == 0 {
-		o.Candidates = defaults.Candidates
-	}
-	if o.BlockedJobs == 0 {
-		o.BlockedJobs = defaults.BlockedJobs
-	}
-	if o.StartTimeout == 0 {
-		o.StartTimeout = defaults.StartTimeout
-	}
-	if o.Settle == 0 {
-		o.Settle = defaults.Settle
-	}
+	o.Seed = cmp.Or(o.Seed, defaults.Seed)
+	o.MaxStarts = cmp.Or(o.MaxStarts, defaults.MaxStarts)
+	o.MaxEvents = cmp.Or(o.MaxEvents, defaults.MaxEvents)
+	o.Candidates = cmp.Or(o.Candidates, defaults.Candidates)
+	o.BlockedJobs = cmp.Or(o.BlockedJobs, defaults.BlockedJobs)
+	o.StartTimeout = cmp.Or(o.StartTimeout, defaults.StartTimeout)
+	o.Settle = cmp.Or(o.Settle, defaults.Settle)
+	o.Return = cmp.Or(o.Return, defaults.Return)
+	o.Lag = cmp.Or(o.Lag, defaults.Lag)
+	o.Warmup = cmp.Or(o.Warmup, defaults.Warmup)
+	o.PeakHalf = cmp.Or(o.PeakHalf, defaults.PeakHalf)
+	o.Blame = o.Blame.WithDefaults()
 	return o
 }
 
+// ideas are the parts of the policy that measurement switches off one at a time.
+type ideas struct {
+	pairs      bool // learned pair costs choose the worker and keep services' headroom
+	resize     bool // commitments follow the measured peak
+	learn      bool // later tasks of a job start at the peak of its earlier ones
+	throttle   bool // batch is throttled before it is evicted
+	hysteresis bool // one step per measurement lag, released only well under target
+}
+
+var allIdeas = ideas{pairs: true, resize: true, learn: true, throttle: true, hysteresis: true}
+
 // Throttle takes a share of the processors away from one attempt; 0 gives them back.
 type Throttle struct {
 	Job     string
@@ -72,19 +87,36 @@
 // Placer holds what the policy knows; it is used from one goroutine, and is rebuilt on a new leader by telling it everything again.
 type Placer struct {
 	options Options
+	ideas   ideas
 	random  *rand.Rand
 	now     time.Time
 	classes map[string]*class
 	teams   map[string]*team
 	domains map[string]*domain
+	ordered []*domain // by name
 	workers map[string]*worker
 	jobs    map[string]*job
 	lanes   map[laneKey]*lane
 	shapes  map[resource.Size]*shape // capacities of all workers ever told of
+	table   *interference.Table
+	total   resource.Size
+	changed time.Time // when a capacity was last seen for the first time
+
+	pending   []pending // decisions that the state has not answered, in order of their time
+	pressed   []*worker // measured since the last Decide, and with something to relieve
+	outgrown  []*task   // measured since the last Decide, and to be resized
+	throttled []*task
+	released  []Throttle // since the last Decide
+	suspended []*worker
+	reserved  []*worker
+	bad       []*job // whose waiting tasks are to be given up
+
+	scratch, others []interference.Share // reused by Observe
+}
 
-	proposed []*task // in order of their timeout
-	total    resource.Size
-	changed  time.Time // when a capacity was last seen for the first time
+type pending struct {
+	task *task
+	at   time.Time
 }
 
 // New returns a placer that knows nothing yet.
@@ -92,6 +124,7 @@
 	o = o.withDefaults()
 	return &Placer{
 		options: o,
+		ideas:   allIdeas,
 		random:  rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		classes: make(map[string]*class),
 		teams:   make(map[string]*team),
@@ -100,15 +133,6 @@
 		jobs:    make(map[string]*job),
 		lanes:   make(map[laneKey]*lane),
 		shapes:  make(map[resource.Size]*shape),
+		table:   interference.New(o.Interference),
 	}
 }
-
-// Observe takes one worker's measurements, which lag behind what the worker does.
-func (p *Placer) Observe(now time.Time, _ *wire.WorkerReport) {
-	p.now = now
-}
-
-// ObserveService takes what an entry of the domain measured of one service class since its last sample.
-func (p *Placer) ObserveService(now time.Time, _ string, _ *wire.ServiceSample) {
-	p.now = now
-}
--- a/place/table.go
+++ b/place/table.go
@@ -1,10 +1,15 @@
 package place
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"daisyswitch/blame"
+	"daisyswitch/interference"
 	"daisyswitch/resource"
 	"daisyswitch/room"
+	"daisyswitch/sizing"
 	"daisyswitch/wire"
 )
 
@@ -33,11 +38,21 @@
 type worker struct {
 	name     string
 	rack     string
-	domain   *domain
+	domain   *domain // nil while it is not there
 	slot     int
-	capacity resource.Size
-	free     resource.Size // less what is committed and proposed
+	capacity resource.Size // zero while it is not there
+	free     resource.Size // capacity less what is committed and proposed
 	tasks    []*task
+	blame    blame.Worker
+
+	reserved *task // urgent task or replica that room is being made for
+	until    time.Time
+
+	shares  []interference.Share // of its programs, see neighbors
+	stale   bool                 // shares are to be counted again
+	stepped time.Time            // last step of relief
+	memory  int64                // in use as last measured, MiB
+	pressed bool                 // in the placer's list
 }
 
 // shape is one capacity that some worker has or had.
@@ -48,43 +63,68 @@
 
 type job struct {
 	*wire.Job
-	size   resource.Size // declared
-	class  *class
-	team   *team
-	lane   *lane
-	tasks  map[int32]*task
-	queue  taskList
-	queued bool // in its lane
-	prev   *job
-	next   *job
+	size    resource.Size // declared
+	class   *class
+	team    *team
+	lane    *lane
+	program interference.Program
+	tasks   map[int32]*task
+	queue   taskList
+	queued  bool // in its lane
+	prev    *job
+	next    *job
+	peak    sizing.Peak // of all its tasks
+	warm    bool        // peak is known from a task measured for long enough
+	blame   blame.Job
+	givenUp bool
 }
 
+// decision is what was decided about a task and is not yet answered by the state.
+type decision int8
+
+const (
+	undecided decision = iota
+	decidedStart
+	decidedEnd // CANNOT_RUN or GIVE_UP
+	decidedStop
+	decidedResize
+)
+
 type task struct {
 	job       *job
 	index     int32
 	attempt   uint32
 	slot      int32 // position among its worker's tasks
+	failures  uint32
 	state     wire.TaskState
+	decision  decision
+	sized     bool    // in the placer's list of tasks to be resized
+	throttle  int32   // percent
 	worker    *worker // where it is committed or proposed
+	failedOn  *worker // last failure
+	holder    *worker // that room is being made on
+	latency   bool    // its worker reports its tail latency
+	credited  bool    // this attempt has run long enough to speak for its worker
 	committed resource.Size
-	decided   time.Time // of a proposal that the state has not yet answered, else zero
-	failures  uint32
+	before    resource.Size // committed before a decided growth
+	used      resource.Size // last measurement
+	peak      sizing.Peak
+	decided   time.Time
+	measured  time.Time // first measurement of this attempt
+	ratio     float64   // services: smoothed logarithm of tail latency over target
+	offset    float64   // services: smoothed part of it that the table does not foresee
 	prev      *task
 	next      *task
 }
 
 // SetConfiguration takes the accepted classes, teams and domains.
 func (p *Placer) SetConfiguration(c *wire.Configuration) {
-	classes := make(map[string]*wire.Class, len(c.GetClasses()))
+	for name, known := range p.classes {
+		known.Class = &wire.Class{Name: name}
+	}
 	for _, each := range c.GetClasses() {
-		classes[each.GetName()] = each
 		p.class(each.GetName()).Class = each
 	}
-	for name, known := range p.classes {
-		if classes[name] == nil {
-			known.Class = &wire.Class{Name: name}
-		}
-	}
 	for _, known := range p.teams {
 		known.limited = false
 	}
@@ -101,56 +141,56 @@
 	}
 }
 
-// SetWorker takes a worker's record; one that is gone starts nothing more.
+// SetWorker takes a worker's record; one that is gone starts nothing more, but its tasks stay on it until the state says otherwise.
 func (p *Placer) SetWorker(r *wire.WorkerRecord) {
-	w := p.workers[r.GetName()]
+	w := p.worker(r.GetName())
 	capacity := resource.FromWire(r.GetCapacity())
-	if w != nil && (r.GetGone() || w.domain.name != r.GetDomain()) {
-		p.dropWorker(w)
-		w = nil
+	if w.domain != nil && (r.GetGone() || w.domain.name != r.GetDomain() || w.capacity != capacity) {
+		p.leave(w)
 	}
 	if r.GetGone() {
-		return
-	}
-	if w == nil {
-		p.addWorker(r, capacity)
+		if len(w.tasks) == 0 {
+			delete(p.workers, w.name)
+		}
 		return
 	}
 	w.rack = r.GetRack()
-	if w.capacity == capacity {
-		return
+	if w.domain == nil {
+		p.join(w, p.domain(r.GetDomain()), capacity)
 	}
-	p.countShape(w.capacity, -1)
-	p.countShape(capacity, 1)
-	p.total = p.total.Sub(w.capacity).Add(capacity)
-	w.free = w.free.Sub(w.capacity).Add(capacity)
-	w.capacity = capacity
-	w.domain.rooms.Set(w.slot, w.free)
 }
 
-func (p *Placer) addWorker(r *wire.WorkerRecord, capacity resource.Size) {
-	d := p.domain(r.GetDomain())
-	w := &worker{name: r.GetName(), rack: r.GetRack(), domain: d, capacity: capacity, free: capacity}
-	w.slot = d.rooms.Add(capacity)
+func (p *Placer) worker(name string) *worker {
+	w := p.workers[name]
+	if w == nil {
+		w = &worker{name: name, stale: true}
+		p.workers[name] = w
+	}
+	return w
+}
+
+func (p *Placer) join(w *worker, d *domain, capacity resource.Size) {
+	w.domain = d
+	w.slot = d.rooms.Add(resource.Size{MilliCPU: -1})
 	if w.slot == len(d.workers) {
 		d.workers = append(d.workers, nil)
 	}
 	d.workers[w.slot] = w
-	p.workers[w.name] = w
+	w.capacity = capacity
+	w.free = w.free.Add(capacity)
 	p.total = p.total.Add(capacity)
 	p.countShape(capacity, 1)
+	p.offer(w)
 }
 
-// dropWorker forgets a worker; its tasks wait for the transitions that the state will tell of.
-func (p *Placer) dropWorker(w *worker) {
-	for len(w.tasks) > 0 {
-		p.release(w.tasks[len(w.tasks)-1])
-	}
+func (p *Placer) leave(w *worker) {
 	w.domain.rooms.Remove(w.slot)
 	w.domain.workers[w.slot] = nil
-	delete(p.workers, w.name)
+	w.domain = nil
+	w.free = w.free.Sub(w.capacity)
 	p.total = p.total.Sub(w.capacity)
 	p.countShape(w.capacity, -1)
+	w.capacity = resource.Size{}
 }
 
 func (p *Placer) countShape(capacity resource.Size, n int) {
@@ -161,9 +201,7 @@
 		p.changed = p.now
 	}
 	s.workers += n
-	if s.workers == 0 {
-		s.gone = p.now
-	}
+	s.gone = p.now
 }
 
 // SetTask takes a task's state after a transition, or at the rebuild of a placer; ended tasks are dropped.
@@ -181,25 +219,47 @@
 		own = &task{job: known, index: t.GetIndex()}
 		known.tasks[own.index] = own
 	}
+	p.judge(own, t)
+	committed := resource.FromWire(t.GetCommitted())
+	if own.decision == decidedResize && own.attempt == t.GetAttempt() && committed == own.before {
+		committed = own.committed // the growth is still being committed
+	} else {
+		own.decision = undecided
+	}
 	p.dequeue(own)
 	p.release(own)
+	if !waiting(t.GetState()) {
+		p.unreserve(own)
+	}
+	if own.attempt != t.GetAttempt() || !holding(t.GetState()) {
+		p.forget(own)
+	}
 	own.state, own.attempt, own.failures = t.GetState(), t.GetAttempt(), t.GetFailures()
-	own.decided = time.Time{}
 	switch {
 	case waiting(own.state):
 		p.enqueue(own)
 	case holding(own.state):
-		p.hold(own, p.workers[t.GetWorker()], resource.FromWire(t.GetCommitted()))
+		p.hold(own, p.worker(t.GetWorker()), committed)
 	default:
 		p.countDone(known.class, t)
 		p.dropTask(own)
 	}
 }
 
+// forget drops what was measured of an attempt that has ended.
+func (p *Placer) forget(t *task) {
+	if t.throttle > 0 {
+		p.unthrottle(t)
+	}
+	t.used, t.peak, t.measured = resource.Size{}, sizing.Peak{}, time.Time{}
+	t.ratio, t.offset, t.credited = 0, 0, false
+}
+
 func (p *Placer) addJob(j *wire.Job) *job {
 	known := &job{Job: j, size: resource.FromWire(j.GetSize()), tasks: make(map[int32]*task)}
 	known.class = p.class(j.GetClass())
 	known.team = p.team(j.GetTeam())
+	known.program = p.table.Number(j.GetProgram())
 	known.lane = p.lane(known)
 	p.jobs[j.GetId()] = known
 	return known
@@ -226,26 +286,18 @@
 	}
 }
 
-// hold commits room on a worker, which may be unknown, to a task.
+// hold commits room on a worker to a task.
 func (p *Placer) hold(t *task, w *worker, size resource.Size) {
 	t.job.class.running++
 	t.job.team.used = t.job.team.used.Add(size)
 	t.committed = size
 	t.worker = w
-	if w == nil {
-		w = nowhere
-		t.worker = w
-		return
-	}
 	t.slot = int32(len(w.tasks))
 	w.tasks = append(w.tasks, t)
 	w.free = w.free.Sub(size)
-	w.domain.rooms.Set(w.slot, w.free)
+	p.offer(w)
 }
 
-// nowhere stands for a worker that the placer was not told of.
-var nowhere = &worker{}
-
 // release gives back what a task holds.
 func (p *Placer) release(t *task) {
 	w := t.worker
@@ -255,16 +307,40 @@
 	t.job.class.running--
 	t.job.team.used = t.job.team.used.Sub(t.committed)
 	t.worker = nil
-	if w == nowhere {
-		return
-	}
 	last := len(w.tasks) - 1
 	w.tasks[t.slot] = w.tasks[last]
 	w.tasks[t.slot].slot = t.slot
 	w.tasks[last] = nil
 	w.tasks = w.tasks[:last]
 	w.free = w.free.Add(t.committed)
-	w.domain.rooms.Set(w.slot, w.free)
+	p.offer(w)
+	if w.domain == nil && len(w.tasks) == 0 {
+		delete(p.workers, w.name)
+	}
+}
+
+// recommit changes what a running task holds.
+func (p *Placer) recommit(t *task, size resource.Size) {
+	t.job.team.used = t.job.team.used.Sub(t.committed).Add(size)
+	t.worker.free = t.worker.free.Add(t.committed).Sub(size)
+	t.committed = size
+	p.offer(t.worker)
+}
+
+// offer tells the index how much room of a worker is open to any task.
+func (p *Placer) offer(w *worker) {
+	w.stale = true
+	if w.domain == nil {
+		return
+	}
+	open := w.free
+	if w.reserved != nil {
+		open = open.Sub(w.reserved.job.size)
+	}
+	if w.blame.Suspended() && !w.blame.Probes(p.now, len(w.tasks)) {
+		open = resource.Size{MilliCPU: -1}
+	}
+	w.domain.rooms.Set(w.slot, open)
 }
 
 func (p *Placer) class(name string) *class {
@@ -290,6 +366,8 @@
 	if d == nil {
 		d = &domain{name: name, rooms: room.New()}
 		p.domains[name] = d
+		p.ordered = append(p.ordered, d)
+		slices.SortFunc(p.ordered, func(a, b *domain) int { return cmp.Compare(a.name, b.name) })
 	}
 	return d
 }
--- a/place/why.go
+++ b/place/why.go
@@ -1,14 +1,6 @@
 package place
 
-import (
-	"cmp"
-	"fmt"
-	"slices"
-)
-
-func sortDomains(list []*domain) {
-	slices.SortFunc(list, func(a, b *domain) int { return cmp.Compare(a.name, b.name) })
-}
+import "fmt"
 
 // Why returns in one line why a queued task waits, and an empty line for one that does not.
 func (p *Placer) Why(id string, index int32) string {
@@ -20,7 +12,7 @@
 	if t == nil || !waiting(t.state) {
 		return ""
 	}
-	if !t.decided.IsZero() {
+	if t.decision != undecided {
 		return "a start was decided and is being committed"
 	}
 	if p.impossible(j) {
@@ -38,8 +30,8 @@
 		if !j.size.Fits(w.capacity) {
 			continue
 		}
-		in = in || !w.domain.out
-		out = out || w.domain.out
+		in = in || (w.domain != nil && !w.domain.out)
+		out = out || (w.domain != nil && w.domain.out)
 	}
 	switch {
 	case !in && out:
