Forward callers' requests to announced upstreams with verdicts

First whole path: announcement, registry, pick by quota and known load, queue bounded by time, own HTTP/1.1 exchange that writes a request once, relay with whole answers, typed refusals. net/http's client is not used towards upstreams, since it replays some requests by itself.

--- /dev/null
+++ b/caller/listener.go
@@ -0,0 +1,166 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+
+	"daisyswitch/verdict"
+)
+
+// listener watches the bytes of its connections for what net/http hides: framing given twice, slow headers, and refusals of its own.
+type listener struct {
+	net.Listener
+}
+
+// Accept waits for a caller.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw}, nil
+}
+
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connOf returns the request's connection, nil if another listener accepted it.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
+
+// conn is a caller's connection.
+type conn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	head headScan
+}
+
+// Read scans heads as they pass, and answers a caller that is too slow with its head.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.feed(p[:n])
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.head.begun() {
+		c.Conn.Write(rawRefusal(notRun(http.StatusRequestTimeout, CodeSlowCaller, "headers are sent too slowly"))) //nolint:errcheck // the connection ends here
+	}
+	return n, err
+}
+
+// serverRefusal is how net/http begins a refusal of its own; an answer of a handler never looks so.
+const serverRefusal = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
+
+// Write replaces net/http's own refusals by ones with a verdict.
+func (c *conn) Write(p []byte) (int, error) {
+	head, reason, found := bytes.Cut(p, []byte(serverRefusal))
+	if !found || bytes.IndexByte(head, '\n') >= 0 || !bytes.HasPrefix(head, []byte("HTTP/1.1 ")) {
+		return c.Conn.Write(p)
+	}
+	f := notRun(http.StatusBadRequest, CodeBadRequest, string(reason))
+	if bytes.HasPrefix(head, []byte("HTTP/1.1 431")) {
+		f = notRun(http.StatusRequestHeaderFieldsTooLarge, CodeHeaderTooLarge, "headers are too large")
+	}
+	if _, err := c.Conn.Write(rawRefusal(f)); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// rawRefusal writes the refusal out for a connection that has no handler.
+func rawRefusal(f *Refusal) []byte {
+	body, err := json.Marshal(f)
+	if err != nil {
+		return nil
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%s: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		f.status, http.StatusText(f.status), VerdictHeader, verdict.NotRun, len(body), body)
+}
+
+// checkHead refuses a request whose framing was given twice. The request is rebuilt for the upstream in any case.
+func (c *conn) checkHead(r *http.Request) error {
+	if c == nil || len(r.TransferEncoding) == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.lengths > 0 {
+		return errors.New("both Content-Length and Transfer-Encoding are given")
+	}
+	return nil
+}
+
+// next expects the head of the next request.
+func (c *conn) next() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = headScan{}
+}
+
+const lengthName = "content-length"
+
+// headScan counts the lines of a request's head that tell its length.
+type headScan struct {
+	line    [len(lengthName) + 1]byte
+	n       int // bytes of the present line
+	seen    bool
+	done    bool
+	lengths int
+}
+
+// begun reports whether a part of a head has come, but not all.
+func (h *headScan) begun() bool {
+	return h.seen && !h.done
+}
+
+func (h *headScan) feed(p []byte) {
+	for _, b := range p {
+		if h.done {
+			return
+		}
+		h.seen = true
+		h.byte(b)
+	}
+}
+
+func (h *headScan) byte(b byte) {
+	if b == '\n' {
+		h.endLine()
+		return
+	}
+	if b == '\r' {
+		return
+	}
+	if 'A' <= b && b <= 'Z' {
+		b += 'a' - 'A'
+	}
+	if h.n < len(h.line) {
+		h.line[h.n] = b
+	}
+	h.n++
+}
+
+func (h *headScan) endLine() {
+	if h.n == 0 {
+		h.done = true
+	}
+	if h.n > len(lengthName) && string(h.line[:]) == lengthName+":" {
+		h.lengths++
+	}
+	h.n = 0
+}
--- /dev/null
+++ b/caller/outgoing.go
@@ -0,0 +1,51 @@
+package caller
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"daisyswitch/transport"
+)
+
+// outgoing builds the request for an upstream from scratch, so that its framing is the entry's own.
+func (x *exchange) outgoing(address string) *transport.Request {
+	header := make(http.Header, len(x.r.Header)+1)
+	copyHeader(header, x.r.Header)
+	header[AttemptHeader] = []string{strconv.Itoa(x.attempts + 1)}
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	body, length := x.body.reader()
+	return &transport.Request{
+		Request: &http.Request{
+			Method: x.r.Method,
+			URL: &url.URL{
+				Scheme: "http", Host: address,
+				Path: x.r.URL.Path, RawPath: x.r.URL.RawPath,
+				RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
+			},
+			Host:          x.r.Host,
+			Header:        header,
+			Body:          body,
+			ContentLength: length,
+			Trailer:       x.r.Trailer,
+		},
+		Idempotent: x.idempotent,
+		Stream:     x.body.streamed(),
+		Informed:   x.inform,
+		Interrupt:  x.interruptBody,
+	}
+}
+
+// inform passes an upstream's 1xx answer on.
+func (x *exchange) inform(code int, head http.Header) {
+	h := x.w.Header()
+	kept := h.Clone()
+	copyHeader(h, head)
+	x.w.WriteHeader(code)
+	clear(h)
+	for name, values := range kept {
+		h[name] = values
+	}
+}
