--- a/caller/front_test.go
+++ b/caller/front_test.go
@@ -81,3 +81,7 @@
 	assert.Equal(t, resp.StatusCode, 200)
 	assert.Equal(t, body, "GET / "+strings.TrimPrefix(e.url, "http://")+" 1 ")
 }
+
+func loadOf(id string, inFlight int32) []*wire.Load {
+	return []*wire.Load{{Id: id, InFlight: inFlight}}
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -33,8 +33,7 @@
 
 // Options says where slots come from; zero values take the defaults.
 type Options[S any] struct {
-	Take     func(class string, skip []string) (slot S, free, absent bool)
-	AbsentOK time.Duration // how long a class without upstreams may wait for one
+	Take func(class string, skip []string) (slot S, free, absent bool)
 }
 
 // Queue lets requests wait for slots in order of class and arrival. Its lock comes before that of Take.
@@ -54,7 +53,6 @@
 type waiter[S any] struct {
 	request Request
 	ready   chan S
-	since   time.Time
 }
 
 // New returns an empty queue.
@@ -103,7 +101,7 @@
 	if l.pace.wait(len(l.waiters)) > r.Wait {
 		return nil, none, ErrEarly
 	}
-	w := &waiter[S]{request: r, ready: make(chan S, 1), since: time.Now()}
+	w := &waiter[S]{request: r, ready: make(chan S, 1)}
 	l.waiters = append(l.waiters, w)
 	return w, none, nil
 }
@@ -167,17 +165,26 @@
 }
 
 // serve hands out slots along one line until there is none; called with the lock held.
+// A waiter that has upstreams to skip does not keep back those behind it.
 func (q *Queue[S]) serve(l *line[S]) {
-	for len(l.waiters) > 0 {
-		w := l.waiters[0]
+	kept := l.waiters[:0]
+	full := false
+	for _, w := range l.waiters {
+		if full {
+			kept = append(kept, w)
+			continue
+		}
 		slot, free, _ := q.options.Take(l.class.Name, w.request.Skip)
 		if !free {
-			return
+			full = len(w.request.Skip) == 0
+			kept = append(kept, w)
+			continue
 		}
-		l.waiters = l.waiters[1:]
 		l.pace.left(time.Now())
 		w.ready <- slot
 	}
+	clear(l.waiters[len(kept):])
+	l.waiters = kept
 }
 
 // Waiting returns the number of requests in line.
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -14,6 +14,7 @@
 
 const (
 	announcementTTL = 3 * time.Second
+	maintainEvery   = 200 * time.Millisecond
 	tombstoneTTL    = 60 * time.Second // how long a leaving upstream is remembered, so that an older word cannot bring it back
 	loadTTL         = 3 * time.Second  // after which another entry's loads, and its share of the slots, are forgotten
 )
@@ -40,7 +41,7 @@
 	loads         map[string]*entryLoads
 	entries       int
 	configuration *wire.Configuration
-	lastPrune     time.Time
+	maintained    time.Time
 	closed        bool
 }
 
@@ -187,20 +188,33 @@
 		r.reorder()
 	}
 	r.expireLoads(now)
-	r.prune(now)
+	r.maintain(now)
 }
 
-// prune closes old idle connections about once a second; called with the lock held.
-func (r *Registry) prune(now time.Time) {
-	if now.Sub(r.lastPrune) < time.Second {
+// maintain compares the upstreams' health and closes old idle connections, a few times a second; called with the lock held.
+func (r *Registry) maintain(now time.Time) {
+	if now.Sub(r.maintained) < maintainEvery {
 		return
 	}
-	r.lastPrune = now
+	r.maintained = now
+	r.assess(now)
 	for _, u := range r.order {
 		u.pool.Prune(now)
 	}
 }
 
+// assess ejects and readmits upstreams; called with the lock held.
+func (r *Registry) assess(now time.Time) {
+	for _, change := range pick.Assess(now, r.candidates) {
+		u := r.order[change.Index]
+		if change.Ejected {
+			event.UpstreamEjected.Info("upstream", u.ID, "failures", u.Failures, "latency", u.Latency)
+		} else {
+			event.UpstreamReadmitted.Info("upstream", u.ID)
+		}
+	}
+}
+
 func ttl(a *Announcement) time.Duration {
 	if a.Leaving {
 		return tombstoneTTL
--- a/upstream/slot.go
+++ b/upstream/slot.go
@@ -87,6 +87,7 @@
 	}
 	if verdict.Of(err) != verdict.NotRun || errors.Is(err, transport.ErrDial) {
 		s.upstream.Failed()
+		s.registry.assess(time.Now())
 	}
 }
 
