Add the state machine and the lease table

The state machine holds configuration, answers, audit trail, jobs, tasks and workers; commit is the one place that commits resources. The lease table decides what a report means and what it is answered.

--- /dev/null
+++ b/audit/doc.go
@@ -0,0 +1,2 @@
+// Package audit keeps the trail of operators' changes, accepted and refused, that people read.
+package audit
--- /dev/null
+++ b/configuration/apply.go
@@ -0,0 +1,203 @@
+package configuration
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+
+	"daisyswitch/resource"
+	"daisyswitch/wire"
+)
+
+// Bounds of a configuration.
+const (
+	MaxNameBytes  = 63
+	MaxClasses    = 1000
+	MaxTeams      = 1000
+	MaxDomains    = 100
+	MaxP99US      = 60_000_000    // a minute, microseconds
+	MaxVolume     = 1_000_000_000 // tasks per day
+	MinutesPerDay = 24 * 60
+)
+
+// ErrNoOperation is returned for a change that holds no operation.
+var ErrNoOperation = errors.New("the change holds no operation")
+
+// Usage tells how many jobs that have not ended use a class or team.
+type Usage struct {
+	Class func(name string) int
+	Team  func(name string) int
+}
+
+// CheckName returns why s can't be the name of anything, nil if it can.
+func CheckName(s string) error {
+	if s == "" {
+		return errors.New("a name is empty")
+	}
+	if len(s) > MaxNameBytes {
+		return fmt.Errorf("name %.16q… is longer than %d bytes", s, MaxNameBytes)
+	}
+	for i, c := range []byte(s) {
+		if !nameByte(c, i == 0) {
+			return fmt.Errorf("name %q: only letters, digits and inner . _ - are allowed", s)
+		}
+	}
+	return nil
+}
+
+func nameByte(c byte, first bool) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		return true
+	case c == '.', c == '_', c == '-':
+		return !first
+	}
+	return false
+}
+
+// Apply returns the configuration after a change, with the next version; the error says why the change makes no sense.
+func Apply(c *wire.Configuration, change *wire.Change, usage Usage) (*wire.Configuration, error) {
+	next := &wire.Configuration{Version: c.Version + 1, Classes: c.Classes, Teams: c.Teams, Domains: c.Domains}
+	var err error
+	switch o := change.Operation.(type) {
+	case *wire.Change_PutClass:
+		next.Classes, err = putClass(c.Classes, o.PutClass, usage)
+	case *wire.Change_RemoveClass:
+		next.Classes, err = remove(c.Classes, "class", o.RemoveClass, usage.Class)
+	case *wire.Change_PutTeam:
+		next.Teams, err = putTeam(c.Teams, o.PutTeam)
+	case *wire.Change_RemoveTeam:
+		next.Teams, err = remove(c.Teams, "team", o.RemoveTeam, usage.Team)
+	case *wire.Change_SetDomain:
+		next.Domains, err = setDomain(c.Domains, o.SetDomain)
+	default:
+		err = ErrNoOperation
+	}
+	if err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+func putClass(classes []*wire.Class, class *wire.Class, usage Usage) ([]*wire.Class, error) {
+	if err := checkClass(class); err != nil {
+		return nil, err
+	}
+	old := Class(classes, class.Name)
+	if old != nil && old.Kind != class.Kind && usage.Class(class.Name) > 0 {
+		return nil, fmt.Errorf("class %s has %d jobs that have not ended; its kind stays", class.Name, usage.Class(class.Name))
+	}
+	return put(classes, class, MaxClasses)
+}
+
+func checkClass(c *wire.Class) error {
+	if err := CheckName(c.GetName()); err != nil {
+		return err
+	}
+	switch c.Kind {
+	case wire.ClassKind_CLASS_KIND_SERVICE:
+		return checkService(c)
+	case wire.ClassKind_CLASS_KIND_BATCH:
+		return checkBatch(c)
+	}
+	return fmt.Errorf("class %s is neither a service nor batch", c.Name)
+}
+
+func checkService(c *wire.Class) error {
+	if c.TargetP99Us <= 0 || c.TargetP99Us > MaxP99US {
+		return fmt.Errorf("class %s: a service's target_p99_us lies between 1 and %d", c.Name, MaxP99US)
+	}
+	if c.TargetVolume != 0 || c.DueMinute != 0 {
+		return fmt.Errorf("class %s: a service has no volume", c.Name)
+	}
+	return nil
+}
+
+func checkBatch(c *wire.Class) error {
+	if c.TargetVolume <= 0 || c.TargetVolume > MaxVolume {
+		return fmt.Errorf("class %s: a batch class's target_volume lies between 1 and %d", c.Name, MaxVolume)
+	}
+	if c.DueMinute < 0 || c.DueMinute >= MinutesPerDay {
+		return fmt.Errorf("class %s: due_minute lies between 0 and %d", c.Name, MinutesPerDay-1)
+	}
+	if c.TargetP99Us != 0 {
+		return fmt.Errorf("class %s: a batch class has no latency target", c.Name)
+	}
+	return nil
+}
+
+func putTeam(teams []*wire.Team, team *wire.Team) ([]*wire.Team, error) {
+	if err := CheckName(team.GetName()); err != nil {
+		return nil, err
+	}
+	if !resource.FromWire(team.Quota).Valid() {
+		return nil, fmt.Errorf("team %s: the quota is empty or below zero", team.Name)
+	}
+	return put(teams, team, MaxTeams)
+}
+
+func setDomain(domains []*wire.Domain, domain *wire.Domain) ([]*wire.Domain, error) {
+	if err := CheckName(domain.GetName()); err != nil {
+		return nil, err
+	}
+	return put(domains, domain, MaxDomains)
+}
+
+// Class returns the class of that name, nil if there is none.
+func Class(classes []*wire.Class, name string) *wire.Class {
+	return find(classes, name)
+}
+
+// Team returns the team of that name, nil if there is none.
+func Team(teams []*wire.Team, name string) *wire.Team {
+	return find(teams, name)
+}
+
+// Domain returns the failure domain of that name, nil if there is none.
+func Domain(domains []*wire.Domain, name string) *wire.Domain {
+	return find(domains, name)
+}
+
+type named interface {
+	comparable
+	GetName() string
+}
+
+func search[T named](all []T, name string) (int, bool) {
+	return slices.BinarySearchFunc(all, name, func(x T, n string) int { return cmp.Compare(x.GetName(), n) })
+}
+
+func find[T named](all []T, name string) T {
+	var none T
+	at, found := search(all, name)
+	if !found {
+		return none
+	}
+	return all[at]
+}
+
+// put returns a copy of all, in order of name, that holds x.
+func put[T named](all []T, x T, most int) ([]T, error) {
+	at, found := search(all, x.GetName())
+	next := slices.Clone(all)
+	if found {
+		next[at] = x
+		return next, nil
+	}
+	if len(all) >= most {
+		return nil, fmt.Errorf("there are %d already, the most that are kept", most)
+	}
+	return slices.Insert(next, at, x), nil
+}
+
+func remove[T named](all []T, kind, name string, users func(string) int) ([]T, error) {
+	at, found := search(all, name)
+	if !found {
+		return nil, fmt.Errorf("there is no %s %q", kind, name)
+	}
+	if n := users(name); n > 0 {
+		return nil, fmt.Errorf("%s %s has %d jobs that have not ended", kind, name, n)
+	}
+	return slices.Delete(slices.Clone(all), at, at+1), nil
+}
--- /dev/null
+++ b/configuration/doc.go
@@ -0,0 +1,2 @@
+// Package configuration checks and applies operators' changes to classes, teams and failure domains.
+package configuration
--- /dev/null
+++ b/lease/receive.go
@@ -0,0 +1,245 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"daisyswitch/resource"
+	"daisyswitch/state"
+	"daisyswitch/wire"
+)
+
+const keepFormer = 8 // incarnations of a worker that are remembered to be fenced off
+
+// Outcome is what a report means: events and a record to commit, or a refusal.
+type Outcome struct {
+	Events  []*wire.TaskEvent
+	Worker  *wire.WorkerRecord // nil if unchanged
+	Refusal string             // why nothing of the report counts; empty if it does
+}
+
+// Receive reads one report against what the state holds for the worker; record is nil if the state does not know it.
+func (t *Table) Receive(now time.Time, r *wire.WorkerReport, held []state.Held, record *wire.WorkerRecord) Outcome {
+	if err := state.CheckWorker(r.GetWorker()); err != nil {
+		return Outcome{Refusal: err.Error()}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.workers[r.Worker.Name]
+	if w == nil {
+		w = t.add(r.Worker.Name, record)
+	}
+	if record == nil && r.Leaving {
+		return Outcome{Refusal: "the worker leaves before it was known"}
+	}
+	if refusal := w.admit(now, r); refusal != "" {
+		return Outcome{Refusal: refusal}
+	}
+	if record != nil && record.Incarnation != r.Worker.Incarnation {
+		// What the state holds belongs to the former incarnation and ends with this record.
+		w.end = later(w.end, now.Add(t.span))
+		return Outcome{Worker: announced(r.Worker)}
+	}
+	w.meet(held, r.Sequence)
+	o := Outcome{Events: w.events(r, held)}
+	if r.Leaving {
+		o.Events = append(o.Events, leavingEvents(held)...)
+		if idle(r, held) {
+			w.left, w.lost = true, true
+			o.Worker = Gone(r.Worker)
+			return o
+		}
+	}
+	if changed(record, r.Worker) {
+		o.Worker = announced(r.Worker)
+		w.end = later(w.end, now.Add(t.span))
+	}
+	return o
+}
+
+// admit decides whether a report may speak for its worker and takes its sequence number.
+func (w *holder) admit(now time.Time, r *wire.WorkerReport) string {
+	if w.incarnation != r.Worker.Incarnation {
+		return w.replace(now, r)
+	}
+	switch {
+	case r.Sequence < w.sequence:
+		return "an older report than the last one"
+	case w.left:
+		return "the worker has left"
+	case w.lost && !w.gone:
+		return "the lease has ended and its end is being recorded"
+	}
+	w.lost = false
+	w.gone = false
+	w.sequence = r.Sequence
+	return ""
+}
+
+// replace lets a new incarnation take the worker's place once the lease of the former one has surely ended.
+func (w *holder) replace(now time.Time, r *wire.WorkerReport) string {
+	if slices.Contains(w.former, r.Worker.Incarnation) {
+		return "an older incarnation of the worker"
+	}
+	if !w.left && !now.After(w.end) {
+		return "the lease of the worker's former incarnation has not ended"
+	}
+	if w.incarnation != "" {
+		w.former = append(w.former, w.incarnation)
+	}
+	if len(w.former) > keepFormer {
+		w.former = slices.Delete(w.former, 0, 1)
+	}
+	w.incarnation = r.Worker.Incarnation
+	w.sequence = r.Sequence
+	w.end = time.Time{}
+	w.lost, w.left, w.gone = false, false, false
+	w.fresh = false
+	w.attempts = map[state.Ref]*attempt{}
+	return ""
+}
+
+// meet notes the attempts that the state holds; those that the first report to a leader finds may have been sent by an earlier one.
+func (w *holder) meet(held []state.Held, sequence uint64) {
+	for _, h := range held {
+		w.attempt(state.RefOf(h.Task)).touched = sequence
+	}
+	w.fresh = false
+	for ref, a := range w.attempts {
+		if a.touched+2 < sequence {
+			delete(w.attempts, ref)
+		}
+	}
+}
+
+func (w *holder) attempt(ref state.Ref) *attempt {
+	a := w.attempts[ref]
+	if a == nil {
+		a = &attempt{inherited: w.fresh, touched: w.sequence}
+		w.attempts[ref] = a
+	}
+	return a
+}
+
+// events returns what the report says of the attempts that the state holds.
+func (w *holder) events(r *wire.WorkerReport, held []state.Held) []*wire.TaskEvent {
+	reports := byRef(r)
+	var events []*wire.TaskEvent
+	for _, h := range held {
+		ref := state.RefOf(h.Task)
+		report := reports[ref]
+		if report == nil && w.neverReceived(h.Task, r.Sequence) {
+			w.attempts[ref].condemned = true
+			events = append(events, &wire.TaskEvent{Task: ref.Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_NOT_STARTED})
+		}
+		if report != nil {
+			events = append(events, reported(h.Task, report)...)
+		}
+	}
+	return events
+}
+
+// neverReceived reports whether an attempt that is missing from a report is surely unknown to its worker and must not be sent again.
+func (w *holder) neverReceived(t *wire.Task, sequence uint64) bool {
+	a := w.attempts[state.RefOf(t)]
+	if a.inherited || a.sent && sequence <= a.sequence {
+		return false
+	}
+	switch t.State {
+	case wire.TaskState_TASK_STATE_STARTING:
+		return a.withheld
+	case wire.TaskState_TASK_STATE_STOPPING:
+		return true
+	}
+	return false
+}
+
+// reported returns the events of one task's report.
+func reported(t *wire.Task, r *wire.TaskReport) []*wire.TaskEvent {
+	e := &wire.TaskEvent{
+		Task: r.Task, Kind: r.Phase, Reason: r.Reason, Checkpoint: r.Checkpoint, CheckpointData: r.CheckpointData,
+	}
+	if ended(r.Phase) {
+		return []*wire.TaskEvent{e}
+	}
+	var events []*wire.TaskEvent
+	stopping := t.State == wire.TaskState_TASK_STATE_STOPPING && t.Started
+	if t.State != wire.TaskState_TASK_STATE_RUNNING && !stopping {
+		events = append(events, &wire.TaskEvent{Task: r.Task, Kind: wire.TaskEventKind_TASK_EVENT_KIND_RUNNING})
+	}
+	if r.Checkpoint > t.Checkpoint {
+		e.Kind = wire.TaskEventKind_TASK_EVENT_KIND_CHECKPOINT
+		events = append(events, e)
+	}
+	return events
+}
+
+// ended reports whether an attempt in that phase no longer runs.
+func ended(phase wire.TaskEventKind) bool {
+	switch phase {
+	case wire.TaskEventKind_TASK_EVENT_KIND_DONE, wire.TaskEventKind_TASK_EVENT_KIND_FAILED,
+		wire.TaskEventKind_TASK_EVENT_KIND_STOPPED, wire.TaskEventKind_TASK_EVENT_KIND_NOT_STARTED:
+		return true
+	}
+	return false
+}
+
+// leavingEvents has everything on a leaving worker stopped.
+func leavingEvents(held []state.Held) []*wire.TaskEvent {
+	var events []*wire.TaskEvent
+	for _, h := range held {
+		if h.Task.State == wire.TaskState_TASK_STATE_STOPPING {
+			continue
+		}
+		events = append(events, &wire.TaskEvent{
+			Task: state.RefOf(h.Task).Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_STOPPING, Reason: "worker leaving",
+		})
+	}
+	return events
+}
+
+// idle reports whether nothing is committed to a worker and nothing runs on it.
+func idle(r *wire.WorkerReport, held []state.Held) bool {
+	for _, task := range r.Tasks {
+		if !ended(task.Phase) {
+			return false
+		}
+	}
+	return len(held) == 0
+}
+
+// changed reports whether an announcement differs from what the state has recorded.
+func changed(record, r *wire.WorkerRecord) bool {
+	if record == nil || record.Gone {
+		return true
+	}
+	if record.Incarnation != r.Incarnation || record.Domain != r.Domain || record.Rack != r.Rack {
+		return true
+	}
+	offered := record.Capacity
+	if record.Offered != nil {
+		offered = record.Offered
+	}
+	return resource.FromWire(offered) != resource.FromWire(r.Capacity)
+}
+
+func announced(r *wire.WorkerRecord) *wire.WorkerRecord {
+	a := Gone(r)
+	a.Gone = false
+	return a
+}
+
+func byRef(r *wire.WorkerReport) map[state.Ref]*wire.TaskReport {
+	reports := make(map[state.Ref]*wire.TaskReport, len(r.Tasks))
+	for _, task := range r.Tasks {
+		reports[state.FromWire(task.Task)] = task
+	}
+	return reports
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/state/change.go
@@ -0,0 +1,124 @@
+package state
+
+import (
+	"crypto/sha256"
+	"fmt"
+
+	"daisyswitch/answer"
+	"daisyswitch/configuration"
+	"daisyswitch/wire"
+)
+
+// change answers an operator's change: the first answer again for a resend, else by the version that it was made from.
+func (m *Machine) change(c *wire.Change) *wire.ChangeResult {
+	text := configuration.Describe(m.configuration, c)
+	if err := checkIdentity(c.Operator, c.Sequence); err != nil {
+		return m.refuse(c, text, err.Error())
+	}
+	digest := changeDigest(c, text)
+	finding, first := m.answers.Find(c.Operator, c.Sequence, digest)
+	switch finding {
+	case answer.Repeat:
+		return first.Change
+	case answer.Reused:
+		return m.reused(c, text, first)
+	case answer.TooOld, answer.Crowded:
+		return m.refuse(c, text, findingReason(finding))
+	}
+	result := m.decide(c, text)
+	m.answers.Add(&wire.AnswerRecord{Operator: c.Operator, Sequence: c.Sequence, Digest: digest, Change: result})
+	return result
+}
+
+func (m *Machine) decide(c *wire.Change, text configuration.Description) *wire.ChangeResult {
+	if c.BaseVersion != m.configuration.Version {
+		reason := fmt.Sprintf("made from version %d, but the version is %d", c.BaseVersion, m.configuration.Version)
+		return m.conflict(c, text, reason, m.audit.Last())
+	}
+	next, err := configuration.Apply(m.configuration, c, configuration.Usage{Class: m.classUsers, Team: m.teamUsers})
+	if err != nil {
+		return m.refuse(c, text, err.Error())
+	}
+	m.configure(next)
+	m.dropTallies()
+	record := m.record(c, text, wire.Outcome_OUTCOME_ACCEPTED, "")
+	return &wire.ChangeResult{Outcome: wire.Outcome_OUTCOME_ACCEPTED, Version: next.Version, Winner: record}
+}
+
+func (m *Machine) configure(next *wire.Configuration) {
+	m.configuration = next
+	m.o.ConfigurationChanged(next)
+}
+
+func (m *Machine) refuse(c *wire.Change, text configuration.Description, reason string) *wire.ChangeResult {
+	reason = clip(reason, MaxReasonBytes)
+	m.record(c, text, wire.Outcome_OUTCOME_REFUSED, reason)
+	return &wire.ChangeResult{Outcome: wire.Outcome_OUTCOME_REFUSED, Version: m.configuration.Version, Reason: reason}
+}
+
+func (m *Machine) conflict(c *wire.Change, text configuration.Description, reason string, winner *wire.AuditRecord) *wire.ChangeResult {
+	m.record(c, text, wire.Outcome_OUTCOME_CONFLICT, reason)
+	return &wire.ChangeResult{Outcome: wire.Outcome_OUTCOME_CONFLICT, Version: m.configuration.Version, Reason: reason, Winner: winner}
+}
+
+// reused answers a change under a sequence number that another request of that operator has had.
+func (m *Machine) reused(c *wire.Change, text configuration.Description, first *wire.AnswerRecord) *wire.ChangeResult {
+	reason := fmt.Sprintf("sequence %d of operator %s was used for another request", c.Sequence, c.Operator)
+	return m.conflict(c, text, reason, first.Change.GetWinner())
+}
+
+// record adds a change to the audit trail.
+func (m *Machine) record(c *wire.Change, text configuration.Description, outcome wire.Outcome, reason string) *wire.AuditRecord {
+	r := &wire.AuditRecord{
+		Index: m.index, TimeMs: m.now, Operator: clip(c.Operator, configuration.MaxNameBytes), Sequence: c.Sequence,
+		Action: clip(text.Action, MaxAuditBytes), Before: text.Before, After: clip(text.After, MaxAuditBytes),
+		Version: m.configuration.Version, Outcome: outcome, Reason: reason,
+	}
+	m.audit.Add(r)
+	return r
+}
+
+// meetDomain makes a failure domain known that a worker announced.
+func (m *Machine) meetDomain(name, worker string) {
+	if configuration.Domain(m.configuration.Domains, name) != nil {
+		return
+	}
+	c := &wire.Change{
+		BaseVersion: m.configuration.Version,
+		Operation:   &wire.Change_SetDomain{SetDomain: &wire.Domain{Name: name}},
+	}
+	next, err := configuration.Apply(m.configuration, c, configuration.Usage{})
+	if err != nil {
+		return
+	}
+	text := configuration.Describe(m.configuration, c)
+	m.configure(next)
+	m.record(c, text, wire.Outcome_OUTCOME_ACCEPTED, "announced by worker "+worker)
+}
+
+func (m *Machine) classUsers(name string) int { return m.classJobs[name] }
+
+func (m *Machine) teamUsers(name string) int { return m.teamJobs[name] }
+
+func checkIdentity(operator string, sequence uint64) error {
+	if err := configuration.CheckName(operator); err != nil {
+		return fmt.Errorf("operator: %w", err)
+	}
+	if sequence == 0 {
+		return fmt.Errorf("operator %s: sequence numbers begin at 1", operator)
+	}
+	return nil
+}
+
+func findingReason(f answer.Finding) string {
+	if f == answer.TooOld {
+		return "the sequence number is below the range whose answers are kept"
+	}
+	return "too many operators are known to remember another"
+}
+
+// changeDigest tells a resend from another change under the same number.
+func changeDigest(c *wire.Change, text configuration.Description) []byte {
+	sum := sha256.Sum256(fmt.Appendf(nil, "change %d %q %q", c.BaseVersion, text.Action, text.After))
+	return sum[:]
+}
--- /dev/null
+++ b/state/worker.go
@@ -0,0 +1,153 @@
+package state
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+
+	"daisyswitch/configuration"
+	"daisyswitch/resource"
+	"daisyswitch/wire"
+)
+
+// MaxIncarnationBytes bounds the name of one start of a worker's process.
+const MaxIncarnationBytes = 128
+
+// Held is a task that is committed to a worker, with its job and the kind of its class.
+type Held struct {
+	Job     *wire.Job
+	Task    *wire.Task
+	Service bool
+}
+
+type worker struct {
+	record    *wire.WorkerRecord
+	offered   resource.Size // as announced
+	capacity  resource.Size // in force: what is offered, or what is committed where that is more
+	committed resource.Size
+	held      []heldTask // in order of job and index
+}
+
+type heldTask struct {
+	job  *job
+	task *wire.Task
+}
+
+func (w *worker) search(number uint64, index int32) (int, bool) {
+	return slices.BinarySearchFunc(w.held, heldTask{}, func(h, _ heldTask) int {
+		return cmp.Or(cmp.Compare(h.job.number, number), cmp.Compare(h.task.Index, index))
+	})
+}
+
+func (w *worker) hold(j *job, t *wire.Task) {
+	at, _ := w.search(j.number, t.Index)
+	w.held = slices.Insert(w.held, at, heldTask{j, t})
+	w.committed = w.committed.Add(resource.FromWire(t.Committed))
+}
+
+func (w *worker) drop(j *job, t *wire.Task) {
+	at, _ := w.search(j.number, t.Index)
+	w.held = slices.Delete(w.held, at, at+1)
+	w.committed = w.committed.Sub(resource.FromWire(t.Committed))
+}
+
+// CheckWorker returns why an announcement makes no sense, nil if it does.
+func CheckWorker(r *wire.WorkerRecord) error {
+	if err := configuration.CheckName(r.GetName()); err != nil {
+		return fmt.Errorf("worker: %w", err)
+	}
+	if err := configuration.CheckName(r.Domain); err != nil {
+		return fmt.Errorf("worker %s: domain: %w", r.Name, err)
+	}
+	if r.Rack != "" {
+		if err := configuration.CheckName(r.Rack); err != nil {
+			return fmt.Errorf("worker %s: rack: %w", r.Name, err)
+		}
+	}
+	if r.Incarnation == "" || len(r.Incarnation) > MaxIncarnationBytes {
+		return fmt.Errorf("worker %s: the incarnation has 1 to %d bytes", r.Name, MaxIncarnationBytes)
+	}
+	if !resource.FromWire(r.Capacity).Valid() {
+		return errors.New("the capacity is empty or below zero")
+	}
+	return nil
+}
+
+// setWorker takes an announcement in; a worker that is gone or has a new incarnation holds nothing any more.
+func (m *Machine) setWorker(r *wire.WorkerRecord) {
+	if CheckWorker(r) != nil {
+		return
+	}
+	w := m.workers[r.Name]
+	if r.Gone {
+		m.leave(w, r)
+		return
+	}
+	if w == nil {
+		w = &worker{}
+		m.workers[r.Name] = w
+	}
+	if w.record != nil && w.record.Incarnation != r.Incarnation {
+		m.loseHeld(w, "worker restarted")
+	}
+	m.gone = slices.DeleteFunc(m.gone, func(name string) bool { return name == r.Name })
+	m.meetDomain(r.Domain, r.Name)
+	w.offered = resource.FromWire(r.Capacity)
+	w.record = nil
+	m.settleAs(w, r)
+}
+
+// leave marks a worker gone; the one who proposes it knows that its lease has surely ended or that it runs nothing.
+func (m *Machine) leave(w *worker, r *wire.WorkerRecord) {
+	if w == nil || w.record.Gone || w.record.Incarnation != r.Incarnation {
+		return
+	}
+	last := w.record
+	m.loseHeld(w, "worker lost")
+	w.record = record(last, w.offered, w.offered)
+	w.record.Gone = true
+	w.capacity = w.offered
+	m.gone = append(m.gone, r.Name)
+	m.o.WorkerChanged(w.record)
+}
+
+func (m *Machine) loseHeld(w *worker, reason string) {
+	for len(w.held) > 0 {
+		h := w.held[0]
+		m.lost(h.job, h.job.find(h.task.Index), reason)
+	}
+}
+
+// settle lets a worker's capacity follow what it offers, as far down as what is committed allows.
+func (m *Machine) settle(w *worker) {
+	m.settleAs(w, w.record)
+}
+
+func (m *Machine) settleAs(w *worker, r *wire.WorkerRecord) {
+	capacity := larger(w.offered, w.committed)
+	if w.record != nil && capacity == w.capacity {
+		return
+	}
+	w.capacity = capacity
+	w.record = record(r, capacity, w.offered)
+	m.o.WorkerChanged(w.record)
+}
+
+func record(r *wire.WorkerRecord, capacity, offered resource.Size) *wire.WorkerRecord {
+	next := &wire.WorkerRecord{
+		Name: r.Name, Domain: r.Domain, Rack: r.Rack, Incarnation: r.Incarnation, Capacity: capacity.Wire(),
+	}
+	if capacity != offered {
+		next.Offered = offered.Wire()
+	}
+	return next
+}
+
+func larger(a, b resource.Size) resource.Size {
+	return resource.Size{
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
