--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 
 	"daisyswitch/resource"
 	"daisyswitch/wire"
@@ -46,6 +47,14 @@
 	return nil
 }
 
+// Clip bounds a text that came from outside, so that what is kept of it stays bounded; the result is valid UTF-8 if s is.
+func Clip(s string, most int) string {
+	if len(s) <= most {
+		return s
+	}
+	return strings.ToValidUTF8(s[:most], "") + "…"
+}
+
 func nameByte(c byte, first bool) bool {
 	switch {
 	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
--- a/state/event.go
+++ b/job/event.go
@@ -1,14 +1,15 @@
-package state
+package job
 
 import (
+	"daisyswitch/configuration"
 	"daisyswitch/resource"
 	"daisyswitch/wire"
 )
 
-// event applies what became of one attempt and reports whether it changed anything; older attempts are never listened to.
-func (m *Machine) event(e *wire.TaskEvent) bool {
+// Event applies what became of one attempt and reports whether it changed anything; older attempts are never listened to.
+func (tb *Table) Event(e *wire.TaskEvent) bool {
 	ref := FromWire(e.Task)
-	j := m.jobs[ref.Job]
+	j := tb.jobs[ref.Job]
 	if j == nil {
 		return false
 	}
@@ -17,56 +18,56 @@
 		return false
 	}
 	if queued(j.tasks[at]) {
-		return m.queuedEvent(j, at, e)
+		return tb.queuedEvent(j, at, e)
 	}
 	if held(j.tasks[at]) {
-		return m.heldEvent(j, at, e)
+		return tb.heldEvent(j, at, e)
 	}
 	return false
 }
 
-func (m *Machine) queuedEvent(j *job, at int, e *wire.TaskEvent) bool {
+func (tb *Table) queuedEvent(j *job, at int, e *wire.TaskEvent) bool {
 	switch e.Kind {
 	case wire.TaskEventKind_TASK_EVENT_KIND_CANNOT_RUN:
-		m.end(j, at, wire.TaskState_TASK_STATE_CANNOT_RUN, e.Reason)
+		tb.end(j, at, wire.TaskState_TASK_STATE_CANNOT_RUN, e.Reason)
 	case wire.TaskEventKind_TASK_EVENT_KIND_GIVE_UP:
-		m.end(j, at, wire.TaskState_TASK_STATE_FAILED, e.Reason)
+		tb.end(j, at, wire.TaskState_TASK_STATE_FAILED, e.Reason)
 	default:
 		return false
 	}
 	return true
 }
 
-func (m *Machine) heldEvent(j *job, at int, e *wire.TaskEvent) bool {
+func (tb *Table) heldEvent(j *job, at int, e *wire.TaskEvent) bool {
 	switch e.Kind {
 	case wire.TaskEventKind_TASK_EVENT_KIND_RUNNING:
-		return m.running(j, at)
+		return tb.running(j, at)
 	case wire.TaskEventKind_TASK_EVENT_KIND_CHECKPOINT:
-		return m.checkpoint(j, at, e)
+		return tb.checkpoint(j, at, e)
 	case wire.TaskEventKind_TASK_EVENT_KIND_STOPPING:
-		return m.stopping(j, at, e)
+		return tb.stopping(j, at, e)
 	case wire.TaskEventKind_TASK_EVENT_KIND_RESIZE:
-		return m.resize(j, at, e)
+		return tb.resize(j, at, e)
 	case wire.TaskEventKind_TASK_EVENT_KIND_NOT_STARTED:
-		return m.notStarted(j, at)
+		return tb.notStarted(j, at)
 	}
-	return m.endAttempt(j, at, e)
+	return tb.endAttempt(j, at, e)
 }
 
 // endAttempt applies the events after which an attempt no longer runs.
-func (m *Machine) endAttempt(j *job, at int, e *wire.TaskEvent) bool {
+func (tb *Table) endAttempt(j *job, at int, e *wire.TaskEvent) bool {
 	switch e.Kind {
 	case wire.TaskEventKind_TASK_EVENT_KIND_DONE:
 		next := started(j.tasks[at])
 		next.State = wire.TaskState_TASK_STATE_DONE
 		next.Reason = ""
-		m.finish(j, at, next)
+		tb.finish(j, at, next)
 	case wire.TaskEventKind_TASK_EVENT_KIND_FAILED:
-		m.failed(j, at, e)
+		tb.failed(j, at, e)
 	case wire.TaskEventKind_TASK_EVENT_KIND_STOPPED:
-		m.stopped(j, at, e)
+		tb.stopped(j, at, e)
 	case wire.TaskEventKind_TASK_EVENT_KIND_WORKER_LOST:
-		m.lost(j, at, e.Reason)
+		tb.lost(j, at, e.Reason)
 	default:
 		return false
 	}
@@ -79,7 +80,7 @@
 	return next
 }
 
-func (m *Machine) running(j *job, at int) bool {
+func (tb *Table) running(j *job, at int) bool {
 	t := j.tasks[at]
 	if t.State == wire.TaskState_TASK_STATE_STOPPING && t.Started {
 		return false
@@ -91,11 +92,11 @@
 	if t.State == wire.TaskState_TASK_STATE_STARTING {
 		next.State = wire.TaskState_TASK_STATE_RUNNING
 	}
-	m.replace(j, at, next)
+	tb.replace(j, at, next)
 	return true
 }
 
-func (m *Machine) checkpoint(j *job, at int, e *wire.TaskEvent) bool {
+func (tb *Table) checkpoint(j *job, at int, e *wire.TaskEvent) bool {
 	next := started(j.tasks[at])
 	if !accept(next, e) {
 		return false
@@ -103,7 +104,7 @@
 	if next.State == wire.TaskState_TASK_STATE_STARTING {
 		next.State = wire.TaskState_TASK_STATE_RUNNING
 	}
-	m.replace(j, at, next)
+	tb.replace(j, at, next)
 	return true
 }
 
@@ -117,18 +118,18 @@
 	return true
 }
 
-func (m *Machine) stopping(j *job, at int, e *wire.TaskEvent) bool {
+func (tb *Table) stopping(j *job, at int, e *wire.TaskEvent) bool {
 	if j.tasks[at].State == wire.TaskState_TASK_STATE_STOPPING {
 		return false
 	}
 	next := clone(j.tasks[at])
 	next.State = wire.TaskState_TASK_STATE_STOPPING
-	next.Reason = clip(e.Reason, MaxReasonBytes)
-	m.replace(j, at, next)
+	next.Reason = configuration.Clip(e.Reason, MaxReasonBytes)
+	tb.replace(j, at, next)
 	return true
 }
 
-func (m *Machine) resize(j *job, at int, e *wire.TaskEvent) bool {
+func (tb *Table) resize(j *job, at int, e *wire.TaskEvent) bool {
 	next := clone(j.tasks[at])
 	if next.State == wire.TaskState_TASK_STATE_STOPPING {
 		return false
@@ -137,38 +138,38 @@
 		return false
 	}
 	next.Committed = e.Size
-	return m.commit(j, at, next)
+	return tb.commit(j, at, next)
 }
 
 // notStarted frees an attempt that its worker never received; one that was seen running contradicts it.
-func (m *Machine) notStarted(j *job, at int) bool {
+func (tb *Table) notStarted(j *job, at int) bool {
 	t := j.tasks[at]
 	if t.State == wire.TaskState_TASK_STATE_RUNNING {
 		return false
 	}
 	if t.Cancelled {
-		m.end(j, at, cancelledState(t), t.Reason)
+		tb.end(j, at, cancelledState(t), t.Reason)
 		return true
 	}
-	m.requeue(j, at, clone(t))
+	tb.requeue(j, at, clone(t))
 	return true
 }
 
-func (m *Machine) failed(j *job, at int, e *wire.TaskEvent) {
+func (tb *Table) failed(j *job, at int, e *wire.TaskEvent) {
 	next := started(j.tasks[at])
 	next.Failures++
 	if next.Cancelled {
 		next.State = wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
-		m.finish(j, at, next)
+		tb.finish(j, at, next)
 		return
 	}
-	next.Reason = clip(e.Reason, MaxReasonBytes)
+	next.Reason = configuration.Clip(e.Reason, MaxReasonBytes)
 	if next.Failures < failureLimit(j) {
-		m.requeue(j, at, next)
+		tb.requeue(j, at, next)
 		return
 	}
 	next.State = wire.TaskState_TASK_STATE_FAILED
-	m.finish(j, at, next)
+	tb.finish(j, at, next)
 }
 
 func failureLimit(j *job) uint32 {
@@ -178,37 +179,37 @@
 	return BatchFailures
 }
 
-func (m *Machine) stopped(j *job, at int, e *wire.TaskEvent) {
+func (tb *Table) stopped(j *job, at int, e *wire.TaskEvent) {
 	next := started(j.tasks[at])
 	accept(next, e)
 	if next.Cancelled {
 		next.State = wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
-		m.finish(j, at, next)
+		tb.finish(j, at, next)
 		return
 	}
 	if next.State == wire.TaskState_TASK_STATE_STOPPING {
 		next.Evictions++
-		m.tally(j.Class).Evicted++
+		tb.tally(j.Class).Evicted++
 	}
-	m.requeue(j, at, next)
+	tb.requeue(j, at, next)
 }
 
 // lost ends an attempt whose worker's lease has surely ended: batch waits again, a service's replica is replaced by a new task.
-func (m *Machine) lost(j *job, at int, reason string) {
+func (tb *Table) lost(j *job, at int, reason string) {
 	next := started(j.tasks[at])
 	if next.Cancelled {
 		next.State = wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
-		m.finish(j, at, next)
+		tb.finish(j, at, next)
 		return
 	}
-	next.Reason = clip(reason, MaxReasonBytes)
+	next.Reason = configuration.Clip(reason, MaxReasonBytes)
 	if !j.service {
-		m.requeue(j, at, next)
+		tb.requeue(j, at, next)
 		return
 	}
-	m.addTask(j, j.tasks[len(j.tasks)-1].Index+1)
+	tb.addTask(j, j.tasks[len(j.tasks)-1].Index+1)
 	next.State = wire.TaskState_TASK_STATE_LOST
-	m.finish(j, at, next)
+	tb.finish(j, at, next)
 	j.lost++
-	m.foldLost(j)
+	tb.foldLost(j)
 }
--- /dev/null
+++ b/job/read.go
@@ -0,0 +1,113 @@
+package job
+
+import (
+	"maps"
+	"slices"
+
+	"daisyswitch/resource"
+	"daisyswitch/wire"
+)
+
+// Record returns a job with its tasks, nil if it is unknown or ended too long ago.
+func (tb *Table) Record(id string) *wire.JobRecord {
+	j := tb.jobs[id]
+	if j == nil {
+		return nil
+	}
+	return j.record()
+}
+
+// Worker returns a worker's record, nil if it is unknown.
+func (tb *Table) Worker(name string) *wire.WorkerRecord {
+	w := tb.workers[name]
+	if w == nil {
+		return nil
+	}
+	return w.record
+}
+
+// OnWorker returns the tasks committed to a worker, in order of job and index.
+func (tb *Table) OnWorker(name string) []Held {
+	w := tb.workers[name]
+	if w == nil {
+		return nil
+	}
+	all := make([]Held, 0, len(w.held))
+	for _, h := range w.held {
+		all = append(all, Held{Job: h.job.Job, Task: h.task, Service: h.job.service})
+	}
+	return all
+}
+
+// Each calls f for every task of the jobs that have not ended, in order of submission and index.
+func (tb *Table) Each(f func(*wire.Job, *wire.Task)) {
+	for _, j := range tb.open() {
+		for _, t := range j.tasks {
+			f(j.Job, t)
+		}
+	}
+}
+
+// EachWorker calls f for every known worker in order of name.
+func (tb *Table) EachWorker(f func(*wire.WorkerRecord)) {
+	for _, name := range slices.Sorted(maps.Keys(tb.workers)) {
+		f(tb.workers[name].record)
+	}
+}
+
+// Tallies returns the counts of each class in order of name.
+func (tb *Table) Tallies() []*wire.Tally {
+	return tb.tallyRecords()
+}
+
+// ClassTotals counts the tasks of one class.
+type ClassTotals struct {
+	Class   string
+	Queued  int64
+	Running int64 // committed to a worker
+}
+
+// Totals counts workers, their resources and the tasks of each class in order of name.
+type Totals struct {
+	Workers     int64
+	WorkersGone int64
+	Capacity    resource.Size
+	Committed   resource.Size
+	Classes     []ClassTotals
+}
+
+// Totals counts everything that status shows.
+func (tb *Table) Totals() Totals {
+	var t Totals
+	for _, w := range tb.workers {
+		if w.record.Gone {
+			t.WorkersGone++
+			continue
+		}
+		t.Workers++
+		t.Capacity = t.Capacity.Add(w.capacity)
+		t.Committed = t.Committed.Add(w.committed)
+	}
+	for _, c := range tb.o.Configuration().Classes {
+		t.Classes = append(t.Classes, tb.classTotals(c.Name))
+	}
+	return t
+}
+
+func (tb *Table) classTotals(class string) ClassTotals {
+	t := ClassTotals{Class: class}
+	for _, j := range tb.jobs {
+		if j.Class != class || j.open == 0 {
+			continue
+		}
+		for _, task := range j.tasks {
+			switch {
+			case queued(task):
+				t.Queued++
+			case held(task):
+				t.Running++
+			}
+		}
+	}
+	return t
+}
--- a/state/task.go
+++ b/job/task.go
@@ -1,4 +1,4 @@
-package state
+package job
 
 import (
 	"daisyswitch/configuration"
@@ -47,9 +47,9 @@
 	}
 }
 
-// start commits a queued task to a worker under the next attempt.
-func (m *Machine) start(s *wire.Start) bool {
-	j := m.jobs[s.Job]
+// Start commits a queued task to a worker under the next attempt.
+func (tb *Table) Start(s *wire.Start) bool {
+	j := tb.jobs[s.Job]
 	if j == nil {
 		return false
 	}
@@ -57,8 +57,8 @@
 	if at < 0 || !queued(j.tasks[at]) || s.Attempt != j.tasks[at].Attempt+1 {
 		return false
 	}
-	w := m.workers[s.Worker]
-	if w == nil || w.record.Gone || m.out(w.record.Domain) {
+	w := tb.workers[s.Worker]
+	if w == nil || w.record.Gone || tb.out(w.record.Domain) {
 		return false
 	}
 	next := clone(j.tasks[at])
@@ -67,79 +67,79 @@
 	next.Worker = s.Worker
 	next.Committed = s.Size
 	next.Reason = ""
-	return m.commit(j, at, next)
+	return tb.commit(j, at, next)
 }
 
 // commit puts next in the place of a task if its worker has the room; no other code commits resources.
-func (m *Machine) commit(j *job, at int, next *wire.Task) bool {
+func (tb *Table) commit(j *job, at int, next *wire.Task) bool {
 	size := resource.FromWire(next.Committed)
 	if !size.Valid() {
 		return false
 	}
-	w := m.workers[next.Worker]
+	w := tb.workers[next.Worker]
 	room := w.capacity.Sub(w.committed).Add(resource.FromWire(j.tasks[at].Committed))
 	if !size.Fits(room) {
 		return false
 	}
-	m.replace(j, at, next)
+	tb.replace(j, at, next)
 	return true
 }
 
 // replace puts next in the place of a task, moves its commitment and tells of the transition.
-func (m *Machine) replace(j *job, at int, next *wire.Task) {
+func (tb *Table) replace(j *job, at int, next *wire.Task) {
 	old := j.tasks[at]
-	next.ChangedMs = m.now
+	next.ChangedMs = tb.now
 	j.tasks[at] = next
 	if held(old) {
-		m.workers[old.Worker].drop(j, old)
+		tb.workers[old.Worker].drop(j, old)
 	}
 	if held(next) {
-		m.workers[next.Worker].hold(j, next)
+		tb.workers[next.Worker].hold(j, next)
 	}
-	m.o.TaskChanged(j.Job, next)
+	tb.o.TaskChanged(j.Job, next)
 	if held(old) {
-		m.settle(m.workers[old.Worker])
+		tb.settle(tb.workers[old.Worker])
 	}
 }
 
 // requeue lets a task wait again, from its last accepted checkpoint if it has one.
-func (m *Machine) requeue(j *job, at int, next *wire.Task) {
+func (tb *Table) requeue(j *job, at int, next *wire.Task) {
 	next.State = wire.TaskState_TASK_STATE_QUEUED
 	if next.Checkpoint > 0 {
 		next.State = wire.TaskState_TASK_STATE_CHECKPOINTED
 	}
 	next.Worker = ""
 	next.Committed = nil
-	m.replace(j, at, next)
+	tb.replace(j, at, next)
 }
 
 // end gives a task its last state.
-func (m *Machine) end(j *job, at int, s wire.TaskState, reason string) {
+func (tb *Table) end(j *job, at int, s wire.TaskState, reason string) {
 	next := clone(j.tasks[at])
 	next.State = s
-	next.Reason = clip(reason, MaxReasonBytes)
-	m.finish(j, at, next)
+	next.Reason = configuration.Clip(reason, MaxReasonBytes)
+	tb.finish(j, at, next)
 }
 
 // finish puts a task that has ended in its place and counts it.
-func (m *Machine) finish(j *job, at int, next *wire.Task) {
+func (tb *Table) finish(j *job, at int, next *wire.Task) {
 	next.Worker = ""
 	next.Committed = nil
 	next.CheckpointData = nil
-	m.replace(j, at, next)
-	m.live--
+	tb.replace(j, at, next)
+	tb.live--
 	j.open--
-	m.count(j, next)
+	tb.count(j, next)
 	if j.open == 0 {
-		m.endJob(j)
+		tb.endJob(j)
 	}
 }
 
-func (m *Machine) endJob(j *job) {
-	m.ended = append(m.ended, j)
-	m.endedTasks += len(j.tasks)
-	m.classJobs[j.Class]--
-	m.teamJobs[j.Team]--
+func (tb *Table) endJob(j *job) {
+	tb.ended = append(tb.ended, j)
+	tb.endedTasks += len(j.tasks)
+	tb.classJobs[j.Class]--
+	tb.teamJobs[j.Team]--
 }
 
 // cancelledState says truly whether a cancelled task ever ran.
@@ -150,6 +150,6 @@
 	return wire.TaskState_TASK_STATE_CANCELLED_NOT_RUN
 }
 
-func (m *Machine) out(domain string) bool {
-	return configuration.Domain(m.configuration.Domains, domain).GetOut()
+func (tb *Table) out(domain string) bool {
+	return configuration.Domain(tb.o.Configuration().Domains, domain).GetOut()
 }
--- a/state/worker.go
+++ b/job/worker.go
@@ -1,4 +1,4 @@
-package state
+package job
 
 import (
 	"cmp"
@@ -74,64 +74,64 @@
 	return nil
 }
 
-// setWorker takes an announcement in; a worker that is gone or has a new incarnation holds nothing any more.
-func (m *Machine) setWorker(r *wire.WorkerRecord) {
+// SetWorker takes an announcement in; a worker that is gone or has a new incarnation holds nothing any more.
+func (tb *Table) SetWorker(r *wire.WorkerRecord) {
 	if CheckWorker(r) != nil {
 		return
 	}
-	w := m.workers[r.Name]
+	w := tb.workers[r.Name]
 	if r.Gone {
-		m.leave(w, r)
+		tb.leave(w, r)
 		return
 	}
 	if w == nil {
 		w = &worker{}
-		m.workers[r.Name] = w
+		tb.workers[r.Name] = w
 	}
 	if w.record != nil && w.record.Incarnation != r.Incarnation {
-		m.loseHeld(w, "worker restarted")
+		tb.loseHeld(w, "worker restarted")
 	}
-	m.gone = slices.DeleteFunc(m.gone, func(name string) bool { return name == r.Name })
-	m.meetDomain(r.Domain, r.Name)
+	tb.gone = slices.DeleteFunc(tb.gone, func(name string) bool { return name == r.Name })
+	tb.o.MeetDomain(r.Domain, r.Name)
 	w.offered = resource.FromWire(r.Capacity)
 	w.record = nil
-	m.settleAs(w, r)
+	tb.settleAs(w, r)
 }
 
 // leave marks a worker gone; the one who proposes it knows that its lease has surely ended or that it runs nothing.
-func (m *Machine) leave(w *worker, r *wire.WorkerRecord) {
+func (tb *Table) leave(w *worker, r *wire.WorkerRecord) {
 	if w == nil || w.record.Gone || w.record.Incarnation != r.Incarnation {
 		return
 	}
 	last := w.record
-	m.loseHeld(w, "worker lost")
+	tb.loseHeld(w, "worker lost")
 	w.record = record(last, w.offered, w.offered)
 	w.record.Gone = true
 	w.capacity = w.offered
-	m.gone = append(m.gone, r.Name)
-	m.o.WorkerChanged(w.record)
+	tb.gone = append(tb.gone, r.Name)
+	tb.o.WorkerChanged(w.record)
 }
 
-func (m *Machine) loseHeld(w *worker, reason string) {
+func (tb *Table) loseHeld(w *worker, reason string) {
 	for len(w.held) > 0 {
 		h := w.held[0]
-		m.lost(h.job, h.job.find(h.task.Index), reason)
+		tb.lost(h.job, h.job.find(h.task.Index), reason)
 	}
 }
 
 // settle lets a worker's capacity follow what it offers, as far down as what is committed allows.
-func (m *Machine) settle(w *worker) {
-	m.settleAs(w, w.record)
+func (tb *Table) settle(w *worker) {
+	tb.settleAs(w, w.record)
 }
 
-func (m *Machine) settleAs(w *worker, r *wire.WorkerRecord) {
+func (tb *Table) settleAs(w *worker, r *wire.WorkerRecord) {
 	capacity := larger(w.offered, w.committed)
 	if w.record != nil && capacity == w.capacity {
 		return
 	}
 	w.capacity = capacity
 	w.record = record(r, capacity, w.offered)
-	m.o.WorkerChanged(w.record)
+	tb.o.WorkerChanged(w.record)
 }
 
 func record(r *wire.WorkerRecord, capacity, offered resource.Size) *wire.WorkerRecord {
--- a/lease/receive.go
+++ b/lease/receive.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"daisyswitch/job"
 	"daisyswitch/resource"
 	"daisyswitch/state"
 	"daisyswitch/wire"
@@ -20,7 +21,7 @@
 
 // Receive reads one report against what the state holds for the worker; record is nil if the state does not know it.
 func (t *Table) Receive(now time.Time, r *wire.WorkerReport, held []state.Held, record *wire.WorkerRecord) Outcome {
-	if err := state.CheckWorker(r.GetWorker()); err != nil {
+	if err := job.CheckWorker(r.GetWorker()); err != nil {
 		return Outcome{Refusal: err.Error()}
 	}
 	t.mu.Lock()
@@ -102,7 +103,7 @@
 // meet notes the attempts that the state holds; those that the first report to a leader finds may have been sent by an earlier one.
 func (w *holder) meet(held []state.Held, sequence uint64) {
 	for _, h := range held {
-		w.attempt(state.RefOf(h.Task)).touched = sequence
+		w.attempt(job.RefOf(h.Task)).touched = sequence
 	}
 	w.fresh = false
 	for ref, a := range w.attempts {
@@ -126,7 +127,7 @@
 	reports := byRef(r)
 	var events []*wire.TaskEvent
 	for _, h := range held {
-		ref := state.RefOf(h.Task)
+		ref := job.RefOf(h.Task)
 		report := reports[ref]
 		if report == nil && w.neverReceived(h.Task, r.Sequence) {
 			w.attempts[ref].condemned = true
@@ -141,7 +142,7 @@
 
 // neverReceived reports whether an attempt that is missing from a report is surely unknown to its worker and must not be sent again.
 func (w *holder) neverReceived(t *wire.Task, sequence uint64) bool {
-	a := w.attempts[state.RefOf(t)]
+	a := w.attempts[job.RefOf(t)]
 	if a.inherited || a.sent && sequence <= a.sequence {
 		return false
 	}
@@ -192,7 +193,7 @@
 			continue
 		}
 		events = append(events, &wire.TaskEvent{
-			Task: state.RefOf(h.Task).Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_STOPPING, Reason: "worker leaving",
+			Task: job.RefOf(h.Task).Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_STOPPING, Reason: "worker leaving",
 		})
 	}
 	return events
@@ -232,7 +233,7 @@
 func byRef(r *wire.WorkerReport) map[state.Ref]*wire.TaskReport {
 	reports := make(map[state.Ref]*wire.TaskReport, len(r.Tasks))
 	for _, task := range r.Tasks {
-		reports[state.FromWire(task.Task)] = task
+		reports[job.FromWire(task.Task)] = task
 	}
 	return reports
 }
--- a/state/change.go
+++ b/state/change.go
@@ -35,12 +35,12 @@
 		reason := fmt.Sprintf("made from version %d, but the version is %d", c.BaseVersion, m.configuration.Version)
 		return m.conflict(c, text, reason, m.audit.Last())
 	}
-	next, err := configuration.Apply(m.configuration, c, configuration.Usage{Class: m.classUsers, Team: m.teamUsers})
+	next, err := configuration.Apply(m.configuration, c, configuration.Usage{Class: m.jobs.ClassUsers, Team: m.jobs.TeamUsers})
 	if err != nil {
 		return m.refuse(c, text, err.Error())
 	}
 	m.configure(next)
-	m.dropTallies()
+	m.jobs.DropTallies()
 	record := m.record(c, text, wire.Outcome_OUTCOME_ACCEPTED, "")
 	return &wire.ChangeResult{Outcome: wire.Outcome_OUTCOME_ACCEPTED, Version: next.Version, Winner: record}
 }
@@ -51,7 +51,7 @@
 }
 
 func (m *Machine) refuse(c *wire.Change, text configuration.Description, reason string) *wire.ChangeResult {
-	reason = clip(reason, MaxReasonBytes)
+	reason = configuration.Clip(reason, MaxReasonBytes)
 	m.record(c, text, wire.Outcome_OUTCOME_REFUSED, reason)
 	return &wire.ChangeResult{Outcome: wire.Outcome_OUTCOME_REFUSED, Version: m.configuration.Version, Reason: reason}
 }
@@ -70,8 +70,8 @@
 // record adds a change to the audit trail.
 func (m *Machine) record(c *wire.Change, text configuration.Description, outcome wire.Outcome, reason string) *wire.AuditRecord {
 	r := &wire.AuditRecord{
-		Index: m.index, TimeMs: m.now, Operator: clip(c.Operator, configuration.MaxNameBytes), Sequence: c.Sequence,
-		Action: clip(text.Action, MaxAuditBytes), Before: text.Before, After: clip(text.After, MaxAuditBytes),
+		Index: m.index, TimeMs: m.now, Operator: configuration.Clip(c.Operator, configuration.MaxNameBytes), Sequence: c.Sequence,
+		Action: configuration.Clip(text.Action, MaxAuditBytes), Before: text.Before, After: configuration.Clip(text.After, MaxAuditBytes),
 		Version: m.configuration.Version, Outcome: outcome, Reason: reason,
 	}
 	m.audit.Add(r)
@@ -96,10 +96,6 @@
 	m.record(c, text, wire.Outcome_OUTCOME_ACCEPTED, "announced by worker "+worker)
 }
 
-func (m *Machine) classUsers(name string) int { return m.classJobs[name] }
-
-func (m *Machine) teamUsers(name string) int { return m.teamJobs[name] }
-
 func checkIdentity(operator string, sequence uint64) error {
 	if err := configuration.CheckName(operator); err != nil {
 		return fmt.Errorf("operator: %w", err)
--- a/state/machine.go
+++ b/state/machine.go
@@ -5,27 +5,24 @@
 
 	"daisyswitch/answer"
 	"daisyswitch/audit"
+	"daisyswitch/job"
 	"daisyswitch/wire"
 )
 
-// Bounds of the state.
+// Bounds of what the state keeps of operators' texts.
 const (
-	MaxLiveTasks       = 500_000 // tasks that have not ended, over all jobs
-	MaxJobTasks        = 20_000  // tasks of one job
-	MaxCheckpointBytes = 16 << 10
-	KeepEndedJobs      = 1000   // jobs shown after their end
-	KeepEndedTasks     = 50_000 // tasks of those jobs
-	KeepLost           = 32     // lost replicas shown per job
-	KeepGone           = 256    // workers shown after they left or were lost
-	MaxReasonBytes     = 512
-	MaxAuditBytes      = 2048 // each text of an audit record
+	MaxReasonBytes = job.MaxReasonBytes
+	MaxAuditBytes  = 2048 // each text of an audit record
 )
 
-// Retries after which a task has failed for good.
-const (
-	BatchFailures   = 8
-	ServiceFailures = 64
-)
+// Ref names one attempt of a task.
+type Ref = job.Ref
+
+// Held is a task that is committed to a worker, with its job.
+type Held = job.Held
+
+// Totals counts everything that status shows.
+type Totals = job.Totals
 
 // Options says how much history is kept and who is told of transitions; all replicas must have equal numbers.
 type Options struct {
@@ -44,20 +41,11 @@
 	mu sync.RWMutex
 
 	index         uint64 // of the command applied last
-	now           int64  // its time, milliseconds
+	now           int64  // its time, Unix milliseconds
 	configuration *wire.Configuration
 	answers       *answer.Table
 	audit         *audit.Trail
-	jobs          map[string]*job
-	nextJob       uint64
-	live          int            // tasks not ended
-	classJobs     map[string]int // jobs not ended, by class
-	teamJobs      map[string]int // jobs not ended, by team
-	ended         []*job         // in order of their end
-	endedTasks    int
-	workers       map[string]*worker
-	gone          []string // names of workers gone, longest ago first
-	tallies       map[string]*wire.Tally
+	jobs          *job.Table
 }
 
 // New returns the empty state, whose configuration has version 1.
@@ -71,26 +59,20 @@
 	if o.ConfigurationChanged == nil {
 		o.ConfigurationChanged = func(*wire.Configuration) {}
 	}
-	m := &Machine{o: o}
-	m.reset()
+	m := &Machine{o: o, configuration: &wire.Configuration{Version: 1}}
+	m.answers = answer.New(answer.Options{Keep: o.AnswersKeep})
+	m.audit = audit.New(audit.Options{Keep: o.AuditKeep})
+	m.jobs = m.newJobs()
 	return m
 }
 
-func (m *Machine) reset() {
-	m.index = 0
-	m.configuration = &wire.Configuration{Version: 1}
-	m.answers = answer.New(answer.Options{Keep: m.o.AnswersKeep})
-	m.audit = audit.New(audit.Options{Keep: m.o.AuditKeep})
-	m.jobs = map[string]*job{}
-	m.nextJob = 1
-	m.live = 0
-	m.classJobs = map[string]int{}
-	m.teamJobs = map[string]int{}
-	m.ended = nil
-	m.endedTasks = 0
-	m.workers = map[string]*worker{}
-	m.gone = nil
-	m.tallies = map[string]*wire.Tally{}
+func (m *Machine) newJobs() *job.Table {
+	return job.New(job.Options{
+		Configuration: func() *wire.Configuration { return m.configuration },
+		MeetDomain:    m.meetDomain,
+		TaskChanged:   m.o.TaskChanged,
+		WorkerChanged: m.o.WorkerChanged,
+	})
 }
 
 // Apply executes one committed command: change, submission, cancellation, events, workers, then starts.
@@ -99,6 +81,7 @@
 	defer m.mu.Unlock()
 	m.index = index
 	m.now = c.TimeMs
+	m.jobs.SetTime(c.TimeMs)
 	result := &wire.CommandResult{}
 	if c.Change != nil {
 		result.Change = m.change(c.Change)
@@ -110,22 +93,14 @@
 		result.Job = m.cancel(c.Cancel)
 	}
 	for _, e := range c.Events {
-		result.Events = append(result.Events, m.event(e))
+		result.Events = append(result.Events, m.jobs.Event(e))
 	}
 	for _, r := range c.Workers {
-		m.setWorker(r)
+		m.jobs.SetWorker(r)
 	}
 	for _, s := range c.Starts {
-		result.Starts = append(result.Starts, m.start(s))
+		result.Starts = append(result.Starts, m.jobs.Start(s))
 	}
-	m.fold()
+	m.jobs.Fold()
 	return result
 }
-
-// clip bounds a text that came from outside, so that the state stays bounded.
-func clip(s string, most int) string {
-	if len(s) <= most {
-		return s
-	}
-	return s[:most] + "…"
-}
