Serve the whole path from separate processes

Cause: nothing yet joined the log, the policy, the fronts and the command line. Ruled out: an entry that sends each worker's poll to control by itself (fan-in would grow with workers); polls gather while a batch is in progress.

--- /dev/null
+++ b/command/change.go
@@ -0,0 +1,129 @@
+package command
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"daisyswitch/operator"
+	"daisyswitch/resource"
+)
+
+const (
+	milliPerCore = 1000
+	mibPerGib    = 1024
+)
+
+// named is the NAME that most commands take.
+type named struct {
+	Args struct {
+		Name string `positional-arg-name:"NAME" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+func (n named) path(collection string) string {
+	return "/v1/" + collection + "/" + url.PathEscape(n.Args.Name)
+}
+
+type classPut struct {
+	s *session
+	numbered
+	named
+	Kind   string        `long:"kind" choice:"service" choice:"batch" required:"yes" description:"latency-critical or batch"`
+	P99    time.Duration `long:"target-p99" value-name:"TIME" description:"service: tail latency that it must keep, such as 50ms"`
+	Volume int64         `long:"volume" value-name:"N" description:"batch: tasks a day"`
+	Due    string        `long:"due" value-name:"HH:MM" description:"batch: time of the day (UTC) by which the volume is due"`
+}
+
+// Execute sends the change.
+func (c *classPut) Execute([]string) error {
+	due, err := minuteOfDay(c.Due)
+	if err != nil {
+		return &usageError{err}
+	}
+	body := operator.Class{Kind: c.Kind, TargetP99US: c.P99.Microseconds(), TargetVolume: c.Volume, DueMinute: due}
+	return c.s.change(c.numbered, http.MethodPut, c.path("classes"), body)
+}
+
+func minuteOfDay(text string) (int32, error) {
+	if text == "" {
+		return 0, nil
+	}
+	t, err := time.Parse("15:04", text)
+	if err != nil {
+		return 0, fmt.Errorf("--due: %q is no time of the day such as 23:00", text)
+	}
+	return int32(t.Hour()*60 + t.Minute()), nil
+}
+
+type classRemove struct {
+	s *session
+	numbered
+	named
+}
+
+// Execute sends the change.
+func (c *classRemove) Execute([]string) error {
+	return c.s.change(c.numbered, http.MethodDelete, c.path("classes"), nil)
+}
+
+// sized are the options that give an amount of each resource.
+type sized struct {
+	CPU          float64 `long:"cpu" value-name:"CORES" description:"processors"`
+	MemoryGiB    float64 `long:"memory-gib" value-name:"GIB" description:"memory"`
+	Accelerators int64   `long:"accelerators" value-name:"N" description:"accelerators"`
+}
+
+func (s sized) size() resource.Size {
+	return resource.Size{
+		MilliCPU:     int64(s.CPU * milliPerCore),
+		MemoryMiB:    int64(s.MemoryGiB * mibPerGib),
+		Accelerators: s.Accelerators,
+	}
+}
+
+type teamPut struct {
+	s *session
+	numbered
+	named
+	sized
+}
+
+// Execute sends the change.
+func (c *teamPut) Execute([]string) error {
+	return c.s.change(c.numbered, http.MethodPut, c.path("teams"), operator.Team{Quota: c.size()})
+}
+
+type teamRemove struct {
+	s *session
+	numbered
+	named
+}
+
+// Execute sends the change.
+func (c *teamRemove) Execute([]string) error {
+	return c.s.change(c.numbered, http.MethodDelete, c.path("teams"), nil)
+}
+
+type domainOut struct {
+	s *session
+	numbered
+	named
+}
+
+// Execute sends the change.
+func (c *domainOut) Execute([]string) error {
+	return c.s.change(c.numbered, http.MethodPut, c.path("domains"), operator.Domain{Out: true})
+}
+
+type domainIn struct {
+	s *session
+	numbered
+	named
+}
+
+// Execute sends the change.
+func (c *domainIn) Execute([]string) error {
+	return c.s.change(c.numbered, http.MethodPut, c.path("domains"), operator.Domain{Out: false})
+}
--- /dev/null
+++ b/command/process.go
@@ -0,0 +1,85 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"daisyswitch/control"
+	"daisyswitch/entry"
+	"daisyswitch/event"
+	"daisyswitch/metric"
+	"daisyswitch/settings"
+
+	"k8s.io/klog/v2"
+)
+
+type entryCommand struct {
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
+}
+
+// Execute runs an entry until it is told to stop.
+func (c *entryCommand) Execute([]string) error {
+	s, err := settings.LoadEntry(c.Settings)
+	if err != nil {
+		return &usageError{err}
+	}
+	return run(s.Common, "entry", func() (*process, error) {
+		e, err := entry.New(entry.Options{Settings: s})
+		if err != nil {
+			return nil, err
+		}
+		return &process{ready: e.Ready, close: e.Close}, nil
+	})
+}
+
+type controlCommand struct {
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
+}
+
+// Execute runs a control process until it is told to stop.
+func (c *controlCommand) Execute([]string) error {
+	s, err := settings.LoadControl(c.Settings)
+	if err != nil {
+		return &usageError{err}
+	}
+	return run(s.Common, "control", func() (*process, error) {
+		r, err := control.New(control.Options{Settings: s})
+		if err != nil {
+			return nil, err
+		}
+		return &process{ready: r.Ready, close: r.Close}, nil
+	})
+}
+
+// process is a running role.
+type process struct {
+	ready func() error
+	close func() error
+}
+
+// run starts a role with its admin listener, waits for a signal to stop, and stops it gracefully.
+func run(s settings.Common, role string, start func() (*process, error)) error {
+	defer klog.Flush()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	event.ProcessStarted.Info("role", role, "name", s.Name, "domain", s.Domain, "version", version)
+	p, err := start()
+	if err != nil {
+		return fmt.Errorf("start %s %s: %w", role, s.Name, err)
+	}
+	admin, err := metric.New(metric.Options{Address: s.Admin, Ready: p.ready})
+	if err != nil {
+		return fmt.Errorf("start %s %s: %w", role, s.Name, errors.Join(err, p.close()))
+	}
+	received := <-signals
+	event.ProcessStopping.Info("signal", received.String())
+	err = p.close()
+	if closeErr := admin.Close(); err == nil {
+		err = closeErr
+	}
+	event.ProcessStopped.Info("role", role, "name", s.Name)
+	return err
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,216 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"daisyswitch/event"
+	"daisyswitch/inner"
+	"daisyswitch/lease"
+	"daisyswitch/replica"
+	"daisyswitch/settings"
+	"daisyswitch/state"
+	"daisyswitch/verdict"
+	"daisyswitch/wire"
+
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcmux"
+)
+
+// Options configures a Control.
+type Options struct {
+	Settings *settings.Control
+	Dial     func(ctx context.Context, address string) (net.Conn, error) // to other replicas; TCP when nil
+}
+
+// Control is one control process.
+// Locks are taken in the order mu, leases, state machine, and last one of measures, watchers, throttles, inbox, questions.
+type Control struct {
+	settings  *settings.Control
+	addresses map[uint64]string
+	replica   *replica.Replica
+	machine   *state.Machine
+	leases    *lease.Table
+	throttles throttles
+	measures  *measures
+	watchers  *watchers
+	inbox     inbox
+	questions questions
+	server    *inner.Server
+	wait      conc.WaitGroup
+
+	mu       sync.Mutex // guards stopLead
+	stopLead context.CancelFunc
+}
+
+// New starts the replica on its data folder and serves the other processes.
+func New(o Options) (*Control, error) {
+	s := o.Settings
+	if o.Dial == nil {
+		o.Dial = inner.DialTCP
+	}
+	c := &Control{
+		settings:  s,
+		addresses: map[uint64]string{},
+		leases:    lease.New(lease.Options{Length: time.Duration(s.LeaseMS) * time.Millisecond, DriftPPM: s.DriftPPM}),
+		measures:  newMeasures(),
+		watchers:  newWatchers(),
+	}
+	for _, r := range s.Control {
+		c.addresses[r.ID] = r.Inner
+	}
+	c.machine = state.New(state.Options{
+		AuditKeep:            int(s.AuditKeep),
+		AnswersKeep:          int(s.AnswersKeep),
+		TaskChanged:          func(j *wire.Job, t *wire.Task) { c.inbox.add(item{job: j, task: t}) },
+		WorkerChanged:        func(w *wire.WorkerRecord) { c.inbox.add(item{worker: w}) },
+		ConfigurationChanged: c.configurationChanged,
+	})
+	if err := c.open(o); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Control) open(o Options) error {
+	r, err := replica.New(replica.Options{
+		ID:            c.settings.ID,
+		Peers:         c.addresses,
+		Dir:           filepath.Clean(c.settings.Data),
+		Dial:          o.Dial,
+		Tick:          time.Duration(c.settings.TickMS) * time.Millisecond,
+		ElectionTicks: int(c.settings.ElectionTicks),
+		SnapshotEvery: c.settings.SnapshotEvery,
+		Apply:         c.apply,
+		Snapshot:      c.snapshot,
+		Restore:       c.restore,
+		Leading:       c.leading,
+	})
+	if err != nil {
+		return fmt.Errorf("open replica: %w", err)
+	}
+	c.replica = r
+	mux := drpcmux.New()
+	if err := r.Register(mux); err != nil {
+		return fmt.Errorf("register replica: %w", err)
+	}
+	if err := wire.DRPCRegisterControl(mux, c); err != nil {
+		return fmt.Errorf("register control: %w", err)
+	}
+	c.server, err = inner.Listen(c.settings.Inner, mux)
+	if err != nil {
+		return errors.Join(err, r.Close())
+	}
+	return nil
+}
+
+func (c *Control) configurationChanged(configuration *wire.Configuration) {
+	c.watchers.publish()
+	c.inbox.add(item{configuration: configuration})
+}
+
+// apply carries out one committed record; a record that cannot be read was never written by us.
+func (c *Control) apply(index uint64, data []byte) any {
+	var command wire.Command
+	if err := proto.Unmarshal(data, &command); err != nil {
+		return fmt.Errorf("record %d: %w", index, err)
+	}
+	return c.machine.Apply(index, &command)
+}
+
+func (c *Control) snapshot() []byte {
+	data, err := proto.Marshal(c.machine.Snapshot())
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func (c *Control) restore(data []byte) error {
+	var s wire.State
+	if err := proto.Unmarshal(data, &s); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	return c.machine.Restore(&s)
+}
+
+// leading starts or ends the scheduling loop with the replica's leadership.
+func (c *Control) leading(leading bool, term uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopLead != nil {
+		c.stopLead()
+		c.stopLead = nil
+	}
+	if !leading {
+		event.LeadershipLost.Info("term", term)
+		return
+	}
+	event.LeadershipGained.Info("term", term, "replica", c.settings.ID)
+	c.leases.Lead(time.Now())
+	c.throttles.clear()
+	ctx, cancel := context.WithCancel(context.Background())
+	c.stopLead = cancel
+	c.wait.Go(func() { c.lead(ctx) })
+}
+
+// serves reports whether this replica may answer as the leader right now.
+func (c *Control) serves() bool {
+	c.mu.Lock()
+	begun := c.stopLead != nil
+	c.mu.Unlock()
+	return begun && c.replica.IsLeader()
+}
+
+// commit has a command committed and returns what it did.
+func (c *Control) commit(ctx context.Context, command *wire.Command) (*wire.CommandResult, error) {
+	if command.TimeMs == 0 {
+		command.TimeMs = time.Now().UnixMilli()
+	}
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, "command cannot be encoded", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTime)
+	defer cancel()
+	result, err := c.replica.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	if err, failed := result.(error); failed {
+		return nil, verdict.New(verdict.NotRun, "command cannot be applied", err)
+	}
+	return result.(*wire.CommandResult), nil
+}
+
+// Ready says why the process is not ready for use, nil if it is.
+func (c *Control) Ready() error {
+	if c.replica.Info().Leader == 0 {
+		return fmt.Errorf("replica %d knows no leader", c.settings.ID)
+	}
+	return nil
+}
+
+// Close ends the scheduling loop, the listeners and the replica, and waits.
+func (c *Control) Close() error {
+	c.leadingEnds()
+	c.watchers.close()
+	err := c.server.Close()
+	c.wait.Wait()
+	return errors.Join(err, c.replica.Close())
+}
+
+func (c *Control) leadingEnds() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopLead != nil {
+		c.stopLead()
+		c.stopLead = nil
+	}
+}
--- /dev/null
+++ b/control/service.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"daisyswitch/event"
+	"daisyswitch/inner"
+	"daisyswitch/lease"
+	"daisyswitch/verdict"
+	"daisyswitch/wire"
+)
+
+const keepAliveEvery = time.Second // an entry that hears nothing for two of these moves on
+
+// Propose commits an operator's command.
+func (c *Control) Propose(ctx context.Context, request *wire.ProposeRequest) (*wire.ProposeReply, error) {
+	if !c.serves() {
+		return &wire.ProposeReply{Failure: c.notLeader()}, nil
+	}
+	result, err := c.commit(ctx, operatorsPart(request.Command))
+	if err != nil {
+		return &wire.ProposeReply{Failure: c.failure(err)}, nil
+	}
+	c.logAnswer(request.Command, result)
+	return &wire.ProposeReply{Result: result}, nil
+}
+
+// operatorsPart keeps out of a command what only the leader itself may propose.
+func operatorsPart(c *wire.Command) *wire.Command {
+	return &wire.Command{TimeMs: c.GetTimeMs(), Change: c.GetChange(), Submit: c.GetSubmit(), Cancel: c.GetCancel()}
+}
+
+func (c *Control) logAnswer(command *wire.Command, result *wire.CommandResult) {
+	if change := command.GetChange(); change != nil {
+		event.ChangeAnswered.Info("operator", change.Operator, "sequence", change.Sequence,
+			"outcome", result.GetChange().GetOutcome(), "version", result.GetChange().GetVersion())
+	}
+}
+
+func (c *Control) notLeader() *wire.Failure {
+	return c.failure(verdict.New(verdict.NotRun, "this replica does not lead", nil))
+}
+
+func (c *Control) failure(err error) *wire.Failure {
+	return &wire.Failure{
+		Verdict: inner.ToWire(verdict.Of(err)),
+		Reason:  err.Error(),
+		Leader:  c.addresses[c.replica.Info().Leader],
+	}
+}
+
+// Report takes in workers' reports, commits what they mean and answers each worker with its lease and orders.
+func (c *Control) Report(ctx context.Context, batch *wire.ReportBatch) (*wire.ReportBatchReply, error) {
+	if !c.serves() {
+		return &wire.ReportBatchReply{Failure: c.notLeader()}, nil
+	}
+	now := time.Now()
+	c.measures.heard(now, batch)
+	for _, s := range batch.Samples {
+		c.inbox.add(item{sample: s, domain: batch.Domain})
+	}
+	outcomes, command := c.receive(now, batch)
+	if len(command.Events) > 0 || len(command.Workers) > 0 {
+		if _, err := c.commit(ctx, command); err != nil {
+			return &wire.ReportBatchReply{Failure: c.failure(err)}, nil
+		}
+	}
+	if !c.serves() {
+		return &wire.ReportBatchReply{Failure: c.notLeader()}, nil
+	}
+	return &wire.ReportBatchReply{Replies: c.answers(batch, outcomes)}, nil
+}
+
+// receive gathers what all reports of a batch mean into one command.
+func (c *Control) receive(now time.Time, batch *wire.ReportBatch) ([]lease.Outcome, *wire.Command) {
+	command := &wire.Command{}
+	outcomes := make([]lease.Outcome, len(batch.Reports))
+	for i, r := range batch.Reports {
+		name := r.GetWorker().GetName()
+		outcome := c.leases.Receive(now, r, c.machine.OnWorker(name), c.machine.Worker(name))
+		outcomes[i] = outcome
+		if outcome.Refusal != "" {
+			continue
+		}
+		command.Events = append(command.Events, outcome.Events...)
+		if outcome.Worker != nil {
+			command.Workers = append(command.Workers, outcome.Worker)
+		}
+		c.inbox.add(item{report: r})
+	}
+	return outcomes, command
+}
+
+func (c *Control) answers(batch *wire.ReportBatch, outcomes []lease.Outcome) []*wire.WorkerReply {
+	now := time.Now()
+	out := outDomains(c.machine.Configuration())
+	throttles := c.throttles.current()
+	replies := make([]*wire.WorkerReply, len(outcomes))
+	for i, r := range batch.Reports {
+		if outcomes[i].Refusal != "" {
+			replies[i] = &wire.WorkerReply{Refusal: outcomes[i].Refusal}
+			continue
+		}
+		held := c.machine.OnWorker(r.GetWorker().GetName())
+		replies[i] = c.leases.Answer(now, r, held, out, throttles)
+	}
+	return replies
+}
+
+func outDomains(configuration *wire.Configuration) func(string) bool {
+	out := map[string]bool{}
+	for _, d := range configuration.GetDomains() {
+		out[d.Name] = d.Out
+	}
+	return func(domain string) bool { return out[domain] }
+}
+
+// Watch sends each accepted configuration as it comes, and a sign of life while this replica knows a leader.
+func (c *Control) Watch(request *wire.WatchRequest, stream wire.DRPCControl_WatchStream) error {
+	updates, cancel := c.watchers.add()
+	defer cancel()
+	ticker := time.NewTicker(keepAliveEvery)
+	defer ticker.Stop()
+	version := request.Version
+	for {
+		if message := c.watchEvent(&version); message != nil {
+			if err := stream.Send(message); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case _, open := <-updates:
+			if !open {
+				return nil
+			}
+		case <-ticker.C:
+		}
+	}
+}
+
+// watchEvent returns what a watch that has sent version is to be sent now, nil for nothing; a replica that lost its disk holds nothing yet.
+func (c *Control) watchEvent(version *uint64) *wire.WatchEvent {
+	info := c.replica.Info()
+	if info.Recovering || info.Applied == 0 {
+		return nil
+	}
+	configuration := c.machine.Configuration()
+	if configuration.GetVersion() > *version {
+		*version = configuration.GetVersion()
+		return &wire.WatchEvent{Configuration: configuration}
+	}
+	if info.Leader == 0 {
+		return nil
+	}
+	return &wire.WatchEvent{}
+}
--- /dev/null
+++ b/control/watchers.go
@@ -0,0 +1,53 @@
+package control
+
+import "sync"
+
+// watchers wakes every open watch when a configuration was accepted.
+type watchers struct {
+	mu     sync.Mutex
+	open   map[chan struct{}]bool
+	closed bool
+}
+
+func newWatchers() *watchers {
+	return &watchers{open: map[chan struct{}]bool{}}
+}
+
+func (w *watchers) add() (<-chan struct{}, func()) {
+	updates := make(chan struct{}, 1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		close(updates)
+		return updates, func() {}
+	}
+	w.open[updates] = true
+	return updates, func() { w.remove(updates) }
+}
+
+func (w *watchers) remove(updates chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.open, updates)
+}
+
+func (w *watchers) publish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for updates := range w.open {
+		select {
+		case updates <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (w *watchers) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	for updates := range w.open {
+		close(updates)
+	}
+	w.open = map[chan struct{}]bool{}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"daisyswitch/caller"
+	"daisyswitch/inner"
+	"daisyswitch/leader"
+	"daisyswitch/neighbor"
+	"daisyswitch/operator"
+	"daisyswitch/settings"
+	"daisyswitch/upstream"
+	"daisyswitch/watch"
+	"daisyswitch/wire"
+	"daisyswitch/worker"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+)
+
+// Options configures an Entry.
+type Options struct {
+	Settings *settings.Entry
+}
+
+// Entry is one entry process.
+type Entry struct {
+	settings  *settings.Entry
+	pool      *inner.Pool
+	leader    *leader.Leader
+	holder    *watch.Holder
+	watch     *watch.Watch
+	exchange  *neighbor.Exchange
+	upstreams *upstream.Registry
+	callers   *caller.Front
+	workers   *worker.Front
+	inner     *inner.Server
+	listeners []*listener
+	wait      conc.WaitGroup
+	stopping  atomic.Bool
+}
+
+// New starts an entry with all its listeners; callers are refused until it has a configuration.
+func New(o Options) (*Entry, error) {
+	s := o.Settings
+	e := &Entry{settings: s, pool: inner.New(inner.Options{})}
+	e.leader = leader.New(e.pool, addresses(s.Control))
+	e.upstreams = upstream.New(upstream.Options{
+		Name:    s.Name,
+		Domain:  s.Domain,
+		Entries: configuredEntries(s),
+		Seed:    uint64(time.Now().UnixNano()),
+	})
+	e.callers = caller.New(callerOptions(s.Limits, e.upstreams))
+	e.holder = watch.NewHolder(e.configured)
+	e.workers = worker.New(worker.Options{
+		Entry:   s.Name,
+		Domain:  s.Domain,
+		Report:  e.leader.Report,
+		Version: e.holder.Version,
+		Samples: e.callers.Samples,
+	})
+	e.exchange = neighbor.New(neighbor.Options{
+		Name:      s.Name,
+		Neighbors: s.Entries,
+		Pool:      e.pool,
+		Compose:   e.compose,
+		Receive:   e.receive,
+	})
+	e.watch = watch.New(watch.Options{
+		Entry:    s.Name,
+		Domain:   s.Domain,
+		Replicas: s.Control,
+		Dial:     func(ctx context.Context, address string) (*drpcconn.Conn, error) { return e.pool.Dial(ctx, address) },
+		Holder:   e.holder,
+	})
+	e.exchange.Start()
+	if err := e.listen(); err != nil {
+		return nil, errors.Join(err, e.Close())
+	}
+	return e, nil
+}
+
+func callerOptions(l settings.Limits, upstreams *upstream.Registry) caller.Options {
+	return caller.Options{
+		Registry:       upstreams,
+		HeaderBytes:    l.HeaderBytes,
+		BodyBytes:      l.BodyBytes,
+		HeaderTimeout:  time.Duration(l.HeaderTimeoutMS) * time.Millisecond,
+		RequestTimeout: time.Duration(l.RequestTimeoutMS) * time.Millisecond,
+		QueueTimeout:   time.Duration(l.QueueTimeoutMS) * time.Millisecond,
+		RetryPercent:   l.RetryPercent,
+	}
+}
+
+func addresses(replicas []settings.Replica) []string {
+	var out []string
+	for _, r := range replicas {
+		out = append(out, r.Inner)
+	}
+	return out
+}
+
+// configuredEntries counts all entries, whether they can be reached or not, since one that is cut off still holds its connections.
+func configuredEntries(s *settings.Entry) int {
+	n := 1
+	for _, other := range s.Entries {
+		if other.Name != s.Name {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *Entry) listen() error {
+	mux := drpcmux.New()
+	if err := e.exchange.Register(mux); err != nil {
+		return fmt.Errorf("register exchange: %w", err)
+	}
+	var err error
+	if e.inner, err = inner.Listen(e.settings.Inner, mux); err != nil {
+		return err
+	}
+	platform := httprouter.New()
+	platform.POST(worker.PollPath, e.workers.Poll)
+	platform.Handler("POST", upstream.Path, e.upstreams.Handler())
+	operators := operator.New(operator.Options{
+		Propose: e.leader.Propose,
+		Read:    e.leader.Read,
+		Current: e.holder.Current,
+	})
+	return errors.Join(
+		e.serveCallers(),
+		e.serve("platform", e.settings.Platform, platform),
+		e.serve("operators", e.settings.Operators, operators),
+	)
+}
+
+func (e *Entry) serveCallers() error {
+	socket, err := net.Listen("tcp", e.settings.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	e.wait.Go(func() { _ = e.callers.Serve(socket) })
+	return nil
+}
+
+func (e *Entry) serve(name, address string, handler http.Handler) error {
+	l := newListener(name, handler, e.settings.Limits)
+	if err := l.start(address); err != nil {
+		return err
+	}
+	e.listeners = append(e.listeners, l)
+	return nil
+}
+
+// configured puts a configuration in force in this process and passes it on.
+func (e *Entry) configured(c *wire.Configuration) {
+	e.callers.SetConfiguration(c)
+	e.exchange.Poke()
+}
+
+func (e *Entry) compose(theirVersion uint64) *wire.Gossip {
+	g := &wire.Gossip{
+		Entry:         e.settings.Name,
+		Domain:        e.settings.Domain,
+		Announcements: e.upstreams.Announcements(time.Now()),
+		Loads:         e.upstreams.Loads(),
+		Leaving:       e.stopping.Load(),
+	}
+	current := e.holder.Current()
+	g.Version = current.GetVersion()
+	if g.Version > theirVersion {
+		g.Configuration = current
+	}
+	return g
+}
+
+func (e *Entry) receive(g *wire.Gossip) {
+	now := time.Now()
+	e.holder.Offer(g.Configuration, g.Entry)
+	e.upstreams.Merge(now, g.Announcements)
+	e.upstreams.SetLoads(g.Entry, g.Domain, now, g.Loads)
+}
+
+// Ready says why the balancer should send no callers, nil if it should.
+func (e *Entry) Ready() error {
+	if e.stopping.Load() {
+		return errors.New("stopping")
+	}
+	if e.holder.Current() == nil {
+		return errors.New("no configuration has arrived")
+	}
+	return nil
+}
+
+// Close stops gracefully: not ready, a pause for the balancer to see it, no new requests, those in progress finished.
+func (e *Entry) Close() error {
+	e.stopping.Store(true)
+	e.callers.Drain()
+	if e.holder.Current() != nil {
+		time.Sleep(time.Duration(e.settings.DrainMS) * time.Millisecond)
+	}
+	failed := e.callers.Close()
+	for _, l := range e.listeners {
+		failed = errors.Join(failed, l.close())
+	}
+	e.wait.Wait()
+	failed = errors.Join(failed, e.workers.Close(), e.watch.Close(), e.exchange.Close())
+	if e.inner != nil {
+		failed = errors.Join(failed, e.inner.Close())
+	}
+	e.upstreams.Close()
+	return errors.Join(failed, e.pool.Close())
+}
--- /dev/null
+++ b/inner/pool.go
@@ -0,0 +1,159 @@
+package inner
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"daisyswitch/verdict"
+
+	"storj.io/drpc/drpcconn"
+)
+
+// Options configures a Pool.
+type Options struct {
+	Dial     func(ctx context.Context, address string) (net.Conn, error) // TCP when nil
+	Idle     int                                                         // connections kept for each address
+	IdleFor  time.Duration                                               // age at which an idle connection is no longer trusted
+	DialTime time.Duration                                               // longest time to connect
+}
+
+const (
+	defaultIdle     = 4
+	defaultIdleFor  = 30 * time.Second
+	defaultDialTime = time.Second
+)
+
+// Pool keeps idle connections, since a drpc connection carries one call at a time.
+type Pool struct {
+	options Options
+
+	mu     sync.Mutex
+	idle   map[string][]idleConn
+	closed bool
+}
+
+type idleConn struct {
+	conn  *drpcconn.Conn
+	since time.Time
+}
+
+// New returns a pool without connections.
+func New(o Options) *Pool {
+	if o.Dial == nil {
+		o.Dial = DialTCP
+	}
+	if o.Idle == 0 {
+		o.Idle = defaultIdle
+	}
+	if o.IdleFor == 0 {
+		o.IdleFor = defaultIdleFor
+	}
+	if o.DialTime == 0 {
+		o.DialTime = defaultDialTime
+	}
+	return &Pool{options: o, idle: map[string][]idleConn{}}
+}
+
+// DialTCP connects over TCP.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Do runs call on a connection to address; its error says NotRun if no connection could be made and Unknown otherwise.
+func (p *Pool) Do(ctx context.Context, address string, call func(*drpcconn.Conn) error) error {
+	conn, err := p.get(ctx, address)
+	if err != nil {
+		return verdict.New(verdict.NotRun, fmt.Sprintf("cannot reach %s", address), err)
+	}
+	if err := call(conn); err != nil {
+		conn.Close()
+		p.drop(address)
+		return verdict.New(verdict.Unknown, fmt.Sprintf("no answer from %s", address), err)
+	}
+	p.put(address, conn)
+	return nil
+}
+
+// Dial returns a new connection of its own, for a stream that stays open.
+func (p *Pool) Dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTime)
+	defer cancel()
+	raw, err := p.options.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(raw), nil
+}
+
+func (p *Pool) get(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	if conn := p.take(address); conn != nil {
+		return conn, nil
+	}
+	return p.Dial(ctx, address)
+}
+
+func (p *Pool) take(address string) *drpcconn.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		conns := p.idle[address]
+		if len(conns) == 0 {
+			return nil
+		}
+		last := conns[len(conns)-1]
+		p.idle[address] = conns[:len(conns)-1]
+		if time.Since(last.since) < p.options.IdleFor && !isClosed(last.conn) {
+			return last.conn
+		}
+		last.conn.Close()
+	}
+}
+
+func isClosed(conn *drpcconn.Conn) bool {
+	select {
+	case <-conn.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *Pool) put(address string, conn *drpcconn.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle[address]) >= p.options.Idle {
+		conn.Close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], idleConn{conn, time.Now()})
+}
+
+// drop closes the idle connections to an address, since what broke one has often broken its siblings.
+func (p *Pool) drop(address string) {
+	p.mu.Lock()
+	conns := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range conns {
+		c.conn.Close()
+	}
+}
+
+// Close closes all idle connections; those in use close when their calls end.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = map[string][]idleConn{}
+	p.closed = true
+	p.mu.Unlock()
+	for _, conns := range idle {
+		for _, c := range conns {
+			c.conn.Close()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/inner/server.go
@@ -0,0 +1,55 @@
+package inner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"daisyswitch/event"
+
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Server answers the drpc calls of other processes.
+type Server struct {
+	listener net.Listener
+	cancel   context.CancelFunc
+	wait     conc.WaitGroup
+}
+
+// Listen serves mux on address until Close.
+func Listen(address string, mux *drpcmux.Mux) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for other processes: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{listener: listener, cancel: cancel}
+	server := drpcserver.New(mux)
+	s.wait.Go(func() {
+		err := server.Serve(ctx, listener)
+		if err != nil && !errors.Is(err, net.ErrClosed) && ctx.Err() == nil {
+			event.ListenFailed.Error(err, "address", address)
+		}
+	})
+	return s, nil
+}
+
+// Address returns where the server listens, host:port.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Close ends all calls and waits.
+func (s *Server) Close() error {
+	s.cancel()
+	err := s.listener.Close()
+	s.wait.Wait()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/inner/verdict.go
@@ -0,0 +1,30 @@
+package inner
+
+import (
+	"daisyswitch/verdict"
+	"daisyswitch/wire"
+)
+
+// FromWire returns the verdict that a message carries.
+func FromWire(v wire.Verdict) verdict.Verdict {
+	switch v {
+	case wire.Verdict_VERDICT_NOT_RUN:
+		return verdict.NotRun
+	case wire.Verdict_VERDICT_RAN:
+		return verdict.Ran
+	default:
+		return verdict.Unknown
+	}
+}
+
+// ToWire returns the message form of a verdict.
+func ToWire(v verdict.Verdict) wire.Verdict {
+	switch v {
+	case verdict.NotRun:
+		return wire.Verdict_VERDICT_NOT_RUN
+	case verdict.Ran:
+		return wire.Verdict_VERDICT_RAN
+	default:
+		return wire.Verdict_VERDICT_UNKNOWN
+	}
+}
--- /dev/null
+++ b/operator/front_test.go
@@ -0,0 +1,129 @@
+package operator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"daisyswitch/operator"
+	"daisyswitch/verdict"
+	"daisyswitch/wire"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// fakeControl takes every proposal as told.
+type fakeControl struct {
+	proposed []*wire.Command
+	result   *wire.CommandResult
+	err      error
+}
+
+func (f *fakeControl) propose(_ context.Context, c *wire.Command) (*wire.CommandResult, error) {
+	f.proposed = append(f.proposed, c)
+	return f.result, f.err
+}
+
+func (f *fakeControl) front() *operator.Front {
+	return operator.New(operator.Options{
+		Propose: f.propose,
+		Read: func(context.Context, *wire.ReadRequest) (*wire.ReadReply, error) {
+			return &wire.ReadReply{Status: &wire.Status{Configuration: &wire.Configuration{Version: 4}}}, nil
+		},
+		Current: func() *wire.Configuration { return nil },
+	})
+}
+
+type request struct {
+	method, path, headers, body string
+}
+
+const author = "Daisyswitch-Operator: ana\nDaisyswitch-Sequence: 7\nDaisyswitch-Base-Version: 4"
+
+func send(h http.Handler, r request) *httptest.ResponseRecorder {
+	q := httptest.NewRequest(r.method, r.path, strings.NewReader(r.body))
+	for line := range strings.Lines(r.headers) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		q.Header.Set(name, value)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, q)
+	return w
+}
+
+// TestBadRequests keeps the answers to what cannot be understood, none of which reaches control.
+func TestBadRequests(t *testing.T) {
+	control := &fakeControl{}
+	var page strings.Builder
+	for _, r := range []request{
+		{"PUT", "/v1/classes/bids", "", `{"kind": "service", "target_p99_us": 50000}`},
+		{"PUT", "/v1/classes/bids", "Daisyswitch-Operator: ana", `{"kind": "service"}`},
+		{"PUT", "/v1/classes/bids", "Daisyswitch-Operator: ana\nDaisyswitch-Sequence: 0", `{"kind": "service"}`},
+		{"PUT", "/v1/classes/bids", "Daisyswitch-Operator: ana\nDaisyswitch-Sequence: 1", `{"kind": "service"}`},
+		{"PUT", "/v1/classes/bids", author, `{"kind": "quick"}`},
+		{"PUT", "/v1/classes/bids", author, `{"kind": "service", "weight": 3}`},
+		{"PUT", "/v1/classes/bids", author, `{"name": "offers", "kind": "service"}`},
+		{"PUT", "/v1/classes/bids", author, `{"kind": "service"} {}`},
+		{"PUT", "/v1/teams/ledger", author, `{"quota": 5}`},
+		{"PUT", "/v1/domains/cebu", author, ``},
+		{"POST", "/v1/jobs", author, `{"tasks": 0, "size": {"milli_cpu": 5}}`},
+		{"POST", "/v1/jobs", author, `{"tasks": 1, "size": {"milli_cpu": -5}}`},
+		{"DELETE", "/v1/jobs/j-1", "", ""},
+		{"GET", "/v1/audit?after=x", "", ""},
+		{"GET", "/v1/audit?limit=5000", "", ""},
+		{"GET", "/v1/jobs/nosuch", "", ""},
+	} {
+		w := send(control.front(), r)
+		assert.Equal(t, w.Header().Get(operator.HeaderVerdict), "not-run", r.path)
+		fmt.Fprintf(&page, "%s %s %s\n%d %s", r.method, r.path, r.body, w.Code, w.Body)
+	}
+	assert.Equal(t, len(control.proposed), 0)
+	golden.Assert(t, page.String(), "bad_requests.txt")
+}
+
+func TestChangeReachesControlWhole(t *testing.T) {
+	control := &fakeControl{result: &wire.CommandResult{Change: &wire.ChangeResult{Outcome: wire.Outcome_OUTCOME_ACCEPTED, Version: 5}}}
+	w := send(control.front(), request{"PUT", "/v1/domains/cebu", author, `{"out": true}`})
+	assert.Equal(t, w.Code, http.StatusOK)
+	change := control.proposed[0].Change
+	assert.Equal(t, change.Operator, "ana")
+	assert.Equal(t, change.Sequence, uint64(7))
+	assert.Equal(t, change.BaseVersion, uint64(4))
+	assert.Equal(t, change.GetSetDomain().Name, "cebu")
+	assert.Equal(t, change.GetSetDomain().Out, true)
+}
+
+// TestClientTellsOfALostAnswer has the first entry lose the answer and the second surely do nothing.
+func TestClientTellsOfALostAnswer(t *testing.T) {
+	lost := &fakeControl{err: verdict.New(verdict.Unknown, "no answer", errors.New("reset"))}
+	down := &fakeControl{err: verdict.New(verdict.NotRun, "control cannot be reached", nil)}
+	client := client(t, lost, down)
+	_, err := client.Change(t.Context(), http.MethodDelete, "/v1/classes/bids", operator.Number{Sequence: 3, BaseVersion: 4}, nil)
+	assert.Equal(t, verdict.Of(err), verdict.Unknown)
+	assert.Equal(t, lost.proposed[0].Change.Sequence, down.proposed[0].Change.Sequence)
+}
+
+// TestClientStopsAtARefusal has a request that no entry would understand, so that only one is asked.
+func TestClientStopsAtARefusal(t *testing.T) {
+	first, second := &fakeControl{}, &fakeControl{}
+	client := client(t, first, second)
+	client.Operator = ""
+	_, err := client.Change(t.Context(), http.MethodDelete, "/v1/classes/bids", operator.Number{Sequence: 3}, nil)
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	assert.ErrorContains(t, err, "Daisyswitch-Operator")
+}
+
+func client(t *testing.T, controls ...*fakeControl) *operator.Client {
+	c := &operator.Client{Operator: "ana", HTTP: &http.Client{}}
+	for _, control := range controls {
+		server := httptest.NewServer(control.front())
+		t.Cleanup(server.Close)
+		c.Entries = append(c.Entries, strings.TrimPrefix(server.URL, "http://"))
+	}
+	return c
+}
