--- a/cmd/standin/note.go
+++ b/cmd/standin/note.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -32,7 +33,10 @@
 	if err != nil {
 		return err
 	}
-	defer journal.Close()
+	return errors.Join(c.note(journal), journal.Close())
+}
+
+func (c *noteCommand) note(journal *standin.Journal) error {
 	if c.Status {
 		return noteStatus(journal)
 	}
--- a/fakecaller/send.go
+++ b/fakecaller/send.go
@@ -72,7 +72,7 @@
 
 // failed tells apart no connection at all, nothing in time, and a visible break.
 func failed(told standin.Told, err error) standin.Told {
-	told.Reason = err.Error()
+	told.Reason = cause(err)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		told.Outcome = standin.OutcomeRefused
@@ -84,6 +84,17 @@
 	return told
 }
 
+// cause returns the innermost reason, without addresses, so that like failures count together.
+func cause(err error) string {
+	for {
+		inner := errors.Unwrap(err)
+		if inner == nil {
+			return err.Error()
+		}
+		err = inner
+	}
+}
+
 // refusal is the body of an answer that is daisyswitch's own.
 type refusal struct {
 	Verdict string `json:"verdict"`
--- a/fakeworker/table.go
+++ b/fakeworker/table.go
@@ -16,6 +16,7 @@
 	failingPrefix = "fail" // of programs that fail everywhere
 	baseP99       = 4 * time.Millisecond
 	startWithin   = worker.StartWithinMS * time.Millisecond
+	longestLease  = 24 * 60 * 60 * 1000    // milliseconds
 	stopMargin    = 100 * time.Millisecond // before the lease's end, for stopping itself
 )
 
@@ -122,7 +123,7 @@
 		b.stopAll(now, standin.ReasonNoLease, true)
 		return
 	}
-	b.lease = sent.Add(time.Duration(reply.LeaseMS)*time.Millisecond - stopMargin)
+	b.lease = sent.Add(min(time.Duration(reply.LeaseMS), longestLease)*time.Millisecond - stopMargin)
 	b.step(now)
 	for _, o := range reply.Orders {
 		b.obey(sent, now, o)
--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"sync"
@@ -23,12 +24,13 @@
 	Domain   string // failure domain
 	Rack     string
 	Capacity resource.Size
-	Entries  []string      // platform addresses of its domain's entries
-	Poll     time.Duration // between polls
-	Lag      time.Duration // of reported use
-	Scale    float64       // on the declared run times
-	FailAll  bool          // every task fails
-	Journal  string        // file of effects; empty for none
+	Entries  []string                                                             // platform addresses of its domain's entries
+	Poll     time.Duration                                                        // between polls
+	Lag      time.Duration                                                        // of reported use
+	Scale    float64                                                              // on the declared run times
+	FailAll  bool                                                                 // every task fails
+	Journal  string                                                               // file of effects; empty for none
+	Dial     func(ctx context.Context, network, address string) (net.Conn, error) // nil for the network
 }
 
 const (
@@ -65,7 +67,7 @@
 		options:     o,
 		incarnation: fmt.Sprintf("%d.%d", os.Getpid(), time.Now().UnixMilli()),
 		journal:     journal,
-		client:      standin.Client{Entries: o.Entries},
+		client:      standin.Client{Entries: o.Entries, Dial: o.Dial},
 		stop:        stop,
 	}
 	w.table = newTable(o, w.record)
