End the process when a background goroutine panics

Cause: a control process without a dialer lost its peer loops without a word: conc keeps a panic until someone waits, and nobody waits on a loop that runs for the process's life. Ruled out: catching it in each loop; plain go statements, whose owner could not wait.

--- a/control/control.go
+++ b/control/control.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"daisyswitch/event"
+	"daisyswitch/group"
 	"daisyswitch/inner"
 	"daisyswitch/lease"
 	"daisyswitch/replica"
@@ -18,7 +19,6 @@
 	"daisyswitch/verdict"
 	"daisyswitch/wire"
 
-	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
 )
@@ -43,7 +43,7 @@
 	inbox     inbox
 	questions questions
 	server    *inner.Server
-	wait      conc.WaitGroup
+	wait      group.Group
 
 	mu       sync.Mutex // guards stopLead
 	stopLead context.CancelFunc
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"daisyswitch/caller"
+	"daisyswitch/group"
 	"daisyswitch/inner"
 	"daisyswitch/leader"
 	"daisyswitch/neighbor"
@@ -21,7 +22,6 @@
 	"daisyswitch/worker"
 
 	"github.com/julienschmidt/httprouter"
-	"github.com/sourcegraph/conc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 )
@@ -44,7 +44,7 @@
 	workers   *worker.Front
 	inner     *inner.Server
 	listeners []*listener
-	wait      conc.WaitGroup
+	wait      group.Group
 	stopping  atomic.Bool
 }
 
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -9,9 +9,8 @@
 	"time"
 
 	"daisyswitch/event"
+	"daisyswitch/group"
 	"daisyswitch/settings"
-
-	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -23,7 +22,7 @@
 type listener struct {
 	name   string
 	server *http.Server
-	wait   conc.WaitGroup
+	wait   group.Group
 }
 
 func newListener(name string, handler http.Handler, limits settings.Limits) *listener {
--- a/event/process.go
+++ b/event/process.go
@@ -2,9 +2,10 @@
 
 // Events of every process, 1 to 99.
 var (
-	ProcessStarted  = register(1, "process_started", "A process has read its settings and is starting.")
-	ProcessReady    = register(2, "process_ready", "A process is ready for the platform's balancer.")
-	ProcessStopping = register(3, "process_stopping", "A process was told to stop and finishes what is in progress.")
-	ProcessStopped  = register(4, "process_stopped", "A process has finished and exits.")
-	ListenFailed    = register(5, "listen_failed", "A listener ended with an error.")
+	ProcessStarted    = register(1, "process_started", "A process has read its settings and is starting.")
+	ProcessReady      = register(2, "process_ready", "A process is ready for the platform's balancer.")
+	ProcessStopping   = register(3, "process_stopping", "A process was told to stop and finishes what is in progress.")
+	ProcessStopped    = register(4, "process_stopped", "A process has finished and exits.")
+	ListenFailed      = register(5, "listen_failed", "A listener ended with an error.")
+	GoroutinePanicked = register(6, "goroutine_panicked", "A goroutine failed; the process ends at once, so that another can take its place.")
 )
--- a/inner/server.go
+++ b/inner/server.go
@@ -7,8 +7,8 @@
 	"net"
 
 	"daisyswitch/event"
+	"daisyswitch/group"
 
-	"github.com/sourcegraph/conc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
@@ -17,7 +17,7 @@
 type Server struct {
 	listener net.Listener
 	cancel   context.CancelFunc
-	wait     conc.WaitGroup
+	wait     group.Group
 }
 
 // Listen serves mux on address until Close.
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
+	"daisyswitch/group"
 	"daisyswitch/inner"
 	"daisyswitch/settings"
 	"daisyswitch/wire"
 
-	"github.com/sourcegraph/conc"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 )
@@ -34,7 +34,7 @@
 type Exchange struct {
 	options Options
 	cancel  context.CancelFunc
-	wait    conc.WaitGroup
+	wait    group.Group
 	talks   []talk
 
 	mu       sync.Mutex
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"daisyswitch/event"
+	"daisyswitch/group"
 	"daisyswitch/settings"
 	"daisyswitch/wire"
 
-	"github.com/sourcegraph/conc"
 	"storj.io/drpc/drpcconn"
 )
 
@@ -30,7 +30,7 @@
 type Watch struct {
 	options Options
 	cancel  context.CancelFunc
-	wait    conc.WaitGroup
+	wait    group.Group
 }
 
 // New starts to follow, with the replicas of the own domain first.
--- a/worker/front.go
+++ b/worker/front.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
+	"daisyswitch/group"
 	"daisyswitch/verdict"
 	"daisyswitch/wire"
 
 	"github.com/julienschmidt/httprouter"
-	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -38,7 +38,7 @@
 	cancel  context.CancelFunc
 	ctx     context.Context
 	wake    chan struct{}
-	wait    conc.WaitGroup
+	wait    group.Group
 
 	mu      sync.Mutex
 	pending []*poll
