Split the policy into fleet, usage, pressure and place

Change: fleet holds the tables, usage reads reports, pressure relieves services, place decides; spread is counted once per start; a reservation keeps what the task will be started with.

--- a/place/decide.go
+++ b/place/decide.go
@@ -2,213 +2,162 @@
 
 import (
 	"container/heap"
-	"slices"
 	"time"
 
+	"daisyswitch/fleet"
 	"daisyswitch/resource"
 	"daisyswitch/wire"
 )
 
 // Decide returns what should happen next; its time is bounded by the limits in Options and by what was measured since the last, however long the queues are.
 func (p *Placer) Decide(now time.Time) Decisions {
-	p.now = now
+	p.fleet.Now = now
+	p.events = nil
 	p.expire()
-	d := &round{Placer: p}
-	d.giveUp()
-	d.resize()
-	d.relieve()
-	d.serve()
-	for _, t := range p.throttled {
-		d.Throttles = append(d.Throttles, t.throttled())
-	}
-	d.Throttles = append(d.Throttles, p.released...)
-	p.released = p.released[:0]
-	return d.Decisions
+	p.giveUp()
+	p.resize()
+	p.pressure.Relieve()
+	r := &round{Placer: p}
+	r.serve()
+	return Decisions{Starts: r.starts, Events: p.events, Throttles: p.pressure.Throttles()}
 }
 
-// round is one Decide in progress.
+// round is the starting of tasks in one Decide.
 type round struct {
 	*Placer
-	Decisions
-	full []resource.Size // sizes that fit nowhere now
+	starts []*wire.Start
+	full   []resource.Size // sizes that fit nowhere now
 }
 
-// decide marks a task as decided, until the state answers or the time for it is over.
-func (p *Placer) decide(t *task, what decision) {
-	t.decision, t.decided = what, p.now
-	p.pending = append(p.pending, pending{t, p.now})
-}
+// laneHeap orders lanes by who is served first.
+type laneHeap []*fleet.Lane
 
-// expire takes back decisions that the state has not answered in time, and lets suspended workers probe.
-func (p *Placer) expire() {
-	n := 0
-	for _, each := range p.pending {
-		if p.now.Sub(each.at) < p.options.StartTimeout {
-			break
-		}
-		n++
-		if each.task.decision != undecided && each.task.decided.Equal(each.at) {
-			p.takeBack(each.task)
-		}
-	}
-	p.pending = append(p.pending[:0], p.pending[n:]...)
-	kept := p.suspended[:0]
-	for _, w := range p.suspended {
-		p.offer(w)
-		if w.blame.Suspended() && w.domain != nil {
-			kept = append(kept, w)
-		}
-	}
-	p.suspended = kept
-	for _, w := range slices.Clone(p.reserved) {
-		if !p.now.Before(w.until) {
-			p.unreserve(w.reserved)
-		}
-	}
-}
+func (h laneHeap) Len() int           { return len(h) }
+func (h laneHeap) Less(i, j int) bool { return h[i].Before(h[j]) }
+func (h laneHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 
-func (p *Placer) takeBack(t *task) {
-	what := t.decision
-	t.decision = undecided
-	switch what {
-	case decidedStart:
-		p.release(t)
-		p.enqueue(t)
-	case decidedEnd:
-		p.enqueue(t)
-	case decidedResize:
-		p.recommit(t, t.before)
-	}
+// Push appends a lane.
+func (h *laneHeap) Push(x any) { *h = append(*h, x.(*fleet.Lane)) }
+
+// Pop takes the last lane off.
+func (h *laneHeap) Pop() any {
+	last := len(*h) - 1
+	l := (*h)[last]
+	*h = (*h)[:last]
+	return l
 }
 
 // serve starts tasks, one of the foremost lane at a time, until nothing more fits or the limit is reached.
-func (d *round) serve() {
+func (r *round) serve() {
 	var lanes laneHeap
-	for _, l := range d.lanes {
-		if l.first == nil {
+	for _, l := range r.fleet.Lanes {
+		if l.Empty() {
 			continue
 		}
-		l.distance, l.share, l.blocked = d.distance(l.class), d.dominant(l.team), 0
+		l.Distance, l.Share, l.Blocked = r.fleet.Distance(l.Class), r.fleet.Dominant(l.Team), 0
 		lanes = append(lanes, l)
 	}
 	heap.Init(&lanes)
-	for len(lanes) > 0 && len(d.Starts) < d.options.MaxStarts && len(d.Events) < d.options.MaxEvents {
+	for len(lanes) > 0 && len(r.starts) < r.options.MaxStarts && len(r.events) < r.options.MaxEvents {
 		l := lanes[0]
-		if !d.step(l) {
+		if !r.step(l) {
 			heap.Pop(&lanes)
 			continue
 		}
-		l.share = d.dominant(l.team)
+		l.Share = r.fleet.Dominant(l.Team)
 		heap.Fix(&lanes, 0)
 	}
 }
 
 // step handles one task or passes over one job of a lane, and reports whether the lane has more for this round.
-func (d *round) step(l *lane) bool {
-	j := l.cursor
-	if j == nil {
-		j = l.first
-	}
+func (r *round) step(l *fleet.Lane) bool {
+	j := l.Current()
 	if j == nil {
 		return false
 	}
-	l.cursor = j
-	if d.startOne(j) {
-		return l.first != nil && l.cursor != nil
+	if r.startOne(j) {
+		return !l.Done()
 	}
-	l.cursor = j.next
-	l.blocked++
-	return l.cursor != nil && l.blocked < d.options.BlockedJobs
+	l.Blocked++
+	return l.Pass() && l.Blocked < r.options.BlockedJobs
 }
 
 // startOne decides about the first waiting task of a job, and reports whether it left the queue.
-func (d *round) startOne(j *job) bool {
-	t := j.queue.first
-	if d.impossible(j) {
-		d.end(t, wire.TaskEventKind_TASK_EVENT_KIND_CANNOT_RUN, "no worker is large enough")
+func (r *round) startOne(j *fleet.Job) bool {
+	t := j.NextTask()
+	if r.impossible(j) {
+		r.end(t, wire.TaskEventKind_TASK_EVENT_KIND_CANNOT_RUN, "no worker is large enough")
 		return true
 	}
-	size := d.startSize(j)
-	if !d.withinQuota(j.team, size) {
+	size := r.startSize(j)
+	if !withinQuota(j.Team, size) {
 		return false
 	}
-	if w := d.holder(t, size); w != nil {
-		d.start(t, w, size)
+	if w := t.Reserved; w != nil && w.Domain != nil && !w.Domain.Out && size.Fits(w.Free) {
+		r.start(t, w, size)
 		return true
 	}
-	if !d.knownFull(size) {
-		if w := d.choose(t, size); w != nil {
-			d.start(t, w, size)
+	if !r.knownFull(size) {
+		if w := r.choose(t, size); w != nil {
+			r.start(t, w, size)
 			return true
 		}
 	}
-	if j.GetUrgent() || j.class.service() {
-		d.makeRoom(t, size)
+	if j.Urgent || j.Class.Service() {
+		r.makeRoom(t, size)
 	}
 	return false
 }
 
-// startSize is what a task is committed with: the declared size, or the peak of the job's earlier tasks once that is known.
-func (d *round) startSize(j *job) resource.Size {
-	if !d.ideas.learn || !j.warm {
-		return j.size
+// startSize is what a task is committed with: the peak of the job's earlier tasks once that is known, else what its program and declared size let expect.
+func (p *Placer) startSize(j *fleet.Job) resource.Size {
+	size, known := p.usage.Known(j)
+	if !known || !p.ideas.learn {
+		size = j.Size
+		if p.ideas.forecast {
+			size = p.usage.Expected(j)
+		}
 	}
-	size := marginOf(j.class).Commit(j.peak.Value(), j.size)
-	for capacity := range d.shapes {
+	for capacity := range p.fleet.Shapes {
 		if size.Fits(capacity) {
 			return size
 		}
 	}
-	return j.size
-}
-
-func (d *round) start(t *task, w *worker, size resource.Size) {
-	d.dequeue(t)
-	d.hold(t, w, size)
-	d.decide(t, decidedStart)
-	d.Starts = append(d.Starts, &wire.Start{
-		Job: t.job.GetId(), Index: t.index, Attempt: t.attempt + 1, Worker: w.name, Size: size.Wire(),
-	})
-}
-
-// end takes a waiting task out of the queue for good.
-func (d *round) end(t *task, kind wire.TaskEventKind, reason string) {
-	d.dequeue(t)
-	d.decide(t, decidedEnd)
-	d.event(t, kind, reason, nil)
+	return j.Size
 }
 
-func (d *round) event(t *task, kind wire.TaskEventKind, reason string, size *wire.Size) {
-	d.Events = append(d.Events, &wire.TaskEvent{
-		Task:   &wire.TaskRef{Job: t.job.GetId(), Index: t.index, Attempt: t.attempt},
-		Kind:   kind,
-		Reason: reason,
-		Size:   size,
+func (r *round) start(t *fleet.Task, w *fleet.Worker, size resource.Size) {
+	r.fleet.Unreserve(t)
+	r.fleet.Dequeue(t)
+	r.fleet.Hold(t, w, size)
+	r.decide(t, fleet.DecidedStart)
+	r.starts = append(r.starts, &wire.Start{
+		Job: t.Job.ID, Index: t.Index, Attempt: t.Attempt + 1, Worker: w.Name, Size: size.Wire(),
 	})
 }
 
 // impossible reports whether no worker that is known, in a domain that is out, or lately gone could ever hold the job's tasks.
-func (p *Placer) impossible(j *job) bool {
-	if len(p.shapes) == 0 || p.now.Sub(p.changed) < p.options.Settle {
+func (p *Placer) impossible(j *fleet.Job) bool {
+	if len(p.fleet.Shapes) == 0 || p.fleet.Now.Sub(p.fleet.Changed) < p.options.Settle {
 		return false
 	}
-	for capacity, s := range p.shapes {
-		if s.workers == 0 && p.now.Sub(s.gone) > p.options.Return {
+	for capacity, s := range p.fleet.Shapes {
+		if s.Workers == 0 && p.fleet.Now.Sub(s.Gone) > p.options.Return {
 			continue
 		}
-		if j.size.Fits(capacity) {
+		if j.Size.Fits(capacity) {
 			return false
 		}
 	}
 	return true
 }
 
-func (p *Placer) withinQuota(t *team, size resource.Size) bool {
-	return !t.limited || t.used.Add(size).Fits(t.quota)
+func withinQuota(t *fleet.Team, size resource.Size) bool {
+	return !t.Limited || t.Used.Add(size).Fits(t.Quota)
 }
 
-func (d *round) knownFull(size resource.Size) bool {
-	for _, each := range d.full {
+func (r *round) knownFull(size resource.Size) bool {
+	for _, each := range r.full {
 		if each.Fits(size) {
 			return true
 		}
--- a/place/judge.go
+++ b/place/judge.go
@@ -2,66 +2,73 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"daisyswitch/event"
+	"daisyswitch/fleet"
 	"daisyswitch/wire"
 )
 
+// OutOfMemory begins the reason of a task that its worker ended because memory ran out: it was given too little, which speaks against neither job nor worker.
+const OutOfMemory = "out_of_memory"
+
 // judge reads a transition for what it says about the worker and the job.
-func (p *Placer) judge(t *task, next *wire.Task) {
-	w := t.worker
-	if w == nil || t.decision == decidedStart {
+func (p *Placer) judge(t *fleet.Task, next *wire.Task) {
+	w := t.Worker
+	if w == nil || t.Decision == fleet.DecidedStart {
 		return
 	}
-	state := next.GetState()
+	failed := next.GetFailures() > t.Failures || next.GetState() == wire.TaskState_TASK_STATE_FAILED
 	switch {
-	case state == wire.TaskState_TASK_STATE_DONE:
-		t.job.blame.Succeeded()
+	case next.GetState() == wire.TaskState_TASK_STATE_DONE:
+		t.Job.Blame.Succeeded()
 		p.credit(w)
-	case next.GetFailures() > t.failures, state == wire.TaskState_TASK_STATE_FAILED:
-		t.failedOn = w
-		p.blame(t.job, w)
+	case failed && strings.HasPrefix(next.GetReason(), OutOfMemory):
+		t.Job.Memory = max(t.Job.Memory, 2*t.Committed.MemoryMiB)
+	case failed:
+		t.FailedOn = w
+		p.accuse(t.Job, w)
 	}
 }
 
-func (p *Placer) credit(w *worker) {
-	if w.blame.Succeeded(&p.options.Blame) {
-		event.WorkerTrusted.Info("worker", w.name)
-		p.offer(w)
+func (p *Placer) credit(w *fleet.Worker) {
+	if w.Blame.Succeeded(&p.options.Blame) {
+		event.WorkerTrusted.Info("worker", w.Name)
+		p.fleet.Offer(w)
 	}
 }
 
-func (p *Placer) blame(j *job, w *worker) {
-	suspected := j.blame.Suspected()
-	j.blame.Failed(w.name)
-	if !suspected && w.blame.Failed(p.now, j.GetId(), &p.options.Blame) {
-		event.WorkerSuspended.Info("worker", w.name)
+func (p *Placer) accuse(j *fleet.Job, w *fleet.Worker) {
+	suspected := j.Blame.Suspected()
+	j.Blame.Failed(w.Name)
+	if !suspected && w.Blame.Failed(p.fleet.Now, j.ID, &p.options.Blame) {
+		event.WorkerSuspended.Info("worker", w.Name)
 		p.suspended = append(p.suspended, w)
-		p.offer(w)
+		p.fleet.Offer(w)
 	}
-	if !j.givenUp && j.blame.Bad(p.trusted, &p.options.Blame) {
-		event.JobGivenUp.Info("job", j.GetId())
-		j.givenUp = true
+	if !j.GivenUp && j.Blame.Bad(p.trusted, &p.options.Blame) {
+		event.JobGivenUp.Info("job", j.ID)
+		j.GivenUp = true
 		p.bad = append(p.bad, j)
 	}
 }
 
 func (p *Placer) trusted(name string) bool {
-	w := p.workers[name]
-	return w != nil && w.blame.Trusted()
+	w := p.fleet.Workers[name]
+	return w != nil && w.Blame.Trusted()
 }
 
 // giveUp ends the waiting tasks of bad jobs.
-func (d *round) giveUp() {
-	kept := d.bad[:0]
-	for _, j := range d.bad {
-		for j.queue.first != nil && len(d.Events) < d.options.MaxEvents {
-			d.end(j.queue.first, wire.TaskEventKind_TASK_EVENT_KIND_GIVE_UP,
-				fmt.Sprintf("failed on %d workers that run other jobs well", d.options.Blame.Workers))
+func (p *Placer) giveUp() {
+	reason := fmt.Sprintf("failed on %d workers that run other jobs well", p.options.Blame.Workers)
+	kept := p.bad[:0]
+	for _, j := range p.bad {
+		for j.NextTask() != nil && len(p.events) < p.options.MaxEvents {
+			p.end(j.NextTask(), wire.TaskEventKind_TASK_EVENT_KIND_GIVE_UP, reason)
 		}
-		if len(j.tasks) > 0 {
+		if len(j.Tasks) > 0 {
 			kept = append(kept, j)
 		}
 	}
-	d.bad = kept
+	p.bad = kept
 }
--- a/place/measure_test.go
+++ b/place/measure_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
 )
 
 type policy struct {
@@ -40,7 +42,12 @@
 	if n, _ := fmt.Sscan(os.Getenv("MEASURE"), &first, &seeds); n != 2 {
 		t.Skip("set MEASURE to the first seed and the number of seeds")
 	}
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
 	list := baselines
+	if os.Getenv("ONLY") != "" {
+		list = []policy{baselines[0], baselines[5]}
+	}
 	for _, u := range users {
 		results := make([][]measures, len(list))
 		var group sync.WaitGroup
@@ -67,6 +74,12 @@
 				sum.urgentWait = max(sum.urgentWait, m.urgentWait)
 				sum.wronglyOver += m.wronglyOver
 				sum.refused += m.refused
+				sum.resizes += m.resizes
+				sum.busy += m.busy / m.workerSeconds / float64(seeds)
+				sum.committed += m.committed / m.workerSeconds / float64(seeds)
+				sum.memUsed += m.memUsed / m.workerSeconds / float64(seeds)
+				sum.speed += m.speed / m.workerSeconds / float64(seeds)
+				sum.throttled += m.throttled / m.workerSeconds / float64(seeds)
 				sum.givenUp += m.givenUp
 				sum.cannotRun += m.cannotRun
 			}
@@ -74,7 +87,7 @@
 			for _, m := range results[len(list)-1][:seeds] {
 				best += m.volume
 			}
-			fmt.Printf("%-24s %7.2f%% %9.0f %8.1f%% %7d %7d %7.1f%% %8d %6d refused=%d givenup=%d cannot=%d\n", p.name, 100*sum.good/sum.windows, sum.volume/float64(seeds), 100*sum.volume/best, sum.evictions, sum.kills, 100*sum.absence, sum.urgentWait, sum.wronglyOver, sum.refused, sum.givenUp, sum.cannotRun)
+			fmt.Printf("%-24s %7.2f%% %9.0f %8.1f%% %7d %7d %7.1f%% %8d %6d refused=%d givenup=%d cannot=%d resizes=%d busy=%.2f commit=%.2f mem=%.2f speed=%.2f throttled=%.2f\n", p.name, 100*sum.good/sum.windows, sum.volume/float64(seeds), 100*sum.volume/best, sum.evictions, sum.kills, 100*sum.absence, sum.urgentWait, sum.wronglyOver, sum.refused, sum.givenUp, sum.cannotRun, sum.resizes, sum.busy, sum.committed, sum.memUsed, sum.speed, sum.throttled)
 		}
 	}
 	assert.Assert(t, seeds > 0)
--- a/place/place.go
+++ b/place/place.go
@@ -6,40 +6,40 @@
 	"time"
 
 	"daisyswitch/blame"
+	"daisyswitch/fleet"
 	"daisyswitch/interference"
-	"daisyswitch/resource"
+	"daisyswitch/pressure"
+	"daisyswitch/usage"
 	"daisyswitch/wire"
 )
 
 // Options holds what a placer is tuned by; a zero field takes its default.
 type Options struct {
-	Seed         uint64        // of the random choice among equal workers
-	MaxStarts    int           // per Decide
-	MaxEvents    int           // per Decide
-	Candidates   int           // workers compared for one start
-	BlockedJobs  int           // jobs of one lane passed over in one Decide because they do not fit
-	StartTimeout time.Duration // how long a decision is waited for before it is taken again
-	Settle       time.Duration // without a new worker, after which all workers are taken as known
-	Return       time.Duration // how long a worker that is gone is expected back
-	Lag          time.Duration // from an order to the first measurement that shows its effect
-	Warmup       time.Duration // a task is measured for before its commitment shrinks
-	PeakHalf     time.Duration // half of the sliding time over which a peak is taken
-	Blame        blame.Options
-	Interference interference.Options
+	Seed          uint64        // of the random choice among workers
+	MaxStarts     int           // per Decide
+	MaxEvents     int           // per Decide
+	Candidates    int           // workers of a domain compared for one start
+	BlockedJobs   int           // jobs of one lane passed over in one Decide because they do not fit
+	DecideTimeout time.Duration // how long a decision waits for its transition before it is taken back
+	Settle        time.Duration // without a new kind of worker, after which all workers are taken as known
+	Return        time.Duration // how long a worker that is gone is expected back
+	Keep          time.Duration // how long room that is being made is kept for the task that it is made for
+	Blame         blame.Options
+	Interference  interference.Options
+	Pressure      pressure.Options
+	Usage         usage.Options
 }
 
 var defaults = Options{
-	Seed:         1,
-	MaxStarts:    512,
-	MaxEvents:    2048,
-	Candidates:   16,
-	BlockedJobs:  16,
-	StartTimeout: 5 * time.Second,
-	Settle:       15 * time.Second,
-	Return:       time.Hour,
-	Lag:          5 * time.Second,
-	Warmup:       20 * time.Second,
-	PeakHalf:     5 * time.Minute,
+	Seed:          1,
+	MaxStarts:     512,
+	MaxEvents:     2048,
+	Candidates:    16,
+	BlockedJobs:   16,
+	DecideTimeout: 5 * time.Second,
+	Settle:        15 * time.Second,
+	Return:        time.Hour,
+	Keep:          10 * time.Second,
 }
 
 func (o Options) withDefaults() Options {
@@ -48,34 +48,24 @@
 	o.MaxEvents = cmp.Or(o.MaxEvents, defaults.MaxEvents)
 	o.Candidates = cmp.Or(o.Candidates, defaults.Candidates)
 	o.BlockedJobs = cmp.Or(o.BlockedJobs, defaults.BlockedJobs)
-	o.StartTimeout = cmp.Or(o.StartTimeout, defaults.StartTimeout)
+	o.DecideTimeout = cmp.Or(o.DecideTimeout, defaults.DecideTimeout)
 	o.Settle = cmp.Or(o.Settle, defaults.Settle)
 	o.Return = cmp.Or(o.Return, defaults.Return)
-	o.Lag = cmp.Or(o.Lag, defaults.Lag)
-	o.Warmup = cmp.Or(o.Warmup, defaults.Warmup)
-	o.PeakHalf = cmp.Or(o.PeakHalf, defaults.PeakHalf)
+	o.Keep = cmp.Or(o.Keep, defaults.Keep)
 	o.Blame = o.Blame.WithDefaults()
 	return o
 }
 
 // ideas are the parts of the policy that measurement switches off one at a time.
 type ideas struct {
-	pairs      bool // learned pair costs choose the worker and keep services' headroom
-	resize     bool // commitments follow the measured peak
-	learn      bool // later tasks of a job start at the peak of its earlier ones
-	throttle   bool // batch is throttled before it is evicted
-	hysteresis bool // one step per measurement lag, released only well under target
+	pairs    bool // learned pair costs choose the worker and keep services' headroom
+	resize   bool // commitments follow the measured peak
+	learn    bool // later tasks of a job start at the peak of its earlier ones
+	forecast bool // first tasks of a job start at what its program and declared size let expect
 }
 
-var allIdeas = ideas{pairs: true, resize: true, learn: true, throttle: true, hysteresis: true}
-
 // Throttle takes a share of the processors away from one attempt; 0 gives them back.
-type Throttle struct {
-	Job     string
-	Index   int32
-	Attempt uint32
-	Percent int32
-}
+type Throttle = pressure.Throttle
 
 // Decisions is what one Decide asks for; the replicated state may still refuse each of them.
 type Decisions struct {
@@ -86,53 +76,96 @@
 
 // Placer holds what the policy knows; it is used from one goroutine, and is rebuilt on a new leader by telling it everything again.
 type Placer struct {
-	options Options
-	ideas   ideas
-	random  *rand.Rand
-	now     time.Time
-	classes map[string]*class
-	teams   map[string]*team
-	domains map[string]*domain
-	ordered []*domain // by name
-	workers map[string]*worker
-	jobs    map[string]*job
-	lanes   map[laneKey]*lane
-	shapes  map[resource.Size]*shape // capacities of all workers ever told of
-	table   *interference.Table
-	total   resource.Size
-	changed time.Time // when a capacity was last seen for the first time
-
-	pending   []pending // decisions that the state has not answered, in order of their time
-	pressed   []*worker // measured since the last Decide, and with something to relieve
-	outgrown  []*task   // measured since the last Decide, and to be resized
-	throttled []*task
-	released  []Throttle // since the last Decide
-	suspended []*worker
-	reserved  []*worker
-	bad       []*job // whose waiting tasks are to be given up
-
-	scratch, others []interference.Share // reused by Observe
+	options   Options
+	ideas     ideas
+	random    *rand.Rand
+	fleet     *fleet.Fleet
+	usage     *usage.Reader
+	pressure  *pressure.Gauge
+	pending   []pending         // decisions that no transition has answered, in order of their time
+	suspended []*fleet.Worker   // those that fail what they start
+	bad       []*fleet.Job      // whose waiting tasks are to be given up
+	events    []*wire.TaskEvent // for the Decide in progress
 }
 
 type pending struct {
-	task *task
+	task *fleet.Task
 	at   time.Time
 }
 
 // New returns a placer that knows nothing yet.
 func New(o Options) *Placer {
 	o = o.withDefaults()
-	return &Placer{
-		options: o,
-		ideas:   allIdeas,
-		random:  rand.New(rand.NewPCG(o.Seed, o.Seed)),
-		classes: make(map[string]*class),
-		teams:   make(map[string]*team),
-		domains: make(map[string]*domain),
-		workers: make(map[string]*worker),
-		jobs:    make(map[string]*job),
-		lanes:   make(map[laneKey]*lane),
-		shapes:  make(map[resource.Size]*shape),
-		table:   interference.New(o.Interference),
+	f := fleet.New(interference.New(o.Interference))
+	p := &Placer{
+		options:  o,
+		ideas:    ideas{pairs: true, resize: true, learn: true, forecast: true},
+		random:   rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		fleet:    f,
+		usage:    usage.New(f, o.Usage),
+		pressure: pressure.New(f, o.Pressure),
+	}
+	p.usage.Credit = p.credit
+	p.pressure.Evict = p.evict
+	return p
+}
+
+// SetConfiguration takes the accepted classes, teams and domains.
+func (p *Placer) SetConfiguration(c *wire.Configuration) {
+	p.fleet.SetConfiguration(c)
+}
+
+// SetWorker takes a worker's record; one that is gone starts nothing more.
+func (p *Placer) SetWorker(r *wire.WorkerRecord) {
+	p.fleet.SetWorker(r)
+}
+
+// Observe takes one worker's measurements, which lag behind what the worker does.
+func (p *Placer) Observe(now time.Time, r *wire.WorkerReport) {
+	p.fleet.Now = now
+	if w := p.usage.Observe(r); w != nil {
+		p.pressure.Assess(w)
+	}
+}
+
+// ObserveService takes what an entry of the domain measured of one service class since its last sample.
+func (p *Placer) ObserveService(now time.Time, domain string, s *wire.ServiceSample) {
+	p.fleet.Now = now
+	for _, w := range p.usage.ObserveService(domain, s) {
+		p.pressure.Assess(w)
+	}
+}
+
+// SetTask takes a task's state after a transition, or at the rebuild of a placer; ended tasks are dropped.
+func (p *Placer) SetTask(j *wire.Job, next *wire.Task) {
+	if ended(next) && p.fleet.Find(j.GetId(), next.GetIndex()) == nil {
+		p.fleet.CountDone(j.GetClass(), next)
+		return
 	}
+	t := p.fleet.Add(j, next.GetIndex())
+	p.judge(t, next)
+	committed := p.answer(t, next)
+	p.fleet.Dequeue(t)
+	p.fleet.Release(t)
+	if !fleet.Waiting(next.GetState()) {
+		p.fleet.Unreserve(t)
+	}
+	if t.Attempt != next.GetAttempt() || !fleet.Holding(next.GetState()) {
+		p.pressure.Forget(t)
+		t.ForgetMeasurements()
+	}
+	t.State, t.Attempt, t.Failures = next.GetState(), next.GetAttempt(), next.GetFailures()
+	switch {
+	case fleet.Waiting(t.State):
+		p.fleet.Enqueue(t)
+	case fleet.Holding(t.State):
+		p.fleet.HoldNamed(t, next.GetWorker(), committed)
+	default:
+		p.fleet.CountDone(j.GetClass(), next)
+		p.fleet.Drop(t)
+	}
+}
+
+func ended(t *wire.Task) bool {
+	return !fleet.Waiting(t.GetState()) && !fleet.Holding(t.GetState())
 }
--- a/place/reserve.go
+++ b/place/reserve.go
@@ -3,98 +3,71 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
+	"daisyswitch/fleet"
 	"daisyswitch/resource"
-	"daisyswitch/wire"
 )
 
-// reserveFor is how long room that is being made is kept for the task that it is made for.
-const reserveFor = 20 * time.Second
-
-// holder returns the worker on which room was made for a task, if the room is there by now.
-func (d *round) holder(t *task, size resource.Size) *worker {
-	w := t.holder
-	if w == nil || w.domain == nil || w.domain.out || !size.Fits(w.free) {
-		return nil
-	}
-	return w
-}
-
-func (p *Placer) unreserve(t *task) {
-	w := t.holder
-	if w == nil {
-		return
-	}
-	t.holder, w.reserved = nil, nil
-	if i := slices.Index(p.reserved, w); i >= 0 {
-		p.reserved = slices.Delete(p.reserved, i, i+1)
-	}
-	p.offer(w)
-}
-
 // makeRoom evicts batch for an urgent task or a replica where that takes the fewest evictions among some workers, and keeps the room for it.
-func (d *round) makeRoom(t *task, size resource.Size) {
-	if t.holder != nil || len(d.Events) >= d.options.MaxEvents {
+func (r *round) makeRoom(t *fleet.Task, size resource.Size) {
+	if t.Reserved != nil || len(r.events) >= r.options.MaxEvents {
 		return
 	}
-	var best *worker
-	var bestEvictions []*task
-	domains, _ := d.allowed(t.job)
+	var best *fleet.Worker
+	var victims []*fleet.Task
+	domains, _ := r.allowed(t.Job, spreadOf(t.Job))
 	for _, each := range domains {
-		d.sample(each, func(w *worker) {
-			if w.reserved != nil || w.blame.Suspended() || t.failedOn == w || !size.Fits(w.capacity) {
+		r.sample(each, func(w *fleet.Worker) {
+			if w.IsReserved() || w.Blame.Suspended() || t.FailedOn == w || !size.Fits(w.Capacity) {
 				return
 			}
-			list := d.evictions(w, size.Sub(w.free))
-			if list != nil && (best == nil || len(list) < len(bestEvictions)) {
-				best, bestEvictions = w, list
+			list := r.evictions(w, size.Sub(w.Free))
+			if list != nil && (best == nil || len(list) < len(victims)) {
+				best, victims = w, list
 			}
 		})
 	}
 	if best == nil {
 		return
 	}
-	for _, each := range bestEvictions {
-		d.evict(each, "urgent work or a service needs the room")
+	for _, each := range victims {
+		r.evict(each, "urgent work or a service needs the room")
 	}
-	best.reserved, best.until, t.holder = t, d.now.Add(reserveFor), best
-	d.reserved = append(d.reserved, best)
-	d.offer(best)
+	r.fleet.Reserve(best, t, size, r.fleet.Now.Add(r.options.Keep))
 }
 
 // sample calls f for some workers of a domain, beginning anywhere.
-func (d *round) sample(each *domain, f func(*worker)) {
-	length := len(each.workers)
+func (r *round) sample(each *fleet.Domain, f func(*fleet.Worker)) {
+	length := len(each.Workers)
 	if length == 0 {
 		return
 	}
-	begin := d.random.IntN(length)
-	for i := range min(length, d.options.Candidates) {
-		if w := each.workers[(begin+i)%length]; w != nil {
+	begin := r.random.IntN(length)
+	for i := range min(length, r.options.Candidates) {
+		if w := each.Workers[(begin+i)%length]; w != nil {
 			f(w)
 		}
 	}
 }
 
 // evictions returns the tasks whose eviction frees what is missing, largest first, empty if what is stopping already frees it, and nil if all batch is not enough.
-func (d *round) evictions(w *worker, missing resource.Size) []*task {
-	list := []*task{}
-	var open []*task
-	for _, t := range w.tasks {
-		if t.state == wire.TaskState_TASK_STATE_STOPPING || t.decision == decidedStop {
-			missing = missing.Sub(t.committed)
-		} else if t.evictable() && !t.job.GetUrgent() {
+func (p *Placer) evictions(w *fleet.Worker, missing resource.Size) []*fleet.Task {
+	list := []*fleet.Task{}
+	var open []*fleet.Task
+	for _, t := range w.Tasks {
+		if t.Stopping() {
+			missing = missing.Sub(t.Committed)
+		} else if t.Evictable() && !t.Job.Urgent {
 			open = append(open, t)
 		}
 	}
-	slices.SortStableFunc(open, func(a, b *task) int { return cmp.Compare(b.committed.MilliCPU, a.committed.MilliCPU) })
+	slices.SortStableFunc(open, func(a, b *fleet.Task) int { return cmp.Compare(b.Committed.MilliCPU, a.Committed.MilliCPU) })
 	for _, t := range open {
 		if missing.Fits(resource.Size{}) {
 			break
 		}
 		list = append(list, t)
-		missing = missing.Sub(t.committed)
+		missing = missing.Sub(t.Committed)
 	}
 	if !missing.Fits(resource.Size{}) {
 		return nil
--- a/place/resize.go
+++ b/place/resize.go
@@ -1,75 +1,46 @@
 package place
 
 import (
+	"daisyswitch/fleet"
 	"daisyswitch/resource"
 	"daisyswitch/sizing"
 	"daisyswitch/wire"
 )
 
-// Margins above the peak: a service's load grows faster than its commitment can.
-var (
-	serviceMargin = sizing.Margin{CPU: 30, Memory: 20}
-	batchMargin   = sizing.Margin{CPU: 10, Memory: 15}
-)
-
-func marginOf(c *class) sizing.Margin {
-	if c.service() {
-		return serviceMargin
-	}
-	return batchMargin
-}
-
-// wanted returns the size that a task's peak asks for, and whether it is known for long enough to shrink to.
-func (p *Placer) wanted(t *task) (resource.Size, bool) {
-	size := marginOf(t.job.class).Commit(t.peak.Value(), t.job.size)
-	warmup := p.options.Warmup
-	if t.job.class.service() {
-		warmup = p.options.PeakHalf
-	}
-	if p.now.Sub(t.measured) >= warmup {
-		return size, true
-	}
-	return sizing.Larger(size, t.committed), false
-}
-
 // resize moves the commitments of measured tasks towards their peaks, as far as their workers have room.
-func (d *round) resize() {
-	for _, t := range d.outgrown {
-		t.sized = false
-		if t.worker == nil || t.worker.domain == nil || t.decision != undecided || t.state != wire.TaskState_TASK_STATE_RUNNING {
-			continue
-		}
-		if len(d.Events) >= d.options.MaxEvents {
-			continue
+func (p *Placer) resize() {
+	for _, t := range p.usage.Outgrown {
+		t.Sized = false
+		running := t.State == wire.TaskState_TASK_STATE_RUNNING && t.Decision == fleet.Undecided
+		if p.ideas.resize && running && t.Worker.Domain != nil && len(p.events) < p.options.MaxEvents {
+			p.resizeOne(t)
 		}
-		d.resizeOne(t)
 	}
-	d.outgrown = d.outgrown[:0]
+	p.usage.Outgrown = p.usage.Outgrown[:0]
 }
 
-func (d *round) resizeOne(t *task) {
-	wanted, _ := d.wanted(t)
-	most := t.committed.Add(sizing.Larger(t.worker.free, resource.Size{}))
+func (p *Placer) resizeOne(t *fleet.Task) {
+	wanted := p.usage.Wanted(t)
+	open := t.Worker.Open()
+	if t.Job.Class.Service() {
+		open = t.Worker.Free
+	}
+	most := t.Committed.Add(sizing.Larger(open, resource.Size{}))
 	size := resource.Size{
 		MilliCPU:     min(wanted.MilliCPU, most.MilliCPU),
 		MemoryMiB:    min(wanted.MemoryMiB, most.MemoryMiB),
-		Accelerators: t.committed.Accelerators,
+		Accelerators: t.Committed.Accelerators,
 	}
-	if t.job.class.service() && size != wanted {
-		d.evictFor(t.worker, wanted.Sub(size))
+	if t.Job.Class.Service() && size != wanted {
+		for _, victim := range p.evictions(t.Worker, wanted.Sub(size)) {
+			p.evict(victim, "a service on its worker needs the room")
+		}
 	}
-	if !sizing.Worth(t.committed, size) {
+	if !sizing.Worth(t.Committed, size) {
 		return
 	}
-	t.before = t.committed
-	d.recommit(t, sizing.Larger(t.committed, size))
-	d.decide(t, decidedResize)
-	d.event(t, wire.TaskEventKind_TASK_EVENT_KIND_RESIZE, "measured usage", size.Wire())
-}
-
-// evictFor evicts batch on a worker until what is missing will be free, counting what is being evicted already.
-func (d *round) evictFor(w *worker, missing resource.Size) {
-	for _, t := range d.evictions(w, missing) {
-		d.evict(t, "a service on its worker needs the room")
-	}
+	t.Before = t.Committed
+	p.fleet.Recommit(t, sizing.Larger(t.Committed, size))
+	p.decide(t, fleet.DecidedResize)
+	p.event(t, wire.TaskEventKind_TASK_EVENT_KIND_RESIZE, "measured usage", size.Wire())
 }
--- a/place/sim_test.go
+++ b/place/sim_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"daisyswitch/fleet"
 	"daisyswitch/resource"
 	"daisyswitch/wire"
 )
@@ -39,12 +40,12 @@
 
 type fakeJob struct {
 	*wire.Job
-	program     int
-	cores       []float64 // true, of each task
-	memory      []float64
-	work        []float64 // seconds undisturbed
-	bad         bool
-	shown, open int
+	program int
+	cores   []float64 // true, of each task
+	memory  []float64
+	work    []float64 // seconds undisturbed
+	bad     bool
+	open    int
 }
 
 type fakeTask struct {
@@ -75,11 +76,12 @@
 
 // measures is what one run brought.
 type measures struct {
-	good, windows                         float64
-	volume, absence, volumeDone           float64
-	evictions, kills, refused, resizes    int
-	urgentWait                            int
-	givenUp, cannotRun, wronglyOver, undo int
+	good, windows                                             float64
+	volume, absence, volumeDone                               float64
+	evictions, kills, refused, resizes                        int
+	urgentWait                                                int
+	givenUp, cannotRun, wronglyOver                           int
+	busy, committed, memUsed, speed, throttled, workerSeconds float64
 }
 
 type fake struct {
@@ -88,7 +90,6 @@
 	costs   [programs][programs]float64
 	size    [programs][2]float64
 	workers []*fakeWorker
-	tasks   []*fakeTask // queued or held
 	queue   []*fakeTask
 	serial  int
 	now     int
@@ -152,11 +153,11 @@
 	for s := range services {
 		declared := f.random.Float64()*2 + 0.5
 		j := &fakeJob{program: s, Job: &wire.Job{Id: fmt.Sprint("service", s), Class: fmt.Sprint("service", s), Program: fmt.Sprint("p", s), Tasks: int32(f.user.workers)}}
-		peak := f.user.cores * 0.2
-		j.Size = &wire.Size{MilliCpu: int64(peak * declared * 1000), MemoryMib: int64(f.user.memory * 0.08 * 1024)}
+		peak := f.cores * 0.2
+		j.Size = &wire.Size{MilliCpu: int64(peak * declared * 1000), MemoryMib: int64(f.memory * 0.08 * 1024)}
 		f.byRef[j.Id] = j
 		for n := s; n < f.user.workers*9/10; n += services {
-			t := f.add(j, peak, f.user.memory*0.06, math.Inf(1))
+			t := f.add(j, peak, f.memory*0.06, math.Inf(1))
 			t.service = true
 			f.start(t, f.workers[n], resource.FromWire(j.Size))
 		}
@@ -181,7 +182,7 @@
 	}
 	wrong := [2]float64{math.Exp2(4*r.Float64() - 2), math.Exp2(4*r.Float64() - 2)}
 	j := &fakeJob{program: program, Job: &wire.Job{Id: fmt.Sprint("j", f.serial), Class: class, Team: team, Program: fmt.Sprint("p", program), Urgent: urgent, Tasks: int32(tasks)}}
-	cores, memory := f.size[program][0], f.size[program][1]
+	cores, memory := f.size[program][0]*math.Exp(0.4*r.NormFloat64()), f.size[program][1]*math.Exp(0.4*r.NormFloat64())
 	j.Size = &wire.Size{MilliCpu: int64(cores * wrong[0] * 1000), MemoryMib: int64(memory * wrong[1] * 1024)}
 	j.bad = !urgent && r.Float64() < 0.01
 	if !urgent && r.Float64() < 0.01 {
@@ -255,7 +256,7 @@
 	if state == wire.TaskState_TASK_STATE_DONE {
 		f.volumeDone++
 		t.job.open--
-	} else if waiting(state) {
+	} else if fleet.Waiting(state) {
 		f.queue = append(f.queue, t)
 	}
 	f.tell(t)
@@ -385,6 +386,10 @@
 	if w.gone {
 		return
 	}
+	f.workerSeconds++
+	f.busy += w.load
+	f.memUsed += w.memory / f.memory
+	f.committed += 1 - float64(w.free.MilliCPU)/1000/f.cores
 	report := &wire.WorkerReport{Worker: w.WorkerRecord, Sequence: uint64(f.now)}
 	noise := rand.New(rand.NewPCG(uint64(w.number), uint64(f.now)))
 	for _, t := range append([]*fakeTask(nil), w.tasks...) {
@@ -423,6 +428,7 @@
 	t.speed = 0
 	switch {
 	case t.job.bad && f.now-t.at >= 3, w.number == 7 && f.now > 200 && f.now < 900 && f.now-t.at >= 2 && t.at > 200:
+		t.Reason = "exit status 1"
 		f.fail(t)
 		return
 	case t.end > 0 && f.now >= t.end:
@@ -434,6 +440,8 @@
 	}
 	t.speed = (1 - t.throttle) / f.slow(t, w, 1) * min(1, 1/w.load)
 	t.done += t.speed
+	f.speed += t.speed * t.job.cores[t.index] / f.cores
+	f.throttled += t.throttle * t.job.cores[t.index] / f.cores
 	if !t.job.bad {
 		f.volume += t.speed * t.job.cores[t.index]
 		if f.now >= outAt && f.now < backAt {
@@ -482,6 +490,7 @@
 	if worst != nil {
 		f.kills++
 		f.volume -= (worst.done - worst.saved) * worst.job.cores[worst.index]
+		worst.Reason = OutOfMemory
 		f.fail(worst)
 	}
 }
--- a/place/why.go
+++ b/place/why.go
@@ -1,45 +1,59 @@
 package place
 
-import "fmt"
+import (
+	"fmt"
+
+	"daisyswitch/fleet"
+	"daisyswitch/resource"
+)
 
 // Why returns in one line why a queued task waits, and an empty line for one that does not.
-func (p *Placer) Why(id string, index int32) string {
-	j := p.jobs[id]
-	if j == nil {
-		return ""
-	}
-	t := j.tasks[index]
-	if t == nil || !waiting(t.state) {
+func (p *Placer) Why(job string, index int32) string {
+	t := p.fleet.Find(job, index)
+	if t == nil || !fleet.Waiting(t.State) {
 		return ""
 	}
-	if t.decision != undecided {
-		return "a start was decided and is being committed"
-	}
-	if p.impossible(j) {
+	size := p.startSize(t.Job)
+	switch {
+	case t.Decision == fleet.DecidedStart:
+		return "its start is being committed"
+	case t.Decision == fleet.DecidedEnd:
+		return "its end is being committed"
+	case t.Reserved != nil:
+		return fmt.Sprintf("room is being made on worker %s", t.Reserved.Name)
+	case p.impossible(t.Job):
 		return "no worker is large enough"
+	case !withinQuota(t.Job.Team, size):
+		return fmt.Sprintf("team %s has reached its quota", t.Job.Team.Name)
 	}
-	if !p.withinQuota(j.team, j.size) {
-		return fmt.Sprintf("team %s has reached its quota", j.team.name)
-	}
-	return p.whyNoRoom(j)
+	return p.whyNoRoom(t.Job, size)
 }
 
-func (p *Placer) whyNoRoom(j *job) string {
-	in, out := false, false
-	for _, w := range p.workers {
-		if !j.size.Fits(w.capacity) {
+// whyNoRoom looks at every worker, since people ask seldom.
+func (p *Placer) whyNoRoom(j *fleet.Job, size resource.Size) string {
+	room, in, out := false, false, false
+	for _, w := range p.fleet.Workers {
+		if w.Domain == nil || !size.Fits(w.Capacity) {
+			continue
+		}
+		if w.Domain.Out {
+			out = true
 			continue
 		}
-		in = in || (w.domain != nil && !w.domain.out)
-		out = out || (w.domain != nil && w.domain.out)
+		in = true
+		room = room || size.Fits(w.Open())
 	}
 	switch {
 	case !in && out:
 		return "fits only workers in domains that are out"
 	case !in:
 		return "fits only workers that are gone"
-	case j.queue.first != nil && j.lane.first != j:
-		return "waits for room behind other work of its class"
+	case !room:
+		return "every worker large enough is full"
+	case j.Lane.Current() != j:
+		return "waits behind other work of its class and team"
+	case j.MinDomains > 1:
+		return fmt.Sprintf("room is free, but not in a failure domain that it must still spread to (at least %d)", j.MinDomains)
 	}
-	return "waits for room on a worker"
+	return "room is free, but beside services that are near their target, or on workers that fail what they start"
 }
--- a/sizing/peak.go
+++ b/sizing/peak.go
@@ -55,10 +55,11 @@
 	}
 }
 
-// Worth reports whether going from one size to another is worth a commit: any growth is, and a shrinking by more than an eighth of a resource.
+// Worth reports whether going from one size to another is worth a commit: growing by more than a sixteenth of a resource is, and shrinking by more than an eighth.
 func Worth(from, to resource.Size) bool {
-	if !to.Fits(from) {
-		return true
-	}
-	return to.MilliCPU < from.MilliCPU-from.MilliCPU/8 || to.MemoryMiB < from.MemoryMiB-from.MemoryMiB/8
+	return worth(from.MilliCPU, to.MilliCPU) || worth(from.MemoryMiB, to.MemoryMiB)
+}
+
+func worth(from, to int64) bool {
+	return to > from+from/16 || to < from-from/8
 }
