Prove that answers are whole, own and unchanged, in bounded memory

Answers of known length, chunked and long are cut after every byte (the long one at 150 places); late and doubled answers; 256 MB in under 16 MB of allocation; trailers, 103, HEAD, hop-by-hop headers; a slow body; a caller gone; an upload broken off.

Breaking only one of the two guards against stray answers (bytes left over at the end, liveness before use) is not seen, for the other one holds.

--- /dev/null
+++ b/caller/whole_test.go
@@ -0,0 +1,228 @@
+package caller_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/textproto"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"daisyswitch/caller"
+	"daisyswitch/upstream"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// TestTruncatedAnswerIsNeverWhole cuts answers after every byte and expects the caller to see it.
+func TestTruncatedAnswerIsNeverWhole(t *testing.T) {
+	answers := map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123456789",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\nSum: 1\r\n\r\n",
+		"long":    "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("0123456789", 2000),
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var cut atomic.Int64
+			f := newFake(t, func(f *fake, c *exchangeConn) bool {
+				f.run(c)
+				c.answer(answer[:cut.Load()])
+				return false
+			})
+			e := newEntry(t, caller.Options{}, upstream.Options{})
+			e.announce(t, "u", f.Addr().String())
+			step := max(1, len(answer)/150)
+			for i := 0; i < len(answer); i += step {
+				cut.Store(int64(i))
+				status, body, err := e.fetch(t, "POST")
+				broken := err != nil || status == http.StatusBadGateway
+				assert.Assert(t, broken, "cut after %d bytes: status %d, body %q", i, status, body)
+				e.announce(t, fmt.Sprint("u", i), f.Addr().String()) // a fresh record, so that it is not ejected
+			}
+			cut.Store(int64(len(answer)))
+			status, body, err := e.fetch(t, "POST")
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Assert(t, strings.HasPrefix(body, "0123456789"))
+		})
+	}
+}
+
+func (e *entry) fetch(t testing.TB, method string) (status int, body string, err error) {
+	r, err := http.NewRequest(method, e.url, nil)
+	assert.NilError(t, err)
+	r.Header.Set(caller.ClassHeader, "bids")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err
+}
+
+// TestAnswersAreTheCallersOwn lets an upstream answer late, and twice, and expects neither to reach another caller.
+func TestAnswersAreTheCallersOwn(t *testing.T) {
+	stray := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+	late := make(chan struct{})
+	f := newFake(t, func(f *fake, c *exchangeConn) bool {
+		r := f.run(c)
+		if r == nil {
+			return false
+		}
+		switch r.URL.Path {
+		case "/late":
+			<-late
+			return c.answer(stray)
+		case "/twice":
+			return c.answer(okAnswer + stray)
+		}
+		return c.answer(okAnswer)
+	})
+	e := newEntry(t, caller.Options{}, upstream.Options{})
+	e.announce(t, "u", f.Addr().String())
+	_, body := e.do(t, "GET", "/late", "", caller.TimeoutHeader, "500")
+	assert.Assert(t, strings.Contains(body, "timeout"), body)
+	close(late)
+	for range 5 {
+		for _, path := range []string{"/twice", "/"} {
+			_, body := e.do(t, "GET", path, "")
+			assert.Equal(t, body, "done")
+		}
+	}
+}
+
+// TestHugeAnswerTakesLittleMemory streams an answer far larger than what may be allocated for it.
+func TestHugeAnswerTakesLittleMemory(t *testing.T) {
+	const size, allowed = 256 << 20, 16 << 20
+	block := make([]byte, 64<<10)
+	f := newFake(t, func(f *fake, c *exchangeConn) bool {
+		f.run(c)
+		c.answer(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size))
+		for range size / len(block) {
+			c.Write(block)
+		}
+		return true
+	})
+	e := newEntry(t, caller.Options{}, upstream.Options{})
+	e.announce(t, "u", f.Addr().String())
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	r, _ := http.NewRequest("GET", e.url, nil)
+	r.Header.Set(caller.ClassHeader, "bids")
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	n, err := io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, n, int64(size))
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < allowed, "%d bytes allocated", after.TotalAlloc-before.TotalAlloc)
+}
+
+// TestAnswersPassUnchanged covers trailers, interim answers, HEAD, and headers that concern one connection only.
+func TestAnswersPassUnchanged(t *testing.T) {
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Link", "</a>")
+		w.WriteHeader(http.StatusEarlyHints)
+		w.Header().Del("Link")
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.Header().Set("Trailer", "Sum")
+		w.Header().Set("X-Seen", fmt.Sprint(r.Header["X-Private"], r.Header["Te"], r.Trailer["Up"], len(body)))
+		if r.Method == http.MethodHead {
+			w.Header().Del("Trailer")
+			w.Header().Set("Content-Length", "7")
+			return
+		}
+		io.WriteString(w, "body")
+		w.Header().Set("Sum", "s")
+		w.Header().Set(http.TrailerPrefix+"Late", "l")
+	}))
+	defer up.Close()
+	e := newEntry(t, caller.Options{}, upstream.Options{})
+	e.announce(t, "u", up.Listener.Addr().String())
+	hints := ""
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+		hints += fmt.Sprint(code, h.Get("Link"))
+		return nil
+	}}
+	r, _ := http.NewRequest("POST", e.url, io.MultiReader(strings.NewReader("lot")))
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	r.Trailer = http.Header{"Up": {"u"}}
+	r.Header = http.Header{caller.ClassHeader: {"bids"}, "Connection": {"X-Private"}, "X-Private": {"1"}, "Te": {"trailers"}}
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "body")
+	assert.Equal(t, hints, "103</a>")
+	assert.Equal(t, resp.Header.Get("Link")+resp.Header.Get("X-Hop"), "")
+	assert.Equal(t, resp.Header.Get("X-Seen"), "[] [] [u] 3")
+	assert.Equal(t, resp.Trailer.Get("Sum")+resp.Trailer.Get("Late"), "sl")
+	resp, _ = e.do(t, "HEAD", "/", "")
+	assert.Equal(t, resp.ContentLength, int64(7))
+}
+
+// TestSlowBodyArrivesAsItComes expects the beginning of an answer before its end was sent, and a slot given back when the caller goes.
+func TestSlowBodyArrivesAsItComes(t *testing.T) {
+	gone := make(chan struct{})
+	f := newFake(t, func(f *fake, c *exchangeConn) bool {
+		f.run(c)
+		c.answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegin\r\n")
+		c.Peek(1) // returns when the entry closes the connection
+		close(gone)
+		return false
+	})
+	e := newEntry(t, caller.Options{}, upstream.Options{})
+	e.announce(t, "u", f.Addr().String())
+	raw, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+	assert.NilError(t, err)
+	fmt.Fprintf(raw, "GET / HTTP/1.1\r\nHost: x\r\n%s: bids\r\n\r\n", caller.ClassHeader)
+	resp, err := http.ReadResponse(bufio.NewReader(raw), nil)
+	assert.NilError(t, err)
+	begin := make([]byte, 5)
+	_, err = io.ReadFull(resp.Body, begin)
+	assert.NilError(t, err)
+	assert.Equal(t, string(begin), "begin")
+	raw.Close()
+	<-gone
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if loads := e.registry.Loads(); len(loads) > 0 {
+			return poll.Continue("still %v", loads)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+}
+
+// TestStreamedUpload sends a body too long to be held, whole and broken off; the upstream must not take the broken one for a whole one.
+func TestStreamedUpload(t *testing.T) {
+	lengths := make(chan string, 2)
+	up := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		lengths <- fmt.Sprint(n == 1<<20, err == nil)
+	}))
+	defer up.Close()
+	e := newEntry(t, caller.Options{}, upstream.Options{})
+	e.announce(t, "u", up.Listener.Addr().String())
+	resp, _ := e.do(t, "POST", "/", strings.Repeat("x", 1<<20))
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, <-lengths, "true true")
+	raw, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+	assert.NilError(t, err)
+	fmt.Fprintf(raw, "POST / HTTP/1.1\r\nHost: x\r\n%s: bids\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", caller.ClassHeader, 1<<20)
+	raw.Write(bytes.Repeat([]byte("x"), 200<<10))
+	raw.Close()
+	assert.Equal(t, <-lengths, "false false")
+}
