Prove that leaving, cuts and limits hold in the table of upstreams

In virtual time: an upstream that tells one of three entries that it leaves, which then dies or not, with slow exchanges; older, equal and late words after leaving; a restart at the same address; a domain cut off and healed with an out domain; nine entries pressing 180 senders on one upstream of 64 connections.

Shown failing on broken lines of upstream, each restored: - Merge counts ages from arrival, or not at all: used 3.15 s after leaving; - an older sequence renews; leaving does not stick: OldWord fails; - no take-over of an address: the old incarnation is picked; - an older configuration applied: CutOff fails; - setLimit without the share: 117 connections at once; - no lower bound of slots, body without bound: Handler fails. Not seen: the pool's own limit off by two, because Take bounds requests by the same share before it.

--- /dev/null
+++ b/upstream/registry_test.go
@@ -0,0 +1,283 @@
+package upstream_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisyswitch/transport"
+	"daisyswitch/upstream"
+	"daisyswitch/wire"
+
+	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+)
+
+func TestMain(m *testing.M) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	m.Run()
+}
+
+const class = "bids"
+
+func announcement(id, domain string, sequence uint64) *upstream.Announcement {
+	return &upstream.Announcement{ID: id, Address: "127.0.0.1:1", Domain: domain, Classes: []string{class}, Slots: 8, Connections: 64, Sequence: sequence}
+}
+
+// fleet is a few entries that exchange what they know each second, as package neighbor does.
+type fleet struct {
+	entries []*upstream.Registry
+	dead    []bool
+	cut     func(a, b int) bool
+	delay   time.Duration // between the asking and the answer's arrival
+}
+
+func newFleet(n int, domains string) *fleet {
+	f := &fleet{dead: make([]bool, n), cut: func(_, _ int) bool { return false }}
+	for i := range n {
+		f.entries = append(f.entries, upstream.New(upstream.Options{Name: fmt.Sprint("e", i), Domain: string(domains[i%len(domains)]), Entries: n}))
+	}
+	return f
+}
+
+func (f *fleet) exchange() {
+	for i, e := range f.entries {
+		for j, other := range f.entries {
+			if i == j || f.dead[i] || f.dead[j] || f.cut(i, j) {
+				continue
+			}
+			asked := time.Now()
+			told := other.Announcements(time.Now())
+			time.Sleep(f.delay)
+			e.Merge(asked, told)
+		}
+	}
+}
+
+// TestLeavingUpstreamGetsNothingAfter3s lets only one entry hear that the upstream leaves; in half of the cases it then dies before it can tell.
+// Exchanges are slow, so that ages must count the time on the way.
+func TestLeavingUpstreamGetsNothingAfter3s(t *testing.T) {
+	for _, dies := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(3, "aab")
+			f.delay = 150 * time.Millisecond
+			for s := uint64(1); s <= 5; s++ {
+				f.entries[0].Announce(time.Now(), announcement("u", "a", s))
+				f.exchange()
+			}
+			for i, e := range f.entries {
+				slot, availability := e.Take(class, nil)
+				assert.Equal(t, availability, upstream.Free, "entry %d", i)
+				slot.Release()
+			}
+			said := time.Now()
+			leaving := announcement("u", "a", 6)
+			leaving.Leaving = true
+			f.entries[0].Announce(said, leaving)
+			f.dead[0] = dies
+			for time.Since(said) < 10*time.Second {
+				f.exchange()
+				time.Sleep(50 * time.Millisecond)
+				for i, e := range f.entries {
+					_, availability := e.Take(class, nil)
+					if time.Since(said) > 3*time.Second {
+						assert.Equal(t, availability, upstream.Absent, "entry %d, %v after", i, time.Since(said))
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestOldWordCannotBringBack sends older, equal and delayed announcements after an upstream left.
+func TestOldWordCannotBringBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newFleet(1, "a").entries[0]
+		leaving := announcement("u", "a", 5)
+		leaving.Leaving = true
+		e.Announce(time.Now(), leaving)
+		e.Announce(time.Now(), announcement("u", "a", 5))
+		e.Announce(time.Now(), announcement("u", "a", 4))
+		e.Merge(time.Now(), []*wire.Announcement{{Id: "u", Address: "127.0.0.1:1", Domain: "a", Classes: []string{class}, Slots: 8, Connections: 64, Sequence: 4}})
+		_, availability := e.Take(class, nil)
+		assert.Equal(t, availability, upstream.Absent)
+		w := announcement("w", "b", 5)
+		w.Address = "127.0.0.1:3"
+		e.Announce(time.Now(), w)
+		time.Sleep(2 * time.Second)
+		e.Merge(time.Now(), []*wire.Announcement{{Id: "w", Address: w.Address, Domain: "b", Classes: []string{class}, Slots: 8, Connections: 64, Sequence: 4}})
+		time.Sleep(2 * time.Second)
+		_, availability = e.Take(class, nil)
+		assert.Equal(t, availability, upstream.Absent, "an older word renewed")
+		e.Merge(time.Now(), []*wire.Announcement{{Id: "v", Address: "127.0.0.1:2", Domain: "a", Classes: []string{class}, Slots: 8, Connections: 64, AgeMs: 3001}})
+		_, availability = e.Take(class, nil)
+		assert.Equal(t, availability, upstream.Absent)
+	})
+}
+
+// TestRestartedUpstreamTakesOverItsAddress shows that of two incarnations at one address only the one heard of last gets requests.
+func TestRestartedUpstreamTakesOverItsAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newFleet(1, "a").entries[0]
+		e.Announce(time.Now(), announcement("u.1", "a", 9))
+		old := e.Announcements(time.Now())
+		time.Sleep(time.Second)
+		asked := time.Now()
+		e.Announce(time.Now(), announcement("u.2", "a", 1))
+		e.Merge(asked, old)
+		for range 20 {
+			slot, _ := e.Take(class, nil)
+			assert.Equal(t, slot.ID(), "u.2")
+			slot.Release()
+		}
+	})
+}
+
+// TestCutOffDomainServesItsOwn cuts one domain of three off; it goes on with its own upstreams and configuration, and the cut's end changes neither.
+func TestCutOffDomainServesItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(9, "abc")
+		f.cut = func(_, _ int) bool { return false }
+		sequence := uint64(0)
+		second := func() {
+			sequence++
+			for i, domain := range "abc" {
+				a := announcement("u"+string(domain), string(domain), sequence)
+				a.Address = fmt.Sprint("127.0.0.1:", i+1)
+				f.entries[i+3*int(sequence%3)].Announce(time.Now(), a)
+			}
+			f.exchange()
+			time.Sleep(time.Second)
+		}
+		usable := func(i int) int {
+			n := 0
+			for _, skip := range [][]string{{"ub", "uc"}, {"ua", "uc"}, {"ua", "ub"}} {
+				if slot, availability := f.entries[i].Take(class, skip); availability == upstream.Free {
+					slot.Release()
+					n++
+				}
+			}
+			return n
+		}
+		out := &wire.Configuration{Version: 7, Domains: []*wire.Domain{{Name: "b", Out: true}}}
+		f.entries[0].SetConfiguration(out)
+		second()
+		second()
+		assert.DeepEqual(t, []int{usable(0), usable(1), usable(3)}, []int{2, 3, 3})
+		f.cut = func(a, b int) bool { return (a%3 == 0) != (b%3 == 0) }
+		for range 5 {
+			second()
+		}
+		assert.DeepEqual(t, []int{usable(0), usable(1), usable(3)}, []int{1, 2, 1})
+		f.cut = func(_, _ int) bool { return false }
+		f.entries[0].SetConfiguration(&wire.Configuration{Version: 6})
+		second()
+		assert.DeepEqual(t, []int{usable(0), usable(1), usable(3)}, []int{2, 3, 3})
+	})
+}
+
+// TestConnectionsStayWithinTheUpstreams lets nine entries press far more requests on one upstream than it may have connections.
+func TestConnectionsStayWithinTheUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var open, most atomic.Int64
+		dial := func(context.Context, string) (net.Conn, error) {
+			time.Sleep(time.Millisecond)
+			near, far := net.Pipe()
+			most.Store(max(most.Load(), open.Add(1)))
+			go func() {
+				defer open.Add(-1)
+				buffer := make([]byte, 4096)
+				for {
+					if _, err := far.Read(buffer); err != nil {
+						return
+					}
+					time.Sleep(10 * time.Millisecond)
+					io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+			return near, nil
+		}
+		var answered atomic.Int64
+		for i := range 9 {
+			r := upstream.New(upstream.Options{Name: fmt.Sprint("e", i), Domain: "a", Entries: 9, Transport: transport.Options{Dial: dial}})
+			r.Announce(time.Now(), announcement("u", "a", 1))
+			for range 20 {
+				go func() {
+					for range 50 {
+						if press(r) {
+							answered.Add(1)
+						}
+						time.Sleep(time.Millisecond)
+					}
+				}()
+			}
+			defer r.Close()
+		}
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, most.Load() <= 64, "%d connections", most.Load())
+		assert.Assert(t, answered.Load() > 500, "%d answers", answered.Load())
+	})
+}
+
+// press sends one request if there is a slot.
+func press(r *upstream.Registry) bool {
+	slot, availability := r.Take(class, nil)
+	if availability != upstream.Free {
+		return false
+	}
+	defer slot.Release()
+	request, _ := http.NewRequest("POST", "http://u/", nil)
+	answer, err := slot.Do(context.Background(), &transport.Request{Request: request})
+	if err != nil {
+		return false
+	}
+	defer answer.Close()
+	_, err = io.Copy(io.Discard, answer.Body)
+	return err == nil
+}
+
+func TestHandlerChecksAnnouncements(t *testing.T) {
+	r := newFleet(1, "a").entries[0]
+	post := func(body string) int {
+		w := httptest.NewRecorder()
+		r.Handler().ServeHTTP(w, httptest.NewRequest("POST", upstream.Path, bytes.NewBufferString(body)))
+		return w.Code
+	}
+	good := `{"id":"u","address":"127.0.0.1:80","domain":"a","classes":["bids"],"sequence":1}`
+	assert.Equal(t, post(good), http.StatusNoContent)
+	for _, bad := range []string{"", "{}", `{"id":"u"}`, good[:40], `{"id":"u","address":"host:80","domain":"a","classes":["bids"]}`,
+		`{"id":"u","address":"127.0.0.1:80","domain":"a","classes":["bids"],"slots":-1}`, good + strings.Repeat(" ", upstream.MaxAnnouncementBytes)} {
+		assert.Equal(t, post(bad), http.StatusBadRequest, bad[:min(len(bad), 80)])
+	}
+	_, availability := r.Take(class, nil)
+	assert.Equal(t, availability, upstream.Free)
+}
+
+func FuzzParseAnnouncement(f *testing.F) {
+	f.Add([]byte(`{"id":"u","address":"127.0.0.1:80","domain":"a","classes":["bids"],"sequence":1}`))
+	f.Add([]byte(`{"id":"u","address":"[::1]:80","domain":"a","classes":["",null],"slots":1e9}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		a, err := upstream.ParseAnnouncement(body)
+		if err != nil {
+			assert.Assert(t, errors.Unwrap(err) != nil)
+			return
+		}
+		r := upstream.New(upstream.Options{Name: "e", Domain: "a", Entries: 1})
+		now := time.Now()
+		r.Announce(now, a)
+		again := upstream.New(upstream.Options{Name: "f", Domain: "a", Entries: 1})
+		again.Merge(now, r.Announcements(now))
+		assert.Equal(t, len(again.Announcements(now)), 1)
+	})
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -31,13 +31,10 @@
 	if a.Sequence != u.Sequence {
 		return a.Sequence < u.Sequence
 	}
-	if a.Leaving != u.Leaving {
-		return u.Leaving
-	}
-	return !heard.After(u.heard)
+	return !heard.After(u.heard) && a.Leaving == u.Leaving
 }
 
-// renew takes a newer word; the address of a running upstream stays.
+// renew takes a newer word; the address of a running upstream stays, and one that leaves never comes back under its id.
 func (u *Upstream) renew(a *Announcement, heard time.Time) {
 	address := u.Address
 	leaving := u.Leaving
