--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,7 @@
 
 fuzz:
 	bash .ci/fuzz
+
+slopes:
+	go build -o bin/ ./cmd/slopes
+	bin/slopes
--- a/control/control.go
+++ b/control/control.go
@@ -27,6 +27,7 @@
 type Options struct {
 	Settings *settings.Control
 	Dial     func(ctx context.Context, address string) (net.Conn, error) // to other replicas; TCP when nil
+	Listen   func(address string) (net.Listener, error)                  // TCP when nil
 }
 
 // Control is one control process.
@@ -55,6 +56,9 @@
 	if o.Dial == nil {
 		o.Dial = inner.DialTCP
 	}
+	if o.Listen == nil {
+		o.Listen = inner.ListenTCP
+	}
 	c := &Control{
 		settings:  s,
 		addresses: map[uint64]string{},
@@ -103,7 +107,7 @@
 	if err := wire.DRPCRegisterControl(mux, c); err != nil {
 		return fmt.Errorf("register control: %w", err)
 	}
-	c.server, err = inner.Listen(c.settings.Inner, mux)
+	c.server, err = inner.Listen(o.Listen, c.settings.Inner, mux)
 	if err != nil {
 		return errors.Join(err, r.Close())
 	}
@@ -191,7 +195,14 @@
 
 // Ready says why the process is not ready for use, nil if it is.
 func (c *Control) Ready() error {
-	if c.replica.Info().Leader == 0 {
+	info := c.replica.Info()
+	if info.Err != nil {
+		return fmt.Errorf("replica %d takes no part any more: %w", c.settings.ID, info.Err)
+	}
+	if info.Recovering {
+		return fmt.Errorf("replica %d has lost its disk and is not yet repaired", c.settings.ID)
+	}
+	if info.Leader == 0 {
 		return fmt.Errorf("replica %d knows no leader", c.settings.ID)
 	}
 	return nil
--- a/control/service.go
+++ b/control/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"daisyswitch/event"
@@ -116,7 +117,9 @@
 	return func(domain string) bool { return out[domain] }
 }
 
-// Watch sends each accepted configuration as it comes, and a sign of life while this replica knows a leader.
+var errBehind = errors.New("this replica knows no leader or has lost its disk, and may be behind")
+
+// Watch sends each accepted configuration as it comes, and a sign of life each second; it ends when this replica may be behind.
 func (c *Control) Watch(request *wire.WatchRequest, stream wire.DRPCControl_WatchStream) error {
 	updates, cancel := c.watchers.add()
 	defer cancel()
@@ -124,10 +127,12 @@
 	defer ticker.Stop()
 	version := request.Version
 	for {
-		if message := c.watchEvent(&version); message != nil {
-			if err := stream.Send(message); err != nil {
-				return err
-			}
+		message, current := c.watchEvent(&version)
+		if err := stream.Send(message); err != nil {
+			return err
+		}
+		if !current {
+			return errBehind
 		}
 		select {
 		case <-stream.Context().Done():
@@ -141,19 +146,17 @@
 	}
 }
 
-// watchEvent returns what a watch that has sent version is to be sent now, nil for nothing; a replica that lost its disk holds nothing yet.
-func (c *Control) watchEvent(version *uint64) *wire.WatchEvent {
+// watchEvent returns what a watch that was sent version is sent now, and whether this replica is one to follow.
+// What a replica without its former disk holds is not sent at all.
+func (c *Control) watchEvent(version *uint64) (message *wire.WatchEvent, current bool) {
 	info := c.replica.Info()
 	if info.Recovering || info.Applied == 0 {
-		return nil
+		return &wire.WatchEvent{}, false
 	}
 	configuration := c.machine.Configuration()
-	if configuration.GetVersion() > *version {
-		*version = configuration.GetVersion()
-		return &wire.WatchEvent{Configuration: configuration}
-	}
-	if info.Leader == 0 {
-		return nil
+	if configuration.GetVersion() <= *version {
+		return &wire.WatchEvent{}, info.Leader != 0
 	}
-	return &wire.WatchEvent{}
+	*version = configuration.GetVersion()
+	return &wire.WatchEvent{Configuration: configuration}, info.Leader != 0
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -126,7 +126,7 @@
 		return fmt.Errorf("register exchange: %w", err)
 	}
 	var err error
-	if e.inner, err = inner.Listen(e.settings.Inner, mux); err != nil {
+	if e.inner, err = inner.Listen(inner.ListenTCP, e.settings.Inner, mux); err != nil {
 		return err
 	}
 	platform := httprouter.New()
--- a/inner/server.go
+++ b/inner/server.go
@@ -20,9 +20,14 @@
 	wait     group.Group
 }
 
-// Listen serves mux on address until Close.
-func Listen(address string, mux *drpcmux.Mux) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+// ListenTCP takes connections over TCP.
+func ListenTCP(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
+// Listen serves mux at address, taken by listen, until Close.
+func Listen(listen func(address string) (net.Listener, error), address string, mux *drpcmux.Mux) (*Server, error) {
+	listener, err := listen(address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for other processes: %w", err)
 	}
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -209,7 +209,10 @@
 
 func (n *Node) agree(id uint64, p *progress, index uint64) {
 	p.match = max(p.match, index)
-	p.next = max(p.next, p.match+1)
+	if p.next <= p.match+1 {
+		p.next = p.match + 1
+		p.probing, p.sent = false, 0
+	}
 	n.advanceCommit()
 	n.tellCommit(id, p)
 	n.replicate(id)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	silence    = 2 * time.Second // a replica that knows a leader speaks each second
-	retryPause = 200 * time.Millisecond
+	silence    = 2 * time.Second        // a replica that knows a leader speaks each second
+	retryPause = 100 * time.Millisecond // doubled up to maxPause while no replica can be followed
+	maxPause   = 800 * time.Millisecond
 )
 
 // Options configures a Watch.
@@ -55,15 +56,21 @@
 }
 
 func (w *Watch) run(ctx context.Context) {
+	pause := retryPause
 	for next := 0; ctx.Err() == nil; next++ {
 		replica := w.options.Replicas[next%len(w.options.Replicas)]
+		began := time.Now()
 		err := w.follow(ctx, replica)
-		if err != nil && ctx.Err() == nil {
+		pause = min(2*pause, maxPause)
+		if time.Since(began) > silence {
+			pause = retryPause
+		}
+		if ctx.Err() == nil && pause == retryPause {
 			event.WatchMoved.Info("replica", replica.ID, "reason", err.Error())
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryPause):
+		case <-time.After(pause):
 		}
 	}
 }
