Size tasks from what their job's others took, weighed by certainty

Change: one estimate of program, declared size and the job's tasks; a size beyond every worker is cut to the largest.

--- a/fleet/task.go
+++ b/fleet/task.go
@@ -23,8 +23,8 @@
 	Lane       *Lane
 
 	Forecast *sizing.Forecast // of its program
-	Peak     sizing.Peak      // of all its tasks
-	Warm     bool             // Peak is known from a task measured for long enough
+	Sample   sizing.Sample    // of its tasks that were measured for long enough
+	Sampled  int              // how many these are
 	Memory   int64            // least to start with, since less was not enough, MiB
 	Blame    blame.Job
 	GivenUp  bool
@@ -67,6 +67,7 @@
 	Load     sizing.Peak // services: of late
 	Measured time.Time   // first measurement of this attempt
 	Sized    bool        // on the list of tasks to be resized
+	Sampled  bool        // it is in its job's sample
 	Credited bool        // this attempt has run long enough to speak for its worker
 	Latency  bool        // its worker reports its tail latency
 	Ratio    float64     // services: smoothed logarithm of tail latency over target
@@ -153,5 +154,5 @@
 // ForgetMeasurements drops what was measured of an attempt that has ended.
 func (t *Task) ForgetMeasurements() {
 	t.Used, t.Peak, t.Load, t.Measured = resource.Size{}, sizing.Peak{}, sizing.Peak{}, time.Time{}
-	t.Ratio, t.Offset, t.Credited = 0, 0, false
+	t.Ratio, t.Offset, t.Sampled, t.Credited = 0, 0, false, false
 }
--- a/place/decide.go
+++ b/place/decide.go
@@ -109,21 +109,26 @@
 	return false
 }
 
-// startSize is what a task is committed with: the peak of the job's earlier tasks once that is known, else what its program and declared size let expect.
+// startSize is what a task is committed with: what is expected of it, as far as any worker can hold it.
 func (p *Placer) startSize(j *fleet.Job) resource.Size {
-	size, known := p.usage.Known(j)
-	if !known || !p.ideas.learn {
-		size = j.Size
-		if p.ideas.forecast {
-			size = p.usage.Expected(j)
-		}
+	if !p.ideas.forecast {
+		return j.Size
 	}
+	size := p.usage.Expected(j)
+	largest := resource.Size{}
 	for capacity := range p.fleet.Shapes {
 		if size.Fits(capacity) {
 			return size
 		}
+		if j.Size.Fits(capacity) && capacity.MemoryMiB > largest.MemoryMiB {
+			largest = capacity
+		}
+	}
+	return resource.Size{
+		MilliCPU:     min(size.MilliCPU, largest.MilliCPU),
+		MemoryMiB:    min(size.MemoryMiB, largest.MemoryMiB),
+		Accelerators: size.Accelerators,
 	}
-	return j.Size
 }
 
 func (r *round) start(t *fleet.Task, w *fleet.Worker, size resource.Size) {
--- a/place/judge.go
+++ b/place/judge.go
@@ -24,7 +24,7 @@
 		t.Job.Blame.Succeeded()
 		p.credit(w)
 	case failed && strings.HasPrefix(next.GetReason(), OutOfMemory):
-		t.Job.Memory = max(t.Job.Memory, 2*t.Committed.MemoryMiB)
+		t.Job.Memory = max(t.Job.Memory, t.Committed.MemoryMiB*3/2)
 	case failed:
 		t.FailedOn = w
 		p.accuse(t.Job, w)
--- a/place/measure_test.go
+++ b/place/measure_test.go
@@ -1,16 +1,26 @@
 package place
 
 import (
+	"flag"
 	"fmt"
 	"io"
-	"os"
 	"sync"
 	"testing"
+	"time"
+
+	"daisyswitch/pressure"
+	"daisyswitch/sizing"
 
 	"gotest.tools/v3/assert"
 	"k8s.io/klog/v2"
 )
 
+var (
+	seeds  = flag.Int("seeds", 0, "TestMeasure: how many seeds to run")
+	first  = flag.Int("first", 1, "TestMeasure: the first seed")
+	ablate = flag.Bool("ablate", false, "TestMeasure: switch off one idea after the other in place of the baselines")
+)
+
 type policy struct {
 	name string
 	set  func(*fake)
@@ -18,11 +28,36 @@
 
 var baselines = []policy{
 	{"daisyswitch", ours(nil)},
+	{"oracle", oracle},
 	{"first fit", firstFit},
 	{"best fit", bestFit},
 	{"services alone", servicesAlone},
 	{"react to each reading", reactive},
+}
+
+var ablations = []policy{
+	{"daisyswitch", ours(nil)},
 	{"oracle", oracle},
+	{"without pair costs", ours(func(p *Placer) { p.ideas.pairs = false })},
+	{"without resizing", ours(func(p *Placer) { p.ideas.resize = false })},
+	{"without a job's tasks", func(f *fake) {
+		ours(nil)(f)
+		f.decide = func(f *fake) {
+			for _, j := range f.placer.fleet.Jobs {
+				j.Sample = sizing.Sample{}
+			}
+			f.obey()
+		}
+	}},
+	{"without a forecast", ours(func(p *Placer) { p.ideas.forecast = false })},
+	{"without throttling", ours(func(p *Placer) { p.pressure.Steps = []int32{} })},
+	{"without waiting a lag", ours(func(p *Placer) { p.pressure.Lag = time.Nanosecond })},
+	{"without any relief", ours(func(p *Placer) { p.pressure = pressure.New(p.fleet, pressure.Options{Lag: time.Hour}) })},
+	{"one candidate", ours(func(p *Placer) { p.options.Candidates = 1 })},
+	{"load of 10 minutes", ours(func(p *Placer) { p.usage.LoadHalf = 5 * time.Minute })},
+	{"load of 10 seconds", ours(func(p *Placer) { p.usage.LoadHalf = 5 * time.Second })},
+	{"without suspension", ours(func(p *Placer) { p.options.Blame.Jobs = 1 << 30 })},
+	{"without giving up", ours(func(p *Placer) { p.options.Blame.Workers = 1 << 30 })},
 }
 
 func (p policy) run(u user, seed uint64, always bool) measures {
@@ -36,59 +71,72 @@
 	return f.measures
 }
 
-// TestMeasure prints the table of the policy against its baselines; it runs only when asked for by MEASURE=seeds.
-func TestMeasure(t *testing.T) {
-	var seeds, first uint64
-	if n, _ := fmt.Sscan(os.Getenv("MEASURE"), &first, &seeds); n != 2 {
-		t.Skip("set MEASURE to the first seed and the number of seeds")
-	}
+// runAll runs each policy on each seed, and with the domain away from begin to end, a few at a time.
+func runAll(list []policy, u user, first, seeds int) (results, away [][]measures) {
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
-	list := baselines
-	if os.Getenv("ONLY") != "" {
-		list = []policy{baselines[0], baselines[5]}
-	}
-	for _, u := range users {
-		results := make([][]measures, len(list))
-		var group sync.WaitGroup
-		for i := range list {
-			results[i] = make([]measures, 2*seeds)
+	results, away = make([][]measures, len(list)), make([][]measures, len(list))
+	slots := make(chan bool, 4)
+	var group sync.WaitGroup
+	for i, p := range list {
+		results[i], away[i] = make([]measures, seeds), make([]measures, seeds)
+		for s := range seeds {
 			group.Go(func() {
-				for s := range seeds {
-					results[i][s] = list[i].run(u, first+s, false)
-					results[i][seeds+s] = list[i].run(u, first+s, true)
+				slots <- true
+				defer func() { <-slots }()
+				results[i][s] = p.run(u, uint64(first+s), false)
+				if i < 2 {
+					away[i][s] = p.run(u, uint64(first+s), true)
 				}
 			})
 		}
-		group.Wait()
-		fmt.Printf("%s, %d seeds\n%-24s %8s %9s %9s %7s %7s %8s %8s %6s\n", u.name, seeds, "policy", "windows", "volume", "of oracle", "evict", "killed", "absence", "urgent s", "wrong")
+	}
+	group.Wait()
+	return results, away
+}
+
+// TestMeasure prints the table of the policy against its baselines, or of its ideas; it runs only when asked for by -seeds.
+func TestMeasure(t *testing.T) {
+	if *seeds == 0 {
+		t.Skip("pass -seeds")
+	}
+	list := baselines
+	if *ablate {
+		list = ablations
+	}
+	for _, u := range users {
+		results, away := runAll(list, u, *first, *seeds)
+		fmt.Printf("%s, seeds %d to %d\n%-24s %8s %7s %6s %7s %7s %7s %8s %7s %6s %6s %6s %5s %5s\n", u.name, *first, *first+*seeds-1,
+			"policy", "windows", "worst", "score", "volume", "evict", "killed", "absence", "/oracle", "urgent", "wrong", "resize", "busy", "held")
+		base := sum(results[1])
 		for i, p := range list {
-			var sum measures
-			for s, m := range results[i][:seeds] {
-				sum.good += m.good
-				sum.windows += m.windows
-				sum.volume += m.volume
-				sum.absence += m.absence / max(1, results[i][int(seeds)+s].absence) / float64(seeds)
-				sum.evictions += m.evictions
-				sum.kills += m.kills
-				sum.urgentWait = max(sum.urgentWait, m.urgentWait)
-				sum.wronglyOver += m.wronglyOver
-				sum.refused += m.refused
-				sum.resizes += m.resizes
-				sum.busy += m.busy / m.workerSeconds / float64(seeds)
-				sum.committed += m.committed / m.workerSeconds / float64(seeds)
-				sum.memUsed += m.memUsed / m.workerSeconds / float64(seeds)
-				sum.speed += m.speed / m.workerSeconds / float64(seeds)
-				sum.throttled += m.throttled / m.workerSeconds / float64(seeds)
-				sum.givenUp += m.givenUp
-				sum.cannotRun += m.cannotRun
-			}
-			best := 0.0
-			for _, m := range results[len(list)-1][:seeds] {
-				best += m.volume
+			m, worst := sum(results[i]), 1.0
+			for _, each := range results[i] {
+				worst = min(worst, each.good/each.windows)
 			}
-			fmt.Printf("%-24s %7.2f%% %9.0f %8.1f%% %7d %7d %7.1f%% %8d %6d refused=%d givenup=%d cannot=%d resizes=%d busy=%.2f commit=%.2f mem=%.2f speed=%.2f throttled=%.2f\n", p.name, 100*sum.good/sum.windows, sum.volume/float64(seeds), 100*sum.volume/best, sum.evictions, sum.kills, 100*sum.absence, sum.urgentWait, sum.wronglyOver, sum.refused, sum.givenUp, sum.cannotRun, sum.resizes, sum.busy, sum.committed, sum.memUsed, sum.speed, sum.throttled)
+			score := u.weighVolume*min(1, m.volume/base.volume) + u.weighWindow*m.good/m.windows + (1-u.weighVolume-u.weighWindow)/2*(min(1, m.absence/base.absence)+1/(1+float64(m.evictions+m.kills)/1000/float64(*seeds)))
+			fmt.Printf("%-24s %7.2f%% %6.2f%% %6.3f %6.1f%% %7d %7d %7.1f%% %6.1f%% %5ds %6d %6d %5.2f %5.2f\n", p.name, 100*m.good/m.windows, 100*worst, score, 100*m.volume/base.volume,
+				m.evictions, m.kills, 100*m.absence/sum(away[i]).absence, 100*m.absence/base.absence, m.urgentWait, m.wronglyOver, m.resizes, m.busy/m.workerSeconds, m.committed/m.workerSeconds)
+			assert.Equal(t, m.refused, 0)
 		}
 	}
-	assert.Assert(t, seeds > 0)
+}
+
+func sum(list []measures) (total measures) {
+	for _, m := range list {
+		total.good += m.good
+		total.windows += m.windows
+		total.volume += m.volume
+		total.absence += m.absence
+		total.evictions += m.evictions
+		total.kills += m.kills
+		total.resizes += m.resizes
+		total.refused += m.refused
+		total.wronglyOver += m.wronglyOver
+		total.urgentWait = max(total.urgentWait, m.urgentWait)
+		total.busy += m.busy
+		total.committed += m.committed
+		total.workerSeconds += m.workerSeconds
+	}
+	return total
 }
--- a/place/place.go
+++ b/place/place.go
@@ -60,8 +60,7 @@
 type ideas struct {
 	pairs    bool // learned pair costs choose the worker and keep services' headroom
 	resize   bool // commitments follow the measured peak
-	learn    bool // later tasks of a job start at the peak of its earlier ones
-	forecast bool // first tasks of a job start at what its program and declared size let expect
+	forecast bool // tasks start at what program, declared size and earlier tasks of the job let expect
 }
 
 // Throttle takes a share of the processors away from one attempt; 0 gives them back.
@@ -99,7 +98,7 @@
 	f := fleet.New(interference.New(o.Interference))
 	p := &Placer{
 		options:  o,
-		ideas:    ideas{pairs: true, resize: true, learn: true, forecast: true},
+		ideas:    ideas{pairs: true, resize: true, forecast: true},
 		random:   rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		fleet:    f,
 		usage:    usage.New(f, o.Usage),
--- a/place/policies_test.go
+++ b/place/policies_test.go
@@ -7,12 +7,12 @@
 	"slices"
 )
 
-// ours runs the placer, with some of its ideas switched off.
-func ours(off func(*ideas)) func(*fake) {
+// ours runs the placer, with one of its ideas switched off.
+func ours(off func(*Placer)) func(*fake) {
 	return func(f *fake) {
-		p := New(Options{})
+		p := New(Options{Seed: f.random.Uint64()})
 		if off != nil {
-			off(&p.ideas)
+			off(p)
 		}
 		f.placer, f.decide = p, (*fake).obey
 	}
--- a/place/sim_test.go
+++ b/place/sim_test.go
@@ -76,12 +76,12 @@
 
 // measures is what one run brought.
 type measures struct {
-	good, windows                                             float64
-	volume, absence, volumeDone                               float64
-	evictions, kills, refused, resizes                        int
-	urgentWait                                                int
-	givenUp, cannotRun, wronglyOver                           int
-	busy, committed, memUsed, speed, throttled, workerSeconds float64
+	good, windows                      float64
+	volume, absence, volumeDone        float64
+	evictions, kills, refused, resizes int
+	urgentWait                         int
+	givenUp, cannotRun, wronglyOver    int
+	busy, committed, workerSeconds     float64
 }
 
 type fake struct {
@@ -388,7 +388,6 @@
 	}
 	f.workerSeconds++
 	f.busy += w.load
-	f.memUsed += w.memory / f.memory
 	f.committed += 1 - float64(w.free.MilliCPU)/1000/f.cores
 	report := &wire.WorkerReport{Worker: w.WorkerRecord, Sequence: uint64(f.now)}
 	noise := rand.New(rand.NewPCG(uint64(w.number), uint64(f.now)))
@@ -440,8 +439,6 @@
 	}
 	t.speed = (1 - t.throttle) / f.slow(t, w, 1) * min(1, 1/w.load)
 	t.done += t.speed
-	f.speed += t.speed * t.job.cores[t.index] / f.cores
-	f.throttled += t.throttle * t.job.cores[t.index] / f.cores
 	if !t.job.bad {
 		f.volume += t.speed * t.job.cores[t.index]
 		if f.now >= outAt && f.now < backAt {
--- a/pressure/gauge.go
+++ b/pressure/gauge.go
@@ -17,7 +17,7 @@
 )
 
 // memoryLimit is the share of a worker's memory in use past which batch is evicted.
-const memoryLimit = 0.95
+const memoryLimit = 0.9
 
 // Options holds how relief is given; a zero field takes its default.
 type Options struct {
--- a/usage/reader.go
+++ b/usage/reader.go
@@ -14,9 +14,10 @@
 
 // Options holds how long measurements are kept; a zero field takes its default.
 type Options struct {
-	Warmup   time.Duration // a task is measured for before its commitment shrinks
-	PeakHalf time.Duration // half of the sliding time over which a peak is taken
-	LoadHalf time.Duration // half of the sliding time whose highest load a service is planned for
+	Warmup    time.Duration // a task is measured for before its commitment shrinks
+	PeakHalf  time.Duration // half of the sliding time over which a peak is taken
+	Forgetful bool          // a job's earlier tasks say nothing about its next
+	LoadHalf  time.Duration // half of the sliding time whose highest load a service is planned for
 }
 
 var defaults = Options{Warmup: 20 * time.Second, PeakHalf: 5 * time.Minute, LoadHalf: time.Minute}
@@ -120,7 +121,6 @@
 		w.Memory += used.MemoryMiB
 		t.Used = used
 		t.Peak.Add(u.fleet.Now, used, u.PeakHalf)
-		t.Job.Peak.Add(u.fleet.Now, used, u.PeakHalf)
 		if t.Job.Class.Service() {
 			t.Load.Add(u.fleet.Now, used, u.LoadHalf)
 		} else {
@@ -137,9 +137,8 @@
 		t.Measured = u.fleet.Now
 	}
 	age := u.fleet.Now.Sub(t.Measured)
-	if age >= u.Warmup && !t.Job.Warm {
-		t.Job.Warm = true
-		t.Job.Forecast.Add(t.Peak.Value(), t.Job.Size)
+	if age >= u.Warmup && !t.Sampled {
+		u.sample(t)
 	}
 	if age >= creditAfter && !t.Credited {
 		t.Credited = true
@@ -151,6 +150,15 @@
 	}
 }
 
+func (u *Reader) sample(t *fleet.Task) {
+	t.Sampled = true
+	t.Job.Sample.Add(t.Peak.Value())
+	t.Job.Sampled++
+	if t.Job.Sampled == 1 {
+		t.Job.Forecast.Add(t.Peak.Value(), t.Job.Size)
+	}
+}
+
 func (u *Reader) learnLatency(t *fleet.Task, p99 int64) {
 	target := t.Job.Class.GetTargetP99Us()
 	if p99 <= 0 || target <= 0 {
--- a/usage/size.go
+++ b/usage/size.go
@@ -13,7 +13,7 @@
 )
 
 // caution is for what was not measured yet: processors can be shared for a while, memory cannot.
-var caution = sizing.Caution{CPU: 0, Memory: 0.5}
+var caution = sizing.Caution{CPU: 0, Memory: 1}
 
 func marginOf(c *fleet.Class) sizing.Margin {
 	if c.Service() {
@@ -35,17 +35,9 @@
 	return size
 }
 
-// Known returns the size that the peak of a job's earlier tasks asks for, false while it is not known.
-func (u *Reader) Known(j *fleet.Job) (resource.Size, bool) {
-	if !j.Warm {
-		return j.Size, false
-	}
-	return marginOf(j.Class).Commit(j.Peak.Value(), j.Size), true
-}
-
-// Expected returns the size that a job's program and declared size let expect before its first task was measured.
+// Expected returns the size that a job's program, declared size and earlier tasks let expect of its next task.
 func (u *Reader) Expected(j *fleet.Job) resource.Size {
-	size := j.Forecast.Size(j.Size, caution)
+	size := j.Forecast.Size(j.Size, &j.Sample, caution)
 	size.MemoryMiB = max(size.MemoryMiB, j.Memory)
 	return size
 }
