--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -128,6 +128,11 @@
 	f.Offer(w)
 }
 
+// Kept returns how much room is reserved.
+func (w *Worker) Kept() resource.Size {
+	return w.kept
+}
+
 // IsReserved reports whether room on the worker is kept for a task.
 func (w *Worker) IsReserved() bool {
 	return w.reserved != nil
--- a/place/decide.go
+++ b/place/decide.go
@@ -93,8 +93,8 @@
 	if !withinQuota(j.Team, size) {
 		return false
 	}
-	if w := t.Reserved; w != nil && w.Domain != nil && !w.Domain.Out && size.Fits(w.Free) {
-		r.start(t, w, size)
+	if w := t.Reserved; w != nil && w.Domain != nil && !w.Domain.Out && w.Kept().Fits(w.Free) {
+		r.start(t, w, w.Kept())
 		return true
 	}
 	if !r.knownFull(size) {
--- a/pressure/gauge.go
+++ b/pressure/gauge.go
@@ -118,6 +118,9 @@
 // press takes one step: it throttles as much batch as is foreseen to suffice, and evicts one task when all is throttled and the target still missed.
 func (g *Gauge) press(w *fleet.Worker, service *fleet.Task) {
 	victims := g.victims(w, service)
+	if g.futile(service, victims) {
+		return
+	}
 	excess := service.Ratio - goal
 	stepped := false
 	for _, t := range victims {
@@ -138,6 +141,21 @@
 	}
 }
 
+// futile reports whether a service would miss its target even without the batch beside it.
+func (g *Gauge) futile(service *fleet.Task, victims []*fleet.Task) bool {
+	reach := unsure
+	for _, t := range victims {
+		reach += trust * g.effect(service, t)
+	}
+	return service.Ratio > reach
+}
+
+// Allowances for what is not known well when relief is judged futile.
+const (
+	unsure = 0.05 // logarithm of tail latency
+	trust  = 1.5  // times the believed effect of batch
+)
+
 // victims returns the batch on a worker that may be slowed, that which hurts the service most first and urgent work last.
 func (g *Gauge) victims(w *fleet.Worker, service *fleet.Task) []*fleet.Task {
 	var list []*fleet.Task
