--- a/place/pending.go
+++ b/place/pending.go
@@ -15,7 +15,8 @@
 // answer ends what was decided about a task, and returns what it holds from now on: a growth that is still being committed goes on holding its room.
 func (p *Placer) answer(t *fleet.Task, next *wire.Task) resource.Size {
 	committed := resource.FromWire(next.GetCommitted())
-	if t.Decision == fleet.DecidedResize && t.Attempt == next.GetAttempt() && committed == t.Before {
+	growing := t.Decision == fleet.DecidedResize && committed == t.Before
+	if growing && t.Attempt == next.GetAttempt() && fleet.Holding(next.GetState()) {
 		return t.Committed
 	}
 	t.Decision = fleet.Undecided
--- /dev/null
+++ b/place/rules_test.go
@@ -0,0 +1,265 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisyswitch/fleet"
+	"daisyswitch/resource"
+	"daisyswitch/wire"
+
+	"gotest.tools/v3/assert"
+)
+
+const second = time.Second
+
+func startsOf(d Decisions) (list []string) {
+	for _, o := range d.Starts {
+		list = append(list, o.Job)
+	}
+	return list
+}
+
+// TestOrder: urgent work, then replicas, then the class farthest from its volume, then the team with least.
+func TestOrder(t *testing.T) {
+	late := &wire.Class{Name: "late", Kind: wire.ClassKind_CLASS_KIND_BATCH, TargetVolume: 10, DueMinute: 500}
+	met := &wire.Class{Name: "met", Kind: wire.ClassKind_CLASS_KIND_BATCH, TargetVolume: 1, DueMinute: 500}
+	s := newState(Options{}, batchClass, serviceClass, late, met).add(1, size(64, 64, 0), "a")
+	s.set(s.tasks[s.submit(&wire.Job{Class: "met", Size: size(1, 1, 0)}).Id][0], wire.TaskState_TASK_STATE_DONE)
+	s.submit(&wire.Job{Class: "met", Team: "x", Size: size(1, 1, 0), Tasks: 2})
+	s.submit(&wire.Job{Class: "met", Team: "y", Size: size(1, 1, 0), Tasks: 2})
+	s.submit(&wire.Job{Class: "late", Size: size(1, 1, 0)})
+	s.submit(&wire.Job{Class: "service", Size: size(1, 1, 0)})
+	s.submit(&wire.Job{Class: "met", Size: size(1, 1, 0), Urgent: true})
+	assert.DeepEqual(t, startsOf(s.decide(second)), []string{"j5", "j4", "j3", "j1", "j2", "j1", "j2"})
+}
+
+// TestQuota: a team over its quota waits and is told so, and others start.
+func TestQuota(t *testing.T) {
+	s := newState(Options{}, batchClass).add(1, size(64, 64, 0), "a")
+	s.SetConfiguration(&wire.Configuration{Classes: s.config.Classes, Teams: []*wire.Team{{Name: "x", Quota: size(2, 64, 0)}}})
+	s.submit(&wire.Job{Team: "x", Size: size(1, 1, 0), Tasks: 3})
+	s.submit(&wire.Job{Team: "y", Size: size(1, 1, 0), Tasks: 3})
+	assert.Equal(t, len(s.decide(second).Starts), 5)
+	assert.Equal(t, s.Why("j0", 2), "team x has reached its quota")
+	s.set(s.tasks["j0"][0], wire.TaskState_TASK_STATE_DONE)
+	assert.DeepEqual(t, startsOf(s.decide(second)), []string{"j0"})
+}
+
+// TestCannotRun: a job too large for every worker is told so once all are known, holds nothing up, and one that fits only a domain that is out waits for it.
+func TestCannotRun(t *testing.T) {
+	s := newState(Options{BlockedJobs: 2}, batchClass).add(2, size(8, 8, 0), "a").add(1, size(32, 8, 0), "b")
+	s.out("b", true)
+	s.decide(0)
+	s.decide(20 * second)
+	for range 5 {
+		s.submit(&wire.Job{Size: size(1, 64, 0)})
+	}
+	s.submit(&wire.Job{Size: size(16, 1, 0)})
+	s.submit(&wire.Job{Size: size(1, 1, 0)})
+	d := s.decide(second)
+	assert.Equal(t, len(d.Events), 5)
+	assert.Equal(t, d.Events[0].Kind, wire.TaskEventKind_TASK_EVENT_KIND_CANNOT_RUN)
+	assert.DeepEqual(t, startsOf(d), []string{"j6"})
+	assert.Equal(t, s.Why("j5", 0), "fits only workers in domains that are out")
+	s.out("b", false)
+	assert.DeepEqual(t, startsOf(s.decide(second)), []string{"j5"})
+}
+
+// TestBadJob: a job that fails on three workers that run others well is given up, no worker is suspended for it, and the others' tasks all run.
+func TestBadJob(t *testing.T) {
+	s := newState(Options{}, batchClass).add(4, size(8, 8, 0), "a")
+	s.submit(&wire.Job{Size: size(1, 1, 0), Tasks: 100, Team: "good"})
+	s.submit(&wire.Job{Size: size(1, 1, 0), Tasks: 20, Team: "bad"})
+	gaveUp := 0
+	for range 40 {
+		d := s.decide(second)
+		for _, e := range d.Events {
+			assert.Equal(t, e.Kind, wire.TaskEventKind_TASK_EVENT_KIND_GIVE_UP)
+			gaveUp++
+		}
+		for _, o := range d.Starts {
+			if own := s.tasks[o.Job][o.Index]; o.Job == "j1" {
+				s.fail(own)
+			} else {
+				s.set(own, wire.TaskState_TASK_STATE_DONE)
+			}
+		}
+	}
+	assert.Equal(t, gaveUp, 20)
+	assert.Equal(t, len(s.suspended), 0)
+	for _, each := range s.tasks["j0"] {
+		assert.Equal(t, each.State, wire.TaskState_TASK_STATE_DONE)
+	}
+}
+
+// TestBadWorker: a worker that fails three jobs in a row starts nothing for its probation, then single probes whose failure doubles it, and no job is given up for it.
+func TestBadWorker(t *testing.T) {
+	s := newState(Options{}, batchClass).add(2, size(8, 8, 0), "a")
+	for range 200 {
+		s.submit(&wire.Job{Size: size(2, 2, 0)})
+	}
+	var probes []int
+	for at := range 250 {
+		held := 0
+		for _, o := range s.decide(second).Starts {
+			if o.Worker == "w0" {
+				held++
+			}
+		}
+		if held > 0 && at > 0 {
+			assert.Equal(t, held, 1, "more than one probe at a time")
+			probes = append(probes, at)
+		}
+		for _, each := range s.on("w0") {
+			s.fail(each)
+		}
+		if at%20 == 0 {
+			for _, each := range s.on("w1") {
+				s.set(each, wire.TaskState_TASK_STATE_DONE)
+			}
+		}
+	}
+	assert.DeepEqual(t, probes, []int{30, 90, 210}) // 30 s, then twice that, then four times
+	assert.Equal(t, len(s.bad), 0)
+}
+
+// TestSpread: replicas cover domains and racks evenly, and the last that must widen the spread waits rather than narrow it.
+func TestSpread(t *testing.T) {
+	s := newState(Options{}, serviceClass).add(24, size(8, 8, 0), "a", "b", "c")
+	s.submit(&wire.Job{Class: "service", Size: size(1, 1, 0), Tasks: 12})
+	s.decide(second)
+	domains, racks := map[string]int{}, map[string]int{}
+	for _, each := range s.tasks["j0"] {
+		w := s.workers[each.Worker]
+		domains[w.Domain]++
+		racks[w.Domain+w.Rack]++
+	}
+	assert.DeepEqual(t, domains, map[string]int{"a": 4, "b": 4, "c": 4})
+	assert.Equal(t, len(racks), 12)
+	s.out("c", true)
+	s.submit(&wire.Job{Class: "service", Size: size(1, 1, 0), Tasks: 4, MinDomains: 3})
+	assert.Equal(t, len(s.decide(second).Starts), 3)
+	assert.Equal(t, s.Why("j1", s.tasks["j1"][3].Index), "room is free, but not in a failure domain that it must still spread to (at least 3)")
+}
+
+// TestRelief: beside a service over its target batch is throttled, then evicted, one step in each lag; the service is left alone; one noisy reading does nothing lasting.
+func TestRelief(t *testing.T) {
+	s := newState(Options{}, batchClass, serviceClass).add(1, size(16, 16, 0), "a")
+	s.submit(&wire.Job{Class: "service", Program: "s", Size: size(4, 4, 0)})
+	s.submit(&wire.Job{Program: "b", Size: size(4, 4, 0), Tasks: 2})
+	s.decide(second)
+	latency := int64(700)
+	reports := func(n int) (throttles, evictions []int) {
+		for at := range n {
+			s.report("w0", func(*wire.Task) (*wire.Size, int64) { return size(4, 4, 0), latency })
+			d := s.decide(second)
+			for _, e := range d.Events {
+				if e.Kind == wire.TaskEventKind_TASK_EVENT_KIND_RESIZE {
+					continue
+				}
+				assert.Equal(t, s.jobs[e.Task.Job].Class, "batch")
+				evictions = append(evictions, at)
+			}
+			sum := 0
+			for _, each := range d.Throttles {
+				sum += int(each.Percent)
+			}
+			throttles = append(throttles, sum)
+		}
+		return throttles, evictions
+	}
+	throttles, evictions := reports(20)
+	assert.Equal(t, len(evictions)+throttles[19], 0)
+	latency = 1100
+	throttles, evictions = reports(20)
+	assert.Assert(t, throttles[1] > 0 && throttles[1] == throttles[4], throttles)
+	assert.Assert(t, len(evictions) > 0 && evictions[0] >= 10, evictions)
+	for i := range evictions[1:] {
+		assert.Assert(t, evictions[i+1]-evictions[i] >= 5, evictions)
+	}
+	latency = 700
+	throttles, evictions = reports(60)
+	assert.Equal(t, len(evictions)+throttles[59], 0)
+}
+
+// TestSizing: a declared size is committed first, shrinks to the measured peak, and the job's next task starts at what the first took; growth beyond the worker evicts batch for a service.
+func TestSizing(t *testing.T) {
+	s := newState(Options{}, batchClass, serviceClass).add(1, size(16, 64, 0), "a")
+	s.submit(&wire.Job{Program: "b", Size: size(8, 8, 0), Tasks: 1})
+	s.decide(second)
+	assert.Equal(t, s.held("w0"), resource.FromWire(size(8, 8, 0)))
+	for range 25 {
+		s.report("w0", func(*wire.Task) (*wire.Size, int64) { return size(2, 2, 0), 0 })
+		s.decide(second)
+	}
+	assert.Equal(t, s.held("w0").MilliCPU, int64(2000))
+	s.submit(&wire.Job{Program: "b", Size: size(8, 8, 0)})
+	s.submit(&wire.Job{Class: "service", Program: "s", Size: size(8, 8, 0)})
+	s.decide(second)
+	assert.Assert(t, s.held("w0").MilliCPU < 2000+8000+6000, "the next job of the program starts at its declared size")
+	for range 3 {
+		s.report("w0", func(own *wire.Task) (*wire.Size, int64) {
+			return size(map[bool]int64{true: 12, false: 2}[s.jobs[own.Job].Class == "service"], 2, 0), 500
+		})
+		s.decide(second)
+	}
+	assert.Equal(t, s.tasks["j0"][0].State, wire.TaskState_TASK_STATE_STOPPING)
+}
+
+// TestUrgent: urgent work that finds no room is given some by evicting the least batch, and starts there once it is free.
+func TestUrgent(t *testing.T) {
+	s := newState(Options{}, batchClass).add(2, size(8, 8, 0), "a")
+	s.submit(&wire.Job{Size: size(4, 4, 0), Tasks: 4})
+	s.decide(second)
+	s.submit(&wire.Job{Size: size(3, 3, 0), Urgent: true})
+	s.submit(&wire.Job{Size: size(1, 1, 0), Tasks: 20})
+	d := s.decide(second)
+	assert.Equal(t, len(d.Events), 1)
+	s.set(s.tasks["j0"][d.Events[0].Task.Index], wire.TaskState_TASK_STATE_CHECKPOINTED)
+	assert.Equal(t, s.decide(second).Starts[0].Job, "j1")
+}
+
+// TestRebuild: a placer told of everything in another order holds the same room.
+func TestRebuild(t *testing.T) {
+	s := newState(Options{}, batchClass).add(2, size(8, 8, 0), "a")
+	s.submit(&wire.Job{Size: size(3, 3, 0), Tasks: 4})
+	s.decide(second)
+	p := New(Options{})
+	for _, each := range s.tasks["j0"] {
+		p.SetTask(s.jobs["j0"], each)
+	}
+	for name, r := range s.workers {
+		p.SetWorker(r)
+		assert.Equal(t, p.fleet.Workers[name].Free, s.fleet.Workers[name].Free)
+	}
+}
+
+// TestTimeout: a start whose transition never comes is decided again after the timeout, and not before.
+func TestTimeout(t *testing.T) {
+	s := newState(Options{}, batchClass).add(1, size(8, 8, 0), "a")
+	s.submit(&wire.Job{Size: size(8, 8, 0)})
+	var at []int
+	for n := range 12 {
+		if len(s.Decide(s.now.Add(time.Duration(n)*second)).Starts) > 0 {
+			at = append(at, n)
+		}
+	}
+	assert.DeepEqual(t, at, []int{0, 5, 10})
+}
+
+// TestWaveLeavesNothing: ten thousand cancelled tasks leave no trace in queue, tables or counts.
+func TestWaveLeavesNothing(t *testing.T) {
+	s := newState(Options{}, batchClass).add(1, size(8, 8, 0), "a")
+	wave := s.submit(&wire.Job{Size: size(8, 8, 0), Tasks: 10000})
+	s.submit(&wire.Job{Size: size(1, 1, 0)})
+	s.decide(second)
+	for _, each := range s.tasks[wave.Id] {
+		s.set(each, wire.TaskState_TASK_STATE_CANCELLED_NOT_RUN)
+	}
+	assert.DeepEqual(t, startsOf(s.decide(second)), []string{"j1"})
+	assert.Equal(t, len(s.fleet.Jobs), 1)
+	assert.Equal(t, s.fleet.Classes["batch"].Waiting, 0)
+	assert.Equal(t, fmt.Sprint(s.fleet.Lanes[fleet.LaneKey{Class: "batch"}].Empty()), "true")
+}
