--- a/place/rules_test.go
+++ b/place/rules_test.go
@@ -94,6 +94,19 @@
 	}
 }
 
+// TestBadJobsSpareWorkers: jobs that failed on two workers before don't have a third suspended.
+func TestBadJobsSpareWorkers(t *testing.T) {
+	s := newState(Options{}, batchClass).add(3, size(8, 8, 0), "a")
+	for n := range 9 {
+		if n < 3 {
+			s.submit(&wire.Job{Size: size(1, 1, 0)})
+		}
+		job := fmt.Sprint("j", n%3)
+		s.fail(s.start(&wire.Start{Job: job, Attempt: uint32(n), Worker: fmt.Sprint("w", (n/3+n%3)%3), Size: size(1, 1, 0)}))
+	}
+	assert.Equal(t, len(s.suspended), 0)
+}
+
 // TestBadWorker: a worker that fails three jobs in a row starts nothing for its probation, then single probes whose failure doubles it, and no job is given up for it.
 func TestBadWorker(t *testing.T) {
 	s := newState(Options{}, batchClass).add(2, size(8, 8, 0), "a")
@@ -208,16 +221,18 @@
 	assert.Equal(t, s.tasks["j0"][0].State, wire.TaskState_TASK_STATE_STOPPING)
 }
 
-// TestUrgent: urgent work that finds no room is given some by evicting the least batch, and starts there once it is free.
+// TestUrgent: urgent work that finds no room is given some by evicting the least batch, nobody else takes it meanwhile, and it starts there once all of it is free.
 func TestUrgent(t *testing.T) {
 	s := newState(Options{}, batchClass).add(2, size(8, 8, 0), "a")
-	s.submit(&wire.Job{Size: size(4, 4, 0), Tasks: 4})
+	s.submit(&wire.Job{Size: size(2, 2, 0), Tasks: 8})
 	s.decide(second)
 	s.submit(&wire.Job{Size: size(3, 3, 0), Urgent: true})
 	s.submit(&wire.Job{Size: size(1, 1, 0), Tasks: 20})
-	d := s.decide(second)
-	assert.Equal(t, len(d.Events), 1)
-	s.set(s.tasks["j0"][d.Events[0].Task.Index], wire.TaskState_TASK_STATE_CHECKPOINTED)
+	victims := s.decide(second).Events
+	assert.Equal(t, len(victims), 2)
+	s.set(s.tasks["j0"][victims[0].Task.Index], wire.TaskState_TASK_STATE_CHECKPOINTED)
+	assert.Equal(t, len(s.decide(second).Starts), 0)
+	s.set(s.tasks["j0"][victims[1].Task.Index], wire.TaskState_TASK_STATE_CHECKPOINTED)
 	assert.Equal(t, s.decide(second).Starts[0].Job, "j1")
 }
 
@@ -236,6 +251,18 @@
 	}
 }
 
+// TestGrowthIsKept: room for a growth that is being committed is not given away when another transition of the task comes first.
+func TestGrowthIsKept(t *testing.T) {
+	s := newState(Options{}, batchClass).add(1, size(8, 8, 0), "a")
+	s.submit(&wire.Job{Size: size(2, 2, 0)})
+	s.decide(second)
+	s.report("w0", func(*wire.Task) (*wire.Size, int64) { return size(6, 1, 0), 0 })
+	assert.Equal(t, s.Decide(s.now).Events[0].Kind, wire.TaskEventKind_TASK_EVENT_KIND_RESIZE)
+	s.set(s.tasks["j0"][0], wire.TaskState_TASK_STATE_RUNNING) // such as a checkpoint
+	s.submit(&wire.Job{Size: size(4, 1, 0)})
+	assert.Equal(t, len(s.decide(second).Starts), 0)
+}
+
 // TestTimeout: a start whose transition never comes is decided again after the timeout, and not before.
 func TestTimeout(t *testing.T) {
 	s := newState(Options{}, batchClass).add(1, size(8, 8, 0), "a")
