Expire a lost worker again when a late announcement revived it

Cause: an announcement committed after the worker was recorded as gone made the state hold it again, while the table, which had given it up, refused it and never named it again: its tasks hung. Change: Expired names a worker until the state says that it is gone.

--- a/lease/table.go
+++ b/lease/table.go
@@ -139,11 +139,8 @@
 		return nil
 	}
 	for name, w := range t.workers {
-		if w.gone || w.end.IsZero() && !w.left {
-			continue
-		}
-		if w.left || now.After(w.end) {
-			w.lost = true
+		w.lost = w.lost || w.expired(now)
+		if w.lost && !w.gone {
 			names = append(names, name)
 		}
 	}
@@ -151,6 +148,11 @@
 	return names
 }
 
+// expired reports whether a worker that had a lease has it no more.
+func (w *holder) expired(now time.Time) bool {
+	return !w.gone && !w.end.IsZero() && now.After(w.end)
+}
+
 // Gone returns the record that ends a worker and every attempt on it.
 func Gone(r *wire.WorkerRecord) *wire.WorkerRecord {
 	return &wire.WorkerRecord{
--- a/lease/world_run_test.go
+++ b/lease/world_run_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"daisyswitch/state"
 	"daisyswitch/wire"
 
 	"gotest.tools/v3/assert"
@@ -44,7 +43,6 @@
 }
 
 func (w *world) prepare(t assert.TestingT) {
-	size := &wire.Size{MilliCpu: 1000, MemoryMib: 1}
 	for _, c := range []*wire.Change{
 		{Operation: &wire.Change_PutClass{PutClass: &wire.Class{Name: "bids", Kind: wire.ClassKind_CLASS_KIND_SERVICE, TargetP99Us: 9}}},
 		{Operation: &wire.Change_PutClass{PutClass: &wire.Class{Name: "lots", Kind: wire.ClassKind_CLASS_KIND_BATCH, TargetVolume: 9}}},
@@ -52,18 +50,32 @@
 	} {
 		assert.Equal(t, w.operate(&wire.Command{Change: c}).Change.Outcome, wire.Outcome_OUTCOME_ACCEPTED)
 	}
-	for _, spec := range []*wire.Job{{Class: "bids", Tasks: 2}, {Class: "lots", Tasks: 4}, {Class: "lots", Tasks: 3}} {
-		spec.Team, spec.Program, spec.Size = "oak", "p", size
-		assert.Equal(t, w.operate(&wire.Command{Submit: &wire.SubmitJob{Job: spec}}).Job.Outcome, wire.Outcome_OUTCOME_ACCEPTED)
+	w.submit("bids", 2)
+	w.keepBusy()
+}
+
+func (w *world) submit(class string, tasks int32) {
+	spec := &wire.Job{Class: class, Tasks: tasks, Team: "oak", Program: "p", Size: &wire.Size{MilliCpu: 1000, MemoryMib: 1}}
+	w.operate(&wire.Command{Submit: &wire.SubmitJob{Job: spec}})
+}
+
+// keepBusy submits a batch job whenever few tasks are left.
+func (w *world) keepBusy() {
+	open := 0
+	w.replicas[w.leader].machine.Each(func(*wire.Job, *wire.Task) { open++ })
+	if open < 8 && !w.calm {
+		w.submit("lots", 3)
 	}
+	w.after(time.Second, w.keepBusy)
 }
 
 // disturb does one thing that the brief says may come at any moment.
 func (w *world) disturb(t *rapid.T) {
 	f := w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(t, "worker")]
 	lasts := time.Duration(rapid.IntRange(100, 9000).Draw(t, "ms")) * time.Millisecond
-	switch rapid.IntRange(0, 6).Draw(t, "disturbance") {
-	case 0:
+	kind := rapid.IntRange(0, 8).Draw(t, "disturbance")
+	switch kind {
+	case 0, 7:
 		w.cut[f.name] = true
 		w.after(lasts, func() { w.cut[f.name] = false })
 	case 1:
@@ -72,18 +84,21 @@
 		f.restart()
 	case 3, 4:
 		w.elect(1 - w.leader)
-	case 5:
-		w.setOut(f.domain, true)
-		w.after(lasts, func() { w.setOut(f.domain, false) })
 	case 6:
-		w.operate(&wire.Command{Cancel: &wire.CancelJob{Job: fmt.Sprintf("j%d", rapid.IntRange(1, 3).Draw(t, "job"))}})
+		w.operate(&wire.Command{Cancel: &wire.CancelJob{Job: fmt.Sprintf("j%d", rapid.IntRange(1, 9).Draw(t, "job"))}})
+	case 8:
+		w.storm = w.now + lasts
+	}
+	if kind == 5 || kind == 7 {
+		w.setOut(f.domain, true)
+		w.after(2*lasts, func() { w.setOut(f.domain, false) })
 	}
 }
 
 // truth compares what the state tells of cancelled tasks with what ran.
 func (w *world) truth() {
-	for i := range 3 {
-		for _, task := range w.replicas[w.leader].machine.Job(fmt.Sprintf("j%d", i+1)).Tasks {
+	for _, j := range w.replicas[w.leader].machine.Snapshot().Jobs {
+		for _, task := range j.Tasks {
 			k := fmt.Sprintf("%s/%d", task.Job, task.Index)
 			if task.State == wire.TaskState_TASK_STATE_CANCELLED_NOT_RUN && w.executed[k] {
 				w.fail("task %s ran and is told not to have", k)
@@ -113,17 +128,22 @@
 
 // settle wants every batch task to end once nothing disturbs any more.
 func (w *world) settle(t *rapid.T) {
-	m := func() *state.Machine { return w.replicas[w.leader].machine }
-	for range 60 {
+	w.calm = true
+	open := 1
+	for n := 0; n < 60 && open > 0; n++ {
 		w.run(w.now + length)
+		open = 0
+		w.replicas[w.leader].machine.Each(func(j *wire.Job, task *wire.Task) {
+			if j.Class == "lots" && task.State < wire.TaskState_TASK_STATE_DONE {
+				open++
+			}
+		})
 	}
 	w.truth()
-	m().Each(func(j *wire.Job, task *wire.Task) {
-		if j.Class == "lots" {
-			t.Fatalf("task %v has not ended", task)
-		}
-	})
 	if len(w.faults) > 0 {
 		t.Fatalf("%s", w.faults[0])
 	}
+	if open > 0 {
+		t.Fatalf("%d tasks have not ended", open)
+	}
 }
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -16,7 +16,7 @@
 const (
 	length   = 4 * time.Second
 	driftPPM = 100_000 // large, so that a forgotten bound shows
-	pollEach = 200 * time.Millisecond
+	pollEach = 100 * time.Millisecond
 	giveUp   = time.Second
 	permit   = 3 * time.Second
 )
@@ -30,6 +30,8 @@
 	log      []*wire.Command
 	replicas []*replica
 	leader   int
+	term     int
+	storm    time.Duration // until when messages are mostly late
 	workers  []*fake
 	cut      map[string]bool // workers cut off from control
 	outSince map[string]time.Duration
@@ -37,6 +39,7 @@
 	executed map[string]bool   // by job and index, ever
 	started  map[state.Ref]bool
 	faults   []string
+	calm     bool // no new jobs
 }
 
 type moment struct {
@@ -88,7 +91,7 @@
 }
 
 func (w *world) clock() clock {
-	return clock{time.Duration(w.rng.Int64N(int64(time.Hour))), w.rng.Int64N(2*driftPPM) - driftPPM}
+	return clock{time.Duration(w.rng.Int64N(int64(time.Hour))), (w.rng.Int64N(3) - 1) * driftPPM}
 }
 
 // replica is one control process: its state lags behind the log while it does not lead.
@@ -98,6 +101,7 @@
 	table   *lease.Table
 	applied int
 	changed []*wire.WorkerRecord
+	waiting bool // for a proposal
 }
 
 func newWorld(seed uint64) *world {
@@ -124,23 +128,12 @@
 
 func (w *world) elect(i int) {
 	w.leader = i
+	w.term++
 	r := w.replicas[i]
-	w.catchUp(r)
-	w.drain(r)
-	r.table.Lead(r.read(w.now))
-}
-
-func (w *world) catchUp(r *replica) {
 	for ; r.applied < len(w.log); r.applied++ {
 		r.machine.Apply(uint64(r.applied+1), w.log[r.applied])
 	}
-}
-
-func (w *world) drain(r *replica) {
-	for _, c := range r.changed {
-		r.table.SetWorker(c)
-	}
-	r.changed = nil
+	r.table.Lead(r.read(w.now))
 }
 
 // propose commits a command if r still leads.
@@ -149,9 +142,6 @@
 		return nil
 	}
 	w.log = append(w.log, c)
-	for ; r.applied < len(w.log)-1; r.applied++ {
-		r.machine.Apply(uint64(r.applied+1), w.log[r.applied])
-	}
 	r.applied++
 	return r.machine.Apply(uint64(r.applied), c)
 }
@@ -159,25 +149,46 @@
 // tick is the scheduling loop of every replica, deposed or not: lost workers, then starts and evictions at random.
 func (w *world) tick() {
 	for _, r := range w.replicas {
-		w.drain(r)
-		for _, name := range r.table.Expired(r.read(w.now)) {
-			if record := r.machine.Worker(name); record != nil {
-				w.propose(r, &wire.Command{Workers: []*wire.WorkerRecord{lease.Gone(record)}})
-			}
+		if !r.waiting {
+			w.schedule(r)
 		}
-		w.propose(r, w.decide(r))
 	}
 	w.after(100*time.Millisecond, w.tick)
 }
 
+func (w *world) schedule(r *replica) {
+	for _, c := range r.changed {
+		r.table.SetWorker(c)
+	}
+	r.changed = nil
+	c := w.decide(r)
+	for _, name := range r.table.Expired(r.read(w.now)) {
+		if record := r.machine.Worker(name); record != nil {
+			c.Workers = append(c.Workers, lease.Gone(record))
+		}
+	}
+	r.waiting = true
+	term := w.term
+	w.after(w.delay()/8, func() {
+		r.waiting = false
+		if term == w.term {
+			w.propose(r, c)
+		}
+	})
+}
+
 func (w *world) decide(r *replica) *wire.Command {
 	c := &wire.Command{}
 	r.machine.Each(func(j *wire.Job, t *wire.Task) {
+		if !w.calm && w.rng.IntN(2000) == 0 {
+			c.Cancel = &wire.CancelJob{Job: j.Id}
+		}
 		switch {
 		case t.State == wire.TaskState_TASK_STATE_QUEUED, t.State == wire.TaskState_TASK_STATE_CHECKPOINTED:
 			f := w.workers[w.rng.IntN(len(w.workers))]
 			c.Starts = append(c.Starts, &wire.Start{Job: j.Id, Index: t.Index, Attempt: t.Attempt + 1, Worker: f.name, Size: j.Size})
-		case t.Worker != "" && w.rng.IntN(60) == 0:
+		case w.calm:
+		case t.State == wire.TaskState_TASK_STATE_STARTING && w.rng.IntN(12) == 0, t.Worker != "" && w.rng.IntN(80) == 0:
 			c.Events = append(c.Events, &wire.TaskEvent{Task: job.RefOf(t).Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_STOPPING})
 		}
 	})
@@ -196,12 +207,13 @@
 		back(&wire.WorkerReply{Refusal: outcome.Refusal})
 		return
 	}
+	term := w.term
 	w.after(w.delay(), func() {
 		command := &wire.Command{Events: outcome.Events}
 		if outcome.Worker != nil {
 			command.Workers = []*wire.WorkerRecord{outcome.Worker}
 		}
-		if w.propose(c, command) == nil {
+		if term != w.term || w.propose(c, command) == nil {
 			return
 		}
 		w.after(w.delay(), func() {
@@ -215,7 +227,11 @@
 
 // delay is mostly short and sometimes longer than a lease.
 func (w *world) delay() time.Duration {
-	switch w.rng.IntN(40) {
+	kind := w.rng.IntN(40)
+	if w.now < w.storm {
+		kind /= 10
+	}
+	switch kind {
 	case 0:
 		return time.Duration(w.rng.Int64N(int64(2 * length)))
 	case 1, 2, 3, 4:
@@ -287,7 +303,7 @@
 			})
 		})
 	}
-	w.after(pollEach+time.Duration(w.rng.Int64N(int64(giveUp))), f.poll)
+	w.after(pollEach+time.Duration(w.rng.Int64N(int64(2*pollEach))), f.poll)
 }
 
 func (f *fake) refs() []state.Ref {
@@ -391,12 +407,12 @@
 		if e.service || e.report.Phase != wire.TaskEventKind_TASK_EVENT_KIND_RUNNING {
 			continue
 		}
-		switch f.world.rng.IntN(60) {
+		switch f.world.rng.IntN(250) {
 		case 0:
 			f.end(ref, e, wire.TaskEventKind_TASK_EVENT_KIND_DONE)
 		case 1:
 			f.end(ref, e, wire.TaskEventKind_TASK_EVENT_KIND_FAILED)
-		case 2, 3, 4, 5:
+		case 2, 3, 4, 5, 6, 7:
 			e.report.Checkpoint++
 		}
 	}
