--- a/control/control.go
+++ b/control/control.go
@@ -13,6 +13,7 @@
 	"daisyswitch/group"
 	"daisyswitch/inner"
 	"daisyswitch/lease"
+	"daisyswitch/measure"
 	"daisyswitch/replica"
 	"daisyswitch/settings"
 	"daisyswitch/state"
@@ -39,7 +40,7 @@
 	machine   *state.Machine
 	leases    *lease.Table
 	throttles throttles
-	measures  *measures
+	measures  *measure.Table
 	watchers  *watchers
 	inbox     inbox
 	questions questions
@@ -63,7 +64,7 @@
 		settings:  s,
 		addresses: map[uint64]string{},
 		leases:    lease.New(lease.Options{Length: time.Duration(s.LeaseMS) * time.Millisecond, DriftPPM: s.DriftPPM}),
-		measures:  newMeasures(),
+		measures:  measure.New(),
 		watchers:  newWatchers(),
 	}
 	for _, r := range s.Control {
--- a/control/read.go
+++ b/control/read.go
@@ -41,7 +41,7 @@
 		Leader:        info.Leader,
 		Term:          info.Term,
 		Index:         info.Applied,
-		Entries:       c.measures.entryStatuses(now),
+		Entries:       c.measures.Entries(now),
 		Classes:       c.classStatuses(now, configuration),
 	}
 	for _, peer := range info.Peers {
@@ -83,8 +83,8 @@
 	byName := map[string]*wire.ClassStatus{}
 	var out []*wire.ClassStatus
 	for _, class := range configuration.GetClasses() {
-		measure := c.measures.class(now, class.Name)
-		s := &wire.ClassStatus{Class: class, P99Us: measure.p99US, Requests: measure.requests}
+		seen := c.measures.Class(now, class.Name)
+		s := &wire.ClassStatus{Class: class, P99Us: seen.P99US, Requests: seen.Requests}
 		byName[class.Name] = s
 		out = append(out, s)
 	}
--- a/control/service.go
+++ b/control/service.go
@@ -57,7 +57,7 @@
 		return &wire.ReportBatchReply{Failure: c.notLeader()}, nil
 	}
 	now := time.Now()
-	c.measures.heard(now, batch)
+	c.measures.Heard(now, batch)
 	for _, s := range batch.Samples {
 		c.inbox.add(item{sample: s, domain: batch.Domain})
 	}
--- a/control/measures.go
+++ b/measure/table.go
@@ -1,4 +1,4 @@
-package control
+package measure
 
 import (
 	"sort"
@@ -13,8 +13,8 @@
 	forgetEntry  = time.Hour
 )
 
-// measures keeps what entries have said lately; all of it may be lost with the leader.
-type measures struct {
+// Table keeps what entries have said over a window.
+type Table struct {
 	mu      sync.Mutex
 	entries map[string]*entryHeard
 }
@@ -32,23 +32,25 @@
 	p99US    int64
 }
 
-// classMeasure is what callers of one class saw over the window.
-type classMeasure struct {
-	requests int64
-	p99US    int64 // the worst of the entries' tails, so never below the tail over all
+// Class is what callers of one class saw over the window.
+type Class struct {
+	Requests int64
+	P99US    int64 // the worst of the entries' tails, so never below the tail over all; microseconds
 }
 
-func newMeasures() *measures {
-	return &measures{entries: map[string]*entryHeard{}}
+// New returns an empty table.
+func New() *Table {
+	return &Table{entries: map[string]*entryHeard{}}
 }
 
-func (m *measures) heard(now time.Time, batch *wire.ReportBatch) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	e := m.entries[batch.Entry]
+// Heard takes in what an entry says with a batch of reports.
+func (t *Table) Heard(now time.Time, batch *wire.ReportBatch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[batch.Entry]
 	if e == nil {
 		e = &entryHeard{samples: map[string][]sample{}}
-		m.entries[batch.Entry] = e
+		t.entries[batch.Entry] = e
 	}
 	e.domain = batch.Domain
 	e.version = batch.Version
@@ -66,28 +68,30 @@
 	return samples
 }
 
-func (m *measures) class(now time.Time, name string) classMeasure {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var total classMeasure
-	for _, e := range m.entries {
+// Class returns what callers of a class saw.
+func (t *Table) Class(now time.Time, name string) Class {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var total Class
+	for _, e := range t.entries {
 		for _, s := range recent(e.samples[name], now) {
-			total.requests += s.requests
+			total.Requests += s.requests
 			if s.requests > 0 {
-				total.p99US = max(total.p99US, s.p99US)
+				total.P99US = max(total.P99US, s.p99US)
 			}
 		}
 	}
 	return total
 }
 
-func (m *measures) entryStatuses(now time.Time) []*wire.EntryStatus {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// Entries returns every entry heard in the last hour, in order of name.
+func (t *Table) Entries(now time.Time) []*wire.EntryStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var out []*wire.EntryStatus
-	for name, e := range m.entries {
+	for name, e := range t.entries {
 		if now.Sub(e.at) > forgetEntry {
-			delete(m.entries, name)
+			delete(t.entries, name)
 			continue
 		}
 		out = append(out, &wire.EntryStatus{
--- a/system/doc.go
+++ b/system/doc.go
@@ -1,2 +1,2 @@
-// Package system starts real processes on loopback for tests of kills, freezes and restarts; nothing of the product imports it.
+// Package system holds the tests with real processes on loopback: kills, freezes, restarts.
 package system
--- a/system/process.go
+++ b/system/process_test.go
@@ -1,4 +1,4 @@
-package system
+package system_test
 
 import (
 	"encoding/json"
@@ -21,8 +21,8 @@
 	healthTime = time.Second
 )
 
-// Process is one running process of ours.
-type Process struct {
+// process is one running process of ours.
+type process struct {
 	Name  string
 	Admin string
 	role  string
@@ -33,7 +33,7 @@
 }
 
 // Start runs the process again after a Kill or Stop, with the same settings.
-func (p *Process) Start() error {
+func (p *process) Start() error {
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("log of %s: %w", p.Name, err)
@@ -49,7 +49,7 @@
 }
 
 // WaitReady returns once the process says that it is ready.
-func (p *Process) WaitReady() error {
+func (p *process) WaitReady() error {
 	client := &http.Client{Timeout: healthTime}
 	deadline := time.Now().Add(startTime)
 	for time.Now().Before(deadline) {
@@ -66,16 +66,16 @@
 }
 
 // Kill ends the process at once and waits for it.
-func (p *Process) Kill() error {
+func (p *process) Kill() error {
 	return p.end(syscall.SIGKILL)
 }
 
 // Stop has the process stop gracefully and waits for it; an exit code other than 0 is an error.
-func (p *Process) Stop() error {
+func (p *process) Stop() error {
 	return p.end(syscall.SIGTERM)
 }
 
-func (p *Process) end(signal syscall.Signal) error {
+func (p *process) end(signal syscall.Signal) error {
 	if p.cmd == nil {
 		return nil
 	}
@@ -92,35 +92,35 @@
 }
 
 // Freeze stops the process from running, as a paused instance would.
-func (p *Process) Freeze() error {
+func (p *process) Freeze() error {
 	return p.cmd.Process.Signal(syscall.SIGSTOP)
 }
 
 // Thaw lets a frozen process run on.
-func (p *Process) Thaw() error {
+func (p *process) Thaw() error {
 	return p.cmd.Process.Signal(syscall.SIGCONT)
 }
 
-// Options says what a Cluster is made of.
-type Options struct {
+// options says what a cluster is made of.
+type options struct {
 	Bin     string // the daisyswitch program
 	Dir     string // for settings, data and logs
 	Entries int
 }
 
-// Cluster is three control processes and some entries, one failure domain after the other.
-type Cluster struct {
-	Controls []*Process
-	Entries  []*Process
+// cluster is three control processes and some entries, one failure domain after the other.
+type cluster struct {
+	Controls []*process
+	Entries  []*process
 	Replicas []settings.Replica
 	Settings []settings.Entry // of Entries
 }
 
 const replicas = 3
 
-// New writes the settings of a cluster; nothing runs yet.
-func New(o Options) (*Cluster, error) {
-	c := &Cluster{}
+// newCluster writes the settings of a cluster; nothing runs yet.
+func newCluster(o options) (*cluster, error) {
+	c := &cluster{}
 	ports, err := freePorts(2*replicas + 5*o.Entries)
 	if err != nil {
 		return nil, err
@@ -166,7 +166,7 @@
 	return fmt.Sprintf("domain-%d", (i-1)%replicas+1)
 }
 
-func (c *Cluster) addControl(o Options, r settings.Replica, admin string) error {
+func (c *cluster) addControl(o options, r settings.Replica, admin string) error {
 	common := settings.Common{Name: fmt.Sprintf("control-%d", r.ID), Domain: r.Domain, Inner: r.Inner, Admin: admin}
 	p, err := newProcess(o, "control", common, map[string]any{
 		"name":           common.Name,
@@ -202,12 +202,12 @@
 	}
 }
 
-func newProcess(o Options, role string, common settings.Common, content any) (*Process, error) {
+func newProcess(o options, role string, common settings.Common, content any) (*process, error) {
 	data, err := json.MarshalIndent(content, "", "  ")
 	if err != nil {
 		return nil, fmt.Errorf("settings of %s: %w", common.Name, err)
 	}
-	p := &Process{
+	p := &process{
 		Name:  common.Name,
 		Admin: common.Admin,
 		role:  role,
@@ -233,12 +233,12 @@
 }
 
 // All returns every process.
-func (c *Cluster) All() []*Process {
-	return append(append([]*Process{}, c.Controls...), c.Entries...)
+func (c *cluster) All() []*process {
+	return append(append([]*process{}, c.Controls...), c.Entries...)
 }
 
 // Start starts every process and waits until all are ready.
-func (c *Cluster) Start() error {
+func (c *cluster) Start() error {
 	for _, p := range c.All() {
 		if err := p.Start(); err != nil {
 			return err
@@ -253,7 +253,7 @@
 }
 
 // Close kills what still runs and waits.
-func (c *Cluster) Close() error {
+func (c *cluster) Close() error {
 	var failed error
 	for _, p := range c.All() {
 		failed = errors.Join(failed, p.Kill())
@@ -262,7 +262,7 @@
 }
 
 // Operators returns the operators' addresses of all entries.
-func (c *Cluster) Operators() []string {
+func (c *cluster) Operators() []string {
 	var addresses []string
 	for _, s := range c.Settings {
 		addresses = append(addresses, s.Operators)
--- a/system/system_test.go
+++ b/system/system_test.go
@@ -12,7 +12,6 @@
 
 	"daisyswitch/inner"
 	"daisyswitch/operator"
-	"daisyswitch/system"
 	"daisyswitch/wire"
 
 	"gotest.tools/v3/assert"
@@ -35,8 +34,8 @@
 	os.Exit(code)
 }
 
-func start(t *testing.T, entries int) *system.Cluster {
-	c, err := system.New(system.Options{Bin: bin, Dir: t.TempDir(), Entries: entries})
+func start(t *testing.T, entries int) *cluster {
+	c, err := newCluster(options{Bin: bin, Dir: t.TempDir(), Entries: entries})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.Check(t, c.Close()) })
 	assert.NilError(t, c.Start())
@@ -52,7 +51,7 @@
 	accepted []uint64 // version by sequence, from 1
 }
 
-func newAna(t *testing.T, c *system.Cluster) *ana {
+func newAna(t *testing.T, c *cluster) *ana {
 	return &ana{t: t, base: 1, client: &operator.Client{Entries: c.Operators(), Operator: "ana", HTTP: &http.Client{}}}
 }
 
@@ -222,7 +221,7 @@
 func TestGracefulStopExitsWithZero(t *testing.T) {
 	c := start(t, 1)
 	newAna(t, c).change()
-	for _, p := range []*system.Process{c.Entries[0], c.Controls[0], c.Controls[1], c.Controls[2]} {
+	for _, p := range []*process{c.Entries[0], c.Controls[0], c.Controls[1], c.Controls[2]} {
 		assert.NilError(t, p.Stop(), p.Name)
 	}
 }
