--- a/fakecaller/balancer.go
+++ b/fakecaller/balancer.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,7 @@
 	entries []string
 	admins  []string
 	http    *http.Client
+	asked   atomic.Int64 // answers taken in
 
 	mu    sync.Mutex // guards ready
 	ready map[string]bool
@@ -40,6 +42,7 @@
 			b.mu.Lock()
 			b.ready[b.entries[i]] = ready
 			b.mu.Unlock()
+			b.asked.Add(1)
 		}
 		select {
 		case <-time.After(checkEvery):
--- a/fakeupstream/announce.go
+++ b/fakeupstream/announce.go
@@ -29,12 +29,17 @@
 
 // announce tells the entries about the upstream until ctx ends.
 func (u *Upstream) announce(ctx context.Context) {
+	var last error
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 		wait := announceEvery
-		if err := u.announceOnce(ctx, sequence); err != nil && ctx.Err() == nil {
-			event.StandinAnnounceFailed.Error(err, "upstream", u.id)
+		err := u.announceOnce(ctx, sequence)
+		if err != nil {
 			wait = announceRetry
 		}
+		if err != nil && last == nil && ctx.Err() == nil {
+			event.StandinAnnounceFailed.Error(err, "upstream", u.id)
+		}
+		last = err
 		select {
 		case <-time.After(wait):
 		case <-u.wake:
--- a/fakeupstream/serve.go
+++ b/fakeupstream/serve.go
@@ -38,7 +38,7 @@
 	u.recordRequest(standin.RequestRan, r)
 	mode, changed := u.currentMode()
 	u.work(r.Context(), mode, changed)
-	answer := newAnswer(r.Header.Get(headerRequestID), body, u.options.BodyBytes)
+	answer := NewAnswer(r.Header.Get(headerRequestID), body, u.options.BodyBytes)
 	if mode.Truncate {
 		truncate(w, answer)
 	}
@@ -53,19 +53,30 @@
 }
 
 func (u *Upstream) takeSlot(ctx context.Context) bool {
+	select {
+	case u.slots <- struct{}{}:
+	default:
+		if !u.waitForSlot(ctx) {
+			return false
+		}
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.progress++
+	return true
+}
+
+func (u *Upstream) waitForSlot(ctx context.Context) bool {
 	wait := time.NewTimer(u.options.QueueWait)
 	defer wait.Stop()
 	select {
 	case u.slots <- struct{}{}:
+		return true
 	case <-wait.C:
 		return false
 	case <-ctx.Done():
 		return false
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.progress++
-	return true
 }
 
 func (u *Upstream) freeSlot() {
@@ -132,7 +143,8 @@
 	return crc32.Checksum(data, castagnoli)
 }
 
-func newAnswer(id string, received []byte, length int) []byte {
+// NewAnswer returns a body that CheckAnswer takes as the whole answer to this request.
+func NewAnswer(id string, received []byte, length int) []byte {
 	filling := make([]byte, length)
 	for i := range filling {
 		filling[i] = 'a' + byte((i+len(id))%26)
--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -116,12 +116,17 @@
 
 // polls keeps one poll open at a time.
 func (w *Worker) polls(ctx context.Context) {
+	var last error
 	for ctx.Err() == nil {
 		wait := w.options.Poll
-		if err := w.poll(ctx); err != nil && ctx.Err() == nil {
-			event.StandinPollFailed.Error(err, "worker", w.options.Name)
+		err := w.poll(ctx)
+		if err != nil {
 			wait = pollRetry
 		}
+		if err != nil && last == nil && ctx.Err() == nil {
+			event.StandinPollFailed.Error(err, "worker", w.options.Name)
+		}
+		last = err
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
