--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -36,6 +36,7 @@
 		{"upstream", "run an upstream that serves requests", "standin upstream --name u1 --domain east --class bids --entry 127.0.0.1:8081", &upstreamCommand{}},
 		{"caller", "load entries with requests and check the answers", "standin caller --class bids --rate 200 --entry 127.0.0.1:8080", &callerCommand{}},
 		{"check", "hold journals against the promises", "standin check --journals demo/out", &checkCommand{}},
+		{"watch", "write down the configuration in force at entries", "standin watch --journal events-watch.jsonl --entry e1=127.0.0.1:8082", &watchCommand{}},
 		{"note", "write down what an operator or script did", "standin note --journal events.jsonl --domain east domain_out", &noteCommand{}},
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -27,23 +27,23 @@
 }
 
 func TestExamplesAreAccepted(t *testing.T) {
-	files, err := filepath.Glob("../examples/*/*.jsonc")
+	files, err := filepath.Glob("../examples/*/*.json")
 	assert.NilError(t, err)
 	assert.Equal(t, len(files), 4)
 	for _, file := range files {
 		role, err := settings.Check(file)
 		assert.NilError(t, err)
-		assert.Equal(t, role, strings.TrimSuffix(filepath.Base(file), ".jsonc"))
+		assert.Equal(t, role, strings.TrimSuffix(filepath.Base(file), "-1.json"))
 	}
 }
 
 func TestKeysLeftOutHaveDefaults(t *testing.T) {
-	e, err := settings.LoadEntry("../examples/verhoeven/entry.jsonc")
+	e, err := settings.LoadEntry("../examples/verhoeven/entry-1.json")
 	assert.NilError(t, err)
 	assert.Equal(t, e.Limits.QueueTimeoutMS, int64(200)) // from the file
 	assert.Equal(t, e.Limits.HeaderBytes, int64(65536))  // from the table
 	assert.Equal(t, len(e.Entries), 8)
-	c, err := settings.LoadControl("../examples/verhoeven/control.jsonc")
+	c, err := settings.LoadControl("../examples/verhoeven/control-1.json")
 	assert.NilError(t, err)
 	assert.Equal(t, c.ElectionTicks, int64(10))
 	assert.Equal(t, len(c.Control), 5)
@@ -57,7 +57,7 @@
 
 // FuzzParse holds every refusal to lines that exist, in order, and every acceptance to settings in range.
 func FuzzParse(f *testing.F) {
-	for _, pattern := range []string{"testdata/bad/*.jsonc", "../examples/*/*.jsonc"} {
+	for _, pattern := range []string{"testdata/bad/*.jsonc", "../examples/*/*.json"} {
 		files, err := filepath.Glob(pattern)
 		assert.NilError(f, err)
 		for _, file := range files {
