--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 test: lint
 	go vet ./...
+	bash .ci/check-promises
 	bash .ci/known-red
 	bash .ci/go-test
 	$(MAKE) --no-print-directory spec
