--- a/caller/listener.go
+++ b/caller/listener.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 
 	"daisyswitch/verdict"
@@ -66,12 +67,13 @@
 // Write replaces net/http's own refusals by ones with a verdict.
 func (c *conn) Write(p []byte) (int, error) {
 	head, reason, found := bytes.Cut(p, []byte(serverRefusal))
-	if !found || bytes.IndexByte(head, '\n') >= 0 || !bytes.HasPrefix(head, []byte("HTTP/1.1 ")) {
+	status, ok := refusedStatus(head)
+	if !found || !ok {
 		return c.Conn.Write(p)
 	}
-	f := notRun(http.StatusBadRequest, CodeBadRequest, string(reason))
-	if bytes.HasPrefix(head, []byte("HTTP/1.1 431")) {
-		f = notRun(http.StatusRequestHeaderFieldsTooLarge, CodeHeaderTooLarge, "headers are too large")
+	f := notRun(status, CodeBadRequest, string(reason))
+	if status == http.StatusRequestHeaderFieldsTooLarge {
+		f = notRun(status, CodeHeaderTooLarge, "headers are too large")
 	}
 	if _, err := c.Conn.Write(rawRefusal(f)); err != nil {
 		return 0, err
@@ -79,6 +81,16 @@
 	return len(p), nil
 }
 
+// refusedStatus reads the status from a status line that stands alone.
+func refusedStatus(head []byte) (status int, ok bool) {
+	line, found := bytes.CutPrefix(head, []byte("HTTP/1.1 "))
+	if !found || len(line) < 3 || bytes.IndexByte(line, '\n') >= 0 {
+		return 0, false
+	}
+	status, err := strconv.Atoi(string(line[:3]))
+	return status, err == nil
+}
+
 // rawRefusal writes the refusal out for a connection that has no handler.
 func rawRefusal(f *Refusal) []byte {
 	body, err := json.Marshal(f)
--- a/upstream/slot.go
+++ b/upstream/slot.go
@@ -15,6 +15,8 @@
 type Slot struct {
 	registry *Registry
 	upstream *Upstream
+	id       string
+	address  string
 	began    time.Time
 }
 
@@ -44,7 +46,7 @@
 	}
 	u := r.order[i]
 	u.Own++
-	return &Slot{registry: r, upstream: u, began: now}, Free
+	return &Slot{registry: r, upstream: u, id: u.ID, address: u.Address, began: now}, Free
 }
 
 // bar marks the candidates that may not be picked and reports whether any other is left; called with the lock held.
@@ -59,12 +61,12 @@
 
 // ID returns the id of the slot's upstream.
 func (s *Slot) ID() string {
-	return s.upstream.ID
+	return s.id
 }
 
 // Address returns where the slot's upstream listens.
 func (s *Slot) Address() string {
-	return s.upstream.Address
+	return s.address
 }
 
 // Do sends the request over the entry's connections to the upstream; see transport.Pool.Do for its errors.
