Give a starting entry its configuration at once; show metrics of both roles

Cause: an entry that started while control was away waited for its first turn to exchange (521 ms start to ready, mean of 5). Ruled out: a copy on the entry's disk, see docs/design/07-reach.md. Change: the exchange speaks at its start; control and entry export gauges and counters; a replica that takes no part any more is not live. Shown failing: TestEntryRestartsWithoutControl is not ready after 30 s when entries do not pass the configuration on.

--- a/command/process.go
+++ b/command/process.go
@@ -13,6 +13,7 @@
 	"daisyswitch/metric"
 	"daisyswitch/settings"
 
+	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 )
 
@@ -31,7 +32,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &process{ready: e.Ready, close: e.Close}, nil
+		return &process{ready: e.Ready, close: e.Close, metrics: e.Metrics()}, nil
 	})
 }
 
@@ -50,14 +51,16 @@
 		if err != nil {
 			return nil, err
 		}
-		return &process{ready: r.Ready, close: r.Close}, nil
+		return &process{ready: r.Ready, live: r.Live, close: r.Close, metrics: r.Metrics()}, nil
 	})
 }
 
 // process is a running role.
 type process struct {
-	ready func() error
-	close func() error
+	ready   func() error
+	live    func() error // nil: always
+	close   func() error
+	metrics *metrics.Set
 }
 
 // run starts a role with its admin listener, waits for a signal to stop, and stops it gracefully.
@@ -70,7 +73,7 @@
 	if err != nil {
 		return fmt.Errorf("start %s %s: %w", role, s.Name, err)
 	}
-	admin, err := metric.New(metric.Options{Address: s.Admin, Ready: p.ready})
+	admin, err := metric.New(metric.Options{Address: s.Admin, Ready: p.ready, Live: p.live, Sets: []*metrics.Set{p.metrics}})
 	if err != nil {
 		return fmt.Errorf("start %s %s: %w", role, s.Name, errors.Join(err, p.close()))
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -44,6 +44,7 @@
 	watchers  *watchers
 	inbox     inbox
 	questions questions
+	counters  *counters
 	server    *inner.Server
 	wait      group.Group
 
@@ -77,6 +78,7 @@
 		WorkerChanged:        func(w *wire.WorkerRecord) { c.inbox.add(item{worker: w}) },
 		ConfigurationChanged: c.configurationChanged,
 	})
+	c.counters = c.newCounters()
 	if err := c.open(o); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/control/metrics.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// counters are what the process counts of its own work.
+type counters struct {
+	set     *metrics.Set
+	reports *metrics.Counter
+	starts  *metrics.Counter
+	events  *metrics.Counter
+	refused *metrics.Counter
+	decide  *metrics.Summary
+}
+
+func (c *Control) newCounters() *counters {
+	set := metrics.NewSet()
+	set.NewGauge("daisyswitch_control_leads", func() float64 {
+		if c.serves() {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge("daisyswitch_control_term", func() float64 { return float64(c.replica.Info().Term) })
+	set.NewGauge("daisyswitch_control_commit_index", func() float64 { return float64(c.replica.Info().Commit) })
+	set.NewGauge("daisyswitch_control_applied_index", func() float64 { return float64(c.replica.Info().Applied) })
+	set.NewGauge("daisyswitch_configuration_version", func() float64 { return float64(c.machine.Configuration().GetVersion()) })
+	return &counters{
+		set:     set,
+		reports: set.NewCounter("daisyswitch_control_reports_total"),
+		starts:  set.NewCounter("daisyswitch_control_starts_total"),
+		events:  set.NewCounter("daisyswitch_control_task_events_total"),
+		refused: set.NewCounter("daisyswitch_control_reports_refused_total"),
+		decide:  set.NewSummary("daisyswitch_control_decide_seconds"),
+	}
+}
+
+// Metrics returns the process's metrics, for its admin listener.
+func (c *Control) Metrics() *metrics.Set {
+	return c.counters.set
+}
+
+// Live says why the process should be replaced, nil if it should not.
+func (c *Control) Live() error {
+	return c.replica.Info().Err
+}
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -51,7 +51,9 @@
 func (l *loop) step(ctx context.Context, now time.Time) {
 	l.receive(now)
 	l.expire(ctx, now)
+	began := time.Now()
 	decisions := l.placer.Decide(now)
+	l.control.counters.decide.UpdateDuration(began)
 	l.control.throttles.decide(decisions.Throttles)
 	l.commit(ctx, decisions)
 	l.publishReasons()
@@ -107,11 +109,24 @@
 		command := &wire.Command{}
 		command.Starts, d.Starts = cut(d.Starts)
 		command.Events, d.Events = cut(d.Events)
-		if _, err := l.control.commit(ctx, command); err != nil {
+		result, err := l.control.commit(ctx, command)
+		if err != nil {
 			event.DecisionRefused.Error(err)
 			return
 		}
+		l.control.counters.starts.Add(applied(result.Starts))
+		l.control.counters.events.Add(applied(result.Events))
+	}
+}
+
+func applied(flags []bool) int {
+	n := 0
+	for _, ok := range flags {
+		if ok {
+			n++
+		}
 	}
+	return n
 }
 
 func cut[T any](items []T) (first, rest []T) {
--- a/control/service.go
+++ b/control/service.go
@@ -81,7 +81,9 @@
 		name := r.GetWorker().GetName()
 		outcome := c.leases.Receive(now, r, c.machine.OnWorker(name), c.machine.Worker(name))
 		outcomes[i] = outcome
+		c.counters.reports.Inc()
 		if outcome.Refusal != "" {
+			c.counters.refused.Inc()
 			continue
 		}
 		command.Events = append(command.Events, outcome.Events...)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"daisyswitch/wire"
 	"daisyswitch/worker"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/julienschmidt/httprouter"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
@@ -46,6 +47,7 @@
 	listeners []*listener
 	wait      group.Group
 	stopping  atomic.Bool
+	metrics   *metrics.Set
 }
 
 // New starts an entry with all its listeners; callers are refused until it has a configuration.
@@ -82,6 +84,7 @@
 		Dial:     func(ctx context.Context, address string) (*drpcconn.Conn, error) { return e.pool.Dial(ctx, address) },
 		Holder:   e.holder,
 	})
+	e.metrics = e.newMetrics()
 	e.exchange.Start()
 	if err := e.listen(); err != nil {
 		return nil, errors.Join(err, e.Close())
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -108,13 +108,13 @@
 	ticker := time.NewTicker(e.options.Every)
 	defer ticker.Stop()
 	for {
+		e.once(ctx, t.neighbor)
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.poke:
 		case <-ticker.C:
 		}
-		e.once(ctx, t.neighbor)
 	}
 }
 
--- a/system/system_test.go
+++ b/system/system_test.go
@@ -217,6 +217,23 @@
 	}
 }
 
+// TestEntryRestartsWithoutControl has an entry start while all of control is away: its neighbor has what is in force.
+func TestEntryRestartsWithoutControl(t *testing.T) {
+	c := start(t, 2)
+	a := newAna(t, c)
+	a.change()
+	a.change()
+	for _, p := range append(c.Controls, c.Entries[1]) {
+		assert.NilError(t, p.Kill())
+	}
+	assert.NilError(t, c.Entries[1].Start())
+	assert.NilError(t, c.Entries[1].WaitReady())
+	late := operator.Client{Entries: c.Operators()[1:], HTTP: &http.Client{}}
+	var local operator.Configuration
+	assert.NilError(t, late.Get(t.Context(), "/v1/configuration?local=true", &local))
+	assert.Equal(t, local.Version, a.accepted[1])
+}
+
 // TestGracefulStopExitsWithZero stops every process and expects exit code 0.
 func TestGracefulStopExitsWithZero(t *testing.T) {
 	c := start(t, 1)
