--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -35,6 +35,7 @@
 		{"worker", "run a worker with fake tasks", "standin worker --name w1 --domain east --entry 127.0.0.1:8081", &workerCommand{}},
 		{"upstream", "run an upstream that serves requests", "standin upstream --name u1 --domain east --class bids --entry 127.0.0.1:8081", &upstreamCommand{}},
 		{"caller", "load entries with requests and check the answers", "standin caller --class bids --rate 200 --entry 127.0.0.1:8080", &callerCommand{}},
+		{"link", "forward connections, and go silent when told to", "standin link --forward 127.0.0.1:9100=127.0.0.1:7000 --admin 127.0.0.1:9101", &linkCommand{}},
 		{"check", "hold journals against the promises", "standin check --journals demo/out", &checkCommand{}},
 		{"watch", "write down the configuration in force at entries", "standin watch --journal events-watch.jsonl --entry e1=127.0.0.1:8082", &watchCommand{}},
 		{"note", "write down what an operator or script did", "standin note --journal events.jsonl --domain east domain_out", &noteCommand{}},
--- /dev/null
+++ b/fakelink/link_test.go
@@ -0,0 +1,111 @@
+package fakelink_test
+
+import (
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"daisyswitch/fakelink"
+
+	"gotest.tools/v3/assert"
+)
+
+// quiet is how long a read waits before the test takes the link as silent.
+const quiet = 50 * time.Millisecond
+
+// echo starts a server that sends back what it gets, and a link to it.
+func echo(t *testing.T) *fakelink.Link {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { server.Close() })
+	go func() {
+		for {
+			conn, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() { io.Copy(conn, conn); conn.Close() }()
+		}
+	}()
+	l, err := fakelink.New([]fakelink.Forward{{Listen: "127.0.0.1:0", To: server.Addr().String()}})
+	assert.NilError(t, err)
+	return l
+}
+
+func dial(t *testing.T, l *fakelink.Link) net.Conn {
+	conn, err := net.Dial("tcp", l.Addresses()[0])
+	assert.NilError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func write(t *testing.T, conn net.Conn, s string) {
+	_, err := conn.Write([]byte(s))
+	assert.NilError(t, err)
+}
+
+func expect(t *testing.T, conn net.Conn, s string) {
+	got := make([]byte, len(s))
+	conn.SetReadDeadline(time.Time{})
+	_, err := io.ReadFull(conn, got)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), s)
+}
+
+func expectNothing(t *testing.T, conn net.Conn) {
+	conn.SetReadDeadline(time.Now().Add(quiet))
+	n, err := conn.Read(make([]byte, 1))
+	assert.Equal(t, n, 0)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+func TestSilenceHoldsWhatIsSentAndThenPassesIt(t *testing.T) {
+	l := echo(t)
+	conn := dial(t, l)
+	write(t, conn, "a")
+	expect(t, conn, "a")
+	assert.NilError(t, l.Set(fakelink.Silent))
+	write(t, conn, "b")
+	later := dial(t, l)
+	write(t, later, "c")
+	expectNothing(t, conn)
+	expectNothing(t, later)
+	assert.NilError(t, l.Set(fakelink.Pass))
+	expect(t, conn, "b")
+	expect(t, later, "c")
+	assert.NilError(t, l.Close())
+}
+
+func TestForgottenConnectionsStaySilentWhileNewOnesWork(t *testing.T) {
+	l := echo(t)
+	conn := dial(t, l)
+	write(t, conn, "a")
+	expect(t, conn, "a")
+	assert.NilError(t, l.Set(fakelink.Forget))
+	write(t, conn, "b")
+	later := dial(t, l)
+	write(t, later, "c")
+	expect(t, later, "c")
+	expectNothing(t, conn)
+	assert.NilError(t, l.Set(fakelink.Pass))
+	expectNothing(t, conn)
+	assert.NilError(t, l.Close())
+}
+
+func TestCloseEndsConnectionsInEveryMode(t *testing.T) {
+	for _, mode := range []fakelink.Mode{fakelink.Pass, fakelink.Silent, fakelink.Forget} {
+		l := echo(t)
+		conn := dial(t, l)
+		assert.NilError(t, l.Set(mode))
+		write(t, conn, "a")
+		assert.NilError(t, l.Close())
+		conn.SetReadDeadline(time.Time{})
+		io.ReadAll(conn)
+		conn.Close()
+	}
+	l := echo(t)
+	assert.ErrorContains(t, l.Set("loud"), "not one of")
+	assert.NilError(t, l.Close())
+}
--- a/promise/configuration.go
+++ b/promise/configuration.go
@@ -13,7 +13,7 @@
 	for name, sightings := range seen {
 		kept(name, sightings, result)
 		for _, accepted := range r.named(standin.ConfigAccepted) {
-			inForce(name, sightings, accepted, result)
+			r.inForce(name, sightings, accepted, result)
 		}
 	}
 	r.everywhere(seen, result)
@@ -29,10 +29,11 @@
 	}
 }
 
-func inForce(name string, sightings []standin.Happening, accepted standin.Happening, result *Result) {
+func (r *Records) inForce(name string, sightings []standin.Happening, accepted standin.Happening, result *Result) {
 	for _, s := range sightings {
 		late := s.TimeUS > accepted.TimeUS+forceBoundUS
 		switch {
+		case late && s.Version < accepted.Version && r.cutOff(name, s.TimeUS):
 		case late && s.Version < accepted.Version:
 			result.violate("%s had version %d still, %d ms after %d was accepted", name, s.Version, (s.TimeUS-accepted.TimeUS)/1000, accepted.Version)
 			return
@@ -58,3 +59,17 @@
 		}
 	}
 }
+
+// cutOff reports whether a process was cut off from the others, or had been until a moment before.
+func (r *Records) cutOff(name string, at int64) bool {
+	for _, h := range r.named(standin.CutOff) {
+		if h.Name != name || h.TimeUS > at {
+			continue
+		}
+		joined, back := r.first(standin.Joined, name, h.TimeUS)
+		if !back || at <= joined+forceBoundUS {
+			return true
+		}
+	}
+	return false
+}
--- a/standin/record.go
+++ b/standin/record.go
@@ -94,6 +94,8 @@
 	StopEnded      = "stop_ended"      // the stopped process is gone
 	ConfigAccepted = "config_accepted" // a configuration version was accepted
 	ConfigSeen     = "config_seen"     // an entry had a configuration version in force
+	CutOff         = "cut_off"         // a process can't reach the others any more
+	Joined         = "joined"          // it can again
 	JobCancelled   = "job_cancelled"   // operators cancelled a job
 	TaskNotRun     = "task_not_run"    // control said that a task never ran
 	Finished       = "finished"        // all jobs were given time to finish
