--- a/replica/peer.go
+++ b/replica/peer.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	queuedMessages = 1024    // per peer; more are dropped
-	redialTicks    = 2       // between attempts to connect
-	partBytes      = 1 << 20 // of a snapshot, one message each
+	queuedMessages = 1024      // per peer; more are dropped
+	redialTicks    = 2         // between attempts to connect
+	partBytes      = 128 << 10 // of a snapshot, one message each
 )
 
 // peer sends to one other replica, in order, over one connection at a time.
@@ -161,11 +161,11 @@
 	if len(m.GetSnapshot()) == 0 {
 		return stream.Send(m)
 	}
-	return sendParts(stream, m)
+	return p.sendParts(stream, m)
 }
 
-// sendParts sends a snapshot in messages that fit the transport.
-func sendParts(stream wire.DRPCPeer_SendClient, m *wire.Message) error {
+// sendParts sends a snapshot in messages that fit the transport; the peer cannot answer before the last one, so each that gets through shows that the connection works.
+func (p *peer) sendParts(stream wire.DRPCPeer_SendClient, m *wire.Message) error {
 	total := len(m.GetSnapshot())
 	for offset := 0; offset < total; offset += partBytes {
 		part := &wire.Message{
@@ -177,6 +177,7 @@
 		if err := stream.Send(part); err != nil {
 			return err
 		}
+		p.unanswered.Store(int64(p.r.since()) | 1)
 	}
 	return nil
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -30,6 +30,8 @@
 	isolated map[string]bool // dials fail and connections swallow all bytes
 	open     []*silenced
 	disk     disk.Options
+	rate     int // bytes a second of each connection, 0 for no limit
+	padding  int // bytes added to a snapshot
 }
 
 type member struct {
@@ -40,6 +42,8 @@
 	server  *drpcserver.Server
 	ctx     context.Context
 	kill    context.CancelFunc
+	padding int
+	leads   atomic.Bool // as told by Leading
 	applied []string
 	mu      sync.Mutex
 }
@@ -55,7 +59,7 @@
 func address(id uint64) string { return fmt.Sprint("replica-", id) }
 
 func (g *group) start(id uint64, dir string) *member {
-	m := &member{name: address(id), id: id, dir: dir}
+	m := &member{name: address(id), id: id, dir: dir, padding: g.padding}
 	peers := map[uint64]string{}
 	for other := 1; other <= g.size; other++ {
 		peers[uint64(other)] = address(uint64(other))
@@ -66,7 +70,7 @@
 		Apply:    m.apply,
 		Snapshot: m.snapshot,
 		Restore:  m.restore,
-		Leading:  func(bool, uint64) {},
+		Leading:  func(leading bool, _ uint64) { m.leads.Store(leading) },
 	})
 	assert.NilError(g.t, err)
 	mux := drpcmux.New()
@@ -93,12 +97,15 @@
 }
 
 func (m *member) snapshot() []byte {
-	return []byte(fmt.Sprint(m.count()))
+	return append([]byte(fmt.Sprint(m.count(), "\n")), make([]byte, m.padding)...)
 }
 
 func (m *member) restore(b []byte) error {
+	if len(b) <= m.padding {
+		return errors.New("a part of a snapshot")
+	}
 	var count int
-	fmt.Sscan(string(b), &count)
+	fmt.Sscanln(string(b), &count)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applied = make([]string, count)
@@ -129,11 +136,14 @@
 
 func (s *silenced) Write(b []byte) (int, error) {
 	s.g.mu.Lock()
-	dead := s.dead || s.g.isolated[s.from] || s.g.isolated[s.to]
+	dead, rate := s.dead || s.g.isolated[s.from] || s.g.isolated[s.to], s.g.rate
 	s.g.mu.Unlock()
 	if dead {
 		return len(b), nil
 	}
+	if rate > 0 {
+		time.Sleep(time.Duration(len(b)) * time.Second / time.Duration(rate))
+	}
 	return s.Conn.Write(b)
 }
 
@@ -256,13 +266,14 @@
 	}
 }
 
-// settled waits until all members have applied count records and none is recovering.
+// settled waits until all members have applied count records, none is recovering, and just the leader was told to lead.
 func (g *group) settled(count int) {
 	g.t.Helper()
 	time.Sleep(5 * time.Second)
 	for _, m := range g.members {
 		assert.Equal(g.t, m.count(), count, m.name)
 		assert.Assert(g.t, !m.Info().Recovering, m.name)
+		assert.Equal(g.t, m.leads.Load(), m.IsLeader(), m.name)
 	}
 }
 
@@ -315,6 +326,29 @@
 	})
 }
 
+func TestSnapshotThatTakesLongArrivesWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		g.padding = 3 << 20
+		for id := uint64(1); id <= 3; id++ {
+			m := g.members[address(id)]
+			g.stop(m)
+			g.start(id, m.dir)
+		}
+		g.leader(5 * time.Second)
+		behind := g.members[address(1)]
+		g.stop(behind)
+		g.propose(250)
+		g.mu.Lock()
+		g.rate = 512 << 10
+		g.mu.Unlock()
+		g.start(1, behind.dir)
+		time.Sleep(1600 * time.Millisecond) // with settled's wait, enough for one try of six seconds
+		g.settled(250)
+	})
+}
+
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 3)
