Run a job under overlapping faults and look for a task that runs twice

Cause: leases, state and control were proved one by one, not together through changes of leader. Ruled out: a summary metric in the loop (its goroutine never ends, so a test in virtual time cannot); a mutex held across virtual sleep (time stops).

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -82,7 +82,7 @@
 			_, err := near.change(t, putClass(100+i))
 			assert.Assert(t, err != nil, "the cut-off leader accepted a change or answered a read")
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-			_, err = near.Report(ctx, &wire.ReportBatch{Entry: "e1", Reports: []*wire.WorkerReport{report("w1", "cebu", uint64(i+1))}})
+			_, err = near.Report(ctx, &wire.ReportBatch{Entry: "e1", Reports: []*wire.WorkerReport{reportOf("w1", "cebu", uint64(i+1))}})
 			cancel()
 			assert.Assert(t, err != nil, "the cut-off leader granted a lease")
 			time.Sleep(30 * time.Second)
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -11,7 +11,7 @@
 	starts  *metrics.Counter
 	events  *metrics.Counter
 	refused *metrics.Counter
-	decide  *metrics.Summary
+	decide  *metrics.Histogram
 }
 
 func (c *Control) newCounters() *counters {
@@ -32,7 +32,7 @@
 		starts:  set.NewCounter("daisyswitch_control_starts_total"),
 		events:  set.NewCounter("daisyswitch_control_task_events_total"),
 		refused: set.NewCounter("daisyswitch_control_reports_refused_total"),
-		decide:  set.NewSummary("daisyswitch_control_decide_seconds"),
+		decide:  set.NewHistogram("daisyswitch_control_decide_seconds"),
 	}
 }
 
--- a/control/worker_test.go
+++ b/control/worker_test.go
@@ -15,7 +15,7 @@
 
 const startWithin = 3 * time.Second // of the poll that a start answers
 
-func report(name, domain string, sequence uint64, tasks ...*wire.TaskReport) *wire.WorkerReport {
+func reportOf(name, domain string, sequence uint64, tasks ...*wire.TaskReport) *wire.WorkerReport {
 	return &wire.WorkerReport{
 		Worker: &wire.WorkerRecord{
 			Name:        name,
@@ -29,40 +29,110 @@
 	}
 }
 
-// fakeWorker polls each 200 ms and runs every task for half a second.
+// fakeWorker polls each 200 ms, runs each task for some time and keeps its lease.
 type fakeWorker struct {
 	name, domain string
 	client       *client
-	sequence     uint64
-	running      map[string]*fakeTask
-	starts       []time.Time
-	done         int
+
+	mu          sync.Mutex
+	incarnation int
+	sequence    uint64
+	leaseEnd    time.Time
+	frozen      bool
+	runTime     time.Duration
+	running     map[string]*fakeTask
+	starts      []time.Time
+	done        int
+	started     func(w *fakeWorker, order *wire.Order) // told of each start, with no lock held
+	stopped     func(w *fakeWorker, ref *wire.TaskRef)
 }
 
 type fakeTask struct {
-	ref   *wire.TaskRef
-	began time.Time
+	ref        *wire.TaskRef
+	began      time.Time
+	checkpoint uint64
+	ended      bool
+}
+
+func newWorker(g *group, name, domain, host string) *fakeWorker {
+	return &fakeWorker{
+		name:    name,
+		domain:  domain,
+		client:  g.client(host),
+		runTime: 500 * time.Millisecond,
+		running: map[string]*fakeTask{},
+		started: func(*fakeWorker, *wire.Order) {},
+		stopped: func(*fakeWorker, *wire.TaskRef) {},
+	}
 }
 
 func (w *fakeWorker) poll(t *testing.T) {
+	report, frozen := w.compose()
+	if frozen {
+		return
+	}
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	reply, err := w.client.Report(ctx, &wire.ReportBatch{Entry: w.name, Domain: w.domain, Reports: []*wire.WorkerReport{report}})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil || w.frozen || w.sequence != report.Sequence || report.Worker.Incarnation != w.identity() {
+		return
+	}
+	if lease := reply.Replies[0].LeaseMs; lease > 0 {
+		w.leaseEnd = sent.Add(time.Duration(lease) * time.Millisecond)
+	}
+	for _, order := range reply.Replies[0].Orders {
+		w.obey(order, time.Since(sent))
+	}
+}
+
+func (w *fakeWorker) compose() (report *wire.WorkerReport, frozen bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.frozen {
+		return nil, true
+	}
+	w.keepLease()
 	w.sequence++
+	report = reportOf(w.name, w.domain, w.sequence, w.reports()...)
+	report.Worker.Incarnation = w.identity()
+	return report, false
+}
+
+func (w *fakeWorker) identity() string {
+	return fmt.Sprintf("i%d", w.incarnation)
+}
+
+func (w *fakeWorker) reports() []*wire.TaskReport {
 	var tasks []*wire.TaskReport
 	for _, task := range w.running {
+		age := time.Since(task.began)
+		task.checkpoint = max(task.checkpoint, uint64(age/(300*time.Millisecond)))
 		phase := wire.TaskEventKind_TASK_EVENT_KIND_RUNNING
-		if time.Since(task.began) > 500*time.Millisecond {
+		switch {
+		case task.ended:
+			phase = wire.TaskEventKind_TASK_EVENT_KIND_STOPPED
+		case age > w.runTime:
 			phase = wire.TaskEventKind_TASK_EVENT_KIND_DONE
+			w.stopped(w, task.ref)
 		}
-		tasks = append(tasks, &wire.TaskReport{Task: task.ref, Phase: phase, Used: &wire.Size{MilliCpu: 500, MemoryMib: 100}})
+		tasks = append(tasks, &wire.TaskReport{Task: task.ref, Phase: phase, Checkpoint: task.checkpoint, Used: &wire.Size{MilliCpu: 500, MemoryMib: 100}})
 	}
-	sent := time.Now()
-	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-	defer cancel()
-	reply, err := w.client.Report(ctx, &wire.ReportBatch{Entry: "e", Domain: w.domain, Reports: []*wire.WorkerReport{report(w.name, w.domain, w.sequence, tasks...)}})
-	if err != nil || time.Since(sent) > startWithin {
+	return tasks
+}
+
+// keepLease stops everything once the lease has ended.
+func (w *fakeWorker) keepLease() {
+	if time.Now().Before(w.leaseEnd) {
 		return
 	}
-	for _, order := range reply.Replies[0].Orders {
-		w.obey(order)
+	for _, task := range w.running {
+		if !task.ended {
+			task.ended = true
+			w.stopped(w, task.ref)
+		}
 	}
 }
 
@@ -72,24 +142,33 @@
 		case <-stop:
 			return
 		case <-time.After(200 * time.Millisecond):
-			w.poll(t)
 		}
+		w.poll(t)
 	}
 }
 
-func (w *fakeWorker) obey(order *wire.Order) {
-	key := fmt.Sprint(order.Task.Job, "/", order.Task.Index, "/", order.Task.Attempt)
+func keyOf(ref *wire.TaskRef) string {
+	return fmt.Sprint(ref.Job, "/", ref.Index, "/", ref.Attempt)
+}
+
+func (w *fakeWorker) obey(order *wire.Order, age time.Duration) {
+	key := keyOf(order.Task)
 	switch order.Kind {
 	case wire.OrderKind_ORDER_KIND_START:
-		if w.running[key] == nil {
-			w.running[key] = &fakeTask{ref: order.Task, began: time.Now()}
-			w.starts = append(w.starts, time.Now())
+		if w.running[key] != nil || age > startWithin || !time.Now().Before(w.leaseEnd) {
+			return
 		}
+		w.running[key] = &fakeTask{ref: order.Task, began: time.Now(), checkpoint: order.Checkpoint}
+		w.starts = append(w.starts, time.Now())
+		w.started(w, order)
 	case wire.OrderKind_ORDER_KIND_FORGET:
 		w.done++
 		delete(w.running, key)
 	case wire.OrderKind_ORDER_KIND_STOP, wire.OrderKind_ORDER_KIND_CHECKPOINT:
-		delete(w.running, key)
+		if task := w.running[key]; task != nil && !task.ended {
+			task.ended = true
+			w.stopped(w, task.ref)
+		}
 	}
 }
 
@@ -99,11 +178,10 @@
 		g := newGroup(t)
 		defer g.close()
 		operator := g.client("e0")
-		operator.mustChange(t, &wire.Change{Operation: &wire.Change_PutClass{PutClass: &wire.Class{Name: "refunds", Kind: wire.ClassKind_CLASS_KIND_BATCH, TargetVolume: 1000, DueMinute: 1380}}})
-		operator.mustChange(t, &wire.Change{Operation: &wire.Change_PutTeam{PutTeam: &wire.Team{Name: "ledger", Quota: &wire.Size{MilliCpu: 1_000_000, MemoryMib: 1_000_000}}}})
+		prepare(t, operator)
 		workers := []*fakeWorker{
-			{name: "w1", domain: "cebu", client: g.client("e1"), running: map[string]*fakeTask{}},
-			{name: "w2", domain: "bohol", client: g.client("e2"), running: map[string]*fakeTask{}},
+			newWorker(g, "w1", "cebu", "e1"),
+			newWorker(g, "w2", "bohol", "e2"),
 		}
 		for _, w := range workers {
 			w.poll(t)
@@ -162,6 +240,14 @@
 	return n
 }
 
+// prepare makes the class and the team of the job.
+func prepare(t *testing.T, operator *client) {
+	class := &wire.Class{Name: "refunds", Kind: wire.ClassKind_CLASS_KIND_BATCH, TargetVolume: 1000, DueMinute: 1380}
+	operator.mustChange(t, &wire.Change{Operation: &wire.Change_PutClass{PutClass: class}})
+	team := &wire.Team{Name: "ledger", Quota: &wire.Size{MilliCpu: 1_000_000, MemoryMib: 1_000_000}}
+	operator.mustChange(t, &wire.Change{Operation: &wire.Change_PutTeam{PutTeam: team}})
+}
+
 func submit(t *testing.T, operator *client, tasks int32) {
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
