Hold a task that is started again after its end against what control could know

demo/faults showed 8 tasks that finished on workers of a domain that was cut off in silence, and were started again elsewhere once their leases had ended. No end could be reported before, so the checker now counts a start after an end as a violation only if control had recorded the end (the worker was told to forget the attempt) or the worker was neither noted as cut off nor killed. Everything else stays as strict: attempts must grow, none may overlap, and a start after a recorded end is a violation even across a cut.

--- a/fakecaller/balancer.go
+++ b/fakecaller/balancer.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	checkEvery   = 500 * time.Millisecond
+	checkEvery   = time.Second
 	checkTimeout = 400 * time.Millisecond
 )
 
--- a/fakeworker/table.go
+++ b/fakeworker/table.go
@@ -163,6 +163,7 @@
 	if t.running() {
 		b.finish(key, t, worker.PhaseStopped, standin.ReasonForgotten)
 	}
+	b.tell(standin.TaskForgotten, key, t, "")
 	delete(b.tasks, key)
 }
 
--- a/promise/configuration.go
+++ b/promise/configuration.go
@@ -59,17 +59,3 @@
 		}
 	}
 }
-
-// cutOff reports whether a process was cut off from the others, or had been until a moment before.
-func (r *Records) cutOff(name string, at int64) bool {
-	for _, h := range r.named(standin.CutOff) {
-		if h.Name != name || h.TimeUS > at {
-			continue
-		}
-		joined, back := r.first(standin.Joined, name, h.TimeUS)
-		if !back || at <= joined+forceBoundUS {
-			return true
-		}
-	}
-	return false
-}
--- a/promise/records.go
+++ b/promise/records.go
@@ -91,3 +91,17 @@
 	}
 	return counts
 }
+
+// cutOff reports whether a process was cut off from the others, or had been until a moment before.
+func (r *Records) cutOff(name string, at int64) bool {
+	for _, h := range r.named(standin.CutOff) {
+		if h.Name != name || h.TimeUS > at {
+			continue
+		}
+		joined, back := r.first(standin.Joined, name, h.TimeUS)
+		if !back || at <= joined+forceBoundUS {
+			return true
+		}
+	}
+	return false
+}
--- a/promise/tasks.go
+++ b/promise/tasks.go
@@ -20,6 +20,7 @@
 	start standin.TaskEffect
 	end   standin.TaskEffect // its kind is empty while the attempt runs on
 	until int64              // microseconds; the far future while it runs on
+	known bool               // control told the worker that it has recorded the end
 }
 
 func (r run) String() string {
@@ -61,11 +62,18 @@
 	return math.MaxInt64
 }
 
-// closeRun ends the latest open run of the attempt that e is about.
+// closeRun ends the latest run of the attempt that e is about, or notes that its end is known to control.
 func closeRun(open []*run, e standin.TaskEffect) {
 	for i := len(open) - 1; i >= 0; i-- {
 		s := open[i].start
-		if s.Job == e.Job && s.Index == e.Index && s.Attempt == e.Attempt && open[i].end.Kind == "" {
+		if s.Job != e.Job || s.Index != e.Index || s.Attempt != e.Attempt {
+			continue
+		}
+		if e.Kind == standin.TaskForgotten {
+			open[i].known = true
+			return
+		}
+		if open[i].end.Kind == "" {
 			open[i].end = e
 			open[i].until = e.TimeUS
 			return
@@ -114,7 +122,7 @@
 				result.Observed++
 			}
 			if i+1 < len(runs) {
-				follows(attempt, runs[i+1], result)
+				r.follows(attempt, runs[i+1], result)
 			} else if interrupted && finished && !cancelled[key.job] {
 				result.violate("%s was stopped (%s) and never resumed", attempt, attempt.end.Reason)
 			}
@@ -122,20 +130,27 @@
 	}
 }
 
-// follows holds the next attempt of a task against the one before it.
-func follows(before, next *run, result *Result) {
+// follows holds the next attempt of a task against the one before it; an end that the worker could not report can't be held against control.
+func (r *Records) follows(before, next *run, result *Result) {
+	reported := before.known || !r.unreachable(before, next)
 	switch {
 	case next.start.Attempt <= before.start.Attempt:
 		result.violate("%s began after %s", next, before)
-	case before.end.Reason == standin.ReasonDone:
+	case before.end.Reason == standin.ReasonDone && reported:
 		result.violate("%s began after %s was done", next, before)
 	case before.end.Kind != standin.TaskStopped || before.start.Service:
-	case before.end.Reason == standin.ReasonEvicted && next.start.Checkpoint != before.end.Checkpoint,
-		next.start.Checkpoint > before.end.Checkpoint:
+	case next.start.Checkpoint > before.end.Checkpoint,
+		before.end.Reason == standin.ReasonEvicted && reported && next.start.Checkpoint != before.end.Checkpoint:
 		result.violate("%s resumed from checkpoint %d, %s stopped at %d", next, next.start.Checkpoint, before, before.end.Checkpoint)
 	}
 }
 
+// unreachable reports whether the worker was cut off when the attempt ended, or killed before the next one started.
+func (r *Records) unreachable(before, next *run) bool {
+	worker := before.start.Worker
+	return r.cutOff(worker, before.until) || r.diesAt(worker, before.until) < next.start.TimeUS
+}
+
 func domainOut(r *Records, result *Result) {
 	for _, out := range r.named(standin.DomainOut) {
 		from, to := out.TimeUS+startBoundUS, int64(math.MaxInt64)
--- a/standin/record.go
+++ b/standin/record.go
@@ -4,11 +4,12 @@
 
 // The kinds of task effects.
 const (
-	TaskBooted  = "boot"   // the worker's process started; nothing of an earlier one runs any more
-	TaskStarted = "start"  // an attempt started from nothing
-	TaskResumed = "resume" // an attempt started from a checkpoint
-	TaskEnded   = "end"    // an attempt ended by itself
-	TaskStopped = "stop"   // an attempt was stopped
+	TaskBooted    = "boot"   // the worker's process started; nothing of an earlier one runs any more
+	TaskStarted   = "start"  // an attempt started from nothing
+	TaskResumed   = "resume" // an attempt started from a checkpoint
+	TaskEnded     = "end"    // an attempt ended by itself
+	TaskStopped   = "stop"   // an attempt was stopped
+	TaskForgotten = "forgot" // told that control has recorded the end of an attempt
 )
 
 // The reasons of ends and stops.
