Take the end of an attempt that its worker could only tell late

Cause: a worker cut off with its domain finished a task in its lease and could report that only after the lease's end. Control had queued the task again, dropped the report as one of an attempt that it no longer held, told the worker that the end was recorded, and later started the task again.

Change: a report of an attempt that ended and is no longer held becomes an event, and the state takes a late end, or a late stop with a newer checkpoint, as long as the task has not been started again; the attempt number stays the fencing token. TestOrdersForReportedTasks expected the report to be dropped; it now expects the event and its attempt.

Seen failing first: without the events (lease test), with a late end refused and with a late stop refused (state test). The random worlds of lease and state pass.

--- a/job/event.go
+++ b/job/event.go
@@ -26,8 +26,20 @@
 	return false
 }
 
+// queuedEvent also takes the end of an attempt that was thought lost, told late by its worker before the task started again.
 func (tb *Table) queuedEvent(j *job, at int, e *wire.TaskEvent) bool {
 	switch e.Kind {
+	case wire.TaskEventKind_TASK_EVENT_KIND_DONE:
+		if !j.tasks[at].Started {
+			return false
+		}
+		tb.end(j, at, wire.TaskState_TASK_STATE_DONE, "")
+	case wire.TaskEventKind_TASK_EVENT_KIND_STOPPED:
+		next := clone(j.tasks[at])
+		if !next.Started || !accept(next, e) {
+			return false
+		}
+		tb.requeue(j, at, next)
 	case wire.TaskEventKind_TASK_EVENT_KIND_CANNOT_RUN:
 		tb.end(j, at, wire.TaskState_TASK_STATE_CANNOT_RUN, e.Reason)
 	case wire.TaskEventKind_TASK_EVENT_KIND_GIVE_UP:
--- a/lease/receive.go
+++ b/lease/receive.go
@@ -42,7 +42,7 @@
 		return Outcome{Worker: announced(r.Worker)}
 	}
 	w.meet(held, r.Sequence)
-	o := Outcome{Events: w.events(r, held)}
+	o := Outcome{Events: append(w.events(r, held), lateEvents(r, held)...)}
 	if r.Leaving {
 		o.Events = append(o.Events, leavingEvents(held)...)
 		if idle(r, held) {
@@ -140,6 +140,21 @@
 	return events
 }
 
+// lateEvents returns what the report says of attempts that ended and that the state no longer holds; they still count for a task that was not started again.
+func lateEvents(r *wire.WorkerReport, held []state.Held) []*wire.TaskEvent {
+	known := make(map[state.Ref]bool, len(held))
+	for _, h := range held {
+		known[job.RefOf(h.Task)] = true
+	}
+	var events []*wire.TaskEvent
+	for _, report := range r.Tasks {
+		if ended(report.Phase) && !known[job.FromWire(report.Task)] {
+			events = append(events, endOf(report))
+		}
+	}
+	return events
+}
+
 // neverReceived reports whether an attempt that is missing from a report is surely unknown to its worker and must not be sent again.
 func (w *holder) neverReceived(t *wire.Task, sequence uint64) bool {
 	a := w.attempts[job.RefOf(t)]
@@ -157,9 +172,7 @@
 
 // reported returns the events of one task's report.
 func reported(t *wire.Task, r *wire.TaskReport) []*wire.TaskEvent {
-	e := &wire.TaskEvent{
-		Task: r.Task, Kind: r.Phase, Reason: r.Reason, Checkpoint: r.Checkpoint, CheckpointData: r.CheckpointData,
-	}
+	e := endOf(r)
 	if ended(r.Phase) {
 		return []*wire.TaskEvent{e}
 	}
@@ -175,6 +188,13 @@
 	return events
 }
 
+// endOf returns a report's phase as an event.
+func endOf(r *wire.TaskReport) *wire.TaskEvent {
+	return &wire.TaskEvent{
+		Task: r.Task, Kind: r.Phase, Reason: r.Reason, Checkpoint: r.Checkpoint, CheckpointData: r.CheckpointData,
+	}
+}
+
 // ended reports whether an attempt in that phase no longer runs.
 func ended(phase wire.TaskEventKind) bool {
 	switch phase {
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -127,8 +127,10 @@
 	r := report(record, 1, task(1, running), task(2, running), task(3, done))
 	held := holds(starting)
 	events := table.Receive(begin, r, held, record).Events
-	assert.Equal(t, len(events), 1)
+	assert.Equal(t, len(events), 2)
 	assert.Equal(t, events[0].Kind, running)
+	assert.Equal(t, events[1].Kind, done, "the end of an attempt that is no longer held")
+	assert.Equal(t, events[1].Task.Attempt, uint32(3))
 	throttles := map[state.Ref]int32{{Job: "j1", Attempt: 1}: 10}
 	forget, throttle := wire.OrderKind_ORDER_KIND_FORGET, wire.OrderKind_ORDER_KIND_THROTTLE
 	assert.DeepEqual(t, kinds(table.Answer(begin, r, held, in, throttles)), []wire.OrderKind{orderStop, forget})
--- a/promise/tasks.go
+++ b/promise/tasks.go
@@ -20,7 +20,7 @@
 	start standin.TaskEffect
 	end   standin.TaskEffect // its kind is empty while the attempt runs on
 	until int64              // microseconds; the far future while it runs on
-	known bool               // control told the worker that it has recorded the end
+	known int64              // when control told the worker that it has recorded the end; the far future if never
 }
 
 func (r run) String() string {
@@ -43,7 +43,7 @@
 			}
 			delete(open, e.Worker)
 		case isStart(e):
-			started := &run{start: e, until: r.diesAt(e.Worker, e.TimeUS)}
+			started := &run{start: e, until: r.diesAt(e.Worker, e.TimeUS), known: math.MaxInt64}
 			key := taskKey{e.Job, e.Index}
 			all[key] = append(all[key], started)
 			open[e.Worker] = append(open[e.Worker], started)
@@ -70,7 +70,7 @@
 			continue
 		}
 		if e.Kind == standin.TaskForgotten {
-			open[i].known = true
+			open[i].known = e.TimeUS
 			return
 		}
 		if open[i].end.Kind == "" {
@@ -132,7 +132,7 @@
 
 // follows holds the next attempt of a task against the one before it; an end that the worker could not report can't be held against control.
 func (r *Records) follows(before, next *run, result *Result) {
-	reported := before.known || !r.unreachable(before, next)
+	reported := before.known < next.start.TimeUS || !r.unreachable(before, next)
 	switch {
 	case next.start.Attempt <= before.start.Attempt:
 		result.violate("%s began after %s", next, before)
--- a/state/jobs_test.go
+++ b/state/jobs_test.go
@@ -72,6 +72,26 @@
 	assert.Equal(t, r.Job(id).Tasks[0].Checkpoint, uint64(3))
 }
 
+func TestEndToldLateCountsUntilTheTaskStartsAgain(t *testing.T) {
+	r := ready(t)
+	id := r.submit(t, "lots", 3)
+	for index := range int32(3) {
+		assert.Assert(t, r.start(id, index, 1, "w1"))
+		assert.Assert(t, r.tell(id, index, 1, running, 0, ""))
+		assert.Assert(t, r.tell(id, index, 1, workerLost, 0, ""))
+	}
+	assert.Assert(t, r.tell(id, 0, 1, done, 0, ""))
+	assert.Assert(t, !r.start(id, 0, 2, "w1"), "its effect would happen twice")
+	assert.Assert(t, r.tell(id, 1, 1, stopped, 4, "four"))
+	assert.Assert(t, !r.tell(id, 1, 1, stopped, 4, "again"))
+	assert.Assert(t, r.start(id, 2, 2, "w1"))
+	assert.Assert(t, !r.tell(id, 2, 1, done, 0, ""), "started again")
+	assert.DeepEqual(t, r.states(id), []wire.TaskState{
+		wire.TaskState_TASK_STATE_DONE, wire.TaskState_TASK_STATE_CHECKPOINTED, wire.TaskState_TASK_STATE_STARTING,
+	})
+	assert.Equal(t, string(r.Job(id).Tasks[1].CheckpointData), "four")
+}
+
 func TestCancelTellsWhatRan(t *testing.T) {
 	r := ready(t)
 	id, other := r.submit(t, "lots", 6), r.submit(t, "lots", 1)
