--- a/promise/tasks.go
+++ b/promise/tasks.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		if e.Kind == standin.TaskForgotten {
-			open[i].known = e.TimeUS
+			open[i].known = min(open[i].known, e.TimeUS)
 			return
 		}
 		if open[i].end.Kind == "" {
