Show the tail over all callers on the slide, not the worst sample's

Cause: the slide took the worst p99 of the samples that entries send each second; of 50 requests that is the maximum, so over ten seconds and six entries it showed about the p99.9 and better.

Change: a sample carries its histogram in HdrHistogram's own encoding (a new field 4 of ServiceSample), and the leader merges those of the window when the status is read. A sample without one counts as before.

--- a/caller/class.go
+++ b/caller/class.go
@@ -105,6 +105,9 @@
 		return nil
 	}
 	s := &wire.ServiceSample{Class: c.name, Requests: count, P99Us: c.histogram.ValueAtPercentile(p99)}
+	if latencies, err := c.histogram.EncodeV2(); err == nil {
+		s.Latencies = latencies // without them the sample still tells its own tail
+	}
 	c.median.Store(c.histogram.ValueAtPercentile(50))
 	c.setOrder(s.P99Us)
 	c.histogram.Reset()
--- a/measure/table.go
+++ b/measure/table.go
@@ -6,11 +6,14 @@
 	"time"
 
 	"daisyswitch/wire"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 const (
 	sampleWindow = 10 * time.Second
 	forgetEntry  = time.Hour
+	p99          = 99
 )
 
 // Table keeps what entries have said over a window.
@@ -27,15 +30,16 @@
 }
 
 type sample struct {
-	at       time.Time
-	requests int64
-	p99US    int64
+	at        time.Time
+	requests  int64
+	p99US     int64
+	latencies []byte
 }
 
 // Class is what callers of one class saw over the window.
 type Class struct {
 	Requests int64
-	P99US    int64 // the worst of the entries' tails, so never below the tail over all; microseconds
+	P99US    int64 // tail over all requests, microseconds
 }
 
 // New returns an empty table.
@@ -57,7 +61,7 @@
 	e.at = now
 	for _, s := range batch.Samples {
 		kept := recent(e.samples[s.Class], now)
-		e.samples[s.Class] = append(kept, sample{now, s.Requests, s.P99Us})
+		e.samples[s.Class] = append(kept, sample{now, s.Requests, s.P99Us, s.Latencies})
 	}
 }
 
@@ -70,18 +74,39 @@
 
 // Class returns what callers of a class saw.
 func (t *Table) Class(now time.Time, name string) Class {
+	var total Class
+	var all *hdrhistogram.Histogram
+	for _, s := range t.samples(now, name) {
+		total.Requests += s.requests
+		latencies, err := hdrhistogram.Decode(s.latencies)
+		switch {
+		case err != nil: // a sample without latencies can only raise the tail
+			total.P99US = max(total.P99US, s.p99US)
+		case all == nil:
+			all = latencies
+		default:
+			all.Merge(latencies)
+		}
+	}
+	if all != nil {
+		total.P99US = max(total.P99US, all.ValueAtPercentile(p99))
+	}
+	return total
+}
+
+// samples returns the window's samples of a class that measured anything.
+func (t *Table) samples(now time.Time, name string) []sample {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var total Class
+	var all []sample
 	for _, e := range t.entries {
 		for _, s := range recent(e.samples[name], now) {
-			total.Requests += s.requests
 			if s.requests > 0 {
-				total.P99US = max(total.P99US, s.p99US)
+				all = append(all, s)
 			}
 		}
 	}
-	return total
+	return all
 }
 
 // Entries returns every entry heard in the last hour, in order of name.
