--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -89,3 +89,11 @@
 		last = fault.Line
 	}
 }
+
+func TestPageTellsEveryDefaultAndRange(t *testing.T) {
+	page, err := os.ReadFile("../docs/operators/settings.md")
+	assert.NilError(t, err)
+	for key, row := range settings.Rows() {
+		assert.Assert(t, strings.Contains(string(page), row), "%s: no row begins with %s", key, row)
+	}
+}
