--- a/promise/records.go
+++ b/promise/records.go
@@ -92,14 +92,18 @@
 	return counts
 }
 
-// cutOff reports whether a process was cut off from the others, or had been until a moment before.
+// cutOff reports whether a process was cut off from the others or frozen, or had been until a moment before.
 func (r *Records) cutOff(name string, at int64) bool {
-	for _, h := range r.named(standin.CutOff) {
+	return r.away(standin.CutOff, standin.Joined, name, at) || r.away(standin.Frozen, standin.Thawed, name, at)
+}
+
+func (r *Records) away(from, to, name string, at int64) bool {
+	for _, h := range r.named(from) {
 		if h.Name != name || h.TimeUS > at {
 			continue
 		}
-		joined, back := r.first(standin.Joined, name, h.TimeUS)
-		if !back || at <= joined+forceBoundUS {
+		back, isBack := r.first(to, name, h.TimeUS)
+		if !isBack || at <= back+forceBoundUS {
 			return true
 		}
 	}
--- a/promise/tasks.go
+++ b/promise/tasks.go
@@ -7,7 +7,10 @@
 	"daisyswitch/standin"
 )
 
-const startBoundUS = 3 * secondUS // after a domain was taken out
+const (
+	startBoundUS = 3 * secondUS // after a domain was taken out
+	thawUS       = secondUS     // for a worker to see that its lease ended while it was frozen
+)
 
 // taskKey names a task across its attempts.
 type taskKey struct {
@@ -48,7 +51,7 @@
 			all[key] = append(all[key], started)
 			open[e.Worker] = append(open[e.Worker], started)
 		default:
-			closeRun(open[e.Worker], e)
+			r.closeRun(open[e.Worker], e)
 		}
 	}
 	return all
@@ -63,7 +66,7 @@
 }
 
 // closeRun ends the latest run of the attempt that e is about, or notes that its end is known to control.
-func closeRun(open []*run, e standin.TaskEffect) {
+func (r *Records) closeRun(open []*run, e standin.TaskEffect) {
 	for i := len(open) - 1; i >= 0; i-- {
 		s := open[i].start
 		if s.Job != e.Job || s.Index != e.Index || s.Attempt != e.Attempt {
@@ -75,12 +78,26 @@
 		}
 		if open[i].end.Kind == "" {
 			open[i].end = e
-			open[i].until = e.TimeUS
+			open[i].until = r.ranUntil(e)
 			return
 		}
 	}
 }
 
+// ranUntil returns when an attempt really ended: one whose lease ended while its worker was frozen did nothing after that.
+func (r *Records) ranUntil(e standin.TaskEffect) int64 {
+	if e.Reason != standin.ReasonLeaseEnd {
+		return e.TimeUS
+	}
+	for _, h := range r.named(standin.Frozen) {
+		thawed, on := r.first(standin.Thawed, h.Name, h.TimeUS)
+		if h.Name == e.Worker && on && thawed <= e.TimeUS && e.TimeUS <= thawed+thawUS {
+			return h.TimeUS
+		}
+	}
+	return e.TimeUS
+}
+
 func capacity(r *Records, result *Result) {
 	for _, e := range r.Tasks {
 		if !isStart(e) {
--- a/standin/record.go
+++ b/standin/record.go
@@ -97,6 +97,8 @@
 	ConfigSeen     = "config_seen"     // an entry had a configuration version in force
 	CutOff         = "cut_off"         // a process can't reach the others any more
 	Joined         = "joined"          // it can again
+	Frozen         = "frozen"          // a process was halted as a whole
+	Thawed         = "thawed"          // it goes on
 	JobCancelled   = "job_cancelled"   // operators cancelled a job
 	TaskNotRun     = "task_not_run"    // control said that a task never ran
 	Finished       = "finished"        // all jobs were given time to finish
