--- a/fleet/task.go
+++ b/fleet/task.go
@@ -71,7 +71,6 @@
 	Credited bool        // this attempt has run long enough to speak for its worker
 	Latency  bool        // its worker reports its tail latency
 	Ratio    float64     // services: smoothed logarithm of tail latency over target
-	Offset   float64     // services: smoothed part of it that the table does not foresee
 	Throttle int32       // percent
 
 	slot       int32 // position among its worker's tasks
@@ -154,5 +153,5 @@
 // ForgetMeasurements drops what was measured of an attempt that has ended.
 func (t *Task) ForgetMeasurements() {
 	t.Used, t.Peak, t.Load, t.Measured = resource.Size{}, sizing.Peak{}, sizing.Peak{}, time.Time{}
-	t.Ratio, t.Offset, t.Sampled, t.Credited = 0, 0, false, false
+	t.Ratio, t.Sampled, t.Credited = 0, false, false
 }
--- a/place/bench_test.go
+++ b/place/bench_test.go
@@ -14,8 +14,8 @@
 // The two-year size of one group of workers.
 const (
 	benchWorkers = 1700
-	benchTasks   = 35100
-	benchJob     = 27 // tasks of a job
+	benchTasks   = 35126 // 35,100 and the rest of the last job
+	benchJob     = 27    // tasks of a job
 )
 
 // full returns a placer that knows benchWorkers with a replica each, and benchTasks in all that run and were reported.
@@ -28,25 +28,34 @@
 	for n := 0; n < benchTasks-benchWorkers; n += benchJob {
 		s.submit(&wire.Job{Team: fmt.Sprint("t", n%7), Program: fmt.Sprint("p", n%20), Size: size(2, 8, 0), Tasks: benchJob})
 	}
-	for len(s.decide(time.Second).Starts) > 0 {
+	for range 100 {
+		s.decide(time.Second)
+		if reportAll(s) == benchTasks {
+			return s
+		}
+	}
+	b.Fatalf("only %d of %d tasks run", reportAll(s), benchTasks)
+	return nil
+}
+
+// reportAll tells of every worker, and returns how many tasks run.
+func reportAll(s *state) (running int) {
+	held := map[string]*wire.WorkerReport{}
+	for name, r := range s.workers {
+		held[name] = &wire.WorkerReport{Worker: r}
 	}
-	held := map[string][]*wire.TaskReport{}
-	running := 0
 	for _, list := range s.tasks {
 		for _, t := range list {
-			if t.Worker != "" {
+			if r := held[t.Worker]; r != nil {
 				running++
-				held[t.Worker] = append(held[t.Worker], &wire.TaskReport{Task: &wire.TaskRef{Job: t.Job, Index: t.Index, Attempt: t.Attempt}, Used: size(1, 4, 0), P99Us: 500, ProgressPpm: 900000})
+				r.Tasks = append(r.Tasks, &wire.TaskReport{Task: &wire.TaskRef{Job: t.Job, Index: t.Index, Attempt: t.Attempt}, Used: size(1, 4, 0), P99Us: 500})
 			}
 		}
 	}
-	if running < benchTasks {
-		b.Fatalf("only %d of %d tasks run", running, benchTasks)
-	}
-	for name, r := range s.workers {
-		s.Observe(s.now, &wire.WorkerReport{Worker: r, Sequence: 4, Tasks: held[name]})
+	for _, r := range held {
+		s.Observe(s.now, r)
 	}
-	return s
+	return running
 }
 
 // BenchmarkDecide starts tasks on one core, as many as end; ns/op is for one start.
@@ -84,9 +93,9 @@
 func BenchmarkObserve(b *testing.B) {
 	s := full(b)
 	w := s.workers["w1"]
-	r := &wire.WorkerReport{Worker: w, Sequence: 4}
+	r := &wire.WorkerReport{Worker: w}
 	for _, t := range s.on("w1") {
-		r.Tasks = append(r.Tasks, &wire.TaskReport{Task: &wire.TaskRef{Job: t.Job, Index: t.Index, Attempt: t.Attempt}, Used: size(1, 4, 0), P99Us: 500, ProgressPpm: 900000})
+		r.Tasks = append(r.Tasks, &wire.TaskReport{Task: &wire.TaskRef{Job: t.Job, Index: t.Index, Attempt: t.Attempt}, Used: size(1, 4, 0), P99Us: 500})
 	}
 	for b.Loop() {
 		s.now = s.now.Add(time.Second)
--- a/place/choose.go
+++ b/place/choose.go
@@ -11,10 +11,13 @@
 func (r *round) choose(t *fleet.Task, size resource.Size) *fleet.Worker {
 	var best *fleet.Worker
 	bestScore, found := math.Inf(-1), false
-	spread := spreadOf(t.Job)
+	limit, spread := r.options.Candidates, spreadOf(t.Job)
+	if spread != nil {
+		limit = r.options.SpreadCandidates
+	}
 	domains, all := r.allowed(t.Job, spread)
 	for _, each := range domains {
-		r.candidates(each, size, func(w *fleet.Worker) {
+		r.candidates(each, size, limit, func(w *fleet.Worker) {
 			found = true
 			if score := r.score(t, w, size, spread); score > bestScore {
 				best, bestScore = w, score
@@ -27,15 +30,15 @@
 	return best
 }
 
-// candidates calls f for some workers of a domain that have room, beginning anywhere.
-func (r *round) candidates(each *fleet.Domain, size resource.Size, f func(*fleet.Worker)) {
+// candidates calls f for at most so many workers of a domain that have room, beginning anywhere.
+func (r *round) candidates(each *fleet.Domain, size resource.Size, limit int, f func(*fleet.Worker)) {
 	length := each.Rooms.Len()
 	if length == 0 {
 		return
 	}
 	begin := r.random.IntN(length)
 	at, wrapped := begin, false
-	for range r.options.Candidates {
+	for range limit {
 		slot := each.Rooms.Next(size, at)
 		if slot < 0 && !wrapped {
 			wrapped = true
@@ -112,35 +115,24 @@
 		workerWeight*float64(s.workers[w])
 }
 
-// fitWeight sets how much tight packing counts beside interference.
-const fitWeight = 0.1
-
 // score says how well a worker suits a task: higher is better, and minus infinity that it must not start there.
 func (r *round) score(t *fleet.Task, w *fleet.Worker, size resource.Size, s *spread) float64 {
-	if t.FailedOn == w || t.Job.Class.Service() && w.Blame.Suspended() {
+	service := t.Job.Class.Service()
+	if t.FailedOn == w || service && w.Blame.Suspended() {
 		return math.Inf(-1)
 	}
-	if t.Job.Class.Service() {
-		return s.score(w) + w.Share(w.Free.MilliCPU)
-	}
-	score := fitWeight * fit(w, size)
+	score := 0.0
 	if s != nil {
 		score += s.score(w)
 	}
+	if size.Accelerators == 0 {
+		score -= float64(w.Free.Accelerators) // they are kept for work that needs them
+	}
+	if service {
+		return score + w.Share(w.Free.MilliCPU)
+	}
 	if r.ideas.pairs {
 		score -= r.usage.Burden(t.Job, w, w.Share(size.MilliCPU))
 	}
 	return score
 }
-
-// fit prefers little and balanced room left over, and keeps accelerators free of work that needs none.
-func fit(w *fleet.Worker, size resource.Size) float64 {
-	left := w.Free.Sub(size)
-	cpu := w.Share(left.MilliCPU)
-	memory := float64(left.MemoryMiB) / float64(max(1, w.Capacity.MemoryMiB))
-	score := -cpu - memory - math.Abs(cpu-memory)
-	if size.Accelerators == 0 {
-		score -= float64(w.Capacity.Accelerators)
-	}
-	return score
-}
--- a/place/place.go
+++ b/place/place.go
@@ -15,31 +15,33 @@
 
 // Options holds what a placer is tuned by; a zero field takes its default.
 type Options struct {
-	Seed          uint64        // of the random choice among workers
-	MaxStarts     int           // per Decide
-	MaxEvents     int           // per Decide
-	Candidates    int           // workers of a domain compared for one start
-	BlockedJobs   int           // jobs of one lane passed over in one Decide because they do not fit
-	DecideTimeout time.Duration // how long a decision waits for its transition before it is taken back
-	Settle        time.Duration // without a new kind of worker, after which all workers are taken as known
-	Return        time.Duration // how long a worker that is gone is expected back
-	Keep          time.Duration // how long room that is being made is kept for the task that it is made for
-	Blame         blame.Options
-	Interference  interference.Options
-	Pressure      pressure.Options
-	Usage         usage.Options
+	Seed             uint64        // of the random choice among workers
+	MaxStarts        int           // per Decide
+	MaxEvents        int           // per Decide
+	Candidates       int           // workers of a domain compared for one start
+	SpreadCandidates int           // the same for a job that is spread
+	BlockedJobs      int           // jobs of one lane passed over in one Decide because they do not fit
+	DecideTimeout    time.Duration // how long a decision waits for its transition before it is taken back
+	Settle           time.Duration // without a new kind of worker, after which all workers are taken as known
+	Return           time.Duration // how long a worker that is gone is expected back
+	Keep             time.Duration // how long room that is being made is kept for the task that it is made for
+	Blame            blame.Options
+	Interference     interference.Options
+	Pressure         pressure.Options
+	Usage            usage.Options
 }
 
 var defaults = Options{
-	Seed:          1,
-	MaxStarts:     512,
-	MaxEvents:     2048,
-	Candidates:    8,
-	BlockedJobs:   16,
-	DecideTimeout: 5 * time.Second,
-	Settle:        15 * time.Second,
-	Return:        time.Hour,
-	Keep:          10 * time.Second,
+	Seed:             1,
+	MaxStarts:        512,
+	MaxEvents:        2048,
+	Candidates:       4,
+	SpreadCandidates: 64,
+	BlockedJobs:      16,
+	DecideTimeout:    5 * time.Second,
+	Settle:           15 * time.Second,
+	Return:           time.Hour,
+	Keep:             10 * time.Second,
 }
 
 func (o Options) withDefaults() Options {
@@ -47,6 +49,7 @@
 	o.MaxStarts = cmp.Or(o.MaxStarts, defaults.MaxStarts)
 	o.MaxEvents = cmp.Or(o.MaxEvents, defaults.MaxEvents)
 	o.Candidates = cmp.Or(o.Candidates, defaults.Candidates)
+	o.SpreadCandidates = cmp.Or(o.SpreadCandidates, defaults.SpreadCandidates)
 	o.BlockedJobs = cmp.Or(o.BlockedJobs, defaults.BlockedJobs)
 	o.DecideTimeout = cmp.Or(o.DecideTimeout, defaults.DecideTimeout)
 	o.Settle = cmp.Or(o.Settle, defaults.Settle)
--- a/place/reserve.go
+++ b/place/reserve.go
@@ -43,7 +43,7 @@
 		return
 	}
 	begin := r.random.IntN(length)
-	for i := range min(length, r.options.Candidates) {
+	for i := range min(length, r.options.SpreadCandidates) {
 		if w := each.Workers[(begin+i)%length]; w != nil {
 			f(w)
 		}
--- a/usage/headroom.go
+++ b/usage/headroom.go
@@ -13,19 +13,18 @@
 // headroomFloor keeps the price of a service's last headroom finite.
 const headroomFloor = 0.02
 
-// Burden is what a job's task of some share of the processors would cost on a worker: the part of the services' headroom that it takes, its own slowdown and that of the batch beside it. It is infinite if a service would be planned past its guard, or too much beside it is not measured yet.
+// Burden is how much of the services' headroom on a worker a job's task of some share of the processors would take. It is infinite if a service would be planned past its guard, or too much beside it is not measured yet.
 func (u *Reader) Burden(j *fleet.Job, w *fleet.Worker, share float64) float64 {
 	sum, unmeasured, services := 0.0, 0.0, false
 	for _, t := range w.Tasks {
-		takes := u.fleet.Table.Cost(t.Job.Program, j.Program).Mean * share
 		if !t.Job.Class.Service() {
-			sum += takes
 			if t.Measured.IsZero() {
 				unmeasured += w.Share(t.Committed.MilliCPU)
 			}
 			continue
 		}
 		services = true
+		takes := u.fleet.Table.Cost(t.Job.Program, j.Program).Mean * share
 		left := u.headroom(t) - takes
 		if left < 0 && !j.Urgent {
 			return math.Inf(1)
@@ -35,9 +34,6 @@
 	if services && !j.Urgent && unmeasured > 0 && unmeasured+share > u.Pace {
 		return math.Inf(1)
 	}
-	for _, n := range u.neighbors(w) {
-		sum += u.fleet.Table.Cost(j.Program, n.Program).Mean * n.Share
-	}
 	return sum
 }
 
@@ -51,7 +47,7 @@
 	if _, known := u.fleet.Table.Base(t.Job.Program, level); !known {
 		return unknownHeadroom
 	}
-	foreseen := u.fleet.Table.Predict(t.Job.Program, level, u.neighbors(t.Worker)) + t.Offset
+	foreseen := u.fleet.Table.Predict(t.Job.Program, level, u.neighbors(t.Worker))
 	return math.Log(float64(target)) + guard - foreseen
 }
 
--- a/usage/reader.go
+++ b/usage/reader.go
@@ -24,12 +24,8 @@
 var defaults = Options{Warmup: 20 * time.Second, PeakHalf: 5 * time.Minute, LoadHalf: time.Minute, Pace: 0.2}
 
 const (
-	creditAfter  = time.Minute // of running, after which an attempt speaks for its worker
-	batchEvery   = 4           // reports of a worker of which one teaches about batch
-	smoothing    = 0.5         // weight of a new reading of tail latency
-	offsetWeight = 0.1         // weight of a new reading in what the table does not foresee
-	offsetBound  = 0.3         // logarithm
-	partsInAll   = 1e6         // progress is told in parts per million
+	creditAfter = time.Minute // of running, after which an attempt speaks for its worker
+	smoothing   = 0.5         // weight of a new reading of tail latency
 )
 
 // Reader takes reports into a fleet; it is used from one goroutine.
@@ -38,8 +34,8 @@
 	Credit   func(*fleet.Worker) // an attempt has run on the worker for long enough to speak for it
 	Outgrown []*fleet.Task       // whose size is to change; emptied by whoever changes it
 
-	fleet          *fleet.Fleet
-	shares, others []interference.Share // reused between reports
+	fleet  *fleet.Fleet
+	shares []interference.Share // of the batch programs in the report being read
 }
 
 // New returns a reader for a fleet.
@@ -58,16 +54,12 @@
 		return nil
 	}
 	u.measure(w, r)
-	teachBatch := r.GetSequence()%batchEvery == 0
 	for _, each := range r.GetTasks() {
-		t := u.reported(w, each)
-		if t == nil {
+		if each.GetP99Us() <= 0 {
 			continue
 		}
-		if t.Job.Class.Service() {
-			u.learnLatency(t, each.GetP99Us())
-		} else if teachBatch {
-			u.learnProgress(t, each)
+		if t := u.reported(w, each); t != nil && t.Job.Class.Service() {
+			u.learn(t, each.GetP99Us())
 		}
 	}
 	return w
@@ -161,21 +153,16 @@
 	}
 }
 
-func (u *Reader) learnLatency(t *fleet.Task, p99 int64) {
+// learn takes one reading of a replica's tail latency into the table, and its distance from the target.
+func (u *Reader) learn(t *fleet.Task, p99 int64) {
 	target := t.Job.Class.GetTargetP99Us()
-	if p99 <= 0 || target <= 0 {
+	if target <= 0 {
 		return
 	}
 	t.Latency = true
-	table := u.fleet.Table
 	reading := math.Log(float64(p99))
 	level := interference.Level(float64(t.Used.MilliCPU))
-	if _, known := table.Base(t.Job.Program, level); known {
-		missed := reading - table.Predict(t.Job.Program, level, u.shares)
-		t.Offset += offsetWeight * (missed - t.Offset)
-		t.Offset = min(offsetBound, max(-offsetBound, t.Offset))
-	}
-	table.Learn(t.Job.Program, level, u.shares, reading)
+	u.fleet.Table.Learn(t.Job.Program, level, u.shares, reading)
 	take(t, reading-math.Log(float64(target)))
 }
 
@@ -187,17 +174,3 @@
 	}
 	t.Ratio += smoothing * (reading - t.Ratio)
 }
-
-func (u *Reader) learnProgress(t *fleet.Task, r *wire.TaskReport) {
-	if r.GetProgressPpm() <= 0 || r.GetThrottlePercent() != t.Throttle {
-		return
-	}
-	progress := float64(r.GetProgressPpm()) / partsInAll / (1 - float64(t.Throttle)/100)
-	u.others = append(u.others[:0], u.shares...)
-	for i := range u.others {
-		if u.others[i].Program == t.Job.Program {
-			u.others[i].Share = max(0, u.others[i].Share-t.Worker.Share(t.Used.MilliCPU))
-		}
-	}
-	u.fleet.Table.Learn(t.Job.Program, 0, u.others, -math.Log(progress))
-}
