--- a/place/decide.go
+++ b/place/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"daisyswitch/fleet"
@@ -93,8 +94,7 @@
 	if !withinQuota(j.Team, size) {
 		return false
 	}
-	if w := t.Reserved; w != nil && w.Domain != nil && !w.Domain.Out && w.Kept().Fits(w.Free) {
-		r.start(t, w, w.Kept())
+	if r.startReserved(t) {
 		return true
 	}
 	if !r.knownFull(size) {
@@ -109,6 +109,22 @@
 	return false
 }
 
+// startReserved starts a task on the worker where room was made for it, and gives a room up that will not come to be.
+func (r *round) startReserved(t *fleet.Task) bool {
+	w := t.Reserved
+	if w == nil {
+		return false
+	}
+	if w.Domain != nil && !w.Domain.Out && w.Kept().Fits(w.Free) {
+		r.start(t, w, w.Kept())
+		return true
+	}
+	if !slices.ContainsFunc(w.Tasks, (*fleet.Task).Stopping) {
+		r.fleet.Unreserve(t)
+	}
+	return false
+}
+
 // startSize is what a task is committed with: what is expected of it, as far as any worker can hold it.
 func (p *Placer) startSize(j *fleet.Job) resource.Size {
 	if !p.ideas.forecast {
