Relieve overloaded workers, and search among workers only so often

Change: beside a service on a worker whose processors are all used, any batch counts; nothing is given back that would overload; such readings teach no pair costs. A Decide spends bounded effort on a lane, 64 for a search among workers. Throttles are told as changes, since control decides every 20 ms. A new leader waits the settling time before it says that a job cannot run, and counts workers that are gone.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -75,6 +75,17 @@
 	}
 }
 
+// SetNow takes the time; what was told before the first time is taken as told then.
+func (f *Fleet) SetNow(now time.Time) {
+	if f.Now.IsZero() {
+		f.Changed = now
+		for _, s := range f.Shapes {
+			s.Gone = now
+		}
+	}
+	f.Now = now
+}
+
 // SetConfiguration takes the accepted classes, teams and domains; what it no longer names has no target, no quota and is in.
 func (f *Fleet) SetConfiguration(c *wire.Configuration) {
 	for name, known := range f.Classes {
--- a/fleet/lane.go
+++ b/fleet/lane.go
@@ -13,7 +13,7 @@
 	Urgent   bool
 	Distance float64 // of the class from its target, as of this round
 	Share    float64 // of the team, as of this round
-	Blocked  int     // jobs passed over in this round
+	Effort   int     // spent on jobs that could not start in this round
 
 	first, last *Job
 	cursor      *Job // what the next round begins with, nil for the first
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -22,7 +22,7 @@
 
 	Shares []interference.Share // of the batch programs on it, kept by package usage
 	Stale  bool                 // Shares are to be counted again
-	Memory int64                // in use as last measured, MiB
+	Used   resource.Size        // as last measured, of all its tasks
 
 	Pressed bool      // on the list of package pressure
 	Stepped time.Time // last step of relief
@@ -44,6 +44,7 @@
 		f.leave(w)
 	}
 	if r.GetGone() {
+		f.countShape(capacity, 0)
 		f.dropIfEmpty(w)
 		return
 	}
@@ -203,6 +204,19 @@
 	f.Offer(t.Worker)
 }
 
+// Overloaded reports whether the worker's processors are all in use, so that its tasks hinder each other whatever they are.
+func (w *Worker) Overloaded() bool {
+	return w.Spare() < 0
+}
+
+// Spare is the share of the worker's processors that may still be used before it is overloaded.
+func (w *Worker) Spare() float64 {
+	return overload - w.Share(w.Used.MilliCPU)
+}
+
+// overload is the share of a worker's processors in use.
+const overload = 0.95
+
 // Share returns the share of the worker's processors that an amount is.
 func (w *Worker) Share(milliCPU int64) float64 {
 	return float64(milliCPU) / float64(max(1, w.Capacity.MilliCPU))
--- a/place/choose.go
+++ b/place/choose.go
@@ -9,6 +9,7 @@
 
 // choose returns the best of some workers with room for a task, or nil.
 func (r *round) choose(t *fleet.Task, size resource.Size) *fleet.Worker {
+	r.searches++
 	var best *fleet.Worker
 	bestScore, found := math.Inf(-1), false
 	limit, spread := r.options.Candidates, spreadOf(t.Job)
--- a/place/decide.go
+++ b/place/decide.go
@@ -12,7 +12,7 @@
 
 // Decide returns what should happen next; its time is bounded by the limits in Options and by what was measured since the last, however long the queues are.
 func (p *Placer) Decide(now time.Time) Decisions {
-	p.fleet.Now = now
+	p.fleet.SetNow(now)
 	p.events = nil
 	p.expire()
 	p.giveUp()
@@ -26,10 +26,14 @@
 // round is the starting of tasks in one Decide.
 type round struct {
 	*Placer
-	starts []*wire.Start
-	full   []resource.Size // sizes that fit nowhere now
+	starts   []*wire.Start
+	full     []resource.Size // sizes that fit nowhere now
+	searches int             // among workers
 }
 
+// searchEffort is what a search among workers costs, with 1 for a job that is passed over without one.
+const searchEffort = 64
+
 // laneHeap orders lanes by who is served first.
 type laneHeap []*fleet.Lane
 
@@ -55,7 +59,7 @@
 		if l.Empty() {
 			continue
 		}
-		l.Distance, l.Share, l.Blocked = r.fleet.Distance(l.Class), r.fleet.Dominant(l.Team), 0
+		l.Distance, l.Share, l.Effort = r.fleet.Distance(l.Class), r.fleet.Dominant(l.Team), 0
 		lanes = append(lanes, l)
 	}
 	heap.Init(&lanes)
@@ -76,11 +80,12 @@
 	if j == nil {
 		return false
 	}
+	searches := r.searches
 	if r.startOne(j) {
 		return !l.Done()
 	}
-	l.Blocked++
-	return l.Pass() && l.Blocked < r.options.BlockedJobs
+	l.Effort += 1 + searchEffort*(r.searches-searches)
+	return l.Pass() && l.Effort < r.options.Effort
 }
 
 // startOne decides about the first waiting task of a job, and reports whether it left the queue.
--- a/place/place.go
+++ b/place/place.go
@@ -20,7 +20,7 @@
 	MaxEvents        int           // per Decide
 	Candidates       int           // workers of a domain compared for one start
 	SpreadCandidates int           // the same for a job that is spread
-	BlockedJobs      int           // jobs of one lane passed over in one Decide because they do not fit
+	Effort           int           // spent on one lane in one Decide: searchEffort for a search among workers, 1 for a job passed over without one
 	DecideTimeout    time.Duration // how long a decision waits for its transition before it is taken back
 	Settle           time.Duration // without a new kind of worker, after which all workers are taken as known
 	Return           time.Duration // how long a worker that is gone is expected back
@@ -37,7 +37,7 @@
 	MaxEvents:        2048,
 	Candidates:       4,
 	SpreadCandidates: 64,
-	BlockedJobs:      16,
+	Effort:           1024,
 	DecideTimeout:    5 * time.Second,
 	Settle:           15 * time.Second,
 	Return:           time.Hour,
@@ -50,7 +50,7 @@
 	o.MaxEvents = cmp.Or(o.MaxEvents, defaults.MaxEvents)
 	o.Candidates = cmp.Or(o.Candidates, defaults.Candidates)
 	o.SpreadCandidates = cmp.Or(o.SpreadCandidates, defaults.SpreadCandidates)
-	o.BlockedJobs = cmp.Or(o.BlockedJobs, defaults.BlockedJobs)
+	o.Effort = cmp.Or(o.Effort, defaults.Effort)
 	o.DecideTimeout = cmp.Or(o.DecideTimeout, defaults.DecideTimeout)
 	o.Settle = cmp.Or(o.Settle, defaults.Settle)
 	o.Return = cmp.Or(o.Return, defaults.Return)
@@ -73,7 +73,7 @@
 type Decisions struct {
 	Starts    []*wire.Start     // urgent first, then by distance from target
 	Events    []*wire.TaskEvent // STOPPING to evict, RESIZE, CANNOT_RUN, GIVE_UP
-	Throttles []Throttle        // all that are throttled now, and with 0 those just released
+	Throttles []Throttle        // those that changed since the last Decide
 }
 
 // Placer holds what the policy knows; it is used from one goroutine, and is rebuilt on a new leader by telling it everything again.
@@ -124,7 +124,7 @@
 
 // Observe takes one worker's measurements, which lag behind what the worker does.
 func (p *Placer) Observe(now time.Time, r *wire.WorkerReport) {
-	p.fleet.Now = now
+	p.fleet.SetNow(now)
 	if w := p.usage.Observe(r); w != nil {
 		p.pressure.Assess(w)
 	}
@@ -132,7 +132,7 @@
 
 // ObserveService takes what an entry of the domain measured of one service class since its last sample.
 func (p *Placer) ObserveService(now time.Time, domain string, s *wire.ServiceSample) {
-	p.fleet.Now = now
+	p.fleet.SetNow(now)
 	for _, w := range p.usage.ObserveService(domain, s) {
 		p.pressure.Assess(w)
 	}
--- a/place/rules_test.go
+++ b/place/rules_test.go
@@ -47,12 +47,15 @@
 	assert.DeepEqual(t, startsOf(s.decide(second)), []string{"j0"})
 }
 
-// TestCannotRun: a job too large for every worker is told so once all are known, holds nothing up, and one that fits only a domain that is out waits for it.
+// TestCannotRun: a job too large for every worker is told so once all are known, holds nothing up, one that fits only a domain that is out waits for it, and one that fits only a worker that is gone for an hour.
 func TestCannotRun(t *testing.T) {
-	s := newState(Options{BlockedJobs: 2}, batchClass).add(2, size(8, 8, 0), "a").add(1, size(32, 8, 0), "b")
+	s := newState(Options{Effort: 200}, batchClass).add(2, size(8, 8, 0), "a").add(1, size(32, 8, 0), "b")
 	s.out("b", true)
+	gone := &wire.WorkerRecord{Name: "gone", Domain: "a", Capacity: size(1, 1, 1), Gone: true}
+	s.SetWorker(gone)
 	s.decide(0)
 	s.decide(20 * second)
+	s.submit(&wire.Job{Size: size(1, 1, 1)})
 	for range 5 {
 		s.submit(&wire.Job{Size: size(1, 64, 0)})
 	}
@@ -61,10 +64,12 @@
 	d := s.decide(second)
 	assert.Equal(t, len(d.Events), 5)
 	assert.Equal(t, d.Events[0].Kind, wire.TaskEventKind_TASK_EVENT_KIND_CANNOT_RUN)
-	assert.DeepEqual(t, startsOf(d), []string{"j6"})
-	assert.Equal(t, s.Why("j5", 0), "fits only workers in domains that are out")
+	assert.DeepEqual(t, startsOf(d), []string{"j7"})
+	assert.Equal(t, s.Why("j6", 0), "fits only workers in domains that are out")
+	assert.Equal(t, s.Why("j0", 0), "fits only workers that are gone")
 	s.out("b", false)
-	assert.DeepEqual(t, startsOf(s.decide(second)), []string{"j5"})
+	assert.DeepEqual(t, startsOf(s.decide(second)), []string{"j6"})
+	assert.Equal(t, len(s.decide(time.Hour).Events), 1)
 }
 
 // TestBadJob: a job that fails on three workers that run others well is given up, no worker is suspended for it, and the others' tasks all run.
@@ -163,7 +168,7 @@
 	s.submit(&wire.Job{Class: "service", Program: "s", Size: size(4, 4, 0)})
 	s.submit(&wire.Job{Program: "b", Size: size(4, 4, 0), Tasks: 2})
 	s.decide(second)
-	latency := int64(700)
+	latency, taken := int64(700), map[int32]int{}
 	reports := func(n int) (throttles, evictions []int) {
 		for at := range n {
 			s.report("w0", func(*wire.Task) (*wire.Size, int64) { return size(4, 4, 0), latency })
@@ -177,7 +182,10 @@
 			}
 			sum := 0
 			for _, each := range d.Throttles {
-				sum += int(each.Percent)
+				taken[each.Index] = int(each.Percent)
+			}
+			for _, each := range taken {
+				sum += each
 			}
 			throttles = append(throttles, sum)
 		}
--- a/pressure/gauge.go
+++ b/pressure/gauge.go
@@ -40,10 +40,9 @@
 	Options
 	Evict func(t *fleet.Task, reason string) // checkpoints and stops batch
 
-	fleet     *fleet.Fleet
-	pressed   []*fleet.Worker // measured since the last Relieve, and with something to relieve or to give back
-	throttled []*fleet.Task
-	released  []Throttle // since the last Throttles
+	fleet   *fleet.Fleet
+	pressed []*fleet.Worker // measured since the last Relieve, and with something to relieve or to give back
+	changed []Throttle      // since the last Throttles
 }
 
 // New returns a gauge for a fleet.
@@ -71,7 +70,7 @@
 }
 
 func short(w *fleet.Worker) bool {
-	return float64(w.Memory) > memoryLimit*float64(w.Capacity.MemoryMiB)
+	return float64(w.Used.MemoryMiB) > memoryLimit*float64(w.Capacity.MemoryMiB)
 }
 
 // Relieve takes one step on each noted worker whose last step is a measurement lag ago.
@@ -178,9 +177,16 @@
 
 // effect is how much a task is believed to add to the logarithm of a service's tail latency now.
 func (g *Gauge) effect(service, t *fleet.Task) float64 {
-	return g.fleet.Table.Cost(service.Job.Program, t.Job.Program).Mean * t.Worker.Share(t.Used.MilliCPU)
+	cost := g.fleet.Table.Cost(service.Job.Program, t.Job.Program).Mean
+	if t.Worker.Overloaded() {
+		cost += overloadCost
+	}
+	return cost * t.Worker.Share(t.Used.MilliCPU)
 }
 
+// overloadCost is what any batch on the whole of an overloaded worker adds to the logarithm of tail latency.
+const overloadCost = 2
+
 func (g *Gauge) higher(now int32) int32 {
 	for _, step := range g.Steps {
 		if step > now {
@@ -211,12 +217,15 @@
 	if service != nil {
 		slices.SortStableFunc(list, func(a, b *fleet.Task) int { return cmp.Compare(g.effect(service, a), g.effect(service, b)) })
 	}
+	spare := w.Spare()
 	for _, t := range list {
 		lower := g.lower(t.Throttle)
+		share := float64(t.Throttle-lower) / float64(100-t.Throttle)
 		if service != nil {
-			budget -= float64(t.Throttle-lower) / float64(100-t.Throttle) * g.effect(service, t)
+			budget -= share * g.effect(service, t)
+			spare -= share * w.Share(t.Used.MilliCPU)
 		}
-		if budget < 0 {
+		if budget < 0 || spare < 0 {
 			return
 		}
 		g.set(t, lower)
--- a/pressure/throttle.go
+++ b/pressure/throttle.go
@@ -1,18 +1,11 @@
 package pressure
 
-import (
-	"slices"
+import "daisyswitch/fleet"
 
-	"daisyswitch/fleet"
-)
-
-// Throttles returns all that are throttled now, and with 0 those released since the last call.
+// Throttles returns what changed since the last call.
 func (g *Gauge) Throttles() []Throttle {
-	list := g.released
-	g.released = nil
-	for _, t := range g.throttled {
-		list = append(list, throttleOf(t))
-	}
+	list := g.changed
+	g.changed = nil
 	return list
 }
 
@@ -28,14 +21,6 @@
 }
 
 func (g *Gauge) set(t *fleet.Task, percent int32) {
-	before := t.Throttle
 	t.Throttle = percent
-	if before == 0 && percent > 0 {
-		g.throttled = append(g.throttled, t)
-	}
-	if before > 0 && percent == 0 {
-		g.released = append(g.released, throttleOf(t))
-		i := slices.Index(g.throttled, t)
-		g.throttled = slices.Delete(g.throttled, i, i+1)
-	}
+	g.changed = append(g.changed, throttleOf(t))
 }
--- a/usage/reader.go
+++ b/usage/reader.go
@@ -105,14 +105,14 @@
 // measure takes the usage in a report, and sums the shares of the batch programs as used.
 func (u *Reader) measure(w *fleet.Worker, r *wire.WorkerReport) {
 	u.shares = u.shares[:0]
-	w.Memory = 0
+	w.Used = resource.Size{}
 	for _, each := range r.GetTasks() {
 		t := u.reported(w, each)
 		used := resource.FromWire(each.GetUsed())
 		if t == nil || used == (resource.Size{}) {
 			continue
 		}
-		w.Memory += used.MemoryMiB
+		w.Used = w.Used.Add(used)
 		t.Used = used
 		t.Peak.Add(u.fleet.Now, used, u.PeakHalf)
 		if t.Job.Class.Service() {
@@ -162,7 +162,9 @@
 	t.Latency = true
 	reading := math.Log(float64(p99))
 	level := interference.Level(float64(t.Used.MilliCPU))
-	u.fleet.Table.Learn(t.Job.Program, level, u.shares, reading)
+	if !t.Worker.Overloaded() {
+		u.fleet.Table.Learn(t.Job.Program, level, u.shares, reading)
+	}
 	take(t, reading-math.Log(float64(target)))
 }
 
