Pick by quota, then by own load, as measured against seven policies

Change: each live entry of a domain has a quota of each upstream's slots there, by rendezvous hashing, without agreement; it fills quotas evenly first, then spills by its own counts, others weighing a tenth.

TestPickMeetsTargets fails when Choose holds one request per upstream; it does not see smaller faults of order, as the bound of 1.3 is the target's. Ejection bound: fails with one more than allowed; outliers: fails without the latency rule; readmission: fails when never readmitted.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -2,43 +2,36 @@
 
 import "math/rand/v2"
 
-// farPenalty is how much busier a near upstream may be than one of another failure domain before a request spills, in shares of its slots.
-const farPenalty = 0.25
-
-// None says that no candidate can take the request now.
-const None = -1
+const (
+	// None says that no candidate can take the request now.
+	None = -1
+	// othersWeight is what a request in flight from another entry counts for beside one's own, since reports of it are old.
+	othersWeight = 0.1
+	// beyondQuota is how many requests an entry sends to an upstream above its quota without knowing of a free slot.
+	beyondQuota = 1
+)
 
 // Choose returns the index of the candidate to send to, or None if the request should wait for a slot.
-// Slots of the entry's own quota come first, then those that nobody seems to use, near ones before far ones.
+// The entry's quotas are filled evenly first; only what exceeds them spills to slots that others may want.
 func Choose(rng *rand.Rand, candidates []*Candidate) int {
-	if i := least(rng, candidates, ownsFreeSlot); i != None {
-		return i
-	}
-	if i := least(rng, candidates, seemsFree); i != None {
+	if i := least(rng, candidates, (*Candidate).withinQuota, (*Candidate).fill); i != None {
 		return i
 	}
-	return least(rng, candidates, withinQuota)
-}
-
-func usable(c *Candidate) bool      { return !c.Barred && !c.Ejected && c.Own < c.Limit }
-func withinQuota(c *Candidate) bool { return usable(c) && c.Own < c.Quota }
-func ownsFreeSlot(c *Candidate) bool {
-	return withinQuota(c) && c.free()
+	return least(rng, candidates, (*Candidate).mayBorrow, (*Candidate).excess)
 }
-func seemsFree(c *Candidate) bool { return usable(c) && c.free() }
 
-// least returns the admitted candidate with the smallest load, ties broken at random.
-func least(rng *rand.Rand, candidates []*Candidate, admit func(*Candidate) bool) int {
+// least returns the admitted candidate with the smallest cost, ties broken at random.
+func least(rng *rand.Rand, candidates []*Candidate, admit func(*Candidate) bool, cost func(*Candidate) float64) int {
 	best, bestCost, ties := None, 0.0, 0
 	for i, c := range candidates {
 		if !admit(c) {
 			continue
 		}
-		cost := c.cost()
+		v := cost(c)
 		switch {
-		case best == None || cost < bestCost:
-			best, bestCost, ties = i, cost, 1
-		case cost == bestCost:
+		case best == None || v < bestCost:
+			best, bestCost, ties = i, v, 1
+		case v == bestCost:
 			ties++
 			if rng.IntN(ties) == 0 {
 				best = i
@@ -47,12 +40,3 @@
 	}
 	return best
 }
-
-// cost is the load with the price of leaving the failure domain.
-func (c *Candidate) cost() float64 {
-	cost := c.load()
-	if !c.Near {
-		cost += farPenalty
-	}
-	return cost
-}
--- /dev/null
+++ b/pick/simulation_test.go
@@ -0,0 +1,312 @@
+package pick_test
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"daisyswitch/pick"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	slots       = 8
+	meanService = 20 * time.Millisecond
+	tailShape   = 1.5 // of the Pareto distribution of service times, cut at 200 times the least
+	farDelay    = 500 * time.Microsecond
+	loadsEvery  = 100 * time.Millisecond
+	longestWait = 2 * time.Second
+	deadEntry   = 3 * time.Second // until its last loads are forgotten
+)
+
+// scenario is what a run is about; zero values mean that nothing happens.
+type scenario struct {
+	name               string
+	executors, domains int
+	load               float64
+	slow, entryLost    bool
+	domainOut          bool // from 2 s to 4 s
+	even               bool // every request takes the mean service time
+	skew               bool // callers of the first domain send twice as much
+}
+
+// policy picks an executor for an entry; late policies may answer pick.None and keep the request in the entry's queue.
+type policy struct {
+	name   string
+	choose func(s *simulation, e *entry) int
+	ideal  bool // one entry without delay takes all requests
+}
+
+type entry struct {
+	index, next int
+	dead        bool
+	candidates  []*pick.Candidate
+	reported    []int32 // own counts at the last report
+	waiting     []request
+}
+
+type request struct {
+	arrived time.Duration
+	service time.Duration
+	entry   *entry
+	sent    time.Duration
+	target  int
+}
+
+type executor struct {
+	busy  int
+	queue []request
+}
+
+type event struct {
+	at  time.Duration
+	do  func()
+	tie int
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].tie < e[j].tie
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simulation runs entries and executors in virtual time; everything follows from the seed.
+type simulation struct {
+	scenario
+	policy
+	now       time.Duration
+	ties      int
+	pending   events
+	arrivals  *rand.Rand // the same for every policy
+	rng       *rand.Rand
+	entries   []*entry
+	executors []executor
+	latency   *hdrhistogram.Histogram // microseconds
+	refused   int
+}
+
+const entryCount = 9
+
+var epoch = time.Unix(1_000_000, 0)
+
+func (s *simulation) after(d time.Duration, do func()) {
+	s.ties++
+	heap.Push(&s.pending, event{s.now + d, do, s.ties})
+}
+
+func run(sc scenario, p policy, seed uint64, requests int) *simulation {
+	s := &simulation{scenario: sc, policy: p, latency: hdrhistogram.New(1, 1e9, 3),
+		arrivals: rand.New(rand.NewPCG(seed, 1)), rng: rand.New(rand.NewPCG(seed, 2)), executors: make([]executor, sc.executors)}
+	for i := range entryCount {
+		e := &entry{index: i, next: s.rng.IntN(sc.executors), reported: make([]int32, sc.executors)}
+		for x := range sc.executors {
+			e.candidates = append(e.candidates, &pick.Candidate{
+				Health: pick.Health{Slowness: 1}, Slots: slots, Limit: 64 / entryCount, Quota: s.quota(i, x)})
+		}
+		s.entries = append(s.entries, e)
+	}
+	s.every(loadsEvery, s.share)
+	s.every(2*loadsEvery, s.assess)
+	s.every(10*time.Millisecond, func() { s.expire() })
+	if sc.domainOut {
+		s.after(2*time.Second, func() { s.bar(true) })
+		s.after(4*time.Second, func() { s.bar(false) })
+	}
+	if sc.entryLost && !p.ideal {
+		s.after(2*time.Second, func() { s.entries[0].dead = true })
+		s.after(2*time.Second+deadEntry, func() { clear(s.entries[0].reported) })
+	}
+	gap := float64(meanService) / (sc.load * slots * float64(sc.executors))
+	var arrive func()
+	arrive = func() {
+		s.arrive()
+		if requests--; requests > 0 {
+			s.after(time.Duration(s.arrivals.ExpFloat64()*gap), arrive)
+		}
+	}
+	s.after(0, arrive)
+	for requests > 0 {
+		next := heap.Pop(&s.pending).(event)
+		s.now = next.at
+		next.do()
+	}
+	s.end()
+	return s
+}
+
+// end records those still waiting with the time that they have waited, so that an endless queue is not left out.
+func (s *simulation) end() {
+	for _, x := range s.executors {
+		for _, r := range x.queue {
+			s.record(r)
+		}
+	}
+	for _, e := range s.entries {
+		for _, r := range e.waiting {
+			s.record(r)
+		}
+	}
+}
+
+func (s *simulation) every(d time.Duration, do func()) {
+	s.after(d, func() { do(); s.every(d, do) })
+}
+
+// quota divides the slots of an executor among the entries of its domain, as package upstream does.
+func (s *simulation) quota(entry, executor int) int32 {
+	if entry%s.domains != executor%s.domains {
+		return 0
+	}
+	near := (entryCount-1-entry%s.domains)/s.domains + 1
+	q := int32(slots / near)
+	if (entry/s.domains+executor/s.domains)%near < slots%near {
+		q++
+	}
+	return q
+}
+
+func (s *simulation) service() time.Duration {
+	if s.even {
+		return meanService
+	}
+	least := float64(meanService) * (tailShape - 1) / tailShape / (1 - math.Pow(200, 1-tailShape))
+	return time.Duration(least * min(200, math.Pow(1-s.arrivals.Float64(), -1/tailShape)))
+}
+
+func (s *simulation) arrive() {
+	r := request{arrived: s.now, service: s.service()}
+	at := s.arrivals.IntN(entryCount)
+	if s.skew && s.arrivals.IntN(4) == 0 {
+		at -= at % s.domains
+	}
+	if s.ideal {
+		at = 0
+	}
+	for s.entries[at].dead && !s.ideal {
+		at = s.arrivals.IntN(entryCount)
+	}
+	r.entry = s.entries[at]
+	if len(r.entry.waiting) > 0 || !s.send(r) {
+		r.entry.waiting = append(r.entry.waiting, r)
+	}
+}
+
+func (s *simulation) send(r request) bool {
+	e := r.entry
+	x := s.choose(s, e)
+	if x == pick.None {
+		return false
+	}
+	e.candidates[x].Own++
+	r.target, r.sent = x, s.now
+	s.after(s.delay(e, x), func() { s.reach(r) })
+	return true
+}
+
+func (s *simulation) delay(e *entry, x int) time.Duration {
+	switch {
+	case s.ideal:
+		return 0
+	case x%s.domains == e.index%s.domains:
+		return farDelay / 5
+	}
+	return farDelay
+}
+
+func (s *simulation) reach(r request) {
+	x := &s.executors[r.target]
+	if x.busy == slots {
+		x.queue = append(x.queue, r)
+		return
+	}
+	x.busy++
+	service := r.service
+	if s.slow && r.target == 0 {
+		service *= 10
+	}
+	s.after(service, func() {
+		x.busy--
+		if len(x.queue) > 0 {
+			next := x.queue[0]
+			x.queue = x.queue[1:]
+			s.reach(next)
+		}
+		s.after(s.delay(r.entry, r.target), func() { s.answer(r) })
+	})
+}
+
+func (s *simulation) answer(r request) {
+	c := r.entry.candidates[r.target]
+	c.Own--
+	c.Answered(s.now - r.sent)
+	s.record(r)
+	s.drain(r.entry)
+}
+
+// record leaves the first second out, in which the entries fill.
+func (s *simulation) record(r request) {
+	if r.arrived > time.Second && !r.entry.dead {
+		s.latency.RecordValue((s.now - r.arrived).Microseconds())
+	}
+}
+
+func (s *simulation) drain(e *entry) {
+	for len(e.waiting) > 0 && !e.dead && s.send(e.waiting[0]) {
+		e.waiting = e.waiting[1:]
+	}
+}
+
+func (s *simulation) expire() {
+	for _, e := range s.entries {
+		for len(e.waiting) > 0 && s.now-e.waiting[0].arrived > longestWait {
+			e.waiting = e.waiting[1:]
+			s.refused++
+		}
+	}
+}
+
+// share tells every entry the counts of the others.
+func (s *simulation) share() {
+	for _, e := range s.entries {
+		for x, c := range e.candidates {
+			if !e.dead {
+				e.reported[x] = c.Own
+			}
+		}
+	}
+	for _, e := range s.entries {
+		for x, c := range e.candidates {
+			c.Others = 0
+			for _, other := range s.entries {
+				if other != e {
+					c.Others += other.reported[x]
+				}
+			}
+		}
+		s.drain(e)
+	}
+}
+
+func (s *simulation) assess() {
+	for _, e := range s.entries {
+		pick.Assess(epoch.Add(s.now), e.candidates)
+	}
+}
+
+func (s *simulation) bar(out bool) {
+	for _, e := range s.entries {
+		for x := 0; x < s.scenario.executors; x += s.domains {
+			e.candidates[x].Barred = out
+		}
+	}
+}
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -165,7 +165,7 @@
 }
 
 func (r *Registry) add(a *Announcement, heard time.Time) *Upstream {
-	u := newUpstream(a, heard, a.Domain == r.options.Domain, r.options.Transport)
+	u := newUpstream(a, heard, r.options.Transport)
 	u.Others = r.othersOf(a.ID)
 	r.upstreams[a.ID] = u
 	r.reorder()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -17,10 +17,10 @@
 	out   bool      // its failure domain is out of service
 }
 
-func newUpstream(a *Announcement, heard time.Time, near bool, o transport.Options) *Upstream {
+func newUpstream(a *Announcement, heard time.Time, o transport.Options) *Upstream {
 	return &Upstream{
 		Announcement: *a,
-		Candidate:    pick.Candidate{Near: near, Slots: a.Slots, Health: pick.Health{Slowness: 1}},
+		Candidate:    pick.Candidate{Slots: a.Slots, Health: pick.Health{Slowness: 1}},
 		pool:         transport.New(a.Address, 0, o),
 		heard:        heard,
 	}
