--- /dev/null
+++ b/place/resize.go
@@ -0,0 +1,46 @@
+package place
+
+import (
+	"daisyswitch/fleet"
+	"daisyswitch/resource"
+	"daisyswitch/sizing"
+	"daisyswitch/wire"
+)
+
+// resize moves the commitments of measured tasks towards their peaks, as far as their workers have room.
+func (p *Placer) resize() {
+	for _, t := range p.usage.Outgrown {
+		t.Sized = false
+		running := t.State == wire.TaskState_TASK_STATE_RUNNING && t.Decision == fleet.Undecided
+		if p.ideas.resize && running && t.Worker.Domain != nil && len(p.events) < p.options.MaxEvents {
+			p.resizeOne(t)
+		}
+	}
+	p.usage.Outgrown = p.usage.Outgrown[:0]
+}
+
+func (p *Placer) resizeOne(t *fleet.Task) {
+	wanted := p.usage.Wanted(t)
+	open := t.Worker.Open()
+	if t.Job.Class.Service() {
+		open = t.Worker.Free
+	}
+	most := t.Committed.Add(sizing.Larger(open, resource.Size{}))
+	size := resource.Size{
+		MilliCPU:     min(wanted.MilliCPU, most.MilliCPU),
+		MemoryMiB:    min(wanted.MemoryMiB, most.MemoryMiB),
+		Accelerators: t.Committed.Accelerators,
+	}
+	if t.Job.Class.Service() && size != wanted {
+		for _, victim := range p.evictions(t.Worker, wanted.Sub(size)) {
+			p.evict(victim, "a service on its worker needs the room")
+		}
+	}
+	if !sizing.Worth(t.Committed, size) {
+		return
+	}
+	t.Before = t.Committed
+	p.fleet.Recommit(t, sizing.Larger(t.Committed, size))
+	p.decide(t, fleet.DecidedResize)
+	p.event(t, wire.TaskEventKind_TASK_EVENT_KIND_RESIZE, "measured usage", size.Wire())
+}
