Prove the queue's order, early refusal and fairness

In virtual time: classes by kind, then by distance from target; nobody overtakes; 200 requests a second on a pace of 100 are served in time or refused, nearly all of the refused at once; a cancelled wait leaves no slot behind. Found on the way: the pace also counted the times in which a line was empty, so that a quiet line refused a small burst; it now pauses (TestQuietLine fails without).

--- a/queue/pace.go
+++ b/queue/pace.go
@@ -28,6 +28,11 @@
 	p.interval += time.Duration(paceWeight * float64(since-p.interval))
 }
 
+// pause says that the line is empty, so that the time to the next departure tells nothing.
+func (p *pace) pause() {
+	p.last = time.Time{}
+}
+
 // wait estimates how long one waits behind n others.
 func (p *pace) wait(n int) time.Duration {
 	return time.Duration(n) * p.interval
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -185,6 +185,9 @@
 	}
 	clear(l.waiters[len(kept):])
 	l.waiters = kept
+	if len(kept) == 0 {
+		l.pace.pause()
+	}
 }
 
 // Waiting returns the number of requests in line.
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,175 @@
+package queue_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisyswitch/queue"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	bids    = queue.Class{Name: "bids", Rank: 0, Distance: 1.5}
+	watches = queue.Class{Name: "watches", Rank: 0, Distance: 0.5}
+	lots    = queue.Class{Name: "lots", Rank: 1, Distance: 9}
+)
+
+// pool hands out a number of slots.
+type pool struct {
+	sync.Mutex
+	free int
+}
+
+func (p *pool) take(string, []string) (slot int, free, absent bool) {
+	p.Lock()
+	defer p.Unlock()
+	if p.free == 0 {
+		return 0, false, false
+	}
+	p.free--
+	return 0, true, false
+}
+
+func (p *pool) release() {
+	p.Lock()
+	defer p.Unlock()
+	p.free++
+}
+
+// TestOrder lets requests of three classes wait and expects latency-critical ones first, those farther from their target before others, and each class in order of arrival.
+func TestOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pool{}
+		q := queue.New(queue.Options[int]{Take: p.take})
+		var served []string
+		for _, c := range []queue.Class{lots, watches, lots, bids, watches, bids} {
+			go func() {
+				_, err := q.Acquire(t.Context(), queue.Request{Class: c, Wait: time.Minute})
+				assert.Check(t, err)
+				served = append(served, c.Name)
+			}()
+			synctest.Wait()
+		}
+		for range 6 {
+			p.release()
+			q.Wake()
+			synctest.Wait()
+		}
+		assert.DeepEqual(t, served, []string{"bids", "bids", "watches", "watches", "lots", "lots"})
+	})
+}
+
+// TestNobodyOvertakes expects a request that arrives when a slot is free not to take it from one of its class that waits.
+func TestNobodyOvertakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pool{}
+		q := queue.New(queue.Options[int]{Take: p.take})
+		var served []int
+		for i := range 2 {
+			go func() {
+				q.Acquire(t.Context(), queue.Request{Class: bids, Wait: time.Minute})
+				served = append(served, i)
+			}()
+			synctest.Wait()
+			if i == 0 {
+				p.release()
+			}
+		}
+		for _, want := range [][]int{{0}, {0, 1}} {
+			q.Wake()
+			synctest.Wait()
+			assert.DeepEqual(t, served, want)
+			p.release()
+		}
+	})
+}
+
+// TestEarlyRefusal presses 200 requests a second on a pace of 100, each with 500 ms to wait:
+// a request is either served in time or refused, and of those refused nearly all at once.
+func TestEarlyRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pool{free: 1}
+		q := queue.New(queue.Options[int]{Take: p.take})
+		var served, early, late int
+		var mu sync.Mutex
+		for range 2000 {
+			go func() {
+				began := time.Now()
+				_, err := q.Acquire(t.Context(), queue.Request{Class: bids, Wait: 500 * time.Millisecond})
+				mu.Lock()
+				switch {
+				case err == nil:
+					served++
+					assert.Check(t, time.Since(began) <= 500*time.Millisecond)
+				case errors.Is(err, queue.ErrEarly):
+					early++
+					assert.Check(t, time.Since(began) == 0)
+				default:
+					late++
+				}
+				mu.Unlock()
+				if err == nil {
+					time.Sleep(10 * time.Millisecond)
+					p.release()
+					q.Wake()
+				}
+			}()
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, served+early+late, 2000)
+		assert.Assert(t, served >= 900, "%d", served)
+		assert.Assert(t, late <= early/10, "%d late, %d early", late, early)
+		assert.Equal(t, q.Waiting(), 0)
+	})
+}
+
+// TestQuietLineRefusesNobody lets single requests wait a moment, seldom, and then several at once, which the slots serve in time.
+func TestQuietLineRefusesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pool{}
+		q := queue.New(queue.Options[int]{Take: p.take})
+		ask := func(n int) {
+			for range n {
+				go func() {
+					_, err := q.Acquire(t.Context(), queue.Request{Class: bids, Wait: time.Second})
+					assert.Check(t, err)
+				}()
+			}
+			for range n {
+				time.Sleep(time.Millisecond)
+				p.release()
+				q.Wake()
+			}
+		}
+		for range 20 {
+			ask(1)
+			time.Sleep(900 * time.Millisecond)
+		}
+		ask(8)
+	})
+}
+
+// TestGoneCallerLeavesNoSlotBehind cancels a request as it is given a slot.
+func TestGoneCallerLeavesNoSlotBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pool{}
+		q := queue.New(queue.Options[int]{Take: p.take})
+		ctx, cancel := context.WithCancel(t.Context())
+		var err error
+		go func() { _, err = q.Acquire(ctx, queue.Request{Class: bids, Wait: time.Minute}) }()
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		assert.ErrorIs(t, err, queue.ErrGone)
+		p.release()
+		q.Wake()
+		assert.Equal(t, p.free, 1)
+	})
+}
