--- /dev/null
+++ b/caller/bench_test.go
@@ -0,0 +1,175 @@
+package caller_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"daisyswitch/caller"
+	"daisyswitch/upstream"
+	"daisyswitch/wire"
+
+	"gotest.tools/v3/assert"
+)
+
+const roleVariable = "DAISYSWITCH_BENCH_ROLE"
+
+// serveRole runs a bare upstream or an entry in a process of its own, so that its processor time can be told apart; its input ends it.
+func serveRole(role string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	if role == "upstream" {
+		go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			io.WriteString(w, "done")
+		}))
+	} else {
+		registry := upstream.New(upstream.Options{Name: "e", Domain: "a", Entries: 1})
+		f := caller.New(caller.Options{Registry: registry})
+		f.SetConfiguration(&wire.Configuration{Classes: []*wire.Class{{Name: "bids"}}})
+		announce := func(sequence uint64) {
+			registry.Announce(time.Now(), &upstream.Announcement{ID: "u", Address: role, Domain: "a", Classes: []string{"bids"}, Slots: 64, Connections: 64, Sequence: sequence})
+		}
+		announce(1)
+		go func() {
+			for sequence := uint64(2); ; sequence++ {
+				time.Sleep(time.Second)
+				announce(sequence)
+			}
+		}()
+		go f.Serve(l)
+	}
+	fmt.Println(l.Addr())
+	io.Copy(io.Discard, os.Stdin)
+}
+
+// process is a role with its own processor time.
+type process struct {
+	*exec.Cmd
+	address string
+	input   io.Closer
+}
+
+func start(b *testing.B, role string) *process {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), roleVariable+"="+role)
+	input, err := cmd.StdinPipe()
+	assert.NilError(b, err)
+	output, err := cmd.StdoutPipe()
+	assert.NilError(b, err)
+	assert.NilError(b, cmd.Start())
+	line, err := bufio.NewReader(output).ReadString('\n')
+	assert.NilError(b, err)
+	return &process{cmd, strings.TrimSpace(line), input}
+}
+
+// stop returns the processor time that the process took.
+func (p *process) stop(b *testing.B) time.Duration {
+	p.input.Close()
+	assert.NilError(b, p.Wait())
+	return p.ProcessState.UserTime() + p.ProcessState.SystemTime()
+}
+
+// load sends requests over a number of lasting connections, one at a time on each, and returns the median latency.
+func load(b testing.TB, address, method string, connections, each int) time.Duration {
+	var mu sync.Mutex
+	var all []time.Duration
+	var group sync.WaitGroup
+	for range connections {
+		group.Go(func() {
+			raw, err := net.Dial("tcp", address)
+			assert.Check(b, err)
+			defer raw.Close()
+			reader := bufio.NewReader(raw)
+			took := make([]time.Duration, each)
+			for i := range took {
+				began := time.Now()
+				fmt.Fprintf(raw, "%s / HTTP/1.1\r\nHost: x\r\nDaisyswitch-Class: bids\r\nContent-Length: 0\r\n\r\n", method)
+				resp, err := http.ReadResponse(reader, nil)
+				if !assert.Check(b, err) || !assert.Check(b, resp.StatusCode == http.StatusOK, "%v", resp) {
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				took[i] = time.Since(began)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, took...)
+		})
+	}
+	group.Wait()
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
+// BenchmarkAgainstBareUpstream compares an entry with the net/http upstream behind it, in the same run:
+// the latency that it adds at the median, and its requests per second and core in relation to the upstream's.
+func BenchmarkAgainstBareUpstream(b *testing.B) {
+	for _, method := range []string{"GET", "POST"} {
+		b.Run(method, func(b *testing.B) {
+			const connections, each = 16, 6000
+			for b.Loop() {
+				up := start(b, "upstream")
+				load(b, up.address, method, connections, each)
+				bare := up.stop(b)
+				up = start(b, "upstream")
+				entry := start(b, up.address)
+				load(b, entry.address, method, connections, each)
+				b.ReportMetric(bare.Seconds()/entry.stop(b).Seconds(), "per-core-ratio")
+				entry = start(b, up.address)
+				direct, through := load(b, up.address, method, 1, each), load(b, entry.address, method, 1, each)
+				b.ReportMetric(float64((through - direct).Microseconds()), "added-µs")
+				b.ReportMetric(float64(direct.Microseconds()), "bare-µs")
+				entry.stop(b)
+				up.stop(b)
+			}
+		})
+	}
+}
+
+// BenchmarkIdleCallers reports what 400 callers' connections cost after a request each.
+func BenchmarkIdleCallers(b *testing.B) {
+	const callers, allowedMB = 400, 16
+	for b.Loop() {
+		f := newFake(b, healthy)
+		e := newEntry(b, caller.Options{}, upstream.Options{})
+		e.announce(b, "u", f.Addr().String())
+		before := inUse()
+		conns := make([]net.Conn, callers)
+		answer := make([]byte, 4096)
+		for i := range conns {
+			raw, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+			assert.NilError(b, err)
+			fmt.Fprint(raw, "GET / HTTP/1.1\r\nHost: x\r\nDaisyswitch-Class: bids\r\n\r\n")
+			_, err = raw.Read(answer)
+			assert.NilError(b, err)
+			conns[i] = raw
+		}
+		cost := float64(inUse()-before) / (1 << 20)
+		b.ReportMetric(cost, "MB/400-idle")
+		assert.Check(b, cost < allowedMB)
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+}
+
+// inUse returns the bytes of heap and stacks in use after a collection.
+func inUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +19,10 @@
 func TestMain(m *testing.M) {
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
+	if role := os.Getenv(roleVariable); role != "" {
+		serveRole(role)
+		return
+	}
 	m.Run()
 }
 
--- a/caller/silent_test.go
+++ b/caller/silent_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,6 +28,8 @@
 	mu      sync.Mutex
 	conns   []*silentConn
 	service time.Duration
+	broken  func(address string) bool // closes the connection in place of an answer
+	heads   atomic.Int64              // requests that arrived
 }
 
 type silentConn struct {
@@ -42,18 +45,18 @@
 	return c.Conn.Write(p)
 }
 
-func (p *path) dial(context.Context, string) (net.Conn, error) {
+func (p *path) dial(_ context.Context, address string) (net.Conn, error) {
 	near, far := net.Pipe()
 	up := &silentConn{Conn: far}
 	down := &silentConn{Conn: near}
 	p.mu.Lock()
 	p.conns = append(p.conns, up, down)
 	p.mu.Unlock()
-	go p.serve(up)
+	go p.serve(up, address)
 	return down, nil
 }
 
-func (p *path) serve(c *silentConn) {
+func (p *path) serve(c *silentConn, address string) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
 	for {
@@ -61,6 +64,10 @@
 		if err != nil {
 			return
 		}
+		p.heads.Add(1)
+		if p.broken != nil && p.broken(address) {
+			return
+		}
 		io.Copy(io.Discard, r.Body)
 		time.Sleep(p.service)
 		io.WriteString(c, okAnswer)
@@ -77,12 +84,16 @@
 }
 
 // inMemory returns a front whose upstreams are all at the end of the path; it must be called in a synctest bubble.
-func inMemory(p *path, upstreams int, o caller.Options) (*caller.Front, *upstream.Registry) {
+func inMemory(t *testing.T, p *path, upstreams int, o caller.Options) (*caller.Front, *upstream.Registry) {
 	o.Registry = upstream.New(upstream.Options{Name: "e", Domain: "a", Entries: 1, Transport: transport.Options{Dial: p.dial}})
 	f := caller.New(o)
 	f.SetConfiguration(&wire.Configuration{Version: 1, Classes: []*wire.Class{
 		{Name: "bids", Kind: wire.ClassKind_CLASS_KIND_SERVICE}, {Name: "lots", Kind: wire.ClassKind_CLASS_KIND_BATCH}}})
 	announceAll(o.Registry, upstreams, 1)
+	t.Cleanup(func() {
+		assert.NilError(t, f.Close())
+		o.Registry.Close()
+	})
 	return f, o.Registry
 }
 
@@ -112,7 +123,7 @@
 	}{{0, true}, {500 * time.Millisecond, true}, {0, false}, {500 * time.Millisecond, false}} {
 		synctest.Test(t, func(t *testing.T) {
 			p := &path{service: 10 * time.Millisecond}
-			f, registry := inMemory(p, 4, caller.Options{})
+			f, registry := inMemory(t, p, 4, caller.Options{})
 			var asking sync.WaitGroup
 			send := func(method string, after time.Duration) {
 				asking.Go(func() {
@@ -151,8 +162,87 @@
 			load(1500*time.Millisecond, lost)
 			burst(time.Since(lost))
 			asking.Wait()
-			registry.Close()
-			assert.NilError(t, f.Close())
 		})
 	}
 }
+
+// TestRetriesStayWithinBudget lets nine of ten upstreams fail every request, and then heal.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &path{service: 5 * time.Millisecond}
+		outage := true
+		p.broken = func(address string) bool { return outage && address != "127.0.0.1:1" }
+		f, registry := inMemory(t, p, 10, caller.Options{})
+		const requests = 3000
+		answered := 0
+		for i := range requests {
+			if i%200 == 0 {
+				announceAll(registry, 10, uint64(i))
+			}
+			if ask(f, "GET", "bids", "1000").Code == http.StatusOK {
+				answered++
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		assert.Assert(t, p.heads.Load() <= requests*110/100, "%d attempts", p.heads.Load())
+		assert.Assert(t, p.heads.Load() > requests*105/100, "%d attempts", p.heads.Load())
+		outage = false
+		time.Sleep(time.Second)
+		announceAll(registry, 10, requests)
+		for range 100 {
+			assert.Equal(t, ask(f, "GET", "bids", "1000").Code, http.StatusOK)
+		}
+	})
+}
+
+// instant is a connection to an upstream that answers each write at once and allocates nothing.
+type instant struct {
+	net.Conn
+	left int
+}
+
+func (c *instant) Write(p []byte) (int, error) {
+	c.left = len(okAnswer)
+	return len(p), nil
+}
+
+func (c *instant) Read(p []byte) (int, error) {
+	if c.left == 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n := copy(p, okAnswer[len(okAnswer)-c.left:])
+	c.left -= n
+	return n, nil
+}
+
+func (c *instant) Close() error                    { return nil }
+func (c *instant) SetDeadline(time.Time) error     { return nil }
+func (c *instant) SetReadDeadline(time.Time) error { return nil }
+
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) WriteHeader(int)             {}
+
+// TestAllocationsPerRequest bounds what a request costs the collector, without net/http's server.
+func TestAllocationsPerRequest(t *testing.T) {
+	const allowed = 64
+	registry := upstream.New(upstream.Options{Name: "e", Domain: "a", Entries: 1, Transport: transport.Options{
+		Dial: func(context.Context, string) (net.Conn, error) { return &instant{}, nil }}})
+	f := caller.New(caller.Options{Registry: registry})
+	f.SetConfiguration(&wire.Configuration{Classes: []*wire.Class{{Name: "bids"}}})
+	for _, method := range []string{"GET", "POST"} {
+		r := httptest.NewRequest(method, "/", nil)
+		r.Header.Set(caller.ClassHeader, "bids")
+		w := discard{http.Header{}}
+		announceAll(registry, 1, 1)
+		allocations := testing.AllocsPerRun(500, func() {
+			clear(w.header)
+			f.ServeHTTP(w, r)
+		})
+		assert.Equal(t, w.header.Get("Content-Length"), "4")
+		assert.Assert(t, allocations <= allowed, "%s: %v", method, allocations)
+		t.Logf("%s: %v allocations", method, allocations)
+	}
+}
