Tell a slow answer from a silent connection

A fixed bound of 400 ms on the first byte cut answers that were only slow and spent the retry budget on them; with the budget spent they were refused. Idle connections are kept for 500 ms instead of 30 s, so that no request more than that after a path lost its connections can ride on one of them: before, at a low load, a burst 1.05 s after took 810 ms.

Shown failing, each restored: no regard to siblings, no regard to the budget, no fresh connection for the second attempt (TestSlowIsNotSilent), no suspicion of siblings, idle age of 30 s (TestSilentConnections).

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -30,6 +30,7 @@
 	body     *requestBody
 	attempts int  // requests that were sent, or may have been
 	mayRun   bool // an attempt may have had its effect
+	silent   bool // the last attempt failed by its connection, not by its upstream
 	skip     []string
 }
 
@@ -95,7 +96,9 @@
 		if !again {
 			break
 		}
-		x.skip = append(x.skip, slot.ID())
+		if !x.silent {
+			x.skip = append(x.skip, slot.ID())
+		}
 	}
 	return x.soften(last)
 }
@@ -168,7 +171,9 @@
 	if ctx.Err() != nil {
 		return refusal.New(http.StatusGatewayTimeout, v, refusal.Timeout, "the deadline passed before an answer came"), false
 	}
-	return refusal.New(http.StatusBadGateway, v, refusal.UpstreamFailed, err.Error()), x.idempotent && x.mayRetry()
+	x.silent = errors.Is(err, transport.ErrSilent)
+	again = x.silent || x.idempotent && x.mayRetry() // a silent one was asked for before it was given up
+	return refusal.New(http.StatusBadGateway, v, refusal.UpstreamFailed, err.Error()), again
 }
 
 // mayRetry reports whether the request can be sent again, and takes from the retry budget if so.
--- a/caller/outgoing.go
+++ b/caller/outgoing.go
@@ -33,9 +33,11 @@
 			Trailer:       x.r.Trailer,
 		},
 		Idempotent: x.idempotent,
+		Fresh:      x.attempts > 0,
 		Stream:     x.body.streamed(),
 		Informed:   x.inform,
 		Interrupt:  x.interruptBody,
+		GiveUp:     x.mayRetry,
 	}
 }
 
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -32,13 +32,14 @@
 	writer  *bufio.Writer
 	limited *io.LimitedReader // bounds the head of an answer
 	written int64             // bytes of the present request handed to the kernel
-	quiet   time.Time         // end of the last exchange
+	dialled time.Time
+	quiet   time.Time // end of the last exchange
 	reused  bool
 	bytes   int64 // most bytes in the head of an answer
 }
 
 func newConn(raw net.Conn, headerBytes int64) *conn {
-	c := &conn{Conn: raw, bytes: headerBytes}
+	c := &conn{Conn: raw, bytes: headerBytes, dialled: time.Now()}
 	c.limited = &io.LimitedReader{R: raw, N: math.MaxInt64}
 	c.reader = bufio.NewReaderSize(c.limited, bufferBytes)
 	c.writer = bufio.NewWriterSize(c, bufferBytes)
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -6,24 +6,21 @@
 	"io"
 	"math"
 	"net/http"
-	"os"
-	"time"
 
 	"daisyswitch/verdict"
 
 	"github.com/sourcegraph/conc"
 )
 
-// ErrSilent is the cause when a reused connection gave no byte in time.
-var ErrSilent = errors.New("connection went silent")
-
 // Request is one request on its way to an upstream.
 type Request struct {
 	*http.Request
 	Idempotent bool
+	Fresh      bool                             // rides on no connection that was idle, as a request that is not idempotent never does
 	Stream     bool                             // the body comes from the caller as it is sent
 	Informed   func(code int, head http.Header) // receives 1xx answers, may be nil
 	Interrupt  func()                           // ends a Read of a streamed body
+	GiveUp     func() bool                      // says whether an idempotent request on a silent connection may be sent elsewhere; nil: it may
 }
 
 // Answer is an upstream's answer; Close must be called, and keeps the connection only if all of it was read.
@@ -41,7 +38,7 @@
 // Do writes the request once to one connection and returns the head of the answer.
 // Its errors are *verdict.Error: NotRun if no byte was written, else Unknown.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
-	c, err := p.take(ctx, r.Idempotent)
+	c, err := p.take(ctx, r.Fresh || !r.Idempotent)
 	if err != nil {
 		return nil, err
 	}
@@ -106,29 +103,6 @@
 	}
 }
 
-// awaitFirstByte bounds the silence of a reused connection.
-func (a *Answer) awaitFirstByte(ctx context.Context, r *Request) error {
-	c := a.conn
-	if !c.reused || r.Stream {
-		return nil
-	}
-	start := time.Now()
-	if err := c.SetReadDeadline(start.Add(a.pool.options.FirstByte)); err != nil {
-		return err
-	}
-	_, err := c.reader.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
-		a.pool.suspect(start)
-		if r.Idempotent {
-			return ErrSilent
-		}
-	}
-	if err := c.SetReadDeadline(time.Time{}); err != nil {
-		return err
-	}
-	return ctx.Err() // an interrupt may have been undone by the line above
-}
-
 // abandon closes the connection, so that no late answer can meet another request.
 func (a *Answer) abandon() {
 	a.stop()
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"daisyswitch/verdict"
@@ -15,7 +16,7 @@
 	Dial        func(ctx context.Context, address string) (net.Conn, error)
 	DialTimeout time.Duration // of one connection
 	IdleAge     time.Duration // longest time without use that a connection is kept
-	QuietBound  time.Duration // a connection quiet for longer carries no non-idempotent request
+	QuietBound  time.Duration // a connection quiet for longer carries no request that must have a fresh one
 	FirstByte   time.Duration // longest silence of a reused connection after a request
 	HeaderBytes int64         // of an answer
 }
@@ -24,7 +25,7 @@
 var Defaults = Options{
 	Dial:        dialTCP,
 	DialTimeout: 300 * time.Millisecond,
-	IdleAge:     30 * time.Second,
+	IdleAge:     500 * time.Millisecond,
 	QuietBound:  time.Millisecond,
 	FirstByte:   400 * time.Millisecond,
 	HeaderBytes: 64 << 10,
@@ -59,6 +60,7 @@
 type Pool struct {
 	options Options
 	address string
+	proven  atomic.Int64 // when a connection of some age last showed life, Unix nanoseconds
 
 	mu     sync.Mutex
 	idle   []*conn // oldest first
@@ -117,9 +119,9 @@
 }
 
 // take returns a connection fit for the request; its errors say that the request did not run.
-func (p *Pool) take(ctx context.Context, idempotent bool) (*conn, error) {
+func (p *Pool) take(ctx context.Context, fresh bool) (*conn, error) {
 	bound := p.options.IdleAge
-	if !idempotent {
+	if fresh {
 		bound = p.options.QuietBound
 	}
 	for {
@@ -194,12 +196,3 @@
 	}
 	p.idle = append(p.idle, c)
 }
-
-// suspect closes the idle connections that have shown no life since the given time, because another of the same path went silent.
-func (p *Pool) suspect(since time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for len(p.idle) > 0 && p.idle[0].quiet.Before(since) {
-		p.closeOldest()
-	}
-}
