--- a/caller/silent_test.go
+++ b/caller/silent_test.go
@@ -178,13 +178,13 @@
 // TestSlowIsNotSilent lets some answers take longer than a silent connection is waited for, beside others that show that the path is alive;
 // with the budget spent, an answer is waited for in any case.
 func TestSlowIsNotSilent(t *testing.T) {
-	for _, budget := range []int64{10, 1} {
+	for _, c := range []struct {
+		budget, again int64 // percent
+		slow          time.Duration
+	}{{10, 0, 600 * time.Millisecond}, {1, 1, 2 * time.Second}, {100, 100, 2 * time.Second}} {
 		synctest.Test(t, func(t *testing.T) {
-			p := &path{service: 5 * time.Millisecond, slow: 600 * time.Millisecond}
-			if budget == 1 {
-				p.slow = 2 * time.Second
-			}
-			f, registry := inMemory(t, p, 1, caller.Options{RetryPercent: budget})
+			p := &path{service: 5 * time.Millisecond, slow: c.slow}
+			f, registry := inMemory(t, p, 1, caller.Options{RetryPercent: c.budget})
 			var asking sync.WaitGroup
 			send := func(n int) {
 				for i := range n {
@@ -207,7 +207,7 @@
 			before := p.heads.Load()
 			send(300)
 			asking.Wait()
-			allowed := before + 315 + (before+315)*(budget%10)/100 // none again, or within the budget where they are slower than any patience
+			allowed := before + 315 + (before+315)*c.again/100 // none again, or within the budget where they are slower than any patience
 			assert.Assert(t, p.heads.Load() <= allowed, "%d of %d", p.heads.Load(), before)
 		})
 	}
