Divide slots evenly where domains differ in size

The division stands in package pick, so that the simulation runs it too; leaving and out upstreams take no part.

TestQuotasDivideAllSlots fails when slots are hashed per entry and when a domain keeps half; TestPickMeetsTargets fails when all near slots fall to one entry.

--- a/pick/health_test.go
+++ b/pick/health_test.go
@@ -1,6 +1,8 @@
 package pick_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,6 +61,34 @@
 	})
 }
 
+// TestQuotasDivideAllSlots expects of any entries and upstreams that each slot falls to exactly one entry, and that a near one is preferred where a domain has none to spare.
+func TestQuotasDivideAllSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		var entries []pick.Member
+		for i := range rapid.IntRange(1, 9).Draw(t, "entries") {
+			entries = append(entries, pick.Member{Name: fmt.Sprint("e", i), Domain: domains.Draw(t, "domain")})
+		}
+		var upstreams []pick.Share
+		for i := range rapid.IntRange(0, 20).Draw(t, "upstreams") {
+			upstreams = append(upstreams, pick.Share{ID: fmt.Sprint("u", i), Domain: domains.Draw(t, "domain"), Slots: 8})
+		}
+		sums := make([]int32, len(upstreams))
+		for first, e := range entries {
+			known := slices.Concat(entries[first:], entries[:first]) // each knows them in an order of its own
+			for i, quota := range pick.Quotas(e, known, upstreams) {
+				sums[i] += quota
+			}
+		}
+		for i, sum := range sums {
+			assert.Equal(t, sum, upstreams[i].Slots)
+		}
+	})
+	quotas := pick.Quotas(pick.Member{Name: "e", Domain: "a"}, []pick.Member{{Name: "e", Domain: "a"}, {Name: "f", Domain: "b"}},
+		[]pick.Share{{ID: "u", Domain: "a", Slots: 8}, {ID: "v", Domain: "b", Slots: 8}})
+	assert.DeepEqual(t, quotas, []int32{8, 0})
+}
+
 // TestOutlierIsEjected expects a failing and a slow upstream among ten to be out while the others serve.
 func TestOutlierIsEjected(t *testing.T) {
 	candidates := make([]*pick.Candidate, 10)
--- a/pick/simulation_test.go
+++ b/pick/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -107,11 +108,12 @@
 func run(sc scenario, p policy, seed uint64, requests int) *simulation {
 	s := &simulation{scenario: sc, policy: p, latency: hdrhistogram.New(1, 1e9, 3),
 		arrivals: rand.New(rand.NewPCG(seed, 1)), rng: rand.New(rand.NewPCG(seed, 2)), executors: make([]executor, sc.executors)}
+	quotas := sc.quotas()
 	for i := range entryCount {
 		e := &entry{index: i, next: s.rng.IntN(sc.executors), reported: make([]int32, sc.executors)}
 		for x := range sc.executors {
 			e.candidates = append(e.candidates, &pick.Candidate{
-				Health: pick.Health{Slowness: 1}, Slots: slots, Limit: 64 / entryCount, Quota: s.quota(i, x)})
+				Health: pick.Health{Slowness: 1}, Slots: slots, Limit: 64 / entryCount, Quota: quotas[i][x]})
 		}
 		s.entries = append(s.entries, e)
 	}
@@ -162,17 +164,20 @@
 	s.after(d, func() { do(); s.every(d, do) })
 }
 
-// quota divides the slots of an executor among the entries of its domain, as package upstream does.
-func (s *simulation) quota(entry, executor int) int32 {
-	if entry%s.domains != executor%s.domains {
-		return 0
+// quotas returns the division of all slots for each entry.
+func (sc scenario) quotas() [][]int32 {
+	entries, shares := make([]pick.Member, entryCount), make([]pick.Share, sc.executors)
+	for i := range entries {
+		entries[i] = pick.Member{Name: fmt.Sprint("e", i), Domain: fmt.Sprint(i % sc.domains)}
+	}
+	for x := range shares {
+		shares[x] = pick.Share{ID: fmt.Sprint("u", x), Domain: fmt.Sprint(x % sc.domains), Slots: slots}
 	}
-	near := (entryCount-1-entry%s.domains)/s.domains + 1
-	q := int32(slots / near)
-	if (entry/s.domains+executor/s.domains)%near < slots%near {
-		q++
+	quotas := make([][]int32, entryCount)
+	for i, e := range entries {
+		quotas[i] = pick.Quotas(e, entries, shares)
 	}
-	return q
+	return quotas
 }
 
 func (s *simulation) service() time.Duration {
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -3,9 +3,8 @@
 import (
 	"time"
 
+	"daisyswitch/pick"
 	"daisyswitch/wire"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // entryLoads is what another entry last reported.
@@ -75,57 +74,23 @@
 	return sum
 }
 
-// setQuotas divides each upstream's slots among the live entries of its failure domain, or among all if it has none.
-// The division needs no agreement: it only orders which slots an entry takes first.
+// setQuotas divides the slots of the upstreams that take requests among the live entries; called with the lock held.
 func (r *Registry) setQuotas() {
-	for _, u := range r.order {
-		u.Quota = r.quota(u)
-	}
-}
-
-func (r *Registry) quota(u *Upstream) int32 {
-	sharing := r.sharing(u.Domain)
-	mine := rank(r.options.Name, u.ID)
-	var ahead, count int32
-	here := false
-	for _, entry := range sharing {
-		count++
-		if entry == r.options.Name {
-			here = true
-		} else if rank(entry, u.ID) < mine {
-			ahead++
-		}
-	}
-	if !here {
-		return 0
-	}
-	quota := u.Candidate.Slots / count
-	if ahead < u.Candidate.Slots%count {
-		quota++
-	}
-	return quota
-}
-
-// sharing returns the live entries of the domain, or all live ones if it has none.
-func (r *Registry) sharing(domain string) []string {
-	all := []string{r.options.Name}
-	var near []string
-	if r.options.Domain == domain {
-		near = append(near, r.options.Name)
-	}
+	self := pick.Member{Name: r.options.Name, Domain: r.options.Domain}
+	entries := []pick.Member{self}
 	for name, l := range r.loads {
-		all = append(all, name)
-		if l.domain == domain {
-			near = append(near, name)
+		entries = append(entries, pick.Member{Name: name, Domain: l.domain})
+	}
+	var sharing []*Upstream
+	var shares []pick.Share
+	for _, u := range r.order {
+		u.Quota = 0
+		if !u.Leaving && !u.out {
+			sharing = append(sharing, u)
+			shares = append(shares, pick.Share{ID: u.ID, Domain: u.Domain, Slots: u.Candidate.Slots})
 		}
 	}
-	if len(near) > 0 {
-		return near
+	for i, quota := range pick.Quotas(self, entries, shares) {
+		sharing[i].Quota = quota
 	}
-	return all
-}
-
-// rank orders entries differently for each upstream, the same way at every entry.
-func rank(entry, upstream string) uint64 {
-	return xxhash.Sum64String(entry + "\x00" + upstream)
 }
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -81,6 +81,7 @@
 		for _, u := range r.order {
 			u.out = r.isOut(u.Domain)
 		}
+		r.setQuotas()
 	}
 	r.mu.Unlock()
 	r.changed()
@@ -141,12 +142,14 @@
 		return
 	case u != nil:
 		u.renew(a, heard)
+		if u.Leaving {
+			r.setQuotas()
+		}
 	case now.Sub(heard) > ttl(a), r.closed, r.replaced(a, heard):
 		return
 	default:
 		u = r.add(a, heard)
 	}
-	u.out = r.isOut(a.Domain)
 	r.setLimit(u)
 }
 
@@ -167,6 +170,7 @@
 func (r *Registry) add(a *Announcement, heard time.Time) *Upstream {
 	u := newUpstream(a, heard, r.options.Transport)
 	u.Others = r.othersOf(a.ID)
+	u.out = r.isOut(a.Domain)
 	r.upstreams[a.ID] = u
 	r.reorder()
 	event.UpstreamAdded.Info("upstream", a.ID, "address", a.Address, "domain", a.Domain)
