--- a/job/event.go
+++ b/job/event.go
@@ -3,12 +3,13 @@
 import (
 	"daisyswitch/configuration"
 	"daisyswitch/resource"
+	"daisyswitch/task"
 	"daisyswitch/wire"
 )
 
 // Event applies what became of one attempt and reports whether it changed anything; older attempts are never listened to.
 func (tb *Table) Event(e *wire.TaskEvent) bool {
-	ref := FromWire(e.Task)
+	ref := task.FromWire(e.Task)
 	j := tb.jobs[ref.Job]
 	if j == nil {
 		return false
@@ -17,10 +18,10 @@
 	if at < 0 || j.tasks[at].Attempt != ref.Attempt {
 		return false
 	}
-	if queued(j.tasks[at]) {
+	if task.Queued(j.tasks[at]) {
 		return tb.queuedEvent(j, at, e)
 	}
-	if held(j.tasks[at]) {
+	if task.Held(j.tasks[at]) {
 		return tb.heldEvent(j, at, e)
 	}
 	return false
@@ -58,7 +59,7 @@
 func (tb *Table) endAttempt(j *job, at int, e *wire.TaskEvent) bool {
 	switch e.Kind {
 	case wire.TaskEventKind_TASK_EVENT_KIND_DONE:
-		next := started(j.tasks[at])
+		next := task.Started(j.tasks[at])
 		next.State = wire.TaskState_TASK_STATE_DONE
 		next.Reason = ""
 		tb.finish(j, at, next)
@@ -74,12 +75,6 @@
 	return true
 }
 
-func started(t *wire.Task) *wire.Task {
-	next := clone(t)
-	next.Started = true
-	return next
-}
-
 func (tb *Table) running(j *job, at int) bool {
 	t := j.tasks[at]
 	if t.State == wire.TaskState_TASK_STATE_STOPPING && t.Started {
@@ -88,7 +83,7 @@
 	if t.State == wire.TaskState_TASK_STATE_RUNNING {
 		return false
 	}
-	next := started(t)
+	next := task.Started(t)
 	if t.State == wire.TaskState_TASK_STATE_STARTING {
 		next.State = wire.TaskState_TASK_STATE_RUNNING
 	}
@@ -97,8 +92,8 @@
 }
 
 func (tb *Table) checkpoint(j *job, at int, e *wire.TaskEvent) bool {
-	next := started(j.tasks[at])
-	if !accept(next, e) {
+	next := task.Started(j.tasks[at])
+	if !task.Accept(next, e) {
 		return false
 	}
 	if next.State == wire.TaskState_TASK_STATE_STARTING {
@@ -108,21 +103,11 @@
 	return true
 }
 
-// accept takes a checkpoint over that is newer than the last accepted one and not too large.
-func accept(t *wire.Task, e *wire.TaskEvent) bool {
-	if e.Checkpoint <= t.Checkpoint || len(e.CheckpointData) > MaxCheckpointBytes {
-		return false
-	}
-	t.Checkpoint = e.Checkpoint
-	t.CheckpointData = e.CheckpointData
-	return true
-}
-
 func (tb *Table) stopping(j *job, at int, e *wire.TaskEvent) bool {
 	if j.tasks[at].State == wire.TaskState_TASK_STATE_STOPPING {
 		return false
 	}
-	next := clone(j.tasks[at])
+	next := task.Clone(j.tasks[at])
 	next.State = wire.TaskState_TASK_STATE_STOPPING
 	next.Reason = configuration.Clip(e.Reason, MaxReasonBytes)
 	tb.replace(j, at, next)
@@ -130,7 +115,7 @@
 }
 
 func (tb *Table) resize(j *job, at int, e *wire.TaskEvent) bool {
-	next := clone(j.tasks[at])
+	next := task.Clone(j.tasks[at])
 	if next.State == wire.TaskState_TASK_STATE_STOPPING {
 		return false
 	}
@@ -148,15 +133,15 @@
 		return false
 	}
 	if t.Cancelled {
-		tb.end(j, at, cancelledState(t), t.Reason)
+		tb.end(j, at, task.Cancelled(t), t.Reason)
 		return true
 	}
-	tb.requeue(j, at, clone(t))
+	tb.requeue(j, at, task.Clone(t))
 	return true
 }
 
 func (tb *Table) failed(j *job, at int, e *wire.TaskEvent) {
-	next := started(j.tasks[at])
+	next := task.Started(j.tasks[at])
 	next.Failures++
 	if next.Cancelled {
 		next.State = wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
@@ -180,8 +165,8 @@
 }
 
 func (tb *Table) stopped(j *job, at int, e *wire.TaskEvent) {
-	next := started(j.tasks[at])
-	accept(next, e)
+	next := task.Started(j.tasks[at])
+	task.Accept(next, e)
 	if next.Cancelled {
 		next.State = wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
 		tb.finish(j, at, next)
@@ -189,14 +174,14 @@
 	}
 	if next.State == wire.TaskState_TASK_STATE_STOPPING {
 		next.Evictions++
-		tb.tally(j.Class).Evicted++
+		tb.tallies.At(j.Class, tb.now).Evicted++
 	}
 	tb.requeue(j, at, next)
 }
 
 // lost ends an attempt whose worker's lease has surely ended: batch waits again, a service's replica is replaced by a new task.
 func (tb *Table) lost(j *job, at int, reason string) {
-	next := started(j.tasks[at])
+	next := task.Started(j.tasks[at])
 	if next.Cancelled {
 		next.State = wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
 		tb.finish(j, at, next)
--- a/job/read.go
+++ b/job/read.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"daisyswitch/resource"
+	"daisyswitch/task"
 	"daisyswitch/wire"
 )
 
@@ -57,7 +58,7 @@
 
 // Tallies returns the counts of each class in order of name.
 func (tb *Table) Tallies() []*wire.Tally {
-	return tb.tallyRecords()
+	return tb.tallies.Records()
 }
 
 // ClassTotals counts the tasks of one class.
@@ -100,11 +101,11 @@
 		if j.Class != class || j.open == 0 {
 			continue
 		}
-		for _, task := range j.tasks {
+		for _, one := range j.tasks {
 			switch {
-			case queued(task):
+			case task.Queued(one):
 				t.Queued++
-			case held(task):
+			case task.Held(one):
 				t.Running++
 			}
 		}
--- a/job/snapshot.go
+++ b/job/snapshot.go
@@ -8,6 +8,7 @@
 
 	"daisyswitch/configuration"
 	"daisyswitch/resource"
+	"daisyswitch/task"
 	"daisyswitch/wire"
 )
 
@@ -28,7 +29,7 @@
 	for _, name := range tb.gone {
 		s.Workers = append(s.Workers, tb.workers[name].record)
 	}
-	s.Tallies = tb.tallyRecords()
+	s.Tallies = tb.tallies.Records()
 }
 
 // open returns the jobs that have not ended in order of submission.
@@ -47,17 +48,6 @@
 	return &wire.JobRecord{Job: j.Job, Tasks: slices.Clone(j.tasks), Cancelled: j.cancelled, SubmittedMs: j.submitted}
 }
 
-func (tb *Table) tallyRecords() []*wire.Tally {
-	var all []*wire.Tally
-	for _, name := range slices.Sorted(maps.Keys(tb.tallies)) {
-		t := tb.tallies[name]
-		all = append(all, &wire.Tally{
-			Class: t.Class, Done: t.Done, Failed: t.Failed, Evicted: t.Evicted, Day: t.Day, DoneToday: t.DoneToday,
-		})
-	}
-	return all
-}
-
 // TellAll tells of all workers and of the tasks of all jobs that have not ended.
 func (tb *Table) TellAll() {
 	for _, name := range slices.Sorted(maps.Keys(tb.workers)) {
@@ -69,11 +59,7 @@
 // Load fills an empty table from a snapshot, or says why the snapshot makes no sense.
 func (tb *Table) Load(s *wire.State) error {
 	tb.nextJob = s.NextJob
-	for _, t := range s.Tallies {
-		tb.tallies[t.Class] = &wire.Tally{
-			Class: t.Class, Done: t.Done, Failed: t.Failed, Evicted: t.Evicted, Day: t.Day, DoneToday: t.DoneToday,
-		}
-	}
+	tb.tallies.Restore(s.Tallies)
 	for _, r := range s.Workers {
 		tb.loadWorker(r)
 	}
@@ -97,7 +83,7 @@
 }
 
 func (tb *Table) loadJob(r *wire.JobRecord) error {
-	number, err := jobNumber(r.GetJob().GetId())
+	number, err := task.JobNumber(r.GetJob().GetId())
 	if err != nil {
 		return err
 	}
@@ -125,14 +111,14 @@
 
 func (tb *Table) loadTask(j *job, t *wire.Task) error {
 	switch {
-	case held(t):
+	case task.Held(t):
 		w := tb.workers[t.Worker]
 		if w == nil {
 			return fmt.Errorf("task %s/%d is held by the unknown worker %q", t.Job, t.Index, t.Worker)
 		}
 		w.hold(j, t)
 		j.open++
-	case queued(t):
+	case task.Queued(t):
 		j.open++
 	case t.State == wire.TaskState_TASK_STATE_LOST:
 		j.lost++
--- a/job/table.go
+++ b/job/table.go
@@ -1,17 +1,19 @@
 package job
 
-import "daisyswitch/wire"
+import (
+	"daisyswitch/configuration"
+	"daisyswitch/tally"
+	"daisyswitch/wire"
+)
 
 // Bounds of the table.
 const (
-	MaxLiveTasks       = 500_000 // tasks that have not ended, over all jobs
-	MaxJobTasks        = 20_000  // tasks of one job
-	MaxCheckpointBytes = 16 << 10
-	KeepEndedJobs      = 1000   // jobs shown after their end
-	KeepEndedTasks     = 50_000 // tasks of those jobs
-	KeepLost           = 32     // lost replicas shown per job
-	KeepGone           = 256    // workers shown after they left or were lost
-	MaxReasonBytes     = 512
+	MaxLiveTasks   = 500_000 // tasks that have not ended, over all jobs
+	KeepEndedJobs  = 1000    // jobs shown after their end
+	KeepEndedTasks = 50_000  // tasks of those jobs
+	KeepLost       = 32      // lost replicas shown per job
+	KeepGone       = 256     // workers shown after they left or were lost
+	MaxReasonBytes = 512
 )
 
 // Failures after which a task has failed for good.
@@ -41,14 +43,14 @@
 	endedTasks int
 	workers    map[string]*worker
 	gone       []string // names of workers gone, longest ago first
-	tallies    map[string]*wire.Tally
+	tallies    *tally.Table
 }
 
 // New returns an empty table.
 func New(o Options) *Table {
 	return &Table{
 		o: o, jobs: map[string]*job{}, nextJob: 1, classJobs: map[string]int{}, teamJobs: map[string]int{},
-		workers: map[string]*worker{}, tallies: map[string]*wire.Tally{},
+		workers: map[string]*worker{}, tallies: tally.New(),
 	}
 }
 
@@ -60,3 +62,10 @@
 
 // TeamUsers returns how many jobs of a team have not ended.
 func (tb *Table) TeamUsers(team string) int { return tb.teamJobs[team] }
+
+// DropTallies forgets the counts of classes that were removed.
+func (tb *Table) DropTallies() {
+	tb.tallies.Keep(func(class string) bool {
+		return configuration.Class(tb.o.Configuration().Classes, class) != nil
+	})
+}
--- a/job/task.go
+++ b/job/task.go
@@ -3,50 +3,10 @@
 import (
 	"daisyswitch/configuration"
 	"daisyswitch/resource"
+	"daisyswitch/task"
 	"daisyswitch/wire"
 )
 
-// Ref names one attempt of a task.
-type Ref struct {
-	Job     string
-	Index   int32
-	Attempt uint32
-}
-
-// RefOf returns the name of a task's current attempt.
-func RefOf(t *wire.Task) Ref { return Ref{t.Job, t.Index, t.Attempt} }
-
-// FromWire converts the message form.
-func FromWire(r *wire.TaskRef) Ref { return Ref{r.GetJob(), r.GetIndex(), r.GetAttempt()} }
-
-// Wire returns the message form.
-func (r Ref) Wire() *wire.TaskRef {
-	return &wire.TaskRef{Job: r.Job, Index: r.Index, Attempt: r.Attempt}
-}
-
-// queued reports whether a task waits for a worker.
-func queued(t *wire.Task) bool {
-	return t.State == wire.TaskState_TASK_STATE_QUEUED || t.State == wire.TaskState_TASK_STATE_CHECKPOINTED
-}
-
-// held reports whether a task is committed to a worker.
-func held(t *wire.Task) bool {
-	switch t.State {
-	case wire.TaskState_TASK_STATE_STARTING, wire.TaskState_TASK_STATE_RUNNING, wire.TaskState_TASK_STATE_STOPPING:
-		return true
-	}
-	return false
-}
-
-// clone returns a copy to be altered and put in the place of t, which readers may still hold.
-func clone(t *wire.Task) *wire.Task {
-	return &wire.Task{
-		Job: t.Job, Index: t.Index, State: t.State, Attempt: t.Attempt, Worker: t.Worker, Committed: t.Committed,
-		Checkpoint: t.Checkpoint, CheckpointData: t.CheckpointData, Failures: t.Failures, Reason: t.Reason,
-		ChangedMs: t.ChangedMs, Evictions: t.Evictions, Cancelled: t.Cancelled, Started: t.Started,
-	}
-}
-
 // Start commits a queued task to a worker under the next attempt.
 func (tb *Table) Start(s *wire.Start) bool {
 	j := tb.jobs[s.Job]
@@ -54,14 +14,14 @@
 		return false
 	}
 	at := j.find(s.Index)
-	if at < 0 || !queued(j.tasks[at]) || s.Attempt != j.tasks[at].Attempt+1 {
+	if at < 0 || !task.Queued(j.tasks[at]) || s.Attempt != j.tasks[at].Attempt+1 {
 		return false
 	}
 	w := tb.workers[s.Worker]
 	if w == nil || w.record.Gone || tb.out(w.record.Domain) {
 		return false
 	}
-	next := clone(j.tasks[at])
+	next := task.Clone(j.tasks[at])
 	next.State = wire.TaskState_TASK_STATE_STARTING
 	next.Attempt = s.Attempt
 	next.Worker = s.Worker
@@ -90,15 +50,16 @@
 	old := j.tasks[at]
 	next.ChangedMs = tb.now
 	j.tasks[at] = next
-	if held(old) {
+	if task.Held(old) {
 		tb.workers[old.Worker].drop(j, old)
 	}
-	if held(next) {
+	if task.Held(next) {
 		tb.workers[next.Worker].hold(j, next)
 	}
 	tb.o.TaskChanged(j.Job, next)
-	if held(old) {
-		tb.settle(tb.workers[old.Worker])
+	if task.Held(old) {
+		w := tb.workers[old.Worker]
+		tb.settle(w, w.record)
 	}
 }
 
@@ -115,7 +76,7 @@
 
 // end gives a task its last state.
 func (tb *Table) end(j *job, at int, s wire.TaskState, reason string) {
-	next := clone(j.tasks[at])
+	next := task.Clone(j.tasks[at])
 	next.State = s
 	next.Reason = configuration.Clip(reason, MaxReasonBytes)
 	tb.finish(j, at, next)
@@ -129,7 +90,7 @@
 	tb.replace(j, at, next)
 	tb.live--
 	j.open--
-	tb.count(j, next)
+	tb.tallies.Count(j.Class, tb.now, next.State)
 	if j.open == 0 {
 		tb.endJob(j)
 	}
@@ -142,14 +103,6 @@
 	tb.teamJobs[j.Team]--
 }
 
-// cancelledState says truly whether a cancelled task ever ran.
-func cancelledState(t *wire.Task) wire.TaskState {
-	if t.Started {
-		return wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
-	}
-	return wire.TaskState_TASK_STATE_CANCELLED_NOT_RUN
-}
-
 func (tb *Table) out(domain string) bool {
 	return configuration.Domain(tb.o.Configuration().Domains, domain).GetOut()
 }
--- a/job/worker.go
+++ b/job/worker.go
@@ -2,18 +2,13 @@
 
 import (
 	"cmp"
-	"errors"
-	"fmt"
 	"slices"
 
-	"daisyswitch/configuration"
+	"daisyswitch/admit"
 	"daisyswitch/resource"
 	"daisyswitch/wire"
 )
 
-// MaxIncarnationBytes bounds the name of one start of a worker's process.
-const MaxIncarnationBytes = 128
-
 // Held is a task that is committed to a worker, with its job and the kind of its class.
 type Held struct {
 	Job     *wire.Job
@@ -52,31 +47,9 @@
 	w.committed = w.committed.Sub(resource.FromWire(t.Committed))
 }
 
-// CheckWorker returns why an announcement makes no sense, nil if it does.
-func CheckWorker(r *wire.WorkerRecord) error {
-	if err := configuration.CheckName(r.GetName()); err != nil {
-		return fmt.Errorf("worker: %w", err)
-	}
-	if err := configuration.CheckName(r.Domain); err != nil {
-		return fmt.Errorf("worker %s: domain: %w", r.Name, err)
-	}
-	if r.Rack != "" {
-		if err := configuration.CheckName(r.Rack); err != nil {
-			return fmt.Errorf("worker %s: rack: %w", r.Name, err)
-		}
-	}
-	if r.Incarnation == "" || len(r.Incarnation) > MaxIncarnationBytes {
-		return fmt.Errorf("worker %s: the incarnation has 1 to %d bytes", r.Name, MaxIncarnationBytes)
-	}
-	if !resource.FromWire(r.Capacity).Valid() {
-		return errors.New("the capacity is empty or below zero")
-	}
-	return nil
-}
-
 // SetWorker takes an announcement in; a worker that is gone or has a new incarnation holds nothing any more.
 func (tb *Table) SetWorker(r *wire.WorkerRecord) {
-	if CheckWorker(r) != nil {
+	if admit.Worker(r) != nil {
 		return
 	}
 	w := tb.workers[r.Name]
@@ -95,7 +68,7 @@
 	tb.o.MeetDomain(r.Domain, r.Name)
 	w.offered = resource.FromWire(r.Capacity)
 	w.record = nil
-	tb.settleAs(w, r)
+	tb.settle(w, r)
 }
 
 // leave marks a worker gone; the one who proposes it knows that its lease has surely ended or that it runs nothing.
@@ -105,7 +78,7 @@
 	}
 	last := w.record
 	tb.loseHeld(w, "worker lost")
-	w.record = record(last, w.offered, w.offered)
+	w.record = admit.Record(last, w.offered, w.offered)
 	w.record.Gone = true
 	w.capacity = w.offered
 	tb.gone = append(tb.gone, r.Name)
@@ -119,35 +92,13 @@
 	}
 }
 
-// settle lets a worker's capacity follow what it offers, as far down as what is committed allows.
-func (tb *Table) settle(w *worker) {
-	tb.settleAs(w, w.record)
-}
-
-func (tb *Table) settleAs(w *worker, r *wire.WorkerRecord) {
-	capacity := larger(w.offered, w.committed)
+// settle lets a worker's capacity follow what it offers, as far down as what is committed allows; r is the rest of its record.
+func (tb *Table) settle(w *worker, r *wire.WorkerRecord) {
+	capacity := admit.Larger(w.offered, w.committed)
 	if w.record != nil && capacity == w.capacity {
 		return
 	}
 	w.capacity = capacity
-	w.record = record(r, capacity, w.offered)
+	w.record = admit.Record(r, capacity, w.offered)
 	tb.o.WorkerChanged(w.record)
 }
-
-func record(r *wire.WorkerRecord, capacity, offered resource.Size) *wire.WorkerRecord {
-	next := &wire.WorkerRecord{
-		Name: r.Name, Domain: r.Domain, Rack: r.Rack, Incarnation: r.Incarnation, Capacity: capacity.Wire(),
-	}
-	if capacity != offered {
-		next.Offered = offered.Wire()
-	}
-	return next
-}
-
-func larger(a, b resource.Size) resource.Size {
-	return resource.Size{
-		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
-		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
-		Accelerators: max(a.Accelerators, b.Accelerators),
-	}
-}
--- a/lease/answer.go
+++ b/lease/answer.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"daisyswitch/job"
 	"daisyswitch/state"
+	"daisyswitch/task"
 	"daisyswitch/wire"
 )
 
@@ -26,14 +26,14 @@
 	permitted := !out(r.Worker.Domain) && !r.Leaving
 	known := make(map[state.Ref]bool, len(held))
 	for _, h := range held {
-		ref := job.RefOf(h.Task)
+		ref := task.RefOf(h.Task)
 		known[ref] = true
 		if order := w.order(h, reports[ref], permitted, throttles[ref]); order != nil {
 			reply.Orders = append(reply.Orders, order)
 		}
 	}
 	for _, report := range r.Tasks {
-		if !known[job.FromWire(report.Task)] {
+		if !known[task.FromWire(report.Task)] {
 			reply.Orders = append(reply.Orders, unknownOrder(report))
 		}
 	}
@@ -66,7 +66,7 @@
 
 // missingOrder starts an attempt that the worker does not report; a stop makes it report the attempt as stopped, known or not.
 func (w *holder) missingOrder(h state.Held, permitted bool) *wire.Order {
-	ref := job.RefOf(h.Task)
+	ref := task.RefOf(h.Task)
 	a := w.attempt(ref)
 	a.touched = w.sequence
 	if a.condemned {
@@ -89,7 +89,7 @@
 
 func startOrder(h state.Held) *wire.Order {
 	order := &wire.Order{
-		Kind: wire.OrderKind_ORDER_KIND_START, Task: job.RefOf(h.Task).Wire(), Job: h.Job, Size: h.Task.Committed,
+		Kind: wire.OrderKind_ORDER_KIND_START, Task: task.RefOf(h.Task).Wire(), Job: h.Job, Size: h.Task.Committed,
 		Checkpoint: h.Task.Checkpoint, CheckpointData: h.Task.CheckpointData, ClassKind: wire.ClassKind_CLASS_KIND_BATCH,
 	}
 	if h.Service {
--- a/lease/receive.go
+++ b/lease/receive.go
@@ -4,9 +4,10 @@
 	"slices"
 	"time"
 
-	"daisyswitch/job"
+	"daisyswitch/admit"
 	"daisyswitch/resource"
 	"daisyswitch/state"
+	"daisyswitch/task"
 	"daisyswitch/wire"
 )
 
@@ -21,7 +22,7 @@
 
 // Receive reads one report against what the state holds for the worker; record is nil if the state does not know it.
 func (t *Table) Receive(now time.Time, r *wire.WorkerReport, held []state.Held, record *wire.WorkerRecord) Outcome {
-	if err := job.CheckWorker(r.GetWorker()); err != nil {
+	if err := admit.Worker(r.GetWorker()); err != nil {
 		return Outcome{Refusal: err.Error()}
 	}
 	t.mu.Lock()
@@ -103,7 +104,7 @@
 // meet notes the attempts that the state holds; those that the first report to a leader finds may have been sent by an earlier one.
 func (w *holder) meet(held []state.Held, sequence uint64) {
 	for _, h := range held {
-		w.attempt(job.RefOf(h.Task)).touched = sequence
+		w.attempt(task.RefOf(h.Task)).touched = sequence
 	}
 	w.fresh = false
 	for ref, a := range w.attempts {
@@ -127,7 +128,7 @@
 	reports := byRef(r)
 	var events []*wire.TaskEvent
 	for _, h := range held {
-		ref := job.RefOf(h.Task)
+		ref := task.RefOf(h.Task)
 		report := reports[ref]
 		if report == nil && w.neverReceived(h.Task, r.Sequence) {
 			w.attempts[ref].condemned = true
@@ -142,7 +143,7 @@
 
 // neverReceived reports whether an attempt that is missing from a report is surely unknown to its worker and must not be sent again.
 func (w *holder) neverReceived(t *wire.Task, sequence uint64) bool {
-	a := w.attempts[job.RefOf(t)]
+	a := w.attempts[task.RefOf(t)]
 	if a.inherited || a.sent && sequence <= a.sequence {
 		return false
 	}
@@ -193,7 +194,7 @@
 			continue
 		}
 		events = append(events, &wire.TaskEvent{
-			Task: job.RefOf(h.Task).Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_STOPPING, Reason: "worker leaving",
+			Task: task.RefOf(h.Task).Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_STOPPING, Reason: "worker leaving",
 		})
 	}
 	return events
@@ -201,8 +202,8 @@
 
 // idle reports whether nothing is committed to a worker and nothing runs on it.
 func idle(r *wire.WorkerReport, held []state.Held) bool {
-	for _, task := range r.Tasks {
-		if !ended(task.Phase) {
+	for _, report := range r.Tasks {
+		if !ended(report.Phase) {
 			return false
 		}
 	}
@@ -232,8 +233,8 @@
 
 func byRef(r *wire.WorkerReport) map[state.Ref]*wire.TaskReport {
 	reports := make(map[state.Ref]*wire.TaskReport, len(r.Tasks))
-	for _, task := range r.Tasks {
-		reports[job.FromWire(task.Task)] = task
+	for _, report := range r.Tasks {
+		reports[task.FromWire(report.Task)] = report
 	}
 	return reports
 }
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"daisyswitch/job"
 	"daisyswitch/lease"
 	"daisyswitch/state"
+	"daisyswitch/task"
 	"daisyswitch/wire"
 )
 
@@ -189,7 +189,7 @@
 			c.Starts = append(c.Starts, &wire.Start{Job: j.Id, Index: t.Index, Attempt: t.Attempt + 1, Worker: f.name, Size: j.Size})
 		case w.calm:
 		case t.State == wire.TaskState_TASK_STATE_STARTING && w.rng.IntN(12) == 0, t.Worker != "" && w.rng.IntN(80) == 0:
-			c.Events = append(c.Events, &wire.TaskEvent{Task: job.RefOf(t).Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_STOPPING})
+			c.Events = append(c.Events, &wire.TaskEvent{Task: task.RefOf(t).Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_STOPPING})
 		}
 	})
 	return c
@@ -327,7 +327,7 @@
 	remaining := f.lease.Sub(f.read(f.world.now))
 	f.world.after(max(0, remaining)*1_000_000/time.Duration(1_000_000+f.ppm)+time.Microsecond, f.guard)
 	for _, o := range reply.Orders {
-		ref := job.FromWire(o.Task)
+		ref := task.FromWire(o.Task)
 		e := f.tasks[ref]
 		switch {
 		case o.Kind == wire.OrderKind_ORDER_KIND_START && e == nil:
--- a/state/jobs_test.go
+++ b/state/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"daisyswitch/admit"
 	"daisyswitch/job"
 	"daisyswitch/wire"
 
@@ -147,7 +148,7 @@
 		"unknown class":       {Class: "none"},
 		"unknown team":        {Team: "none"},
 		"no tasks":            {Tasks: -1},
-		"too many tasks":      {Tasks: job.MaxJobTasks + 1},
+		"too many tasks":      {Tasks: admit.MaxTasks + 1},
 		"no program":          {Program: "a b"},
 		"empty size":          {Size: &wire.Size{}},
 		"size below zero":     {Size: &wire.Size{MilliCpu: -1, MemoryMib: 1}},
--- a/state/machine.go
+++ b/state/machine.go
@@ -6,6 +6,7 @@
 	"daisyswitch/answer"
 	"daisyswitch/audit"
 	"daisyswitch/job"
+	"daisyswitch/task"
 	"daisyswitch/wire"
 )
 
@@ -16,7 +17,7 @@
 )
 
 // Ref names one attempt of a task.
-type Ref = job.Ref
+type Ref = task.Ref
 
 // Held is a task that is committed to a worker, with its job.
 type Held = job.Held
--- /dev/null
+++ b/tally/doc.go
@@ -0,0 +1,2 @@
+// Package tally counts per class what was done, failed and evicted.
+package tally
--- /dev/null
+++ b/task/task.go
@@ -0,0 +1,72 @@
+package task
+
+import "daisyswitch/wire"
+
+// MaxCheckpointBytes bounds the data of a checkpoint; a larger one is refused.
+const MaxCheckpointBytes = 16 << 10
+
+// Ref names one attempt of a task.
+type Ref struct {
+	Job     string
+	Index   int32
+	Attempt uint32
+}
+
+// RefOf returns the name of a task's current attempt.
+func RefOf(t *wire.Task) Ref { return Ref{t.Job, t.Index, t.Attempt} }
+
+// FromWire converts the message form.
+func FromWire(r *wire.TaskRef) Ref { return Ref{r.GetJob(), r.GetIndex(), r.GetAttempt()} }
+
+// Wire returns the message form.
+func (r Ref) Wire() *wire.TaskRef {
+	return &wire.TaskRef{Job: r.Job, Index: r.Index, Attempt: r.Attempt}
+}
+
+// Queued reports whether a task waits for a worker.
+func Queued(t *wire.Task) bool {
+	return t.State == wire.TaskState_TASK_STATE_QUEUED || t.State == wire.TaskState_TASK_STATE_CHECKPOINTED
+}
+
+// Held reports whether a task is committed to a worker.
+func Held(t *wire.Task) bool {
+	switch t.State {
+	case wire.TaskState_TASK_STATE_STARTING, wire.TaskState_TASK_STATE_RUNNING, wire.TaskState_TASK_STATE_STOPPING:
+		return true
+	}
+	return false
+}
+
+// Clone returns a copy to be altered and put in the place of t, which readers may still hold.
+func Clone(t *wire.Task) *wire.Task {
+	return &wire.Task{
+		Job: t.Job, Index: t.Index, State: t.State, Attempt: t.Attempt, Worker: t.Worker, Committed: t.Committed,
+		Checkpoint: t.Checkpoint, CheckpointData: t.CheckpointData, Failures: t.Failures, Reason: t.Reason,
+		ChangedMs: t.ChangedMs, Evictions: t.Evictions, Cancelled: t.Cancelled, Started: t.Started,
+	}
+}
+
+// Started returns a copy of t of which an attempt has run or may have.
+func Started(t *wire.Task) *wire.Task {
+	next := Clone(t)
+	next.Started = true
+	return next
+}
+
+// Accept takes a checkpoint over that is newer than the last accepted one and not too large.
+func Accept(t *wire.Task, e *wire.TaskEvent) bool {
+	if e.Checkpoint <= t.Checkpoint || len(e.CheckpointData) > MaxCheckpointBytes {
+		return false
+	}
+	t.Checkpoint = e.Checkpoint
+	t.CheckpointData = e.CheckpointData
+	return true
+}
+
+// Cancelled says truly whether a cancelled task ever ran.
+func Cancelled(t *wire.Task) wire.TaskState {
+	if t.Started {
+		return wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
+	}
+	return wire.TaskState_TASK_STATE_CANCELLED_NOT_RUN
+}
