Forget earlier leaderships in the lease table

Cause: a replica that leads again kept what it knew of a worker as gone; until control told it of all workers anew, a restarted worker was admitted without waiting for the lease that another leader had granted its former incarnation. Seen by reading control's order of calls; TestEarlierLeadershipIsForgotten failed before the change (no refusal) and passes after; the random schedules now tell the table of all workers after Lead, as control does.

--- a/lease/table.go
+++ b/lease/table.go
@@ -75,21 +75,12 @@
 	return (ms*fast/slow + 1) * time.Millisecond
 }
 
-// Lead begins a leadership: whatever an earlier leader granted is taken to last a full lease from now.
+// Lead begins a leadership and forgets what an earlier one knew; whatever another leader granted is taken to last a full lease from now.
 func (t *Table) Lead(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leading = now
-	for _, w := range t.workers {
-		w.fresh = true
-		w.lost = false
-		w.left = false
-		w.sequence = 0
-		w.attempts = map[state.Ref]*attempt{}
-		if !w.gone {
-			w.end = now.Add(t.span)
-		}
-	}
+	t.workers = map[string]*holder{}
 }
 
 // SetWorker tells what the state has recorded of a worker, so that one that never reports expires too.
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -68,12 +68,23 @@
 }
 
 func TestNewLeaderWaitsOutALease(t *testing.T) {
-	table, _ := one()
+	table, record := one()
 	table.SetWorker(&wire.WorkerRecord{Name: "v", Incarnation: "a"})
 	assert.Equal(t, len(table.Expired(begin.Add(length))), 0)
 	assert.DeepEqual(t, table.Expired(begin.Add(2*length)), []string{"v", "w"})
 	table.Lead(begin.Add(time.Hour))
+	table.SetWorker(record)
 	assert.Equal(t, len(table.Expired(begin.Add(time.Hour+length))), 0)
+	assert.DeepEqual(t, table.Expired(begin.Add(time.Hour+2*length)), []string{"w"})
+}
+
+// TestEarlierLeadershipIsForgotten has a worker that was gone come back and restart while another replica led.
+func TestEarlierLeadershipIsForgotten(t *testing.T) {
+	table, record := one()
+	table.SetWorker(lease.Gone(record))
+	table.Lead(begin.Add(time.Hour))
+	again := &wire.WorkerRecord{Name: "w", Domain: "north", Incarnation: "b", Capacity: record.Capacity}
+	assert.Assert(t, table.Receive(begin.Add(time.Hour), report(again, 1), nil, record).Refusal != "")
 }
 
 func TestRestartedWorkerWaitsForItsFormerLease(t *testing.T) {
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -134,6 +134,8 @@
 		r.machine.Apply(uint64(r.applied+1), w.log[r.applied])
 	}
 	r.table.Lead(r.read(w.now))
+	r.changed = nil
+	r.machine.EachWorker(func(c *wire.WorkerRecord) { r.changed = append(r.changed, c) })
 }
 
 // propose commits a command if r still leads.
