--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -68,12 +68,23 @@
 }
 
 func TestNewLeaderWaitsOutALease(t *testing.T) {
-	table, _ := one()
+	table, record := one()
 	table.SetWorker(&wire.WorkerRecord{Name: "v", Incarnation: "a"})
 	assert.Equal(t, len(table.Expired(begin.Add(length))), 0)
 	assert.DeepEqual(t, table.Expired(begin.Add(2*length)), []string{"v", "w"})
 	table.Lead(begin.Add(time.Hour))
+	table.SetWorker(record)
 	assert.Equal(t, len(table.Expired(begin.Add(time.Hour+length))), 0)
+	assert.DeepEqual(t, table.Expired(begin.Add(time.Hour+2*length)), []string{"w"})
+}
+
+// TestEarlierLeadershipIsForgotten has a worker that was gone come back and restart while another replica led.
+func TestEarlierLeadershipIsForgotten(t *testing.T) {
+	table, record := one()
+	table.SetWorker(lease.Gone(record))
+	table.Lead(begin.Add(time.Hour))
+	again := &wire.WorkerRecord{Name: "w", Domain: "north", Incarnation: "b", Capacity: record.Capacity}
+	assert.Assert(t, table.Receive(begin.Add(time.Hour), report(again, 1), nil, record).Refusal != "")
 }
 
 func TestRestartedWorkerWaitsForItsFormerLease(t *testing.T) {
@@ -127,8 +138,10 @@
 	r := report(record, 1, task(1, running), task(2, running), task(3, done))
 	held := holds(starting)
 	events := table.Receive(begin, r, held, record).Events
-	assert.Equal(t, len(events), 1)
+	assert.Equal(t, len(events), 2)
 	assert.Equal(t, events[0].Kind, running)
+	assert.Equal(t, events[1].Kind, done, "the end of an attempt that is no longer held")
+	assert.Equal(t, events[1].Task.Attempt, uint32(3))
 	throttles := map[state.Ref]int32{{Job: "j1", Attempt: 1}: 10}
 	forget, throttle := wire.OrderKind_ORDER_KIND_FORGET, wire.OrderKind_ORDER_KIND_THROTTLE
 	assert.DeepEqual(t, kinds(table.Answer(begin, r, held, in, throttles)), []wire.OrderKind{orderStop, forget})
--- a/place/decide.go
+++ b/place/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"daisyswitch/fleet"
@@ -11,7 +12,7 @@
 
 // Decide returns what should happen next; its time is bounded by the limits in Options and by what was measured since the last, however long the queues are.
 func (p *Placer) Decide(now time.Time) Decisions {
-	p.fleet.Now = now
+	p.fleet.SetNow(now)
 	p.events = nil
 	p.expire()
 	p.giveUp()
@@ -25,10 +26,14 @@
 // round is the starting of tasks in one Decide.
 type round struct {
 	*Placer
-	starts []*wire.Start
-	full   []resource.Size // sizes that fit nowhere now
+	starts   []*wire.Start
+	full     []resource.Size // sizes that fit nowhere now
+	searches int             // among workers
 }
 
+// searchEffort is what a search among workers costs, with 1 for a job that is passed over without one.
+const searchEffort = 64
+
 // laneHeap orders lanes by who is served first.
 type laneHeap []*fleet.Lane
 
@@ -54,7 +59,7 @@
 		if l.Empty() {
 			continue
 		}
-		l.Distance, l.Share, l.Blocked = r.fleet.Distance(l.Class), r.fleet.Dominant(l.Team), 0
+		l.Distance, l.Share, l.Effort = r.fleet.Distance(l.Class), r.fleet.Dominant(l.Team), 0
 		lanes = append(lanes, l)
 	}
 	heap.Init(&lanes)
@@ -75,11 +80,12 @@
 	if j == nil {
 		return false
 	}
+	searches := r.searches
 	if r.startOne(j) {
 		return !l.Done()
 	}
-	l.Blocked++
-	return l.Pass() && l.Blocked < r.options.BlockedJobs
+	l.Effort += 1 + searchEffort*(r.searches-searches)
+	return l.Pass() && l.Effort < r.options.Effort
 }
 
 // startOne decides about the first waiting task of a job, and reports whether it left the queue.
@@ -93,8 +99,7 @@
 	if !withinQuota(j.Team, size) {
 		return false
 	}
-	if w := t.Reserved; w != nil && w.Domain != nil && !w.Domain.Out && w.Kept().Fits(w.Free) {
-		r.start(t, w, w.Kept())
+	if r.startReserved(t) {
 		return true
 	}
 	if !r.knownFull(size) {
@@ -109,6 +114,22 @@
 	return false
 }
 
+// startReserved starts a task on the worker where room was made for it, and gives a room up that will not come to be.
+func (r *round) startReserved(t *fleet.Task) bool {
+	w := t.Reserved
+	if w == nil {
+		return false
+	}
+	if w.Domain != nil && !w.Domain.Out && w.Kept().Fits(w.Free) {
+		r.start(t, w, w.Kept())
+		return true
+	}
+	if !slices.ContainsFunc(w.Tasks, (*fleet.Task).Stopping) {
+		r.fleet.Unreserve(t)
+	}
+	return false
+}
+
 // startSize is what a task is committed with: what is expected of it, as far as any worker can hold it.
 func (p *Placer) startSize(j *fleet.Job) resource.Size {
 	if !p.ideas.forecast {
--- a/promise/tasks.go
+++ b/promise/tasks.go
@@ -7,7 +7,10 @@
 	"daisyswitch/standin"
 )
 
-const startBoundUS = 3 * secondUS // after a domain was taken out
+const (
+	startBoundUS = 3 * secondUS // after a domain was taken out
+	thawUS       = secondUS     // for a worker to see that its lease ended while it was frozen
+)
 
 // taskKey names a task across its attempts.
 type taskKey struct {
@@ -20,6 +23,7 @@
 	start standin.TaskEffect
 	end   standin.TaskEffect // its kind is empty while the attempt runs on
 	until int64              // microseconds; the far future while it runs on
+	known int64              // when control told the worker that it has recorded the end; the far future if never
 }
 
 func (r run) String() string {
@@ -42,12 +46,12 @@
 			}
 			delete(open, e.Worker)
 		case isStart(e):
-			started := &run{start: e, until: r.diesAt(e.Worker, e.TimeUS)}
+			started := &run{start: e, until: r.diesAt(e.Worker, e.TimeUS), known: math.MaxInt64}
 			key := taskKey{e.Job, e.Index}
 			all[key] = append(all[key], started)
 			open[e.Worker] = append(open[e.Worker], started)
 		default:
-			closeRun(open[e.Worker], e)
+			r.closeRun(open[e.Worker], e)
 		}
 	}
 	return all
@@ -61,18 +65,39 @@
 	return math.MaxInt64
 }
 
-// closeRun ends the latest open run of the attempt that e is about.
-func closeRun(open []*run, e standin.TaskEffect) {
+// closeRun ends the latest run of the attempt that e is about, or notes that its end is known to control.
+func (r *Records) closeRun(open []*run, e standin.TaskEffect) {
 	for i := len(open) - 1; i >= 0; i-- {
 		s := open[i].start
-		if s.Job == e.Job && s.Index == e.Index && s.Attempt == e.Attempt && open[i].end.Kind == "" {
+		if s.Job != e.Job || s.Index != e.Index || s.Attempt != e.Attempt {
+			continue
+		}
+		if e.Kind == standin.TaskForgotten {
+			open[i].known = min(open[i].known, e.TimeUS)
+			return
+		}
+		if open[i].end.Kind == "" {
 			open[i].end = e
-			open[i].until = e.TimeUS
+			open[i].until = r.ranUntil(e)
 			return
 		}
 	}
 }
 
+// ranUntil returns when an attempt really ended: one whose lease ended while its worker was frozen did nothing after that.
+func (r *Records) ranUntil(e standin.TaskEffect) int64 {
+	if e.Reason != standin.ReasonLeaseEnd {
+		return e.TimeUS
+	}
+	for _, h := range r.named(standin.Frozen) {
+		thawed, on := r.first(standin.Thawed, h.Name, h.TimeUS)
+		if h.Name == e.Worker && on && thawed <= e.TimeUS && e.TimeUS <= thawed+thawUS {
+			return h.TimeUS
+		}
+	}
+	return e.TimeUS
+}
+
 func capacity(r *Records, result *Result) {
 	for _, e := range r.Tasks {
 		if !isStart(e) {
@@ -114,7 +139,7 @@
 				result.Observed++
 			}
 			if i+1 < len(runs) {
-				follows(attempt, runs[i+1], result)
+				r.follows(attempt, runs[i+1], result)
 			} else if interrupted && finished && !cancelled[key.job] {
 				result.violate("%s was stopped (%s) and never resumed", attempt, attempt.end.Reason)
 			}
@@ -122,20 +147,27 @@
 	}
 }
 
-// follows holds the next attempt of a task against the one before it.
-func follows(before, next *run, result *Result) {
+// follows holds the next attempt of a task against the one before it; an end that the worker could not report can't be held against control.
+func (r *Records) follows(before, next *run, result *Result) {
+	reported := before.known < next.start.TimeUS || !r.unreachable(before, next)
 	switch {
 	case next.start.Attempt <= before.start.Attempt:
 		result.violate("%s began after %s", next, before)
-	case before.end.Reason == standin.ReasonDone:
+	case before.end.Reason == standin.ReasonDone && reported:
 		result.violate("%s began after %s was done", next, before)
 	case before.end.Kind != standin.TaskStopped || before.start.Service:
-	case before.end.Reason == standin.ReasonEvicted && next.start.Checkpoint != before.end.Checkpoint,
-		next.start.Checkpoint > before.end.Checkpoint:
+	case next.start.Checkpoint > before.end.Checkpoint,
+		before.end.Reason == standin.ReasonEvicted && reported && next.start.Checkpoint != before.end.Checkpoint:
 		result.violate("%s resumed from checkpoint %d, %s stopped at %d", next, next.start.Checkpoint, before, before.end.Checkpoint)
 	}
 }
 
+// unreachable reports whether the worker was cut off when the attempt ended, or killed before the next one started.
+func (r *Records) unreachable(before, next *run) bool {
+	worker := before.start.Worker
+	return r.cutOff(worker, before.until) || r.diesAt(worker, before.until) < next.start.TimeUS
+}
+
 func domainOut(r *Records, result *Result) {
 	for _, out := range r.named(standin.DomainOut) {
 		from, to := out.TimeUS+startBoundUS, int64(math.MaxInt64)
