Send answers twice from a stand-in upstream, check readiness out of step

An upstream that sends each answer twice over a connection that stays open would hand a stale answer to a request that reuses it. The balancer's checks ran in step with the script's seconds, so that a planned stop was put to the test by a single request in some runs.

Seen failing first: the stand-in's test with the answer sent once.

--- a/cmd/standin/upstream.go
+++ b/cmd/standin/upstream.go
@@ -16,7 +16,7 @@
 	Entry       []string      `long:"entry" required:"true" description:"platform address of an entry of the domain, host:port; repeat for more"`
 	Class       []string      `long:"class" required:"true" description:"class that it serves; repeat for more"`
 	Address     string        `long:"address" default:"127.0.0.1:0" description:"IP:port for entries, port 0 for a free one"`
-	Admin       string        `long:"admin" description:"IP:port of its own admin interface: GET /v1/standin, PUT /v1/standin/mode {slow_by, silent, truncate}, PUT /v1/standin/leave"`
+	Admin       string        `long:"admin" description:"IP:port of its own admin interface: GET /v1/standin, PUT /v1/standin/mode {slow_by, silent, truncate, repeat}, PUT /v1/standin/leave"`
 	Slots       int           `long:"slots" default:"8" description:"requests served at once"`
 	Connections int           `long:"connections" default:"64" description:"connections taken at once"`
 	QueueWait   time.Duration `long:"queue-wait" default:"20ms" description:"longest wait for a slot before a refusal"`
--- a/fakecaller/balancer.go
+++ b/fakecaller/balancer.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	checkEvery   = time.Second
+	checkEvery   = time.Second // on average, so that checks fall in step with nothing
 	checkTimeout = 400 * time.Millisecond
 )
 
@@ -45,7 +45,7 @@
 			b.asked.Add(1)
 		}
 		select {
-		case <-time.After(checkEvery):
+		case <-time.After(checkEvery/2 + rand.N(checkEvery)):
 		case <-ctx.Done():
 			return
 		}
--- a/fakeupstream/mode.go
+++ b/fakeupstream/mode.go
@@ -15,6 +15,7 @@
 	SlowBy   int  `json:"slow_by,omitempty"` // factor on service times
 	Silent   bool `json:"silent,omitempty"`  // requests run and are never answered
 	Truncate bool `json:"truncate,omitempty"`
+	Repeat   bool `json:"repeat,omitempty"` // each answer is sent twice over its connection, which stays open
 }
 
 // SetMode changes how it answers from now on; requests held by silence are answered.
--- a/fakeupstream/serve.go
+++ b/fakeupstream/serve.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,6 +21,7 @@
 	headerRequestID = "Daisyswitch-Request-Id"
 	headerVerdict   = "Daisyswitch-Verdict"
 	bodyLimit       = 64 << 20
+	repeatHold      = time.Second
 )
 
 // serve takes a slot, has the effect once, and answers as the mode says.
@@ -39,8 +41,12 @@
 	mode, changed := u.currentMode()
 	u.work(r.Context(), mode, changed)
 	answer := NewAnswer(r.Header.Get(headerRequestID), body, u.options.BodyBytes)
-	if mode.Truncate {
+	switch {
+	case mode.Truncate:
 		truncate(w, answer)
+	case mode.Repeat:
+		u.repeat(w, answer)
+		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
@@ -128,6 +134,28 @@
 	panic(http.ErrAbortHandler)
 }
 
+// repeat sends the answer twice and leaves the connection open for a while, without answering on it again.
+func (u *Upstream) repeat(w http.ResponseWriter, answer []byte) {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		return
+	}
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n\r\n", len(answer))
+	one := append([]byte(head), answer...)
+	conn.Write(append(one, one...)) //nolint:errcheck // the caller's side counts broken answers
+	u.running.Go(func() { holdOpen(conn) })
+}
+
+func holdOpen(conn net.Conn) {
+	defer conn.Close()
+	conn.SetReadDeadline(time.Now().Add(repeatHold)) //nolint:errcheck // the read fails then
+	io.Copy(io.Discard, conn)                        //nolint:errcheck // any end will do
+}
+
 // Answer is the first line of an upstream's body; as many bytes as Length follow it.
 type Answer struct {
 	RequestID string `json:"request_id"`
--- a/fakeupstream/upstream_test.go
+++ b/fakeupstream/upstream_test.go
@@ -1,9 +1,11 @@
 package fakeupstream
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -120,6 +122,24 @@
 	assert.NilError(t, u.Close())
 }
 
+func TestRepeatedAnswerComesTwiceOverOneConnection(t *testing.T) {
+	u, _ := run(t, Options{BodyBytes: 100})
+	u.SetMode(Mode{Repeat: true})
+	conn, err := net.Dial("tcp", u.Address())
+	assert.NilError(t, err)
+	fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: u\r\n%s: a\r\n\r\n", headerRequestID)
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, CheckAnswer(body, "a", nil))
+	}
+	conn.Close()
+	assert.NilError(t, u.Close())
+}
+
 func TestLeavingIsAnnouncedAndCutsNothing(t *testing.T) {
 	journal := filepath.Join(t.TempDir(), "upstream-u.jsonl")
 	u, told := run(t, Options{Journal: journal})
