--- a/job/event.go
+++ b/job/event.go
@@ -36,8 +36,8 @@
 		}
 		tb.end(j, at, wire.TaskState_TASK_STATE_DONE, "")
 	case wire.TaskEventKind_TASK_EVENT_KIND_STOPPED:
-		next := clone(j.tasks[at])
-		if !next.Started || !accept(next, e) {
+		next := task.Clone(j.tasks[at])
+		if !next.Started || !task.Accept(next, e) {
 			return false
 		}
 		tb.requeue(j, at, next)
--- a/lease/receive.go
+++ b/lease/receive.go
@@ -145,11 +145,11 @@
 func lateEvents(r *wire.WorkerReport, held []state.Held) []*wire.TaskEvent {
 	known := make(map[state.Ref]bool, len(held))
 	for _, h := range held {
-		known[job.RefOf(h.Task)] = true
+		known[task.RefOf(h.Task)] = true
 	}
 	var events []*wire.TaskEvent
 	for _, report := range r.Tasks {
-		if ended(report.Phase) && !known[job.FromWire(report.Task)] {
+		if ended(report.Phase) && !known[task.FromWire(report.Task)] {
 			events = append(events, endOf(report))
 		}
 	}
