--- a/caller/silent_test.go
+++ b/caller/silent_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,7 +27,11 @@
 type path struct {
 	mu      sync.Mutex
 	conns   []*silentConn
+	idleAge time.Duration
 	service time.Duration
+	slow    time.Duration             // more for the class lots
+	broken  func(address string) bool // closes the connection in place of an answer
+	heads   atomic.Int64              // requests that arrived
 }
 
 type silentConn struct {
@@ -42,18 +47,18 @@
 	return c.Conn.Write(p)
 }
 
-func (p *path) dial(context.Context, string) (net.Conn, error) {
+func (p *path) dial(_ context.Context, address string) (net.Conn, error) {
 	near, far := net.Pipe()
 	up := &silentConn{Conn: far}
 	down := &silentConn{Conn: near}
 	p.mu.Lock()
 	p.conns = append(p.conns, up, down)
 	p.mu.Unlock()
-	go p.serve(up)
+	go p.serve(up, address)
 	return down, nil
 }
 
-func (p *path) serve(c *silentConn) {
+func (p *path) serve(c *silentConn, address string) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
 	for {
@@ -61,7 +66,14 @@
 		if err != nil {
 			return
 		}
+		p.heads.Add(1)
+		if p.broken != nil && p.broken(address) {
+			return
+		}
 		io.Copy(io.Discard, r.Body)
+		if r.Header.Get(caller.ClassHeader) == "lots" {
+			time.Sleep(p.slow)
+		}
 		time.Sleep(p.service)
 		io.WriteString(c, okAnswer)
 	}
@@ -77,12 +89,16 @@
 }
 
 // inMemory returns a front whose upstreams are all at the end of the path; it must be called in a synctest bubble.
-func inMemory(p *path, upstreams int, o caller.Options) (*caller.Front, *upstream.Registry) {
-	o.Registry = upstream.New(upstream.Options{Name: "e", Domain: "a", Entries: 1, Transport: transport.Options{Dial: p.dial}})
+func inMemory(t *testing.T, p *path, upstreams int, o caller.Options) (*caller.Front, *upstream.Registry) {
+	o.Registry = upstream.New(upstream.Options{Name: "e", Domain: "a", Entries: 1, Transport: transport.Options{Dial: p.dial, IdleAge: p.idleAge}})
 	f := caller.New(o)
 	f.SetConfiguration(&wire.Configuration{Version: 1, Classes: []*wire.Class{
 		{Name: "bids", Kind: wire.ClassKind_CLASS_KIND_SERVICE}, {Name: "lots", Kind: wire.ClassKind_CLASS_KIND_BATCH}}})
 	announceAll(o.Registry, upstreams, 1)
+	t.Cleanup(func() {
+		assert.NilError(t, f.Close())
+		o.Registry.Close()
+	})
 	return f, o.Registry
 }
 
@@ -107,12 +123,16 @@
 // of the later ones no non-idempotent request is, and a second later all are as fast as before.
 func TestSilentConnections(t *testing.T) {
 	for _, c := range []struct {
-		idle  time.Duration
-		posts bool
-	}{{0, true}, {500 * time.Millisecond, true}, {0, false}, {500 * time.Millisecond, false}} {
+		idle, step, idleAge time.Duration
+		posts               bool
+	}{
+		{0, 5 * time.Millisecond, 0, true}, {500 * time.Millisecond, 150 * time.Millisecond, 0, true},
+		{0, 5 * time.Millisecond, 0, false}, {500 * time.Millisecond, 150 * time.Millisecond, 0, false},
+		{0, 20 * time.Millisecond, time.Minute, false},
+	} {
 		synctest.Test(t, func(t *testing.T) {
-			p := &path{service: 10 * time.Millisecond}
-			f, registry := inMemory(p, 4, caller.Options{})
+			p := &path{service: 10 * time.Millisecond, idleAge: c.idleAge}
+			f, registry := inMemory(t, p, 8, caller.Options{})
 			var asking sync.WaitGroup
 			send := func(method string, after time.Duration) {
 				asking.Go(func() {
@@ -128,8 +148,8 @@
 					}
 				})
 			}
-			load := func(d time.Duration, lost time.Time) {
-				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			load := func(d, step time.Duration, lost time.Time) {
+				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
 					send("GET", time.Since(lost))
 					if c.posts {
 						send("POST", time.Since(lost))
@@ -137,22 +157,139 @@
 				}
 			}
 			burst := func(after time.Duration) {
-				for range 24 {
+				for range 64 {
 					send("GET", after)
 				}
 				time.Sleep(100 * time.Millisecond)
 			}
 			burst(-1)
-			load(time.Second, time.Now().Add(time.Second))
+			load(time.Second, 5*time.Millisecond, time.Now().Add(time.Second))
 			time.Sleep(c.idle)
-			announceAll(registry, 4, 2)
+			announceAll(registry, 8, 2)
 			p.lose()
 			lost := time.Now()
-			load(1500*time.Millisecond, lost)
+			load(1050*time.Millisecond, c.step, lost)
 			burst(time.Since(lost))
 			asking.Wait()
-			registry.Close()
-			assert.NilError(t, f.Close())
 		})
 	}
 }
+
+// TestSlowIsNotSilent lets some answers take longer than a silent connection is waited for, beside others that show that the path is alive;
+// with the budget spent, an answer is waited for in any case.
+func TestSlowIsNotSilent(t *testing.T) {
+	for _, c := range []struct {
+		budget, again int64 // percent
+		slow          time.Duration
+	}{{10, 0, 600 * time.Millisecond}, {1, 1, 2 * time.Second}, {100, 100, 2 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			p := &path{service: 5 * time.Millisecond, slow: c.slow}
+			f, registry := inMemory(t, p, 1, caller.Options{RetryPercent: c.budget})
+			var asking sync.WaitGroup
+			send := func(n int) {
+				for i := range n {
+					announceAll(registry, 1, uint64(time.Now().UnixMilli()))
+					classes := []string{"bids", "lots"}
+					if i%20 > 0 {
+						classes = classes[:1]
+					}
+					for _, class := range classes {
+						asking.Go(func() {
+							code := ask(f, "GET", class, "9000").Code
+							assert.Check(t, code == http.StatusOK, "%d", code)
+						})
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+			send(100)
+			asking.Wait()
+			before := p.heads.Load()
+			send(300)
+			asking.Wait()
+			allowed := before + 315 + (before+315)*c.again/100 // none again, or within the budget where they are slower than any patience
+			assert.Assert(t, p.heads.Load() <= allowed, "%d of %d", p.heads.Load(), before)
+		})
+	}
+}
+
+// TestRetriesStayWithinBudget lets nine of ten upstreams fail every request, and then heal.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &path{service: 5 * time.Millisecond}
+		outage := true
+		p.broken = func(address string) bool { return outage && address != "127.0.0.1:1" }
+		f, registry := inMemory(t, p, 10, caller.Options{})
+		const requests = 3000
+		answered := 0
+		for i := range requests {
+			if i%200 == 0 {
+				announceAll(registry, 10, uint64(i))
+			}
+			if ask(f, "GET", "bids", "1000").Code == http.StatusOK {
+				answered++
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		assert.Assert(t, p.heads.Load() <= requests*110/100, "%d attempts", p.heads.Load())
+		assert.Assert(t, p.heads.Load() > requests*105/100, "%d attempts", p.heads.Load())
+		outage = false
+		time.Sleep(time.Second)
+		announceAll(registry, 10, requests)
+		for range 100 {
+			assert.Equal(t, ask(f, "GET", "bids", "1000").Code, http.StatusOK)
+		}
+	})
+}
+
+// instant is a connection to an upstream that answers each write at once and allocates nothing.
+type instant struct {
+	net.Conn
+	left int
+}
+
+func (c *instant) Write(p []byte) (int, error) {
+	c.left = len(okAnswer)
+	return len(p), nil
+}
+
+func (c *instant) Read(p []byte) (int, error) {
+	if c.left == 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n := copy(p, okAnswer[len(okAnswer)-c.left:])
+	c.left -= n
+	return n, nil
+}
+
+func (c *instant) Close() error                    { return nil }
+func (c *instant) SetDeadline(time.Time) error     { return nil }
+func (c *instant) SetReadDeadline(time.Time) error { return nil }
+
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) WriteHeader(int)             {}
+
+// TestAllocationsPerRequest bounds what a request costs the collector, without net/http's server.
+func TestAllocationsPerRequest(t *testing.T) {
+	const allowed = 64
+	registry := upstream.New(upstream.Options{Name: "e", Domain: "a", Entries: 1, Transport: transport.Options{
+		Dial: func(context.Context, string) (net.Conn, error) { return &instant{}, nil }}})
+	f := caller.New(caller.Options{Registry: registry})
+	f.SetConfiguration(&wire.Configuration{Classes: []*wire.Class{{Name: "bids"}}})
+	for _, method := range []string{"GET", "POST"} {
+		r := httptest.NewRequest(method, "/", nil)
+		r.Header.Set(caller.ClassHeader, "bids")
+		w := discard{http.Header{}}
+		announceAll(registry, 1, 1)
+		allocations := testing.AllocsPerRun(500, func() {
+			clear(w.header)
+			f.ServeHTTP(w, r)
+		})
+		assert.Equal(t, w.header.Get("Content-Length"), "4")
+		assert.Assert(t, allocations <= allowed, "%s: %v", method, allocations)
+		t.Logf("%s: %v allocations", method, allocations)
+	}
+}
--- a/job/event.go
+++ b/job/event.go
@@ -3,12 +3,13 @@
 import (
 	"daisyswitch/configuration"
 	"daisyswitch/resource"
+	"daisyswitch/task"
 	"daisyswitch/wire"
 )
 
 // Event applies what became of one attempt and reports whether it changed anything; older attempts are never listened to.
 func (tb *Table) Event(e *wire.TaskEvent) bool {
-	ref := FromWire(e.Task)
+	ref := task.FromWire(e.Task)
 	j := tb.jobs[ref.Job]
 	if j == nil {
 		return false
@@ -17,17 +18,29 @@
 	if at < 0 || j.tasks[at].Attempt != ref.Attempt {
 		return false
 	}
-	if queued(j.tasks[at]) {
+	if task.Queued(j.tasks[at]) {
 		return tb.queuedEvent(j, at, e)
 	}
-	if held(j.tasks[at]) {
+	if task.Held(j.tasks[at]) {
 		return tb.heldEvent(j, at, e)
 	}
 	return false
 }
 
+// queuedEvent also takes the end of an attempt that was thought lost, told late by its worker before the task started again.
 func (tb *Table) queuedEvent(j *job, at int, e *wire.TaskEvent) bool {
 	switch e.Kind {
+	case wire.TaskEventKind_TASK_EVENT_KIND_DONE:
+		if !j.tasks[at].Started {
+			return false
+		}
+		tb.end(j, at, wire.TaskState_TASK_STATE_DONE, "")
+	case wire.TaskEventKind_TASK_EVENT_KIND_STOPPED:
+		next := clone(j.tasks[at])
+		if !next.Started || !accept(next, e) {
+			return false
+		}
+		tb.requeue(j, at, next)
 	case wire.TaskEventKind_TASK_EVENT_KIND_CANNOT_RUN:
 		tb.end(j, at, wire.TaskState_TASK_STATE_CANNOT_RUN, e.Reason)
 	case wire.TaskEventKind_TASK_EVENT_KIND_GIVE_UP:
@@ -58,7 +71,7 @@
 func (tb *Table) endAttempt(j *job, at int, e *wire.TaskEvent) bool {
 	switch e.Kind {
 	case wire.TaskEventKind_TASK_EVENT_KIND_DONE:
-		next := started(j.tasks[at])
+		next := task.Started(j.tasks[at])
 		next.State = wire.TaskState_TASK_STATE_DONE
 		next.Reason = ""
 		tb.finish(j, at, next)
@@ -74,12 +87,6 @@
 	return true
 }
 
-func started(t *wire.Task) *wire.Task {
-	next := clone(t)
-	next.Started = true
-	return next
-}
-
 func (tb *Table) running(j *job, at int) bool {
 	t := j.tasks[at]
 	if t.State == wire.TaskState_TASK_STATE_STOPPING && t.Started {
@@ -88,7 +95,7 @@
 	if t.State == wire.TaskState_TASK_STATE_RUNNING {
 		return false
 	}
-	next := started(t)
+	next := task.Started(t)
 	if t.State == wire.TaskState_TASK_STATE_STARTING {
 		next.State = wire.TaskState_TASK_STATE_RUNNING
 	}
@@ -97,8 +104,8 @@
 }
 
 func (tb *Table) checkpoint(j *job, at int, e *wire.TaskEvent) bool {
-	next := started(j.tasks[at])
-	if !accept(next, e) {
+	next := task.Started(j.tasks[at])
+	if !task.Accept(next, e) {
 		return false
 	}
 	if next.State == wire.TaskState_TASK_STATE_STARTING {
@@ -108,21 +115,11 @@
 	return true
 }
 
-// accept takes a checkpoint over that is newer than the last accepted one and not too large.
-func accept(t *wire.Task, e *wire.TaskEvent) bool {
-	if e.Checkpoint <= t.Checkpoint || len(e.CheckpointData) > MaxCheckpointBytes {
-		return false
-	}
-	t.Checkpoint = e.Checkpoint
-	t.CheckpointData = e.CheckpointData
-	return true
-}
-
 func (tb *Table) stopping(j *job, at int, e *wire.TaskEvent) bool {
 	if j.tasks[at].State == wire.TaskState_TASK_STATE_STOPPING {
 		return false
 	}
-	next := clone(j.tasks[at])
+	next := task.Clone(j.tasks[at])
 	next.State = wire.TaskState_TASK_STATE_STOPPING
 	next.Reason = configuration.Clip(e.Reason, MaxReasonBytes)
 	tb.replace(j, at, next)
@@ -130,7 +127,7 @@
 }
 
 func (tb *Table) resize(j *job, at int, e *wire.TaskEvent) bool {
-	next := clone(j.tasks[at])
+	next := task.Clone(j.tasks[at])
 	if next.State == wire.TaskState_TASK_STATE_STOPPING {
 		return false
 	}
@@ -148,15 +145,15 @@
 		return false
 	}
 	if t.Cancelled {
-		tb.end(j, at, cancelledState(t), t.Reason)
+		tb.end(j, at, task.Cancelled(t), t.Reason)
 		return true
 	}
-	tb.requeue(j, at, clone(t))
+	tb.requeue(j, at, task.Clone(t))
 	return true
 }
 
 func (tb *Table) failed(j *job, at int, e *wire.TaskEvent) {
-	next := started(j.tasks[at])
+	next := task.Started(j.tasks[at])
 	next.Failures++
 	if next.Cancelled {
 		next.State = wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
@@ -180,8 +177,8 @@
 }
 
 func (tb *Table) stopped(j *job, at int, e *wire.TaskEvent) {
-	next := started(j.tasks[at])
-	accept(next, e)
+	next := task.Started(j.tasks[at])
+	task.Accept(next, e)
 	if next.Cancelled {
 		next.State = wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
 		tb.finish(j, at, next)
@@ -189,14 +186,14 @@
 	}
 	if next.State == wire.TaskState_TASK_STATE_STOPPING {
 		next.Evictions++
-		tb.tally(j.Class).Evicted++
+		tb.tallies.At(j.Class, tb.now).Evicted++
 	}
 	tb.requeue(j, at, next)
 }
 
 // lost ends an attempt whose worker's lease has surely ended: batch waits again, a service's replica is replaced by a new task.
 func (tb *Table) lost(j *job, at int, reason string) {
-	next := started(j.tasks[at])
+	next := task.Started(j.tasks[at])
 	if next.Cancelled {
 		next.State = wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
 		tb.finish(j, at, next)
