--- a/pick/health_test.go
+++ b/pick/health_test.go
@@ -12,6 +12,8 @@
 	"pgregory.net/rapid"
 )
 
+var epoch = time.Unix(1_000_000, 0)
+
 // TestEjectionIsBounded lets any set of upstreams fail or be slow, and expects that never more than the stated share is ejected,
 // that only outliers are, and that all come back.
 func TestEjectionIsBounded(t *testing.T) {
--- a/pick/simulation_test.go
+++ b/simulation/simulation.go
@@ -1,4 +1,4 @@
-package pick_test
+package simulation
 
 import (
 	"container/heap"
@@ -19,27 +19,10 @@
 	farDelay    = 500 * time.Microsecond
 	loadsEvery  = 100 * time.Millisecond
 	longestWait = 2 * time.Second
+	highestUS   = int64(1e9)      // longest latency that is told apart, microseconds
 	deadEntry   = 3 * time.Second // until its last loads are forgotten
 )
 
-// scenario is what a run is about; zero values mean that nothing happens.
-type scenario struct {
-	name               string
-	executors, domains int
-	load               float64
-	slow, entryLost    bool
-	domainOut          bool // from 2 s to 4 s
-	even               bool // every request takes the mean service time
-	skew               bool // callers of the first domain send twice as much
-}
-
-// policy picks an executor for an entry; late policies may answer pick.None and keep the request in the entry's queue.
-type policy struct {
-	name   string
-	choose func(s *simulation, e *entry) int
-	ideal  bool // one entry without delay takes all requests
-}
-
 type entry struct {
 	index, next int
 	dead        bool
@@ -81,10 +64,16 @@
 	return last
 }
 
+// Result is what came of a run.
+type Result struct {
+	Latency *hdrhistogram.Histogram // microseconds, from the caller's side of an entry
+	Refused int                     // after the longest wait
+}
+
 // simulation runs entries and executors in virtual time; everything follows from the seed.
 type simulation struct {
-	scenario
-	policy
+	Scenario
+	Policy
 	now       time.Duration
 	ties      int
 	pending   events
@@ -105,13 +94,14 @@
 	heap.Push(&s.pending, event{s.now + d, do, s.ties})
 }
 
-func run(sc scenario, p policy, seed uint64, requests int) *simulation {
-	s := &simulation{scenario: sc, policy: p, latency: hdrhistogram.New(1, 1e9, 3),
-		arrivals: rand.New(rand.NewPCG(seed, 1)), rng: rand.New(rand.NewPCG(seed, 2)), executors: make([]executor, sc.executors)}
+// Run plays a scenario; everything follows from the seed.
+func Run(sc Scenario, p Policy, seed uint64, requests int) Result {
+	s := &simulation{Scenario: sc, Policy: p, latency: hdrhistogram.New(1, highestUS, 3),
+		arrivals: rand.New(rand.NewPCG(seed, 1)), rng: rand.New(rand.NewPCG(seed, 2)), executors: make([]executor, sc.Executors)}
 	quotas := sc.quotas()
 	for i := range entryCount {
-		e := &entry{index: i, next: s.rng.IntN(sc.executors), reported: make([]int32, sc.executors)}
-		for x := range sc.executors {
+		e := &entry{index: i, next: s.rng.IntN(sc.Executors), reported: make([]int32, sc.Executors)}
+		for x := range sc.Executors {
 			e.candidates = append(e.candidates, &pick.Candidate{
 				Health: pick.Health{Slowness: 1}, Slots: slots, Limit: 64 / entryCount, Quota: quotas[i][x]})
 		}
@@ -128,7 +118,7 @@
 		s.after(2*time.Second, func() { s.entries[0].dead = true })
 		s.after(2*time.Second+deadEntry, func() { clear(s.entries[0].reported) })
 	}
-	gap := float64(meanService) / (sc.load * slots * float64(sc.executors))
+	gap := float64(meanService) / (sc.load * slots * float64(sc.Executors))
 	var arrive func()
 	arrive = func() {
 		s.arrive()
@@ -143,7 +133,7 @@
 		next.do()
 	}
 	s.end()
-	return s
+	return Result{Latency: s.latency, Refused: s.refused}
 }
 
 // end records those still waiting with the time that they have waited, so that an endless queue is not left out.
@@ -165,8 +155,8 @@
 }
 
 // quotas returns the division of all slots for each entry.
-func (sc scenario) quotas() [][]int32 {
-	entries, shares := make([]pick.Member, entryCount), make([]pick.Share, sc.executors)
+func (sc Scenario) quotas() [][]int32 {
+	entries, shares := make([]pick.Member, entryCount), make([]pick.Share, sc.Executors)
 	for i := range entries {
 		entries[i] = pick.Member{Name: fmt.Sprint("e", i), Domain: fmt.Sprint(i % sc.domains)}
 	}
@@ -261,7 +251,7 @@
 // record leaves the first second out, in which the entries fill.
 func (s *simulation) record(r request) {
 	if r.arrived > time.Second && !r.entry.dead {
-		s.latency.RecordValue((s.now - r.arrived).Microseconds())
+		s.latency.RecordValue(min(highestUS, (s.now - r.arrived).Microseconds())) //nolint:errcheck // the value is within the bounds
 	}
 }
 
@@ -310,7 +300,7 @@
 
 func (s *simulation) bar(out bool) {
 	for _, e := range s.entries {
-		for x := 0; x < s.scenario.executors; x += s.domains {
+		for x := 0; x < s.Executors; x += s.domains {
 			e.candidates[x].Barred = out
 		}
 	}
