--- a/caller/bad_test.go
+++ b/caller/bad_test.go
@@ -1,11 +1,9 @@
 package caller_test
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,8 +21,7 @@
 // TestBadInputIsRefusedWithVerdict sends what must not be forwarded, byte for byte.
 func TestBadInputIsRefusedWithVerdict(t *testing.T) {
 	f := newFake(t, healthy)
-	e := newEntry(t, caller.Options{HeaderBytes: 8 << 10, BodyBytes: 100 << 10, HeaderTimeout: 300 * time.Millisecond, RequestTimeout: time.Hour}, upstream.Options{})
-	e.announce(t, "u", f.Addr().String())
+	e := serving(t, caller.Options{HeaderBytes: 8 << 10, BodyBytes: 100 << 10, HeaderTimeout: 300 * time.Millisecond, RequestTimeout: time.Hour}, f.Addr())
 	const start = "POST / HTTP/1.1\r\nHost: x\r\nDaisyswitch-Class: bids\r\n"
 	cases := []struct {
 		name, raw string
@@ -56,11 +53,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			raw, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
-			assert.NilError(t, err)
-			defer raw.Close()
+			raw, reader := e.dial(t)
 			go io.WriteString(raw, c.raw)
-			resp, err := http.ReadResponse(bufio.NewReader(raw), nil)
+			resp, err := http.ReadResponse(reader, nil)
 			assert.NilError(t, err)
 			body, err := io.ReadAll(resp.Body)
 			assert.NilError(t, err)
@@ -99,12 +94,10 @@
 	f.Add("POST", "/a?b", "X: 1\r\nContent-Length: 1\r\n", "x")
 	f.Add("GET", "//", "Connection: Daisyswitch-Class\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n", "1\r\nx\r\n0\r\nT: 1\r\n\r\n")
 	f.Fuzz(func(t *testing.T, method, target, headers, body string) {
-		e.announce(t, "u", up.Listener.Addr().String())
-		raw, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
-		assert.NilError(t, err)
-		defer raw.Close()
+		e.announce("u", up.Listener.Addr())
+		raw, reader := e.dial(t)
 		fmt.Fprintf(raw, "%s %s HTTP/1.1\r\nHost: x\r\nDaisyswitch-Class: bids\r\n%s\r\n%s", method, target, headers, body)
-		resp, err := http.ReadResponse(bufio.NewReader(raw), nil)
+		resp, err := http.ReadResponse(reader, nil)
 		assert.Assert(t, bad.Load() == nil, "%v", bad.Load())
 		if err != nil {
 			return // nothing that could be answered
--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -155,25 +155,18 @@
 	const callers, allowedMB = 400, 16
 	for b.Loop() {
 		f := newFake(b, healthy)
-		e := newEntry(b, caller.Options{}, upstream.Options{})
-		e.announce(b, "u", f.Addr().String())
+		e := serving(b, caller.Options{}, f.Addr())
 		before := inUse()
-		conns := make([]net.Conn, callers)
 		answer := make([]byte, 4096)
-		for i := range conns {
-			raw, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
-			assert.NilError(b, err)
+		for range callers {
+			raw, _ := e.dial(b)
 			fmt.Fprint(raw, "GET / HTTP/1.1\r\nHost: x\r\nDaisyswitch-Class: bids\r\n\r\n")
-			_, err = raw.Read(answer)
+			_, err := raw.Read(answer)
 			assert.NilError(b, err)
-			conns[i] = raw
 		}
 		cost := float64(inUse()-before) / (1 << 20)
 		b.ReportMetric(cost, "MB/400-idle")
 		assert.Check(b, cost < allowedMB)
-		for _, c := range conns {
-			c.Close()
-		}
 	}
 }
 
--- a/caller/front_test.go
+++ b/caller/front_test.go
@@ -1,10 +1,10 @@
 package caller_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +14,7 @@
 	"daisyswitch/wire"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // entry is a front on loopback with its registry.
@@ -45,18 +46,32 @@
 }
 
 // announce tells the entry of an upstream at the address.
-func (e *entry) announce(t testing.TB, id, address string) {
-	t.Helper()
-	e.announceNth(t, id, address, 1)
+func (e *entry) announce(id string, address net.Addr) {
+	e.announceNth(id, address, 1, false)
 }
 
-func (e *entry) announceNth(t testing.TB, id, address string, sequence uint64) {
-	t.Helper()
-	e.registry.Announce(time.Now(), &upstream.Announcement{ID: id, Address: address, Domain: "a", Classes: []string{"bids"}, Slots: 8, Connections: 64, Sequence: sequence})
+func (e *entry) announceNth(id string, address net.Addr, sequence uint64, leaving bool) {
+	e.registry.Announce(time.Now(), &upstream.Announcement{ID: id, Address: address.String(), Domain: "a", Classes: []string{"bids"},
+		Slots: 8, Connections: 64, Sequence: sequence, Leaving: leaving})
 }
 
-func (e *entry) do(t testing.TB, method, path, body string, header ...string) (*http.Response, string) {
-	t.Helper()
+// serving returns an entry with one upstream.
+func serving(t testing.TB, o caller.Options, address net.Addr) *entry {
+	e := newEntry(t, o, upstream.Options{})
+	e.announce("u", address)
+	return e
+}
+
+// dial opens a caller's connection.
+func (e *entry) dial(t testing.TB) (net.Conn, *bufio.Reader) {
+	raw, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+	assert.NilError(t, err)
+	t.Cleanup(func() { raw.Close() })
+	return raw, bufio.NewReader(raw)
+}
+
+// fetch sends one request with the given headers, names and values in turn.
+func (e *entry) fetch(t testing.TB, method, path, body string, header ...string) (*http.Response, string, error) {
 	r, err := http.NewRequest(method, e.url+path, strings.NewReader(body))
 	assert.NilError(t, err)
 	r.Header.Set(caller.ClassHeader, "bids")
@@ -64,27 +79,20 @@
 		r.Header.Set(header[i], header[i+1])
 	}
 	resp, err := http.DefaultClient.Do(r)
-	assert.NilError(t, err)
+	if err != nil {
+		return nil, "", err
+	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
-	assert.NilError(t, err)
-	return resp, string(answer)
+	return resp, string(answer), err
 }
 
-func TestForwards(t *testing.T) {
-	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, _ := io.ReadAll(r.Body)
-		io.WriteString(w, r.Method+" "+r.RequestURI+" "+r.Host+" "+r.Header.Get(caller.AttemptHeader)+" "+string(body))
-	}))
-	defer up.Close()
-	e := newEntry(t, caller.Options{}, upstream.Options{})
-	e.announce(t, "u1", up.Listener.Addr().String())
-	resp, body := e.do(t, "POST", "/a%2Fb?c=d", "lot", "Host", "x")
-	assert.Equal(t, resp.StatusCode, 200)
-	assert.Equal(t, body, "POST /a%2Fb?c=d "+strings.TrimPrefix(e.url, "http://")+" 1 lot")
-	resp, body = e.do(t, "GET", "/", "")
-	assert.Equal(t, resp.StatusCode, 200)
-	assert.Equal(t, body, "GET / "+strings.TrimPrefix(e.url, "http://")+" 1 ")
+// do is fetch for requests that must be answered.
+func (e *entry) do(t testing.TB, method, path, body string, header ...string) (*http.Response, string) {
+	t.Helper()
+	resp, answer, err := e.fetch(t, method, path, body, header...)
+	assert.NilError(t, err)
+	return resp, answer
 }
 
 // occupy holds slots of the upstreams other than the one named, so that it is picked first.
@@ -93,3 +101,13 @@
 		e.registry.Take("bids", []string{but})
 	}
 }
+
+// reach waits for something that must come to pass.
+func reach(t *testing.T, what func() bool) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if what() || t.Failed() {
+			return poll.Success()
+		}
+		return poll.Continue("not yet")
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
+}
--- a/caller/once_test.go
+++ b/caller/once_test.go
@@ -86,7 +86,7 @@
 		budget = 1
 	}
 	e := newEntry(t, caller.Options{RetryPercent: budget}, upstream.Options{Transport: transport.Options{QuietBound: time.Hour}})
-	e.announce(t, "bad", bad.Addr().String())
+	e.announce("bad", bad.Addr())
 	if reused {
 		_, body := e.do(t, "POST", "/", "", caller.RequestIDHeader, "warm")
 		assert.Equal(t, body, "done")
@@ -96,7 +96,7 @@
 		body = "" // net/http's client would replay a request with this header and no body
 	}
 	bad.heads.Store(0)
-	e.announce(t, "good", good.Addr().String())
+	e.announce("good", good.Addr())
 	e.occupy("bad") // makes the bad one the first choice
 	resp, answer := e.do(t, "POST", "/", body, caller.RequestIDHeader, "r", caller.TimeoutHeader, timeout, "Idempotency-Key", extra)
 	var got refusal.Refusal
@@ -120,8 +120,8 @@
 			t.Parallel()
 			bad, good := newFake(t, fault.serve), newFake(t, healthy)
 			e := newEntry(t, caller.Options{RetryPercent: 100}, upstream.Options{})
-			e.announce(t, "bad", bad.Addr().String())
-			e.announce(t, "good", good.Addr().String())
+			e.announce("bad", bad.Addr())
+			e.announce("good", good.Addr())
 			e.occupy("bad")
 			_, answer := e.do(t, "GET", "/", "", caller.TimeoutHeader, timeoutFor(fault.name))
 			if fault.name == late || fault.name == "answer without an end" {
@@ -143,10 +143,10 @@
 	gone, good := newFake(t, healthy), newFake(t, healthy)
 	gone.Close()
 	e := newEntry(t, caller.Options{}, upstream.Options{})
-	e.announce(t, "gone", gone.Addr().String())
+	e.announce("gone", gone.Addr())
 	resp, _ := e.do(t, "POST", "/", "x")
 	assert.Equal(t, resp.Header.Get(refusal.Header), "not-run")
-	e.announce(t, "good", good.Addr().String())
+	e.announce("good", good.Addr())
 	for range 20 {
 		_, answer := e.do(t, "POST", "/", "x", caller.RequestIDHeader, "r")
 		assert.Equal(t, answer, "done")
--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -1,7 +1,6 @@
 package caller_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -17,7 +16,6 @@
 	"daisyswitch/upstream"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 )
 
 // TestPlannedStopCutsNoRequest stops one of two entries, and one of two upstreams, while callers with lasting connections press on.
@@ -32,35 +30,31 @@
 	defer staying.Close()
 	first, second := newEntry(t, caller.Options{}, upstream.Options{}), newEntry(t, caller.Options{}, upstream.Options{})
 	for _, e := range []*entry{first, second} {
-		e.announce(t, "leaving", leaving.Listener.Addr().String())
-		e.announce(t, "staying", staying.Listener.Addr().String())
+		e.announce("leaving", leaving.Listener.Addr())
+		e.announce("staying", staying.Listener.Addr())
 	}
 	var answered, moved atomic.Int64
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for range 16 {
 		callers.Go(func() {
-			press(t, first.url, stop, &answered)
+			press(t, first, stop, &answered)
 			moved.Add(1)
-			press(t, second.url, stop, &answered)
+			press(t, second, stop, &answered)
 		})
 	}
 	sequence := uint64(1)
 	reach := func(what func() bool) {
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
+		reach(t, func() bool {
 			sequence++
-			for _, e := range []*entry{first, second} {
-				e.announceNth(t, "staying", staying.Listener.Addr().String(), sequence)
-			}
-			if what() || t.Failed() {
-				return poll.Success()
-			}
-			return poll.Continue("not yet")
-		}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
+			first.announceNth("staying", staying.Listener.Addr(), sequence, false)
+			second.announceNth("staying", staying.Listener.Addr(), sequence, false)
+			return what()
+		})
 	}
 	reach(func() bool { return answered.Load() > 100 })
 	for _, e := range []*entry{first, second} {
-		e.registry.Announce(time.Now(), &upstream.Announcement{ID: "leaving", Address: leaving.Listener.Addr().String(), Domain: "a", Classes: []string{"bids"}, Slots: 8, Connections: 64, Sequence: 2, Leaving: true})
+		e.announceNth("leaving", leaving.Listener.Addr(), 2, true)
 	}
 	reach(func() bool { return inFlight(first, "leaving")+inFlight(second, "leaving") == 0 })
 	leaving.Config.Shutdown(t.Context())
@@ -85,11 +79,8 @@
 }
 
 // press sends requests over one connection until stop or until the entry ends it with an answer; each must be answered.
-func press(t *testing.T, url string, stop chan struct{}, answered *atomic.Int64) {
-	raw, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
-	assert.Assert(t, err)
-	defer raw.Close()
-	reader := bufio.NewReader(raw)
+func press(t *testing.T, e *entry, stop chan struct{}, answered *atomic.Int64) {
+	raw, reader := e.dial(t)
 	for last := false; !last; {
 		fmt.Fprintf(raw, "POST / HTTP/1.1\r\nHost: x\r\n%s: bids\r\nContent-Length: 0\r\n\r\n", caller.ClassHeader)
 		resp, err := http.ReadResponse(reader, nil)
@@ -121,11 +112,10 @@
 		io.WriteString(w, "end")
 	}))
 	defer up.Close()
-	e := newEntry(t, caller.Options{}, upstream.Options{})
-	e.announce(t, "u", up.Listener.Addr().String())
+	e := serving(t, caller.Options{}, up.Listener.Addr())
 	answer := make(chan string)
 	go func() {
-		_, body, err := e.fetch(t, "GET")
+		_, body, err := e.fetch(t, "GET", "/", "")
 		answer <- fmt.Sprint(body, err)
 	}()
 	<-begun
--- a/caller/whole_test.go
+++ b/caller/whole_test.go
@@ -1,11 +1,9 @@
 package caller_test
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
@@ -14,13 +12,10 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"daisyswitch/caller"
-	"daisyswitch/upstream"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 )
 
 // TestTruncatedAnswerIsNeverWhole cuts answers after every byte and expects the caller to see it.
@@ -39,38 +34,22 @@
 				c.answer(answer[:cut.Load()])
 				return false
 			})
-			e := newEntry(t, caller.Options{}, upstream.Options{})
-			e.announce(t, "u", f.Addr().String())
+			e := serving(t, caller.Options{}, f.Addr())
 			step := max(1, len(answer)/150)
 			for i := 0; i < len(answer); i += step {
 				cut.Store(int64(i))
-				status, body, err := e.fetch(t, "POST")
-				broken := err != nil || status == http.StatusBadGateway
-				assert.Assert(t, broken, "cut after %d bytes: status %d, body %q", i, status, body)
-				e.announce(t, fmt.Sprint("u", i), f.Addr().String()) // a fresh record, so that it is not ejected
+				resp, body, err := e.fetch(t, "POST", "/", "")
+				assert.Assert(t, err != nil || resp.StatusCode == http.StatusBadGateway, "cut after %d bytes: %v, body %q", i, resp, body)
+				e.announce(fmt.Sprint("u", i), f.Addr()) // a fresh record, so that it is not ejected
 			}
 			cut.Store(int64(len(answer)))
-			status, body, err := e.fetch(t, "POST")
-			assert.NilError(t, err)
-			assert.Equal(t, status, http.StatusOK)
+			resp, body := e.do(t, "POST", "/", "")
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
 			assert.Assert(t, strings.HasPrefix(body, "0123456789"))
 		})
 	}
 }
 
-func (e *entry) fetch(t testing.TB, method string) (status int, body string, err error) {
-	r, err := http.NewRequest(method, e.url, nil)
-	assert.NilError(t, err)
-	r.Header.Set(caller.ClassHeader, "bids")
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0, "", err
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(b), err
-}
-
 // TestAnswersAreTheCallersOwn lets an upstream answer late, and twice, and expects neither to reach another caller.
 func TestAnswersAreTheCallersOwn(t *testing.T) {
 	stray := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
@@ -89,8 +68,7 @@
 		}
 		return c.answer(okAnswer)
 	})
-	e := newEntry(t, caller.Options{}, upstream.Options{})
-	e.announce(t, "u", f.Addr().String())
+	e := serving(t, caller.Options{}, f.Addr())
 	_, body := e.do(t, "GET", "/late", "", caller.TimeoutHeader, "500")
 	assert.Assert(t, strings.Contains(body, "timeout"), body)
 	close(late)
@@ -114,8 +92,7 @@
 		}
 		return true
 	})
-	e := newEntry(t, caller.Options{}, upstream.Options{})
-	e.announce(t, "u", f.Addr().String())
+	e := serving(t, caller.Options{}, f.Addr())
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	r, _ := http.NewRequest("GET", e.url, nil)
@@ -140,7 +117,7 @@
 		w.Header().Set("Connection", "X-Hop")
 		w.Header().Set("X-Hop", "1")
 		w.Header().Set("Trailer", "Sum")
-		w.Header().Set("X-Seen", fmt.Sprint(r.Header["X-Private"], r.Header["Te"], r.Trailer["Up"], len(body)))
+		w.Header().Set("X-Seen", fmt.Sprint(r.RequestURI, r.Host, r.Header[caller.AttemptHeader], r.Header["X-Private"], r.Header["Te"], r.Trailer["Up"], len(body)))
 		if r.Method == http.MethodHead {
 			w.Header().Del("Trailer")
 			w.Header().Set("Content-Length", "7")
@@ -151,14 +128,13 @@
 		w.Header().Set(http.TrailerPrefix+"Late", "l")
 	}))
 	defer up.Close()
-	e := newEntry(t, caller.Options{}, upstream.Options{})
-	e.announce(t, "u", up.Listener.Addr().String())
+	e := serving(t, caller.Options{}, up.Listener.Addr())
 	hints := ""
 	trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
 		hints += fmt.Sprint(code, h.Get("Link"))
 		return nil
 	}}
-	r, _ := http.NewRequest("POST", e.url, io.MultiReader(strings.NewReader("lot")))
+	r, _ := http.NewRequest("POST", e.url+"/a%2Fb?c=d", io.MultiReader(strings.NewReader("lot")))
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	r.Trailer = http.Header{"Up": {"u"}}
 	r.Header = http.Header{caller.ClassHeader: {"bids"}, "Connection": {"X-Private"}, "X-Private": {"1"}, "Te": {"trailers"}}
@@ -169,7 +145,7 @@
 	assert.Equal(t, string(body), "body")
 	assert.Equal(t, hints, "103</a>")
 	assert.Equal(t, resp.Header.Get("Link")+resp.Header.Get("X-Hop"), "")
-	assert.Equal(t, resp.Header.Get("X-Seen"), "[] [] [u] 3")
+	assert.Equal(t, resp.Header.Get("X-Seen"), "/a%2Fb?c=d"+strings.TrimPrefix(e.url, "http://")+"[1] [] [] [u] 3")
 	assert.Equal(t, resp.Trailer.Get("Sum")+resp.Trailer.Get("Late"), "sl")
 	resp, _ = e.do(t, "HEAD", "/", "")
 	assert.Equal(t, resp.ContentLength, int64(7))
@@ -185,12 +161,10 @@
 		close(gone)
 		return false
 	})
-	e := newEntry(t, caller.Options{}, upstream.Options{})
-	e.announce(t, "u", f.Addr().String())
-	raw, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
-	assert.NilError(t, err)
+	e := serving(t, caller.Options{}, f.Addr())
+	raw, reader := e.dial(t)
 	fmt.Fprintf(raw, "GET / HTTP/1.1\r\nHost: x\r\n%s: bids\r\n\r\n", caller.ClassHeader)
-	resp, err := http.ReadResponse(bufio.NewReader(raw), nil)
+	resp, err := http.ReadResponse(reader, nil)
 	assert.NilError(t, err)
 	begin := make([]byte, 5)
 	_, err = io.ReadFull(resp.Body, begin)
@@ -198,12 +172,7 @@
 	assert.Equal(t, string(begin), "begin")
 	raw.Close()
 	<-gone
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if loads := e.registry.Loads(); len(loads) > 0 {
-			return poll.Continue("still %v", loads)
-		}
-		return poll.Success()
-	}, poll.WithTimeout(time.Minute))
+	reach(t, func() bool { return len(e.registry.Loads()) == 0 })
 }
 
 // TestStreamedUpload sends a body too long to be held, whole and broken off; the upstream must not take the broken one for a whole one.
@@ -214,13 +183,11 @@
 		lengths <- fmt.Sprint(n == 1<<20, err == nil)
 	}))
 	defer up.Close()
-	e := newEntry(t, caller.Options{}, upstream.Options{})
-	e.announce(t, "u", up.Listener.Addr().String())
+	e := serving(t, caller.Options{}, up.Listener.Addr())
 	resp, _ := e.do(t, "POST", "/", strings.Repeat("x", 1<<20))
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.Equal(t, <-lengths, "true true")
-	raw, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
-	assert.NilError(t, err)
+	raw, _ := e.dial(t)
 	fmt.Fprintf(raw, "POST / HTTP/1.1\r\nHost: x\r\n%s: bids\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", caller.ClassHeader, 1<<20)
 	raw.Write(bytes.Repeat([]byte("x"), 200<<10))
 	raw.Close()
