--- a/lease/receive.go
+++ b/lease/receive.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisyswitch/admit"
+	"daisyswitch/event"
 	"daisyswitch/resource"
 	"daisyswitch/state"
 	"daisyswitch/task"
@@ -34,9 +35,12 @@
 	if record == nil && r.Leaving {
 		return Outcome{Refusal: "the worker leaves before it was known"}
 	}
+	w.heard = now
 	if refusal := w.admit(now, r); refusal != "" {
+		w.logRefusal(r, refusal)
 		return Outcome{Refusal: refusal}
 	}
+	w.refusal = ""
 	if record != nil && record.Incarnation != r.Worker.Incarnation {
 		// What the state holds belongs to the former incarnation and ends with this record.
 		w.end = later(w.end, now.Add(t.span))
@@ -48,6 +52,7 @@
 		o.Events = append(o.Events, leavingEvents(held)...)
 		if idle(r, held) {
 			w.left, w.lost = true, true
+			event.WorkerLeft.Info("worker", r.Worker.Name)
 			o.Worker = Gone(r.Worker)
 			return o
 		}
@@ -78,6 +83,13 @@
 	return ""
 }
 
+func (w *holder) logRefusal(r *wire.WorkerReport, refusal string) {
+	if w.refusal != refusal {
+		event.ReportRefused.Info("worker", r.Worker.Name, "incarnation", r.Worker.Incarnation, "reason", refusal)
+	}
+	w.refusal = refusal
+}
+
 // replace lets a new incarnation take the worker's place once the lease of the former one has surely ended.
 func (w *holder) replace(now time.Time, r *wire.WorkerReport) string {
 	if slices.Contains(w.former, r.Worker.Incarnation) {
@@ -226,6 +238,7 @@
 }
 
 func announced(r *wire.WorkerRecord) *wire.WorkerRecord {
+	event.WorkerAnnounced.Info("worker", r.Name, "domain", r.Domain, "incarnation", r.Incarnation)
 	a := Gone(r)
 	a.Gone = false
 	return a
--- a/lease/table.go
+++ b/lease/table.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"daisyswitch/event"
 	"daisyswitch/state"
 	"daisyswitch/wire"
 )
@@ -15,7 +16,10 @@
 	DefaultDriftPPM = 1000
 )
 
-const partsPerMillion = 1_000_000
+const (
+	partsPerMillion = 1_000_000
+	keepGone        = 100 // leases for which a worker that is gone is remembered
+)
 
 // Options is the terms of all leases.
 type Options struct {
@@ -44,6 +48,8 @@
 	left        bool      // this incarnation said that it leaves and runs nothing
 	gone        bool      // the state has recorded it as gone
 	attempts    map[state.Ref]*attempt
+	heard       time.Time // when it last reported
+	refusal     string    // of its last report, so that one cause is logged once
 }
 
 // attempt is what is known of a start order; only of attempts that this leader committed is it known that they were not sent.
@@ -130,10 +136,16 @@
 		return nil
 	}
 	for name, w := range t.workers {
-		w.lost = w.lost || w.expired(now)
+		if !w.lost && w.expired(now) {
+			w.lost = true
+			event.WorkerLost.Info("worker", name, "incarnation", w.incarnation)
+		}
 		if w.lost && !w.gone {
 			names = append(names, name)
 		}
+		if w.gone && now.After(w.heard.Add(keepGone*t.span)) {
+			delete(t.workers, name)
+		}
 	}
 	slices.Sort(names)
 	return names
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -165,3 +165,20 @@
 	assert.DeepEqual(t, table.Expired(begin), []string{"w"})
 	assert.Assert(t, table.Receive(begin, report(record, 3), nil, record).Refusal != "")
 }
+
+// BenchmarkReport takes in and answers the report of a worker with 21 running tasks.
+func BenchmarkReport(b *testing.B) {
+	table, record := one()
+	var held []state.Held
+	r := report(record, 1)
+	for i := range int32(21) {
+		held = append(held, state.Held{Job: &wire.Job{Id: "j1"}, Task: &wire.Task{Job: "j1", Index: i, Attempt: 1, State: stateRunning}})
+		r.Tasks = append(r.Tasks, &wire.TaskReport{Task: &wire.TaskRef{Job: "j1", Index: i, Attempt: 1}, Phase: wire.TaskEventKind_TASK_EVENT_KIND_RUNNING})
+	}
+	b.ReportAllocs()
+	for range b.N {
+		r.Sequence++
+		table.Receive(begin, r, held, record)
+		table.Answer(begin, r, held, in, nil)
+	}
+}
--- a/lease/world_run_test.go
+++ b/lease/world_run_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"daisyswitch/wire"
 
 	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
 	"pgregory.net/rapid"
 )
 
@@ -21,6 +23,8 @@
 		}
 	}
 	flag.Parse()
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
 	os.Exit(m.Run())
 }
 
