--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -175,6 +175,10 @@
 		s.crash(h, random.IntN(4))
 		return
 	}
+	if random.IntN(500) == 0 {
+		s.loseDisk(h)
+		return
+	}
 	switch roll := random.IntN(100); {
 	case roll < 10:
 		for range 1 + random.IntN(w.ticks) {
