Wait until every thread of a frozen process has stopped

Cause: TestFrozenLeaderAnswersNothingStale failed once in a whole run on a busy machine: a lease of 3000 ms was granted. The stop signal takes a moment to reach all threads, and one still ran when the first requests came, while the leader was still rightly the leader. Ruled out: the lease itself (it counts from before the round was sent). Change: Freeze returns once each thread is stopped; what is checked is unchanged. Conclusion: the test asks only a frozen leader.

--- a/system/process_test.go
+++ b/system/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -91,9 +92,37 @@
 	return err
 }
 
-// Freeze stops the process from running, as a paused instance would.
+// Freeze stops the process from running, as a paused instance would, and returns once none of its threads runs.
 func (p *process) Freeze() error {
-	return p.cmd.Process.Signal(syscall.SIGSTOP)
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for {
+		stopped, err := p.isStopped()
+		if stopped || err != nil {
+			return err
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// isStopped reads the state of each thread, the first letter after the name in parentheses.
+func (p *process) isStopped() (bool, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		return false, fmt.Errorf("threads of %s cannot be read: %w", p.Name, err)
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			return false, err
+		}
+		_, state, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false, nil
+		}
+	}
+	return true, nil
 }
 
 // Thaw lets a frozen process run on.
