--- a/place/sim_test.go
+++ b/place/sim_test.go
@@ -15,34 +15,19 @@
 
 // The fake stands in for workers at their interface, in steps of one virtual second: usage and latency are reported late, orders arrive with the next poll.
 const (
-	reportLag  = 3   // seconds
-	windowLen  = 10  // seconds
-	rampLen    = 10  // seconds until a task uses all of its memory
-	resumeCost = 5   // seconds of a start without progress
-	savedEvery = 60  // seconds between checkpoints
-	outAt      = 900 // a domain is taken out
-	goneAt     = 930 // its workers leave
-	backAt     = 1300
-	horizon    = 1800
-	services   = 3
-	programs   = 11
-	target     = 20000   // of services, microseconds
-	tooLarge   = 1 << 22 // MiB, for any worker
-	badWorker  = 7       // fails what it starts from badFrom to outAt
-	badFrom    = 200
+	reportLag, windowLen, rampLen, resumeCost, savedEvery = 3, 10, 10, 5, 60      // seconds; a task uses all of its memory after rampLen, and makes no progress for resumeCost
+	outAt, goneAt, backAt, horizon                        = 900, 930, 1300, 1800  // a domain is taken out, its workers leave, and come back
+	badWorker, badFrom                                    = 7, 200                // fails what it starts, until outAt
+	services, programs, target, tooLarge                  = 3, 11, 20000, 1 << 22 // target in microseconds, tooLarge in MiB for any worker
 )
 
 type user struct {
-	name                     string
-	workers, domains         int
-	cores, memory            float64 // of a worker, GiB
-	weighVolume, weighWindow float64
+	name                                    string
+	workers, domains                        int
+	cores, memory, weighVolume, weighWindow float64 // cores and GiB of a worker
 }
 
-var users = []user{
-	{"tibay", 50, 3, 64, 250, 0.5, 0.2},
-	{"verhoeven", 65, 4, 16, 60, 0.2, 0.5},
-}
+var users = []user{{"tibay", 50, 3, 64, 250, 0.5, 0.2}, {"verhoeven", 65, 4, 16, 60, 0.2, 0.5}}
 
 type fakeJob struct {
 	*wire.Job
@@ -76,27 +61,26 @@
 
 // measures is what one run brought.
 type measures struct {
-	good, windows, volume, absence                float64
-	evictions, kills, failed, resizes             float64
-	refused, wrong, urgent, busy, held, workerSec float64
+	good, windows, volume, absence             float64
+	evictions, kills, failed, resizes, refused float64
+	wrong, urgent, busy, held, workerSec       float64
 }
 
 type fake struct {
 	user
-	seed    uint64
-	random  *rand.Rand
-	costs   [programs][programs]float64
-	size    [programs][2]float64
-	workers []*fakeWorker
-	queue   []*fakeTask
-	jobs    map[string]*fakeJob
-	now     int
-	placer  *Placer // nil for baselines
-	config  *wire.Configuration
-	decide  func(*fake)
-	orders  []func()
-	always  bool // the domain is away from begin to end
-	quiet   bool // no batch
+	seed          uint64
+	random        *rand.Rand
+	costs         [programs][programs]float64
+	size          [programs][2]float64
+	workers       []*fakeWorker
+	queue         []*fakeTask
+	jobs          map[string]*fakeJob
+	now           int
+	placer        *Placer // nil for baselines
+	config        *wire.Configuration
+	decide        func(*fake)
+	orders        []func()
+	always, quiet bool // the domain is away from begin to end; no batch
 	measures
 }
 
