--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -44,6 +44,7 @@
 		return
 	}
 	x.count(verdict.Parse(refused.Verdict))
+	countRefusal(refused.Code)
 	if !x.body.whole() {
 		x.w.Header().Set("Connection", "close")
 	}
--- a/caller/front.go
+++ b/caller/front.go
@@ -76,6 +76,7 @@
 	f := &Front{options: o, registry: o.Registry, budget: retry.New(o.RetryPercent), classes: class.NewTable()}
 	f.queue = queue.New(queue.Options[*upstream.Slot]{Take: f.take})
 	f.registry.SetChanged(f.queue.Wake)
+	f.registerGauges()
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: o.HeaderTimeout,
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -180,6 +180,7 @@
 			second()
 		}
 		assert.DeepEqual(t, []int{usable(0), usable(1), usable(3)}, []int{1, 2, 1})
+		assert.DeepEqual(t, f.entries[0].Counts(), upstream.Counts{Usable: 1})
 		f.cut = func(_, _ int) bool { return false }
 		f.entries[0].SetConfiguration(&wire.Configuration{Version: 6})
 		second()
