--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -26,10 +26,7 @@
 
 // serveRole runs a bare upstream or an entry in a process of its own, so that its processor time can be told apart; its input ends it.
 func serveRole(role string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
+	l := must(net.Listen("tcp", "127.0.0.1:0"))
 	if role == "upstream" {
 		go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			io.Copy(io.Discard, r.Body)
@@ -55,31 +52,17 @@
 	io.Copy(io.Discard, os.Stdin)
 }
 
-// process is a role with its own processor time.
-type process struct {
-	*exec.Cmd
-	address string
-	input   io.Closer
-}
-
-func start(b *testing.B, role string) *process {
+// start runs a role on one core and returns its address, and what ends it and tells the processor time that it took.
+func start(b *testing.B, role string) (address string, stop func() time.Duration) {
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), roleVariable+"="+role, "GOMAXPROCS=1") // a core each
-	input, err := cmd.StdinPipe()
-	assert.NilError(b, err)
-	output, err := cmd.StdoutPipe()
-	assert.NilError(b, err)
+	cmd.Env = append(os.Environ(), roleVariable+"="+role, "GOMAXPROCS=1")
+	input, output := must(cmd.StdinPipe()), must(cmd.StdoutPipe())
 	assert.NilError(b, cmd.Start())
-	line, err := bufio.NewReader(output).ReadString('\n')
-	assert.NilError(b, err)
-	return &process{cmd, strings.TrimSpace(line), input}
-}
-
-// stop returns the processor time that the process took.
-func (p *process) stop(b *testing.B) time.Duration {
-	p.input.Close()
-	assert.NilError(b, p.Wait())
-	return p.ProcessState.UserTime() + p.ProcessState.SystemTime()
+	return strings.TrimSpace(must(bufio.NewReader(output).ReadString('\n'))), func() time.Duration {
+		input.Close()
+		assert.NilError(b, cmd.Wait())
+		return cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	}
 }
 
 // load sends requests over a number of lasting connections, one at a time on each, and returns the median latency.
@@ -123,19 +106,19 @@
 			for b.Loop() {
 				var ratios, added, bares []float64
 				for range rounds {
-					up := start(b, "upstream")
-					load(b, up.address, method, connections, each)
-					bare := up.stop(b)
-					up = start(b, "upstream")
-					entry := start(b, up.address)
-					load(b, entry.address, method, connections, each)
-					ratios = append(ratios, bare.Seconds()/entry.stop(b).Seconds())
-					entry = start(b, up.address)
-					direct, through := load(b, up.address, method, 1, each), load(b, entry.address, method, 1, each)
+					up, stopUp := start(b, "upstream")
+					load(b, up, method, connections, each)
+					bare := stopUp()
+					up, stopUp = start(b, "upstream")
+					entry, stopEntry := start(b, up)
+					load(b, entry, method, connections, each)
+					ratios = append(ratios, bare.Seconds()/stopEntry().Seconds())
+					entry, stopEntry = start(b, up)
+					direct, through := load(b, up, method, 1, each), load(b, entry, method, 1, each)
 					bares = append(bares, float64(direct.Microseconds()))
 					added = append(added, float64((through - direct).Microseconds()))
-					entry.stop(b)
-					up.stop(b)
+					stopEntry()
+					stopUp()
 				}
 				b.ReportMetric(median(ratios), "per-core-ratio")
 				b.ReportMetric(median(added), "added-µs")
--- a/caller/front_test.go
+++ b/caller/front_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,8 +41,7 @@
 	o.Registry = upstream.New(uo)
 	e := &entry{Front: caller.New(o), registry: o.Registry}
 	e.SetConfiguration(&wire.Configuration{Version: 1, Classes: []*wire.Class{{Name: "bids", Kind: wire.ClassKind_CLASS_KIND_SERVICE, TargetP99Us: 50_000}}})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	l := must(net.Listen("tcp", "127.0.0.1:0"))
 	e.url = "http://" + l.Addr().String()
 	done := make(chan error, 1)
 	go func() { done <- e.Serve(l) }()
@@ -53,6 +53,14 @@
 	return e
 }
 
+// must returns v, and ends the test's process on an error of the test's own making.
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
 // announce tells the entry of an upstream at the address.
 func (e *entry) announce(id string, address net.Addr) {
 	e.announceNth(id, address, 1, false)
@@ -72,16 +80,14 @@
 
 // dial opens a caller's connection.
 func (e *entry) dial(t testing.TB) (net.Conn, *bufio.Reader) {
-	raw, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
-	assert.NilError(t, err)
+	raw := must(net.Dial("tcp", strings.TrimPrefix(e.url, "http://")))
 	t.Cleanup(func() { raw.Close() })
 	return raw, bufio.NewReader(raw)
 }
 
 // fetch sends one request with the given headers, names and values in turn.
 func (e *entry) fetch(t testing.TB, method, path, body string, header ...string) (*http.Response, string, error) {
-	r, err := http.NewRequest(method, e.url+path, strings.NewReader(body))
-	assert.NilError(t, err)
+	r := must(http.NewRequest(method, e.url+path, strings.NewReader(body)))
 	r.Header.Set(caller.ClassHeader, "bids")
 	for i := 0; i < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
@@ -147,8 +153,7 @@
 }
 
 func newFake(t testing.TB, serve func(f *fake, c *exchangeConn) bool) *fake {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	l := must(net.Listen("tcp", "127.0.0.1:0"))
 	f := &fake{Listener: l, serve: serve, runs: map[string]int{}}
 	go f.accept()
 	t.Cleanup(func() { l.Close() })
@@ -347,7 +352,10 @@
 	for _, e := range []*entry{first, second} {
 		e.announceNth("leaving", leaving.Listener.Addr(), 2, true)
 	}
-	reach(func() bool { return inFlight(first, "leaving")+inFlight(second, "leaving") == 0 })
+	busy := func(l *wire.Load) bool { return l.GetId() == "leaving" && l.GetInFlight() > 0 }
+	reach(func() bool {
+		return !slices.ContainsFunc(append(first.registry.Loads(), second.registry.Loads()...), busy)
+	})
 	leaving.Config.Shutdown(t.Context())
 	before := answered.Load()
 	reach(func() bool { return answered.Load() > before+100 })
@@ -360,15 +368,6 @@
 	callers.Wait()
 }
 
-func inFlight(e *entry, id string) int32 {
-	for _, load := range e.registry.Loads() {
-		if load.GetId() == id {
-			return load.GetInFlight()
-		}
-	}
-	return 0
-}
-
 // press sends requests over one connection until stop or until the entry ends it with an answer; each must be answered.
 func press(t *testing.T, e *entry, stop chan struct{}, answered *atomic.Int64) {
 	raw, reader := e.dial(t)
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,26 +21,17 @@
 )
 
 // pool hands out a number of slots.
-type pool struct {
-	sync.Mutex
-	free int
-}
+type pool struct{ free atomic.Int64 }
 
 func (p *pool) take(string, []string) (slot int, free, absent bool) {
-	p.Lock()
-	defer p.Unlock()
-	if p.free == 0 {
-		return 0, false, false
+	if p.free.Add(-1) >= 0 {
+		return 0, true, false
 	}
-	p.free--
-	return 0, true, false
+	p.release()
+	return 0, false, false
 }
 
-func (p *pool) release() {
-	p.Lock()
-	defer p.Unlock()
-	p.free++
-}
+func (p *pool) release() { p.free.Add(1) }
 
 // TestOrder lets requests of three classes wait and expects latency-critical ones first, those farther from their target before others, and each class in order of arrival.
 func TestOrder(t *testing.T) {
@@ -93,7 +85,8 @@
 // a request is either served in time or refused, and of those refused nearly all at once.
 func TestEarlyRefusal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &pool{free: 1}
+		p := &pool{}
+		p.release()
 		q := queue.New(queue.Options[int]{Take: p.take})
 		var served, early, late int
 		var mu sync.Mutex
@@ -170,6 +163,6 @@
 		assert.ErrorIs(t, err, queue.ErrGone)
 		p.release()
 		q.Wake()
-		assert.Equal(t, p.free, 1)
+		assert.Equal(t, p.free.Load(), int64(1))
 	})
 }
