--- a/lease/receive.go
+++ b/lease/receive.go
@@ -4,9 +4,11 @@
 	"slices"
 	"time"
 
-	"daisyswitch/job"
+	"daisyswitch/admit"
+	"daisyswitch/event"
 	"daisyswitch/resource"
 	"daisyswitch/state"
+	"daisyswitch/task"
 	"daisyswitch/wire"
 )
 
@@ -21,7 +23,7 @@
 
 // Receive reads one report against what the state holds for the worker; record is nil if the state does not know it.
 func (t *Table) Receive(now time.Time, r *wire.WorkerReport, held []state.Held, record *wire.WorkerRecord) Outcome {
-	if err := job.CheckWorker(r.GetWorker()); err != nil {
+	if err := admit.Worker(r.GetWorker()); err != nil {
 		return Outcome{Refusal: err.Error()}
 	}
 	t.mu.Lock()
@@ -33,20 +35,24 @@
 	if record == nil && r.Leaving {
 		return Outcome{Refusal: "the worker leaves before it was known"}
 	}
+	w.heard = now
 	if refusal := w.admit(now, r); refusal != "" {
+		w.logRefusal(r, refusal)
 		return Outcome{Refusal: refusal}
 	}
+	w.refusal = ""
 	if record != nil && record.Incarnation != r.Worker.Incarnation {
 		// What the state holds belongs to the former incarnation and ends with this record.
 		w.end = later(w.end, now.Add(t.span))
 		return Outcome{Worker: announced(r.Worker)}
 	}
 	w.meet(held, r.Sequence)
-	o := Outcome{Events: w.events(r, held)}
+	o := Outcome{Events: append(w.events(r, held), lateEvents(r, held)...)}
 	if r.Leaving {
 		o.Events = append(o.Events, leavingEvents(held)...)
 		if idle(r, held) {
 			w.left, w.lost = true, true
+			event.WorkerLeft.Info("worker", r.Worker.Name)
 			o.Worker = Gone(r.Worker)
 			return o
 		}
@@ -77,6 +83,13 @@
 	return ""
 }
 
+func (w *holder) logRefusal(r *wire.WorkerReport, refusal string) {
+	if w.refusal != refusal {
+		event.ReportRefused.Info("worker", r.Worker.Name, "incarnation", r.Worker.Incarnation, "reason", refusal)
+	}
+	w.refusal = refusal
+}
+
 // replace lets a new incarnation take the worker's place once the lease of the former one has surely ended.
 func (w *holder) replace(now time.Time, r *wire.WorkerReport) string {
 	if slices.Contains(w.former, r.Worker.Incarnation) {
@@ -103,7 +116,7 @@
 // meet notes the attempts that the state holds; those that the first report to a leader finds may have been sent by an earlier one.
 func (w *holder) meet(held []state.Held, sequence uint64) {
 	for _, h := range held {
-		w.attempt(job.RefOf(h.Task)).touched = sequence
+		w.attempt(task.RefOf(h.Task)).touched = sequence
 	}
 	w.fresh = false
 	for ref, a := range w.attempts {
@@ -127,7 +140,7 @@
 	reports := byRef(r)
 	var events []*wire.TaskEvent
 	for _, h := range held {
-		ref := job.RefOf(h.Task)
+		ref := task.RefOf(h.Task)
 		report := reports[ref]
 		if report == nil && w.neverReceived(h.Task, r.Sequence) {
 			w.attempts[ref].condemned = true
@@ -140,9 +153,24 @@
 	return events
 }
 
+// lateEvents returns what the report says of attempts that ended and that the state no longer holds; they still count for a task that was not started again.
+func lateEvents(r *wire.WorkerReport, held []state.Held) []*wire.TaskEvent {
+	known := make(map[state.Ref]bool, len(held))
+	for _, h := range held {
+		known[task.RefOf(h.Task)] = true
+	}
+	var events []*wire.TaskEvent
+	for _, report := range r.Tasks {
+		if ended(report.Phase) && !known[task.FromWire(report.Task)] {
+			events = append(events, endOf(report))
+		}
+	}
+	return events
+}
+
 // neverReceived reports whether an attempt that is missing from a report is surely unknown to its worker and must not be sent again.
 func (w *holder) neverReceived(t *wire.Task, sequence uint64) bool {
-	a := w.attempts[job.RefOf(t)]
+	a := w.attempts[task.RefOf(t)]
 	if a.inherited || a.sent && sequence <= a.sequence {
 		return false
 	}
@@ -157,9 +185,7 @@
 
 // reported returns the events of one task's report.
 func reported(t *wire.Task, r *wire.TaskReport) []*wire.TaskEvent {
-	e := &wire.TaskEvent{
-		Task: r.Task, Kind: r.Phase, Reason: r.Reason, Checkpoint: r.Checkpoint, CheckpointData: r.CheckpointData,
-	}
+	e := endOf(r)
 	if ended(r.Phase) {
 		return []*wire.TaskEvent{e}
 	}
@@ -175,6 +201,13 @@
 	return events
 }
 
+// endOf returns a report's phase as an event.
+func endOf(r *wire.TaskReport) *wire.TaskEvent {
+	return &wire.TaskEvent{
+		Task: r.Task, Kind: r.Phase, Reason: r.Reason, Checkpoint: r.Checkpoint, CheckpointData: r.CheckpointData,
+	}
+}
+
 // ended reports whether an attempt in that phase no longer runs.
 func ended(phase wire.TaskEventKind) bool {
 	switch phase {
@@ -193,7 +226,7 @@
 			continue
 		}
 		events = append(events, &wire.TaskEvent{
-			Task: job.RefOf(h.Task).Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_STOPPING, Reason: "worker leaving",
+			Task: task.RefOf(h.Task).Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_STOPPING, Reason: "worker leaving",
 		})
 	}
 	return events
@@ -201,8 +234,8 @@
 
 // idle reports whether nothing is committed to a worker and nothing runs on it.
 func idle(r *wire.WorkerReport, held []state.Held) bool {
-	for _, task := range r.Tasks {
-		if !ended(task.Phase) {
+	for _, report := range r.Tasks {
+		if !ended(report.Phase) {
 			return false
 		}
 	}
@@ -225,6 +258,7 @@
 }
 
 func announced(r *wire.WorkerRecord) *wire.WorkerRecord {
+	event.WorkerAnnounced.Info("worker", r.Name, "domain", r.Domain, "incarnation", r.Incarnation)
 	a := Gone(r)
 	a.Gone = false
 	return a
@@ -232,8 +266,8 @@
 
 func byRef(r *wire.WorkerReport) map[state.Ref]*wire.TaskReport {
 	reports := make(map[state.Ref]*wire.TaskReport, len(r.Tasks))
-	for _, task := range r.Tasks {
-		reports[job.FromWire(task.Task)] = task
+	for _, report := range r.Tasks {
+		reports[task.FromWire(report.Task)] = report
 	}
 	return reports
 }
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -68,12 +68,23 @@
 }
 
 func TestNewLeaderWaitsOutALease(t *testing.T) {
-	table, _ := one()
+	table, record := one()
 	table.SetWorker(&wire.WorkerRecord{Name: "v", Incarnation: "a"})
 	assert.Equal(t, len(table.Expired(begin.Add(length))), 0)
 	assert.DeepEqual(t, table.Expired(begin.Add(2*length)), []string{"v", "w"})
 	table.Lead(begin.Add(time.Hour))
+	table.SetWorker(record)
 	assert.Equal(t, len(table.Expired(begin.Add(time.Hour+length))), 0)
+	assert.DeepEqual(t, table.Expired(begin.Add(time.Hour+2*length)), []string{"w"})
+}
+
+// TestEarlierLeadershipIsForgotten has a worker that was gone come back and restart while another replica led.
+func TestEarlierLeadershipIsForgotten(t *testing.T) {
+	table, record := one()
+	table.SetWorker(lease.Gone(record))
+	table.Lead(begin.Add(time.Hour))
+	again := &wire.WorkerRecord{Name: "w", Domain: "north", Incarnation: "b", Capacity: record.Capacity}
+	assert.Assert(t, table.Receive(begin.Add(time.Hour), report(again, 1), nil, record).Refusal != "")
 }
 
 func TestRestartedWorkerWaitsForItsFormerLease(t *testing.T) {
@@ -127,8 +138,10 @@
 	r := report(record, 1, task(1, running), task(2, running), task(3, done))
 	held := holds(starting)
 	events := table.Receive(begin, r, held, record).Events
-	assert.Equal(t, len(events), 1)
+	assert.Equal(t, len(events), 2)
 	assert.Equal(t, events[0].Kind, running)
+	assert.Equal(t, events[1].Kind, done, "the end of an attempt that is no longer held")
+	assert.Equal(t, events[1].Task.Attempt, uint32(3))
 	throttles := map[state.Ref]int32{{Job: "j1", Attempt: 1}: 10}
 	forget, throttle := wire.OrderKind_ORDER_KIND_FORGET, wire.OrderKind_ORDER_KIND_THROTTLE
 	assert.DeepEqual(t, kinds(table.Answer(begin, r, held, in, throttles)), []wire.OrderKind{orderStop, forget})
@@ -154,3 +167,20 @@
 	assert.DeepEqual(t, table.Expired(begin), []string{"w"})
 	assert.Assert(t, table.Receive(begin, report(record, 3), nil, record).Refusal != "")
 }
+
+// BenchmarkReport takes in and answers the report of a worker with 21 running tasks.
+func BenchmarkReport(b *testing.B) {
+	table, record := one()
+	var held []state.Held
+	r := report(record, 1)
+	for i := range int32(21) {
+		held = append(held, state.Held{Job: &wire.Job{Id: "j1"}, Task: &wire.Task{Job: "j1", Index: i, Attempt: 1, State: stateRunning}})
+		r.Tasks = append(r.Tasks, &wire.TaskReport{Task: &wire.TaskRef{Job: "j1", Index: i, Attempt: 1}, Phase: wire.TaskEventKind_TASK_EVENT_KIND_RUNNING})
+	}
+	b.ReportAllocs()
+	for range b.N {
+		r.Sequence++
+		table.Receive(begin, r, held, record)
+		table.Answer(begin, r, held, in, nil)
+	}
+}
--- a/place/place.go
+++ b/place/place.go
@@ -15,31 +15,33 @@
 
 // Options holds what a placer is tuned by; a zero field takes its default.
 type Options struct {
-	Seed          uint64        // of the random choice among workers
-	MaxStarts     int           // per Decide
-	MaxEvents     int           // per Decide
-	Candidates    int           // workers of a domain compared for one start
-	BlockedJobs   int           // jobs of one lane passed over in one Decide because they do not fit
-	DecideTimeout time.Duration // how long a decision waits for its transition before it is taken back
-	Settle        time.Duration // without a new kind of worker, after which all workers are taken as known
-	Return        time.Duration // how long a worker that is gone is expected back
-	Keep          time.Duration // how long room that is being made is kept for the task that it is made for
-	Blame         blame.Options
-	Interference  interference.Options
-	Pressure      pressure.Options
-	Usage         usage.Options
+	Seed             uint64        // of the random choice among workers
+	MaxStarts        int           // per Decide
+	MaxEvents        int           // per Decide
+	Candidates       int           // workers of a domain compared for one start
+	SpreadCandidates int           // the same for a job that is spread
+	Effort           int           // spent on one lane in one Decide: searchEffort for a search among workers, 1 for a job passed over without one
+	DecideTimeout    time.Duration // how long a decision waits for its transition before it is taken back
+	Settle           time.Duration // without a new kind of worker, after which all workers are taken as known
+	Return           time.Duration // how long a worker that is gone is expected back
+	Keep             time.Duration // how long room that is being made is kept for the task that it is made for
+	Blame            blame.Options
+	Interference     interference.Options
+	Pressure         pressure.Options
+	Usage            usage.Options
 }
 
 var defaults = Options{
-	Seed:          1,
-	MaxStarts:     512,
-	MaxEvents:     2048,
-	Candidates:    16,
-	BlockedJobs:   16,
-	DecideTimeout: 5 * time.Second,
-	Settle:        15 * time.Second,
-	Return:        time.Hour,
-	Keep:          10 * time.Second,
+	Seed:             1,
+	MaxStarts:        512,
+	MaxEvents:        2048,
+	Candidates:       4,
+	SpreadCandidates: 64,
+	Effort:           1024,
+	DecideTimeout:    5 * time.Second,
+	Settle:           15 * time.Second,
+	Return:           time.Hour,
+	Keep:             10 * time.Second,
 }
 
 func (o Options) withDefaults() Options {
@@ -47,7 +49,8 @@
 	o.MaxStarts = cmp.Or(o.MaxStarts, defaults.MaxStarts)
 	o.MaxEvents = cmp.Or(o.MaxEvents, defaults.MaxEvents)
 	o.Candidates = cmp.Or(o.Candidates, defaults.Candidates)
-	o.BlockedJobs = cmp.Or(o.BlockedJobs, defaults.BlockedJobs)
+	o.SpreadCandidates = cmp.Or(o.SpreadCandidates, defaults.SpreadCandidates)
+	o.Effort = cmp.Or(o.Effort, defaults.Effort)
 	o.DecideTimeout = cmp.Or(o.DecideTimeout, defaults.DecideTimeout)
 	o.Settle = cmp.Or(o.Settle, defaults.Settle)
 	o.Return = cmp.Or(o.Return, defaults.Return)
@@ -70,7 +73,7 @@
 type Decisions struct {
 	Starts    []*wire.Start     // urgent first, then by distance from target
 	Events    []*wire.TaskEvent // STOPPING to evict, RESIZE, CANNOT_RUN, GIVE_UP
-	Throttles []Throttle        // all that are throttled now, and with 0 those just released
+	Throttles []Throttle        // those that changed since the last Decide
 }
 
 // Placer holds what the policy knows; it is used from one goroutine, and is rebuilt on a new leader by telling it everything again.
@@ -121,7 +124,7 @@
 
 // Observe takes one worker's measurements, which lag behind what the worker does.
 func (p *Placer) Observe(now time.Time, r *wire.WorkerReport) {
-	p.fleet.Now = now
+	p.fleet.SetNow(now)
 	if w := p.usage.Observe(r); w != nil {
 		p.pressure.Assess(w)
 	}
@@ -129,7 +132,7 @@
 
 // ObserveService takes what an entry of the domain measured of one service class since its last sample.
 func (p *Placer) ObserveService(now time.Time, domain string, s *wire.ServiceSample) {
-	p.fleet.Now = now
+	p.fleet.SetNow(now)
 	for _, w := range p.usage.ObserveService(domain, s) {
 		p.pressure.Assess(w)
 	}
--- a/standin/record.go
+++ b/standin/record.go
@@ -4,11 +4,12 @@
 
 // The kinds of task effects.
 const (
-	TaskBooted  = "boot"   // the worker's process started; nothing of an earlier one runs any more
-	TaskStarted = "start"  // an attempt started from nothing
-	TaskResumed = "resume" // an attempt started from a checkpoint
-	TaskEnded   = "end"    // an attempt ended by itself
-	TaskStopped = "stop"   // an attempt was stopped
+	TaskBooted    = "boot"   // the worker's process started; nothing of an earlier one runs any more
+	TaskStarted   = "start"  // an attempt started from nothing
+	TaskResumed   = "resume" // an attempt started from a checkpoint
+	TaskEnded     = "end"    // an attempt ended by itself
+	TaskStopped   = "stop"   // an attempt was stopped
+	TaskForgotten = "forgot" // told that control has recorded the end of an attempt
 )
 
 // The reasons of ends and stops.
@@ -96,6 +97,8 @@
 	ConfigSeen     = "config_seen"     // an entry had a configuration version in force
 	CutOff         = "cut_off"         // a process can't reach the others any more
 	Joined         = "joined"          // it can again
+	Frozen         = "frozen"          // a process was halted as a whole
+	Thawed         = "thawed"          // it goes on
 	JobCancelled   = "job_cancelled"   // operators cancelled a job
 	TaskNotRun     = "task_not_run"    // control said that a task never ran
 	Finished       = "finished"        // all jobs were given time to finish
