Let no held-up relay bring an expired upstream back

A relay that was stuck in a cut arrives with a small age, and brought back for 3 s an upstream that had long gone silent. This bounds, but does not replace, the rule that Merge wants the time at which the exchange was asked for: a held-up relay may carry a sequence never seen.

--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -38,6 +38,7 @@
 	upstreams     map[string]*Upstream // by id
 	order         []*Upstream          // by id, for stable picking
 	candidates    []*pick.Candidate    // of order
+	expired       map[string]lastWord  // upstreams that went silent, by id
 	loads         map[string]*entryLoads
 	entries       int
 	configuration *wire.Configuration
@@ -51,6 +52,7 @@
 		options:   o,
 		rng:       rand.New(rand.NewPCG(o.Seed, 0)),
 		upstreams: map[string]*Upstream{},
+		expired:   map[string]lastWord{},
 		loads:     map[string]*entryLoads{},
 		changed:   func() {},
 		entries:   max(o.Entries, 1),
@@ -145,7 +147,7 @@
 		if u.Leaving {
 			r.setQuotas()
 		}
-	case now.Sub(heard) > ttl(a), r.closed, r.replaced(a, heard):
+	case now.Sub(heard) > ttl(a), r.closed, r.tooOld(a, heard.Before(now)), r.replaced(a, heard):
 		return
 	default:
 		u = r.add(a, heard)
@@ -177,6 +179,18 @@
 	return u
 }
 
+// lastWord is what is remembered of an upstream that went silent, so that no word from before, held up on its way, brings it back.
+type lastWord struct {
+	sequence uint64
+	at       time.Time
+}
+
+// tooOld reports whether a newer word of the same upstream, or the same one relayed, has already expired; called with the lock held.
+func (r *Registry) tooOld(a *Announcement, relayed bool) bool {
+	last, known := r.expired[a.ID]
+	return known && (a.Sequence < last.sequence || relayed && a.Sequence == last.sequence)
+}
+
 // expire forgets what was not renewed in time; called with the lock held.
 func (r *Registry) expire(now time.Time) {
 	removed := false
@@ -185,6 +199,7 @@
 			u.pool.Close()
 			delete(r.upstreams, id)
 			removed = true
+			r.expired[id] = lastWord{sequence: u.Sequence, at: now}
 			event.UpstreamRemoved.Info("upstream", id, "leaving", u.Leaving)
 		}
 	}
@@ -201,6 +216,11 @@
 		return
 	}
 	r.maintained = now
+	for id, last := range r.expired {
+		if now.Sub(last.at) > tombstoneTTL {
+			delete(r.expired, id)
+		}
+	}
 	r.assess(now)
 	for _, u := range r.order {
 		u.pool.Prune(now)
