--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -120,6 +120,14 @@
 		time.Sleep(2 * time.Second)
 		_, availability = e.Take(class, nil)
 		assert.Equal(t, availability, upstream.Absent, "an older word renewed")
+		e.Merge(time.Now(), []*wire.Announcement{{Id: "w", Address: w.Address, Domain: "b", Classes: []string{class}, Slots: 8, Connections: 64, Sequence: 5, AgeMs: 1}})
+		_, availability = e.Take(class, nil)
+		assert.Equal(t, availability, upstream.Absent, "a held-up word brought back")
+		e.Announce(time.Now(), w)
+		_, availability = e.Take(class, []string{"u"})
+		assert.Equal(t, availability, upstream.Free, "its own word was refused")
+		w.Leaving = true
+		e.Announce(time.Now(), w)
 		e.Merge(time.Now(), []*wire.Announcement{{Id: "v", Address: "127.0.0.1:2", Domain: "a", Classes: []string{class}, Slots: 8, Connections: 64, AgeMs: 3001}})
 		_, availability = e.Take(class, nil)
 		assert.Equal(t, availability, upstream.Absent)
@@ -180,6 +188,7 @@
 			second()
 		}
 		assert.DeepEqual(t, []int{usable(0), usable(1), usable(3)}, []int{1, 2, 1})
+		assert.DeepEqual(t, f.entries[0].Counts(), upstream.Counts{Usable: 1})
 		f.cut = func(_, _ int) bool { return false }
 		f.entries[0].SetConfiguration(&wire.Configuration{Version: 6})
 		second()
