--- a/lease/answer.go
+++ b/lease/answer.go
@@ -22,18 +22,18 @@
 	}
 	w.end = later(w.end, now.Add(t.span))
 	reply := &wire.WorkerReply{LeaseMs: t.length.Milliseconds()}
-	reports := byRef(r)
+	reports := w.index(r)
+	w.indexed, w.reports = nil, nil
 	permitted := !out(r.Worker.Domain) && !r.Leaving
-	known := make(map[state.Ref]bool, len(held))
 	for _, h := range held {
 		ref := task.RefOf(h.Task)
-		known[ref] = true
 		if order := w.order(h, reports[ref], permitted, throttles[ref]); order != nil {
 			reply.Orders = append(reply.Orders, order)
 		}
+		delete(reports, ref)
 	}
 	for _, report := range r.Tasks {
-		if !known[task.FromWire(report.Task)] {
+		if reports[task.FromWire(report.Task)] != nil {
 			reply.Orders = append(reply.Orders, unknownOrder(report))
 		}
 	}
@@ -68,7 +68,6 @@
 func (w *holder) missingOrder(h state.Held, permitted bool) *wire.Order {
 	ref := task.RefOf(h.Task)
 	a := w.attempt(ref)
-	a.touched = w.sequence
 	if a.condemned {
 		return nil
 	}
--- a/lease/receive.go
+++ b/lease/receive.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -12,7 +13,10 @@
 	"daisyswitch/wire"
 )
 
-const keepFormer = 8 // incarnations of a worker that are remembered to be fenced off
+const (
+	keepFormer  = 8 // incarnations of a worker that are remembered to be fenced off
+	keepAttempt = 2 // reports for which an attempt that is no longer missing is remembered
+)
 
 // Outcome is what a report means: events and a record to commit, or a refusal.
 type Outcome struct {
@@ -46,7 +50,6 @@
 		w.end = later(w.end, now.Add(t.span))
 		return Outcome{Worker: announced(r.Worker)}
 	}
-	w.meet(held, r.Sequence)
 	o := Outcome{Events: w.events(r, held)}
 	if r.Leaving {
 		o.Events = append(o.Events, leavingEvents(held)...)
@@ -113,49 +116,41 @@
 	return ""
 }
 
-// meet notes the attempts that the state holds; those that the first report to a leader finds may have been sent by an earlier one.
-func (w *holder) meet(held []state.Held, sequence uint64) {
-	for _, h := range held {
-		w.attempt(task.RefOf(h.Task)).touched = sequence
-	}
-	w.fresh = false
-	for ref, a := range w.attempts {
-		if a.touched+2 < sequence {
-			delete(w.attempts, ref)
-		}
-	}
-}
-
+// attempt returns what is known of an attempt that is missing from a report.
+// One that the first report to a leader misses may have been sent by an earlier leader.
 func (w *holder) attempt(ref state.Ref) *attempt {
 	a := w.attempts[ref]
 	if a == nil {
-		a = &attempt{inherited: w.fresh, touched: w.sequence}
+		a = &attempt{inherited: w.fresh}
 		w.attempts[ref] = a
 	}
+	a.touched = w.sequence
 	return a
 }
 
 // events returns what the report says of the attempts that the state holds.
 func (w *holder) events(r *wire.WorkerReport, held []state.Held) []*wire.TaskEvent {
-	reports := byRef(r)
+	reports := w.index(r)
 	var events []*wire.TaskEvent
 	for _, h := range held {
 		ref := task.RefOf(h.Task)
-		report := reports[ref]
-		if report == nil && w.neverReceived(h.Task, r.Sequence) {
-			w.attempts[ref].condemned = true
-			events = append(events, &wire.TaskEvent{Task: ref.Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_NOT_STARTED})
-		}
-		if report != nil {
+		if report := reports[ref]; report != nil {
 			events = append(events, reported(h.Task, report)...)
+			continue
+		}
+		a := w.attempt(ref)
+		if a.neverReceived(h.Task, r.Sequence) {
+			a.condemned = true
+			events = append(events, &wire.TaskEvent{Task: ref.Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_NOT_STARTED})
 		}
 	}
+	w.fresh = false
+	maps.DeleteFunc(w.attempts, func(_ state.Ref, a *attempt) bool { return a.touched+keepAttempt < r.Sequence })
 	return events
 }
 
 // neverReceived reports whether an attempt that is missing from a report is surely unknown to its worker and must not be sent again.
-func (w *holder) neverReceived(t *wire.Task, sequence uint64) bool {
-	a := w.attempts[task.RefOf(t)]
+func (a *attempt) neverReceived(t *wire.Task, sequence uint64) bool {
 	if a.inherited || a.sent && sequence <= a.sequence {
 		return false
 	}
@@ -244,12 +239,17 @@
 	return a
 }
 
-func byRef(r *wire.WorkerReport) map[state.Ref]*wire.TaskReport {
-	reports := make(map[state.Ref]*wire.TaskReport, len(r.Tasks))
+// index returns the report's tasks by attempt, once for its receipt and its answer.
+func (w *holder) index(r *wire.WorkerReport) map[state.Ref]*wire.TaskReport {
+	if w.indexed == r {
+		return w.reports
+	}
+	w.indexed = r
+	w.reports = make(map[state.Ref]*wire.TaskReport, len(r.Tasks))
 	for _, report := range r.Tasks {
-		reports[task.FromWire(report.Task)] = report
+		w.reports[task.FromWire(report.Task)] = report
 	}
-	return reports
+	return w.reports
 }
 
 func later(a, b time.Time) time.Time {
--- a/lease/table.go
+++ b/lease/table.go
@@ -48,6 +48,8 @@
 	left        bool      // this incarnation said that it leaves and runs nothing
 	gone        bool      // the state has recorded it as gone
 	attempts    map[state.Ref]*attempt
+	indexed     *wire.WorkerReport // the report that is being answered
+	reports     map[state.Ref]*wire.TaskReport
 	heard       time.Time // when it last reported
 	refusal     string    // of its last report, so that one cause is logged once
 }
@@ -57,7 +59,7 @@
 	inherited bool   // may have been sent by an earlier leader
 	sent      bool   // by this leader
 	sequence  uint64 // of the last report that a start answered
-	touched   uint64 // sequence of the last report while it was held
+	touched   uint64 // sequence of the last report that missed it
 	withheld  bool   // its failure domain was out when it should have been sent
 	condemned bool   // NOT_STARTED was told, so that it is never sent again
 }
