--- a/caller/once_test.go
+++ b/caller/once_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"daisyswitch/caller"
+	"daisyswitch/refusal"
 	"daisyswitch/transport"
 	"daisyswitch/upstream"
 	"daisyswitch/verdict"
@@ -85,7 +86,7 @@
 		budget = 1
 	}
 	e := newEntry(t, caller.Options{RetryPercent: budget}, upstream.Options{Transport: transport.Options{QuietBound: time.Hour}})
-	e.announce(t, "bad", bad.Addr().String())
+	e.announce("bad", bad.Addr())
 	if reused {
 		_, body := e.do(t, "POST", "/", "", caller.RequestIDHeader, "warm")
 		assert.Equal(t, body, "done")
@@ -95,13 +96,13 @@
 		body = "" // net/http's client would replay a request with this header and no body
 	}
 	bad.heads.Store(0)
-	e.announce(t, "good", good.Addr().String())
-	e.registry.SetLoads("e2", "b", time.Now(), loadOf("good", 7)) // makes the bad one the first choice
+	e.announce("good", good.Addr())
+	e.occupy("bad") // makes the bad one the first choice
 	resp, answer := e.do(t, "POST", "/", body, caller.RequestIDHeader, "r", caller.TimeoutHeader, timeout, "Idempotency-Key", extra)
-	var refusal caller.Refusal
-	assert.NilError(t, json.Unmarshal([]byte(answer), &refusal), answer)
-	assert.Equal(t, resp.Header.Get(caller.VerdictHeader), refusal.Verdict)
-	assert.Equal(t, refusal.Verdict, want.String(), refusal.Reason)
+	var got refusal.Refusal
+	assert.NilError(t, json.Unmarshal([]byte(answer), &got), answer)
+	assert.Equal(t, resp.Header.Get(refusal.Header), got.Verdict)
+	assert.Equal(t, got.Verdict, want.String(), got.Reason)
 	assert.Equal(t, bad.heads.Load(), int64(1))
 	assert.Equal(t, good.ran("r"), 0)
 	if want == verdict.NotRun {
@@ -119,9 +120,9 @@
 			t.Parallel()
 			bad, good := newFake(t, fault.serve), newFake(t, healthy)
 			e := newEntry(t, caller.Options{RetryPercent: 100}, upstream.Options{})
-			e.announce(t, "bad", bad.Addr().String())
-			e.announce(t, "good", good.Addr().String())
-			e.registry.SetLoads("e2", "b", time.Now(), loadOf("good", 7))
+			e.announce("bad", bad.Addr())
+			e.announce("good", good.Addr())
+			e.occupy("bad")
 			_, answer := e.do(t, "GET", "/", "", caller.TimeoutHeader, timeoutFor(fault.name))
 			if fault.name == late || fault.name == "answer without an end" {
 				assert.Assert(t, strings.Contains(answer, "verdict"))
@@ -142,10 +143,10 @@
 	gone, good := newFake(t, healthy), newFake(t, healthy)
 	gone.Close()
 	e := newEntry(t, caller.Options{}, upstream.Options{})
-	e.announce(t, "gone", gone.Addr().String())
+	e.announce("gone", gone.Addr())
 	resp, _ := e.do(t, "POST", "/", "x")
-	assert.Equal(t, resp.Header.Get(caller.VerdictHeader), "not-run")
-	e.announce(t, "good", good.Addr().String())
+	assert.Equal(t, resp.Header.Get(refusal.Header), "not-run")
+	e.announce("good", good.Addr())
 	for range 20 {
 		_, answer := e.do(t, "POST", "/", "x", caller.RequestIDHeader, "r")
 		assert.Equal(t, answer, "done")
--- a/lease/receive.go
+++ b/lease/receive.go
@@ -50,7 +50,7 @@
 		w.end = later(w.end, now.Add(t.span))
 		return Outcome{Worker: announced(r.Worker)}
 	}
-	o := Outcome{Events: w.events(r, held)}
+	o := Outcome{Events: append(w.events(r, held), lateEvents(r, held)...)}
 	if r.Leaving {
 		o.Events = append(o.Events, leavingEvents(held)...)
 		if idle(r, held) {
@@ -149,6 +149,21 @@
 	return events
 }
 
+// lateEvents returns what the report says of attempts that ended and that the state no longer holds; they still count for a task that was not started again.
+func lateEvents(r *wire.WorkerReport, held []state.Held) []*wire.TaskEvent {
+	var events []*wire.TaskEvent
+	for _, report := range r.Tasks {
+		if ended(report.Phase) && !isHeld(held, task.FromWire(report.Task)) {
+			events = append(events, endOf(report))
+		}
+	}
+	return events
+}
+
+func isHeld(held []state.Held, ref state.Ref) bool {
+	return slices.ContainsFunc(held, func(h state.Held) bool { return task.RefOf(h.Task) == ref })
+}
+
 // neverReceived reports whether an attempt that is missing from a report is surely unknown to its worker and must not be sent again.
 func (a *attempt) neverReceived(t *wire.Task, sequence uint64) bool {
 	if a.inherited || a.sent && sequence <= a.sequence {
@@ -165,9 +180,7 @@
 
 // reported returns the events of one task's report.
 func reported(t *wire.Task, r *wire.TaskReport) []*wire.TaskEvent {
-	e := &wire.TaskEvent{
-		Task: r.Task, Kind: r.Phase, Reason: r.Reason, Checkpoint: r.Checkpoint, CheckpointData: r.CheckpointData,
-	}
+	e := endOf(r)
 	if ended(r.Phase) {
 		return []*wire.TaskEvent{e}
 	}
@@ -183,6 +196,13 @@
 	return events
 }
 
+// endOf returns a report's phase as an event.
+func endOf(r *wire.TaskReport) *wire.TaskEvent {
+	return &wire.TaskEvent{
+		Task: r.Task, Kind: r.Phase, Reason: r.Reason, Checkpoint: r.Checkpoint, CheckpointData: r.CheckpointData,
+	}
+}
+
 // ended reports whether an attempt in that phase no longer runs.
 func ended(phase wire.TaskEventKind) bool {
 	switch phase {
