--- a/job/read.go
+++ b/job/read.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 
-	"daisyswitch/resource"
 	"daisyswitch/tally"
 	"daisyswitch/task"
 	"daisyswitch/wire"
