--- a/job/read.go
+++ b/job/read.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"daisyswitch/resource"
+	"daisyswitch/tally"
 	"daisyswitch/task"
 	"daisyswitch/wire"
 )
@@ -61,25 +61,9 @@
 	return tb.tallies.Records()
 }
 
-// ClassTotals counts the tasks of one class.
-type ClassTotals struct {
-	Class   string
-	Queued  int64
-	Running int64 // committed to a worker
-}
-
-// Totals counts workers, their resources and the tasks of each class in order of name.
-type Totals struct {
-	Workers     int64
-	WorkersGone int64
-	Capacity    resource.Size
-	Committed   resource.Size
-	Classes     []ClassTotals
-}
-
 // Totals counts everything that status shows.
-func (tb *Table) Totals() Totals {
-	var t Totals
+func (tb *Table) Totals() tally.Totals {
+	var t tally.Totals
 	for _, w := range tb.workers {
 		if w.record.Gone {
 			t.WorkersGone++
@@ -95,8 +79,8 @@
 	return t
 }
 
-func (tb *Table) classTotals(class string) ClassTotals {
-	t := ClassTotals{Class: class}
+func (tb *Table) classTotals(class string) tally.ClassTotals {
+	t := tally.ClassTotals{Class: class}
 	for _, j := range tb.jobs {
 		if j.Class != class || j.open == 0 {
 			continue
