Tell of a broken rule of the log instead of stopping in silence

Cause: a panic of the step function (two leaders in a term, a committed entry that conflicts) was kept by the goroutine group until Close, so a replica stopped without a word. Change: it ends the replica's part as a failed disk does: event, Failed, Info.Err. Seeded fault (panic swallowed): 'expected an error, got nil'. go test -race -count=4 ./replica: passed.

--- a/event/replica.go
+++ b/event/replica.go
@@ -8,7 +8,7 @@
 	ReplicaFollows    = register(103, "replica_follows", "A replica follows another leader or a newer term.")
 	ReplicaRecovering = register(104, "replica_recovering", "A replica has an empty data folder and neither votes nor counts until the others have let it in.")
 	ReplicaRecovered  = register(105, "replica_recovered", "A replica holds all that was committed and is a full member.")
-	ReplicaFailed     = register(106, "replica_failed", "A replica's disk failed, which ends its part in the group until it is started anew.")
+	ReplicaFailed     = register(106, "replica_failed", "A replica's disk failed or a rule of the log was broken, which ends its part in the group until it is started anew.")
 	ReplicaTailCut    = register(107, "replica_tail_cut", "The end of a log that a crash had cut short was removed on opening.")
 	SnapshotSaved     = register(108, "snapshot_saved", "A replica saved a snapshot and removed the log before it.")
 	SnapshotInstalled = register(109, "snapshot_installed", "A replica that was left behind took over the leader's snapshot.")
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"time"
 
 	"daisyswitch/event"
@@ -37,6 +38,7 @@
 func (r *Replica) loop() {
 	defer close(r.ended)
 	defer r.leaseUntil.Store(0)
+	defer r.failOnPanic()
 	ticker := time.NewTicker(r.o.Tick)
 	defer ticker.Stop()
 	if !r.flush(r.since()) {
@@ -239,6 +241,14 @@
 	return true
 }
 
+// failOnPanic ends the replica's part in the group when the step function finds a rule of the protocol broken.
+func (r *Replica) failOnPanic() {
+	if broken := recover(); broken != nil {
+		r.fail(fmt.Errorf("rule of the log broken: %v", broken))
+		r.refuseReads()
+	}
+}
+
 // fail ends the replica's part in the group: after a failed sync nobody knows what is on disk.
 func (r *Replica) fail(err error) bool {
 	event.ReplicaFailed.Error(err, "replica", r.o.ID)
@@ -250,6 +260,6 @@
 		r.applier.push(func() { r.o.Leading(false, term) })
 	}
 	r.applier.push(func() { r.o.Failed(err) })
-	r.abandon("this replica's disk failed")
+	r.abandon("this replica failed")
 	return false
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -45,7 +45,7 @@
 	Snapshot      func() []byte                       // called between two Applies
 	Restore       func([]byte) error
 	Leading       func(leading bool, term uint64) // after a change of leadership, once the new leader has applied its own first record
-	Failed        func(error)                     // the disk failed, which ends this replica's part in the group; may be nil
+	Failed        func(error)                     // the disk failed or the log's rules were broken, which ends this replica's part in the group; may be nil
 }
 
 // Replica is one member of the group.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -15,8 +15,10 @@
 	"daisyswitch/disk"
 	"daisyswitch/replica"
 	"daisyswitch/verdict"
+	"daisyswitch/wire"
 
 	"gotest.tools/v3/assert"
+	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
@@ -450,3 +452,24 @@
 		assert.Equal(t, verdict.Of(err), verdict.NotRun)
 	})
 }
+
+func TestBrokenRuleEndsTheReplicasPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		old := g.leader(5 * time.Second)
+		from := old.id%3 + 1
+		conn, err := g.dial(address(from), old.name)
+		assert.NilError(t, err)
+		client := drpcconn.New(conn)
+		defer client.Close()
+		stream, err := wire.NewDRPCPeerClient(client).Send(t.Context())
+		assert.NilError(t, err)
+		second := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_HEARTBEAT, From: from, To: old.id, Term: old.Info().Term}
+		assert.NilError(t, stream.Send(second))
+		time.Sleep(time.Second)
+		next := g.leader(5 * time.Second)
+		assert.Assert(t, next != old)
+		assert.ErrorContains(t, old.Info().Err, "two leaders in one term")
+	})
+}
