--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -286,20 +286,22 @@
 }
 
 func TestSecondDiskLostRightAfterTheFirstOnesRepair(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := newGroup(t, 3)
-		defer g.close()
-		g.propose(20)
-		for _, id := range []uint64{1, 2, 3} {
-			g.stop(g.members[address(id)])
-			m := g.start(id, t.TempDir())
-			for m.Info().Recovering {
-				time.Sleep(10 * time.Millisecond)
+	for _, size := range []int{3, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGroup(t, size)
+			defer g.close()
+			g.propose(20)
+			for id := uint64(1); id <= uint64(size); id++ {
+				g.stop(g.members[address(id)])
+				m := g.start(id, t.TempDir())
+				for m.Info().Recovering {
+					time.Sleep(10 * time.Millisecond)
+				}
 			}
-		}
-		g.propose(1)
-		g.settled(21)
-	})
+			g.propose(1)
+			g.settled(21)
+		})
+	}
 }
 
 func TestLostDiskDoesNotVoteWithOneOtherLeft(t *testing.T) {
