--- a/caller/front_test.go
+++ b/caller/front_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"daisyswitch/caller"
+	"daisyswitch/fakepath"
 	"daisyswitch/refusal"
 	"daisyswitch/upstream"
 	"daisyswitch/wire"
@@ -218,7 +219,7 @@
 	return err == nil
 }
 
-const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+const okAnswer = fakepath.Answer
 
 func healthy(f *fake, c *exchangeConn) bool {
 	return f.run(c) != nil && c.answer(okAnswer)
--- a/caller/silent_test.go
+++ b/caller/silent_test.go
@@ -1,21 +1,19 @@
 package caller_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"daisyswitch/caller"
+	"daisyswitch/fakepath"
 	"daisyswitch/transport"
 	"daisyswitch/upstream"
 	"daisyswitch/wire"
@@ -23,74 +21,19 @@
 	"gotest.tools/v3/assert"
 )
 
-// path is the way to upstreams over in-memory connections, which can lose track of those open.
-type path struct {
-	mu      sync.Mutex
-	conns   []*silentConn
-	idleAge time.Duration
-	service time.Duration
-	slow    time.Duration             // more for the class lots
-	broken  func(address string) bool // closes the connection in place of an answer
-	heads   atomic.Int64              // requests that arrived
-}
-
-type silentConn struct {
-	net.Conn
-	silent atomic.Bool
-}
-
-// Write swallows what is sent once the connection is silent.
-func (c *silentConn) Write(p []byte) (int, error) {
-	if c.silent.Load() {
-		return len(p), nil
-	}
-	return c.Conn.Write(p)
-}
-
-func (p *path) dial(_ context.Context, address string) (net.Conn, error) {
-	near, far := net.Pipe()
-	up := &silentConn{Conn: far}
-	down := &silentConn{Conn: near}
-	p.mu.Lock()
-	p.conns = append(p.conns, up, down)
-	p.mu.Unlock()
-	go p.serve(up, address)
-	return down, nil
-}
-
-func (p *path) serve(c *silentConn, address string) {
-	defer c.Close()
-	reader := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		p.heads.Add(1)
-		if p.broken != nil && p.broken(address) {
-			return
-		}
-		io.Copy(io.Discard, r.Body)
+// taking returns the time that each request takes, and more for the class lots.
+func taking(all, lots time.Duration) func(*http.Request) time.Duration {
+	return func(r *http.Request) time.Duration {
 		if r.Header.Get(caller.ClassHeader) == "lots" {
-			time.Sleep(p.slow)
+			return all + lots
 		}
-		time.Sleep(p.service)
-		io.WriteString(c, okAnswer)
-	}
-}
-
-// lose makes every open connection silent for good.
-func (p *path) lose() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.conns {
-		c.silent.Store(true)
+		return all
 	}
 }
 
 // inMemory returns a front whose upstreams are all at the end of the path; it must be called in a synctest bubble.
-func inMemory(t *testing.T, p *path, upstreams int, o caller.Options) (*caller.Front, *upstream.Registry) {
-	o.Registry = upstream.New(upstream.Options{Name: "e", Domain: "a", Entries: 1, Transport: transport.Options{Dial: p.dial, IdleAge: p.idleAge}})
+func inMemory(t *testing.T, p *fakepath.Path, upstreams int, idleAge time.Duration, o caller.Options) (*caller.Front, *upstream.Registry) {
+	o.Registry = upstream.New(upstream.Options{Name: "e", Domain: "a", Entries: 1, Transport: transport.Options{Dial: p.Dial, IdleAge: idleAge}})
 	f := caller.New(o)
 	f.SetConfiguration(&wire.Configuration{Version: 1, Classes: []*wire.Class{
 		{Name: "bids", Kind: wire.ClassKind_CLASS_KIND_SERVICE}, {Name: "lots", Kind: wire.ClassKind_CLASS_KIND_BATCH}}})
@@ -122,6 +65,7 @@
 // TestSilentConnections loses track of all open connections under load. Requests that were sent before may be lost;
 // of the later ones no non-idempotent request is, and a second later all are as fast as before.
 func TestSilentConnections(t *testing.T) {
+	const service = 10 * time.Millisecond
 	for _, c := range []struct {
 		idle, step, idleAge time.Duration
 		posts               bool
@@ -131,8 +75,8 @@
 		{0, 20 * time.Millisecond, time.Minute, false},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			p := &path{service: 10 * time.Millisecond, idleAge: c.idleAge}
-			f, registry := inMemory(t, p, 8, caller.Options{})
+			p := &fakepath.Path{Service: taking(service, 0)}
+			f, registry := inMemory(t, p, 8, c.idleAge, caller.Options{})
 			var asking sync.WaitGroup
 			send := func(method string, after time.Duration) {
 				asking.Go(func() {
@@ -144,7 +88,7 @@
 					}
 					assert.Check(t, method == "POST" || after < 0 || w.Code == http.StatusOK && took <= time.Second, "%s %v after took %v: %d", method, after, took, w.Code)
 					if after > time.Second {
-						assert.Check(t, w.Code == http.StatusOK && took <= 2*p.service, "%s %v after took %v: %d", method, after, took, w.Code)
+						assert.Check(t, w.Code == http.StatusOK && took <= 2*service, "%s %v after took %v: %d", method, after, took, w.Code)
 					}
 				})
 			}
@@ -166,7 +110,7 @@
 			load(time.Second, 5*time.Millisecond, time.Now().Add(time.Second))
 			time.Sleep(c.idle)
 			announceAll(registry, 8, 2)
-			p.lose()
+			p.Lose()
 			lost := time.Now()
 			load(1050*time.Millisecond, c.step, lost)
 			burst(time.Since(lost))
@@ -183,8 +127,8 @@
 		slow          time.Duration
 	}{{10, 0, 600 * time.Millisecond}, {1, 1, 2 * time.Second}, {100, 100, 2 * time.Second}} {
 		synctest.Test(t, func(t *testing.T) {
-			p := &path{service: 5 * time.Millisecond, slow: c.slow}
-			f, registry := inMemory(t, p, 1, caller.Options{RetryPercent: c.budget})
+			p := &fakepath.Path{Service: taking(5*time.Millisecond, c.slow)}
+			f, registry := inMemory(t, p, 1, 0, caller.Options{RetryPercent: c.budget})
 			var asking sync.WaitGroup
 			send := func(n int) {
 				for i := range n {
@@ -204,11 +148,11 @@
 			}
 			send(100)
 			asking.Wait()
-			before := p.heads.Load()
+			before := p.Requests()
 			send(300)
 			asking.Wait()
 			allowed := before + 315 + (before+315)*c.again/100 // none again, or within the budget where they are slower than any patience
-			assert.Assert(t, p.heads.Load() <= allowed, "%d of %d", p.heads.Load(), before)
+			assert.Assert(t, p.Requests() <= allowed, "%d of %d", p.Requests(), before)
 		})
 	}
 }
@@ -216,10 +160,10 @@
 // TestRetriesStayWithinBudget lets nine of ten upstreams fail every request, and then heal.
 func TestRetriesStayWithinBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &path{service: 5 * time.Millisecond}
+		p := &fakepath.Path{Service: taking(5*time.Millisecond, 0)}
 		outage := true
-		p.broken = func(address string) bool { return outage && address != "127.0.0.1:1" }
-		f, registry := inMemory(t, p, 10, caller.Options{})
+		p.Broken = func(address string) bool { return outage && address != "127.0.0.1:1" }
+		f, registry := inMemory(t, p, 10, 0, caller.Options{})
 		const requests = 3000
 		answered := 0
 		for i := range requests {
@@ -231,8 +175,8 @@
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
-		assert.Assert(t, p.heads.Load() <= requests*110/100, "%d attempts", p.heads.Load())
-		assert.Assert(t, p.heads.Load() > requests*105/100, "%d attempts", p.heads.Load())
+		assert.Assert(t, p.Requests() <= requests*110/100, "%d attempts", p.Requests())
+		assert.Assert(t, p.Requests() > requests*105/100, "%d attempts", p.Requests())
 		outage = false
 		time.Sleep(time.Second)
 		announceAll(registry, 10, requests)
@@ -249,7 +193,7 @@
 }
 
 func (c *instant) Write(p []byte) (int, error) {
-	c.left = len(okAnswer)
+	c.left = len(fakepath.Answer)
 	return len(p), nil
 }
 
@@ -257,7 +201,7 @@
 	if c.left == 0 {
 		return 0, os.ErrDeadlineExceeded
 	}
-	n := copy(p, okAnswer[len(okAnswer)-c.left:])
+	n := copy(p, fakepath.Answer[len(fakepath.Answer)-c.left:])
 	c.left -= n
 	return n, nil
 }
