--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -36,40 +35,46 @@
 	const requests, seeds = 100_000, 5
 	for _, size := range [][2]int{{50, 3}, {65, 4}} {
 		b.Run(fmt.Sprint(size[0]), func(b *testing.B) {
+			p99 := map[string]float64{}
 			for b.Loop() {
 				for _, sc := range simulation.Scenarios(size[0], size[1]) {
 					for _, p := range append([]simulation.Policy{simulation.Ideal, simulation.Product, simulation.RoundRobin}, simulation.Others...) {
-						fmt.Println(row(sc, p, requests, seeds))
+						line, ms := row(sc, p, requests, seeds)
+						fmt.Println(line)
+						p99[sc.Name+p.Name] = ms
 					}
 				}
 			}
+			b.ReportMetric(p99["80%"+simulation.Product.Name]/p99["80%"+simulation.Ideal.Name], "p99/ideal")
+			b.ReportMetric(p99["80%, one slow"+simulation.Product.Name]/p99["80%, one slow"+simulation.RoundRobin.Name], "slow-p99/robin")
 		})
 	}
 }
 
-func row(sc simulation.Scenario, p simulation.Policy, requests, seeds int) string {
+func row(sc simulation.Scenario, p simulation.Policy, requests, seeds int) (line string, p99 float64) {
 	runs := make([]simulation.Result, seeds)
 	var group sync.WaitGroup
 	for i := range runs {
 		group.Go(func() { runs[i] = simulation.Run(sc, p, uint64(i+1), requests) })
 	}
 	group.Wait()
-	var line strings.Builder
-	fmt.Fprintf(&line, "| %d, %s | %s |", sc.Executors, sc.Name, p.Name)
+	line = fmt.Sprintf("| %d, %s | %s |", sc.Executors, sc.Name, p.Name)
 	for _, percentile := range []float64{50, 99, 99.9} {
 		var values []float64
 		for _, s := range runs {
 			values = append(values, float64(s.Latency.ValueAtPercentile(percentile))/1000)
 		}
 		slices.Sort(values)
-		fmt.Fprintf(&line, " %.1f (%.1f to %.1f) |", values[seeds/2], values[0], values[seeds-1])
+		line += fmt.Sprintf(" %.1f (%.1f to %.1f) |", values[seeds/2], values[0], values[seeds-1])
+		if percentile == 99 {
+			p99 = values[seeds/2]
+		}
 	}
 	refused := 0
 	for _, s := range runs {
 		refused += s.Refused
 	}
-	fmt.Fprintf(&line, " %d |", refused)
-	return line.String()
+	return line + fmt.Sprintf(" %d |", refused), p99
 }
 
 var epoch = time.Unix(1_000_000, 0)
