Wait for announcements after a start, and look for expired ones only when due

An entry that had just started refused callers until the first announcement came, up to a second: for its first 3 s it now lets them wait in the queue. Every pick walked the whole table for expired words; the time of the next expiry is now kept. TestOldWordCannotBringBack fails without the wait, without keeping the expiry of those that stay, and without that of a relay heard of late (its case was one that had expired already, which told nothing; it is now one that expires half a second after).

--- a/upstream/load.go
+++ b/upstream/load.go
@@ -37,6 +37,7 @@
 	r.mu.Lock()
 	known := r.loads[entry]
 	r.loads[entry] = l
+	r.expectExpiry(now.Add(loadTTL))
 	r.countOthers()
 	if known == nil || known.domain != domain {
 		r.setQuotas()
@@ -52,7 +53,9 @@
 		if now.Sub(l.at) > loadTTL {
 			delete(r.loads, entry)
 			removed = true
+			continue
 		}
+		r.expectExpiry(l.at.Add(loadTTL))
 	}
 	if removed {
 		r.countOthers()
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -43,6 +43,8 @@
 	entries       int
 	configuration *wire.Configuration
 	maintained    time.Time
+	nextExpiry    time.Time // no word expires before
+	started       time.Time
 	closed        bool
 }
 
@@ -56,6 +58,7 @@
 		loads:     map[string]*entryLoads{},
 		changed:   func() {},
 		entries:   max(o.Entries, 1),
+		started:   time.Now(),
 	}
 }
 
@@ -153,6 +156,7 @@
 		u = r.add(a, heard)
 	}
 	r.setLimit(u)
+	r.expectExpiry(u.heard.Add(ttl(&u.Announcement)))
 }
 
 // replaced settles which of two upstreams has an address: the one heard of last. It reports whether that is not a.
@@ -193,21 +197,35 @@
 
 // expire forgets what was not renewed in time; called with the lock held.
 func (r *Registry) expire(now time.Time) {
+	r.maintain(now)
+	if !now.After(r.nextExpiry) {
+		return
+	}
+	r.nextExpiry = now.Add(announcementTTL)
 	removed := false
 	for id, u := range r.upstreams {
-		if now.Sub(u.heard) > ttl(&u.Announcement) {
+		expiry := u.heard.Add(ttl(&u.Announcement))
+		if now.After(expiry) {
 			u.pool.Close()
 			delete(r.upstreams, id)
 			removed = true
 			r.expired[id] = lastWord{sequence: u.Sequence, at: now}
 			event.UpstreamRemoved.Info("upstream", id, "leaving", u.Leaving)
+			continue
 		}
+		r.expectExpiry(expiry)
 	}
 	if removed {
 		r.reorder()
 	}
 	r.expireLoads(now)
-	r.maintain(now)
+}
+
+// expectExpiry makes sure that the next look for expired words is not after the given time; called with the lock held.
+func (r *Registry) expectExpiry(at time.Time) {
+	if at.Before(r.nextExpiry) {
+		r.nextExpiry = at
+	}
 }
 
 // maintain compares the upstreams' health and closes old idle connections, a few times a second; called with the lock held.
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -104,13 +104,16 @@
 func TestOldWordCannotBringBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newFleet(1, "a").entries[0]
+		_, availability := e.Take(class, nil)
+		assert.Equal(t, availability, upstream.Busy, "an entry that has just started must wait for announcements")
+		time.Sleep(3 * time.Second)
 		leaving := announcement("u", "a", 5)
 		leaving.Leaving = true
 		e.Announce(time.Now(), leaving)
 		e.Announce(time.Now(), announcement("u", "a", 5))
 		e.Announce(time.Now(), announcement("u", "a", 4))
 		e.Merge(time.Now(), []*wire.Announcement{{Id: "u", Address: "127.0.0.1:1", Domain: "a", Classes: []string{class}, Slots: 8, Connections: 64, Sequence: 4}})
-		_, availability := e.Take(class, nil)
+		_, availability = e.Take(class, nil)
 		assert.Equal(t, availability, upstream.Absent)
 		w := announcement("w", "b", 5)
 		w.Address = "127.0.0.1:3"
@@ -128,7 +131,8 @@
 		assert.Equal(t, availability, upstream.Free, "its own word was refused")
 		w.Leaving = true
 		e.Announce(time.Now(), w)
-		e.Merge(time.Now(), []*wire.Announcement{{Id: "v", Address: "127.0.0.1:2", Domain: "a", Classes: []string{class}, Slots: 8, Connections: 64, AgeMs: 3001}})
+		e.Merge(time.Now(), []*wire.Announcement{{Id: "v", Address: "127.0.0.1:2", Domain: "a", Classes: []string{class}, Slots: 8, Connections: 64, AgeMs: 2500}})
+		time.Sleep(600 * time.Millisecond)
 		_, availability = e.Take(class, nil)
 		assert.Equal(t, availability, upstream.Absent)
 	})
--- a/upstream/slot.go
+++ b/upstream/slot.go
@@ -37,6 +37,9 @@
 	now := time.Now()
 	r.expire(now)
 	found := r.bar(class, skip)
+	if !found && len(skip) == 0 && now.Sub(r.started) < announcementTTL {
+		return nil, Busy // those there are may not have been heard of yet
+	}
 	if !found {
 		return nil, Absent
 	}
