Charge quotas by what admission checks; tasks that are cancelled blame nobody

Cause: admission refuses by declared size while start and growth counted committed sizes, so that a grown service could keep its own lost replica from being replaced, and a first task expected larger than declared could wait forever; the state counts a failure for a cancelled task that ends badly, so that a wave of cancellations could suspend workers. Shown failing: TestQuota without the limit (6 starts of 5), TestBadJobsSpareWorkers without the exception for cancelled tasks (1 worker suspended).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,7 +44,7 @@
 	Name    string
 	Quota   resource.Size
 	Limited bool
-	Used    resource.Size // committed and proposed
+	Used    resource.Size // what its tasks that are committed or proposed count for
 }
 
 // Domain is a failure domain with its workers.
@@ -100,7 +100,7 @@
 	for _, each := range c.GetTeams() {
 		known := f.team(each.GetName())
 		known.Quota = resource.FromWire(each.GetQuota())
-		known.Limited = known.Quota != resource.Size{}
+		known.Limited = true
 	}
 	for _, known := range f.Domains {
 		known.Out = false
@@ -208,6 +208,20 @@
 
 const dayLength = 24 * time.Hour
 
+// Charge returns what a task of the job counts for in its team's quota: what is committed, but for a replica its declared size, so that growing replicas never keep another from being replaced.
+func (j *Job) Charge(committed resource.Size) resource.Size {
+	if j.Class.Service() {
+		return j.Size
+	}
+	return committed
+}
+
+// WithinQuota reports whether the team may start one more task of a job; the first always may, since it was admitted by its declared size.
+func (j *Job) WithinQuota(size resource.Size) bool {
+	t := j.Team
+	return !t.Limited || t.Used == (resource.Size{}) || t.Used.Add(j.Charge(size)).Fits(t.Quota)
+}
+
 // Dominant returns the largest share of all room that a team holds.
 func (f *Fleet) Dominant(t *Team) float64 {
 	share := 0.0
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -73,7 +73,8 @@
 	Ratio    float64     // services: smoothed logarithm of tail latency over target
 	Throttle int32       // percent
 
-	slot       int32 // position among its worker's tasks
+	charged    resource.Size // in its team's quota
+	slot       int32         // position among its worker's tasks
 	prev, next *Task
 }
 
@@ -139,6 +140,12 @@
 	}
 }
 
+// charge replaces what a task counts for in its team's quota.
+func (t *Task) charge(size resource.Size) {
+	t.Job.Team.Used = t.Job.Team.Used.Sub(t.charged).Add(size)
+	t.charged = size
+}
+
 // Evictable reports whether a task is batch that runs and about which nothing is decided.
 func (t *Task) Evictable() bool {
 	return !t.Job.Class.Service() && t.Decision == Undecided &&
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -164,7 +164,7 @@
 // Hold commits room on a worker to a task.
 func (f *Fleet) Hold(t *Task, w *Worker, size resource.Size) {
 	t.Job.Class.Running++
-	t.Job.Team.Used = t.Job.Team.Used.Add(size)
+	t.charge(t.Job.Charge(size))
 	t.Committed, t.Worker = size, w
 	t.slot = int32(len(w.Tasks))
 	w.Tasks = append(w.Tasks, t)
@@ -184,7 +184,7 @@
 		return
 	}
 	t.Job.Class.Running--
-	t.Job.Team.Used = t.Job.Team.Used.Sub(t.Committed)
+	t.charge(resource.Size{})
 	t.Worker = nil
 	last := len(w.Tasks) - 1
 	w.Tasks[t.slot] = w.Tasks[last]
@@ -198,7 +198,7 @@
 
 // Recommit changes what a task holds.
 func (f *Fleet) Recommit(t *Task, size resource.Size) {
-	t.Job.Team.Used = t.Job.Team.Used.Sub(t.Committed).Add(size)
+	t.charge(t.Job.Charge(size))
 	t.Worker.Free = t.Worker.Free.Add(t.Committed).Sub(size)
 	t.Committed = size
 	f.Offer(t.Worker)
--- a/place/decide.go
+++ b/place/decide.go
@@ -96,7 +96,7 @@
 		return true
 	}
 	size := r.startSize(j)
-	if !withinQuota(j.Team, size) {
+	if !j.WithinQuota(size) {
 		return false
 	}
 	if r.startReserved(t) {
@@ -178,10 +178,6 @@
 	return true
 }
 
-func withinQuota(t *fleet.Team, size resource.Size) bool {
-	return !t.Limited || t.Used.Add(size).Fits(t.Quota)
-}
-
 func (r *round) knownFull(size resource.Size) bool {
 	for _, each := range r.full {
 		if each.Fits(size) {
--- a/place/judge.go
+++ b/place/judge.go
@@ -19,6 +19,7 @@
 		return
 	}
 	failed := next.GetFailures() > t.Failures || next.GetState() == wire.TaskState_TASK_STATE_FAILED
+	failed = failed && !next.GetCancelled() // stopping on order is no fault
 	switch {
 	case next.GetState() == wire.TaskState_TASK_STATE_DONE:
 		t.Job.Blame.Succeeded()
--- a/place/rules_test.go
+++ b/place/rules_test.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// TestBadJobsSpareWorkers: jobs that failed on two workers before don't have a third suspended.
+// TestBadJobsSpareWorkers: jobs that failed on two workers before don't have a third suspended, nor do tasks that end badly because they are cancelled.
 func TestBadJobsSpareWorkers(t *testing.T) {
 	s := newState(Options{}, batchClass).add(3, size(8, 8, 0), "a")
 	for n := range 9 {
@@ -110,6 +110,11 @@
 		job := fmt.Sprint("j", n%3)
 		s.fail(s.start(&wire.Start{Job: job, Attempt: uint32(n), Worker: fmt.Sprint("w", (n/3+n%3)%3), Size: size(1, 1, 0)}))
 	}
+	for range 5 {
+		own := s.start(&wire.Start{Job: s.submit(&wire.Job{Size: size(1, 1, 0)}).Id, Attempt: 1, Worker: "w0", Size: size(1, 1, 0)})
+		own.Cancelled = true
+		s.fail(own)
+	}
 	assert.Equal(t, len(s.suspended), 0)
 }
 
--- a/place/why.go
+++ b/place/why.go
@@ -23,7 +23,7 @@
 		return fmt.Sprintf("room is being made on worker %s", t.Reserved.Name)
 	case p.impossible(t.Job):
 		return "no worker is large enough"
-	case !withinQuota(t.Job.Team, size):
+	case !t.Job.WithinQuota(size):
 		return fmt.Sprintf("team %s has reached its quota", t.Job.Team.Name)
 	}
 	return p.whyNoRoom(t.Job, size)
