--- a/state/machine.go
+++ b/state/machine.go
@@ -6,6 +6,7 @@
 	"daisyswitch/answer"
 	"daisyswitch/audit"
 	"daisyswitch/job"
+	"daisyswitch/tally"
 	"daisyswitch/task"
 	"daisyswitch/wire"
 )
@@ -23,7 +24,7 @@
 type Held = job.Held
 
 // Totals counts everything that status shows.
-type Totals = job.Totals
+type Totals = tally.Totals
 
 // firstVersion is the version of the empty configuration.
 const firstVersion = 1
