--- a/usage/headroom.go
+++ b/usage/headroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"daisyswitch/fleet"
 	"daisyswitch/interference"
@@ -13,12 +14,15 @@
 // headroomFloor keeps the price of a service's last headroom finite.
 const headroomFloor = 0.02
 
+// paceFor is how long a task counts as not measured yet, since some workers may report no usage.
+const paceFor = 30 * time.Second
+
 // Burden is how much of the services' headroom on a worker a job's task of some share of the processors would take. It is infinite if a service would be planned past its guard, or too much beside it is not measured yet.
 func (u *Reader) Burden(j *fleet.Job, w *fleet.Worker, share float64) float64 {
 	sum, unmeasured, services := 0.0, 0.0, false
 	for _, t := range w.Tasks {
 		if !t.Job.Class.Service() {
-			if t.Measured.IsZero() {
+			if t.Measured.IsZero() && u.fleet.Now.Sub(t.Decided) < paceFor {
 				unmeasured += w.Share(t.Committed.MilliCPU)
 			}
 			continue
