Prove what a cut-off worker keeps

The fake's cut lost only half of the reports before, so that few leases ended; it now loses half or all.

--- a/lease/world_run_test.go
+++ b/lease/world_run_test.go
@@ -80,8 +80,8 @@
 	kind := rapid.IntRange(0, 8).Draw(t, "disturbance")
 	switch kind {
 	case 0, 7:
-		w.cut[f.name] = true
-		w.after(lasts, func() { w.cut[f.name] = false })
+		w.cut[f.name] = rapid.IntRange(1, 2).Draw(t, "lost")
+		w.after(lasts, func() { w.cut[f.name] = 0 })
 	case 1:
 		f.frozen = w.now + lasts
 	case 2:
@@ -151,3 +151,59 @@
 		t.Fatalf("%d tasks have not ended", open)
 	}
 }
+
+// held returns how many tasks of a class the state holds on a worker, and how many truly execute there.
+func (w *world) held(class, worker string) (held, executing int) {
+	service := class == "bids"
+	for _, f := range w.workers {
+		for _, e := range f.tasks {
+			if f.name == worker && e.service == service && e.report.Phase == wire.TaskEventKind_TASK_EVENT_KIND_RUNNING {
+				executing++
+			}
+		}
+	}
+	for _, h := range w.replicas[w.leader].machine.OnWorker(worker) {
+		if h.Service == service {
+			held++
+		}
+	}
+	return held, executing
+}
+
+// TestCutOffWorkerKeepsWhatItMay holds promise 5 of the scheduler: a short cut moves nothing, a long one only what was lost.
+func TestCutOffWorkerKeepsWhatItMay(t *testing.T) {
+	w := newWorld(3)
+	w.steady = true
+	w.prepare(t)
+	w.run(2 * length)
+	name := w.live["j1/0"]
+	services, executing := w.held("bids", name)
+	assert.Assert(t, services > 0 && executing == services)
+	held, executing := w.held("lots", name)
+	assert.Assert(t, held > 0 && executing == held)
+
+	starts := len(w.started)
+	w.cut[name] = 2
+	w.run(w.now + length/2)
+	w.cut[name] = 0
+	w.run(w.now + time.Second)
+	assert.Equal(t, len(w.started), starts, "a short cut moves nothing")
+
+	w.cut[name] = 2
+	w.run(w.now + 3*length)
+	_, executing = w.held("lots", name)
+	assert.Equal(t, executing, 0, "batch ends with its lease")
+	held, executing = w.held("bids", name)
+	assert.Equal(t, held, 0, "replaced")
+	assert.Equal(t, executing, services, "services keep running")
+	w.cut[name] = 0
+	w.run(w.now + length)
+	total := 0
+	for _, f := range w.workers {
+		held, executing := w.held("bids", f.name)
+		assert.Equal(t, held, executing)
+		total += executing
+	}
+	assert.Equal(t, total, 2, "nothing is doubled")
+	assert.Equal(t, len(w.faults), 0)
+}
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -33,13 +33,14 @@
 	term     int
 	storm    time.Duration // until when messages are mostly late
 	workers  []*fake
-	cut      map[string]bool // workers cut off from control
+	cut      map[string]int // of two reports of a worker, how many are lost; answers are lost if any
 	outSince map[string]time.Duration
 	live     map[string]string // batch and service tasks that execute, by job and index
 	executed map[string]bool   // by job and index, ever
 	started  map[state.Ref]bool
 	faults   []string
-	calm     bool // no new jobs
+	calm     bool // no new jobs, cancellations or evictions
+	steady   bool // and tasks that never end, over a quick network
 }
 
 type moment struct {
@@ -95,7 +96,7 @@
 
 func newWorld(seed uint64) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 1)), leader: -1, cut: map[string]bool{}, outSince: map[string]time.Duration{},
+		rng: rand.New(rand.NewPCG(seed, 1)), leader: -1, cut: map[string]int{}, outSince: map[string]time.Duration{},
 		live: map[string]string{}, executed: map[string]bool{}, started: map[state.Ref]bool{},
 	}
 	for range 2 {
@@ -171,14 +172,14 @@
 func (w *world) decide(r *replica) *wire.Command {
 	c := &wire.Command{}
 	r.machine.Each(func(j *wire.Job, t *wire.Task) {
-		if !w.calm && w.rng.IntN(2000) == 0 {
+		if !w.calm && !w.steady && w.rng.IntN(2000) == 0 {
 			c.Cancel = &wire.CancelJob{Job: j.Id}
 		}
 		switch {
 		case t.State == wire.TaskState_TASK_STATE_QUEUED, t.State == wire.TaskState_TASK_STATE_CHECKPOINTED:
 			f := w.workers[w.rng.IntN(len(w.workers))]
 			c.Starts = append(c.Starts, &wire.Start{Job: j.Id, Index: t.Index, Attempt: t.Attempt + 1, Worker: f.name, Size: j.Size})
-		case w.calm:
+		case w.calm || w.steady:
 		case t.State == wire.TaskState_TASK_STATE_STARTING && w.rng.IntN(12) == 0, t.Worker != "" && w.rng.IntN(80) == 0:
 			c.Events = append(c.Events, &wire.TaskEvent{Task: task.RefOf(t).Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_STOPPING})
 		}
@@ -219,6 +220,9 @@
 // delay is mostly short and sometimes longer than a lease.
 func (w *world) delay() time.Duration {
 	kind := w.rng.IntN(40)
+	if w.steady {
+		kind = 40
+	}
 	if w.now < w.storm {
 		kind /= 10
 	}
@@ -278,13 +282,13 @@
 	sent, answered := w.now, false
 	local := f.read(w.now)
 	for range 1 + w.rng.IntN(8)/7 { // sometimes twice
-		if w.cut[f.name] && w.rng.IntN(2) == 0 {
+		if w.rng.IntN(2) < w.cut[f.name] {
 			continue
 		}
 		w.after(w.delay(), func() {
 			w.deliver(w.leader, r, func(reply *wire.WorkerReply) {
 				w.after(w.delay(), func() {
-					late := f.sequence != r.Sequence || w.now < f.frozen || w.now-sent > giveUp || w.cut[f.name]
+					late := f.sequence != r.Sequence || w.now < f.frozen || w.now-sent > giveUp || w.cut[f.name] > 0
 					if answered || late || r.Worker.Incarnation != fmt.Sprint(f.incarnation) {
 						return
 					}
@@ -385,7 +389,7 @@
 func (f *fake) work() {
 	f.guard()
 	f.world.after(50*time.Millisecond, f.work)
-	if f.world.now < f.frozen {
+	if f.world.now < f.frozen || f.world.steady {
 		return
 	}
 	for _, ref := range f.refs() {
