Bound the age of what entries tell each other by when it was asked for

Cause: an announcement relayed unasked has an unknown time on the way, so an entry could take an upstream that leaves, or is gone, for younger than it is. Change: a list of upstreams is only taken from an answer, from the time of the question; unasked come a newer configuration and upstreams that leave.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,8 +74,10 @@
 		Name:      s.Name,
 		Neighbors: s.Entries,
 		Pool:      e.pool,
-		Compose:   e.compose,
-		Receive:   e.receive,
+		Ask:       e.ask,
+		Answer:    e.answer,
+		Asked:     e.asked,
+		Answered:  e.answered,
 	})
 	e.watch = watch.New(watch.Options{
 		Entry:    s.Name,
@@ -171,12 +173,23 @@
 	e.exchange.Poke()
 }
 
-func (e *Entry) compose(theirVersion uint64) *wire.Gossip {
+// ask is what the entry says of its own accord: what must not wait to be asked for.
+func (e *Entry) ask(theirVersion uint64) *wire.Gossip {
+	return e.compose(theirVersion, leaving(e.upstreams.Announcements(time.Now())))
+}
+
+// answer tells all that the entry knows of upstreams, since only an answer's age can be bounded by who gets it.
+func (e *Entry) answer(theirVersion uint64) *wire.Gossip {
+	g := e.compose(theirVersion, e.upstreams.Announcements(time.Now()))
+	g.Loads = e.upstreams.Loads()
+	return g
+}
+
+func (e *Entry) compose(theirVersion uint64, announcements []*wire.Announcement) *wire.Gossip {
 	g := &wire.Gossip{
 		Entry:         e.settings.Name,
 		Domain:        e.settings.Domain,
-		Announcements: e.upstreams.Announcements(time.Now()),
-		Loads:         e.upstreams.Loads(),
+		Announcements: announcements,
 		Leaving:       e.stopping.Load(),
 	}
 	current := e.holder.Current()
@@ -187,11 +200,26 @@
 	return g
 }
 
-func (e *Entry) receive(g *wire.Gossip) {
-	now := time.Now()
+// asked takes what needs no time: a newer configuration, and upstreams that leave.
+func (e *Entry) asked(g *wire.Gossip) {
 	e.holder.Offer(g.Configuration, g.Entry)
-	e.upstreams.Merge(now, g.Announcements)
-	e.upstreams.SetLoads(g.Entry, g.Domain, now, g.Loads)
+	e.upstreams.Merge(time.Now(), leaving(g.Announcements))
+}
+
+func (e *Entry) answered(asked time.Time, g *wire.Gossip) {
+	e.holder.Offer(g.Configuration, g.Entry)
+	e.upstreams.Merge(asked, g.Announcements)
+	e.upstreams.SetLoads(g.Entry, g.Domain, time.Now(), g.Loads)
+}
+
+func leaving(announcements []*wire.Announcement) []*wire.Announcement {
+	var out []*wire.Announcement
+	for _, a := range announcements {
+		if a.Leaving {
+			out = append(out, a)
+		}
+	}
+	return out
 }
 
 // Ready says why the balancer should send no callers, nil if it should.
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -26,8 +26,10 @@
 	Neighbors []settings.Neighbor // the entry's own name is passed over
 	Pool      *inner.Pool
 	Every     time.Duration
-	Compose   func(theirVersion uint64) *wire.Gossip // what to tell one that holds that configuration version
-	Receive   func(*wire.Gossip)
+	Ask       func(theirVersion uint64) *wire.Gossip // what to say to one that holds that configuration version
+	Answer    func(theirVersion uint64) *wire.Gossip // what to answer it
+	Asked     func(*wire.Gossip)                     // takes what another entry said unasked
+	Answered  func(asked time.Time, g *wire.Gossip)  // takes an answer, and when it was asked for
 }
 
 // Exchange talks to every other entry in turn and answers them.
@@ -121,13 +123,15 @@
 func (e *Exchange) once(ctx context.Context, n settings.Neighbor) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTime)
 	defer cancel()
-	message := e.options.Compose(e.version(n.Name))
+	message := e.options.Ask(e.version(n.Name))
+	asked := time.Now()
 	_ = e.options.Pool.Do(ctx, n.Inner, func(conn *drpcconn.Conn) error {
 		reply, err := wire.NewDRPCNeighborClient(conn).Exchange(ctx, message)
 		if err != nil {
 			return err
 		}
-		e.receive(reply)
+		e.note(reply)
+		e.options.Answered(asked, reply)
 		return nil
 	})
 }
@@ -138,12 +142,11 @@
 	return e.versions[name]
 }
 
-func (e *Exchange) receive(g *wire.Gossip) {
+func (e *Exchange) note(g *wire.Gossip) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.versions[g.Entry] = g.Version
 	e.heard[g.Entry] = time.Now()
-	e.mu.Unlock()
-	e.options.Receive(g)
 }
 
 type server struct {
@@ -152,8 +155,9 @@
 
 // Exchange takes in what another entry tells and answers with what this one knows.
 func (s server) Exchange(_ context.Context, g *wire.Gossip) (*wire.Gossip, error) {
-	s.exchange.receive(g)
-	return s.exchange.options.Compose(g.Version), nil
+	s.exchange.note(g)
+	s.exchange.options.Asked(g)
+	return s.exchange.options.Answer(g.Version), nil
 }
 
 // Close ends all exchanges and waits.
