Tell workers of the sizes that are committed for running attempts

Cause: the scheduler shrinks what it commits towards what tasks use and starts others in the room, but a worker was told a size only at the start. A platform that enforces the sizes it was told would be committed beyond its capacity.

A lost answer is made good by the next one. A worker that leaves sizes out is told nothing, as before.

Seen failing first: the orders after the starts, the larger sizes first (lease test), and a worker that ignores the new size (fakeworker test).

--- a/fakeworker/table.go
+++ b/fakeworker/table.go
@@ -214,6 +214,7 @@
 		Attempt:         key.attempt,
 		Phase:           t.phase,
 		Used:            t.used(now, b.options.Lag),
+		Size:            t.order.Size,
 		Checkpoint:      t.checkpoint,
 		Reason:          t.reason,
 		ThrottlePercent: t.throttle,
--- a/fakeworker/table_test.go
+++ b/fakeworker/table_test.go
@@ -132,6 +132,20 @@
 	assert.Assert(t, throttled[1].ProgressPPM < 210000)
 }
 
+func TestResizeCountsBeforeTheStartBesideIt(t *testing.T) {
+	b := newBench(Options{})
+	first := start("a", "refunds", time.Hour, false)
+	first.Size.MilliCPU = 8000
+	b.answer(0, time.Minute, first)
+	used := b.tasks[refOf(first)].use()
+	resize := first
+	resize.Kind, resize.Size.MilliCPU = worker.OrderResize, 7000
+	b.answer(0, time.Minute, resize, start("b", "refunds", time.Hour, false))
+	assert.Equal(t, b.latest(t).Committed.MilliCPU, int64(8000))
+	assert.Equal(t, b.report(b.now)[0].Size.MilliCPU, int64(7000))
+	assert.Equal(t, b.tasks[refOf(first)].use(), used)
+}
+
 func TestUseIsReportedLate(t *testing.T) {
 	b := newBench(Options{Lag: time.Second})
 	b.answer(0, time.Minute, start("refunds", "refunds", time.Hour, false))
--- a/fakeworker/task.go
+++ b/fakeworker/task.go
@@ -29,7 +29,8 @@
 
 // task is one attempt on the worker.
 type task struct {
-	order      worker.Order
+	order      worker.Order  // its size is the one last told
+	first      resource.Size // that it started with
 	phase      string
 	reason     string
 	needs      time.Duration // run time undisturbed
@@ -45,6 +46,7 @@
 func newTask(o worker.Order, now time.Time, scale float64) *task {
 	t := &task{
 		order:      o,
+		first:      o.Size,
 		phase:      worker.PhaseRunning,
 		needs:      time.Duration(float64(o.ExpectedMS) * float64(time.Millisecond) * scale * drawn(o.Job+strconv.Itoa(int(o.Index)), 0.5, 2)),
 		checkpoint: o.Checkpoint,
@@ -89,9 +91,9 @@
 	share := drawn(t.order.Program, 0.4, 1.1)
 	left := float64(100-t.throttle) / 100
 	return resource.Size{
-		MilliCPU:     int64(float64(t.order.Size.MilliCPU) * share * left),
-		MemoryMiB:    int64(float64(t.order.Size.MemoryMiB) * min(share, 1)),
-		Accelerators: t.order.Size.Accelerators,
+		MilliCPU:     int64(float64(t.first.MilliCPU) * share * left),
+		MemoryMiB:    int64(float64(t.first.MemoryMiB) * min(share, 1)),
+		Accelerators: t.first.Accelerators,
 	}
 }
 
--- a/lease/answer.go
+++ b/lease/answer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"daisyswitch/resource"
 	"daisyswitch/state"
 	"daisyswitch/task"
 	"daisyswitch/wire"
@@ -25,6 +26,7 @@
 	reports := w.index(r)
 	w.indexed, w.reports = nil, nil
 	permitted := !out(r.Worker.Domain) && !r.Leaving
+	reply.Orders = resizeOrders(held, reports)
 	for _, h := range held {
 		ref := task.RefOf(h.Task)
 		if order := w.order(h, reports[ref], permitted, throttles[ref]); order != nil {
@@ -40,6 +42,27 @@
 	return reply
 }
 
+// resizeOrders tells of sizes that changed since the worker was last told, smaller ones first; they come before starts, which may take the room.
+func resizeOrders(held []state.Held, reports map[state.Ref]*wire.TaskReport) []*wire.Order {
+	var smaller, larger []*wire.Order
+	for _, h := range held {
+		report := reports[task.RefOf(h.Task)]
+		if report == nil || report.Size == nil || ended(report.Phase) {
+			continue
+		}
+		told, committed := resource.FromWire(report.Size), resource.FromWire(h.Task.Committed)
+		order := &wire.Order{Kind: wire.OrderKind_ORDER_KIND_RESIZE, Task: report.Task, Size: h.Task.Committed}
+		switch {
+		case told == committed:
+		case committed.Fits(told):
+			smaller = append(smaller, order)
+		default:
+			larger = append(larger, order)
+		}
+	}
+	return append(smaller, larger...)
+}
+
 // order returns what the worker is told about an attempt that the state holds, nil for nothing.
 func (w *holder) order(h state.Held, report *wire.TaskReport, permitted bool, throttle int32) *wire.Order {
 	if report == nil {
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -153,6 +153,30 @@
 	assert.DeepEqual(t, kinds(table.Answer(begin, report(record, 1), holds(stateRunning), in, nil)), []wire.OrderKind{orderStop})
 }
 
+func TestSizesAreToldBeforeStartsThatTakeTheRoom(t *testing.T) {
+	table, record := one()
+	held := holds(starting)
+	var tasks []*wire.TaskReport
+	for i, told := range []int64{1000, 1000, 400, 1000} {
+		size := &wire.Size{MilliCpu: told}
+		if i == 3 {
+			size = nil // a worker that does not say
+		}
+		tasks = append(tasks, &wire.TaskReport{Task: &wire.TaskRef{Job: "j2", Index: int32(i), Attempt: 1}, Phase: wire.TaskEventKind_TASK_EVENT_KIND_RUNNING, Size: size})
+		held = append(held, state.Held{Job: &wire.Job{Id: "j2"}, Task: &wire.Task{Job: "j2", Index: int32(i), Attempt: 1, State: stateRunning, Worker: "w", Committed: &wire.Size{MilliCpu: int64(400 + 300*(i%3))}}})
+	}
+	r := report(record, 1, tasks...)
+	table.Receive(begin, r, held, record)
+	reply := table.Answer(begin, r, held, in, nil)
+	resize := wire.OrderKind_ORDER_KIND_RESIZE
+	assert.DeepEqual(t, kinds(reply), []wire.OrderKind{resize, resize, resize, wire.OrderKind_ORDER_KIND_START})
+	var sizes []int64
+	for _, o := range reply.Orders[:3] {
+		sizes = append(sizes, o.Size.MilliCpu)
+	}
+	assert.DeepEqual(t, sizes, []int64{400, 700, 1000}) // the last grows
+}
+
 const stateRunning = wire.TaskState_TASK_STATE_RUNNING
 
 func TestLeavingWorkerGoesOnceItRunsNothing(t *testing.T) {
--- a/worker/convert.go
+++ b/worker/convert.go
@@ -21,6 +21,7 @@
 	wire.OrderKind_ORDER_KIND_CHECKPOINT: OrderCheckpoint,
 	wire.OrderKind_ORDER_KIND_STOP:       OrderStop,
 	wire.OrderKind_ORDER_KIND_FORGET:     OrderForget,
+	wire.OrderKind_ORDER_KIND_RESIZE:     OrderResize,
 }
 
 func toWire(r *Report) (*wire.WorkerReport, error) {
@@ -56,7 +57,7 @@
 	if !known {
 		return nil, fmt.Errorf("report: task %s/%d: phase %q is none of running, done, failed, stopped", t.Job, t.Index, t.Phase)
 	}
-	return &wire.TaskReport{
+	out := &wire.TaskReport{
 		Task:            &wire.TaskRef{Job: t.Job, Index: t.Index, Attempt: t.Attempt},
 		Phase:           phase,
 		Used:            t.Used.Wire(),
@@ -66,7 +67,11 @@
 		P99Us:           t.P99US,
 		ProgressPpm:     t.ProgressPPM,
 		ThrottlePercent: t.ThrottlePercent,
-	}, nil
+	}
+	if t.Size != (resource.Size{}) {
+		out.Size = t.Size.Wire()
+	}
+	return out, nil
 }
 
 func fromWire(r *wire.WorkerReply) *Reply {
@@ -85,6 +90,9 @@
 		Attempt:         o.Task.GetAttempt(),
 		ThrottlePercent: o.ThrottlePercent,
 	}
+	if o.Kind == wire.OrderKind_ORDER_KIND_RESIZE {
+		out.Size = resource.FromWire(o.Size)
+	}
 	if o.Kind != wire.OrderKind_ORDER_KIND_START {
 		return out
 	}
--- a/worker/protocol.go
+++ b/worker/protocol.go
@@ -32,6 +32,7 @@
 	Attempt         uint32        `json:"attempt"`
 	Phase           string        `json:"phase"`
 	Used            resource.Size `json:"used"`                       // measured some time ago
+	Size            resource.Size `json:"size,omitzero"`              // as last told; a worker that leaves it out is told of no other
 	Checkpoint      uint64        `json:"checkpoint,omitempty"`       // sequence of the last checkpoint, 0 for none
 	CheckpointData  []byte        `json:"checkpoint_data,omitempty"`  // base64
 	Reason          string        `json:"reason,omitempty"`           // of a failure
@@ -54,6 +55,7 @@
 	OrderCheckpoint = "checkpoint" // checkpoint, then stop
 	OrderStop       = "stop"       // stop at once
 	OrderForget     = "forget"     // the end of this attempt is recorded
+	OrderResize     = "resize"     // another size is committed for a running attempt; comes before starts that take the room
 )
 
 // StartWithinMS is how old a poll may be, in milliseconds, when a start that answers it is carried out.
