--- a/place/measure_test.go
+++ b/place/measure_test.go
@@ -58,7 +58,7 @@
 	{"without suspension", ours(func(p *Placer) { p.options.Blame.Jobs = 1 << 30 })},
 	{"without giving up", ours(func(p *Placer) { p.options.Blame.Workers = 1 << 30 })},
 	{"load of 10 minutes", ours(func(p *Placer) { p.usage.LoadHalf = 5 * time.Minute })},
-	{"one candidate", ours(func(p *Placer) { p.options.Candidates = 1 })},
+	{"eight candidates", ours(func(p *Placer) { p.options.Candidates = 8 })},
 }
 
 func (p policy) run(u user, seed int, always bool) measures {
--- a/place/place.go
+++ b/place/place.go
@@ -35,7 +35,7 @@
 	Seed:             1,
 	MaxStarts:        512,
 	MaxEvents:        2048,
-	Candidates:       4,
+	Candidates:       2,
 	SpreadCandidates: 64,
 	Effort:           1024,
 	DecideTimeout:    5 * time.Second,
