Give the scheduling loop a package of its own; end one before the next begins

Ruled out: waiting in the replica's callback (the ending loop may wait for that replica to commit). Change: package schedule; a loop starts once the former one has ended. Seen: the control tests pass; the overlap itself was found by reading and has no test that forces it.

--- a/control/control.go
+++ b/control/control.go
@@ -15,6 +15,7 @@
 	"daisyswitch/lease"
 	"daisyswitch/measure"
 	"daisyswitch/replica"
+	"daisyswitch/schedule"
 	"daisyswitch/settings"
 	"daisyswitch/state"
 	"daisyswitch/verdict"
@@ -24,6 +25,8 @@
 	"storj.io/drpc/drpcmux"
 )
 
+const commitTime = 2 * time.Second // longest wait for a quorum
+
 // Options configures a Control.
 type Options struct {
 	Settings *settings.Control
@@ -32,24 +35,23 @@
 }
 
 // Control is one control process.
-// Locks are taken in the order mu, leases, state machine, and last one of measures, watchers, throttles, inbox, questions.
+// Locks are taken in the order mu, leases, state machine, and last one of measures, watchers and the loop's.
 type Control struct {
 	settings  *settings.Control
 	addresses map[uint64]string
 	replica   *replica.Replica
 	machine   *state.Machine
 	leases    *lease.Table
-	throttles throttles
 	measures  *measure.Table
 	watchers  *watchers
-	inbox     inbox
-	questions questions
+	schedule  *schedule.Loop
 	counters  *counters
 	server    *inner.Server
 	wait      group.Group
 
-	mu       sync.Mutex // guards stopLead
-	stopLead context.CancelFunc
+	mu        sync.Mutex // guards what follows
+	stopLead  context.CancelFunc
+	loopEnded <-chan struct{} // closed when the last loop has ended
 }
 
 // New starts the replica on its data folder and serves the other processes.
@@ -74,11 +76,18 @@
 	c.machine = state.New(state.Options{
 		AuditKeep:            int(s.AuditKeep),
 		AnswersKeep:          int(s.AnswersKeep),
-		TaskChanged:          func(j *wire.Job, t *wire.Task) { c.inbox.add(item{job: j, task: t}) },
-		WorkerChanged:        func(w *wire.WorkerRecord) { c.inbox.add(item{worker: w}) },
+		TaskChanged:          func(j *wire.Job, t *wire.Task) { c.schedule.TaskChanged(j, t) },
+		WorkerChanged:        func(w *wire.WorkerRecord) { c.schedule.WorkerChanged(w) },
 		ConfigurationChanged: c.configurationChanged,
 	})
 	c.counters = c.newCounters()
+	c.schedule = schedule.New(schedule.Options{
+		Machine: c.machine,
+		Leases:  c.leases,
+		Commit:  c.commit,
+		Decided: c.counters.decide.UpdateDuration,
+		Applied: c.counters.applied,
+	})
 	if err := c.open(o); err != nil {
 		return nil, err
 	}
@@ -119,7 +128,7 @@
 
 func (c *Control) configurationChanged(configuration *wire.Configuration) {
 	c.watchers.publish()
-	c.inbox.add(item{configuration: configuration})
+	c.schedule.ConfigurationChanged(configuration)
 }
 
 // apply carries out one committed record; a record that cannot be read was never written by us.
@@ -161,10 +170,22 @@
 	}
 	event.LeadershipGained.Info("term", term, "replica", c.settings.ID)
 	c.leases.Lead(time.Now())
-	c.throttles.clear()
 	ctx, cancel := context.WithCancel(context.Background())
 	c.stopLead = cancel
-	c.wait.Go(func() { c.lead(ctx) })
+	c.runAfter(ctx, c.loopEnded)
+}
+
+// runAfter runs the loop once the one of an earlier leadership has ended, since both use the same tables.
+func (c *Control) runAfter(ctx context.Context, earlier <-chan struct{}) {
+	ended := make(chan struct{})
+	c.loopEnded = ended
+	c.wait.Go(func() {
+		defer close(ended)
+		if earlier != nil {
+			<-earlier
+		}
+		c.schedule.Run(ctx)
+	})
 }
 
 // serves reports whether this replica may answer as the leader right now.
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -45,3 +45,8 @@
 func (c *Control) Live() error {
 	return c.replica.Info().Err
 }
+
+func (c *counters) applied(starts, events int) {
+	c.starts.Add(starts)
+	c.events.Add(events)
+}
--- a/control/read.go
+++ b/control/read.go
@@ -7,11 +7,10 @@
 	"time"
 
 	"daisyswitch/resource"
+	"daisyswitch/task"
 	"daisyswitch/wire"
 )
 
-const reasonTime = 500 * time.Millisecond // longest wait for the scheduling loop's reasons
-
 // Read answers what the leader holds, once a quorum has confirmed that it leads.
 func (c *Control) Read(ctx context.Context, request *wire.ReadRequest) (*wire.ReadReply, error) {
 	if !c.serves() {
@@ -63,7 +62,7 @@
 		capacity = capacity.Add(resource.FromWire(w.Capacity))
 	})
 	c.machine.Each(func(_ *wire.Job, t *wire.Task) {
-		if isCommitted(t.State) {
+		if task.Held(t) {
 			committed = committed.Add(resource.FromWire(t.Committed))
 		}
 	})
@@ -71,14 +70,6 @@
 	s.Committed = committed.Wire()
 }
 
-func isCommitted(s wire.TaskState) bool {
-	switch s {
-	case wire.TaskState_TASK_STATE_STARTING, wire.TaskState_TASK_STATE_RUNNING, wire.TaskState_TASK_STATE_STOPPING:
-		return true
-	}
-	return false
-}
-
 func (c *Control) classStatuses(now time.Time, configuration *wire.Configuration) []*wire.ClassStatus {
 	byName := map[string]*wire.ClassStatus{}
 	var out []*wire.ClassStatus
@@ -94,9 +85,9 @@
 			return
 		}
 		switch {
-		case isCommitted(t.State):
+		case task.Held(t):
 			s.Running++
-		case t.State == wire.TaskState_TASK_STATE_QUEUED || t.State == wire.TaskState_TASK_STATE_CHECKPOINTED:
+		case task.Queued(t):
 			s.Queued++
 		}
 	})
@@ -115,24 +106,18 @@
 		return nil
 	}
 	var waiting []*wire.Task
-	q := question{job: id, answer: make(chan []string, 1)}
+	var indexes []int32
 	for _, t := range record.Tasks {
-		if t.State == wire.TaskState_TASK_STATE_QUEUED || t.State == wire.TaskState_TASK_STATE_CHECKPOINTED {
+		if task.Queued(t) {
 			waiting = append(waiting, t)
-			q.indexes = append(q.indexes, t.Index)
+			indexes = append(indexes, t.Index)
 		}
 	}
 	if len(waiting) == 0 {
 		return record
 	}
-	c.questions.add(q)
-	select {
-	case reasons := <-q.answer:
-		for i, t := range waiting {
-			t.Reason = reasons[i]
-		}
-	case <-time.After(reasonTime):
-	case <-ctx.Done():
+	for i, reason := range c.schedule.Why(ctx, id, indexes) {
+		waiting[i].Reason = reason
 	}
 	return record
 }
--- a/control/service.go
+++ b/control/service.go
@@ -59,7 +59,7 @@
 	now := time.Now()
 	c.measures.Heard(now, batch)
 	for _, s := range batch.Samples {
-		c.inbox.add(item{sample: s, domain: batch.Domain})
+		c.schedule.Sampled(batch.Domain, s)
 	}
 	outcomes, command := c.receive(now, batch)
 	if len(command.Events) > 0 || len(command.Workers) > 0 {
@@ -90,7 +90,7 @@
 		if outcome.Worker != nil {
 			command.Workers = append(command.Workers, outcome.Worker)
 		}
-		c.inbox.add(item{report: r})
+		c.schedule.Reported(r)
 	}
 	return outcomes, command
 }
@@ -98,7 +98,7 @@
 func (c *Control) answers(batch *wire.ReportBatch, outcomes []lease.Outcome) []*wire.WorkerReply {
 	now := time.Now()
 	out := outDomains(c.machine.Configuration())
-	throttles := c.throttles.current()
+	throttles := c.schedule.Throttles()
 	replies := make([]*wire.WorkerReply, len(outcomes))
 	for i, r := range batch.Reports {
 		if outcomes[i].Refusal != "" {
--- a/control/throttles.go
+++ b/schedule/throttles.go
@@ -1,4 +1,4 @@
-package control
+package schedule
 
 import (
 	"maps"
