Give the log's entries in memory a package of their own

Change: raft/log.go is package entries, with the same code and exported names; the panic about a committed entry that conflicts names the new package. No check changed.

--- a/raft/election.go
+++ b/raft/election.go
@@ -37,13 +37,13 @@
 
 func (n *Node) askVotes(kind wire.MessageKind, term uint64) {
 	for _, id := range n.others {
-		n.send(&wire.Message{Kind: kind, To: id, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
+		n.send(&wire.Message{Kind: kind, To: id, Term: term, Index: n.log.Last(), LogTerm: n.log.LastTerm()})
 	}
 }
 
 func (n *Node) answerPreVote(m *wire.Message) {
 	reply := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, To: m.GetFrom(), Term: m.GetTerm()}
-	if m.GetTerm() <= n.term || n.leased() || !n.log.upToDate(m.GetIndex(), m.GetLogTerm()) {
+	if m.GetTerm() <= n.term || n.leased() || !n.log.UpToDate(m.GetIndex(), m.GetLogTerm()) {
 		reply.Term, reply.Reject = n.term, true
 	}
 	n.send(reply)
@@ -51,7 +51,7 @@
 
 func (n *Node) answerVote(m *wire.Message) {
 	free := n.vote == 0 || n.vote == m.GetFrom()
-	grant := free && !n.leased() && n.log.upToDate(m.GetIndex(), m.GetLogTerm())
+	grant := free && !n.leased() && n.log.UpToDate(m.GetIndex(), m.GetLogTerm())
 	if grant {
 		n.setTerm(n.term, m.GetFrom())
 		n.resetTimer()
--- a/raft/follower.go
+++ b/raft/follower.go
@@ -19,18 +19,18 @@
 	reply := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.GetFrom(), Term: n.term}
 	defer n.send(reply)
 	previous := m.GetIndex()
-	if previous < n.log.offset {
+	if previous < n.log.Offset {
 		// What lies before the offset is committed, so it agrees.
-		previous = n.log.offset
-	} else if term, ok := n.log.term(previous); !ok || term != m.GetLogTerm() {
+		previous = n.log.Offset
+	} else if term, ok := n.log.Term(previous); !ok || term != m.GetLogTerm() {
 		reply.Reject, reply.Index = true, previous
-		reply.Hint = n.log.last()
+		reply.Hint = n.log.Last()
 		if ok {
-			reply.Hint = n.log.conflict(previous)
+			reply.Hint = n.log.Conflict(previous)
 		}
 		return
 	}
-	n.log.merge(m.GetEntries())
+	n.log.Merge(m.GetEntries())
 	end := m.GetIndex() + uint64(len(m.GetEntries()))
 	n.matched = max(n.matched, end, previous)
 	reply.Index = n.matched
@@ -40,10 +40,10 @@
 // commitTo takes over the leader's commit index as far as the log is known to agree with the leader's.
 func (n *Node) commitTo(commit uint64) {
 	commit = min(commit, n.matched)
-	if commit <= n.log.commit {
+	if commit <= n.log.Commit {
 		return
 	}
-	n.log.commit = commit
+	n.log.Commit = commit
 	n.endRecovery()
 }
 
@@ -59,7 +59,7 @@
 func (n *Node) takeSnapshot(m *wire.Message) {
 	reply := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.GetFrom(), Term: n.term}
 	defer n.send(reply)
-	if m.GetIndex() > n.log.commit {
+	if m.GetIndex() > n.log.Commit {
 		n.takeState(m)
 	}
 	// What is committed agrees with the leader's log.
@@ -69,12 +69,12 @@
 }
 
 func (n *Node) takeState(m *wire.Message) {
-	if term, ok := n.log.term(m.GetIndex()); ok && term == m.GetLogTerm() {
+	if term, ok := n.log.Term(m.GetIndex()); ok && term == m.GetLogTerm() {
 		// The log holds it all; only the commit index was behind.
-		n.log.commit = m.GetIndex()
+		n.log.Commit = m.GetIndex()
 		return
 	}
-	n.log.reset(m.GetIndex(), m.GetLogTerm())
+	n.log.Reset(m.GetIndex(), m.GetLogTerm())
 	n.delivered = m.GetIndex()
 	n.snapshotIndex = m.GetIndex()
 	n.install = &wire.Snapshot{Index: m.GetIndex(), Term: m.GetLogTerm(), Data: m.GetSnapshot()}
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -35,18 +35,18 @@
 	n.role, n.leader = Leader, n.id
 	n.progress = map[uint64]*progress{}
 	for _, id := range n.others {
-		n.progress[id] = &progress{next: n.log.last() + 1, voter: true, probing: true}
+		n.progress[id] = &progress{next: n.log.Last() + 1, voter: true, probing: true}
 	}
 	n.round, n.confirmed = 0, 0
 	n.appendLocal(nil)
-	n.termStart = n.log.last()
+	n.termStart = n.log.Last()
 	n.StartRound()
 	n.broadcast()
 }
 
 // appendLocal adds one entry to the leader's own log; nil data is a barrier that is never applied.
 func (n *Node) appendLocal(data []byte) {
-	n.log.add(&wire.Entry{Index: n.log.last() + 1, Term: n.term, Data: data})
+	n.log.Add(&wire.Entry{Index: n.log.Last() + 1, Term: n.term, Data: data})
 }
 
 // Propose appends a batch and returns the index of its first entry; ok is false if the node does not lead.
@@ -54,7 +54,7 @@
 	if n.role != Leader {
 		return 0, false
 	}
-	first = n.log.last() + 1
+	first = n.log.Last() + 1
 	for _, data := range batch {
 		n.appendLocal(data)
 	}
@@ -68,7 +68,7 @@
 	n.sinceRound = 0
 	for _, id := range n.others {
 		p := n.progress[id]
-		n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_HEARTBEAT, To: id, Term: n.term, Round: n.round, Commit: min(p.match, n.log.commit), Hint: p.acked})
+		n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_HEARTBEAT, To: id, Term: n.term, Round: n.round, Commit: min(p.match, n.log.Commit), Hint: p.acked})
 	}
 	n.confirmRounds()
 }
@@ -124,8 +124,8 @@
 // replicate sends a follower what it lacks, as far ahead of its answers as the bounds allow.
 func (n *Node) replicate(id uint64) {
 	p := n.progress[id]
-	for p.next <= n.log.last() && p.next <= p.match+maxAhead {
-		if p.next <= n.log.offset {
+	for p.next <= n.log.Last() && p.next <= p.match+maxAhead {
+		if p.next <= n.log.Offset {
 			n.sendSnapshot(id, p)
 			return
 		}
@@ -145,9 +145,9 @@
 
 func (n *Node) sendAppend(id uint64, p *progress) {
 	previous := p.next - 1
-	term, _ := n.log.term(previous)
+	term, _ := n.log.Term(previous)
 	entries := n.batch(p.next)
-	n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_APPEND, To: id, Term: n.term, Index: previous, LogTerm: term, Commit: n.log.commit, Entries: entries})
+	n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_APPEND, To: id, Term: n.term, Index: previous, LogTerm: term, Commit: n.log.Commit, Entries: entries})
 	p.base = p.next
 	p.next += uint64(len(entries))
 	p.sent = n.round
@@ -155,7 +155,7 @@
 
 // batch returns the entries from first on that fit into one message.
 func (n *Node) batch(first uint64) []*wire.Entry {
-	entries := n.log.slice(first, min(n.log.last(), first+maxAppendEntries-1))
+	entries := n.log.Slice(first, min(n.log.Last(), first+maxAppendEntries-1))
 	size := 0
 	for i, e := range entries {
 		size += len(e.GetData())
@@ -220,7 +220,7 @@
 
 // tellCommit passes on a commit index as soon as the follower holds what it covers.
 func (n *Node) tellCommit(id uint64, p *progress) {
-	commit := min(p.match, n.log.commit)
+	commit := min(p.match, n.log.Commit)
 	if commit <= p.told {
 		return
 	}
@@ -271,14 +271,14 @@
 
 // advanceCommit commits what a quorum has on disk, if it is of this term.
 func (n *Node) advanceCommit() {
-	index := n.byQuorum(n.log.synced, func(p *progress) uint64 { return p.match })
-	if index <= n.log.commit {
+	index := n.byQuorum(n.log.Synced, func(p *progress) uint64 { return p.match })
+	if index <= n.log.Commit {
 		return
 	}
-	if term, _ := n.log.term(index); term != n.term {
+	if term, _ := n.log.Term(index); term != n.term {
 		return
 	}
-	n.log.commit = index
+	n.log.Commit = index
 	for _, id := range n.others {
 		n.tellCommit(id, n.progress[id])
 	}
--- a/raft/node.go
+++ b/raft/node.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"daisyswitch/entries"
 	"daisyswitch/wire"
 )
 
@@ -63,7 +64,7 @@
 	term, vote, disk uint64
 	recovering       bool
 	stateChanged     bool
-	log              log
+	log              entries.Log
 	delivered        uint64 // last index handed out to apply
 	install          *wire.Snapshot
 	messages         []*wire.Message
@@ -91,12 +92,12 @@
 	}
 	n.term, n.vote, n.disk, n.recovering = o.State.GetTerm(), o.State.GetVote(), o.State.GetDisk(), o.State.GetRecovering()
 	if o.Snapshot != nil {
-		n.log.reset(o.Snapshot.GetIndex(), o.Snapshot.GetTerm())
+		n.log.Reset(o.Snapshot.GetIndex(), o.Snapshot.GetTerm())
 	}
-	n.snapshotIndex = n.log.offset
-	n.delivered = n.log.offset
-	n.log.add(o.Entries...)
-	n.log.synced = n.log.last()
+	n.snapshotIndex = n.log.Offset
+	n.delivered = n.log.Offset
+	n.log.Add(o.Entries...)
+	n.log.Synced = n.log.Last()
 	n.resetTimer()
 	if n.recovering {
 		n.recover()
@@ -112,7 +113,7 @@
 		r.State = &wire.HardState{Term: n.term, Vote: n.vote, Disk: n.disk, Recovering: n.recovering}
 		n.stateChanged = false
 	}
-	r.Entries = n.log.slice(n.log.synced+1, n.log.last())
+	r.Entries = n.log.Slice(n.log.Synced+1, n.log.Last())
 	n.stampAll(r.Messages)
 	r.Commit = n.deliver()
 	return r
@@ -120,18 +121,18 @@
 
 // deliver hands out what is committed and on this replica's disk.
 func (n *Node) deliver() []*wire.Entry {
-	end := min(n.log.commit, n.log.synced)
+	end := min(n.log.Commit, n.log.Synced)
 	if end <= n.delivered {
 		return nil
 	}
-	entries := n.log.slice(n.delivered+1, end)
+	entries := n.log.Slice(n.delivered+1, end)
 	n.delivered = end
 	return entries
 }
 
 // Synced says that the records of the last Ready are on disk, so that they count.
 func (n *Node) Synced() {
-	n.log.synced = n.log.last()
+	n.log.Synced = n.log.Last()
 	if n.role == Leader {
 		n.advanceCommit()
 	}
@@ -201,14 +202,14 @@
 func (n *Node) Term() uint64 { return n.term }
 
 // Commit returns the index up to which entries are known to be committed.
-func (n *Node) Commit() uint64 { return n.log.commit }
+func (n *Node) Commit() uint64 { return n.log.Commit }
 
 // Last returns the index of the last entry.
-func (n *Node) Last() uint64 { return n.log.last() }
+func (n *Node) Last() uint64 { return n.log.Last() }
 
 // EntryTerm returns the term of the entry at index, 0 if the log does not hold it.
 func (n *Node) EntryTerm(index uint64) uint64 {
-	term, _ := n.log.term(index)
+	term, _ := n.log.Term(index)
 	return term
 }
 
@@ -218,5 +219,5 @@
 // Compact forgets entries up to keepFrom after a snapshot at index was saved.
 func (n *Node) Compact(index, keepFrom uint64) {
 	n.snapshotIndex = max(n.snapshotIndex, index)
-	n.log.compact(min(index, keepFrom))
+	n.log.Compact(min(index, keepFrom))
 }
--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -35,7 +35,7 @@
 
 // blank says whether the node has never voted nor held a record.
 func (n *Node) blank() bool {
-	return n.term == 0 && n.log.last() == 0
+	return n.term == 0 && n.log.Last() == 0
 }
 
 // stepRecovery handles the messages of recovery, which stand outside of terms.
@@ -77,10 +77,10 @@
 	if p.barrier == 0 {
 		p.voter = false
 		n.appendLocal(nil)
-		p.barrier = n.log.last()
+		p.barrier = n.log.Last()
 		n.broadcast()
 	}
-	return p.barrier <= n.log.commit
+	return p.barrier <= n.log.Commit
 }
 
 // retire forgets all that a lost disk had answered.
@@ -88,7 +88,7 @@
 	if p.disk != 0 {
 		p.retired = append(p.retired, p.disk)
 	}
-	*p = progress{next: n.log.last() + 1, disk: disk, retired: p.retired, probing: true}
+	*p = progress{next: n.log.Last() + 1, disk: disk, retired: p.retired, probing: true}
 }
 
 func (n *Node) takeRecoverReply(m *wire.Message) {
@@ -112,7 +112,7 @@
 		return
 	}
 	first := n.blank() && len(n.fresh) == len(n.others)
-	caughtUp := n.awaited > 0 && n.log.commit >= n.awaited
+	caughtUp := n.awaited > 0 && n.log.Commit >= n.awaited
 	if !first && !caughtUp {
 		return
 	}
