Give the connections between replicas a package of their own

Its goroutines ran in a conc.WaitGroup, which keeps a panic to itself until Close.

Change: they are package peer, split into connections, peer, parts and serve; replica sends, watches and receives through peer.Connections, and its API is as before. Its goroutines run in group.Group, so a panic outside of the step function ends the process; a broken rule of the log is still caught by the loop and ends the replica's part only. Silence is now measured when the message or tick is looked at, not when the loop woke up.

No check changed.

Ran: go test -race ./replica ./peer passes; peer has no tests of its own, replica's drive it.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,4 +1,4 @@
-package replica
+package peer
 
 import (
 	"context"
@@ -13,20 +13,16 @@
 	"storj.io/drpc/drpcconn"
 )
 
-const (
-	queuedMessages = 1024      // per peer; more are dropped
-	redialTicks    = 2         // between attempts to connect
-	partBytes      = 128 << 10 // of a snapshot, one message each
-)
+const queuedMessages = 1024 // per peer; more are dropped
 
 // peer sends to one other replica, in order, over one connection at a time.
 type peer struct {
-	r       *Replica
+	owner   *Connections
 	id      uint64
 	address string
 	queue   chan *wire.Message
 
-	unanswered atomic.Int64 // when the first message that asks for an answer was sent since the peer was last heard, 0 if none was; since started, nanoseconds
+	unanswered atomic.Int64 // when the first message that asks for an answer was sent since the peer was last heard, 0 if none was; since the connections were made, nanoseconds
 
 	ackedTerm  uint64 // what the peer, as leader, last said to have heard of this replica
 	ackedRound uint64
@@ -37,40 +33,17 @@
 	inbound drpc.Stream        // stream that the peer sends on
 }
 
-func newPeer(r *Replica, id uint64, address string) *peer {
-	return &peer{r: r, id: id, address: address, queue: make(chan *wire.Message, queuedMessages)}
-}
-
-// enqueue drops the message if the peer cannot keep up; the log's own repair makes up for it.
-func (p *peer) enqueue(m *wire.Message) {
-	select {
-	case p.queue <- m:
-	default:
-	}
-}
-
-// silence is how long a peer may leave messages unanswered before its connection is replaced.
-func (r *Replica) silence() time.Duration {
-	return time.Duration(r.o.ElectionTicks) * r.o.Tick
-}
-
-// watchPeers replaces connections that have gone silent.
-func (r *Replica) watchPeers(now time.Duration) {
-	for _, p := range r.peers {
-		since := time.Duration(p.unanswered.Load())
-		if since != 0 && now-since > r.silence() {
-			p.reconnect()
-		}
-	}
+func newPeer(owner *Connections, id uint64, address string) *peer {
+	return &peer{owner: owner, id: id, address: address, queue: make(chan *wire.Message, queuedMessages)}
 }
 
-// noteAcked replaces the connection if the leader says that it has not heard the answers sent over it.
-func (p *peer) noteAcked(m *wire.Message, now, silence time.Duration) {
+// reconnectIfUnheard replaces the connection if the leader says that it has not heard the answers sent over it.
+func (p *peer) reconnectIfUnheard(m *wire.Message, now time.Duration) {
 	if p.ackedTerm != m.GetTerm() || p.ackedRound != m.GetHint() {
 		p.ackedTerm, p.ackedRound, p.ackedAt = m.GetTerm(), m.GetHint(), now
 		return
 	}
-	if now-p.ackedAt > silence {
+	if now-p.ackedAt > p.owner.o.Silence {
 		p.ackedAt = now
 		p.reconnect()
 	}
@@ -95,7 +68,7 @@
 		p.connect(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialTicks * p.r.o.Tick):
+		case <-time.After(p.owner.o.Redial):
 		}
 	}
 }
@@ -106,9 +79,9 @@
 	defer cut()
 	p.setCut(cut)
 	defer p.setCut(nil)
-	dialCtx, cancel := context.WithTimeout(ctx, p.r.silence())
+	dialCtx, cancel := context.WithTimeout(ctx, p.owner.o.Silence)
 	defer cancel()
-	transport, err := p.r.o.Dial(dialCtx, p.address)
+	transport, err := p.owner.o.Dial(dialCtx, p.address)
 	if err != nil {
 		return
 	}
@@ -118,10 +91,10 @@
 	if err != nil {
 		return
 	}
-	p.forget()
-	event.PeerConnected.Info("replica", p.r.o.ID, "peer", p.id)
+	p.dropQueue()
+	event.PeerConnected.Info("replica", p.owner.o.ID, "peer", p.id)
 	err = p.sendAll(ctx, stream)
-	event.PeerDisconnected.Info("replica", p.r.o.ID, "peer", p.id, "cause", err)
+	event.PeerDisconnected.Info("replica", p.owner.o.ID, "peer", p.id, "cause", err)
 }
 
 func (p *peer) sendAll(ctx context.Context, stream wire.DRPCPeer_SendClient) error {
@@ -145,8 +118,8 @@
 	p.cut = cut
 }
 
-// forget drops what was meant for an earlier connection.
-func (p *peer) forget() {
+// dropQueue drops what was meant for an earlier connection.
+func (p *peer) dropQueue() {
 	for {
 		select {
 		case <-p.queue:
@@ -157,8 +130,8 @@
 }
 
 func (p *peer) send(stream wire.DRPCPeer_SendClient, m *wire.Message) error {
-	if asks(m) {
-		p.unanswered.CompareAndSwap(0, int64(p.r.since())|1)
+	if expectsAnswer(m) {
+		p.unanswered.CompareAndSwap(0, int64(p.owner.since())|1)
 	}
 	if len(m.GetSnapshot()) == 0 {
 		return stream.Send(m)
@@ -166,8 +139,8 @@
 	return p.sendParts(stream, m)
 }
 
-// asks says whether a message is answered by a peer that takes part.
-func asks(m *wire.Message) bool {
+// expectsAnswer says whether a message is answered by a peer that takes part.
+func expectsAnswer(m *wire.Message) bool {
 	switch m.GetKind() {
 	case wire.MessageKind_MESSAGE_KIND_PRE_VOTE, wire.MessageKind_MESSAGE_KIND_VOTE,
 		wire.MessageKind_MESSAGE_KIND_APPEND, wire.MessageKind_MESSAGE_KIND_SNAPSHOT:
@@ -178,21 +151,3 @@
 		return false
 	}
 }
-
-// sendParts sends a snapshot in messages that fit the transport; the peer cannot answer before the last one, so each that gets through shows that the connection works.
-func (p *peer) sendParts(stream wire.DRPCPeer_SendClient, m *wire.Message) error {
-	total := len(m.GetSnapshot())
-	for offset := 0; offset < total; offset += partBytes {
-		part := &wire.Message{
-			Kind: m.GetKind(), From: m.GetFrom(), To: m.GetTo(), Term: m.GetTerm(), Disk: m.GetDisk(),
-			Index: m.GetIndex(), LogTerm: m.GetLogTerm(),
-			Snapshot: m.GetSnapshot()[offset:min(total, offset+partBytes)],
-			Offset:   uint64(offset), Total: uint64(total),
-		}
-		if err := stream.Send(part); err != nil {
-			return err
-		}
-		p.unanswered.Store(int64(p.r.since()) | 1)
-	}
-	return nil
-}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -1,4 +1,4 @@
-package replica
+package peer
 
 import (
 	"errors"
@@ -10,17 +10,17 @@
 )
 
 // Register serves wire.Peer, over which the other replicas send.
-func (r *Replica) Register(mux drpc.Mux) error {
-	return wire.DRPCRegisterPeer(mux, &server{replica: r})
+func (c *Connections) Register(mux drpc.Mux) error {
+	return wire.DRPCRegisterPeer(mux, &server{connections: c})
 }
 
 type server struct {
-	replica *Replica
+	connections *Connections
 }
 
 // Send takes in one peer's messages until its connection ends or is replaced.
 func (s *server) Send(stream wire.DRPCPeer_SendStream) error {
-	r := s.replica
+	c := s.connections
 	var from *peer
 	var parts assembly
 	for {
@@ -29,12 +29,12 @@
 			return fmt.Errorf("receive: %w", err)
 		}
 		if from == nil {
-			if from = r.peers[m.GetFrom()]; from == nil {
+			if from = c.peers[m.GetFrom()]; from == nil {
 				return fmt.Errorf("replica %d is not of this group", m.GetFrom())
 			}
 			from.replaceInbound(stream)
 		}
-		if m.GetFrom() != from.id || m.GetTo() != r.o.ID {
+		if m.GetFrom() != from.id || m.GetTo() != c.o.ID {
 			return errors.New("message is for another replica")
 		}
 		from.heard()
@@ -42,8 +42,8 @@
 			continue
 		}
 		select {
-		case r.inbox <- m:
-		case <-r.ended:
+		case c.inbox <- m:
+		case <-c.o.Ended:
 			return errors.New("replica no longer takes part")
 		}
 	}
@@ -59,28 +59,3 @@
 		_ = old.Close() // it may have ended already
 	}
 }
-
-// assembly joins the parts of a snapshot, whole or not at all.
-type assembly struct {
-	data []byte
-}
-
-// add returns a whole message, nil while parts are missing.
-func (a *assembly) add(m *wire.Message) *wire.Message {
-	if m.GetTotal() == 0 {
-		return m
-	}
-	if m.GetOffset() == 0 {
-		a.data = make([]byte, 0, m.GetTotal())
-	}
-	if m.GetOffset() != uint64(len(a.data)) {
-		return nil
-	}
-	a.data = append(a.data, m.GetSnapshot()...)
-	if uint64(len(a.data)) < m.GetTotal() {
-		return nil
-	}
-	m.Snapshot = a.data
-	a.data = nil
-	return m
-}
--- a/replica/info.go
+++ b/replica/info.go
@@ -50,9 +50,12 @@
 		Err:           r.err,
 	}
 	if n.Role() == raft.Leader {
-		for id, p := range r.peers {
+		for id, address := range r.o.Peers {
+			if id == r.o.ID {
+				continue
+			}
 			match, active := n.Progress(id)
-			info.Peers = append(info.Peers, PeerInfo{ID: id, Address: p.address, Match: match, Active: active})
+			info.Peers = append(info.Peers, PeerInfo{ID: id, Address: address, Match: match, Active: active})
 		}
 	}
 	r.info.Store(info)
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -61,10 +61,10 @@
 	case <-ticks:
 		now = r.since()
 		r.node.Tick()
-		r.watchPeers(now)
-	case m := <-r.inbox:
+		r.peers.Watch()
+	case m := <-r.peers.Inbox():
 		now = r.since()
-		r.receive(m, now)
+		r.receive(m)
 	case p := <-r.proposals:
 		now = r.since()
 		r.propose(p)
@@ -74,16 +74,16 @@
 	case index := <-r.saved:
 		return r.compact(index)
 	}
-	r.drain(now)
+	r.drain()
 	return r.flush(now)
 }
 
 // drain takes in more without waiting, so that one sync serves it all.
-func (r *Replica) drain(now time.Duration) {
+func (r *Replica) drain() {
 	for range maxSteps {
 		select {
-		case m := <-r.inbox:
-			r.receive(m, now)
+		case m := <-r.peers.Inbox():
+			r.receive(m)
 		case q := <-r.reads:
 			r.arrived = append(r.arrived, q)
 		case p := <-r.proposals:
@@ -94,11 +94,8 @@
 	}
 }
 
-func (r *Replica) receive(m *wire.Message, now time.Duration) {
-	p := r.peers[m.GetFrom()]
-	if m.GetKind() == wire.MessageKind_MESSAGE_KIND_HEARTBEAT && m.GetRound() > 0 {
-		p.noteAcked(m, now, r.silence())
-	}
+func (r *Replica) receive(m *wire.Message) {
+	r.peers.Receive(m)
 	r.node.Step(m)
 }
 
@@ -151,7 +148,7 @@
 			}
 			m.Index, m.LogTerm, m.Snapshot = s.GetIndex(), s.GetTerm(), s.GetData()
 		}
-		r.peers[m.GetTo()].enqueue(m)
+		r.peers.Send(m)
 	}
 	return nil
 }
@@ -204,7 +201,7 @@
 	if len(r.rounds) > 0 {
 		last = r.rounds[len(r.rounds)-1].round
 	}
-	if round := r.node.Round(); round > max(last, r.node.Confirmed()) || len(r.peers) == 0 {
+	if round := r.node.Round(); round > max(last, r.node.Confirmed()) || r.peers.Size() == 0 {
 		r.rounds = append(r.rounds, roundStart{round: round, at: now})
 		r.assignReads(round)
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -11,10 +11,11 @@
 
 	"daisyswitch/disk"
 	"daisyswitch/event"
+	"daisyswitch/group"
+	"daisyswitch/peer"
 	"daisyswitch/raft"
-	"daisyswitch/wire"
 
-	"github.com/sourcegraph/conc"
+	"storj.io/drpc"
 )
 
 // The defaults of Options.
@@ -24,11 +25,11 @@
 	DefaultSnapshotEvery = 10_000
 )
 
-// Bounds on what waits in memory.
-const (
-	inboxMessages    = 1024
-	waitingProposals = 1024
-)
+// redialTicks is how many ticks pass between attempts to connect to a peer.
+const redialTicks = 2
+
+// waitingProposals bounds the proposals, and the reads, that wait in memory.
+const waitingProposals = 1024
 
 // Options says who the group is, where its data lies and what the log drives; Snapshot, Restore and Apply are called from one goroutine.
 type Options struct {
@@ -56,14 +57,13 @@
 	started time.Time
 	ctx     context.Context
 	stop    context.CancelFunc
-	tasks   conc.WaitGroup
+	tasks   group.Group
 	ended   chan struct{} // closed when the loop has ended
 
-	inbox     chan *wire.Message
 	proposals chan *proposal
 	reads     chan *read
 	saved     chan uint64 // indexes of snapshots on disk
-	peers     map[uint64]*peer
+	peers     *peer.Connections
 	applier   applier
 
 	loopState
@@ -119,11 +119,9 @@
 		disk:      d,
 		started:   time.Now(),
 		ended:     make(chan struct{}),
-		inbox:     make(chan *wire.Message, inboxMessages),
 		proposals: make(chan *proposal, waitingProposals),
 		reads:     make(chan *read, waitingProposals),
 		saved:     make(chan uint64),
-		peers:     map[uint64]*peer{},
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.applier.init(loaded.Snapshot.GetIndex())
@@ -137,11 +135,14 @@
 		Snapshot:      loaded.Snapshot,
 		Entries:       loaded.Entries,
 	})
-	for id, address := range o.Peers {
-		if id != o.ID {
-			r.peers[id] = newPeer(r, id, address)
-		}
-	}
+	r.peers = peer.New(peer.Options{
+		ID:      o.ID,
+		Peers:   o.Peers,
+		Dial:    o.Dial,
+		Redial:  redialTicks * o.Tick,
+		Silence: time.Duration(o.ElectionTicks) * o.Tick,
+		Ended:   r.ended,
+	})
 	r.pending = map[uint64]*proposal{}
 	r.broken = make(chan error)
 	r.delivered = loaded.Snapshot.GetIndex()
@@ -165,9 +166,12 @@
 	}
 	r.tasks.Go(r.loop)
 	r.tasks.Go(func() { r.applier.run(r.ctx) })
-	for _, p := range r.peers {
-		r.tasks.Go(func() { p.run(r.ctx) })
-	}
+	r.peers.Start(r.ctx, &r.tasks)
+}
+
+// Register serves wire.Peer, over which the other replicas send.
+func (r *Replica) Register(mux drpc.Mux) error {
+	return r.peers.Register(mux)
 }
 
 // IsLeader says whether this replica leads and a quorum has answered within the election timeout, by the monotonic clock.
