Answer a stop of an attempt that never came; let only control choose a job's id

Cause: the stand-in worker did not keep the rule of docs/design/06-leases.md, so a start that an earlier leader committed and that was lost stayed stopping; and --id of job submit had no effect. Ruled out: names of jobs by operators (a resend is told by its sequence already). Change: the stand-in reports the attempt as stopped and starts it no more; a job with an id is refused; status calls workers that left or are lost gone; make demo-faults and make demo-disks. Shown failing: without the answer TestStopOfAnUnknownAttemptIsAnswered finds no report.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PATH := $(TOOLS):$(PATH)
 GOFILES := $(shell git ls-files '*.go')
 
-.PHONY: build demo test bench fuzz generate lint format spec tools slopes
+.PHONY: build demo demo-faults demo-disks test bench fuzz generate lint format spec tools slopes
 
 build:
 	go build -o bin/ ./cmd/...
@@ -13,6 +13,13 @@
 demo: build
 	bash demo/run
 
+# Harder faults, and lost disks, between the same processes.
+demo-faults: build
+	bash demo/faults
+
+demo-disks: build
+	bash demo/disks
+
 test: lint
 	go vet ./...
 	bash .ci/check-promises
--- a/command/command.go
+++ b/command/command.go
@@ -62,8 +62,8 @@
 		{"domain", "out", "Take a failure domain out of service.", "daisyswitch domain out cebu", &domainOut{s: s}},
 		{"domain", "in", "Put a failure domain back in service.", "daisyswitch domain in cebu", &domainIn{s: s}},
 		{"job", "submit", "Submit a job.", "daisyswitch job submit --team ledger --class refunds --program refund-run --tasks 20 --cpu 1 --memory-gib 2 --expected 90s", &jobSubmit{s: s}},
-		{"job", "show", "Print a job and the state of each task.", "daisyswitch job show j-12", &jobShow{s: s}},
-		{"job", "cancel", "Cancel a job.", "daisyswitch job cancel j-12", &jobCancel{s: s}},
+		{"job", "show", "Print a job and the state of each task.", "daisyswitch job show j12", &jobShow{s: s}},
+		{"job", "cancel", "Cancel a job.", "daisyswitch job cancel j12", &jobCancel{s: s}},
 	}
 }
 
--- a/command/job.go
+++ b/command/job.go
@@ -12,7 +12,6 @@
 type jobSubmit struct {
 	s          *session
 	Sequence   uint64        `long:"sequence" value-name:"N" description:"number of this change; give the same one again to ask for a lost answer"`
-	ID         string        `long:"id" value-name:"ID" description:"name of the job (default: chosen by control)"`
 	Team       string        `long:"team" required:"yes" value-name:"NAME"`
 	Class      string        `long:"class" required:"yes" value-name:"NAME"`
 	Program    string        `long:"program" required:"yes" value-name:"NAME" description:"what the tasks run"`
@@ -26,7 +25,6 @@
 // Execute sends the job.
 func (c *jobSubmit) Execute([]string) error {
 	body := operator.Job{
-		ID:         c.ID,
 		Team:       c.Team,
 		Class:      c.Class,
 		Program:    c.Program,
--- a/command/status.go
+++ b/command/status.go
@@ -66,7 +66,7 @@
 		return err
 	}
 	fmt.Fprintf(c.s.out, "\nout of service: %s\n", outOf(s.Configuration.Domains))
-	fmt.Fprintf(c.s.out, "workers: %d, lost %d; committed %s of %s\n", s.Workers, s.WorkersLost, sizeText(s.Committed), sizeText(s.Capacity))
+	fmt.Fprintf(c.s.out, "workers: %d, %d gone; committed %s of %s\n", s.Workers, s.WorkersGone, sizeText(s.Committed), sizeText(s.Capacity))
 	fmt.Fprintf(c.s.out, "control: replica %d leads in term %d, configuration version %d, log index %d\n", s.Leader, s.Term, s.Configuration.Version, s.Index)
 	for _, r := range s.Replicas {
 		fmt.Fprintf(c.s.out, "  replica %d at %s: %s, %d records behind\n", r.ID, r.Address, activity(r.Active), behind(s.Index, r.Match))
--- a/control/read.go
+++ b/control/read.go
@@ -55,7 +55,7 @@
 	var capacity, committed resource.Size
 	c.machine.EachWorker(func(w *wire.WorkerRecord) {
 		if w.Gone {
-			s.WorkersLost++
+			s.WorkersGone++
 			return
 		}
 		s.Workers++
--- a/fakeworker/table.go
+++ b/fakeworker/table.go
@@ -138,6 +138,7 @@
 	key := refOf(o)
 	t, known := b.tasks[key]
 	if !known {
+		b.refuse(key, o)
 		return
 	}
 	if o.Size != (resource.Size{}) {
@@ -159,12 +160,22 @@
 	}
 }
 
+// refuse answers a stop of an attempt that never came: it is reported as stopped and will not be started.
+func (b *table) refuse(key ref, o worker.Order) {
+	if o.Kind == worker.OrderStop || o.Kind == worker.OrderCheckpoint {
+		b.tasks[key] = &task{order: o, phase: worker.PhaseStopped, reason: standin.ReasonStopped, never: true}
+	}
+}
+
 func (b *table) forget(key ref, t *task) {
+	delete(b.tasks, key)
+	if t.never {
+		return
+	}
 	if t.running() {
 		b.finish(key, t, worker.PhaseStopped, standin.ReasonForgotten)
 	}
 	b.tell(standin.TaskForgotten, key, t, "")
-	delete(b.tasks, key)
 }
 
 // start runs a new attempt, unless it is known already, came too late, the lease has ended or the worker leaves.
--- a/fakeworker/table_test.go
+++ b/fakeworker/table_test.go
@@ -185,3 +185,22 @@
 		}
 	})
 }
+
+// TestStopOfAnUnknownAttemptIsAnswered has a stop come for a start that was lost on its way.
+func TestStopOfAnUnknownAttemptIsAnswered(t *testing.T) {
+	b := newBench(Options{})
+	o := start("refunds", "refunds", time.Hour, false)
+	stop := o
+	stop.Kind = worker.OrderStop
+	b.answer(0, time.Second, stop)
+	reports := b.report(b.now)
+	assert.Equal(t, len(reports), 1)
+	assert.Equal(t, reports[0].Phase, worker.PhaseStopped)
+	b.answer(0, time.Second, o)
+	assert.Equal(t, len(b.effects), 0, "a start that comes after its stop is carried out")
+	forget := o
+	forget.Kind = worker.OrderForget
+	b.answer(0, time.Second, forget)
+	assert.Equal(t, len(b.report(b.now)), 0)
+	assert.Equal(t, len(b.effects), 0)
+}
--- a/fakeworker/task.go
+++ b/fakeworker/task.go
@@ -40,6 +40,7 @@
 	saveAt     time.Time     // next checkpoint is due
 	throttle   int32
 	speed      float64  // 1 undisturbed
+	never      bool     // stopped before its start had come
 	samples    []sample // no older than the lag, oldest first
 }
 
--- a/operator/change.go
+++ b/operator/change.go
@@ -135,6 +135,10 @@
 		refuse(w, errors.New("job: a size above 0 and at least one task are needed"))
 		return
 	}
+	if body.ID != "" {
+		refuse(w, errors.New("job: its id is chosen by control and cannot be asked for"))
+		return
+	}
 	a, err := authorOf(r)
 	if err != nil {
 		refuse(w, err)
--- a/operator/convert.go
+++ b/operator/convert.go
@@ -152,7 +152,7 @@
 		Term:          s.Term,
 		Index:         s.Index,
 		Workers:       s.Workers,
-		WorkersLost:   s.WorkersLost,
+		WorkersGone:   s.WorkersGone,
 		Capacity:      resource.FromWire(s.Capacity),
 		Committed:     resource.FromWire(s.Committed),
 	}
--- a/operator/front_test.go
+++ b/operator/front_test.go
@@ -73,6 +73,7 @@
 		{"PUT", "/v1/domains/cebu", author, ``},
 		{"POST", "/v1/jobs", author, `{"tasks": 0, "size": {"milli_cpu": 5}}`},
 		{"POST", "/v1/jobs", author, `{"tasks": 1, "size": {"milli_cpu": -5}}`},
+		{"POST", "/v1/jobs", author, `{"id": "mine", "tasks": 1, "size": {"milli_cpu": 5}}`},
 		{"DELETE", "/v1/jobs/j-1", "", ""},
 		{"GET", "/v1/audit?after=x", "", ""},
 		{"GET", "/v1/audit?limit=5000", "", ""},
--- a/operator/protocol.go
+++ b/operator/protocol.go
@@ -87,7 +87,7 @@
 
 // Job is a request to run tasks, and its identity afterwards.
 type Job struct {
-	ID         string        `json:"id,omitempty"` // chosen by control when empty
+	ID         string        `json:"id,omitempty"` // chosen by control
 	Team       string        `json:"team"`
 	Class      string        `json:"class"`
 	Program    string        `json:"program"`
@@ -158,7 +158,7 @@
 	Replicas      []Replica     `json:"replicas"`
 	Entries       []Entry       `json:"entries"`
 	Workers       int64         `json:"workers"`
-	WorkersLost   int64         `json:"workers_lost"`
+	WorkersGone   int64         `json:"workers_gone"` // lost, or left
 	Capacity      resource.Size `json:"capacity"`
 	Committed     resource.Size `json:"committed"`
 }
