Give proposals and the queue of tasks packages of their own

Two ways to report a failure and two ways to give up a read stood twice.

Change: packages proposal and serial; replica's API is as before. reportBroken and unconfirmed replace the doubles. MaxRecordBytes stays in replica.

Ran: go test -race ./replica ./serial ./proposal ./disk ./control ./group passes; go vet ./... and make lint find nothing.

--- a/replica/apply.go
+++ b/replica/apply.go
@@ -1,66 +1,25 @@
 package replica
 
 import (
-	"context"
-	"sync"
 	"sync/atomic"
 
 	"daisyswitch/event"
+	"daisyswitch/proposal"
+	"daisyswitch/serial"
 	"daisyswitch/wire"
 )
 
 // applier runs what the loop hands it, in order, in one goroutine; the loop never waits for it.
 type applier struct {
-	mu       sync.Mutex
-	queue    []func()
-	wake     chan struct{}
+	*serial.Queue
 	snapshot uint64      // index of the last snapshot begun
 	saving   atomic.Bool // a snapshot is being written
 }
 
-func (a *applier) init(snapshot uint64) {
-	a.wake = make(chan struct{}, 1)
-	a.snapshot = snapshot
-}
-
-func (a *applier) push(task func()) {
-	a.mu.Lock()
-	a.queue = append(a.queue, task)
-	a.mu.Unlock()
-	select {
-	case a.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (a *applier) take() []func() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	queue := a.queue
-	a.queue = nil
-	return queue
-}
-
-func (a *applier) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-a.wake:
-		}
-		for _, task := range a.take() {
-			if ctx.Err() != nil {
-				return
-			}
-			task()
-		}
-	}
-}
-
 // committed is an entry with the proposal that waits for it, if it was made here.
 type committed struct {
 	*wire.Entry
-	proposal *proposal
+	proposal *proposal.Proposal
 }
 
 // apply runs in the applier.
@@ -72,7 +31,7 @@
 		}
 		r.applied.Store(e.GetIndex())
 		if e.proposal != nil {
-			e.proposal.done <- outcome{result: result}
+			e.proposal.Finish(proposal.Outcome{Result: result})
 		}
 		r.snapshotAfter(e.Entry)
 	}
@@ -94,10 +53,7 @@
 
 func (r *Replica) save(s *wire.Snapshot) {
 	if err := r.disk.WriteSnapshot(s); err != nil {
-		select {
-		case r.broken <- err:
-		case <-r.ended:
-		}
+		r.reportBroken(err)
 		return
 	}
 	event.SnapshotSaved.Info("replica", r.o.ID, "index", s.GetIndex(), "bytes", len(s.GetData()))
@@ -107,13 +63,18 @@
 	}
 }
 
+// reportBroken makes the loop end this replica's part.
+func (r *Replica) reportBroken(err error) {
+	select {
+	case r.broken <- err:
+	case <-r.ended:
+	}
+}
+
 // restore runs in the applier.
 func (r *Replica) restore(s *wire.Snapshot) {
 	if err := r.o.Restore(s.GetData()); err != nil {
-		select {
-		case r.broken <- err:
-		case <-r.ended:
-		}
+		r.reportBroken(err)
 		return
 	}
 	r.applier.snapshot = s.GetIndex()
--- a/replica/confirm.go
+++ b/replica/confirm.go
@@ -23,7 +23,7 @@
 	select {
 	case r.reads <- q:
 	case <-ctx.Done():
-		return verdict.New(verdict.NotRun, "gave up before the read was confirmed", ctx.Err())
+		return unconfirmed(ctx)
 	case <-r.ended:
 		return r.gone(verdict.NotRun)
 	}
@@ -31,12 +31,16 @@
 	case err := <-q.done:
 		return err
 	case <-ctx.Done():
-		return verdict.New(verdict.NotRun, "gave up before the read was confirmed", ctx.Err())
+		return unconfirmed(ctx)
 	case <-r.ended:
 		return r.gone(verdict.NotRun)
 	}
 }
 
+func unconfirmed(ctx context.Context) error {
+	return verdict.New(verdict.NotRun, "gave up before the read was confirmed", ctx.Err())
+}
+
 // startReads gives the reads that arrived since the last round one of their own, unless one is on its way.
 func (r *Replica) startReads() {
 	if len(r.arrived) == 0 || r.node.Confirmed() < r.node.Round() || !r.serves() {
@@ -67,7 +71,7 @@
 	for len(r.asked) > 0 && r.asked[0].round <= r.node.Confirmed() && r.delivered >= r.asked[0].index {
 		q := r.asked[0]
 		r.asked = r.asked[1:]
-		r.applier.push(func() { q.done <- nil })
+		r.applier.Push(func() { q.done <- nil })
 	}
 }
 
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisyswitch/event"
+	"daisyswitch/proposal"
 	"daisyswitch/raft"
 	"daisyswitch/wire"
 )
@@ -17,7 +18,7 @@
 
 // loopState belongs to the loop's goroutine.
 type loopState struct {
-	pending    map[uint64]*proposal // appended here and not committed, by index
+	pending    map[uint64]*proposal.Proposal // appended here and not committed, by index
 	arrived    []*read
 	asked      []*read
 	rounds     []roundStart
@@ -157,7 +158,7 @@
 func (r *Replica) handOver(ready *raft.Ready) {
 	if s := ready.Snapshot; s != nil {
 		r.delivered = s.GetIndex()
-		r.applier.push(func() { r.restore(s) })
+		r.applier.Push(func() { r.restore(s) })
 	}
 	if len(ready.Commit) == 0 {
 		return
@@ -168,7 +169,7 @@
 		delete(r.pending, e.GetIndex())
 	}
 	r.delivered = entries[len(entries)-1].GetIndex()
-	r.applier.push(func() { r.apply(entries) })
+	r.applier.Push(func() { r.apply(entries) })
 }
 
 // noteRole notices that this replica began or ended to lead.
@@ -225,7 +226,7 @@
 	} else {
 		event.ReplicaStopsLead.Info("replica", r.o.ID, "term", term)
 	}
-	r.applier.push(func() { r.o.Leading(leading, term) })
+	r.applier.Push(func() { r.o.Leading(leading, term) })
 }
 
 // compact removes the log before a snapshot, but for a tail for followers that are only a little behind.
@@ -254,9 +255,9 @@
 	r.publish()
 	if r.leading {
 		term := r.node.Term()
-		r.applier.push(func() { r.o.Leading(false, term) })
+		r.applier.Push(func() { r.o.Leading(false, term) })
 	}
-	r.applier.push(func() { r.o.Failed(err) })
+	r.applier.Push(func() { r.o.Failed(err) })
 	r.abandon("this replica failed")
 	return false
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -13,7 +13,9 @@
 	"daisyswitch/event"
 	"daisyswitch/group"
 	"daisyswitch/peer"
+	"daisyswitch/proposal"
 	"daisyswitch/raft"
+	"daisyswitch/serial"
 
 	"storj.io/drpc"
 )
@@ -60,7 +62,7 @@
 	tasks   group.Group
 	ended   chan struct{} // closed when the loop has ended
 
-	proposals chan *proposal
+	proposals chan *proposal.Proposal
 	reads     chan *read
 	saved     chan uint64 // indexes of snapshots on disk
 	peers     *peer.Connections
@@ -119,12 +121,12 @@
 		disk:      d,
 		started:   time.Now(),
 		ended:     make(chan struct{}),
-		proposals: make(chan *proposal, waitingProposals),
+		proposals: make(chan *proposal.Proposal, waitingProposals),
 		reads:     make(chan *read, waitingProposals),
 		saved:     make(chan uint64),
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
-	r.applier.init(loaded.Snapshot.GetIndex())
+	r.applier.Queue, r.applier.snapshot = serial.New(), loaded.Snapshot.GetIndex()
 	r.applied.Store(loaded.Snapshot.GetIndex())
 	r.node = raft.New(raft.Options{
 		ID:            o.ID,
@@ -143,7 +145,7 @@
 		Silence: time.Duration(o.ElectionTicks) * o.Tick,
 		Ended:   r.ended,
 	})
-	r.pending = map[uint64]*proposal{}
+	r.pending = map[uint64]*proposal.Proposal{}
 	r.broken = make(chan error)
 	r.delivered = loaded.Snapshot.GetIndex()
 	r.recovering = r.node.Recovering()
@@ -165,7 +167,7 @@
 		event.ReplicaRecovering.Info("replica", r.o.ID)
 	}
 	r.tasks.Go(r.loop)
-	r.tasks.Go(func() { r.applier.run(r.ctx) })
+	r.tasks.Go(func() { r.applier.Run(r.ctx) })
 	r.peers.Start(r.ctx, &r.tasks)
 }
 
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -455,6 +455,22 @@
 	})
 }
 
+func TestFailedRestoreEndsTheReplicasPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		behind := g.members[address(1)]
+		g.leader(5 * time.Second)
+		g.stop(behind)
+		g.propose(450)
+		g.padding = 1 << 20 // more than the others' snapshots hold
+		sick := g.start(1, behind.dir)
+		time.Sleep(5 * time.Second)
+		assert.ErrorContains(t, sick.Info().Err, "a part of a snapshot")
+		assert.Equal(t, sick.count(), 0)
+	})
+}
+
 func TestBrokenRuleEndsTheReplicasPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 3)
--- /dev/null
+++ b/serial/queue_test.go
@@ -0,0 +1,26 @@
+package serial
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRunsInOrderUntilTheEnd has the third task of four end the queue's context.
+func TestRunsInOrderUntilTheEnd(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	q := New()
+	var ran []int
+	for i := range 4 {
+		q.Push(func() {
+			ran = append(ran, i)
+			if i == 2 {
+				stop()
+			}
+		})
+	}
+	q.Run(ctx)
+	assert.DeepEqual(t, ran, []int{0, 1, 2})
+}
