--- a/caller/front.go
+++ b/caller/front.go
@@ -130,7 +130,9 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Done()
-	defer guard.Of(r).Next()
+	conn := guard.Of(r)
+	conn.Begin()
+	defer conn.Next()
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/caller/front_test.go
+++ b/caller/front_test.go
@@ -244,6 +244,7 @@
 		{"odd encoding", start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501, refusal.BadRequest, "not-run"},
 		{"space before colon", start + "Content-Length : 3\r\n\r\nabc", 400, refusal.BadRequest, "not-run"},
 		{"other target", "POST http://y/ HTTP/1.1\r\nHost: x\r\nDaisyswitch-Class: bids\r\nContent-Length: 0\r\n\r\n", 200, "", ""},
+		{"unknown expectation", start + "Expect: x\r\nContent-Length: 0\r\n\r\n", 417, refusal.BadRequest, "not-run"},
 		{"upgrade", start + "Connection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 0\r\n\r\n", 400, refusal.BadRequest, "not-run"},
 		{"connect", "CONNECT x:1 HTTP/1.1\r\nHost: x:1\r\nDaisyswitch-Class: bids\r\n\r\n", 400, refusal.BadRequest, "not-run"},
 		{"large headers", start + "X: " + strings.Repeat("x", 20<<10) + "\r\n\r\n", 431, refusal.HeaderTooLarge, "not-run"},
--- a/guard/listener.go
+++ b/guard/listener.go
@@ -44,8 +44,9 @@
 type Conn struct {
 	net.Conn
 
-	mu   sync.Mutex
-	head headScan
+	mu     sync.Mutex
+	head   headScan
+	served bool // a handler has begun to serve the last head
 }
 
 // Read scans heads as they pass, and answers a caller that is too slow with its head.
@@ -53,6 +54,9 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if n > 0 && !c.head.seen {
+		c.served = false
+	}
 	c.head.feed(p[:n])
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.head.begun() {
 		c.Conn.Write(refusal.NotRun(http.StatusRequestTimeout, refusal.SlowCaller, "headers are sent too slowly").Raw()) //nolint:errcheck // the connection ends here
@@ -66,6 +70,10 @@
 // Write replaces net/http's own refusals by ones with a verdict.
 func (c *Conn) Write(p []byte) (int, error) {
 	head, reason, found := bytes.Cut(p, []byte(serverRefusal))
+	if !found && !c.handled() {
+		head, _, found = bytes.Cut(p, []byte("\r\n")) // an answer of the server's own with other headers
+		reason = head[min(len(head), len("HTTP/1.1 417 ")):]
+	}
 	status, ok := refusedStatus(head)
 	if !found || !ok {
 		return c.Conn.Write(p)
@@ -90,6 +98,22 @@
 	return status, err == nil
 }
 
+// Begin says that a handler serves the request, so that what is written now is an answer of its.
+func (c *Conn) Begin() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.served = true
+}
+
+func (c *Conn) handled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.served
+}
+
 // CheckHead refuses a request whose framing was given twice. The request is rebuilt for the upstream in any case.
 func (c *Conn) CheckHead(r *http.Request) error {
 	if c == nil || len(r.TransferEncoding) == 0 {
