Answer a refusal at once though the body has not come

Cause: FuzzCaller met a request refused before its body was read; net/http reads the rest of a body before it lets an answer go, so a caller that sent none of it waited for ever. Ruled out: a deadline for the rest alone (the caller would still wait for it). Change: such an answer is the last of its connection, so nothing is read first; the input is a seed of the fuzz target.

--- a/caller/body.go
+++ b/caller/body.go
@@ -82,6 +82,7 @@
 
 // readBody reads the body, or the beginning of a long one.
 func (x *exchange) readBody() *refusal.Refusal {
+	x.body = &requestBody{}
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -50,12 +50,21 @@
 	if refused.Verdict != verdict.NotRun.String() {
 		event.AnswerLost.Error(x.cause, "class", x.terms.class, "request", x.requestID, "verdict", refused.Verdict, "code", refused.Code)
 	}
-	if !x.body.whole() {
+	if x.bodyLeft() {
+		// Else the server would wait for the rest of the body before it lets the refusal go.
 		x.w.Header().Set("Connection", "close")
 	}
 	refused.Write(x.w)
 }
 
+// bodyLeft reports whether a part of the body is still with the caller.
+func (x *exchange) bodyLeft() bool {
+	if x.body == nil {
+		return x.r.Body != http.NoBody
+	}
+	return !x.body.whole()
+}
+
 // count notes the end of the request.
 func (x *exchange) count(v verdict.Verdict) {
 	x.front.classes.Count(x.class, v, time.Since(x.began))
@@ -63,7 +72,6 @@
 
 // admit checks the request and reads a small body whole, before it takes a slot.
 func (x *exchange) admit() *refusal.Refusal {
-	x.body = &requestBody{}
 	if err := errors.Join(checkShape(x.r), guard.Of(x.r).CheckHead(x.r)); err != nil {
 		return refusal.NotRun(http.StatusBadRequest, refusal.BadRequest, err.Error())
 	}
--- a/caller/front_test.go
+++ b/caller/front_test.go
@@ -255,6 +255,8 @@
 		{"unknown class", "POST / HTTP/1.1\r\nHost: x\r\nDaisyswitch-Class: none\r\nContent-Length: 0\r\n\r\n", 404, refusal.UnknownClass, "not-run"},
 		{"two classes", start + "Daisyswitch-Class: lots\r\nContent-Length: 0\r\n\r\n", 400, refusal.BadRequest, "not-run"},
 		{"bad timeout", start + "Daisyswitch-Timeout-Ms: -1\r\nContent-Length: 0\r\n\r\n", 400, refusal.BadRequest, "not-run"},
+		{"refused before its body", "POST / HTTP/1.1\r\nHost: x\r\nDaisyswitch-Class: none\r\nContent-Length: 10\r\n\r\nabc", 404, refusal.UnknownClass, "not-run"},
+		{"both lengths, broken off", "0 * HTTP/1.1\r\nHost: x\r\nDaisyswitch-Class: bids\r\nContent-Length:0\r\nTrAnsfer-EnCoding:Chunked\r\n\r\n1\r\n", 400, refusal.BadRequest, "not-run"},
 		{"slow headers", start, 408, refusal.SlowCaller, "not-run"},
 		{"slow body", start + "Content-Length: 10\r\n\r\nabc", 408, refusal.SlowCaller, "not-run"},
 	}
@@ -301,6 +303,7 @@
 	e := newEntry(f, caller.Options{HeaderTimeout: 20 * time.Millisecond, HeaderBytes: 4 << 10}, upstream.Options{})
 	f.Add("POST", "/a?b", "X: 1\r\nContent-Length: 1\r\n", "x")
 	f.Add("GET", "//", "Connection: Daisyswitch-Class\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n", "1\r\nx\r\n0\r\nT: 1\r\n\r\n")
+	f.Add("0", "*", "Content-Length:0\nTrAnsfer-EnCoding:Chunked\n", "1\r\n")
 	f.Fuzz(func(t *testing.T, method, target, headers, body string) {
 		e.announce("u", up.Listener.Addr())
 		raw, reader := e.dial(t)
--- a/metric/server.go
+++ b/metric/server.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"daisyswitch/event"
+	"daisyswitch/group"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/julienschmidt/httprouter"
-	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -33,7 +33,7 @@
 	options  Options
 	listener net.Listener
 	http     http.Server
-	running  conc.WaitGroup
+	running  group.Group
 }
 
 // New listens and serves until Close; its error says that the address can't be listened on.
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -7,9 +7,8 @@
 	"math"
 	"net/http"
 
+	"daisyswitch/group"
 	"daisyswitch/verdict"
-
-	"github.com/sourcegraph/conc"
 )
 
 // Request is one request on its way to an upstream.
@@ -28,7 +27,7 @@
 	*http.Response
 	pool      *Pool
 	conn      *conn
-	sender    conc.WaitGroup
+	sender    group.Group
 	sent      chan error // result of sending a streamed body
 	interrupt func()
 	stop      func() bool
