--- a/command/change.go
+++ b/command/change.go
@@ -57,17 +57,6 @@
 	return int32(t.Hour()*60 + t.Minute()), nil
 }
 
-type classRemove struct {
-	s *session
-	numbered
-	named
-}
-
-// Execute sends the change.
-func (c *classRemove) Execute([]string) error {
-	return c.s.change(c.numbered, http.MethodDelete, c.path("classes"), nil)
-}
-
 // sized are the options that give an amount of each resource.
 type sized struct {
 	CPU          float64 `long:"cpu" value-name:"CORES" description:"processors"`
@@ -95,35 +84,28 @@
 	return c.s.change(c.numbered, http.MethodPut, c.path("teams"), operator.Team{Quota: c.size()})
 }
 
-type teamRemove struct {
-	s *session
-	numbered
-	named
-}
-
-// Execute sends the change.
-func (c *teamRemove) Execute([]string) error {
-	return c.s.change(c.numbered, http.MethodDelete, c.path("teams"), nil)
-}
-
-type domainOut struct {
-	s *session
+// remove is the command that removes a member of a collection of the administration interface.
+type remove struct {
+	s          *session
+	collection string
 	numbered
 	named
 }
 
 // Execute sends the change.
-func (c *domainOut) Execute([]string) error {
-	return c.s.change(c.numbered, http.MethodPut, c.path("domains"), operator.Domain{Out: true})
+func (c *remove) Execute([]string) error {
+	return c.s.change(c.numbered, http.MethodDelete, c.path(c.collection), nil)
 }
 
-type domainIn struct {
-	s *session
+// domainPut is the command that takes a failure domain out of service or puts it back.
+type domainPut struct {
+	s   *session
+	out bool
 	numbered
 	named
 }
 
 // Execute sends the change.
-func (c *domainIn) Execute([]string) error {
-	return c.s.change(c.numbered, http.MethodPut, c.path("domains"), operator.Domain{Out: false})
+func (c *domainPut) Execute([]string) error {
+	return c.s.change(c.numbered, http.MethodPut, c.path("domains"), operator.Domain{Out: c.out})
 }
--- a/command/command.go
+++ b/command/command.go
@@ -28,6 +28,12 @@
 
 const version = "0.1.0"
 
+const longDescription = `A scheduler for colocated latency-critical and batch work.
+
+Exit codes: 0 done, 1 nothing was done, 2 wrong command line or settings, 3 another change won, 4 the change was refused, 5 the change may have been made.
+
+Example: daisyswitch --entry 127.0.0.1:7003 --operator ana class put bids --kind service --target-p99 50ms`
+
 // session is what every command is run with.
 type session struct {
 	Entry    []string `long:"entry" env:"DAISYSWITCH_ENTRY" env-delim:"," value-name:"HOST:PORT" description:"operators' address of an entry; several, given again or with commas, are tried in turn"`
@@ -56,11 +62,11 @@
 		{"", "status", "Print each class, its target and what it got.", "daisyswitch --entry 127.0.0.1:7003 status", &statusCommand{s: s}},
 		{"", "audit", "Print the audit trail.", "daisyswitch --entry 127.0.0.1:7003 audit --after 120", &auditCommand{s: s}},
 		{"class", "put", "Add or change a class and its target.", "daisyswitch class put bids --kind service --target-p99 50ms", &classPut{s: s}},
-		{"class", "remove", "Remove a class.", "daisyswitch class remove bids", &classRemove{s: s}},
+		{"class", "remove", "Remove a class.", "daisyswitch class remove bids", &remove{s: s, collection: "classes"}},
 		{"team", "put", "Add or change a team and its quota.", "daisyswitch team put ledger --cpu 100 --memory-gib 400", &teamPut{s: s}},
-		{"team", "remove", "Remove a team.", "daisyswitch team remove ledger", &teamRemove{s: s}},
-		{"domain", "out", "Take a failure domain out of service.", "daisyswitch domain out cebu", &domainOut{s: s}},
-		{"domain", "in", "Put a failure domain back in service.", "daisyswitch domain in cebu", &domainIn{s: s}},
+		{"team", "remove", "Remove a team.", "daisyswitch team remove ledger", &remove{s: s, collection: "teams"}},
+		{"domain", "out", "Take a failure domain out of service.", "daisyswitch domain out cebu", &domainPut{s: s, out: true}},
+		{"domain", "in", "Put a failure domain back in service.", "daisyswitch domain in cebu", &domainPut{s: s}},
 		{"job", "submit", "Submit a job.", "daisyswitch job submit --team ledger --class refunds --program refund-run --tasks 20 --cpu 1 --memory-gib 2 --expected 90s", &jobSubmit{s: s}},
 		{"job", "show", "Print a job and the state of each task.", "daisyswitch job show j12", &jobShow{s: s}},
 		{"job", "cancel", "Cancel a job.", "daisyswitch job cancel j12", &jobCancel{s: s}},
@@ -83,14 +89,15 @@
 
 func newParser(s *session) (*flags.Parser, error) {
 	parser := flags.NewNamedParser("daisyswitch", flags.HelpFlag|flags.PassDoubleDash)
-	parser.ShortDescription = "scheduler for colocated latency-critical and batch work"
+	parser.LongDescription = longDescription
 	if _, err := parser.AddGroup("Operators' options", "", s); err != nil {
 		return nil, err
 	}
 	groups := map[string]*flags.Command{"": parser.Command}
 	for _, l := range table(s) {
 		if groups[l.group] == nil {
-			group, err := parser.AddCommand(l.group, "Commands for a "+l.group+".", "Commands for a "+l.group+".", &struct{}{})
+			summary := "Commands for a " + l.group + "."
+			group, err := parser.AddCommand(l.group, summary, summary+"\n\nExample: "+l.example, &struct{}{})
 			if err != nil {
 				return nil, err
 			}
--- a/schedule/inbox.go
+++ b/schedule/inbox.go
@@ -17,67 +17,47 @@
 	domain        string // of the sample
 }
 
-// inbox queues items for the scheduling loop; closed, on a replica that does not lead, it drops them.
-// Its lock is taken last, after any other.
-type inbox struct {
-	mu    sync.Mutex
-	isOn  bool
-	items []item
+// question asks the scheduling loop why tasks of a job wait.
+type question struct {
+	job     string
+	indexes []int32
+	answer  chan []string // buffered
 }
 
-func (b *inbox) open() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.isOn = true
-	b.items = nil
+// mailbox queues what others send to the scheduling loop; closed, on a replica that does not lead, it drops everything.
+type mailbox[T any] struct {
+	mu     sync.Mutex
+	isOpen bool
+	items  []T
+}
+
+func (b *mailbox[T]) open() {
+	b.set(true)
 }
 
-func (b *inbox) close() {
+func (b *mailbox[T]) close() {
+	b.set(false)
+}
+
+func (b *mailbox[T]) set(isOpen bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.isOn = false
+	b.isOpen = isOpen
 	b.items = nil
 }
 
-func (b *inbox) add(i item) {
+func (b *mailbox[T]) add(item T) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.isOn {
-		b.items = append(b.items, i)
+	if b.isOpen {
+		b.items = append(b.items, item)
 	}
 }
 
-func (b *inbox) take() []item {
+func (b *mailbox[T]) take() []T {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	items := b.items
 	b.items = nil
 	return items
 }
-
-// question asks the scheduling loop why tasks of a job wait.
-type question struct {
-	job     string
-	indexes []int32
-	answer  chan []string // buffered
-}
-
-// questions queues questions for the scheduling loop.
-type questions struct {
-	mu    sync.Mutex
-	items []question
-}
-
-func (q *questions) add(item question) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.items = append(q.items, item)
-}
-
-func (q *questions) take() []question {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	items := q.items
-	q.items = nil
-	return items
-}
--- a/schedule/loop.go
+++ b/schedule/loop.go
@@ -32,8 +32,8 @@
 type Loop struct {
 	options   Options
 	placer    *place.Placer
-	inbox     inbox
-	questions questions
+	inbox     mailbox[item]
+	questions mailbox[question]
 	throttles throttles
 }
 
@@ -48,6 +48,8 @@
 	l.throttles.clear()
 	l.inbox.open()
 	defer l.inbox.close()
+	l.questions.open()
+	defer l.questions.close()
 	l.load()
 	ticker := time.NewTicker(decideEvery)
 	defer ticker.Stop()
@@ -121,7 +123,7 @@
 	l.options.Decided(began)
 	l.throttles.decide(decisions.Throttles)
 	l.commit(ctx, decisions)
-	l.publishReasons()
+	l.answerQuestions()
 }
 
 // receive hands on all that has happened since the last step, in order.
@@ -200,8 +202,8 @@
 	return items[:maxEvents], items[maxEvents:]
 }
 
-// publishReasons answers those who asked why a task waits.
-func (l *Loop) publishReasons() {
+// answerQuestions answers those who asked why a task waits.
+func (l *Loop) answerQuestions() {
 	for _, q := range l.questions.take() {
 		reasons := make([]string, len(q.indexes))
 		for i, index := range q.indexes {
