Draw costs against size and latency against load

Cause: figures in tables do not show a curve at a glance. Change: make slopes also writes docs/slopes.png, make plots writes docs/latency.png from the simulation that calls the product's picking.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PATH := $(TOOLS):$(PATH)
 GOFILES := $(shell git ls-files '*.go')
 
-.PHONY: build demo demo-faults demo-disks test bench fuzz generate lint format spec tools slopes
+.PHONY: build demo demo-faults demo-disks test bench fuzz generate lint format spec tools slopes plots
 
 build:
 	go build -o bin/ ./cmd/...
@@ -61,3 +61,7 @@
 slopes:
 	go build -o bin/ ./cmd/slopes
 	bin/slopes
+
+plots:
+	go build -o bin/ ./cmd/plots
+	bin/plots
--- a/cmd/slopes/main.go
+++ b/cmd/slopes/main.go
@@ -8,7 +8,10 @@
 	"daisyswitch/slope"
 )
 
-const page = "docs/CAPACITY.md"
+const (
+	page    = "docs/CAPACITY.md"
+	picture = "docs/slopes.png"
+)
 
 func main() {
 	var results []slope.Result
@@ -17,7 +20,11 @@
 		fmt.Println(r.Row())
 		results = append(results, r)
 	}
-	if err := slope.Write(page, results); err != nil {
+	err := slope.Write(page, results)
+	if err == nil {
+		err = slope.Plot(picture, "Costs of the roles", "size, share of the largest measured", "cost, share of the largest", slope.Shares(results))
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "slopes:", err)
 		os.Exit(1)
 	}
--- a/simulation/scenario.go
+++ b/simulation/scenario.go
@@ -5,7 +5,7 @@
 	Name            string
 	Executors       int
 	domains         int
-	load            float64
+	Load            float64 // share of all slots that is in use on average
 	slow, entryLost bool
 	domainOut       bool // from 2 s to 4 s
 	even            bool // every request takes the mean service time
@@ -14,7 +14,7 @@
 
 // Scenarios returns what an installation of the given size is tried with.
 func Scenarios(executors, domains int) []Scenario {
-	base := Scenario{Executors: executors, domains: domains, load: 0.8}
+	base := Scenario{Executors: executors, domains: domains, Load: 0.8}
 	list := []Scenario{}
 	add := func(name string, change func(*Scenario)) {
 		sc := base
@@ -22,12 +22,12 @@
 		change(&sc)
 		list = append(list, sc)
 	}
-	add("50%", func(s *Scenario) { s.load = 0.5 })
+	add("50%", func(s *Scenario) { s.Load = 0.5 })
 	add("80%", func(*Scenario) {})
-	add("95%", func(s *Scenario) { s.load = 0.95 })
+	add("95%", func(s *Scenario) { s.Load = 0.95 })
 	add("80%, one slow", func(s *Scenario) { s.slow = true })
 	add("80%, entry lost", func(s *Scenario) { s.entryLost = true })
-	add("50%, domain out and back", func(s *Scenario) { s.load, s.domainOut = 0.5, true })
+	add("50%, domain out and back", func(s *Scenario) { s.Load, s.domainOut = 0.5, true })
 	add("80%, uneven callers", func(s *Scenario) { s.skew = true })
 	add("80%, even service", func(s *Scenario) { s.even = true })
 	return list
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -118,7 +118,7 @@
 		s.after(2*time.Second, func() { s.entries[0].dead = true })
 		s.after(2*time.Second+deadEntry, func() { clear(s.entries[0].reported) })
 	}
-	gap := float64(meanService) / (sc.load * slots * float64(sc.Executors))
+	gap := float64(meanService) / (sc.Load * slots * float64(sc.Executors))
 	var arrive func()
 	arrive = func() {
 		s.arrive()
