Freeze an entry while changes and a leader pass it by

Change: TestFrozenEntryCatchesUp: 100 changes and the death of a leader between freeze and thaw; the newest must come into force and nothing may revert. A freeze of a whole minute was not run.

--- a/system/system_test.go
+++ b/system/system_test.go
@@ -205,18 +205,40 @@
 	assert.NilError(t, follower.WaitReady())
 	assert.NilError(t, c.Entries[1].Start())
 	assert.NilError(t, c.Entries[1].WaitReady())
-	newest := a.accepted[len(a.accepted)-1]
-	late := operator.Client{Entries: c.Operators()[1:], HTTP: &http.Client{}}
-	last := uint64(0)
-	for last < newest {
+	waitInForce(t, c, a.accepted[len(a.accepted)-1])
+}
+
+// waitInForce waits until a version is in force at the second entry, and fails if what is in force there ever reverts.
+func waitInForce(t *testing.T, c *cluster, version uint64) {
+	entry := operator.Client{Entries: c.Operators()[1:2], HTTP: &http.Client{}}
+	for last := uint64(0); last < version; time.Sleep(10 * time.Millisecond) {
 		var local operator.Configuration
-		assert.NilError(t, late.Get(t.Context(), "/v1/configuration?local=true", &local))
+		assert.NilError(t, entry.Get(t.Context(), "/v1/configuration?local=true", &local))
 		assert.Assert(t, local.Version >= last, "version %d after %d", local.Version, last)
 		last = local.Version
-		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+// TestFrozenEntryCatchesUp has changes pass by an entry that is frozen, and a new leader too.
+func TestFrozenEntryCatchesUp(t *testing.T) {
+	c := start(t, 2)
+	a := newAna(t, c)
+	a.client.Entries = c.Operators()[:1]
+	a.change()
+	waitInForce(t, c, a.accepted[0])
+	assert.NilError(t, c.Entries[1].Freeze())
+	for range 50 {
+		a.change()
+	}
+	leader := c.Controls[a.status().Leader-1]
+	assert.NilError(t, leader.Kill())
+	for range 50 {
+		a.change()
+	}
+	assert.NilError(t, c.Entries[1].Thaw())
+	waitInForce(t, c, a.accepted[len(a.accepted)-1])
+}
+
 // TestEntryRestartsWithoutControl has an entry start while all of control is away: its neighbor has what is in force.
 func TestEntryRestartsWithoutControl(t *testing.T) {
 	c := start(t, 2)
