--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PATH := $(TOOLS):$(PATH)
 GOFILES := $(shell git ls-files '*.go')
 
-.PHONY: build demo demo-faults demo-disks test bench fuzz generate lint format spec tools slopes plots
+.PHONY: packages build demo demo-faults demo-disks test bench fuzz generate lint format spec tools slopes plots
 
 build:
 	go build -o bin/ ./cmd/...
@@ -20,13 +20,16 @@
 demo-disks: build
 	bash demo/disks
 
-test: lint
+test: packages lint
 	go vet ./...
 	bash .ci/check-promises
 	bash .ci/known-red
 	bash .ci/go-test
 	$(MAKE) --no-print-directory spec
 
+packages:
+	bash .ci/install
+
 lint: tools
 	@unformatted=$$(gofmt -l $(GOFILES)); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	golangci-lint run ./...
