Run workflows of steps on called workers, through an adapter to the users' platform

A member is a control process that is found through seeds; its leader calls the workers, keeps their leases and starts what is committed. Gateways pass callers' workflows on to it over one stream.

--- a/command/command.go
+++ b/command/command.go
@@ -57,6 +57,8 @@
 	return []leaf{
 		{"", "entry", "Run an entry process.", "daisyswitch entry --settings examples/tibay/entry-1.json", &entryCommand{}},
 		{"", "control", "Run a control process.", "daisyswitch control --settings examples/tibay/control-1.json", &controlCommand{}},
+		{"", "member", "Run a control process that finds its group through seeds and calls its workers.", "daisyswitch member --settings member.json", &memberCommand{}},
+		{"", "gateway", "Run a gateway, which passes callers' workflows on to control.", "daisyswitch gateway --settings gateway.json", &gatewayCommand{}},
 		{"", "check-settings", "Check a settings file without starting anything.", "daisyswitch check-settings entry.json", &checkCommand{s: s}},
 		{"", "version", "Print the version.", "daisyswitch version", &versionCommand{s: s}},
 		{"", "status", "Print each class, its target and what it got.", "daisyswitch --entry 127.0.0.1:7003 status", &statusCommand{s: s}},
--- a/command/process.go
+++ b/command/process.go
@@ -55,6 +55,44 @@
 	})
 }
 
+type memberCommand struct {
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
+}
+
+// Execute runs a control process that finds its group through seeds, until it is told to stop.
+func (c *memberCommand) Execute([]string) error {
+	s, err := settings.LoadMember(c.Settings)
+	if err != nil {
+		return &usageError{err}
+	}
+	return run(s.Common, settings.RoleMember, func() (*process, error) {
+		m, err := newMember(c.Settings, s)
+		if err != nil {
+			return nil, err
+		}
+		return &process{ready: m.control.Ready, live: m.control.Live, close: m.Close, metrics: m.control.Metrics()}, nil
+	})
+}
+
+type gatewayCommand struct {
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
+}
+
+// Execute runs a gateway until it is told to stop.
+func (c *gatewayCommand) Execute([]string) error {
+	s, err := settings.LoadGateway(c.Settings)
+	if err != nil {
+		return &usageError{err}
+	}
+	return run(s.Common, settings.RoleGateway, func() (*process, error) {
+		g, err := newGateway(c.Settings, s)
+		if err != nil {
+			return nil, err
+		}
+		return &process{ready: g.gateway.Ready, close: g.Close, metrics: metrics.NewSet()}, nil
+	})
+}
+
 // process is a running role.
 type process struct {
 	ready   func() error
@@ -68,6 +106,7 @@
 	defer klog.Flush()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	event.ProcessStarted.Info("role", role, "name", s.Name, "domain", s.Domain, "version", version)
 	p, err := start()
 	if err != nil {
--- a/control/control.go
+++ b/control/control.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"daisyswitch/call"
+	"daisyswitch/dispatch"
 	"daisyswitch/event"
 	"daisyswitch/group"
 	"daisyswitch/inner"
@@ -20,6 +22,7 @@
 	"daisyswitch/state"
 	"daisyswitch/verdict"
 	"daisyswitch/wire"
+	"daisyswitch/workflow"
 
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
@@ -32,10 +35,19 @@
 	Settings *settings.Control
 	Dial     func(ctx context.Context, address string) (net.Conn, error) // to other replicas; TCP when nil
 	Listen   func(address string) (net.Listener, error)                  // TCP when nil
+	Boot     func() time.Duration                                        // clock of leases; the monotonic one when nil
+	Called   *Called                                                     // how workers are called; nil if all of them poll
+}
+
+// Called says how workers are called, and how long their leases are.
+type Called struct {
+	Calls        call.Functions
+	Lease        time.Duration // given to workers
+	LongestLease time.Duration // that any leader may have given
 }
 
 // Control is one control process.
-// Locks are taken in the order mu, leases, state machine, and last one of measures, watchers and the loop's.
+// Locks are taken in the order mu, leases, state machine, workflows, and last one of measures, watchers, announced and the loops'.
 type Control struct {
 	settings  *settings.Control
 	addresses map[uint64]string
@@ -45,6 +57,9 @@
 	measures  *measure.Table
 	watchers  *watchers
 	schedule  *schedule.Loop
+	workflows *workflow.Table
+	dispatch  *dispatch.Loop // nil if all workers poll
+	announced announced
 	counters  *counters
 	server    *inner.Server
 	wait      group.Group
@@ -88,6 +103,7 @@
 		Decided: c.counters.decide.UpdateDuration,
 		Applied: c.counters.applied,
 	})
+	c.newWorkflows(o)
 	if err := c.open(o); err != nil {
 		return nil, err
 	}
@@ -103,6 +119,7 @@
 		Tick:          time.Duration(c.settings.TickMS) * time.Millisecond,
 		ElectionTicks: int(c.settings.ElectionTicks),
 		SnapshotEvery: c.settings.SnapshotEvery,
+		Boot:          o.Boot,
 		Apply:         c.apply,
 		Snapshot:      c.snapshot,
 		Restore:       c.restore,
@@ -137,11 +154,16 @@
 	if err := proto.Unmarshal(data, &command); err != nil {
 		return fmt.Errorf("record %d: %w", index, err)
 	}
+	if command.GetWorkflow() != nil {
+		return c.workflows.Apply(command.GetTimeMs(), command.GetWorkflow())
+	}
 	return c.machine.Apply(index, &command)
 }
 
 func (c *Control) snapshot() []byte {
-	data, err := proto.Marshal(c.machine.Snapshot())
+	s := c.machine.Snapshot()
+	s.Workflows = c.workflows.Snapshot()
+	data, err := proto.Marshal(s)
 	if err != nil {
 		return nil
 	}
@@ -153,7 +175,10 @@
 	if err := proto.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
-	return c.machine.Restore(&s)
+	if err := c.machine.Restore(&s); err != nil {
+		return err
+	}
+	return c.workflows.Restore(s.GetWorkflows())
 }
 
 // leading starts or ends the scheduling loop with the replica's leadership.
@@ -172,11 +197,12 @@
 	c.leases.Lead(time.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	c.stopLead = cancel
-	c.runAfter(ctx, c.loopEnded)
+	c.announced.clear()
+	c.runAfter(ctx, c.loopEnded, term)
 }
 
-// runAfter runs the loop once the one of an earlier leadership has ended, since both use the same tables.
-func (c *Control) runAfter(ctx context.Context, earlier <-chan struct{}) {
+// runAfter runs the loops once those of an earlier leadership have ended, since both use the same tables.
+func (c *Control) runAfter(ctx context.Context, earlier <-chan struct{}, term uint64) {
 	ended := make(chan struct{})
 	c.loopEnded = ended
 	c.wait.Go(func() {
@@ -184,7 +210,12 @@
 		if earlier != nil {
 			<-earlier
 		}
-		c.schedule.Run(ctx)
+		var loops group.Group
+		loops.Go(func() { c.schedule.Run(ctx) })
+		if c.dispatch != nil {
+			loops.Go(func() { c.dispatch.Run(ctx, term) })
+		}
+		loops.Wait()
 	})
 }
 
@@ -198,6 +229,15 @@
 
 // commit has a command committed and returns what it did.
 func (c *Control) commit(ctx context.Context, command *wire.Command) (*wire.CommandResult, error) {
+	result, err := c.propose(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	return result.(*wire.CommandResult), nil
+}
+
+// propose has a command committed and returns what applying it returned.
+func (c *Control) propose(ctx context.Context, command *wire.Command) (any, error) {
 	if command.TimeMs == 0 {
 		command.TimeMs = time.Now().UnixMilli()
 	}
@@ -214,7 +254,7 @@
 	if err, failed := result.(error); failed {
 		return nil, verdict.New(verdict.NotRun, "command cannot be applied", err)
 	}
-	return result.(*wire.CommandResult), nil
+	return result, nil
 }
 
 // Ready says why the process is not ready for use, nil if it is.
--- /dev/null
+++ b/control/workflows.go
@@ -0,0 +1,323 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"daisyswitch/dispatch"
+	"daisyswitch/event"
+	"daisyswitch/verdict"
+	"daisyswitch/wire"
+	"daisyswitch/workflow"
+)
+
+func (c *Control) newWorkflows(o Options) {
+	if o.Called == nil {
+		c.workflows = workflow.New(workflow.Options{})
+		return
+	}
+	boot := o.Boot
+	if boot == nil {
+		started := time.Now()
+		boot = func() time.Duration { return time.Since(started) }
+	}
+	c.dispatch = dispatch.New(dispatch.Options{
+		Calls:    o.Called.Calls,
+		Commit:   c.commitWorkflow,
+		Leads:    func() bool { return c.replica.IsLeader() },
+		Boot:     boot,
+		Wall:     time.Now,
+		Lease:    o.Called.Lease,
+		MaxLease: o.Called.LongestLease,
+	})
+	c.workflows = workflow.New(workflow.Options{Changed: c.dispatch.Changed, Assigned: c.dispatch.Assigned, Closed: c.dispatch.Closed})
+	c.dispatch.SetTable(c.workflows)
+}
+
+// commitWorkflow has a command about workflows committed and returns what it did.
+func (c *Control) commitWorkflow(ctx context.Context, command *wire.WorkflowCommand) (*workflow.Result, error) {
+	result, err := c.propose(ctx, &wire.Command{Workflow: command})
+	if err != nil {
+		return nil, err
+	}
+	return result.(*workflow.Result), nil
+}
+
+// leads returns an error that names the leader unless this replica leads right now.
+func (c *Control) leads() error {
+	if c.serves() {
+		return nil
+	}
+	info := c.replica.Info()
+	not := &NotLeader{}
+	if address := c.addresses[info.Leader]; info.Leader != c.settings.ID {
+		not.Leader = address
+	}
+	return verdict.New(verdict.NotRun, "this replica does not lead", not)
+}
+
+// NotLeader is the cause of a refusal by a replica that does not lead.
+type NotLeader struct {
+	Leader string // drpc address, empty if unknown
+}
+
+// Error names the leader if it is known.
+func (e *NotLeader) Error() string {
+	if e.Leader == "" {
+		return "no leader is known"
+	}
+	return "the leader is at " + e.Leader
+}
+
+// announced is what this leader has last heard of each worker.
+type announced struct {
+	mu   sync.Mutex
+	last map[string]announcement
+}
+
+type announcement struct {
+	born, sequence int64
+}
+
+func (a *announced) clear() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last = map[string]announcement{}
+}
+
+// newer notes an announcement and returns false if a later one was heard.
+func (a *announced) newer(worker string, born, sequence int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	last, known := a.last[worker]
+	if known && (born < last.born || born == last.born && sequence < last.sequence) {
+		return false
+	}
+	a.last[worker] = announcement{born, sequence}
+	return true
+}
+
+// Announce takes in what a worker says of itself; an overtaken announcement changes nothing.
+func (c *Control) Announce(ctx context.Context, w *wire.CalledWorker, sequence int64) error {
+	if err := c.leads(); err != nil {
+		return err
+	}
+	if !c.announced.newer(w.GetId(), w.GetBorn(), sequence) {
+		event.AnnouncementOvertaken.Info("worker", w.GetId(), "born", w.GetBorn(), "sequence", sequence)
+		return nil
+	}
+	known := false
+	c.workflows.View(func(t *workflow.Tables) { known = t.Known(w) })
+	if known {
+		return nil
+	}
+	event.WorkerAnnouncedItself.Info("worker", w.GetId(), "born", w.GetBorn(), "sequence", sequence, "address", w.GetAddress(), "domain", w.GetDomain(), "leaving", w.GetLeaving(), "gone", w.GetGone())
+	_, err := c.commitWorkflow(ctx, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{w}})
+	return err
+}
+
+// Leave notes that a worker has ended.
+func (c *Control) Leave(ctx context.Context, id string, born int64) error {
+	if err := c.leads(); err != nil {
+		return err
+	}
+	var gone *wire.CalledWorker
+	c.workflows.View(func(t *workflow.Tables) {
+		if w := t.Workers[id]; w != nil && (born == 0 || w.GetBorn() == born) {
+			gone = &wire.CalledWorker{Id: id, Born: w.GetBorn(), Address: w.GetAddress(), Gone: true}
+		}
+	})
+	if gone == nil {
+		return nil
+	}
+	event.WorkerAnnouncedItself.Info("worker", id, "born", gone.GetBorn(), "gone", true)
+	_, err := c.commitWorkflow(ctx, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{gone}})
+	return err
+}
+
+// PutQueues puts a whole configuration of the queues in force unless one at least as new is.
+func (c *Control) PutQueues(ctx context.Context, q *wire.QueueSet) error {
+	if err := c.leads(); err != nil {
+		return err
+	}
+	var held uint64
+	c.workflows.View(func(t *workflow.Tables) { held = t.Queues.GetVersion() })
+	event.QueuesOffered.Info("version", q.GetVersion(), "held", held, "queues", len(q.GetQueues()))
+	if q.GetVersion() <= held {
+		return nil
+	}
+	_, err := c.commitWorkflow(ctx, &wire.WorkflowCommand{Queues: q})
+	return err
+}
+
+// Queues returns the newest configuration of the queues, nil before the first.
+func (c *Control) Queues(context.Context) (*wire.QueueSet, error) {
+	if err := c.leads(); err != nil {
+		return nil, err
+	}
+	var queues *wire.QueueSet
+	c.workflows.View(func(t *workflow.Tables) { queues = t.Queues })
+	if !c.serves() {
+		return nil, c.leads()
+	}
+	return queues, nil
+}
+
+// SetDomainOut takes a failure domain out or back.
+func (c *Control) SetDomainOut(ctx context.Context, domain string, out bool) error {
+	if err := c.leads(); err != nil {
+		return err
+	}
+	event.DomainOrdered.Info("domain", domain, "out", out)
+	_, err := c.commitWorkflow(ctx, &wire.WorkflowCommand{Domain: &wire.DomainOut{Domain: domain, Out: out}})
+	return err
+}
+
+// StartWave takes in an order for upkeep of machines.
+func (c *Control) StartWave(ctx context.Context, w *wire.Wave) error {
+	if err := c.leads(); err != nil {
+		return err
+	}
+	event.WaveOrdered.Info("wave", w.GetNumber(), "machines", len(w.GetMachines()), "at_once", w.GetAtOnce())
+	w.StartedMs = time.Now().UnixMilli()
+	_, err := c.commitWorkflow(ctx, &wire.WorkflowCommand{Wave: w})
+	return err
+}
+
+// WaveDone says whether the upkeep of all machines of a wave has begun; known is false for a wave that nobody ordered.
+func (c *Control) WaveDone(_ context.Context, number int64) (done, known bool, err error) {
+	if err := c.leads(); err != nil {
+		return false, false, err
+	}
+	c.workflows.View(func(t *workflow.Tables) {
+		if w := t.Waves[number]; w != nil {
+			known = true
+			done = len(w.GetBegun()) >= len(w.GetMachines())
+		}
+	})
+	return done, known, nil
+}
+
+// Workflows answers the requests of one gateway until its connection ends.
+func (c *Control) Workflows(stream wire.DRPCControl_WorkflowsStream) error {
+	s := &workflowStream{c: c, stream: stream}
+	for {
+		request, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := s.take(request); err != nil {
+			return err
+		}
+	}
+}
+
+// workflowStream sends the answers to one gateway.
+type workflowStream struct {
+	c      *Control
+	stream wire.DRPCControl_WorkflowsStream
+	mu     sync.Mutex // one answer at a time
+}
+
+func (s *workflowStream) send(r *wire.WorkflowReply) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stream.Send(r)
+}
+
+// take answers a request at once if it only reads, and else when it is committed.
+func (s *workflowStream) take(request *wire.WorkflowRequest) error {
+	reply := &wire.WorkflowReply{Number: request.GetNumber(), Answer: wire.WorkflowAnswer_WORKFLOW_ANSWER_OK}
+	if request.GetKind() == wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_HELLO {
+		reply.Replicas = s.c.replicaAddresses()
+	}
+	if !s.c.serves() {
+		reply.Answer, reply.Failure = wire.WorkflowAnswer_WORKFLOW_ANSWER_FAILURE, s.c.notLeader()
+		return s.send(reply)
+	}
+	if request.GetKind() == wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_HELLO {
+		return s.send(reply)
+	}
+	command := s.c.answerFromState(request, reply)
+	if command == nil {
+		return s.send(reply)
+	}
+	s.c.wait.Go(func() {
+		s.c.answerByCommit(s.stream.Context(), request, command, reply)
+		if err := s.send(reply); err != nil {
+			event.AnswerNotSent.Error(err, "workflow", request.GetWorkflow().GetId(), "answer", reply.GetAnswer().String())
+		}
+	})
+	return nil
+}
+
+func (c *Control) replicaAddresses() []string {
+	var all []string
+	for _, address := range c.addresses {
+		all = append(all, address)
+	}
+	return all
+}
+
+// answerFromState answers what the state can answer, and returns the command that has to be committed first otherwise.
+func (c *Control) answerFromState(request *wire.WorkflowRequest, reply *wire.WorkflowReply) *wire.WorkflowCommand {
+	var command *wire.WorkflowCommand
+	c.workflows.View(func(t *workflow.Tables) {
+		if t.Queues == nil {
+			reply.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_FAILURE
+			reply.Failure = &wire.Failure{Verdict: wire.Verdict_VERDICT_NOT_RUN, Reason: "there is no configuration yet"}
+			return
+		}
+		queue, id := t.QueueFor(request.GetHost(), request.GetPath())
+		if queue == nil {
+			reply.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_QUEUE
+			return
+		}
+		command = answerInQueue(t, queue, id, request, reply)
+	})
+	return command
+}
+
+func answerInQueue(t *workflow.Tables, queue *wire.Queue, id string, request *wire.WorkflowRequest, reply *wire.WorkflowReply) *wire.WorkflowCommand {
+	job := t.Jobs[id]
+	if job != nil && job.Spec.GetQueue() != queue.GetName() {
+		job = nil
+	}
+	switch request.GetKind() {
+	case wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT:
+		if job != nil {
+			return nil
+		}
+		w := request.GetWorkflow()
+		w.Id, w.Queue = id, queue.GetName()
+		return &wire.WorkflowCommand{Submit: w}
+	case wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_CANCEL:
+		if job == nil {
+			reply.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_WORKFLOW
+			return nil
+		}
+		return &wire.WorkflowCommand{Cancel: id}
+	}
+	switch {
+	case id == "":
+		reply.Waiting = t.WaitingJobs(queue.GetName())
+	case job == nil:
+		reply.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_WORKFLOW
+	default:
+		reply.State = job.State()
+	}
+	return nil
+}
+
+// answerByCommit answers once a command is committed.
+func (c *Control) answerByCommit(ctx context.Context, request *wire.WorkflowRequest, command *wire.WorkflowCommand, reply *wire.WorkflowReply) {
+	result, err := c.commitWorkflow(ctx, command)
+	if err != nil {
+		reply.Answer, reply.Failure = wire.WorkflowAnswer_WORKFLOW_ANSWER_FAILURE, c.failure(err)
+	} else {
+		reply.Answer = result.Answer
+	}
+	event.WorkflowAnswered.Info("workflow", command.GetSubmit().GetId()+command.GetCancel(), "request", request.GetKind().String(),
+		"answer", reply.GetAnswer().String(), "reason", result.GetReason(), "failure", reply.GetFailure().GetReason())
+}
--- /dev/null
+++ b/dispatch/health.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"time"
+
+	"daisyswitch/call"
+	"daisyswitch/event"
+	"daisyswitch/wire"
+	"daisyswitch/workflow"
+)
+
+// Judging of workers; a failure is held against a worker only if several workflows fail there in a row.
+const (
+	suspectAfter = 2                // workflows that failed in a row on one worker; faults of tasks are a few in a hundred
+	suspendFirst = 4 * time.Second  // about as long as a worker's faults last
+	suspendMost  = 16 * time.Second // a worker that fails at each probe
+	stillTime    = 2 * time.Second  // without any progress, of tasks that take some seconds in all
+)
+
+// health is what a leadership holds against a worker.
+type health struct {
+	failed    map[string]struct{} // workflows that failed there since the last success
+	suspended time.Duration       // boot clock until which it gets nothing new
+	last      time.Duration       // length of the last suspension
+}
+
+// judge notes the end of a run.
+func (l *link) judge(e *call.Ended) {
+	s := l.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &l.health
+	switch e.Outcome {
+	case wire.RunOutcome_RUN_OUTCOME_DONE:
+		h.failed, h.last = nil, 0
+		s.learn(l.runs[runKey{e.Task, e.Run}])
+	case wire.RunOutcome_RUN_OUTCOME_FAILED:
+		s.avoid(e.Task, l.id)
+		if h.failed == nil {
+			h.failed = map[string]struct{}{}
+		}
+		h.failed[e.Task.Workflow] = struct{}{}
+		if len(h.failed) >= suspectAfter || h.last > 0 {
+			l.suspend("it failed tasks of several workflows in a row")
+		}
+	}
+}
+
+// avoid keeps a task off a worker; the session's mutex is held.
+func (s *session) avoid(name workflow.Name, worker string) {
+	if s.failedOn[name] == nil {
+		s.failedOn[name] = map[string]struct{}{}
+	}
+	s.failedOn[name][worker] = struct{}{}
+}
+
+// suspend keeps new tasks off the worker for a while, longer each time; the session's mutex is held.
+func (l *link) suspend(reason string) {
+	h := &l.health
+	h.last = min(max(suspendFirst, 2*h.last), suspendMost)
+	h.suspended = l.s.Boot() + h.last
+	event.CalledSuspended.Info("worker", l.id, "reason", reason, "workflows", len(h.failed), "for_ms", h.last.Milliseconds())
+}
+
+// pace is how long the work of a queue's tasks takes.
+type pace struct {
+	mean  time.Duration
+	count int
+}
+
+// paceWeight is how many tasks the mean remembers.
+const paceWeight = 64
+
+// learn notes how long a task took; the session's mutex is held.
+func (s *session) learn(r *run) {
+	if r == nil || !r.listed || r.order.Checkpoint != "" {
+		return
+	}
+	queue := r.task.Step.Job.Spec.GetQueue()
+	p := s.pace[queue]
+	if p == nil {
+		p = &pace{}
+		s.pace[queue] = p
+	}
+	p.count = min(p.count+1, paceWeight)
+	p.mean += (s.Boot() - r.beganAt - p.mean) / time.Duration(p.count)
+}
+
+// stopStill stops tasks that make no progress, so that they go on elsewhere.
+func (s *session) stopStill() {
+	now := s.Boot()
+	var still []runKey
+	s.mu.Lock()
+	for key, r := range s.runs {
+		if r.phase != started || !r.listed || r.task.Step.Spec.GetGang() || now-r.percentAt < stillTime || r.percent >= 100 {
+			continue
+		}
+		still = append(still, key)
+		s.avoid(key.name, r.worker.GetId())
+		h := &r.link.health
+		if h.failed == nil {
+			h.failed = map[string]struct{}{}
+		}
+		h.failed[key.name.Workflow] = struct{}{}
+		if len(h.failed) >= suspectAfter {
+			r.link.suspend("its tasks stand still")
+		}
+	}
+	s.mu.Unlock()
+	for _, key := range still {
+		s.stopKey(key, "it makes no progress")
+	}
+}
--- /dev/null
+++ b/dispatch/loop.go
@@ -0,0 +1,205 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"daisyswitch/call"
+	"daisyswitch/event"
+	"daisyswitch/group"
+	"daisyswitch/wire"
+	"daisyswitch/workflow"
+)
+
+// Timing of the loop.
+const (
+	tick         = 100 * time.Millisecond // between looks at what time alone changes, such as due times; a tenth of the shortest delay that callers notice
+	commitRetry  = 50 * time.Millisecond  // after a record that was not committed; one election tick
+	maxStarts    = 500                    // in one record, which bounds the time that others wait for it
+	callTime     = 600 * time.Millisecond // longest wait for an answer; workers are a few milliseconds away
+	retryFirst   = 50 * time.Millisecond  // before an order is sent again
+	retryMost    = 800 * time.Millisecond // below a worker's lease, so that a recovered worker is heard before it lapses
+	holdWait     = time.Second            // how long a worker may wait for an end before it answers
+	driftDivisor = 50                     // workers' clocks are at most a fiftieth slow
+)
+
+// Options says what a Loop works on.
+type Options struct {
+	Table    *workflow.Table
+	Calls    call.Functions
+	Commit   func(context.Context, *wire.WorkflowCommand) (*workflow.Result, error)
+	Leads    func() bool          // whether this process may act as the leader right now
+	Boot     func() time.Duration // clock that counts suspended time
+	Wall     func() time.Time
+	Lease    time.Duration // given to workers
+	MaxLease time.Duration // longest that any leader can have given
+}
+
+// Loop decides and calls while this replica leads.
+// Locks are taken in the order table, session, link.
+type Loop struct {
+	o    Options
+	wake chan struct{}
+
+	mu       sync.Mutex // guards what follows; may be taken with the table locked
+	assigned []*workflow.Task
+	closed   []*workflow.Job
+}
+
+// New returns a loop that does nothing until Run.
+func New(o Options) *Loop {
+	return &Loop{o: o, wake: make(chan struct{}, 1)}
+}
+
+// SetTable names the state, whose hooks in turn name the loop.
+func (l *Loop) SetTable(t *workflow.Table) { l.o.Table = t }
+
+// Changed has the loop look at the state again.
+func (l *Loop) Changed() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Assigned notes that a task was committed to a worker.
+func (l *Loop) Assigned(t *workflow.Task) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.assigned = append(l.assigned, t)
+}
+
+// Closed notes that nothing of a job may go on.
+func (l *Loop) Closed(j *workflow.Job) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = append(l.closed, j)
+}
+
+func (l *Loop) takeNews() ([]*workflow.Task, []*workflow.Job) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	assigned, closed := l.assigned, l.closed
+	l.assigned, l.closed = nil, nil
+	return assigned, closed
+}
+
+// Run works with the given fencing token until ctx ends, and waits for its goroutines.
+func (l *Loop) Run(ctx context.Context, fence uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &session{
+		Options: l.o, ctx: ctx, fence: fence, began: l.o.Boot(),
+		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{},
+	}
+	defer s.tasks.Wait()
+	l.takeNews()
+	s.adopt()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		assigned, closed := l.takeNews()
+		s.linkWorkers()
+		for _, t := range assigned {
+			s.track(t)
+		}
+		for _, j := range closed {
+			s.stopJob(j)
+		}
+		if !s.place() {
+			s.pause(commitRetry)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+		case <-ticker.C:
+		}
+	}
+}
+
+// session is one leadership.
+type session struct {
+	Options
+	ctx   context.Context
+	fence uint64
+	began time.Duration // boot clock
+	tasks group.Group
+
+	mu       sync.Mutex // guards what follows
+	links    map[string]*link
+	runs     map[runKey]*run
+	failedOn map[workflow.Name]map[string]struct{} // workers that failed a task
+	pace     map[string]*pace                      // of work, by queue
+}
+
+// adopt takes over what earlier leaders committed.
+func (s *session) adopt() {
+	var tasks []*workflow.Task
+	s.Table.View(func(t *workflow.Tables) {
+		for _, w := range t.Workers {
+			for task := range w.Tasks {
+				tasks = append(tasks, task)
+			}
+		}
+	})
+	event.RunsAdopted.Info("runs", len(tasks), "fence", s.fence)
+	s.linkWorkers()
+	for _, task := range tasks {
+		s.track(task)
+	}
+}
+
+// pause waits, unless the leadership ends.
+func (s *session) pause(d time.Duration) {
+	select {
+	case <-s.ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// live says whether orders may still be sent.
+func (s *session) live() bool {
+	return s.ctx.Err() == nil && s.Leads()
+}
+
+// commitSoon has a command committed, again and again until it is or the leadership ends.
+func (s *session) commitSoon(c *wire.WorkflowCommand) bool {
+	for s.ctx.Err() == nil {
+		_, err := s.Commit(s.ctx, c)
+		if err == nil {
+			return true
+		}
+		event.RecordNotCommitted.Error(err, "ends", len(c.GetEnds()), "workers", len(c.GetWorkers()))
+		s.pause(commitRetry)
+	}
+	return false
+}
+
+// linkWorkers begins to call the workers that are new and drops those that are gone.
+func (s *session) linkWorkers() {
+	current := map[string]*wire.CalledWorker{}
+	s.Table.View(func(t *workflow.Tables) {
+		for id, w := range t.Workers {
+			current[id] = w.CalledWorker
+		}
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.links {
+		if w := current[id]; w == nil || w.GetBorn() != l.worker.GetBorn() {
+			l.cancel()
+			delete(s.links, id)
+		}
+	}
+	for id, w := range current {
+		if l := s.links[id]; l != nil {
+			l.setWorker(w)
+			continue
+		}
+		l := newLink(s, w)
+		s.links[id] = l
+		s.tasks.Go(l.run)
+	}
+}
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,379 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"daisyswitch/event"
+	"daisyswitch/resource"
+	"daisyswitch/wire"
+	"daisyswitch/workflow"
+)
+
+// spareServing is how many workers without filling tasks are kept for lasting tasks with a target, besides those that have some.
+const spareServing = 2
+
+// candidate is a worker with what this round has placed on it so far.
+type candidate struct {
+	*workflow.Worker
+	free    resource.Size
+	fill    int64 // thousandths of a core that filling tasks ask for
+	serving int   // lasting tasks with a target
+	avoid   func(workflow.Name) bool
+}
+
+// round is one look at all that waits.
+type round struct {
+	s      *session
+	t      *workflow.Tables
+	nowMS  int64
+	pools  map[string][]*candidate
+	placed map[*workflow.Step]map[*candidate]int32
+	starts []*wire.RunStart
+	racks  map[*workflow.Step]string
+}
+
+// place decides what starts where and has it committed; it returns false if the record was not.
+func (s *session) place() bool {
+	if !s.live() {
+		return true
+	}
+	s.stopStill()
+	s.stopLeaving()
+	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}}
+	s.Table.View(func(t *workflow.Tables) {
+		r.t = t
+		if len(t.Waiting) == 0 {
+			return
+		}
+		r.gather()
+		for _, step := range r.order() {
+			r.placeStep(step)
+			if len(r.starts) >= maxStarts {
+				break
+			}
+		}
+	})
+	if len(r.starts) == 0 {
+		return true
+	}
+	result, err := s.Commit(s.ctx, &wire.WorkflowCommand{Starts: r.starts})
+	if err != nil {
+		event.RecordNotCommitted.Error(err, "starts", len(r.starts))
+		return false
+	}
+	for i, ok := range result.Starts {
+		if !ok {
+			event.StartOvertaken.Info("task", workflow.NameOf(r.starts[i].GetTask()).String(), "run", r.starts[i].GetRun(), "worker", r.starts[i].GetWorker())
+		}
+	}
+	return true
+}
+
+// gather lists the workers that may get something.
+func (r *round) gather() {
+	now := r.s.Boot()
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	for id, w := range r.t.Workers {
+		l := r.s.links[id]
+		if l == nil || w.GetLeaving() || r.t.Out[w.GetDomain()] || !l.usable(now) || now < l.health.suspended {
+			continue
+		}
+		c := &candidate{Worker: w, free: w.Free(), fill: w.Fill.MilliCPU}
+		for task := range w.Tasks {
+			if serves(task.Step.Spec) {
+				c.serving++
+			}
+		}
+		c.avoid = func(name workflow.Name) bool {
+			_, failed := r.s.failedOn[name][id]
+			return failed
+		}
+		r.pools[w.GetPool()] = append(r.pools[w.GetPool()], c)
+	}
+	for _, pool := range r.pools {
+		sort.Slice(pool, func(i, k int) bool { return pool[i].GetId() < pool[k].GetId() })
+	}
+}
+
+// serves says whether a step's tasks last and have a tail latency to keep.
+func serves(s *wire.Step) bool {
+	return s.GetLasting() && s.GetTargetMs() > 0
+}
+
+// order returns the steps that may start now, the most urgent first.
+func (r *round) order() []*workflow.Step {
+	steps := make([]*workflow.Step, 0, len(r.t.Waiting))
+	for step := range r.t.Waiting {
+		if step.DueMS <= r.nowMS {
+			steps = append(steps, step)
+		}
+	}
+	late := map[*workflow.Job]bool{}
+	for _, step := range steps {
+		late[step.Job] = r.late(step)
+	}
+	sort.Slice(steps, func(i, k int) bool {
+		a, b := steps[i], steps[k]
+		switch {
+		case late[a.Job] != late[b.Job]:
+			return late[b.Job]
+		case a.Spec.GetLasting() != b.Spec.GetLasting():
+			return a.Spec.GetLasting()
+		case a.Job.Queue.GetPriority() != b.Job.Queue.GetPriority():
+			return a.Job.Queue.GetPriority() < b.Job.Queue.GetPriority()
+		case a.Job.AcceptedMS != b.Job.AcceptedMS:
+			return a.Job.AcceptedMS < b.Job.AcceptedMS
+		case a.Job.Spec.GetId() != b.Job.Spec.GetId():
+			return a.Job.Spec.GetId() < b.Job.Spec.GetId()
+		default:
+			return a.Occurrence < b.Occurrence || a.Occurrence == b.Occurrence && a.Number < b.Number
+		}
+	})
+	return steps
+}
+
+// lateFactor is up to how many times its objective a workflow still earns something, as the platform's pages say.
+const lateFactor = 3
+
+// late says whether a workflow can no longer end in any time that counts.
+func (r *round) late(step *workflow.Step) bool {
+	if step.Spec.GetLasting() || step.DueMS > 0 {
+		return false
+	}
+	p := r.s.meanOf(step.Job.Spec.GetQueue())
+	if p == 0 {
+		return false
+	}
+	chain := p * time.Duration(len(step.Job.Spec.GetSteps()))
+	objective := time.Duration(step.Job.Queue.GetStretch()*float64(chain)) + time.Duration(step.Job.Queue.GetLatencyMs())*time.Millisecond
+	return time.Duration(r.nowMS-step.Job.AcceptedMS)*time.Millisecond > lateFactor*objective
+}
+
+func (s *session) meanOf(queue string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.pace[queue]; p != nil {
+		return p.mean
+	}
+	return 0
+}
+
+// placeStep places as many waiting tasks of a step as have room; a gang is placed whole or not at all.
+func (r *round) placeStep(step *workflow.Step) {
+	if step.Spec.GetGang() {
+		r.placeGang(step)
+		return
+	}
+	for _, task := range step.Tasks {
+		if !task.Waits() {
+			continue
+		}
+		c := r.choose(task)
+		if c == nil {
+			return
+		}
+		r.commit(task, task.Run+1, c)
+	}
+}
+
+// placeGang places all tasks of a gang under one number of run.
+func (r *round) placeGang(step *workflow.Step) {
+	run := int32(0)
+	for _, task := range step.Tasks {
+		if !task.Waits() {
+			return
+		}
+		run = max(run, task.Run)
+	}
+	before := len(r.starts)
+	undo := map[*candidate]candidate{}
+	for _, task := range step.Tasks {
+		c := r.choose(task)
+		if c == nil {
+			for changed, was := range undo {
+				*changed = was
+			}
+			r.starts = r.starts[:before]
+			delete(r.placed, step)
+			delete(r.racks, step)
+			return
+		}
+		if _, kept := undo[c]; !kept {
+			undo[c] = *c
+		}
+		r.commit(task, run+1, c)
+	}
+}
+
+// commit takes room on a candidate for a task.
+func (r *round) commit(task *workflow.Task, run int32, c *candidate) {
+	step := task.Step
+	size := resource.FromWire(step.Spec.GetSize())
+	if step.Spec.GetFilling() {
+		c.fill += size.MilliCPU
+		size.MilliCPU = 0
+	}
+	c.free = c.free.Sub(size)
+	if serves(step.Spec) {
+		c.serving++
+	}
+	if r.placed[step] == nil {
+		r.placed[step] = map[*candidate]int32{}
+	}
+	r.placed[step][c]++
+	if step.Spec.GetSameRack() {
+		r.racks[step] = c.GetRack()
+	}
+	r.starts = append(r.starts, &wire.RunStart{Task: task.Name().Wire(), Run: run, Worker: c.GetId(), Born: c.GetBorn()})
+}
+
+// choose returns the best worker for a task, nil if none has room.
+func (r *round) choose(task *workflow.Task) *candidate {
+	pool := r.pools[task.Step.Job.Queue.GetPool()]
+	var best *candidate
+	bestScore := 0.0
+	for _, c := range pool {
+		if !r.allowed(task, c) {
+			continue
+		}
+		if score := r.score(task, c); best == nil || score > bestScore {
+			best, bestScore = c, score
+		}
+	}
+	return best
+}
+
+// allowed says whether a task may start on a worker at all.
+func (r *round) allowed(task *workflow.Task, c *candidate) bool {
+	spec := task.Step.Spec
+	size := resource.FromWire(spec.GetSize())
+	if spec.GetFilling() {
+		if c.serving > 0 || c.free.MilliCPU-c.fill < size.MilliCPU {
+			return false
+		}
+		size.MilliCPU = 0
+	}
+	if !size.Fits(c.free) && (size.MilliCPU > 0 || !size.Fits(resource.Size{MemoryMiB: c.free.MemoryMiB, Accelerators: c.free.Accelerators})) {
+		return false
+	}
+	if serves(spec) && c.fill > 0 || !hasLabel(c.GetLabels(), spec.GetRequires()) || c.avoid(task.Name()) {
+		return false
+	}
+	if limit := spec.GetMaxPerWorker(); limit > 0 && r.on(task.Step, c) >= limit {
+		return false
+	}
+	return true
+}
+
+func hasLabel(labels []string, label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// on counts the tasks of a step on a worker, with those placed in this round.
+func (r *round) on(step *workflow.Step, c *candidate) int32 {
+	count := r.placed[step][c]
+	for _, task := range step.Tasks {
+		if task.Worker == c.Worker {
+			count++
+		}
+	}
+	return count
+}
+
+// Weights of the score, each worth that much of a worker's free share.
+const (
+	nearWeight  = 10.0 // a task away from its data or its step's rack takes several times as long
+	serveWeight = 2.0  // lasting tasks with a target gather, so that filling tasks keep workers of their own
+	plainWeight = 0.5  // plain tasks go beside lasting ones first, where they take nothing from filling tasks
+)
+
+// score says how well a worker suits a task that may start there; the highest is best.
+func (r *round) score(task *workflow.Task, c *candidate) float64 {
+	spec := task.Step.Spec
+	capacity := float64(max(1, c.Capacity.MilliCPU))
+	score := float64(c.free.MilliCPU-c.fill) / capacity
+	if rack := spec.GetRack(); rack != "" && hasLabel(c.GetLabels(), rack) {
+		score += nearWeight
+	}
+	if spec.GetSameRack() && r.rackOf(task.Step) == c.GetRack() {
+		score += nearWeight
+	}
+	switch {
+	case serves(spec):
+		score = score*0 + r.serveScore(task, c)
+	case spec.GetFilling():
+		score -= r.reserved(c)
+	case c.serving > 0:
+		score += plainWeight
+	}
+	return score
+}
+
+// serveScore prefers workers that have lasting tasks, and among those the ones with few of the same step.
+func (r *round) serveScore(task *workflow.Task, c *candidate) float64 {
+	score := -float64(r.on(task.Step, c))
+	if c.serving > 0 {
+		score += serveWeight
+	}
+	return score
+}
+
+// reserved is high for the workers that are kept free of filling tasks.
+func (r *round) reserved(c *candidate) float64 {
+	spare := 0
+	for _, other := range r.pools[c.GetPool()] {
+		if other.serving > 0 || other.fill > 0 {
+			continue
+		}
+		if other == c {
+			return serveWeight
+		}
+		if spare++; spare >= spareServing {
+			return 0
+		}
+	}
+	return 0
+}
+
+// rackOf returns the rack of a step's tasks, empty if none is placed.
+func (r *round) rackOf(step *workflow.Step) string {
+	if rack := r.racks[step]; rack != "" {
+		return rack
+	}
+	for _, task := range step.Tasks {
+		if task.Worker != nil {
+			return task.Worker.GetRack()
+		}
+	}
+	return ""
+}
+
+// stopLeaving stops lasting tasks on workers that are about to leave, so that they are at work elsewhere soon.
+func (s *session) stopLeaving() {
+	var keys []runKey
+	s.Table.View(func(t *workflow.Tables) {
+		for _, w := range t.Workers {
+			if !w.GetLeaving() {
+				continue
+			}
+			for task := range w.Tasks {
+				if task.Step.Spec.GetLasting() {
+					keys = append(keys, runKey{task.Name(), task.Run})
+				}
+			}
+		}
+	})
+	for _, key := range keys {
+		s.stopKey(key, "its worker leaves")
+	}
+}
--- /dev/null
+++ b/event/workflow.go
@@ -0,0 +1,13 @@
+package event
+
+// Events of workflows as control answers them, 260 to 299.
+var (
+	AnnouncementOvertaken = register(260, "announcement_overtaken", "A called worker's announcement was overtaken by a later one and changes nothing.")
+	WorkerAnnouncedItself = register(261, "called_worker_announced", "A called worker is new, has changed what it says of itself, or has ended.")
+	QueuesOffered         = register(262, "queues_offered", "An operator sent a configuration of the queues; it is put in force if it is newer than the one held.")
+	DomainOrdered         = register(263, "domain_ordered", "An operator took a failure domain of called workers out or back.")
+	WaveOrdered           = register(264, "wave_ordered", "An operator ordered upkeep of machines.")
+	WorkflowAnswered      = register(265, "workflow_answered", "A submission or cancellation was committed or refused.")
+	AnswerNotSent         = register(266, "answer_not_sent", "A gateway's connection ended before it could be sent an answer.")
+	OrderRefused          = register(267, "order_refused", "An operator's order or a worker's announcement could not be read or made no sense.")
+)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -43,6 +43,7 @@
 	ElectionTicks int
 	SnapshotEvery uint64                              // records
 	Seed          uint64                              // of the election timeouts, 0 for a random one
+	Boot          func() time.Duration                // clock of the leader's lease, which counts suspended time; the monotonic one when nil
 	Disk          disk.Options                        // its folder is Dir
 	Apply         func(index uint64, data []byte) any // in order, from one goroutine; nil data never reaches it
 	Snapshot      func() []byte                       // called between two Applies
@@ -53,14 +54,15 @@
 
 // Replica is one member of the group.
 type Replica struct {
-	o       Options
-	disk    *disk.Disk
-	node    *raft.Node // used by the loop only
-	started time.Time
-	ctx     context.Context
-	stop    context.CancelFunc
-	tasks   group.Group
-	ended   chan struct{} // closed when the loop has ended
+	o           Options
+	disk        *disk.Disk
+	node        *raft.Node // used by the loop only
+	started     time.Time
+	startedBoot time.Duration
+	ctx         context.Context
+	stop        context.CancelFunc
+	tasks       group.Group
+	ended       chan struct{} // closed when the loop has ended
 
 	proposals chan *proposal.Proposal
 	reads     chan *read
@@ -125,6 +127,9 @@
 		reads:     make(chan *read, waitingProposals),
 		saved:     make(chan uint64),
 	}
+	if o.Boot != nil {
+		r.startedBoot = o.Boot()
+	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.applier.Queue, r.applier.snapshot = serial.New(), loaded.Snapshot.GetIndex()
 	r.applied.Store(loaded.Snapshot.GetIndex())
@@ -183,6 +188,9 @@
 
 // since returns the time since the replica was started.
 func (r *Replica) since() time.Duration {
+	if r.o.Boot != nil {
+		return r.o.Boot() - r.startedBoot
+	}
 	return time.Since(r.started)
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -104,3 +104,23 @@
 		r.fault(r.lineOf("lease_ms"), "lease_ms", fmt.Sprintf("is %d", c.LeaseMS), fmt.Sprintf("at least two election timeouts (tick_ms times election_ticks), %d", 2*election))
 	}
 }
+
+// seeds refuses an empty list.
+func (r *reader) seeds(list []Seed) {
+	if len(list) == 0 {
+		r.fault(r.lineOf("seeds"), "seeds", "lists no address", "at least one control process")
+	}
+}
+
+func (r *reader) groupMember(m *Member) {
+	r.apart([]place{{"inner", m.Inner}, {"admin", m.Admin}, {"announcements", m.Announcements}})
+	r.seeds(m.Seeds)
+	if m.LongestLeaseMS != 0 && m.LeaseMS > m.LongestLeaseMS {
+		r.fault(r.lineOf("lease_ms"), "lease_ms", fmt.Sprintf("is %d", m.LeaseMS), fmt.Sprintf("at most longest_lease_ms, %d", m.LongestLeaseMS))
+	}
+}
+
+func (r *reader) gateway(g *Gateway) {
+	r.apart([]place{{"admin", g.Admin}, {"clients", g.Clients}, {"ready", g.Ready}})
+	r.seeds(g.Seeds)
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -12,6 +12,8 @@
 const (
 	RoleEntry   = "entry"
 	RoleControl = "control"
+	RoleMember  = "member"
+	RoleGateway = "gateway"
 )
 
 // roleKeys tells the roles apart; an entry's keys are looked for first.
@@ -19,6 +21,8 @@
 	role string
 	keys []string
 }{
+	{RoleMember, []string{"announcements", "losses"}},
+	{RoleGateway, []string{"clients"}},
 	{RoleEntry, []string{"callers", "platform", "operators", "entries", "limits"}},
 	{RoleControl, []string{"id", "data"}},
 }
@@ -69,6 +73,52 @@
 	return c, nil
 }
 
+// LoadMember reads the settings of a control process that is found through seeds; its error is an *Error with every fault, or says why the file can't be read.
+func LoadMember(path string) (*Member, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return ParseMember(path, source)
+}
+
+// LoadGateway reads the settings of a gateway; its error is an *Error with every fault, or says why the file can't be read.
+func LoadGateway(path string) (*Gateway, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return ParseGateway(path, source)
+}
+
+// ParseMember reads the settings of a control process that is found through seeds, naming file in its errors.
+func ParseMember(file string, source []byte) (*Member, error) {
+	m := &Member{}
+	r, err := load(file, source, reflect.ValueOf(m).Elem())
+	if err != nil {
+		return nil, err
+	}
+	r.groupMember(m)
+	if err := r.result(file); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// ParseGateway reads the settings of a gateway, naming file in its errors.
+func ParseGateway(file string, source []byte) (*Gateway, error) {
+	g := &Gateway{}
+	r, err := load(file, source, reflect.ValueOf(g).Elem())
+	if err != nil {
+		return nil, err
+	}
+	r.gateway(g)
+	if err := r.result(file); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
 func load(file string, source []byte, into reflect.Value) (*reader, error) {
 	root, object, fault := parse(source)
 	if fault != nil {
@@ -102,6 +152,10 @@
 		_, err = ParseEntry(path, source)
 	case RoleControl:
 		_, err = ParseControl(path, source)
+	case RoleMember:
+		_, err = ParseMember(path, source)
+	case RoleGateway:
+		_, err = ParseGateway(path, source)
 	default:
 		err = &Error{File: path, Faults: []Fault{{Line: 1, Text: "no key tells the role", Allowed: "callers, platform and operators for an entry, or id and data for a control process"}}}
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,3 +58,35 @@
 	AuditKeep     int64     `json:"audit_keep"`     // audit records
 	AnswersKeep   int64     `json:"answers_keep"`   // answers for resends, per operator
 }
+
+// Seed is where some control process may be found.
+type Seed struct {
+	Address string `json:"address"` // IP:port; its IP with the port of inner is asked
+}
+
+// Member is the settings of a control process that finds its group through seeds and calls its workers.
+type Member struct {
+	Common
+	Announcements  string `json:"announcements"` // IP:port for workers' announcements and the platform's operators
+	Data           string `json:"data"`          // folder that holds the log and snapshots
+	Seeds          []Seed `json:"seeds"`         // may change while the process runs
+	First          int64  `json:"first"`         // 1 at the first start of the whole installation, else 0
+	Losses         int64  `json:"losses"`        // control processes that may be lost at once
+	Machines       string `json:"machines"`      // IP:port of the platform's list of machines, empty for none
+	Adviser        string `json:"adviser"`       // IP:port of the adviser on workers, empty for none
+	LeaseMS        int64  `json:"lease_ms"`      // of workers
+	LongestLeaseMS int64  `json:"longest_lease_ms"`
+	UpkeepLeaseMS  int64  `json:"upkeep_lease_ms"` // between orders of two holders for one machine
+	TickMS         int64  `json:"tick_ms"`
+	ElectionTicks  int64  `json:"election_ticks"`
+	SnapshotEvery  uint64 `json:"snapshot_every"` // log records
+}
+
+// Gateway is the settings of a gateway, which passes callers' workflows on to control.
+type Gateway struct {
+	Common
+	Clients string `json:"clients"` // IP:port for callers
+	Ready   string `json:"ready"`   // IP:port on which the platform's balancer asks whether the gateway is ready
+	Seeds   []Seed `json:"seeds"`   // may change while the process runs
+	DrainMS int64  `json:"drain_ms"`
+}
--- /dev/null
+++ b/workflow/check.go
@@ -0,0 +1,58 @@
+package workflow
+
+import (
+	"fmt"
+
+	"daisyswitch/wire"
+)
+
+// Bounds of one workflow, so that one caller cannot fill the state.
+const (
+	MaxPayloadBytes = 4000
+	MaxSteps        = 1000
+	MaxTasks        = 20_000 // over all steps and occurrences
+	maxIDBytes      = 64
+)
+
+// Check says why a workflow can't be taken in, whatever the state; nil if it can.
+func Check(w *wire.Workflow) error {
+	switch {
+	case w.GetId() == "" || len(w.GetId()) > maxIDBytes:
+		return fmt.Errorf("the id must have 1 to %d bytes", maxIDBytes)
+	case len(w.GetPayload()) > MaxPayloadBytes:
+		return fmt.Errorf("the payload has %d bytes, allowed are %d", len(w.GetPayload()), MaxPayloadBytes)
+	case len(w.GetSteps()) == 0 || len(w.GetSteps()) > MaxSteps:
+		return fmt.Errorf("there are %d steps, allowed are 1 to %d", len(w.GetSteps()), MaxSteps)
+	case w.GetOccurrences() < 0 || w.GetIntervalMs() < 0 || w.GetFirstMs() < 0:
+		return fmt.Errorf("occurrences and their times must not be negative")
+	}
+	tasks := int64(0)
+	for number, s := range w.GetSteps() {
+		if err := checkStep(number, s); err != nil {
+			return err
+		}
+		tasks += int64(s.GetCount())
+	}
+	if tasks *= int64(max(1, w.GetOccurrences())); tasks > MaxTasks {
+		return fmt.Errorf("there are %d tasks, allowed are %d", tasks, MaxTasks)
+	}
+	return nil
+}
+
+func checkStep(number int, s *wire.Step) error {
+	size := s.GetSize()
+	switch {
+	case s.GetCount() <= 0 || s.GetCount() > MaxTasks:
+		return fmt.Errorf("step %d has %d tasks", number, s.GetCount())
+	case size.GetMilliCpu() < 0 || size.GetMemoryMib() < 0 || size.GetAccelerators() < 0:
+		return fmt.Errorf("step %d has a negative size", number)
+	case s.GetMaxPerWorker() < 0 || s.GetMayBeAway() < 0 || s.GetTargetMs() < 0 || s.GetExpectedMs() < 0:
+		return fmt.Errorf("step %d has a negative limit", number)
+	}
+	for _, earlier := range s.GetAfter() {
+		if earlier < 0 || int(earlier) >= number {
+			return fmt.Errorf("step %d comes after step %d, which is not an earlier one", number, earlier)
+		}
+	}
+	return nil
+}
