--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -15,12 +15,14 @@
 
 // link is what a leadership knows of one life of a worker, and keeps its lease.
 type link struct {
-	s      *session
-	id     string
-	ctx    context.Context
-	cancel context.CancelFunc
-	runs   map[runKey]*run // guarded by the session's mutex
-	health health          // guarded by the session's mutex
+	s       *session
+	id      string
+	ctx     context.Context
+	cancel  context.CancelFunc
+	runs    map[runKey]*run    // guarded by the session's mutex
+	health  health             // guarded by the session's mutex
+	victims map[runKey]*victim // serving tasks; guarded by the session's mutex
+	near    bool               // a serving task is near its target; guarded by the session's mutex
 
 	mu       sync.Mutex // guards what follows
 	worker   *wire.CalledWorker
@@ -35,7 +37,7 @@
 }
 
 func newLink(s *session, w *wire.CalledWorker) *link {
-	l := &link{s: s, id: w.GetId(), worker: w, runs: map[runKey]*run{}, strays: map[runKey]struct{}{}}
+	l := &link{s: s, id: w.GetId(), worker: w, runs: map[runKey]*run{}, victims: map[runKey]*victim{}, strays: map[runKey]struct{}{}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	l.lapsesAt = s.Boot() + slow(s.MaxLease)
 	return l
@@ -132,6 +134,7 @@
 			noted = w.Noted
 		}
 	})
+	wait := l.waitTime()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	order := &call.Hold{Fence: l.s.fence, Noted: noted}
@@ -140,13 +143,23 @@
 	}
 	order.DeadlineMS = l.clockMS + (now - l.readAt + l.s.Lease).Milliseconds()
 	if l.leaseMS != 0 {
-		order.Wait = holdWait
+		order.Wait = wait
 	}
 	l.leaseMS = max(l.leaseMS, order.DeadlineMS)
 	l.boundLease()
 	return order
 }
 
+// waitTime returns how long the worker may wait for an end before it answers.
+func (l *link) waitTime() time.Duration {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if l.near {
+		return watchWait
+	}
+	return holdWait
+}
+
 // boundLease works out when the lease has surely ended: the worker's clock read at least clockMS at readAt and is little slower than ours.
 func (l *link) boundLease() {
 	left := time.Duration(l.leaseMS-l.clockMS) * time.Millisecond
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -23,6 +23,7 @@
 	for _, e := range listing.Ended {
 		listed[runKey{e.Task, e.Run}] = struct{}{}
 	}
+	l.readTails(listing)
 	l.ended(listing.Ended)
 	l.missing(sent, listed)
 }
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -8,6 +8,7 @@
 	"daisyswitch/call"
 	"daisyswitch/event"
 	"daisyswitch/group"
+	"daisyswitch/headroom"
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
 )
@@ -91,7 +92,7 @@
 	defer cancel()
 	s := &session{
 		Options: l.o, ctx: ctx, fence: fence, began: l.o.Boot(),
-		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{},
+		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(),
 	}
 	defer s.tasks.Wait()
 	l.takeNews()
@@ -107,6 +108,7 @@
 		for _, j := range closed {
 			s.stopJob(j)
 		}
+		s.summarize()
 		if !s.place() {
 			s.pause(commitRetry)
 		}
@@ -122,16 +124,18 @@
 // session is one leadership.
 type session struct {
 	Options
-	ctx   context.Context
-	fence uint64
-	began time.Duration // boot clock
-	tasks group.Group
+	ctx       context.Context
+	fence     uint64
+	began     time.Duration // boot clock
+	summaryAt time.Duration // boot clock, of the next summary; the loop alone uses it
+	tasks     group.Group
 
 	mu       sync.Mutex // guards what follows
 	links    map[string]*link
 	runs     map[runKey]*run
 	failedOn map[workflow.Name]map[string]struct{} // workers that failed a task
 	pace     map[string]*pace                      // of work, by queue
+	tails    *headroom.Table
 }
 
 // adopt takes over what earlier leaders committed.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,25 +1,24 @@
 package dispatch
 
 import (
+	"maps"
 	"sort"
 	"time"
 
 	"daisyswitch/event"
+	"daisyswitch/headroom"
 	"daisyswitch/resource"
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
 )
 
-// spareServing is how many workers without filling tasks are kept for lasting tasks with a target, besides those that have some.
-const spareServing = 2
-
 // candidate is a worker with what this round has placed on it so far.
 type candidate struct {
 	*workflow.Worker
 	free    resource.Size
-	fill    int64 // thousandths of a core that filling tasks ask for
-	serving int   // lasting tasks with a target
-	avoid   func(workflow.Name) bool
+	unused  int64 // thousandths of a core that filling tasks may still use
+	sharing sharing
+	shares  map[string]float64 // that a filling image may take, worked out when first asked for
 }
 
 // round is one look at all that waits.
@@ -80,15 +79,9 @@
 		if l == nil || w.GetLeaving() || r.t.Out[w.GetDomain()] || !l.usable(now) || now < l.health.suspended {
 			continue
 		}
-		c := &candidate{Worker: w, free: w.Free(), fill: w.Fill.MilliCPU}
+		c := &candidate{Worker: w, free: w.Free(), unused: w.Capacity.MilliCPU, sharing: r.s.sharingOf(l, w), shares: map[string]float64{}}
 		for task := range w.Tasks {
-			if serves(task.Step.Spec) {
-				c.serving++
-			}
-		}
-		c.avoid = func(name workflow.Name) bool {
-			_, failed := r.s.failedOn[name][id]
-			return failed
+			c.unused -= use(task.Step.Spec)
 		}
 		r.pools[w.GetPool()] = append(r.pools[w.GetPool()], c)
 	}
@@ -97,6 +90,14 @@
 	}
 }
 
+// use returns how much of a worker's processors a task is expected to use, in thousandths of a core.
+func use(s *wire.Step) int64 {
+	if s.GetLasting() {
+		return int64(servingUse * float64(s.GetSize().GetMilliCpu()))
+	}
+	return s.GetSize().GetMilliCpu()
+}
+
 // serves says whether a step's tasks last and have a tail latency to keep.
 func serves(s *wire.Step) bool {
 	return s.GetLasting() && s.GetTargetMs() > 0
@@ -211,14 +212,13 @@
 func (r *round) commit(task *workflow.Task, run int32, c *candidate) {
 	step := task.Step
 	size := resource.FromWire(step.Spec.GetSize())
+	c.unused -= use(step.Spec)
 	if step.Spec.GetFilling() {
-		c.fill += size.MilliCPU
+		c.sharing.beside = append(c.sharing.beside, headroom.Share{Image: step.Spec.GetImage(), Share: c.shareOf(size.MilliCPU)})
+		c.shares = map[string]float64{}
 		size.MilliCPU = 0
 	}
 	c.free = c.free.Sub(size)
-	if serves(step.Spec) {
-		c.serving++
-	}
 	if r.placed[step] == nil {
 		r.placed[step] = map[*candidate]int32{}
 	}
@@ -229,13 +229,41 @@
 	r.starts = append(r.starts, &wire.RunStart{Task: task.Name().Wire(), Run: run, Worker: c.GetId(), Born: c.GetBorn()})
 }
 
+// shareOf returns a number of thousandths of a core as a share of the worker.
+func (c *candidate) shareOf(milliCPU int64) float64 {
+	return float64(milliCPU) / float64(max(1, c.Capacity.MilliCPU))
+}
+
+// shareFor returns how much of the worker a filling image may take.
+func (r *round) shareFor(c *candidate, image string) float64 {
+	share, known := c.shares[image]
+	if !known {
+		r.s.mu.Lock()
+		share = r.s.shareFor(&c.sharing, image)
+		r.s.mu.Unlock()
+		c.shares[image] = share
+	}
+	return share
+}
+
+// avoided returns the workers that failed a task; one that lasts has to run somewhere.
+func (r *round) avoided(task *workflow.Task) map[string]struct{} {
+	if task.Step.Spec.GetLasting() {
+		return nil
+	}
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	return maps.Clone(r.s.failedOn[task.Name()])
+}
+
 // choose returns the best worker for a task, nil if none has room.
 func (r *round) choose(task *workflow.Task) *candidate {
 	pool := r.pools[task.Step.Job.Queue.GetPool()]
 	var best *candidate
 	bestScore := 0.0
+	avoided := r.avoided(task)
 	for _, c := range pool {
-		if !r.allowed(task, c) {
+		if _, failed := avoided[c.GetId()]; failed || !r.allowed(task, c) {
 			continue
 		}
 		if score := r.score(task, c); best == nil || score > bestScore {
@@ -250,7 +278,7 @@
 	spec := task.Step.Spec
 	size := resource.FromWire(spec.GetSize())
 	if spec.GetFilling() {
-		if c.serving > 0 || c.free.MilliCPU-c.fill < size.MilliCPU {
+		if float64(c.unused) < roomShare*float64(size.MilliCPU) || c.shareOf(size.MilliCPU) > r.shareFor(c, spec.GetImage()) {
 			return false
 		}
 		size.MilliCPU = 0
@@ -258,7 +286,7 @@
 	if !size.Fits(c.free) && (size.MilliCPU > 0 || !size.Fits(resource.Size{MemoryMiB: c.free.MemoryMiB, Accelerators: c.free.Accelerators})) {
 		return false
 	}
-	if serves(spec) && c.fill > 0 || !hasLabel(c.GetLabels(), spec.GetRequires()) || c.avoid(task.Name()) {
+	if !hasLabel(c.GetLabels(), spec.GetRequires()) {
 		return false
 	}
 	if limit := spec.GetMaxPerWorker(); limit > 0 && r.on(task.Step, c) >= limit {
@@ -293,15 +321,14 @@
 // Weights of the score, each worth that much of a worker's free share.
 const (
 	nearWeight  = 10.0 // a task away from its data or its step's rack takes several times as long
-	serveWeight = 2.0  // lasting tasks with a target gather, so that filling tasks keep workers of their own
-	plainWeight = 0.5  // plain tasks go beside lasting ones first, where they take nothing from filling tasks
+	shareWeight = 0.5  // filling tasks go where serving ones are hurt least
+	apartWeight = 0.2  // lasting tasks of a step go apart, so that one lost worker takes few of them
 )
 
 // score says how well a worker suits a task that may start there; the highest is best.
 func (r *round) score(task *workflow.Task, c *candidate) float64 {
 	spec := task.Step.Spec
-	capacity := float64(max(1, c.Capacity.MilliCPU))
-	score := float64(c.free.MilliCPU-c.fill) / capacity
+	score := c.shareOf(c.unused)
 	if rack := spec.GetRack(); rack != "" && hasLabel(c.GetLabels(), rack) {
 		score += nearWeight
 	}
@@ -309,40 +336,19 @@
 		score += nearWeight
 	}
 	switch {
-	case serves(spec):
-		score = score*0 + r.serveScore(task, c)
 	case spec.GetFilling():
-		score -= r.reserved(c)
-	case c.serving > 0:
-		score += plainWeight
+		score += shareWeight * r.shareFor(c, spec.GetImage())
+	case spec.GetLasting():
+		score -= apartWeight*float64(r.on(task.Step, c)) + r.lost(c, spec.GetImage())
 	}
 	return score
 }
 
-// serveScore prefers workers that have lasting tasks, and among those the ones with few of the same step.
-func (r *round) serveScore(task *workflow.Task, c *candidate) float64 {
-	score := -float64(r.on(task.Step, c))
-	if c.serving > 0 {
-		score += serveWeight
-	}
-	return score
-}
-
-// reserved is high for the workers that are kept free of filling tasks.
-func (r *round) reserved(c *candidate) float64 {
-	spare := 0
-	for _, other := range r.pools[c.GetPool()] {
-		if other.serving > 0 || other.fill > 0 {
-			continue
-		}
-		if other == c {
-			return serveWeight
-		}
-		if spare++; spare >= spareServing {
-			return 0
-		}
-	}
-	return 0
+// lost returns the headroom that a serving image would lose on a worker.
+func (r *round) lost(c *candidate, image string) float64 {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	return r.s.tails.Lost(image, c.sharing.beside)
 }
 
 // rackOf returns the rack of a step's tasks, empty if none is placed.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -42,6 +42,11 @@
 	percent    int
 	percentAt  time.Duration // boot clock, when percent last changed
 	beganAt    time.Duration // boot clock, when it was first listed
+
+	pace     int           // percent of its speed at which it works
+	pacedAt  time.Duration // boot clock, of the last order on its pace
+	paceBusy bool          // an order on its pace is on its way
+	share    float64       // of the worker's processors that it used lately
 }
 
 // track begins to send a committed start.
@@ -62,7 +67,7 @@
 	l := s.links[r.worker.GetId()]
 	known := s.runs[r.runKey] != nil
 	if l != nil && !known {
-		r.link, r.since, r.checkpoint = l, s.Boot(), r.order.Checkpoint
+		r.link, r.since, r.checkpoint, r.pace = l, s.Boot(), r.order.Checkpoint, 100
 		s.runs[r.runKey] = r
 		l.runs[r.runKey] = r
 	}
--- /dev/null
+++ b/dispatch/share.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"daisyswitch/call"
+	"daisyswitch/event"
+	"daisyswitch/headroom"
+	"daisyswitch/wire"
+	"daisyswitch/workflow"
+)
+
+// Sharing of workers between serving and filling tasks; headroom is target over tail, so that 1 is just on target.
+const (
+	placeHeadroom = 1.25                    // that serving tasks must keep when a filling one is placed
+	slowHeadroom  = 1.1                     // below which filling tasks are slowed
+	aimHeadroom   = 1.3                     // to which they are slowed
+	freeHeadroom  = 1.5                     // that must be left when they are given back their speed
+	leastCost     = 0.5                     // assumed of each pair, since a cost that seems zero is never surely so
+	servingUse    = 0.6                     // of a serving task's processors, at the peak of its load
+	roomShare     = 0.9                     // of a filling task's processors that must be unused
+	paceStep      = 10                      // percent
+	paceGap       = 600 * time.Millisecond  // between orders on one run: a reading covers half a second and an order works after a tenth
+	watchWait     = 300 * time.Millisecond  // of holds on a worker on which a serving task is near its target
+	lateTime      = 1500 * time.Millisecond // over target, after which all filling tasks are stopped short; well under the platform's bound on harm
+)
+
+// victim is a serving task as a link knows it.
+type victim struct {
+	image    string
+	base     headroom.Base
+	headroom float64       // latest reading
+	lateAt   time.Duration // boot clock since which it has been over its target, 0 if it is not
+}
+
+// filler is a filling task on a worker.
+type filler struct {
+	r     *run
+	image string
+	share float64 // of the worker, at the present pace
+}
+
+// readTails learns from a listing and slows or frees the filling tasks of the worker; the session's mutex is not held.
+func (l *link) readTails(listing *call.Listing) {
+	s := l.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	capacity := float64(max(1, l.current().GetCapacity().GetMilliCpu()))
+	var beside []headroom.Share
+	var fillers []filler
+	for i := range listing.Running {
+		r := l.runs[runKey{listing.Running[i].Task, listing.Running[i].Run}]
+		if r == nil || !r.task.Step.Spec.GetFilling() {
+			continue
+		}
+		f := filler{r: r, image: r.task.Step.Spec.GetImage(), share: listing.Running[i].Figure / capacity}
+		r.share = f.share
+		fillers = append(fillers, f)
+		beside = append(beside, headroom.Share{Image: f.image, Share: f.share})
+	}
+	now := s.Boot()
+	l.near = false
+	for i := range listing.Running {
+		key := runKey{listing.Running[i].Task, listing.Running[i].Run}
+		if r := l.runs[key]; r != nil && serves(r.task.Step.Spec) && listing.Running[i].Percent >= 100 && listing.Running[i].Figure > 0 {
+			l.readVictim(now, key, r.task.Step.Spec, listing.Running[i].Figure, beside)
+		}
+	}
+	for key := range l.victims {
+		if l.runs[key] == nil {
+			delete(l.victims, key)
+		}
+	}
+	l.slow(now, fillers)
+}
+
+func (l *link) readVictim(now time.Duration, key runKey, spec *wire.Step, tail float64, beside []headroom.Share) {
+	v := l.victims[key]
+	if v == nil {
+		v = &victim{image: spec.GetImage()}
+		l.victims[key] = v
+	}
+	v.headroom = float64(spec.GetTargetMs()) / tail
+	v.base.Read(now, v.headroom, l.s.tails.Lost(v.image, beside))
+	l.s.tails.Learn(v.image, beside, v.headroom)
+	switch {
+	case v.headroom >= 1:
+		v.lateAt = 0
+	case v.lateAt == 0:
+		v.lateAt = now
+	}
+	if v.headroom < aimHeadroom && len(beside) > 0 {
+		l.near = true
+	}
+}
+
+// slow decides the pace of each filling task on the worker and sends what has changed.
+func (l *link) slow(now time.Duration, fillers []filler) {
+	for i := range fillers {
+		f := &fillers[i]
+		pace := l.paceFor(now, f, fillers)
+		if pace == f.r.pace || f.r.paceBusy || now-f.r.pacedAt < paceGap && pace > f.r.pace {
+			continue
+		}
+		f.r.paceBusy = true
+		l.s.tasks.Go(func() { l.sendPace(f.r, pace) })
+	}
+}
+
+// paceFor returns the pace of a filling task: the least that any serving task beside it needs.
+func (l *link) paceFor(now time.Duration, f *filler, fillers []filler) int {
+	pace := l.raised(f)
+	for _, v := range l.victims {
+		switch {
+		case v.lateAt != 0 && now-v.lateAt > lateTime:
+			return 0
+		case v.headroom < slowHeadroom:
+			pace = min(pace, l.cut(v, f, fillers))
+		}
+	}
+	return pace
+}
+
+// cut returns the pace at which a filling task gives back its part of what a serving task lacks; the costliest give first.
+func (l *link) cut(v *victim, f *filler, fillers []filler) int {
+	cost := func(f *filler) float64 { return max(leastCost, l.s.tails.Cost(v.image, f.image)) * f.share }
+	order := make([]*filler, len(fillers))
+	for i := range fillers {
+		order[i] = &fillers[i]
+	}
+	sort.Slice(order, func(i, k int) bool { return cost(order[i]) > cost(order[k]) })
+	lacking := aimHeadroom - v.headroom
+	for _, other := range order {
+		lost := cost(other)
+		if other.r != f.r {
+			lacking -= lost
+			continue
+		}
+		if lacking <= 0 || lost <= 0 {
+			return f.r.pace
+		}
+		kept := max(0, 1-lacking/lost)
+		return int(float64(f.r.pace)*kept) / paceStep * paceStep
+	}
+	return f.r.pace
+}
+
+// raised returns the pace to which a slowed task may go back, a step at a time.
+func (l *link) raised(f *filler) int {
+	if f.r.pace >= 100 {
+		return 100
+	}
+	size := float64(f.r.task.Step.Spec.GetSize().GetMilliCpu()) / float64(max(1, l.current().GetCapacity().GetMilliCpu()))
+	next := min(100, f.r.pace+3*paceStep)
+	more := size * float64(next-f.r.pace) / 100
+	for _, v := range l.victims {
+		if v.headroom-max(leastCost, l.s.tails.Cost(v.image, f.image))*more < freeHeadroom {
+			return f.r.pace
+		}
+	}
+	return next
+}
+
+func (l *link) sendPace(r *run, percent int) {
+	s := l.s
+	ctx, cancel := context.WithTimeout(l.ctx, callTime)
+	answer, err := s.Calls.Pace(ctx, l.current(), &call.Pace{Task: r.name, Run: r.number, Percent: percent, Fence: s.fence})
+	cancel()
+	accepted := err == nil && answer.Refusal == call.Accepted
+	event.RunPaced.Info("task", r.name.String(), "run", r.number, "worker", l.id, "percent", percent, "accepted", accepted)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.paceBusy = false
+	r.pacedAt = s.Boot()
+	if accepted {
+		r.pace = percent
+	}
+}
+
+// sharing is what a round knows of a worker's serving tasks.
+type sharing struct {
+	victims []*victim
+	beside  []headroom.Share // filling tasks, with those placed in this round
+}
+
+// sharingOf returns what is known of a worker's serving and filling tasks; the session's mutex is held.
+func (s *session) sharingOf(l *link, w *workflow.Worker) sharing {
+	var sh sharing
+	for _, v := range l.victims {
+		sh.victims = append(sh.victims, v)
+	}
+	capacity := float64(max(1, w.Capacity.MilliCPU))
+	for task := range w.Tasks {
+		if task.Step.Spec.GetFilling() {
+			sh.beside = append(sh.beside, headroom.Share{Image: task.Step.Spec.GetImage(), Share: float64(task.Step.Spec.GetSize().GetMilliCpu()) / capacity})
+		}
+	}
+	return sh
+}
+
+// shareFor returns how much of a worker a filling image may take more, so that every serving task there keeps its headroom.
+func (s *session) shareFor(sh *sharing, image string) float64 {
+	most := 1.0
+	for _, v := range sh.victims {
+		left := min(v.base.Now, v.base.Low+placeSlack) - s.tails.Lost(v.image, sh.beside) - placeHeadroom
+		most = min(most, left/max(leastCost, s.tails.Cost(v.image, image)))
+	}
+	return most
+}
+
+// placeSlack is by how much the headroom of a serving task may fall once more while a filling task runs; it is slowed then.
+const placeSlack = 0.3
