--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -18,6 +18,7 @@
 	free    resource.Size
 	unused  int64 // thousandths of a core that filling tasks may still use
 	sharing sharing
+	images  map[string]int     // of lasting tasks, with their number
 	shares  map[string]float64 // that a filling image may take, worked out when first asked for
 }
 
@@ -79,8 +80,11 @@
 		if l == nil || w.GetLeaving() || r.t.Out[w.GetDomain()] || !l.usable(now) || now < l.health.suspended {
 			continue
 		}
-		c := &candidate{Worker: w, free: w.Free(), unused: w.Capacity.MilliCPU, sharing: r.s.sharingOf(l, w), shares: map[string]float64{}}
+		c := &candidate{Worker: w, free: w.Free(), unused: w.Capacity.MilliCPU, sharing: r.s.sharingOf(l, w), shares: map[string]float64{}, images: map[string]int{}}
 		for task := range w.Tasks {
+			if task.Step.Spec.GetLasting() {
+				c.images[task.Step.Spec.GetImage()]++
+			}
 			c.unused -= use(task.Step.Spec)
 		}
 		r.pools[w.GetPool()] = append(r.pools[w.GetPool()], c)
@@ -213,6 +217,9 @@
 	step := task.Step
 	size := resource.FromWire(step.Spec.GetSize())
 	c.unused -= use(step.Spec)
+	if step.Spec.GetLasting() {
+		c.images[step.Spec.GetImage()]++
+	}
 	if step.Spec.GetFilling() {
 		c.sharing.beside = append(c.sharing.beside, headroom.Share{Image: step.Spec.GetImage(), Share: c.shareOf(size.MilliCPU)})
 		c.shares = map[string]float64{}
@@ -322,6 +329,7 @@
 const (
 	nearWeight  = 10.0 // a task away from its data or its step's rack takes several times as long
 	shareWeight = 0.5  // filling tasks go where serving ones are hurt least
+	imageWeight = 2.0  // lasting tasks of one image gather, since a filling image is harmless to some images and not to others
 	apartWeight = 0.2  // lasting tasks of a step go apart, so that one lost worker takes few of them
 )
 
@@ -339,11 +347,21 @@
 	case spec.GetFilling():
 		score += shareWeight * r.shareFor(c, spec.GetImage())
 	case spec.GetLasting():
-		score -= apartWeight*float64(r.on(task.Step, c)) + r.lost(c, spec.GetImage())
+		score += imageWeight*c.likeness(spec.GetImage()) - apartWeight*float64(r.on(task.Step, c)) - r.lost(c, spec.GetImage())
 	}
 	return score
 }
 
+// likeness is higher the more of a worker's lasting tasks have an image, and below 0 where most have others.
+func (c *candidate) likeness(image string) float64 {
+	same, other := c.images[image], 0
+	for _, count := range c.images {
+		other += count
+	}
+	other -= same
+	return float64(same-2*other) / float64(max(1, same+other))
+}
+
 // lost returns the headroom that a serving image would lose on a worker.
 func (r *round) lost(c *candidate, image string) float64 {
 	r.s.mu.Lock()
