--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -61,6 +61,11 @@
 	return l.worker
 }
 
+// capacity returns the worker's processors in thousandths of a core, at least 1.
+func (l *link) capacity() int64 {
+	return max(1, l.current().GetCapacity().GetMilliCpu())
+}
+
 // granted returns the lease's deadline on the worker's clock; ok is false while the worker is silent.
 func (l *link) granted() (deadline int64, ok bool) {
 	l.mu.Lock()
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -31,6 +31,7 @@
 	placed map[*workflow.Step]map[*candidate]int32
 	starts []*wire.RunStart
 	racks  map[*workflow.Step]string
+	fills  map[string]int // waiting filling tasks by image
 }
 
 // place decides what starts where and has it committed; it returns false if the record was not.
@@ -40,7 +41,7 @@
 	}
 	s.stopStill()
 	s.stopLeaving()
-	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}}
+	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, fills: map[string]int{}}
 	s.Table.View(func(t *workflow.Tables) {
 		r.t = t
 		if len(t.Waiting) == 0 {
@@ -114,16 +115,19 @@
 		if step.DueMS <= r.nowMS {
 			steps = append(steps, step)
 		}
+		if step.Spec.GetFilling() {
+			r.fills[step.Spec.GetImage()] += step.Waiting
+		}
 	}
-	late := map[*workflow.Job]bool{}
+	chance := map[*workflow.Job]lateness{}
 	for _, step := range steps {
-		late[step.Job] = r.late(step)
+		chance[step.Job] = r.late(step)
 	}
 	sort.Slice(steps, func(i, k int) bool {
 		a, b := steps[i], steps[k]
 		switch {
-		case late[a.Job] != late[b.Job]:
-			return late[b.Job]
+		case chance[a.Job] != chance[b.Job]:
+			return chance[a.Job] < chance[b.Job]
 		case a.Spec.GetLasting() != b.Spec.GetLasting():
 			return a.Spec.GetLasting()
 		case a.Job.Queue.GetPriority() != b.Job.Queue.GetPriority():
@@ -142,18 +146,32 @@
 // lateFactor is up to how many times its objective a workflow still earns something, as the platform's pages say.
 const lateFactor = 3
 
-// late says whether a workflow can no longer end in any time that counts.
-func (r *round) late(step *workflow.Step) bool {
-	if step.Spec.GetLasting() || step.DueMS > 0 {
-		return false
-	}
+// lateness is what a workflow can still reach.
+type lateness int
+
+const (
+	inTime  lateness = iota // it can end within its objective
+	late                    // it can end while it still earns something
+	useless                 // it can no longer end in any time that counts
+)
+
+// late says what the workflow of a step can still reach, if what remains takes as long as its queue's tasks do.
+func (r *round) late(step *workflow.Step) lateness {
 	p := r.s.meanOf(step.Job.Spec.GetQueue())
-	if p == 0 {
-		return false
+	if step.Spec.GetLasting() || step.DueMS > 0 || p == 0 {
+		return inTime
+	}
+	steps := step.Job.Spec.GetSteps()
+	objective := time.Duration(step.Job.Queue.GetStretch()*float64(p)*float64(len(steps))) + time.Duration(step.Job.Queue.GetLatencyMs())*time.Millisecond
+	end := time.Duration(r.nowMS-step.Job.AcceptedMS)*time.Millisecond + p*time.Duration(len(steps)-int(step.Number))
+	switch {
+	case end <= objective:
+		return inTime
+	case end <= lateFactor*objective:
+		return late
+	default:
+		return useless
 	}
-	chain := p * time.Duration(len(step.Job.Spec.GetSteps()))
-	objective := time.Duration(step.Job.Queue.GetStretch()*float64(chain)) + time.Duration(step.Job.Queue.GetLatencyMs())*time.Millisecond
-	return time.Duration(r.nowMS-step.Job.AcceptedMS)*time.Millisecond > lateFactor*objective
 }
 
 func (s *session) meanOf(queue string) time.Duration {
@@ -328,7 +346,8 @@
 // Weights of the score, each worth that much of a worker's free share.
 const (
 	nearWeight  = 10.0 // a task away from its data or its step's rack takes several times as long
-	shareWeight = 0.5  // filling tasks go where serving ones are hurt least
+	harshWeight = 0.3  // filling tasks go where others would hurt the serving ones more, for each unit of headroom on a whole worker
+	packWeight  = 1.0  // lasting tasks gather on few workers, so that some stay free for what hurts them
 	imageWeight = 2.0  // lasting tasks of one image gather, since a filling image is harmless to some images and not to others
 	apartWeight = 0.2  // lasting tasks of a step go apart, so that one lost worker takes few of them
 )
@@ -345,13 +364,32 @@
 	}
 	switch {
 	case spec.GetFilling():
-		score += shareWeight * r.shareFor(c, spec.GetImage())
+		score += harshWeight * r.harshness(c, spec.GetImage())
 	case spec.GetLasting():
+		score -= 2 * packWeight * c.shareOf(c.unused)
 		score += imageWeight*c.likeness(spec.GetImage()) - apartWeight*float64(r.on(task.Step, c)) - r.lost(c, spec.GetImage())
 	}
 	return score
 }
 
+// harshness is by how much more the other filling images that wait would hurt a worker's serving tasks than one does.
+func (r *round) harshness(c *candidate, image string) float64 {
+	key := "harsh " + image
+	if known, ok := c.shares[key]; ok {
+		return known
+	}
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	total, count := 0.0, 0
+	for other, tasks := range r.fills {
+		total += float64(tasks) * r.s.worstCost(&c.sharing, other)
+		count += tasks
+	}
+	harsh := total/float64(max(1, count)) - r.s.worstCost(&c.sharing, image)
+	c.shares[key] = harsh
+	return harsh
+}
+
 // likeness is higher the more of a worker's lasting tasks have an image, and below 0 where most have others.
 func (c *candidate) likeness(image string) float64 {
 	same, other := c.images[image], 0
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -47,7 +47,7 @@
 	s := l.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	capacity := float64(max(1, l.current().GetCapacity().GetMilliCpu()))
+	capacity := float64(l.capacity())
 	var beside []headroom.Share
 	var fillers []filler
 	for i := range listing.Running {
@@ -152,7 +152,7 @@
 	if f.r.pace >= 100 {
 		return 100
 	}
-	size := float64(f.r.task.Step.Spec.GetSize().GetMilliCpu()) / float64(max(1, l.current().GetCapacity().GetMilliCpu()))
+	size := float64(f.r.task.Step.Spec.GetSize().GetMilliCpu()) / float64(l.capacity())
 	next := min(100, f.r.pace+3*paceStep)
 	more := size * float64(next-f.r.pace) / 100
 	for _, v := range l.victims {
@@ -210,5 +210,14 @@
 	return most
 }
 
+// worstCost returns the most that any serving task on a worker loses beside a filling image on all of it.
+func (s *session) worstCost(sh *sharing, image string) float64 {
+	worst := 0.0
+	for _, v := range sh.victims {
+		worst = max(worst, s.tails.Cost(v.image, image))
+	}
+	return worst
+}
+
 // placeSlack is by how much the headroom of a serving task may fall once more while a filling task runs; it is slowed then.
 const placeSlack = 0.3
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -40,7 +40,8 @@
 			waiting[step.Job.Spec.GetQueue()] += step.Waiting
 		}
 	})
-	event.LoadSummary.Info("workers", workers, "usable", usable, "cores", capacity/1000, "used_cores", used/1000, "filling_cores", fill/1000, "running", running, "serving", serving, "waiting", waiting)
+	slowed, filling := s.filling()
+	event.LoadSummary.Info("workers", workers, "usable", usable, "cores", capacity/1000, "used_cores", used/1000, "filling_cores", fill/1000, "filling_used_cores", int64(filling), "slowed", slowed, "running", running, "serving", serving, "waiting", waiting)
 }
 
 func (s *session) linkOf(id string) *link {
@@ -48,3 +49,19 @@
 	defer s.mu.Unlock()
 	return s.links[id]
 }
+
+// filling returns how many filling tasks are slowed, and how many cores all of them used lately.
+func (s *session) filling() (slowed int, cores float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.runs {
+		if !r.task.Step.Spec.GetFilling() {
+			continue
+		}
+		cores += r.share * float64(r.link.capacity()) / 1000
+		if r.pace < 100 {
+			slowed++
+		}
+	}
+	return slowed, cores
+}
