--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -346,7 +346,7 @@
 // Weights of the score, each worth that much of a worker's free share.
 const (
 	nearWeight  = 10.0 // a task away from its data or its step's rack takes several times as long
-	harshWeight = 0.3  // filling tasks go where others would hurt the serving ones more, for each unit of headroom on a whole worker
+	harshWeight = 0.1  // filling tasks go where others would hurt the serving ones more, for each unit of headroom on a whole worker
 	packWeight  = 1.0  // lasting tasks gather on few workers, so that some stay free for what hurts them
 	imageWeight = 2.0  // lasting tasks of one image gather, since a filling image is harmless to some images and not to others
 	apartWeight = 0.2  // lasting tasks of a step go apart, so that one lost worker takes few of them
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -14,10 +14,10 @@
 
 // Sharing of workers between serving and filling tasks; headroom is target over tail, so that 1 is just on target.
 const (
-	placeHeadroom = 1.25                    // that serving tasks must keep when a filling one is placed
-	slowHeadroom  = 1.1                     // below which filling tasks are slowed
-	aimHeadroom   = 1.3                     // to which they are slowed
-	freeHeadroom  = 1.5                     // that must be left when they are given back their speed
+	placeHeadroom = 1.5                    // that serving tasks must keep when a filling one is placed
+	slowHeadroom  = 0.9                     // below which filling tasks are slowed
+	aimHeadroom   = 1.05                     // to which they are slowed
+	freeHeadroom  = 1.05                     // that must be left when they are given back their speed
 	leastCost     = 0.5                     // assumed of each pair, since a cost that seems zero is never surely so
 	servingUse    = 0.6                     // of a serving task's processors, at the peak of its load
 	roomShare     = 0.9                     // of a filling task's processors that must be unused
