--- a/event/workflow.go
+++ b/event/workflow.go
@@ -9,5 +9,7 @@
 	WaveOrdered           = register(264, "wave_ordered", "An operator ordered upkeep of machines.")
 	WorkflowAnswered      = register(265, "workflow_answered", "A submission or cancellation was committed or refused.")
 	AnswerNotSent         = register(266, "answer_not_sent", "A gateway's connection ended before it could be sent an answer.")
+	OrderRedirected       = register(268, "order_redirected", "An order or announcement came to a replica that does not lead, which named the leader.")
+	OrderFailed           = register(269, "order_failed", "An order or announcement could not be carried out, since no leader is known or nothing was committed.")
 	OrderRefused          = register(267, "order_refused", "An operator's order or a worker's announcement could not be read or made no sense.")
 )
