--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -92,7 +92,7 @@
 	defer cancel()
 	s := &session{
 		Options: l.o, ctx: ctx, fence: fence, began: l.o.Boot(),
-		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(),
+		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{},
 	}
 	defer s.tasks.Wait()
 	l.takeNews()
@@ -130,12 +130,13 @@
 	summaryAt time.Duration // boot clock, of the next summary; the loop alone uses it
 	tasks     group.Group
 
-	mu       sync.Mutex // guards what follows
-	links    map[string]*link
-	runs     map[runKey]*run
-	failedOn map[workflow.Name]map[string]struct{} // workers that failed a task
-	pace     map[string]*pace                      // of work, by queue
-	tails    *headroom.Table
+	mu        sync.Mutex // guards what follows
+	links     map[string]*link
+	runs      map[runKey]*run
+	failedOn  map[workflow.Name]map[string]struct{} // workers that failed a task
+	pace      map[string]*pace                      // of work, by queue
+	tails     *headroom.Table
+	firstPace map[runKey]int // of runs that have not started
 }
 
 // adopt takes over what earlier leaders committed.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -18,8 +18,15 @@
 	free    resource.Size
 	unused  int64 // thousandths of a core that filling tasks may still use
 	sharing sharing
-	images  map[string]int     // of lasting tasks, with their number
-	shares  map[string]float64 // that a filling image may take, worked out when first asked for
+	images  map[string]int       // of lasting tasks, with their number
+	shares  map[shareKey]float64 // worked out when first asked for
+	harsh   map[string]float64   // by filling image, likewise
+}
+
+// shareKey names how much of a worker a filling image may take, for the sake of workflows that can still reach something.
+type shareKey struct {
+	image  string
+	chance lateness
 }
 
 // round is one look at all that waits.
@@ -32,6 +39,7 @@
 	starts []*wire.RunStart
 	racks  map[*workflow.Step]string
 	fills  map[string]int // waiting filling tasks by image
+	chance map[*workflow.Job]lateness
 }
 
 // place decides what starts where and has it committed; it returns false if the record was not.
@@ -41,7 +49,7 @@
 	}
 	s.stopStill()
 	s.stopLeaving()
-	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, fills: map[string]int{}}
+	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, fills: map[string]int{}, chance: map[*workflow.Job]lateness{}}
 	s.Table.View(func(t *workflow.Tables) {
 		r.t = t
 		if len(t.Waiting) == 0 {
@@ -81,12 +89,12 @@
 		if l == nil || w.GetLeaving() || r.t.Out[w.GetDomain()] || !l.usable(now) || now < l.health.suspended {
 			continue
 		}
-		c := &candidate{Worker: w, free: w.Free(), unused: w.Capacity.MilliCPU, sharing: r.s.sharingOf(l, w), shares: map[string]float64{}, images: map[string]int{}}
+		c := &candidate{Worker: w, free: w.Free(), unused: w.Capacity.MilliCPU, sharing: r.s.sharingOf(l, w), shares: map[shareKey]float64{}, harsh: map[string]float64{}, images: map[string]int{}}
 		for task := range w.Tasks {
 			if task.Step.Spec.GetLasting() {
 				c.images[task.Step.Spec.GetImage()]++
 			}
-			c.unused -= use(task.Step.Spec)
+			c.unused -= use(task.Step.Spec) * int64(l.paceOf(task)) / 100
 		}
 		r.pools[w.GetPool()] = append(r.pools[w.GetPool()], c)
 	}
@@ -119,7 +127,7 @@
 			r.fills[step.Spec.GetImage()] += step.Waiting
 		}
 	}
-	chance := map[*workflow.Job]lateness{}
+	chance := r.chance
 	for _, step := range steps {
 		chance[step.Job] = r.late(step)
 	}
@@ -193,11 +201,11 @@
 		if !task.Waits() {
 			continue
 		}
-		c := r.choose(task)
+		c, pace := r.choose(task)
 		if c == nil {
 			return
 		}
-		r.commit(task, task.Run+1, c)
+		r.commit(task, task.Run+1, c, pace)
 	}
 }
 
@@ -213,7 +221,7 @@
 	before := len(r.starts)
 	undo := map[*candidate]candidate{}
 	for _, task := range step.Tasks {
-		c := r.choose(task)
+		c, pace := r.choose(task)
 		if c == nil {
 			for changed, was := range undo {
 				*changed = was
@@ -226,21 +234,25 @@
 		if _, kept := undo[c]; !kept {
 			undo[c] = *c
 		}
-		r.commit(task, run+1, c)
+		r.commit(task, run+1, c, pace)
 	}
 }
 
-// commit takes room on a candidate for a task.
-func (r *round) commit(task *workflow.Task, run int32, c *candidate) {
+// commit takes room on a candidate for a task that is to work at a pace.
+func (r *round) commit(task *workflow.Task, run int32, c *candidate, pace int) {
 	step := task.Step
 	size := resource.FromWire(step.Spec.GetSize())
-	c.unused -= use(step.Spec)
+	c.unused -= use(step.Spec) * int64(pace) / 100
+	if pace < 100 {
+		r.s.setFirstPace(runKey{task.Name(), run}, pace)
+	}
 	if step.Spec.GetLasting() {
 		c.images[step.Spec.GetImage()]++
 	}
 	if step.Spec.GetFilling() {
-		c.sharing.beside = append(c.sharing.beside, headroom.Share{Image: step.Spec.GetImage(), Share: c.shareOf(size.MilliCPU)})
-		c.shares = map[string]float64{}
+		c.sharing.beside = append(c.sharing.beside, headroom.Share{Image: step.Spec.GetImage(), Share: c.shareOf(size.MilliCPU * int64(pace) / 100)})
+		c.shares = map[shareKey]float64{}
+		c.harsh = map[string]float64{}
 		size.MilliCPU = 0
 	}
 	c.free = c.free.Sub(size)
@@ -260,13 +272,14 @@
 }
 
 // shareFor returns how much of the worker a filling image may take.
-func (r *round) shareFor(c *candidate, image string) float64 {
-	share, known := c.shares[image]
+func (r *round) shareFor(c *candidate, image string, chance lateness) float64 {
+	key := shareKey{image, chance}
+	share, known := c.shares[key]
 	if !known {
 		r.s.mu.Lock()
-		share = r.s.shareFor(&c.sharing, image)
+		share = r.s.shareFor(&c.sharing, image, placeHeadroom[chance])
 		r.s.mu.Unlock()
-		c.shares[image] = share
+		c.shares[key] = share
 	}
 	return share
 }
@@ -281,43 +294,91 @@
 	return maps.Clone(r.s.failedOn[task.Name()])
 }
 
-// choose returns the best worker for a task, nil if none has room.
-func (r *round) choose(task *workflow.Task) *candidate {
-	pool := r.pools[task.Step.Job.Queue.GetPool()]
-	var best *candidate
-	bestScore := 0.0
+// choose returns the best worker for a task and the pace at which it may work there, nil if there is none.
+func (r *round) choose(task *workflow.Task) (*candidate, int) {
+	var best, slow *candidate
+	bestScore, slowSpeed := 0.0, 0.0
 	avoided := r.avoided(task)
-	for _, c := range pool {
+	for _, c := range r.pools[task.Step.Job.Queue.GetPool()] {
 		if _, failed := avoided[c.GetId()]; failed || !r.allowed(task, c) {
 			continue
 		}
+		if speed := r.speed(task, c); speed < 1 {
+			if slow == nil || speed > slowSpeed {
+				slow, slowSpeed = c, speed
+			}
+			continue
+		}
 		if score := r.score(task, c); best == nil || score > bestScore {
 			best, bestScore = c, score
 		}
 	}
-	return best
+	if best != nil {
+		return best, 100
+	}
+	least := r.leastSpeed(task)
+	if slow == nil || slowSpeed < least && least > crawl {
+		return nil, 0
+	}
+	return slow, int(100*max(slowSpeed, crawl)) / paceStep * paceStep
+}
+
+// leastSpeed returns how slow a filling task may start: one whose workflow is late rather works slowly than not at all,
+// and a workflow of which nothing runs gets one task to work in any case.
+func (r *round) leastSpeed(task *workflow.Task) float64 {
+	switch {
+	case r.idle(task.Step.Job):
+		return crawl
+	case r.chance[task.Step.Job] == inTime:
+		return 1
+	default:
+		return lateSpeed
+	}
+}
+
+// idle says whether nothing of a workflow runs, or will by this round.
+func (r *round) idle(j *workflow.Job) bool {
+	if r.chance[j] == inTime {
+		return false
+	}
+	for _, step := range j.Steps {
+		if len(r.placed[step]) > 0 {
+			return false
+		}
+		for _, task := range step.Tasks {
+			if task.Worker != nil {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// speed returns at what share of its speed a task may work on a worker; only filling tasks work at less than 1.
+func (r *round) speed(task *workflow.Task, c *candidate) float64 {
+	spec := task.Step.Spec
+	size := float64(spec.GetSize().GetMilliCpu())
+	if !spec.GetFilling() || size == 0 {
+		return 1
+	}
+	unused := float64(c.unused) / (roomShare * size)
+	share := r.shareFor(c, spec.GetImage(), r.chance[task.Step.Job]) / (size / float64(max(1, c.Capacity.MilliCPU)))
+	return max(0, min(1, unused, share))
 }
 
 // allowed says whether a task may start on a worker at all.
 func (r *round) allowed(task *workflow.Task, c *candidate) bool {
 	spec := task.Step.Spec
 	size := resource.FromWire(spec.GetSize())
+	free := c.free
 	if spec.GetFilling() {
-		if float64(c.unused) < roomShare*float64(size.MilliCPU) || c.shareOf(size.MilliCPU) > r.shareFor(c, spec.GetImage()) {
-			return false
-		}
-		size.MilliCPU = 0
-	}
-	if !size.Fits(c.free) && (size.MilliCPU > 0 || !size.Fits(resource.Size{MemoryMiB: c.free.MemoryMiB, Accelerators: c.free.Accelerators})) {
-		return false
-	}
-	if !hasLabel(c.GetLabels(), spec.GetRequires()) {
-		return false
+		size.MilliCPU, free.MilliCPU = 0, max(0, free.MilliCPU)
 	}
-	if limit := spec.GetMaxPerWorker(); limit > 0 && r.on(task.Step, c) >= limit {
+	if !size.Fits(free) || !hasLabel(c.GetLabels(), spec.GetRequires()) {
 		return false
 	}
-	return true
+	limit := spec.GetMaxPerWorker()
+	return limit <= 0 || r.on(task.Step, c) < limit
 }
 
 func hasLabel(labels []string, label string) bool {
@@ -374,8 +435,7 @@
 
 // harshness is by how much more the other filling images that wait would hurt a worker's serving tasks than one does.
 func (r *round) harshness(c *candidate, image string) float64 {
-	key := "harsh " + image
-	if known, ok := c.shares[key]; ok {
+	if known, ok := c.harsh[image]; ok {
 		return known
 	}
 	r.s.mu.Lock()
@@ -386,7 +446,7 @@
 		count += tasks
 	}
 	harsh := total/float64(max(1, count)) - r.s.worstCost(&c.sharing, image)
-	c.shares[key] = harsh
+	c.harsh[image] = harsh
 	return harsh
 }
 
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -138,6 +138,7 @@
 		case answer.Refusal == call.Accepted:
 			event.RunStarted.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "fence", s.fence)
 			s.setPhase(r, started)
+			s.paceFirst(r)
 			if committed, startable := s.standing(r); committed && !startable {
 				s.stopKey(r.runKey, "it may not run any more")
 			}
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -14,19 +14,23 @@
 
 // Sharing of workers between serving and filling tasks; headroom is target over tail, so that 1 is just on target.
 const (
-	placeHeadroom = 1.5                    // that serving tasks must keep when a filling one is placed
-	slowHeadroom  = 0.9                     // below which filling tasks are slowed
-	aimHeadroom   = 1.05                     // to which they are slowed
-	freeHeadroom  = 1.05                     // that must be left when they are given back their speed
-	leastCost     = 0.5                     // assumed of each pair, since a cost that seems zero is never surely so
-	servingUse    = 0.6                     // of a serving task's processors, at the peak of its load
-	roomShare     = 0.9                     // of a filling task's processors that must be unused
-	paceStep      = 10                      // percent
-	paceGap       = 600 * time.Millisecond  // between orders on one run: a reading covers half a second and an order works after a tenth
-	watchWait     = 300 * time.Millisecond  // of holds on a worker on which a serving task is near its target
-	lateTime      = 1500 * time.Millisecond // over target, after which all filling tasks are stopped short; well under the platform's bound on harm
+	slowHeadroom = 0.9                     // below which filling tasks are slowed
+	aimHeadroom  = 1.05                    // to which they are slowed
+	freeHeadroom = 1.05                    // that must be left when they are given back their speed
+	leastCost    = 0.5                     // assumed of each pair, since a cost that seems zero is never surely so
+	servingUse   = 0.6                     // of a serving task's processors, at the peak of its load
+	roomShare    = 0.9                     // of a filling task's processors that must be unused
+	paceStep     = 10                      // percent
+	lateSpeed    = 0.3                     // at which a filling task of a late workflow starts at least
+	crawl        = 0.1                     // at which the only task of a workflow starts, whatever it costs; one step of pace
+	paceGap      = 600 * time.Millisecond  // between orders on one run: a reading covers half a second and an order works after a tenth
+	watchWait    = 300 * time.Millisecond  // of holds on a worker on which a serving task is near its target
+	lateTime     = 1500 * time.Millisecond // over target, after which all filling tasks are stopped short; well under the platform's bound on harm
 )
 
+// placeHeadroom is what serving tasks must keep when a filling task is placed; the later its workflow, the less is left for its sake.
+var placeHeadroom = map[lateness]float64{inTime: 1.5, late: 1.3, useless: 1.1}
+
 // victim is a serving task as a link knows it.
 type victim struct {
 	image    string
@@ -179,6 +183,39 @@
 	}
 }
 
+// paceOf returns the pace at which a committed task works; the session's mutex is held.
+func (l *link) paceOf(task *workflow.Task) int {
+	key := runKey{task.Name(), task.Run}
+	if r := l.runs[key]; r != nil {
+		return r.pace
+	}
+	if pace, set := l.s.firstPace[key]; set {
+		return pace
+	}
+	return 100
+}
+
+// setFirstPace notes at what pace a run is to work once it has started.
+func (s *session) setFirstPace(key runKey, pace int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.firstPace[key] = pace
+}
+
+// paceFirst slows a run that has just started.
+func (s *session) paceFirst(r *run) {
+	s.mu.Lock()
+	pace, set := s.firstPace[r.runKey]
+	delete(s.firstPace, r.runKey)
+	if set {
+		r.paceBusy = true
+	}
+	s.mu.Unlock()
+	if set {
+		r.link.sendPace(r, pace)
+	}
+}
+
 // sharing is what a round knows of a worker's serving tasks.
 type sharing struct {
 	victims []*victim
@@ -194,17 +231,17 @@
 	capacity := float64(max(1, w.Capacity.MilliCPU))
 	for task := range w.Tasks {
 		if task.Step.Spec.GetFilling() {
-			sh.beside = append(sh.beside, headroom.Share{Image: task.Step.Spec.GetImage(), Share: float64(task.Step.Spec.GetSize().GetMilliCpu()) / capacity})
+			sh.beside = append(sh.beside, headroom.Share{Image: task.Step.Spec.GetImage(), Share: float64(task.Step.Spec.GetSize().GetMilliCpu()) / capacity * float64(l.paceOf(task)) / 100})
 		}
 	}
 	return sh
 }
 
-// shareFor returns how much of a worker a filling image may take more, so that every serving task there keeps its headroom.
-func (s *session) shareFor(sh *sharing, image string) float64 {
+// shareFor returns how much of a worker a filling image may take more, so that every serving task there keeps a headroom.
+func (s *session) shareFor(sh *sharing, image string, kept float64) float64 {
 	most := 1.0
 	for _, v := range sh.victims {
-		left := min(v.base.Now, v.base.Low+placeSlack) - s.tails.Lost(v.image, sh.beside) - placeHeadroom
+		left := min(v.base.Now, v.base.Low+placeSlack) - s.tails.Lost(v.image, sh.beside) - kept
 		most = min(most, left/max(leastCost, s.tails.Cost(v.image, image)))
 	}
 	return most
