--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -31,15 +31,16 @@
 
 // round is one look at all that waits.
 type round struct {
-	s      *session
-	t      *workflow.Tables
-	nowMS  int64
-	pools  map[string][]*candidate
-	placed map[*workflow.Step]map[*candidate]int32
-	starts []*wire.RunStart
-	racks  map[*workflow.Step]string
-	fills  map[string]int // waiting filling tasks by image
-	chance map[*workflow.Job]lateness
+	s       *session
+	t       *workflow.Tables
+	nowMS   int64
+	pools   map[string][]*candidate
+	placed  map[*workflow.Step]map[*candidate]int32
+	starts  []*wire.RunStart
+	racks   map[*workflow.Step]string
+	fills   map[string]int // waiting filling tasks by image
+	chance  map[*workflow.Job]lateness
+	wanting bool // a workflow that can be in time has no room
 }
 
 // place decides what starts where and has it committed; it returns false if the record was not.
@@ -203,6 +204,7 @@
 		}
 		c, pace := r.choose(task)
 		if c == nil {
+			r.wanting = r.wanting || r.chance[step.Job] == inTime
 			return
 		}
 		r.commit(task, task.Run+1, c, pace)
@@ -323,22 +325,17 @@
 	return slow, int(100*max(slowSpeed, crawl)) / paceStep * paceStep
 }
 
-// leastSpeed returns how slow a filling task may start: one whose workflow is late rather works slowly than not at all,
-// and a workflow of which nothing runs gets one task to work in any case.
+// leastSpeed returns how slow a filling task may start: a workflow of which nothing runs gets one task to work in any case.
 func (r *round) leastSpeed(task *workflow.Task) float64 {
-	switch {
-	case r.idle(task.Step.Job):
+	if r.idle(task.Step.Job) {
 		return crawl
-	case r.chance[task.Step.Job] == inTime:
-		return 1
-	default:
-		return lateSpeed
 	}
+	return 1
 }
 
-// idle says whether nothing of a workflow runs, or will by this round.
+// idle says whether nothing of a late workflow runs, or will by this round, and no workflow that can be in time wants the room.
 func (r *round) idle(j *workflow.Job) bool {
-	if r.chance[j] == inTime {
+	if r.chance[j] == inTime || r.wanting {
 		return false
 	}
 	for _, step := range j.Steps {
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -21,7 +21,6 @@
 	servingUse   = 0.6                     // of a serving task's processors, at the peak of its load
 	roomShare    = 0.9                     // of a filling task's processors that must be unused
 	paceStep     = 10                      // percent
-	lateSpeed    = 0.3                     // at which a filling task of a late workflow starts at least
 	crawl        = 0.1                     // at which the only task of a workflow starts, whatever it costs; one step of pace
 	paceGap      = 600 * time.Millisecond  // between orders on one run: a reading covers half a second and an order works after a tenth
 	watchWait    = 300 * time.Millisecond  // of holds on a worker on which a serving task is near its target
