--- a/entries/log.go
+++ b/entries/log.go
@@ -54,8 +54,8 @@
 	l.entries = append(l.entries, entries...)
 }
 
-// Merge takes over the entries after a matching previous one and removes what conflicts with them.
-func (l *Log) Merge(entries []*wire.Entry) {
+// Merge takes over the entries after a matching previous one and removes what conflicts with them; it returns the index of the first that is new, 0 if none is.
+func (l *Log) Merge(entries []*wire.Entry) uint64 {
 	for i, e := range entries {
 		if e.GetIndex() <= l.Offset {
 			continue
@@ -68,8 +68,9 @@
 			l.truncate(e.GetIndex())
 		}
 		l.Add(entries[i:]...)
-		return
+		return e.GetIndex()
 	}
+	return 0
 }
 
 // truncate removes the entries from index on.
--- a/progress/follower.go
+++ b/progress/follower.go
@@ -8,7 +8,8 @@
 	Next    uint64 // first index to send
 	Probing bool   // one append at a time until one agrees
 	Acked   uint64 // last heartbeat round that it answered
-	Voter   bool   // counts for a quorum
+	Votes   bool   // is a voting member of the group
+	Voter   bool   // counts for a quorum if it votes: its disk holds what it answered
 	Barrier uint64 // index that must be committed without it before it votes again
 
 	told    uint64   // commit index that it was last told
@@ -21,9 +22,12 @@
 
 // New returns a follower that may hold anything before next.
 func New(next uint64) *Follower {
-	return &Follower{Next: next, Voter: true, Probing: true}
+	return &Follower{Next: next, Votes: true, Voter: true, Probing: true}
 }
 
+// Silent returns the ticks since the follower answered.
+func (f *Follower) Silent() int { return f.silent }
+
 // Answer notes an answer and returns false if it speaks for a disk that is no more.
 func (f *Follower) Answer(disk uint64, recovering bool) bool {
 	if f.disk == 0 {
@@ -53,7 +57,7 @@
 	if f.disk != 0 {
 		f.retired = append(f.retired, f.disk)
 	}
-	*f = Follower{Next: next, disk: disk, retired: f.retired, Probing: true}
+	*f = Follower{Next: next, disk: disk, retired: f.retired, Probing: true, Votes: f.Votes}
 }
 
 // Active says whether the follower answered within the given number of ticks.
--- a/progress/followers.go
+++ b/progress/followers.go
@@ -17,16 +17,22 @@
 	return size/2 + 1
 }
 
-// quorum counts the leader in.
+// quorum counts the leader in, and those that vote.
 func (f Followers) quorum() int {
-	return Quorum(len(f) + 1)
+	voters := 1
+	for _, follower := range f {
+		if follower.Votes {
+			voters++
+		}
+	}
+	return Quorum(voters)
 }
 
 // Active says whether a quorum, the leader included, answered within the given number of ticks.
 func (f Followers) Active(ticks int) bool {
 	active := 1
 	for _, follower := range f {
-		if follower.Voter && follower.Active(ticks) {
+		if follower.Votes && follower.Voter && follower.Active(ticks) {
 			active++
 		}
 	}
@@ -37,6 +43,9 @@
 func (f Followers) Reached(own uint64, of func(*Follower) uint64) uint64 {
 	values := []uint64{own}
 	for _, follower := range f {
+		if !follower.Votes {
+			continue
+		}
 		value := of(follower)
 		if !follower.Voter {
 			value = 0
--- a/raft/election.go
+++ b/raft/election.go
@@ -4,7 +4,8 @@
 
 // election counts the answers to this node's own candidacy.
 type election struct {
-	votes map[uint64]struct{}
+	granted map[uint64]struct{}
+	forced  bool // the leader asked this node to take over, so that its lease does not count
 }
 
 // leased says whether a leader may still rely on this node not voting for another.
@@ -15,20 +16,22 @@
 func (n *Node) preCampaign() {
 	n.role, n.leader = PreCandidate, 0
 	n.resetTimer()
-	n.votes = map[uint64]struct{}{n.id: {}}
-	if len(n.votes) >= n.quorum() {
+	n.granted = map[uint64]struct{}{n.id: {}}
+	n.forced = false
+	if len(n.granted) >= n.quorum() {
 		n.campaign()
 		return
 	}
 	n.askVotes(wire.MessageKind_MESSAGE_KIND_PRE_VOTE, n.term+1)
+	n.sendJoin()
 }
 
 func (n *Node) campaign() {
 	n.role, n.leader = Candidate, 0
 	n.setTerm(n.term+1, n.id)
 	n.resetTimer()
-	n.votes = map[uint64]struct{}{n.id: {}}
-	if len(n.votes) >= n.quorum() {
+	n.granted = map[uint64]struct{}{n.id: {}}
+	if len(n.granted) >= n.quorum() {
 		n.lead()
 		return
 	}
@@ -37,7 +40,9 @@
 
 func (n *Node) askVotes(kind wire.MessageKind, term uint64) {
 	for _, id := range n.others {
-		n.send(&wire.Message{Kind: kind, To: id, Term: term, Index: n.log.Last(), LogTerm: n.log.LastTerm()})
+		if n.voting[id] {
+			n.send(&wire.Message{Kind: kind, To: id, Term: term, Index: n.log.Last(), LogTerm: n.log.LastTerm(), Forced: n.forced})
+		}
 	}
 }
 
@@ -51,7 +56,7 @@
 
 func (n *Node) answerVote(m *wire.Message) {
 	free := n.vote == 0 || n.vote == m.GetFrom()
-	grant := free && !n.leased() && n.log.UpToDate(m.GetIndex(), m.GetLogTerm())
+	grant := free && (!n.leased() || m.GetForced()) && n.log.UpToDate(m.GetIndex(), m.GetLogTerm())
 	if grant {
 		n.setTerm(n.term, m.GetFrom())
 		n.resetTimer()
@@ -60,21 +65,21 @@
 }
 
 func (n *Node) countPreVote(m *wire.Message) {
-	if n.role != PreCandidate || m.GetTerm() != n.term+1 {
+	if n.role != PreCandidate || m.GetTerm() != n.term+1 || !n.voting[m.GetFrom()] {
 		return
 	}
-	n.votes[m.GetFrom()] = struct{}{}
-	if len(n.votes) >= n.quorum() {
+	n.granted[m.GetFrom()] = struct{}{}
+	if len(n.granted) >= n.quorum() {
 		n.campaign()
 	}
 }
 
 func (n *Node) countVote(m *wire.Message) {
-	if n.role != Candidate || m.GetReject() {
+	if n.role != Candidate || m.GetReject() || !n.voting[m.GetFrom()] {
 		return
 	}
-	n.votes[m.GetFrom()] = struct{}{}
-	if len(n.votes) >= n.quorum() {
+	n.granted[m.GetFrom()] = struct{}{}
+	if len(n.granted) >= n.quorum() {
 		n.lead()
 	}
 }
--- a/raft/follower.go
+++ b/raft/follower.go
@@ -30,7 +30,7 @@
 		}
 		return
 	}
-	n.log.Merge(m.GetEntries())
+	n.mergeMembers(m.GetEntries(), n.log.Merge(m.GetEntries()))
 	end := m.GetIndex() + uint64(len(m.GetEntries()))
 	n.matched = max(n.matched, end, previous)
 	reply.Index = n.matched
@@ -77,5 +77,6 @@
 	n.log.Reset(m.GetIndex(), m.GetLogTerm())
 	n.delivered = m.GetIndex()
 	n.snapshotIndex = m.GetIndex()
-	n.install = &wire.Snapshot{Index: m.GetIndex(), Term: m.GetLogTerm(), Data: m.GetSnapshot()}
+	n.install = &wire.Snapshot{Index: m.GetIndex(), Term: m.GetLogTerm(), Data: m.GetSnapshot(), Members: m.GetMembers()}
+	n.resetMembers(m.GetIndex(), m.GetMembers())
 }
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -18,11 +18,10 @@
 func (n *Node) lead() {
 	n.role, n.leader = Leader, n.id
 	n.followers = progress.Followers{}
-	for _, id := range n.others {
-		n.followers[id] = progress.New(n.log.Last() + 1)
-	}
+	n.setFollowers()
 	n.round, n.confirmed = 0, 0
-	n.appendLocal(nil)
+	n.joining = nil
+	n.appendFirst()
 	n.termStart = n.log.Last()
 	n.StartRound()
 	n.broadcast()
@@ -147,7 +146,7 @@
 		return nil
 	}
 	f := n.followers[m.GetFrom()]
-	if !f.Answer(m.GetDisk(), m.GetRecovering()) {
+	if f == nil || !f.Answer(m.GetDisk(), m.GetRecovering()) {
 		return nil
 	}
 	return f
--- a/raft/node.go
+++ b/raft/node.go
@@ -32,7 +32,8 @@
 // Options is what a node starts from: its group, its timing in ticks, and what its disk held.
 type Options struct {
 	ID            uint64
-	Peers         []uint64 // the whole group, its own ID included
+	Peers         []uint64 // replicas that vote in a group that has no log yet, its own ID included if it is one of them
+	Joins         bool     // blank disks alone never form a group, since there is one already
 	ElectionTicks int
 	Rand          *rand.Rand
 	State         *wire.HardState
@@ -56,8 +57,9 @@
 
 // Node is one replica's step function; it is not safe for concurrent use.
 type Node struct {
-	id             uint64
-	others         []uint64
+	id uint64
+	configuration
+	forms          bool // whether blank disks alone may form a group
 	electionTicks  int
 	heartbeatTicks int
 	rand           *rand.Rand
@@ -84,13 +86,9 @@
 
 // New returns a node that continues from what its disk held.
 func New(o Options) *Node {
-	n := &Node{id: o.ID, electionTicks: o.ElectionTicks, rand: o.Rand}
+	n := &Node{id: o.ID, electionTicks: o.ElectionTicks, rand: o.Rand, forms: !o.Joins}
 	n.heartbeatTicks = max(1, o.ElectionTicks/heartbeatsPerElection)
-	for _, id := range o.Peers {
-		if id != o.ID {
-			n.others = append(n.others, id)
-		}
-	}
+	n.begin(o)
 	n.term, n.vote, n.disk, n.recovering = o.State.GetTerm(), o.State.GetVote(), o.State.GetDisk(), o.State.GetRecovering()
 	if o.Snapshot != nil {
 		n.log.Reset(o.Snapshot.GetIndex(), o.Snapshot.GetTerm())
@@ -158,6 +156,8 @@
 		n.tickRecovery()
 	case n.role == Leader:
 		n.tickLeader()
+	case n.elapsed >= n.timeout && !n.votes:
+		n.askToJoin()
 	case n.elapsed >= n.timeout:
 		n.preCampaign()
 	}
@@ -187,7 +187,7 @@
 }
 
 func (n *Node) quorum() int {
-	return progress.Quorum(len(n.others) + 1)
+	return progress.Quorum(n.voters)
 }
 
 // ID returns the node's own identity.
@@ -221,4 +221,5 @@
 func (n *Node) Compact(index, keepFrom uint64) {
 	n.snapshotIndex = max(n.snapshotIndex, index)
 	n.log.Compact(min(index, keepFrom))
+	n.forgetBefore(n.log.Offset)
 }
--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -14,7 +14,7 @@
 	if !n.recovering {
 		return
 	}
-	for _, id := range n.others {
+	for _, id := range n.known() {
 		n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER, To: id, Nonce: n.disk})
 	}
 }
@@ -41,6 +41,10 @@
 		n.answerRecover(m)
 	case wire.MessageKind_MESSAGE_KIND_RECOVER_REPLY:
 		n.takeRecoverReply(m)
+	case wire.MessageKind_MESSAGE_KIND_JOIN:
+		n.noteJoin(m)
+	case wire.MessageKind_MESSAGE_KIND_MEMBERS:
+		n.meet(m.GetMembers())
 	default:
 		return false
 	}
@@ -48,6 +52,7 @@
 }
 
 func (n *Node) answerRecover(m *wire.Message) {
+	n.noteJoin(m)
 	reply := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER_REPLY, To: m.GetFrom(), Term: n.term, Nonce: m.GetNonce()}
 	switch {
 	case n.blank():
@@ -55,7 +60,7 @@
 	case n.role == Leader && n.barrierDone(m):
 		reply.Index = n.followers[m.GetFrom()].Barrier
 	default:
-		return
+		reply = &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_MEMBERS, To: m.GetFrom(), Members: n.Members()}
 	}
 	n.send(reply)
 }
@@ -63,6 +68,9 @@
 // barrierDone says whether a barrier begun after the loss of the disk has been committed without the replica that lost it.
 func (n *Node) barrierDone(m *wire.Message) bool {
 	f := n.followers[m.GetFrom()]
+	if f == nil {
+		return false
+	}
 	if !f.Replace(m.GetNonce(), n.log.Last()+1) {
 		return false
 	}
@@ -95,7 +103,7 @@
 	if !n.recovering {
 		return
 	}
-	first := n.blank() && len(n.fresh) == len(n.others)
+	first := n.forms && n.blank() && len(n.fresh) == len(n.others)
 	caughtUp := n.awaited > 0 && n.log.Commit >= n.awaited
 	if !first && !caughtUp {
 		return
--- a/raft/step.go
+++ b/raft/step.go
@@ -4,7 +4,7 @@
 
 // Step takes in one message from a peer.
 func (n *Node) Step(m *wire.Message) {
-	if m.GetTo() != n.id || !n.isPeer(m.GetFrom()) {
+	if m.GetTo() != n.id || m.GetFrom() == n.id {
 		return
 	}
 	if n.stepRecovery(m) || n.recovering && isElection(m.GetKind()) {
@@ -20,21 +20,12 @@
 	n.stepTerm(m)
 }
 
-func (n *Node) isPeer(id uint64) bool {
-	for _, other := range n.others {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 func isElection(k wire.MessageKind) bool {
 	return k >= wire.MessageKind_MESSAGE_KIND_PRE_VOTE && k <= wire.MessageKind_MESSAGE_KIND_VOTE_REPLY
 }
 
 func fromLeader(k wire.MessageKind) bool {
-	return k == wire.MessageKind_MESSAGE_KIND_APPEND || k == wire.MessageKind_MESSAGE_KIND_HEARTBEAT || k == wire.MessageKind_MESSAGE_KIND_SNAPSHOT
+	return k == wire.MessageKind_MESSAGE_KIND_TAKE_OVER || k == wire.MessageKind_MESSAGE_KIND_APPEND || k == wire.MessageKind_MESSAGE_KIND_HEARTBEAT || k == wire.MessageKind_MESSAGE_KIND_SNAPSHOT
 }
 
 // stepNewerTerm moves on to the message's term where it has one to move to, and says whether the message is handled further.
@@ -49,7 +40,7 @@
 			return false
 		}
 	case wire.MessageKind_MESSAGE_KIND_VOTE:
-		if n.leased() {
+		if n.leased() && !m.GetForced() {
 			return false
 		}
 	}
@@ -90,5 +81,7 @@
 		n.countAppend(m)
 	case wire.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY:
 		n.countHeartbeat(m)
+	case wire.MessageKind_MESSAGE_KIND_TAKE_OVER:
+		n.takeOver()
 	}
 }
