--- a/command/installation.go
+++ b/command/installation.go
@@ -23,20 +23,22 @@
 	control *control.Control
 	front   *platform.Control
 	client  *platform.Client
+	watch   *fileWatch
 }
 
-func newMember(_ string, s *settings.Member) (*member, error) {
+func newMember(path string, s *settings.Member) (*member, error) {
 	m := &member{client: platform.NewClient()}
 	c := &settings.Control{
 		Common: s.Common, ID: replicaID(s.Inner), Data: s.Data, TickMS: s.TickMS, ElectionTicks: s.ElectionTicks,
 		LeaseMS: s.LeaseMS, SnapshotEvery: s.SnapshotEvery,
 	}
-	for _, address := range innerAddresses(s.Seeds, s.Inner) {
-		c.Control = append(c.Control, settings.Replica{ID: replicaID(address), Inner: address})
+	for id, address := range seedReplicas(s.Seeds, s.Inner) {
+		c.Control = append(c.Control, settings.Replica{ID: id, Inner: address})
 	}
 	var err error
 	m.control, err = control.New(control.Options{
 		Settings: c, Boot: clock.Boot,
+		Found: &control.Found{First: s.First == 1, Losses: int(s.Losses)},
 		Called: &control.Called{
 			Calls:        m.client.Calls(),
 			Lease:        time.Duration(s.LeaseMS) * time.Millisecond,
@@ -50,12 +52,30 @@
 	if err != nil {
 		return nil, errors.Join(err, m.control.Close())
 	}
+	m.watch = watchFile(path, func(source []byte) error {
+		changed, err := settings.ParseMember(path, source)
+		if err != nil {
+			return err
+		}
+		m.control.SetSeeds(seedReplicas(changed.Seeds, s.Inner))
+		return nil
+	})
 	return m, nil
 }
 
+// seedReplicas returns the drpc addresses of the control processes that seeds name, by replica.
+func seedReplicas(seeds []settings.Seed, inner string) map[uint64]string {
+	replicas := map[uint64]string{}
+	for _, address := range innerAddresses(seeds, inner) {
+		replicas[replicaID(address)] = address
+	}
+	return replicas
+}
+
 // Close ends the front, then the control process, and waits.
 func (m *member) Close() error {
-	err := errors.Join(m.front.Close(), m.control.Close())
+	m.watch.close()
+	err := errors.Join(m.control.Close(), m.front.Close())
 	m.client.Close()
 	return err
 }
--- a/control/control.go
+++ b/control/control.go
@@ -37,6 +37,20 @@
 	Listen   func(address string) (net.Listener, error)                  // TCP when nil
 	Boot     func() time.Duration                                        // clock of leases; the monotonic one when nil
 	Called   *Called                                                     // how workers are called; nil if all of them poll
+	Found    *Found                                                      // set if the settings' list of replicas only says where some may be found
+}
+
+// Found says how a group of replicas forms and changes that no settings name in full.
+type Found struct {
+	First  bool // no group has been formed yet
+	Losses int  // replicas that may be lost at once
+}
+
+func (f *Found) losses() int {
+	if f == nil {
+		return 0
+	}
+	return f.Losses
 }
 
 // Called says how workers are called, and how long their leases are.
@@ -50,7 +64,6 @@
 // Locks are taken in the order mu, leases, state machine, workflows, and last one of measures, watchers, announced and the loops'.
 type Control struct {
 	settings  *settings.Control
-	addresses map[uint64]string
 	replica   *replica.Replica
 	machine   *state.Machine
 	leases    *lease.Table
@@ -79,14 +92,10 @@
 		o.Listen = inner.ListenTCP
 	}
 	c := &Control{
-		settings:  s,
-		addresses: map[uint64]string{},
-		leases:    lease.New(lease.Options{Length: time.Duration(s.LeaseMS) * time.Millisecond, DriftPPM: s.DriftPPM}),
-		measures:  measure.New(),
-		watchers:  newWatchers(),
-	}
-	for _, r := range s.Control {
-		c.addresses[r.ID] = r.Inner
+		settings: s,
+		leases:   lease.New(lease.Options{Length: time.Duration(s.LeaseMS) * time.Millisecond, DriftPPM: s.DriftPPM}),
+		measures: measure.New(),
+		watchers: newWatchers(),
 	}
 	c.machine = state.New(state.Options{
 		AuditKeep:            int(s.AuditKeep),
@@ -111,9 +120,18 @@
 }
 
 func (c *Control) open(o Options) error {
+	addresses := map[uint64]string{}
+	for _, r := range c.settings.Control {
+		addresses[r.ID] = r.Inner
+	}
 	r, err := replica.New(replica.Options{
 		ID:            c.settings.ID,
-		Peers:         c.addresses,
+		Peers:         addresses,
+		Address:       c.settings.Inner,
+		Domain:        c.settings.Domain,
+		Found:         o.Found != nil,
+		First:         o.Found != nil && o.Found.First,
+		Losses:        o.Found.losses(),
 		Dir:           filepath.Clean(c.settings.Data),
 		Dial:          o.Dial,
 		Tick:          time.Duration(c.settings.TickMS) * time.Millisecond,
@@ -257,6 +275,11 @@
 	return result, nil
 }
 
+// SetSeeds replaces the drpc addresses, by replica, where the group may be found.
+func (c *Control) SetSeeds(seeds map[uint64]string) {
+	c.replica.SetSeeds(seeds)
+}
+
 // Ready says why the process is not ready for use, nil if it is.
 func (c *Control) Ready() error {
 	info := c.replica.Info()
@@ -274,6 +297,7 @@
 
 // Close ends the scheduling loop, the listeners and the replica, and waits.
 func (c *Control) Close() error {
+	c.replica.HandOver(context.Background())
 	c.leadingEnds()
 	c.watchers.close()
 	err := c.server.Close()
--- a/control/service.go
+++ b/control/service.go
@@ -47,7 +47,7 @@
 	return &wire.Failure{
 		Verdict: inner.ToWire(verdict.Of(err)),
 		Reason:  err.Error(),
-		Leader:  c.addresses[c.replica.Info().Leader],
+		Leader:  c.replica.Info().LeaderAddress,
 	}
 }
 
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -51,8 +51,8 @@
 	}
 	info := c.replica.Info()
 	not := &NotLeader{}
-	if address := c.addresses[info.Leader]; info.Leader != c.settings.ID {
-		not.Leader = address
+	if info.Leader != c.settings.ID {
+		not.Leader = info.LeaderAddress
 	}
 	return verdict.New(verdict.NotRun, "this replica does not lead", not)
 }
@@ -254,8 +254,10 @@
 
 func (c *Control) replicaAddresses() []string {
 	var all []string
-	for _, address := range c.addresses {
-		all = append(all, address)
+	for _, m := range c.replica.Info().Members.GetMembers() {
+		if m.GetAddress() != "" {
+			all = append(all, m.GetAddress())
+		}
 	}
 	return all
 }
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,172 @@
+package membership
+
+import (
+	"time"
+
+	"daisyswitch/raft"
+	"daisyswitch/wire"
+)
+
+// When a member counts as lost.
+const (
+	lostAfter   = 1500 * time.Millisecond // a voter that is silent for so long is replaced: three election timeouts, and well within the time that a successor has to catch up
+	forgetAfter = 30 * time.Second        // a member without a vote that is silent for so long is removed; a restart takes a few seconds
+	nearEnough  = 256                     // log records that a replica may lack and still count as holding everything: they arrive within one round trip
+)
+
+// View is what a leader knows of its group.
+type View struct {
+	Self     uint64
+	Members  *wire.Members
+	Others   []raft.Standing
+	Joining  []*wire.Member
+	Last     uint64        // last index of the log
+	Tick     time.Duration // unit of silence
+	Losses   int           // voters that may be lost at once
+	Replaces bool          // whether voters may be chosen at all; false where settings name the group
+}
+
+// Next returns the group that ought to follow the present one, nil if it may stay; it differs in one replica only.
+func Next(v *View) *wire.Members {
+	if !v.Replaces {
+		return nil
+	}
+	if len(v.Joining) > 0 {
+		return with(v.Members, v.Joining[0])
+	}
+	voters := countVoters(v.Members)
+	wanted := 2*v.Losses + 1
+	lost := v.lostVoter()
+	switch {
+	case voters > wanted && lost != nil:
+		return vote(v.Members, lost.GetId(), false)
+	case voters > wanted:
+		if spare := v.spareVoter(); spare != nil {
+			return vote(v.Members, spare.GetId(), false)
+		}
+	case voters < wanted || lost != nil:
+		if successor := v.successor(); successor != nil {
+			return vote(v.Members, successor.GetId(), true)
+		}
+	}
+	if gone := v.goneMember(); gone != nil {
+		return without(v.Members, gone.GetId())
+	}
+	return nil
+}
+
+func countVoters(members *wire.Members) int {
+	voters := 0
+	for _, m := range members.GetMembers() {
+		if m.GetVotes() {
+			voters++
+		}
+	}
+	return voters
+}
+
+func (v *View) silence(s *raft.Standing) time.Duration {
+	return time.Duration(s.Silent) * v.Tick
+}
+
+// lostVoter returns the voter that has been silent longest, nil if none counts as lost.
+func (v *View) lostVoter() *raft.Standing {
+	var lost *raft.Standing
+	for i := range v.Others {
+		s := &v.Others[i]
+		if s.GetVotes() && v.silence(s) > lostAfter && (lost == nil || s.Silent > lost.Silent) {
+			lost = s
+		}
+	}
+	return lost
+}
+
+// spareVoter returns the voter to give up when all answer: one whose failure domain has most voters.
+func (v *View) spareVoter() *raft.Standing {
+	domains := v.voterDomains()
+	var spare *raft.Standing
+	for i := range v.Others {
+		s := &v.Others[i]
+		if s.GetVotes() && (spare == nil || domains[s.GetDomain()] > domains[spare.GetDomain()]) {
+			spare = s
+		}
+	}
+	return spare
+}
+
+// successor returns the replica without a vote that holds everything and whose failure domain has fewest voters, nil if there is none.
+func (v *View) successor() *raft.Standing {
+	domains := v.voterDomains()
+	var best *raft.Standing
+	for i := range v.Others {
+		s := &v.Others[i]
+		if s.GetVotes() || s.Repairs || s.Match == 0 || s.Match+nearEnough < v.Last || v.silence(s) > lostAfter/3 {
+			continue
+		}
+		if best == nil || domains[s.GetDomain()] < domains[best.GetDomain()] {
+			best = s
+		}
+	}
+	return best
+}
+
+// voterDomains counts the voters that answer, by failure domain.
+func (v *View) voterDomains() map[string]int {
+	domains := map[string]int{}
+	for i := range v.Others {
+		if s := &v.Others[i]; s.GetVotes() && v.silence(s) <= lostAfter {
+			domains[s.GetDomain()]++
+		}
+	}
+	for _, m := range v.Members.GetMembers() {
+		if m.GetId() == v.Self {
+			domains[m.GetDomain()]++
+		}
+	}
+	return domains
+}
+
+// goneMember returns a member without a vote that is no more.
+func (v *View) goneMember() *raft.Standing {
+	for i := range v.Others {
+		s := &v.Others[i]
+		if !s.GetVotes() && v.silence(s) > forgetAfter {
+			return s
+		}
+	}
+	return nil
+}
+
+func clone(members *wire.Members) *wire.Members {
+	next := &wire.Members{}
+	for _, m := range members.GetMembers() {
+		next.Members = append(next.Members, &wire.Member{Id: m.GetId(), Address: m.GetAddress(), Votes: m.GetVotes(), Domain: m.GetDomain()})
+	}
+	return next
+}
+
+func with(members *wire.Members, joining *wire.Member) *wire.Members {
+	next := clone(members)
+	next.Members = append(next.Members, &wire.Member{Id: joining.GetId(), Address: joining.GetAddress(), Domain: joining.GetDomain()})
+	return next
+}
+
+func without(members *wire.Members, id uint64) *wire.Members {
+	next := &wire.Members{}
+	for _, m := range clone(members).GetMembers() {
+		if m.GetId() != id {
+			next.Members = append(next.Members, m)
+		}
+	}
+	return next
+}
+
+func vote(members *wire.Members, id uint64, votes bool) *wire.Members {
+	next := clone(members)
+	for _, m := range next.GetMembers() {
+		if m.GetId() == id {
+			m.Votes = votes
+		}
+	}
+	return next
+}
--- a/peer/parts.go
+++ b/peer/parts.go
@@ -10,7 +10,7 @@
 	for offset := 0; offset < total; offset += partBytes {
 		part := &wire.Message{
 			Kind: m.GetKind(), From: m.GetFrom(), To: m.GetTo(), Term: m.GetTerm(), Disk: m.GetDisk(),
-			Index: m.GetIndex(), LogTerm: m.GetLogTerm(),
+			Index: m.GetIndex(), LogTerm: m.GetLogTerm(), Address: m.GetAddress(), Domain: m.GetDomain(), Members: m.GetMembers(),
 			Snapshot: m.GetSnapshot()[offset:min(total, offset+partBytes)],
 			Offset:   uint64(offset), Total: uint64(total),
 		}
--- a/raft/members.go
+++ b/raft/members.go
@@ -44,6 +44,9 @@
 	n.useMembers()
 }
 
+// Alone says whether the node is the only voter.
+func (n *Node) Alone() bool { return n.votes && n.voters == 1 }
+
 // Members returns the group in force.
 func (n *Node) Members() *wire.Members {
 	return n.changes[len(n.changes)-1].members
--- a/replica/apply.go
+++ b/replica/apply.go
@@ -12,8 +12,9 @@
 // applier runs what the loop hands it, in order, in one goroutine; the loop never waits for it.
 type applier struct {
 	*serial.Queue
-	snapshot uint64      // index of the last snapshot begun
-	saving   atomic.Bool // a snapshot is being written
+	snapshot uint64        // index of the last snapshot begun
+	members  *wire.Members // of the group, as of what is applied; nil until the log says
+	saving   atomic.Bool   // a snapshot is being written
 }
 
 // committed is an entry with the proposal that waits for it, if it was made here.
@@ -29,6 +30,9 @@
 		if len(e.GetData()) > 0 {
 			result = r.o.Apply(e.GetIndex(), e.GetData())
 		}
+		if e.GetMembers() != nil {
+			r.applier.members = e.GetMembers()
+		}
 		r.applied.Store(e.GetIndex())
 		if e.proposal != nil {
 			e.proposal.Finish(proposal.Outcome{Result: result})
@@ -44,7 +48,7 @@
 		return
 	}
 	a.snapshot = e.GetIndex()
-	s := &wire.Snapshot{Index: e.GetIndex(), Term: e.GetTerm(), Data: r.o.Snapshot()}
+	s := &wire.Snapshot{Index: e.GetIndex(), Term: e.GetTerm(), Data: r.o.Snapshot(), Members: a.members}
 	r.tasks.Go(func() {
 		defer a.saving.Store(false)
 		r.save(s)
@@ -78,6 +82,9 @@
 		return
 	}
 	r.applier.snapshot = s.GetIndex()
+	if s.GetMembers() != nil {
+		r.applier.members = s.GetMembers()
+	}
 	r.applied.Store(s.GetIndex())
 	event.SnapshotInstalled.Info("replica", r.o.ID, "index", s.GetIndex(), "bytes", len(s.GetData()))
 }
--- a/replica/confirm.go
+++ b/replica/confirm.go
@@ -63,7 +63,7 @@
 
 // serves says whether this node leads and has committed an entry of its term, so that its commit index is no older than any leader's before it.
 func (r *Replica) serves() bool {
-	return r.node.Role() == raft.Leader && r.node.Commit() >= r.node.TermStart() && r.node.Confirmed() > 0
+	return r.node.Role() == raft.Leader && !r.yielding && r.node.Commit() >= r.node.TermStart() && r.node.Confirmed() > 0
 }
 
 // finishReads answers the reads whose round is confirmed, after what is handed to the applier already.
--- a/replica/info.go
+++ b/replica/info.go
@@ -5,6 +5,7 @@
 
 	"daisyswitch/raft"
 	"daisyswitch/verdict"
+	"daisyswitch/wire"
 )
 
 // Info is what a replica knows of itself and, if it leads, of its peers.
@@ -19,6 +20,7 @@
 	Recovering    bool  // lost its disk and is not yet a full member
 	Err           error // what ended its part in the group, nil while it takes part
 	Peers         []PeerInfo
+	Members       *wire.Members // of the group, as the log says
 }
 
 // PeerInfo is a leader's view of one other replica.
@@ -42,7 +44,8 @@
 	info := &Info{
 		ID:            r.o.ID,
 		Leader:        n.Leader(),
-		LeaderAddress: r.o.Peers[n.Leader()],
+		LeaderAddress: r.peers.Address(n.Leader()),
+		Members:       n.Members(),
 		Term:          n.Term(),
 		Commit:        n.Commit(),
 		Last:          n.Last(),
@@ -50,12 +53,13 @@
 		Err:           r.err,
 	}
 	if n.Role() == raft.Leader {
-		for id, address := range r.o.Peers {
+		for _, member := range n.Members().GetMembers() {
+			id := member.GetId()
 			if id == r.o.ID {
 				continue
 			}
 			match, active := n.Progress(id)
-			info.Peers = append(info.Peers, PeerInfo{ID: id, Address: address, Match: match, Active: active})
+			info.Peers = append(info.Peers, PeerInfo{ID: id, Address: r.peers.Address(id), Match: match, Active: active})
 		}
 	}
 	r.info.Store(info)
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -25,6 +25,7 @@
 	ledTerm    uint64 // term in which this replica leads, 0 if it does not
 	leading    bool   // told by Leading
 	delivered  uint64 // last index handed to the applier
+	yielding   bool   // hands its leadership on
 	recovering bool
 	broken     chan error
 	err        error
@@ -63,6 +64,7 @@
 		now = r.since()
 		r.node.Tick()
 		r.peers.Watch()
+		r.reconfigure()
 	case m := <-r.peers.Inbox():
 		now = r.since()
 		r.receive(m)
@@ -74,6 +76,13 @@
 		r.arrived = append(r.arrived, q)
 	case index := <-r.saved:
 		return r.compact(index)
+	case seeds := <-r.seeds:
+		now = r.since()
+		r.useSeeds(seeds)
+	case <-r.yields:
+		now = r.since()
+		r.yielding = true
+		r.leaseUntil.Store(0)
 	}
 	r.drain()
 	return r.flush(now)
@@ -97,6 +106,7 @@
 
 func (r *Replica) receive(m *wire.Message) {
 	r.peers.Receive(m)
+	r.meet(m.GetMembers())
 	r.node.Step(m)
 }
 
@@ -104,6 +114,7 @@
 func (r *Replica) flush(now time.Duration) bool {
 	r.noteRole()
 	r.startReads()
+	r.yield()
 	for {
 		r.noteRounds(now)
 		ready := r.node.Ready()
@@ -147,7 +158,7 @@
 			if err != nil {
 				return err
 			}
-			m.Index, m.LogTerm, m.Snapshot = s.GetIndex(), s.GetTerm(), s.GetData()
+			m.Index, m.LogTerm, m.Snapshot, m.Members = s.GetIndex(), s.GetTerm(), s.GetData(), s.GetMembers()
 		}
 		r.peers.Send(m)
 	}
@@ -186,6 +197,7 @@
 		return
 	}
 	r.ledTerm = led
+	r.yielding = false
 	r.rounds = nil
 	r.leaseUntil.Store(0)
 	r.publish()
@@ -202,13 +214,15 @@
 	if len(r.rounds) > 0 {
 		last = r.rounds[len(r.rounds)-1].round
 	}
-	if round := r.node.Round(); round > max(last, r.node.Confirmed()) || r.peers.Size() == 0 {
+	if round := r.node.Round(); round > max(last, r.node.Confirmed()) || r.node.Alone() {
 		r.rounds = append(r.rounds, roundStart{round: round, at: now})
 		r.assignReads(round)
 	}
 	lease := time.Duration(r.o.ElectionTicks-leaseMargin) * r.o.Tick
 	for len(r.rounds) > 0 && r.rounds[0].round <= r.node.Confirmed() {
-		r.leaseUntil.Store(int64(r.rounds[0].at + lease))
+		if !r.yielding {
+			r.leaseUntil.Store(int64(r.rounds[0].at + lease))
+		}
 		r.rounds = r.rounds[1:]
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -36,7 +36,12 @@
 // Options says who the group is, where its data lies and what the log drives; Snapshot, Restore and Apply are called from one goroutine.
 type Options struct {
 	ID            uint64
-	Peers         map[uint64]string // drpc addresses of all replicas, its own included
+	Peers         map[uint64]string // drpc addresses of the replicas that the settings name, its own included if it is one of them
+	Address       string            // its own, as others reach it; needed only where Found is set
+	Domain        string            // its own failure domain
+	Found         bool              // Peers are only where some replicas may be found: the group grows and changes by itself
+	First         bool              // with Found: no group has been formed yet
+	Losses        int               // with Found: voters that may be lost at once
 	Dir           string
 	Dial          func(ctx context.Context, address string) (net.Conn, error)
 	Tick          time.Duration
@@ -67,6 +72,8 @@
 	proposals chan *proposal.Proposal
 	reads     chan *read
 	saved     chan uint64 // indexes of snapshots on disk
+	seeds     chan map[uint64]string
+	yields    chan struct{}
 	peers     *peer.Connections
 	applier   applier
 
@@ -126,6 +133,8 @@
 		proposals: make(chan *proposal.Proposal, waitingProposals),
 		reads:     make(chan *read, waitingProposals),
 		saved:     make(chan uint64),
+		seeds:     make(chan map[uint64]string),
+		yields:    make(chan struct{}),
 	}
 	if o.Boot != nil {
 		r.startedBoot = o.Boot()
@@ -136,6 +145,7 @@
 	r.node = raft.New(raft.Options{
 		ID:            o.ID,
 		Peers:         ids(o.Peers),
+		Joins:         o.Found && !o.First,
 		ElectionTicks: o.ElectionTicks,
 		Rand:          rand.New(rand.NewPCG(o.Seed, o.ID)),
 		State:         loaded.State,
@@ -145,11 +155,16 @@
 	r.peers = peer.New(peer.Options{
 		ID:      o.ID,
 		Peers:   o.Peers,
+		Address: o.Address,
+		Domain:  o.Domain,
 		Dial:    o.Dial,
 		Redial:  redialTicks * o.Tick,
 		Silence: time.Duration(o.ElectionTicks) * o.Tick,
 		Ended:   r.ended,
 	})
+	r.applier.members = loaded.Snapshot.GetMembers()
+	r.node.SetContacts(ids(o.Peers))
+	r.meet(r.node.Members())
 	r.pending = map[uint64]*proposal.Proposal{}
 	r.broken = make(chan error)
 	r.delivered = loaded.Snapshot.GetIndex()
