Let a replica without its disk ask to be let in however often its leader is heard

Cause: the timer of its questions was set back by each of the leader's messages, so that under load none was sent. The test fails without the change.

--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -68,6 +68,20 @@
 	assert.Equal(t, n.Commit(), n.Last())
 }
 
+// TestRecoveringReplicaAsksUnderLoad: a leader that is heard all the time must not keep a replica from asking to be let in.
+func TestRecoveringReplicaAsksUnderLoad(t *testing.T) {
+	const ticks = 10 // so that two ticks pass between heartbeats
+	n := raft.New(raft.Options{ID: 1, Peers: []uint64{1, 2, 3}, ElectionTicks: ticks, Rand: rand.New(rand.NewPCG(1, 1)), State: &wire.HardState{Recovering: true, Disk: diskOf1}})
+	flush(n, 0)
+	asked := 0
+	for range 2 * ticks {
+		n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_HEARTBEAT, From: 2, To: 1, Term: 1, Disk: diskOf2})
+		n.Tick()
+		asked += len(flush(n, wire.MessageKind_MESSAGE_KIND_RECOVER))
+	}
+	assert.Assert(t, asked > 0, "never asked")
+}
+
 func TestAnswersOfLostDiskAreForgotten(t *testing.T) {
 	n := node(&wire.HardState{Term: 1}, 1)
 	elect(t, n)
--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -4,8 +4,9 @@
 
 // recovery is the part of the state that only a replica without its former disk uses.
 type recovery struct {
-	fresh   map[uint64]struct{} // peers that have never voted nor held a record
-	awaited uint64              // barrier that must be committed and held, 0 until a leader has named it
+	fresh      map[uint64]struct{} // peers that have never voted nor held a record
+	sinceAsked int                 // ticks
+	awaited    uint64              // barrier that must be committed and held, 0 until a leader has named it
 }
 
 // recover asks the group whether this is its first start or a lost disk.
@@ -24,7 +25,9 @@
 		n.leader = 0
 		n.resetTimer()
 	}
-	if n.elapsed%n.heartbeatTicks == 0 {
+	n.sinceAsked++
+	if n.sinceAsked >= n.heartbeatTicks {
+		n.sinceAsked = 0
 		n.recover()
 	}
 }
