--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -15,12 +15,14 @@
 // candidate is a worker with what this round has placed on it so far.
 type candidate struct {
 	*workflow.Worker
-	free    resource.Size
-	unused  int64 // thousandths of a core that filling tasks may still use
-	sharing sharing
-	images  map[string]int       // of lasting tasks, with their number
-	shares  map[shareKey]float64 // worked out when first asked for
-	harsh   map[string]float64   // by filling image, likewise
+	free      resource.Size
+	unused    int64         // thousandths of a core that filling tasks may still use
+	passing   resource.Size // of tasks that neither last nor fill, which end by themselves
+	suspended bool          // it fails its tasks
+	sharing   sharing
+	images    map[string]int       // of lasting tasks, with their number
+	shares    map[shareKey]float64 // worked out when first asked for
+	harsh     map[string]float64   // by filling image, likewise
 }
 
 // shareKey names how much of a worker a filling image may take, for the sake of workflows that can still reach something.
@@ -87,15 +89,18 @@
 	defer r.s.mu.Unlock()
 	for id, w := range r.t.Workers {
 		l := r.s.links[id]
-		if l == nil || w.GetLeaving() || r.t.Out[w.GetDomain()] || !l.usable(now) || now < l.health.suspended {
+		if l == nil || w.GetLeaving() || r.t.Out[w.GetDomain()] || !l.usable(now) {
 			continue
 		}
-		c := &candidate{Worker: w, free: w.Free(), unused: w.Capacity.MilliCPU, sharing: r.s.sharingOf(l, w), shares: map[shareKey]float64{}, harsh: map[string]float64{}, images: map[string]int{}}
+		c := &candidate{Worker: w, suspended: now < l.health.suspended, free: w.Free(), unused: w.Capacity.MilliCPU, sharing: r.s.sharingOf(l, w), shares: map[shareKey]float64{}, harsh: map[string]float64{}, images: map[string]int{}}
 		for task := range w.Tasks {
 			if task.Step.Spec.GetLasting() {
 				c.images[task.Step.Spec.GetImage()]++
 			}
 			c.unused -= use(task.Step.Spec) * int64(l.paceOf(task)) / 100
+			if !task.Step.Spec.GetLasting() && !task.Step.Spec.GetFilling() {
+				c.passing = c.passing.Add(resource.FromWire(task.Step.Spec.GetSize()))
+			}
 		}
 		r.pools[w.GetPool()] = append(r.pools[w.GetPool()], c)
 	}
@@ -203,6 +208,10 @@
 			continue
 		}
 		c, pace := r.choose(task)
+		if c == nil && step.Spec.GetLasting() {
+			r.reserve(task)
+			continue
+		}
 		if c == nil {
 			r.wanting = r.wanting || r.chance[step.Job] == inTime
 			return
@@ -211,6 +220,25 @@
 	}
 }
 
+// reserve keeps room for a lasting task on the worker where it will be free soonest, since tasks that end are never more urgent.
+func (r *round) reserve(task *workflow.Task) {
+	var best *candidate
+	most := int64(0)
+	size := resource.FromWire(task.Step.Spec.GetSize())
+	for _, c := range r.pools[task.Step.Job.Queue.GetPool()] {
+		soon := c.free.Add(c.passing)
+		if !size.Fits(soon) || !r.suits(task, c) {
+			continue
+		}
+		if best == nil || c.free.MilliCPU > most {
+			best, most = c, c.free.MilliCPU
+		}
+	}
+	if best != nil {
+		best.free = best.free.Sub(size)
+	}
+}
+
 // placeGang places all tasks of a gang under one number of run.
 func (r *round) placeGang(step *workflow.Step) {
 	run := int32(0)
@@ -371,7 +399,13 @@
 	if spec.GetFilling() {
 		size.MilliCPU, free.MilliCPU = 0, max(0, free.MilliCPU)
 	}
-	if !size.Fits(free) || !hasLabel(c.GetLabels(), spec.GetRequires()) {
+	return size.Fits(free) && r.suits(task, c)
+}
+
+// suits says whether a worker may run a task when it has room; one that fails its tasks may still run those that have to run somewhere.
+func (r *round) suits(task *workflow.Task, c *candidate) bool {
+	spec := task.Step.Spec
+	if c.suspended && !spec.GetLasting() || !hasLabel(c.GetLabels(), spec.GetRequires()) {
 		return false
 	}
 	limit := spec.GetMaxPerWorker()
@@ -403,6 +437,7 @@
 
 // Weights of the score, each worth that much of a worker's free share.
 const (
+	soundWeight = 100  // a worker that fails its tasks comes last
 	nearWeight  = 10.0 // a task away from its data or its step's rack takes several times as long
 	harshWeight = 0.1  // filling tasks go where others would hurt the serving ones more, for each unit of headroom on a whole worker
 	packWeight  = 1.0  // lasting tasks gather on few workers, so that some stay free for what hurts them
@@ -414,6 +449,9 @@
 func (r *round) score(task *workflow.Task, c *candidate) float64 {
 	spec := task.Step.Spec
 	score := c.shareOf(c.unused)
+	if c.suspended {
+		score -= soundWeight
+	}
 	if rack := spec.GetRack(); rack != "" && hasLabel(c.GetLabels(), rack) {
 		score += nearWeight
 	}
