--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,169 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisyswitch/wire"
+	"daisyswitch/workflow"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	big  = &wire.Size{MilliCpu: 16000, MemoryMib: 64000}
+	unit = &wire.Size{MilliCpu: 1000, MemoryMib: 1000}
+)
+
+func short(count int32, after ...int32) *wire.Step {
+	return &wire.Step{Count: count, Size: unit, ExpectedMs: 500, After: after}
+}
+
+func TestStepsRunInOrder(t *testing.T) {
+	inBench(t, 2, big, func(b *bench) {
+		b.submit("short", "job", short(4), short(2, 0))
+		time.Sleep(400 * time.Millisecond)
+		assert.Equal(t, b.begins("job.0.0.0"), 1)
+		assert.Equal(t, b.begins("job.0.1.0"), 0, "a step began before the one it waits for was done")
+		assert.Equal(t, b.state("job"), workflow.StateRunning)
+		time.Sleep(1200 * time.Millisecond)
+		assert.Equal(t, b.state("job"), workflow.StateCompleted)
+	})
+}
+
+func TestNothingBeyondRoom(t *testing.T) {
+	inBench(t, 1, big, func(b *bench) {
+		b.submit("short", "job", short(40))
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, b.runningOf("job") <= 16, "%d tasks of one core on 16 cores", b.runningOf("job"))
+		}
+		assert.Equal(t, b.state("job"), workflow.StateCompleted)
+	})
+}
+
+// TestTaskMovesOnlyOnceItsLeaseHasEnded: a worker that falls silent goes on running until its lease ends.
+func TestTaskMovesOnlyOnceItsLeaseHasEnded(t *testing.T) {
+	inBench(t, 2, big, func(b *bench) {
+		b.submit("lasting", "job", &wire.Step{Count: 1, Size: unit, Lasting: true})
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, b.begins("job.0.0.0"), 1)
+		for _, w := range b.workers {
+			b.set(func() { w.silent = len(w.runs) > 0 })
+		}
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, b.begins("job.0.0.0"), 1, "moved while it may have run")
+		time.Sleep(lease)
+		assert.Equal(t, b.begins("job.0.0.0"), 2, "not moved after its lease had ended")
+	})
+}
+
+// TestLateStartDoesNotRunBesideAnother: a start without an answer is carried out seconds later.
+func TestLateStartDoesNotRunBesideAnother(t *testing.T) {
+	for _, late := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second, 7 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			inBench(t, 3, big, func(b *bench) {
+				b.set(func() { b.workers["w0"].late, b.workers["w1"].late = late, late })
+				b.submit("short", "job", short(12))
+				time.Sleep(3 * time.Second)
+				b.set(func() { b.workers["w0"].late, b.workers["w1"].late = 0, 0 })
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, b.state("job"), workflow.StateCompleted)
+				for i := range 12 {
+					assert.Equal(t, b.begins(fmt.Sprintf("job.0.0.%d", i)), 1)
+				}
+			})
+		})
+	}
+}
+
+func TestNewLeaderKeepsWhatRuns(t *testing.T) {
+	inBench(t, 2, big, func(b *bench) {
+		b.submit("lasting", "job", &wire.Step{Count: 6, Size: unit, Lasting: true})
+		time.Sleep(500 * time.Millisecond)
+		b.lead(2)
+		time.Sleep(8 * time.Second)
+		for i := range 6 {
+			assert.Equal(t, b.begins(fmt.Sprintf("job.0.0.%d", i)), 1, "restarted by the new leader")
+		}
+		assert.Equal(t, b.runningOf("job"), 6)
+	})
+}
+
+func TestCancelledWorkflowStops(t *testing.T) {
+	inBench(t, 2, big, func(b *bench) {
+		b.submit("lasting", "job", &wire.Step{Count: 6, Size: unit, Lasting: true})
+		time.Sleep(500 * time.Millisecond)
+		b.apply(&wire.WorkflowCommand{Cancel: "job"})
+		time.Sleep(900 * time.Millisecond)
+		assert.Equal(t, b.runningOf("job"), 0)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.begins("job.0.0.0"), 1)
+	})
+}
+
+func TestWorkflowFailsAfterItsAttempts(t *testing.T) {
+	inBench(t, 4, big, func(b *bench) {
+		for _, w := range b.workers {
+			b.set(func() { w.fails = true })
+		}
+		b.submit("short", "job", short(1))
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, b.state("job"), workflow.StateFailed)
+		assert.Equal(t, b.begins("job.0.0.0"), 3)
+	})
+}
+
+func TestLeavingWorkerGetsNothingAndGivesUpLastingTasks(t *testing.T) {
+	inBench(t, 2, big, func(b *bench) {
+		b.submit("lasting", "job", &wire.Step{Count: 2, Size: unit, Lasting: true, MaxPerWorker: 2})
+		time.Sleep(500 * time.Millisecond)
+		w := b.workers["w0"]
+		leaving := &wire.CalledWorker{Id: "w0", Born: 1, Address: "w0:1", Pool: pool, Domain: "d", Capacity: big, Leaving: true}
+		b.apply(&wire.WorkflowCommand{Workers: []*wire.CalledWorker{leaving}})
+		time.Sleep(time.Second)
+		b.set(func() { assert.Equal(t, len(w.runs), 0) })
+		assert.Equal(t, b.runningOf("job"), 2)
+		b.submit("short", "more", short(20))
+		time.Sleep(300 * time.Millisecond)
+		b.set(func() { assert.Equal(t, len(w.runs), 0, "started on a worker that leaves") })
+	})
+}
+
+// TestLastingTaskGetsRoomBeforeShortOnes: the short tasks of a full pool must not take each piece of room that becomes free.
+func TestLastingTaskGetsRoomBeforeShortOnes(t *testing.T) {
+	inBench(t, 2, big, func(b *bench) {
+		for i := range 600 {
+			step := short(1)
+			step.ExpectedMs = int64(300 + i%23*41)
+			b.submit("short", fmt.Sprintf("short%d", i), step)
+		}
+		time.Sleep(time.Second)
+		b.submit("lasting", "job", &wire.Step{Count: 2, Size: &wire.Size{MilliCpu: 8000, MemoryMib: 1000}, Lasting: true})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, b.runningOf("job"), 2)
+	})
+}
+
+// TestSuspectedWorkerGetsNothingForAWhile: a worker that fails tasks of several workflows in a row is left alone.
+func TestSuspectedWorkerGetsNothingForAWhile(t *testing.T) {
+	inBench(t, 2, big, func(b *bench) {
+		b.set(func() { b.workers["w0"].fails = true })
+		for i := range 6 {
+			b.submit("short", fmt.Sprintf("first%d", i), short(2))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		b.submit("short", "second", short(8))
+		time.Sleep(300 * time.Millisecond)
+		b.set(func() {
+			for name := range b.workers["w0"].runs {
+				assert.Assert(t, name.Workflow != "second", "started on a worker that fails everything")
+			}
+		})
+		time.Sleep(30 * time.Second)
+		for i := range 6 {
+			assert.Equal(t, b.state(fmt.Sprintf("first%d", i)), workflow.StateCompleted)
+		}
+	})
+}
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -11,6 +11,7 @@
 	"daisyswitch/raft"
 	"daisyswitch/wire"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 )
 
@@ -34,17 +35,23 @@
 
 func TestThreeReplicas(t *testing.T) {
 	t.Parallel()
-	rapid.Check(t, func(t *rapid.T) { check(t, 3) })
+	rapid.Check(t, func(t *rapid.T) { check(t, 3, 3) })
 }
 
 func TestFiveReplicas(t *testing.T) {
 	t.Parallel()
-	rapid.Check(t, func(t *rapid.T) { check(t, 5) })
+	rapid.Check(t, func(t *rapid.T) { check(t, 5, 5) })
+}
+
+// TestMembersChange lets two replicas join a group of three, and voters be replaced, through all that can happen to them.
+func TestMembersChange(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) { check(t, 5, 3) })
 }
 
 // check runs a random history and then heals all: the group must serve again and have lost nothing.
-func check(t *rapid.T, size int) {
-	s := newSimulation(t, size)
+func check(t *rapid.T, size, voters int) {
+	s := newSimulation(t, size, voters)
 	if rapid.Bool().Draw(t, "bootstrapped") {
 		s.run(4 * electionTicks)
 	}
@@ -64,6 +71,8 @@
 		"propose": s.leading(s.propose),
 		"read":    s.leading(s.read),
 		"serve":   s.leading(s.serve),
+		"members": s.leading(s.changeMembers),
+		"yield":   s.leading(func(_ *rapid.T, h *host) { h.node.HandOver() }),
 		"flush":   s.on(true, func(_ *rapid.T, h *host) { s.flush(h) }),
 		"crash":   s.on(true, s.crashOne),
 		"restart": s.on(false, func(_ *rapid.T, h *host) { s.boot(h) }),
@@ -138,6 +147,54 @@
 	}
 }
 
+// changeMembers takes in, promotes or demotes one replica, but leaves as many voters as the group had at first; static groups never change.
+func (s *simulation) changeMembers(t *rapid.T, h *host) {
+	members, joining := h.node.Standings()
+	if s.voters == s.size || h.node.Role() != raft.Leader {
+		return
+	}
+	next := proto.CloneOf(h.node.Members())
+	if len(joining) > 0 {
+		next.Members = append(next.Members, joining[0])
+		h.node.Reconfigure(next)
+		return
+	}
+	voters := 0
+	for _, m := range next.GetMembers() {
+		if m.GetVotes() {
+			voters++
+		}
+	}
+	for _, m := range rapid.Permutation(next.GetMembers()).Draw(t, "members") {
+		if m.GetId() != h.id && m.GetVotes() && voters > s.voters || !m.GetVotes() && holdsAll(h, members, m.GetId()) {
+			m.Votes = !m.GetVotes()
+			h.node.Reconfigure(next)
+			return
+		}
+	}
+}
+
+// takeIn lets one replica that asks to join follow the leader.
+func (s *simulation) takeIn() {
+	for _, h := range s.hosts {
+		if _, joining := h.node.Standings(); len(joining) > 0 {
+			next := proto.CloneOf(h.node.Members())
+			next.Members = append(next.Members, joining[0])
+			h.node.Reconfigure(next)
+		}
+	}
+}
+
+// holdsAll says whether a replica's log is known to agree with the leader's up to what is committed.
+func holdsAll(h *host, members []raft.Standing, id uint64) bool {
+	for _, m := range members {
+		if m.GetId() == id {
+			return !m.Repairs && m.Match >= h.node.Commit()
+		}
+	}
+	return false
+}
+
 // weather says how a storm treats the group.
 type weather struct {
 	steps  int
@@ -234,7 +291,7 @@
 			lost++
 		}
 	}
-	if lost <= (s.size-1)/2 {
+	if lost <= (s.voters-1)/2 {
 		s.blankDisk(h)
 		s.boot(h)
 	}
@@ -247,7 +304,7 @@
 		return
 	}
 	h.entries = h.entries[index-h.snapshot.GetIndex():]
-	h.snapshot = &wire.Snapshot{Index: index, Term: s.committed[index].GetTerm(), Data: s.digest(index)}
+	h.snapshot = &wire.Snapshot{Index: index, Term: s.committed[index].GetTerm(), Data: s.digest(index), Members: h.members}
 	h.node.Compact(index, index-min(index, rapid.Uint64Range(0, 3).Draw(t, "keep")))
 }
 
@@ -265,6 +322,7 @@
 	s.flight = nil
 	for range 40 {
 		s.run(2 * electionTicks)
+		s.takeIn()
 		if s.served() {
 			return
 		}
--- a/raft/simulation_test.go
+++ b/raft/simulation_test.go
@@ -21,6 +21,7 @@
 	state    *wire.HardState
 	snapshot *wire.Snapshot
 	entries  []*wire.Entry // on disk, after the snapshot
+	members  *wire.Members // as of what is applied
 	applied  uint64
 	reads    []readCheck
 }
@@ -34,6 +35,7 @@
 type simulation struct {
 	*rapid.T
 	size      int
+	voters    int // at first; the other hosts join
 	hosts     []*host
 	flight    []*wire.Message
 	cut       map[[2]uint64]bool
@@ -46,8 +48,8 @@
 	seed      uint64
 }
 
-func newSimulation(t *rapid.T, size int) *simulation {
-	s := &simulation{T: t, size: size, cut: map[[2]uint64]bool{}, leaders: map[uint64]uint64{}, committed: map[uint64]*wire.Entry{}, since: map[uint64]uint64{}}
+func newSimulation(t *rapid.T, size, voters int) *simulation {
+	s := &simulation{T: t, size: size, voters: voters, cut: map[[2]uint64]bool{}, leaders: map[uint64]uint64{}, committed: map[uint64]*wire.Entry{}, since: map[uint64]uint64{}}
 	s.seed = rapid.Uint64().Draw(t, "seed")
 	for id := 1; id <= size; id++ {
 		h := &host{id: uint64(id)}
@@ -65,15 +67,16 @@
 
 func (s *simulation) boot(h *host) {
 	var peers []uint64
-	for id := range s.size {
+	for id := range s.voters {
 		peers = append(peers, uint64(id+1))
 	}
 	s.seed++
 	h.node = raft.New(raft.Options{
-		ID: h.id, Peers: peers, ElectionTicks: electionTicks,
+		ID: h.id, Peers: peers, Joins: h.id > uint64(s.voters), ElectionTicks: electionTicks,
 		Rand: rand.New(rand.NewPCG(s.seed, h.id)), State: h.state, Snapshot: h.snapshot, Entries: slices.Clone(h.entries),
 	})
-	h.applied = h.snapshot.GetIndex()
+	h.node.SetContacts(peers)
+	h.applied, h.members = h.snapshot.GetIndex(), h.snapshot.GetMembers()
 	h.reads = nil
 }
 
@@ -103,7 +106,7 @@
 		h.node.Synced()
 		s.post(h, r.Messages)
 		if r.Snapshot != nil {
-			h.applied = r.Snapshot.GetIndex()
+			h.applied, h.members = r.Snapshot.GetIndex(), r.Snapshot.GetMembers()
 			s.checkDigest(r.Snapshot)
 		}
 		for _, e := range r.Commit {
@@ -129,7 +132,7 @@
 func (s *simulation) post(h *host, messages []*wire.Message) {
 	for _, m := range messages {
 		if m.GetKind() == wire.MessageKind_MESSAGE_KIND_SNAPSHOT {
-			m.Index, m.LogTerm, m.Snapshot = h.snapshot.GetIndex(), h.snapshot.GetTerm(), h.snapshot.GetData()
+			m.Index, m.LogTerm, m.Snapshot, m.Members = h.snapshot.GetIndex(), h.snapshot.GetTerm(), h.snapshot.GetData(), h.snapshot.GetMembers()
 		}
 		s.flight = append(s.flight, m)
 	}
@@ -174,6 +177,9 @@
 		s.Fatalf("replica %d applied %d after %d", h.id, e.GetIndex(), h.applied)
 	}
 	h.applied = e.GetIndex()
+	if e.GetMembers() != nil {
+		h.members = e.GetMembers()
+	}
 	known := s.committed[e.GetIndex()]
 	if known == nil {
 		s.committed[e.GetIndex()] = e
