Go on calling workers when a quorum confirms the leader late

Cause: calls to a worker ended for good when the leader's lease had lapsed for a moment, so that its runs lapsed and were never noticed. The test fails without the change.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -91,6 +91,25 @@
 	})
 }
 
+// TestLeaderThatIsConfirmedLateGoesOn: a quorum that answers late now and then must not end the calls to workers.
+func TestLeaderThatIsConfirmedLateGoesOn(t *testing.T) {
+	inBench(t, 2, big, func(b *bench) {
+		b.submit("lasting", "job", &wire.Step{Count: 6, Size: unit, Lasting: true})
+		time.Sleep(500 * time.Millisecond)
+		for range 10 {
+			b.set(func() { b.leads = false })
+			time.Sleep(150 * time.Millisecond)
+			b.set(func() { b.leads = true })
+			time.Sleep(650 * time.Millisecond)
+		}
+		assert.Equal(t, b.runningOf("job"), 6)
+		assert.Equal(t, b.begins("job.0.0.0"), 1)
+		b.submit("short", "more", short(4))
+		time.Sleep(time.Second)
+		assert.Equal(t, b.state("more"), workflow.StateCompleted)
+	})
+}
+
 func TestCancelledWorkflowStops(t *testing.T) {
 	inBench(t, 2, big, func(b *bench) {
 		b.submit("lasting", "job", &wire.Step{Count: 6, Size: unit, Lasting: true})
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -37,6 +37,7 @@
 	ended   chan struct{}
 
 	mu      sync.Mutex // guards what follows, and the workers
+	leads   bool       // whether a quorum confirms the leader
 	running map[workflow.Name]int
 	ran     []string // every run that began, in order
 	twice   []string // tasks that ran twice at once
@@ -68,7 +69,7 @@
 
 // newBench returns a leader with workers of one size, and queues for short, lasting and filling tasks.
 func newBench(t *testing.T, workers int, size *wire.Size) *bench {
-	b := &bench{t: t, began: time.Now(), workers: map[string]*worker{}, running: map[workflow.Name]int{}}
+	b := &bench{t: t, began: time.Now(), workers: map[string]*worker{}, running: map[workflow.Name]int{}, leads: true}
 	b.loop = b.newLoop()
 	b.table = workflow.New(workflow.Options{
 		Changed:  func() { b.loop.Changed() },
@@ -91,7 +92,7 @@
 	return dispatch.New(dispatch.Options{
 		Calls:    call.Functions{Start: b.start, Stop: b.stop, Hold: b.hold, Pace: b.pace},
 		Commit:   b.commit,
-		Leads:    func() bool { return true },
+		Leads:    b.isLeader,
 		Boot:     func() time.Duration { return time.Since(b.began) + time.Hour },
 		Wall:     time.Now,
 		Lease:    lease,
@@ -99,6 +100,12 @@
 	})
 }
 
+func (b *bench) isLeader() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leads
+}
+
 func (b *bench) addWorker(id string, size *wire.Size) *worker {
 	w := &worker{b: b, runs: map[workflow.Name]*fakeRun{}, barred: map[workflow.Name]int32{}}
 	w.record = &wire.CalledWorker{Id: id, Born: 1, Address: id + ":1", Pool: pool, Domain: "d", Capacity: size}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -105,7 +105,7 @@
 // run keeps the worker's lease until the worker is gone or the leadership ends.
 func (l *link) run() {
 	s := l.s
-	for s.live() && l.ctx.Err() == nil {
+	for s.awaitLive(l.ctx) {
 		sent := s.Boot()
 		order := l.nextHold(sent)
 		ctx, cancel := context.WithTimeout(l.ctx, callTime+order.Wait)
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -164,11 +164,28 @@
 	}
 }
 
-// live says whether orders may still be sent.
+// live says whether orders may be sent right now.
 func (s *session) live() bool {
 	return s.ctx.Err() == nil && s.Leads()
 }
 
+// leadGap is how often a leader that its quorum has not confirmed in time looks whether it has by now; a fifth of a tick.
+const leadGap = 10 * time.Millisecond
+
+// awaitLive waits until orders may be sent, and returns false once ctx has ended.
+func (s *session) awaitLive(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		if s.Leads() {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(leadGap):
+		}
+	}
+	return false
+}
+
 // commitSoon has a command committed, again and again until it is or the leadership ends.
 func (s *session) commitSoon(c *wire.WorkflowCommand) bool {
 	for s.ctx.Err() == nil {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -106,7 +106,7 @@
 // start sends a start until it is answered, or the run need not start any more.
 func (s *session) start(r *run) {
 	wait := retryFirst
-	for try := 1; s.live(); try++ {
+	for try := 1; s.awaitLive(r.link.ctx); try++ {
 		committed, startable := s.standing(r)
 		if !committed || s.isListed(r) {
 			return
@@ -244,7 +244,7 @@
 // sendStop sends a stop until it is answered and returns whether it was.
 func (s *session) sendStop(l *link, key runKey, wanted func() bool) bool {
 	wait := retryFirst
-	for s.live() && wanted() && l.ctx.Err() == nil {
+	for s.awaitLive(l.ctx) && wanted() {
 		ctx, cancel := context.WithTimeout(l.ctx, callTime)
 		answer, err := s.Calls.Stop(ctx, l.current(), &call.Stop{Task: key.name, Run: key.number, Fence: s.fence})
 		cancel()
