--- a/command/installation.go
+++ b/command/installation.go
@@ -15,6 +15,7 @@
 	"daisyswitch/platform"
 	"daisyswitch/settings"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -101,13 +102,14 @@
 	gateway *gateway.Gateway
 	front   *platform.Gateway
 	watch   *fileWatch
+	metrics *metrics.Set
 }
 
 func newGateway(path string, s *settings.Gateway) (*gatewayProcess, error) {
-	g := &gatewayProcess{gateway: gateway.New(gateway.Options{Seeds: innerAddresses(s.Seeds, s.Inner)})}
+	g := &gatewayProcess{metrics: metrics.NewSet(), gateway: gateway.New(gateway.Options{Seeds: innerAddresses(s.Seeds, s.Inner)})}
 	var err error
 	g.front, err = platform.NewGateway(platform.GatewayOptions{
-		Clients: s.Clients, Ready: s.Ready, Gateway: g.gateway, Drain: time.Duration(s.DrainMS) * time.Millisecond,
+		Clients: s.Clients, Ready: s.Ready, Gateway: g.gateway, Drain: time.Duration(s.DrainMS) * time.Millisecond, Metrics: g.metrics,
 	})
 	if err != nil {
 		return nil, errors.Join(err, g.gateway.Close())
--- a/command/process.go
+++ b/command/process.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -89,7 +90,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &process{ready: g.gateway.Ready, close: g.Close, metrics: metrics.NewSet()}, nil
+		return &process{ready: g.gateway.Ready, close: g.Close, metrics: g.metrics}, nil
 	})
 }
 
@@ -103,7 +104,15 @@
 
 // run starts a role with its admin listener, waits for a signal to stop, and stops it gracefully.
 func run(s settings.Common, role string, start func() (*process, error)) error {
-	defer klog.Flush()
+	sink := event.NewSink(os.Stdout)
+	if err := sink.Use(); err != nil {
+		return err
+	}
+	defer func() {
+		klog.Flush()
+		klog.SetOutput(io.Discard)
+		sink.Close()
+	}()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -30,6 +30,7 @@
 		Wall:     time.Now,
 		Lease:    o.Called.Lease,
 		MaxLease: o.Called.LongestLease,
+		Metrics:  c.counters.set,
 	})
 	c.workflows = workflow.New(workflow.Options{Changed: c.dispatch.Changed, Assigned: c.dispatch.Assigned, Closed: c.dispatch.Closed})
 	c.dispatch.SetTable(c.workflows)
--- /dev/null
+++ b/dispatch/counters.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"daisyswitch/wire"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// counters are what the loop counts and times.
+type counters struct {
+	started    *metrics.Counter
+	refused    *metrics.Counter
+	unanswered *metrics.Counter
+	stops      *metrics.Counter
+	paces      *metrics.Counter
+	lapses     *metrics.Counter
+	ends       map[wire.RunOutcome]*metrics.Counter
+	startCall  *metrics.Histogram
+	round      *metrics.Histogram
+	commit     *metrics.Histogram
+	wait       *metrics.Histogram // from a workflow's acceptance to its first start
+}
+
+func newCounters(set *metrics.Set) *counters {
+	c := &counters{
+		started:    set.NewCounter("daisyswitch_runs_started_total"),
+		refused:    set.NewCounter("daisyswitch_starts_refused_total"),
+		unanswered: set.NewCounter("daisyswitch_starts_unanswered_total"),
+		stops:      set.NewCounter("daisyswitch_runs_stopped_total"),
+		paces:      set.NewCounter("daisyswitch_runs_paced_total"),
+		lapses:     set.NewCounter("daisyswitch_worker_leases_lapsed_total"),
+		ends:       map[wire.RunOutcome]*metrics.Counter{},
+		startCall:  set.NewHistogram("daisyswitch_start_call_seconds"),
+		round:      set.NewHistogram("daisyswitch_place_round_seconds"),
+		commit:     set.NewHistogram("daisyswitch_workflow_commit_seconds"),
+		wait:       set.NewHistogram("daisyswitch_workflow_first_start_seconds"),
+	}
+	for outcome, name := range wire.RunOutcome_name {
+		c.ends[wire.RunOutcome(outcome)] = set.NewCounter(fmt.Sprintf("daisyswitch_runs_ended_total{outcome=%q}", name))
+	}
+	return c
+}
+
+// since times what began at a moment.
+func since(h *metrics.Histogram, began time.Time) {
+	h.Update(time.Since(began).Seconds())
+}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -221,6 +221,7 @@
 			ends = append(ends, &wire.RunEnd{Task: key.name.Wire(), Run: key.number, Worker: l.id, Born: w.GetBorn(), Outcome: wire.RunOutcome_RUN_OUTCOME_LAPSED, Checkpoint: s.checkpointOf(key)})
 		}
 	})
+	s.lapses.Inc()
 	event.LeaseLapsed.Info("worker", l.id, "runs", len(ends))
 	if len(ends) == 0 || !s.commitSoon(&wire.WorkflowCommand{Ends: ends}) {
 		return
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -113,6 +113,7 @@
 	for _, e := range ended {
 		event.RunEnded.Info("task", e.Task.String(), "run", e.Run, "worker", l.id, "number", e.Number, "outcome", e.Outcome.String())
 		command.Ends = append(command.Ends, &wire.RunEnd{Task: e.Task.Wire(), Run: e.Run, Worker: l.id, Born: born, Number: e.Number, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
+		s.ends[e.Outcome].Inc()
 		l.judge(&e)
 	}
 	if !s.commitSoon(command) {
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -11,6 +11,8 @@
 	"daisyswitch/headroom"
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Timing of the loop.
@@ -35,13 +37,15 @@
 	Wall     func() time.Time
 	Lease    time.Duration // given to workers
 	MaxLease time.Duration // longest that any leader can have given
+	Metrics  *metrics.Set  // that the loop's counters are added to; nil for none
 }
 
 // Loop decides and calls while this replica leads.
 // Locks are taken in the order table, session, link.
 type Loop struct {
-	o    Options
-	wake chan struct{}
+	o        Options
+	counters *counters
+	wake     chan struct{}
 
 	mu       sync.Mutex // guards what follows; may be taken with the table locked
 	assigned []*workflow.Task
@@ -50,7 +54,10 @@
 
 // New returns a loop that does nothing until Run.
 func New(o Options) *Loop {
-	return &Loop{o: o, wake: make(chan struct{}, 1)}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	return &Loop{o: o, counters: newCounters(o.Metrics), wake: make(chan struct{}, 1)}
 }
 
 // SetTable names the state, whose hooks in turn name the loop.
@@ -91,7 +98,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &session{
-		Options: l.o, ctx: ctx, fence: fence, began: l.o.Boot(),
+		Options: l.o, counters: l.counters, ctx: ctx, fence: fence, began: l.o.Boot(),
 		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{},
 	}
 	defer s.tasks.Wait()
@@ -124,6 +131,7 @@
 // session is one leadership.
 type session struct {
 	Options
+	*counters
 	ctx       context.Context
 	fence     uint64
 	began     time.Duration // boot clock
@@ -189,7 +197,9 @@
 // commitSoon has a command committed, again and again until it is or the leadership ends.
 func (s *session) commitSoon(c *wire.WorkflowCommand) bool {
 	for s.ctx.Err() == nil {
+		began := time.Now()
 		_, err := s.Commit(s.ctx, c)
+		since(s.commit, began)
 		if err == nil {
 			return true
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -53,6 +53,7 @@
 	s.stopStill()
 	s.stopLeaving()
 	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, fills: map[string]int{}, chance: map[*workflow.Job]lateness{}}
+	began := time.Now()
 	s.Table.View(func(t *workflow.Tables) {
 		r.t = t
 		if len(t.Waiting) == 0 {
@@ -66,10 +67,13 @@
 			}
 		}
 	})
+	since(s.round, began)
 	if len(r.starts) == 0 {
 		return true
 	}
+	began = time.Now()
 	result, err := s.Commit(s.ctx, &wire.WorkflowCommand{Starts: r.starts})
+	since(s.commit, began)
 	if err != nil {
 		event.RecordNotCommitted.Error(err, "starts", len(r.starts))
 		return false
@@ -169,6 +173,11 @@
 	useless                 // it can no longer end in any time that counts
 )
 
+// String returns the lateness for logs.
+func (l lateness) String() string {
+	return [...]string{"in time", "late", "useless"}[l]
+}
+
 // late says what the workflow of a step can still reach, if what remains takes as long as its queue's tasks do.
 func (r *round) late(step *workflow.Step) lateness {
 	p := r.s.meanOf(step.Job.Spec.GetQueue())
@@ -273,6 +282,11 @@
 	step := task.Step
 	size := resource.FromWire(step.Spec.GetSize())
 	c.unused -= use(step.Spec) * int64(pace) / 100
+	if !step.Job.Started {
+		r.s.wait.Update(float64(r.nowMS-step.Job.AcceptedMS) / 1000)
+	}
+	event.TaskPlaced.Info("task", task.Name().String(), "run", run, "worker", c.GetId(), "chance", r.chance[step.Job].String(), "accepted_ms_ago", r.nowMS-step.Job.AcceptedMS,
+		"free_milli_cpu", c.free.MilliCPU, "unused_milli_cpu", c.unused, "serving", len(c.sharing.victims), "pace", pace)
 	if pace < 100 {
 		r.s.setFirstPace(runKey{task.Name(), run}, pace)
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -123,7 +123,9 @@
 		}
 		r.order.DeadlineMS = deadline
 		ctx, cancel := context.WithTimeout(s.ctx, callTime)
+		began := time.Now()
 		answer, err := s.Calls.Start(ctx, r.link.current(), &r.order)
+		since(s.startCall, began)
 		cancel()
 		switch {
 		case errors.Is(err, call.ErrOtherLife):
@@ -131,12 +133,14 @@
 			r.link.otherLife()
 			return
 		case err != nil:
+			s.unanswered.Inc()
 			event.StartUnanswered.Error(err, "task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "try", try)
 			s.pause(wait)
 			wait = min(2*wait, retryMost)
 			continue
 		case answer.Refusal == call.Accepted:
 			event.RunStarted.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "fence", s.fence)
+			s.started.Inc()
 			s.setPhase(r, started)
 			s.paceFirst(r)
 			if committed, startable := s.standing(r); committed && !startable {
@@ -144,6 +148,7 @@
 			}
 			return
 		}
+		s.refused.Inc()
 		event.StartRefused.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "refusal", answer.Refusal.String(), "try", try)
 		if answer.Refusal != call.Deposed {
 			r.link.cool(answer.Refusal)
@@ -231,6 +236,7 @@
 	}
 	r.phase, r.since = stopping, s.Boot()
 	s.mu.Unlock()
+	s.stops.Inc()
 	event.RunStopping.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "reason", reason)
 	committed := func() bool {
 		committed, _ := s.standing(r)
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -171,6 +171,7 @@
 	ctx, cancel := context.WithTimeout(l.ctx, callTime)
 	answer, err := s.Calls.Pace(ctx, l.current(), &call.Pace{Task: r.name, Run: r.number, Percent: percent, Fence: s.fence})
 	cancel()
+	s.paces.Inc()
 	accepted := err == nil && answer.Refusal == call.Accepted
 	event.RunPaced.Info("task", r.name.String(), "run", r.number, "worker", l.id, "percent", percent, "accepted", accepted)
 	s.mu.Lock()
--- a/event/dispatch.go
+++ b/event/dispatch.go
@@ -4,6 +4,7 @@
 var (
 	RunsAdopted        = register(450, "runs_adopted", "A new leader has taken over the runs that earlier ones committed.")
 	RecordNotCommitted = register(451, "record_not_committed", "A record about workflows could not be committed and is tried or decided anew.")
+	TaskPlaced         = register(469, "task_placed", "The leader decided to start a task on a worker, from what the worker has free, what its filling and serving tasks use, and what the task's workflow can still reach.")
 	RunStarted         = register(452, "run_started", "A worker accepted the start of a run.")
 	StartUnanswered    = register(453, "start_unanswered", "A worker did not answer a start, which may be carried out later; the same start is sent again.")
 	StartRefused       = register(454, "start_refused", "A worker refused a start.")
--- a/event/event.go
+++ b/event/event.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"time"
 
 	"k8s.io/klog/v2"
 )
@@ -18,6 +19,9 @@
 
 // register adds an event to the catalogue and stops the program on a number used twice.
 func register(number int, name, text string) Event {
+	if number <= 0 || number >= maxNumber {
+		panic(fmt.Sprintf("event number %d is not below %d", number, maxNumber))
+	}
 	if _, taken := catalogue[number]; taken {
 		panic(fmt.Sprintf("event number %d is registered twice", number))
 	}
@@ -28,12 +32,25 @@
 
 // Info logs the event with alternating keys and values.
 func (e Event) Info(keysAndValues ...any) {
-	klog.InfoSDepth(1, e.title(), keysAndValues...)
+	if e.allowed() {
+		klog.InfoSDepth(1, e.title(), keysAndValues...)
+	}
 }
 
 // Error logs the event as an error with its cause.
 func (e Event) Error(err error, keysAndValues ...any) {
-	klog.ErrorSDepth(1, err, e.title(), keysAndValues...)
+	if e.allowed() {
+		klog.ErrorSDepth(1, err, e.title(), keysAndValues...)
+	}
+}
+
+// allowed keeps an event within its lines a second, and tells of those left out.
+func (e Event) allowed() bool {
+	ok, omitted := limiters[e.Number].allow(time.Now())
+	if omitted > 0 {
+		klog.InfoSDepth(2, LinesOmitted.title(), "event", e.title(), "lines", omitted)
+	}
+	return ok
 }
 
 func (e Event) title() string {
--- /dev/null
+++ b/event/sink_test.go
@@ -0,0 +1,58 @@
+package event
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// gate is an output that stands still until it is opened.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	out  bytes.Buffer
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.out.Write(b)
+}
+
+// TestStuckOutputBlocksNothing: writing goes on while the output stands still, and what is lost is counted and told.
+func TestStuckOutputBlocksNothing(t *testing.T) {
+	g := &gate{open: make(chan struct{})}
+	s := NewSink(g)
+	const lines = 3 * sinkLines
+	for range lines {
+		_, err := s.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	dropped := s.Dropped()
+	assert.Assert(t, dropped >= lines-sinkLines-1)
+	close(g.open)
+	s.Close()
+	assert.Equal(t, uint64(strings.Count(g.out.String(), "line\n"))+dropped, uint64(lines))
+	assert.Assert(t, strings.Contains(g.out.String(), "lines_dropped"))
+}
+
+// TestVolumeOfOneEventIsBounded counts what is let through in one second and what is told of the rest in the next.
+func TestVolumeOfOneEventIsBounded(t *testing.T) {
+	var l limiter
+	now := time.Unix(1000, 0)
+	written := 0
+	for range 3 * perSecond {
+		if ok, _ := l.allow(now); ok {
+			written++
+		}
+	}
+	assert.Equal(t, written, perSecond)
+	ok, omitted := l.allow(now.Add(time.Second))
+	assert.Assert(t, ok)
+	assert.Equal(t, omitted, int64(2*perSecond))
+}
--- a/group/group.go
+++ b/group/group.go
@@ -36,5 +36,6 @@
 	}
 	event.GoroutinePanicked.Error(fmt.Errorf("%v", cause), "stack", string(debug.Stack()))
 	klog.Flush()
+	fmt.Fprintln(os.Stderr, cause) // the log may not be written any more
 	exit(exitPanicked)
 }
