--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 test: packages lint
 	go vet ./...
 	bash .ci/check-promises
+	bash .ci/check-platform
 	bash .ci/known-red
 	bash .ci/go-test
 	$(MAKE) --no-print-directory spec
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,131 @@
+package gateway_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"daisyswitch/gateway"
+	"daisyswitch/inner"
+	"daisyswitch/verdict"
+	"daisyswitch/wire"
+
+	"gotest.tools/v3/assert"
+	"storj.io/drpc/drpcmux"
+)
+
+// replica answers as a replica of control does.
+type replica struct {
+	wire.DRPCControlUnimplementedServer
+	server *inner.Server
+	leads  atomic.Bool
+	mute   atomic.Bool // takes requests in and answers none
+	leader atomic.Pointer[string]
+	served atomic.Int64
+}
+
+func newReplica(t *testing.T) *replica {
+	r := &replica{}
+	mux := drpcmux.New()
+	assert.NilError(t, wire.DRPCRegisterControl(mux, r))
+	var err error
+	r.server, err = inner.Listen(inner.ListenTCP, "127.0.0.1:0", mux)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, r.server.Close()) })
+	return r
+}
+
+func (r *replica) Workflows(stream wire.DRPCControl_WorkflowsStream) error {
+	for {
+		request, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		hello := request.GetKind() == wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_HELLO
+		reply := &wire.WorkflowReply{Number: request.GetNumber(), Answer: wire.WorkflowAnswer_WORKFLOW_ANSWER_OK, State: "running"}
+		if !r.leads.Load() {
+			reply = &wire.WorkflowReply{Number: request.GetNumber(), Answer: wire.WorkflowAnswer_WORKFLOW_ANSWER_FAILURE, Failure: &wire.Failure{Verdict: wire.Verdict_VERDICT_NOT_RUN}}
+			if leader := r.leader.Load(); leader != nil {
+				reply.Failure.Leader = *leader
+			}
+		}
+		if !hello {
+			r.served.Add(1)
+			if r.mute.Load() {
+				continue
+			}
+		}
+		if err := stream.Send(reply); err != nil {
+			return err
+		}
+	}
+}
+
+func newGateway(t *testing.T, seeds ...string) *gateway.Gateway {
+	g := gateway.New(gateway.Options{Seeds: seeds})
+	t.Cleanup(func() { assert.NilError(t, g.Close()) })
+	return g
+}
+
+func ask(g *gateway.Gateway) (*wire.WorkflowReply, error) {
+	return g.Do(context.Background(), &wire.WorkflowRequest{Kind: wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_STATE})
+}
+
+func eventually(t *testing.T, what func() bool) {
+	for range 200 {
+		if what() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("not within 2 s")
+}
+
+// TestLeaderIsFoundThroughAnotherReplica: the only seed does not lead and names the one that does.
+func TestLeaderIsFoundThroughAnotherReplica(t *testing.T) {
+	follower, leader := newReplica(t), newReplica(t)
+	leader.leads.Store(true)
+	address := leader.server.Address()
+	follower.leader.Store(&address)
+	g := newGateway(t, follower.server.Address())
+	eventually(t, func() bool { return g.Ready() == nil })
+	reply, err := ask(g)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.GetState(), "running")
+}
+
+func TestNewLeaderIsFollowed(t *testing.T) {
+	a, b := newReplica(t), newReplica(t)
+	a.leads.Store(true)
+	g := newGateway(t, a.server.Address(), b.server.Address())
+	eventually(t, func() bool { return g.Ready() == nil })
+	a.leads.Store(false)
+	b.leads.Store(true)
+	eventually(t, func() bool { _, err := ask(g); return err == nil })
+	assert.Assert(t, b.served.Load() > 0)
+}
+
+// TestNoLeaderIsToldSoonAndTruly: without a leader a request is refused at once as not run.
+func TestNoLeaderIsToldSoonAndTruly(t *testing.T) {
+	g := newGateway(t, newReplica(t).server.Address())
+	began := time.Now()
+	_, err := ask(g)
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	assert.Assert(t, time.Since(began) < time.Second)
+	assert.Assert(t, g.Ready() != nil)
+}
+
+// TestLostAnswerLeavesOpenWhetherItRan: the leader has taken a request in and dies before it answers.
+func TestLostAnswerLeavesOpenWhetherItRan(t *testing.T) {
+	r := newReplica(t)
+	r.leads.Store(true)
+	r.mute.Store(true)
+	g := newGateway(t, r.server.Address())
+	eventually(t, func() bool { return g.Ready() == nil })
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := g.Do(ctx, &wire.WorkflowRequest{Kind: wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT, Workflow: &wire.Workflow{}})
+	assert.Equal(t, verdict.Of(err), verdict.Unknown)
+	assert.Equal(t, r.served.Load(), int64(1))
+}
