--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -15,14 +15,16 @@
 
 // link is what a leadership knows of one life of a worker, and keeps its lease.
 type link struct {
-	s       *session
-	id      string
-	ctx     context.Context
-	cancel  context.CancelFunc
-	runs    map[runKey]*run    // guarded by the session's mutex
-	health  health             // guarded by the session's mutex
-	victims map[runKey]*victim // serving tasks; guarded by the session's mutex
-	near    bool               // a serving task is near its target; guarded by the session's mutex
+	s          *session
+	id         string
+	ctx        context.Context
+	cancel     context.CancelFunc
+	runs       map[runKey]*run    // guarded by the session's mutex
+	health     health             // guarded by the session's mutex
+	victims    map[runKey]*victim // serving tasks; guarded by the session's mutex
+	spared     int64              // thousandths of a core that slowed filling tasks leave, as last listed; guarded by the session's mutex
+	processors int64              // thousandths of a core, at least 1
+	near       bool               // a serving task is near its target; guarded by the session's mutex
 
 	mu       sync.Mutex // guards what follows
 	worker   *wire.CalledWorker
@@ -37,7 +39,7 @@
 }
 
 func newLink(s *session, w *wire.CalledWorker) *link {
-	l := &link{s: s, id: w.GetId(), worker: w, runs: map[runKey]*run{}, victims: map[runKey]*victim{}, strays: map[runKey]struct{}{}}
+	l := &link{s: s, id: w.GetId(), worker: w, processors: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, victims: map[runKey]*victim{}, strays: map[runKey]struct{}{}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	l.lapsesAt = s.Boot() + slow(s.MaxLease)
 	return l
@@ -61,11 +63,6 @@
 	return l.worker
 }
 
-// capacity returns the worker's processors in thousandths of a core, at least 1.
-func (l *link) capacity() int64 {
-	return max(1, l.current().GetCapacity().GetMilliCpu())
-}
-
 // granted returns the lease's deadline on the worker's clock; ok is false while the worker is silent.
 func (l *link) granted() (deadline int64, ok bool) {
 	l.mu.Lock()
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -19,6 +19,8 @@
 const (
 	tick         = 100 * time.Millisecond // between looks at what time alone changes, such as due times; a tenth of the shortest delay that callers notice
 	commitRetry  = 50 * time.Millisecond  // after a record that was not committed; one election tick
+	roundGap     = 5 * time.Millisecond   // between rounds of placing; a fraction of a commit
+	roundShare   = 1                      // times as long as a round took, the loop leaves to others before the next
 	maxStarts    = 500                    // in one record, which bounds the time that others wait for it
 	callTime     = 600 * time.Millisecond // longest wait for an answer; workers are a few milliseconds away
 	retryFirst   = 50 * time.Millisecond  // before an order is sent again
@@ -99,7 +101,7 @@
 	defer cancel()
 	s := &session{
 		Options: l.o, counters: l.counters, ctx: ctx, fence: fence, began: l.o.Boot(),
-		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{},
+		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{},
 	}
 	defer s.tasks.Wait()
 	l.takeNews()
@@ -107,36 +109,45 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
-		assigned, closed := l.takeNews()
-		s.linkWorkers()
-		for _, t := range assigned {
-			s.track(t)
-		}
-		for _, j := range closed {
-			s.stopJob(j)
-		}
-		s.summarize()
-		if !s.place() {
-			s.pause(commitRetry)
-		}
+		s.work(l.takeNews())
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.wake:
+			s.pause(time.Until(s.nextRound))
 		case <-ticker.C:
+			s.stopStill()
+			s.stopLeaving()
+			s.summarize()
 		}
 	}
 }
 
+// work does what has come up, and then decides what starts where.
+func (s *session) work(assigned []*workflow.Task, closed []*workflow.Job) {
+	s.linkWorkers()
+	for _, t := range assigned {
+		s.track(t)
+	}
+	for _, j := range closed {
+		s.stopJob(j)
+	}
+	if !s.place() {
+		s.pause(commitRetry)
+	}
+}
+
 // session is one leadership.
 type session struct {
 	Options
 	*counters
-	ctx       context.Context
-	fence     uint64
-	began     time.Duration // boot clock
-	summaryAt time.Duration // boot clock, of the next summary; the loop alone uses it
-	tasks     group.Group
+	ctx           context.Context
+	fence         uint64
+	began         time.Duration // boot clock
+	summaryAt     time.Duration // boot clock, of the next summary; the loop alone uses it
+	nextRound     time.Time     // before which nothing more is placed; the loop alone uses it
+	workerChanges uint64        // up to which links follow the table; the loop alone uses it
+	tasks         group.Group
 
 	mu        sync.Mutex // guards what follows
 	links     map[string]*link
@@ -145,6 +156,7 @@
 	pace      map[string]*pace                      // of work, by queue
 	tails     *headroom.Table
 	firstPace map[runKey]int // of runs that have not started
+	images    map[string]int // numbers of images in costs
 }
 
 // adopt takes over what earlier leaders committed.
@@ -166,6 +178,9 @@
 
 // pause waits, unless the leadership ends.
 func (s *session) pause(d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-s.ctx.Done():
 	case <-time.After(d):
@@ -211,12 +226,20 @@
 
 // linkWorkers begins to call the workers that are new and drops those that are gone.
 func (s *session) linkWorkers() {
-	current := map[string]*wire.CalledWorker{}
+	var current map[string]*wire.CalledWorker
 	s.Table.View(func(t *workflow.Tables) {
+		if t.WorkerChanges == s.workerChanges {
+			return
+		}
+		s.workerChanges = t.WorkerChanges
+		current = map[string]*wire.CalledWorker{}
 		for id, w := range t.Workers {
 			current[id] = w.CalledWorker
 		}
 	})
+	if current == nil {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, l := range s.links {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"daisyswitch/event"
-	"daisyswitch/headroom"
 	"daisyswitch/resource"
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
@@ -15,19 +14,22 @@
 // candidate is a worker with what this round has placed on it so far.
 type candidate struct {
 	*workflow.Worker
+	link      *link
 	free      resource.Size
 	unused    int64         // thousandths of a core that filling tasks may still use
 	passing   resource.Size // of tasks that neither last nor fill, which end by themselves
 	suspended bool          // it fails its tasks
-	sharing   sharing
-	images    map[string]int       // of lasting tasks, with their number
-	shares    map[shareKey]float64 // worked out when first asked for
-	harsh     map[string]float64   // by filling image, likewise
+
+	known   bool // whether what follows is worked out
+	margins []margin
+	shares  map[shareKey]float64 // worked out when first asked for
+	harsh   map[int]float64      // by filling image, likewise
+	images  map[string]int       // of lasting tasks, with their number; nil until asked for
 }
 
 // shareKey names how much of a worker a filling image may take, for the sake of workflows that can still reach something.
 type shareKey struct {
-	image  string
+	image  int // its number in costs
 	chance lateness
 }
 
@@ -36,13 +38,16 @@
 	s       *session
 	t       *workflow.Tables
 	nowMS   int64
+	costs   costs
+	numbers map[string]int // of images in costs
 	pools   map[string][]*candidate
 	placed  map[*workflow.Step]map[*candidate]int32
 	starts  []*wire.RunStart
 	racks   map[*workflow.Step]string
-	fills   map[string]int // waiting filling tasks by image
+	fills   map[int]int // waiting filling tasks by the number of their image
 	chance  map[*workflow.Job]lateness
-	wanting bool // a workflow that can be in time has no room
+	wanting bool                    // a workflow that can be in time has no room
+	failed  map[ask][]resource.Size // sizes for which no worker has room
 }
 
 // place decides what starts where and has it committed; it returns false if the record was not.
@@ -50,15 +55,14 @@
 	if !s.live() {
 		return true
 	}
-	s.stopStill()
-	s.stopLeaving()
-	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, fills: map[string]int{}, chance: map[*workflow.Job]lateness{}}
+	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, fills: map[int]int{}, chance: map[*workflow.Job]lateness{}, failed: map[ask][]resource.Size{}}
 	began := time.Now()
 	s.Table.View(func(t *workflow.Tables) {
 		r.t = t
 		if len(t.Waiting) == 0 {
 			return
 		}
+		r.number()
 		r.gather()
 		for _, step := range r.order() {
 			r.placeStep(step)
@@ -68,6 +72,7 @@
 		}
 	})
 	since(s.round, began)
+	s.nextRound = time.Now().Add(max(roundGap, roundShare*time.Since(began)))
 	if len(r.starts) == 0 {
 		return true
 	}
@@ -86,6 +91,16 @@
 	return true
 }
 
+// number works out the costs of the images of the steps that wait and of what runs.
+func (r *round) number() {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	for step := range r.t.Waiting {
+		r.s.imageNumber(step.Spec.GetImage())
+	}
+	r.costs, r.numbers = r.s.costsNow(), maps.Clone(r.s.images)
+}
+
 // gather lists the workers that may get something.
 func (r *round) gather() {
 	now := r.s.Boot()
@@ -96,16 +111,9 @@
 		if l == nil || w.GetLeaving() || r.t.Out[w.GetDomain()] || !l.usable(now) {
 			continue
 		}
-		c := &candidate{Worker: w, suspended: now < l.health.suspended, free: w.Free(), unused: w.Capacity.MilliCPU, sharing: r.s.sharingOf(l, w), shares: map[shareKey]float64{}, harsh: map[string]float64{}, images: map[string]int{}}
-		for task := range w.Tasks {
-			if task.Step.Spec.GetLasting() {
-				c.images[task.Step.Spec.GetImage()]++
-			}
-			c.unused -= use(task.Step.Spec) * int64(l.paceOf(task)) / 100
-			if !task.Step.Spec.GetLasting() && !task.Step.Spec.GetFilling() {
-				c.passing = c.passing.Add(resource.FromWire(task.Step.Spec.GetSize()))
-			}
-		}
+		passing := w.Used.Sub(w.Lasting)
+		c := &candidate{Worker: w, link: l, suspended: now < l.health.suspended, free: w.Free(), passing: passing}
+		c.unused = w.Capacity.MilliCPU - int64(servingUse*float64(w.Lasting.MilliCPU)) - passing.MilliCPU - w.Fill.MilliCPU + l.spared
 		r.pools[w.GetPool()] = append(r.pools[w.GetPool()], c)
 	}
 	for _, pool := range r.pools {
@@ -134,7 +142,7 @@
 			steps = append(steps, step)
 		}
 		if step.Spec.GetFilling() {
-			r.fills[step.Spec.GetImage()] += step.Waiting
+			r.fills[r.image(step)] += step.Waiting
 		}
 	}
 	chance := r.chance
@@ -286,17 +294,17 @@
 		r.s.wait.Update(float64(r.nowMS-step.Job.AcceptedMS) / 1000)
 	}
 	event.TaskPlaced.Info("task", task.Name().String(), "run", run, "worker", c.GetId(), "chance", r.chance[step.Job].String(), "accepted_ms_ago", r.nowMS-step.Job.AcceptedMS,
-		"free_milli_cpu", c.free.MilliCPU, "unused_milli_cpu", c.unused, "serving", len(c.sharing.victims), "pace", pace)
+		"free_milli_cpu", c.free.MilliCPU, "unused_milli_cpu", c.unused, "serving", len(c.margins), "pace", pace)
 	if pace < 100 {
 		r.s.setFirstPace(runKey{task.Name(), run}, pace)
 	}
 	if step.Spec.GetLasting() {
-		c.images[step.Spec.GetImage()]++
+		c.lastingImages()[step.Spec.GetImage()]++
 	}
 	if step.Spec.GetFilling() {
-		c.sharing.beside = append(c.sharing.beside, headroom.Share{Image: step.Spec.GetImage(), Share: c.shareOf(size.MilliCPU * int64(pace) / 100)})
-		c.shares = map[shareKey]float64{}
-		c.harsh = map[string]float64{}
+		r.know(c)
+		take(c.margins, r.costs, r.image(step), c.shareOf(size.MilliCPU*int64(pace)/100))
+		clear(c.shares)
 		size.MilliCPU = 0
 	}
 	c.free = c.free.Sub(size)
@@ -315,14 +323,25 @@
 	return float64(milliCPU) / float64(max(1, c.Capacity.MilliCPU))
 }
 
+// know works out what the serving tasks of a worker bear.
+func (r *round) know(c *candidate) {
+	if c.known {
+		return
+	}
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	c.known = true
+	c.margins = c.link.margins(r.costs)
+	c.shares, c.harsh = map[shareKey]float64{}, map[int]float64{}
+}
+
 // shareFor returns how much of the worker a filling image may take.
-func (r *round) shareFor(c *candidate, image string, chance lateness) float64 {
+func (r *round) shareFor(c *candidate, image int, chance lateness) float64 {
+	r.know(c)
 	key := shareKey{image, chance}
 	share, known := c.shares[key]
 	if !known {
-		r.s.mu.Lock()
-		share = r.s.shareFor(&c.sharing, image, placeHeadroom[chance])
-		r.s.mu.Unlock()
+		share = mostShare(c.margins, r.costs, image, placeHeadroom[chance])
 		c.shares[key] = share
 	}
 	return share
@@ -340,6 +359,9 @@
 
 // choose returns the best worker for a task and the pace at which it may work there, nil if there is none.
 func (r *round) choose(task *workflow.Task) (*candidate, int) {
+	if r.hopeless(task) {
+		return nil, 0
+	}
 	var best, slow *candidate
 	bestScore, slowSpeed := 0.0, 0.0
 	avoided := r.avoided(task)
@@ -362,11 +384,56 @@
 	}
 	least := r.leastSpeed(task)
 	if slow == nil || slowSpeed < least && least > crawl {
+		if len(avoided) == 0 {
+			r.noteHopeless(task)
+		}
 		return nil, 0
 	}
 	return slow, int(100*max(slowSpeed, crawl)) / paceStep * paceStep
 }
 
+// ask names what tasks that ask for the same have in common.
+type ask struct {
+	pool    string
+	size    resource.Size
+	image   string
+	chance  lateness
+	filling bool
+}
+
+// askOf returns what a task asks for; ok is false for one that asks for more than room.
+func (r *round) askOf(task *workflow.Task) (a ask, ok bool) {
+	s := task.Step.Spec
+	if s.GetLasting() || s.GetRequires() != "" || s.GetMaxPerWorker() > 0 || r.chance[task.Step.Job] != inTime && !r.wanting {
+		return ask{}, false
+	}
+	return ask{task.Step.Job.Queue.GetPool(), resource.FromWire(s.GetSize()), s.GetImage(), r.chance[task.Step.Job], s.GetFilling()}, true
+}
+
+// hopeless says whether a task asks for at least what another of this round found nowhere.
+func (r *round) hopeless(task *workflow.Task) bool {
+	a, ok := r.askOf(task)
+	if !ok {
+		return false
+	}
+	size := a.size
+	a.size = resource.Size{}
+	for _, failed := range r.failed[a] {
+		if failed.Fits(size) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *round) noteHopeless(task *workflow.Task) {
+	if a, ok := r.askOf(task); ok {
+		size := a.size
+		a.size = resource.Size{}
+		r.failed[a] = append(r.failed[a], size)
+	}
+}
+
 // leastSpeed returns how slow a filling task may start: a workflow of which nothing runs gets one task to work in any case.
 func (r *round) leastSpeed(task *workflow.Task) float64 {
 	if r.idle(task.Step.Job) {
@@ -401,7 +468,7 @@
 		return 1
 	}
 	unused := float64(c.unused) / (roomShare * size)
-	share := r.shareFor(c, spec.GetImage(), r.chance[task.Step.Job]) / (size / float64(max(1, c.Capacity.MilliCPU)))
+	share := r.shareFor(c, r.image(task.Step), r.chance[task.Step.Job]) / (size / float64(max(1, c.Capacity.MilliCPU)))
 	return max(0, min(1, unused, share))
 }
 
@@ -474,34 +541,47 @@
 	}
 	switch {
 	case spec.GetFilling():
-		score += harshWeight * r.harshness(c, spec.GetImage())
+		score += harshWeight * r.harshness(c, r.image(task.Step))
 	case spec.GetLasting():
 		score -= 2 * packWeight * c.shareOf(c.unused)
-		score += imageWeight*c.likeness(spec.GetImage()) - apartWeight*float64(r.on(task.Step, c)) - r.lost(c, spec.GetImage())
+		score += imageWeight*c.likeness(spec.GetImage()) - apartWeight*float64(r.on(task.Step, c)) - r.lost(c, r.image(task.Step))
 	}
 	return score
 }
 
 // harshness is by how much more the other filling images that wait would hurt a worker's serving tasks than one does.
-func (r *round) harshness(c *candidate, image string) float64 {
+func (r *round) harshness(c *candidate, image int) float64 {
+	r.know(c)
 	if known, ok := c.harsh[image]; ok {
 		return known
 	}
-	r.s.mu.Lock()
-	defer r.s.mu.Unlock()
 	total, count := 0.0, 0
 	for other, tasks := range r.fills {
-		total += float64(tasks) * r.s.worstCost(&c.sharing, other)
+		total += float64(tasks) * worstCost(c.margins, r.costs, other)
 		count += tasks
 	}
-	harsh := total/float64(max(1, count)) - r.s.worstCost(&c.sharing, image)
+	harsh := total/float64(max(1, count)) - worstCost(c.margins, r.costs, image)
 	c.harsh[image] = harsh
 	return harsh
 }
 
+// lastingImages counts the lasting tasks of a worker by image.
+func (c *candidate) lastingImages() map[string]int {
+	if c.images != nil {
+		return c.images
+	}
+	c.images = map[string]int{}
+	for task := range c.Tasks {
+		if task.Step.Spec.GetLasting() {
+			c.images[task.Step.Spec.GetImage()]++
+		}
+	}
+	return c.images
+}
+
 // likeness is higher the more of a worker's lasting tasks have an image, and below 0 where most have others.
 func (c *candidate) likeness(image string) float64 {
-	same, other := c.images[image], 0
+	same, other := c.lastingImages()[image], 0
 	for _, count := range c.images {
 		other += count
 	}
@@ -510,10 +590,15 @@
 }
 
 // lost returns the headroom that a serving image would lose on a worker.
-func (r *round) lost(c *candidate, image string) float64 {
+func (r *round) lost(c *candidate, image int) float64 {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
-	return r.s.tails.Lost(image, c.sharing.beside)
+	return c.link.lost(r.costs, image)
+}
+
+// image returns the number of a step's image in costs.
+func (r *round) image(step *workflow.Step) int {
+	return r.numbers[step.Spec.GetImage()]
 }
 
 // rackOf returns the rack of a step's tasks, empty if none is placed.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -43,6 +43,7 @@
 	percentAt  time.Duration // boot clock, when percent last changed
 	beganAt    time.Duration // boot clock, when it was first listed
 
+	image    int           // its number in costs
 	pace     int           // percent of its speed at which it works
 	pacedAt  time.Duration // boot clock, of the last order on its pace
 	paceBusy bool          // an order on its pace is on its way
@@ -67,7 +68,8 @@
 	l := s.links[r.worker.GetId()]
 	known := s.runs[r.runKey] != nil
 	if l != nil && !known {
-		r.link, r.since, r.checkpoint, r.pace = l, s.Boot(), r.order.Checkpoint, 100
+		r.link, r.since, r.checkpoint = l, s.Boot(), r.order.Checkpoint
+		r.image, r.pace = s.imageNumber(t.Step.Spec.GetImage()), 100
 		s.runs[r.runKey] = r
 		l.runs[r.runKey] = r
 	}
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -9,7 +9,6 @@
 	"daisyswitch/event"
 	"daisyswitch/headroom"
 	"daisyswitch/wire"
-	"daisyswitch/workflow"
 )
 
 // Sharing of workers between serving and filling tasks; headroom is target over tail, so that 1 is just on target.
@@ -32,10 +31,11 @@
 
 // victim is a serving task as a link knows it.
 type victim struct {
-	image    string
-	base     headroom.Base
-	headroom float64       // latest reading
-	lateAt   time.Duration // boot clock since which it has been over its target, 0 if it is not
+	image       string
+	imageNumber int
+	base        headroom.Base
+	headroom    float64       // latest reading
+	lateAt      time.Duration // boot clock since which it has been over its target, 0 if it is not
 }
 
 // filler is a filling task on a worker.
@@ -50,7 +50,7 @@
 	s := l.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	capacity := float64(l.capacity())
+	capacity := float64(l.processors)
 	var beside []headroom.Share
 	var fillers []filler
 	for i := range listing.Running {
@@ -65,6 +65,10 @@
 	}
 	now := s.Boot()
 	l.near = false
+	l.spared = 0
+	for _, f := range fillers {
+		l.spared += f.r.task.Step.Spec.GetSize().GetMilliCpu() * int64(100-f.r.pace) / 100
+	}
 	for i := range listing.Running {
 		key := runKey{listing.Running[i].Task, listing.Running[i].Run}
 		if r := l.runs[key]; r != nil && serves(r.task.Step.Spec) && listing.Running[i].Percent >= 100 && listing.Running[i].Figure > 0 {
@@ -82,7 +86,7 @@
 func (l *link) readVictim(now time.Duration, key runKey, spec *wire.Step, tail float64, beside []headroom.Share) {
 	v := l.victims[key]
 	if v == nil {
-		v = &victim{image: spec.GetImage()}
+		v = &victim{image: spec.GetImage(), imageNumber: l.s.imageNumber(spec.GetImage())}
 		l.victims[key] = v
 	}
 	v.headroom = float64(spec.GetTargetMs()) / tail
@@ -155,7 +159,7 @@
 	if f.r.pace >= 100 {
 		return 100
 	}
-	size := float64(f.r.task.Step.Spec.GetSize().GetMilliCpu()) / float64(l.capacity())
+	size := float64(f.r.task.Step.Spec.GetSize().GetMilliCpu()) / float64(l.processors)
 	next := min(100, f.r.pace+3*paceStep)
 	more := size * float64(next-f.r.pace) / 100
 	for _, v := range l.victims {
@@ -183,18 +187,6 @@
 	}
 }
 
-// paceOf returns the pace at which a committed task works; the session's mutex is held.
-func (l *link) paceOf(task *workflow.Task) int {
-	key := runKey{task.Name(), task.Run}
-	if r := l.runs[key]; r != nil {
-		return r.pace
-	}
-	if pace, set := l.s.firstPace[key]; set {
-		return pace
-	}
-	return 100
-}
-
 // setFirstPace notes at what pace a run is to work once it has started.
 func (s *session) setFirstPace(key runKey, pace int) {
 	s.mu.Lock()
@@ -216,42 +208,81 @@
 	}
 }
 
-// sharing is what a round knows of a worker's serving tasks.
-type sharing struct {
-	victims []*victim
-	beside  []headroom.Share // filling tasks, with those placed in this round
+// costs are the believed costs of pairs as of one round, by the numbers of the serving and of the filling image.
+type costs [][]float64
+
+// imageNumber returns the number of an image in costs, which it gets when first named; the session's mutex is held.
+func (s *session) imageNumber(image string) int {
+	number, known := s.images[image]
+	if !known {
+		number = len(s.images)
+		s.images[image] = number
+	}
+	return number
 }
 
-// sharingOf returns what is known of a worker's serving and filling tasks; the session's mutex is held.
-func (s *session) sharingOf(l *link, w *workflow.Worker) sharing {
-	var sh sharing
+// costsNow returns the costs of all pairs; the session's mutex is held.
+func (s *session) costsNow() costs {
+	c := make(costs, len(s.images))
+	for serving, i := range s.images {
+		c[i] = make([]float64, len(s.images))
+		for filling, k := range s.images {
+			c[i][k] = max(leastCost, s.tails.Cost(serving, filling))
+		}
+	}
+	return c
+}
+
+// margin is what a serving task has left of its headroom beside the filling tasks of its worker.
+type margin struct {
+	image int
+	left  float64
+}
+
+// margins returns what each serving task of a worker has left; the session's mutex is held.
+func (l *link) margins(c costs) []margin {
+	if len(l.victims) == 0 {
+		return nil
+	}
+	margins := make([]margin, 0, len(l.victims))
 	for _, v := range l.victims {
-		sh.victims = append(sh.victims, v)
+		margins = append(margins, margin{v.imageNumber, min(v.base.Now, v.base.Low+placeSlack) - l.lost(c, v.imageNumber)})
 	}
-	capacity := float64(max(1, w.Capacity.MilliCPU))
-	for task := range w.Tasks {
-		if task.Step.Spec.GetFilling() {
-			sh.beside = append(sh.beside, headroom.Share{Image: task.Step.Spec.GetImage(), Share: float64(task.Step.Spec.GetSize().GetMilliCpu()) / capacity * float64(l.paceOf(task)) / 100})
+	return margins
+}
+
+// lost returns what a serving image loses beside the filling tasks of a worker; the session's mutex is held.
+func (l *link) lost(c costs, image int) float64 {
+	lost := 0.0
+	for _, r := range l.runs {
+		if spec := r.task.Step.Spec; spec.GetFilling() {
+			lost += c[image][r.image] * float64(spec.GetSize().GetMilliCpu()) / float64(l.processors) * float64(r.pace) / 100
 		}
 	}
-	return sh
+	return lost
 }
 
-// shareFor returns how much of a worker a filling image may take more, so that every serving task there keeps a headroom.
-func (s *session) shareFor(sh *sharing, image string, kept float64) float64 {
+// mostShare returns how much of a worker a filling image may take more, so that every serving task there keeps a headroom.
+func mostShare(margins []margin, c costs, image int, kept float64) float64 {
 	most := 1.0
-	for _, v := range sh.victims {
-		left := min(v.base.Now, v.base.Low+placeSlack) - s.tails.Lost(v.image, sh.beside) - kept
-		most = min(most, left/max(leastCost, s.tails.Cost(v.image, image)))
+	for _, m := range margins {
+		most = min(most, (m.left-kept)/c[m.image][image])
 	}
 	return most
 }
 
+// take notes that a filling image takes a share of a worker.
+func take(margins []margin, c costs, image int, share float64) {
+	for i := range margins {
+		margins[i].left -= c[margins[i].image][image] * share
+	}
+}
+
 // worstCost returns the most that any serving task on a worker loses beside a filling image on all of it.
-func (s *session) worstCost(sh *sharing, image string) float64 {
+func worstCost(margins []margin, c costs, image int) float64 {
 	worst := 0.0
-	for _, v := range sh.victims {
-		worst = max(worst, s.tails.Cost(v.image, image))
+	for _, m := range margins {
+		worst = max(worst, c[m.image][image])
 	}
 	return worst
 }
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -58,7 +58,7 @@
 		if !r.task.Step.Spec.GetFilling() {
 			continue
 		}
-		cores += r.share * float64(r.link.capacity()) / 1000
+		cores += r.share * float64(r.link.processors) / 1000
 		if r.pace < 100 {
 			slowed++
 		}
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -32,6 +32,8 @@
 	gone    map[string]*wire.CalledWorker // lives that have ended, by id
 	byName  map[string]*wire.Queue
 
+	WorkerChanges uint64 // rises whenever Workers or what they say of themselves changes
+
 	assigned func(*Task)
 	closed   func(*Job)
 }
--- a/workflow/types.go
+++ b/workflow/types.go
@@ -126,6 +126,7 @@
 	*wire.CalledWorker
 	Noted    int64         // ends up to this number are in the state
 	Used     resource.Size // of tasks that do not fill
+	Lasting  resource.Size // part of Used, of tasks that last
 	Fill     resource.Size // of tasks that fill; their memory counts
 	Tasks    map[*Task]struct{}
 	Capacity resource.Size
@@ -156,6 +157,9 @@
 		return
 	}
 	w.Used = w.Used.Add(size)
+	if t.Step.Spec.GetLasting() {
+		w.Lasting = w.Lasting.Add(size)
+	}
 }
 
 func (w *Worker) release(t *Task) {
@@ -166,4 +170,7 @@
 		return
 	}
 	w.Used = w.Used.Sub(size)
+	if t.Step.Spec.GetLasting() {
+		w.Lasting = w.Lasting.Sub(size)
+	}
 }
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -21,6 +21,7 @@
 		t.lose(last)
 		last = nil
 	}
+	t.WorkerChanges++
 	t.endFormer(w)
 	if w.GetGone() {
 		t.bury(w, last)
