--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -165,6 +165,52 @@
 	})
 }
 
+// TestSilentWorkerIsNotTakenForStill: tasks of a worker that could not be asked for a while have not been seen to stand still.
+func TestSilentWorkerIsNotTakenForStill(t *testing.T) {
+	inBench(t, 1, big, func(b *bench) {
+		for i := range 3 {
+			b.submit("short", fmt.Sprint("job", i), &wire.Step{Count: 2, Size: unit, ExpectedMs: 6000})
+		}
+		time.Sleep(500 * time.Millisecond)
+		b.set(func() { b.workers["w0"].silent = true })
+		time.Sleep(2300 * time.Millisecond)
+		b.set(func() { b.workers["w0"].silent = false })
+		time.Sleep(6 * time.Second)
+		for i := range 3 {
+			assert.Equal(t, b.state(fmt.Sprint("job", i)), workflow.StateCompleted)
+			assert.Equal(t, b.begins(fmt.Sprintf("job%d.0.0.0", i)), 1)
+		}
+	})
+}
+
+// TestSlowedTaskIsNotTakenForStill: a filling task that was told to stand still, for a serving task beside it, makes no progress.
+func TestSlowedTaskIsNotTakenForStill(t *testing.T) {
+	inBench(t, 1, big, func(b *bench) {
+		w := b.workers["w0"]
+		b.set(func() {
+			w.tail = func(workflow.Name) float64 { return 10 }
+		})
+		b.submit("lasting", "serve", &wire.Step{Count: 1, Size: unit, Lasting: true, TargetMs: 40, Image: "s"})
+		time.Sleep(time.Second)
+		b.submit("filling", "fill", &wire.Step{Count: 2, Size: unit, Filling: true, Image: "f", ExpectedMs: 20_000})
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, b.runningOf("fill"), 2)
+		b.set(func() {
+			w.tail = func(workflow.Name) float64 { return 200 }
+		})
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, b.begins("fill.0.0.0"), 1)
+		assert.Equal(t, b.runningOf("fill"), 2)
+		b.set(func() {
+			for name, r := range w.runs {
+				if name.Workflow == "fill" {
+					assert.Equal(t, r.pace, 0)
+				}
+			}
+		})
+	})
+}
+
 // TestSuspectedWorkerGetsNothingForAWhile: a worker that fails tasks of several workflows in a row is left alone.
 func TestSuspectedWorkerGetsNothingForAWhile(t *testing.T) {
 	inBench(t, 2, big, func(b *bench) {
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -86,13 +86,45 @@
 	p.mean += (s.Boot() - r.beganAt - p.mean) / time.Duration(p.count)
 }
 
+// Moving of filling tasks that are slowed.
+const (
+	movedBelow    = 30          // percent of its speed
+	movedAfter    = time.Second // as long as a reading takes to follow an order on pace
+	movedProgress = 25          // percent of its work that a task without checkpoints may lose
+)
+
+// moveSlowed stops filling tasks that serving ones have slowed, so that they go on elsewhere from their checkpoints.
+func (s *session) moveSlowed() {
+	now := s.Boot()
+	var slowed []runKey
+	s.mu.Lock()
+	for key, r := range s.runs {
+		spec := r.task.Step.Spec
+		if r.phase != started || r.pace >= movedBelow || spec.GetGang() || now-r.pacedAt < movedAfter {
+			continue
+		}
+		if spec.GetCheckpointing() || r.percent < movedProgress {
+			slowed = append(slowed, key)
+			s.avoid(key.name, r.worker.GetId())
+		}
+	}
+	s.mu.Unlock()
+	for _, key := range slowed {
+		s.stopKey(key, "it is slowed and goes on elsewhere")
+	}
+}
+
+// isStill says whether the worker has listed a run long enough without progress, for the pace that it was told.
+func (r *run) isStill() bool {
+	return r.listed && r.pace > 0 && (r.listedAt-r.percentAt)*time.Duration(r.pace)/100 >= stillTime
+}
+
 // stopStill stops tasks that make no progress, so that they go on elsewhere.
 func (s *session) stopStill() {
-	now := s.Boot()
 	var still []runKey
 	s.mu.Lock()
 	for key, r := range s.runs {
-		if r.phase != started || !r.listed || r.task.Step.Spec.GetGang() || now-r.percentAt < stillTime || r.percent >= 100 {
+		if r.phase != started || r.task.Step.Spec.GetGang() || r.percent >= 100 || !r.isStill() {
 			continue
 		}
 		still = append(still, key)
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -55,6 +55,7 @@
 	if !r.listed {
 		r.listed, r.beganAt, r.percentAt = true, now, now
 	}
+	r.listedAt = now
 	if r.phase == starting {
 		r.phase, r.since = started, now
 	}
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -117,6 +117,7 @@
 			s.pause(time.Until(s.nextRound))
 		case <-ticker.C:
 			s.stopStill()
+			s.moveSlowed()
 			s.stopLeaving()
 			s.summarize()
 		}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -40,7 +40,8 @@
 	listed     bool          // the worker has listed it as running
 	checkpoint string
 	percent    int
-	percentAt  time.Duration // boot clock, when percent last changed
+	percentAt  time.Duration // boot clock, when percent or the pace last changed
+	listedAt   time.Duration // boot clock, when the worker last listed it
 	beganAt    time.Duration // boot clock, when it was first listed
 
 	image    int           // its number in costs
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -183,7 +183,7 @@
 	r.paceBusy = false
 	r.pacedAt = s.Boot()
 	if accepted {
-		r.pace = percent
+		r.pace, r.percentAt = percent, r.pacedAt
 	}
 }
 
