--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -171,7 +171,7 @@
 		for i := range 3 {
 			b.submit("short", fmt.Sprint("job", i), &wire.Step{Count: 2, Size: unit, ExpectedMs: 6000})
 		}
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(1500 * time.Millisecond) // so that they are listed
 		b.set(func() { b.workers["w0"].silent = true })
 		time.Sleep(2300 * time.Millisecond)
 		b.set(func() { b.workers["w0"].silent = false })
