--- a/command/command.go
+++ b/command/command.go
@@ -71,6 +71,7 @@
 		{"domain", "in", "Put a failure domain back in service.", "daisyswitch domain in cebu", &domainPut{s: s}},
 		{"job", "submit", "Submit a job.", "daisyswitch job submit --team ledger --class refunds --program refund-run --tasks 20 --cpu 1 --memory-gib 2 --expected 90s", &jobSubmit{s: s}},
 		{"job", "show", "Print a job and the state of each task.", "daisyswitch job show j12", &jobShow{s: s}},
+		{"job", "explain", "Print what the logs of processes say of a workflow, in order of time.", "daisyswitch job explain 15ab3ded96258ea2 core-*.log front-*.log", &jobExplain{s: s}},
 		{"job", "cancel", "Cancel a job.", "daisyswitch job cancel j12", &jobCancel{s: s}},
 	}
 }
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -68,8 +68,11 @@
 	count int
 }
 
-// paceWeight is how many tasks the mean remembers.
-const paceWeight = 64
+// How many tasks the mean of a queue remembers, and how many it needs: the first to end are the shortest.
+const (
+	paceWeight = 64
+	paceLeast  = 24
+)
 
 // learn notes how long a task took; the session's mutex is held.
 func (s *session) learn(r *run) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -208,7 +208,7 @@
 func (s *session) meanOf(queue string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := s.pace[queue]; p != nil {
+	if p := s.pace[queue]; p != nil && p.count >= paceLeast {
 		return p.mean
 	}
 	return 0
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,7 +20,8 @@
 	helloGap  = 250 * time.Millisecond  // between signs of life on a quiet stream; half an election timeout
 	silence   = 750 * time.Millisecond  // without any, a stream is replaced; three signs
 	readyFor  = 2 * time.Second         // without a leader; elections take less
-	leaderFor = 300 * time.Millisecond  // a request waits for a leader, before it is refused as not run; a quarter of the shortest objective
+	electFor  = time.Second             // after the leader was lost, requests wait for the next; a change of leader takes less
+	leaderFor = 50 * time.Millisecond   // a request waits for a leader at least, before it is refused as not run; a round of probes
 	answerFor = 2500 * time.Millisecond // longest wait for an answer when the caller names no deadline; a commit may take 2 s
 )
 
@@ -83,7 +84,7 @@
 func (g *Gateway) Do(ctx context.Context, request *wire.WorkflowRequest) (*wire.WorkflowReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerFor)
 	defer cancel()
-	patience := time.Now().Add(leaderFor)
+	patience := g.patience()
 	mayHaveRun := false
 	for {
 		l, err := g.wait(ctx, patience)
@@ -107,6 +108,21 @@
 	}
 }
 
+// patience returns until when a request may wait for a leader: through a change of leader, but not while none can be reached.
+func (g *Gateway) patience() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	least := time.Now().Add(leaderFor)
+	lost := g.lostAt
+	if g.link != nil {
+		lost = time.Now()
+	}
+	if until := lost.Add(electFor); until.After(least) {
+		return until
+	}
+	return least
+}
+
 // worst says that a request may have run if any of its tries may have.
 func worst(mayHaveRun bool, reason string, cause error) error {
 	if mayHaveRun {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -116,6 +116,18 @@
 	assert.Assert(t, g.Ready() != nil)
 }
 
+// TestRequestWaitsThroughAChangeOfLeader: a leader steps down, and the next one leads half a second later.
+func TestRequestWaitsThroughAChangeOfLeader(t *testing.T) {
+	a, b := newReplica(t), newReplica(t)
+	a.leads.Store(true)
+	g := newGateway(t, a.server.Address(), b.server.Address())
+	eventually(t, func() bool { return g.Ready() == nil })
+	a.leads.Store(false)
+	time.AfterFunc(500*time.Millisecond, func() { b.leads.Store(true) })
+	_, err := ask(g)
+	assert.NilError(t, err)
+}
+
 // TestLostAnswerLeavesOpenWhetherItRan: the leader has taken a request in and dies before it answers.
 func TestLostAnswerLeavesOpenWhetherItRan(t *testing.T) {
 	r := newReplica(t)
