--- a/settings/bounds.go
+++ b/settings/bounds.go
@@ -30,7 +30,6 @@
 	"first":                     {Default: 0, Min: 0, Max: 1},
 	"losses":                    {Default: 1, Min: 0, Max: 3},
 	"longest_lease_ms":          {Default: 6000, Min: 1000, Max: 10 * minuteMS},
-	"upkeep_lease_ms":           {Default: 3000, Min: 100, Max: 10 * minuteMS},
 	"drain_ms":                  {Default: 4000, Min: 0, Max: 10 * minuteMS},
 	"limits.header_bytes":       {Default: 64 << 10, Min: 4 << 10, Max: mib},
 	"limits.body_bytes":         {Default: 8 * mib, Min: 1 << 10, Max: 1024 * mib},
@@ -58,7 +57,6 @@
 var (
 	label   = text{"1 to 63 of a-z, 0-9, '.', '_' and '-', with a letter or digit first", labelPattern.MatchString}
 	address = text{"IP:port by numbers, such as 127.0.0.1:7000, with a port from 1 to 65535", validAddress}
-	service = text{"empty, or IP:port by numbers", func(s string) bool { return s == "" || validAddress(s) }}
 	folder  = text{"a folder's path", func(s string) bool { return s != "" }}
 )
 
@@ -77,8 +75,6 @@
 	"clients":       address,
 	"ready":         address,
 	"address":       address,
-	"machines":      service,
-	"adviser":       service,
 }
 
 func validAddress(s string) bool {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,11 +72,8 @@
 	Seeds          []Seed `json:"seeds"`         // may change while the process runs
 	First          int64  `json:"first"`         // 1 at the first start of the whole installation, else 0
 	Losses         int64  `json:"losses"`        // control processes that may be lost at once
-	Machines       string `json:"machines"`      // IP:port of the platform's list of machines, empty for none
-	Adviser        string `json:"adviser"`       // IP:port of the adviser on workers, empty for none
 	LeaseMS        int64  `json:"lease_ms"`      // of workers
 	LongestLeaseMS int64  `json:"longest_lease_ms"`
-	UpkeepLeaseMS  int64  `json:"upkeep_lease_ms"` // between orders of two holders for one machine
 	TickMS         int64  `json:"tick_ms"`
 	ElectionTicks  int64  `json:"election_ticks"`
 	SnapshotEvery  uint64 `json:"snapshot_every"` // log records
