--- a/command/process.go
+++ b/command/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"daisyswitch/control"
 	"daisyswitch/entry"
@@ -102,6 +103,24 @@
 	metrics *metrics.Set
 }
 
+// readyLook is how often a starting process looks whether it is ready; a tenth of what the balancer waits between its own looks.
+const readyLook = 100 * time.Millisecond
+
+// awaitSignal waits for a signal, and tells once when the process is ready.
+func awaitSignal(signals <-chan os.Signal, p *process, name string) os.Signal {
+	ticker := time.NewTicker(readyLook)
+	defer ticker.Stop()
+	for p.ready() != nil {
+		select {
+		case received := <-signals:
+			return received
+		case <-ticker.C:
+		}
+	}
+	event.ProcessReady.Info("name", name)
+	return <-signals
+}
+
 // run starts a role with its admin listener, waits for a signal to stop, and stops it gracefully.
 func run(s settings.Common, role string, start func() (*process, error)) error {
 	sink := event.NewSink(os.Stdout)
@@ -125,7 +144,7 @@
 	if err != nil {
 		return fmt.Errorf("start %s %s: %w", role, s.Name, errors.Join(err, p.close()))
 	}
-	received := <-signals
+	received := awaitSignal(signals, p, s.Name)
 	event.ProcessStopping.Info("signal", received.String())
 	err = p.close()
 	if closeErr := admin.Close(); err == nil {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -26,6 +26,7 @@
 	leading    bool   // told by Leading
 	delivered  uint64 // last index handed to the applier
 	yielding   bool   // hands its leadership on
+	followed   uint64 // leader that was last told of
 	recovering bool
 	broken     chan error
 	err        error
@@ -189,6 +190,10 @@
 	if r.node.Role() == raft.Leader {
 		led = r.node.Term()
 	}
+	if leader := r.node.Leader(); leader != r.followed && leader != 0 && leader != r.o.ID {
+		event.ReplicaFollows.Info("replica", r.o.ID, "leader", leader, "term", r.node.Term())
+	}
+	r.followed = r.node.Leader()
 	if r.recovering && !r.node.Recovering() {
 		r.recovering = false
 		event.ReplicaRecovered.Info("replica", r.o.ID, "commit", r.node.Commit())
