--- a/event/sink.go
+++ b/event/sink.go
@@ -4,9 +4,9 @@
 	"flag"
 	"fmt"
 	"io"
-	"sync"
 	"sync/atomic"
 
+	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 )
 
@@ -18,19 +18,17 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
-	done    sync.WaitGroup
+	done    conc.WaitGroup
 }
 
 // NewSink returns a sink that writes to out until Close.
 func NewSink(out io.Writer) *Sink {
 	s := &Sink{out: out, lines: make(chan []byte, sinkLines)}
-	s.done.Add(1)
-	go s.run()
+	s.done.Go(s.run)
 	return s
 }
 
 func (s *Sink) run() {
-	defer s.done.Done()
 	told := uint64(0)
 	for line := range s.lines {
 		if dropped := s.dropped.Load(); dropped != told {
