Let a wiped replica draw a new identity when the leader takes its disk for lost; apply nothing after a failed restore

Causes: a late question of a former disk made the leader retire the living one, whose questions it then never answered; and records handed over while a restore failed were still applied.

--- a/progress/follower.go
+++ b/progress/follower.go
@@ -43,7 +43,7 @@
 
 // Replace notes that the follower starts anew on a blank disk, which takes back all that a former one answered, and returns false if that disk is lost by now.
 func (f *Follower) Replace(disk, next uint64) bool {
-	if slices.Contains(f.retired, disk) {
+	if f.Retired(disk) {
 		return false
 	}
 	if f.disk != disk {
@@ -53,6 +53,11 @@
 	return true
 }
 
+// Retired says whether a disk is taken for one that is no more.
+func (f *Follower) Retired(disk uint64) bool {
+	return slices.Contains(f.retired, disk)
+}
+
 func (f *Follower) retire(disk, next uint64) {
 	if f.disk != 0 {
 		f.retired = append(f.retired, f.disk)
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -82,6 +82,42 @@
 	assert.Assert(t, asked > 0, "never asked")
 }
 
+// TestLateQuestionOfAFormerDiskDoesNotShutOutTheNewOne: a question of a disk that is no more overtakes nothing for good.
+func TestLateQuestionOfAFormerDiskDoesNotShutOutTheNewOne(t *testing.T) {
+	leader := node(&wire.HardState{Term: 1}, 1)
+	elect(t, leader)
+	wiped := raft.New(raft.Options{ID: 3, Peers: []uint64{1, 2, 3}, ElectionTicks: electionTicks, Rand: rand.New(rand.NewPCG(1, 3)), State: &wire.HardState{Recovering: true, Disk: newDisk}})
+	const former = newDisk + 1
+	for round := range 8 * electionTicks {
+		wiped.Tick()
+		for _, m := range flushAll(wiped) {
+			if m.GetTo() == 1 {
+				leader.Step(m)
+			}
+		}
+		if round == 0 {
+			leader.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER, From: 3, To: 1, Nonce: former, Disk: former, Recovering: true})
+		}
+		for _, m := range flushAll(leader) {
+			if m.GetTo() == 3 {
+				wiped.Step(m)
+			}
+		}
+		acknowledge(leader, 2, diskOf2, leader.Last(), false)
+	}
+	assert.Assert(t, !wiped.Recovering(), "never let in")
+}
+
+// flushAll makes all durable and returns all messages.
+func flushAll(n *raft.Node) []*wire.Message {
+	var all []*wire.Message
+	for r := n.Ready(); !r.Empty(); r = n.Ready() {
+		n.Synced()
+		all = append(all, r.Messages...)
+	}
+	return all
+}
+
 func TestAnswersOfLostDiskAreForgotten(t *testing.T) {
 	n := node(&wire.HardState{Term: 1}, 1)
 	elect(t, n)
--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -48,6 +48,7 @@
 		n.noteJoin(m)
 	case wire.MessageKind_MESSAGE_KIND_MEMBERS:
 		n.meet(m.GetMembers())
+		n.takeRefusal(m)
 	default:
 		return false
 	}
@@ -63,11 +64,29 @@
 	case n.role == Leader && n.barrierDone(m):
 		reply.Index = n.followers[m.GetFrom()].Barrier
 	default:
-		reply = &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_MEMBERS, To: m.GetFrom(), Members: n.Members()}
+		reply = &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_MEMBERS, To: m.GetFrom(), Members: n.Members(), Nonce: m.GetNonce(), Reject: n.takesForLost(m)}
 	}
 	n.send(reply)
 }
 
+// takesForLost says whether a leader has taken the disk that a question is about for one that is no more.
+func (n *Node) takesForLost(m *wire.Message) bool {
+	f := n.followers[m.GetFrom()]
+	return n.role == Leader && f != nil && f.Retired(m.GetNonce())
+}
+
+// takeRefusal draws a new identity for a disk that the leader takes for lost, since a late question of a former disk overtook it.
+// A replica that recovers counts for no quorum yet, so that this is no more than one more loss of its disk.
+func (n *Node) takeRefusal(m *wire.Message) {
+	if !n.recovering || !m.GetReject() || m.GetNonce() != n.disk {
+		return
+	}
+	n.disk = n.rand.Uint64()
+	n.stateChanged = true
+	n.awaited = 0
+	n.fresh = nil
+}
+
 // barrierDone says whether a barrier begun after the loss of the disk has been committed without the replica that lost it.
 func (n *Node) barrierDone(m *wire.Message) bool {
 	f := n.followers[m.GetFrom()]
--- a/replica/apply.go
+++ b/replica/apply.go
@@ -15,6 +15,7 @@
 	snapshot uint64        // index of the last snapshot begun
 	members  *wire.Members // of the group, as of what is applied; nil until the log says
 	saving   atomic.Bool   // a snapshot is being written
+	failed   bool          // a snapshot could not be restored, so that later records have no state to apply to
 }
 
 // committed is an entry with the proposal that waits for it, if it was made here.
@@ -25,6 +26,9 @@
 
 // apply runs in the applier.
 func (r *Replica) apply(entries []committed) {
+	if r.applier.failed {
+		return
+	}
 	for _, e := range entries {
 		var result any
 		if len(e.GetData()) > 0 {
@@ -78,6 +82,7 @@
 // restore runs in the applier.
 func (r *Replica) restore(s *wire.Snapshot) {
 	if err := r.o.Restore(s.GetData()); err != nil {
+		r.applier.failed = true
 		r.reportBroken(err)
 		return
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -32,8 +32,9 @@
 	isolated map[string]bool // dials fail and connections swallow all bytes
 	open     []*silenced
 	disk     disk.Options
-	rate     int // bytes a second of each connection, 0 for no limit
-	padding  int // bytes added to a snapshot
+	rate     int           // bytes a second of each connection, 0 for no limit
+	padding  int           // bytes added to a snapshot
+	slow     time.Duration // that the restores of members started from now on take
 }
 
 type member struct {
@@ -45,7 +46,8 @@
 	ctx     context.Context
 	kill    context.CancelFunc
 	padding int
-	leads   atomic.Bool // as told by Leading
+	slow    time.Duration // that a restore takes
+	leads   atomic.Bool   // as told by Leading
 	applied []string
 	mu      sync.Mutex
 }
@@ -61,7 +63,7 @@
 func address(id uint64) string { return fmt.Sprint("replica-", id) }
 
 func (g *group) start(id uint64, dir string) *member {
-	m := &member{name: address(id), id: id, dir: dir, padding: g.padding}
+	m := &member{name: address(id), id: id, dir: dir, padding: g.padding, slow: g.slow}
 	peers := map[uint64]string{}
 	for other := 1; other <= g.size; other++ {
 		peers[uint64(other)] = address(uint64(other))
@@ -103,6 +105,7 @@
 }
 
 func (m *member) restore(b []byte) error {
+	time.Sleep(m.slow)
 	if len(b) <= m.padding {
 		return errors.New("a part of a snapshot")
 	}
@@ -471,6 +474,23 @@
 	})
 }
 
+// TestNothingIsAppliedAfterAFailedRestore: records that were handed over while the restore went on come too late.
+func TestNothingIsAppliedAfterAFailedRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		behind := g.members[address(1)]
+		g.leader(5 * time.Second)
+		g.stop(behind)
+		g.propose(450)
+		g.padding, g.slow = 1<<20, time.Second
+		sick := g.start(1, behind.dir)
+		time.Sleep(5 * time.Second)
+		assert.ErrorContains(t, sick.Info().Err, "a part of a snapshot")
+		assert.Equal(t, sick.count(), 0)
+	})
+}
+
 func TestBrokenRuleEndsTheReplicasPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 3)
