Let a new leader of a long log replicate

Cause: a leader bounds what it sends ahead of a follower's answers from the index on which both agree. A new leader knows of no agreement, so with more than 16,384 records in its log it sent no records at all: heartbeats kept it in office, but nothing was ever committed. While it probes, one message at a time is sent anyway, so the bound now holds from the first agreement on. Ruled out: elections (all follow the new leader), the wiped disk (repaired at 3.4 s), lost connections (all connected). TestNewLeaderOfALongLogReplicates fails without the change.

--- a/progress/follower.go
+++ b/progress/follower.go
@@ -70,9 +70,9 @@
 	return f.silent < ticks
 }
 
-// Lacks says whether there is more to send, up to last and at most ahead entries before the answers.
+// Lacks says whether there is more to send, up to last and, once the logs are known to agree, at most ahead entries before the answers.
 func (f *Follower) Lacks(last, ahead uint64) bool {
-	return f.Next <= last && f.Next <= f.Match+ahead
+	return f.Next <= last && (f.Probing || f.Next <= f.Match+ahead)
 }
 
 // Waits says whether nothing more may be sent until a probe is answered.
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"daisyswitch/raft"
@@ -53,6 +54,25 @@
 	flush(n, 0)
 }
 
+// TestNewLeaderOfALongLogReplicates: a new leader knows of no agreement yet, however long the log is.
+func TestNewLeaderOfALongLogReplicates(t *testing.T) {
+	n := node(&wire.HardState{Term: 1}, slices.Repeat([]uint64{1}, 20_000)...)
+	term := n.Term() + 1
+	for range 2 * electionTicks {
+		n.Tick()
+	}
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, From: 2, To: 1, Term: term, Disk: diskOf2})
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: 2, To: 1, Term: term, Disk: diskOf2})
+	assert.Equal(t, n.Role(), raft.Leader)
+	sent := flush(n, wire.MessageKind_MESSAGE_KIND_APPEND)
+	assert.Equal(t, len(sent), 2)
+	for _, m := range sent {
+		assert.Equal(t, m.GetEntries()[0].GetIndex(), n.Last())
+	}
+	acknowledge(n, 2, diskOf2, n.Last(), false)
+	assert.Equal(t, n.Commit(), n.Last())
+}
+
 func acknowledge(n *raft.Node, from, disk, index uint64, recovering bool) {
 	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: from, To: 1, Term: n.Term(), Disk: disk, Index: index, Recovering: recovering})
 }
