Let a process listen elsewhere than where others reach it; let links cut one way, delay and reset, for one source or all

Needed by the fault soak, whose forwarders stand at the addresses by which processes know each other.

--- a/control/control.go
+++ b/control/control.go
@@ -154,7 +154,7 @@
 	if err := wire.DRPCRegisterControl(mux, c); err != nil {
 		return fmt.Errorf("register control: %w", err)
 	}
-	c.server, err = inner.Listen(o.Listen, c.settings.Inner, mux)
+	c.server, err = inner.Listen(o.Listen, c.settings.InnerAddress(), mux)
 	if err != nil {
 		return errors.Join(err, r.Close())
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,7 +131,7 @@
 		return fmt.Errorf("register exchange: %w", err)
 	}
 	var err error
-	if e.inner, err = inner.Listen(inner.ListenTCP, e.settings.Inner, mux); err != nil {
+	if e.inner, err = inner.Listen(inner.ListenTCP, e.settings.InnerAddress(), mux); err != nil {
 		return err
 	}
 	platform := httprouter.New()
--- a/fakelink/link.go
+++ b/fakelink/link.go
@@ -17,9 +17,18 @@
 const (
 	Pass   Mode = "pass"   // bytes are forwarded
 	Silent Mode = "silent" // no byte passes and nobody is told, until the mode changes; what was held then goes on
+	OneWay Mode = "oneway" // like silent, but only for bytes towards the forwarded address
+	Slow   Mode = "slow"   // bytes are forwarded after SlowTime
 	Forget Mode = "forget" // connections open now stay silent for good, new ones pass
+	Reset  Mode = "reset"  // connections open now are reset, new ones pass
 )
 
+// SlowTime is the delay of a slow link, one way; a hundred times that between failure domains.
+const SlowTime = 50 * time.Millisecond
+
+// Everyone names all sources that no mode is set for.
+const Everyone = ""
+
 const (
 	dialTimeout = time.Second
 	bufferBytes = 32 << 10
@@ -27,8 +36,9 @@
 
 // Forward is one address that the link stands in for.
 type Forward struct {
-	Listen string // IP:port; port 0 takes a free one
-	To     string // IP:port
+	Listen string                // IP:port; port 0 takes a free one
+	To     string                // IP:port
+	From   func(net.Addr) string // names the source of a connection by its address; nil if they need not be told apart
 }
 
 // Link forwards connections to fixed addresses.
@@ -37,27 +47,37 @@
 	running   conc.WaitGroup
 	done      chan struct{} // closed by Close
 
-	mu      sync.Mutex // guards what follows
-	silent  bool
-	changed chan struct{} // closed when silent changes
+	mu      sync.Mutex      // guards what follows
+	modes   map[string]Mode // by source
+	changed chan struct{}   // closed when a mode changes
 	open    map[*pair]struct{}
 }
 
 // pair is a connection and the one that it is forwarded to.
 type pair struct {
+	from      string
 	forgotten chan struct{} // closed when the link forgets the pair
+	reset     chan struct{} // closed when the link resets the pair
 }
 
+// direction is the way that bytes go.
+type direction int
+
+const (
+	towards direction = iota // the forwarded address
+	back
+)
+
 // New listens on every address; its error says which can't be listened on.
 func New(forwards []Forward) (*Link, error) {
-	l := &Link{done: make(chan struct{}), changed: make(chan struct{}), open: map[*pair]struct{}{}}
+	l := &Link{done: make(chan struct{}), modes: map[string]Mode{Everyone: Pass}, changed: make(chan struct{}), open: map[*pair]struct{}{}}
 	for _, f := range forwards {
 		listener, err := net.Listen("tcp", f.Listen)
 		if err != nil {
 			return nil, errors.Join(fmt.Errorf("fakelink: %w", err), l.Close())
 		}
 		l.listeners = append(l.listeners, listener)
-		l.running.Go(func() { l.accept(listener, f.To) })
+		l.running.Go(func() { l.accept(listener, f) })
 	}
 	return l, nil
 }
@@ -71,26 +91,52 @@
 	return addresses
 }
 
-// Set changes the mode.
+// Set changes the mode for all sources.
 func (l *Link) Set(m Mode) error {
+	return l.set(m, func(string) bool { return true }, func() { l.modes = map[string]Mode{Everyone: m} })
+}
+
+// SetFrom changes the mode for one source.
+func (l *Link) SetFrom(source string, m Mode) error {
+	return l.set(m, func(from string) bool { return from == source }, func() { l.modes[source] = m })
+}
+
+func (l *Link) set(m Mode, concerns func(from string) bool, keep func()) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch m {
-	case Pass, Silent:
-		l.silent = m == Silent
+	case Pass, Silent, OneWay, Slow:
+		keep()
 		close(l.changed)
 		l.changed = make(chan struct{})
 	case Forget:
-		for p := range l.open {
-			close(p.forgotten)
-			delete(l.open, p)
-		}
+		l.each(concerns, func(p *pair) { close(p.forgotten) })
+	case Reset:
+		l.each(concerns, func(p *pair) { close(p.reset) })
 	default:
-		return fmt.Errorf("fakelink: mode %q is not one of %s, %s and %s", m, Pass, Silent, Forget)
+		return fmt.Errorf("fakelink: mode %q is not one of %s, %s, %s, %s, %s and %s", m, Pass, Silent, OneWay, Slow, Forget, Reset)
 	}
 	return nil
 }
 
+// each ends the link's care for the open pairs of some sources; the mutex is held.
+func (l *Link) each(concerns func(from string) bool, end func(*pair)) {
+	for p := range l.open {
+		if concerns(p.from) {
+			end(p)
+			delete(l.open, p)
+		}
+	}
+}
+
+// mode returns the mode in force for a pair; the mutex is held.
+func (l *Link) mode(p *pair) Mode {
+	if m, set := l.modes[p.from]; set {
+		return m
+	}
+	return l.modes[Everyone]
+}
+
 // Close ends all connections and waits.
 func (l *Link) Close() error {
 	close(l.done)
@@ -101,45 +147,58 @@
 	return nil
 }
 
-func (l *Link) accept(listener net.Listener, to string) {
+func (l *Link) accept(listener net.Listener, f Forward) {
 	for {
 		near, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		l.running.Go(func() { l.forward(near, to) })
+		l.running.Go(func() { l.forward(near, f) })
 	}
 }
 
 // forward joins near to a new connection; both are closed together, at the latest when the link is.
-func (l *Link) forward(near net.Conn, to string) {
+func (l *Link) forward(near net.Conn, f Forward) {
 	defer near.Close()
-	p := &pair{forgotten: make(chan struct{})}
+	p := &pair{forgotten: make(chan struct{}), reset: make(chan struct{})}
+	if f.From != nil {
+		p.from = f.From(near.RemoteAddr())
+	}
 	l.mu.Lock()
 	l.open[p] = struct{}{}
 	l.mu.Unlock()
 	defer l.remove(p)
-	if !l.wait(p) {
+	if !l.wait(p, towards) {
 		return
 	}
-	far, err := net.DialTimeout("tcp", to, dialTimeout)
+	far, err := net.DialTimeout("tcp", f.To, dialTimeout)
 	if err != nil {
 		return
 	}
 	defer far.Close()
 	var both conc.WaitGroup
 	ended := make(chan struct{}, 2)
-	both.Go(func() { l.copy(p, far, near, ended) })
-	both.Go(func() { l.copy(p, near, far, ended) })
+	both.Go(func() { l.copy(p, far, near, towards, ended) })
+	both.Go(func() { l.copy(p, near, far, back, ended) })
 	select {
 	case <-ended:
 	case <-l.done:
+	case <-p.reset:
+		abort(near)
+		abort(far)
 	}
 	near.Close()
 	far.Close()
 	both.Wait()
 }
 
+// abort has a connection reset when it is closed.
+func abort(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0) //nolint:errcheck // a connection that is closed already needs no reset
+	}
+}
+
 func (l *Link) remove(p *pair) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -147,11 +206,11 @@
 }
 
 // copy moves bytes one way; while the link is silent it holds them, and the end of the connection too.
-func (l *Link) copy(p *pair, to, from net.Conn, ended chan<- struct{}) {
+func (l *Link) copy(p *pair, to, from net.Conn, way direction, ended chan<- struct{}) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, readErr := from.Read(buffer)
-		if !l.wait(p) {
+		if !l.wait(p, way) {
 			break
 		}
 		_, writeErr := to.Write(buffer[:n])
@@ -162,26 +221,43 @@
 	ended <- struct{}{}
 }
 
-// wait returns true once the link passes bytes of this pair, and false when it closes first.
-func (l *Link) wait(p *pair) bool {
+// wait returns true once the link passes bytes of this pair that way, and false when it closes or resets them first.
+func (l *Link) wait(p *pair, way direction) bool {
 	for {
 		l.mu.Lock()
-		silent, changed := l.silent, l.changed
+		mode, changed := l.mode(p), l.changed
 		l.mu.Unlock()
 		select {
 		case <-p.forgotten:
 			<-l.done
 			return false
+		case <-p.reset:
+			return false
 		default:
 		}
-		if !silent {
+		switch {
+		case mode == Pass || mode == OneWay && way == back:
 			return true
+		case mode == Slow:
+			return l.delay(p)
 		}
 		select {
 		case <-changed:
 		case <-p.forgotten:
+		case <-p.reset:
 		case <-l.done:
 			return false
 		}
 	}
 }
+
+// delay waits as long as a slow link takes, and returns false if the pair ends before.
+func (l *Link) delay(p *pair) bool {
+	select {
+	case <-time.After(SlowTime):
+		return true
+	case <-p.reset:
+	case <-l.done:
+	}
+	return false
+}
--- a/fakelink/link_test.go
+++ b/fakelink/link_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"os"
+	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,11 +31,15 @@
 			go func() { io.Copy(conn, conn); conn.Close() }()
 		}
 	}()
-	l, err := fakelink.New([]fakelink.Forward{{Listen: "127.0.0.1:0", To: server.Addr().String()}})
+	l, err := fakelink.New([]fakelink.Forward{{Listen: "127.0.0.1:0", To: server.Addr().String(), From: portOf}})
 	assert.NilError(t, err)
 	return l
 }
 
+func portOf(a net.Addr) string {
+	return strconv.Itoa(a.(*net.TCPAddr).Port)
+}
+
 func dial(t *testing.T, l *fakelink.Link) net.Conn {
 	conn, err := net.Dial("tcp", l.Addresses()[0])
 	assert.NilError(t, err)
@@ -94,8 +100,60 @@
 	assert.NilError(t, l.Close())
 }
 
+func TestOneWayHoldsWhatGoesTowardsTheForwardedAddress(t *testing.T) {
+	l := echo(t)
+	conn := dial(t, l)
+	write(t, conn, "a")
+	expect(t, conn, "a")
+	assert.NilError(t, l.Set(fakelink.OneWay))
+	write(t, conn, "b")
+	expectNothing(t, conn)
+	assert.NilError(t, l.Set(fakelink.Pass))
+	expect(t, conn, "b")
+	assert.NilError(t, l.Close())
+}
+
+func TestSlowDelaysBothWays(t *testing.T) {
+	l := echo(t)
+	conn := dial(t, l)
+	assert.NilError(t, l.Set(fakelink.Slow))
+	began := time.Now()
+	write(t, conn, "a")
+	expect(t, conn, "a")
+	assert.Assert(t, time.Since(began) >= 2*fakelink.SlowTime)
+	assert.NilError(t, l.Close())
+}
+
+func TestResetEndsOpenConnectionsOnly(t *testing.T) {
+	l := echo(t)
+	conn := dial(t, l)
+	write(t, conn, "a")
+	expect(t, conn, "a")
+	assert.NilError(t, l.Set(fakelink.Reset))
+	conn.SetReadDeadline(time.Time{})
+	_, err := conn.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	later := dial(t, l)
+	write(t, later, "c")
+	expect(t, later, "c")
+	assert.NilError(t, l.Close())
+}
+
+func TestModeOfOneSourceLeavesOthersAlone(t *testing.T) {
+	l := echo(t)
+	one, other := dial(t, l), dial(t, l)
+	assert.NilError(t, l.SetFrom(portOf(one.LocalAddr()), fakelink.Silent))
+	write(t, one, "a")
+	write(t, other, "b")
+	expect(t, other, "b")
+	expectNothing(t, one)
+	assert.NilError(t, l.Set(fakelink.Pass))
+	expect(t, one, "a")
+	assert.NilError(t, l.Close())
+}
+
 func TestCloseEndsConnectionsInEveryMode(t *testing.T) {
-	for _, mode := range []fakelink.Mode{fakelink.Pass, fakelink.Silent, fakelink.Forget} {
+	for _, mode := range []fakelink.Mode{fakelink.Pass, fakelink.Silent, fakelink.OneWay, fakelink.Slow, fakelink.Forget, fakelink.Reset} {
 		l := echo(t)
 		conn := dial(t, l)
 		assert.NilError(t, l.Set(mode))
--- a/settings/bounds.go
+++ b/settings/bounds.go
@@ -48,16 +48,17 @@
 
 // text is what a string may be.
 type text struct {
-	allowed string
-	valid   func(string) bool
+	allowed  string
+	valid    func(string) bool
+	optional bool // may be left out
 }
 
 var labelPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
 var (
-	label   = text{"1 to 63 of a-z, 0-9, '.', '_' and '-', with a letter or digit first", labelPattern.MatchString}
-	address = text{"IP:port by numbers, such as 127.0.0.1:7000, with a port from 1 to 65535", validAddress}
-	folder  = text{"a folder's path", func(s string) bool { return s != "" }}
+	label   = text{"1 to 63 of a-z, 0-9, '.', '_' and '-', with a letter or digit first", labelPattern.MatchString, false}
+	address = text{"IP:port by numbers, such as 127.0.0.1:7000, with a port from 1 to 65535", validAddress, false}
+	folder  = text{"a folder's path", func(s string) bool { return s != "" }, false}
 )
 
 // texts holds the rule of each string by the last part of its key.
@@ -71,6 +72,7 @@
 	"operators": address,
 	"data":      folder,
 
+	"inner_listen":  {address.allowed, address.valid, true},
 	"announcements": address,
 	"clients":       address,
 	"ready":         address,
--- a/settings/read.go
+++ b/settings/read.go
@@ -203,6 +203,8 @@
 		setNumber(into, rule.Default)
 	case numeric:
 		r.fault(r.lineOf(key), key, "is missing", rule.allowed())
+	case into.Kind() == reflect.String && texts[key].optional:
+		return
 	case into.Kind() == reflect.String:
 		r.fault(r.lineOf(key), key, "is missing", texts[key[strings.LastIndex(key, ".")+1:]].allowed)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,8 +4,18 @@
 type Common struct {
 	Name   string `json:"name"`   // unique among all processes
 	Domain string `json:"domain"` // failure domain that the process stands in
-	Inner  string `json:"inner"`  // IP:port for the other processes of daisyswitch
+	Inner  string `json:"inner"`  // IP:port at which the other processes of daisyswitch reach it
 	Admin  string `json:"admin"`  // IP:port for metrics and health
+
+	InnerListen string `json:"inner_listen"` // IP:port that it listens on for them, if they reach it through a forwarder; empty for inner itself
+}
+
+// InnerAddress returns the IP:port to listen on for the other processes of daisyswitch.
+func (c *Common) InnerAddress() string {
+	if c.InnerListen != "" {
+		return c.InnerListen
+	}
+	return c.Inner
 }
 
 // Replica is one control process as every process knows it.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -97,3 +97,11 @@
 		assert.Assert(t, strings.Contains(string(page), row), "%s: no row begins with %s", key, row)
 	}
 }
+
+// TestProcessBehindAForwarderListensElsewhere: it listens where it is told to, or else where others reach it.
+func TestProcessBehindAForwarderListensElsewhere(t *testing.T) {
+	c := settings.Common{Inner: "127.0.0.1:7000"}
+	assert.Equal(t, c.InnerAddress(), "127.0.0.1:7000")
+	c.InnerListen = "127.0.0.1:7100"
+	assert.Equal(t, c.InnerAddress(), "127.0.0.1:7100")
+}
