Add a soak of random faults against real processes; have a silent worker forget nothing

The soak runs members and gateways as processes behind forwarders, with stand-in workers and callers, and checks the promises from what those see.

If it starts again under its name, it counts ends from 1, so a hold that reaches the new life late has it forget its first ends; the run is then listed nowhere, is taken for not run and starts again. Holds to a silent worker now carry no such number, and since it may then list ends twice, an end counts once by its number. Ruled out: the link of the new life (its holds carry 0), a stop that was overtaken (the log has none).

TestSilentWorkerIsToldToForgetNothing and TestEndThatIsListedAgainCountsOnce fail without the mend.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PATH := $(TOOLS):$(PATH)
 GOFILES := $(shell git ls-files '*.go')
 
-.PHONY: packages build demo demo-faults demo-disks test bench fuzz generate lint format spec tools slopes plots
+.PHONY: packages build demo demo-faults demo-disks test bench fuzz generate lint format spec soak tools slopes plots
 
 build:
 	go build -o bin/ ./cmd/...
@@ -62,6 +62,14 @@
 fuzz:
 	bash .ci/fuzz
 
+# Random faults against real processes: make soak SEEDS=50 FIRST=1 KEEP=folder
+SEEDS ?= 50
+FIRST ?= 0
+SIDE ?= 4
+KEEP ?=
+soak:
+	go test ./soak -run TestSeeds -count=1 -timeout 60m -parallel $(SIDE) -v -soak.seeds $(SEEDS) -soak.first $(FIRST) -soak.keep "$(KEEP)"
+
 slopes:
 	go build -o bin/ ./cmd/slopes
 	bin/slopes
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -59,6 +59,24 @@
 	})
 }
 
+// TestSilentWorkerIsToldToForgetNothing: it may have started anew under its name, with ends that are numbered from 1 again.
+func TestSilentWorkerIsToldToForgetNothing(t *testing.T) {
+	inBench(t, 1, big, func(b *bench) {
+		b.submit("short", "job", short(3))
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, b.state("job"), workflow.StateCompleted)
+		b.set(func() { b.workers["w0"].silent = true })
+		time.Sleep(5 * time.Second)
+		b.set(func() {
+			asked := b.workers["w0"].asked
+			assert.Assert(t, len(asked) > 2)
+			for _, h := range asked[1:] {
+				assert.Equal(t, h.Noted, int64(0))
+			}
+		})
+	})
+}
+
 // TestLateStartDoesNotRunBesideAnother: a start without an answer is carried out seconds later.
 func TestLateStartDoesNotRunBesideAnother(t *testing.T) {
 	for _, late := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second, 7 * time.Second} {
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -58,6 +58,7 @@
 	late   time.Duration // carries out starts so much later, without an answer
 	fails  bool          // fails all that it starts
 	tail   func(name workflow.Name) float64
+	asked  []call.Hold // while it was silent
 }
 
 type fakeRun struct {
@@ -361,6 +362,11 @@
 const holdLook = 5 * time.Millisecond
 
 func (b *bench) hold(ctx context.Context, w *wire.CalledWorker, h *call.Hold) (*call.Listing, error) {
+	b.set(func() {
+		if target := b.workers[w.GetId()]; target.silent {
+			target.asked = append(target.asked, *h)
+		}
+	})
 	target, err := b.reach(ctx, w)
 	if err != nil {
 		return nil, err
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -128,7 +128,8 @@
 	}
 }
 
-// nextHold returns the next order; one to a silent worker extends nothing, so that its lease ends at a known time.
+// nextHold returns the next order; one to a silent worker extends nothing, so that its lease ends at a known time,
+// and takes note of no end, since the worker may have started anew and counts its ends from 1 again.
 func (l *link) nextHold(now time.Duration) *call.Hold {
 	noted, born := int64(0), l.current().GetBorn()
 	l.s.Table.View(func(t *workflow.Tables) {
@@ -139,10 +140,11 @@
 	wait := l.waitTime()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	order := &call.Hold{Fence: l.s.fence, Noted: noted}
+	order := &call.Hold{Fence: l.s.fence}
 	if l.heardAt == 0 {
 		return order
 	}
+	order.Noted = noted
 	order.DeadlineMS = l.clockMS + (now - l.readAt + l.s.Lease).Milliseconds()
 	if l.leaseMS != 0 {
 		order.Wait = wait
--- a/fakelink/link.go
+++ b/fakelink/link.go
@@ -38,7 +38,7 @@
 type Forward struct {
 	Listen string                // IP:port; port 0 takes a free one
 	To     string                // IP:port
-	From   func(net.Addr) string // names the source of a connection by its address; nil if they need not be told apart
+	From   func(net.Addr) string // names the source of a connection by its address, asked once modes differ by source; nil if they need not be told apart
 }
 
 // Link forwards connections to fixed addresses.
@@ -55,7 +55,7 @@
 
 // pair is a connection and the one that it is forwarded to.
 type pair struct {
-	from      string
+	source    func() string // names who opened it
 	forgotten chan struct{} // closed when the link forgets the pair
 	reset     chan struct{} // closed when the link resets the pair
 }
@@ -93,15 +93,15 @@
 
 // Set changes the mode for all sources.
 func (l *Link) Set(m Mode) error {
-	return l.set(m, func(string) bool { return true }, func() { l.modes = map[string]Mode{Everyone: m} })
+	return l.set(m, func(*pair) bool { return true }, func() { l.modes = map[string]Mode{Everyone: m} })
 }
 
 // SetFrom changes the mode for one source.
 func (l *Link) SetFrom(source string, m Mode) error {
-	return l.set(m, func(from string) bool { return from == source }, func() { l.modes[source] = m })
+	return l.set(m, func(p *pair) bool { return p.source() == source }, func() { l.modes[source] = m })
 }
 
-func (l *Link) set(m Mode, concerns func(from string) bool, keep func()) error {
+func (l *Link) set(m Mode, concerns func(*pair) bool, keep func()) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch m {
@@ -120,9 +120,9 @@
 }
 
 // each ends the link's care for the open pairs of some sources; the mutex is held.
-func (l *Link) each(concerns func(from string) bool, end func(*pair)) {
+func (l *Link) each(concerns func(*pair) bool, end func(*pair)) {
 	for p := range l.open {
-		if concerns(p.from) {
+		if concerns(p) {
 			end(p)
 			delete(l.open, p)
 		}
@@ -131,8 +131,10 @@
 
 // mode returns the mode in force for a pair; the mutex is held.
 func (l *Link) mode(p *pair) Mode {
-	if m, set := l.modes[p.from]; set {
-		return m
+	if len(l.modes) > 1 {
+		if m, set := l.modes[p.source()]; set {
+			return m
+		}
 	}
 	return l.modes[Everyone]
 }
@@ -160,9 +162,9 @@
 // forward joins near to a new connection; both are closed together, at the latest when the link is.
 func (l *Link) forward(near net.Conn, f Forward) {
 	defer near.Close()
-	p := &pair{forgotten: make(chan struct{}), reset: make(chan struct{})}
+	p := &pair{forgotten: make(chan struct{}), reset: make(chan struct{}), source: func() string { return Everyone }}
 	if f.From != nil {
-		p.from = f.From(near.RemoteAddr())
+		p.source = sync.OnceValue(func() string { return f.From(near.RemoteAddr()) })
 	}
 	l.mu.Lock()
 	l.open[p] = struct{}{}
--- /dev/null
+++ b/soak/caller_test.go
@@ -0,0 +1,177 @@
+package soak_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// submission is a workflow as a caller sends it.
+type submission struct {
+	id    string
+	Spec  string `json:"spec"`
+	Steps []step `json:"steps"`
+}
+
+type step struct {
+	Count      int   `json:"count"`
+	CPU        int64 `json:"cpu"`
+	MemoryMiB  int64 `json:"mem-mb"`
+	ExpectedMS int64 `json:"est-runtime-ms"`
+	After      []int `json:"after,omitempty"`
+	Persistent bool  `json:"persistent,omitempty"`
+	work       time.Duration
+}
+
+// newSubmission draws a workflow.
+func newSubmission(r *rand.Rand) *submission {
+	s := &submission{id: fmt.Sprintf("%016x", r.Uint64()), Spec: fmt.Sprintf("payload-%d", r.Uint64())}
+	if r.Float64() < lastingShare {
+		s.Steps = []step{{Count: 1 + r.IntN(3), CPU: 1000, MemoryMiB: 100, Persistent: true}}
+		return s
+	}
+	for i := range 1 + r.IntN(3) {
+		work := time.Duration(50+r.IntN(600)) * time.Millisecond
+		next := step{Count: 1 + r.IntN(4), CPU: int64(500 + r.IntN(3000)), MemoryMiB: 100, ExpectedMS: work.Milliseconds(), work: work}
+		if i > 0 {
+			next.After = []int{i - 1}
+		}
+		s.Steps = append(s.Steps, next)
+	}
+	return s
+}
+
+// call sends one request from a named source and returns the status, 0 if there was no whole answer.
+func (s *soak) call(ctx context.Context, source, method, address, path, host string, body io.Reader) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, tryTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		panic(err) // the soak itself is wrong
+	}
+	request.Host = host
+	request.Header.Set("X-Daisyswitch-Deadline-Ms", fmt.Sprint(tryTime.Milliseconds()))
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := s.clientOf(source).Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, answer
+}
+
+// clientOf returns the client of a source, which keeps its connections open.
+func (s *soak) clientOf(source string) *http.Client {
+	s.clientsMu.Lock()
+	defer s.clientsMu.Unlock()
+	if c := s.clients[source]; c != nil {
+		return c
+	}
+	dialer := &net.Dialer{Timeout: time.Second}
+	if ip := s.ips[source]; ip != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(ip)}
+	}
+	c := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections}, CheckRedirect: func(r *http.Request, via []*http.Request) error {
+		r.URL.Host = s.forwarded(r.URL.Host)
+		return nil
+	}}
+	s.clients[source] = c
+	return c
+}
+
+// caller hands workflows in and follows them.
+func (s *soak) caller(ctx context.Context, number int, r *rand.Rand) {
+	var open sync.WaitGroup
+	defer open.Wait()
+	for ctx.Err() == nil {
+		j := s.history.submitted(newSubmission(r))
+		seed := r.Uint64()
+		open.Add(1)
+		s.tasks.Go(func() {
+			defer open.Done()
+			s.follow(ctx, fmt.Sprintf("caller-%d", number), j, rand.New(rand.NewPCG(seed, 0)))
+		})
+		sleep(ctx, time.Duration(float64(submitEvery)*(0.5+r.Float64())))
+	}
+}
+
+// follow hands one workflow in, looks at it now and then, and may cancel it.
+func (s *soak) follow(ctx context.Context, source string, j *jobRecord, r *rand.Rand) {
+	body, _ := json.Marshal(j.submission)
+	unclear := false
+	for range submitTries {
+		status, _ := s.call(context.Background(), source, http.MethodPost, s.gatewayAddress(r), prefix+j.id, host, bytes.NewReader(body))
+		if status == http.StatusOK {
+			s.history.accept(j)
+			break
+		}
+		if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests && status != http.StatusNotFound {
+			unclear = true
+		}
+		sleep(ctx, time.Duration(50+r.IntN(300))*time.Millisecond)
+	}
+	if !s.history.isAccepted(j) {
+		s.history.refuse(j, unclear)
+		return
+	}
+	if r.Float64() < cancelShare {
+		sleep(ctx, time.Duration(r.IntN(2000))*time.Millisecond)
+		s.cancel(source, j, r)
+	}
+	for ctx.Err() == nil && !s.look(source, j, r) {
+		sleep(ctx, lookEvery)
+	}
+}
+
+// cancel cancels a workflow until it is acknowledged.
+func (s *soak) cancel(source string, j *jobRecord, r *rand.Rand) {
+	s.history.cancelling(j)
+	for range submitTries {
+		status, _ := s.call(context.Background(), source, http.MethodDelete, s.gatewayAddress(r), prefix+j.id, host, nil)
+		if status == http.StatusOK || status == http.StatusGone {
+			s.history.cancelled(j)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// look asks for a workflow's state and returns whether it has ended.
+func (s *soak) look(source string, j *jobRecord, r *rand.Rand) bool {
+	status, answer := s.call(context.Background(), source, http.MethodGet, s.gatewayAddress(r), prefix+j.id, host, nil)
+	switch status {
+	case http.StatusGone:
+		s.history.broken("LOST %s was accepted and is unknown", j.id)
+		return true
+	case http.StatusOK:
+		var body struct {
+			State string `json:"state"`
+		}
+		if err := json.Unmarshal(answer, &body); err != nil {
+			s.history.broken("MIXED %s: state %q", j.id, answer)
+		}
+		s.history.shown(j, body.State)
+		return body.State != "queued" && body.State != "running"
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/workflow/run.go
+++ b/workflow/run.go
@@ -23,8 +23,11 @@
 
 // end notes the end of a run; one that is not the task's current run counts only for what it achieved.
 func (t *Tables) end(nowMS int64, e *wire.RunEnd) {
-	if w := t.Workers[e.GetWorker()]; w != nil && w.GetBorn() == e.GetBorn() {
-		w.Noted = max(w.Noted, e.GetNumber())
+	if w := t.Workers[e.GetWorker()]; w != nil && w.GetBorn() == e.GetBorn() && e.GetNumber() > 0 {
+		if e.GetNumber() <= w.Noted {
+			return
+		}
+		w.Noted = e.GetNumber()
 	}
 	task := t.Task(NameOf(e.GetTask()))
 	if task == nil || e.GetRun() > task.Run {
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -40,8 +40,19 @@
 	return t.Apply(3, &wire.WorkflowCommand{Starts: []*wire.RunStart{{Task: task, Run: run, Worker: worker, Born: born}}}).Starts[0]
 }
 
+// end notes the next end that a worker lists.
 func end(t *workflow.Table, task *wire.TaskName, run int32, worker string, outcome wire.RunOutcome) {
-	t.Apply(4, &wire.WorkflowCommand{Ends: []*wire.RunEnd{{Task: task, Run: run, Worker: worker, Born: 1, Number: 1, Outcome: outcome}}})
+	number := int64(1)
+	t.View(func(s *workflow.Tables) {
+		if w := s.Workers[worker]; w != nil {
+			number = w.Noted + 1
+		}
+	})
+	endNumbered(t, task, run, worker, number, outcome)
+}
+
+func endNumbered(t *workflow.Table, task *wire.TaskName, run int32, worker string, number int64, outcome wire.RunOutcome) {
+	t.Apply(4, &wire.WorkflowCommand{Ends: []*wire.RunEnd{{Task: task, Run: run, Worker: worker, Born: 1, Number: number, Outcome: outcome}}})
 }
 
 func state(t *workflow.Table, id string) (state string) {
@@ -112,6 +123,18 @@
 	assert.Equal(t, state(s, "a"), workflow.StateFailed)
 }
 
+// TestEndThatIsListedAgainCountsOnce: a worker that was silent lists all that was not taken note of there.
+func TestEndThatIsListedAgainCountsOnce(t *testing.T) {
+	s := table()
+	submit(s, "a", &wire.Step{Count: 1, Size: unit})
+	assert.Assert(t, start(s, name("a", 0, 0), 1, "w", 1))
+	for range 3 {
+		endNumbered(s, name("a", 0, 0), 1, "w", 1, failed)
+	}
+	assert.Equal(t, state(s, "a"), workflow.StateRunning)
+	s.View(func(v *workflow.Tables) { assert.Equal(t, v.Jobs["a"].Steps[0].Tasks[0].Failures, int32(1)) })
+}
+
 // TestLateEndCountsForWhatItAchieved: a run that was taken for lapsed turns out to be done.
 func TestLateEndCountsForWhatItAchieved(t *testing.T) {
 	s := table()
