Take serving tasks to use 0.45 of their processors, not 0.6

Cause: filling tasks get what serving tasks are expected to leave. That was counted at the peak of each serving task's load, but peaks do not coincide, so that a sixth of the processors stayed idle while filling tasks waited.

--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -17,7 +17,7 @@
 	aimHeadroom  = 1.05                    // to which they are slowed
 	freeHeadroom = 1.05                    // that must be left when they are given back their speed
 	leastCost    = 0.5                     // assumed of each pair, since a cost that seems zero is never surely so
-	servingUse   = 0.6                     // of a serving task's processors, at the peak of its load
+	servingUse   = 0.45                    // of a serving task's processors, on average
 	roomShare    = 0.9                     // of a filling task's processors that must be unused
 	paceStep     = 10                      // percent
 	crawl        = 0.1                     // at which the only task of a workflow starts, whatever it costs; one step of pace
