Write log lines that come at once together

Cause: each line was one call to the kernel and one wake-up; a leader of the grown sites writes 1,600 a second, which its 0.64 of a core pays for. A line now waits 20 ms for others.

--- a/event/sink.go
+++ b/event/sink.go
@@ -1,10 +1,12 @@
 package event
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
@@ -13,6 +15,9 @@
 // sinkLines is how many lines wait for a slow output; more are dropped and counted. At 200 bytes a line they take 400 KB.
 const sinkLines = 2048
 
+// sinkLinger is how long a line waits for others to be written with; a leader writes over a thousand lines a second, and each write is a call to the kernel.
+const sinkLinger = 20 * time.Millisecond
+
 // Sink hands lines to an output that may be slow or stand still, without ever waiting for it.
 type Sink struct {
 	out     io.Writer
@@ -30,19 +35,37 @@
 
 func (s *Sink) run() {
 	told := uint64(0)
+	var batch []byte
 	for line := range s.lines {
+		time.Sleep(sinkLinger)
+		batch = append(batch[:0], line...)
 		if dropped := s.dropped.Load(); dropped != told {
-			s.write(fmt.Appendf(nil, "%q dropped=%d\n", LinesDropped.title(), dropped-told))
+			batch = fmt.Appendf(batch, "%q dropped=%d\n", LinesDropped.title(), dropped-told)
 			told = dropped
 		}
-		s.write(line)
+		s.write(s.gather(batch))
+	}
+}
+
+// gather appends the lines that wait.
+func (s *Sink) gather(batch []byte) []byte {
+	for {
+		select {
+		case line, open := <-s.lines:
+			if !open {
+				return batch
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
 	}
 }
 
 // write counts what the output refuses, since there is nowhere else to tell it.
-func (s *Sink) write(line []byte) {
-	if _, err := s.out.Write(line); err != nil {
-		s.dropped.Add(1)
+func (s *Sink) write(lines []byte) {
+	if _, err := s.out.Write(lines); err != nil {
+		s.dropped.Add(uint64(bytes.Count(lines, []byte{'\n'})))
 	}
 }
 
