Give each lasting workflow one task first; work out a worker's offer once a step

Cause of lost worth on Tibay: with the workers nearly full of lasting tasks, all of a workflow's tasks went before the next one's, and before all short tasks. Late lasting workflows had nothing at work, and short ones, worth four times as much for the room that they take, came after those. Now the first task of each lasting step comes first, then tasks that end, then further lasting ones. Offers are now worked out once a step and renewed for the worker that was chosen, what filling tasks take is added up once a worker, and a step that asks for more than any worker has left is passed over.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 
 	"daisyswitch/resource"
 	"daisyswitch/workflow"
@@ -18,22 +19,39 @@
 		return
 	}
 	r.s.mu.Lock()
-	defer r.s.mu.Unlock()
+	c.filling = c.link.filling()
+	c.margins = c.link.margins(r.costs, c.filling)
+	r.s.mu.Unlock()
 	c.known = true
-	c.margins = c.link.margins(r.costs)
-	c.shares, c.harsh = map[shareKey]float64{}, map[int]float64{}
+	images := len(r.costs)
+	all := make([]float64, (len(c.shares)+1)*images)
+	for i := range c.shares {
+		c.shares[i], all = all[:images], all[images:]
+	}
+	c.harsh = all
+	for i := range c.harsh {
+		c.harsh[i] = math.NaN()
+	}
+	c.forgetShares()
+}
+
+// forgetShares has the shares worked out anew when they are next asked for.
+func (c *candidate) forgetShares() {
+	for _, shares := range c.shares {
+		for i := range shares {
+			shares[i] = -1
+		}
+	}
 }
 
-// shareFor returns how much of the worker a filling image may take.
+// shareFor returns how much of the worker a filling image may take, 0 if nothing.
 func (r *round) shareFor(c *candidate, image int, chance lateness) float64 {
 	r.know(c)
-	key := shareKey{image, chance}
-	share, known := c.shares[key]
-	if !known {
-		share = mostShare(c.margins, r.costs, image, placeHeadroom[chance])
-		c.shares[key] = share
+	share := &c.shares[chance][image]
+	if *share < 0 {
+		*share = max(0, mostShare(c.margins, r.costs, image, placeHeadroom[chance]))
 	}
-	return share
+	return *share
 }
 
 // avoided returns the workers that failed a task; one that lasts has to run somewhere.
@@ -46,67 +64,117 @@
 	return maps.Clone(r.s.failedOn[task.Name()])
 }
 
-// choose returns the best worker for a task and the pace at which it may work there, nil if there is none.
-func (r *round) choose(task *workflow.Task) (*candidate, int) {
-	if r.hopeless(task) {
-		return nil, 0
+// offer is what one worker offers to the tasks of a step.
+type offer struct {
+	c     *candidate
+	speed float64 // share of its full speed at which a task would work, 0 if it may not start
+	score float64 // at full speed; the highest is best
+}
+
+// chooser picks workers for the tasks of one step; the offers hold while only this step's tasks are placed.
+type chooser struct {
+	r      *round
+	step   *workflow.Step
+	offers []offer
+	most   int64 // thousandths of a core that the largest such task could ask for
+}
+
+// chooserFor works out what each worker offers to the tasks of a step.
+func (r *round) chooserFor(step *workflow.Step) *chooser {
+	pool := r.pools[step.Job.Queue.GetPool()]
+	ch := &chooser{r: r, step: step, offers: make([]offer, 0, len(pool))}
+	for _, c := range pool {
+		if most := r.mostFor(step, c); most > ch.most {
+			ch.most = most
+		}
+		if o := (offer{c: c}); ch.renew(&o) {
+			ch.offers = append(ch.offers, o)
+		}
+	}
+	return ch
+}
+
+// renew works out an offer anew, and returns false if there is none.
+func (ch *chooser) renew(o *offer) bool {
+	o.speed, o.score = 0, 0
+	if !ch.r.allowed(ch.step, o.c) {
+		return false
+	}
+	o.speed = ch.r.speed(ch.step, o.c)
+	if o.speed >= 1 {
+		o.score = ch.r.score(ch.step, o.c)
 	}
-	var best, slow *candidate
-	bestScore, slowSpeed := 0.0, 0.0
-	avoided := r.avoided(task)
-	for _, c := range r.pools[task.Step.Job.Queue.GetPool()] {
-		if _, failed := avoided[c.GetId()]; failed || !r.allowed(task, c) {
+	return o.speed > 0
+}
+
+// choose returns the best worker for a task and the pace at which it may work there, nil if there is none.
+func (ch *chooser) choose(task *workflow.Task) (*candidate, int) {
+	var best, slow *offer
+	avoided := ch.r.avoided(task)
+	for i := range ch.offers {
+		o := &ch.offers[i]
+		if _, failed := avoided[o.c.GetId()]; failed || o.speed == 0 {
 			continue
 		}
-		if speed := r.speed(task, c); speed < 1 {
-			if slow == nil || speed > slowSpeed {
-				slow, slowSpeed = c, speed
+		switch {
+		case o.speed < 1:
+			if slow == nil || o.speed > slow.speed {
+				slow = o
 			}
-			continue
-		}
-		if score := r.score(task, c); best == nil || score > bestScore {
-			best, bestScore = c, score
+		case best == nil || o.score > best.score:
+			best = o
 		}
 	}
 	if best != nil {
-		return best, 100
+		return best.c, 100
 	}
-	least := r.leastSpeed(task)
-	if slow == nil || slowSpeed < least && least > crawl {
+	least := ch.r.leastSpeed(ch.step)
+	if slow == nil || slow.speed < least && least > crawl {
 		if len(avoided) == 0 {
-			r.noteHopeless(task)
+			ch.r.noteHopeless(ch.step, ch.most)
 		}
 		return nil, 0
 	}
-	return slow, int(100*max(slowSpeed, crawl)) / paceStep * paceStep
+	return slow.c, int(100*max(slow.speed, crawl)) / paceStep * paceStep
 }
 
-// ask names what tasks that ask for the same have in common.
+// placed renews the offer of a worker on which a task has just been placed.
+func (ch *chooser) placed(c *candidate) {
+	for i := range ch.offers {
+		if ch.offers[i].c == c {
+			ch.renew(&ch.offers[i])
+			return
+		}
+	}
+}
+
+// ask names what steps that ask for the same have in common, but for the size.
 type ask struct {
 	pool    string
-	size    resource.Size
 	image   string
 	chance  lateness
 	filling bool
 }
 
-// askOf returns what a task asks for; ok is false for one that asks for more than room.
-func (r *round) askOf(task *workflow.Task) (a ask, ok bool) {
-	s := task.Step.Spec
-	if s.GetLasting() || s.GetRequires() != "" || s.GetMaxPerWorker() > 0 || r.chance[task.Step.Job] != inTime && !r.wanting {
+// askOf returns what a step asks for; ok is false for one that asks for more than room.
+func (r *round) askOf(step *workflow.Step) (a ask, ok bool) {
+	s, chance := step.Spec, r.chance[step.Job]
+	if s.GetLasting() || s.GetRequires() != "" || s.GetMaxPerWorker() > 0 || chance != inTime && !r.wanting {
 		return ask{}, false
 	}
-	return ask{task.Step.Job.Queue.GetPool(), resource.FromWire(s.GetSize()), s.GetImage(), r.chance[task.Step.Job], s.GetFilling()}, true
+	return ask{step.Job.Queue.GetPool(), s.GetImage(), chance, s.GetFilling()}, true
 }
 
-// hopeless says whether a task asks for at least what another of this round found nowhere.
-func (r *round) hopeless(task *workflow.Task) bool {
-	a, ok := r.askOf(task)
+// hopeless says whether a step asks for at least what found no room in this round.
+func (r *round) hopeless(step *workflow.Step) bool {
+	a, ok := r.askOf(step)
 	if !ok {
 		return false
 	}
-	size := a.size
-	a.size = resource.Size{}
+	size := resource.FromWire(step.Spec.GetSize())
+	if most, known := r.most[a]; known && size.MilliCPU > most {
+		return true
+	}
 	for _, failed := range r.failed[a] {
 		if failed.Fits(size) {
 			return true
@@ -115,17 +183,30 @@
 	return false
 }
 
-func (r *round) noteHopeless(task *workflow.Task) {
-	if a, ok := r.askOf(task); ok {
-		size := a.size
-		a.size = resource.Size{}
+// noteHopeless keeps a size that found no room and the most that any could ask for; what follows in the round only takes room.
+func (r *round) noteHopeless(step *workflow.Step, most int64) {
+	a, ok := r.askOf(step)
+	if !ok {
+		return
+	}
+	r.most[a] = most
+	if size := resource.FromWire(step.Spec.GetSize()); size.MilliCPU <= most {
 		r.failed[a] = append(r.failed[a], size)
 	}
 }
 
+// mostFor returns the thousandths of a core that a task like a step's could ask for on a worker, memory aside.
+func (r *round) mostFor(step *workflow.Step, c *candidate) int64 {
+	if !step.Spec.GetFilling() {
+		return c.free.MilliCPU
+	}
+	share := r.shareFor(c, r.image(step), r.chance[step.Job])
+	return int64(min(float64(c.unused)/roomShare, share*float64(c.Capacity.MilliCPU)))
+}
+
 // leastSpeed returns how slow a filling task may start: a workflow of which nothing runs gets one task to work in any case.
-func (r *round) leastSpeed(task *workflow.Task) float64 {
-	if r.idle(task.Step.Job) {
+func (r *round) leastSpeed(step *workflow.Step) float64 {
+	if r.idle(step.Job) {
 		return crawl
 	}
 	return 1
@@ -150,36 +231,36 @@
 }
 
 // speed returns at what share of its speed a task may work on a worker; only filling tasks work at less than 1.
-func (r *round) speed(task *workflow.Task, c *candidate) float64 {
-	spec := task.Step.Spec
+func (r *round) speed(step *workflow.Step, c *candidate) float64 {
+	spec := step.Spec
 	size := float64(spec.GetSize().GetMilliCpu())
 	if !spec.GetFilling() || size == 0 {
 		return 1
 	}
 	unused := float64(c.unused) / (roomShare * size)
-	share := r.shareFor(c, r.image(task.Step), r.chance[task.Step.Job]) / (size / float64(max(1, c.Capacity.MilliCPU)))
+	share := r.shareFor(c, r.image(step), r.chance[step.Job]) / (size / float64(max(1, c.Capacity.MilliCPU)))
 	return max(0, min(1, unused, share))
 }
 
 // allowed says whether a task may start on a worker at all.
-func (r *round) allowed(task *workflow.Task, c *candidate) bool {
-	spec := task.Step.Spec
+func (r *round) allowed(step *workflow.Step, c *candidate) bool {
+	spec := step.Spec
 	size := resource.FromWire(spec.GetSize())
 	free := c.free
 	if spec.GetFilling() {
 		size.MilliCPU, free.MilliCPU = 0, max(0, free.MilliCPU)
 	}
-	return size.Fits(free) && r.suits(task, c)
+	return size.Fits(free) && r.suits(step, c)
 }
 
 // suits says whether a worker may run a task when it has room; one that fails its tasks may still run those that have to run somewhere.
-func (r *round) suits(task *workflow.Task, c *candidate) bool {
-	spec := task.Step.Spec
+func (r *round) suits(step *workflow.Step, c *candidate) bool {
+	spec := step.Spec
 	if c.suspended && !spec.GetLasting() || !hasLabel(c.GetLabels(), spec.GetRequires()) {
 		return false
 	}
 	limit := spec.GetMaxPerWorker()
-	return limit <= 0 || r.on(task.Step, c) < limit
+	return limit <= 0 || r.on(step, c) < limit
 }
 
 func hasLabel(labels []string, label string) bool {
@@ -216,8 +297,8 @@
 )
 
 // score says how well a worker suits a task that may start there; the highest is best.
-func (r *round) score(task *workflow.Task, c *candidate) float64 {
-	spec := task.Step.Spec
+func (r *round) score(step *workflow.Step, c *candidate) float64 {
+	spec := step.Spec
 	score := c.shareOf(c.unused)
 	if c.suspended {
 		score -= soundWeight
@@ -225,15 +306,15 @@
 	if rack := spec.GetRack(); rack != "" && hasLabel(c.GetLabels(), rack) {
 		score += nearWeight
 	}
-	if spec.GetSameRack() && r.rackOf(task.Step) == c.GetRack() {
+	if spec.GetSameRack() && r.rackOf(step) == c.GetRack() {
 		score += nearWeight
 	}
 	switch {
 	case spec.GetFilling():
-		score += harshWeight * r.harshness(c, r.image(task.Step))
+		score += harshWeight * r.harshness(c, r.image(step))
 	case spec.GetLasting():
 		score -= 2 * packWeight * c.shareOf(c.unused)
-		score += imageWeight*c.likeness(spec.GetImage()) - apartWeight*float64(r.on(task.Step, c)) - r.lost(c, r.image(task.Step))
+		score += imageWeight*c.likeness(spec.GetImage()) - apartWeight*float64(r.on(step, c)) - r.lost(c, r.image(step))
 	}
 	return score
 }
@@ -241,7 +322,7 @@
 // harshness is by how much more the other filling images that wait would hurt a worker's serving tasks than one does.
 func (r *round) harshness(c *candidate, image int) float64 {
 	r.know(c)
-	if known, ok := c.harsh[image]; ok {
+	if known := c.harsh[image]; !math.IsNaN(known) {
 		return known
 	}
 	total, count := 0.0, 0
@@ -280,9 +361,8 @@
 
 // lost returns the headroom that a serving image would lose on a worker.
 func (r *round) lost(c *candidate, image int) float64 {
-	r.s.mu.Lock()
-	defer r.s.mu.Unlock()
-	return c.link.lost(r.costs, image)
+	r.know(c)
+	return lost(r.costs, c.filling, image)
 }
 
 // image returns the number of a step's image in costs.
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -1,45 +1,77 @@
 package dispatch
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"daisyswitch/workflow"
 )
 
+// rank orders steps that can reach the same.
+type rank int
+
+const (
+	idleLasting rank = iota // the first task of a step that lasts: each such step that has one at work serves someone
+	passing                 // steps that end
+	moreLasting             // further tasks of steps that last
+)
+
+// turn is a step's turn in a round.
+type turn struct {
+	step   *workflow.Step
+	chance lateness
+	rank   rank
+	most   int // tasks
+}
+
+// turns returns when the tasks of a step have their turns.
+func turns(step *workflow.Step, chance lateness) []turn {
+	all := len(step.Tasks)
+	if !step.Spec.GetLasting() {
+		return []turn{{step, chance, passing, all}}
+	}
+	if slices.ContainsFunc(step.Tasks, func(t *workflow.Task) bool { return t.Worker != nil }) {
+		return []turn{{step, chance, moreLasting, all}}
+	}
+	return []turn{{step, chance, idleLasting, 1}, {step, chance, moreLasting, all}}
+}
+
 // order returns the steps that may start now, the most urgent first.
-func (r *round) order() []*workflow.Step {
-	steps := make([]*workflow.Step, 0, len(r.t.Waiting))
+func (r *round) order() []turn {
+	due := make([]*workflow.Step, 0, len(r.t.Waiting))
 	for step := range r.t.Waiting {
-		if step.DueMS <= r.nowMS {
-			steps = append(steps, step)
-		}
 		if step.Spec.GetFilling() {
 			r.fills[r.image(step)] += step.Waiting
 		}
+		if step.DueMS > r.nowMS {
+			continue
+		}
+		due = append(due, step)
+		chance, known := r.chance[step.Job]
+		if reached := r.late(step); !known || reached < chance {
+			r.chance[step.Job] = reached
+		}
 	}
-	chance := r.chance
-	for _, step := range steps {
-		chance[step.Job] = r.late(step)
+	order := make([]turn, 0, len(due))
+	for _, step := range due {
+		order = append(order, turns(step, r.chance[step.Job])...)
 	}
-	sort.Slice(steps, func(i, k int) bool {
-		a, b := steps[i], steps[k]
-		switch {
-		case chance[a.Job] != chance[b.Job]:
-			return chance[a.Job] < chance[b.Job]
-		case a.Spec.GetLasting() != b.Spec.GetLasting():
-			return a.Spec.GetLasting()
-		case a.Job.Queue.GetPriority() != b.Job.Queue.GetPriority():
-			return a.Job.Queue.GetPriority() < b.Job.Queue.GetPriority()
-		case a.Job.AcceptedMS != b.Job.AcceptedMS:
-			return a.Job.AcceptedMS < b.Job.AcceptedMS
-		case a.Job.Spec.GetId() != b.Job.Spec.GetId():
-			return a.Job.Spec.GetId() < b.Job.Spec.GetId()
-		default:
-			return a.Occurrence < b.Occurrence || a.Occurrence == b.Occurrence && a.Number < b.Number
-		}
-	})
-	return steps
+	slices.SortFunc(order, compare)
+	return order
+}
+
+// compare orders turns, the most urgent first.
+func compare(a, b turn) int {
+	return cmp.Or(
+		cmp.Compare(a.chance, b.chance),
+		cmp.Compare(a.rank, b.rank),
+		cmp.Compare(a.step.Job.Queue.GetPriority(), b.step.Job.Queue.GetPriority()),
+		cmp.Compare(a.step.Job.AcceptedMS, b.step.Job.AcceptedMS),
+		cmp.Compare(a.step.Job.Spec.GetId(), b.step.Job.Spec.GetId()),
+		cmp.Compare(a.step.Occurrence, b.step.Occurrence),
+		cmp.Compare(a.step.Number, b.step.Number),
+	)
 }
 
 // lateFactor is up to how many times its objective a workflow still earns something, as the platform's pages say.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -22,15 +22,10 @@
 
 	known   bool // whether what follows is worked out
 	margins []margin
-	shares  map[shareKey]float64 // worked out when first asked for
-	harsh   map[int]float64      // by filling image, likewise
-	images  map[string]int       // of lasting tasks, with their number; nil until asked for
-}
-
-// shareKey names how much of a worker a filling image may take, for the sake of workflows that can still reach something.
-type shareKey struct {
-	image  int // its number in costs
-	chance lateness
+	filling []imageShare
+	shares  [useless + 1][]float64 // how much of the worker a filling image may take, by what its workflow can still reach; below 0 until asked for
+	harsh   []float64              // by filling image, not a number until asked for
+	images  map[string]int         // of lasting tasks, with their number; nil until asked for
 }
 
 // round is one look at all that waits.
@@ -47,7 +42,9 @@
 	fills   map[int]int // waiting filling tasks by the number of their image
 	chance  map[*workflow.Job]lateness
 	wanting bool                    // a workflow that can be in time has no room
-	failed  map[ask][]resource.Size // sizes for which no worker has room
+	failed  map[ask][]resource.Size // sizes for which there is no room
+	most    map[ask]int64           // thousandths of a core that the largest task could ask for, of asks for which there is no room
+	done    map[*workflow.Task]bool // placed, or room is kept for it
 }
 
 // place decides what starts where and has it committed; it returns false if the record was not.
@@ -55,7 +52,7 @@
 	if !s.live() {
 		return true
 	}
-	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, fills: map[int]int{}, chance: map[*workflow.Job]lateness{}, failed: map[ask][]resource.Size{}}
+	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, fills: map[int]int{}, chance: map[*workflow.Job]lateness{}, failed: map[ask][]resource.Size{}, most: map[ask]int64{}, done: map[*workflow.Task]bool{}}
 	began := time.Now()
 	s.Table.View(func(t *workflow.Tables) {
 		r.t = t
@@ -64,8 +61,8 @@
 		}
 		r.number()
 		r.gather()
-		for _, step := range r.order() {
-			r.placeStep(step)
+		for _, t := range r.order() {
+			r.placeStep(t.step, t.most)
 			if len(r.starts) >= maxStarts {
 				break
 			}
@@ -134,37 +131,49 @@
 	return s.GetLasting() && s.GetTargetMs() > 0
 }
 
-// placeStep places as many waiting tasks of a step as have room; a gang is placed whole or not at all.
-func (r *round) placeStep(step *workflow.Step) {
+// placeStep places as many waiting tasks of a step as have room, up to a number; a gang is placed whole or not at all.
+func (r *round) placeStep(step *workflow.Step, most int) {
+	if r.hopeless(step) {
+		r.wanting = r.wanting || r.chance[step.Job] == inTime
+		return
+	}
 	if step.Spec.GetGang() {
 		r.placeGang(step)
 		return
 	}
+	ch := r.chooserFor(step)
 	for _, task := range step.Tasks {
-		if !task.Waits() {
+		if !task.Waits() || r.done[task] {
 			continue
 		}
-		c, pace := r.choose(task)
-		if c == nil && step.Spec.GetLasting() {
-			r.reserve(task)
-			continue
+		if most--; most < 0 {
+			return
 		}
-		if c == nil {
+		c, pace := ch.choose(task)
+		switch {
+		case c != nil:
+			r.commit(task, task.Run+1, c, pace)
+			ch.placed(c)
+		case step.Spec.GetLasting():
+			r.done[task] = true
+			if kept := r.reserve(task); kept != nil {
+				ch.placed(kept)
+			}
+		default:
 			r.wanting = r.wanting || r.chance[step.Job] == inTime
 			return
 		}
-		r.commit(task, task.Run+1, c, pace)
 	}
 }
 
-// reserve keeps room for a lasting task on the worker where it will be free soonest, since tasks that end are never more urgent.
-func (r *round) reserve(task *workflow.Task) {
+// reserve keeps room for a lasting task on the worker where it will be free soonest, which it returns, since tasks that end are never more urgent.
+func (r *round) reserve(task *workflow.Task) *candidate {
 	var best *candidate
 	most := int64(0)
 	size := resource.FromWire(task.Step.Spec.GetSize())
 	for _, c := range r.pools[task.Step.Job.Queue.GetPool()] {
 		soon := c.free.Add(c.passing)
-		if !size.Fits(soon) || !r.suits(task, c) {
+		if !size.Fits(soon) || !r.suits(task.Step, c) {
 			continue
 		}
 		if best == nil || c.free.MilliCPU > most {
@@ -174,6 +183,7 @@
 	if best != nil {
 		best.free = best.free.Sub(size)
 	}
+	return best
 }
 
 // placeGang places all tasks of a gang under one number of run.
@@ -187,8 +197,9 @@
 	}
 	before := len(r.starts)
 	undo := map[*candidate]candidate{}
+	ch := r.chooserFor(step)
 	for _, task := range step.Tasks {
-		c, pace := r.choose(task)
+		c, pace := ch.choose(task)
 		if c == nil {
 			for changed, was := range undo {
 				*changed = was
@@ -202,12 +213,14 @@
 			undo[c] = *c
 		}
 		r.commit(task, run+1, c, pace)
+		ch.placed(c)
 	}
 }
 
 // commit takes room on a candidate for a task that is to work at a pace.
 func (r *round) commit(task *workflow.Task, run int32, c *candidate, pace int) {
 	step := task.Step
+	r.done[task] = true
 	size := resource.FromWire(step.Spec.GetSize())
 	c.unused -= use(step.Spec) * int64(pace) / 100
 	if !step.Job.Started {
@@ -224,7 +237,7 @@
 	if step.Spec.GetFilling() {
 		r.know(c)
 		take(c.margins, r.costs, r.image(step), c.shareOf(size.MilliCPU*int64(pace)/100))
-		clear(c.shares)
+		c.forgetShares()
 		size.MilliCPU = 0
 	}
 	c.free = c.free.Sub(size)
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -239,25 +240,48 @@
 	left  float64
 }
 
-// margins returns what each serving task of a worker has left; the session's mutex is held.
-func (l *link) margins(c costs) []margin {
+// imageShare is how much of a worker the filling tasks of an image take, at their paces.
+type imageShare struct {
+	image int
+	share float64
+}
+
+// filling returns what the filling tasks of a worker take; the session's mutex is held.
+func (l *link) filling() []imageShare {
+	var all []imageShare
+	for _, r := range l.runs {
+		spec := r.task.Step.Spec
+		if !spec.GetFilling() {
+			continue
+		}
+		share := float64(spec.GetSize().GetMilliCpu()) / float64(l.processors) * float64(r.pace) / 100
+		i := slices.IndexFunc(all, func(s imageShare) bool { return s.image == r.image })
+		if i < 0 {
+			all = append(all, imageShare{r.image, share})
+			continue
+		}
+		all[i].share += share
+	}
+	return all
+}
+
+// margins returns what each serving task of a worker has left beside filling tasks; the session's mutex is held.
+func (l *link) margins(c costs, filling []imageShare) []margin {
 	if len(l.victims) == 0 {
 		return nil
 	}
 	margins := make([]margin, 0, len(l.victims))
 	for _, v := range l.victims {
-		margins = append(margins, margin{v.imageNumber, min(v.base.Now, v.base.Low+placeSlack) - l.lost(c, v.imageNumber)})
+		margins = append(margins, margin{v.imageNumber, min(v.base.Now, v.base.Low+placeSlack) - lost(c, filling, v.imageNumber)})
 	}
 	return margins
 }
 
-// lost returns what a serving image loses beside the filling tasks of a worker; the session's mutex is held.
-func (l *link) lost(c costs, image int) float64 {
+// lost returns what a serving image loses beside filling tasks.
+func lost(c costs, filling []imageShare, image int) float64 {
 	lost := 0.0
-	for _, r := range l.runs {
-		if spec := r.task.Step.Spec; spec.GetFilling() {
-			lost += c[image][r.image] * float64(spec.GetSize().GetMilliCpu()) / float64(l.processors) * float64(r.pace) / 100
-		}
+	for _, f := range filling {
+		lost += c[image][f.image] * f.share
 	}
 	return lost
 }
