End a process whose replica has failed, so that it is started again

Cause: core-visayas-a-1 could not write while its disk was full (18.25 to 22.75 s). A replica that fails takes no part any more; its process went on with /live at 503, which nothing on the platform asks. When core-visayas-b-1 lost its disk at 27.7 s, one of three was left.

--- a/command/process.go
+++ b/command/process.go
@@ -103,22 +103,37 @@
 	metrics *metrics.Set
 }
 
-// readyLook is how often a starting process looks whether it is ready; a tenth of what the balancer waits between its own looks.
-const readyLook = 100 * time.Millisecond
+// How often a process looks at itself.
+const (
+	readyLook = 100 * time.Millisecond // whether it is ready, while it starts; a tenth of what the balancer waits between its own looks
+	liveLook  = 500 * time.Millisecond // whether it can still do its part; well under the time that a group bears one loss
+)
 
-// awaitSignal waits for a signal, and tells once when the process is ready.
-func awaitSignal(signals <-chan os.Signal, p *process, name string) os.Signal {
-	ticker := time.NewTicker(readyLook)
-	defer ticker.Stop()
-	for p.ready() != nil {
+// awaitEnd waits for a signal to stop, or for the process to fail, and tells once when it is ready.
+func awaitEnd(signals <-chan os.Signal, p *process, name string) (os.Signal, error) {
+	ready := time.NewTicker(readyLook)
+	defer ready.Stop()
+	live := time.NewTicker(liveLook)
+	defer live.Stop()
+	for {
 		select {
 		case received := <-signals:
-			return received
-		case <-ticker.C:
+			return received, nil
+		case <-ready.C:
+			if p.ready() == nil {
+				event.ProcessReady.Info("name", name)
+				ready.Stop()
+			}
+		case <-live.C:
+			if p.live == nil {
+				live.Stop()
+				continue
+			}
+			if err := p.live(); err != nil {
+				return nil, err
+			}
 		}
 	}
-	event.ProcessReady.Info("name", name)
-	return <-signals
 }
 
 // run starts a role with its admin listener, waits for a signal to stop, and stops it gracefully.
@@ -144,12 +159,13 @@
 	if err != nil {
 		return fmt.Errorf("start %s %s: %w", role, s.Name, errors.Join(err, p.close()))
 	}
-	received := awaitSignal(signals, p, s.Name)
-	event.ProcessStopping.Info("signal", received.String())
-	err = p.close()
-	if closeErr := admin.Close(); err == nil {
-		err = closeErr
+	received, failure := awaitEnd(signals, p, s.Name)
+	if failure != nil {
+		event.ProcessFailed.Error(failure, "role", role, "name", s.Name)
+	} else {
+		event.ProcessStopping.Info("signal", received.String())
 	}
+	err = errors.Join(failure, p.close(), admin.Close())
 	event.ProcessStopped.Info("role", role, "name", s.Name)
 	return err
 }
