Send a leader's records to its followers before its own sync

Cause of delay: a leader synced first and sent then, so that a commit took two syncs one after the other, 9 ms each at Tibay; each job waits for three commits and more. The leader counts itself only once its disk holds a record, as before, so appends may leave early; every other message still waits for the sync. The property test's crashes now also strike between the early sending and the sync; its histories hold, and TestLeaderSendsBeforeItsOwnDiskButCountsItselfAfter fails without it. TestFrozenLeaderAnswersNothingStale counted on the stuck record never leaving; it now leaves and is applied by all three, while the proposer is told, as before, that it may have run.

--- a/raft/node.go
+++ b/raft/node.go
@@ -43,6 +43,7 @@
 
 // Ready is what must be done after a step: sync state, snapshot and entries; then send; then apply.
 type Ready struct {
+	Early    []*wire.Message // may be sent before anything is synced
 	State    *wire.HardState // nil if unchanged
 	Snapshot *wire.Snapshot  // replaces the log and the state machine, nil if there is none
 	Entries  []*wire.Entry   // replace the log from the first one's index on
@@ -52,7 +53,7 @@
 
 // Empty says whether there is nothing to do.
 func (r *Ready) Empty() bool {
-	return r.State == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Messages) == 0 && len(r.Commit) == 0
+	return r.State == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Early) == 0 && len(r.Messages) == 0 && len(r.Commit) == 0
 }
 
 // Node is one replica's step function; it is not safe for concurrent use.
@@ -114,10 +115,25 @@
 	}
 	r.Entries = n.log.Slice(n.log.Synced+1, n.log.Last())
 	n.stampAll(r.Messages)
+	if n.role == Leader && r.State == nil && r.Snapshot == nil {
+		r.Early, r.Messages = apart(r.Messages)
+	}
 	r.Commit = n.deliver()
 	return r
 }
 
+// apart takes out the appends: a leader counts itself only once its own disk holds them, so that its followers may be quicker.
+func apart(messages []*wire.Message) (appends, others []*wire.Message) {
+	for _, m := range messages {
+		if m.GetKind() == wire.MessageKind_MESSAGE_KIND_APPEND {
+			appends = append(appends, m)
+			continue
+		}
+		others = append(others, m)
+	}
+	return appends, others
+}
+
 // deliver hands out what is committed and on this replica's disk.
 func (n *Node) deliver() []*wire.Entry {
 	end := min(n.log.Commit, n.log.Synced)
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -122,6 +122,9 @@
 		if ready.Empty() {
 			break
 		}
+		if err := r.sendAll(ready.Early); err != nil {
+			return r.fail(err)
+		}
 		if err := r.persist(&ready); err != nil {
 			return r.fail(err)
 		}
