--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"daisyswitch/fakelink"
+
+	"golang.org/x/sys/unix"
 )
 
 // fault is one kind of trouble; it returns once it is over.
@@ -25,6 +27,7 @@
 	{"pause a process", (*soak).pause},
 	{"kill all members", (*soak).killAllMembers},
 	{"wipe a member", (*soak).wipe},
+	{"fill a member's disk", (*soak).fillDisk},
 	{"cut a member off", (*soak).cutMember},
 	{"cut a member off one way", (*soak).cutOneWay},
 	{"slow links to a member", (*soak).slowMember},
@@ -153,6 +156,24 @@
 	sleep(ctx, catchUpTime)
 }
 
+// fillDisk has a member's writes refused for a while, by a limit on the size of its files; it is then started again, as a supervisor would.
+func (s *soak) fillDisk(ctx context.Context, r *rand.Rand) {
+	m := s.anyMember(r)
+	id := int(m.id.Load())
+	if id == 0 || !m.full.CompareAndSwap(false, true) {
+		return
+	}
+	defer m.full.Store(false)
+	if err := unix.Prlimit(id, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 1, Max: unix.RLIM_INFINITY}, nil); err != nil {
+		return // it has just ended
+	}
+	sleep(ctx, s.span(r))
+	if err := m.end(syscall.SIGKILL); err != nil {
+		s.history.broken("STOP %s: %v", m.name, err)
+	}
+	s.startAgain(m)
+}
+
 // allReady waits until each member is ready, and returns false if ctx ends before.
 func (s *soak) allReady(ctx context.Context) bool {
 	for ctx.Err() == nil {
