Assemble members and gateways in a package of their own; keep the soak beside the adapter

The soak's stand-ins speak the platform's names, which check-platform keeps within platform/, so it moves there.

--- a/command/process.go
+++ b/command/process.go
@@ -12,6 +12,7 @@
 	"daisyswitch/control"
 	"daisyswitch/entry"
 	"daisyswitch/event"
+	"daisyswitch/installation"
 	"daisyswitch/metric"
 	"daisyswitch/settings"
 
@@ -68,11 +69,11 @@
 		return &usageError{err}
 	}
 	return run(s.Common, settings.RoleMember, func() (*process, error) {
-		m, err := newMember(c.Settings, s)
+		m, err := installation.NewMember(c.Settings, s)
 		if err != nil {
 			return nil, err
 		}
-		return &process{ready: m.control.Ready, live: m.control.Live, close: m.Close, metrics: m.control.Metrics()}, nil
+		return &process{ready: m.Ready, live: m.Live, close: m.Close, metrics: m.Metrics()}, nil
 	})
 }
 
@@ -87,11 +88,11 @@
 		return &usageError{err}
 	}
 	return run(s.Common, settings.RoleGateway, func() (*process, error) {
-		g, err := newGateway(c.Settings, s)
+		g, err := installation.NewGateway(c.Settings, s)
 		if err != nil {
 			return nil, err
 		}
-		return &process{ready: g.gateway.Ready, close: g.Close, metrics: g.metrics}, nil
+		return &process{ready: g.Ready, close: g.Close, metrics: g.Metrics()}, nil
 	})
 }
 
--- /dev/null
+++ b/installation/seeds.go
@@ -0,0 +1,34 @@
+package installation
+
+import (
+	"net/netip"
+
+	"daisyswitch/settings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// seedReplicas returns the drpc addresses of the control processes that seeds name, by replica.
+func seedReplicas(seeds []settings.Seed, inner string) map[uint64]string {
+	replicas := map[uint64]string{}
+	for _, address := range innerAddresses(seeds, inner) {
+		replicas[replicaID(address)] = address
+	}
+	return replicas
+}
+
+// replicaID returns the identity of the replica at a drpc address, which is never given to another disk.
+func replicaID(address string) uint64 {
+	return xxhash.Sum64String(address) | 1
+}
+
+// innerAddresses returns the drpc addresses of the control processes that seeds name: their IPs with the port of inner, which is the same on all instances.
+func innerAddresses(seeds []settings.Seed, inner string) []string {
+	port := netip.MustParseAddrPort(inner).Port()
+	var all []string
+	for _, seed := range seeds {
+		address := netip.MustParseAddrPort(seed.Address).Addr()
+		all = append(all, netip.AddrPortFrom(address, port).String())
+	}
+	return all
+}
