--- a/event/sink.go
+++ b/event/sink.go
@@ -18,6 +18,9 @@
 // sinkLinger is how long a line waits for others to be written with; a leader writes over a thousand lines a second, and each write is a call to the kernel.
 const sinkLinger = 20 * time.Millisecond
 
+// sinkBytes bounds one write to what the kernel passes to a pipe whole, so that lines of processes that share an output are not cut.
+const sinkBytes = 4096
+
 // Sink hands lines to an output that may be slow or stand still, without ever waiting for it.
 type Sink struct {
 	out     io.Writer
@@ -35,19 +38,20 @@
 
 func (s *Sink) run() {
 	told := uint64(0)
-	var batch []byte
+	batch := make([]byte, 0, sinkBytes)
 	for line := range s.lines {
 		time.Sleep(sinkLinger)
-		batch = append(batch[:0], line...)
 		if dropped := s.dropped.Load(); dropped != told {
 			batch = fmt.Appendf(batch, "%q dropped=%d\n", LinesDropped.title(), dropped-told)
 			told = dropped
 		}
-		s.write(s.gather(batch))
+		batch = s.gather(s.add(batch, line))
+		s.write(batch)
+		batch = batch[:0]
 	}
 }
 
-// gather appends the lines that wait.
+// gather adds the lines that wait.
 func (s *Sink) gather(batch []byte) []byte {
 	for {
 		select {
@@ -55,13 +59,22 @@
 			if !open {
 				return batch
 			}
-			batch = append(batch, line...)
+			batch = s.add(batch, line)
 		default:
 			return batch
 		}
 	}
 }
 
+// add adds a line to a batch, which is written first if both are too long for one write.
+func (s *Sink) add(batch, line []byte) []byte {
+	if len(batch) > 0 && len(batch)+len(line) > sinkBytes {
+		s.write(batch)
+		batch = batch[:0]
+	}
+	return append(batch, line...)
+}
+
 // write counts what the output refuses, since there is nowhere else to tell it.
 func (s *Sink) write(lines []byte) {
 	if _, err := s.out.Write(lines); err != nil {
--- a/event/sink_test.go
+++ b/event/sink_test.go
@@ -44,12 +44,13 @@
 
 // counter counts the calls that an output gets.
 type counter struct {
-	writes int
+	writes, longest int
 	bytes.Buffer
 }
 
 func (c *counter) Write(b []byte) (int, error) {
 	c.writes++
+	c.longest = max(c.longest, len(b))
 	return c.Buffer.Write(b)
 }
 
@@ -65,6 +66,7 @@
 	s.Close()
 	assert.Equal(t, strings.Count(c.String(), "line\n"), lines)
 	assert.Assert(t, c.writes < lines/10, "%d writes", c.writes)
+	assert.Assert(t, c.longest <= sinkBytes, "%d bytes in one write", c.longest)
 }
 
 // TestVolumeOfOneEventIsBounded counts what is let through in one second and what is told of the rest in the next.
