Look up the sources of forwarded connections together, with no lock of the link held

Cause: each connection's source was looked up by itself in the kernel's table of sockets, with the link's mutex held; under load a look took longer than the next connection needed to come, and replicas that got no answer dialled again. TestSourceOfAConnectionIsNamed keeps the cuts real.

--- a/fakelink/link.go
+++ b/fakelink/link.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -47,6 +50,8 @@
 	running   conc.WaitGroup
 	done      chan struct{} // closed by Close
 
+	differs atomic.Bool // whether modes differ by source
+
 	mu      sync.Mutex      // guards what follows
 	modes   map[string]Mode // by source
 	changed chan struct{}   // closed when a mode changes
@@ -98,6 +103,8 @@
 
 // SetFrom changes the mode for one source.
 func (l *Link) SetFrom(source string, m Mode) error {
+	l.differs.Store(true)
+	l.nameSources()
 	return l.set(m, func(p *pair) bool { return p.source() == source }, func() { l.modes[source] = m })
 }
 
@@ -119,6 +126,16 @@
 	return nil
 }
 
+// nameSources has the sources of open pairs named, which may take a while and so needs the mutex free.
+func (l *Link) nameSources() {
+	l.mu.Lock()
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	for _, p := range open {
+		p.source()
+	}
+}
+
 // each ends the link's care for the open pairs of some sources; the mutex is held.
 func (l *Link) each(concerns func(*pair) bool, end func(*pair)) {
 	for p := range l.open {
@@ -226,6 +243,9 @@
 // wait returns true once the link passes bytes of this pair that way, and false when it closes or resets them first.
 func (l *Link) wait(p *pair, way direction) bool {
 	for {
+		if l.differs.Load() {
+			p.source()
+		}
 		l.mu.Lock()
 		mode, changed := l.mode(p), l.changed
 		l.mu.Unlock()
