Let further lasting tasks go first once they have waited for a second

Ruled out: the worker's lease or a lost start (the task was never placed meanwhile). TestFurtherLastingTaskWaitsAShortWhileOnly fails without the change.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -207,6 +207,26 @@
 	})
 }
 
+// TestFurtherLastingTaskWaitsAShortWhileOnly: short tasks that come all the time never leave a whole piece of room by themselves.
+func TestFurtherLastingTaskWaitsAShortWhileOnly(t *testing.T) {
+	inBench(t, 2, big, func(b *bench) {
+		submitShort := func(i int) {
+			b.submit("short", fmt.Sprint("short", i), short(1))
+			time.Sleep(25 * time.Millisecond)
+		}
+		for i := range 40 {
+			submitShort(i)
+		}
+		b.submit("lasting", "job", &wire.Step{Count: 2, Size: &wire.Size{MilliCpu: 10000, MemoryMib: 1000}, Lasting: true})
+		for i := range 160 {
+			submitShort(100 + i)
+			if i == 120 {
+				assert.Equal(t, b.runningOf("job"), 2)
+			}
+		}
+	})
+}
+
 // TestSilentWorkerIsNotTakenForStill: tasks of a worker that could not be asked for a while have not been seen to stand still.
 func TestSilentWorkerIsNotTakenForStill(t *testing.T) {
 	inBench(t, 1, big, func(b *bench) {
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -13,10 +13,15 @@
 
 const (
 	idleLasting rank = iota // the first task of a step that lasts: each such step that has one at work serves someone
+	longLasting             // further tasks of steps that last, once they have waited for lastingPatience
 	passing                 // steps that end
 	moreLasting             // further tasks of steps that last
 )
 
+// lastingPatience is how long further tasks of a step that lasts may wait behind tasks that end, which by themselves never leave a whole piece of room;
+// the platform's pages allow 3 s in all, and tasks that end take up to 2 s to make room.
+const lastingPatience = time.Second
+
 // turn is a step's turn in a round.
 type turn struct {
 	step   *workflow.Step
@@ -25,16 +30,36 @@
 	most   int // tasks
 }
 
-// turns returns when the tasks of a step have their turns.
-func turns(step *workflow.Step, chance lateness) []turn {
+// turns returns when the tasks of a step, which has waited for some time, have their turns.
+func turns(step *workflow.Step, chance lateness, waited time.Duration) []turn {
 	all := len(step.Tasks)
 	if !step.Spec.GetLasting() {
 		return []turn{{step, chance, passing, all}}
 	}
+	further := turn{step, chance, moreLasting, all}
+	if waited > lastingPatience {
+		further.rank = longLasting
+	}
 	if slices.ContainsFunc(step.Tasks, func(t *workflow.Task) bool { return t.Worker != nil }) {
-		return []turn{{step, chance, moreLasting, all}}
+		return []turn{further}
+	}
+	return []turn{{step, chance, idleLasting, 1}, further}
+}
+
+// noteWaiting keeps since when each step that lasts has had waiting tasks.
+func (s *session) noteWaiting(due []*workflow.Step) {
+	now, since := s.Boot(), map[*workflow.Step]time.Duration{}
+	for _, step := range due {
+		if !step.Spec.GetLasting() {
+			continue
+		}
+		began, waits := s.lastingSince[step]
+		if !waits {
+			began = now
+		}
+		since[step] = began
 	}
-	return []turn{{step, chance, idleLasting, 1}, {step, chance, moreLasting, all}}
+	s.lastingSince = since
 }
 
 // order returns the steps that may start now, the most urgent first.
@@ -53,9 +78,10 @@
 			r.chance[step.Job] = reached
 		}
 	}
-	order := make([]turn, 0, len(due))
+	r.s.noteWaiting(due)
+	order, now := make([]turn, 0, len(due)), r.s.Boot()
 	for _, step := range due {
-		order = append(order, turns(step, r.chance[step.Job])...)
+		order = append(order, turns(step, r.chance[step.Job], now-r.s.lastingSince[step])...)
 	}
 	slices.SortFunc(order, compare)
 	return order
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -57,6 +57,7 @@
 	s.Table.View(func(t *workflow.Tables) {
 		r.t = t
 		if len(t.Waiting) == 0 {
+			s.lastingSince = nil
 			return
 		}
 		r.number()
