--- a/fakelink/link.go
+++ b/fakelink/link.go
@@ -39,9 +39,9 @@
 
 // Forward is one address that the link stands in for.
 type Forward struct {
-	Listen string                // IP:port; port 0 takes a free one
-	To     string                // IP:port
-	From   func(net.Addr) string // names the source of a connection by its address, asked once modes differ by source; nil if they need not be told apart
+	Listen string                                       // IP:port; port 0 takes a free one
+	To     string                                       // IP:port
+	From   func(from net.Addr, opened time.Time) string // names the source of a connection, asked once modes differ by source; nil if they need not be told apart
 }
 
 // Link forwards connections to fixed addresses.
@@ -98,14 +98,23 @@
 
 // Set changes the mode for all sources.
 func (l *Link) Set(m Mode) error {
-	return l.set(m, func(*pair) bool { return true }, func() { l.modes = map[string]Mode{Everyone: m} })
+	return l.set(m, func(*pair) bool { return true }, func() {
+		l.modes = map[string]Mode{Everyone: m}
+		l.differs.Store(false)
+	})
 }
 
-// SetFrom changes the mode for one source.
+// SetFrom changes the mode for one source; the mode of all others ends what was set for it.
 func (l *Link) SetFrom(source string, m Mode) error {
 	l.differs.Store(true)
 	l.nameSources()
-	return l.set(m, func(p *pair) bool { return p.source() == source }, func() { l.modes[source] = m })
+	return l.set(m, func(p *pair) bool { return p.source() == source }, func() {
+		l.modes[source] = m
+		if m == l.modes[Everyone] {
+			delete(l.modes, source)
+		}
+		l.differs.Store(len(l.modes) > 1)
+	})
 }
 
 func (l *Link) set(m Mode, concerns func(*pair) bool, keep func()) error {
@@ -181,7 +190,8 @@
 	defer near.Close()
 	p := &pair{forgotten: make(chan struct{}), reset: make(chan struct{}), source: func() string { return Everyone }}
 	if f.From != nil {
-		p.source = sync.OnceValue(func() string { return f.From(near.RemoteAddr()) })
+		opened := time.Now()
+		p.source = sync.OnceValue(func() string { return f.From(near.RemoteAddr(), opened) })
 	}
 	l.mu.Lock()
 	l.open[p] = struct{}{}
--- a/fakelink/link_test.go
+++ b/fakelink/link_test.go
@@ -36,7 +36,7 @@
 	return l
 }
 
-func portOf(a net.Addr) string {
+func portOf(a net.Addr, _ time.Time) string {
 	return strconv.Itoa(a.(*net.TCPAddr).Port)
 }
 
@@ -142,7 +142,7 @@
 func TestModeOfOneSourceLeavesOthersAlone(t *testing.T) {
 	l := echo(t)
 	one, other := dial(t, l), dial(t, l)
-	assert.NilError(t, l.SetFrom(portOf(one.LocalAddr()), fakelink.Silent))
+	assert.NilError(t, l.SetFrom(portOf(one.LocalAddr(), time.Now()), fakelink.Silent))
 	write(t, one, "a")
 	write(t, other, "b")
 	expect(t, other, "b")
