--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -146,6 +146,7 @@
 	fence         uint64
 	began         time.Duration                    // boot clock
 	summaryAt     time.Duration                    // boot clock, of the next summary; the loop alone uses it
+	done          effort                           // since the last summary
 	nextRound     time.Time                        // before which nothing more is placed; the loop alone uses it
 	lastingSince  map[*workflow.Step]time.Duration // boot clock, since when steps that last have had waiting tasks; the loop alone uses it
 	workerChanges uint64                           // up to which links follow the table; the loop alone uses it
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -74,7 +74,7 @@
 		}
 		due = append(due, step)
 		chance, known := r.chance[step.Job]
-		if reached := r.late(step); !known || reached < chance {
+		if reached := r.s.reaches(step, r.nowMS); !known || reached < chance {
 			r.chance[step.Job] = reached
 		}
 	}
@@ -117,15 +117,15 @@
 	return [...]string{"in time", "late", "useless"}[l]
 }
 
-// late says what the workflow of a step can still reach, if what remains takes as long as its queue's tasks do.
-func (r *round) late(step *workflow.Step) lateness {
-	p := r.s.meanOf(step.Job.Spec.GetQueue())
+// reaches says what the workflow of a step can still reach, if what remains takes as long as its queue's tasks do.
+func (s *session) reaches(step *workflow.Step, nowMS int64) lateness {
+	p := s.meanOf(step.Job.Spec.GetQueue())
 	if step.Spec.GetLasting() || step.DueMS > 0 || p == 0 {
 		return inTime
 	}
 	steps := step.Job.Spec.GetSteps()
 	objective := time.Duration(step.Job.Queue.GetStretch()*float64(p)*float64(len(steps))) + time.Duration(step.Job.Queue.GetLatencyMs())*time.Millisecond
-	end := time.Duration(r.nowMS-step.Job.AcceptedMS)*time.Millisecond + p*time.Duration(len(steps)-int(step.Number))
+	end := time.Duration(nowMS-step.Job.AcceptedMS)*time.Millisecond + p*time.Duration(len(steps)-int(step.Number))
 	switch {
 	case end <= objective:
 		return inTime
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -70,6 +70,8 @@
 		}
 	})
 	since(s.round, began)
+	s.done.rounds++
+	s.done.inRounds += time.Since(began)
 	s.nextRound = time.Now().Add(max(roundGap, roundShare*time.Since(began)))
 	if len(r.starts) == 0 {
 		return true
@@ -77,10 +79,12 @@
 	began = time.Now()
 	result, err := s.Commit(s.ctx, &wire.WorkflowCommand{Starts: r.starts})
 	since(s.commit, began)
+	s.done.inCommits += time.Since(began)
 	if err != nil {
 		event.RecordNotCommitted.Error(err, "starts", len(r.starts))
 		return false
 	}
+	s.done.starts += len(r.starts)
 	for i, ok := range result.Starts {
 		if !ok {
 			event.StartOvertaken.Info("task", workflow.NameOf(r.starts[i].GetTask()).String(), "run", r.starts[i].GetRun(), "worker", r.starts[i].GetWorker())
