--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -17,7 +17,7 @@
 var errNotNow = errors.New("not committed in a benchmark")
 
 // crowded returns a session over workers that are full of lasting tasks, with filling and short workflows that wait.
-func crowded(b *testing.B, workers, waiting int) *session {
+func crowded(b testing.TB, workers, waiting int) *session {
 	table := workflow.New(workflow.Options{})
 	table.Apply(1, &wire.WorkflowCommand{Queues: &wire.QueueSet{Version: 1, Queues: []*wire.Queue{{Name: "lasting", Pool: "p"}, {Name: "filling", Pool: "p", Priority: 2, Stretch: 2, LatencyMs: 1000}, {Name: "short", Pool: "p", Stretch: 1.5}}}})
 	s := &session{
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -96,6 +96,7 @@
 
 // renew works out an offer anew, and returns false if there is none.
 func (ch *chooser) renew(o *offer) bool {
+	ch.r.s.looks.Inc()
 	o.speed, o.score = 0, 0
 	if !ch.r.allowed(ch.step, o.c) {
 		return false
--- a/dispatch/counters.go
+++ b/dispatch/counters.go
@@ -20,6 +20,7 @@
 	ends       map[wire.RunOutcome]*metrics.Counter
 	startCall  *metrics.Histogram
 	round      *metrics.Histogram
+	looks      *metrics.Counter // at what a worker offers to the tasks of a step
 	commit     *metrics.Histogram
 	wait       *metrics.Histogram // from a workflow's acceptance to its first start
 }
@@ -35,6 +36,7 @@
 		ends:       map[wire.RunOutcome]*metrics.Counter{},
 		startCall:  set.NewHistogram("daisyswitch_start_call_seconds"),
 		round:      set.NewHistogram("daisyswitch_place_round_seconds"),
+		looks:      set.NewCounter("daisyswitch_place_looks_total"),
 		commit:     set.NewHistogram("daisyswitch_workflow_commit_seconds"),
 		wait:       set.NewHistogram("daisyswitch_workflow_first_start_seconds"),
 	}
