Look again only at workers that have changed since a task found no room

Cause: each round worked out what all 490 workers offer to each kind of waiting task, so that a backlog made rounds slower, slower rounds had tasks hold their room for longer, and the backlog grew. What a worker offers is now kept from round to round until its tasks, its readings or its state change, and a kind of task that found no room is looked at again only on workers that have changed since.

--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -1,8 +1,14 @@
 package dispatch
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 
+	"daisyswitch/wire"
+	"daisyswitch/workflow"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -16,3 +22,62 @@
 	}
 	assert.Equal(t, s.looks.Get()-before, uint64(0), "looks at workers on which nothing has changed")
 }
+
+// decide returns what a session places now, without having it committed.
+func decide(s *session) []string {
+	var starts []string
+	s.Commit = func(_ context.Context, c *wire.WorkflowCommand) (*workflow.Result, error) {
+		for _, start := range c.GetStarts() {
+			starts = append(starts, fmt.Sprint(workflow.NameOf(start.GetTask()), start.GetWorker()))
+		}
+		return nil, errNotNow
+	}
+	s.place()
+	return starts
+}
+
+// withoutMemory returns a session over the same state that has seen no round.
+func withoutMemory(s *session) *session {
+	return &session{
+		Options: s.Options, counters: s.counters, ctx: s.ctx, links: s.links, runs: s.runs, failedOn: s.failedOn, pace: s.pace,
+		tails: s.tails, firstPace: map[runKey]int{}, images: s.images, candidates: map[string]*candidate{}, dearths: map[ask]*dearth{},
+	}
+}
+
+// TestRememberedDearthHidesNoRoom guards against tasks that wait though a worker has come to have room for them.
+func TestRememberedDearthHidesNoRoom(t *testing.T) {
+	for seed := range uint64(20) {
+		s := crowded(t, 30, 12)
+		random := rand.New(rand.NewPCG(seed, 1))
+		placed := 0
+		for range 40 {
+			disturb(s, random)
+			got := decide(s)
+			assert.DeepEqual(t, got, decide(withoutMemory(s)))
+			placed += len(got)
+		}
+		assert.Assert(t, placed > 0, "seed %d: nothing ever had room", seed)
+	}
+}
+
+// disturb ends a run, changes what a serving task bears, or suspends a worker.
+func disturb(s *session, random *rand.Rand) {
+	id := fmt.Sprint("w", random.IntN(30))
+	l := s.links[id]
+	switch random.IntN(4) {
+	case 0:
+		for key := range l.runs {
+			s.Table.Apply(1, &wire.WorkflowCommand{Ends: []*wire.RunEnd{{Task: key.name.Wire(), Run: key.number, Worker: id, Born: 1, Outcome: wire.RunOutcome_RUN_OUTCOME_DONE}}})
+			s.forget(key)
+			delete(l.victims, key)
+			return
+		}
+	case 1:
+		for _, v := range l.victims {
+			v.base.Now, v.base.Low = 1+4*random.Float64(), 1+4*random.Float64()
+		}
+		l.revised = true
+	case 2:
+		l.health.suspended = s.Boot() + 1 - l.health.suspended
+	}
+}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -2,58 +2,11 @@
 
 import (
 	"maps"
-	"math"
 
 	"daisyswitch/resource"
 	"daisyswitch/workflow"
 )
 
-// shareOf returns a number of thousandths of a core as a share of the worker.
-func (c *candidate) shareOf(milliCPU int64) float64 {
-	return float64(milliCPU) / float64(max(1, c.Capacity.MilliCPU))
-}
-
-// know works out what the serving tasks of a worker bear.
-func (r *round) know(c *candidate) {
-	if c.known {
-		return
-	}
-	r.s.mu.Lock()
-	c.filling = c.link.filling()
-	c.margins = c.link.margins(r.costs, c.filling)
-	r.s.mu.Unlock()
-	c.known = true
-	images := len(r.costs)
-	all := make([]float64, (len(c.shares)+1)*images)
-	for i := range c.shares {
-		c.shares[i], all = all[:images], all[images:]
-	}
-	c.harsh = all
-	for i := range c.harsh {
-		c.harsh[i] = math.NaN()
-	}
-	c.forgetShares()
-}
-
-// forgetShares has the shares worked out anew when they are next asked for.
-func (c *candidate) forgetShares() {
-	for _, shares := range c.shares {
-		for i := range shares {
-			shares[i] = -1
-		}
-	}
-}
-
-// shareFor returns how much of the worker a filling image may take, 0 if nothing.
-func (r *round) shareFor(c *candidate, image int, chance lateness) float64 {
-	r.know(c)
-	share := &c.shares[chance][image]
-	if *share < 0 {
-		*share = max(0, mostShare(c.margins, r.costs, image, placeHeadroom[chance]))
-	}
-	return *share
-}
-
 // avoided returns the workers that failed a task; one that lasts has to run somewhere.
 func (r *round) avoided(task *workflow.Task) map[string]struct{} {
 	if task.Step.Spec.GetLasting() {
@@ -75,17 +28,21 @@
 type chooser struct {
 	r      *round
 	step   *workflow.Step
+	image  int // its number in costs
+	chance lateness
+	since  int // round before which no worker had room, 0 if that is not known
 	offers []offer
-	most   int64 // thousandths of a core that the largest such task could ask for
 }
 
-// chooserFor works out what each worker offers to the tasks of a step.
+// chooserFor works out what each worker offers to the tasks of a step, but for those that offered nothing when last looked at.
 func (r *round) chooserFor(step *workflow.Step) *chooser {
-	pool := r.pools[step.Job.Queue.GetPool()]
-	ch := &chooser{r: r, step: step, offers: make([]offer, 0, len(pool))}
-	for _, c := range pool {
-		if most := r.mostFor(step, c); most > ch.most {
-			ch.most = most
+	ch := &chooser{r: r, step: step, image: r.image(step), chance: r.chance[step.Job]}
+	if d := r.dearthFor(step); d != nil {
+		ch.since = d.round
+	}
+	for _, c := range ch.pool() {
+		if c.changed <= ch.since {
+			continue
 		}
 		if o := (offer{c: c}); ch.renew(&o) {
 			ch.offers = append(ch.offers, o)
@@ -94,6 +51,10 @@
 	return ch
 }
 
+func (ch *chooser) pool() []*candidate {
+	return ch.r.pools[ch.step.Job.Queue.GetPool()]
+}
+
 // renew works out an offer anew, and returns false if there is none.
 func (ch *chooser) renew(o *offer) bool {
 	ch.r.s.looks.Inc()
@@ -101,9 +62,9 @@
 	if !ch.r.allowed(ch.step, o.c) {
 		return false
 	}
-	o.speed = ch.r.speed(ch.step, o.c)
+	o.speed = ch.speed(o.c)
 	if o.speed >= 1 {
-		o.score = ch.r.score(ch.step, o.c)
+		o.score = ch.score(o.c)
 	}
 	return o.speed > 0
 }
@@ -132,7 +93,7 @@
 	least := ch.r.leastSpeed(ch.step)
 	if slow == nil || slow.speed < least && least > crawl {
 		if len(avoided) == 0 {
-			ch.r.noteHopeless(ch.step, ch.most)
+			ch.noteDearth()
 		}
 		return nil, 0
 	}
@@ -149,62 +110,6 @@
 	}
 }
 
-// ask names what steps that ask for the same have in common, but for the size.
-type ask struct {
-	pool    string
-	image   string
-	chance  lateness
-	filling bool
-}
-
-// askOf returns what a step asks for; ok is false for one that asks for more than room.
-func (r *round) askOf(step *workflow.Step) (a ask, ok bool) {
-	s, chance := step.Spec, r.chance[step.Job]
-	if s.GetLasting() || s.GetRequires() != "" || s.GetMaxPerWorker() > 0 || chance != inTime && !r.wanting {
-		return ask{}, false
-	}
-	return ask{step.Job.Queue.GetPool(), s.GetImage(), chance, s.GetFilling()}, true
-}
-
-// hopeless says whether a step asks for at least what found no room in this round.
-func (r *round) hopeless(step *workflow.Step) bool {
-	a, ok := r.askOf(step)
-	if !ok {
-		return false
-	}
-	size := resource.FromWire(step.Spec.GetSize())
-	if most, known := r.most[a]; known && size.MilliCPU > most {
-		return true
-	}
-	for _, failed := range r.failed[a] {
-		if failed.Fits(size) {
-			return true
-		}
-	}
-	return false
-}
-
-// noteHopeless keeps a size that found no room and the most that any could ask for; what follows in the round only takes room.
-func (r *round) noteHopeless(step *workflow.Step, most int64) {
-	a, ok := r.askOf(step)
-	if !ok {
-		return
-	}
-	r.most[a] = most
-	if size := resource.FromWire(step.Spec.GetSize()); size.MilliCPU <= most {
-		r.failed[a] = append(r.failed[a], size)
-	}
-}
-
-// mostFor returns the thousandths of a core that a task like a step's could ask for on a worker, memory aside.
-func (r *round) mostFor(step *workflow.Step, c *candidate) int64 {
-	if !step.Spec.GetFilling() {
-		return c.free.MilliCPU
-	}
-	share := r.shareFor(c, r.image(step), r.chance[step.Job])
-	return int64(min(float64(c.unused)/roomShare, share*float64(c.Capacity.MilliCPU)))
-}
-
 // leastSpeed returns how slow a filling task may start: a workflow of which nothing runs gets one task to work in any case.
 func (r *round) leastSpeed(step *workflow.Step) float64 {
 	if r.idle(step.Job) {
@@ -232,14 +137,14 @@
 }
 
 // speed returns at what share of its speed a task may work on a worker; only filling tasks work at less than 1.
-func (r *round) speed(step *workflow.Step, c *candidate) float64 {
-	spec := step.Spec
+func (ch *chooser) speed(c *candidate) float64 {
+	spec := ch.step.Spec
 	size := float64(spec.GetSize().GetMilliCpu())
 	if !spec.GetFilling() || size == 0 {
 		return 1
 	}
 	unused := float64(c.unused) / (roomShare * size)
-	share := r.shareFor(c, r.image(step), r.chance[step.Job]) / (size / float64(max(1, c.Capacity.MilliCPU)))
+	share := ch.r.shareFor(c, ch.image, ch.chance) / (size / float64(max(1, c.Capacity.MilliCPU)))
 	return max(0, min(1, unused, share))
 }
 
@@ -298,8 +203,8 @@
 )
 
 // score says how well a worker suits a task that may start there; the highest is best.
-func (r *round) score(step *workflow.Step, c *candidate) float64 {
-	spec := step.Spec
+func (ch *chooser) score(c *candidate) float64 {
+	r, step, spec := ch.r, ch.step, ch.step.Spec
 	score := c.shareOf(c.unused)
 	if c.suspended {
 		score -= soundWeight
@@ -312,60 +217,14 @@
 	}
 	switch {
 	case spec.GetFilling():
-		score += harshWeight * r.harshness(c, r.image(step))
+		score += harshWeight * r.harshness(c, ch.image)
 	case spec.GetLasting():
 		score -= 2 * packWeight * c.shareOf(c.unused)
-		score += imageWeight*c.likeness(spec.GetImage()) - apartWeight*float64(r.on(step, c)) - r.lost(c, r.image(step))
+		score += imageWeight*c.likeness(spec.GetImage()) - apartWeight*float64(r.on(step, c)) - r.lost(c, ch.image)
 	}
 	return score
 }
 
-// harshness is by how much more the other filling images that wait would hurt a worker's serving tasks than one does.
-func (r *round) harshness(c *candidate, image int) float64 {
-	r.know(c)
-	if known := c.harsh[image]; !math.IsNaN(known) {
-		return known
-	}
-	total, count := 0.0, 0
-	for other, tasks := range r.fills {
-		total += float64(tasks) * worstCost(c.margins, r.costs, other)
-		count += tasks
-	}
-	harsh := total/float64(max(1, count)) - worstCost(c.margins, r.costs, image)
-	c.harsh[image] = harsh
-	return harsh
-}
-
-// lastingImages counts the lasting tasks of a worker by image.
-func (c *candidate) lastingImages() map[string]int {
-	if c.images != nil {
-		return c.images
-	}
-	c.images = map[string]int{}
-	for task := range c.Tasks {
-		if task.Step.Spec.GetLasting() {
-			c.images[task.Step.Spec.GetImage()]++
-		}
-	}
-	return c.images
-}
-
-// likeness is higher the more of a worker's lasting tasks have an image, and below 0 where most have others.
-func (c *candidate) likeness(image string) float64 {
-	same, other := c.lastingImages()[image], 0
-	for _, count := range c.images {
-		other += count
-	}
-	other -= same
-	return float64(same-2*other) / float64(max(1, same+other))
-}
-
-// lost returns the headroom that a serving image would lose on a worker.
-func (r *round) lost(c *candidate, image int) float64 {
-	r.know(c)
-	return lost(r.costs, c.filling, image)
-}
-
 // image returns the number of a step's image in costs.
 func (r *round) image(step *workflow.Step) int {
 	return r.numbers[step.Spec.GetImage()]
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -101,7 +101,7 @@
 	defer cancel()
 	s := &session{
 		Options: l.o, counters: l.counters, ctx: ctx, fence: fence, began: l.o.Boot(),
-		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{},
+		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{}, candidates: map[string]*candidate{}, dearths: map[ask]*dearth{},
 	}
 	defer s.tasks.Wait()
 	l.takeNews()
@@ -146,6 +146,9 @@
 	fence         uint64
 	began         time.Duration                    // boot clock
 	summaryAt     time.Duration                    // boot clock, of the next summary; the loop alone uses it
+	placings      int                              // rounds that had something to place; the loop alone uses it
+	candidates    map[string]*candidate            // by worker; the loop alone uses it
+	dearths       map[ask]*dearth                  // the loop alone uses it
 	done          effort                           // since the last summary
 	nextRound     time.Time                        // before which nothing more is placed; the loop alone uses it
 	lastingSince  map[*workflow.Step]time.Duration // boot clock, since when steps that last have had waiting tasks; the loop alone uses it
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"sort"
 	"time"
 
 	"daisyswitch/event"
@@ -11,26 +10,10 @@
 	"daisyswitch/workflow"
 )
 
-// candidate is a worker with what this round has placed on it so far.
-type candidate struct {
-	*workflow.Worker
-	link      *link
-	free      resource.Size
-	unused    int64         // thousandths of a core that filling tasks may still use
-	passing   resource.Size // of tasks that neither last nor fill, which end by themselves
-	suspended bool          // it fails its tasks
-
-	known   bool // whether what follows is worked out
-	margins []margin
-	filling []imageShare
-	shares  [useless + 1][]float64 // how much of the worker a filling image may take, by what its workflow can still reach; below 0 until asked for
-	harsh   []float64              // by filling image, not a number until asked for
-	images  map[string]int         // of lasting tasks, with their number; nil until asked for
-}
-
 // round is one look at all that waits.
 type round struct {
 	s       *session
+	number  int // of the round within the leadership, from 1 on
 	t       *workflow.Tables
 	nowMS   int64
 	costs   costs
@@ -42,8 +25,6 @@
 	fills   map[int]int // waiting filling tasks by the number of their image
 	chance  map[*workflow.Job]lateness
 	wanting bool                    // a workflow that can be in time has no room
-	failed  map[ask][]resource.Size // sizes for which there is no room
-	most    map[ask]int64           // thousandths of a core that the largest task could ask for, of asks for which there is no room
 	done    map[*workflow.Task]bool // placed, or room is kept for it
 }
 
@@ -52,7 +33,7 @@
 	if !s.live() {
 		return true
 	}
-	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, fills: map[int]int{}, chance: map[*workflow.Job]lateness{}, failed: map[ask][]resource.Size{}, most: map[ask]int64{}, done: map[*workflow.Task]bool{}}
+	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, fills: map[int]int{}, chance: map[*workflow.Job]lateness{}, done: map[*workflow.Task]bool{}}
 	began := time.Now()
 	s.Table.View(func(t *workflow.Tables) {
 		r.t = t
@@ -60,7 +41,9 @@
 			s.lastingSince = nil
 			return
 		}
-		r.number()
+		s.placings++
+		r.number = s.placings
+		r.readCosts()
 		r.gather()
 		for _, t := range r.order() {
 			r.placeStep(t.step, t.most)
@@ -93,8 +76,8 @@
 	return true
 }
 
-// number works out the costs of the images of the steps that wait and of what runs.
-func (r *round) number() {
+// readCosts works out the costs of the images of the steps that wait and of what runs.
+func (r *round) readCosts() {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	for step := range r.t.Waiting {
@@ -103,26 +86,6 @@
 	r.costs, r.numbers = r.s.costsNow(), maps.Clone(r.s.images)
 }
 
-// gather lists the workers that may get something.
-func (r *round) gather() {
-	now := r.s.Boot()
-	r.s.mu.Lock()
-	defer r.s.mu.Unlock()
-	for id, w := range r.t.Workers {
-		l := r.s.links[id]
-		if l == nil || w.GetLeaving() || r.t.Out[w.GetDomain()] || !l.usable(now) {
-			continue
-		}
-		passing := w.Used.Sub(w.Lasting)
-		c := &candidate{Worker: w, link: l, suspended: now < l.health.suspended, free: w.Free(), passing: passing}
-		c.unused = w.Capacity.MilliCPU - int64(servingUse*float64(w.Lasting.MilliCPU)) - passing.MilliCPU - w.Fill.MilliCPU + l.spared
-		r.pools[w.GetPool()] = append(r.pools[w.GetPool()], c)
-	}
-	for _, pool := range r.pools {
-		sort.Slice(pool, func(i, k int) bool { return pool[i].GetId() < pool[k].GetId() })
-	}
-}
-
 // use returns how much of a worker's processors a task is expected to use, in thousandths of a core.
 func use(s *wire.Step) int64 {
 	if s.GetLasting() {
@@ -186,7 +149,7 @@
 		}
 	}
 	if best != nil {
-		best.free = best.free.Sub(size)
+		best.free, best.altered = best.free.Sub(size), true
 	}
 	return best
 }
@@ -208,6 +171,7 @@
 		if c == nil {
 			for changed, was := range undo {
 				*changed = was
+				changed.altered, changed.known = true, false
 			}
 			r.starts = r.starts[:before]
 			delete(r.placed, step)
@@ -245,7 +209,7 @@
 		c.forgetShares()
 		size.MilliCPU = 0
 	}
-	c.free = c.free.Sub(size)
+	c.free, c.altered = c.free.Sub(size), true
 	if r.placed[step] == nil {
 		r.placed[step] = map[*candidate]int32{}
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -72,7 +72,7 @@
 		r.link, r.since, r.checkpoint = l, s.Boot(), r.order.Checkpoint
 		r.image, r.pace = s.imageNumber(t.Step.Spec.GetImage()), 100
 		s.runs[r.runKey] = r
-		l.runs[r.runKey] = r
+		l.runs[r.runKey], l.revised = r, true
 	}
 	s.mu.Unlock()
 	if l != nil && !known {
@@ -87,6 +87,7 @@
 	if r := s.runs[key]; r != nil {
 		delete(s.runs, key)
 		delete(r.link.runs, key)
+		r.link.revised = true
 	}
 }
 
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -81,6 +81,7 @@
 			delete(l.victims, key)
 		}
 	}
+	l.revised = l.revised || len(l.victims) > 0 || len(fillers) > 0
 	l.slow(now, fillers)
 }
 
@@ -185,6 +186,7 @@
 	r.pacedAt = s.Boot()
 	if accepted {
 		r.pace, r.percentAt = percent, r.pacedAt
+		r.link.revised = true
 	}
 }
 
