Gather the ends that workers list at about the same time into one record

Cause: each worker's ends were a record of their own, about a thousand proposals a second that the leader encodes, sends to four followers, syncs and applies one by one. At most two records of ends are now on their way at once, and what comes meanwhile gathers in the next. TestEndsListedTogetherShareRecords: 50 records before, at most 5 now.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -298,3 +298,13 @@
 		}
 	})
 }
+
+// TestEndsListedTogetherShareRecords guards against a record for each end, which costs the leader as much as a start.
+func TestEndsListedTogetherShareRecords(t *testing.T) {
+	inBench(t, 50, unit, func(b *bench) {
+		b.submit("short", "job", short(50))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.state("job"), workflow.StateCompleted)
+		b.set(func() { assert.Assert(t, b.records <= 5, "%d records for the ends of 50 workers", b.records) })
+	})
+}
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -41,6 +41,7 @@
 	running map[workflow.Name]int
 	ran     []string // every run that began, in order
 	twice   []string // tasks that ran twice at once
+	records int      // committed, with ends in them
 }
 
 // worker is one worker that is called.
@@ -151,6 +152,9 @@
 		return nil, ctx.Err()
 	case <-time.After(commitDelay):
 	}
+	if len(c.GetEnds()) > 0 {
+		b.set(func() { b.records++ })
+	}
 	return b.apply(c), nil
 }
 
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -223,7 +223,7 @@
 	})
 	s.lapses.Inc()
 	event.LeaseLapsed.Info("worker", l.id, "runs", len(ends))
-	if len(ends) == 0 || !s.commitSoon(&wire.WorkflowCommand{Ends: ends}) {
+	if len(ends) == 0 || !s.commitEnds(ends) {
 		return
 	}
 	for _, key := range keys {
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -110,14 +110,14 @@
 		return
 	}
 	born := l.current().GetBorn()
-	command := &wire.WorkflowCommand{}
+	ends := make([]*wire.RunEnd, 0, len(ended))
 	for _, e := range ended {
 		event.RunEnded.Info("task", e.Task.String(), "run", e.Run, "worker", l.id, "number", e.Number, "outcome", e.Outcome.String())
-		command.Ends = append(command.Ends, &wire.RunEnd{Task: e.Task.Wire(), Run: e.Run, Worker: l.id, Born: born, Number: e.Number, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
+		ends = append(ends, &wire.RunEnd{Task: e.Task.Wire(), Run: e.Run, Worker: l.id, Born: born, Number: e.Number, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
 		s.ends[e.Outcome].Inc()
 		l.judge(&e)
 	}
-	if !s.commitSoon(command) {
+	if !s.commitEnds(ends) {
 		return
 	}
 	for _, e := range ended {
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -101,7 +101,7 @@
 	defer cancel()
 	s := &session{
 		Options: l.o, counters: l.counters, ctx: ctx, fence: fence, began: l.o.Boot(),
-		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{}, candidates: map[string]*candidate{}, dearths: map[ask]*dearth{},
+		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{}, candidates: map[string]*candidate{}, records: newEndRecords(), dearths: map[ask]*dearth{},
 	}
 	defer s.tasks.Wait()
 	l.takeNews()
@@ -149,10 +149,12 @@
 	placings      int                              // rounds that had something to place; the loop alone uses it
 	candidates    map[string]*candidate            // by worker; the loop alone uses it
 	dearths       map[ask]*dearth                  // the loop alone uses it
+	offers        []offer                          // of the step that is placed, used again for the next; the loop alone uses it
 	done          effort                           // since the last summary
 	nextRound     time.Time                        // before which nothing more is placed; the loop alone uses it
 	lastingSince  map[*workflow.Step]time.Duration // boot clock, since when steps that last have had waiting tasks; the loop alone uses it
 	workerChanges uint64                           // up to which links follow the table; the loop alone uses it
+	records       *endRecords
 	tasks         group.Group
 
 	mu        sync.Mutex // guards what follows
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -198,7 +198,7 @@
 func (s *session) endRun(r *run, outcome wire.RunOutcome, reason string) {
 	event.RunTakenBack.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "outcome", outcome.String(), "reason", reason)
 	end := &wire.RunEnd{Task: r.name.Wire(), Run: r.number, Worker: r.worker.GetId(), Born: r.worker.GetBorn(), Outcome: outcome, Checkpoint: r.checkpoint}
-	if s.commitSoon(&wire.WorkflowCommand{Ends: []*wire.RunEnd{end}}) {
+	if s.commitEnds([]*wire.RunEnd{end}) {
 		s.forget(r.runKey)
 	}
 }
