Collect a member's garbage half as often

Cause: a leader allocates some 50 MB/s beside 35 MB in use, so that it marked its heap and 5,000 stacks twice a second, a sixth of its processor time. A member's heap may now grow by 200%.

--- a/command/process.go
+++ b/command/process.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -58,6 +59,10 @@
 	})
 }
 
+// memberGC is by how many percent of what is in use the heap of a member may grow before garbage is collected:
+// a leader of 490 workers has 35 MB in use, of the 200 MB that a member may take.
+const memberGC = 200
+
 type memberCommand struct {
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
 }
@@ -68,6 +73,7 @@
 	if err != nil {
 		return &usageError{err}
 	}
+	debug.SetGCPercent(memberGC)
 	return run(s.Common, settings.RoleMember, func() (*process, error) {
 		m, err := installation.NewMember(c.Settings, s)
 		if err != nil {
