Let runs of an evacuated domain go on when the leader changes

What callers saw: a new leader stopped and moved the lasting tasks of an evacuated failure domain, or of workers about to leave, before their workers had listed them, since it may not start anything there. Cause: a run that was taken over and may not be started was stopped at once. It is now left until its worker has listed its runs to this leader; only one that is not among them is stopped, which bars it. TestNewLeaderLeavesRunsOfAnEvacuatedDomain failed before (8 begins for 4).

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -324,3 +324,18 @@
 		b.noneTwice()
 	})
 }
+
+// TestNewLeaderLeavesRunsOfAnEvacuatedDomain guards against lasting tasks that a change of leader moves for nothing.
+func TestNewLeaderLeavesRunsOfAnEvacuatedDomain(t *testing.T) {
+	inBench(t, 2, big, func(b *bench) {
+		b.submit("lasting", "job", &wire.Step{Count: 4, Size: unit, Lasting: true})
+		time.Sleep(500 * time.Millisecond)
+		b.apply(&wire.WorkflowCommand{Domain: &wire.DomainOut{Domain: "d", Out: true}})
+		b.lead(2)
+		time.Sleep(3 * time.Second)
+		b.apply(&wire.WorkflowCommand{Domain: &wire.DomainOut{Domain: "d"}})
+		time.Sleep(time.Second)
+		assert.Equal(t, b.runningOf("job"), 4)
+		assert.Equal(t, len(b.ran), 4, "%v", b.ran)
+	})
+}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -22,6 +22,7 @@
 	runs       map[runKey]*run    // guarded by the session's mutex
 	health     health             // guarded by the session's mutex
 	victims    map[runKey]*victim // serving tasks; guarded by the session's mutex
+	listed     bool               // the worker has listed its runs to this leader; guarded by the session's mutex
 	revised    bool               // what it offers may have changed since it was last listed for placing; guarded by the session's mutex
 	spared     int64              // thousandths of a core that slowed filling tasks leave, as last listed; guarded by the session's mutex
 	processors int64              // thousandths of a core, at least 1
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -24,10 +24,17 @@
 		listed[runKey{e.Task, e.Run}] = struct{}{}
 	}
 	l.readTails(listing)
+	l.setListed()
 	l.ended(listing.Ended)
 	l.missing(sent, listed)
 }
 
+func (l *link) setListed() {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	l.listed = true
+}
+
 // running notes a run that goes on, and stops one that is committed to nobody.
 func (l *link) running(key runKey, listed *call.Running) {
 	s := l.s
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -116,6 +116,11 @@
 		if !committed || s.isListed(r) {
 			return
 		}
+		if !startable && s.mayBeListed(r) {
+			s.pause(retryFirst)
+			try--
+			continue
+		}
 		if !startable {
 			s.withdraw(r, try, "it may not start any more")
 			return
@@ -177,6 +182,15 @@
 	return r.listed
 }
 
+// mayBeListed says whether a run that an earlier leader may have begun can still turn out to go on, which it then may.
+func (s *session) mayBeListed(r *run) bool {
+	open := false
+	s.Table.View(func(*workflow.Tables) { open = r.task.Step.Job.Open() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return open && r.adopted && !r.link.listed
+}
+
 // withdraw takes a run back: at once if no order can have reached the worker, else by a stop.
 func (s *session) withdraw(r *run, try int, reason string) {
 	if try > 1 || r.adopted {
