Tell of lines lost in the last batch before the log ends

Cause: the sink told of lost lines only before it gathered a batch, so that what was lost while the last one was gathered or written was never told. It now tells of them at its end as well.

--- a/event/sink.go
+++ b/event/sink.go
@@ -26,6 +26,7 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
+	told    uint64 // of dropped, in the output; run alone uses it
 	done    conc.WaitGroup
 }
 
@@ -37,18 +38,27 @@
 }
 
 func (s *Sink) run() {
-	told := uint64(0)
 	batch := make([]byte, 0, sinkBytes)
 	for line := range s.lines {
 		time.Sleep(sinkLinger)
-		if dropped := s.dropped.Load(); dropped != told {
-			batch = fmt.Appendf(batch, "%q dropped=%d\n", LinesDropped.title(), dropped-told)
-			told = dropped
-		}
-		batch = s.gather(s.add(batch, line))
+		batch = s.gather(s.add(s.tell(batch), line))
 		s.write(batch)
 		batch = batch[:0]
 	}
+	if batch = s.tell(batch); len(batch) > 0 {
+		s.write(batch)
+	}
+}
+
+// tell adds a line on the lines that were lost since the last such line.
+func (s *Sink) tell(batch []byte) []byte {
+	dropped := s.dropped.Load()
+	if dropped == s.told {
+		return batch
+	}
+	batch = fmt.Appendf(batch, "%q dropped=%d\n", LinesDropped.title(), dropped-s.told)
+	s.told = dropped
+	return batch
 }
 
 // gather adds the lines that wait.
--- a/event/sink_test.go
+++ b/event/sink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -42,6 +43,31 @@
 	assert.Assert(t, strings.Contains(g.out.String(), "lines_dropped"))
 }
 
+// refuser refuses what comes first.
+type refuser struct {
+	refused bool
+	bytes.Buffer
+}
+
+func (r *refuser) Write(b []byte) (int, error) {
+	if !r.refused {
+		r.refused = true
+		return 0, errors.New("refused")
+	}
+	return r.Buffer.Write(b)
+}
+
+// TestLossInTheLastBatchIsTold guards against a process that ends without a word on its last lines.
+func TestLossInTheLastBatchIsTold(t *testing.T) {
+	r := &refuser{}
+	s := NewSink(r)
+	_, err := s.Write([]byte("line\n"))
+	assert.NilError(t, err)
+	s.Close()
+	assert.Assert(t, strings.Contains(r.String(), "lines_dropped"), r.String())
+	assert.Assert(t, strings.Contains(r.String(), "dropped=1"), r.String())
+}
+
 // counter counts the calls that an output gets.
 type counter struct {
 	writes, longest int
