--- a/command/process.go
+++ b/command/process.go
@@ -61,7 +61,7 @@
 
 // memberGC is by how many percent of what is in use the heap of a member may grow before garbage is collected:
 // a leader of 490 workers has 35 MB in use, of the 200 MB that a member may take.
-const memberGC = 200
+const memberGC = 150
 
 type memberCommand struct {
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
