Start one task of a late workflow also where no worker has headroom

Cause: workers without headroom make no offer since offers are worked out once a step, so that the crawl found none of them. Without any offer such a workflow's first task now goes to the worker with the most unused processors. TestLateWorkflowOfWhichNothingRunsGetsOneTaskWithoutHeadroom failed before.

--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
@@ -60,6 +61,24 @@
 	}
 }
 
+// TestLateWorkflowOfWhichNothingRunsGetsOneTaskWithoutHeadroom guards against workflows that wait until all others have ended.
+func TestLateWorkflowOfWhichNothingRunsGetsOneTaskWithoutHeadroom(t *testing.T) {
+	s := crowded(t, 10, 0)
+	for _, l := range s.links {
+		for _, v := range l.victims {
+			v.base.Now, v.base.Low = 1, 1
+		}
+	}
+	s.pace["filling"] = &pace{mean: time.Second, count: paceWeight}
+	step := &wire.Step{Count: 4, Size: &wire.Size{MilliCpu: 1800, MemoryMib: 1000}, Filling: true, Image: "f1"}
+	s.Table.Apply(time.Now().Add(-5*time.Second).UnixMilli(), &wire.WorkflowCommand{Submit: &wire.Workflow{Id: "late", Queue: "filling", Steps: []*wire.Step{step}}})
+	s.Table.Apply(time.Now().UnixMilli(), &wire.WorkflowCommand{Submit: &wire.Workflow{Id: "new", Queue: "filling", Steps: []*wire.Step{step}}})
+	assert.Equal(t, len(decide(s)), 0, "one that can be in time wants the room")
+	s.Table.Apply(time.Now().UnixMilli(), &wire.WorkflowCommand{Cancel: "new"})
+	starts := decide(s)
+	assert.Equal(t, len(starts), 1, "%v", starts)
+}
+
 // disturb ends a run, changes what a serving task bears, or suspends a worker.
 func disturb(s *session, random *rand.Rand) {
 	id := fmt.Sprint("w", random.IntN(30))
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -92,13 +92,33 @@
 		return best.c, 100
 	}
 	least := ch.r.leastSpeed(ch.step)
-	if slow == nil || slow.speed < least && least > crawl {
-		if len(avoided) == 0 {
-			ch.noteDearth()
+	if slow != nil && (slow.speed >= least || least <= crawl) {
+		return slow.c, int(100*max(slow.speed, crawl)) / paceStep * paceStep
+	}
+	if c := ch.crawler(avoided); least <= crawl && c != nil {
+		return c, 100 * crawl
+	}
+	if len(avoided) == 0 {
+		ch.noteDearth()
+	}
+	return nil, 0
+}
+
+// crawler returns the worker with the most unused processors for a filling task for which no worker has any left, nil for other tasks.
+func (ch *chooser) crawler(avoided map[string]struct{}) *candidate {
+	if !ch.step.Spec.GetFilling() {
+		return nil
+	}
+	var best *candidate
+	for _, c := range ch.pool() {
+		if _, failed := avoided[c.GetId()]; failed || !ch.r.allowed(ch.step, c) {
+			continue
+		}
+		if best == nil || c.unused > best.unused {
+			best = c
 		}
-		return nil, 0
 	}
-	return slow.c, int(100*max(slow.speed, crawl)) / paceStep * paceStep
+	return best
 }
 
 // placed renews the offer of a worker on which a task has just been placed.
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -96,9 +96,9 @@
 func (b *bench) newLoop() *dispatch.Loop {
 	looks := 0
 	return dispatch.New(dispatch.Options{
-		Calls:    call.Functions{Start: b.start, Stop: b.stop, Hold: b.hold, Pace: b.pace},
-		Commit:   b.commit,
-		Leads:    b.isLeader,
+		Calls:  call.Functions{Start: b.start, Stop: b.stop, Hold: b.hold, Pace: b.pace},
+		Commit: b.commit,
+		Leads:  b.isLeader,
 		Boot: func() time.Duration {
 			b.mu.Lock()
 			defer b.mu.Unlock()
