--- a/control/workflows.go
+++ b/control/workflows.go
@@ -32,7 +32,7 @@
 		MaxLease: o.Called.LongestLease,
 		Metrics:  c.counters.set,
 	})
-	c.workflows = workflow.New(workflow.Options{Changed: c.dispatch.Changed, Assigned: c.dispatch.Assigned, Closed: c.dispatch.Closed})
+	c.workflows = workflow.New(workflow.Options{Changed: c.dispatch.Changed, Assigned: c.dispatch.Assigned, Closed: c.dispatch.Closed, Ended: c.dispatch.Ended})
 	c.dispatch.SetTable(c.workflows)
 }
 
--- a/dispatch/counters.go
+++ b/dispatch/counters.go
@@ -22,11 +22,13 @@
 	round      *metrics.Histogram
 	looks      *metrics.Counter // at what a worker offers to the tasks of a step
 	commit     *metrics.Histogram
+	set        *metrics.Set
 	wait       *metrics.Histogram // from a workflow's acceptance to its first start
 }
 
 func newCounters(set *metrics.Set) *counters {
 	c := &counters{
+		set:        set,
 		started:    set.NewCounter("daisyswitch_runs_started_total"),
 		refused:    set.NewCounter("daisyswitch_starts_refused_total"),
 		unanswered: set.NewCounter("daisyswitch_starts_unanswered_total"),
@@ -46,6 +48,11 @@
 	return c
 }
 
+// reach counts the workflows of a queue by how they ended and whether that was in time.
+func (c *counters) reach(queue, state string, reached lateness) *metrics.Counter {
+	return c.set.GetOrCreateCounter(fmt.Sprintf("daisyswitch_workflows_ended_total{queue=%q,state=%q,reached=%q}", queue, state, reached))
+}
+
 // since times what began at a moment.
 func since(h *metrics.Histogram, began time.Time) {
 	h.Update(time.Since(began).Seconds())
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -14,6 +14,7 @@
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 )
 
@@ -43,6 +44,7 @@
 	twice   []string // tasks that ran twice at once
 	records int      // committed, with ends in them
 
+	metrics      *metrics.Set  // of loops made from now on, nil for none
 	slowTakeover time.Duration // what a new leader's clock has moved on once it has looked at it
 }
 
@@ -80,6 +82,7 @@
 		Changed:  func() { b.loop.Changed() },
 		Assigned: func(t *workflow.Task) { b.loop.Assigned(t) },
 		Closed:   func(j *workflow.Job) { b.loop.Closed(j) },
+		Ended:    func(j *workflow.Job) { b.loop.Ended(j) },
 	})
 	b.loop.SetTable(b.table)
 	for i := range workers {
@@ -110,6 +113,7 @@
 		Wall:     time.Now,
 		Lease:    lease,
 		MaxLease: longest,
+		Metrics:  b.metrics,
 	})
 }
 
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -49,9 +49,15 @@
 	counters *counters
 	wake     chan struct{}
 
-	mu       sync.Mutex // guards what follows; may be taken with the table locked
+	mu sync.Mutex // guards what follows; may be taken with the table locked
+	news
+}
+
+// news is what the state has told of since the loop last looked.
+type news struct {
 	assigned []*workflow.Task
 	closed   []*workflow.Job
+	ended    []*workflow.Job
 }
 
 // New returns a loop that does nothing until Run.
@@ -87,12 +93,19 @@
 	l.closed = append(l.closed, j)
 }
 
-func (l *Loop) takeNews() ([]*workflow.Task, []*workflow.Job) {
+// Ended notes that a job is completed, failed or cancelled.
+func (l *Loop) Ended(j *workflow.Job) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	assigned, closed := l.assigned, l.closed
-	l.assigned, l.closed = nil, nil
-	return assigned, closed
+	l.ended = append(l.ended, j)
+}
+
+func (l *Loop) takeNews() news {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.news
+	l.news = news{}
+	return n
 }
 
 // Run works with the given fencing token until ctx ends, and waits for its goroutines.
@@ -125,14 +138,17 @@
 }
 
 // work does what has come up, and then decides what starts where.
-func (s *session) work(assigned []*workflow.Task, closed []*workflow.Job) {
+func (s *session) work(n news) {
 	s.linkWorkers()
-	for _, t := range assigned {
+	for _, t := range n.assigned {
 		s.track(t, false)
 	}
-	for _, j := range closed {
+	for _, j := range n.closed {
 		s.stopJob(j)
 	}
+	for _, j := range n.ended {
+		s.noteEnd(j)
+	}
 	if !s.place() {
 		s.pause(commitRetry)
 	}
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"daisyswitch/event"
 	"daisyswitch/workflow"
 )
 
@@ -117,15 +118,43 @@
 	return [...]string{"in time", "late", "useless"}[l]
 }
 
+// noteEnd logs and counts what a workflow reached.
+func (s *session) noteEnd(j *workflow.Job) {
+	var state, queue string
+	var waited time.Duration
+	tasks, largest := 0, int64(0)
+	reached := inTime
+	s.Table.View(func(*workflow.Tables) {
+		state, queue = j.State(), j.Spec.GetQueue()
+		waited = time.Duration(j.EndedMS-j.AcceptedMS) * time.Millisecond
+		for _, step := range j.Steps {
+			tasks += len(step.Tasks)
+			largest = max(largest, step.Spec.GetSize().GetMilliCpu())
+		}
+		if last := j.Steps[len(j.Steps)-1]; state == workflow.StateCompleted && last.DueMS == 0 {
+			reached = s.reached(last, waited, 0)
+		}
+	})
+	s.reach(queue, state, reached).Inc()
+	event.WorkflowEnded.Info("workflow", j.Spec.GetId(), "queue", queue, "state", state, "reached", reached.String(), "after_ms", waited.Milliseconds(), "tasks", tasks, "largest_milli_cpu", largest)
+}
+
 // reaches says what the workflow of a step can still reach, if what remains takes as long as its queue's tasks do.
 func (s *session) reaches(step *workflow.Step, nowMS int64) lateness {
+	if step.DueMS > 0 {
+		return inTime
+	}
+	return s.reached(step, time.Duration(nowMS-step.Job.AcceptedMS)*time.Millisecond, len(step.Job.Spec.GetSteps())-int(step.Number))
+}
+
+// reached says what a workflow reaches that has taken some time and still has a number of steps to go.
+func (s *session) reached(step *workflow.Step, taken time.Duration, steps int) lateness {
 	p := s.meanOf(step.Job.Spec.GetQueue())
-	if step.Spec.GetLasting() || step.DueMS > 0 || p == 0 {
+	if step.Spec.GetLasting() || p == 0 {
 		return inTime
 	}
-	steps := step.Job.Spec.GetSteps()
-	objective := time.Duration(step.Job.Queue.GetStretch()*float64(p)*float64(len(steps))) + time.Duration(step.Job.Queue.GetLatencyMs())*time.Millisecond
-	end := time.Duration(nowMS-step.Job.AcceptedMS)*time.Millisecond + p*time.Duration(len(steps)-int(step.Number))
+	objective := time.Duration(step.Job.Queue.GetStretch()*float64(p)*float64(len(step.Job.Spec.GetSteps()))) + time.Duration(step.Job.Queue.GetLatencyMs())*time.Millisecond
+	end := taken + p*time.Duration(steps)
 	switch {
 	case end <= objective:
 		return inTime
--- a/event/dispatch.go
+++ b/event/dispatch.go
@@ -19,6 +19,7 @@
 	WorkerReplaced     = register(463, "worker_replaced", "Another life of a worker answered, so that the former one has ended.")
 	WorkerObeysOther   = register(464, "worker_obeys_other", "A worker has seen a higher fencing token than this leader's.")
 	CalledSuspended    = register(466, "called_worker_suspended", "A called worker gets nothing new for a while.")
+	WorkflowEnded      = register(470, "workflow_ended", "A workflow is completed, failed or cancelled: whether in time, by the mean length of its queue's tasks, and how large it was.")
 	RunPaced           = register(468, "run_paced", "A filling task was told to work slower or faster, for the serving tasks beside it.")
 	LoadSummary        = register(467, "load_summary", "How full the called workers are, which free pieces they have, how many tasks wait and can be in time, and how long the loop spent on rounds and commits, each 2 s.")
 	LeaseLapsed        = register(465, "lease_lapsed", "A silent worker's lease has surely ended, and with it all that ran there.")
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -108,6 +108,7 @@
 		j.Cancelled, j.EndedMS = true, nowMS
 		t.offer(j)
 		t.closed(j)
+		t.ended(j)
 	}
 }
 
--- a/workflow/run.go
+++ b/workflow/run.go
@@ -105,6 +105,7 @@
 	j.open--
 	if j.open == 0 && !j.Cancelled && !j.Failed {
 		j.EndedMS = nowMS
+		t.ended(j)
 	}
 	for _, later := range s.next {
 		later.before--
@@ -124,4 +125,5 @@
 	j.Failed, j.EndedMS = true, nowMS
 	t.offer(j)
 	t.closed(j)
+	t.ended(j)
 }
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -12,6 +12,7 @@
 	Changed  func()      // after each record
 	Assigned func(*Task) // committed to a worker
 	Closed   func(*Job)  // no task of it may start or go on
+	Ended    func(*Job)  // completed, failed or cancelled
 }
 
 // Table is the state of one replica; its mutex is taken after that of package state.
@@ -36,6 +37,7 @@
 
 	assigned func(*Task)
 	closed   func(*Job)
+	ended    func(*Job)
 }
 
 // Result says what a record did.
@@ -56,12 +58,15 @@
 	if o.Closed == nil {
 		o.Closed = func(*Job) {}
 	}
+	if o.Ended == nil {
+		o.Ended = func(*Job) {}
+	}
 	return &Table{o: o, Tables: empty(o)}
 }
 
 func empty(o Options) Tables {
 	return Tables{
-		assigned: o.Assigned, closed: o.Closed,
+		assigned: o.Assigned, closed: o.Closed, ended: o.Ended,
 		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waiting: map[*Step]struct{}{},
 		Out: map[string]bool{}, Waves: map[int64]*wire.Wave{},
 		gone: map[string]*wire.CalledWorker{}, byName: map[string]*wire.Queue{},
