Have replicas that do not lead keep no news of tasks

Cause: the loop's list of started tasks grew on every follower with each record, a thousand tasks a second, and was emptied only by leading. News are taken in only while the loop runs. TestReplicaThatDoesNotLeadKeepsNoNews failed before (300 kept).

--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -49,7 +49,8 @@
 	counters *counters
 	wake     chan struct{}
 
-	mu sync.Mutex // guards what follows; may be taken with the table locked
+	mu   sync.Mutex // guards what follows; may be taken with the table locked
+	runs bool       // whether news are taken in; a replica that does not lead tells of each record too
 	news
 }
 
@@ -83,21 +84,34 @@
 func (l *Loop) Assigned(t *workflow.Task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.assigned = append(l.assigned, t)
+	if l.runs {
+		l.assigned = append(l.assigned, t)
+	}
 }
 
 // Closed notes that nothing of a job may go on.
 func (l *Loop) Closed(j *workflow.Job) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.closed = append(l.closed, j)
+	if l.runs {
+		l.closed = append(l.closed, j)
+	}
 }
 
 // Ended notes that a job is completed, failed or cancelled.
 func (l *Loop) Ended(j *workflow.Job) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ended = append(l.ended, j)
+	if l.runs {
+		l.ended = append(l.ended, j)
+	}
+}
+
+// listen begins or ends to take in news.
+func (l *Loop) listen(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs, l.news = on, news{}
 }
 
 func (l *Loop) takeNews() news {
@@ -117,7 +131,8 @@
 		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{}, candidates: map[string]*candidate{}, records: newEndRecords(), dearths: map[ask]*dearth{},
 	}
 	defer s.tasks.Wait()
-	l.takeNews()
+	l.listen(true)
+	defer l.listen(false)
 	s.adopt()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
