Show that lasting tasks take all room until no other task is served

From second 42 on 2,761 lasting tasks hold 8,821 of 9,144 cores and 2,500 tasks of bid-place wait, of which some 25 a second start. Cause: further tasks of lasting steps go before tasks that end once they have waited for a second, and never give their room back.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -339,3 +339,24 @@
 		assert.Equal(t, len(b.ran), 4, "%v", b.ran)
 	})
 }
+
+// TestLastingTasksLeaveRoomForTasksThatEnd guards against lasting tasks that take each piece of room as it comes free, until no other task is ever served.
+func TestLastingTasksLeaveRoomForTasksThatEnd(t *testing.T) {
+	inBench(t, 4, big, func(b *bench) {
+		const rounds = 100
+		for i := range rounds {
+			b.submit("short", fmt.Sprint("short", i), short(1))
+			if i%4 == 0 {
+				b.submit("lasting", fmt.Sprint("lasting", i), &wire.Step{Count: 4, Size: unit, Lasting: true})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		done := 0
+		for i := rounds / 2; i < rounds-10; i++ {
+			if b.state(fmt.Sprint("short", i)) == workflow.StateCompleted {
+				done++
+			}
+		}
+		assert.Assert(t, done >= 30, "%d of 40 workflows that need 5 of 64 cores are served while 100 lasting tasks come", done)
+	})
+}
