--- a/command/process.go
+++ b/command/process.go
@@ -60,7 +60,7 @@
 }
 
 // memberGC is by how many percent of what is in use the heap of a member may grow before garbage is collected:
-// a leader of 490 workers has 35 MB in use, of the 200 MB that a member may take.
+// a leader of 490 workers, which may take 200 MB, has some 35 MB in use beside its stacks.
 const memberGC = 150
 
 type memberCommand struct {
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -41,12 +41,12 @@
 func withoutMemory(s *session) *session {
 	return &session{
 		Options: s.Options, counters: s.counters, ctx: s.ctx, links: s.links, runs: s.runs, failedOn: s.failedOn, pace: s.pace,
-		tails: s.tails, firstPace: map[runKey]int{}, images: s.images, candidates: map[string]*candidate{}, dearths: map[ask]*dearth{},
+		tails: s.tails, firstPace: map[runKey]int{}, images: s.images, candidates: map[string]*candidate{}, shortages: map[ask]*shortage{},
 	}
 }
 
-// TestRememberedDearthHidesNoRoom guards against tasks that wait though a worker has come to have room for them.
-func TestRememberedDearthHidesNoRoom(t *testing.T) {
+// TestRememberedShortageHidesNoRoom guards against tasks that wait though a worker has come to have room for them.
+func TestRememberedShortageHidesNoRoom(t *testing.T) {
 	for seed := range uint64(20) {
 		s := crowded(t, 30, 12)
 		random := rand.New(rand.NewPCG(seed, 1))
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -28,7 +28,7 @@
 		},
 		counters: newCounters(metrics.NewSet()), ctx: b.Context(),
 		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{},
-		tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{}, candidates: map[string]*candidate{}, dearths: map[ask]*dearth{},
+		tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{}, candidates: map[string]*candidate{}, shortages: map[ask]*shortage{},
 	}
 	command := &wire.WorkflowCommand{}
 	for i := range workers {
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -37,7 +37,7 @@
 // chooserFor works out what each worker offers to the tasks of a step, but for those that offered nothing when last looked at.
 func (r *round) chooserFor(step *workflow.Step) *chooser {
 	ch := &chooser{r: r, step: step, image: r.image(step), chance: r.chance[step.Job], offers: r.s.offers[:0]}
-	if d := r.dearthFor(step); d != nil {
+	if d := r.shortageFor(step); d != nil {
 		ch.since = d.round
 	}
 	for _, c := range ch.pool() {
@@ -99,7 +99,7 @@
 		return c, 100 * crawl
 	}
 	if len(avoided) == 0 {
-		ch.noteDearth()
+		ch.noteShortage()
 	}
 	return nil, 0
 }
@@ -218,7 +218,7 @@
 	soundWeight = 100  // a worker that fails its tasks comes last
 	nearWeight  = 10.0 // a task away from its data or its step's rack takes several times as long
 	harshWeight = 0.1  // filling tasks go where others would hurt the serving ones more, for each unit of headroom on a whole worker
-	packWeight  = 1.0  // tasks that do not fill gather on few workers: lasting ones so that some stay free for what hurts them, others so that whole pieces are left for larger ones
+	packWeight  = 1.0  // lasting tasks gather on few workers, so that some stay free for what hurts them
 	imageWeight = 2.0  // lasting tasks of one image gather, since a filling image is harmless to some images and not to others
 	apartWeight = 0.2  // lasting tasks of a step go apart, so that one lost worker takes few of them
 )
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -8,9 +8,9 @@
 
 // Bounds of records of ends.
 const (
-	maxEnds        = 1000 // in one record; with their checkpoints well below the largest record
-	recordsOfEnds  = 2    // on their way at once: while one is synced here and at the others, the next gathers
-	endsExpectedAt = 8    // from as many workers in one record, at a thousand ends a second and 60 records
+	maxEnds       = 1000 // in one record; with their checkpoints well below the largest record
+	recordsOfEnds = 2    // on their way at once: while one is synced here and at the others, the next gathers
+	endsPerRecord = 8    // for which a record has memory at first: a thousand ends a second in some hundred records
 )
 
 // endBatch is a record of ends that gathers while earlier ones are on their way.
@@ -36,7 +36,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.next == nil || len(e.next.ends)+len(ends) > maxEnds {
-		e.next = &endBatch{done: make(chan struct{}), ends: make([]*wire.RunEnd, 0, endsExpectedAt)}
+		e.next = &endBatch{done: make(chan struct{}), ends: make([]*wire.RunEnd, 0, endsPerRecord)}
 		begins = true
 	}
 	e.next.ends = append(e.next.ends, ends...)
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -128,7 +128,7 @@
 	defer cancel()
 	s := &session{
 		Options: l.o, counters: l.counters, ctx: ctx, fence: fence,
-		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{}, candidates: map[string]*candidate{}, records: newEndRecords(), dearths: map[ask]*dearth{},
+		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{}, candidates: map[string]*candidate{}, records: newEndRecords(), shortages: map[ask]*shortage{},
 	}
 	defer s.tasks.Wait()
 	l.listen(true)
@@ -178,7 +178,7 @@
 	summaryAt     time.Duration                    // boot clock, of the next summary; the loop alone uses it
 	placings      int                              // rounds that had something to place; the loop alone uses it
 	candidates    map[string]*candidate            // by worker; the loop alone uses it
-	dearths       map[ask]*dearth                  // the loop alone uses it
+	shortages     map[ask]*shortage                // the loop alone uses it
 	offers        []offer                          // of the step that is placed, used again for the next; the loop alone uses it
 	done          effort                           // since the last summary
 	nextRound     time.Time                        // before which nothing more is placed; the loop alone uses it
--- a/dispatch/dearth.go
+++ b/dispatch/shortage.go
@@ -7,8 +7,8 @@
 	"daisyswitch/workflow"
 )
 
-// maxDearths bounds how many asks are remembered as without room; an installation has a few dozen images.
-const maxDearths = 10_000
+// maxShortages bounds how many asks are remembered as without room; an installation has a few dozen images.
+const maxShortages = 10_000
 
 // ask names what steps that ask for the same have in common, but for the size.
 type ask struct {
@@ -18,15 +18,15 @@
 	filling bool
 }
 
-// dearth is what found no room on any worker, as of a round; since then only workers that have changed can have room for it.
-type dearth struct {
+// shortage is what found no room on any worker, as of a round; since then only workers that have changed can have room for it.
+type shortage struct {
 	round int
 	most  int64           // thousandths of a core that the largest task with room could ask for at most
 	sizes []resource.Size // of tasks that found no room
 }
 
 // covers says whether a task of a size asks for at least what found no room.
-func (d *dearth) covers(size resource.Size) bool {
+func (d *shortage) covers(size resource.Size) bool {
 	return size.MilliCPU > d.most || slices.ContainsFunc(d.sizes, func(failed resource.Size) bool { return failed.Fits(size) })
 }
 
@@ -39,13 +39,13 @@
 	return ask{step.Job.Queue.GetPool(), s.GetImage(), chance, s.GetFilling()}, true
 }
 
-// dearthFor returns the dearth that covers a step, nil if there is none.
-func (r *round) dearthFor(step *workflow.Step) *dearth {
+// shortageFor returns the shortage that covers a step, nil if there is none.
+func (r *round) shortageFor(step *workflow.Step) *shortage {
 	a, ok := r.askOf(step)
 	if !ok {
 		return nil
 	}
-	d := r.s.dearths[a]
+	d := r.s.shortages[a]
 	if d == nil || !d.covers(resource.FromWire(step.Spec.GetSize())) {
 		return nil
 	}
@@ -54,29 +54,29 @@
 
 // hopeless says whether a step asks for at least what found no room in this round; what follows in a round only takes room.
 func (r *round) hopeless(step *workflow.Step) bool {
-	d := r.dearthFor(step)
+	d := r.shortageFor(step)
 	return d != nil && d.round == r.number
 }
 
-// noteDearth remembers that a step found no room.
-func (ch *chooser) noteDearth() {
+// noteShortage remembers that a step found no room.
+func (ch *chooser) noteShortage() {
 	r := ch.r
 	a, ok := r.askOf(ch.step)
 	if !ok {
 		return
 	}
 	size, most := resource.FromWire(ch.step.Spec.GetSize()), ch.mostAsked()
-	d := r.s.dearths[a]
+	d := r.s.shortages[a]
 	switch {
 	case d != nil && ch.since > 0:
 		most = max(most, d.most)
 		d.sizes = nil
 	case d == nil || d.round != r.number:
-		d = &dearth{}
-		if len(r.s.dearths) >= maxDearths {
-			clear(r.s.dearths)
+		d = &shortage{}
+		if len(r.s.shortages) >= maxShortages {
+			clear(r.s.shortages)
 		}
-		r.s.dearths[a] = d
+		r.s.shortages[a] = d
 	}
 	d.round, d.most = r.number, most
 	if size.MilliCPU <= most {
