--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -92,8 +92,9 @@
 			return
 		}
 	case 1:
+		headroom := 1 + 4*random.Float64() // the same for all, since the least of them decides
 		for _, v := range l.victims {
-			v.base.Now, v.base.Low = 1+4*random.Float64(), 1+4*random.Float64()
+			v.base.Now, v.base.Low = headroom, headroom
 		}
 		l.revised = true
 	case 2:
