--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 SHELL := /bin/bash
 TOOLS := $(CURDIR)/.tools
 LINT_VERSION := v2.15.0
+GOPLS_VERSION := v0.23.0
 export PATH := $(TOOLS):$(PATH)
 GOFILES := $(shell git ls-files '*.go')
 
-.PHONY: packages build demo demo-faults demo-disks test bench fuzz generate lint format spec soak tools slopes plots
+.PHONY: packages build demo demo-faults demo-disks test bench fuzz generate lint format rename-tool spec soak tools slopes plots
 
 build:
 	go build -o bin/ ./cmd/...
@@ -50,6 +51,13 @@
 	cd tools && go build -o $(TOOLS)/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
 	touch $@
 
+# Renames an identifier in all packages: gopls rename -w FILE:LINE:COLUMN NAME.
+rename-tool: $(TOOLS)/gopls-$(GOPLS_VERSION)
+
+$(TOOLS)/gopls-$(GOPLS_VERSION):
+	GOBIN=$(TOOLS) go install golang.org/x/tools/gopls@$(GOPLS_VERSION)
+	touch $@
+
 generate: tools
 	protoc --go_out=. --go_opt=module=daisyswitch --go-drpc_out=. --go-drpc_opt=module=daisyswitch wire/wire.proto
 
