Reword package raft in the terms of the field

Readers stumbled over names such as hear, take, agree, tell and apart, and over comments in everyday verbs. Message handlers are now named handleX, elections startPreVote, startElection, becomeLeader and becomeFollower, and the simulation of the tests names its faults plainly. Messages of failing tests say which index, replica and term they mean.

--- a/raft/leader.go
+++ b/raft/leader.go
@@ -7,32 +7,32 @@
 
 // leadership is the part of the state that only a leader uses.
 type leadership struct {
-	followers     progress.Followers
-	termStart     uint64 // index of the leader's first entry
-	round         uint64 // last heartbeat round begun
-	confirmed     uint64 // last heartbeat round that a quorum answered
-	sinceRound    int    // ticks
-	snapshotIndex uint64
+	followers       progress.Followers
+	termStart       uint64 // index of the leader's first entry
+	round           uint64 // last heartbeat round started
+	confirmed       uint64 // last heartbeat round that a quorum acknowledged
+	ticksSinceRound int    // ticks since the last heartbeat round started
+	snapshotIndex   uint64
 }
 
-func (n *Node) lead() {
+func (n *Node) becomeLeader() {
 	n.role, n.leader = Leader, n.id
 	n.followers = progress.Followers{}
-	n.setFollowers()
+	n.syncFollowers()
 	n.round, n.confirmed = 0, 0
 	n.joining = nil
-	n.appendFirst()
+	n.appendTermStart()
 	n.termStart = n.log.Last()
 	n.StartRound()
 	n.broadcast()
 }
 
-// appendLocal adds one entry to the leader's own log; nil data is a barrier that is never applied.
+// appendLocal appends one entry to the leader's own log; an entry with nil data is a barrier, which is never applied.
 func (n *Node) appendLocal(data []byte) {
 	n.log.Add(&wire.Entry{Index: n.log.Last() + 1, Term: n.term, Data: data})
 }
 
-// Propose appends a batch and returns the index of its first entry; ok is false if the node does not lead.
+// Propose appends a batch and returns the index of its first entry; ok is false if the node is not the leader.
 func (n *Node) Propose(batch [][]byte) (first uint64, ok bool) {
 	if n.role != Leader {
 		return 0, false
@@ -45,10 +45,10 @@
 	return first, true
 }
 
-// StartRound begins a heartbeat round; once it is confirmed, the node was still the leader when it began.
+// StartRound starts a heartbeat round. Once a quorum has acknowledged the round, the node is known to have been the leader when the round started.
 func (n *Node) StartRound() {
 	n.round++
-	n.sinceRound = 0
+	n.ticksSinceRound = 0
 	for _, id := range n.others {
 		f := n.followers[id]
 		n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_HEARTBEAT, To: id, Term: n.term, Round: n.round, Commit: min(f.Match, n.log.Commit), Hint: f.Acked})
@@ -56,16 +56,16 @@
 	n.confirmRounds()
 }
 
-// Round returns the last heartbeat round begun in this term.
+// Round returns the last heartbeat round started in this term.
 func (n *Node) Round() uint64 { return n.round }
 
-// Confirmed returns the last heartbeat round that a quorum answered.
+// Confirmed returns the last heartbeat round that a quorum acknowledged.
 func (n *Node) Confirmed() uint64 { return n.confirmed }
 
 // TermStart returns the index of the first entry of the leader's term.
 func (n *Node) TermStart() uint64 { return n.termStart }
 
-// Progress returns how far a follower's log is known to agree, and whether it answered within the election timeout.
+// Progress returns the index up to which a follower's log is known to match, and whether the follower replied within the election timeout.
 func (n *Node) Progress(id uint64) (match uint64, active bool) {
 	f := n.followers[id]
 	if f == nil {
@@ -80,16 +80,16 @@
 		n.stepDown()
 		return
 	}
-	n.sinceRound++
-	if n.sinceRound >= n.heartbeatTicks {
+	n.ticksSinceRound++
+	if n.ticksSinceRound >= n.heartbeatTicks {
 		n.StartRound()
 	}
 }
 
-// stepDown ends a leadership that no quorum answers any more.
+// stepDown gives up leadership after a quorum has stopped replying.
 func (n *Node) stepDown() {
-	n.follow(n.term, 0)
-	n.heard = n.electionTicks
+	n.becomeFollower(n.term, 0)
+	n.ticksSinceLeader = n.electionTicks
 }
 
 func (n *Node) broadcast() {
@@ -98,10 +98,10 @@
 	}
 }
 
-// replicate sends a follower what it lacks, as far ahead of its answers as the bounds allow.
+// replicate sends a follower the entries that it lacks, up to the limit on unacknowledged entries.
 func (n *Node) replicate(id uint64) {
 	f := n.followers[id]
-	for f.Lacks(n.log.Last(), maxAhead) {
+	for f.Lacks(n.log.Last(), maxUnacknowledged) {
 		if f.Next <= n.log.Offset {
 			n.sendSnapshot(id, f)
 			return
@@ -127,7 +127,7 @@
 	f.Sent(f.Next+uint64(len(entries)), n.round)
 }
 
-// batch returns the entries from first on that fit into one message.
+// batch returns the entries starting at first that fit into one message.
 func (n *Node) batch(first uint64) []*wire.Entry {
 	entries := n.log.Slice(first, min(n.log.Last(), first+maxAppendEntries-1))
 	size := 0
@@ -140,8 +140,8 @@
 	return entries
 }
 
-// answered returns the follower that a reply speaks for, nil if it speaks for a disk that is no more.
-func (n *Node) answered(m *wire.Message) *progress.Follower {
+// replyingFollower returns the follower that sent a reply, or nil if the reply comes from a disk that the follower has lost since.
+func (n *Node) replyingFollower(m *wire.Message) *progress.Follower {
 	if n.role != Leader {
 		return nil
 	}
@@ -152,8 +152,8 @@
 	return f
 }
 
-func (n *Node) countAppend(m *wire.Message) {
-	f := n.answered(m)
+func (n *Node) handleAppendReply(m *wire.Message) {
+	f := n.replyingFollower(m)
 	if f == nil {
 		return
 	}
@@ -164,18 +164,18 @@
 		return
 	}
 	f.Probing = false
-	n.agree(m.GetFrom(), f, m.GetIndex())
+	n.recordMatch(m.GetFrom(), f, m.GetIndex())
 }
 
-func (n *Node) agree(id uint64, f *progress.Follower, index uint64) {
+func (n *Node) recordMatch(id uint64, f *progress.Follower, index uint64) {
 	f.Agree(index)
 	n.advanceCommit()
-	n.tellCommit(id, f)
+	n.sendCommit(id, f)
 	n.replicate(id)
 }
 
-// tellCommit passes on a commit index as soon as the follower holds what it covers.
-func (n *Node) tellCommit(id uint64, f *progress.Follower) {
+// sendCommit sends the commit index to a follower as soon as the follower holds the entries that it covers.
+func (n *Node) sendCommit(id uint64, f *progress.Follower) {
 	commit, ok := f.Tell(n.log.Commit)
 	if !ok {
 		return
@@ -183,24 +183,24 @@
 	n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_HEARTBEAT, To: id, Term: n.term, Commit: commit})
 }
 
-func (n *Node) countHeartbeat(m *wire.Message) {
-	f := n.answered(m)
+func (n *Node) handleHeartbeatReply(m *wire.Message) {
+	f := n.replyingFollower(m)
 	if f == nil {
 		return
 	}
 	f.Acked = max(f.Acked, m.GetRound())
 	n.confirmRounds()
 	f.Resend(m.GetRound(), m.GetIndex())
-	n.agree(m.GetFrom(), f, m.GetIndex())
+	n.recordMatch(m.GetFrom(), f, m.GetIndex())
 }
 
-// confirmRounds finds the last round that a quorum answered.
+// confirmRounds updates the last heartbeat round that a quorum acknowledged.
 func (n *Node) confirmRounds() {
 	acked := func(f *progress.Follower) uint64 { return f.Acked }
 	n.confirmed = max(n.confirmed, n.followers.Reached(n.round, acked))
 }
 
-// advanceCommit commits what a quorum has on disk, if it is of this term.
+// advanceCommit commits the entries that a quorum has on disk, if the last of them is of the current term.
 func (n *Node) advanceCommit() {
 	match := func(f *progress.Follower) uint64 { return f.Match }
 	index := n.followers.Reached(n.log.Synced, match)
@@ -212,6 +212,6 @@
 	}
 	n.log.Commit = index
 	for _, id := range n.others {
-		n.tellCommit(id, n.followers[id])
+		n.sendCommit(id, n.followers[id])
 	}
 }
--- a/raft/members.go
+++ b/raft/members.go
@@ -9,51 +9,51 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// configuration is who belongs to the group, as the node's log says; the last change in the log is in force, committed or not.
-type configuration struct {
-	changes  []change // ascending by index, never empty
-	others   []uint64 // members but the node itself
+// groupMembers holds the group's membership according to the node's log; the last change in the log is active, committed or not.
+type groupMembers struct {
+	changes  []memberChange // in ascending order of index, never empty
+	others   []uint64       // all members except the node itself
 	voting   map[uint64]bool
 	voters   int
-	votes    bool                    // whether the node itself votes
-	contacts []uint64                // replicas outside the group, or that may be, which are asked to join it
-	joining  map[uint64]*wire.Member // on the leader: replicas that asked to join
+	votes    bool                    // whether the node itself is a voter
+	contacts []uint64                // replicas outside the group, or possibly outside it, to which join requests are sent as well
+	joining  map[uint64]*wire.Member // on the leader: replicas that have asked to join
 }
 
-// change is a group as of an entry; index 0 is the group that the settings name.
-type change struct {
+// memberChange is the membership as of a log entry; index 0 stands for the group named in the settings.
+type memberChange struct {
 	index   uint64
 	members *wire.Members
 }
 
-// begin takes the group from the snapshot and the log, or else from the settings.
-func (n *Node) begin(o Options) {
+// initMembers reads the membership from the snapshot and the log, or else from the settings.
+func (n *Node) initMembers(o Options) {
 	first := &wire.Members{}
 	for _, id := range o.Peers {
 		first.Members = append(first.Members, &wire.Member{Id: id, Votes: true})
 	}
-	n.changes = []change{{0, first}}
+	n.changes = []memberChange{{0, first}}
 	if o.Snapshot.GetMembers() != nil {
-		n.changes = []change{{o.Snapshot.GetIndex(), o.Snapshot.GetMembers()}}
+		n.changes = []memberChange{{o.Snapshot.GetIndex(), o.Snapshot.GetMembers()}}
 	}
 	for _, e := range o.Entries {
 		if e.GetMembers() != nil {
-			n.changes = append(n.changes, change{e.GetIndex(), e.GetMembers()})
+			n.changes = append(n.changes, memberChange{e.GetIndex(), e.GetMembers()})
 		}
 	}
-	n.useMembers()
+	n.activateMembers()
 }
 
-// Alone says whether the node is the only voter.
+// Alone reports whether the node is the only voter.
 func (n *Node) Alone() bool { return n.votes && n.voters == 1 }
 
-// Members returns the group in force.
+// Members returns the active membership.
 func (n *Node) Members() *wire.Members {
 	return n.changes[len(n.changes)-1].members
 }
 
-// useMembers works out what follows from the group in force.
-func (n *Node) useMembers() {
+// activateMembers recomputes the fields that are derived from the active membership.
+func (n *Node) activateMembers() {
 	n.others, n.voters, n.votes = nil, 0, false
 	n.voting = map[uint64]bool{}
 	for _, m := range n.Members().GetMembers() {
@@ -68,12 +68,12 @@
 		n.others = append(n.others, m.GetId())
 	}
 	if n.role == Leader {
-		n.setFollowers()
+		n.syncFollowers()
 	}
 }
 
-// setFollowers keeps a follower for each other member.
-func (n *Node) setFollowers() {
+// syncFollowers keeps exactly one follower for each other member.
+func (n *Node) syncFollowers() {
 	for id := range n.followers {
 		if !slices.Contains(n.others, id) {
 			delete(n.followers, id)
@@ -87,7 +87,7 @@
 	}
 }
 
-// mergeMembers takes over changes of the group from a leader's entries; firstNew is the index from which the log has changed, 0 if it has not.
+// mergeMembers applies membership changes from a leader's entries; firstNew is the index from which the log has changed, or 0 if it has not changed.
 func (n *Node) mergeMembers(entries []*wire.Entry, firstNew uint64) {
 	if firstNew == 0 {
 		return
@@ -97,30 +97,30 @@
 	}
 	for _, e := range entries {
 		if e.GetIndex() >= firstNew && e.GetMembers() != nil {
-			n.changes = append(n.changes, change{e.GetIndex(), e.GetMembers()})
+			n.changes = append(n.changes, memberChange{e.GetIndex(), e.GetMembers()})
 		}
 	}
-	n.useMembers()
+	n.activateMembers()
 }
 
-// resetMembers takes the group from a snapshot.
+// resetMembers replaces the membership by that of a snapshot.
 func (n *Node) resetMembers(index uint64, members *wire.Members) {
 	if members == nil {
 		return
 	}
-	n.changes = []change{{index, members}}
-	n.useMembers()
+	n.changes = []memberChange{{index, members}}
+	n.activateMembers()
 }
 
-// forgetBefore drops changes that later ones before index replace.
-func (n *Node) forgetBefore(index uint64) {
+// compactChanges drops changes that are superseded by a later change at or before index.
+func (n *Node) compactChanges(index uint64) {
 	for len(n.changes) > 1 && n.changes[1].index <= index {
 		n.changes = n.changes[1:]
 	}
 }
 
-// appendFirst adds the first entry of a leadership; the first of all records the group that the settings name.
-func (n *Node) appendFirst() {
+// appendTermStart appends the first entry of a leader's term; the first one in the log records the group named in the settings.
+func (n *Node) appendTermStart() {
 	last := n.changes[len(n.changes)-1]
 	if last.index > 0 {
 		n.appendLocal(nil)
@@ -132,11 +132,11 @@
 func (n *Node) appendMembers(members *wire.Members) {
 	index := n.log.Last() + 1
 	n.log.Add(&wire.Entry{Index: index, Term: n.term, Members: members})
-	n.changes = append(n.changes, change{index, members})
-	n.useMembers()
+	n.changes = append(n.changes, memberChange{index, members})
+	n.activateMembers()
 }
 
-// Reconfigure puts another group in force, which must differ from the last in one voter at most; it returns false while that is not possible.
+// Reconfigure appends a new membership, which becomes active at once and must differ from the last by at most one voter. It returns false if the node is not the leader or an earlier change is not committed yet.
 func (n *Node) Reconfigure(members *wire.Members) bool {
 	last := n.changes[len(n.changes)-1]
 	if n.role != Leader || n.log.Commit < n.termStart || last.index > n.log.Commit {
@@ -150,13 +150,13 @@
 	return true
 }
 
-// SetContacts names replicas that are asked to join the group besides its members.
+// SetContacts sets the replicas to which join requests are sent besides the group's members.
 func (n *Node) SetContacts(ids []uint64) {
 	n.contacts = ids
 }
 
-// meet adds the members of a group to those that are asked to join it.
-func (n *Node) meet(members *wire.Members) {
+// addContacts adds the members of a group to the replicas to which join requests are sent.
+func (n *Node) addContacts(members *wire.Members) {
 	for _, m := range members.GetMembers() {
 		if !slices.Contains(n.contacts, m.GetId()) {
 			n.contacts = append(n.contacts, m.GetId())
@@ -164,8 +164,8 @@
 	}
 }
 
-// known returns all other replicas that the node knows of.
-func (n *Node) known() []uint64 {
+// knownReplicas returns the IDs of all other replicas known to this node.
+func (n *Node) knownReplicas() []uint64 {
 	all := slices.Clone(n.others)
 	for _, id := range n.contacts {
 		if id != n.id && !slices.Contains(all, id) {
@@ -175,21 +175,21 @@
 	return all
 }
 
-// askToJoin is what a replica does that hears no leader and has no vote.
-func (n *Node) askToJoin() {
+// requestJoin is called when a replica without a vote has not heard from a leader within the election timeout.
+func (n *Node) requestJoin() {
 	n.leader = 0
 	n.resetTimer()
 	n.sendJoin()
 }
 
 func (n *Node) sendJoin() {
-	for _, id := range n.known() {
+	for _, id := range n.knownReplicas() {
 		n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_JOIN, To: id})
 	}
 }
 
-// noteJoin keeps the wish of a replica outside the group, on the leader; others say who belongs to it.
-func (n *Node) noteJoin(m *wire.Message) {
+// handleJoin records, on the leader, a join request of a replica outside the group; other replicas reply with the membership.
+func (n *Node) handleJoin(m *wire.Message) {
 	member := slices.Contains(n.others, m.GetFrom())
 	switch {
 	case n.role == Leader && !member:
@@ -202,15 +202,15 @@
 	}
 }
 
-// Standing is a leader's view of one other replica.
+// Standing is the leader's view of one other replica.
 type Standing struct {
 	*wire.Member
-	Match   uint64 // last index that its log is known to agree with
-	Silent  int    // ticks since it answered
-	Repairs bool   // it lost its disk and does not count yet
+	Match   uint64 // last index up to which its log is known to match
+	Silent  int    // ticks since it last replied
+	Repairs bool   // it lost its disk and does not count towards a quorum yet
 }
 
-// Standings returns the leader's view of the other members, and the replicas that ask to join; nil if the node does not lead.
+// Standings returns the leader's view of the other members, and the replicas that have asked to join; both are nil if the node is not the leader.
 func (n *Node) Standings() (members []Standing, joining []*wire.Member) {
 	if n.role != Leader {
 		return nil, nil
@@ -227,7 +227,7 @@
 	return members, joining
 }
 
-// HandOver asks the voter that holds the whole log to lead at once, and returns false if there is none.
+// HandOver asks a voter that holds the whole log to start an election at once, and returns false if there is no such voter.
 func (n *Node) HandOver() bool {
 	if n.role != Leader {
 		return false
@@ -242,11 +242,11 @@
 	return false
 }
 
-// takeOver campaigns at once, since the leader asked for it.
-func (n *Node) takeOver() {
+// handleTakeOver starts an election at once at the leader's request.
+func (n *Node) handleTakeOver() {
 	if !n.votes || n.recovering {
 		return
 	}
 	n.forced = true
-	n.campaign()
+	n.startElection()
 }
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -15,7 +15,7 @@
 	"pgregory.net/rapid"
 )
 
-// Runs of each property and actions of each run, unless flags say otherwise.
+// Default number of runs of each property and of actions in each run; flags override them.
 const (
 	runs    = "1000"
 	actions = "60"
@@ -43,49 +43,49 @@
 	rapid.Check(t, func(t *rapid.T) { check(t, 5, 5) })
 }
 
-// TestMembersChange lets two replicas join a group of three, and voters be replaced, through all that can happen to them.
+// TestMembersChange has two replicas join a group of three and voters replaced while faults are injected.
 func TestMembersChange(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { check(t, 5, 3) })
 }
 
-// check runs a random history and then heals all: the group must serve again and have lost nothing.
+// check runs a random sequence of actions and then ends all faults: the group must serve again and have lost no committed entry.
 func check(t *rapid.T, size, voters int) {
 	s := newSimulation(t, size, voters)
 	if rapid.Bool().Draw(t, "bootstrapped") {
-		s.run(4 * electionTicks)
+		s.runTicks(4 * electionTicks)
 	}
 	t.Repeat(map[string]func(*rapid.T){
 		"":        func(*rapid.T) { s.checkLogs() },
-		"run":     func(t *rapid.T) { s.run(rapid.SampledFrom([]int{1, 2, 5, 15, 30}).Draw(t, "rounds")) },
-		"gale":    s.storm(weather{steps: 500, cuts: 0.2, ticks: 2, window: 2, crash: 2}),
-		"storm":   s.storm(weather{steps: 500, cuts: 0.1, ticks: electionTicks, window: 20, crash: 5}),
-		"freeze":  s.storm(weather{steps: 500, cuts: 0.4, ticks: 2 * electionTicks, window: 5}),
+		"run":     func(t *rapid.T) { s.runTicks(rapid.SampledFrom([]int{1, 2, 5, 15, 30}).Draw(t, "rounds")) },
+		"gale":    s.injectFaults(faultProfile{steps: 500, blockedShare: 0.2, maxTicks: 2, reorderWindow: 2, crash: 2}),
+		"storm":   s.injectFaults(faultProfile{steps: 500, blockedShare: 0.1, maxTicks: electionTicks, reorderWindow: 20, crash: 5}),
+		"freeze":  s.injectFaults(faultProfile{steps: 500, blockedShare: 0.4, maxTicks: 2 * electionTicks, reorderWindow: 5}),
 		"repair":  s.repair,
 		"elect":   s.elect,
-		"settle":  func(*rapid.T) { s.settle() },
-		"tick":    s.on(true, s.tick),
-		"deliver": s.inFlight(s.deliverOne),
-		"repeat":  s.inFlight(func(index int) { s.deliver(s.flight[index]) }),
-		"lose":    s.inFlight(func(index int) { s.flight = s.flight[index+1:] }),
-		"propose": s.leading(s.propose),
-		"read":    s.leading(s.read),
-		"serve":   s.leading(s.serve),
-		"members": s.leading(s.changeMembers),
-		"yield":   s.leading(func(_ *rapid.T, h *host) { h.node.HandOver() }),
-		"flush":   s.on(true, func(_ *rapid.T, h *host) { s.flush(h) }),
-		"crash":   s.on(true, s.crashOne),
-		"restart": s.on(false, func(_ *rapid.T, h *host) { s.boot(h) }),
+		"settle":  func(*rapid.T) { s.deliverAll() },
+		"tick":    s.onHost(true, s.tick),
+		"deliver": s.onMessage(s.deliverOne),
+		"repeat":  s.onMessage(func(index int) { s.deliver(s.inFlight[index]) }),
+		"lose":    s.onMessage(func(index int) { s.inFlight = s.inFlight[index+1:] }),
+		"propose": s.onLeaders(s.propose),
+		"read":    s.onLeaders(s.read),
+		"serve":   s.onLeaders(s.serve),
+		"members": s.onLeaders(s.changeMembers),
+		"yield":   s.onLeaders(func(_ *rapid.T, h *host) { h.node.HandOver() }),
+		"flush":   s.onHost(true, func(_ *rapid.T, h *host) { s.flush(h) }),
+		"crash":   s.onHost(true, s.crashOne),
+		"restart": s.onHost(false, func(_ *rapid.T, h *host) { s.boot(h) }),
 		"wipe":    func(t *rapid.T) { s.loseDisk(rapid.SampledFrom(s.hosts).Draw(t, "host")) },
-		"compact": s.on(true, s.compact),
-		"cut":     s.on(true, s.cutOff),
-		"heal":    func(*rapid.T) { s.cut = map[[2]uint64]bool{} },
+		"compact": s.onHost(true, s.compact),
+		"cut":     s.onHost(true, s.isolateHost),
+		"heal":    func(*rapid.T) { s.blockedLinks = map[[2]uint64]bool{} },
 	})
 	s.heal()
 }
 
-// on runs an action on a host that is up or down as asked, if there is one; actions that cannot run are none, so that no run ends early.
-func (s *simulation) on(up bool, action func(*rapid.T, *host)) func(*rapid.T) {
+// onHost runs an action onHost a host that is up or down as asked, if there is one; actions that cannot run are none, so that no run ends early.
+func (s *simulation) onHost(up bool, action func(*rapid.T, *host)) func(*rapid.T) {
 	return func(t *rapid.T) {
 		var some []*host
 		for _, h := range s.hosts {
@@ -99,8 +99,8 @@
 	}
 }
 
-// leading runs an action on each host that believes to lead.
-func (s *simulation) leading(action func(*rapid.T, *host)) func(*rapid.T) {
+// onLeaders runs an action on each host that considers itself the leader.
+func (s *simulation) onLeaders(action func(*rapid.T, *host)) func(*rapid.T) {
 	return func(t *rapid.T) {
 		for _, h := range s.hosts {
 			if h.node != nil && h.node.Role() == raft.Leader {
@@ -110,11 +110,11 @@
 	}
 }
 
-// inFlight runs an action on a message in flight, if there is one.
-func (s *simulation) inFlight(action func(index int)) func(*rapid.T) {
+// onMessage runs an action on a random message in flight, if there is one.
+func (s *simulation) onMessage(action func(index int)) func(*rapid.T) {
 	return func(t *rapid.T) {
-		if len(s.flight) > 0 {
-			action(rapid.IntRange(0, len(s.flight)-1).Draw(t, "message"))
+		if len(s.inFlight) > 0 {
+			action(rapid.IntRange(0, len(s.inFlight)-1).Draw(t, "message"))
 		}
 	}
 }
@@ -126,8 +126,8 @@
 }
 
 func (s *simulation) deliverOne(index int) {
-	m := s.flight[index]
-	s.flight = slices.Delete(s.flight, index, index+1)
+	m := s.inFlight[index]
+	s.inFlight = slices.Delete(s.inFlight, index, index+1)
 	s.deliver(m)
 }
 
@@ -143,11 +143,11 @@
 func (s *simulation) serve(t *rapid.T, h *host) {
 	s.propose(t, h)
 	for range 4 {
-		s.settle()
+		s.deliverAll()
 	}
 }
 
-// changeMembers takes in, promotes or demotes one replica, but leaves as many voters as the group had at first; static groups never change.
+// changeMembers adds, promotes or demotes one replica, but keeps at least as many voters as the group had initially; static groups never change.
 func (s *simulation) changeMembers(t *rapid.T, h *host) {
 	members, joining := h.node.Standings()
 	if s.voters == s.size || h.node.Role() != raft.Leader {
@@ -174,8 +174,8 @@
 	}
 }
 
-// takeIn lets one replica that asks to join follow the leader.
-func (s *simulation) takeIn() {
+// admitJoining adds, on each leader, the first replica that has asked to join.
+func (s *simulation) admitJoining() {
 	for _, h := range s.hosts {
 		if _, joining := h.node.Standings(); len(joining) > 0 {
 			next := proto.CloneOf(h.node.Members())
@@ -185,7 +185,7 @@
 	}
 }
 
-// holdsAll says whether a replica's log is known to agree with the leader's up to what is committed.
+// holdsAll reports whether a replica's log is known to match the leader's up to the commit index.
 func holdsAll(h *host, members []raft.Standing, id uint64) bool {
 	for _, m := range members {
 		if m.GetId() == id {
@@ -195,32 +195,32 @@
 	return false
 }
 
-// weather says how a storm treats the group.
-type weather struct {
-	steps  int
-	cuts   float64 // share of links that are cut
-	ticks  int     // at most at once
-	window int     // how far messages overtake each other
-	crash  int     // per thousand steps
+// faultProfile configures a period of random faults.
+type faultProfile struct {
+	steps         int
+	blockedShare  float64 // share of links that are blocked
+	maxTicks      int     // most ticks of a node in one step
+	reorderWindow int     // number of oldest messages from which the next delivery is drawn
+	crash         int     // crashes per thousand steps
 }
 
-// storm interleaves hosts and messages at random, many steps for one draw.
-func (s *simulation) storm(w weather) func(*rapid.T) {
+// injectFaults interleaves the work of hosts and the delivery of messages at random. One rapid draw seeds many steps.
+func (s *simulation) injectFaults(w faultProfile) func(*rapid.T) {
 	return func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "storm"), 0))
 		for _, a := range s.hosts {
 			for _, b := range s.hosts {
-				s.cut[[2]uint64{a.id, b.id}] = random.Float64() < w.cuts
+				s.blockedLinks[[2]uint64{a.id, b.id}] = random.Float64() < w.blockedShare
 			}
 		}
 		for range w.steps {
-			s.stormStep(t, w, random)
+			s.faultStep(t, w, random)
 		}
-		s.cut = map[[2]uint64]bool{}
+		s.blockedLinks = map[[2]uint64]bool{}
 	}
 }
 
-func (s *simulation) stormStep(t *rapid.T, w weather, random *rand.Rand) {
+func (s *simulation) faultStep(t *rapid.T, w faultProfile, random *rand.Rand) {
 	h := s.hosts[random.IntN(s.size)]
 	if h.node == nil {
 		if random.IntN(20) == 0 {
@@ -238,7 +238,7 @@
 	}
 	switch roll := random.IntN(100); {
 	case roll < 10:
-		for range 1 + random.IntN(w.ticks) {
+		for range 1 + random.IntN(w.maxTicks) {
 			h.node.Tick()
 		}
 	case roll < 45:
@@ -248,16 +248,16 @@
 		h.node.Propose([][]byte{fmt.Append(nil, s.proposed)})
 	case roll < 50:
 		s.read(t, h)
-	case len(s.flight) > 0 && roll < 52:
-		s.deliver(s.flight[random.IntN(len(s.flight))])
-	case len(s.flight) > 0:
-		s.deliverOne(random.IntN(min(len(s.flight), w.window)))
+	case len(s.inFlight) > 0 && roll < 52:
+		s.deliver(s.inFlight[random.IntN(len(s.inFlight))])
+	case len(s.inFlight) > 0:
+		s.deliverOne(random.IntN(min(len(s.inFlight), w.reorderWindow)))
 	}
 }
 
-// repair ends the cuts and restarts what is down, on their disks.
+// repair unblocks all links and restarts the hosts that are down from their disks.
 func (s *simulation) repair(*rapid.T) {
-	s.cut = map[[2]uint64]bool{}
+	s.blockedLinks = map[[2]uint64]bool{}
 	for _, h := range s.hosts {
 		if h.node == nil {
 			s.boot(h)
@@ -267,7 +267,7 @@
 
 func (s *simulation) elect(t *rapid.T) {
 	s.repair(t)
-	s.run(4 * electionTicks)
+	s.runTicks(4 * electionTicks)
 }
 
 func (s *simulation) read(_ *rapid.T, h *host) {
@@ -276,14 +276,14 @@
 		return
 	}
 	n.StartRound()
-	h.reads = append(h.reads, readCheck{term: n.Term(), round: n.Round(), index: n.Commit(), want: s.last})
+	h.reads = append(h.reads, readCheck{term: n.Term(), round: n.Round(), index: n.Commit(), want: s.lastCommitted})
 }
 
 func (s *simulation) crashOne(t *rapid.T, h *host) {
 	s.crash(h, rapid.IntRange(0, 4).Draw(t, "point"))
 }
 
-// loseDisk takes one more disk as long as a majority holds its own.
+// loseDisk wipes the host's disk if a majority still keeps its own.
 func (s *simulation) loseDisk(h *host) {
 	lost := 1
 	for _, other := range s.hosts {
@@ -308,36 +308,36 @@
 	h.node.Compact(index, index-min(index, rapid.Uint64Range(0, 3).Draw(t, "keep")))
 }
 
-func (s *simulation) cutOff(t *rapid.T, h *host) {
+func (s *simulation) isolateHost(t *rapid.T, h *host) {
 	oneWay := rapid.Bool().Draw(t, "one way")
 	for _, other := range s.hosts {
-		s.cut[[2]uint64{h.id, other.id}] = true
-		s.cut[[2]uint64{other.id, h.id}] = !oneWay
+		s.blockedLinks[[2]uint64{h.id, other.id}] = true
+		s.blockedLinks[[2]uint64{other.id, h.id}] = !oneWay
 	}
 }
 
-// heal repairs everything and checks that a new record reaches all.
+// heal ends all faults and checks that a new record reaches all replicas.
 func (s *simulation) heal() {
 	s.repair(s.T)
-	s.flight = nil
+	s.inFlight = nil
 	for range 40 {
-		s.run(2 * electionTicks)
-		s.takeIn()
-		if s.served() {
+		s.runTicks(2 * electionTicks)
+		s.admitJoining()
+		if s.servesAll() {
 			return
 		}
 	}
-	s.Fatalf("the healed group does not serve: %s", s.describe())
+	s.Fatalf("no record reached all replicas after all faults had ended: %s", s.describe())
 }
 
-// served proposes a record at the leader and says whether all have applied as much as it.
-func (s *simulation) served() bool {
+// servesAll proposes a record at the leader and reports whether all replicas have applied it.
+func (s *simulation) servesAll() bool {
 	for _, h := range s.hosts {
 		if h.node.Role() != raft.Leader {
 			continue
 		}
 		first, _ := h.node.Propose([][]byte{[]byte("last")})
-		s.run(4 * electionTicks)
+		s.runTicks(4 * electionTicks)
 		for _, other := range s.hosts {
 			if other.applied < first || other.node.Recovering() {
 				return false
--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -2,20 +2,20 @@
 
 import "daisyswitch/wire"
 
-// recovery is the part of the state that only a replica without its former disk uses.
+// recovery is the part of the state that is used only by a replica that started with a blank disk.
 type recovery struct {
-	fresh      map[uint64]struct{} // peers that have never voted nor held a record
-	sinceAsked int                 // ticks
-	awaited    uint64              // barrier that must be committed and held, 0 until a leader has named it
+	freshPeers        map[uint64]struct{} // peers that have neither voted nor stored a record yet
+	ticksSinceRequest int                 // ticks since the last recovery request
+	awaitedBarrier    uint64              // index of the barrier that must be committed in this replica's log; 0 until a leader has sent it
 }
 
-// recover asks the group whether this is its first start or a lost disk.
+// recover asks the group whether this is the group's first start or the replica has lost its disk.
 func (n *Node) recover() {
-	n.endRecovery()
+	n.tryEndRecovery()
 	if !n.recovering {
 		return
 	}
-	for _, id := range n.known() {
+	for _, id := range n.knownReplicas() {
 		n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER, To: id, Nonce: n.disk})
 	}
 }
@@ -25,70 +25,70 @@
 		n.leader = 0
 		n.resetTimer()
 	}
-	n.sinceAsked++
-	if n.sinceAsked >= n.heartbeatTicks {
-		n.sinceAsked = 0
+	n.ticksSinceRequest++
+	if n.ticksSinceRequest >= n.heartbeatTicks {
+		n.ticksSinceRequest = 0
 		n.recover()
 	}
 }
 
-// blank says whether the node has never voted nor held a record.
+// blank reports whether the node has neither voted nor stored a record yet.
 func (n *Node) blank() bool {
 	return n.term == 0 && n.log.Last() == 0
 }
 
-// stepRecovery handles the messages of recovery, which stand outside of terms.
+// stepRecovery handles recovery and join messages, which do not belong to a term, and reports whether m was one.
 func (n *Node) stepRecovery(m *wire.Message) bool {
 	switch m.GetKind() {
 	case wire.MessageKind_MESSAGE_KIND_RECOVER:
-		n.answerRecover(m)
+		n.handleRecover(m)
 	case wire.MessageKind_MESSAGE_KIND_RECOVER_REPLY:
-		n.takeRecoverReply(m)
+		n.handleRecoverReply(m)
 	case wire.MessageKind_MESSAGE_KIND_JOIN:
-		n.noteJoin(m)
+		n.handleJoin(m)
 	case wire.MessageKind_MESSAGE_KIND_MEMBERS:
-		n.meet(m.GetMembers())
-		n.takeRefusal(m)
+		n.addContacts(m.GetMembers())
+		n.handleDiskRejection(m)
 	default:
 		return false
 	}
 	return true
 }
 
-func (n *Node) answerRecover(m *wire.Message) {
-	n.noteJoin(m)
+func (n *Node) handleRecover(m *wire.Message) {
+	n.handleJoin(m)
 	reply := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_RECOVER_REPLY, To: m.GetFrom(), Term: n.term, Nonce: m.GetNonce()}
 	switch {
 	case n.blank():
 		reply.Fresh = true
-	case n.role == Leader && n.barrierDone(m):
+	case n.role == Leader && n.barrierCommitted(m):
 		reply.Index = n.followers[m.GetFrom()].Barrier
 	default:
-		reply = &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_MEMBERS, To: m.GetFrom(), Members: n.Members(), Nonce: m.GetNonce(), Reject: n.takesForLost(m)}
+		reply = &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_MEMBERS, To: m.GetFrom(), Members: n.Members(), Nonce: m.GetNonce(), Reject: n.diskRetired(m)}
 	}
 	n.send(reply)
 }
 
-// takesForLost says whether a leader has taken the disk that a question is about for one that is no more.
-func (n *Node) takesForLost(m *wire.Message) bool {
+// diskRetired reports whether this leader considers the disk named in a recovery request lost.
+func (n *Node) diskRetired(m *wire.Message) bool {
 	f := n.followers[m.GetFrom()]
 	return n.role == Leader && f != nil && f.Retired(m.GetNonce())
 }
 
-// takeRefusal draws a new identity for a disk that the leader takes for lost, since a late question of a former disk overtook it.
-// A replica that recovers counts for no quorum yet, so that this is no more than one more loss of its disk.
-func (n *Node) takeRefusal(m *wire.Message) {
+// handleDiskRejection draws a new disk identity if the leader considers the present one lost, which happens when a delayed request of a former disk arrives after a request of the present one.
+// A recovering replica does not count towards a quorum yet, so this is equivalent to losing its disk once more.
+func (n *Node) handleDiskRejection(m *wire.Message) {
 	if !n.recovering || !m.GetReject() || m.GetNonce() != n.disk {
 		return
 	}
 	n.disk = n.rand.Uint64()
 	n.stateChanged = true
-	n.awaited = 0
-	n.fresh = nil
+	n.awaitedBarrier = 0
+	n.freshPeers = nil
 }
 
-// barrierDone says whether a barrier begun after the loss of the disk has been committed without the replica that lost it.
-func (n *Node) barrierDone(m *wire.Message) bool {
+// barrierCommitted reports whether a barrier appended after the loss of the disk has been committed without the replica that lost it.
+func (n *Node) barrierCommitted(m *wire.Message) bool {
 	f := n.followers[m.GetFrom()]
 	if f == nil {
 		return false
@@ -105,28 +105,28 @@
 	return f.Barrier <= n.log.Commit
 }
 
-func (n *Node) takeRecoverReply(m *wire.Message) {
+func (n *Node) handleRecoverReply(m *wire.Message) {
 	if !n.recovering || m.GetNonce() != n.disk {
 		return
 	}
 	if m.GetFresh() {
-		if n.fresh == nil {
-			n.fresh = map[uint64]struct{}{}
+		if n.freshPeers == nil {
+			n.freshPeers = map[uint64]struct{}{}
 		}
-		n.fresh[m.GetFrom()] = struct{}{}
+		n.freshPeers[m.GetFrom()] = struct{}{}
 	} else {
-		n.awaited = max(n.awaited, m.GetIndex())
+		n.awaitedBarrier = max(n.awaitedBarrier, m.GetIndex())
 	}
-	n.endRecovery()
+	n.tryEndRecovery()
 }
 
-// endRecovery makes the node a full member if the whole group is fresh or the barrier is held and committed.
-func (n *Node) endRecovery() {
+// tryEndRecovery makes the node a full member if the whole group is fresh or the barrier is committed in the node's own log.
+func (n *Node) tryEndRecovery() {
 	if !n.recovering {
 		return
 	}
-	first := n.forms && n.blank() && len(n.fresh) == len(n.others)
-	caughtUp := n.awaited > 0 && n.log.Commit >= n.awaited
+	first := n.mayBootstrap && n.blank() && len(n.freshPeers) == len(n.others)
+	caughtUp := n.awaitedBarrier > 0 && n.log.Commit >= n.awaitedBarrier
 	if !first && !caughtUp {
 		return
 	}
--- a/raft/simulation_test.go
+++ b/raft/simulation_test.go
@@ -14,42 +14,42 @@
 
 const electionTicks = 5
 
-// host is one replica with its disk; the disk outlives the node.
+// host is one replica with its disk; the disk survives crashes of the node.
 type host struct {
 	id       uint64
 	node     *raft.Node // nil while crashed
 	state    *wire.HardState
 	snapshot *wire.Snapshot
 	entries  []*wire.Entry // on disk, after the snapshot
-	members  *wire.Members // as of what is applied
+	members  *wire.Members // as of the last applied entry
 	applied  uint64
 	reads    []readCheck
 }
 
-// readCheck is a read that must see at least what was committed when it was asked for.
+// readCheck is a read that must observe at least the entries committed when it was requested.
 type readCheck struct {
 	term, round, index, want uint64
 }
 
-// simulation is a group over a network that loses, repeats and reorders messages.
+// simulation is a group of replicas on a network that drops, duplicates and reorders messages.
 type simulation struct {
 	*rapid.T
-	size      int
-	voters    int // at first; the other hosts join
-	hosts     []*host
-	flight    []*wire.Message
-	cut       map[[2]uint64]bool
-	leaders   map[uint64]uint64      // term to its leader
-	committed map[uint64]*wire.Entry // what any host has applied
-	since     map[uint64]uint64      // index to the term in which it was first applied
-	last      uint64                 // highest index in committed
-	proposed  int
-	disks     uint64
-	seed      uint64
+	size             int
+	voters           int // initial number of voters; the other hosts join
+	hosts            []*host
+	inFlight         []*wire.Message
+	blockedLinks     map[[2]uint64]bool
+	leaders          map[uint64]uint64      // leader ID by term
+	committed        map[uint64]*wire.Entry // entries that any host has applied, by index
+	firstAppliedTerm map[uint64]uint64      // term in which an index was first applied
+	lastCommitted    uint64                 // highest index in committed
+	proposed         int
+	disks            uint64
+	seed             uint64
 }
 
 func newSimulation(t *rapid.T, size, voters int) *simulation {
-	s := &simulation{T: t, size: size, voters: voters, cut: map[[2]uint64]bool{}, leaders: map[uint64]uint64{}, committed: map[uint64]*wire.Entry{}, since: map[uint64]uint64{}}
+	s := &simulation{T: t, size: size, voters: voters, blockedLinks: map[[2]uint64]bool{}, leaders: map[uint64]uint64{}, committed: map[uint64]*wire.Entry{}, firstAppliedTerm: map[uint64]uint64{}}
 	s.seed = rapid.Uint64().Draw(t, "seed")
 	for id := 1; id <= size; id++ {
 		h := &host{id: uint64(id)}
@@ -80,7 +80,7 @@
 	h.reads = nil
 }
 
-// persist puts a part of what is ready on the disk; whole says whether it reaches the last entry.
+// persist writes the records of r to the disk; if whole is false, it writes only the first half of the entries.
 func (h *host) persist(r *raft.Ready, whole bool) {
 	if r.State != nil {
 		h.state = r.State
@@ -98,14 +98,14 @@
 	}
 }
 
-// flush does what the node asks for.
+// flush performs all work that the node returns from Ready.
 func (s *simulation) flush(h *host) {
 	s.checkLeader(h)
 	for r := h.node.Ready(); !r.Empty(); r = h.node.Ready() {
-		s.post(h, r.Early)
+		s.enqueueMessages(h, r.Early)
 		h.persist(&r, true)
 		h.node.Synced()
-		s.post(h, r.Messages)
+		s.enqueueMessages(h, r.Messages)
 		if r.Snapshot != nil {
 			h.applied, h.members = r.Snapshot.GetIndex(), r.Snapshot.GetMembers()
 			s.checkDigest(r.Snapshot)
@@ -118,39 +118,39 @@
 	s.checkReads(h)
 }
 
-// crash stops a host in the middle of what it has to do.
+// crash stops a host after the step of its pending work that point selects.
 func (s *simulation) crash(h *host, point int) {
 	r := h.node.Ready()
 	if point > 0 {
-		s.post(h, r.Early)
+		s.enqueueMessages(h, r.Early)
 	}
 	if point > 1 {
 		h.persist(&r, point > 2)
 	}
 	if point > 3 {
-		s.post(h, r.Messages)
+		s.enqueueMessages(h, r.Messages)
 	}
 	h.node = nil
 }
 
-func (s *simulation) post(h *host, messages []*wire.Message) {
+func (s *simulation) enqueueMessages(h *host, messages []*wire.Message) {
 	for _, m := range messages {
 		if m.GetKind() == wire.MessageKind_MESSAGE_KIND_SNAPSHOT {
 			m.Index, m.LogTerm, m.Snapshot, m.Members = h.snapshot.GetIndex(), h.snapshot.GetTerm(), h.snapshot.GetData(), h.snapshot.GetMembers()
 		}
-		s.flight = append(s.flight, m)
+		s.inFlight = append(s.inFlight, m)
 	}
 }
 
 func (s *simulation) deliver(m *wire.Message) {
 	h := s.hosts[m.GetTo()-1]
-	if h.node != nil && !s.cut[[2]uint64{m.GetFrom(), m.GetTo()}] {
+	if h.node != nil && !s.blockedLinks[[2]uint64{m.GetFrom(), m.GetTo()}] {
 		h.node.Step(proto.CloneOf(m))
 	}
 }
 
-// run lets time pass on a network that works, but for its cuts.
-func (s *simulation) run(rounds int) {
+// runTicks advances all nodes by the given number of ticks and delivers messages without loss, except on blocked links.
+func (s *simulation) runTicks(rounds int) {
 	for range rounds {
 		for _, h := range s.hosts {
 			if h.node != nil {
@@ -158,27 +158,27 @@
 			}
 		}
 		for range 6 {
-			s.settle()
+			s.deliverAll()
 		}
 	}
 }
 
-func (s *simulation) settle() {
+func (s *simulation) deliverAll() {
 	for _, h := range s.hosts {
 		if h.node != nil {
 			s.flush(h)
 		}
 	}
-	flight := s.flight
-	s.flight = nil
-	for _, m := range flight {
+	inFlight := s.inFlight
+	s.inFlight = nil
+	for _, m := range inFlight {
 		s.deliver(m)
 	}
 }
 
 func (s *simulation) apply(h *host, e *wire.Entry) {
 	if e.GetIndex() != h.applied+1 {
-		s.Fatalf("replica %d applied %d after %d", h.id, e.GetIndex(), h.applied)
+		s.Fatalf("replica %d applied index %d right after index %d", h.id, e.GetIndex(), h.applied)
 	}
 	h.applied = e.GetIndex()
 	if e.GetMembers() != nil {
@@ -187,16 +187,16 @@
 	known := s.committed[e.GetIndex()]
 	if known == nil {
 		s.committed[e.GetIndex()] = e
-		s.since[e.GetIndex()] = h.node.Term()
-		s.last = max(s.last, e.GetIndex())
+		s.firstAppliedTerm[e.GetIndex()] = h.node.Term()
+		s.lastCommitted = max(s.lastCommitted, e.GetIndex())
 		return
 	}
 	if !proto.Equal(known, e) {
-		s.Fatalf("replica %d applied %v where %v was committed", h.id, e, known)
+		s.Fatalf("replica %d applied entry %v, but entry %v was committed at that index", h.id, e, known)
 	}
 }
 
-// digest stands for the state machine's state after index.
+// digest represents the state machine's state after index.
 func (s *simulation) digest(index uint64) []byte {
 	sum := uint64(0)
 	for i := uint64(1); i <= index; i++ {
@@ -207,11 +207,11 @@
 
 func (s *simulation) checkDigest(snapshot *wire.Snapshot) {
 	if string(s.digest(snapshot.GetIndex())) != string(snapshot.GetData()) {
-		s.Fatalf("snapshot %d holds another state", snapshot.GetIndex())
+		s.Fatalf("snapshot at index %d holds a state that differs from the committed entries", snapshot.GetIndex())
 	}
 }
 
-// checkLeader checks that a term has one leader, and that it holds all that was committed in earlier terms.
+// checkLeader checks that a term has one leader, and that this leader holds all entries committed in earlier terms.
 func (s *simulation) checkLeader(h *host) {
 	if h.node.Role() != raft.Leader {
 		return
@@ -224,8 +224,8 @@
 	}
 	s.leaders[term] = h.id
 	for index, e := range s.committed {
-		if index > h.snapshot.GetIndex() && h.node.EntryTerm(index) != e.GetTerm() && s.since[index] < term {
-			s.Fatalf("replica %d leads term %d without entry %d", h.id, term, index)
+		if index > h.snapshot.GetIndex() && h.node.EntryTerm(index) != e.GetTerm() && s.firstAppliedTerm[index] < term {
+			s.Fatalf("replica %d leads term %d without committed entry %d", h.id, term, index)
 		}
 	}
 }
@@ -237,13 +237,13 @@
 			return
 		}
 		if h.node.Role() == raft.Leader && h.node.Term() == r.term && r.index < r.want {
-			s.Fatalf("replica %d confirmed a read at %d when %d was committed", h.id, r.index, r.want)
+			s.Fatalf("replica %d confirmed a read at index %d although index %d was committed", h.id, r.index, r.want)
 		}
 		h.reads = h.reads[1:]
 	}
 }
 
-// checkLogs checks that two logs which agree at one entry agree at all before it.
+// checkLogs checks the log matching property: two logs that match at one entry match at all entries before it.
 func (s *simulation) checkLogs() {
 	for i, a := range s.hosts {
 		for _, b := range s.hosts[i+1:] {
@@ -259,10 +259,10 @@
 	for index := min(a.node.Last(), b.node.Last()); index > 0; index-- {
 		ours, theirs := a.node.EntryTerm(index), b.node.EntryTerm(index)
 		if ours == 0 || theirs == 0 {
-			return // in a snapshot from here on
+			return // only a snapshot covers this index and those before it
 		}
 		if agree && ours != theirs {
-			s.Fatalf("logs of %d and %d differ at %d and agree after it", a.id, b.id, index)
+			s.Fatalf("logs of replicas %d and %d differ at index %d but match after it", a.id, b.id, index)
 		}
 		agree = ours == theirs
 	}
--- a/raft/step.go
+++ b/raft/step.go
@@ -2,7 +2,7 @@
 
 import "daisyswitch/wire"
 
-// Step takes in one message from a peer.
+// Step handles one message from a peer.
 func (n *Node) Step(m *wire.Message) {
 	if m.GetTo() != n.id || m.GetFrom() == n.id {
 		return
@@ -28,27 +28,27 @@
 	return k == wire.MessageKind_MESSAGE_KIND_TAKE_OVER || k == wire.MessageKind_MESSAGE_KIND_APPEND || k == wire.MessageKind_MESSAGE_KIND_HEARTBEAT || k == wire.MessageKind_MESSAGE_KIND_SNAPSHOT
 }
 
-// stepNewerTerm moves on to the message's term where it has one to move to, and says whether the message is handled further.
+// stepNewerTerm adopts the message's newer term unless the message is a pre-vote or a vote request refused because of the leader's lease. It reports whether the message is to be handled further.
 func (n *Node) stepNewerTerm(m *wire.Message) bool {
 	switch m.GetKind() {
 	case wire.MessageKind_MESSAGE_KIND_PRE_VOTE:
-		n.answerPreVote(m)
+		n.handlePreVote(m)
 		return false
 	case wire.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY:
 		if !m.GetReject() {
-			n.countPreVote(m)
+			n.handlePreVoteReply(m)
 			return false
 		}
 	case wire.MessageKind_MESSAGE_KIND_VOTE:
-		if n.leased() && !m.GetForced() {
+		if n.leaseActive() && !m.GetForced() {
 			return false
 		}
 	}
-	n.follow(m.GetTerm(), 0)
+	n.becomeFollower(m.GetTerm(), 0)
 	return true
 }
 
-// stepOlderTerm tells a sender that its term is over.
+// stepOlderTerm rejects a message of an older term, so that the sender learns the current one.
 func (n *Node) stepOlderTerm(m *wire.Message) {
 	switch {
 	case fromLeader(m.GetKind()):
@@ -62,26 +62,26 @@
 
 func (n *Node) stepTerm(m *wire.Message) {
 	if fromLeader(m.GetKind()) {
-		n.hear(m.GetFrom())
+		n.recordLeaderContact(m.GetFrom())
 	}
 	switch m.GetKind() {
 	case wire.MessageKind_MESSAGE_KIND_PRE_VOTE:
-		n.answerPreVote(m)
+		n.handlePreVote(m)
 	case wire.MessageKind_MESSAGE_KIND_VOTE:
-		n.answerVote(m)
+		n.handleVote(m)
 	case wire.MessageKind_MESSAGE_KIND_VOTE_REPLY:
-		n.countVote(m)
+		n.handleVoteReply(m)
 	case wire.MessageKind_MESSAGE_KIND_APPEND:
-		n.takeAppend(m)
+		n.handleAppend(m)
 	case wire.MessageKind_MESSAGE_KIND_HEARTBEAT:
-		n.takeHeartbeat(m)
+		n.handleHeartbeat(m)
 	case wire.MessageKind_MESSAGE_KIND_SNAPSHOT:
-		n.takeSnapshot(m)
+		n.handleSnapshot(m)
 	case wire.MessageKind_MESSAGE_KIND_APPEND_REPLY:
-		n.countAppend(m)
+		n.handleAppendReply(m)
 	case wire.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY:
-		n.countHeartbeat(m)
+		n.handleHeartbeatReply(m)
 	case wire.MessageKind_MESSAGE_KIND_TAKE_OVER:
-		n.takeOver()
+		n.handleTakeOver()
 	}
 }
