Reword progress, proposal and serial in the terms of the field

Readers stumbled over told, base, retire, taken and similar names, and over doc comments in everyday verbs.

--- a/progress/doc.go
+++ b/progress/doc.go
@@ -1,2 +1,2 @@
-// Package progress holds what a leader knows of its followers: how far their logs agree with its own, what it sent ahead of their answers, and what a quorum of them has reached. It speaks to no one: package raft sends, and tells it of the answers.
+// Package progress holds what a leader knows of its followers: how far their logs match its own, what it sent before earlier entries were acknowledged, and what a quorum of them has reached. It performs no I/O: package raft sends the messages and passes the replies on to it.
 package progress
--- a/progress/followers.go
+++ b/progress/followers.go
@@ -2,22 +2,22 @@
 
 import "slices"
 
-// Followers are all replicas of a group but the leader, by ID.
+// Followers holds all replicas of a group except the leader, by ID.
 type Followers map[uint64]*Follower
 
-// Tick advances the time since each follower answered by one tick.
+// Tick advances the time since each follower's last reply by one tick.
 func (f Followers) Tick() {
 	for _, follower := range f {
-		follower.silent++
+		follower.silentTicks++
 	}
 }
 
-// Quorum returns how many of a group's replicas are more than half of it.
+// Quorum returns the smallest number of replicas that is a majority of a group of the given size.
 func Quorum(size int) int {
 	return size/2 + 1
 }
 
-// quorum counts the leader in, and those that vote.
+// quorum returns the size of a majority of the voters, the leader included.
 func (f Followers) quorum() int {
 	voters := 1
 	for _, follower := range f {
@@ -28,7 +28,7 @@
 	return Quorum(voters)
 }
 
-// Active says whether a quorum, the leader included, answered within the given number of ticks.
+// Active reports whether a quorum, the leader included, replied within the given number of ticks.
 func (f Followers) Active(ticks int) bool {
 	active := 1
 	for _, follower := range f {
--- a/proposal/batch.go
+++ b/proposal/batch.go
@@ -1,17 +1,17 @@
 package proposal
 
-// Bounds of the records that are synced together.
+// Limits of a batch of records that are synced together.
 const (
 	maxBatch      = 1024 // records
 	maxBatchBytes = 4 << 20
 )
 
-// Batch takes the first proposal and those that wait behind it, up to the bounds, and leaves out what was withdrawn.
+// Batch collects the first proposal and those queued behind it, up to the limits, and skips withdrawn ones.
 func Batch(first *Proposal, more <-chan *Proposal) []*Proposal {
 	var batch []*Proposal
 	size := 0
 	for p := first; ; {
-		if p.take() {
+		if p.markTaken() {
 			batch = append(batch, p)
 			size += len(p.Data)
 		}
--- a/proposal/doc.go
+++ b/proposal/doc.go
@@ -1,2 +1,2 @@
-// Package proposal holds records on their way into the log, each either taken by the loop that appends it or withdrawn by the caller that waits for it; it speaks to no one: package replica appends and answers them.
+// Package proposal holds records on their way into the log, each either taken by the loop that appends it or withdrawn by the caller that waits for it; it performs no I/O: package replica appends and answers them.
 package proposal
--- a/proposal/proposal.go
+++ b/proposal/proposal.go
@@ -13,7 +13,7 @@
 	done  chan Outcome // holds one
 }
 
-// Outcome is what became of a proposal; without Err, Result is what applying it returned.
+// Outcome is the outcome of a proposal; if Err is nil, Result is the value that applying the record returned.
 type Outcome struct {
 	Result any
 	Err    error
@@ -21,32 +21,32 @@
 
 // The states of a proposal.
 const (
-	waiting int32 = iota
-	taken
-	withdrawn
+	stateWaiting int32 = iota
+	stateTaken
+	stateWithdrawn
 )
 
-// New returns a proposal that waits to be taken.
+// New returns a proposal in the waiting state.
 func New(data []byte) *Proposal {
 	return &Proposal{Data: data, done: make(chan Outcome, 1)}
 }
 
-// Done returns where the one outcome arrives.
+// Done returns the channel that receives the one outcome.
 func (p *Proposal) Done() <-chan Outcome { return p.done }
 
-// Finish gives the outcome to whoever waits; it may be called once and never blocks.
+// Finish delivers the outcome to the waiting caller; it may be called only once and never blocks.
 func (p *Proposal) Finish(o Outcome) {
 	p.done <- o
 }
 
-// Withdraw gives the proposal up and says whether its record may yet be applied: not if nobody has taken it.
+// Withdraw cancels the proposal and returns NotRun if the loop has not taken it, or else Unknown, since its record may still be applied.
 func (p *Proposal) Withdraw() verdict.Verdict {
-	if p.state.CompareAndSwap(waiting, withdrawn) {
+	if p.state.CompareAndSwap(stateWaiting, stateWithdrawn) {
 		return verdict.NotRun
 	}
 	return verdict.Unknown
 }
 
-func (p *Proposal) take() bool {
-	return p.state.CompareAndSwap(waiting, taken)
+func (p *Proposal) markTaken() bool {
+	return p.state.CompareAndSwap(stateWaiting, stateTaken)
 }
--- a/proposal/proposal_test.go
+++ b/proposal/proposal_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestTakenOrWithdrawn has one caller give up before the loop comes and one after.
+// TestTakenOrWithdrawn has one caller withdraw its proposal before the loop takes it and one after.
 func TestTakenOrWithdrawn(t *testing.T) {
 	early, late := New([]byte("early")), New([]byte("late"))
 	more := make(chan *Proposal, 1)
--- a/serial/doc.go
+++ b/serial/doc.go
@@ -1,2 +1,2 @@
-// Package serial runs tasks one after the other, so that whoever hands them over never waits for one; it speaks to no one: package replica applies records and answers reads by it.
+// Package serial runs tasks one after the other in the background, so that the goroutine that queues them never blocks. Package replica uses it to apply records and to answer reads.
 package serial
--- a/serial/queue.go
+++ b/serial/queue.go
@@ -5,7 +5,7 @@
 	"sync"
 )
 
-// Queue holds tasks until Run has run them; it has no bound, so that Push never waits.
+// Queue holds tasks until Run executes them; it is unbounded, so that Push never blocks.
 type Queue struct {
 	mu    sync.Mutex
 	tasks []func()
@@ -17,7 +17,7 @@
 	return &Queue{wake: make(chan struct{}, 1)}
 }
 
-// Push adds a task behind all others.
+// Push appends a task to the queue.
 func (q *Queue) Push(task func()) {
 	q.mu.Lock()
 	q.tasks = append(q.tasks, task)
@@ -28,7 +28,7 @@
 	}
 }
 
-// Run runs tasks in the order of their pushes until ctx ends; what is left then is not run.
+// Run executes tasks in the order in which they were pushed until ctx ends; tasks left then are not run.
 func (q *Queue) Run(ctx context.Context) {
 	for {
 		select {
@@ -36,7 +36,7 @@
 			return
 		case <-q.wake:
 		}
-		for _, task := range q.take() {
+		for _, task := range q.takeTasks() {
 			if ctx.Err() != nil {
 				return
 			}
@@ -45,7 +45,7 @@
 	}
 }
 
-func (q *Queue) take() []func() {
+func (q *Queue) takeTasks() []func() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	tasks := q.tasks
--- a/serial/queue_test.go
+++ b/serial/queue_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestRunsInOrderUntilTheEnd has the third task of four end the queue's context.
+// TestRunsInOrderUntilTheEnd checks the order of tasks, and that the fourth does not run after the third has cancelled the context.
 func TestRunsInOrderUntilTheEnd(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
