--- a/leader/leader.go
+++ b/leader/leader.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	attemptTime = time.Second           // longest wait for one replica's answer
-	retryPause  = 50 * time.Millisecond // between attempts while no leader is known
+	attemptTimeout = time.Second           // longest wait for one replica's answer
+	retryPause     = 50 * time.Millisecond // between attempts while no leader is known
 )
 
 // Leader finds the leader among the control replicas and calls it.
@@ -66,7 +66,7 @@
 		return reply.GetFailure(), err
 	}
 	for {
-		err := l.once(ctx, take)
+		err := l.callLeader(ctx, take)
 		if err == nil {
 			return reply, nil
 		}
@@ -76,13 +76,13 @@
 	}
 }
 
-type call func(context.Context, *drpcconn.Conn) (*wire.Failure, error)
+type controlCall func(context.Context, *drpcconn.Conn) (*wire.Failure, error)
 
 // retry repeats call until it is answered or ctx ends; once an attempt may have run, the failure never says NotRun.
-func (l *Leader) retry(ctx context.Context, c call) error {
+func (l *Leader) retry(ctx context.Context, c controlCall) error {
 	unknown := false
 	for {
-		err := l.once(ctx, c)
+		err := l.callLeader(ctx, c)
 		if err == nil {
 			return nil
 		}
@@ -90,22 +90,22 @@
 			unknown = true
 		}
 		if !sleep(ctx, retryPause) {
-			return final(err, unknown)
+			return finalError(err, unknown)
 		}
 	}
 }
 
-func final(err error, unknown bool) error {
+func finalError(err error, unknown bool) error {
 	if unknown {
 		return verdict.New(verdict.Unknown, "control gave no answer in time", err)
 	}
 	return verdict.New(verdict.NotRun, "control cannot be reached", err)
 }
 
-// once calls the supposed leader and learns from a redirect.
-func (l *Leader) once(ctx context.Context, c call) error {
+// callLeader calls the supposed leader and learns from a redirect.
+func (l *Leader) callLeader(ctx context.Context, c controlCall) error {
 	address := l.address()
-	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	var failure *wire.Failure
 	err := l.pool.Do(ctx, address, func(conn *drpcconn.Conn) error {
@@ -114,13 +114,13 @@
 		return err
 	})
 	if err != nil {
-		l.next(address, "")
+		l.advance(address, "")
 		return err
 	}
 	if failure == nil {
 		return nil
 	}
-	l.next(address, failure.Leader)
+	l.advance(address, failure.Leader)
 	return verdict.New(inner.FromWire(failure.Verdict), failure.Reason, nil)
 }
 
@@ -133,8 +133,8 @@
 	return l.addresses[l.current]
 }
 
-// next moves on from an address that did not answer as the leader.
-func (l *Leader) next(from, hint string) {
+// advance moves on from an address that did not answer as the leader.
+func (l *Leader) advance(from, hint string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if hint != "" && hint != from {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -9,9 +9,9 @@
 
 // When a member counts as lost.
 const (
-	lostAfter   = 1500 * time.Millisecond // a voter that is silent for so long is replaced: three election timeouts, and well within the time that a successor has to catch up
-	forgetAfter = 30 * time.Second        // a member without a vote that is silent for so long is removed; a restart takes a few seconds
-	nearEnough  = 256                     // log records that a replica may lack and still count as holding everything: they arrive within one round trip
+	lostVoterTimeout = 1500 * time.Millisecond // a voter that is silent for so long is replaced: three election timeouts, and well within the time that a successor has to catch up
+	removalTimeout   = 30 * time.Second        // a member without a vote that is silent for so long is removed; a restart takes a few seconds
+	maxSuccessorLag  = 256                     // log records that a replica may lack and still count as holding everything: they arrive within one round trip
 )
 
 // View is what a leader knows of its group.
@@ -32,25 +32,25 @@
 		return nil
 	}
 	if len(v.Joining) > 0 {
-		return with(v.Members, v.Joining[0])
+		return withMember(v.Members, v.Joining[0])
 	}
 	voters := countVoters(v.Members)
 	wanted := 2*v.Losses + 1
 	lost := v.lostVoter()
 	switch {
 	case voters > wanted && lost != nil:
-		return vote(v.Members, lost.GetId(), false)
+		return withVote(v.Members, lost.GetId(), false)
 	case voters > wanted:
-		if spare := v.spareVoter(); spare != nil {
-			return vote(v.Members, spare.GetId(), false)
+		if spare := v.surplusVoter(); spare != nil {
+			return withVote(v.Members, spare.GetId(), false)
 		}
 	case voters < wanted || lost != nil:
 		if successor := v.successor(); successor != nil {
-			return vote(v.Members, successor.GetId(), true)
+			return withVote(v.Members, successor.GetId(), true)
 		}
 	}
-	if gone := v.goneMember(); gone != nil {
-		return without(v.Members, gone.GetId())
+	if gone := v.silentNonVoter(); gone != nil {
+		return withoutMember(v.Members, gone.GetId())
 	}
 	return nil
 }
@@ -65,7 +65,7 @@
 	return voters
 }
 
-func (v *View) silence(s *raft.Standing) time.Duration {
+func (v *View) silentFor(s *raft.Standing) time.Duration {
 	return time.Duration(s.Silent) * v.Tick
 }
 
@@ -74,15 +74,15 @@
 	var lost *raft.Standing
 	for i := range v.Others {
 		s := &v.Others[i]
-		if s.GetVotes() && v.silence(s) > lostAfter && (lost == nil || s.Silent > lost.Silent) {
+		if s.GetVotes() && v.silentFor(s) > lostVoterTimeout && (lost == nil || s.Silent > lost.Silent) {
 			lost = s
 		}
 	}
 	return lost
 }
 
-// spareVoter returns the voter to give up when all answer: one whose failure domain has most voters.
-func (v *View) spareVoter() *raft.Standing {
+// surplusVoter returns the voter to give up when all answer: one whose failure domain has most voters.
+func (v *View) surplusVoter() *raft.Standing {
 	domains := v.voterDomains()
 	var spare *raft.Standing
 	for i := range v.Others {
@@ -100,7 +100,7 @@
 	var best *raft.Standing
 	for i := range v.Others {
 		s := &v.Others[i]
-		if s.GetVotes() || s.Repairs || s.Match == 0 || s.Match+nearEnough < v.Last || v.silence(s) > lostAfter/3 {
+		if s.GetVotes() || s.Repairs || s.Match == 0 || s.Match+maxSuccessorLag < v.Last || v.silentFor(s) > lostVoterTimeout/3 {
 			continue
 		}
 		if best == nil || domains[s.GetDomain()] < domains[best.GetDomain()] {
@@ -114,7 +114,7 @@
 func (v *View) voterDomains() map[string]int {
 	domains := map[string]int{}
 	for i := range v.Others {
-		if s := &v.Others[i]; s.GetVotes() && v.silence(s) <= lostAfter {
+		if s := &v.Others[i]; s.GetVotes() && v.silentFor(s) <= lostVoterTimeout {
 			domains[s.GetDomain()]++
 		}
 	}
@@ -126,18 +126,18 @@
 	return domains
 }
 
-// goneMember returns a member without a vote that is no more.
-func (v *View) goneMember() *raft.Standing {
+// silentNonVoter returns a member without a vote that is no more.
+func (v *View) silentNonVoter() *raft.Standing {
 	for i := range v.Others {
 		s := &v.Others[i]
-		if !s.GetVotes() && v.silence(s) > forgetAfter {
+		if !s.GetVotes() && v.silentFor(s) > removalTimeout {
 			return s
 		}
 	}
 	return nil
 }
 
-func clone(members *wire.Members) *wire.Members {
+func cloneMembers(members *wire.Members) *wire.Members {
 	next := &wire.Members{}
 	for _, m := range members.GetMembers() {
 		next.Members = append(next.Members, &wire.Member{Id: m.GetId(), Address: m.GetAddress(), Votes: m.GetVotes(), Domain: m.GetDomain()})
@@ -145,15 +145,15 @@
 	return next
 }
 
-func with(members *wire.Members, joining *wire.Member) *wire.Members {
-	next := clone(members)
+func withMember(members *wire.Members, joining *wire.Member) *wire.Members {
+	next := cloneMembers(members)
 	next.Members = append(next.Members, &wire.Member{Id: joining.GetId(), Address: joining.GetAddress(), Domain: joining.GetDomain()})
 	return next
 }
 
-func without(members *wire.Members, id uint64) *wire.Members {
+func withoutMember(members *wire.Members, id uint64) *wire.Members {
 	next := &wire.Members{}
-	for _, m := range clone(members).GetMembers() {
+	for _, m := range cloneMembers(members).GetMembers() {
 		if m.GetId() != id {
 			next.Members = append(next.Members, m)
 		}
@@ -161,8 +161,8 @@
 	return next
 }
 
-func vote(members *wire.Members, id uint64, votes bool) *wire.Members {
-	next := clone(members)
+func withVote(members *wire.Members, id uint64, votes bool) *wire.Members {
+	next := cloneMembers(members)
 	for _, m := range next.GetMembers() {
 		if m.GetId() == id {
 			m.Votes = votes
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -13,8 +13,8 @@
 
 const tick = 50 * time.Millisecond
 
-// group is a group of three voters in three failure domains whose leader is 1, and one replica without a vote.
-func group(losses int) *membership.View {
+// newView is a newView of three voters in three failure domains whose leader is 1, and one replica without a vote.
+func newView(losses int) *membership.View {
 	members := &wire.Members{Members: []*wire.Member{
 		{Id: 1, Votes: true, Domain: "a"}, {Id: 2, Votes: true, Domain: "b"}, {Id: 3, Votes: true, Domain: "c"}, {Id: 4, Domain: "c"},
 	}}
@@ -25,7 +25,7 @@
 	return v
 }
 
-func silence(v *membership.View, id uint64, d time.Duration) {
+func setSilence(v *membership.View, id uint64, d time.Duration) {
 	for i := range v.Others {
 		if v.Others[i].GetId() == id {
 			v.Others[i].Silent = int(d / tick)
@@ -33,7 +33,7 @@
 	}
 }
 
-func votes(m *wire.Members) []uint64 {
+func voterIDs(m *wire.Members) []uint64 {
 	var ids []uint64
 	for _, member := range m.GetMembers() {
 		if member.GetVotes() {
@@ -44,27 +44,27 @@
 }
 
 func TestSoundGroupStays(t *testing.T) {
-	assert.Assert(t, membership.Next(group(1)) == nil)
+	assert.Assert(t, membership.Next(newView(1)) == nil)
 }
 
 func TestJoiningReplicaFollowsWithoutAVote(t *testing.T) {
-	v := group(1)
+	v := newView(1)
 	v.Joining = []*wire.Member{{Id: 5, Address: "e:1", Domain: "b"}}
 	next := membership.Next(v)
 	assert.Equal(t, len(next.GetMembers()), 5)
-	assert.DeepEqual(t, votes(next), []uint64{1, 2, 3})
+	assert.DeepEqual(t, voterIDs(next), []uint64{1, 2, 3})
 }
 
 func TestLostVoterIsReplacedFirstAndThenGivenUp(t *testing.T) {
-	v := group(1)
-	silence(v, 3, 2*time.Second)
+	v := newView(1)
+	setSilence(v, 3, 2*time.Second)
 	next := membership.Next(v)
-	assert.DeepEqual(t, votes(next), []uint64{1, 2, 3, 4})
+	assert.DeepEqual(t, voterIDs(next), []uint64{1, 2, 3, 4})
 	v.Members = next
 	for i := range v.Others {
 		v.Others[i].Member = next.GetMembers()[i+1]
 	}
-	assert.DeepEqual(t, votes(membership.Next(v)), []uint64{1, 2, 4})
+	assert.DeepEqual(t, voterIDs(membership.Next(v)), []uint64{1, 2, 4})
 }
 
 func TestVoterIsNotReplacedByOneThatHoldsLess(t *testing.T) {
@@ -74,8 +74,8 @@
 		"silent":    func(s *raft.Standing) { s.Silent = int(time.Second / tick) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			v := group(1)
-			silence(v, 3, 2*time.Second)
+			v := newView(1)
+			setSilence(v, 3, 2*time.Second)
 			spoil(&v.Others[2])
 			assert.Assert(t, membership.Next(v) == nil)
 		})
@@ -83,19 +83,19 @@
 }
 
 func TestGroupGrowsToBearTwoLosses(t *testing.T) {
-	v := group(2)
-	assert.DeepEqual(t, votes(membership.Next(v)), []uint64{1, 2, 3, 4})
+	v := newView(2)
+	assert.DeepEqual(t, voterIDs(membership.Next(v)), []uint64{1, 2, 3, 4})
 }
 
 func TestSuccessorComesFromTheDomainWithFewestVoters(t *testing.T) {
-	v := group(2)
+	v := newView(2)
 	v.Members.Members = append(v.Members.Members, &wire.Member{Id: 5, Domain: "d"})
 	v.Others = append(v.Others, raft.Standing{Member: v.Members.Members[4], Match: 1000})
-	assert.DeepEqual(t, votes(membership.Next(v)), []uint64{1, 2, 3, 5})
+	assert.DeepEqual(t, voterIDs(membership.Next(v)), []uint64{1, 2, 3, 5})
 }
 
 func TestReplicaThatIsNoMoreIsRemoved(t *testing.T) {
-	v := group(1)
-	silence(v, 4, time.Minute)
+	v := newView(1)
+	setSilence(v, 4, time.Minute)
 	assert.Equal(t, len(membership.Next(v).GetMembers()), 3)
 }
--- a/peer/connections.go
+++ b/peer/connections.go
@@ -10,7 +10,7 @@
 	"daisyswitch/wire"
 )
 
-const inboxMessages = 1024
+const inboxCapacity = 1024
 
 // Options says which replica is to be connected to which others, and when a connection counts as silent.
 type Options struct {
@@ -26,7 +26,7 @@
 
 // Connections are the connections of one replica to all others that it knows.
 type Connections struct {
-	o       Options
+	options Options
 	started time.Time
 	inbox   chan *wire.Message
 
@@ -37,9 +37,9 @@
 }
 
 // New returns connections that are opened by Start.
-func New(o Options) *Connections {
-	c := &Connections{o: o, started: time.Now(), peers: map[uint64]*peer{}, inbox: make(chan *wire.Message, inboxMessages)}
-	for id, address := range o.Peers {
+func New(options Options) *Connections {
+	c := &Connections{options: options, started: time.Now(), peers: map[uint64]*peer{}, inbox: make(chan *wire.Message, inboxCapacity)}
+	for id, address := range options.Peers {
 		c.Know(id, address)
 	}
 	return c
@@ -59,7 +59,7 @@
 func (c *Connections) Know(id uint64, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if id == c.o.ID || address == "" || c.peers[id] != nil {
+	if id == c.options.ID || address == "" || c.peers[id] != nil {
 		return
 	}
 	p := newPeer(c, id, address)
@@ -72,13 +72,13 @@
 
 // Address returns the drpc address of a replica, its own included, empty if unknown.
 func (c *Connections) Address(id uint64) string {
-	if id == c.o.ID && c.o.Address != "" {
-		return c.o.Address
+	if id == c.options.ID && c.options.Address != "" {
+		return c.options.Address
 	}
 	if p := c.peer(id); p != nil {
 		return p.address
 	}
-	return c.o.Peers[id]
+	return c.options.Peers[id]
 }
 
 func (c *Connections) peer(id uint64) *peer {
@@ -96,7 +96,7 @@
 	if p == nil {
 		return
 	}
-	m.Address, m.Domain = c.o.Address, c.o.Domain
+	m.Address, m.Domain = c.options.Address, c.options.Domain
 	select {
 	case p.queue <- m:
 	default:
@@ -107,7 +107,7 @@
 func (c *Connections) Receive(m *wire.Message) {
 	if m.GetKind() == wire.MessageKind_MESSAGE_KIND_HEARTBEAT && m.GetRound() > 0 {
 		if p := c.peer(m.GetFrom()); p != nil {
-			p.reconnectIfUnheard(m, c.since())
+			p.reconnectIfNotAcked(m, c.since())
 		}
 	}
 }
@@ -118,14 +118,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range c.peers {
-		since := time.Duration(p.unanswered.Load())
-		if since != 0 && now-since > c.o.Silence {
+		since := time.Duration(p.unansweredSince.Load())
+		if since != 0 && now-since > c.options.Silence {
 			p.reconnect()
 		}
 	}
 }
 
-// since returns the time since the connections were made, by the monotonic clock.
+// since returns the time elapsed the connections were made, by the monotonic clock.
 func (c *Connections) since() time.Duration {
 	return time.Since(c.started)
 }
--- a/peer/parts.go
+++ b/peer/parts.go
@@ -2,33 +2,33 @@
 
 import "daisyswitch/wire"
 
-const partBytes = 128 << 10 // of a snapshot, one message each
+const snapshotPartBytes = 128 << 10 // of a snapshot, one message each
 
-// sendParts sends a snapshot in messages that fit the transport; the peer cannot answer before the last one, so each that gets through shows that the connection works.
-func (p *peer) sendParts(stream wire.DRPCPeer_SendClient, m *wire.Message) error {
+// sendSnapshotParts sends a snapshot in messages that fit the transport; the peer cannot answer before the last one, so each that gets through shows that the connection works.
+func (p *peer) sendSnapshotParts(stream wire.DRPCPeer_SendClient, m *wire.Message) error {
 	total := len(m.GetSnapshot())
-	for offset := 0; offset < total; offset += partBytes {
+	for offset := 0; offset < total; offset += snapshotPartBytes {
 		part := &wire.Message{
 			Kind: m.GetKind(), From: m.GetFrom(), To: m.GetTo(), Term: m.GetTerm(), Disk: m.GetDisk(),
 			Index: m.GetIndex(), LogTerm: m.GetLogTerm(), Address: m.GetAddress(), Domain: m.GetDomain(), Members: m.GetMembers(),
-			Snapshot: m.GetSnapshot()[offset:min(total, offset+partBytes)],
+			Snapshot: m.GetSnapshot()[offset:min(total, offset+snapshotPartBytes)],
 			Offset:   uint64(offset), Total: uint64(total),
 		}
 		if err := stream.Send(part); err != nil {
 			return err
 		}
-		p.unanswered.Store(int64(p.owner.since()) | 1)
+		p.unansweredSince.Store(int64(p.connections.since()) | 1)
 	}
 	return nil
 }
 
-// assembly joins the parts of a snapshot, whole or not at all.
-type assembly struct {
+// snapshotAssembly joins the parts of a snapshot, whole or not at all.
+type snapshotAssembly struct {
 	data []byte
 }
 
-// add returns a whole message, nil while parts are missing.
-func (a *assembly) add(m *wire.Message) *wire.Message {
+// addPart returns a whole message, nil while parts are missing.
+func (a *snapshotAssembly) addPart(m *wire.Message) *wire.Message {
 	if m.GetTotal() == 0 {
 		return m
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -13,54 +13,54 @@
 	"storj.io/drpc/drpcconn"
 )
 
-const queuedMessages = 1024 // per peer; more are dropped
+const maxQueuedMessages = 1024 // per peer; more are dropped
 
 // peer sends to one other replica, in order, over one connection at a time.
 type peer struct {
-	owner   *Connections
-	id      uint64
-	address string
-	queue   chan *wire.Message
+	connections *Connections
+	id          uint64
+	address     string
+	queue       chan *wire.Message
 
-	unanswered atomic.Int64 // when the first message that asks for an answer was sent since the peer was last heard, 0 if none was; since the connections were made, nanoseconds
+	unansweredSince atomic.Int64 // when the first message that asks for an answer was sent since the peer was last heard, 0 if none was; since the connections were made, nanoseconds
 
 	ackedTerm  uint64 // what the peer, as leader, last said to have heard of this replica
 	ackedRound uint64
 	ackedAt    time.Duration
 
-	mu      sync.Mutex
-	cut     context.CancelFunc // ends the connection in use, nil if there is none
-	inbound drpc.Stream        // stream that the peer sends on
+	mu         sync.Mutex
+	disconnect context.CancelFunc // ends the connection in use, nil if there is none
+	inbound    drpc.Stream        // stream that the peer sends on
 }
 
-func newPeer(owner *Connections, id uint64, address string) *peer {
-	return &peer{owner: owner, id: id, address: address, queue: make(chan *wire.Message, queuedMessages)}
+func newPeer(connections *Connections, id uint64, address string) *peer {
+	return &peer{connections: connections, id: id, address: address, queue: make(chan *wire.Message, maxQueuedMessages)}
 }
 
-// reconnectIfUnheard replaces the connection if the leader says that it has not heard the answers sent over it.
-func (p *peer) reconnectIfUnheard(m *wire.Message, now time.Duration) {
+// reconnectIfNotAcked replaces the connection if the leader says that it has not heard the answers sent over it.
+func (p *peer) reconnectIfNotAcked(m *wire.Message, now time.Duration) {
 	if p.ackedTerm != m.GetTerm() || p.ackedRound != m.GetHint() {
 		p.ackedTerm, p.ackedRound, p.ackedAt = m.GetTerm(), m.GetHint(), now
 		return
 	}
-	if now-p.ackedAt > p.owner.o.Silence {
+	if now-p.ackedAt > p.connections.options.Silence {
 		p.ackedAt = now
 		p.reconnect()
 	}
 }
 
 func (p *peer) reconnect() {
-	p.unanswered.Store(0)
+	p.unansweredSince.Store(0)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cut != nil {
-		p.cut()
+	if p.disconnect != nil {
+		p.disconnect()
 	}
 }
 
-// heard notes that the peer's process answers.
-func (p *peer) heard() {
-	p.unanswered.Store(0)
+// clearUnanswered notes that the peer's process answers.
+func (p *peer) clearUnanswered() {
+	p.unansweredSince.Store(0)
 }
 
 func (p *peer) run(ctx context.Context) {
@@ -68,7 +68,7 @@
 		p.connect(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(p.owner.o.Redial):
+		case <-time.After(p.connections.options.Redial):
 		}
 	}
 }
@@ -77,11 +77,11 @@
 func (p *peer) connect(ctx context.Context) {
 	ctx, cut := context.WithCancel(ctx)
 	defer cut()
-	p.setCut(cut)
-	defer p.setCut(nil)
-	dialCtx, cancel := context.WithTimeout(ctx, p.owner.o.Silence)
+	p.setDisconnect(cut)
+	defer p.setDisconnect(nil)
+	dialCtx, cancel := context.WithTimeout(ctx, p.connections.options.Silence)
 	defer cancel()
-	transport, err := p.owner.o.Dial(dialCtx, p.address)
+	transport, err := p.connections.options.Dial(dialCtx, p.address)
 	if err != nil {
 		return
 	}
@@ -92,9 +92,9 @@
 		return
 	}
 	p.dropQueue()
-	event.PeerConnected.Info("replica", p.owner.o.ID, "peer", p.id)
+	event.PeerConnected.Info("replica", p.connections.options.ID, "peer", p.id)
 	err = p.sendAll(ctx, stream)
-	event.PeerDisconnected.Info("replica", p.owner.o.ID, "peer", p.id, "cause", err)
+	event.PeerDisconnected.Info("replica", p.connections.options.ID, "peer", p.id, "cause", err)
 }
 
 func (p *peer) sendAll(ctx context.Context, stream wire.DRPCPeer_SendClient) error {
@@ -112,10 +112,10 @@
 	}
 }
 
-func (p *peer) setCut(cut context.CancelFunc) {
+func (p *peer) setDisconnect(disconnect context.CancelFunc) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cut = cut
+	p.disconnect = disconnect
 }
 
 // dropQueue drops what was meant for an earlier connection.
@@ -131,12 +131,12 @@
 
 func (p *peer) send(stream wire.DRPCPeer_SendClient, m *wire.Message) error {
 	if expectsAnswer(m) {
-		p.unanswered.CompareAndSwap(0, int64(p.owner.since())|1)
+		p.unansweredSince.CompareAndSwap(0, int64(p.connections.since())|1)
 	}
 	if len(m.GetSnapshot()) == 0 {
 		return stream.Send(m)
 	}
-	return p.sendParts(stream, m)
+	return p.sendSnapshotParts(stream, m)
 }
 
 // expectsAnswer says whether a message is answered by a peer that takes part.
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -22,7 +22,7 @@
 func (s *server) Send(stream wire.DRPCPeer_SendStream) error {
 	c := s.connections
 	var from *peer
-	var parts assembly
+	var parts snapshotAssembly
 	for {
 		m, err := stream.Recv()
 		if err != nil {
@@ -35,16 +35,16 @@
 			}
 			from.replaceInbound(stream)
 		}
-		if m.GetFrom() != from.id || m.GetTo() != c.o.ID {
+		if m.GetFrom() != from.id || m.GetTo() != c.options.ID {
 			return errors.New("message is for another replica")
 		}
-		from.heard()
-		if m = parts.add(m); m == nil {
+		from.clearUnanswered()
+		if m = parts.addPart(m); m == nil {
 			continue
 		}
 		select {
 		case c.inbox <- m:
-		case <-c.o.Ended:
+		case <-c.options.Ended:
 			return errors.New("replica no longer takes part")
 		}
 	}
--- a/replica/apply.go
+++ b/replica/apply.go
@@ -12,10 +12,10 @@
 // applier runs what the loop hands it, in order, in one goroutine; the loop never waits for it.
 type applier struct {
 	*serial.Queue
-	snapshot uint64        // index of the last snapshot begun
-	members  *wire.Members // of the group, as of what is applied; nil until the log says
-	saving   atomic.Bool   // a snapshot is being written
-	failed   bool          // a snapshot could not be restored, so that later records have no state to apply to
+	snapshotIndex      uint64        // index of the last snapshot begun
+	members            *wire.Members // of the group, as of what is applied; nil until the log says
+	snapshotInProgress atomic.Bool   // a snapshot is being written
+	restoreFailed      bool          // a snapshot could not be restored, so that later records have no state to apply to
 }
 
 // committed is an entry with the proposal that waits for it, if it was made here.
@@ -26,13 +26,13 @@
 
 // apply runs in the applier.
 func (r *Replica) apply(entries []committed) {
-	if r.applier.failed {
+	if r.applier.restoreFailed {
 		return
 	}
 	for _, e := range entries {
 		var result any
 		if len(e.GetData()) > 0 {
-			result = r.o.Apply(e.GetIndex(), e.GetData())
+			result = r.options.Apply(e.GetIndex(), e.GetData())
 		}
 		if e.GetMembers() != nil {
 			r.applier.members = e.GetMembers()
@@ -48,48 +48,48 @@
 // snapshotAfter takes a snapshot when enough entries were applied since the last; writing it does not hold up the next ones.
 func (r *Replica) snapshotAfter(e *wire.Entry) {
 	a := &r.applier
-	if e.GetIndex() < a.snapshot+r.o.SnapshotEvery || !a.saving.CompareAndSwap(false, true) {
+	if e.GetIndex() < a.snapshotIndex+r.options.SnapshotEvery || !a.snapshotInProgress.CompareAndSwap(false, true) {
 		return
 	}
-	a.snapshot = e.GetIndex()
-	s := &wire.Snapshot{Index: e.GetIndex(), Term: e.GetTerm(), Data: r.o.Snapshot(), Members: a.members}
+	a.snapshotIndex = e.GetIndex()
+	s := &wire.Snapshot{Index: e.GetIndex(), Term: e.GetTerm(), Data: r.options.Snapshot(), Members: a.members}
 	r.tasks.Go(func() {
-		defer a.saving.Store(false)
+		defer a.snapshotInProgress.Store(false)
 		r.save(s)
 	})
 }
 
 func (r *Replica) save(s *wire.Snapshot) {
 	if err := r.disk.WriteSnapshot(s); err != nil {
-		r.reportBroken(err)
+		r.reportFailure(err)
 		return
 	}
-	event.SnapshotSaved.Info("replica", r.o.ID, "index", s.GetIndex(), "bytes", len(s.GetData()))
+	event.SnapshotSaved.Info("replica", r.options.ID, "index", s.GetIndex(), "bytes", len(s.GetData()))
 	select {
-	case r.saved <- s.GetIndex():
+	case r.savedSnapshots <- s.GetIndex():
 	case <-r.ended:
 	}
 }
 
-// reportBroken makes the loop end this replica's part.
-func (r *Replica) reportBroken(err error) {
+// reportFailure makes the loop end this replica's part.
+func (r *Replica) reportFailure(err error) {
 	select {
-	case r.broken <- err:
+	case r.failures <- err:
 	case <-r.ended:
 	}
 }
 
 // restore runs in the applier.
 func (r *Replica) restore(s *wire.Snapshot) {
-	if err := r.o.Restore(s.GetData()); err != nil {
-		r.applier.failed = true
-		r.reportBroken(err)
+	if err := r.options.Restore(s.GetData()); err != nil {
+		r.applier.restoreFailed = true
+		r.reportFailure(err)
 		return
 	}
-	r.applier.snapshot = s.GetIndex()
+	r.applier.snapshotIndex = s.GetIndex()
 	if s.GetMembers() != nil {
 		r.applier.members = s.GetMembers()
 	}
 	r.applied.Store(s.GetIndex())
-	event.SnapshotInstalled.Info("replica", r.o.ID, "index", s.GetIndex(), "bytes", len(s.GetData()))
+	event.SnapshotInstalled.Info("replica", r.options.ID, "index", s.GetIndex(), "bytes", len(s.GetData()))
 }
--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -37,32 +37,32 @@
 	p.Close()
 }
 
-// counted counts the bytes of all connections in both directions.
-type counted struct {
+// countingConn counts the bytes of all connections in both directions.
+type countingConn struct {
 	net.Conn
 	bytes *atomic.Int64
 }
 
-func (c *counted) Read(b []byte) (int, error) {
+func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.bytes.Add(int64(n))
 	return n, err
 }
 
-func (c *counted) Write(b []byte) (int, error) {
+func (c *countingConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.bytes.Add(int64(n))
 	return n, err
 }
 
-type countedListener struct {
+type countingListener struct {
 	net.Listener
 	bytes *atomic.Int64
 }
 
-func (l *countedListener) Accept() (net.Conn, error) {
+func (l *countingListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	return &counted{conn, l.bytes}, err
+	return &countingConn{conn, l.bytes}, err
 }
 
 // launch starts replica id of the group at the given addresses.
@@ -70,12 +70,12 @@
 	p := &process{}
 	listener, err := net.Listen("tcp", peers[id])
 	assert.NilError(b, err)
-	p.listener = &countedListener{listener, &p.bytes}
+	p.listener = &countingListener{listener, &p.bytes}
 	r, err := replica.New(replica.Options{
 		ID: id, Peers: peers, Dir: dir, SnapshotEvery: 1 << 40,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-			return &counted{conn, &p.bytes}, err
+			return &countingConn{conn, &p.bytes}, err
 		},
 		Apply:    func(uint64, []byte) any { return p.applied.Add(1) },
 		Snapshot: func() []byte { return nil },
@@ -203,12 +203,12 @@
 
 // What BenchmarkCost measures over, and its load: task starts a second at today's sizes.
 const (
-	costSettle = 2 * time.Second
-	costWindow = 5 * time.Second
-	costPace   = 20 * time.Millisecond
-	costStarts = 1100
-	startBytes = 60
-	costLine   = "cost: leader=%t idle=%d rss=%d cpu=%d applied=%d"
+	costSettle   = 2 * time.Second
+	costWindow   = 5 * time.Second
+	costInterval = 20 * time.Millisecond
+	costStarts   = 1100
+	startBytes   = 60
+	costLine     = "cost: leader=%t idle=%d rss=%d cpu=%d applied=%d"
 )
 
 // BenchmarkCost runs three processes: idle, then with 1,100 task starts a second, in records of one or of 22 starts as a scheduling loop commits them.
@@ -266,22 +266,22 @@
 	idle := -p.bytes.Load()
 	time.Sleep(costWindow)
 	idle += p.bytes.Load()
-	rss := resident(t)
-	cpu := -processor(t)
+	rss := residentBytes(t)
+	cpu := -cpuNanos(t)
 	leader := p.IsLeader()
-	for end := time.Now().Add(costWindow); time.Now().Before(end); time.Sleep(costPace) {
-		for range costStarts * int(costPace/time.Millisecond) / 1000 / starts {
+	for end := time.Now().Add(costWindow); time.Now().Before(end); time.Sleep(costInterval) {
+		for range costStarts * int(costInterval/time.Millisecond) / 1000 / starts {
 			if leader {
 				go p.Propose(context.Background(), make([]byte, starts*startBytes))
 			}
 		}
 	}
-	cpu += processor(t)
+	cpu += cpuNanos(t)
 	fmt.Printf(costLine+"\n", leader, idle, rss, cpu, p.applied.Load())
 	time.Sleep(time.Second)
 }
 
-func resident(t *testing.T) int64 {
+func residentBytes(t *testing.T) int64 {
 	b, err := os.ReadFile("/proc/self/statm")
 	assert.NilError(t, err)
 	var size, pages int64
@@ -290,7 +290,7 @@
 	return pages * int64(os.Getpagesize())
 }
 
-func processor(t *testing.T) int64 {
+func cpuNanos(t *testing.T) int64 {
 	var usage syscall.Rusage
 	assert.NilError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
 	return usage.Utime.Nano() + usage.Stime.Nano()
--- a/replica/confirm.go
+++ b/replica/confirm.go
@@ -7,8 +7,8 @@
 	"daisyswitch/verdict"
 )
 
-// read waits until its round is confirmed and what was committed before it is applied.
-type read struct {
+// pendingRead waits until its round is confirmed and what was committed before it is applied.
+type pendingRead struct {
 	round uint64 // 0 until one was begun after the read arrived
 	index uint64 // what has to be applied
 	done  chan error
@@ -17,33 +17,33 @@
 // Confirm returns once a quorum has answered that this replica leads and all that was committed before is applied.
 func (r *Replica) Confirm(ctx context.Context) error {
 	if !r.IsLeader() {
-		return r.refusal(verdict.NotRun, "this replica does not lead")
+		return r.notLeaderError(verdict.NotRun, "this replica does not lead")
 	}
-	q := &read{done: make(chan error, 1)}
+	q := &pendingRead{done: make(chan error, 1)}
 	select {
 	case r.reads <- q:
 	case <-ctx.Done():
-		return unconfirmed(ctx)
+		return unconfirmedError(ctx)
 	case <-r.ended:
-		return r.gone(verdict.NotRun)
+		return r.endedError(verdict.NotRun)
 	}
 	select {
 	case err := <-q.done:
 		return err
 	case <-ctx.Done():
-		return unconfirmed(ctx)
+		return unconfirmedError(ctx)
 	case <-r.ended:
-		return r.gone(verdict.NotRun)
+		return r.endedError(verdict.NotRun)
 	}
 }
 
-func unconfirmed(ctx context.Context) error {
+func unconfirmedError(ctx context.Context) error {
 	return verdict.New(verdict.NotRun, "gave up before the read was confirmed", ctx.Err())
 }
 
-// startReads gives the reads that arrived since the last round one of their own, unless one is on its way.
-func (r *Replica) startReads() {
-	if len(r.arrived) == 0 || r.node.Confirmed() < r.node.Round() || !r.serves() {
+// startReadRound gives the reads that arrived since the last round one of their own, unless one is on its way.
+func (r *Replica) startReadRound() {
+	if len(r.newReads) == 0 || r.node.Confirmed() < r.node.Round() || !r.canServe() {
 		return
 	}
 	r.node.StartRound()
@@ -51,34 +51,34 @@
 
 // assignReads ties the reads that arrived to a round that was just begun.
 func (r *Replica) assignReads(round uint64) {
-	if !r.serves() {
+	if !r.canServe() {
 		return
 	}
-	for _, q := range r.arrived {
+	for _, q := range r.newReads {
 		q.round, q.index = round, r.node.Commit()
-		r.asked = append(r.asked, q)
+		r.roundReads = append(r.roundReads, q)
 	}
-	r.arrived = nil
+	r.newReads = nil
 }
 
-// serves says whether this node leads and has committed an entry of its term, so that its commit index is no older than any leader's before it.
-func (r *Replica) serves() bool {
-	return r.node.Role() == raft.Leader && !r.yielding && r.node.Commit() >= r.node.TermStart() && r.node.Confirmed() > 0
+// canServe says whether this node leads and has committed an entry of its term, so that its commit index is no older than any leader's before it.
+func (r *Replica) canServe() bool {
+	return r.node.Role() == raft.Leader && !r.transferring && r.node.Commit() >= r.node.TermStart() && r.node.Confirmed() > 0
 }
 
-// finishReads answers the reads whose round is confirmed, after what is handed to the applier already.
-func (r *Replica) finishReads() {
-	for len(r.asked) > 0 && r.asked[0].round <= r.node.Confirmed() && r.delivered >= r.asked[0].index {
-		q := r.asked[0]
-		r.asked = r.asked[1:]
+// completeReads answers the reads whose round is confirmed, after what is handed to the applier already.
+func (r *Replica) completeReads() {
+	for len(r.roundReads) > 0 && r.roundReads[0].round <= r.node.Confirmed() && r.delivered >= r.roundReads[0].index {
+		q := r.roundReads[0]
+		r.roundReads = r.roundReads[1:]
 		r.applier.Push(func() { q.done <- nil })
 	}
 }
 
-// refuseReads tells the waiting reads that this replica does not lead.
-func (r *Replica) refuseReads() {
-	for _, q := range append(r.asked, r.arrived...) {
-		q.done <- r.refusal(verdict.NotRun, "this replica does not lead")
+// rejectReads tells the waiting reads that this replica does not lead.
+func (r *Replica) rejectReads() {
+	for _, q := range append(r.roundReads, r.newReads...) {
+		q.done <- r.notLeaderError(verdict.NotRun, "this replica does not lead")
 	}
-	r.asked, r.arrived = nil, nil
+	r.roundReads, r.newReads = nil, nil
 }
--- a/replica/info.go
+++ b/replica/info.go
@@ -42,7 +42,7 @@
 func (r *Replica) publish() {
 	n := r.node
 	info := &Info{
-		ID:            r.o.ID,
+		ID:            r.options.ID,
 		Leader:        n.Leader(),
 		LeaderAddress: r.peers.Address(n.Leader()),
 		Members:       n.Members(),
@@ -55,7 +55,7 @@
 	if n.Role() == raft.Leader {
 		for _, member := range n.Members().GetMembers() {
 			id := member.GetId()
-			if id == r.o.ID {
+			if id == r.options.ID {
 				continue
 			}
 			match, active := n.Progress(id)
@@ -88,11 +88,11 @@
 	return ""
 }
 
-// refusal says that this replica does not lead.
-func (r *Replica) refusal(v verdict.Verdict, reason string) error {
+// notLeaderError says that this replica does not lead.
+func (r *Replica) notLeaderError(v verdict.Verdict, reason string) error {
 	info := r.info.Load()
 	not := &NotLeader{}
-	if info.Leader != r.o.ID {
+	if info.Leader != r.options.ID {
 		not.Leader, not.Address = info.Leader, info.LeaderAddress
 	}
 	return verdict.New(v, reason, not)
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -18,18 +18,18 @@
 
 // loopState belongs to the loop's goroutine.
 type loopState struct {
-	pending    map[uint64]*proposal.Proposal // appended here and not committed, by index
-	arrived    []*read
-	asked      []*read
-	rounds     []roundStart
-	ledTerm    uint64 // term in which this replica leads, 0 if it does not
-	leading    bool   // told by Leading
-	delivered  uint64 // last index handed to the applier
-	yielding   bool   // hands its leadership on
-	followed   uint64 // leader that was last told of
-	recovering bool
-	broken     chan error
-	err        error
+	pending      map[uint64]*proposal.Proposal // appended here and not committed, by index
+	newReads     []*pendingRead
+	roundReads   []*pendingRead
+	rounds       []roundStart
+	leaderTerm   uint64 // term in which this replica leads, 0 if it does not
+	leading      bool   // told by Leading
+	delivered    uint64 // last index handed to the applier
+	transferring bool   // hands its leadership on
+	lastLeader   uint64 // leader that was last told of
+	recovering   bool
+	failures     chan error
+	err          error
 }
 
 // roundStart is when a heartbeat round was begun at the latest.
@@ -42,15 +42,15 @@
 	defer close(r.ended)
 	defer r.leaseUntil.Store(0)
 	defer r.failOnPanic()
-	ticker := time.NewTicker(r.o.Tick)
+	ticker := time.NewTicker(r.options.Tick)
 	defer ticker.Stop()
-	if !r.flush(r.since()) {
+	if !r.flush(r.elapsed()) {
 		return
 	}
 	for r.step(ticker.C) {
 	}
-	r.abandon("this replica no longer takes part")
-	r.refuseReads()
+	r.failPending("this replica no longer takes part")
+	r.rejectReads()
 }
 
 // step waits for one event, takes in what else is at hand, and does what the node asks for; it returns false at the end.
@@ -59,44 +59,44 @@
 	select {
 	case <-r.ctx.Done():
 		return false
-	case err := <-r.broken:
+	case err := <-r.failures:
 		return r.fail(err)
 	case <-ticks:
-		now = r.since()
+		now = r.elapsed()
 		r.node.Tick()
 		r.peers.Watch()
 		r.reconfigure()
 	case m := <-r.peers.Inbox():
-		now = r.since()
+		now = r.elapsed()
 		r.receive(m)
 	case p := <-r.proposals:
-		now = r.since()
+		now = r.elapsed()
 		r.propose(p)
 	case q := <-r.reads:
-		now = r.since()
-		r.arrived = append(r.arrived, q)
-	case index := <-r.saved:
+		now = r.elapsed()
+		r.newReads = append(r.newReads, q)
+	case index := <-r.savedSnapshots:
 		return r.compact(index)
 	case seeds := <-r.seeds:
-		now = r.since()
+		now = r.elapsed()
 		r.useSeeds(seeds)
-	case <-r.yields:
-		now = r.since()
-		r.yielding = true
+	case <-r.transfers:
+		now = r.elapsed()
+		r.transferring = true
 		r.leaseUntil.Store(0)
 	}
-	r.drain()
+	r.receiveMore()
 	return r.flush(now)
 }
 
-// drain takes in more without waiting, so that one sync serves it all.
-func (r *Replica) drain() {
+// receiveMore takes in more without waiting, so that one sync serves it all.
+func (r *Replica) receiveMore() {
 	for range maxSteps {
 		select {
 		case m := <-r.peers.Inbox():
 			r.receive(m)
 		case q := <-r.reads:
-			r.arrived = append(r.arrived, q)
+			r.newReads = append(r.newReads, q)
 		case p := <-r.proposals:
 			r.propose(p)
 		default:
@@ -107,17 +107,17 @@
 
 func (r *Replica) receive(m *wire.Message) {
 	r.peers.Receive(m)
-	r.meet(m.GetMembers())
+	r.connectMembers(m.GetMembers())
 	r.node.Step(m)
 }
 
 // flush syncs, sends and applies until the node asks for nothing more.
 func (r *Replica) flush(now time.Duration) bool {
-	r.noteRole()
-	r.startReads()
-	r.yield()
+	r.updateRole()
+	r.startReadRound()
+	r.tryTransfer()
 	for {
-		r.noteRounds(now)
+		r.updateLease(now)
 		ready := r.node.Ready()
 		if ready.Empty() {
 			break
@@ -132,11 +132,11 @@
 		if err := r.sendAll(ready.Messages); err != nil {
 			return r.fail(err)
 		}
-		r.handOver(&ready)
-		r.noteRole()
+		r.enqueueCommitted(&ready)
+		r.updateRole()
 	}
-	r.finishReads()
-	r.noteLeading()
+	r.completeReads()
+	r.notifyLeadership()
 	r.publish()
 	return true
 }
@@ -169,8 +169,8 @@
 	return nil
 }
 
-// handOver gives the applier what is committed.
-func (r *Replica) handOver(ready *raft.Ready) {
+// enqueueCommitted gives the applier what is committed.
+func (r *Replica) enqueueCommitted(ready *raft.Ready) {
 	if s := ready.Snapshot; s != nil {
 		r.delivered = s.GetIndex()
 		r.applier.Push(func() { r.restore(s) })
@@ -187,35 +187,35 @@
 	r.applier.Push(func() { r.apply(entries) })
 }
 
-// noteRole notices that this replica began or ended to lead.
-func (r *Replica) noteRole() {
+// updateRole notices that this replica began or ended to lead.
+func (r *Replica) updateRole() {
 	led := uint64(0)
 	if r.node.Role() == raft.Leader {
 		led = r.node.Term()
 	}
-	if leader := r.node.Leader(); leader != r.followed && leader != 0 && leader != r.o.ID {
-		event.ReplicaFollows.Info("replica", r.o.ID, "leader", leader, "term", r.node.Term())
+	if leader := r.node.Leader(); leader != r.lastLeader && leader != 0 && leader != r.options.ID {
+		event.ReplicaFollows.Info("replica", r.options.ID, "leader", leader, "term", r.node.Term())
 	}
-	r.followed = r.node.Leader()
+	r.lastLeader = r.node.Leader()
 	if r.recovering && !r.node.Recovering() {
 		r.recovering = false
-		event.ReplicaRecovered.Info("replica", r.o.ID, "commit", r.node.Commit())
+		event.ReplicaRecovered.Info("replica", r.options.ID, "commit", r.node.Commit())
 	}
-	if led == r.ledTerm {
+	if led == r.leaderTerm {
 		return
 	}
-	r.ledTerm = led
-	r.yielding = false
+	r.leaderTerm = led
+	r.transferring = false
 	r.rounds = nil
 	r.leaseUntil.Store(0)
 	r.publish()
-	r.abandon("this replica lost its leadership")
-	r.refuseReads()
+	r.failPending("this replica lost its leadership")
+	r.rejectReads()
 }
 
-// noteRounds keeps when rounds began and extends the leader's lease by those that a quorum answered.
-func (r *Replica) noteRounds(now time.Duration) {
-	if r.ledTerm == 0 {
+// updateLease keeps when rounds began and extends the leader's lease by those that a quorum answered.
+func (r *Replica) updateLease(now time.Duration) {
+	if r.leaderTerm == 0 {
 		return
 	}
 	last := uint64(0)
@@ -226,34 +226,34 @@
 		r.rounds = append(r.rounds, roundStart{round: round, at: now})
 		r.assignReads(round)
 	}
-	lease := time.Duration(r.o.ElectionTicks-leaseMargin) * r.o.Tick
+	lease := time.Duration(r.options.ElectionTicks-leaseMargin) * r.options.Tick
 	for len(r.rounds) > 0 && r.rounds[0].round <= r.node.Confirmed() {
-		if !r.yielding {
+		if !r.transferring {
 			r.leaseUntil.Store(int64(r.rounds[0].at + lease))
 		}
 		r.rounds = r.rounds[1:]
 	}
 }
 
-// noteLeading tells of a change of leadership after what was committed before it.
-func (r *Replica) noteLeading() {
-	leading := r.serves()
+// notifyLeadership tells of a change of leadership after what was committed before it.
+func (r *Replica) notifyLeadership() {
+	leading := r.canServe()
 	if leading == r.leading {
 		return
 	}
 	r.leading = leading
 	term := r.node.Term()
 	if leading {
-		event.ReplicaLeads.Info("replica", r.o.ID, "term", term)
+		event.ReplicaLeads.Info("replica", r.options.ID, "term", term)
 	} else {
-		event.ReplicaStopsLead.Info("replica", r.o.ID, "term", term)
+		event.ReplicaStopsLead.Info("replica", r.options.ID, "term", term)
 	}
-	r.applier.Push(func() { r.o.Leading(leading, term) })
+	r.applier.Push(func() { r.options.Leading(leading, term) })
 }
 
 // compact removes the log before a snapshot, but for a tail for followers that are only a little behind.
 func (r *Replica) compact(index uint64) bool {
-	keepFrom := index - min(index, r.o.SnapshotEvery/2)
+	keepFrom := index - min(index, r.options.SnapshotEvery/2)
 	if err := r.disk.Compact(index, keepFrom); err != nil {
 		return r.fail(err)
 	}
@@ -265,21 +265,21 @@
 func (r *Replica) failOnPanic() {
 	if broken := recover(); broken != nil {
 		r.fail(fmt.Errorf("rule of the log broken: %v", broken))
-		r.refuseReads()
+		r.rejectReads()
 	}
 }
 
 // fail ends the replica's part in the group: after a failed sync nobody knows what is on disk.
 func (r *Replica) fail(err error) bool {
-	event.ReplicaFailed.Error(err, "replica", r.o.ID)
+	event.ReplicaFailed.Error(err, "replica", r.options.ID)
 	r.err = err
 	r.leaseUntil.Store(0)
 	r.publish()
 	if r.leading {
 		term := r.node.Term()
-		r.applier.Push(func() { r.o.Leading(false, term) })
+		r.applier.Push(func() { r.options.Leading(false, term) })
 	}
-	r.applier.Push(func() { r.o.Failed(err) })
-	r.abandon("this replica failed")
+	r.applier.Push(func() { r.options.Failed(err) })
+	r.failPending("this replica failed")
 	return false
 }
--- a/replica/members.go
+++ b/replica/members.go
@@ -10,8 +10,8 @@
 	"daisyswitch/wire"
 )
 
-// handOverTime is the longest wait for another replica to lead; a follower needs one round of votes and a sync.
-const handOverTime = 500 * time.Millisecond
+// transferTimeout is the longest wait for another replica to lead; a follower needs one round of votes and a sync.
+const transferTimeout = 500 * time.Millisecond
 
 // SetSeeds replaces the addresses where replicas may be found.
 func (r *Replica) SetSeeds(seeds map[uint64]string) {
@@ -28,8 +28,8 @@
 	r.node.SetContacts(ids(seeds))
 }
 
-// meet opens connections to the members of a group.
-func (r *Replica) meet(members *wire.Members) {
+// connectMembers opens connections to the members of a group.
+func (r *Replica) connectMembers(members *wire.Members) {
 	for _, m := range members.GetMembers() {
 		r.peers.Know(m.GetId(), m.GetAddress())
 	}
@@ -37,28 +37,28 @@
 
 // reconfigure proposes the next change of the group, if one is due and the last one is committed.
 func (r *Replica) reconfigure() {
-	if !r.o.Found || r.node.Role() != raft.Leader || r.yielding {
+	if !r.options.Found || r.node.Role() != raft.Leader || r.transferring {
 		return
 	}
 	standings, joining := r.node.Standings()
 	view := &membership.View{
-		Self: r.o.ID, Members: r.node.Members(), Others: standings, Joining: joining,
-		Last: r.node.Last(), Tick: r.o.Tick, Losses: r.o.Losses, Replaces: true,
+		Self: r.options.ID, Members: r.node.Members(), Others: standings, Joining: joining,
+		Last: r.node.Last(), Tick: r.options.Tick, Losses: r.options.Losses, Replaces: true,
 	}
 	next := membership.Next(view)
 	if next == nil || !r.node.Reconfigure(r.withAddresses(next)) {
 		return
 	}
-	event.MembersChanged.Info("replica", r.o.ID, "members", describe(next))
-	r.meet(next)
+	event.MembersChanged.Info("replica", r.options.ID, "members", describeMembers(next))
+	r.connectMembers(next)
 }
 
 // withAddresses adds the addresses that the group's first configuration lacks.
 func (r *Replica) withAddresses(members *wire.Members) *wire.Members {
 	for _, m := range members.GetMembers() {
 		switch {
-		case m.GetId() == r.o.ID:
-			m.Address, m.Domain = r.o.Address, r.o.Domain
+		case m.GetId() == r.options.ID:
+			m.Address, m.Domain = r.options.Address, r.options.Domain
 		case m.GetAddress() == "":
 			m.Address = r.peers.Address(m.GetId())
 		}
@@ -66,7 +66,7 @@
 	return members
 }
 
-func describe(members *wire.Members) []string {
+func describeMembers(members *wire.Members) []string {
 	var all []string
 	for _, m := range members.GetMembers() {
 		role := "follows"
@@ -80,32 +80,32 @@
 
 // HandOver ends this replica's leadership, if it leads, and returns once another leads or ctx ends.
 func (r *Replica) HandOver(ctx context.Context) {
-	if r.Info().Leader != r.o.ID {
+	if r.Info().Leader != r.options.ID {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	select {
-	case r.yields <- struct{}{}:
+	case r.transfers <- struct{}{}:
 	case <-r.ended:
 		return
 	case <-ctx.Done():
 		return
 	}
-	for ctx.Err() == nil && r.Info().Leader == r.o.ID {
+	for ctx.Err() == nil && r.Info().Leader == r.options.ID {
 		select {
 		case <-ctx.Done():
 		case <-r.ended:
 			return
-		case <-time.After(r.o.Tick / 5):
+		case <-time.After(r.options.Tick / 5):
 		}
 	}
-	event.LeadershipHandedOver.Info("replica", r.o.ID, "leader", r.Info().Leader)
+	event.LeadershipHandedOver.Info("replica", r.options.ID, "leader", r.Info().Leader)
 }
 
-// yield hands the leadership on once all that was proposed is committed.
-func (r *Replica) yield() {
-	if r.yielding && len(r.pending) == 0 {
+// tryTransfer hands the leadership on once all that was proposed is committed.
+func (r *Replica) tryTransfer() {
+	if r.transferring && len(r.pending) == 0 {
 		r.node.HandOver()
 	}
 }
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -17,7 +17,7 @@
 		return nil, verdict.New(verdict.NotRun, "record is empty or too large", nil)
 	}
 	if !r.IsLeader() {
-		return nil, r.refusal(verdict.NotRun, "this replica does not lead")
+		return nil, r.notLeaderError(verdict.NotRun, "this replica does not lead")
 	}
 	p := proposal.New(data)
 	select {
@@ -25,7 +25,7 @@
 	case <-ctx.Done():
 		return nil, verdict.New(verdict.NotRun, "gave up before the record was appended", ctx.Err())
 	case <-r.ended:
-		return nil, r.gone(verdict.NotRun)
+		return nil, r.endedError(verdict.NotRun)
 	}
 	select {
 	case o := <-p.Done():
@@ -43,11 +43,11 @@
 	case o := <-p.Done():
 		return o.Result, o.Err
 	default:
-		return nil, r.gone(p.Withdraw())
+		return nil, r.endedError(p.Withdraw())
 	}
 }
 
-func (r *Replica) gone(v verdict.Verdict) error {
+func (r *Replica) endedError(v verdict.Verdict) error {
 	return verdict.New(v, "this replica no longer takes part", r.info.Load().Err)
 }
 
@@ -59,7 +59,7 @@
 	}
 	if r.node.Role() != raft.Leader || !r.IsLeader() {
 		for _, p := range proposals {
-			p.Finish(proposal.Outcome{Err: r.refusal(verdict.NotRun, "this replica does not lead")})
+			p.Finish(proposal.Outcome{Err: r.notLeaderError(verdict.NotRun, "this replica does not lead")})
 		}
 		return
 	}
@@ -73,10 +73,10 @@
 	}
 }
 
-// abandon says of every record that is appended but not committed that it may yet be applied.
-func (r *Replica) abandon(reason string) {
+// failPending says of every record that is appended but not committed that it may yet be applied.
+func (r *Replica) failPending(reason string) {
 	for index, p := range r.pending {
-		p.Finish(proposal.Outcome{Err: r.refusal(verdict.Unknown, reason)})
+		p.Finish(proposal.Outcome{Err: r.notLeaderError(verdict.Unknown, reason)})
 		delete(r.pending, index)
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -30,8 +30,8 @@
 // redialTicks is how many ticks pass between attempts to connect to a peer.
 const redialTicks = 2
 
-// waitingProposals bounds the proposals, and the reads, that wait in memory.
-const waitingProposals = 1024
+// maxQueuedRequests bounds the proposals, and the reads, that wait in memory.
+const maxQueuedRequests = 1024
 
 // Options says who the group is, where its data lies and what the log drives; Snapshot, Restore and Apply are called from one goroutine.
 type Options struct {
@@ -59,7 +59,7 @@
 
 // Replica is one member of the group.
 type Replica struct {
-	o           Options
+	options     Options
 	disk        *disk.Disk
 	node        *raft.Node // used by the loop only
 	started     time.Time
@@ -69,13 +69,13 @@
 	tasks       group.Group
 	ended       chan struct{} // closed when the loop has ended
 
-	proposals chan *proposal.Proposal
-	reads     chan *read
-	saved     chan uint64 // indexes of snapshots on disk
-	seeds     chan map[uint64]string
-	yields    chan struct{}
-	peers     *peer.Connections
-	applier   applier
+	proposals      chan *proposal.Proposal
+	reads          chan *pendingRead
+	savedSnapshots chan uint64 // indexes of snapshots on disk
+	seeds          chan map[uint64]string
+	transfers      chan struct{}
+	peers          *peer.Connections
+	applier        applier
 
 	loopState
 	info       atomic.Pointer[Info]
@@ -124,49 +124,49 @@
 	return o
 }
 
-func build(o Options, d *disk.Disk, loaded *disk.Loaded) *Replica {
+func build(options Options, d *disk.Disk, loaded *disk.Loaded) *Replica {
 	r := &Replica{
-		o:         o,
-		disk:      d,
-		started:   time.Now(),
-		ended:     make(chan struct{}),
-		proposals: make(chan *proposal.Proposal, waitingProposals),
-		reads:     make(chan *read, waitingProposals),
-		saved:     make(chan uint64),
-		seeds:     make(chan map[uint64]string),
-		yields:    make(chan struct{}),
+		options:        options,
+		disk:           d,
+		started:        time.Now(),
+		ended:          make(chan struct{}),
+		proposals:      make(chan *proposal.Proposal, maxQueuedRequests),
+		reads:          make(chan *pendingRead, maxQueuedRequests),
+		savedSnapshots: make(chan uint64),
+		seeds:          make(chan map[uint64]string),
+		transfers:      make(chan struct{}),
 	}
-	if o.Boot != nil {
-		r.startedBoot = o.Boot()
+	if options.Boot != nil {
+		r.startedBoot = options.Boot()
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
-	r.applier.Queue, r.applier.snapshot = serial.New(), loaded.Snapshot.GetIndex()
+	r.applier.Queue, r.applier.snapshotIndex = serial.New(), loaded.Snapshot.GetIndex()
 	r.applied.Store(loaded.Snapshot.GetIndex())
 	r.node = raft.New(raft.Options{
-		ID:            o.ID,
-		Peers:         ids(o.Peers),
-		Joins:         o.Found && !o.First,
-		ElectionTicks: o.ElectionTicks,
-		Rand:          rand.New(rand.NewPCG(o.Seed, o.ID)),
+		ID:            options.ID,
+		Peers:         ids(options.Peers),
+		Joins:         options.Found && !options.First,
+		ElectionTicks: options.ElectionTicks,
+		Rand:          rand.New(rand.NewPCG(options.Seed, options.ID)),
 		State:         loaded.State,
 		Snapshot:      loaded.Snapshot,
 		Entries:       loaded.Entries,
 	})
 	r.peers = peer.New(peer.Options{
-		ID:      o.ID,
-		Peers:   o.Peers,
-		Address: o.Address,
-		Domain:  o.Domain,
-		Dial:    o.Dial,
-		Redial:  redialTicks * o.Tick,
-		Silence: time.Duration(o.ElectionTicks) * o.Tick,
+		ID:      options.ID,
+		Peers:   options.Peers,
+		Address: options.Address,
+		Domain:  options.Domain,
+		Dial:    options.Dial,
+		Redial:  redialTicks * options.Tick,
+		Silence: time.Duration(options.ElectionTicks) * options.Tick,
 		Ended:   r.ended,
 	})
 	r.applier.members = loaded.Snapshot.GetMembers()
-	r.node.SetContacts(ids(o.Peers))
-	r.meet(r.node.Members())
+	r.node.SetContacts(ids(options.Peers))
+	r.connectMembers(r.node.Members())
 	r.pending = map[uint64]*proposal.Proposal{}
-	r.broken = make(chan error)
+	r.failures = make(chan error)
 	r.delivered = loaded.Snapshot.GetIndex()
 	r.recovering = r.node.Recovering()
 	r.publish()
@@ -182,9 +182,9 @@
 }
 
 func (r *Replica) start() {
-	event.ReplicaStarted.Info("replica", r.o.ID, "term", r.node.Term(), "last", r.node.Last())
+	event.ReplicaStarted.Info("replica", r.options.ID, "term", r.node.Term(), "last", r.node.Last())
 	if r.recovering {
-		event.ReplicaRecovering.Info("replica", r.o.ID)
+		event.ReplicaRecovering.Info("replica", r.options.ID)
 	}
 	r.tasks.Go(r.loop)
 	r.tasks.Go(func() { r.applier.Run(r.ctx) })
@@ -198,13 +198,13 @@
 
 // IsLeader says whether this replica leads and a quorum has answered within the election timeout, by the monotonic clock.
 func (r *Replica) IsLeader() bool {
-	return r.since() < time.Duration(r.leaseUntil.Load())
+	return r.elapsed() < time.Duration(r.leaseUntil.Load())
 }
 
-// since returns the time since the replica was started.
-func (r *Replica) since() time.Duration {
-	if r.o.Boot != nil {
-		return r.o.Boot() - r.startedBoot
+// elapsed returns the time elapsed the replica was started.
+func (r *Replica) elapsed() time.Duration {
+	if r.options.Boot != nil {
+		return r.options.Boot() - r.startedBoot
 	}
 	return time.Since(r.started)
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -25,31 +25,31 @@
 
 // group is a few replicas over in-memory connections that can be cut off or go silent.
 type group struct {
-	t        *testing.T
-	size     int
-	mu       sync.Mutex
-	members  map[string]*member
-	isolated map[string]bool // dials fail and connections swallow all bytes
-	open     []*silenced
-	disk     disk.Options
-	rate     int           // bytes a second of each connection, 0 for no limit
-	padding  int           // bytes added to a snapshot
-	slow     time.Duration // that the restores of members started from now on take
+	t              *testing.T
+	size           int
+	mu             sync.Mutex
+	members        map[string]*member
+	isolated       map[string]bool // dials fail and connections swallow all bytes
+	conns          []*faultyConn
+	disk           disk.Options
+	bytesPerSecond int           // bytes a second of each connection, 0 for no limit
+	padding        int           // bytes added to a snapshot
+	restoreDelay   time.Duration // that the restores of members started from now on take
 }
 
 type member struct {
 	*replica.Replica
-	name    string
-	id      uint64
-	dir     string
-	server  *drpcserver.Server
-	ctx     context.Context
-	kill    context.CancelFunc
-	padding int
-	slow    time.Duration // that a restore takes
-	leads   atomic.Bool   // as told by Leading
-	applied []string
-	mu      sync.Mutex
+	name            string
+	id              uint64
+	dir             string
+	server          *drpcserver.Server
+	ctx             context.Context
+	kill            context.CancelFunc
+	padding         int
+	restoreDelay    time.Duration // that a restore takes
+	notifiedLeading atomic.Bool   // as told by Leading
+	applied         []string
+	mu              sync.Mutex
 }
 
 func newGroup(t *testing.T, size int) *group {
@@ -63,7 +63,7 @@
 func address(id uint64) string { return fmt.Sprint("replica-", id) }
 
 func (g *group) start(id uint64, dir string) *member {
-	m := &member{name: address(id), id: id, dir: dir, padding: g.padding, slow: g.slow}
+	m := &member{name: address(id), id: id, dir: dir, padding: g.padding, restoreDelay: g.restoreDelay}
 	peers := map[uint64]string{}
 	for other := 1; other <= g.size; other++ {
 		peers[uint64(other)] = address(uint64(other))
@@ -74,7 +74,7 @@
 		Apply:    m.apply,
 		Snapshot: m.snapshot,
 		Restore:  m.restore,
-		Leading:  func(leading bool, _ uint64) { m.leads.Store(leading) },
+		Leading:  func(leading bool, _ uint64) { m.notifiedLeading.Store(leading) },
 	})
 	assert.NilError(g.t, err)
 	mux := drpcmux.New()
@@ -105,7 +105,7 @@
 }
 
 func (m *member) restore(b []byte) error {
-	time.Sleep(m.slow)
+	time.Sleep(m.restoreDelay)
 	if len(b) <= m.padding {
 		return errors.New("a part of a snapshot")
 	}
@@ -126,28 +126,28 @@
 	}
 	near, far := net.Pipe()
 	go m.server.ServeOne(m.ctx, far)
-	conn := &silenced{Conn: near, g: g, from: from, to: to}
-	g.open = append(g.open, conn)
+	conn := &faultyConn{Conn: near, g: g, from: from, to: to}
+	g.conns = append(g.conns, conn)
 	return conn, nil
 }
 
-// silenced swallows what is written while either end is isolated, or for good.
-type silenced struct {
+// faultyConn swallows what is written while either end is isolated, or for good.
+type faultyConn struct {
 	net.Conn
 	g        *group
 	from, to string
 	dead     bool
 }
 
-func (s *silenced) Write(b []byte) (int, error) {
+func (s *faultyConn) Write(b []byte) (int, error) {
 	s.g.mu.Lock()
-	dead, rate := s.dead || s.g.isolated[s.from] || s.g.isolated[s.to], s.g.rate
+	dead, bytesPerSecond := s.dead || s.g.isolated[s.from] || s.g.isolated[s.to], s.g.bytesPerSecond
 	s.g.mu.Unlock()
 	if dead {
 		return len(b), nil
 	}
-	if rate > 0 {
-		time.Sleep(time.Duration(len(b)) * time.Second / time.Duration(rate))
+	if bytesPerSecond > 0 {
+		time.Sleep(time.Duration(len(b)) * time.Second / time.Duration(bytesPerSecond))
 	}
 	return s.Conn.Write(b)
 }
@@ -161,14 +161,14 @@
 func (g *group) dials() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.open)
+	return len(g.conns)
 }
 
-// silence makes the connections that are open now, of one replica or of all, swallow all bytes for good; new ones work.
-func (g *group) silence(from string) {
+// dropOpenConns makes the connections that are open now, of one replica or of all, swallow all bytes for good; new ones work.
+func (g *group) dropOpenConns(from string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, conn := range g.open {
+	for _, conn := range g.conns {
 		conn.dead = conn.dead || from == "" || conn.from == from
 	}
 }
@@ -277,14 +277,14 @@
 	}
 }
 
-// settled waits until all members have applied count records, none is recovering, and just the leader was told to lead.
-func (g *group) settled(count int) {
+// assertConverged waits until all members have applied count records, none is recovering, and just the leader was told to lead.
+func (g *group) assertConverged(count int) {
 	g.t.Helper()
 	time.Sleep(5 * time.Second)
 	for _, m := range g.members {
 		assert.Equal(g.t, m.count(), count, m.name)
 		assert.Assert(g.t, !m.Info().Recovering, m.name)
-		assert.Equal(g.t, m.leads.Load(), m.IsLeader(), m.name)
+		assert.Equal(g.t, m.notifiedLeading.Load(), m.IsLeader(), m.name)
 	}
 }
 
@@ -302,7 +302,7 @@
 				}
 			}
 			g.propose(1)
-			g.settled(21)
+			g.assertConverged(21)
 		})
 	}
 }
@@ -332,7 +332,7 @@
 		g.stop(behind)
 		g.propose(450)
 		again := g.start(1, behind.dir)
-		g.settled(450)
+		g.assertConverged(450)
 		again.mu.Lock()
 		defer again.mu.Unlock()
 		assert.Equal(t, again.applied[0], "", "records before the snapshot came one by one")
@@ -354,12 +354,12 @@
 		g.stop(behind)
 		g.propose(250)
 		g.mu.Lock()
-		g.rate = 512 << 10
+		g.bytesPerSecond = 512 << 10
 		g.mu.Unlock()
 		g.start(1, behind.dir)
 		time.Sleep(1600 * time.Millisecond) // with settled's wait, enough for one try of six seconds
 		dials := g.dials()
-		g.settled(250)
+		g.assertConverged(250)
 		assert.Equal(t, g.dials(), dials, "connections that worked were replaced")
 	})
 }
@@ -370,13 +370,13 @@
 		defer g.close()
 		g.propose(1)
 		for range 3 {
-			g.silence("")
+			g.dropOpenConns("")
 			g.leader(5 * time.Second)
 			g.propose(1)
 		}
-		g.settled(4)
+		g.assertConverged(4)
 		for _, follower := range g.members {
-			g.silence(follower.name)
+			g.dropOpenConns(follower.name)
 			time.Sleep(10 * time.Second)
 			for _, peer := range g.leader(5 * time.Second).Info().Peers {
 				assert.Assert(t, peer.Active, "answers of %s are lost for good", peer.Address)
@@ -423,7 +423,7 @@
 		var unknown *verdict.Error
 		assert.Assert(t, errors.As(<-stuck, &unknown))
 		assert.Equal(t, unknown.Verdict, verdict.Unknown)
-		g.settled(3) // the stuck proposal had left for the others before the freeze
+		g.assertConverged(3) // the stuck proposal had left for the others before the freeze
 		assert.Equal(t, old.Info().Leader, g.leader(5*time.Second).id)
 	})
 }
@@ -445,7 +445,7 @@
 			return system.Sync(f)
 		}
 		sick := g.start(old.id, old.dir)
-		g.settled(1)
+		g.assertConverged(1)
 		failing.Store(true)
 		g.propose(1)
 		time.Sleep(time.Second)
@@ -483,7 +483,7 @@
 		g.leader(5 * time.Second)
 		g.stop(behind)
 		g.propose(450)
-		g.padding, g.slow = 1<<20, time.Second
+		g.padding, g.restoreDelay = 1<<20, time.Second
 		sick := g.start(1, behind.dir)
 		time.Sleep(5 * time.Second)
 		assert.ErrorContains(t, sick.Info().Err, "a part of a snapshot")
