Reword package replica in the terms of the field

Readers stumbled over comments such as "takes in what else is at hand", "told by Leading" and "hands its leadership on", over options explained by the name Found, and over messages such as "gave up waiting" and "rule of the log broken". They now speak of events, callbacks, leadership transfer, dynamic membership and violated invariants. Renamed: roundReads to assignedReads, maxSteps to maxEventsPerFlush, leaseMargin to leaseMarginTicks, and save, restore and apply say of what.

--- a/replica/apply.go
+++ b/replica/apply.go
@@ -9,23 +9,23 @@
 	"daisyswitch/wire"
 )
 
-// applier runs what the loop hands it, in order, in one goroutine; the loop never waits for it.
+// applier runs functions queued by the loop, in order, in one goroutine. The loop never waits for it.
 type applier struct {
 	*serial.Queue
-	snapshotIndex      uint64        // index of the last snapshot begun
-	members            *wire.Members // of the group, as of what is applied; nil until the log says
+	snapshotIndex      uint64        // index of the last snapshot that was started or restored
+	members            *wire.Members // of the group, as of the last applied entry; nil until the log holds a configuration
 	snapshotInProgress atomic.Bool   // a snapshot is being written
-	restoreFailed      bool          // a snapshot could not be restored, so that later records have no state to apply to
+	restoreFailed      bool          // a snapshot could not be restored, so there is no state to apply later records to
 }
 
-// committed is an entry with the proposal that waits for it, if it was made here.
-type committed struct {
+// committedEntry is a committed log entry with the pending proposal of this replica that it belongs to, if any.
+type committedEntry struct {
 	*wire.Entry
 	proposal *proposal.Proposal
 }
 
-// apply runs in the applier.
-func (r *Replica) apply(entries []committed) {
+// applyEntries applies committed entries to the state machine. It runs in the applier's goroutine.
+func (r *Replica) applyEntries(entries []committedEntry) {
 	if r.applier.restoreFailed {
 		return
 	}
@@ -45,7 +45,7 @@
 	}
 }
 
-// snapshotAfter takes a snapshot when enough entries were applied since the last; writing it does not hold up the next ones.
+// snapshotAfter takes a snapshot when SnapshotEvery entries have been applied since the last one. It is written in the background, so later entries do not wait for it.
 func (r *Replica) snapshotAfter(e *wire.Entry) {
 	a := &r.applier
 	if e.GetIndex() < a.snapshotIndex+r.options.SnapshotEvery || !a.snapshotInProgress.CompareAndSwap(false, true) {
@@ -55,11 +55,11 @@
 	s := &wire.Snapshot{Index: e.GetIndex(), Term: e.GetTerm(), Data: r.options.Snapshot(), Members: a.members}
 	r.tasks.Go(func() {
 		defer a.snapshotInProgress.Store(false)
-		r.save(s)
+		r.saveSnapshot(s)
 	})
 }
 
-func (r *Replica) save(s *wire.Snapshot) {
+func (r *Replica) saveSnapshot(s *wire.Snapshot) {
 	if err := r.disk.WriteSnapshot(s); err != nil {
 		r.reportFailure(err)
 		return
@@ -71,7 +71,7 @@
 	}
 }
 
-// reportFailure makes the loop end this replica's part.
+// reportFailure makes the loop stop with err.
 func (r *Replica) reportFailure(err error) {
 	select {
 	case r.failures <- err:
@@ -79,8 +79,8 @@
 	}
 }
 
-// restore runs in the applier.
-func (r *Replica) restore(s *wire.Snapshot) {
+// restoreSnapshot replaces the state machine's state by a received snapshot. It runs in the applier's goroutine.
+func (r *Replica) restoreSnapshot(s *wire.Snapshot) {
 	if err := r.options.Restore(s.GetData()); err != nil {
 		r.applier.restoreFailed = true
 		r.reportFailure(err)
--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -22,7 +22,7 @@
 
 const recordBytes = 200
 
-// process is a replica that listens on a loopback address.
+// process is a replica that serves on a loopback address and counts its traffic.
 type process struct {
 	*replica.Replica
 	listener net.Listener
@@ -65,8 +65,8 @@
 	return &countingConn{conn, l.bytes}, err
 }
 
-// launch starts replica id of the group at the given addresses.
-func launch(b testing.TB, id uint64, peers map[uint64]string, dir string) *process {
+// startProcess starts the replica with the given id of the group at the given addresses.
+func startProcess(b testing.TB, id uint64, peers map[uint64]string, dir string) *process {
 	p := &process{}
 	listener, err := net.Listen("tcp", peers[id])
 	assert.NilError(b, err)
@@ -91,8 +91,8 @@
 	return p
 }
 
-// loopback returns free addresses for three replicas.
-func loopback(b *testing.B) map[uint64]string {
+// freeAddresses returns unused loopback addresses for three replicas.
+func freeAddresses(b *testing.B) map[uint64]string {
 	peers := map[uint64]string{}
 	for id := uint64(1); id <= 3; id++ {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -103,12 +103,12 @@
 	return peers
 }
 
-// processes returns three replicas on loopback, their leader first, and their folders and addresses.
-func processes(b *testing.B) (group []*process, dirs map[uint64]string, peers map[uint64]string) {
-	peers, dirs = loopback(b), map[uint64]string{}
+// startGroup starts three replicas on loopback and returns them, leader first, with their folders and addresses.
+func startGroup(b *testing.B) (group []*process, dirs map[uint64]string, peers map[uint64]string) {
+	peers, dirs = freeAddresses(b), map[uint64]string{}
 	for id := range peers {
 		dirs[id] = b.TempDir()
-		group = append(group, launch(b, id, peers, dirs[id]))
+		group = append(group, startProcess(b, id, peers, dirs[id]))
 	}
 	for {
 		for i, p := range group {
@@ -127,23 +127,23 @@
 	}
 }
 
-// BenchmarkPropose compares records proposed one after another, one sync each, with 256 proposers whose records share syncs.
+// BenchmarkPropose compares one proposer, whose records need one sync each, with 256 concurrent proposers, whose records share syncs.
 func BenchmarkPropose(b *testing.B) {
-	group, _, _ := processes(b)
+	group, _, _ := startGroup(b)
 	defer func() { closeAll(group) }()
-	propose := func(proposers, each int) float64 {
+	propose := func(proposers, recordsPerProposer int) float64 {
 		start := time.Now()
 		var wait sync.WaitGroup
 		for range proposers {
 			wait.Go(func() {
-				for range each {
+				for range recordsPerProposer {
 					_, err := group[0].Propose(context.Background(), make([]byte, recordBytes))
 					assert.Check(b, err)
 				}
 			})
 		}
 		wait.Wait()
-		return float64(proposers*each) / time.Since(start).Seconds()
+		return float64(proposers*recordsPerProposer) / time.Since(start).Seconds()
 	}
 	for b.Loop() {
 		single := propose(1, 500)
@@ -154,17 +154,17 @@
 	}
 }
 
-// BenchmarkCatchUp times a follower that missed 10,000 records, from its start to its having applied them.
+// BenchmarkCatchUp measures how long a follower that missed 10,000 records takes from its start until it has applied them.
 func BenchmarkCatchUp(b *testing.B) {
 	const missed = 10_000
-	group, dirs, peers := processes(b)
+	group, dirs, peers := startGroup(b)
 	defer func() { closeAll(group) }()
 	for b.Loop() {
 		b.StopTimer()
-		behind := group[2]
-		id := behind.Info().ID
-		had := behind.applied.Load()
-		behind.close()
+		lagging := group[2]
+		id := lagging.Info().ID
+		appliedBefore := lagging.applied.Load()
+		lagging.close()
 		var wait sync.WaitGroup
 		for range 100 {
 			wait.Go(func() {
@@ -176,19 +176,19 @@
 		}
 		wait.Wait()
 		b.StartTimer()
-		group[2] = launch(b, id, peers, dirs[id])
-		for group[2].applied.Load() < had+missed {
+		group[2] = startProcess(b, id, peers, dirs[id])
+		for group[2].applied.Load() < appliedBefore+missed {
 			time.Sleep(time.Millisecond)
 		}
 	}
 }
 
-// BenchmarkElection times from the death of a leader to a new one that serves.
+// BenchmarkElection measures the time from the crash of a leader until a new leader confirms a read.
 func BenchmarkElection(b *testing.B) {
 	var total time.Duration
 	rounds := 0
 	for b.Loop() {
-		group, _, _ := processes(b)
+		group, _, _ := startGroup(b)
 		start := time.Now()
 		group[0].close()
 		for group[1].Confirm(context.Background()) != nil && group[2].Confirm(context.Background()) != nil {
@@ -201,17 +201,17 @@
 	b.ReportMetric(float64(total.Milliseconds())/float64(rounds), "ms/new-leader")
 }
 
-// What BenchmarkCost measures over, and its load: task starts a second at today's sizes.
+// Measuring windows of BenchmarkCost and its load, in task starts per second and bytes per start.
 const (
-	costSettle   = 2 * time.Second
-	costWindow   = 5 * time.Second
-	costInterval = 20 * time.Millisecond
-	costStarts   = 1100
-	startBytes   = 60
-	costLine     = "cost: leader=%t idle=%d rss=%d cpu=%d applied=%d"
+	costWarmUp          = 2 * time.Second
+	costWindow          = 5 * time.Second
+	costInterval        = 20 * time.Millisecond
+	costStartsPerSecond = 1100
+	startBytes          = 60
+	costFormat          = "cost: leader=%t idle=%d rss=%d cpu=%d applied=%d"
 )
 
-// BenchmarkCost runs three processes: idle, then with 1,100 task starts a second, in records of one or of 22 starts as a scheduling loop commits them.
+// BenchmarkCost measures three processes, first idle and then at 1,100 task starts per second. A record holds 1 or 22 starts, as the scheduling loop commits them.
 func BenchmarkCost(b *testing.B) {
 	for _, starts := range []int{1, 22} {
 		b.Run(fmt.Sprintf("starts=%d", starts), func(b *testing.B) { benchmarkCost(b, starts) })
@@ -220,7 +220,7 @@
 
 func benchmarkCost(b *testing.B, starts int) {
 	for b.Loop() {
-		peers := loopback(b)
+		peers := freeAddresses(b)
 		outputs := make([][]byte, len(peers))
 		var wait sync.WaitGroup
 		for id := range peers {
@@ -238,7 +238,7 @@
 func reportCost(b *testing.B, output []byte) {
 	var leader bool
 	var idle, rss, cpu, applied int64
-	_, err := fmt.Sscanf(string(output[bytes.Index(output, []byte("cost:")):]), costLine, &leader, &idle, &rss, &cpu, &applied)
+	_, err := fmt.Sscanf(string(output[bytes.Index(output, []byte("cost:")):]), costFormat, &leader, &idle, &rss, &cpu, &applied)
 	assert.NilError(b, err)
 	b.Logf("applied %d", applied)
 	role := "follower"
@@ -250,19 +250,19 @@
 	b.ReportMetric(float64(cpu)/float64(costWindow)*100, role+"-cpu-%")
 }
 
-// TestCostProcess is one of the processes of BenchmarkCost.
+// TestCostProcess runs one of the processes of BenchmarkCost and is skipped otherwise.
 func TestCostProcess(t *testing.T) {
 	var id uint64
 	var starts int
-	var one, two, three string
-	if n, _ := fmt.Sscan(os.Getenv("REPLICA_COST"), &starts, &id, &one, &two, &three); n != 5 {
+	var address1, address2, address3 string
+	if n, _ := fmt.Sscan(os.Getenv("REPLICA_COST"), &starts, &id, &address1, &address2, &address3); n != 5 {
 		t.Skip("runs only as a process of BenchmarkCost")
 	}
 	peers := map[uint64]string{}
-	peers[1], peers[2], peers[3] = one, two, three
-	p := launch(t, id, peers, t.TempDir())
+	peers[1], peers[2], peers[3] = address1, address2, address3
+	p := startProcess(t, id, peers, t.TempDir())
 	defer p.close()
-	time.Sleep(costSettle)
+	time.Sleep(costWarmUp)
 	idle := -p.bytes.Load()
 	time.Sleep(costWindow)
 	idle += p.bytes.Load()
@@ -270,14 +270,14 @@
 	cpu := -cpuNanos(t)
 	leader := p.IsLeader()
 	for end := time.Now().Add(costWindow); time.Now().Before(end); time.Sleep(costInterval) {
-		for range costStarts * int(costInterval/time.Millisecond) / 1000 / starts {
+		for range costStartsPerSecond * int(costInterval/time.Millisecond) / 1000 / starts {
 			if leader {
 				go p.Propose(context.Background(), make([]byte, starts*startBytes))
 			}
 		}
 	}
 	cpu += cpuNanos(t)
-	fmt.Printf(costLine+"\n", leader, idle, rss, cpu, p.applied.Load())
+	fmt.Printf(costFormat+"\n", leader, idle, rss, cpu, p.applied.Load())
 	time.Sleep(time.Second)
 }
 
--- a/replica/confirm.go
+++ b/replica/confirm.go
@@ -7,28 +7,28 @@
 	"daisyswitch/verdict"
 )
 
-// pendingRead waits until its round is confirmed and what was committed before it is applied.
+// pendingRead waits until its heartbeat round is confirmed and all entries committed before that round are applied.
 type pendingRead struct {
-	round uint64 // 0 until one was begun after the read arrived
-	index uint64 // what has to be applied
+	round uint64 // 0 until a round starts after the read arrived
+	index uint64 // last index that must be applied first
 	done  chan error
 }
 
-// Confirm returns once a quorum has answered that this replica leads and all that was committed before is applied.
+// Confirm returns once a quorum has confirmed that this replica leads and every entry committed before that is applied.
 func (r *Replica) Confirm(ctx context.Context) error {
 	if !r.IsLeader() {
 		return r.notLeaderError(verdict.NotRun, "this replica does not lead")
 	}
-	q := &pendingRead{done: make(chan error, 1)}
+	read := &pendingRead{done: make(chan error, 1)}
 	select {
-	case r.reads <- q:
+	case r.reads <- read:
 	case <-ctx.Done():
 		return unconfirmedError(ctx)
 	case <-r.ended:
 		return r.endedError(verdict.NotRun)
 	}
 	select {
-	case err := <-q.done:
+	case err := <-read.done:
 		return err
 	case <-ctx.Done():
 		return unconfirmedError(ctx)
@@ -38,10 +38,10 @@
 }
 
 func unconfirmedError(ctx context.Context) error {
-	return verdict.New(verdict.NotRun, "gave up before the read was confirmed", ctx.Err())
+	return verdict.New(verdict.NotRun, "request ended before the read was confirmed", ctx.Err())
 }
 
-// startReadRound gives the reads that arrived since the last round one of their own, unless one is on its way.
+// startReadRound starts a heartbeat round for the reads that arrived since the last one, unless a round is still unconfirmed.
 func (r *Replica) startReadRound() {
 	if len(r.newReads) == 0 || r.node.Confirmed() < r.node.Round() || !r.canServe() {
 		return
@@ -49,36 +49,36 @@
 	r.node.StartRound()
 }
 
-// assignReads ties the reads that arrived to a round that was just begun.
+// assignReads assigns the new reads to a round that has just started.
 func (r *Replica) assignReads(round uint64) {
 	if !r.canServe() {
 		return
 	}
-	for _, q := range r.newReads {
-		q.round, q.index = round, r.node.Commit()
-		r.roundReads = append(r.roundReads, q)
+	for _, read := range r.newReads {
+		read.round, read.index = round, r.node.Commit()
+		r.assignedReads = append(r.assignedReads, read)
 	}
 	r.newReads = nil
 }
 
-// canServe says whether this node leads and has committed an entry of its term, so that its commit index is no older than any leader's before it.
+// canServe reports whether this replica leads, is not transferring leadership, has committed an entry of its term and has had a round confirmed. An entry of its term ensures that its commit index is not behind that of any earlier leader.
 func (r *Replica) canServe() bool {
 	return r.node.Role() == raft.Leader && !r.transferring && r.node.Commit() >= r.node.TermStart() && r.node.Confirmed() > 0
 }
 
-// completeReads answers the reads whose round is confirmed, after what is handed to the applier already.
+// completeReads answers the reads whose round is confirmed, after the entries already queued in the applier.
 func (r *Replica) completeReads() {
-	for len(r.roundReads) > 0 && r.roundReads[0].round <= r.node.Confirmed() && r.delivered >= r.roundReads[0].index {
-		q := r.roundReads[0]
-		r.roundReads = r.roundReads[1:]
-		r.applier.Push(func() { q.done <- nil })
+	for len(r.assignedReads) > 0 && r.assignedReads[0].round <= r.node.Confirmed() && r.delivered >= r.assignedReads[0].index {
+		read := r.assignedReads[0]
+		r.assignedReads = r.assignedReads[1:]
+		r.applier.Push(func() { read.done <- nil })
 	}
 }
 
-// rejectReads tells the waiting reads that this replica does not lead.
+// rejectReads fails all waiting reads because this replica does not lead.
 func (r *Replica) rejectReads() {
-	for _, q := range append(r.roundReads, r.newReads...) {
-		q.done <- r.notLeaderError(verdict.NotRun, "this replica does not lead")
+	for _, read := range append(r.assignedReads, r.newReads...) {
+		read.done <- r.notLeaderError(verdict.NotRun, "this replica does not lead")
 	}
-	r.roundReads, r.newReads = nil, nil
+	r.assignedReads, r.newReads = nil, nil
 }
--- a/replica/doc.go
+++ b/replica/doc.go
@@ -1,2 +1,2 @@
-// Package replica takes part in the replicated log: it drives package raft with a data folder, a clock and connections to the other replicas, to which it speaks drpc.
+// Package replica runs one member of the Raft group. It drives package raft with a data folder, a clock and drpc connections to the other replicas.
 package replica
--- a/replica/info.go
+++ b/replica/info.go
@@ -8,7 +8,7 @@
 	"daisyswitch/wire"
 )
 
-// Info is what a replica knows of itself and, if it leads, of its peers.
+// Info is a replica's own state and, if it leads, that of its peers.
 type Info struct {
 	ID            uint64
 	Leader        uint64 // 0 if unknown
@@ -17,17 +17,17 @@
 	Commit        uint64
 	Applied       uint64
 	Last          uint64
-	Recovering    bool  // lost its disk and is not yet a full member
-	Err           error // what ended its part in the group, nil while it takes part
+	Recovering    bool  // lost its disk and does not vote until it has caught up
+	Err           error // error that stopped the replica, nil while it runs
 	Peers         []PeerInfo
-	Members       *wire.Members // of the group, as the log says
+	Members       *wire.Members // of the group, from the latest configuration in the log
 }
 
 // PeerInfo is a leader's view of one other replica.
 type PeerInfo struct {
 	ID      uint64
 	Address string
-	Match   uint64 // index up to which its log is known to agree
+	Match   uint64 // last index up to which its log is known to match the leader's
 	Active  bool   // answered within the election timeout
 }
 
@@ -38,8 +38,8 @@
 	return info
 }
 
-// publish lets others see the loop's state.
-func (r *Replica) publish() {
+// publishInfo publishes the loop's state to Info.
+func (r *Replica) publishInfo() {
 	n := r.node
 	info := &Info{
 		ID:            r.options.ID,
@@ -65,13 +65,13 @@
 	r.info.Store(info)
 }
 
-// NotLeader is the cause of a refusal by a replica that does not lead.
+// NotLeader is the cause of an error returned by a replica that does not lead.
 type NotLeader struct {
 	Leader  uint64 // 0 if unknown
 	Address string // drpc address of the leader, empty if unknown
 }
 
-// Error names the leader if it is known.
+// Error returns the leader's address if it is known.
 func (e *NotLeader) Error() string {
 	if e.Leader == 0 {
 		return "no leader is known"
@@ -79,21 +79,21 @@
 	return "the leader is at " + e.Address
 }
 
-// LeaderOf returns the address of the leader that a refusal names, empty if it names none.
+// LeaderOf returns the leader's address from a NotLeader in err, empty if there is none.
 func LeaderOf(err error) string {
-	var not *NotLeader
-	if errors.As(err, &not) {
-		return not.Address
+	var notLeader *NotLeader
+	if errors.As(err, &notLeader) {
+		return notLeader.Address
 	}
 	return ""
 }
 
-// notLeaderError says that this replica does not lead.
+// notLeaderError returns an error with the given verdict and reason whose cause names the current leader, if another replica leads.
 func (r *Replica) notLeaderError(v verdict.Verdict, reason string) error {
 	info := r.info.Load()
-	not := &NotLeader{}
+	notLeader := &NotLeader{}
 	if info.Leader != r.options.ID {
-		not.Leader, not.Address = info.Leader, info.LeaderAddress
+		notLeader.Leader, notLeader.Address = info.Leader, info.LeaderAddress
 	}
-	return verdict.New(v, reason, not)
+	return verdict.New(v, reason, notLeader)
 }
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -10,29 +10,29 @@
 	"daisyswitch/wire"
 )
 
-// maxSteps bounds the messages that are taken in before their records are synced.
-const maxSteps = 256
+// maxEventsPerFlush bounds the messages, reads and proposals handled before their records are synced.
+const maxEventsPerFlush = 256
 
-// leaseMargin is by how many ticks a leader trusts its quorum less than followers promise: a follower's clock may have ticks due when it hears a leader.
-const leaseMargin = 2
+// leaseMarginTicks is how many ticks shorter a leader's lease is than the time for which followers promise not to vote. A follower may still have overdue ticks to count when it hears from the leader.
+const leaseMarginTicks = 2
 
-// loopState belongs to the loop's goroutine.
+// loopState is used only by the loop's goroutine.
 type loopState struct {
-	pending      map[uint64]*proposal.Proposal // appended here and not committed, by index
-	newReads     []*pendingRead
-	roundReads   []*pendingRead
-	rounds       []roundStart
-	leaderTerm   uint64 // term in which this replica leads, 0 if it does not
-	leading      bool   // told by Leading
-	delivered    uint64 // last index handed to the applier
-	transferring bool   // hands its leadership on
-	lastLeader   uint64 // leader that was last told of
-	recovering   bool
-	failures     chan error
-	err          error
+	pending       map[uint64]*proposal.Proposal // appended by this replica but not yet committed, by index
+	newReads      []*pendingRead
+	assignedReads []*pendingRead
+	roundStarts   []roundStart
+	leaderTerm    uint64 // term in which this replica leads, 0 if it does not
+	leading       bool   // last value queued for the leadership callback
+	delivered     uint64 // last index queued in the applier
+	transferring  bool   // is transferring its leadership
+	lastLeader    uint64 // leader seen by the last updateRole
+	recovering    bool
+	failures      chan error
+	err           error
 }
 
-// roundStart is when a heartbeat round was begun at the latest.
+// roundStart holds a time no later than the start of a heartbeat round.
 type roundStart struct {
 	round uint64
 	at    time.Duration
@@ -49,11 +49,11 @@
 	}
 	for r.step(ticker.C) {
 	}
-	r.failPending("this replica no longer takes part")
+	r.failPending("this replica has stopped")
 	r.rejectReads()
 }
 
-// step waits for one event, takes in what else is at hand, and does what the node asks for; it returns false at the end.
+// step waits for one event, handles the others that are ready, and carries out the node's resulting work. It returns false when the loop must end.
 func (r *Replica) step(ticks <-chan time.Time) bool {
 	var now time.Duration
 	select {
@@ -72,9 +72,9 @@
 	case p := <-r.proposals:
 		now = r.elapsed()
 		r.propose(p)
-	case q := <-r.reads:
+	case read := <-r.reads:
 		now = r.elapsed()
-		r.newReads = append(r.newReads, q)
+		r.newReads = append(r.newReads, read)
 	case index := <-r.savedSnapshots:
 		return r.compact(index)
 	case seeds := <-r.seeds:
@@ -89,14 +89,14 @@
 	return r.flush(now)
 }
 
-// receiveMore takes in more without waiting, so that one sync serves it all.
+// receiveMore handles further events without waiting, so that one sync covers them all.
 func (r *Replica) receiveMore() {
-	for range maxSteps {
+	for range maxEventsPerFlush {
 		select {
 		case m := <-r.peers.Inbox():
 			r.receive(m)
-		case q := <-r.reads:
-			r.newReads = append(r.newReads, q)
+		case read := <-r.reads:
+			r.newReads = append(r.newReads, read)
 		case p := <-r.proposals:
 			r.propose(p)
 		default:
@@ -111,7 +111,7 @@
 	r.node.Step(m)
 }
 
-// flush syncs, sends and applies until the node asks for nothing more.
+// flush syncs, sends and queues entries to apply until the node has no more work.
 func (r *Replica) flush(now time.Duration) bool {
 	r.updateRole()
 	r.startReadRound()
@@ -137,7 +137,7 @@
 	}
 	r.completeReads()
 	r.notifyLeadership()
-	r.publish()
+	r.publishInfo()
 	return true
 }
 
@@ -169,29 +169,29 @@
 	return nil
 }
 
-// enqueueCommitted gives the applier what is committed.
+// enqueueCommitted queues a received snapshot and the committed entries in the applier.
 func (r *Replica) enqueueCommitted(ready *raft.Ready) {
 	if s := ready.Snapshot; s != nil {
 		r.delivered = s.GetIndex()
-		r.applier.Push(func() { r.restore(s) })
+		r.applier.Push(func() { r.restoreSnapshot(s) })
 	}
 	if len(ready.Commit) == 0 {
 		return
 	}
-	entries := make([]committed, len(ready.Commit))
+	entries := make([]committedEntry, len(ready.Commit))
 	for i, e := range ready.Commit {
-		entries[i] = committed{Entry: e, proposal: r.pending[e.GetIndex()]}
+		entries[i] = committedEntry{Entry: e, proposal: r.pending[e.GetIndex()]}
 		delete(r.pending, e.GetIndex())
 	}
 	r.delivered = entries[len(entries)-1].GetIndex()
-	r.applier.Push(func() { r.apply(entries) })
+	r.applier.Push(func() { r.applyEntries(entries) })
 }
 
-// updateRole notices that this replica began or ended to lead.
+// updateRole logs a new leader and the end of a recovery. When this replica gains or loses leadership, it resets the leader's state and fails the pending proposals and reads.
 func (r *Replica) updateRole() {
-	led := uint64(0)
+	leadingTerm := uint64(0)
 	if r.node.Role() == raft.Leader {
-		led = r.node.Term()
+		leadingTerm = r.node.Term()
 	}
 	if leader := r.node.Leader(); leader != r.lastLeader && leader != 0 && leader != r.options.ID {
 		event.ReplicaFollows.Info("replica", r.options.ID, "leader", leader, "term", r.node.Term())
@@ -201,41 +201,41 @@
 		r.recovering = false
 		event.ReplicaRecovered.Info("replica", r.options.ID, "commit", r.node.Commit())
 	}
-	if led == r.leaderTerm {
+	if leadingTerm == r.leaderTerm {
 		return
 	}
-	r.leaderTerm = led
+	r.leaderTerm = leadingTerm
 	r.transferring = false
-	r.rounds = nil
+	r.roundStarts = nil
 	r.leaseUntil.Store(0)
-	r.publish()
-	r.failPending("this replica lost its leadership")
+	r.publishInfo()
+	r.failPending("this replica lost its leadership before the record was committed")
 	r.rejectReads()
 }
 
-// updateLease keeps when rounds began and extends the leader's lease by those that a quorum answered.
+// updateLease records when heartbeat rounds start and extends the leader's lease from the start of each round that a quorum has answered.
 func (r *Replica) updateLease(now time.Duration) {
 	if r.leaderTerm == 0 {
 		return
 	}
 	last := uint64(0)
-	if len(r.rounds) > 0 {
-		last = r.rounds[len(r.rounds)-1].round
+	if len(r.roundStarts) > 0 {
+		last = r.roundStarts[len(r.roundStarts)-1].round
 	}
 	if round := r.node.Round(); round > max(last, r.node.Confirmed()) || r.node.Alone() {
-		r.rounds = append(r.rounds, roundStart{round: round, at: now})
+		r.roundStarts = append(r.roundStarts, roundStart{round: round, at: now})
 		r.assignReads(round)
 	}
-	lease := time.Duration(r.options.ElectionTicks-leaseMargin) * r.options.Tick
-	for len(r.rounds) > 0 && r.rounds[0].round <= r.node.Confirmed() {
+	lease := time.Duration(r.options.ElectionTicks-leaseMarginTicks) * r.options.Tick
+	for len(r.roundStarts) > 0 && r.roundStarts[0].round <= r.node.Confirmed() {
 		if !r.transferring {
-			r.leaseUntil.Store(int64(r.rounds[0].at + lease))
+			r.leaseUntil.Store(int64(r.roundStarts[0].at + lease))
 		}
-		r.rounds = r.rounds[1:]
+		r.roundStarts = r.roundStarts[1:]
 	}
 }
 
-// notifyLeadership tells of a change of leadership after what was committed before it.
+// notifyLeadership queues the leadership callback in the applier, after the entries committed before the change.
 func (r *Replica) notifyLeadership() {
 	leading := r.canServe()
 	if leading == r.leading {
@@ -251,7 +251,7 @@
 	r.applier.Push(func() { r.options.Leading(leading, term) })
 }
 
-// compact removes the log before a snapshot, but for a tail for followers that are only a little behind.
+// compact removes the log up to a snapshot. It keeps the last entries, so that followers which are only slightly behind do not need the snapshot.
 func (r *Replica) compact(index uint64) bool {
 	keepFrom := index - min(index, r.options.SnapshotEvery/2)
 	if err := r.disk.Compact(index, keepFrom); err != nil {
@@ -261,25 +261,25 @@
 	return true
 }
 
-// failOnPanic ends the replica's part in the group when the step function finds a rule of the protocol broken.
+// failOnPanic stops the replica when package raft panics over a violated invariant of the protocol.
 func (r *Replica) failOnPanic() {
-	if broken := recover(); broken != nil {
-		r.fail(fmt.Errorf("rule of the log broken: %v", broken))
+	if violation := recover(); violation != nil {
+		r.fail(fmt.Errorf("invariant of the replicated log violated: %v", violation))
 		r.rejectReads()
 	}
 }
 
-// fail ends the replica's part in the group: after a failed sync nobody knows what is on disk.
+// fail stops the replica: after a failed sync, the contents of its disk are unknown. It always returns false.
 func (r *Replica) fail(err error) bool {
 	event.ReplicaFailed.Error(err, "replica", r.options.ID)
 	r.err = err
 	r.leaseUntil.Store(0)
-	r.publish()
+	r.publishInfo()
 	if r.leading {
 		term := r.node.Term()
 		r.applier.Push(func() { r.options.Leading(false, term) })
 	}
 	r.applier.Push(func() { r.options.Failed(err) })
-	r.failPending("this replica failed")
+	r.failPending("this replica failed before the record was committed")
 	return false
 }
--- a/replica/members.go
+++ b/replica/members.go
@@ -10,10 +10,10 @@
 	"daisyswitch/wire"
 )
 
-// transferTimeout is the longest wait for another replica to lead; a follower needs one round of votes and a sync.
+// transferTimeout is the longest wait for another replica to become leader. A follower needs one round of votes and a sync for that.
 const transferTimeout = 500 * time.Millisecond
 
-// SetSeeds replaces the addresses where replicas may be found.
+// SetSeeds replaces the addresses at which other replicas may be reached, by replica id.
 func (r *Replica) SetSeeds(seeds map[uint64]string) {
 	select {
 	case r.seeds <- seeds:
@@ -25,17 +25,17 @@
 	for id, address := range seeds {
 		r.peers.Know(id, address)
 	}
-	r.node.SetContacts(ids(seeds))
+	r.node.SetContacts(peerIDs(seeds))
 }
 
-// connectMembers opens connections to the members of a group.
+// connectMembers opens connections to the members that are not connected yet.
 func (r *Replica) connectMembers(members *wire.Members) {
 	for _, m := range members.GetMembers() {
 		r.peers.Know(m.GetId(), m.GetAddress())
 	}
 }
 
-// reconfigure proposes the next change of the group, if one is due and the last one is committed.
+// reconfigure proposes the next membership change, if one is due and the previous one is committed.
 func (r *Replica) reconfigure() {
 	if !r.options.Found || r.node.Role() != raft.Leader || r.transferring {
 		return
@@ -53,7 +53,7 @@
 	r.connectMembers(next)
 }
 
-// withAddresses adds the addresses that the group's first configuration lacks.
+// withAddresses adds the addresses that the initial configuration of the group lacks.
 func (r *Replica) withAddresses(members *wire.Members) *wire.Members {
 	for _, m := range members.GetMembers() {
 		switch {
@@ -67,18 +67,18 @@
 }
 
 func describeMembers(members *wire.Members) []string {
-	var all []string
+	var descriptions []string
 	for _, m := range members.GetMembers() {
 		role := "follows"
 		if m.GetVotes() {
 			role = "votes"
 		}
-		all = append(all, m.GetAddress()+" "+role)
+		descriptions = append(descriptions, m.GetAddress()+" "+role)
 	}
-	return all
+	return descriptions
 }
 
-// HandOver ends this replica's leadership, if it leads, and returns once another leads or ctx ends.
+// HandOver transfers leadership to another replica, if this one leads. It returns once this replica no longer knows itself as the leader, ctx ends or transferTimeout has passed.
 func (r *Replica) HandOver(ctx context.Context) {
 	if r.Info().Leader != r.options.ID {
 		return
@@ -103,7 +103,7 @@
 	event.LeadershipHandedOver.Info("replica", r.options.ID, "leader", r.Info().Leader)
 }
 
-// tryTransfer hands the leadership on once all that was proposed is committed.
+// tryTransfer transfers leadership once all proposals are committed.
 func (r *Replica) tryTransfer() {
 	if r.transferring && len(r.pending) == 0 {
 		r.node.HandOver()
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -8,13 +8,13 @@
 	"daisyswitch/verdict"
 )
 
-// MaxRecordBytes bounds one record, which its sender has to keep to.
+// MaxRecordBytes is the maximum size of a record. Propose rejects larger ones.
 const MaxRecordBytes = 2 << 20
 
-// Propose appends data to the log and returns what Apply made of it; an error is a *verdict.Error that says whether the record may yet be applied.
+// Propose appends data to the log and returns the result of Apply. An error is a *verdict.Error that says whether the record may still be applied.
 func (r *Replica) Propose(ctx context.Context, data []byte) (any, error) {
 	if len(data) == 0 || len(data) > MaxRecordBytes {
-		return nil, verdict.New(verdict.NotRun, "record is empty or too large", nil)
+		return nil, verdict.New(verdict.NotRun, "record is empty or larger than 2 MiB", nil)
 	}
 	if !r.IsLeader() {
 		return nil, r.notLeaderError(verdict.NotRun, "this replica does not lead")
@@ -23,7 +23,7 @@
 	select {
 	case r.proposals <- p:
 	case <-ctx.Done():
-		return nil, verdict.New(verdict.NotRun, "gave up before the record was appended", ctx.Err())
+		return nil, verdict.New(verdict.NotRun, "request ended before the record was appended", ctx.Err())
 	case <-r.ended:
 		return nil, r.endedError(verdict.NotRun)
 	}
@@ -31,7 +31,7 @@
 	case o := <-p.Done():
 		return o.Result, o.Err
 	case <-ctx.Done():
-		return nil, verdict.New(p.Withdraw(), "gave up waiting", ctx.Err())
+		return nil, verdict.New(p.Withdraw(), "request ended before the record was applied", ctx.Err())
 	case <-r.ended:
 		return r.lastOutcome(p)
 	}
@@ -48,10 +48,10 @@
 }
 
 func (r *Replica) endedError(v verdict.Verdict) error {
-	return verdict.New(v, "this replica no longer takes part", r.info.Load().Err)
+	return verdict.New(v, "this replica has stopped", r.info.Load().Err)
 }
 
-// propose appends all proposals at hand as one batch, so that one sync serves them all.
+// propose appends first and all queued proposals as one batch, so that one sync covers them all.
 func (r *Replica) propose(first *proposal.Proposal) {
 	proposals := proposal.Batch(first, r.proposals)
 	if len(proposals) == 0 {
@@ -73,7 +73,7 @@
 	}
 }
 
-// failPending says of every record that is appended but not committed that it may yet be applied.
+// failPending fails the proposals whose records are appended but not committed, with verdict Unknown since they may still be applied.
 func (r *Replica) failPending(reason string) {
 	for index, p := range r.pending {
 		p.Finish(proposal.Outcome{Err: r.notLeaderError(verdict.Unknown, reason)})
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -20,7 +20,7 @@
 	"storj.io/drpc"
 )
 
-// The defaults of Options.
+// Defaults of Options.
 const (
 	DefaultTick          = 50 * time.Millisecond
 	DefaultElectionTicks = 10
@@ -30,38 +30,38 @@
 // redialTicks is how many ticks pass between attempts to connect to a peer.
 const redialTicks = 2
 
-// maxQueuedRequests bounds the proposals, and the reads, that wait in memory.
+// maxQueuedRequests is the capacity of the proposal queue and of the read queue.
 const maxQueuedRequests = 1024
 
-// Options says who the group is, where its data lies and what the log drives; Snapshot, Restore and Apply are called from one goroutine.
+// Options configures a replica: its group, its data folder and the state machine that the log drives. While the replica runs, Snapshot, Restore and Apply are called from one goroutine.
 type Options struct {
 	ID            uint64
-	Peers         map[uint64]string // drpc addresses of the replicas that the settings name, its own included if it is one of them
-	Address       string            // its own, as others reach it; needed only where Found is set
+	Peers         map[uint64]string // drpc addresses of the replicas named in the settings, its own included if it is one of them
+	Address       string            // its own, as others reach it; needed only with dynamic membership
 	Domain        string            // its own failure domain
-	Found         bool              // Peers are only where some replicas may be found: the group grows and changes by itself
-	First         bool              // with Found: no group has been formed yet
-	Losses        int               // with Found: voters that may be lost at once
+	Found         bool              // dynamic membership: Peers are only initial contacts, and the group adds, removes and replaces its members by itself
+	First         bool              // with dynamic membership: no group exists yet, so this replica may form one
+	Losses        int               // with dynamic membership: number of voters whose simultaneous loss the group must survive
 	Dir           string
 	Dial          func(ctx context.Context, address string) (net.Conn, error)
 	Tick          time.Duration
 	ElectionTicks int
-	SnapshotEvery uint64                              // records
+	SnapshotEvery uint64                              // records between snapshots
 	Seed          uint64                              // of the election timeouts, 0 for a random one
-	Boot          func() time.Duration                // clock of the leader's lease, which counts suspended time; the monotonic one when nil
-	Disk          disk.Options                        // its folder is Dir
-	Apply         func(index uint64, data []byte) any // in order, from one goroutine; nil data never reaches it
-	Snapshot      func() []byte                       // called between two Applies
+	Boot          func() time.Duration                // clock of the leader's lease that includes suspended time; the monotonic clock if nil
+	Disk          disk.Options                        // its Dir is replaced by the Dir above
+	Apply         func(index uint64, data []byte) any // called in log order; data is never empty
+	Snapshot      func() []byte                       // called between two calls of Apply
 	Restore       func([]byte) error
-	Leading       func(leading bool, term uint64) // after a change of leadership, once the new leader has applied its own first record
-	Failed        func(error)                     // the disk failed or the log's rules were broken, which ends this replica's part in the group; may be nil
+	Leading       func(leading bool, term uint64) // called when this replica gains or loses leadership; a new leader is told after it has applied the first entry of its term
+	Failed        func(error)                     // called when the replica stops because of a disk or restore failure or a violated invariant of the log; may be nil
 }
 
 // Replica is one member of the group.
 type Replica struct {
 	options     Options
 	disk        *disk.Disk
-	node        *raft.Node // used by the loop only
+	node        *raft.Node // used only by the loop
 	started     time.Time
 	startedBoot time.Duration
 	ctx         context.Context
@@ -71,7 +71,7 @@
 
 	proposals      chan *proposal.Proposal
 	reads          chan *pendingRead
-	savedSnapshots chan uint64 // indexes of snapshots on disk
+	savedSnapshots chan uint64 // indexes of snapshots written to disk
 	seeds          chan map[uint64]string
 	transfers      chan struct{}
 	peers          *peer.Connections
@@ -80,10 +80,10 @@
 	loopState
 	info       atomic.Pointer[Info]
 	applied    atomic.Uint64
-	leaseUntil atomic.Int64 // since started, nanoseconds
+	leaseUntil atomic.Int64 // nanoseconds on the clock of elapsed; 0 without a lease
 }
 
-// New opens the data folder, restores the state machine and starts taking part.
+// New opens the data folder, restores the state machine and starts the replica.
 func New(o Options) (*Replica, error) {
 	o = withDefaults(o)
 	d, loaded, err := disk.Open(o.Disk)
@@ -99,7 +99,7 @@
 			return nil, errors.Join(err, d.Close())
 		}
 	}
-	r := build(o, d, loaded)
+	r := newReplica(o, d, loaded)
 	r.start()
 	return r, nil
 }
@@ -124,7 +124,7 @@
 	return o
 }
 
-func build(options Options, d *disk.Disk, loaded *disk.Loaded) *Replica {
+func newReplica(options Options, d *disk.Disk, loaded *disk.Loaded) *Replica {
 	r := &Replica{
 		options:        options,
 		disk:           d,
@@ -144,7 +144,7 @@
 	r.applied.Store(loaded.Snapshot.GetIndex())
 	r.node = raft.New(raft.Options{
 		ID:            options.ID,
-		Peers:         ids(options.Peers),
+		Peers:         peerIDs(options.Peers),
 		Joins:         options.Found && !options.First,
 		ElectionTicks: options.ElectionTicks,
 		Rand:          rand.New(rand.NewPCG(options.Seed, options.ID)),
@@ -163,22 +163,22 @@
 		Ended:   r.ended,
 	})
 	r.applier.members = loaded.Snapshot.GetMembers()
-	r.node.SetContacts(ids(options.Peers))
+	r.node.SetContacts(peerIDs(options.Peers))
 	r.connectMembers(r.node.Members())
 	r.pending = map[uint64]*proposal.Proposal{}
 	r.failures = make(chan error)
 	r.delivered = loaded.Snapshot.GetIndex()
 	r.recovering = r.node.Recovering()
-	r.publish()
+	r.publishInfo()
 	return r
 }
 
-func ids(peers map[uint64]string) []uint64 {
-	var all []uint64
+func peerIDs(peers map[uint64]string) []uint64 {
+	var ids []uint64
 	for id := range peers {
-		all = append(all, id)
+		ids = append(ids, id)
 	}
-	return all
+	return ids
 }
 
 func (r *Replica) start() {
@@ -191,17 +191,17 @@
 	r.peers.Start(r.ctx, &r.tasks)
 }
 
-// Register serves wire.Peer, over which the other replicas send.
+// Register registers the drpc service wire.Peer, through which other replicas send messages.
 func (r *Replica) Register(mux drpc.Mux) error {
 	return r.peers.Register(mux)
 }
 
-// IsLeader says whether this replica leads and a quorum has answered within the election timeout, by the monotonic clock.
+// IsLeader reports whether this replica leads and holds the leader's lease: a quorum has answered recently enough that no other replica can have been elected.
 func (r *Replica) IsLeader() bool {
 	return r.elapsed() < time.Duration(r.leaseUntil.Load())
 }
 
-// elapsed returns the time elapsed the replica was started.
+// elapsed returns the time since the replica was created, by the lease clock.
 func (r *Replica) elapsed() time.Duration {
 	if r.options.Boot != nil {
 		return r.options.Boot() - r.startedBoot
@@ -209,7 +209,7 @@
 	return time.Since(r.started)
 }
 
-// Close ends the replica's part in the group and waits for its goroutines.
+// Close stops the replica, waits for its goroutines and closes its disk.
 func (r *Replica) Close() error {
 	r.stop()
 	r.tasks.Wait()
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -23,18 +23,18 @@
 	"storj.io/drpc/drpcserver"
 )
 
-// group is a few replicas over in-memory connections that can be cut off or go silent.
+// group is a group of replicas over in-memory connections, which can be isolated, silently dropped or slowed down.
 type group struct {
 	t              *testing.T
 	size           int
 	mu             sync.Mutex
 	members        map[string]*member
-	isolated       map[string]bool // dials fail and connections swallow all bytes
+	isolated       map[string]bool // by member name; its dials fail and its connections discard all bytes
 	conns          []*faultyConn
 	disk           disk.Options
-	bytesPerSecond int           // bytes a second of each connection, 0 for no limit
-	padding        int           // bytes added to a snapshot
-	restoreDelay   time.Duration // that the restores of members started from now on take
+	bytesPerSecond int           // of each connection, 0 for no limit
+	padding        int           // bytes appended to a snapshot by members started from now on
+	restoreDelay   time.Duration // duration of a restore in members started from now on
 }
 
 type member struct {
@@ -46,8 +46,8 @@
 	ctx             context.Context
 	kill            context.CancelFunc
 	padding         int
-	restoreDelay    time.Duration // that a restore takes
-	notifiedLeading atomic.Bool   // as told by Leading
+	restoreDelay    time.Duration // duration of a restore
+	notifiedLeading atomic.Bool   // last value given to the leadership callback
 	applied         []string
 	mu              sync.Mutex
 }
@@ -107,7 +107,7 @@
 func (m *member) restore(b []byte) error {
 	time.Sleep(m.restoreDelay)
 	if len(b) <= m.padding {
-		return errors.New("a part of a snapshot")
+		return errors.New("snapshot is truncated")
 	}
 	var count int
 	fmt.Sscanln(string(b), &count)
@@ -124,14 +124,14 @@
 	if m == nil || g.isolated[from] || g.isolated[to] {
 		return nil, errors.New("unreachable")
 	}
-	near, far := net.Pipe()
-	go m.server.ServeOne(m.ctx, far)
-	conn := &faultyConn{Conn: near, g: g, from: from, to: to}
+	clientEnd, serverEnd := net.Pipe()
+	go m.server.ServeOne(m.ctx, serverEnd)
+	conn := &faultyConn{Conn: clientEnd, g: g, from: from, to: to}
 	g.conns = append(g.conns, conn)
 	return conn, nil
 }
 
-// faultyConn swallows what is written while either end is isolated, or for good.
+// faultyConn discards writes while either end is isolated, and permanently once it is dead.
 type faultyConn struct {
 	net.Conn
 	g        *group
@@ -139,17 +139,17 @@
 	dead     bool
 }
 
-func (s *faultyConn) Write(b []byte) (int, error) {
-	s.g.mu.Lock()
-	dead, bytesPerSecond := s.dead || s.g.isolated[s.from] || s.g.isolated[s.to], s.g.bytesPerSecond
-	s.g.mu.Unlock()
+func (c *faultyConn) Write(b []byte) (int, error) {
+	c.g.mu.Lock()
+	dead, bytesPerSecond := c.dead || c.g.isolated[c.from] || c.g.isolated[c.to], c.g.bytesPerSecond
+	c.g.mu.Unlock()
 	if dead {
 		return len(b), nil
 	}
 	if bytesPerSecond > 0 {
 		time.Sleep(time.Duration(len(b)) * time.Second / time.Duration(bytesPerSecond))
 	}
-	return s.Conn.Write(b)
+	return c.Conn.Write(b)
 }
 
 func (g *group) isolate(m *member, isolated bool) {
@@ -164,7 +164,7 @@
 	return len(g.conns)
 }
 
-// dropOpenConns makes the connections that are open now, of one replica or of all, swallow all bytes for good; new ones work.
+// dropOpenConns makes the open connections dialed by one replica, or all if from is empty, discard all writes permanently. New connections work.
 func (g *group) dropOpenConns(from string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -188,11 +188,11 @@
 	}
 }
 
-// leader waits in virtual time until one of the members leads.
+// leader waits in virtual time until a member leads and confirms a read.
 func (g *group) leader(within time.Duration) *member {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		for _, m := range g.members {
-			if m.IsLeader() && m.confirms() {
+			if m.IsLeader() && m.confirmsRead() {
 				return m
 			}
 		}
@@ -201,8 +201,8 @@
 	return nil
 }
 
-// confirms says whether the member confirms a read within a second.
-func (m *member) confirms() bool {
+// confirmsRead reports whether the member confirms a read within a second.
+func (m *member) confirmsRead() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	return m.Confirm(ctx) == nil
@@ -263,13 +263,13 @@
 		term := next.Info().Term
 		g.isolate(old, false)
 		time.Sleep(time.Minute)
-		assert.Assert(t, next.IsLeader(), "the returned replica disturbed the leader")
+		assert.Assert(t, next.IsLeader(), "the leader was deposed by the replica that reconnected")
 		assert.Equal(t, next.Info().Term, term)
 		assert.Equal(t, old.Info().Leader, next.id)
 	})
 }
 
-// propose proposes count records at whoever leads.
+// propose proposes count records, each through the current leader.
 func (g *group) propose(count int) {
 	for range count {
 		_, err := g.leader(5*time.Second).Propose(context.Background(), []byte("record"))
@@ -277,7 +277,7 @@
 	}
 }
 
-// assertConverged waits until all members have applied count records, none is recovering, and just the leader was told to lead.
+// assertConverged waits five seconds and then asserts that all members have applied count records, none is recovering, and only the leader was notified that it leads.
 func (g *group) assertConverged(count int) {
 	g.t.Helper()
 	time.Sleep(5 * time.Second)
@@ -318,7 +318,7 @@
 		time.Sleep(time.Minute)
 		assert.Assert(t, wiped.Info().Recovering)
 		for _, m := range g.members {
-			assert.Equal(t, m.Info().Leader, uint64(0), "a leader without two memories")
+			assert.Equal(t, m.Info().Leader, uint64(0), "a leader was elected with only one intact log left")
 		}
 	})
 }
@@ -327,15 +327,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 3)
 		defer g.close()
-		behind := g.members[address(1)]
+		lagging := g.members[address(1)]
 		g.leader(5 * time.Second)
-		g.stop(behind)
+		g.stop(lagging)
 		g.propose(450)
-		again := g.start(1, behind.dir)
+		restarted := g.start(1, lagging.dir)
 		g.assertConverged(450)
-		again.mu.Lock()
-		defer again.mu.Unlock()
-		assert.Equal(t, again.applied[0], "", "records before the snapshot came one by one")
+		restarted.mu.Lock()
+		defer restarted.mu.Unlock()
+		assert.Equal(t, restarted.applied[0], "", "the follower applied records that the snapshot covers")
 	})
 }
 
@@ -350,17 +350,17 @@
 			g.start(id, m.dir)
 		}
 		g.leader(5 * time.Second)
-		behind := g.members[address(1)]
-		g.stop(behind)
+		lagging := g.members[address(1)]
+		g.stop(lagging)
 		g.propose(250)
 		g.mu.Lock()
 		g.bytesPerSecond = 512 << 10
 		g.mu.Unlock()
-		g.start(1, behind.dir)
-		time.Sleep(1600 * time.Millisecond) // with settled's wait, enough for one try of six seconds
+		g.start(1, lagging.dir)
+		time.Sleep(1600 * time.Millisecond) // with the 5 s of assertConverged, long enough for one transfer of the snapshot, which takes about 6 s
 		dials := g.dials()
 		g.assertConverged(250)
-		assert.Equal(t, g.dials(), dials, "connections that worked were replaced")
+		assert.Equal(t, g.dials(), dials, "working connections were replaced")
 	})
 }
 
@@ -379,7 +379,7 @@
 			g.dropOpenConns(follower.name)
 			time.Sleep(10 * time.Second)
 			for _, peer := range g.leader(5 * time.Second).Info().Peers {
-				assert.Assert(t, peer.Active, "answers of %s are lost for good", peer.Address)
+				assert.Assert(t, peer.Active, "the leader still receives no answers from %s 10 s after its connections were dropped", peer.Address)
 			}
 		}
 	})
@@ -389,7 +389,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 3)
 		defer g.close()
-		var frozen atomic.Int64 // replica whose disk does not answer
+		var frozen atomic.Int64 // id of the replica whose syncs hang, 0 for none
 		system := disk.System()
 		for id := uint64(1); id <= 3; id++ {
 			g.disk.Operations = system
@@ -423,7 +423,7 @@
 		var unknown *verdict.Error
 		assert.Assert(t, errors.As(<-stuck, &unknown))
 		assert.Equal(t, unknown.Verdict, verdict.Unknown)
-		g.assertConverged(3) // the stuck proposal had left for the others before the freeze
+		g.assertConverged(3) // the stuck proposal was sent to the other replicas before the leader's sync hung
 		assert.Equal(t, old.Info().Leader, g.leader(5*time.Second).id)
 	})
 }
@@ -444,16 +444,16 @@
 			}
 			return system.Sync(f)
 		}
-		sick := g.start(old.id, old.dir)
+		failed := g.start(old.id, old.dir)
 		g.assertConverged(1)
 		failing.Store(true)
 		g.propose(1)
 		time.Sleep(time.Second)
 		failing.Store(false)
 		time.Sleep(10 * time.Second)
-		assert.ErrorContains(t, sick.Info().Err, "sync failed")
-		assert.Equal(t, sick.count(), 1, "it went on after a failed sync")
-		_, err := sick.Propose(t.Context(), []byte("x"))
+		assert.ErrorContains(t, failed.Info().Err, "sync failed")
+		assert.Equal(t, failed.count(), 1, "the replica continued after a failed sync")
+		_, err := failed.Propose(t.Context(), []byte("x"))
 		assert.Equal(t, verdict.Of(err), verdict.NotRun)
 	})
 }
@@ -462,32 +462,32 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 3)
 		defer g.close()
-		behind := g.members[address(1)]
+		lagging := g.members[address(1)]
 		g.leader(5 * time.Second)
-		g.stop(behind)
+		g.stop(lagging)
 		g.propose(450)
-		g.padding = 1 << 20 // more than the others' snapshots hold
-		sick := g.start(1, behind.dir)
+		g.padding = 1 << 20 // more than the other members' snapshots hold, so the restore fails
+		failed := g.start(1, lagging.dir)
 		time.Sleep(5 * time.Second)
-		assert.ErrorContains(t, sick.Info().Err, "a part of a snapshot")
-		assert.Equal(t, sick.count(), 0)
+		assert.ErrorContains(t, failed.Info().Err, "snapshot is truncated")
+		assert.Equal(t, failed.count(), 0)
 	})
 }
 
-// TestNothingIsAppliedAfterAFailedRestore: records that were handed over while the restore went on come too late.
+// TestNothingIsAppliedAfterAFailedRestore queues records for the applier while a restore runs that then fails. They must not be applied, since there is no state to apply them to.
 func TestNothingIsAppliedAfterAFailedRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 3)
 		defer g.close()
-		behind := g.members[address(1)]
+		lagging := g.members[address(1)]
 		g.leader(5 * time.Second)
-		g.stop(behind)
+		g.stop(lagging)
 		g.propose(450)
 		g.padding, g.restoreDelay = 1<<20, time.Second
-		sick := g.start(1, behind.dir)
+		failed := g.start(1, lagging.dir)
 		time.Sleep(5 * time.Second)
-		assert.ErrorContains(t, sick.Info().Err, "a part of a snapshot")
-		assert.Equal(t, sick.count(), 0)
+		assert.ErrorContains(t, failed.Info().Err, "snapshot is truncated")
+		assert.Equal(t, failed.count(), 0)
 	})
 }
 
@@ -503,8 +503,8 @@
 		defer client.Close()
 		stream, err := wire.NewDRPCPeerClient(client).Send(t.Context())
 		assert.NilError(t, err)
-		second := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_HEARTBEAT, From: from, To: old.id, Term: old.Info().Term}
-		assert.NilError(t, stream.Send(second))
+		heartbeat := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_HEARTBEAT, From: from, To: old.id, Term: old.Info().Term}
+		assert.NilError(t, stream.Send(heartbeat))
 		time.Sleep(time.Second)
 		next := g.leader(5 * time.Second)
 		assert.Assert(t, next != old)
