Reword packages leader, peer, membership and entries in the terms of the field

Readers stumbled over comments such as "surely were not taken in", "speaks to no one" and "a member without a vote that is no more", and over the message "is not of this group". They now speak of retries, I/O, non-voting members, stalled connections and acknowledged heartbeats. The errors for a message from an unknown sender and for a misdirected message name both possible causes. Renamed: locals cut, near, far, spare, gone, spoil and take; in the tests pool, accepted, silent and redirect say what they do.

--- a/entries/doc.go
+++ b/entries/doc.go
@@ -1,2 +1,2 @@
-// Package entries holds the entries of one replica's log in memory, with how far they are committed and synced; it speaks to no one: package raft decides what goes in and what may go.
+// Package entries holds the entries of one replica's log in memory and tracks up to which index they are committed and synced. It has no I/O; package raft decides which entries are added and removed.
 package entries
--- a/entries/log.go
+++ b/entries/log.go
@@ -2,21 +2,21 @@
 
 import "daisyswitch/wire"
 
-// Log holds the entries after its offset; what lies at or before it is in a snapshot.
+// Log holds the entries after Offset. Entries up to Offset are covered by a snapshot.
 type Log struct {
-	Offset     uint64 // last index that only a snapshot covers
+	Offset     uint64 // last index covered only by a snapshot
 	offsetTerm uint64
 	entries    []*wire.Entry // entries[0] has index offset+1
 	Commit     uint64        // last index known to be committed
-	Synced     uint64        // last index that is on disk
+	Synced     uint64        // last index synced to disk
 }
 
-// Last returns the index of the last entry, that of the snapshot if there is none.
+// Last returns the index of the last entry, or that of the snapshot if there are no entries.
 func (l *Log) Last() uint64 {
 	return l.Offset + uint64(len(l.entries))
 }
 
-// Term returns the term of the entry at index; ok is false outside of the log.
+// Term returns the term of the entry at index. ok is false if the index is before Offset or after the last entry.
 func (l *Log) Term(index uint64) (term uint64, ok bool) {
 	if index == l.Offset {
 		return l.offsetTerm, true
@@ -27,13 +27,13 @@
 	return l.entries[index-l.Offset-1].GetTerm(), true
 }
 
-// LastTerm returns the term of the last entry, which decides with its index who may lead.
+// LastTerm returns the term of the last entry. Together with its index it decides which replica may become leader.
 func (l *Log) LastTerm() uint64 {
 	term, _ := l.Term(l.Last())
 	return term
 }
 
-// UpToDate says whether a log that ends with the given entry holds at least what this one holds.
+// UpToDate reports whether a log whose last entry has the given index and term is at least as up to date as this one.
 func (l *Log) UpToDate(index, term uint64) bool {
 	if term != l.LastTerm() {
 		return term > l.LastTerm()
@@ -41,7 +41,7 @@
 	return index >= l.Last()
 }
 
-// Slice returns the entries from first up to last, both included.
+// Slice returns the entries from first to last, inclusive.
 func (l *Log) Slice(first, last uint64) []*wire.Entry {
 	if first > last {
 		return nil
@@ -54,7 +54,7 @@
 	l.entries = append(l.entries, entries...)
 }
 
-// Merge takes over the entries after a matching previous one and removes what conflicts with them; it returns the index of the first that is new, 0 if none is.
+// Merge adds the entries that follow a matching previous entry, after removing those that conflict with them. It returns the index of the first new entry, 0 if there is none.
 func (l *Log) Merge(entries []*wire.Entry) uint64 {
 	for i, e := range entries {
 		if e.GetIndex() <= l.Offset {
@@ -73,7 +73,7 @@
 	return 0
 }
 
-// truncate removes the entries from index on.
+// truncate removes the entry at index and all later ones.
 func (l *Log) truncate(index uint64) {
 	if index <= l.Commit {
 		panic("entries: a committed entry conflicts with the leader's")
@@ -82,7 +82,7 @@
 	l.Synced = min(l.Synced, index-1)
 }
 
-// Conflict returns the last index before the run of the term that stands at index.
+// Conflict returns the last index before index whose entry has another term, but does not search below Commit.
 func (l *Log) Conflict(index uint64) uint64 {
 	term, _ := l.Term(index)
 	for index > l.Commit {
@@ -94,7 +94,7 @@
 	return index
 }
 
-// Compact forgets the entries up to index.
+// Compact removes the entries up to index, which must be committed; otherwise it does nothing.
 func (l *Log) Compact(index uint64) {
 	if index <= l.Offset || index > l.Commit {
 		return
@@ -104,7 +104,7 @@
 	l.Offset, l.offsetTerm = index, term
 }
 
-// Reset replaces the whole log by a snapshot.
+// Reset replaces the whole log by a snapshot at the given index and term.
 func (l *Log) Reset(index, term uint64) {
 	*l = Log{Offset: index, offsetTerm: term, Commit: index, Synced: index}
 }
--- a/leader/doc.go
+++ b/leader/doc.go
@@ -1,2 +1,2 @@
-// Package leader calls the leader of the control replicas, wherever it is.
+// Package leader finds the leader among the control replicas and calls it, following redirects.
 package leader
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -13,30 +13,30 @@
 )
 
 const (
-	attemptTimeout = time.Second           // longest wait for one replica's answer
-	retryPause     = 50 * time.Millisecond // between attempts while no leader is known
+	attemptTimeout = time.Second           // time-out of a call to one replica
+	retryPause     = 50 * time.Millisecond // between attempts
 )
 
-// Leader finds the leader among the control replicas and calls it.
+// Leader is a client of the leader among the control replicas.
 type Leader struct {
 	pool      *inner.Pool
 	addresses []string
 
 	mu      sync.Mutex
-	current int    // index into addresses, the replica to try next
-	hint    string // address that a replica named as the leader's
+	current int    // index into addresses of the replica to call while there is no hint
+	hint    string // leader's address from the last redirect, empty if unknown
 }
 
-// New returns a caller of the leader among the replicas at addresses.
+// New returns a client for the leader among the replicas at addresses.
 func New(pool *inner.Pool, addresses []string) *Leader {
 	return &Leader{pool: pool, addresses: addresses}
 }
 
-// Propose has a command committed; it is tried again within ctx, so the command must carry what makes a resend harmless.
-func (l *Leader) Propose(ctx context.Context, c *wire.Command) (*wire.CommandResult, error) {
+// Propose proposes a command and returns its result. It retries until ctx ends, so the command must carry what makes a resend idempotent.
+func (l *Leader) Propose(ctx context.Context, command *wire.Command) (*wire.CommandResult, error) {
 	var result *wire.CommandResult
 	err := l.retry(ctx, func(ctx context.Context, conn *drpcconn.Conn) (*wire.Failure, error) {
-		reply, err := wire.NewDRPCControlClient(conn).Propose(ctx, &wire.ProposeRequest{Command: c})
+		reply, err := wire.NewDRPCControlClient(conn).Propose(ctx, &wire.ProposeRequest{Command: command})
 		if err != nil {
 			return nil, err
 		}
@@ -46,7 +46,7 @@
 	return result, err
 }
 
-// Read reads what the leader holds, confirmed by its quorum.
+// Read reads the leader's state after a quorum has confirmed that it still leads.
 func (l *Leader) Read(ctx context.Context, request *wire.ReadRequest) (*wire.ReadReply, error) {
 	var reply *wire.ReadReply
 	err := l.retry(ctx, func(ctx context.Context, conn *drpcconn.Conn) (*wire.Failure, error) {
@@ -57,16 +57,16 @@
 	return reply, err
 }
 
-// Report hands workers' reports to the leader and tries again only where they surely were not taken in.
+// Report sends workers' reports to the leader. It retries only if the reports are known not to have been processed.
 func (l *Leader) Report(ctx context.Context, batch *wire.ReportBatch) (*wire.ReportBatchReply, error) {
 	var reply *wire.ReportBatchReply
-	take := func(ctx context.Context, conn *drpcconn.Conn) (*wire.Failure, error) {
+	send := func(ctx context.Context, conn *drpcconn.Conn) (*wire.Failure, error) {
 		var err error
 		reply, err = wire.NewDRPCControlClient(conn).Report(ctx, batch)
 		return reply.GetFailure(), err
 	}
 	for {
-		err := l.callLeader(ctx, take)
+		err := l.callLeader(ctx, send)
 		if err == nil {
 			return reply, nil
 		}
@@ -78,11 +78,11 @@
 
 type controlCall func(context.Context, *drpcconn.Conn) (*wire.Failure, error)
 
-// retry repeats call until it is answered or ctx ends; once an attempt may have run, the failure never says NotRun.
-func (l *Leader) retry(ctx context.Context, c controlCall) error {
+// retry repeats call until it succeeds or ctx ends. Once an attempt may have run, the returned error never has verdict NotRun.
+func (l *Leader) retry(ctx context.Context, call controlCall) error {
 	unknown := false
 	for {
-		err := l.callLeader(ctx, c)
+		err := l.callLeader(ctx, call)
 		if err == nil {
 			return nil
 		}
@@ -97,20 +97,20 @@
 
 func finalError(err error, unknown bool) error {
 	if unknown {
-		return verdict.New(verdict.Unknown, "control gave no answer in time", err)
+		return verdict.New(verdict.Unknown, "control did not answer in time", err)
 	}
 	return verdict.New(verdict.NotRun, "control cannot be reached", err)
 }
 
-// callLeader calls the supposed leader and learns from a redirect.
-func (l *Leader) callLeader(ctx context.Context, c controlCall) error {
+// callLeader calls the presumed leader once and updates the address for the next call from a redirect or failure.
+func (l *Leader) callLeader(ctx context.Context, call controlCall) error {
 	address := l.address()
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	var failure *wire.Failure
 	err := l.pool.Do(ctx, address, func(conn *drpcconn.Conn) error {
 		var err error
-		failure, err = c(ctx, conn)
+		failure, err = call(ctx, conn)
 		return err
 	})
 	if err != nil {
@@ -133,7 +133,7 @@
 	return l.addresses[l.current]
 }
 
-// advance moves on from an address that did not answer as the leader.
+// advance selects the next address to call after the one at from did not answer as the leader. A hint that names another address takes precedence.
 func (l *Leader) advance(from, hint string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -18,10 +18,10 @@
 	"storj.io/drpc/drpcserver"
 )
 
-// fakeControl answers proposals by a function and counts them.
+// fakeControl is a control replica that counts proposals and answers them with a function, which receives the count.
 type fakeControl struct {
 	wire.DRPCControlUnimplementedServer
-	answer func(ctx context.Context, n int) (*wire.ProposeReply, error)
+	answer func(ctx context.Context, attempt int) (*wire.ProposeReply, error)
 	calls  int
 }
 
@@ -30,40 +30,40 @@
 	return f.answer(ctx, f.calls)
 }
 
-func pool(t *testing.T, controls map[string]*fakeControl) *inner.Pool {
+func newPool(t *testing.T, controls map[string]*fakeControl) *inner.Pool {
 	dial := func(_ context.Context, address string) (net.Conn, error) {
-		c := controls[address]
-		if c == nil {
+		control := controls[address]
+		if control == nil {
 			return nil, errors.New("refused")
 		}
 		mux := drpcmux.New()
-		if err := wire.DRPCRegisterControl(mux, c); err != nil {
+		if err := wire.DRPCRegisterControl(mux, control); err != nil {
 			return nil, err
 		}
-		near, far := net.Pipe()
-		go func() { _ = drpcserver.New(mux).ServeOne(t.Context(), far) }()
-		return near, nil
+		clientEnd, serverEnd := net.Pipe()
+		go func() { _ = drpcserver.New(mux).ServeOne(t.Context(), serverEnd) }()
+		return clientEnd, nil
 	}
 	return inner.New(inner.Options{Dial: dial})
 }
 
-func accepted(context.Context, int) (*wire.ProposeReply, error) {
+func acceptAlways(context.Context, int) (*wire.ProposeReply, error) {
 	return &wire.ProposeReply{Result: &wire.CommandResult{Change: &wire.ChangeResult{Version: 9}}}, nil
 }
 
-func redirect(to string) func(context.Context, int) (*wire.ProposeReply, error) {
+func redirectTo(to string) func(context.Context, int) (*wire.ProposeReply, error) {
 	return func(context.Context, int) (*wire.ProposeReply, error) {
 		return &wire.ProposeReply{Failure: &wire.Failure{Verdict: wire.Verdict_VERDICT_NOT_RUN, Leader: to}}, nil
 	}
 }
 
-func silent(ctx context.Context, _ int) (*wire.ProposeReply, error) {
+func neverAnswer(ctx context.Context, _ int) (*wire.ProposeReply, error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
 
 func propose(t *testing.T, controls map[string]*fakeControl, addresses ...string) (*wire.CommandResult, error) {
-	p := pool(t, controls)
+	p := newPool(t, controls)
 	defer p.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -72,7 +72,7 @@
 
 func TestRedirectIsFollowed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		controls := map[string]*fakeControl{"a": {answer: redirect("c")}, "c": {answer: accepted}}
+		controls := map[string]*fakeControl{"a": {answer: redirectTo("c")}, "c": {answer: acceptAlways}}
 		result, err := propose(t, controls, "a", "b", "c")
 		assert.NilError(t, err)
 		assert.Equal(t, result.Change.Version, uint64(9))
@@ -82,7 +82,7 @@
 
 func TestSilentLeaderIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		controls := map[string]*fakeControl{"a": {answer: silent}, "b": {answer: accepted}}
+		controls := map[string]*fakeControl{"a": {answer: neverAnswer}, "b": {answer: acceptAlways}}
 		start := time.Now()
 		_, err := propose(t, controls, "a", "b")
 		assert.NilError(t, err)
@@ -90,16 +90,16 @@
 	})
 }
 
-// TestVerdictRemembersAnUnknownAttempt has one attempt lost on its way back and all later ones refused.
+// TestVerdictRemembersAnUnknownAttempt loses the answer of the first attempt and refuses all later ones. The verdict must stay Unknown, since the first attempt may have run.
 func TestVerdictRemembersAnUnknownAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		lostOnce := func(_ context.Context, n int) (*wire.ProposeReply, error) {
-			if n == 1 {
+		loseFirst := func(_ context.Context, attempt int) (*wire.ProposeReply, error) {
+			if attempt == 1 {
 				return nil, errors.New("lost")
 			}
-			return redirect("")(nil, n)
+			return redirectTo("")(nil, attempt)
 		}
-		_, err := propose(t, map[string]*fakeControl{"a": {answer: lostOnce}}, "a")
+		_, err := propose(t, map[string]*fakeControl{"a": {answer: loseFirst}}, "a")
 		assert.Equal(t, verdict.Of(err), verdict.Unknown)
 	})
 }
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -1,2 +1,2 @@
-// Package membership decides who belongs to a group of replicas and who votes in it, one change at a time: pure decisions, which package replica has committed.
+// Package membership decides which replicas belong to a group and which of them vote, one change at a time. It has no I/O; package replica proposes the changes.
 package membership
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -7,26 +7,26 @@
 	"daisyswitch/wire"
 )
 
-// When a member counts as lost.
+// Thresholds for replacing, removing and promoting members.
 const (
-	lostVoterTimeout = 1500 * time.Millisecond // a voter that is silent for so long is replaced: three election timeouts, and well within the time that a successor has to catch up
-	removalTimeout   = 30 * time.Second        // a member without a vote that is silent for so long is removed; a restart takes a few seconds
-	maxSuccessorLag  = 256                     // log records that a replica may lack and still count as holding everything: they arrive within one round trip
+	lostVoterTimeout = 1500 * time.Millisecond // a voter that is silent for longer is replaced: three election timeouts, and well within the time that a successor has to catch up
+	removalTimeout   = 30 * time.Second        // a non-voting member that is silent for longer is removed; a restart takes a few seconds
+	maxSuccessorLag  = 256                     // log records by which a replica may lag and still count as up to date: they arrive within one round trip
 )
 
-// View is what a leader knows of its group.
+// View is a leader's view of its group.
 type View struct {
 	Self     uint64
 	Members  *wire.Members
 	Others   []raft.Standing
 	Joining  []*wire.Member
 	Last     uint64        // last index of the log
-	Tick     time.Duration // unit of silence
-	Losses   int           // voters that may be lost at once
-	Replaces bool          // whether voters may be chosen at all; false where settings name the group
+	Tick     time.Duration // unit in which the silence of members is counted
+	Losses   int           // number of voters whose simultaneous loss the group must survive
+	Replaces bool          // whether membership may change; false where the settings list the members
 }
 
-// Next returns the group that ought to follow the present one, nil if it may stay; it differs in one replica only.
+// Next returns the next membership, which differs from the current one in a single replica, or nil if no change is due.
 func Next(v *View) *wire.Members {
 	if !v.Replaces {
 		return nil
@@ -41,16 +41,16 @@
 	case voters > wanted && lost != nil:
 		return withVote(v.Members, lost.GetId(), false)
 	case voters > wanted:
-		if spare := v.surplusVoter(); spare != nil {
-			return withVote(v.Members, spare.GetId(), false)
+		if surplus := v.surplusVoter(); surplus != nil {
+			return withVote(v.Members, surplus.GetId(), false)
 		}
 	case voters < wanted || lost != nil:
 		if successor := v.successor(); successor != nil {
 			return withVote(v.Members, successor.GetId(), true)
 		}
 	}
-	if gone := v.silentNonVoter(); gone != nil {
-		return withoutMember(v.Members, gone.GetId())
+	if silent := v.silentNonVoter(); silent != nil {
+		return withoutMember(v.Members, silent.GetId())
 	}
 	return nil
 }
@@ -69,7 +69,7 @@
 	return time.Duration(s.Silent) * v.Tick
 }
 
-// lostVoter returns the voter that has been silent longest, nil if none counts as lost.
+// lostVoter returns the voter that has been silent longest, or nil if none has exceeded lostVoterTimeout.
 func (v *View) lostVoter() *raft.Standing {
 	var lost *raft.Standing
 	for i := range v.Others {
@@ -81,20 +81,20 @@
 	return lost
 }
 
-// surplusVoter returns the voter to give up when all answer: one whose failure domain has most voters.
+// surplusVoter returns the voter to demote when all voters answer: one from the failure domain with the most voters.
 func (v *View) surplusVoter() *raft.Standing {
 	domains := v.voterDomains()
-	var spare *raft.Standing
+	var surplus *raft.Standing
 	for i := range v.Others {
 		s := &v.Others[i]
-		if s.GetVotes() && (spare == nil || domains[s.GetDomain()] > domains[spare.GetDomain()]) {
-			spare = s
+		if s.GetVotes() && (surplus == nil || domains[s.GetDomain()] > domains[surplus.GetDomain()]) {
+			surplus = s
 		}
 	}
-	return spare
+	return surplus
 }
 
-// successor returns the replica without a vote that holds everything and whose failure domain has fewest voters, nil if there is none.
+// successor returns the non-voting member to promote: one that is up to date, from the failure domain with the fewest voters. It returns nil if there is none.
 func (v *View) successor() *raft.Standing {
 	domains := v.voterDomains()
 	var best *raft.Standing
@@ -110,7 +110,7 @@
 	return best
 }
 
-// voterDomains counts the voters that answer, by failure domain.
+// voterDomains counts the voters that are not lost, by failure domain.
 func (v *View) voterDomains() map[string]int {
 	domains := map[string]int{}
 	for i := range v.Others {
@@ -126,7 +126,7 @@
 	return domains
 }
 
-// silentNonVoter returns a member without a vote that is no more.
+// silentNonVoter returns a non-voting member that has been silent longer than removalTimeout, or nil if there is none.
 func (v *View) silentNonVoter() *raft.Standing {
 	for i := range v.Others {
 		s := &v.Others[i]
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -13,7 +13,7 @@
 
 const tick = 50 * time.Millisecond
 
-// newView is a newView of three voters in three failure domains whose leader is 1, and one replica without a vote.
+// newView returns a view of three voters in three failure domains, led by replica 1, and one non-voting member.
 func newView(losses int) *membership.View {
 	members := &wire.Members{Members: []*wire.Member{
 		{Id: 1, Votes: true, Domain: "a"}, {Id: 2, Votes: true, Domain: "b"}, {Id: 3, Votes: true, Domain: "c"}, {Id: 4, Domain: "c"},
@@ -68,7 +68,7 @@
 }
 
 func TestVoterIsNotReplacedByOneThatHoldsLess(t *testing.T) {
-	for name, spoil := range map[string]func(*raft.Standing){
+	for name, disqualify := range map[string]func(*raft.Standing){
 		"behind":    func(s *raft.Standing) { s.Match = 100 },
 		"repairing": func(s *raft.Standing) { s.Repairs = true },
 		"silent":    func(s *raft.Standing) { s.Silent = int(time.Second / tick) },
@@ -76,7 +76,7 @@
 		t.Run(name, func(t *testing.T) {
 			v := newView(1)
 			setSilence(v, 3, 2*time.Second)
-			spoil(&v.Others[2])
+			disqualify(&v.Others[2])
 			assert.Assert(t, membership.Next(v) == nil)
 		})
 	}
--- a/peer/connections.go
+++ b/peer/connections.go
@@ -12,31 +12,31 @@
 
 const inboxCapacity = 1024
 
-// Options says which replica is to be connected to which others, and when a connection counts as silent.
+// Options configures the connections of one replica.
 type Options struct {
 	ID      uint64
-	Peers   map[uint64]string // drpc addresses of the replicas known at first, its own included
-	Address string            // its own, told to others
-	Domain  string            // its own failure domain, told to others
+	Peers   map[uint64]string // drpc addresses of the initially known replicas, its own included
+	Address string            // its own, sent with each message
+	Domain  string            // its own failure domain, sent with each message
 	Dial    func(ctx context.Context, address string) (net.Conn, error)
 	Redial  time.Duration   // between attempts to connect
-	Silence time.Duration   // how long a peer may leave messages unanswered before its connection is replaced
-	Ended   <-chan struct{} // closed when nobody takes in messages any more
+	Silence time.Duration   // how long messages to a peer may stay unanswered before its connection is replaced; also the dial time-out
+	Ended   <-chan struct{} // closed when messages from Inbox are no longer received
 }
 
-// Connections are the connections of one replica to all others that it knows.
+// Connections holds the connections of one replica to all other replicas that it knows.
 type Connections struct {
 	options Options
 	started time.Time
 	inbox   chan *wire.Message
 
-	mu    sync.Mutex // guards what follows
+	mu    sync.Mutex // guards the fields below
 	peers map[uint64]*peer
 	ctx   context.Context // nil until Start
 	tasks *group.Group
 }
 
-// New returns connections that are opened by Start.
+// New returns Connections that open when Start is called.
 func New(options Options) *Connections {
 	c := &Connections{options: options, started: time.Now(), peers: map[uint64]*peer{}, inbox: make(chan *wire.Message, inboxCapacity)}
 	for id, address := range options.Peers {
@@ -45,7 +45,7 @@
 	return c
 }
 
-// Start keeps connections open to all peers until ctx ends; tasks waits for them.
+// Start keeps connections open to all peers until ctx ends. Their goroutines run in tasks.
 func (c *Connections) Start(ctx context.Context, tasks *group.Group) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,7 +55,7 @@
 	}
 }
 
-// Know adds a peer at an address, and keeps a connection to it from now on.
+// Know adds a peer and, after Start, keeps a connection to it. It ignores this replica's own id, an empty address and peers that are known already.
 func (c *Connections) Know(id uint64, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -70,7 +70,7 @@
 	}
 }
 
-// Address returns the drpc address of a replica, its own included, empty if unknown.
+// Address returns the drpc address of a replica, including this one, or the empty string if it is unknown.
 func (c *Connections) Address(id uint64) string {
 	if id == c.options.ID && c.options.Address != "" {
 		return c.options.Address
@@ -87,10 +87,10 @@
 	return c.peers[id]
 }
 
-// Inbox returns what arrives: whole messages from peers of the group, each of which must be given to Receive.
+// Inbox returns the channel of received messages, with snapshots reassembled. Each message must be passed to Receive.
 func (c *Connections) Inbox() <-chan *wire.Message { return c.inbox }
 
-// Send queues a message for its peer and drops it if the peer cannot keep up; the log's own repair makes up for it.
+// Send queues a message for its peer. It drops the message if the queue is full; Raft's retransmission makes up for the loss.
 func (c *Connections) Send(m *wire.Message) {
 	p := c.peer(m.GetTo())
 	if p == nil {
@@ -103,7 +103,7 @@
 	}
 }
 
-// Receive replaces the connection to a leader whose heartbeat says that it no longer hears this replica's answers.
+// Receive replaces the connection to a leader whose heartbeats show that it no longer receives this replica's answers.
 func (c *Connections) Receive(m *wire.Message) {
 	if m.GetKind() == wire.MessageKind_MESSAGE_KIND_HEARTBEAT && m.GetRound() > 0 {
 		if p := c.peer(m.GetFrom()); p != nil {
@@ -112,7 +112,7 @@
 	}
 }
 
-// Watch replaces connections that have gone silent; it belongs into each tick.
+// Watch replaces connections whose messages have stayed unanswered too long. It must be called on each tick.
 func (c *Connections) Watch() {
 	now := c.since()
 	c.mu.Lock()
@@ -125,7 +125,7 @@
 	}
 }
 
-// since returns the time elapsed the connections were made, by the monotonic clock.
+// since returns the time since c was created, by the monotonic clock.
 func (c *Connections) since() time.Duration {
 	return time.Since(c.started)
 }
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -1,2 +1,2 @@
-// Package peer holds a replica's connections to the other replicas of its group: a queue and one drpc connection at a time to each, replaced when it goes silent, and the streams that they send on. It speaks drpc to the same package in the other replicas; package replica says what to send and takes in what arrives.
+// Package peer manages a replica's connections to the other replicas of its group. For each it has a send queue, one outgoing drpc connection, which is replaced when it stalls, and the incoming stream. Both ends of a connection use this package; package replica decides what to send and processes received messages.
 package peer
--- a/peer/parts.go
+++ b/peer/parts.go
@@ -2,9 +2,9 @@
 
 import "daisyswitch/wire"
 
-const snapshotPartBytes = 128 << 10 // of a snapshot, one message each
+const snapshotPartBytes = 128 << 10 // maximum snapshot bytes per message
 
-// sendSnapshotParts sends a snapshot in messages that fit the transport; the peer cannot answer before the last one, so each that gets through shows that the connection works.
+// sendSnapshotParts sends a snapshot in messages that fit the transport. The peer cannot answer before the last part, so each part sent successfully counts as a sign that the connection works.
 func (p *peer) sendSnapshotParts(stream wire.DRPCPeer_SendClient, m *wire.Message) error {
 	total := len(m.GetSnapshot())
 	for offset := 0; offset < total; offset += snapshotPartBytes {
@@ -22,12 +22,12 @@
 	return nil
 }
 
-// snapshotAssembly joins the parts of a snapshot, whole or not at all.
+// snapshotAssembly reassembles a snapshot from its parts and yields it only if none is missing.
 type snapshotAssembly struct {
 	data []byte
 }
 
-// addPart returns a whole message, nil while parts are missing.
+// addPart returns the message with the complete snapshot once all parts have arrived, nil before that. It returns a message that is not a snapshot part unchanged.
 func (a *snapshotAssembly) addPart(m *wire.Message) *wire.Message {
 	if m.GetTotal() == 0 {
 		return m
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -13,31 +13,31 @@
 	"storj.io/drpc/drpcconn"
 )
 
-const maxQueuedMessages = 1024 // per peer; more are dropped
+const maxQueuedMessages = 1024 // per peer; further messages are dropped
 
-// peer sends to one other replica, in order, over one connection at a time.
+// peer sends messages to one other replica, in order, over one connection at a time.
 type peer struct {
 	connections *Connections
 	id          uint64
 	address     string
 	queue       chan *wire.Message
 
-	unansweredSince atomic.Int64 // when the first message that asks for an answer was sent since the peer was last heard, 0 if none was; since the connections were made, nanoseconds
+	unansweredSince atomic.Int64 // when the first message that expects an answer was sent after the peer's last message, in nanoseconds as returned by Connections.since; 0 if there is none
 
-	ackedTerm  uint64 // what the peer, as leader, last said to have heard of this replica
+	ackedTerm  uint64 // term and round of the last heartbeat answer that the peer, as leader, has acknowledged
 	ackedRound uint64
 	ackedAt    time.Duration
 
 	mu         sync.Mutex
-	disconnect context.CancelFunc // ends the connection in use, nil if there is none
-	inbound    drpc.Stream        // stream that the peer sends on
+	disconnect context.CancelFunc // closes the open connection, nil if there is none
+	inbound    drpc.Stream        // stream on which the peer sends
 }
 
 func newPeer(connections *Connections, id uint64, address string) *peer {
 	return &peer{connections: connections, id: id, address: address, queue: make(chan *wire.Message, maxQueuedMessages)}
 }
 
-// reconnectIfNotAcked replaces the connection if the leader says that it has not heard the answers sent over it.
+// reconnectIfNotAcked replaces the connection if the leader has acknowledged no new heartbeat answer of this replica for longer than Silence.
 func (p *peer) reconnectIfNotAcked(m *wire.Message, now time.Duration) {
 	if p.ackedTerm != m.GetTerm() || p.ackedRound != m.GetHint() {
 		p.ackedTerm, p.ackedRound, p.ackedAt = m.GetTerm(), m.GetHint(), now
@@ -58,7 +58,7 @@
 	}
 }
 
-// clearUnanswered notes that the peer's process answers.
+// clearUnanswered records that a message from the peer has arrived.
 func (p *peer) clearUnanswered() {
 	p.unansweredSince.Store(0)
 }
@@ -73,11 +73,11 @@
 	}
 }
 
-// connect sends over one connection until it fails.
+// connect opens one connection and sends queued messages over it until it fails.
 func (p *peer) connect(ctx context.Context) {
-	ctx, cut := context.WithCancel(ctx)
-	defer cut()
-	p.setDisconnect(cut)
+	ctx, disconnect := context.WithCancel(ctx)
+	defer disconnect()
+	p.setDisconnect(disconnect)
 	defer p.setDisconnect(nil)
 	dialCtx, cancel := context.WithTimeout(ctx, p.connections.options.Silence)
 	defer cancel()
@@ -118,7 +118,7 @@
 	p.disconnect = disconnect
 }
 
-// dropQueue drops what was meant for an earlier connection.
+// dropQueue drops messages that were queued for an earlier connection.
 func (p *peer) dropQueue() {
 	for {
 		select {
@@ -139,7 +139,7 @@
 	return p.sendSnapshotParts(stream, m)
 }
 
-// expectsAnswer says whether a message is answered by a peer that takes part.
+// expectsAnswer reports whether a running peer answers the message.
 func expectsAnswer(m *wire.Message) bool {
 	switch m.GetKind() {
 	case wire.MessageKind_MESSAGE_KIND_PRE_VOTE, wire.MessageKind_MESSAGE_KIND_VOTE,
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -9,7 +9,7 @@
 	"storj.io/drpc"
 )
 
-// Register serves wire.Peer, over which the other replicas send.
+// Register registers the drpc service wire.Peer, through which other replicas send messages.
 func (c *Connections) Register(mux drpc.Mux) error {
 	return wire.DRPCRegisterPeer(mux, &server{connections: c})
 }
@@ -18,7 +18,7 @@
 	connections *Connections
 }
 
-// Send takes in one peer's messages until its connection ends or is replaced.
+// Send receives one peer's messages until its connection ends or is replaced.
 func (s *server) Send(stream wire.DRPCPeer_SendStream) error {
 	c := s.connections
 	var from *peer
@@ -31,12 +31,12 @@
 		if from == nil {
 			c.Know(m.GetFrom(), m.GetAddress())
 			if from = c.peer(m.GetFrom()); from == nil {
-				return fmt.Errorf("replica %d is not of this group", m.GetFrom())
+				return fmt.Errorf("replica %d cannot be added as a peer: it sent no address or this replica's own id", m.GetFrom())
 			}
 			from.replaceInbound(stream)
 		}
 		if m.GetFrom() != from.id || m.GetTo() != c.options.ID {
-			return errors.New("message is for another replica")
+			return errors.New("message is for another replica or not from the sender of this stream")
 		}
 		from.clearUnanswered()
 		if m = parts.addPart(m); m == nil {
@@ -45,12 +45,12 @@
 		select {
 		case c.inbox <- m:
 		case <-c.options.Ended:
-			return errors.New("replica no longer takes part")
+			return errors.New("replica has stopped")
 		}
 	}
 }
 
-// replaceInbound ends the stream that the peer used before.
+// replaceInbound records the peer's new stream and closes its previous one.
 func (p *peer) replaceInbound(stream drpc.Stream) {
 	p.mu.Lock()
 	old := p.inbound
