--- a/place/bench_test.go
+++ b/place/bench_test.go
@@ -11,15 +11,15 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// The two-year size of one group of workers.
+// The expected size of one group of workers in two years.
 const (
 	benchWorkers = 1700
-	benchTasks   = 35126 // 35,100 and the rest of the last job
-	benchJob     = 27    // tasks of a job
+	benchTasks   = 35126 // 35,100 rounded up to whole jobs
+	benchJob     = 27    // tasks per job
 )
 
-// full returns a placer that knows benchWorkers with a replica each, and benchTasks in all that run and were reported.
-func full(b *testing.B) *state {
+// fullState returns a state with benchWorkers workers, each with one replica, and benchTasks running tasks in all, each reported once.
+func fullState(b *testing.B) *state {
 	s := newState(Options{}, batchClass, serviceClass)
 	for n := range benchWorkers {
 		s.add(1, size(64, 250, 0), fmt.Sprint("d", n%3))
@@ -34,11 +34,11 @@
 			return s
 		}
 	}
-	b.Fatalf("only %d of %d tasks run", reportAll(s), benchTasks)
+	b.Fatalf("%d of %d tasks run after 100 decisions", reportAll(s), benchTasks)
 	return nil
 }
 
-// reportAll tells of every worker, and returns how many tasks run.
+// reportAll passes a report of every worker to the placer, and returns how many tasks run.
 func reportAll(s *state) (running int) {
 	held := map[string]*wire.WorkerReport{}
 	for name, r := range s.workers {
@@ -58,9 +58,9 @@
 	return running
 }
 
-// BenchmarkDecide starts tasks on one core, as many as end; ns/op is for one start.
+// BenchmarkDecide starts as many tasks as end, on one core; ns/op is per start.
 func BenchmarkDecide(b *testing.B) {
-	s := full(b)
+	s := fullState(b)
 	perStart := hdrhistogram.New(1, 1e9, 3)
 	var total time.Duration
 	starts, ended := 0, 0
@@ -74,8 +74,8 @@
 			for _, o := range d.Starts {
 				s.start(o)
 			}
-			for _, each := range s.tasks[j.Id] {
-				s.set(each, wire.TaskState_TASK_STATE_DONE)
+			for _, t := range s.tasks[j.Id] {
+				s.set(t, wire.TaskState_TASK_STATE_DONE)
 			}
 			if len(d.Starts) > 0 {
 				_ = perStart.RecordValue(int64(took) / int64(len(d.Starts)))
@@ -89,10 +89,10 @@
 	b.ReportMetric(float64(perStart.ValueAtQuantile(99))/1e3, "p99-us/start")
 }
 
-// BenchmarkMemory gives the bytes that a placer keeps for each task, workers and jobs included.
+// BenchmarkMemory reports the memory of a placer in bytes per task, including its workers and jobs.
 func BenchmarkMemory(b *testing.B) {
 	for b.Loop() {
-		s := full(b)
+		s := fullState(b)
 		with := heapBytes()
 		s.Placer = nil
 		b.ReportMetric(float64(with-heapBytes())/benchTasks, "bytes/task")
@@ -107,11 +107,11 @@
 	return m.HeapAlloc
 }
 
-// BenchmarkCancelWave cancels ten thousand tasks that wait among as many, and among a hundred thousand, and decides once.
+// BenchmarkCancelWave cancels ten thousand waiting tasks, with ten thousand and with a hundred thousand others waiting, and then decides once.
 func BenchmarkCancelWave(b *testing.B) {
 	for _, others := range []int32{10000, 100000} {
 		b.Run(fmt.Sprint(others), func(b *testing.B) {
-			s := full(b)
+			s := fullState(b)
 			s.submit(&wire.Job{Size: size(64, 250, 0), Tasks: others})
 			for b.Loop() {
 				b.StopTimer()
--- a/place/choose.go
+++ b/place/choose.go
@@ -7,7 +7,7 @@
 	"daisyswitch/resource"
 )
 
-// choose returns the best of some workers with room for a task, or nil.
+// choose returns the best-scoring worker among a sample of those with enough free capacity for a task, or nil if there is none.
 func (r *round) choose(t *fleet.Task, size resource.Size) *fleet.Worker {
 	r.searches++
 	var best *fleet.Worker
@@ -16,9 +16,9 @@
 	if spread != nil {
 		limit = r.options.SpreadCandidates
 	}
-	domains, all := r.allowed(t.Job, spread)
-	for _, each := range domains {
-		r.candidates(each, size, limit, func(w *fleet.Worker) {
+	domains, all := r.allowedDomains(t.Job, spread)
+	for _, domain := range domains {
+		r.forCandidates(domain, size, limit, func(w *fleet.Worker) {
 			found = true
 			if score := r.score(t, w, size, spread); score > bestScore {
 				best, bestScore = w, score
@@ -26,55 +26,55 @@
 		})
 	}
 	if !found && all {
-		r.full = append(r.full, size)
+		r.unplaceable = append(r.unplaceable, size)
 	}
 	return best
 }
 
-// candidates calls f for at most so many workers of a domain that have room, beginning anywhere.
-func (r *round) candidates(each *fleet.Domain, size resource.Size, limit int, f func(*fleet.Worker)) {
-	length := each.Rooms.Len()
+// forCandidates calls f for up to limit workers of a domain that have enough free capacity, starting at a random slot.
+func (r *round) forCandidates(domain *fleet.Domain, size resource.Size, limit int, f func(*fleet.Worker)) {
+	length := domain.Rooms.Len()
 	if length == 0 {
 		return
 	}
 	begin := r.random.IntN(length)
-	at, wrapped := begin, false
+	slotFrom, wrapped := begin, false
 	for range limit {
-		slot := each.Rooms.Next(size, at)
+		slot := domain.Rooms.Next(size, slotFrom)
 		if slot < 0 && !wrapped {
 			wrapped = true
-			slot = each.Rooms.Next(size, 0)
+			slot = domain.Rooms.Next(size, 0)
 		}
 		if slot < 0 || wrapped && slot >= begin {
 			return
 		}
-		f(each.Workers[slot])
-		at = slot + 1
+		f(domain.Workers[slot])
+		slotFrom = slot + 1
 	}
 }
 
-// allowed returns the domains that a job's next task may start in, and whether these are all that are in.
-func (r *round) allowed(j *fleet.Job, s *spread) (list []*fleet.Domain, all bool) {
+// allowedDomains returns the domains in which the job's next task may start, and whether they are all the domains that are not marked out.
+func (r *round) allowedDomains(j *fleet.Job, s *spread) (list []*fleet.Domain, all bool) {
 	needed := 0
 	if s != nil {
 		needed = j.MinDomains - len(s.domains)
 	}
-	fresh := needed > 0 && j.Waiting() <= needed
+	needsNewDomain := needed > 0 && j.Waiting() <= needed
 	all = true
-	for _, each := range r.fleet.Domains {
-		if each.Out {
+	for _, domain := range r.fleet.Domains {
+		if domain.Out {
 			continue
 		}
-		if fresh && s.domains[each] > 0 {
+		if needsNewDomain && s.domains[domain] > 0 {
 			all = false
 			continue
 		}
-		list = append(list, each)
+		list = append(list, domain)
 	}
 	return list, all
 }
 
-// spread counts a job's tasks that hold room, by where they are.
+// spread counts the tasks of a job that hold capacity, by domain, rack and worker.
 type spread struct {
 	domains map[*fleet.Domain]int
 	racks   map[rack]int
@@ -86,7 +86,7 @@
 	name   string
 }
 
-// spreadOf returns the spread of a job, nil for one that need not be spread.
+// spreadOf returns the spread of a job, or nil if the job does not have to be spread.
 func spreadOf(j *fleet.Job) *spread {
 	if j.MinDomains <= 1 && !j.Class.Service() {
 		return nil
@@ -102,21 +102,21 @@
 	return s
 }
 
-// Weights of a spread job's score: each outweighs the sum of those below it.
+// Weights in the score of a job that is spread: each outweighs the sum of those below it.
 const (
 	domainWeight = 1e9
 	rackWeight   = 1e6
 	workerWeight = 1e3
 )
 
-// score prefers the domain, then the rack, then the worker with fewest of the job's tasks.
+// score prefers the domain, then the rack, then the worker with the fewest tasks of the job.
 func (s *spread) score(w *fleet.Worker) float64 {
 	return -domainWeight*float64(s.domains[w.Domain]) -
 		rackWeight*float64(s.racks[rack{w.Domain, w.Rack}]) -
 		workerWeight*float64(s.workers[w])
 }
 
-// score says how well a worker suits a task: higher is better, and minus infinity that it must not start there.
+// score rates a worker for a task: higher is better, and minus infinity means that the task must not start there.
 func (r *round) score(t *fleet.Task, w *fleet.Worker, size resource.Size, s *spread) float64 {
 	service := t.Job.Class.Service()
 	if t.FailedOn == w || service && w.Blame.Suspended() {
@@ -127,12 +127,12 @@
 		score += s.score(w)
 	}
 	if size.Accelerators == 0 {
-		score -= float64(w.Free.Accelerators) // they are kept for work that needs them
+		score -= float64(w.Free.Accelerators) // leave accelerators to tasks that need them
 	}
 	if service {
 		return score + w.Share(w.Free.MilliCPU)
 	}
-	if r.ideas.pairs {
+	if r.features.pairCosts {
 		score -= r.usage.Burden(t.Job, w, w.Share(size.MilliCPU))
 	}
 	return score
--- a/place/decide.go
+++ b/place/decide.go
@@ -10,41 +10,41 @@
 	"daisyswitch/wire"
 )
 
-// Decide returns what should happen next; its time is bounded by the limits in Options and by what was measured since the last, however long the queues are.
+// Decide returns the next scheduling decisions. Its running time is bounded by the limits in Options and by the number of measurements since the last call, regardless of queue length.
 func (p *Placer) Decide(now time.Time) Decisions {
 	p.fleet.SetNow(now)
 	p.events = nil
-	p.expire()
-	p.giveUp()
+	p.expireDecisions()
+	p.giveUpJobs()
 	p.resize()
 	p.pressure.Relieve()
 	r := &round{Placer: p}
-	r.serve()
+	r.startTasks()
 	return Decisions{Starts: r.starts, Events: p.events, Throttles: p.pressure.Throttles()}
 }
 
-// round is the starting of tasks in one Decide.
+// round holds the state of one Decide while it starts tasks.
 type round struct {
 	*Placer
-	starts   []*wire.Start
-	full     []resource.Size // sizes that fit nowhere now
-	searches int             // among workers
+	starts      []*wire.Start
+	unplaceable []resource.Size // sizes for which no worker has capacity in this round
+	searches    int             // searches among workers so far
 }
 
-// searchEffort is what a search among workers costs, with 1 for a job that is passed over without one.
-const searchEffort = 64
+// searchCost is the effort counted for a search among workers; skipping a job without a search counts 1.
+const searchCost = 64
 
-// laneHeap orders lanes by who is served first.
+// laneHeap is a heap of lanes with the lane to serve first on top.
 type laneHeap []*fleet.Lane
 
 func (h laneHeap) Len() int           { return len(h) }
 func (h laneHeap) Less(i, j int) bool { return h[i].Before(h[j]) }
 func (h laneHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 
-// Push appends a lane.
+// Push appends a lane, as heap.Interface requires.
 func (h *laneHeap) Push(x any) { *h = append(*h, x.(*fleet.Lane)) }
 
-// Pop takes the last lane off.
+// Pop removes and returns the last lane, as heap.Interface requires.
 func (h *laneHeap) Pop() any {
 	last := len(*h) - 1
 	l := (*h)[last]
@@ -52,8 +52,8 @@
 	return l
 }
 
-// serve starts tasks, one of the foremost lane at a time, until nothing more fits or the limit is reached.
-func (r *round) serve() {
+// startTasks starts one task at a time, always from the first lane in order, until nothing more fits or a limit is reached.
+func (r *round) startTasks() {
 	var lanes laneHeap
 	for _, l := range r.fleet.Lanes {
 		if l.Empty() {
@@ -65,7 +65,7 @@
 	heap.Init(&lanes)
 	for len(lanes) > 0 && len(r.starts) < r.options.MaxStarts && len(r.events) < r.options.MaxEvents {
 		l := lanes[0]
-		if !r.step(l) {
+		if !r.advanceLane(l) {
 			heap.Pop(&lanes)
 			continue
 		}
@@ -74,8 +74,8 @@
 	}
 }
 
-// step handles one task or passes over one job of a lane, and reports whether the lane has more for this round.
-func (r *round) step(l *fleet.Lane) bool {
+// advanceLane handles one task of a lane or skips one of its jobs, and reports whether the lane has more to do in this round.
+func (r *round) advanceLane(l *fleet.Lane) bool {
 	j := l.Current()
 	if j == nil {
 		return false
@@ -84,15 +84,15 @@
 	if r.startOne(j) {
 		return !l.Done()
 	}
-	l.Effort += 1 + searchEffort*(r.searches-searches)
+	l.Effort += 1 + searchCost*(r.searches-searches)
 	return l.Pass() && l.Effort < r.options.Effort
 }
 
-// startOne decides about the first waiting task of a job, and reports whether it left the queue.
+// startOne decides on the first waiting task of a job, and reports whether the task left the queue.
 func (r *round) startOne(j *fleet.Job) bool {
 	t := j.NextTask()
-	if r.impossible(j) {
-		r.end(t, wire.TaskEventKind_TASK_EVENT_KIND_CANNOT_RUN, "no worker is large enough")
+	if r.fitsNoWorker(j) {
+		r.endWaiting(t, wire.TaskEventKind_TASK_EVENT_KIND_CANNOT_RUN, "no worker is large enough")
 		return true
 	}
 	size := r.startSize(j)
@@ -102,19 +102,19 @@
 	if r.startReserved(t) {
 		return true
 	}
-	if !r.knownFull(size) {
+	if !r.knownUnplaceable(size) {
 		if w := r.choose(t, size); w != nil {
 			r.start(t, w, size)
 			return true
 		}
 	}
 	if j.Urgent || j.Class.Service() {
-		r.makeRoom(t, size)
+		r.reserveByEviction(t, size)
 	}
 	return false
 }
 
-// startReserved starts a task on the worker where room was made for it, and gives a room up that will not come to be.
+// startReserved starts a task on the worker that holds a reservation for it. It drops the reservation if the capacity is missing and no task on the worker is still stopping.
 func (r *round) startReserved(t *fleet.Task) bool {
 	w := t.Reserved
 	if w == nil {
@@ -130,9 +130,9 @@
 	return false
 }
 
-// startSize is what a task is committed with: what is expected of it, as far as any worker can hold it.
+// startSize returns the size to commit when a task of the job starts: its expected size, limited to what the largest suitable worker can hold.
 func (p *Placer) startSize(j *fleet.Job) resource.Size {
-	if !p.ideas.forecast {
+	if !p.features.forecast {
 		return j.Size
 	}
 	size := p.usage.Expected(j)
@@ -156,14 +156,14 @@
 	r.fleet.Unreserve(t)
 	r.fleet.Dequeue(t)
 	r.fleet.Hold(t, w, size)
-	r.decide(t, fleet.DecidedStart)
+	r.markDecided(t, fleet.DecidedStart)
 	r.starts = append(r.starts, &wire.Start{
 		Job: t.Job.ID, Index: t.Index, Attempt: t.Attempt + 1, Worker: w.Name, Size: size.Wire(),
 	})
 }
 
-// impossible reports whether no worker that is known, in a domain that is out, or lately gone could ever hold the job's tasks.
-func (p *Placer) impossible(j *fleet.Job) bool {
+// fitsNoWorker reports whether the job's tasks exceed the capacity of every worker: those that are known, in a domain that is out, or gone for less than Options.Return.
+func (p *Placer) fitsNoWorker(j *fleet.Job) bool {
 	if len(p.fleet.Shapes) == 0 || p.fleet.Now.Sub(p.fleet.Changed) < p.options.Settle {
 		return false
 	}
@@ -178,9 +178,9 @@
 	return true
 }
 
-func (r *round) knownFull(size resource.Size) bool {
-	for _, each := range r.full {
-		if each.Fits(size) {
+func (r *round) knownUnplaceable(size resource.Size) bool {
+	for _, known := range r.unplaceable {
+		if known.Fits(size) {
 			return true
 		}
 	}
--- a/place/doc.go
+++ b/place/doc.go
@@ -1,2 +1,2 @@
-// Package place is the policy: it decides which task starts on which worker, and which is throttled, evicted or resized, and speaks to the control leader's scheduling loop alone.
+// Package place is the scheduling policy: it decides which task starts on which worker, and which tasks are throttled, evicted or resized. It has no I/O; only the control leader's scheduling loop calls it.
 package place
--- a/place/measure_test.go
+++ b/place/measure_test.go
@@ -19,16 +19,16 @@
 var (
 	seeds  = flag.Int("seeds", 0, "TestMeasure: how many seeds to run")
 	first  = flag.Int("first", 1, "TestMeasure: the first seed")
-	ablate = flag.Bool("ablate", false, "TestMeasure: switch off one idea after the other in place of the baselines")
+	ablate = flag.Bool("ablate", false, "TestMeasure: compare the policy with one feature switched off at a time instead of with the baselines")
 )
 
 type policy struct {
 	name string
-	set  func(*fake)
+	set  func(*sim)
 }
 
 var baselines = []policy{
-	{"daisyswitch", ours(nil)},
+	{"daisyswitch", withPlacer(nil)},
 	{"oracle", oracle},
 	{"react to each reading", reactive},
 	{"first fit", firstFit},
@@ -37,32 +37,32 @@
 }
 
 var ablations = []policy{
-	{"daisyswitch", ours(nil)},
+	{"daisyswitch", withPlacer(nil)},
 	{"oracle", oracle},
-	{"without pair costs", ours(func(p *Placer) { p.ideas.pairs = false })},
-	{"without resizing", ours(func(p *Placer) { p.ideas.resize = false })},
-	{"without a forecast", ours(func(p *Placer) { p.ideas.forecast = false })},
-	{"without a job's tasks", func(f *fake) {
-		ours(nil)(f)
-		f.decide = func(f *fake) {
+	{"without pair costs", withPlacer(func(p *Placer) { p.features.pairCosts = false })},
+	{"without resizing", withPlacer(func(p *Placer) { p.features.resize = false })},
+	{"without a forecast", withPlacer(func(p *Placer) { p.features.forecast = false })},
+	{"without a job's tasks", func(f *sim) {
+		withPlacer(nil)(f)
+		f.decide = func(f *sim) {
 			for _, j := range f.placer.fleet.Jobs {
 				j.Sample = sizing.Sample{}
 			}
-			f.obey()
+			f.applyDecisions()
 		}
 	}},
-	{"without throttling", ours(func(p *Placer) { p.pressure.Steps = []int32{} })},
-	{"without waiting a lag", ours(func(p *Placer) { p.pressure.Lag = time.Nanosecond })},
-	{"without any relief", ours(func(p *Placer) { p.pressure.Lag = 24 * time.Hour })},
-	{"without a pace", ours(func(p *Placer) { p.usage.Pace = 10 })},
-	{"without suspension", ours(func(p *Placer) { p.options.Blame.Jobs = 1 << 30 })},
-	{"without giving up", ours(func(p *Placer) { p.options.Blame.Workers = 1 << 30 })},
-	{"load of 10 minutes", ours(func(p *Placer) { p.usage.LoadHalf = 5 * time.Minute })},
-	{"eight candidates", ours(func(p *Placer) { p.options.Candidates = 8 })},
+	{"without throttling", withPlacer(func(p *Placer) { p.pressure.Steps = []int32{} })},
+	{"without waiting a lag", withPlacer(func(p *Placer) { p.pressure.Lag = time.Nanosecond })},
+	{"without any relief", withPlacer(func(p *Placer) { p.pressure.Lag = 24 * time.Hour })},
+	{"without a pace", withPlacer(func(p *Placer) { p.usage.Pace = 10 })},
+	{"without suspension", withPlacer(func(p *Placer) { p.options.Blame.Jobs = 1 << 30 })},
+	{"without giving up", withPlacer(func(p *Placer) { p.options.Blame.Workers = 1 << 30 })},
+	{"load of 10 minutes", withPlacer(func(p *Placer) { p.usage.LoadHalf = 5 * time.Minute })},
+	{"eight candidates", withPlacer(func(p *Placer) { p.options.Candidates = 8 })},
 }
 
 func (p policy) run(u user, seed int, always bool) measures {
-	f := newFake(u, uint64(seed))
+	f := newSim(u, uint64(seed))
 	f.always = always
 	p.set(f)
 	f.begin()
@@ -72,7 +72,7 @@
 	return f.measures
 }
 
-// runAll runs each policy on each seed, a few at a time, and the oracle, which is the second, with the domain away from begin to end as well.
+// runAll runs each policy on each seed, four at a time. It also runs the oracle, the second policy, with one domain away for the whole run.
 func runAll(list []policy, u user, first, seeds int) (results [][]measures, away []measures) {
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
@@ -96,8 +96,8 @@
 	return results, away
 }
 
-// total sums what several runs brought, but keeps the longest wait.
-func total(list []measures) (sum measures) {
+// sumMeasures adds up the measures of several runs, except the urgent wait, of which it keeps the maximum.
+func sumMeasures(list []measures) (sum measures) {
 	for _, m := range list {
 		urgent := max(sum.urgent, m.urgent)
 		to, from := reflect.ValueOf(&sum).Elem(), reflect.ValueOf(m)
@@ -109,10 +109,10 @@
 	return sum
 }
 
-// TestMeasure prints the table of the policy against its baselines, or of its ideas; it runs only when asked for by -seeds.
+// TestMeasure prints a table that compares the policy with its baselines, or with variants that have one feature switched off. It is skipped unless -seeds is set.
 func TestMeasure(t *testing.T) {
 	if *seeds == 0 {
-		t.Skip("pass -seeds")
+		t.Skip("skipped unless -seeds is set")
 	}
 	list := baselines
 	if *ablate {
@@ -121,22 +121,22 @@
 	for _, u := range users {
 		results, away := runAll(list, u, *first, *seeds)
 		fmt.Printf("%s, seeds %d to %d\n| policy | windows | worst seed | volume | evicted | killed | absence | of remaining room | urgent | failed | wrong | resized | busy | held | score |\n|%s\n", u.name, *first, *first+*seeds-1, strings.Repeat(" --- |", 15))
-		base := total(results[1])
+		base := sumMeasures(results[1])
 		for i, p := range list {
-			m, worst := total(results[i]), 1.0
+			m, worst := sumMeasures(results[i]), 1.0
 			for _, each := range results[i] {
 				worst = min(worst, each.good/each.windows)
 			}
 			calm := 1 / (1 + (m.evictions+m.kills)/1000/float64(*seeds))
 			score := u.weighVolume*min(1, m.volume/base.volume) + u.weighWindow*m.good/m.windows + (1-u.weighVolume-u.weighWindow)/2*(min(1, m.absence/base.absence)+calm)
 			fmt.Printf("| %s | %.2f%% | %.2f%% | %.1f%% | %.0f | %.0f | %.1f%% | %.1f%% | %.0f s | %.0f | %.0f | %.0f | %.2f | %.2f | %.3f |\n", p.name, 100*m.good/m.windows, 100*worst, 100*m.volume/base.volume,
-				m.evictions, m.kills, 100*m.absence/base.absence, 100*m.absence/total(away).absence, m.urgent, m.failed, m.wrong, m.resizes, m.busy/m.workerSec, m.held/m.workerSec, score)
+				m.evictions, m.kills, 100*m.absence/base.absence, 100*m.absence/sumMeasures(away).absence, m.urgent, m.failed, m.wrong, m.resizes, m.busy/m.workerSec, m.held/m.workerSec, score)
 			assert.Equal(t, m.refused, 0.0)
 		}
 	}
 }
 
-// TestTargets holds the policy to the targets that it meets, on one seed for each user.
+// TestTargets checks the policy against its quality targets, with one seed per user.
 func TestTargets(t *testing.T) {
 	for _, u := range users {
 		results, away := runAll(baselines[:3], u, 1, 1)
--- a/place/pending.go
+++ b/place/pending.go
@@ -6,14 +6,14 @@
 	"daisyswitch/wire"
 )
 
-// decide marks a task as decided, until a transition answers or the time for it is over.
-func (p *Placer) decide(t *fleet.Task, what fleet.Decision) {
-	t.Decision, t.Decided = what, p.fleet.Now
+// markDecided records a decision on a task. It stays pending until a transition resolves it or it times out.
+func (p *Placer) markDecided(t *fleet.Task, decision fleet.Decision) {
+	t.Decision, t.Decided = decision, p.fleet.Now
 	p.pending = append(p.pending, pending{t, p.fleet.Now})
 }
 
-// answer ends what was decided about a task, and returns what it holds from now on: a growth that is still being committed goes on holding its room.
-func (p *Placer) answer(t *fleet.Task, next *wire.Task) resource.Size {
+// resolveDecision clears the pending decision of a task and returns the size that the task now holds. A pending growth stays pending and keeps its capacity if the transition does not include it.
+func (p *Placer) resolveDecision(t *fleet.Task, next *wire.Task) resource.Size {
 	committed := resource.FromWire(next.GetCommitted())
 	growing := t.Decision == fleet.DecidedResize && committed == t.Before
 	if growing && t.Attempt == next.GetAttempt() && fleet.Holding(next.GetState()) {
@@ -23,19 +23,19 @@
 	return committed
 }
 
-// expire takes back decisions that were not answered in time, and lets suspended workers probe.
-func (p *Placer) expire() {
-	n := 0
-	for _, each := range p.pending {
-		if p.fleet.Now.Sub(each.at) < p.options.DecideTimeout {
+// expireDecisions reverts decisions that timed out, ends expired reservations, and makes suspended workers available for probes when they are due.
+func (p *Placer) expireDecisions() {
+	expired := 0
+	for _, decision := range p.pending {
+		if p.fleet.Now.Sub(decision.at) < p.options.DecideTimeout {
 			break
 		}
-		n++
-		if each.task.Decision != fleet.Undecided && each.task.Decided.Equal(each.at) {
-			p.takeBack(each.task)
+		expired++
+		if decision.task.Decision != fleet.Undecided && decision.task.Decided.Equal(decision.at) {
+			p.revertDecision(decision.task)
 		}
 	}
-	p.pending = append(p.pending[:0], p.pending[n:]...)
+	p.pending = append(p.pending[:0], p.pending[expired:]...)
 	kept := p.suspended[:0]
 	for _, w := range p.suspended {
 		p.fleet.Offer(w)
@@ -47,10 +47,10 @@
 	p.fleet.ExpireReservations()
 }
 
-func (p *Placer) takeBack(t *fleet.Task) {
-	what := t.Decision
+func (p *Placer) revertDecision(t *fleet.Task) {
+	decision := t.Decision
 	t.Decision = fleet.Undecided
-	switch what {
+	switch decision {
 	case fleet.DecidedStart:
 		p.fleet.Release(t)
 		p.fleet.Enqueue(t)
@@ -61,20 +61,20 @@
 	}
 }
 
-// end takes a waiting task out of the queue for good.
-func (p *Placer) end(t *fleet.Task, kind wire.TaskEventKind, reason string) {
+// endWaiting removes a waiting task from the queue and asks for its endWaiting.
+func (p *Placer) endWaiting(t *fleet.Task, kind wire.TaskEventKind, reason string) {
 	p.fleet.Dequeue(t)
-	p.decide(t, fleet.DecidedEnd)
-	p.event(t, kind, reason, nil)
+	p.markDecided(t, fleet.DecidedEnd)
+	p.addEvent(t, kind, reason, nil)
 }
 
 // evict checkpoints and stops a batch task.
 func (p *Placer) evict(t *fleet.Task, reason string) {
-	p.decide(t, fleet.DecidedStop)
-	p.event(t, wire.TaskEventKind_TASK_EVENT_KIND_STOPPING, reason, nil)
+	p.markDecided(t, fleet.DecidedStop)
+	p.addEvent(t, wire.TaskEventKind_TASK_EVENT_KIND_STOPPING, reason, nil)
 }
 
-func (p *Placer) event(t *fleet.Task, kind wire.TaskEventKind, reason string, size *wire.Size) {
+func (p *Placer) addEvent(t *fleet.Task, kind wire.TaskEventKind, reason string, size *wire.Size) {
 	p.events = append(p.events, &wire.TaskEvent{
 		Task:   &wire.TaskRef{Job: t.Job.ID, Index: t.Index, Attempt: t.Attempt},
 		Kind:   kind,
--- a/place/place.go
+++ b/place/place.go
@@ -13,18 +13,18 @@
 	"daisyswitch/wire"
 )
 
-// Options holds what a placer is tuned by; a zero field takes its default.
+// Options holds the tuning parameters of a placer; a zero field takes its default.
 type Options struct {
-	Seed             uint64        // of the random choice among workers
-	MaxStarts        int           // per Decide
-	MaxEvents        int           // per Decide
-	Candidates       int           // workers of a domain compared for one start
-	SpreadCandidates int           // the same for a job that is spread
-	Effort           int           // spent on one lane in one Decide: searchEffort for a search among workers, 1 for a job passed over without one
-	DecideTimeout    time.Duration // how long a decision waits for its transition before it is taken back
-	Settle           time.Duration // without a new kind of worker, after which all workers are taken as known
-	Return           time.Duration // how long a worker that is gone is expected back
-	Keep             time.Duration // how long room that is being made is kept for the task that it is made for
+	Seed             uint64        // seed of the random choice of candidate workers
+	MaxStarts        int           // limit on starts per Decide
+	MaxEvents        int           // limit on task events per Decide
+	Candidates       int           // workers per domain that are compared for one start
+	SpreadCandidates int           // the same for a job that is spread over domains, racks and workers
+	Effort           int           // limit per lane and Decide on failed attempts: a search among workers counts searchCost, a job skipped without one counts 1
+	DecideTimeout    time.Duration // how long a decision may wait for its transition before it is reverted
+	Settle           time.Duration // how long no new worker capacity must have appeared before all capacities count as known
+	Return           time.Duration // how long a worker that is gone is still expected to return
+	Keep             time.Duration // how long capacity stays reserved for a task while evictions free it
 	Blame            blame.Options
 	Interference     interference.Options
 	Pressure         pressure.Options
@@ -59,35 +59,35 @@
 	return o
 }
 
-// ideas are the parts of the policy that measurement switches off one at a time.
-type ideas struct {
-	pairs    bool // learned pair costs choose the worker and keep services' headroom
-	resize   bool // commitments follow the measured peak
-	forecast bool // tasks start at what program, declared size and earlier tasks of the job let expect
+// features are the parts of the policy that TestMeasure can switch off one at a time.
+type features struct {
+	pairCosts bool // learned interference costs affect the choice of worker and protect the headroom of services
+	resize    bool // committed sizes follow the measured peak
+	forecast  bool // the initial size is predicted from the program, the declared size and earlier tasks of the job
 }
 
-// Throttle takes a share of the processors away from one attempt; 0 gives them back.
+// Throttle reduces the processor share of one attempt by a percentage; 0 removes the throttle.
 type Throttle = pressure.Throttle
 
-// Decisions is what one Decide asks for; the replicated state may still refuse each of them.
+// Decisions is the result of one Decide; the replicated state may still refuse any of them.
 type Decisions struct {
-	Starts    []*wire.Start     // urgent first, then by distance from target
+	Starts    []*wire.Start     // urgent tasks first, then by distance of the class from its target
 	Events    []*wire.TaskEvent // STOPPING to evict, RESIZE, CANNOT_RUN, GIVE_UP
-	Throttles []Throttle        // those that changed since the last Decide
+	Throttles []Throttle        // changes since the last Decide
 }
 
-// Placer holds what the policy knows; it is used from one goroutine, and is rebuilt on a new leader by telling it everything again.
+// Placer holds the state of the scheduling policy. It is not safe for concurrent use. A new leader rebuilds it from the replicated state.
 type Placer struct {
-	options   Options
-	ideas     ideas
-	random    *rand.Rand
-	fleet     *fleet.Fleet
-	usage     *usage.Reader
-	pressure  *pressure.Gauge
-	pending   []pending         // decisions that no transition has answered, in order of their time
-	suspended []*fleet.Worker   // those that fail what they start
-	bad       []*fleet.Job      // whose waiting tasks are to be given up
-	events    []*wire.TaskEvent // for the Decide in progress
+	options     Options
+	features    features
+	random      *rand.Rand
+	fleet       *fleet.Fleet
+	usage       *usage.Reader
+	pressure    *pressure.Gauge
+	pending     []pending         // decisions without a transition yet, oldest first
+	suspended   []*fleet.Worker   // workers suspended for failing tasks
+	failingJobs []*fleet.Job      // jobs whose waiting tasks will be given up
+	events      []*wire.TaskEvent // task events of the Decide in progress
 }
 
 type pending struct {
@@ -95,34 +95,34 @@
 	at   time.Time
 }
 
-// New returns a placer that knows nothing yet.
+// New returns a placer without workers, jobs or configuration.
 func New(o Options) *Placer {
 	o = o.withDefaults()
 	f := fleet.New(interference.New(o.Interference))
 	p := &Placer{
 		options:  o,
-		ideas:    ideas{pairs: true, resize: true, forecast: true},
+		features: features{pairCosts: true, resize: true, forecast: true},
 		random:   rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		fleet:    f,
 		usage:    usage.New(f, o.Usage),
 		pressure: pressure.New(f, o.Pressure),
 	}
-	p.usage.Credit = p.credit
+	p.usage.Credit = p.recordSuccess
 	p.pressure.Evict = p.evict
 	return p
 }
 
-// SetConfiguration takes the accepted classes, teams and domains.
+// SetConfiguration replaces the classes, teams and domains by those of the accepted configuration.
 func (p *Placer) SetConfiguration(c *wire.Configuration) {
 	p.fleet.SetConfiguration(c)
 }
 
-// SetWorker takes a worker's record; one that is gone starts nothing more.
+// SetWorker applies a worker's record; no task starts on a worker that is gone.
 func (p *Placer) SetWorker(r *wire.WorkerRecord) {
 	p.fleet.SetWorker(r)
 }
 
-// Observe takes one worker's measurements, which lag behind what the worker does.
+// Observe applies a worker's report, whose measurements lag behind the worker's current state.
 func (p *Placer) Observe(now time.Time, r *wire.WorkerReport) {
 	p.fleet.SetNow(now)
 	if w := p.usage.Observe(r); w != nil {
@@ -130,7 +130,7 @@
 	}
 }
 
-// ObserveService takes what an entry of the domain measured of one service class since its last sample.
+// ObserveService applies the latency that an entry in the domain measured for a service class since its last sample.
 func (p *Placer) ObserveService(now time.Time, domain string, s *wire.ServiceSample) {
 	p.fleet.SetNow(now)
 	for _, w := range p.usage.ObserveService(domain, s) {
@@ -138,15 +138,15 @@
 	}
 }
 
-// SetTask takes a task's state after a transition, or at the rebuild of a placer; ended tasks are dropped.
+// SetTask applies a task's state after a transition, or while the placer is being rebuilt; ended tasks are dropped.
 func (p *Placer) SetTask(j *wire.Job, next *wire.Task) {
 	if ended(next) && p.fleet.Find(j.GetId(), next.GetIndex()) == nil {
 		p.fleet.CountDone(j.GetClass(), next)
 		return
 	}
 	t := p.fleet.Add(j, next.GetIndex())
-	p.judge(t, next)
-	committed := p.answer(t, next)
+	p.recordOutcome(t, next)
+	committed := p.resolveDecision(t, next)
 	p.fleet.Dequeue(t)
 	p.fleet.Release(t)
 	if !fleet.Waiting(next.GetState()) {
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -16,18 +16,19 @@
 	"pgregory.net/rapid"
 )
 
-// init makes the property test draw the same each time, and more than rapid does by itself.
+// init fixes the seed of the property test, and raises its number of checks above rapid's default.
 func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "2000")
 }
 
-// TestNeverBeyondCapacity draws sequences of everything that a placer is told, with decisions committed late or refused, and checks each decision against the state and the decisions still open.
+// TestNeverBeyondCapacity draws sequences of all inputs of a placer, with decisions committed late or refused.
+// It checks each decision against the committed state and the decisions that are still pending.
 func TestNeverBeyondCapacity(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newState(Options{Seed: 1 + uint64(rapid.IntRange(0, 9).Draw(t, "seed")), Settle: time.Second}, batchClass, serviceClass)
 		s.add(4, size(8, 16, 1), "a", "b")
-		var open opens
+		var open openDecisions
 		out := map[string]bool{}
 		tasks := func() (list []*wire.Task) {
 			for name := range 4 {
@@ -40,7 +41,7 @@
 			d := s.Decide(s.now)
 			open = open.valid(s)
 			for _, o := range d.Starts {
-				open = append(open, decided{start: o, at: s.now})
+				open = append(open, openDecision{start: o, at: s.now})
 			}
 			for _, o := range d.Starts {
 				checkStart(t, s, open, o, out)
@@ -48,13 +49,13 @@
 			for _, e := range d.Events {
 				own := s.tasks[e.Task.Job][e.Task.Index]
 				if e.Kind == wire.TaskEventKind_TASK_EVENT_KIND_STOPPING {
-					assert.Assert(t, s.jobs[own.Job].Class != "service", "a replica is evicted")
+					assert.Assert(t, s.jobs[own.Job].Class != "service", "replica evicted")
 				}
 				answer := rapid.IntRange(0, 3).Draw(t, "answer")
 				if e.Kind == wire.TaskEventKind_TASK_EVENT_KIND_RESIZE {
-					checkRoom(t, s, append(open, decided{resize: e, at: s.now}), own.Worker)
+					checkCapacity(t, s, append(open, openDecision{resize: e, at: s.now}), own.Worker)
 					if answer > 0 {
-						open = append(open, decided{resize: e, at: s.now})
+						open = append(open, openDecision{resize: e, at: s.now})
 					}
 				} else if answer > 0 {
 					s.apply(e)
@@ -98,23 +99,23 @@
 				r := s.workers[fmt.Sprint("w", rapid.IntRange(0, 3).Draw(t, "worker"))]
 				r.Gone = !r.Gone
 				s.SetWorker(r)
-				open = slices.DeleteFunc(open, func(o decided) bool { return o.start.GetWorker() == r.Name })
+				open = slices.DeleteFunc(open, func(o openDecision) bool { return o.start.GetWorker() == r.Name })
 			},
 		})
 	})
 }
 
-// decided is a start or resize that is neither committed nor taken back yet.
-type decided struct {
+// openDecision is a start or resize that is neither committed nor reverted yet.
+type openDecision struct {
 	start  *wire.Start
 	resize *wire.TaskEvent
 	at     time.Time
 }
 
-type opens []decided
+type openDecisions []openDecision
 
-// valid drops what the placer has taken back, or the state would refuse.
-func (o opens) valid(s *state) (list opens) {
+// valid drops decisions that the placer has reverted or the state would refuse.
+func (o openDecisions) valid(s *state) (list openDecisions) {
 	for _, each := range o {
 		r := each.resize.GetTask()
 		late := s.now.Sub(each.at) >= s.options.DecideTimeout
@@ -125,10 +126,10 @@
 	return list
 }
 
-func checkStart(t *rapid.T, s *state, open opens, o *wire.Start, out map[string]bool) {
+func checkStart(t *rapid.T, s *state, open openDecisions, o *wire.Start, out map[string]bool) {
 	own, w := s.tasks[o.Job][o.Index], s.workers[o.Worker]
-	assert.Assert(t, !w.Gone, "a start on a worker that is gone")
-	assert.Assert(t, !out[w.Domain], "a start in a domain that is out")
+	assert.Assert(t, !w.Gone, "start on a worker that is gone")
+	assert.Assert(t, !out[w.Domain], "start in a domain that is out")
 	assert.Equal(t, o.Attempt, own.Attempt+1)
 	same := 0
 	for _, each := range open {
@@ -136,12 +137,12 @@
 			same++
 		}
 	}
-	assert.Equal(t, same, 1, "a task is started twice")
-	checkRoom(t, s, open, o.Worker)
+	assert.Equal(t, same, 1, "pending starts of one task")
+	checkCapacity(t, s, open, o.Worker)
 }
 
-// checkRoom checks what a worker holds, with what is decided and open, against its capacity.
-func checkRoom(t *rapid.T, s *state, open opens, worker string) {
+// checkCapacity checks that a worker's committed and pending sizes together fit its capacity.
+func checkCapacity(t *rapid.T, s *state, open openDecisions, worker string) {
 	sum := s.held(worker)
 	for _, each := range open.valid(s) {
 		r := each.resize.GetTask()
--- a/place/policies_test.go
+++ b/place/policies_test.go
@@ -8,21 +8,21 @@
 	"daisyswitch/wire"
 )
 
-// ours runs the placer, with one of its ideas switched off.
-func ours(off func(*Placer)) func(*fake) {
-	return func(f *fake) {
-		f.placer, f.decide = New(Options{Seed: f.seed + 1}), (*fake).obey
+// withPlacer makes the simulator use the placer, with an optional change such as a feature switched off.
+func withPlacer(off func(*Placer)) func(*sim) {
+	return func(f *sim) {
+		f.placer, f.decide = New(Options{Seed: f.seed + 1}), (*sim).applyDecisions
 		if off != nil {
 			off(f.placer)
 		}
 	}
 }
 
-// obey commits a Decide's starts at once, and sends its throttles with the next poll.
-func (f *fake) obey() {
+// applyDecisions commits the starts and events of a Decide at once, and delivers its throttles with the next poll.
+func (f *sim) applyDecisions() {
 	d := f.placer.Decide(f.clock())
 	for _, s := range d.Starts {
-		w := slices.IndexFunc(f.workers, func(w *fakeWorker) bool { return w.Name == s.Worker })
+		w := slices.IndexFunc(f.workers, func(w *simWorker) bool { return w.Name == s.Worker })
 		f.start(f.jobs[s.Job].tasks[s.Index], f.workers[w], resource.FromWire(s.Size))
 	}
 	for _, e := range d.Events {
@@ -37,7 +37,7 @@
 	})
 }
 
-func (f *fake) apply(e *wire.TaskEvent) {
+func (f *sim) apply(e *wire.TaskEvent) {
 	t := f.jobs[e.Task.Job].tasks[e.Task.Index]
 	switch e.Kind {
 	case wire.TaskEventKind_TASK_EVENT_KIND_STOPPING:
@@ -50,27 +50,27 @@
 		}
 		t.worker.free, t.Committed = t.worker.free.Sub(more), e.Size
 		f.resizes++
-		f.tell(t)
+		f.notifyPlacer(t)
 	default:
 		if !t.job.bad && e.Kind == wire.TaskEventKind_TASK_EVENT_KIND_GIVE_UP {
 			f.wrong++
 		}
 		t.State = wire.TaskState_TASK_STATE_CANNOT_RUN
 		f.unqueue(t)
-		f.tell(t)
+		f.notifyPlacer(t)
 	}
 }
 
-// fit starts queued tasks in order, urgent first, on the worker that choose likes best by their size.
-func (f *fake) fit(size func(*fakeTask) resource.Size, choose func(*fakeTask, *fakeWorker, resource.Size) float64) {
+// fit starts queued tasks in order, urgent ones first, each on the worker with capacity for its size that has the highest score.
+func (f *sim) fit(size func(*simTask) resource.Size, choose func(*simTask, *simWorker, resource.Size) float64) {
 	order := map[bool]int{true: 0, false: 1}
-	slices.SortStableFunc(f.queue, func(a, b *fakeTask) int { return order[a.job.Urgent] - order[b.job.Urgent] })
-	full := map[*fakeJob]bool{}
+	slices.SortStableFunc(f.queue, func(a, b *simTask) int { return order[a.job.Urgent] - order[b.job.Urgent] })
+	full := map[*simJob]bool{}
 	for _, t := range slices.Clone(f.queue) {
 		if full[t.job] {
 			continue
 		}
-		var best *fakeWorker
+		var best *simWorker
 		bestScore := math.Inf(-1)
 		for _, w := range f.workers {
 			if w.Gone || f.config.Domains[w.number%f.domains].Out || !size(t).Fits(w.free) {
@@ -82,57 +82,57 @@
 		}
 		if full[t.job] = best == nil; best != nil {
 			f.start(t, best, size(t))
-			f.use(best)
+			f.updateUsage(best)
 		}
 	}
 }
 
-func declared(t *fakeTask) resource.Size { return resource.FromWire(t.job.Size) }
+func declared(t *simTask) resource.Size { return resource.FromWire(t.job.Size) }
 
-func firstFit(f *fake) {
-	f.decide = func(f *fake) {
-		f.fit(declared, func(_ *fakeTask, w *fakeWorker, _ resource.Size) float64 { return -float64(w.number) })
+func firstFit(f *sim) {
+	f.decide = func(f *sim) {
+		f.fit(declared, func(_ *simTask, w *simWorker, _ resource.Size) float64 { return -float64(w.number) })
 	}
 }
 
-func bestFit(f *fake) {
-	f.decide = func(f *fake) {
-		f.fit(declared, func(_ *fakeTask, w *fakeWorker, s resource.Size) float64 { return -float64(w.free.Sub(s).MilliCPU) })
+func bestFit(f *sim) {
+	f.decide = func(f *sim) {
+		f.fit(declared, func(_ *simTask, w *simWorker, s resource.Size) float64 { return -float64(w.free.Sub(s).MilliCPU) })
 	}
 }
 
-func servicesAlone(f *fake) { f.quiet, f.decide = true, func(*fake) {} }
+func servicesAlone(f *sim) { f.quiet, f.decide = true, func(*sim) {} }
 
-// reactive is first fit that evicts the largest batch beside a service at each reading over the target.
-func reactive(f *fake) {
+// reactive is first fit that evicts the largest batch task beside a service at each latency reading over the target.
+func reactive(f *sim) {
 	firstFit(f)
 	fit := f.decide
-	f.decide = func(f *fake) {
+	f.decide = func(f *sim) {
 		fit(f)
 		for _, w := range f.workers {
 			over := len(w.reports) > 0 && slices.ContainsFunc(w.reports[0].Tasks, func(r *wire.TaskReport) bool { return r.P99Us > target })
-			batch := slices.DeleteFunc(slices.Clone(w.tasks), func(t *fakeTask) bool { return t.service || t.end > 0 })
+			batch := slices.DeleteFunc(slices.Clone(w.tasks), func(t *simTask) bool { return t.service || t.end > 0 })
 			if over && len(batch) > 0 {
-				f.stop(slices.MaxFunc(batch, func(a, b *fakeTask) int { return int(1000 * (a.cores - b.cores)) }))
+				f.stop(slices.MaxFunc(batch, func(a, b *simTask) int { return int(1000 * (a.cores - b.cores)) }))
 			}
 		}
 	}
 }
 
-// oracle knows true sizes, the costs, the load to come, and what is broken or bad; it is greedy, and throttles without delay.
-func oracle(f *fake) {
-	f.decide = func(f *fake) {
+// oracle is a greedy policy that knows the true sizes, the interference costs, the future load, and which workers and jobs are faulty. It throttles without delay.
+func oracle(f *sim) {
+	f.decide = func(f *sim) {
 		for _, w := range f.workers {
 			f.oracleThrottle(w)
 		}
-		f.queue = slices.DeleteFunc(f.queue, func(t *fakeTask) bool { return t.job.bad || t.job.Size.MemoryMib == tooLarge })
-		f.fit(func(t *fakeTask) resource.Size { return sized(t.cores, t.memory) }, f.oracleScore)
+		f.queue = slices.DeleteFunc(f.queue, func(t *simTask) bool { return t.job.bad || t.job.Size.MemoryMib == tooLarge })
+		f.fit(func(t *simTask) resource.Size { return sizeOf(t.cores, t.memory) }, f.oracleScore)
 	}
 }
 
-// oracleScore refuses what would take a service past its target in the next two minutes.
-func (f *fake) oracleScore(t *fakeTask, w *fakeWorker, s resource.Size) float64 {
-	if f.broken(w) {
+// oracleScore rejects a placement that would push a service past its target within the next two minutes.
+func (f *sim) oracleScore(t *simTask, w *simWorker, s resource.Size) float64 {
+	if f.workerBroken(w) {
 		return math.Inf(-1)
 	}
 	share, sum := t.cores/f.cores, 0.0
@@ -143,7 +143,7 @@
 			continue
 		}
 		peak := max(f.load(each.job.program, f.now), f.load(each.job.program, f.now+60), f.load(each.job.program, f.now+120))
-		left := 1.35*1.8/(1+0.8*peak*peak)*0.98 - f.slow(each, w, peak) - peak*cost
+		left := 1.35*1.8/(1+0.8*peak*peak)*0.98 - f.slowdown(each, w, peak) - peak*cost
 		if left < 0 && !t.job.Urgent {
 			return math.Inf(-1)
 		}
@@ -151,26 +151,26 @@
 	}
 	left := w.free.Sub(s)
 	cpu, memory := float64(left.MilliCPU)/1000/f.cores, float64(left.MemoryMiB)/1024/f.memory
-	return -sum - f.slow(t, w, 1) - 0.1*(cpu+memory+math.Abs(cpu-memory))
+	return -sum - f.slowdown(t, w, 1) - 0.1*(cpu+memory+math.Abs(cpu-memory))
 }
 
-func (f *fake) oracleThrottle(w *fakeWorker) {
+func (f *sim) oracleThrottle(w *simWorker) {
 	for _, t := range w.tasks {
 		t.throttle = 0
 	}
-	f.use(w)
+	f.updateUsage(w)
 	for _, s := range w.tasks {
 		if !s.service {
 			continue
 		}
-		batch := slices.DeleteFunc(slices.Clone(w.tasks), func(t *fakeTask) bool { return t.service })
-		slices.SortStableFunc(batch, func(a, b *fakeTask) int {
+		batch := slices.DeleteFunc(slices.Clone(w.tasks), func(t *simTask) bool { return t.service })
+		slices.SortStableFunc(batch, func(a, b *simTask) int {
 			return int(1e6 * (f.costs[s.job.program][b.job.program] - f.costs[s.job.program][a.job.program]))
 		})
 		for _, t := range batch {
 			if f.latency(s, w) > 0.98 {
 				t.throttle = 0.8
-				f.use(w)
+				f.updateUsage(w)
 			}
 		}
 	}
--- a/place/resize.go
+++ b/place/resize.go
@@ -7,12 +7,12 @@
 	"daisyswitch/wire"
 )
 
-// resize moves the commitments of measured tasks towards their peaks, as far as their workers have room.
+// resize moves the committed sizes of measured tasks towards their peaks, as far as their workers have free capacity.
 func (p *Placer) resize() {
 	for _, t := range p.usage.Outgrown {
 		t.Sized = false
 		running := t.State == wire.TaskState_TASK_STATE_RUNNING && t.Decision == fleet.Undecided
-		if p.ideas.resize && running && t.Worker.Domain != nil && len(p.events) < p.options.MaxEvents {
+		if p.features.resize && running && t.Worker.Domain != nil && len(p.events) < p.options.MaxEvents {
 			p.resizeOne(t)
 		}
 	}
@@ -32,7 +32,7 @@
 		Accelerators: t.Committed.Accelerators,
 	}
 	if t.Job.Class.Service() && size != wanted {
-		for _, victim := range p.evictions(t.Worker, wanted.Sub(size)) {
+		for _, victim := range p.evictionsFor(t.Worker, wanted.Sub(size)) {
 			p.evict(victim, "a service on its worker needs the room")
 		}
 	}
@@ -41,6 +41,6 @@
 	}
 	t.Before = t.Committed
 	p.fleet.Recommit(t, sizing.Larger(t.Committed, size))
-	p.decide(t, fleet.DecidedResize)
-	p.event(t, wire.TaskEventKind_TASK_EVENT_KIND_RESIZE, "measured usage", size.Wire())
+	p.markDecided(t, fleet.DecidedResize)
+	p.addEvent(t, wire.TaskEventKind_TASK_EVENT_KIND_RESIZE, "measured usage", size.Wire())
 }
--- a/place/rules_test.go
+++ b/place/rules_test.go
@@ -22,7 +22,7 @@
 	return list
 }
 
-// TestOrder: urgent work, then replicas, then the class farthest from its volume, then the team with least.
+// TestOrder checks the order of starts: urgent work, then replicas, then the class farthest from its volume, then the team with the smallest share.
 func TestOrder(t *testing.T) {
 	late := &wire.Class{Name: "late", Kind: wire.ClassKind_CLASS_KIND_BATCH, TargetVolume: 10, DueMinute: 500}
 	met := &wire.Class{Name: "met", Kind: wire.ClassKind_CLASS_KIND_BATCH, TargetVolume: 1, DueMinute: 500}
@@ -36,7 +36,7 @@
 	assert.DeepEqual(t, startsOf(s.decide(second)), []string{"j5", "j4", "j3", "j1", "j2", "j1", "j2"})
 }
 
-// TestQuota: a team over its quota waits and is told so, and others start.
+// TestQuota checks that tasks of a team at its quota wait and give this reason, while other teams' tasks start.
 func TestQuota(t *testing.T) {
 	s := newState(Options{}, batchClass).add(1, size(64, 64, 0), "a")
 	s.SetConfiguration(&wire.Configuration{Classes: s.config.Classes, Teams: []*wire.Team{{Name: "x", Quota: size(2, 64, 0)}}})
@@ -48,7 +48,8 @@
 	assert.DeepEqual(t, startsOf(s.decide(second)), []string{"j0"})
 }
 
-// TestCannotRun: a job too large for every worker is told so once all are known, holds nothing up, one that fits only a domain that is out waits for it, and one that fits only a worker that is gone for an hour.
+// TestCannotRun checks that a job too large for every worker ends as CANNOT_RUN once all workers are known, and doesn't block other jobs.
+// A job that fits only a domain that is out waits for the domain. One that fits only a worker that is gone waits for an hour.
 func TestCannotRun(t *testing.T) {
 	s := newState(Options{Effort: 200}, batchClass).add(2, size(8, 8, 0), "a").add(1, size(32, 8, 0), "b")
 	s.out("b", true)
@@ -73,7 +74,8 @@
 	assert.Equal(t, len(s.decide(time.Hour).Events), 1)
 }
 
-// TestBadJob: a job that fails on three workers that run others well is given up, no worker is suspended for it, and the others' tasks all run.
+// TestBadJob checks that a job is given up after it failed on three workers that run other jobs well.
+// No worker may be suspended because of it, and all tasks of the other job must run.
 func TestBadJob(t *testing.T) {
 	s := newState(Options{}, batchClass).add(4, size(8, 8, 0), "a")
 	s.submit(&wire.Job{Size: size(1, 1, 0), Tasks: 100, Team: "good"})
@@ -100,7 +102,8 @@
 	}
 }
 
-// TestBadJobsSpareWorkers: jobs that failed on two workers before don't have a third suspended, nor do tasks that end badly because they are cancelled.
+// TestBadJobsSpareWorkers checks that failures of jobs that have already failed on two workers don't suspend a third.
+// Failures of cancelled tasks must not suspend a worker either.
 func TestBadJobsSpareWorkers(t *testing.T) {
 	s := newState(Options{}, batchClass).add(3, size(8, 8, 0), "a")
 	for n := range 9 {
@@ -118,7 +121,8 @@
 	assert.Equal(t, len(s.suspended), 0)
 }
 
-// TestBadWorker: a worker that fails three jobs in a row starts nothing for its probation, then single probes whose failure doubles it, and no job is given up for it.
+// TestBadWorker checks that a worker that fails three jobs in a row starts nothing during its probation, and single probes after it.
+// Each failed probe doubles the probation, and no job is given up because of the worker.
 func TestBadWorker(t *testing.T) {
 	s := newState(Options{}, batchClass).add(2, size(8, 8, 0), "a")
 	for range 200 {
@@ -133,7 +137,7 @@
 			}
 		}
 		if held > 0 && at > 0 {
-			assert.Equal(t, held, 1, "more than one probe at a time")
+			assert.Equal(t, held, 1, "starts on the suspended worker at once")
 			probes = append(probes, at)
 		}
 		for _, each := range s.on("w0") {
@@ -145,11 +149,12 @@
 			}
 		}
 	}
-	assert.DeepEqual(t, probes, []int{30, 90, 210}) // 30 s, then twice that, then four times
-	assert.Equal(t, len(s.bad), 0)
+	assert.DeepEqual(t, probes, []int{30, 90, 210}) // probations of 30 s, 60 s and 120 s
+	assert.Equal(t, len(s.failingJobs), 0)
 }
 
-// TestSpread: replicas cover domains and racks evenly, and the last that must widen the spread waits rather than narrow it.
+// TestSpread checks that replicas are spread evenly over domains and racks.
+// With a domain out, the replica that is needed to reach MinDomains waits instead of starting in a domain already used.
 func TestSpread(t *testing.T) {
 	s := newState(Options{}, serviceClass).add(24, size(8, 8, 0), "a", "b", "c")
 	s.submit(&wire.Job{Class: "service", Size: size(1, 1, 0), Tasks: 12})
@@ -168,7 +173,8 @@
 	assert.Equal(t, s.Why("j1", s.tasks["j1"][3].Index), "room is free, but not in a failure domain that it must still spread to (at least 3)")
 }
 
-// TestRelief: beside a service over its target batch is throttled, then evicted, one step in each lag; the service is left alone; one noisy reading does nothing lasting.
+// TestRelief checks that batch beside a service over its target is throttled and later evicted, one step per measurement lag.
+// The service itself is never throttled or evicted, and throttles are removed once its latency is back under the target.
 func TestRelief(t *testing.T) {
 	s := newState(Options{}, batchClass, serviceClass).add(1, size(16, 16, 0), "a")
 	s.submit(&wire.Job{Class: "service", Program: "s", Size: size(4, 4, 0)})
@@ -217,7 +223,8 @@
 	assert.Equal(t, len(evictions)+throttles[59], 0)
 }
 
-// TestSizing: a declared size is committed first, shrinks to the measured peak, and the job's next task starts at what the first took; growth beyond the worker evicts batch for a service.
+// TestSizing checks that a task starts with its declared size, which shrinks to the measured peak, and that the program's next job starts with a size learned from the first.
+// A service that outgrows its worker has batch evicted.
 func TestSizing(t *testing.T) {
 	s := newState(Options{}, batchClass, serviceClass).add(1, size(16, 64, 0), "a")
 	s.submit(&wire.Job{Program: "b", Size: size(8, 8, 0), Tasks: 1})
@@ -241,7 +248,8 @@
 	assert.Equal(t, s.tasks["j0"][0].State, wire.TaskState_TASK_STATE_STOPPING)
 }
 
-// TestUrgent: urgent work that finds no room is given some by evicting the least batch, nobody else takes it meanwhile, and it starts there once all of it is free.
+// TestUrgent checks that urgent work without capacity evicts as few batch tasks as possible.
+// The capacity stays reserved meanwhile, and the urgent task starts there once all of it is free.
 func TestUrgent(t *testing.T) {
 	s := newState(Options{}, batchClass).add(2, size(8, 8, 0), "a")
 	s.submit(&wire.Job{Size: size(2, 2, 0), Tasks: 8})
@@ -255,10 +263,10 @@
 	s.set(s.tasks["j0"][victims[1].Task.Index], wire.TaskState_TASK_STATE_CHECKPOINTED)
 	assert.Equal(t, s.decide(second).Starts[0].Job, "j1")
 	s.set(s.tasks["j1"][0], wire.TaskState_TASK_STATE_DONE)
-	assert.Assert(t, slices.Contains(startsOf(s.decide(second)), "j0"), "what was evicted does not resume")
+	assert.Assert(t, slices.Contains(startsOf(s.decide(second)), "j0"), "an evicted task did not start again")
 }
 
-// TestRebuild: a placer told of everything in another order holds the same room.
+// TestRebuild checks that a placer that receives the same records in another order computes the same free capacity.
 func TestRebuild(t *testing.T) {
 	s := newState(Options{}, batchClass).add(2, size(8, 8, 0), "a")
 	s.submit(&wire.Job{Size: size(3, 3, 0), Tasks: 4})
@@ -273,7 +281,8 @@
 	}
 }
 
-// TestGrowthIsKept: room for a growth that is being committed is not given away when another transition of the task comes first.
+// TestGrowthIsKept checks that the capacity for a pending growth stays held when another transition of the task arrives first.
+// Otherwise another task could start in it before the growth is committed.
 func TestGrowthIsKept(t *testing.T) {
 	s := newState(Options{}, batchClass).add(1, size(8, 8, 0), "a")
 	s.submit(&wire.Job{Size: size(2, 2, 0)})
@@ -285,7 +294,7 @@
 	assert.Equal(t, len(s.decide(second).Starts), 0)
 }
 
-// TestTimeout: a start whose transition never comes is decided again after the timeout, and not before.
+// TestTimeout checks that a start whose transition never arrives is decided again after the timeout, and not before.
 func TestTimeout(t *testing.T) {
 	s := newState(Options{}, batchClass).add(1, size(8, 8, 0), "a")
 	s.submit(&wire.Job{Size: size(8, 8, 0)})
@@ -298,7 +307,7 @@
 	assert.DeepEqual(t, at, []int{0, 5, 10})
 }
 
-// TestWaveLeavesNothing: ten thousand cancelled tasks leave no trace in queue, tables or counts.
+// TestWaveLeavesNothing checks that ten thousand cancelled tasks leave nothing behind in queues, tables or counts.
 func TestWaveLeavesNothing(t *testing.T) {
 	s := newState(Options{}, batchClass).add(1, size(8, 8, 0), "a")
 	wave := s.submit(&wire.Job{Size: size(8, 8, 0), Tasks: 10000})
--- a/place/state_test.go
+++ b/place/state_test.go
@@ -9,7 +9,7 @@
 	"daisyswitch/wire"
 )
 
-// state stands in for the replicated state: it commits what a placer decides, and tells of each transition.
+// state simulates the replicated state: it commits the decisions of a placer and notifies it of each transition.
 type state struct {
 	*Placer
 	now     time.Time
@@ -20,7 +20,7 @@
 }
 
 func newState(o Options, classes ...*wire.Class) *state {
-	s := &state{Placer: New(o), now: fakeStart, config: &wire.Configuration{Classes: classes}, jobs: map[string]*wire.Job{}, tasks: map[string][]*wire.Task{}, workers: map[string]*wire.WorkerRecord{}}
+	s := &state{Placer: New(o), now: simStart, config: &wire.Configuration{Classes: classes}, jobs: map[string]*wire.Job{}, tasks: map[string][]*wire.Task{}, workers: map[string]*wire.WorkerRecord{}}
 	s.SetConfiguration(s.config)
 	return s
 }
@@ -34,7 +34,7 @@
 	return &wire.Size{MilliCpu: cores * 1000, MemoryMib: gib * 1024, Accelerators: accelerators}
 }
 
-// add announces workers w0, w1 and so on in turn to the domains, two to a rack.
+// add announces workers w0, w1 and so on, assigned to the domains in turn, with two workers per rack.
 func (s *state) add(workers int, capacity *wire.Size, domains ...string) *state {
 	for range workers {
 		n := len(s.workers)
@@ -82,7 +82,7 @@
 	return t
 }
 
-// decide takes some seconds, decides, commits the starts and applies the events.
+// decide advances the clock, runs Decide, commits the starts and applies the events.
 func (s *state) decide(after time.Duration) Decisions {
 	s.now = s.now.Add(after)
 	d := s.Decide(s.now)
@@ -110,7 +110,7 @@
 	}
 }
 
-// report tells of a worker's tasks: f gives what each uses and its tail latency.
+// report passes a report of a worker's tasks to the placer; f returns the usage and the tail latency in microseconds of a task.
 func (s *state) report(worker string, f func(*wire.Task) (*wire.Size, int64)) {
 	r := &wire.WorkerReport{Worker: s.workers[worker], Sequence: 1}
 	for _, t := range s.on(worker) {
@@ -120,7 +120,7 @@
 	s.Observe(s.now, r)
 }
 
-// on returns what a worker holds, in order.
+// on returns the tasks that hold capacity on a worker, in order.
 func (s *state) on(worker string) (list []*wire.Task) {
 	for n := range len(s.jobs) {
 		for _, t := range s.tasks[fmt.Sprint("j", n)] {
--- a/place/why.go
+++ b/place/why.go
@@ -7,7 +7,7 @@
 	"daisyswitch/resource"
 )
 
-// Why returns in one line why a queued task waits, and an empty line for one that does not.
+// Why returns a one-line reason why a task waits, or an empty string if it does not wait.
 func (p *Placer) Why(job string, index int32) string {
 	t := p.fleet.Find(job, index)
 	if t == nil || !fleet.Waiting(t.State) {
@@ -21,16 +21,16 @@
 		return "its end is being committed"
 	case t.Reserved != nil:
 		return fmt.Sprintf("room is being made on worker %s", t.Reserved.Name)
-	case p.impossible(t.Job):
+	case p.fitsNoWorker(t.Job):
 		return "no worker is large enough"
 	case !t.Job.WithinQuota(size):
 		return fmt.Sprintf("team %s has reached its quota", t.Job.Team.Name)
 	}
-	return p.whyNoRoom(t.Job, size)
+	return p.whyNoCapacity(t.Job, size)
 }
 
-// whyNoRoom looks at every worker, since people ask seldom.
-func (p *Placer) whyNoRoom(j *fleet.Job, size resource.Size) string {
+// whyNoCapacity scans every worker; operators ask too rarely for the cost to matter.
+func (p *Placer) whyNoCapacity(j *fleet.Job, size resource.Size) string {
 	room, in, out := false, false, false
 	for _, w := range p.fleet.Workers {
 		if w.Domain == nil || !size.Fits(w.Capacity) {
@@ -55,5 +55,5 @@
 	case j.MinDomains > 1:
 		return fmt.Sprintf("room is free, but not in a failure domain that it must still spread to (at least %d)", j.MinDomains)
 	}
-	return "room is free, but beside services that are near their target, or on workers that fail what they start"
+	return "room is free, but only beside services that are near their latency target, or on workers that have failed this task or are suspended for failing others"
 }
