Reword package fleet: the scheduling policy's view of the fleet

Readers stumbled over "room" for capacity, "told of" for records received and "what it counts for" for the charge to a quota. Comments now use capacity, reservation, quota charge and dominant share.

Renames that matter: noRoom to noCapacity, join/leave to attach/detach, dropIfEmpty to removeIfUnused, kept to reservedSize, charged to quotaCharge. The comparison of the code without names and texts shows no other change.

--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -1,2 +1,2 @@
-// Package fleet holds what the policy knows of classes, teams, workers, jobs and tasks: who holds what room, and who waits in which order. It speaks to the packages of the policy alone.
+// Package fleet holds the scheduling policy's view of classes, teams, workers, jobs and tasks: the capacity that each task holds, and the order in which tasks wait. It has no I/O; only the packages of the policy use it.
 package fleet
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,39 +12,39 @@
 	"daisyswitch/wire"
 )
 
-// Fleet is the whole of it, used from one goroutine.
+// Fleet is the complete view of the policy. It is not safe for concurrent use.
 type Fleet struct {
-	Now      time.Time // of the last call that told the time
+	Now      time.Time // as last set by SetNow
 	Classes  map[string]*Class
 	Teams    map[string]*Team
-	Domains  []*Domain // by name
+	Domains  []*Domain // sorted by name
 	Workers  map[string]*Worker
 	Jobs     map[string]*Job
 	Lanes    map[LaneKey]*Lane
-	Shapes   map[resource.Size]*Shape // capacities of all workers ever told of
+	Shapes   map[resource.Size]*Shape // by capacity, of all workers ever seen
 	Table    *interference.Table
-	Total    resource.Size // capacity of all workers
-	Changed  time.Time     // when a capacity was last seen for the first time
+	Total    resource.Size // total capacity of the workers that are present
+	Changed  time.Time     // when the most recent new capacity appeared
 	Reserved []*Worker
 
 	programs map[string]*sizing.Forecast
 }
 
-// Class is a class with the count of its tasks.
+// Class is a class with counts of its tasks.
 type Class struct {
 	*wire.Class
-	Running int // committed and proposed tasks
+	Running int // tasks that hold capacity, committed or proposed
 	Waiting int
-	day     int64 // days since 1970, UTC, that done counts
+	day     int64 // the UTC day, in days since 1970, that done counts
 	done    int64
 }
 
-// Team is a team with what its tasks hold.
+// Team is a team with its quota and usage.
 type Team struct {
 	Name    string
 	Quota   resource.Size
 	Limited bool
-	Used    resource.Size // what its tasks that are committed or proposed count for
+	Used    resource.Size // total quota charge of its committed and proposed tasks
 }
 
 // Domain is a failure domain with its workers.
@@ -52,16 +52,16 @@
 	Name    string
 	Out     bool
 	Rooms   *room.Index
-	Workers []*Worker // by slot of Rooms, nil where a worker went
+	Workers []*Worker // indexed by slot of Rooms; nil for a free slot
 }
 
-// Shape is one capacity that some worker has or had.
+// Shape is a worker capacity that at least one worker has or had.
 type Shape struct {
 	Workers int
-	Gone    time.Time // when the last of them went
+	Gone    time.Time // when a worker of this capacity last joined or left
 }
 
-// New returns a fleet of nothing that notes costs in table.
+// New returns an empty fleet that uses table for interference costs.
 func New(table *interference.Table) *Fleet {
 	return &Fleet{
 		Classes:  make(map[string]*Class),
@@ -75,7 +75,7 @@
 	}
 }
 
-// SetNow takes the time; what was told before the first time is taken as told then.
+// SetNow sets the current time. Capacities that were added before the first call count as added at that time.
 func (f *Fleet) SetNow(now time.Time) {
 	if f.Now.IsZero() {
 		f.Changed = now
@@ -86,27 +86,27 @@
 	f.Now = now
 }
 
-// SetConfiguration takes the accepted classes, teams and domains; what it no longer names has no target, no quota and is in.
+// SetConfiguration applies the accepted classes, teams and domains. Classes that it does not name have no target, teams no quota, and domains are not out.
 func (f *Fleet) SetConfiguration(c *wire.Configuration) {
 	for name, known := range f.Classes {
 		known.Class = &wire.Class{Name: name}
 	}
-	for _, each := range c.GetClasses() {
-		f.class(each.GetName()).Class = each
+	for _, configured := range c.GetClasses() {
+		f.class(configured.GetName()).Class = configured
 	}
 	for _, known := range f.Teams {
 		known.Limited = false
 	}
-	for _, each := range c.GetTeams() {
-		known := f.team(each.GetName())
-		known.Quota = resource.FromWire(each.GetQuota())
+	for _, configured := range c.GetTeams() {
+		known := f.team(configured.GetName())
+		known.Quota = resource.FromWire(configured.GetQuota())
 		known.Limited = true
 	}
 	for _, known := range f.Domains {
 		known.Out = false
 	}
-	for _, each := range c.GetDomains() {
-		f.domain(each.GetName()).Out = each.GetOut()
+	for _, configured := range c.GetDomains() {
+		f.domain(configured.GetName()).Out = configured.GetOut()
 	}
 }
 
@@ -138,7 +138,7 @@
 	return d
 }
 
-// Domain returns a failure domain, nil if it was never named.
+// Domain returns a failure domain, or nil if it is not known.
 func (f *Fleet) Domain(name string) *Domain {
 	for _, d := range f.Domains {
 		if d.Name == name {
@@ -162,7 +162,7 @@
 	return c.GetKind() == wire.ClassKind_CLASS_KIND_SERVICE
 }
 
-// CountDone adds an ended task to the volume of the day on which it was done.
+// CountDone adds a completed task to its class's volume of the day on which it completed.
 func (f *Fleet) CountDone(class string, t *wire.Task) {
 	if t.GetState() != wire.TaskState_TASK_STATE_DONE {
 		return
@@ -177,7 +177,7 @@
 	}
 }
 
-// Distance returns how far a class is from its target, from 0 for on target to 1 for nothing of it reached.
+// Distance returns how far a class is from its target, from 0 for on target to 1 for no progress towards it.
 func (f *Fleet) Distance(c *Class) float64 {
 	if c.Service() {
 		return float64(c.Waiting) / float64(max(1, c.Waiting+c.Running))
@@ -196,7 +196,7 @@
 	return 1 - float64(done)/due
 }
 
-// due returns the share of a day's volume that should be done by now.
+// due returns the share of a class's daily volume that is due by now.
 func (f *Fleet) due(c *Class) float64 {
 	sinceMidnight := f.Now.Sub(f.Now.Truncate(dayLength))
 	due := time.Duration(c.GetDueMinute()) * time.Minute
@@ -208,7 +208,7 @@
 
 const dayLength = 24 * time.Hour
 
-// Charge returns what a task of the job counts for in its team's quota: what is committed, but for a replica its declared size, so that growing replicas never keep another from being replaced.
+// Charge returns the size that a task of the job counts towards its team's quota: its committed size or, for a replica, its declared size, so that growing replicas never prevent the replacement of another.
 func (j *Job) Charge(committed resource.Size) resource.Size {
 	if j.Class.Service() {
 		return j.Size
@@ -216,22 +216,22 @@
 	return committed
 }
 
-// WithinQuota reports whether the team may start one more task of a job; the first always may, since it was admitted by its declared size.
+// WithinQuota reports whether the team's quota allows one more task of the job. A team without usage may always start one, since the task was admitted by its declared size.
 func (j *Job) WithinQuota(size resource.Size) bool {
 	t := j.Team
 	return !t.Limited || t.Used == (resource.Size{}) || t.Used.Add(j.Charge(size)).Fits(t.Quota)
 }
 
-// Dominant returns the largest share of all room that a team holds.
+// Dominant returns a team's dominant share: the largest share of any one resource of the fleet that it uses.
 func (f *Fleet) Dominant(t *Team) float64 {
 	share := 0.0
-	for _, each := range [3][2]int64{
+	for _, amounts := range [3][2]int64{
 		{t.Used.MilliCPU, f.Total.MilliCPU},
 		{t.Used.MemoryMiB, f.Total.MemoryMiB},
 		{t.Used.Accelerators, f.Total.Accelerators},
 	} {
-		if each[1] > 0 {
-			share = max(share, float64(each[0])/float64(each[1]))
+		if amounts[1] > 0 {
+			share = max(share, float64(amounts[0])/float64(amounts[1]))
 		}
 	}
 	return share
--- a/fleet/lane.go
+++ b/fleet/lane.go
@@ -2,23 +2,23 @@
 
 import "daisyswitch/wire"
 
-// LaneKey names a lane.
+// LaneKey identifies a lane.
 type LaneKey struct {
 	Class, Team string
 	Urgent      bool
 }
 
-// Lane is the queue of the jobs of one class and team, in order of arrival.
+// Lane is the FIFO queue of the jobs of one class and team, separate for urgent jobs. A job with evicted tasks moves to the front.
 type Lane struct {
 	Class    *Class
 	Team     *Team
 	Urgent   bool
-	Distance float64 // of the class from its target, as of this round
-	Share    float64 // of the team, as of this round
+	Distance float64 // of the class from its target, in this round
+	Share    float64 // dominant share of the team, in this round
 	Effort   int     // spent on jobs that could not start in this round
 
 	first, last *Job
-	cursor      *Job // what the next round begins with, nil for the first
+	cursor      *Job // next job to consider; nil for the first
 }
 
 func (f *Fleet) lane(j *Job) *Lane {
@@ -31,7 +31,7 @@
 	return l
 }
 
-// Current returns the job whose turn it is, nil if none waits.
+// Current returns the job to consider next, or nil if none waits.
 func (l *Lane) Current() *Job {
 	if l.cursor == nil {
 		l.cursor = l.first
@@ -39,23 +39,23 @@
 	return l.cursor
 }
 
-// Pass moves on from the current job, and reports whether another follows before the lane begins anew.
+// Pass skips the current job, and reports whether another follows before the lane starts over.
 func (l *Lane) Pass() bool {
 	l.cursor = l.cursor.next
 	return l.cursor != nil
 }
 
-// Done reports whether the lane has come to its end.
+// Done reports whether all jobs of the lane have been considered.
 func (l *Lane) Done() bool {
 	return l.cursor == nil
 }
 
-// Empty reports whether no job waits.
+// Empty reports whether no job waits in the lane.
 func (l *Lane) Empty() bool {
 	return l.first == nil
 }
 
-// Before reports whether lane l is served ahead of m: urgent work, then services, then what is farthest from its target, then the team with least.
+// Before reports whether lane l is served ahead of m: urgent work first, then services, then the class farthest from its target, then the team with the smallest dominant share.
 func (l *Lane) Before(m *Lane) bool {
 	if l.Urgent != m.Urgent {
 		return l.Urgent
@@ -86,7 +86,7 @@
 	l.last = j
 }
 
-// pushFront lets a job whose work was begun go on before others.
+// pushFront puts a job at the front, so that work already started continues before other jobs.
 func (l *Lane) pushFront(j *Job) {
 	if l.first == nil {
 		l.push(j)
@@ -115,7 +115,7 @@
 	j.prev, j.next, j.queued = nil, nil, false
 }
 
-// taskList is a list of a job's waiting tasks, linked through the tasks so that a cancelled one leaves at once.
+// taskList is an intrusive list of a job's waiting tasks, so that a cancelled task is removed in constant time.
 type taskList struct {
 	first, last *Task
 	length      int
@@ -157,17 +157,17 @@
 	l.length--
 }
 
-// NextTask returns the first waiting task of a job, nil if none waits.
+// NextTask returns the first waiting task of a job, or nil if none waits.
 func (j *Job) NextTask() *Task {
 	return j.queue.first
 }
 
-// Waiting returns how many tasks of a job wait.
+// Waiting returns the number of waiting tasks of a job.
 func (j *Job) Waiting() int {
 	return j.queue.length
 }
 
-// Enqueue lets a task wait for its start: behind the others, or before them if it was evicted.
+// Enqueue adds a task to its job's queue: at the back, or at the front if it was checkpointed, as by an eviction.
 func (f *Fleet) Enqueue(t *Task) {
 	j := t.Job
 	j.Class.Waiting++
@@ -190,7 +190,7 @@
 	j.Lane.pushFront(j)
 }
 
-// Dequeue takes a task out of the queue, if it waits there.
+// Dequeue removes a task from its job's queue, if it waits there.
 func (f *Fleet) Dequeue(t *Task) {
 	j := t.Job
 	if j.queue.first != t && t.prev == nil {
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -10,34 +10,34 @@
 	"daisyswitch/wire"
 )
 
-// Job is a job with those of its tasks that have not ended.
+// Job is a job with its tasks that have not ended.
 type Job struct {
 	ID         string
 	Urgent     bool
 	MinDomains int
-	Size       resource.Size // declared
+	Size       resource.Size // declared size of each task
 	Class      *Class
 	Team       *Team
 	Program    interference.Program
 	Tasks      map[int32]*Task
 	Lane       *Lane
 
-	Forecast *sizing.Forecast // of its program
-	Sample   sizing.Sample    // of its tasks that were measured for long enough
-	Sampled  int              // how many these are
-	Memory   int64            // least to start with, since less was not enough, MiB
+	Forecast *sizing.Forecast // size forecast of its program
+	Sample   sizing.Sample    // peaks of its tasks that were measured for long enough
+	Sampled  int              // number of tasks in Sample
+	Memory   int64            // minimum initial memory in MiB after a task ran out of memory
 	Blame    blame.Job
 	GivenUp  bool
 
 	queue      taskList
-	queued     bool // in its lane
+	queued     bool // whether it is in its lane
 	prev, next *Job
 }
 
-// Decision is what was decided about a task and is not yet answered by the state.
+// Decision is a decision on a task that no transition of the replicated state has resolved yet.
 type Decision int8
 
-// The decisions.
+// Decisions on a task.
 const (
 	Undecided Decision = iota
 	DecidedStart
@@ -46,44 +46,44 @@
 	DecidedResize
 )
 
-// Task is a task that waits or holds room.
+// Task is a task that waits or holds capacity.
 type Task struct {
 	Job       *Job
 	Index     int32
 	Attempt   uint32
 	Failures  uint32
 	State     wire.TaskState
-	Worker    *Worker // where it is committed or proposed
+	Worker    *Worker // the worker that it is committed to or proposed for
 	Committed resource.Size
-	FailedOn  *Worker // last failure
-	Reserved  *Worker // that room is being made on
+	FailedOn  *Worker // worker of its last failure
+	Reserved  *Worker // worker that holds a reservation for it
 
 	Decision Decision
 	Decided  time.Time
-	Before   resource.Size // committed before a decided growth
+	Before   resource.Size // committed size before a pending resize
 
-	Used     resource.Size // last measurement
+	Used     resource.Size // last measured usage
 	Peak     sizing.Peak
-	Load     sizing.Peak // services: of late
-	Measured time.Time   // first measurement of this attempt
-	Sized    bool        // on the list of tasks to be resized
-	Sampled  bool        // it is in its job's sample
-	Credited bool        // this attempt has run long enough to speak for its worker
-	Latency  bool        // its worker reports its tail latency
-	Ratio    float64     // services: smoothed logarithm of tail latency over target
-	Throttle int32       // percent
-
-	charged    resource.Size // in its team's quota
-	slot       int32         // position among its worker's tasks
-	prev, next *Task
+	Load     sizing.Peak // services: highest recent load
+	Measured time.Time   // time of the first measurement of this attempt
+	Sized    bool        // whether it is in the list of tasks to resize
+	Sampled  bool        // whether its peak is in its job's sample
+	Credited bool        // whether this attempt has run long enough to count as a success of its worker
+	Latency  bool        // whether its worker reports its tail latency
+	Ratio    float64     // services: smoothed logarithm of the ratio of tail latency to target
+	Throttle int32       // share of its processors taken away, in percent
+
+	quotaCharge resource.Size // size counted towards its team's quota
+	slot        int32         // index in its worker's Tasks
+	prev, next  *Task
 }
 
-// Waiting reports whether a task of this state is to be started.
+// Waiting reports whether a task in this state waits for a start.
 func Waiting(s wire.TaskState) bool {
 	return s == wire.TaskState_TASK_STATE_QUEUED || s == wire.TaskState_TASK_STATE_CHECKPOINTED
 }
 
-// Holding reports whether a task of this state holds room on its worker.
+// Holding reports whether a task in this state holds capacity on its worker.
 func Holding(s wire.TaskState) bool {
 	switch s {
 	case wire.TaskState_TASK_STATE_STARTING, wire.TaskState_TASK_STATE_RUNNING, wire.TaskState_TASK_STATE_STOPPING:
@@ -92,7 +92,7 @@
 	return false
 }
 
-// Find returns a task, nil if it is not known or has ended.
+// Find returns a task, or nil if it is not known or has ended.
 func (f *Fleet) Find(job string, index int32) *Task {
 	j := f.Jobs[job]
 	if j == nil {
@@ -101,7 +101,7 @@
 	return j.Tasks[index]
 }
 
-// Add returns a task, and makes it known if it was not.
+// Add returns a task, and creates it and its job if necessary.
 func (f *Fleet) Add(j *wire.Job, index int32) *Task {
 	known := f.Jobs[j.GetId()]
 	if known == nil {
@@ -132,7 +132,7 @@
 	return known
 }
 
-// Drop forgets a task that has ended, and its job with the last of them.
+// Drop removes a task that has ended, and its job once no tasks are left.
 func (f *Fleet) Drop(t *Task) {
 	delete(t.Job.Tasks, t.Index)
 	if len(t.Job.Tasks) == 0 {
@@ -140,24 +140,24 @@
 	}
 }
 
-// charge replaces what a task counts for in its team's quota.
+// charge sets the size that a task counts towards its team's quota.
 func (t *Task) charge(size resource.Size) {
-	t.Job.Team.Used = t.Job.Team.Used.Sub(t.charged).Add(size)
-	t.charged = size
+	t.Job.Team.Used = t.Job.Team.Used.Sub(t.quotaCharge).Add(size)
+	t.quotaCharge = size
 }
 
-// Evictable reports whether a task is batch that runs and about which nothing is decided.
+// Evictable reports whether a task is a batch task that is starting or running and has no pending decision.
 func (t *Task) Evictable() bool {
 	return !t.Job.Class.Service() && t.Decision == Undecided &&
 		(t.State == wire.TaskState_TASK_STATE_RUNNING || t.State == wire.TaskState_TASK_STATE_STARTING)
 }
 
-// Stopping reports whether a task has been or is being told to stop.
+// Stopping reports whether a task is stopping or a decision to stop it is pending.
 func (t *Task) Stopping() bool {
 	return t.State == wire.TaskState_TASK_STATE_STOPPING || t.Decision == DecidedStop
 }
 
-// ForgetMeasurements drops what was measured of an attempt that has ended.
+// ForgetMeasurements resets the measurements of an attempt that has ended.
 func (t *Task) ForgetMeasurements() {
 	t.Used, t.Peak, t.Load, t.Measured = resource.Size{}, sizing.Peak{}, sizing.Peak{}, time.Time{}
 	t.Ratio, t.Sampled, t.Credited = 0, false, false
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -10,47 +10,47 @@
 	"daisyswitch/wire"
 )
 
-// Worker is a worker with the tasks that hold room on it.
+// Worker is a worker with the tasks that hold capacity on it.
 type Worker struct {
 	Name     string
 	Rack     string
-	Domain   *Domain       // nil while it is not there
-	Capacity resource.Size // zero while it is not there
-	Free     resource.Size // capacity less what is committed and proposed
+	Domain   *Domain       // nil while it is gone
+	Capacity resource.Size // zero while it is gone
+	Free     resource.Size // capacity less committed and proposed sizes
 	Tasks    []*Task
 	Blame    blame.Worker
 
-	Shares []interference.Share // of the batch programs on it, kept by package usage
-	Stale  bool                 // Shares are to be counted again
-	Used   resource.Size        // as last measured, of all its tasks
+	Shares []interference.Share // processor shares of the batch programs on it, maintained by package usage
+	Stale  bool                 // whether Shares must be recomputed
+	Used   resource.Size        // last measured usage of all its tasks
 
-	Pressed bool      // on the list of package pressure
-	Stepped time.Time // last step of relief
+	Pressed bool      // whether it is queued for relief in package pressure
+	Stepped time.Time // time of the last relief step
 
-	slot     int
-	reserved *Task // urgent task or replica that room is being made for
-	kept     resource.Size
-	until    time.Time
+	slot         int
+	reservedFor  *Task // urgent task or replica that capacity is reserved for
+	reservedSize resource.Size
+	until        time.Time
 }
 
-// noRoom keeps a worker out of the index.
-var noRoom = resource.Size{MilliCPU: -1}
+// noCapacity, as the indexed size, keeps tasks off a worker.
+var noCapacity = resource.Size{MilliCPU: -1}
 
-// SetWorker takes a worker's record; one that is gone starts nothing more, but its tasks stay on it until the state says otherwise.
+// SetWorker applies a worker's record. No task starts on a worker that is gone, but its tasks stay assigned to it until the replicated state changes them.
 func (f *Fleet) SetWorker(r *wire.WorkerRecord) {
 	w := f.worker(r.GetName())
 	capacity := resource.FromWire(r.GetCapacity())
 	if w.Domain != nil && (r.GetGone() || w.Domain.Name != r.GetDomain() || w.Capacity != capacity) {
-		f.leave(w)
+		f.detach(w)
 	}
 	if r.GetGone() {
 		f.countShape(capacity, 0)
-		f.dropIfEmpty(w)
+		f.removeIfUnused(w)
 		return
 	}
 	w.Rack = r.GetRack()
 	if w.Domain == nil {
-		f.join(w, f.domain(r.GetDomain()), capacity)
+		f.attach(w, f.domain(r.GetDomain()), capacity)
 	}
 }
 
@@ -63,9 +63,9 @@
 	return w
 }
 
-func (f *Fleet) join(w *Worker, d *Domain, capacity resource.Size) {
+func (f *Fleet) attach(w *Worker, d *Domain, capacity resource.Size) {
 	w.Domain = d
-	w.slot = d.Rooms.Add(noRoom)
+	w.slot = d.Rooms.Add(noCapacity)
 	if w.slot == len(d.Workers) {
 		d.Workers = append(d.Workers, nil)
 	}
@@ -77,7 +77,7 @@
 	f.Offer(w)
 }
 
-func (f *Fleet) leave(w *Worker) {
+func (f *Fleet) detach(w *Worker) {
 	w.Domain.Rooms.Remove(w.slot)
 	w.Domain.Workers[w.slot] = nil
 	w.Domain = nil
@@ -87,7 +87,7 @@
 	w.Capacity = resource.Size{}
 }
 
-func (f *Fleet) dropIfEmpty(w *Worker) {
+func (f *Fleet) removeIfUnused(w *Worker) {
 	if w.Domain == nil && len(w.Tasks) == 0 {
 		delete(f.Workers, w.Name)
 	}
@@ -104,7 +104,7 @@
 	s.Gone = f.Now
 }
 
-// Offer tells the index how much room of a worker is open to any task.
+// Offer updates the capacity index with the worker's free capacity that any task may use.
 func (f *Fleet) Offer(w *Worker) {
 	w.Stale = true
 	if w.Domain == nil {
@@ -112,56 +112,56 @@
 	}
 	open := w.Open()
 	if w.Blame.Suspended() && !w.Blame.Probes(f.Now, len(w.Tasks)) {
-		open = noRoom
+		open = noCapacity
 	}
 	w.Domain.Rooms.Set(w.slot, open)
 }
 
-// Open returns the free room that is not reserved.
+// Open returns the free capacity that is not reserved.
 func (w *Worker) Open() resource.Size {
-	return w.Free.Sub(w.kept)
+	return w.Free.Sub(w.reservedSize)
 }
 
-// Reserve keeps room on a worker for one task until a time.
+// Reserve reserves capacity on a worker for one task until the given time.
 func (f *Fleet) Reserve(w *Worker, t *Task, size resource.Size, until time.Time) {
-	w.reserved, w.kept, w.until, t.Reserved = t, size, until, w
+	w.reservedFor, w.reservedSize, w.until, t.Reserved = t, size, until, w
 	f.Reserved = append(f.Reserved, w)
 	f.Offer(w)
 }
 
-// Kept returns how much room is reserved.
+// Kept returns the reserved capacity.
 func (w *Worker) Kept() resource.Size {
-	return w.kept
+	return w.reservedSize
 }
 
-// IsReserved reports whether room on the worker is kept for a task.
+// IsReserved reports whether capacity on the worker is reserved for a task.
 func (w *Worker) IsReserved() bool {
-	return w.reserved != nil
+	return w.reservedFor != nil
 }
 
-// Unreserve ends the reservation for a task, if there is one.
+// Unreserve removes the reservation for a task, if there is one.
 func (f *Fleet) Unreserve(t *Task) {
 	w := t.Reserved
 	if w == nil {
 		return
 	}
-	t.Reserved, w.reserved, w.kept = nil, nil, resource.Size{}
+	t.Reserved, w.reservedFor, w.reservedSize = nil, nil, resource.Size{}
 	if i := slices.Index(f.Reserved, w); i >= 0 {
 		f.Reserved = slices.Delete(f.Reserved, i, i+1)
 	}
 	f.Offer(w)
 }
 
-// ExpireReservations ends the reservations whose time is over.
+// ExpireReservations removes expired reservations.
 func (f *Fleet) ExpireReservations() {
 	for _, w := range slices.Clone(f.Reserved) {
 		if !f.Now.Before(w.until) {
-			f.Unreserve(w.reserved)
+			f.Unreserve(w.reservedFor)
 		}
 	}
 }
 
-// Hold commits room on a worker to a task.
+// Hold assigns capacity on a worker to a task.
 func (f *Fleet) Hold(t *Task, w *Worker, size resource.Size) {
 	t.Job.Class.Running++
 	t.charge(t.Job.Charge(size))
@@ -172,12 +172,12 @@
 	f.Offer(w)
 }
 
-// HoldNamed is Hold on the worker of this name, which may be unknown as yet.
+// HoldNamed is Hold for a worker given by name, which need not be known yet.
 func (f *Fleet) HoldNamed(t *Task, worker string, size resource.Size) {
 	f.Hold(t, f.worker(worker), size)
 }
 
-// Release gives back what a task holds, if it holds anything.
+// Release frees the capacity that a task holds, if any.
 func (f *Fleet) Release(t *Task) {
 	w := t.Worker
 	if w == nil {
@@ -193,10 +193,10 @@
 	w.Tasks = w.Tasks[:last]
 	w.Free = w.Free.Add(t.Committed)
 	f.Offer(w)
-	f.dropIfEmpty(w)
+	f.removeIfUnused(w)
 }
 
-// Recommit changes what a task holds.
+// Recommit changes the size that a task holds.
 func (f *Fleet) Recommit(t *Task, size resource.Size) {
 	t.charge(t.Job.Charge(size))
 	t.Worker.Free = t.Worker.Free.Add(t.Committed).Sub(size)
@@ -204,20 +204,20 @@
 	f.Offer(t.Worker)
 }
 
-// Overloaded reports whether the worker's processors are all in use, so that its tasks hinder each other whatever they are.
+// Overloaded reports whether nearly all of the worker's processors are in use, so that its tasks slow each other regardless of their programs.
 func (w *Worker) Overloaded() bool {
 	return w.Spare() < 0
 }
 
-// Spare is the share of the worker's processors that may still be used before it is overloaded.
+// Spare returns the share of the worker's processors that can still be used before it is overloaded.
 func (w *Worker) Spare() float64 {
-	return overload - w.Share(w.Used.MilliCPU)
+	return overloadShare - w.Share(w.Used.MilliCPU)
 }
 
-// overload is the share of a worker's processors in use.
-const overload = 0.95
+// overloadShare is the share of a worker's processors in use above which it counts as overloaded.
+const overloadShare = 0.95
 
-// Share returns the share of the worker's processors that an amount is.
+// Share returns an amount of processor capacity as a share of the worker's processors.
 func (w *Worker) Share(milliCPU int64) float64 {
 	return float64(milliCPU) / float64(max(1, w.Capacity.MilliCPU))
 }
