Reword packages blame and sizing: failure records and size forecasts

Readers stumbled over jobs that "pay" for workers, over "speaks against", and over a "sliding time" and estimates "weighed by how sure" they are.

The comparison of the code without names and texts shows no other change.

--- a/blame/doc.go
+++ b/blame/doc.go
@@ -1,2 +1,2 @@
-// Package blame tells bad workers from bad jobs, for the policy alone: a worker is judged by distinct jobs and a job by distinct workers, so that neither pays for the other.
+// Package blame decides whether failures are caused by the worker or by the job. A worker is judged by the number of distinct jobs that fail on it, and a job by the number of distinct workers that it fails on, so that neither is penalized for the other's faults. Only the scheduling policy uses it.
 package blame
--- a/blame/job.go
+++ b/blame/job.go
@@ -1,42 +1,42 @@
 package blame
 
-// Job is the record of one job; its zero value is good.
+// Job is the failure record of one job; its zero value has no failures.
 type Job struct {
-	failed    []string // distinct workers that failed its tasks since its last success
-	succeeded bool
+	failedWorkers []string // distinct workers that its tasks have failed on since its last success
+	succeeded     bool
 }
 
-// Failed takes the failure of a task of the job on a worker.
+// Failed records a failure of a task of the job on a worker.
 func (j *Job) Failed(worker string) {
-	for _, each := range j.failed {
-		if each == worker {
+	for _, name := range j.failedWorkers {
+		if name == worker {
 			return
 		}
 	}
-	if len(j.failed) < mostWorkers {
-		j.failed = append(j.failed, worker)
+	if len(j.failedWorkers) < maxFailedWorkers {
+		j.failedWorkers = append(j.failedWorkers, worker)
 	}
 }
 
-// mostWorkers bounds how many workers a job's record names.
-const mostWorkers = 16
+// maxFailedWorkers bounds the number of workers in a job's record.
+const maxFailedWorkers = 16
 
-// Succeeded takes a task of the job that ended well.
+// Succeeded records that a task of the job completed.
 func (j *Job) Succeeded() {
-	j.failed = nil
+	j.failedWorkers = nil
 	j.succeeded = true
 }
 
-// Suspected reports whether the job has failed on two workers and succeeded nowhere, so that its failures no longer speak against workers.
+// Suspected reports whether the job has failed on at least two workers and never succeeded, so that its failures no longer count against workers.
 func (j *Job) Suspected() bool {
-	return len(j.failed) >= 2 && !j.succeeded
+	return len(j.failedWorkers) >= 2 && !j.succeeded
 }
 
-// Bad reports whether the job has failed on enough distinct workers that are trusted.
+// Bad reports whether the job has failed on enough distinct trusted workers to be given up.
 func (j *Job) Bad(trusted func(worker string) bool, o *Options) bool {
 	n := 0
-	for _, each := range j.failed {
-		if trusted(each) {
+	for _, name := range j.failedWorkers {
+		if trusted(name) {
 			n++
 		}
 	}
--- a/blame/worker.go
+++ b/blame/worker.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// Options holds the limits of judgement; a zero field takes its default.
+// Options holds the thresholds for suspending workers and giving up jobs; a zero field takes its default.
 type Options struct {
-	Jobs      int           // distinct jobs that a worker fails in a row before it is suspended
+	Jobs      int           // distinct jobs that fail on a worker without a success in between before it is suspended
 	Workers   int           // distinct trusted workers that a job fails on before it is given up
-	Probation time.Duration // of the first suspension; it doubles with each further one
-	Longest   time.Duration // suspension
-	Probes    int           // single tasks that must end well, one after the other, before a worker is trusted again
+	Probation time.Duration // length of the first suspension; it doubles with each further one
+	Longest   time.Duration // maximum length of a suspension
+	Probes    int           // successes, one task at a time, before a suspended worker is trusted again
 }
 
 var defaults = Options{Jobs: 3, Workers: 3, Probation: 30 * time.Second, Longest: time.Hour, Probes: 3}
@@ -33,51 +33,51 @@
 	return o
 }
 
-// Worker is the record of one worker; its zero value is trusted.
+// Worker is the failure record of one worker; its zero value is not suspended.
 type Worker struct {
-	failed      []string // distinct jobs failed since the last success
-	succeeded   bool     // has run something to its end
-	suspensions int
-	suspended   bool
-	until       time.Time
-	probes      int // ended well since the suspension
+	failedJobs     []string // distinct jobs that have failed on it since the last success
+	succeeded      bool     // whether a task has ever succeeded on it
+	suspensions    int
+	suspended      bool
+	suspendedUntil time.Time
+	probesPassed   int // successful probes since the suspension
 }
 
-// Failed takes the failure of a job's task, and reports whether the worker is suspended by it; tasks that it still held when it was suspended don't count again.
+// Failed records the failure of a job's task, and reports whether it suspends the worker. Failures during a suspension don't count, since those tasks were already on the worker when it began.
 func (w *Worker) Failed(now time.Time, job string, o *Options) bool {
-	if w.suspended && now.Before(w.until) {
+	if w.suspended && now.Before(w.suspendedUntil) {
 		return false
 	}
-	for _, each := range w.failed {
-		if each == job && !w.suspended {
+	for _, id := range w.failedJobs {
+		if id == job && !w.suspended {
 			return false
 		}
 	}
-	if len(w.failed) < o.Jobs {
-		w.failed = append(w.failed, job)
+	if len(w.failedJobs) < o.Jobs {
+		w.failedJobs = append(w.failedJobs, job)
 	}
-	if !w.suspended && len(w.failed) < o.Jobs {
+	if !w.suspended && len(w.failedJobs) < o.Jobs {
 		return false
 	}
-	length := o.Probation << min(w.suspensions, longestShift)
+	length := o.Probation << min(w.suspensions, maxDoublings)
 	w.suspensions++
-	w.suspended, w.probes, w.failed = true, 0, nil
-	w.until = now.Add(min(length, o.Longest))
+	w.suspended, w.probesPassed, w.failedJobs = true, 0, nil
+	w.suspendedUntil = now.Add(min(length, o.Longest))
 	return true
 }
 
-// longestShift keeps the doubling of a suspension within a duration.
-const longestShift = 20
+// maxDoublings keeps the doubling of a suspension from overflowing a duration.
+const maxDoublings = 20
 
-// Succeeded takes a task that ended well, and reports whether the worker is trusted again by it.
+// Succeeded records the success of a task, and reports whether it ends the worker's suspension.
 func (w *Worker) Succeeded(o *Options) bool {
-	w.failed = nil
+	w.failedJobs = nil
 	w.succeeded = true
 	if !w.suspended {
 		return false
 	}
-	w.probes++
-	if w.probes < o.Probes {
+	w.probesPassed++
+	if w.probesPassed < o.Probes {
 		return false
 	}
 	w.suspended = false
@@ -85,17 +85,17 @@
 	return true
 }
 
-// Suspended reports whether the worker may start no more than single probes.
+// Suspended reports whether the worker is limited to single probes.
 func (w *Worker) Suspended() bool {
 	return w.suspended
 }
 
-// Probes reports whether a suspended worker may start one task now, given how many it holds.
+// Probes reports whether a suspended worker may start a probe now, given the number of tasks that it holds.
 func (w *Worker) Probes(now time.Time, tasks int) bool {
-	return tasks == 0 && !now.Before(w.until)
+	return tasks == 0 && !now.Before(w.suspendedUntil)
 }
 
-// Trusted reports whether a failure on the worker speaks against the job: it has run others well and none of late has failed but this.
+// Trusted reports whether a failure on the worker counts against the job: the worker has had a success, is not suspended, and at most one job has failed on it since its last success.
 func (w *Worker) Trusted() bool {
-	return w.succeeded && !w.suspended && len(w.failed) <= 1
+	return w.succeeded && !w.suspended && len(w.failedJobs) <= 1
 }
--- a/sizing/doc.go
+++ b/sizing/doc.go
@@ -1,2 +1,2 @@
-// Package sizing turns measured usage into the size to commit, for the policy alone, because declared sizes are far off.
+// Package sizing computes the size to commit for a task from measured usage, because declared sizes are often far off. Only the scheduling policy uses it.
 package sizing
--- a/sizing/forecast_test.go
+++ b/sizing/forecast_test.go
@@ -13,7 +13,8 @@
 	return resource.Size{MilliCPU: int64(1000 * n), MemoryMiB: 1}
 }
 
-// TestForecast: the declared size counts until more is known, then whichever of program and declared size has been the better guide, and a job's own tasks before both.
+// TestForecast checks that the declared size is used until there are measurements.
+// Then the better predictor of the program's history and the declared size dominates, and a job's own tasks take precedence over both.
 func TestForecast(t *testing.T) {
 	near := func(f *Forecast, declared float64, job *Sample, want float64) {
 		t.Helper()
@@ -23,8 +24,8 @@
 	var unknown, wild, scaled Forecast
 	near(&unknown, 8, &Sample{}, 8)
 	for n := range 20 {
-		wild.Add(cores(2), cores([]float64{0.5, 8}[n%2]))          // alike, declared at random
-		scaled.Add(cores(float64(1+n%8)), cores(4*float64(1+n%8))) // different, declared four times too large
+		wild.Add(cores(2), cores([]float64{0.5, 8}[n%2]))          // same size, arbitrary declared sizes
+		scaled.Add(cores(float64(1+n%8)), cores(4*float64(1+n%8))) // different sizes, declared four times too large
 	}
 	near(&wild, 8, &Sample{}, 2)
 	near(&scaled, 32, &Sample{}, 8)
--- a/sizing/peak.go
+++ b/sizing/peak.go
@@ -6,27 +6,27 @@
 	"daisyswitch/resource"
 )
 
-// Peak is the largest usage within a sliding time, kept as the peaks of its older and newer half.
+// Peak is the largest usage within a sliding window, stored as the peaks of the window's older and newer half.
 type Peak struct {
 	older, newer resource.Size
-	turned       int64 // Unix milliseconds at which the newer half began
+	newerSince   int64 // start of the newer half, in Unix milliseconds
 }
 
-// Add takes one measurement; half is the length of each half of the sliding time.
+// Add adds one measurement; half is the length of each half of the window.
 func (p *Peak) Add(now time.Time, used resource.Size, half time.Duration) {
 	at := now.UnixMilli()
-	if at-p.turned >= half.Milliseconds() {
-		p.older, p.newer, p.turned = p.newer, resource.Size{}, at
+	if at-p.newerSince >= half.Milliseconds() {
+		p.older, p.newer, p.newerSince = p.newer, resource.Size{}, at
 	}
 	p.newer = Larger(p.newer, used)
 }
 
-// Value returns the peak.
+// Value returns the largest usage in the window.
 func (p *Peak) Value() resource.Size {
 	return Larger(p.older, p.newer)
 }
 
-// Larger returns the larger amount of each resource.
+// Larger returns the element-wise maximum of two sizes.
 func Larger(a, b resource.Size) resource.Size {
 	return resource.Size{
 		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
@@ -35,31 +35,31 @@
 	}
 }
 
-// Margin is what is committed above a peak, in percent.
+// Margin is the headroom to commit above a peak, in percent.
 type Margin struct {
 	CPU, Memory int64
 }
 
-// Smallest commitment, so that an idle task can still be seen to grow.
+// Smallest sizes to commit, so that growth of an idle task remains measurable.
 const (
-	leastMilliCPU  = 50
-	leastMemoryMiB = 32
+	minMilliCPU  = 50
+	minMemoryMiB = 32
 )
 
-// Commit returns the size to commit for a peak; accelerators stay as declared, since they are held whole.
+// Commit returns the size to commit for a peak. Accelerators stay as declared, since they are allocated whole.
 func (m Margin) Commit(peak, declared resource.Size) resource.Size {
 	return resource.Size{
-		MilliCPU:     max(leastMilliCPU, peak.MilliCPU*(100+m.CPU)/100),
-		MemoryMiB:    max(leastMemoryMiB, peak.MemoryMiB*(100+m.Memory)/100),
+		MilliCPU:     max(minMilliCPU, peak.MilliCPU*(100+m.CPU)/100),
+		MemoryMiB:    max(minMemoryMiB, peak.MemoryMiB*(100+m.Memory)/100),
 		Accelerators: declared.Accelerators,
 	}
 }
 
-// Worth reports whether going from one size to another is worth a commit, which a change by more than an eighth of a resource is.
+// Worth reports whether a resize is large enough to be worth a commit: CPU or memory must change by more than an eighth.
 func Worth(from, to resource.Size) bool {
-	return worth(from.MilliCPU, to.MilliCPU) || worth(from.MemoryMiB, to.MemoryMiB)
+	return changedEnough(from.MilliCPU, to.MilliCPU) || changedEnough(from.MemoryMiB, to.MemoryMiB)
 }
 
-func worth(from, to int64) bool {
+func changedEnough(from, to int64) bool {
 	return to > from+from/8 || to < from-from/8
 }
