Reword packages usage, pressure and interference

Readers stumbled over "takes" and "learns" without an object, over processors that are "given back", and over hot, cool and goal as bounds. Comments now speak of measurements, planned ratio, throttle levels, relief steps, priors and prediction errors.

Renames that matter: guard to logPlannedRatio, paceFor to unmeasuredTimeout, take to smoothRatio, hot/goal/cool to throttleAbove/reliefGoal/liftBelow, press to throttleOrEvict, futile to targetUnreachable, giveBack to reduceThrottling, correct to update.

The comment on Options.Forgetful says that the option is not implemented: no code reads it. Table.Learn takes the logarithm of a latency, which its comment called a slowdown. The comparison of the code without names and texts shows no other change.

--- a/interference/doc.go
+++ b/interference/doc.go
@@ -1,2 +1,2 @@
-// Package interference learns how much programs that share a worker slow each other, for the policy alone, from measurements that lag and are noisy.
+// Package interference learns from lagged, noisy measurements how much programs that share a worker slow each other. Only the scheduling policy uses it.
 package interference
--- a/interference/table.go
+++ b/interference/table.go
@@ -2,36 +2,36 @@
 
 import "math"
 
-// Program numbers a program within one table.
+// Program is the number of a program within one table.
 type Program int32
 
-// Share is how much of a worker's processors a program uses beside another, 1 for all of them.
+// Share is the share of a worker's processors that a neighboring program uses, 1 for all of them.
 type Share struct {
 	Program Program
 	Share   float64
 }
 
-// Estimate is what is believed of one cost: the logarithm of the slowdown that a neighbor on the whole worker causes.
+// Estimate is the estimate of one interference cost: the logarithm of the slowdown caused by a neighbor that uses all of the worker's processors. For a base, it estimates the program's reading without neighbors.
 type Estimate struct {
 	Mean     float64
 	Variance float64
-	Count    int // readings behind it
+	Count    int // number of readings
 }
 
-// Options holds what is believed before the first reading, and how readings are trusted; a zero field takes its default.
+// Options holds the prior of the costs and the noise model of the readings; a zero field takes its default.
 type Options struct {
-	Mean     float64 // of a pair's cost
-	Variance float64 // of a pair's cost
+	Mean     float64 // prior mean of a pair's cost
+	Variance float64 // prior variance of a pair's cost
 	Noise    float64 // variance of one reading
-	Drift    float64 // variance that is added with each reading, since costs shift
+	Drift    float64 // variance added with each reading, since costs change over time
 }
 
 var defaults = Options{Mean: 0.3, Variance: 0.25, Noise: 0.01, Drift: 1e-5}
 
-// baseVariance is large, so that the first reading of a program at some load counts nearly alone.
+// baseVariance is large, so that the first reading of a program at a load level determines its base almost alone.
 const baseVariance = 4
 
-// Table holds the costs of pairs, and what each program's reading is when it is alone, by its own load.
+// Table holds the estimated costs of program pairs, and each program's base reading, without neighbors, by its own load level.
 type Table struct {
 	options Options
 	numbers map[string]Program
@@ -60,7 +60,7 @@
 	return &Table{options: o, numbers: make(map[string]Program)}
 }
 
-// Number returns the number of a program, which it gets when first named.
+// Number returns the number of a program, and assigns one on the first call.
 func (t *Table) Number(name string) Program {
 	n, known := t.numbers[name]
 	if !known {
@@ -71,7 +71,7 @@
 	return n
 }
 
-// Cost returns what is believed of a neighbor's cost to a victim.
+// Cost returns the estimated cost of a neighbor to a program, or the prior if there is no reading.
 func (t *Table) Cost(of, neighbor Program) Estimate {
 	if e := t.victims[of].pairs[neighbor]; e != nil {
 		return *e
@@ -79,13 +79,13 @@
 	return Estimate{Mean: t.options.Mean, Variance: t.options.Variance}
 }
 
-// Base returns the expected reading of a program alone at a level of load, taking the nearest level that was read; false if none was.
+// Base returns the expected reading of a program without neighbors at a load level, or at the nearest level with readings. It returns false if there is none within reach.
 func (t *Table) Base(of Program, level int) (float64, bool) {
 	base := t.victims[of].base
 	if e := base[level]; e != nil {
 		return e.Mean, true
 	}
-	for away := 1; away <= farthestLevel; away++ {
+	for away := 1; away <= maxLevelDistance; away++ {
 		if e := base[level+away]; e != nil {
 			return e.Mean, true
 		}
@@ -96,9 +96,9 @@
 	return 0, false
 }
 
-const farthestLevel = 16
+const maxLevelDistance = 16
 
-// Level returns the level of a load, four to each doubling.
+// Level returns the level of a load, with four levels per doubling.
 func Level(load float64) int {
 	if load <= 0 {
 		return 0
@@ -106,7 +106,7 @@
 	return int(math.Floor(4 * math.Log2(load)))
 }
 
-// Predict returns the expected reading of a program at a level of load beside its neighbors.
+// Predict returns the expected reading of a program at a load level beside the given neighbors.
 func (t *Table) Predict(of Program, level int, neighbors []Share) float64 {
 	sum, _ := t.Base(of, level)
 	for _, n := range neighbors {
@@ -115,7 +115,7 @@
 	return sum
 }
 
-// Learn takes one reading, the logarithm of a slowdown: what was not foreseen is shared out over the base and the pairs by their uncertainty.
+// Learn applies one reading, the logarithm of a latency. The prediction error is distributed over the base and the pairs in proportion to their variance.
 func (t *Table) Learn(of Program, level int, neighbors []Share, reading float64) {
 	v := &t.victims[of]
 	base := v.base[level]
@@ -124,17 +124,17 @@
 		base = &Estimate{Mean: start, Variance: baseVariance}
 		v.base[level] = base
 	}
-	missed := reading - base.Mean
-	spread := t.options.Noise + base.Variance
+	residual := reading - base.Mean
+	residualVariance := t.options.Noise + base.Variance
 	for _, n := range neighbors {
 		e := v.pair(n.Program, t.options)
-		missed -= e.Mean * n.Share
-		spread += e.Variance * n.Share * n.Share
+		residual -= e.Mean * n.Share
+		residualVariance += e.Variance * n.Share * n.Share
 	}
-	base.correct(1, missed, spread, t.options.Drift)
+	base.update(1, residual, residualVariance, t.options.Drift)
 	for _, n := range neighbors {
 		e := v.pairs[n.Program]
-		e.correct(n.Share, missed, spread, t.options.Drift)
+		e.update(n.Share, residual, residualVariance, t.options.Drift)
 		e.Mean = max(0, e.Mean)
 	}
 }
@@ -148,10 +148,10 @@
 	return e
 }
 
-// correct is the update of a Kalman filter that keeps only the diagonal of the covariance.
-func (e *Estimate) correct(weight, missed, spread, drift float64) {
-	e.Mean += e.Variance * weight * missed / spread
-	e.Variance -= e.Variance * e.Variance * weight * weight / spread
+// update applies the update step of a Kalman filter that keeps only the diagonal of the covariance.
+func (e *Estimate) update(weight, residual, residualVariance, drift float64) {
+	e.Mean += e.Variance * weight * residual / residualVariance
+	e.Variance -= e.Variance * e.Variance * weight * weight / residualVariance
 	e.Variance += drift
 	e.Count++
 }
--- a/interference/table_test.go
+++ b/interference/table_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestLearn: from noisy readings beside changing neighbors the costs of pairs come out apart from each other and from the program's own load.
+// TestLearn checks that noisy readings beside changing neighbors are enough to separate the costs of the pairs from each other and from the program's own load.
 func TestLearn(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
 	table := New(Options{})
--- a/pressure/doc.go
+++ b/pressure/doc.go
@@ -1,2 +1,2 @@
-// Package pressure keeps services within their targets for the policy: it slows batch beside them in steps, evicts it when that is not enough, and gives back what it took.
+// Package pressure keeps services within their latency targets for the scheduling policy: it throttles batch beside them in steps, evicts batch when throttling is not enough, and lifts throttles once there is headroom. It also evicts batch from workers that are short of memory.
 package pressure
--- a/pressure/gauge.go
+++ b/pressure/gauge.go
@@ -11,23 +11,23 @@
 
 // Bounds on a service's tail latency, as logarithms of its ratio to the target.
 var (
-	hot  = math.Log(0.98) // above it batch beside the service is slowed
-	goal = math.Log(0.95) // what a step of relief aims at
-	cool = math.Log(0.93) // below it batch gets back what was taken
+	throttleAbove = math.Log(0.98) // above it batch beside the service is throttled
+	reliefGoal    = math.Log(0.95) // what a relief step aims for
+	liftBelow     = math.Log(0.93) // below it throttles are lifted
 )
 
-// memoryLimit is the share of a worker's memory in use past which batch is evicted.
+// memoryLimit is the share of a worker's memory in use above which batch is evicted.
 const memoryLimit = 0.9
 
-// Options holds how relief is given; a zero field takes its default.
+// Options holds the timing and the steps of relief; a zero field takes its default.
 type Options struct {
-	Lag   time.Duration // from an order to the first measurement that shows its effect; one step is taken in it
-	Steps []int32       // shares of processors taken away from a task, one after the other, percent
+	Lag   time.Duration // time from an order to the first measurement that shows its effect; at most one step is taken per lag
+	Steps []int32       // throttle levels in percent, in increasing order
 }
 
 var defaults = Options{Lag: 5 * time.Second, Steps: []int32{50, 80}}
 
-// Throttle takes a share of the processors away from one attempt; 0 gives them back.
+// Throttle reduces the processor share of one attempt by a percentage; 0 removes the throttle.
 type Throttle struct {
 	Job     string
 	Index   int32
@@ -35,14 +35,14 @@
 	Percent int32
 }
 
-// Gauge watches the workers of a fleet; it is used from one goroutine.
+// Gauge detects and relieves pressure on the workers of a fleet. It is not safe for concurrent use.
 type Gauge struct {
 	Options
-	Evict func(t *fleet.Task, reason string) // checkpoints and stops batch
+	Evict func(t *fleet.Task, reason string) // checkpoints and stops a batch task
 
 	fleet   *fleet.Fleet
-	pressed []*fleet.Worker // measured since the last Relieve, and with something to relieve or to give back
-	changed []Throttle      // since the last Throttles
+	queued  []*fleet.Worker // workers measured since the last Relieve that need relief or have throttled tasks
+	changed []Throttle      // changes since the last call of Throttles
 }
 
 // New returns a gauge for a fleet.
@@ -54,34 +54,34 @@
 	return &Gauge{Options: o, fleet: f, Evict: func(*fleet.Task, string) {}}
 }
 
-// Assess notes a worker that was just measured if it needs relief or has something to be given back.
+// Assess queues a newly measured worker for Relieve if it needs relief or has throttled tasks.
 func (g *Gauge) Assess(w *fleet.Worker) {
 	if w.Pressed {
 		return
 	}
-	need := short(w)
+	need := memoryShort(w)
 	for _, t := range w.Tasks {
-		need = need || t.Throttle > 0 || t.Job.Class.Service() && t.Ratio > hot
+		need = need || t.Throttle > 0 || t.Job.Class.Service() && t.Ratio > throttleAbove
 	}
 	if need {
 		w.Pressed = true
-		g.pressed = append(g.pressed, w)
+		g.queued = append(g.queued, w)
 	}
 }
 
-func short(w *fleet.Worker) bool {
+func memoryShort(w *fleet.Worker) bool {
 	return float64(w.Used.MemoryMiB) > memoryLimit*float64(w.Capacity.MemoryMiB)
 }
 
-// Relieve takes one step on each noted worker whose last step is a measurement lag ago.
+// Relieve takes one step on each queued worker whose last step was at least one measurement lag ago.
 func (g *Gauge) Relieve() {
-	for _, w := range g.pressed {
+	for _, w := range g.queued {
 		w.Pressed = false
 		if w.Domain != nil {
 			g.relieve(w)
 		}
 	}
-	g.pressed = g.pressed[:0]
+	g.queued = g.queued[:0]
 }
 
 func (g *Gauge) relieve(w *fleet.Worker) {
@@ -89,18 +89,18 @@
 	if since < g.Lag {
 		return
 	}
-	if short(w) {
+	if memoryShort(w) {
 		g.relieveMemory(w)
 		return
 	}
 	worst := worstService(w)
 	switch {
 	case worst == nil:
-		g.giveBack(w, nil, math.Inf(1))
-	case worst.Ratio > hot:
-		g.press(w, worst)
-	case worst.Ratio < cool && since >= 2*g.Lag:
-		g.giveBack(w, worst, goal-worst.Ratio)
+		g.reduceThrottling(w, nil, math.Inf(1))
+	case worst.Ratio > throttleAbove:
+		g.throttleOrEvict(w, worst)
+	case worst.Ratio < liftBelow && since >= 2*g.Lag:
+		g.reduceThrottling(w, worst, reliefGoal-worst.Ratio)
 	}
 }
 
@@ -114,21 +114,21 @@
 	return worst
 }
 
-// press takes one step: it throttles as much batch as is foreseen to suffice, and evicts one task when all is throttled and the target still missed.
-func (g *Gauge) press(w *fleet.Worker, service *fleet.Task) {
+// throttleOrEvict takes one relief step: it throttles as much batch as is predicted to suffice. If all batch is fully throttled and the target is still missed, it evicts one task.
+func (g *Gauge) throttleOrEvict(w *fleet.Worker, service *fleet.Task) {
 	victims := g.victims(w, service)
-	if g.futile(service, victims) {
+	if g.targetUnreachable(service, victims) {
 		return
 	}
-	excess := service.Ratio - goal
+	excess := service.Ratio - reliefGoal
 	stepped := false
 	for _, t := range victims {
-		next := g.higher(t.Throttle)
+		next := g.nextLevel(t.Throttle)
 		if excess <= 0 || next == t.Throttle {
 			continue
 		}
 		excess -= float64(next-t.Throttle) / float64(100-t.Throttle) * g.effect(service, t)
-		g.set(t, next)
+		g.setThrottle(t, next)
 		stepped = true
 	}
 	if !stepped && service.Ratio > 0 && len(victims) > 0 {
@@ -140,22 +140,22 @@
 	}
 }
 
-// futile reports whether a service would miss its target even without the batch beside it.
-func (g *Gauge) futile(service *fleet.Task, victims []*fleet.Task) bool {
-	reach := unsure
+// targetUnreachable reports whether a service would miss its target even without the batch beside it.
+func (g *Gauge) targetUnreachable(service *fleet.Task, victims []*fleet.Task) bool {
+	reach := latencyTolerance
 	for _, t := range victims {
-		reach += trust * g.effect(service, t)
+		reach += effectFactor * g.effect(service, t)
 	}
 	return service.Ratio > reach
 }
 
-// Allowances for what is not known well when relief is judged futile.
+// Tolerances for uncertain estimates in targetUnreachable.
 const (
-	unsure = 0.05 // logarithm of tail latency
-	trust  = 1.5  // times the believed effect of batch
+	latencyTolerance = 0.05 // as a logarithm of tail latency
+	effectFactor     = 1.5  // factor on the estimated effect of batch
 )
 
-// victims returns the batch on a worker that may be slowed, that which hurts the service most first and urgent work last.
+// victims returns the batch tasks on a worker that may be throttled or evicted: urgent ones last, otherwise those with the largest effect on the service first.
 func (g *Gauge) victims(w *fleet.Worker, service *fleet.Task) []*fleet.Task {
 	var list []*fleet.Task
 	for _, t := range w.Tasks {
@@ -175,7 +175,7 @@
 	return list
 }
 
-// effect is how much a task is believed to add to the logarithm of a service's tail latency now.
+// effect estimates how much a task currently adds to the logarithm of a service's tail latency.
 func (g *Gauge) effect(service, t *fleet.Task) float64 {
 	cost := g.fleet.Table.Cost(service.Job.Program, t.Job.Program).Mean
 	if t.Worker.Overloaded() {
@@ -184,10 +184,10 @@
 	return cost * t.Worker.Share(t.Used.MilliCPU)
 }
 
-// overloadCost is what any batch on the whole of an overloaded worker adds to the logarithm of tail latency.
+// overloadCost is the additional cost of batch on an overloaded worker: what it would add to the logarithm of tail latency if it used all of the worker's processors.
 const overloadCost = 2
 
-func (g *Gauge) higher(now int32) int32 {
+func (g *Gauge) nextLevel(now int32) int32 {
 	for _, step := range g.Steps {
 		if step > now {
 			return step
@@ -196,7 +196,7 @@
 	return now
 }
 
-func (g *Gauge) lower(now int32) int32 {
+func (g *Gauge) previousLevel(now int32) int32 {
 	last := int32(0)
 	for _, step := range g.Steps {
 		if step < now {
@@ -206,8 +206,8 @@
 	return last
 }
 
-// giveBack lessens throttling, of that which hurts least first, as far as is foreseen to stay within budget.
-func (g *Gauge) giveBack(w *fleet.Worker, service *fleet.Task, budget float64) {
+// reduceThrottling lowers throttles by one level, tasks with the least effect on the service first, while the predicted effect stays within budget and the worker is not overloaded.
+func (g *Gauge) reduceThrottling(w *fleet.Worker, service *fleet.Task, budget float64) {
 	var list []*fleet.Task
 	for _, t := range w.Tasks {
 		if t.Throttle > 0 {
@@ -219,8 +219,8 @@
 	}
 	spare := w.Spare()
 	for _, t := range list {
-		lower := g.lower(t.Throttle)
-		share := float64(t.Throttle-lower) / float64(100-t.Throttle)
+		previousLevel := g.previousLevel(t.Throttle)
+		share := float64(t.Throttle-previousLevel) / float64(100-t.Throttle)
 		if service != nil {
 			budget -= share * g.effect(service, t)
 			spare -= share * w.Share(t.Used.MilliCPU)
@@ -228,16 +228,16 @@
 		if budget < 0 || spare < 0 {
 			return
 		}
-		g.set(t, lower)
+		g.setThrottle(t, previousLevel)
 		w.Stepped = g.fleet.Now
 	}
 }
 
-// relieveMemory evicts the batch task that is farthest beyond what is committed to it, before the worker's kernel picks one.
+// relieveMemory evicts the batch task that exceeds its committed memory most, before the worker's kernel kills one of its own choice.
 func (g *Gauge) relieveMemory(w *fleet.Worker) {
 	var worst *fleet.Task
 	for _, t := range w.Tasks {
-		if t.Evictable() && (worst == nil || beyond(t) > beyond(worst)) {
+		if t.Evictable() && (worst == nil || memoryExcess(t) > memoryExcess(worst)) {
 			worst = t
 		}
 	}
@@ -247,6 +247,6 @@
 	}
 }
 
-func beyond(t *fleet.Task) int64 {
+func memoryExcess(t *fleet.Task) int64 {
 	return t.Used.MemoryMiB - t.Committed.MemoryMiB
 }
--- a/usage/doc.go
+++ b/usage/doc.go
@@ -1,2 +1,2 @@
-// Package usage reads the lagged reports of workers for the policy: how large tasks are, what they cost each other, and how near services are to their targets.
+// Package usage processes the workers' reports, which lag, for the scheduling policy: the sizes of tasks, the interference between them, and how close services are to their latency targets.
 package usage
--- a/usage/headroom.go
+++ b/usage/headroom.go
@@ -8,32 +8,32 @@
 	"daisyswitch/interference"
 )
 
-// guard is the logarithm of the share of its target that a service is planned to reach at most.
-var guard = math.Log(0.95)
+// logPlannedRatio is the logarithm of the highest ratio of latency to target that placement plans for.
+var logPlannedRatio = math.Log(0.95)
 
-// headroomFloor keeps the price of a service's last headroom finite.
+// headroomFloor keeps the cost of a service's last headroom finite.
 const headroomFloor = 0.02
 
-// paceFor is how long a task counts as not measured yet, since some workers may report no usage.
-const paceFor = 30 * time.Second
+// unmeasuredTimeout is how long after its start decision a task without measurements counts as unmeasured. It is bounded because some workers may report no usage.
+const unmeasuredTimeout = 30 * time.Second
 
-// Burden is how much of the services' headroom on a worker a job's task of some share of the processors would take. It is infinite if a service would be planned past its guard, or too much beside it is not measured yet.
+// Burden returns how much of the services' headroom on a worker a task of the job would use, given the task's share of the processors. It is infinite if the predicted latency of a service would exceed its planned limit, or if too much batch beside it is not measured yet. Neither applies to urgent jobs.
 func (u *Reader) Burden(j *fleet.Job, w *fleet.Worker, share float64) float64 {
 	sum, unmeasured, services := 0.0, 0.0, false
 	for _, t := range w.Tasks {
 		if !t.Job.Class.Service() {
-			if t.Measured.IsZero() && u.fleet.Now.Sub(t.Decided) < paceFor {
+			if t.Measured.IsZero() && u.fleet.Now.Sub(t.Decided) < unmeasuredTimeout {
 				unmeasured += w.Share(t.Committed.MilliCPU)
 			}
 			continue
 		}
 		services = true
-		takes := u.fleet.Table.Cost(t.Job.Program, j.Program).Mean * share
-		left := u.headroom(t) - takes
+		cost := u.fleet.Table.Cost(t.Job.Program, j.Program).Mean * share
+		left := u.headroom(t) - cost
 		if left < 0 && !j.Urgent {
 			return math.Inf(1)
 		}
-		sum += takes / (max(0, left) + takes + headroomFloor)
+		sum += cost / (max(0, left) + cost + headroomFloor)
 	}
 	if services && !j.Urgent && unmeasured > 0 && unmeasured+share > u.Pace {
 		return math.Inf(1)
@@ -41,7 +41,7 @@
 	return sum
 }
 
-// headroom is how far a service on its worker is planned to stay under its guard at the highest load of late, as a logarithm.
+// headroom returns how far the predicted latency of a service, at its highest recent load, stays below its planned limit, as a logarithm.
 func (u *Reader) headroom(t *fleet.Task) float64 {
 	target := t.Job.Class.GetTargetP99Us()
 	if target <= 0 {
@@ -51,14 +51,14 @@
 	if _, known := u.fleet.Table.Base(t.Job.Program, level); !known {
 		return unknownHeadroom
 	}
-	foreseen := u.fleet.Table.Predict(t.Job.Program, level, u.neighbors(t.Worker))
-	return math.Log(float64(target)) + guard - foreseen
+	predicted := u.fleet.Table.Predict(t.Job.Program, level, u.neighbors(t.Worker))
+	return math.Log(float64(target)) + logPlannedRatio - predicted
 }
 
-// unknownHeadroom is what a service that was never measured is taken to have left, as a logarithm.
+// unknownHeadroom is the assumed headroom of a service that was never measured, as a logarithm.
 const unknownHeadroom = 0.1
 
-// neighbors returns the batch programs on a worker with the processors that they use, or will use once started or no longer throttled.
+// neighbors returns the batch programs on a worker with their processor shares: peak usage, which throttling does not hide, or the committed size for a task that is not measured yet.
 func (u *Reader) neighbors(w *fleet.Worker) []interference.Share {
 	if !w.Stale {
 		return w.Shares
--- a/usage/reader.go
+++ b/usage/reader.go
@@ -12,30 +12,30 @@
 	"daisyswitch/wire"
 )
 
-// Options holds how long measurements are kept; a zero field takes its default.
+// Options holds the periods and limits for using measurements; a zero field takes its default.
 type Options struct {
-	Warmup    time.Duration // a task is measured for before its commitment shrinks
-	PeakHalf  time.Duration // half of the sliding time over which a peak is taken
-	Forgetful bool          // a job's earlier tasks say nothing about its next
-	LoadHalf  time.Duration // half of the sliding time whose highest load a service is planned for
-	Pace      float64       // share of a worker's processors that batch not measured yet may take beside a service, since what it costs shows only a lag later
+	Warmup    time.Duration // how long a batch task is measured before its committed size may shrink
+	PeakHalf  time.Duration // half of the sliding window for a task's peak
+	Forgetful bool          // ignore a job's earlier tasks when sizing its next; not implemented
+	LoadHalf  time.Duration // half of the sliding window whose highest load a service is planned for
+	Pace      float64       // limit on the processor share of unmeasured batch beside a service, whose interference shows only after the measurement lag
 }
 
 var defaults = Options{Warmup: 20 * time.Second, PeakHalf: 5 * time.Minute, LoadHalf: time.Minute, Pace: 0.2}
 
 const (
-	creditAfter = time.Minute // of running, after which an attempt speaks for its worker
-	smoothing   = 0.5         // weight of a new reading of tail latency
+	creditAfter = time.Minute // of running, after which an attempt counts as a success of its worker
+	smoothing   = 0.5         // weight of a new tail latency reading
 )
 
-// Reader takes reports into a fleet; it is used from one goroutine.
+// Reader applies reports to a fleet. It is not safe for concurrent use.
 type Reader struct {
 	Options
-	Credit   func(*fleet.Worker) // an attempt has run on the worker for long enough to speak for it
-	Outgrown []*fleet.Task       // whose size is to change; emptied by whoever changes it
+	Credit   func(*fleet.Worker) // called once an attempt has run long enough to count as a success of its worker
+	Outgrown []*fleet.Task       // tasks to resize; the caller that resizes them empties the list
 
 	fleet  *fleet.Fleet
-	shares []interference.Share // of the batch programs in the report being read
+	shares []interference.Share // of the batch programs in the current report
 }
 
 // New returns a reader for a fleet.
@@ -47,25 +47,25 @@
 	return &Reader{Options: o, fleet: f, Credit: func(*fleet.Worker) {}}
 }
 
-// Observe takes one worker's report, and returns the worker, nil if it is not known to be there.
+// Observe applies a worker's report, and returns the worker, or nil if it is unknown or gone.
 func (u *Reader) Observe(r *wire.WorkerReport) *fleet.Worker {
 	w := u.fleet.Workers[r.GetWorker().GetName()]
 	if w == nil || w.Domain == nil {
 		return nil
 	}
-	u.measure(w, r)
-	for _, each := range r.GetTasks() {
-		if each.GetP99Us() <= 0 {
+	u.recordUsage(w, r)
+	for _, report := range r.GetTasks() {
+		if report.GetP99Us() <= 0 {
 			continue
 		}
-		if t := u.reported(w, each); t != nil && t.Job.Class.Service() {
-			u.learn(t, each.GetP99Us())
+		if t := u.reportedTask(w, report); t != nil && t.Job.Class.Service() {
+			u.recordLatency(t, report.GetP99Us())
 		}
 	}
 	return w
 }
 
-// ObserveService takes what the entries of a domain measured of one service class: replicas whose workers report no latency of their own are judged by it. It returns the workers that it speaks of.
+// ObserveService applies the latency that the entries of a domain measured for a service class to replicas whose workers report no latency. It returns the workers of these replicas.
 func (u *Reader) ObserveService(domain string, s *wire.ServiceSample) []*fleet.Worker {
 	d := u.fleet.Domain(domain)
 	c := u.fleet.Classes[s.GetClass()]
@@ -75,26 +75,26 @@
 	reading := math.Log(float64(s.GetP99Us()) / float64(c.GetTargetP99Us()))
 	var list []*fleet.Worker
 	for _, w := range d.Workers {
-		if w != nil && takeAll(w, c, reading) {
+		if w != nil && smoothRatios(w, c, reading) {
 			list = append(list, w)
 		}
 	}
 	return list
 }
 
-func takeAll(w *fleet.Worker, c *fleet.Class, reading float64) bool {
+func smoothRatios(w *fleet.Worker, c *fleet.Class, reading float64) bool {
 	found := false
 	for _, t := range w.Tasks {
 		if t.Job.Class == c && !t.Latency {
-			take(t, reading)
+			smoothRatio(t, reading)
 			found = true
 		}
 	}
 	return found
 }
 
-// reported returns the task that a report speaks of, nil if it is not the attempt that this worker is known to run.
-func (u *Reader) reported(w *fleet.Worker, r *wire.TaskReport) *fleet.Task {
+// reportedTask returns the task that a report refers to, or nil if this attempt is not known to run on the worker.
+func (u *Reader) reportedTask(w *fleet.Worker, r *wire.TaskReport) *fleet.Task {
 	t := u.fleet.Find(r.GetTask().GetJob(), r.GetTask().GetIndex())
 	if t == nil || t.Worker != w || t.Attempt != r.GetTask().GetAttempt() || t.Decision == fleet.DecidedStart {
 		return nil
@@ -102,13 +102,13 @@
 	return t
 }
 
-// measure takes the usage in a report, and sums the shares of the batch programs as used.
-func (u *Reader) measure(w *fleet.Worker, r *wire.WorkerReport) {
+// recordUsage applies the usage in a report, and sums the measured processor shares by batch program.
+func (u *Reader) recordUsage(w *fleet.Worker, r *wire.WorkerReport) {
 	u.shares = u.shares[:0]
 	w.Used = resource.Size{}
-	for _, each := range r.GetTasks() {
-		t := u.reported(w, each)
-		used := resource.FromWire(each.GetUsed())
+	for _, report := range r.GetTasks() {
+		t := u.reportedTask(w, report)
+		used := resource.FromWire(report.GetUsed())
 		if t == nil || used == (resource.Size{}) {
 			continue
 		}
@@ -125,7 +125,7 @@
 	w.Stale = true
 }
 
-// age does what follows from how long a task has been measured.
+// age performs the steps that depend on how long a task has been measured.
 func (u *Reader) age(t *fleet.Task) {
 	if t.Measured.IsZero() {
 		t.Measured = u.fleet.Now
@@ -153,8 +153,8 @@
 	}
 }
 
-// learn takes one reading of a replica's tail latency into the table, and its distance from the target.
-func (u *Reader) learn(t *fleet.Task, p99 int64) {
+// recordLatency applies a reading of a replica's tail latency to the interference table and to the replica's ratio to its target. The table skips readings from overloaded workers.
+func (u *Reader) recordLatency(t *fleet.Task, p99 int64) {
 	target := t.Job.Class.GetTargetP99Us()
 	if target <= 0 {
 		return
@@ -165,11 +165,11 @@
 	if !t.Worker.Overloaded() {
 		u.fleet.Table.Learn(t.Job.Program, level, u.shares, reading)
 	}
-	take(t, reading-math.Log(float64(target)))
+	smoothRatio(t, reading-math.Log(float64(target)))
 }
 
-// take smooths one reading of tail latency, given as the logarithm of its ratio to the target.
-func take(t *fleet.Task, reading float64) {
+// smoothRatio adds a tail latency reading, the logarithm of its ratio to the target, to the task's smoothed ratio.
+func smoothRatio(t *fleet.Task, reading float64) {
 	if t.Ratio == 0 {
 		t.Ratio = reading
 		return
