Reword package schedule: the control leader's scheduling loop

Readers stumbled over "tells of", "hands on" and leases that have "surely ended". Comments now say which updates are queued, when they are applied, and that expired workers are marked as gone.

Renames that matter: item to update, question to reasonRequest, receive to applyUpdates, expire to expireLeases, cut to splitBatch, taken to percents. The comparison of the code without names and texts shows no other change.

--- a/schedule/doc.go
+++ b/schedule/doc.go
@@ -1,2 +1,2 @@
-// Package schedule is the control leader's scheduling loop: it tells the policy what has happened, commits what it decides, and takes tasks from workers whose leases have ended.
+// Package schedule is the control leader's scheduling loop. It passes changes to the policy, commits the policy's decisions, and marks workers whose leases have expired as gone.
 package schedule
--- a/schedule/inbox.go
+++ b/schedule/inbox.go
@@ -6,25 +6,25 @@
 	"daisyswitch/wire"
 )
 
-// item is one thing that the scheduling loop must hear; exactly one of the pointers is set, but job goes with task.
-type item struct {
+// update is one input of the scheduling loop. Exactly one of the pointers is set, except that job is set together with task.
+type update struct {
 	configuration *wire.Configuration
 	worker        *wire.WorkerRecord
 	job           *wire.Job
 	task          *wire.Task
 	report        *wire.WorkerReport
 	sample        *wire.ServiceSample
-	domain        string // of the sample
+	domain        string // failure domain of the sample
 }
 
-// question asks the scheduling loop why tasks of a job wait.
-type question struct {
+// reasonRequest asks the scheduling loop why tasks of a job wait.
+type reasonRequest struct {
 	job     string
 	indexes []int32
-	answer  chan []string // buffered
+	answer  chan []string // buffered, so that the loop never blocks on it
 }
 
-// mailbox queues what others send to the scheduling loop; closed, on a replica that does not lead, it drops everything.
+// mailbox queues messages from other goroutines for the scheduling loop. While closed, on a replica that does not lead, it drops them.
 type mailbox[T any] struct {
 	mu     sync.Mutex
 	isOpen bool
@@ -54,7 +54,7 @@
 	}
 }
 
-func (b *mailbox[T]) take() []T {
+func (b *mailbox[T]) drain() []T {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	items := b.items
--- a/schedule/loop.go
+++ b/schedule/loop.go
@@ -13,31 +13,31 @@
 )
 
 const (
-	decideEvery = 20 * time.Millisecond
-	reasonTime  = 500 * time.Millisecond // longest wait for the reasons why tasks wait
-	maxEvents   = 1024                   // task events in one record, so that a wave does not hold the log up
+	decideInterval = 20 * time.Millisecond
+	reasonTimeout  = 500 * time.Millisecond // longest wait for the answer to Why
+	maxEvents      = 1024                   // starts, and task events, per log record, so that a large batch does not delay the log
 )
 
-// Options says what a loop reads and how it has its decisions committed.
+// Options holds the state that a loop reads and the callbacks that it uses.
 type Options struct {
 	Machine *state.Machine
 	Leases  *lease.Table
 	Commit  func(context.Context, *wire.Command) (*wire.CommandResult, error)
-	Decided func(began time.Time)    // told of each decision that has ended
-	Applied func(starts, events int) // told how many decisions were carried out
+	Decided func(began time.Time)    // called after each Decide with the time at which it began
+	Applied func(starts, events int) // called with the number of starts and events that the state accepted
 }
 
-// Loop is the scheduling loop of one replica; it runs while the replica leads, and alone touches the placer.
-// The locks of its parts are taken last, after any other.
+// Loop is the scheduling loop of one replica. It runs while the replica leads, and only its goroutine uses the placer.
+// Lock order: the mutexes of its mailboxes and of throttles are acquired after any other.
 type Loop struct {
-	options   Options
-	placer    *place.Placer
-	inbox     mailbox[item]
-	questions mailbox[question]
-	throttles throttles
+	options        Options
+	placer         *place.Placer
+	inbox          mailbox[update]
+	reasonRequests mailbox[reasonRequest]
+	throttles      throttles
 }
 
-// New returns a loop that does not run yet.
+// New returns a loop; Run starts it.
 func New(o Options) *Loop {
 	return &Loop{options: o}
 }
@@ -48,10 +48,10 @@
 	l.throttles.clear()
 	l.inbox.open()
 	defer l.inbox.close()
-	l.questions.open()
-	defer l.questions.close()
-	l.load()
-	ticker := time.NewTicker(decideEvery)
+	l.reasonRequests.open()
+	defer l.reasonRequests.close()
+	l.loadState()
+	ticker := time.NewTicker(decideInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -63,42 +63,42 @@
 	}
 }
 
-// TaskChanged tells of a transition.
+// TaskChanged queues a task's state after a transition.
 func (l *Loop) TaskChanged(j *wire.Job, t *wire.Task) {
-	l.inbox.add(item{job: j, task: t})
+	l.inbox.add(update{job: j, task: t})
 }
 
-// WorkerChanged tells of a worker's record.
+// WorkerChanged queues a changed worker record.
 func (l *Loop) WorkerChanged(w *wire.WorkerRecord) {
-	l.inbox.add(item{worker: w})
+	l.inbox.add(update{worker: w})
 }
 
-// ConfigurationChanged tells of an accepted configuration.
+// ConfigurationChanged queues a newly accepted configuration.
 func (l *Loop) ConfigurationChanged(c *wire.Configuration) {
-	l.inbox.add(item{configuration: c})
+	l.inbox.add(update{configuration: c})
 }
 
-// Reported tells of a worker's report that counts.
+// Reported queues an accepted worker report.
 func (l *Loop) Reported(r *wire.WorkerReport) {
-	l.inbox.add(item{report: r})
+	l.inbox.add(update{report: r})
 }
 
-// Sampled tells what callers saw of a class in a failure domain.
+// Sampled queues a sample of the latency that callers saw for a class in a failure domain.
 func (l *Loop) Sampled(domain string, s *wire.ServiceSample) {
-	l.inbox.add(item{sample: s, domain: domain})
+	l.inbox.add(update{sample: s, domain: domain})
 }
 
-// Throttles returns the percentage of processors to take from each attempt; the map is never altered.
+// Throttles returns the percentage of its processors to take from each attempt. The returned map is never modified.
 func (l *Loop) Throttles() map[state.Ref]int32 {
 	return l.throttles.current()
 }
 
-// Why returns why each of some waiting tasks of a job waits, nil if the loop does not say in time.
+// Why returns the reasons why the given tasks of a job wait, or nil if the loop does not answer in time.
 func (l *Loop) Why(ctx context.Context, job string, indexes []int32) []string {
-	ctx, cancel := context.WithTimeout(ctx, reasonTime)
+	ctx, cancel := context.WithTimeout(ctx, reasonTimeout)
 	defer cancel()
-	q := question{job: job, indexes: indexes, answer: make(chan []string, 1)}
-	l.questions.add(q)
+	q := reasonRequest{job: job, indexes: indexes, answer: make(chan []string, 1)}
+	l.reasonRequests.add(q)
 	select {
 	case reasons := <-q.answer:
 		return reasons
@@ -107,8 +107,8 @@
 	}
 }
 
-// load gives the placer everything that is committed; transitions since the inbox was opened come again and do no harm.
-func (l *Loop) load() {
+// loadState passes the whole committed state to the placer. Transitions since the inbox was opened are applied a second time from there, which is harmless.
+func (l *Loop) loadState() {
 	machine := l.options.Machine
 	l.placer.SetConfiguration(machine.Configuration())
 	machine.EachWorker(l.setWorker)
@@ -116,19 +116,19 @@
 }
 
 func (l *Loop) step(ctx context.Context, now time.Time) {
-	l.receive(now)
-	l.expire(ctx, now)
+	l.applyUpdates(now)
+	l.expireLeases(ctx, now)
 	began := time.Now()
 	decisions := l.placer.Decide(now)
 	l.options.Decided(began)
-	l.throttles.decide(decisions.Throttles)
+	l.throttles.apply(decisions.Throttles)
 	l.commit(ctx, decisions)
-	l.answerQuestions()
+	l.answerReasonRequests()
 }
 
-// receive hands on all that has happened since the last step, in order.
-func (l *Loop) receive(now time.Time) {
-	for _, item := range l.inbox.take() {
+// applyUpdates passes the queued updates to the placer, in order.
+func (l *Loop) applyUpdates(now time.Time) {
+	for _, item := range l.inbox.drain() {
 		switch {
 		case item.configuration != nil:
 			l.placer.SetConfiguration(item.configuration)
@@ -151,13 +151,13 @@
 
 func (l *Loop) setTask(j *wire.Job, t *wire.Task) {
 	if !task.Held(t) {
-		l.throttles.forget(j.Id, t.Index, t.Attempt)
+		l.throttles.remove(j.Id, t.Index, t.Attempt)
 	}
 	l.placer.SetTask(j, t)
 }
 
-// expire takes the tasks from workers whose leases have surely ended.
-func (l *Loop) expire(ctx context.Context, now time.Time) {
+// expireLeases marks workers as gone whose leases are known to have expired; their tasks are then rescheduled.
+func (l *Loop) expireLeases(ctx context.Context, now time.Time) {
 	for _, name := range l.options.Leases.Expired(now) {
 		record := l.options.Machine.Worker(name)
 		if record == nil || record.Gone {
@@ -174,18 +174,18 @@
 func (l *Loop) commit(ctx context.Context, d place.Decisions) {
 	for len(d.Starts) > 0 || len(d.Events) > 0 {
 		command := &wire.Command{}
-		command.Starts, d.Starts = cut(d.Starts)
-		command.Events, d.Events = cut(d.Events)
+		command.Starts, d.Starts = splitBatch(d.Starts)
+		command.Events, d.Events = splitBatch(d.Events)
 		result, err := l.options.Commit(ctx, command)
 		if err != nil {
 			event.DecisionRefused.Error(err)
 			return
 		}
-		l.options.Applied(applied(result.Starts), applied(result.Events))
+		l.options.Applied(countApplied(result.Starts), countApplied(result.Events))
 	}
 }
 
-func applied(flags []bool) int {
+func countApplied(flags []bool) int {
 	n := 0
 	for _, ok := range flags {
 		if ok {
@@ -195,16 +195,16 @@
 	return n
 }
 
-func cut[T any](items []T) (first, rest []T) {
+func splitBatch[T any](items []T) (first, rest []T) {
 	if len(items) <= maxEvents {
 		return items, nil
 	}
 	return items[:maxEvents], items[maxEvents:]
 }
 
-// answerQuestions answers those who asked why a task waits.
-func (l *Loop) answerQuestions() {
-	for _, q := range l.questions.take() {
+// answerReasonRequests answers the pending requests of Why.
+func (l *Loop) answerReasonRequests() {
+	for _, q := range l.reasonRequests.drain() {
 		reasons := make([]string, len(q.indexes))
 		for i, index := range q.indexes {
 			reasons[i] = l.placer.Why(q.job, index)
--- a/schedule/throttles.go
+++ b/schedule/throttles.go
@@ -8,54 +8,54 @@
 	"daisyswitch/state"
 )
 
-// throttles holds the shares of processors taken from attempts; readers get a map that is never altered.
+// throttles holds the throttle percentage of each attempt. The map is copied on write, so that readers may keep it.
 type throttles struct {
-	mu    sync.Mutex
-	taken map[state.Ref]int32
+	mu       sync.Mutex
+	percents map[state.Ref]int32
 }
 
 func (t *throttles) current() map[state.Ref]int32 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.taken
+	return t.percents
 }
 
-func (t *throttles) decide(decisions []place.Throttle) {
+func (t *throttles) apply(decisions []place.Throttle) {
 	if len(decisions) == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	taken := t.copy()
+	percents := t.copy()
 	for _, d := range decisions {
-		taken[state.Ref{Job: d.Job, Index: d.Index, Attempt: d.Attempt}] = d.Percent
+		percents[state.Ref{Job: d.Job, Index: d.Index, Attempt: d.Attempt}] = d.Percent
 	}
-	t.taken = taken
+	t.percents = percents
 }
 
-// forget drops an attempt that has ended.
-func (t *throttles) forget(job string, index int32, attempt uint32) {
+// remove drops the throttle of an attempt that has ended.
+func (t *throttles) remove(job string, index int32, attempt uint32) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ref := state.Ref{Job: job, Index: index, Attempt: attempt}
-	if _, known := t.taken[ref]; !known {
+	if _, known := t.percents[ref]; !known {
 		return
 	}
-	taken := t.copy()
-	delete(taken, ref)
-	t.taken = taken
+	percents := t.copy()
+	delete(percents, ref)
+	t.percents = percents
 }
 
 func (t *throttles) clear() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.taken = nil
+	t.percents = nil
 }
 
 func (t *throttles) copy() map[state.Ref]int32 {
-	taken := maps.Clone(t.taken)
-	if taken == nil {
-		taken = map[state.Ref]int32{}
+	percents := maps.Clone(t.percents)
+	if percents == nil {
+		percents = map[state.Ref]int32{}
 	}
-	return taken
+	return percents
 }
