Reword packages resource, task and tally

Readers stumbled over "the message form", over records "told of" and over counts that "begin anew". The comparison of the code without names and texts shows no other change.

--- a/resource/doc.go
+++ b/resource/doc.go
@@ -1,2 +1,2 @@
-// Package resource counts what a worker offers and a task takes: processors, memory and accelerators.
+// Package resource defines amounts of processors, memory and accelerators: the capacity of a worker or the size of a task.
 package resource
--- a/tally/doc.go
+++ b/tally/doc.go
@@ -1,2 +1,2 @@
-// Package tally counts per class what was done, failed and evicted.
+// Package tally counts the completed, failed and evicted tasks of each class.
 package tally
--- a/tally/table.go
+++ b/tally/table.go
@@ -9,7 +9,7 @@
 
 const msPerDay = 24 * 60 * 60 * 1000
 
-// Table holds the counts of each class.
+// Table holds the task counts of each class.
 type Table struct {
 	classes map[string]*wire.Tally
 }
@@ -19,7 +19,7 @@
 	return &Table{classes: map[string]*wire.Tally{}}
 }
 
-// At returns the counts of a class to be added to; those of the day begin anew with the first time, in Unix milliseconds, of a later UTC day.
+// At returns the counts of a class for the caller to modify. It resets the daily count when ms, a time in Unix milliseconds, is on a later UTC day.
 func (t *Table) At(class string, ms int64) *wire.Tally {
 	c := t.classes[class]
 	if c == nil {
@@ -33,7 +33,7 @@
 	return c
 }
 
-// Count adds a task that has ended.
+// Count adds a task that ended in state s.
 func (t *Table) Count(class string, ms int64, s wire.TaskState) {
 	switch s {
 	case wire.TaskState_TASK_STATE_DONE:
@@ -45,12 +45,12 @@
 	}
 }
 
-// Keep forgets the classes that exists does not know.
+// Keep removes the counts of classes for which exists returns false.
 func (t *Table) Keep(exists func(class string) bool) {
 	maps.DeleteFunc(t.classes, func(class string, _ *wire.Tally) bool { return !exists(class) })
 }
 
-// Records returns copies of the counts in order of class.
+// Records returns copies of the counts, sorted by class.
 func (t *Table) Records() []*wire.Tally {
 	var all []*wire.Tally
 	for _, class := range slices.Sorted(maps.Keys(t.classes)) {
--- a/tally/totals.go
+++ b/tally/totals.go
@@ -6,10 +6,10 @@
 type ClassTotals struct {
 	Class   string
 	Queued  int64
-	Running int64 // committed to a worker
+	Running int64 // tasks committed to a worker
 }
 
-// Totals counts workers, their resources and the tasks of each class in order of name.
+// Totals holds the numbers of workers, their total resources, and the task counts of each class, sorted by name.
 type Totals struct {
 	Workers     int64
 	WorkersGone int64
--- a/task/doc.go
+++ b/task/doc.go
@@ -1,2 +1,2 @@
-// Package task reads and copies the records of tasks, which are never altered once they are told of.
+// Package task reads and copies task records, which are immutable once published.
 package task
--- a/task/task.go
+++ b/task/task.go
@@ -2,23 +2,23 @@
 
 import "daisyswitch/wire"
 
-// MaxCheckpointBytes bounds the data of a checkpoint; a larger one is refused.
+// MaxCheckpointBytes is the largest accepted size of a checkpoint's data.
 const MaxCheckpointBytes = 16 << 10
 
-// Ref names one attempt of a task.
+// Ref identifies one attempt of a task.
 type Ref struct {
 	Job     string
 	Index   int32
 	Attempt uint32
 }
 
-// RefOf returns the name of a task's current attempt.
+// RefOf returns the reference to a task's current attempt.
 func RefOf(t *wire.Task) Ref { return Ref{t.Job, t.Index, t.Attempt} }
 
-// FromWire converts the message form.
+// FromWire converts a reference from its wire message.
 func FromWire(r *wire.TaskRef) Ref { return Ref{r.GetJob(), r.GetIndex(), r.GetAttempt()} }
 
-// Wire returns the message form.
+// Wire returns the reference as a wire message.
 func (r Ref) Wire() *wire.TaskRef {
 	return &wire.TaskRef{Job: r.Job, Index: r.Index, Attempt: r.Attempt}
 }
@@ -37,7 +37,7 @@
 	return false
 }
 
-// Clone returns a copy to be altered and put in the place of t, which readers may still hold.
+// Clone returns a copy that the caller may modify and publish instead of t, which readers may still hold.
 func Clone(t *wire.Task) *wire.Task {
 	return &wire.Task{
 		Job: t.Job, Index: t.Index, State: t.State, Attempt: t.Attempt, Worker: t.Worker, Committed: t.Committed,
@@ -46,14 +46,14 @@
 	}
 }
 
-// Started returns a copy of t of which an attempt has run or may have.
+// Started returns a copy of t marked as started: an attempt has run or may have run.
 func Started(t *wire.Task) *wire.Task {
 	next := Clone(t)
 	next.Started = true
 	return next
 }
 
-// Accept takes a checkpoint over that is newer than the last accepted one and not too large.
+// Accept stores the event's checkpoint in t if it is newer than the last accepted one and not too large, and reports whether it did.
 func Accept(t *wire.Task, e *wire.TaskEvent) bool {
 	if e.Checkpoint <= t.Checkpoint || len(e.CheckpointData) > MaxCheckpointBytes {
 		return false
@@ -63,7 +63,7 @@
 	return true
 }
 
-// Cancelled says truly whether a cancelled task ever ran.
+// Cancelled returns the final state of a cancelled task, which depends on whether an attempt was started.
 func Cancelled(t *wire.Task) wire.TaskState {
 	if t.Started {
 		return wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
