Name the loop variables in the tests of package place

Readers stumbled over "each" as a name. The loops now name a task, a decision, a neighbor or a change. The comparison of the code without names and texts shows no other change.

--- a/place/measure_test.go
+++ b/place/measure_test.go
@@ -124,8 +124,8 @@
 		base := sumMeasures(results[1])
 		for i, p := range list {
 			m, worst := sumMeasures(results[i]), 1.0
-			for _, each := range results[i] {
-				worst = min(worst, each.good/each.windows)
+			for _, result := range results[i] {
+				worst = min(worst, result.good/result.windows)
 			}
 			calm := 1 / (1 + (m.evictions+m.kills)/1000/float64(*seeds))
 			score := u.weighVolume*min(1, m.volume/base.volume) + u.weighWindow*m.good/m.windows + (1-u.weighVolume-u.weighWindow)/2*(min(1, m.absence/base.absence)+calm)
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -116,11 +116,11 @@
 
 // valid drops decisions that the placer has reverted or the state would refuse.
 func (o openDecisions) valid(s *state) (list openDecisions) {
-	for _, each := range o {
-		r := each.resize.GetTask()
-		late := s.now.Sub(each.at) >= s.options.DecideTimeout
+	for _, decision := range o {
+		r := decision.resize.GetTask()
+		late := s.now.Sub(decision.at) >= s.options.DecideTimeout
 		if !late && (r == nil || s.tasks[r.Job][r.Index].Attempt == r.Attempt && fleet.Holding(s.tasks[r.Job][r.Index].State)) {
-			list = append(list, each)
+			list = append(list, decision)
 		}
 	}
 	return list
@@ -132,8 +132,8 @@
 	assert.Assert(t, !out[w.Domain], "start in a domain that is out")
 	assert.Equal(t, o.Attempt, own.Attempt+1)
 	same := 0
-	for _, each := range open {
-		if each.start.GetJob() == o.Job && each.start.GetIndex() == o.Index {
+	for _, decision := range open {
+		if decision.start.GetJob() == o.Job && decision.start.GetIndex() == o.Index {
 			same++
 		}
 	}
@@ -144,12 +144,12 @@
 // checkCapacity checks that a worker's committed and pending sizes together fit its capacity.
 func checkCapacity(t *rapid.T, s *state, open openDecisions, worker string) {
 	sum := s.held(worker)
-	for _, each := range open.valid(s) {
-		r := each.resize.GetTask()
-		if each.start.GetWorker() == worker {
-			sum = sum.Add(resource.FromWire(each.start.Size))
+	for _, decision := range open.valid(s) {
+		r := decision.resize.GetTask()
+		if decision.start.GetWorker() == worker {
+			sum = sum.Add(resource.FromWire(decision.start.Size))
 		} else if r != nil && s.tasks[r.Job][r.Index].Worker == worker {
-			more := resource.FromWire(each.resize.Size).Sub(resource.FromWire(s.tasks[r.Job][r.Index].Committed))
+			more := resource.FromWire(decision.resize.Size).Sub(resource.FromWire(s.tasks[r.Job][r.Index].Committed))
 			sum = sum.Add(sizing.Larger(more, resource.Size{}))
 		}
 	}
--- a/place/policies_test.go
+++ b/place/policies_test.go
@@ -29,9 +29,9 @@
 		f.apply(e)
 	}
 	f.orders = append(f.orders, func() {
-		for _, each := range d.Throttles {
-			if t := f.jobs[each.Job].tasks[each.Index]; t.worker != nil && t.Attempt == each.Attempt {
-				t.throttle = float64(each.Percent) / 100
+		for _, change := range d.Throttles {
+			if t := f.jobs[change.Job].tasks[change.Index]; t.worker != nil && t.Attempt == change.Attempt {
+				t.throttle = float64(change.Percent) / 100
 			}
 		}
 	})
@@ -136,14 +136,14 @@
 		return math.Inf(-1)
 	}
 	share, sum := t.cores/f.cores, 0.0
-	for _, each := range w.tasks {
-		cost := f.costs[each.job.program][t.job.program] * share
-		if !each.service {
+	for _, neighbor := range w.tasks {
+		cost := f.costs[neighbor.job.program][t.job.program] * share
+		if !neighbor.service {
 			sum += cost
 			continue
 		}
-		peak := max(f.load(each.job.program, f.now), f.load(each.job.program, f.now+60), f.load(each.job.program, f.now+120))
-		left := 1.35*1.8/(1+0.8*peak*peak)*0.98 - f.slowdown(each, w, peak) - peak*cost
+		peak := max(f.load(neighbor.job.program, f.now), f.load(neighbor.job.program, f.now+60), f.load(neighbor.job.program, f.now+120))
+		left := 1.35*1.8/(1+0.8*peak*peak)*0.98 - f.slowdown(neighbor, w, peak) - peak*cost
 		if left < 0 && !t.job.Urgent {
 			return math.Inf(-1)
 		}
--- a/place/rules_test.go
+++ b/place/rules_test.go
@@ -97,8 +97,8 @@
 	}
 	assert.Equal(t, gaveUp, 20)
 	assert.Equal(t, len(s.suspended), 0)
-	for _, each := range s.tasks["j0"] {
-		assert.Equal(t, each.State, wire.TaskState_TASK_STATE_DONE)
+	for _, task := range s.tasks["j0"] {
+		assert.Equal(t, task.State, wire.TaskState_TASK_STATE_DONE)
 	}
 }
 
@@ -140,12 +140,12 @@
 			assert.Equal(t, held, 1, "starts on the suspended worker at once")
 			probes = append(probes, at)
 		}
-		for _, each := range s.on("w0") {
-			s.fail(each)
+		for _, task := range s.on("w0") {
+			s.fail(task)
 		}
 		if at%20 == 0 {
-			for _, each := range s.on("w1") {
-				s.set(each, wire.TaskState_TASK_STATE_DONE)
+			for _, task := range s.on("w1") {
+				s.set(task, wire.TaskState_TASK_STATE_DONE)
 			}
 		}
 	}
@@ -160,8 +160,8 @@
 	s.submit(&wire.Job{Class: "service", Size: size(1, 1, 0), Tasks: 12})
 	s.decide(second)
 	domains, racks := map[string]int{}, map[string]int{}
-	for _, each := range s.tasks["j0"] {
-		w := s.workers[each.Worker]
+	for _, task := range s.tasks["j0"] {
+		w := s.workers[task.Worker]
 		domains[w.Domain]++
 		racks[w.Domain+w.Rack]++
 	}
@@ -272,8 +272,8 @@
 	s.submit(&wire.Job{Size: size(3, 3, 0), Tasks: 4})
 	s.decide(second)
 	p := New(Options{})
-	for _, each := range s.tasks["j0"] {
-		p.SetTask(s.jobs["j0"], each)
+	for _, task := range s.tasks["j0"] {
+		p.SetTask(s.jobs["j0"], task)
 	}
 	for name, r := range s.workers {
 		p.SetWorker(r)
@@ -313,8 +313,8 @@
 	wave := s.submit(&wire.Job{Size: size(8, 8, 0), Tasks: 10000})
 	s.submit(&wire.Job{Size: size(1, 1, 0)})
 	s.decide(second)
-	for _, each := range s.tasks[wave.Id] {
-		s.set(each, wire.TaskState_TASK_STATE_CANCELLED_NOT_RUN)
+	for _, task := range s.tasks[wave.Id] {
+		s.set(task, wire.TaskState_TASK_STATE_CANCELLED_NOT_RUN)
 	}
 	assert.DeepEqual(t, startsOf(s.decide(second)), []string{"j1"})
 	assert.Equal(t, len(s.fleet.Jobs), 1)
