Reword the comments and internal names of workflow

Readers stumbled over one-word methods (start, end, free, count, done, lose, bury, list) and over comments on lives, news and what a worker says of itself. Methods now name their object: commitStart, recordEnd, releaseTask, applyOutcome, completeTask, removeWorker, markGone, updateWaitingSet. Callbacks are onAssigned, onClosed and onEnded; counters are unfinishedSteps and unfinishedTasks. A life of a worker is called an incarnation, as in lease. Errors of a failed restore and test failure texts say what differs.

--- a/workflow/check.go
+++ b/workflow/check.go
@@ -6,7 +6,7 @@
 	"daisyswitch/wire"
 )
 
-// Bounds of one workflow, so that one caller cannot fill the state.
+// Limits on a single workflow, so that one caller cannot exhaust the replicated state.
 const (
 	MaxPayloadBytes = 4000
 	MaxSteps        = 1000
@@ -14,7 +14,7 @@
 	maxIDBytes      = 64
 )
 
-// Check says why a workflow can't be taken in, whatever the state; nil if it can.
+// Check validates a workflow independently of the current state; nil means that it is valid.
 func Check(w *wire.Workflow) error {
 	switch {
 	case w.GetId() == "" || len(w.GetId()) > maxIDBytes:
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -2,14 +2,14 @@
 
 import "daisyswitch/wire"
 
-// keptMS is how long an ended job is still known; callers may ask for 120 s.
-const keptMS = 150_000
+// endedRetentionMS is how long an ended job is retained; callers may query it for 120 s.
+const endedRetentionMS = 150_000
 
 func (t *Tables) submit(nowMS int64, w *wire.Workflow, result *Result) {
 	if t.Jobs[w.GetId()] != nil {
 		return
 	}
-	queue := t.byName[w.GetQueue()]
+	queue := t.queuesByName[w.GetQueue()]
 	if queue == nil {
 		result.Answer, result.Reason = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_QUEUE, "no such queue"
 		return
@@ -18,16 +18,16 @@
 		result.Answer, result.Reason = wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID, err.Error()
 		return
 	}
-	t.forget(nowMS)
+	t.removeOldJobs(nowMS)
 	j := newJob(w, queue, nowMS)
 	t.Jobs[w.GetId()] = j
-	t.offer(j)
+	t.recountJob(j)
 }
 
-// forget removes jobs that ended long ago.
-func (t *Tables) forget(nowMS int64) {
+// removeOldJobs deletes jobs whose retention period has passed.
+func (t *Tables) removeOldJobs(nowMS int64) {
 	for id, j := range t.Jobs {
-		if j.EndedMS != 0 && j.EndedMS+keptMS < nowMS {
+		if j.EndedMS != 0 && j.EndedMS+endedRetentionMS < nowMS {
 			delete(t.Jobs, id)
 		}
 	}
@@ -35,22 +35,22 @@
 
 func newJob(w *wire.Workflow, queue *wire.Queue, nowMS int64) *Job {
 	j := &Job{Spec: w, Queue: queue, AcceptedMS: nowMS}
-	for k := range max(1, w.GetOccurrences()) {
-		j.addOccurrence(k)
+	for occurrence := range max(1, w.GetOccurrences()) {
+		j.addOccurrence(occurrence)
 	}
-	j.open = len(j.Steps)
+	j.unfinishedSteps = len(j.Steps)
 	return j
 }
 
-func (j *Job) addOccurrence(k int32) {
+func (j *Job) addOccurrence(occurrence int32) {
 	due := int64(0)
 	if j.Spec.GetOccurrences() > 0 {
-		due = j.Spec.GetFirstMs() + int64(k)*j.Spec.GetIntervalMs()
+		due = j.Spec.GetFirstMs() + int64(occurrence)*j.Spec.GetIntervalMs()
 	}
-	first := len(j.Steps)
+	firstStep := len(j.Steps)
 	for number, spec := range j.Spec.GetSteps() {
-		s := &Step{Job: j, Spec: spec, Occurrence: k, Number: int32(number), DueMS: due}
-		s.undone = int(spec.GetCount())
+		s := &Step{Job: j, Spec: spec, Occurrence: occurrence, Number: int32(number), DueMS: due}
+		s.unfinishedTasks = int(spec.GetCount())
 		s.Tasks = make([]*Task, spec.GetCount())
 		tasks := make([]Task, spec.GetCount())
 		for i := range tasks {
@@ -60,23 +60,23 @@
 		j.Steps = append(j.Steps, s)
 	}
 	for number, spec := range j.Spec.GetSteps() {
-		s := j.Steps[first+number]
+		s := j.Steps[firstStep+number]
 		for _, earlier := range spec.GetAfter() {
-			before := j.Steps[first+int(earlier)]
-			before.next = append(before.next, s)
-			s.before++
+			pending := j.Steps[firstStep+int(earlier)]
+			pending.successors = append(pending.successors, s)
+			s.pending++
 		}
 	}
 }
 
-// offer counts afresh which tasks of a job wait.
-func (t *Tables) offer(j *Job) {
+// recountJob recomputes the counts of waiting tasks for all steps of a job.
+func (t *Tables) recountJob(j *Job) {
 	for _, s := range j.Steps {
-		t.recount(s)
+		t.recountStep(s)
 	}
 }
 
-func (t *Tables) recount(s *Step) {
+func (t *Tables) recountStep(s *Step) {
 	s.Waiting = 0
 	if !s.Ready() || !s.Job.Open() {
 		delete(t.Waiting, s)
@@ -87,10 +87,10 @@
 			s.Waiting++
 		}
 	}
-	t.list(s)
+	t.updateWaitingSet(s)
 }
 
-func (t *Tables) list(s *Step) {
+func (t *Tables) updateWaitingSet(s *Step) {
 	if s.Waiting > 0 {
 		t.Waiting[s] = struct{}{}
 		return
@@ -104,28 +104,28 @@
 		result.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_WORKFLOW
 		return
 	}
-	if j.open > 0 && !j.Failed && !j.Cancelled {
+	if j.unfinishedSteps > 0 && !j.Failed && !j.Cancelled {
 		j.Cancelled, j.EndedMS = true, nowMS
-		t.offer(j)
-		t.closed(j)
-		t.ended(j)
+		t.recountJob(j)
+		t.onClosed(j)
+		t.onEnded(j)
 	}
 }
 
-// Task returns a task by name, nil if there is none.
+// Task returns a task by name, or nil if it does not exist.
 func (t *Tables) Task(n Name) *Task {
 	j := t.Jobs[n.Workflow]
 	if j == nil || n.Occurrence < 0 || n.Step < 0 || n.Index < 0 || int(n.Step) >= len(j.Spec.GetSteps()) {
 		return nil
 	}
-	at := int(n.Occurrence)*len(j.Spec.GetSteps()) + int(n.Step)
-	if at >= len(j.Steps) || int(n.Index) >= len(j.Steps[at].Tasks) {
+	stepIndex := int(n.Occurrence)*len(j.Spec.GetSteps()) + int(n.Step)
+	if stepIndex >= len(j.Steps) || int(n.Index) >= len(j.Steps[stepIndex].Tasks) {
 		return nil
 	}
-	return j.Steps[at].Tasks[n.Index]
+	return j.Steps[stepIndex].Tasks[n.Index]
 }
 
-// QueueFor returns the queue that takes a request, and what follows its prefix in the path; nil if there is none.
+// QueueFor returns the queue with the longest path prefix that matches a request, and the rest of the path; nil if no queue matches.
 func (t *Tables) QueueFor(host, path string) (queue *wire.Queue, rest string) {
 	for _, q := range t.Queues.GetQueues() {
 		prefix := q.GetPathPrefix()
@@ -139,7 +139,7 @@
 	return queue, rest
 }
 
-// WaitingJobs counts a queue's accepted jobs of which nothing has started.
+// WaitingJobs counts a queue's open jobs that have not started any task.
 func (t *Tables) WaitingJobs(queue string) int64 {
 	count := int64(0)
 	for _, j := range t.Jobs {
--- a/workflow/run.go
+++ b/workflow/run.go
@@ -2,8 +2,8 @@
 
 import "daisyswitch/wire"
 
-// start commits a task to a worker, and refuses what does not fit or is overtaken.
-func (t *Tables) start(s *wire.RunStart) bool {
+// commitStart commits a task to a worker. It refuses a start that does not fit or whose task or worker has changed since the decision.
+func (t *Tables) commitStart(s *wire.RunStart) bool {
 	task := t.Task(NameOf(s.GetTask()))
 	worker := t.Workers[s.GetWorker()]
 	if task == nil || worker == nil || worker.GetBorn() != s.GetBorn() {
@@ -14,15 +14,15 @@
 	}
 	task.Run, task.Worker, task.Ticket = s.GetRun(), worker, s.GetTicket()
 	task.Step.Job.Started = true
-	worker.take(task)
+	worker.addTask(task)
 	task.Step.Waiting--
-	t.list(task.Step)
-	t.assigned(task)
+	t.updateWaitingSet(task.Step)
+	t.onAssigned(task)
 	return true
 }
 
-// end notes the end of a run; one that is not the task's current run counts only for what it achieved.
-func (t *Tables) end(nowMS int64, e *wire.RunEnd) {
+// recordEnd records the end of a run. If the task has no current run, a late end still counts for its checkpoint and outcome.
+func (t *Tables) recordEnd(nowMS int64, e *wire.RunEnd) {
 	if w := t.Workers[e.GetWorker()]; w != nil && w.GetBorn() == e.GetBorn() && e.GetNumber() > 0 {
 		if e.GetNumber() <= w.Noted {
 			return
@@ -41,9 +41,9 @@
 		t.keepCheckpoint(task, e.GetCheckpoint())
 	}
 	if current {
-		t.free(task)
+		t.releaseTask(task)
 	}
-	t.count(nowMS, task, e.GetOutcome())
+	t.applyOutcome(nowMS, task, e.GetOutcome())
 }
 
 func (t *Tables) keepCheckpoint(task *Task, checkpoint string) {
@@ -56,27 +56,27 @@
 	}
 }
 
-// free takes a task off its worker.
-func (t *Tables) free(task *Task) {
-	task.Worker.release(task)
+// releaseTask releases a task from its worker.
+func (t *Tables) releaseTask(task *Task) {
+	task.Worker.removeTask(task)
 	task.Worker, task.Ticket = nil, ""
 	if task.Waits() {
 		task.Step.Waiting++
 	}
-	t.list(task.Step)
+	t.updateWaitingSet(task.Step)
 }
 
-func (t *Tables) count(nowMS int64, task *Task, outcome wire.RunOutcome) {
+func (t *Tables) applyOutcome(nowMS int64, task *Task, outcome wire.RunOutcome) {
 	switch outcome {
 	case wire.RunOutcome_RUN_OUTCOME_DONE:
-		t.done(nowMS, task)
+		t.completeTask(nowMS, task)
 	case wire.RunOutcome_RUN_OUTCOME_FAILED:
 		task.Failures++
-		t.failIfSpent(nowMS, task)
+		t.failIfAttemptsExhausted(nowMS, task)
 	}
 }
 
-func (t *Tables) done(nowMS int64, task *Task) {
+func (t *Tables) completeTask(nowMS int64, task *Task) {
 	s := task.Step
 	if task.Done || s.Spec.GetLasting() {
 		return
@@ -87,34 +87,34 @@
 	}
 	for _, member := range members {
 		if member.Worker != nil {
-			t.free(member)
+			t.releaseTask(member)
 		}
 		if !member.Done {
 			member.Done = true
-			s.undone--
+			s.unfinishedTasks--
 		}
 	}
-	t.recount(s)
-	if s.undone == 0 {
-		t.stepDone(nowMS, s)
+	t.recountStep(s)
+	if s.unfinishedTasks == 0 {
+		t.completeStep(nowMS, s)
 	}
 }
 
-func (t *Tables) stepDone(nowMS int64, s *Step) {
+func (t *Tables) completeStep(nowMS int64, s *Step) {
 	j := s.Job
-	j.open--
-	if j.open == 0 && !j.Cancelled && !j.Failed {
+	j.unfinishedSteps--
+	if j.unfinishedSteps == 0 && !j.Cancelled && !j.Failed {
 		j.EndedMS = nowMS
-		t.ended(j)
+		t.onEnded(j)
 	}
-	for _, later := range s.next {
-		later.before--
-		t.recount(later)
+	for _, later := range s.successors {
+		later.pending--
+		t.recountStep(later)
 	}
 }
 
-// failIfSpent fails the job once a task that can end has used up its attempts.
-func (t *Tables) failIfSpent(nowMS int64, task *Task) {
+// failIfAttemptsExhausted fails the job once a task has used up its attempts; lasting tasks are retried without limit.
+func (t *Tables) failIfAttemptsExhausted(nowMS int64, task *Task) {
 	j, failures := task.Step.Job, task.Failures
 	if task.Step.Spec.GetGang() {
 		failures = task.Step.Failures()
@@ -123,7 +123,7 @@
 		return
 	}
 	j.Failed, j.EndedMS = true, nowMS
-	t.offer(j)
-	t.closed(j)
-	t.ended(j)
+	t.recountJob(j)
+	t.onClosed(j)
+	t.onEnded(j)
 }
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -7,7 +7,7 @@
 	"daisyswitch/wire"
 )
 
-// Snapshot returns the whole state.
+// Snapshot returns the complete state.
 func (t *Table) Snapshot() *wire.WorkflowState {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -57,30 +57,30 @@
 	return r
 }
 
-// Restore replaces everything by a snapshot, whole or not at all.
+// Restore replaces the state by a snapshot. On an error the state is left unchanged.
 func (t *Table) Restore(s *wire.WorkflowState) error {
-	fresh := empty(t.o)
+	restored := emptyState(t.options)
 	if s.GetQueues() != nil {
-		fresh.setQueues(s.GetQueues())
+		restored.setQueues(s.GetQueues())
 	}
 	for _, w := range s.GetWorkers() {
-		fresh.restoreWorker(w)
+		restored.restoreWorker(w)
 	}
 	for _, r := range s.GetWorkflows() {
-		if err := fresh.restoreJob(r); err != nil {
+		if err := restored.restoreJob(r); err != nil {
 			return fmt.Errorf("restore workflow %s: %w", r.GetWorkflow().GetId(), err)
 		}
 	}
 	for _, domain := range s.GetDomainsOut() {
-		fresh.Out[domain] = true
+		restored.Out[domain] = true
 	}
 	for _, w := range s.GetWaves() {
-		fresh.Waves[w.GetNumber()] = w
+		restored.Waves[w.GetNumber()] = w
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.Tables = fresh
-	t.o.Changed()
+	t.Tables = restored
+	t.options.Changed()
 	return nil
 }
 
@@ -97,37 +97,37 @@
 	j := newJob(r.GetWorkflow(), r.GetQueue(), r.GetAcceptedMs())
 	j.Cancelled, j.Failed, j.EndedMS, j.Started = r.GetCancelled(), r.GetFailed(), r.GetEndedMs(), r.GetStarted()
 	if len(r.GetSteps()) != len(j.Steps) {
-		return fmt.Errorf("the record has %d steps and the workflow %d", len(r.GetSteps()), len(j.Steps))
+		return fmt.Errorf("step count differs: %d in the snapshot, %d in the workflow's specification", len(r.GetSteps()), len(j.Steps))
 	}
 	for i, record := range r.GetSteps() {
 		if len(record.GetTasks()) != len(j.Steps[i].Tasks) {
-			return fmt.Errorf("step %d has %d tasks in the record and %d in the workflow", i, len(record.GetTasks()), len(j.Steps[i].Tasks))
+			return fmt.Errorf("task count of step %d differs: %d in the snapshot, %d in the workflow's specification", i, len(record.GetTasks()), len(j.Steps[i].Tasks))
 		}
 		for k, task := range record.GetTasks() {
 			t.restoreTask(j.Steps[i].Tasks[k], task)
 		}
 	}
 	for _, s := range j.Steps {
-		if s.undone > 0 {
+		if s.unfinishedTasks > 0 {
 			continue
 		}
-		j.open--
-		for _, later := range s.next {
-			later.before--
+		j.unfinishedSteps--
+		for _, later := range s.successors {
+			later.pending--
 		}
 	}
 	t.Jobs[j.Spec.GetId()] = j
-	t.offer(j)
+	t.recountJob(j)
 	return nil
 }
 
 func (t *Tables) restoreTask(task *Task, r *wire.TaskRecord) {
 	task.Run, task.Failures, task.Done, task.Checkpoint, task.Ticket = r.GetRun(), r.GetFailures(), r.GetDone(), r.GetCheckpoint(), r.GetTicket()
 	if task.Done {
-		task.Step.undone--
+		task.Step.unfinishedTasks--
 	}
 	if w := t.Workers[r.GetWorker()]; w != nil && w.GetBorn() == r.GetBorn() {
 		task.Worker = w
-		w.take(task)
+		w.addTask(task)
 	}
 }
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -6,85 +6,85 @@
 	"daisyswitch/wire"
 )
 
-// Options says who is told of transitions.
+// Options holds the callbacks for state transitions.
 type Options struct {
-	// The receivers are called with the table locked and must not block.
+	// The callbacks run with the table locked and must not block.
 	Changed  func()      // after each record
-	Assigned func(*Task) // committed to a worker
-	Closed   func(*Job)  // no task of it may start or go on
-	Ended    func(*Job)  // completed, failed or cancelled
+	Assigned func(*Task) // the task was committed to a worker
+	Closed   func(*Job)  // no task of the job may start or continue
+	Ended    func(*Job)  // the job completed, failed or was cancelled
 }
 
-// Table is the state of one replica; its mutex is taken after that of package state.
+// Table is the workflow state of one replica. Its mutex is locked after that of package state.
 type Table struct {
-	o  Options
-	mu sync.RWMutex
+	options Options
+	mu      sync.RWMutex
 	Tables
 }
 
-// Tables are what a Table holds; they are read within View only and altered by nobody else.
+// Tables is the content of a Table. It is read only within View and modified only by this package.
 type Tables struct {
-	Queues  *wire.QueueSet // highest accepted, nil before the first
-	Jobs    map[string]*Job
-	Workers map[string]*Worker // that are not gone, by id
-	Waiting map[*Step]struct{} // with tasks that may start
-	Out     map[string]bool    // failure domains that get nothing new
-	Waves   map[int64]*wire.Wave
-	gone    map[string]*wire.CalledWorker // lives that have ended, by id
-	byName  map[string]*wire.Queue
-
-	WorkerChanges uint64 // rises whenever Workers or what they say of themselves changes
-
-	assigned func(*Task)
-	closed   func(*Job)
-	ended    func(*Job)
+	Queues       *wire.QueueSet // highest accepted version, nil before the first
+	Jobs         map[string]*Job
+	Workers      map[string]*Worker // by id, without those that are gone
+	Waiting      map[*Step]struct{} // steps with tasks that may start
+	Out          map[string]bool    // failure domains that get no new tasks
+	Waves        map[int64]*wire.Wave
+	gone         map[string]*wire.CalledWorker // ended incarnations, by id
+	queuesByName map[string]*wire.Queue
+
+	WorkerChanges uint64 // incremented whenever Workers or an announcement of a worker changes
+
+	onAssigned func(*Task)
+	onClosed   func(*Job)
+	onEnded    func(*Job)
 }
 
-// Result says what a record did.
+// Result is the outcome of applying a record.
 type Result struct {
-	Answer wire.WorkflowAnswer // to a submission or a cancellation
+	Answer wire.WorkflowAnswer // for a submission or a cancellation
 	Reason string
-	Starts []bool // which starts were committed
+	Starts []bool // whether each start was committed, in the order of the record
 }
 
-// New returns the empty state.
-func New(o Options) *Table {
-	if o.Changed == nil {
-		o.Changed = func() {}
+// New returns an empty table.
+func New(options Options) *Table {
+	if options.Changed == nil {
+		options.Changed = func() {}
 	}
-	if o.Assigned == nil {
-		o.Assigned = func(*Task) {}
+	if options.Assigned == nil {
+		options.Assigned = func(*Task) {}
 	}
-	if o.Closed == nil {
-		o.Closed = func(*Job) {}
+	if options.Closed == nil {
+		options.Closed = func(*Job) {}
 	}
-	if o.Ended == nil {
-		o.Ended = func(*Job) {}
+	if options.Ended == nil {
+		options.Ended = func(*Job) {}
 	}
-	return &Table{o: o, Tables: empty(o)}
+	return &Table{options: options, Tables: emptyState(options)}
 }
 
-func empty(o Options) Tables {
+func emptyState(o Options) Tables {
 	return Tables{
-		assigned: o.Assigned, closed: o.Closed, ended: o.Ended,
+		onAssigned: o.Assigned, onClosed: o.Closed, onEnded: o.Ended,
 		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waiting: map[*Step]struct{}{},
 		Out: map[string]bool{}, Waves: map[int64]*wire.Wave{},
-		gone: map[string]*wire.CalledWorker{}, byName: map[string]*wire.Queue{},
+		gone: map[string]*wire.CalledWorker{}, queuesByName: map[string]*wire.Queue{},
 	}
 }
 
-// View calls read with the tables, which it must not keep.
+// View calls read with the tables locked for reading; read must not retain them.
 func (t *Table) View(read func(*Tables)) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	read(&t.Tables)
 }
 
-// Apply executes the part of a committed record that is about workflows; nowMS is the proposer's wall clock.
+// Apply applies the workflow part of a committed record; nowMS is the proposer's wall clock.
 func (t *Table) Apply(nowMS int64, c *wire.WorkflowCommand) *Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	defer t.o.Changed()
+	defer t.options.Changed()
 	result := &Result{Answer: wire.WorkflowAnswer_WORKFLOW_ANSWER_OK}
 	if c.GetQueues() != nil {
 		t.setQueues(c.GetQueues())
@@ -102,12 +102,12 @@
 		t.setWorker(w)
 	}
 	for _, e := range c.GetEnds() {
-		t.end(nowMS, e)
+		t.recordEnd(nowMS, e)
 	}
 	for _, s := range c.GetStarts() {
-		result.Starts = append(result.Starts, t.start(s))
+		result.Starts = append(result.Starts, t.commitStart(s))
 	}
-	t.upkeep(c)
+	t.applyUpkeep(c)
 	return result
 }
 
@@ -116,12 +116,12 @@
 		return
 	}
 	t.Queues = q
-	t.byName = map[string]*wire.Queue{}
+	t.queuesByName = map[string]*wire.Queue{}
 	for _, queue := range q.GetQueues() {
-		t.byName[queue.GetName()] = queue
+		t.queuesByName[queue.GetName()] = queue
 	}
 	for _, j := range t.Jobs {
-		if queue := t.byName[j.Spec.GetQueue()]; queue != nil {
+		if queue := t.queuesByName[j.Spec.GetQueue()]; queue != nil {
 			j.Queue = queue
 		}
 	}
@@ -135,7 +135,7 @@
 	delete(t.Out, d.GetDomain())
 }
 
-func (t *Tables) upkeep(c *wire.WorkflowCommand) {
+func (t *Tables) applyUpkeep(c *wire.WorkflowCommand) {
 	if w := c.GetWave(); w != nil && t.Waves[w.GetNumber()] == nil {
 		t.Waves[w.GetNumber()] = w
 	}
@@ -146,7 +146,7 @@
 	}
 }
 
-// GetReason returns why the command did nothing, empty if it did or there is no result.
+// GetReason returns why the command was refused; it is empty if the command was accepted or r is nil.
 func (r *Result) GetReason() string {
 	if r == nil {
 		return ""
--- a/workflow/types.go
+++ b/workflow/types.go
@@ -7,7 +7,7 @@
 	"daisyswitch/wire"
 )
 
-// The states of a job, as callers read them.
+// Job states as reported to callers.
 const (
 	StateQueued    = "queued"
 	StateRunning   = "running"
@@ -16,7 +16,7 @@
 	StateCancelled = "cancelled"
 )
 
-// Name identifies a task; it can be a key.
+// Name identifies a task and can be used as a map key.
 type Name struct {
 	Workflow   string
 	Occurrence int32
@@ -24,47 +24,47 @@
 	Index      int32
 }
 
-// NameOf returns the key of a task's name.
+// NameOf converts a task's name from its wire form.
 func NameOf(n *wire.TaskName) Name {
 	return Name{Workflow: n.GetWorkflow(), Occurrence: n.GetOccurrence(), Step: n.GetStep(), Index: n.GetIndex()}
 }
 
-// Wire returns the name as it stands in records.
+// Wire returns the name in its wire form.
 func (n Name) Wire() *wire.TaskName {
 	return &wire.TaskName{Workflow: n.Workflow, Occurrence: n.Occurrence, Step: n.Step, Index: n.Index}
 }
 
-// String returns the name for logs.
+// String formats the name for logs.
 func (n Name) String() string {
 	return fmt.Sprintf("%s.%d.%d.%d", n.Workflow, n.Occurrence, n.Step, n.Index)
 }
 
-// Job is a workflow that was accepted.
+// Job is an accepted workflow.
 type Job struct {
-	Spec       *wire.Workflow
-	Queue      *wire.Queue // as of the newest configuration that had it
-	AcceptedMS int64       // leader's wall clock, Unix milliseconds
-	EndedMS    int64       // 0 while it is open
-	Cancelled  bool
-	Failed     bool
-	Started    bool // a task of it was committed to a worker
-	Steps      []*Step
-	open       int // steps that are not done
-}
-
-// Open says whether tasks of the job may still start.
+	Spec            *wire.Workflow
+	Queue           *wire.Queue // from the newest configuration that defines it
+	AcceptedMS      int64       // leader's wall clock, Unix milliseconds
+	EndedMS         int64       // 0 while the job is open
+	Cancelled       bool
+	Failed          bool
+	Started         bool // a task of the job has been committed to a worker
+	Steps           []*Step
+	unfinishedSteps int // steps that are not done
+}
+
+// Open reports whether tasks of the job may still start.
 func (j *Job) Open() bool {
-	return !j.Cancelled && !j.Failed && j.open > 0
+	return !j.Cancelled && !j.Failed && j.unfinishedSteps > 0
 }
 
-// State returns the job's state as callers read it.
+// State returns the job's state as reported to callers.
 func (j *Job) State() string {
 	switch {
 	case j.Cancelled:
 		return StateCancelled
 	case j.Failed:
 		return StateFailed
-	case j.open == 0:
+	case j.unfinishedSteps == 0:
 		return StateCompleted
 	case j.Started:
 		return StateRunning
@@ -73,24 +73,24 @@
 	}
 }
 
-// Step is one step of one occurrence.
+// Step is one step of one occurrence of a job.
 type Step struct {
-	Job        *Job
-	Spec       *wire.Step
-	Occurrence int32
-	Number     int32
-	DueMS      int64 // Unix milliseconds before which nothing of it starts, 0 for at once
-	Tasks      []*Task
-	Waiting    int // tasks that may start as far as the order of steps goes
-	undone     int
-	before     int     // steps before it that are not done
-	next       []*Step // that wait for it
-}
-
-// Ready says whether all steps before it are done.
-func (s *Step) Ready() bool { return s.before == 0 }
-
-// Failures returns how often a gang has failed.
+	Job             *Job
+	Spec            *wire.Step
+	Occurrence      int32
+	Number          int32
+	DueMS           int64 // earliest start of its tasks, Unix milliseconds; 0 for immediately
+	Tasks           []*Task
+	Waiting         int // tasks that may start, regardless of DueMS
+	unfinishedTasks int
+	pending         int     // predecessors with unfinished tasks
+	successors      []*Step // steps that come after this one
+}
+
+// Ready reports whether all preceding steps are done.
+func (s *Step) Ready() bool { return s.pending == 0 }
+
+// Failures returns the number of failures of all tasks of the step, which are the failed attempts of a gang.
 func (s *Step) Failures() int32 {
 	total := int32(0)
 	for _, t := range s.Tasks {
@@ -103,36 +103,36 @@
 type Task struct {
 	Step       *Step
 	Index      int32
-	Run        int32 // highest used
+	Run        int32 // highest run number used
 	Failures   int32
 	Done       bool
-	Worker     *Worker // that it is committed to, nil while it waits
+	Worker     *Worker // to which it is committed, nil if none
 	Checkpoint string
 	Ticket     string
 }
 
-// Name returns the task's key.
+// Name returns the task's name.
 func (t *Task) Name() Name {
 	return Name{Workflow: t.Step.Job.Spec.GetId(), Occurrence: t.Step.Occurrence, Step: t.Step.Number, Index: t.Index}
 }
 
-// Waits says whether the task may be started.
+// Waits reports whether the task may be started.
 func (t *Task) Waits() bool {
 	return !t.Done && t.Worker == nil && t.Step.Ready() && t.Step.Job.Open()
 }
 
-// Worker is one life of a called worker.
+// Worker is one incarnation of a called worker.
 type Worker struct {
 	*wire.CalledWorker
-	Noted    int64         // ends up to this number are in the state
-	Used     resource.Size // of tasks that do not fill
-	Lasting  resource.Size // part of Used, of tasks that last
-	Fill     resource.Size // of tasks that fill; their memory counts
+	Noted    int64         // number of the last run end that was recorded
+	Used     resource.Size // by tasks other than filling tasks
+	Lasting  resource.Size // the part of Used that is used by lasting tasks
+	Fill     resource.Size // by filling tasks; their memory and accelerators reduce Free, their CPU does not
 	Tasks    map[*Task]struct{}
 	Capacity resource.Size
 }
 
-// Free returns what the worker has left for tasks that do not fill.
+// Free returns the worker's free capacity for tasks other than filling tasks.
 func (w *Worker) Free() resource.Size {
 	free := w.Capacity.Sub(w.Used)
 	free.MemoryMiB -= w.Fill.MemoryMiB
@@ -140,7 +140,7 @@
 	return free
 }
 
-// Fits says whether a task of a step has room on the worker.
+// Fits reports whether a task of a step fits in the worker's free capacity.
 func (w *Worker) Fits(s *wire.Step) bool {
 	size := resource.FromWire(s.GetSize())
 	if s.GetFilling() {
@@ -149,7 +149,7 @@
 	return size.Fits(w.Free())
 }
 
-func (w *Worker) take(t *Task) {
+func (w *Worker) addTask(t *Task) {
 	w.Tasks[t] = struct{}{}
 	size := resource.FromWire(t.Step.Spec.GetSize())
 	if t.Step.Spec.GetFilling() {
@@ -162,7 +162,7 @@
 	}
 }
 
-func (w *Worker) release(t *Task) {
+func (w *Worker) removeTask(t *Task) {
 	delete(w.Tasks, t)
 	size := resource.FromWire(t.Step.Spec.GetSize())
 	if t.Step.Spec.GetFilling() {
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -5,26 +5,26 @@
 	"daisyswitch/wire"
 )
 
-// maxGone bounds how many ended lives are remembered, so that a late announcement cannot revive them.
-const maxGone = 20_000
+// maxGoneWorkers bounds the ended incarnations that are remembered so that a late announcement cannot revive them.
+const maxGoneWorkers = 20_000
 
-// setWorker takes in what a worker says of itself; an earlier life of it, or of another at its address, has ended.
+// setWorker applies a worker's announcement. Earlier incarnations of the worker, and other workers that had its address before, have ended.
 func (t *Tables) setWorker(w *wire.CalledWorker) {
 	if gone := t.gone[w.GetId()]; gone != nil && gone.GetBorn() >= w.GetBorn() {
 		return
 	}
 	last := t.Workers[w.GetId()]
-	if last != nil && last.GetBorn() > w.GetBorn() || t.replaced(w) {
+	if last != nil && last.GetBorn() > w.GetBorn() || t.addressTakenOver(w) {
 		return
 	}
 	if last != nil && last.GetBorn() < w.GetBorn() {
-		t.lose(last)
+		t.removeWorker(last)
 		last = nil
 	}
 	t.WorkerChanges++
-	t.endFormer(w)
+	t.removeFormerAtAddress(w)
 	if w.GetGone() {
-		t.bury(w, last)
+		t.markGone(w, last)
 		return
 	}
 	if last == nil {
@@ -35,8 +35,8 @@
 	last.CalledWorker, last.Capacity = w, resource.FromWire(w.GetCapacity())
 }
 
-// replaced says whether another worker with a later start lives at the address.
-func (t *Tables) replaced(w *wire.CalledWorker) bool {
+// addressTakenOver reports whether another worker that started later has the address.
+func (t *Tables) addressTakenOver(w *wire.CalledWorker) bool {
 	for id, other := range t.Workers {
 		if id != w.GetId() && other.GetAddress() == w.GetAddress() && other.GetBorn() > w.GetBorn() {
 			return true
@@ -45,34 +45,34 @@
 	return false
 }
 
-// endFormer ends the lives that had the address before.
-func (t *Tables) endFormer(w *wire.CalledWorker) {
+// removeFormerAtAddress removes the workers that had the address before.
+func (t *Tables) removeFormerAtAddress(w *wire.CalledWorker) {
 	for id, other := range t.Workers {
 		if id != w.GetId() && other.GetAddress() == w.GetAddress() && other.GetBorn() < w.GetBorn() {
-			t.bury(other.CalledWorker, other)
+			t.markGone(other.CalledWorker, other)
 		}
 	}
 }
 
-func (t *Tables) bury(w *wire.CalledWorker, last *Worker) {
+func (t *Tables) markGone(w *wire.CalledWorker, last *Worker) {
 	if last != nil {
-		t.lose(last)
+		t.removeWorker(last)
 	}
-	if len(t.gone) >= maxGone {
+	if len(t.gone) >= maxGoneWorkers {
 		t.gone = map[string]*wire.CalledWorker{}
 	}
 	t.gone[w.GetId()] = &wire.CalledWorker{Id: w.GetId(), Born: w.GetBorn(), Gone: true}
 }
 
-// lose ends what ran in a life that is over.
-func (t *Tables) lose(w *Worker) {
+// removeWorker removes an ended incarnation and releases its tasks.
+func (t *Tables) removeWorker(w *Worker) {
 	for task := range w.Tasks {
-		t.free(task)
+		t.releaseTask(task)
 	}
 	delete(t.Workers, w.GetId())
 }
 
-// Known says whether an announcement tells nothing that the state does not hold.
+// Known reports whether an announcement contains nothing that is not already in the state.
 func (t *Tables) Known(w *wire.CalledWorker) bool {
 	if gone := t.gone[w.GetId()]; gone != nil && gone.GetBorn() >= w.GetBorn() {
 		return true
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -13,26 +13,26 @@
 )
 
 var (
-	room = &wire.Size{MilliCpu: 4000, MemoryMib: 4000}
-	unit = &wire.Size{MilliCpu: 1000, MemoryMib: 1000}
+	workerCapacity = &wire.Size{MilliCpu: 4000, MemoryMib: 4000}
+	taskSize       = &wire.Size{MilliCpu: 1000, MemoryMib: 1000}
 )
 
-func table() *workflow.Table {
+func newTable() *workflow.Table {
 	t := workflow.New(workflow.Options{})
 	t.Apply(1, &wire.WorkflowCommand{Queues: &wire.QueueSet{Version: 3, Queues: []*wire.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 2}}}})
-	t.Apply(1, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{worker("w", 1), worker("v", 1)}})
+	t.Apply(1, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{calledWorker("w", 1), calledWorker("v", 1)}})
 	return t
 }
 
-func worker(id string, born int64) *wire.CalledWorker {
-	return &wire.CalledWorker{Id: id, Born: born, Address: id + ":1", Pool: "p", Domain: "d", Capacity: room}
+func calledWorker(id string, born int64) *wire.CalledWorker {
+	return &wire.CalledWorker{Id: id, Born: born, Address: id + ":1", Pool: "p", Domain: "d", Capacity: workerCapacity}
 }
 
 func submit(t *workflow.Table, id string, steps ...*wire.Step) *workflow.Result {
 	return t.Apply(2, &wire.WorkflowCommand{Submit: &wire.Workflow{Id: id, Queue: "q", Steps: steps}})
 }
 
-func name(id string, step, index int32) *wire.TaskName {
+func taskName(id string, step, index int32) *wire.TaskName {
 	return &wire.TaskName{Workflow: id, Step: step, Index: index}
 }
 
@@ -40,24 +40,24 @@
 	return t.Apply(3, &wire.WorkflowCommand{Starts: []*wire.RunStart{{Task: task, Run: run, Worker: worker, Born: born}}}).Starts[0]
 }
 
-// end notes the next end that a worker lists.
-func end(t *workflow.Table, task *wire.TaskName, run int32, worker string, outcome wire.RunOutcome) {
+// recordNextEnd records a run's end with the worker's next number.
+func recordNextEnd(t *workflow.Table, task *wire.TaskName, run int32, worker string, outcome wire.RunOutcome) {
 	number := int64(1)
 	t.View(func(s *workflow.Tables) {
 		if w := s.Workers[worker]; w != nil {
 			number = w.Noted + 1
 		}
 	})
-	endNumbered(t, task, run, worker, number, outcome)
+	recordEnd(t, task, run, worker, number, outcome)
 }
 
-func endNumbered(t *workflow.Table, task *wire.TaskName, run int32, worker string, number int64, outcome wire.RunOutcome) {
+func recordEnd(t *workflow.Table, task *wire.TaskName, run int32, worker string, number int64, outcome wire.RunOutcome) {
 	t.Apply(4, &wire.WorkflowCommand{Ends: []*wire.RunEnd{{Task: task, Run: run, Worker: worker, Born: 1, Number: number, Outcome: outcome}}})
 }
 
-func state(t *workflow.Table, id string) (state string) {
-	t.View(func(s *workflow.Tables) { state = s.Jobs[id].State() })
-	return state
+func jobState(t *workflow.Table, id string) (jobState string) {
+	t.View(func(s *workflow.Tables) { jobState = s.Jobs[id].State() })
+	return jobState
 }
 
 const (
@@ -68,16 +68,16 @@
 )
 
 func TestResentSubmissionIsTheSameWorkflow(t *testing.T) {
-	s := table()
-	submit(s, "a", &wire.Step{Count: 1, Size: unit})
-	assert.Assert(t, start(s, name("a", 0, 0), 1, "w", 1))
-	assert.Equal(t, submit(s, "a", &wire.Step{Count: 5, Size: unit}).Answer, wire.WorkflowAnswer_WORKFLOW_ANSWER_OK)
-	end(s, name("a", 0, 0), 1, "w", done)
-	assert.Equal(t, state(s, "a"), workflow.StateCompleted)
+	s := newTable()
+	submit(s, "a", &wire.Step{Count: 1, Size: taskSize})
+	assert.Assert(t, start(s, taskName("a", 0, 0), 1, "w", 1))
+	assert.Equal(t, submit(s, "a", &wire.Step{Count: 5, Size: taskSize}).Answer, wire.WorkflowAnswer_WORKFLOW_ANSWER_OK)
+	recordNextEnd(s, taskName("a", 0, 0), 1, "w", done)
+	assert.Equal(t, jobState(s, "a"), workflow.StateCompleted)
 }
 
 func TestRefusedSubmissions(t *testing.T) {
-	s := table()
+	s := newTable()
 	for reason, w := range map[string]*wire.Workflow{
 		"no queue":   {Id: "a", Queue: "other", Steps: []*wire.Step{{Count: 1}}},
 		"no steps":   {Id: "a", Queue: "q"},
@@ -96,86 +96,86 @@
 }
 
 func TestStartsThatAreRefused(t *testing.T) {
-	s := table()
-	submit(s, "a", &wire.Step{Count: 6, Size: unit}, &wire.Step{Count: 1, Size: unit, After: []int32{0}})
-	assert.Assert(t, !start(s, name("a", 1, 0), 1, "w", 1), "before the step that it waits for")
-	assert.Assert(t, !start(s, name("a", 0, 0), 1, "w", 2), "on another life of the worker")
-	assert.Assert(t, start(s, name("a", 0, 0), 1, "w", 1))
-	assert.Assert(t, !start(s, name("a", 0, 0), 2, "v", 1), "while it runs")
+	s := newTable()
+	submit(s, "a", &wire.Step{Count: 6, Size: taskSize}, &wire.Step{Count: 1, Size: taskSize, After: []int32{0}})
+	assert.Assert(t, !start(s, taskName("a", 1, 0), 1, "w", 1), "started before its preceding step was done")
+	assert.Assert(t, !start(s, taskName("a", 0, 0), 1, "w", 2), "started on another incarnation of the worker")
+	assert.Assert(t, start(s, taskName("a", 0, 0), 1, "w", 1))
+	assert.Assert(t, !start(s, taskName("a", 0, 0), 2, "v", 1), "started while it runs")
 	for i := int32(1); i < 4; i++ {
-		assert.Assert(t, start(s, name("a", 0, i), 1, "w", 1))
+		assert.Assert(t, start(s, taskName("a", 0, i), 1, "w", 1))
 	}
-	assert.Assert(t, !start(s, name("a", 0, 4), 1, "w", 1), "beyond the worker's room")
+	assert.Assert(t, !start(s, taskName("a", 0, 4), 1, "w", 1), "started beyond the worker's capacity")
 	s.Apply(5, &wire.WorkflowCommand{Domain: &wire.DomainOut{Domain: "d", Out: true}})
-	assert.Assert(t, !start(s, name("a", 0, 4), 1, "v", 1), "in a failure domain that is out")
+	assert.Assert(t, !start(s, taskName("a", 0, 4), 1, "v", 1), "started in a failure domain that is out")
 	s.Apply(5, &wire.WorkflowCommand{Domain: &wire.DomainOut{Domain: "d"}, Cancel: "a"})
-	assert.Assert(t, !start(s, name("a", 0, 4), 1, "v", 1), "of a cancelled workflow")
+	assert.Assert(t, !start(s, taskName("a", 0, 4), 1, "v", 1), "started for a cancelled workflow")
 }
 
 func TestAttemptsAreCounted(t *testing.T) {
-	s := table()
-	submit(s, "a", &wire.Step{Count: 1, Size: unit})
+	s := newTable()
+	submit(s, "a", &wire.Step{Count: 1, Size: taskSize})
 	for run, outcome := range []wire.RunOutcome{lapsed, stopped, failed, failed} {
-		assert.Assert(t, start(s, name("a", 0, 0), int32(run+1), "w", 1))
-		assert.Equal(t, state(s, "a"), workflow.StateRunning)
-		end(s, name("a", 0, 0), int32(run+1), "w", outcome)
+		assert.Assert(t, start(s, taskName("a", 0, 0), int32(run+1), "w", 1))
+		assert.Equal(t, jobState(s, "a"), workflow.StateRunning)
+		recordNextEnd(s, taskName("a", 0, 0), int32(run+1), "w", outcome)
 	}
-	assert.Equal(t, state(s, "a"), workflow.StateFailed)
+	assert.Equal(t, jobState(s, "a"), workflow.StateFailed)
 }
 
-// TestEndThatIsListedAgainCountsOnce: a worker that was silent lists all that was not taken note of there.
+// TestEndThatIsListedAgainCountsOnce guards against counting a failure twice: a worker that reconnects lists again all ends that were not acknowledged.
 func TestEndThatIsListedAgainCountsOnce(t *testing.T) {
-	s := table()
-	submit(s, "a", &wire.Step{Count: 1, Size: unit})
-	assert.Assert(t, start(s, name("a", 0, 0), 1, "w", 1))
+	s := newTable()
+	submit(s, "a", &wire.Step{Count: 1, Size: taskSize})
+	assert.Assert(t, start(s, taskName("a", 0, 0), 1, "w", 1))
 	for range 3 {
-		endNumbered(s, name("a", 0, 0), 1, "w", 1, failed)
+		recordEnd(s, taskName("a", 0, 0), 1, "w", 1, failed)
 	}
-	assert.Equal(t, state(s, "a"), workflow.StateRunning)
+	assert.Equal(t, jobState(s, "a"), workflow.StateRunning)
 	s.View(func(v *workflow.Tables) { assert.Equal(t, v.Jobs["a"].Steps[0].Tasks[0].Failures, int32(1)) })
 }
 
-// TestLateEndCountsForWhatItAchieved: a run that was taken for lapsed turns out to be done.
+// TestLateEndCountsForWhatItAchieved guards against losing the result of a run that was assumed lapsed and turns out to be done.
 func TestLateEndCountsForWhatItAchieved(t *testing.T) {
-	s := table()
-	submit(s, "a", &wire.Step{Count: 1, Size: unit})
-	assert.Assert(t, start(s, name("a", 0, 0), 1, "w", 1))
-	end(s, name("a", 0, 0), 1, "w", lapsed)
-	end(s, name("a", 0, 0), 1, "w", done)
-	assert.Equal(t, state(s, "a"), workflow.StateCompleted)
+	s := newTable()
+	submit(s, "a", &wire.Step{Count: 1, Size: taskSize})
+	assert.Assert(t, start(s, taskName("a", 0, 0), 1, "w", 1))
+	recordNextEnd(s, taskName("a", 0, 0), 1, "w", lapsed)
+	recordNextEnd(s, taskName("a", 0, 0), 1, "w", done)
+	assert.Equal(t, jobState(s, "a"), workflow.StateCompleted)
 }
 
 func TestEarlierLifeRevivesNothing(t *testing.T) {
-	s := table()
-	submit(s, "a", &wire.Step{Count: 1, Size: unit})
-	assert.Assert(t, start(s, name("a", 0, 0), 1, "w", 1))
-	s.Apply(4, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{worker("w", 5)}})
+	s := newTable()
+	submit(s, "a", &wire.Step{Count: 1, Size: taskSize})
+	assert.Assert(t, start(s, taskName("a", 0, 0), 1, "w", 1))
+	s.Apply(4, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{calledWorker("w", 5)}})
 	s.View(func(v *workflow.Tables) {
 		assert.Equal(t, v.Workers["w"].GetBorn(), int64(5))
-		assert.Equal(t, len(v.Workers["w"].Tasks), 0, "what ran in the earlier life has ended")
+		assert.Equal(t, len(v.Workers["w"].Tasks), 0, "the runs of the earlier incarnation have ended")
 	})
-	s.Apply(4, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{worker("w", 1)}})
+	s.Apply(4, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{calledWorker("w", 1)}})
 	s.View(func(v *workflow.Tables) { assert.Equal(t, v.Workers["w"].GetBorn(), int64(5)) })
-	gone := worker("w", 5)
+	gone := calledWorker("w", 5)
 	gone.Gone = true
 	s.Apply(4, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{gone}})
-	s.Apply(4, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{worker("w", 5)}})
+	s.Apply(4, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{calledWorker("w", 5)}})
 	s.View(func(v *workflow.Tables) { assert.Assert(t, v.Workers["w"] == nil) })
 }
 
 func TestGangEndsTogether(t *testing.T) {
-	s := table()
-	submit(s, "a", &wire.Step{Count: 3, Size: unit, Gang: true}, &wire.Step{Count: 1, Size: unit, After: []int32{0}})
+	s := newTable()
+	submit(s, "a", &wire.Step{Count: 3, Size: taskSize, Gang: true}, &wire.Step{Count: 1, Size: taskSize, After: []int32{0}})
 	for i := range int32(3) {
-		assert.Assert(t, start(s, name("a", 0, i), 1, "w", 1))
+		assert.Assert(t, start(s, taskName("a", 0, i), 1, "w", 1))
 	}
-	end(s, name("a", 0, 1), 1, "w", done)
+	recordNextEnd(s, taskName("a", 0, 1), 1, "w", done)
 	s.View(func(v *workflow.Tables) { assert.Equal(t, len(v.Workers["w"].Tasks), 0) })
-	assert.Assert(t, start(s, name("a", 1, 0), 1, "w", 1))
+	assert.Assert(t, start(s, taskName("a", 1, 0), 1, "w", 1))
 }
 
 func TestHighestConfigurationWins(t *testing.T) {
-	s := table()
+	s := newTable()
 	s.Apply(5, &wire.WorkflowCommand{Queues: &wire.QueueSet{Version: 2}})
 	s.View(func(v *workflow.Tables) {
 		queue, rest := v.QueueFor("h", "/q/5c0e")
@@ -189,41 +189,41 @@
 	})
 }
 
-// TestRoomIsNeverOvercommitted runs random histories: what is committed on a worker stays within its room, no task runs twice,
-// what waits is what may start, and a snapshot gives the same state.
+// TestRoomIsNeverOvercommitted applies random histories and checks that commitments stay within a worker's capacity, no task runs twice,
+// the waiting tasks are those that may start, and a snapshot restores the same state.
 func TestRoomIsNeverOvercommitted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := table()
+		s := newTable()
 		jobs := 0
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": func(t *rapid.T) {
 				jobs++
-				submit(s, fmt.Sprint(jobs), &wire.Step{Count: 3, Size: unit, Filling: rapid.Bool().Draw(t, "filling")}, &wire.Step{Count: 2, Size: unit, After: []int32{0}, Lasting: rapid.Bool().Draw(t, "lasting")})
+				submit(s, fmt.Sprint(jobs), &wire.Step{Count: 3, Size: taskSize, Filling: rapid.Bool().Draw(t, "filling")}, &wire.Step{Count: 2, Size: taskSize, After: []int32{0}, Lasting: rapid.Bool().Draw(t, "lasting")})
 			},
 			"start": func(t *rapid.T) {
 				start(s, drawTask(t, jobs), rapid.Int32Range(1, 4).Draw(t, "run"), rapid.SampledFrom([]string{"w", "v"}).Draw(t, "worker"), 1)
 			},
 			"end": func(t *rapid.T) {
 				outcome := rapid.SampledFrom([]wire.RunOutcome{done, failed, lapsed, stopped}).Draw(t, "outcome")
-				end(s, drawTask(t, jobs), rapid.Int32Range(1, 4).Draw(t, "run"), rapid.SampledFrom([]string{"w", "v"}).Draw(t, "worker"), outcome)
+				recordNextEnd(s, drawTask(t, jobs), rapid.Int32Range(1, 4).Draw(t, "run"), rapid.SampledFrom([]string{"w", "v"}).Draw(t, "worker"), outcome)
 			},
 			"cancel": func(t *rapid.T) {
 				s.Apply(6, &wire.WorkflowCommand{Cancel: fmt.Sprint(rapid.IntRange(1, 20).Draw(t, "job"))})
 			},
-			"": func(t *rapid.T) { check(t, s) },
+			"": func(t *rapid.T) { checkInvariants(t, s) },
 		})
 	})
 }
 
 func drawTask(t *rapid.T, jobs int) *wire.TaskName {
-	return name(fmt.Sprint(rapid.IntRange(1, max(1, jobs)).Draw(t, "job")), rapid.Int32Range(0, 1).Draw(t, "step"), rapid.Int32Range(0, 2).Draw(t, "index"))
+	return taskName(fmt.Sprint(rapid.IntRange(1, max(1, jobs)).Draw(t, "job")), rapid.Int32Range(0, 1).Draw(t, "step"), rapid.Int32Range(0, 2).Draw(t, "index"))
 }
 
-func check(t *rapid.T, s *workflow.Table) {
+func checkInvariants(t *rapid.T, s *workflow.Table) {
 	s.View(func(v *workflow.Tables) {
 		for _, w := range v.Workers {
-			if w.Used.MilliCPU > room.GetMilliCpu() || w.Used.MemoryMiB+w.Fill.MemoryMiB > room.GetMemoryMib() {
-				t.Fatalf("worker %s is committed beyond its room: %v and %v filling", w.GetId(), w.Used, w.Fill)
+			if w.Used.MilliCPU > workerCapacity.GetMilliCpu() || w.Used.MemoryMiB+w.Fill.MemoryMiB > workerCapacity.GetMemoryMib() {
+				t.Fatalf("worker %s is committed beyond its capacity: %v by other tasks, %v by filling tasks", w.GetId(), w.Used, w.Fill)
 			}
 		}
 		for _, j := range v.Jobs {
@@ -232,12 +232,12 @@
 			}
 		}
 	})
-	fresh := workflow.New(workflow.Options{})
-	if err := fresh.Restore(s.Snapshot()); err != nil {
+	restored := workflow.New(workflow.Options{})
+	if err := restored.Restore(s.Snapshot()); err != nil {
 		t.Fatal(err)
 	}
-	if !proto.Equal(fresh.Snapshot(), s.Snapshot()) {
-		t.Fatal("the restored state differs")
+	if !proto.Equal(restored.Snapshot(), s.Snapshot()) {
+		t.Fatal("the state differs after restoring a snapshot")
 	}
 }
 
@@ -249,11 +249,11 @@
 		}
 		if task.Worker != nil {
 			if _, held := task.Worker.Tasks[task]; !held {
-				t.Fatalf("%s is committed to a worker that does not hold it", task.Name())
+				t.Fatalf("%s is committed to a worker whose Tasks do not contain it", task.Name())
 			}
 		}
 	}
 	if _, listed := v.Waiting[step]; listed != (waiting > 0) || waiting != step.Waiting {
-		t.Fatalf("%d tasks of a step wait, counted are %d, listed %v", waiting, step.Waiting, listed)
+		t.Fatalf("%d tasks of a step may start, but its Waiting count is %d and it is in the Waiting set: %v", waiting, step.Waiting, listed)
 	}
 }
