Reword the comments and internal names of lease

Readers stumbled over figurative fields and methods (span, holder, fresh, condemned, stretch, replace) and over long comments with several clauses. Refusal texts are unchanged.

--- a/lease/answer.go
+++ b/lease/answer.go
@@ -9,8 +9,8 @@
 	"daisyswitch/wire"
 )
 
-// Answer renews the lease of a report that was received and orders what the state wants of the worker.
-// out tells whether a failure domain is out; throttles holds the percentage to take from each attempt, 0 if absent.
+// Answer renews the lease of the worker that sent a received report and returns the orders that bring the worker to the committed state.
+// out reports whether a failure domain is out; throttles holds each attempt's throttle percentage, 0 if absent.
 func (t *Table) Answer(now time.Time, r *wire.WorkerReport, held []state.Held, out func(domain string) bool, throttles map[state.Ref]int32) *wire.WorkerReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -21,10 +21,10 @@
 	if w.lost {
 		return &wire.WorkerReply{Refusal: "the worker's lease has ended"}
 	}
-	w.end = later(w.end, now.Add(t.span))
+	w.leaseEnd = later(w.leaseEnd, now.Add(t.maxLength))
 	reply := &wire.WorkerReply{LeaseMs: t.length.Milliseconds()}
-	reports := w.index(r)
-	w.indexed, w.reports = nil, nil
+	reports := w.indexReport(r)
+	w.indexedReport, w.reports = nil, nil
 	permitted := !out(r.Worker.Domain) && !r.Leaving
 	reply.Orders = resizeOrders(held, reports)
 	for _, h := range held {
@@ -42,7 +42,7 @@
 	return reply
 }
 
-// resizeOrders tells of sizes that changed since the worker was last told, smaller ones first; they come before starts, which may take the room.
+// resizeOrders returns orders for sizes that changed since the worker was last informed, smaller ones first. They precede starts, which may need the room that they free.
 func resizeOrders(held []state.Held, reports map[state.Ref]*wire.TaskReport) []*wire.Order {
 	var smaller, larger []*wire.Order
 	for _, h := range held {
@@ -63,8 +63,8 @@
 	return append(smaller, larger...)
 }
 
-// order returns what the worker is told about an attempt that the state holds, nil for nothing.
-func (w *holder) order(h state.Held, report *wire.TaskReport, permitted bool, throttle int32) *wire.Order {
+// order returns the order for an attempt that the state holds, or nil if there is none.
+func (w *workerState) order(h state.Held, report *wire.TaskReport, permitted bool, throttle int32) *wire.Order {
 	if report == nil {
 		return w.missingOrder(h, permitted)
 	}
@@ -87,11 +87,11 @@
 	return order
 }
 
-// missingOrder starts an attempt that the worker does not report; a stop makes it report the attempt as stopped, known or not.
-func (w *holder) missingOrder(h state.Held, permitted bool) *wire.Order {
+// missingOrder returns the order for an attempt that the worker does not report: a start, or a stop, which makes the worker report the attempt as stopped even if it does not know it.
+func (w *workerState) missingOrder(h state.Held, permitted bool) *wire.Order {
 	ref := task.RefOf(h.Task)
 	a := w.attempt(ref)
-	if a.condemned {
+	if a.notStarted {
 		return nil
 	}
 	if h.Task.State == wire.TaskState_TASK_STATE_STARTING && permitted {
@@ -120,7 +120,7 @@
 	return order
 }
 
-// unknownOrder answers an attempt that the state does not hold on this worker: its end is recorded, or it must end.
+// unknownOrder returns the order for an attempt that the state does not hold on this worker: forget it if it has ended, otherwise stop it.
 func unknownOrder(report *wire.TaskReport) *wire.Order {
 	order := &wire.Order{Kind: wire.OrderKind_ORDER_KIND_STOP, Task: report.Task}
 	if ended(report.Phase) {
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -1,8 +1,8 @@
-// Package lease is the leader's table of worker leases: what a worker's report means and what the worker is answered.
+// Package lease implements the leader's table of worker leases, which evaluates workers' reports and builds the replies.
 //
-// Whoever uses it keeps to these rules, on which its safety rests:
-// Lead comes first in a leadership, after all records of earlier leaders were applied, then SetWorker for every worker that the state knows;
-// what state holds for a worker is read after Lead and after the report arrived;
-// SetWorker, Lead and Expired are called from one goroutine, which waits for its proposals;
-// and Answer is called after the outcome of Receive was committed, while a quorum confirmed this leader after the report arrived.
+// Its safety depends on these rules for the caller:
+//   - A term of leadership starts with Lead, after all records of earlier leaders have been applied. SetWorker follows for every worker in the state.
+//   - The attempts that the state holds for a worker are read after Lead and after the report arrived.
+//   - SetWorker, Lead and Expired are called from one goroutine, which waits for its proposals.
+//   - Answer is called after the outcome of Receive was committed and after a quorum confirmed this leader, both after the report arrived.
 package lease
--- a/lease/receive.go
+++ b/lease/receive.go
@@ -14,18 +14,18 @@
 )
 
 const (
-	keepFormer  = 8 // incarnations of a worker that are remembered to be fenced off
-	keepAttempt = 2 // reports for which an attempt that is no longer missing is remembered
+	maxFormer        = 8 // replaced incarnations of a worker that are remembered, so that they stay fenced off
+	attemptRetention = 2 // number of reports for which an attempt is remembered after it was last missing
 )
 
-// Outcome is what a report means: events and a record to commit, or a refusal.
+// Outcome is the result of a report: events and a record to commit, or a refusal.
 type Outcome struct {
 	Events  []*wire.TaskEvent
 	Worker  *wire.WorkerRecord // nil if unchanged
-	Refusal string             // why nothing of the report counts; empty if it does
+	Refusal string             // why the report is ignored; empty if it is accepted
 }
 
-// Receive reads one report against what the state holds for the worker; record is nil if the state does not know it.
+// Receive evaluates a report against the attempts that the state holds for the worker; record is nil if the worker is not in the state.
 func (t *Table) Receive(now time.Time, r *wire.WorkerReport, held []state.Held, record *wire.WorkerRecord) Outcome {
 	if err := admit.Worker(r.GetWorker()); err != nil {
 		return Outcome{Refusal: err.Error()}
@@ -39,16 +39,16 @@
 	if record == nil && r.Leaving {
 		return Outcome{Refusal: "the worker leaves before it was known"}
 	}
-	w.heard = now
+	w.lastReport = now
 	if refusal := w.admit(now, r); refusal != "" {
 		w.logRefusal(r, refusal)
 		return Outcome{Refusal: refusal}
 	}
 	w.refusal = ""
 	if record != nil && record.Incarnation != r.Worker.Incarnation {
-		// What the state holds belongs to the former incarnation and ends with this record.
-		w.end = later(w.end, now.Add(t.span))
-		return Outcome{Worker: announced(r.Worker)}
+		// The attempts in the state belong to the former incarnation and end with this record.
+		w.leaseEnd = later(w.leaseEnd, now.Add(t.maxLength))
+		return Outcome{Worker: announcedRecord(r.Worker)}
 	}
 	o := Outcome{Events: append(w.events(r, held), lateEvents(r, held)...)}
 	if r.Leaving {
@@ -60,17 +60,17 @@
 			return o
 		}
 	}
-	if changed(record, r.Worker) {
-		o.Worker = announced(r.Worker)
-		w.end = later(w.end, now.Add(t.span))
+	if recordChanged(record, r.Worker) {
+		o.Worker = announcedRecord(r.Worker)
+		w.leaseEnd = later(w.leaseEnd, now.Add(t.maxLength))
 	}
 	return o
 }
 
-// admit decides whether a report may speak for its worker and takes its sequence number.
-func (w *holder) admit(now time.Time, r *wire.WorkerReport) string {
+// admit checks that a report is the newest from the current incarnation and records its sequence number.
+func (w *workerState) admit(now time.Time, r *wire.WorkerReport) string {
 	if w.incarnation != r.Worker.Incarnation {
-		return w.replace(now, r)
+		return w.replaceIncarnation(now, r)
 	}
 	switch {
 	case r.Sequence < w.sequence:
@@ -86,75 +86,75 @@
 	return ""
 }
 
-func (w *holder) logRefusal(r *wire.WorkerReport, refusal string) {
+func (w *workerState) logRefusal(r *wire.WorkerReport, refusal string) {
 	if w.refusal != refusal {
 		event.ReportRefused.Info("worker", r.Worker.Name, "incarnation", r.Worker.Incarnation, "reason", refusal)
 	}
 	w.refusal = refusal
 }
 
-// replace lets a new incarnation take the worker's place once the lease of the former one has surely ended.
-func (w *holder) replace(now time.Time, r *wire.WorkerReport) string {
-	if slices.Contains(w.former, r.Worker.Incarnation) {
+// replaceIncarnation accepts a new incarnation of a worker once the lease of the former one is known to have expired.
+func (w *workerState) replaceIncarnation(now time.Time, r *wire.WorkerReport) string {
+	if slices.Contains(w.formerIncarnations, r.Worker.Incarnation) {
 		return "an older incarnation of the worker"
 	}
-	if !w.left && !now.After(w.end) {
+	if !w.left && !now.After(w.leaseEnd) {
 		return "the lease of the worker's former incarnation has not ended"
 	}
 	if w.incarnation != "" {
-		w.former = append(w.former, w.incarnation)
+		w.formerIncarnations = append(w.formerIncarnations, w.incarnation)
 	}
-	if len(w.former) > keepFormer {
-		w.former = slices.Delete(w.former, 0, 1)
+	if len(w.formerIncarnations) > maxFormer {
+		w.formerIncarnations = slices.Delete(w.formerIncarnations, 0, 1)
 	}
 	w.incarnation = r.Worker.Incarnation
 	w.sequence = r.Sequence
-	w.end = time.Time{}
+	w.leaseEnd = time.Time{}
 	w.lost, w.left, w.gone = false, false, false
-	w.fresh = false
+	w.notReported = false
 	w.attempts = map[state.Ref]*attempt{}
 	return ""
 }
 
-// attempt returns what is known of an attempt that is missing from a report.
-// One that the first report to a leader misses may have been sent by an earlier leader.
-func (w *holder) attempt(ref state.Ref) *attempt {
+// attempt returns the bookkeeping of an attempt that is missing from a report.
+// If it is missing from the first report to this leader, an earlier leader may have sent its start.
+func (w *workerState) attempt(ref state.Ref) *attempt {
 	a := w.attempts[ref]
 	if a == nil {
-		a = &attempt{inherited: w.fresh}
+		a = &attempt{inherited: w.notReported}
 		w.attempts[ref] = a
 	}
-	a.touched = w.sequence
+	a.lastMissing = w.sequence
 	return a
 }
 
-// events returns what the report says of the attempts that the state holds.
-func (w *holder) events(r *wire.WorkerReport, held []state.Held) []*wire.TaskEvent {
-	reports := w.index(r)
+// events returns the events that follow from a report for the attempts that the state holds.
+func (w *workerState) events(r *wire.WorkerReport, held []state.Held) []*wire.TaskEvent {
+	reports := w.indexReport(r)
 	var events []*wire.TaskEvent
 	for _, h := range held {
 		ref := task.RefOf(h.Task)
 		if report := reports[ref]; report != nil {
-			events = append(events, reported(h.Task, report)...)
+			events = append(events, attemptEvents(h.Task, report)...)
 			continue
 		}
 		a := w.attempt(ref)
 		if a.neverReceived(h.Task, r.Sequence) {
-			a.condemned = true
+			a.notStarted = true
 			events = append(events, &wire.TaskEvent{Task: ref.Wire(), Kind: wire.TaskEventKind_TASK_EVENT_KIND_NOT_STARTED})
 		}
 	}
-	w.fresh = false
-	maps.DeleteFunc(w.attempts, func(_ state.Ref, a *attempt) bool { return a.touched+keepAttempt < r.Sequence })
+	w.notReported = false
+	maps.DeleteFunc(w.attempts, func(_ state.Ref, a *attempt) bool { return a.lastMissing+attemptRetention < r.Sequence })
 	return events
 }
 
-// lateEvents returns what the report says of attempts that ended and that the state no longer holds; they still count for a task that was not started again.
+// lateEvents returns the ends of attempts that the state no longer holds. They still count for a task that was not started again.
 func lateEvents(r *wire.WorkerReport, held []state.Held) []*wire.TaskEvent {
 	var events []*wire.TaskEvent
 	for _, report := range r.Tasks {
 		if ended(report.Phase) && !isHeld(held, task.FromWire(report.Task)) {
-			events = append(events, endOf(report))
+			events = append(events, phaseEvent(report))
 		}
 	}
 	return events
@@ -164,7 +164,7 @@
 	return slices.ContainsFunc(held, func(h state.Held) bool { return task.RefOf(h.Task) == ref })
 }
 
-// neverReceived reports whether an attempt that is missing from a report is surely unknown to its worker and must not be sent again.
+// neverReceived reports whether an attempt that is missing from a report is known not to have reached its worker and must not be sent again.
 func (a *attempt) neverReceived(t *wire.Task, sequence uint64) bool {
 	if a.inherited || a.sent && sequence <= a.sequence {
 		return false
@@ -178,9 +178,9 @@
 	return false
 }
 
-// reported returns the events of one task's report.
-func reported(t *wire.Task, r *wire.TaskReport) []*wire.TaskEvent {
-	e := endOf(r)
+// attemptEvents returns the events that follow from the report of one attempt.
+func attemptEvents(t *wire.Task, r *wire.TaskReport) []*wire.TaskEvent {
+	e := phaseEvent(r)
 	if ended(r.Phase) {
 		return []*wire.TaskEvent{e}
 	}
@@ -196,8 +196,8 @@
 	return events
 }
 
-// endOf returns a report's phase as an event.
-func endOf(r *wire.TaskReport) *wire.TaskEvent {
+// phaseEvent converts the phase in a report to an event.
+func phaseEvent(r *wire.TaskReport) *wire.TaskEvent {
 	return &wire.TaskEvent{
 		Task: r.Task, Kind: r.Phase, Reason: r.Reason, Checkpoint: r.Checkpoint, CheckpointData: r.CheckpointData,
 	}
@@ -213,7 +213,7 @@
 	return false
 }
 
-// leavingEvents has everything on a leaving worker stopped.
+// leavingEvents returns events that stop all attempts on a leaving worker.
 func leavingEvents(held []state.Held) []*wire.TaskEvent {
 	var events []*wire.TaskEvent
 	for _, h := range held {
@@ -227,7 +227,7 @@
 	return events
 }
 
-// idle reports whether nothing is committed to a worker and nothing runs on it.
+// idle reports whether no attempt is committed to a worker and none runs on it.
 func idle(r *wire.WorkerReport, held []state.Held) bool {
 	for _, report := range r.Tasks {
 		if !ended(report.Phase) {
@@ -237,8 +237,8 @@
 	return len(held) == 0
 }
 
-// changed reports whether an announcement differs from what the state has recorded.
-func changed(record, r *wire.WorkerRecord) bool {
+// recordChanged reports whether an announcement differs from the worker's record in the state.
+func recordChanged(record, r *wire.WorkerRecord) bool {
 	if record == nil || record.Gone {
 		return true
 	}
@@ -252,19 +252,19 @@
 	return resource.FromWire(offered) != resource.FromWire(r.Capacity)
 }
 
-func announced(r *wire.WorkerRecord) *wire.WorkerRecord {
+func announcedRecord(r *wire.WorkerRecord) *wire.WorkerRecord {
 	event.WorkerAnnounced.Info("worker", r.Name, "domain", r.Domain, "incarnation", r.Incarnation)
 	a := Gone(r)
 	a.Gone = false
 	return a
 }
 
-// index returns the report's tasks by attempt, once for its receipt and its answer.
-func (w *holder) index(r *wire.WorkerReport) map[state.Ref]*wire.TaskReport {
-	if w.indexed == r {
+// indexReport returns the report's tasks by attempt, computed once for both Receive and Answer.
+func (w *workerState) indexReport(r *wire.WorkerReport) map[state.Ref]*wire.TaskReport {
+	if w.indexedReport == r {
 		return w.reports
 	}
-	w.indexed = r
+	w.indexedReport = r
 	w.reports = make(map[state.Ref]*wire.TaskReport, len(r.Tasks))
 	for _, report := range r.Tasks {
 		w.reports[task.FromWire(report.Task)] = report
