--- a/event/doc.go
+++ b/event/doc.go
@@ -1,2 +1,2 @@
-// Package event numbers the log events of daisyswitch, so that operators can search and alert by number; docs/EVENTS.md is the catalogue.
+// Package event defines the numbered log events of daisyswitch, by which operators can search and alert. docs/EVENTS.md is the catalogue.
 package event
--- a/event/event.go
+++ b/event/event.go
@@ -8,7 +8,7 @@
 	"k8s.io/klog/v2"
 )
 
-// Event is one kind of line in the log.
+// Event is one type of log line.
 type Event struct {
 	Number int    // unique, never reused
 	Name   string // snake_case
@@ -17,10 +17,10 @@
 
 var catalogue = map[int]Event{}
 
-// register adds an event to the catalogue and stops the program on a number used twice.
+// register adds an event to the catalogue and panics on a number that is out of range or used twice.
 func register(number int, name, text string) Event {
 	if number <= 0 || number >= maxNumber {
-		panic(fmt.Sprintf("event number %d is not below %d", number, maxNumber))
+		panic(fmt.Sprintf("event number %d is out of range: allowed are 1 to below %d", number, maxNumber))
 	}
 	if _, taken := catalogue[number]; taken {
 		panic(fmt.Sprintf("event number %d is registered twice", number))
@@ -30,21 +30,21 @@
 	return e
 }
 
-// Info logs the event with alternating keys and values.
+// Info logs the event at info level with alternating keys and values.
 func (e Event) Info(keysAndValues ...any) {
 	if e.allowed() {
 		klog.InfoSDepth(1, e.title(), keysAndValues...)
 	}
 }
 
-// Error logs the event as an error with its cause.
+// Error logs the event at error level with its cause.
 func (e Event) Error(err error, keysAndValues ...any) {
 	if e.allowed() {
 		klog.ErrorSDepth(1, err, e.title(), keysAndValues...)
 	}
 }
 
-// allowed keeps an event within its lines a second, and tells of those left out.
+// allowed limits the lines of an event per second and logs how many were omitted.
 func (e Event) allowed() bool {
 	ok, omitted := limiters[e.Number].allow(time.Now())
 	if omitted > 0 {
@@ -57,7 +57,7 @@
 	return fmt.Sprintf("E%04d %s", e.Number, e.Name)
 }
 
-// All returns the catalogue in order of number.
+// All returns all registered events in order of number.
 func All() []Event {
 	all := make([]Event, 0, len(catalogue))
 	for _, e := range catalogue {
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/golden"
 )
 
-// TestCatalogue keeps docs/EVENTS.md equal to the registered events; run with -update to write it.
+// TestCatalogue checks that docs/EVENTS.md lists the registered events; run with -update to regenerate it.
 func TestCatalogue(t *testing.T) {
 	var page strings.Builder
 	page.WriteString("# Log events\n\nEvery line in the log starts with the number and name of its event.\nThis page is written by `go test ./event -update`.\n\n| number | name | meaning |\n| --- | --- | --- |\n")
--- a/event/sink.go
+++ b/event/sink.go
@@ -12,87 +12,87 @@
 	"k8s.io/klog/v2"
 )
 
-// sinkLines is how many lines wait for a slow output; more are dropped and counted. At 200 bytes a line they take 400 KB.
-const sinkLines = 2048
+// queueLines is the number of lines that can wait for a slow output. Further lines are dropped and counted. At 200 bytes a line the queue takes 400 KB.
+const queueLines = 2048
 
-// sinkLinger is how long a line waits for others to be written with; a leader writes over a thousand lines a second, and each write is a call to the kernel.
-const sinkLinger = 20 * time.Millisecond
+// batchDelay is how long a line waits to be written together with others. A leader writes over a thousand lines a second, and each write is a system call.
+const batchDelay = 20 * time.Millisecond
 
-// sinkBytes bounds one write to what the kernel passes to a pipe whole, so that lines of processes that share an output are not cut.
-const sinkBytes = 4096
+// maxWriteBytes is the size up to which the kernel writes to a pipe atomically, so that lines of processes that share an output are not interleaved.
+const maxWriteBytes = 4096
 
-// Sink hands lines to an output that may be slow or stand still, without ever waiting for it.
+// Sink passes lines to an output that may be slow or stalled, without ever blocking the writer.
 type Sink struct {
-	out     io.Writer
-	lines   chan []byte
-	dropped atomic.Uint64
-	told    uint64 // of dropped, in the output; run alone uses it
-	done    conc.WaitGroup
+	out             io.Writer
+	lines           chan []byte
+	dropped         atomic.Uint64
+	reportedDropped uint64 // the part of dropped that has been reported in the output; used only by run
+	running         conc.WaitGroup
 }
 
 // NewSink returns a sink that writes to out until Close.
 func NewSink(out io.Writer) *Sink {
-	s := &Sink{out: out, lines: make(chan []byte, sinkLines)}
-	s.done.Go(s.run)
+	s := &Sink{out: out, lines: make(chan []byte, queueLines)}
+	s.running.Go(s.run)
 	return s
 }
 
 func (s *Sink) run() {
-	batch := make([]byte, 0, sinkBytes)
+	batch := make([]byte, 0, maxWriteBytes)
 	for line := range s.lines {
-		time.Sleep(sinkLinger)
-		batch = s.gather(s.add(s.tell(batch), line))
+		time.Sleep(batchDelay)
+		batch = s.appendQueued(s.appendLine(s.appendDropped(batch), line))
 		s.write(batch)
 		batch = batch[:0]
 	}
-	if batch = s.tell(batch); len(batch) > 0 {
+	if batch = s.appendDropped(batch); len(batch) > 0 {
 		s.write(batch)
 	}
 }
 
-// tell adds a line on the lines that were lost since the last such line.
-func (s *Sink) tell(batch []byte) []byte {
+// appendDropped adds a line that reports how many lines were dropped since the last such line.
+func (s *Sink) appendDropped(batch []byte) []byte {
 	dropped := s.dropped.Load()
-	if dropped == s.told {
+	if dropped == s.reportedDropped {
 		return batch
 	}
-	batch = fmt.Appendf(batch, "%q dropped=%d\n", LinesDropped.title(), dropped-s.told)
-	s.told = dropped
+	batch = fmt.Appendf(batch, "%q dropped=%d\n", LinesDropped.title(), dropped-s.reportedDropped)
+	s.reportedDropped = dropped
 	return batch
 }
 
-// gather adds the lines that wait.
-func (s *Sink) gather(batch []byte) []byte {
+// appendQueued adds the lines in the queue.
+func (s *Sink) appendQueued(batch []byte) []byte {
 	for {
 		select {
 		case line, open := <-s.lines:
 			if !open {
 				return batch
 			}
-			batch = s.add(batch, line)
+			batch = s.appendLine(batch, line)
 		default:
 			return batch
 		}
 	}
 }
 
-// add adds a line to a batch, which is written first if both are too long for one write.
-func (s *Sink) add(batch, line []byte) []byte {
-	if len(batch) > 0 && len(batch)+len(line) > sinkBytes {
+// appendLine adds a line to a batch. The batch is written first if both are too long for one write.
+func (s *Sink) appendLine(batch, line []byte) []byte {
+	if len(batch) > 0 && len(batch)+len(line) > maxWriteBytes {
 		s.write(batch)
 		batch = batch[:0]
 	}
 	return append(batch, line...)
 }
 
-// write counts what the output refuses, since there is nowhere else to tell it.
+// write counts lines that the output refuses as dropped, since there is no other place to report them.
 func (s *Sink) write(lines []byte) {
 	if _, err := s.out.Write(lines); err != nil {
 		s.dropped.Add(uint64(bytes.Count(lines, []byte{'\n'})))
 	}
 }
 
-// Write takes one line; it never fails and never waits.
+// Write queues one line. It never fails and never blocks.
 func (s *Sink) Write(line []byte) (int, error) {
 	select {
 	case s.lines <- append([]byte(nil), line...):
@@ -102,16 +102,16 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines were lost.
+// Dropped returns the number of lines lost.
 func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
 
-// Close writes what waits; nothing may be written after it.
+// Close writes the queued lines. Write must not be called after it.
 func (s *Sink) Close() {
 	close(s.lines)
-	s.done.Wait()
+	s.running.Wait()
 }
 
-// Use has all events written to the sink and to nothing else.
+// Use redirects all events to the sink alone.
 func (s *Sink) Use() error {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
--- a/event/sink_test.go
+++ b/event/sink_test.go
@@ -11,26 +11,26 @@
 	"gotest.tools/v3/assert"
 )
 
-// gate is an output that stands still until it is opened.
-type gate struct {
+// blockedWriter is an output that blocks until open is closed.
+type blockedWriter struct {
 	open chan struct{}
 	mu   sync.Mutex
 	out  bytes.Buffer
 }
 
-func (g *gate) Write(b []byte) (int, error) {
+func (g *blockedWriter) Write(b []byte) (int, error) {
 	<-g.open
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.out.Write(b)
 }
 
-// TestStuckOutputBlocksNothing: writing goes on while the output stands still, and what is lost is counted and told.
+// TestStuckOutputBlocksNothing checks that Write does not block while the output is stalled, and that lost lines are counted and reported.
 func TestStuckOutputBlocksNothing(t *testing.T) {
-	g := &gate{open: make(chan struct{})}
+	g := &blockedWriter{open: make(chan struct{})}
 	s := NewSink(g)
-	const lines = 4 * sinkLines
-	const held = 2*sinkLines + 1 // those that wait, and those that are being written
+	const lines = 4 * queueLines
+	const held = 2*queueLines + 1 // lines in the queue, and lines that are being written
 	for range lines {
 		_, err := s.Write([]byte("line\n"))
 		assert.NilError(t, err)
@@ -43,13 +43,13 @@
 	assert.Assert(t, strings.Contains(g.out.String(), "lines_dropped"))
 }
 
-// refuser refuses what comes first.
-type refuser struct {
+// failingOnceWriter fails the first write.
+type failingOnceWriter struct {
 	refused bool
 	bytes.Buffer
 }
 
-func (r *refuser) Write(b []byte) (int, error) {
+func (r *failingOnceWriter) Write(b []byte) (int, error) {
 	if !r.refused {
 		r.refused = true
 		return 0, errors.New("refused")
@@ -57,9 +57,9 @@
 	return r.Buffer.Write(b)
 }
 
-// TestLossInTheLastBatchIsTold guards against a process that ends without a word on its last lines.
+// TestLossInTheLastBatchIsTold guards against a process that exits without reporting lines lost in its last batch.
 func TestLossInTheLastBatchIsTold(t *testing.T) {
-	r := &refuser{}
+	r := &failingOnceWriter{}
 	s := NewSink(r)
 	_, err := s.Write([]byte("line\n"))
 	assert.NilError(t, err)
@@ -68,21 +68,21 @@
 	assert.Assert(t, strings.Contains(r.String(), "dropped=1"), r.String())
 }
 
-// counter counts the calls that an output gets.
-type counter struct {
+// countingWriter counts the writes to an output.
+type countingWriter struct {
 	writes, longest int
 	bytes.Buffer
 }
 
-func (c *counter) Write(b []byte) (int, error) {
+func (c *countingWriter) Write(b []byte) (int, error) {
 	c.writes++
 	c.longest = max(c.longest, len(b))
 	return c.Buffer.Write(b)
 }
 
-// TestLinesAreWrittenTogether: each write is a call to the kernel, so lines that come at once share one.
+// TestLinesAreWrittenTogether checks that lines written at once share a write, since each write is a system call.
 func TestLinesAreWrittenTogether(t *testing.T) {
-	c := &counter{}
+	c := &countingWriter{}
 	s := NewSink(c)
 	const lines = 1000
 	for range lines {
@@ -92,21 +92,21 @@
 	s.Close()
 	assert.Equal(t, strings.Count(c.String(), "line\n"), lines)
 	assert.Assert(t, c.writes < lines/10, "%d writes", c.writes)
-	assert.Assert(t, c.longest <= sinkBytes, "%d bytes in one write", c.longest)
+	assert.Assert(t, c.longest <= maxWriteBytes, "%d bytes in one write", c.longest)
 }
 
-// TestVolumeOfOneEventIsBounded counts what is let through in one second and what is told of the rest in the next.
+// TestVolumeOfOneEventIsBounded checks how many lines pass in one second, and that the omitted ones are reported in the next.
 func TestVolumeOfOneEventIsBounded(t *testing.T) {
 	var l limiter
 	now := time.Unix(1000, 0)
 	written := 0
-	for range 3 * perSecond {
+	for range 3 * maxLinesPerSecond {
 		if ok, _ := l.allow(now); ok {
 			written++
 		}
 	}
-	assert.Equal(t, written, perSecond)
+	assert.Equal(t, written, maxLinesPerSecond)
 	ok, omitted := l.allow(now.Add(time.Second))
 	assert.Assert(t, ok)
-	assert.Equal(t, omitted, int64(2*perSecond))
+	assert.Equal(t, omitted, int64(2*maxLinesPerSecond))
 }
--- a/event/used_test.go
+++ b/event/used_test.go
@@ -12,7 +12,7 @@
 
 var registered = regexp.MustCompile(`(?m)^\t([A-Z]\w+)\s+= register\(`)
 
-// TestEachEventIsEmitted: an event that no code writes would promise lines in the catalogue that never come.
+// TestEachEventIsEmitted guards against catalogue entries that no code ever logs.
 func TestEachEventIsEmitted(t *testing.T) {
 	var names []string
 	var code strings.Builder
