Reword the comments and internal names of headroom and room

Readers stumbled over beliefs, newest and rise, and over slots given back. They are now priors, smoothingWeight and lowRisePerSecond, and free slots. Every number and reason behind the estimates stays.

--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -6,18 +6,18 @@
 	"daisyswitch/interference"
 )
 
-// What is believed before the first reading; readings are noisy, since load swings headroom by about as much as a neighbor does.
-var beliefs = interference.Options{
-	Mean:     3.5,  // headroom lost beside a filling task on a whole worker, between the harmless and the harmful pairs of the standard days
-	Variance: 9,    // of that
-	Noise:    0.5,  // variance of one reading, from the swing of the load
-	Drift:    1e-3, // costs shift over minutes
+// priors are the estimates before the first reading. Readings are noisy, since load swings change headroom by about as much as a neighbor does.
+var priors = interference.Options{
+	Mean:     3.5,  // headroom lost to a filling task that uses a whole worker, between the values of harmless and harmful pairs on the standard days
+	Variance: 9,    // variance of Mean
+	Noise:    0.5,  // variance of one reading, caused by load swings
+	Drift:    1e-3, // costs change over minutes
 }
 
-// Share is how much of a worker a filling image uses.
+// Share is the part of a worker that a filling image uses.
 type Share struct {
 	Image string
-	Share float64 // 1 for all of the worker's processors
+	Share float64 // 1 means all of the worker's processors
 }
 
 // Table holds the costs of pairs of images.
@@ -27,10 +27,10 @@
 
 // New returns a table without readings.
 func New() *Table {
-	return &Table{pairs: interference.New(beliefs)}
+	return &Table{pairs: interference.New(priors)}
 }
 
-// Learn takes one reading of a serving task's headroom beside filling tasks.
+// Learn updates the costs with one reading of a serving task's headroom beside filling tasks.
 func (t *Table) Learn(serving string, beside []Share, headroom float64) {
 	shares := make([]interference.Share, len(beside))
 	for i, b := range beside {
@@ -39,12 +39,12 @@
 	t.pairs.Learn(t.pairs.Number(serving), 0, shares, -headroom)
 }
 
-// Cost returns the headroom that a serving image is believed to lose beside a filling one on a whole worker.
+// Cost returns the estimated headroom that a serving image loses to a filling image that uses a whole worker.
 func (t *Table) Cost(serving, filling string) float64 {
 	return t.pairs.Cost(t.pairs.Number(serving), t.pairs.Number(filling)).Mean
 }
 
-// Lost returns what a serving image loses beside all of the given shares.
+// Lost returns the estimated headroom that a serving image loses to all of the given shares.
 func (t *Table) Lost(serving string, beside []Share) float64 {
 	lost := 0.0
 	for _, b := range beside {
@@ -53,26 +53,26 @@
 	return lost
 }
 
-// Base follows one serving task's headroom without filling tasks, which swings with its load.
+// Base tracks one serving task's headroom without filling tasks, which varies with its load.
 type Base struct {
-	Now float64       // latest, smoothed
-	Low float64       // lowest of late
-	at  time.Duration // of the last reading
+	Now         float64       // smoothed latest value
+	Low         float64       // recent minimum
+	lastReading time.Duration // time of the last reading
 }
 
-// Smoothing of a base.
+// Smoothing parameters of Base.
 const (
-	newest = 0.5  // weight of the newest of the rough readings, of which there is one or two a second
-	rise   = 0.12 // headroom a second by which the low mark rises: a swing of load passes within some ten seconds
+	smoothingWeight  = 0.5  // weight of the newest reading; readings are noisy and arrive once or twice a second
+	lowRisePerSecond = 0.12 // rise of Low per second; a load swing lasts about ten seconds
 )
 
-// Read takes a reading of headroom, with what was lost beside filling tasks at that time.
+// Read adds a reading of headroom, with the headroom that was lost to filling tasks at that time.
 func (b *Base) Read(now time.Duration, headroom, lost float64) {
 	alone := headroom + lost
-	if b.at == 0 {
+	if b.lastReading == 0 {
 		b.Now, b.Low = alone, alone
 	}
-	b.Now += newest * (alone - b.Now)
-	b.Low = min(b.Now, b.Low+rise*(now-b.at).Seconds())
-	b.at = now
+	b.Now += smoothingWeight * (alone - b.Now)
+	b.Low = min(b.Now, b.Low+lowRisePerSecond*(now-b.lastReading).Seconds())
+	b.lastReading = now
 }
--- a/headroom/headroom_test.go
+++ b/headroom/headroom_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestHarmfulPairsAreToldFromHarmlessOnes: from readings that swing with the load, the costs come out apart within a few seconds' worth of them.
+// TestHarmfulPairsAreToldFromHarmlessOnes checks that readings taken over a few seconds separate harmful from harmless pairs although they vary with the load.
 func TestHarmfulPairsAreToldFromHarmlessOnes(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
 	table := headroom.New()
@@ -24,7 +24,7 @@
 	assert.Assert(t, table.Cost("watch", "unknown") > 2 && table.Cost("watch", "unknown") < 6)
 }
 
-// TestLowMarkFollowsTheSwing: it falls at once and rises slowly.
+// TestLowMarkFollowsTheSwing checks that the recent minimum falls at once and rises slowly.
 func TestLowMarkFollowsTheSwing(t *testing.T) {
 	var b headroom.Base
 	b.Read(time.Second, 3, 0)
--- a/room/doc.go
+++ b/room/doc.go
@@ -1,2 +1,2 @@
-// Package room finds workers that have room for a task, speaking to the policy alone: a search costs the depth of a tree and not the number of workers.
+// Package room finds workers with enough free capacity for a task; only the scheduling policy uses it. A search costs the depth of a tree instead of the number of workers.
 package room
--- a/room/index.go
+++ b/room/index.go
@@ -2,15 +2,15 @@
 
 import "daisyswitch/resource"
 
-// none is the room of a slot without a worker: nothing fits into it.
-var none = resource.Size{MilliCPU: -1, MemoryMiB: -1, Accelerators: -1}
+// noRoom is the free capacity of a slot without a worker: no task fits into it.
+var noRoom = resource.Size{MilliCPU: -1, MemoryMiB: -1, Accelerators: -1}
 
-// Index holds the free room of workers in numbered slots, as a tree whose inner nodes hold the largest amount of each resource below them.
+// Index holds the free capacity of workers in numbered slots. It is a tree whose inner nodes hold the maximum of each resource below them.
 type Index struct {
-	nodes  []resource.Size // heap order, leaves in the second half
-	leaves int             // power of two
-	used   int             // slots ever given
-	spare  []int           // slots given back
+	nodes     []resource.Size // heap order, leaves in the second half
+	leaves    int             // power of two
+	allocated int             // number of slots ever allocated
+	freeSlots []int           // slots released by Remove
 }
 
 // New returns an empty index.
@@ -20,14 +20,14 @@
 	return x
 }
 
-// Add gives a slot to a worker with this much free room.
+// Add allocates a slot for a worker with this free capacity.
 func (x *Index) Add(free resource.Size) int {
-	slot := x.used
-	if n := len(x.spare); n > 0 {
-		slot = x.spare[n-1]
-		x.spare = x.spare[:n-1]
+	slot := x.allocated
+	if n := len(x.freeSlots); n > 0 {
+		slot = x.freeSlots[n-1]
+		x.freeSlots = x.freeSlots[:n-1]
 	} else {
-		x.used++
+		x.allocated++
 	}
 	if slot >= x.leaves {
 		x.grow(2 * x.leaves)
@@ -36,12 +36,12 @@
 	return slot
 }
 
-// Set changes the free room of a slot.
+// Set sets the free capacity of a slot.
 func (x *Index) Set(slot int, free resource.Size) {
 	i := x.leaves + slot
 	x.nodes[i] = free
 	for i >>= 1; i > 0; i >>= 1 {
-		largest := larger(x.nodes[2*i], x.nodes[2*i+1])
+		largest := elementwiseMax(x.nodes[2*i], x.nodes[2*i+1])
 		if largest == x.nodes[i] {
 			return
 		}
@@ -49,18 +49,18 @@
 	}
 }
 
-// Remove takes a slot back for another worker.
+// Remove releases a slot for reuse by another worker.
 func (x *Index) Remove(slot int) {
-	x.Set(slot, none)
-	x.spare = append(x.spare, slot)
+	x.Set(slot, noRoom)
+	x.freeSlots = append(x.freeSlots, slot)
 }
 
-// Len returns how many slots were ever given, which bounds every slot.
+// Len returns the number of slots ever allocated; every slot is below it.
 func (x *Index) Len() int {
-	return x.used
+	return x.allocated
 }
 
-// Next returns the first slot at or after from with room for size, or -1.
+// Next returns the first slot at or after from with free capacity for size, or -1.
 func (x *Index) Next(size resource.Size, from int) int {
 	return x.next(size, from, 1, 0, x.leaves)
 }
@@ -82,18 +82,18 @@
 func (x *Index) grow(leaves int) {
 	nodes := make([]resource.Size, 2*leaves)
 	for i := range nodes {
-		nodes[i] = none
+		nodes[i] = noRoom
 	}
 	if x.leaves > 0 {
 		copy(nodes[leaves:], x.nodes[x.leaves:])
 	}
 	x.nodes, x.leaves = nodes, leaves
 	for i := leaves - 1; i > 0; i-- {
-		nodes[i] = larger(nodes[2*i], nodes[2*i+1])
+		nodes[i] = elementwiseMax(nodes[2*i], nodes[2*i+1])
 	}
 }
 
-func larger(a, b resource.Size) resource.Size {
+func elementwiseMax(a, b resource.Size) resource.Size {
 	return resource.Size{
 		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
 		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
--- a/room/index_test.go
+++ b/room/index_test.go
@@ -11,10 +11,10 @@
 	"pgregory.net/rapid"
 )
 
-// init makes the test draw the same each time.
+// init sets a fixed seed, so that the test is reproducible.
 func init() { _ = flag.Set("rapid.seed", "1") }
 
-// TestNext compares the tree with a search through all slots.
+// TestNext compares the tree with a linear search of all slots.
 func TestNext(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		x := room.New()
