--- a/event/replica.go
+++ b/event/replica.go
@@ -2,13 +2,13 @@
 
 // Events of a control replica and its disk, 100 to 199.
 var (
-	ReplicaStarted       = register(100, "replica_started", "A replica has read its data directory and joined its group.")
+	ReplicaStarted       = register(100, "replica_started", "A replica has read its data directory and participates in its group.")
 	ReplicaLeads         = register(101, "replica_leads", "A replica leads and has applied all records that were committed before.")
 	ReplicaStopsLead     = register(102, "replica_stops_leading", "A replica no longer leads.")
 	ReplicaFollows       = register(103, "replica_follows", "A replica follows another leader or a newer term.")
 	ReplicaRecovering    = register(104, "replica_recovering", "A replica has an empty data directory; it neither votes nor counts towards a quorum until the other replicas have admitted it.")
 	ReplicaRecovered     = register(105, "replica_recovered", "A replica holds all committed records and is a full member.")
-	ReplicaFailed        = register(106, "replica_failed", "A replica's disk failed or an invariant of the log was violated; the replica leaves its group until it is restarted.")
+	ReplicaFailed        = register(106, "replica_failed", "A replica's disk failed or an invariant of the log was violated; the replica stops participating in its group until it is restarted.")
 	ReplicaTailCut       = register(107, "replica_tail_cut", "The incomplete end of a log, left by a crash, was removed when the log was opened.")
 	SnapshotSaved        = register(108, "snapshot_saved", "A replica saved a snapshot and removed the log before it.")
 	SnapshotInstalled    = register(109, "snapshot_installed", "A replica that lagged behind installed the leader's snapshot.")
