Reword the comments and internal names of explain, metric, measure, watch and clock

Readers stumbled over stories, bears, what entries have said, in force and fallen silent. Names are now selectLines, concernsWorkers, lastReports, entryRetention, streamTimeout, minBackoff and maxBackoff; the text says active configuration, received reports and timed out streams.

--- a/clock/boot.go
+++ b/clock/boot.go
@@ -6,7 +6,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Boot returns the time since the instance was started, suspended time included; where the system has no such clock, the time since the process was.
+// Boot returns the time since the instance booted, including suspended time. Where the system has no such clock, it returns the time since the process started.
 func Boot() time.Duration {
 	var now unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
--- a/clock/doc.go
+++ b/clock/doc.go
@@ -1,2 +1,2 @@
-// Package clock reads the clock that goes on counting while an instance is suspended, which Go's monotonic clock does not.
+// Package clock reads a clock that keeps counting while an instance is suspended, unlike Go's monotonic clock.
 package clock
--- a/explain/doc.go
+++ b/explain/doc.go
@@ -1,2 +1,2 @@
-// Package explain tells the story of one workflow from the logs of all processes; it speaks to no one.
+// Package explain collects the history of one workflow from the logs of all processes. It opens no files and makes no network calls.
 package explain
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -9,10 +9,10 @@
 	"strings"
 )
 
-// maxLine bounds one line of a log, bytes.
+// maxLine is the maximum length of a log line in bytes.
 const maxLine = 1 << 20
 
-// Line is a line of a log with its place in time.
+// Line is a log line with its time.
 type Line struct {
 	Time string // month, day and time of day as logged, which sorts within a year
 	Text string
@@ -23,10 +23,10 @@
 	workerPattern = regexp.MustCompile(`worker="([^"]+)"`)
 )
 
-// workerEvents are what happens to workers and bears on all that runs there.
+// workerEvents are the events of a worker that affect all tasks on it.
 var workerEvents = []string{"worker_silent", "worker_heard", "worker_replaced", "lease_lapsed", "called_worker_suspended", "called_worker_announced", "worker_obeys_other"}
 
-// Story returns the lines that name a workflow or one of its tasks, and what happened meanwhile to the workers that ran them, in order of time.
+// Story returns the log lines that name a workflow or one of its tasks, and the events meanwhile of the workers that ran them, in order of time.
 func Story(id string, logs ...io.Reader) ([]Line, error) {
 	var all []Line
 	for _, log := range logs {
@@ -42,10 +42,10 @@
 		}
 	}
 	slices.SortStableFunc(all, func(a, b Line) int { return strings.Compare(a.Time, b.Time) })
-	return pick(id, all), nil
+	return selectLines(id, all), nil
 }
 
-func pick(id string, all []Line) []Line {
+func selectLines(id string, all []Line) []Line {
 	first, last := -1, -1
 	workers := map[string]bool{}
 	for i, line := range all {
@@ -65,15 +65,15 @@
 	}
 	var story []Line
 	for _, line := range all[first : last+1] {
-		if strings.Contains(line.Text, id) || bears(line.Text, workers) {
+		if strings.Contains(line.Text, id) || concernsWorkers(line.Text, workers) {
 			story = append(story, line)
 		}
 	}
 	return story
 }
 
-// bears says whether a line tells of one of the workers what matters to its tasks.
-func bears(text string, workers map[string]bool) bool {
+// concernsWorkers reports whether a line logs an event of one of the workers that affects its tasks.
+func concernsWorkers(text string, workers map[string]bool) bool {
 	found := workerPattern.FindStringSubmatch(text)
 	if found == nil || !workers[found[1]] {
 		return false
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/golden"
 )
 
-// TestStoryOfOneWorkflow: lines of two processes that name the workflow, and what happened to its worker meanwhile, come in order of time.
+// TestStoryOfOneWorkflow checks that the workflow's lines from two processes and the events of its worker are merged in order of time.
 func TestStoryOfOneWorkflow(t *testing.T) {
 	leader, err := os.Open("testdata/leader.log")
 	assert.NilError(t, err)
--- a/measure/doc.go
+++ b/measure/doc.go
@@ -1,2 +1,2 @@
-// Package measure keeps what entries have said lately of their callers and of themselves, for status; all of it may be lost with the leader.
+// Package measure holds recent reports of entries about their callers and themselves, for status. They may all be lost when the leader changes.
 package measure
--- a/measure/table.go
+++ b/measure/table.go
@@ -11,68 +11,68 @@
 )
 
 const (
-	sampleWindow = 10 * time.Second
-	forgetEntry  = time.Hour
-	p99          = 99
+	sampleWindow   = 10 * time.Second
+	entryRetention = time.Hour
+	p99            = 99
 )
 
-// Table keeps what entries have said over a window.
+// Table holds the reports of entries over a sliding window.
 type Table struct {
-	mu      sync.Mutex
-	entries map[string]*entryHeard
+	mu          sync.Mutex
+	lastReports map[string]*entryReport
 }
 
-type entryHeard struct {
-	domain  string
-	version uint64
-	at      time.Time
-	samples map[string][]sample // by class, oldest first
+type entryReport struct {
+	domain     string
+	version    uint64
+	receivedAt time.Time
+	samples    map[string][]sample // by class, oldest first
 }
 
 type sample struct {
-	at        time.Time
-	requests  int64
-	p99US     int64
-	latencies []byte
+	receivedAt time.Time
+	requests   int64
+	p99US      int64
+	latencies  []byte
 }
 
-// Class is what callers of one class saw over the window.
+// Class summarizes the requests of one class over the window.
 type Class struct {
 	Requests int64
-	P99US    int64 // tail over all requests, microseconds
+	P99US    int64 // 99th percentile latency of all requests, microseconds
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{entries: map[string]*entryHeard{}}
+	return &Table{lastReports: map[string]*entryReport{}}
 }
 
-// Heard takes in what an entry says with a batch of reports.
+// Heard records the samples and the state of an entry from a batch of reports.
 func (t *Table) Heard(now time.Time, batch *wire.ReportBatch) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entries[batch.Entry]
+	e := t.lastReports[batch.Entry]
 	if e == nil {
-		e = &entryHeard{samples: map[string][]sample{}}
-		t.entries[batch.Entry] = e
+		e = &entryReport{samples: map[string][]sample{}}
+		t.lastReports[batch.Entry] = e
 	}
 	e.domain = batch.Domain
 	e.version = batch.Version
-	e.at = now
+	e.receivedAt = now
 	for _, s := range batch.Samples {
-		kept := recent(e.samples[s.Class], now)
+		kept := withinWindow(e.samples[s.Class], now)
 		e.samples[s.Class] = append(kept, sample{now, s.Requests, s.P99Us, s.Latencies})
 	}
 }
 
-func recent(samples []sample, now time.Time) []sample {
-	for len(samples) > 0 && now.Sub(samples[0].at) > sampleWindow {
+func withinWindow(samples []sample, now time.Time) []sample {
+	for len(samples) > 0 && now.Sub(samples[0].receivedAt) > sampleWindow {
 		samples = samples[1:]
 	}
 	return samples
 }
 
-// Class returns what callers of a class saw.
+// Class returns the summary of a class.
 func (t *Table) Class(now time.Time, name string) Class {
 	var total Class
 	var all *hdrhistogram.Histogram
@@ -80,7 +80,7 @@
 		total.Requests += s.requests
 		latencies, err := hdrhistogram.Decode(s.latencies)
 		switch {
-		case err != nil: // a sample without latencies can only raise the tail
+		case err != nil: // without a histogram, the sample's own percentile can only raise the result
 			total.P99US = max(total.P99US, s.p99US)
 		case all == nil:
 			all = latencies
@@ -94,13 +94,13 @@
 	return total
 }
 
-// samples returns the window's samples of a class that measured anything.
+// samples returns the samples of a class in the window that contain requests.
 func (t *Table) samples(now time.Time, name string) []sample {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var all []sample
-	for _, e := range t.entries {
-		for _, s := range recent(e.samples[name], now) {
+	for _, e := range t.lastReports {
+		for _, s := range withinWindow(e.samples[name], now) {
 			if s.requests > 0 {
 				all = append(all, s)
 			}
@@ -109,21 +109,21 @@
 	return all
 }
 
-// Entries returns every entry heard in the last hour, in order of name.
+// Entries returns every entry that reported in the last hour, in order of name.
 func (t *Table) Entries(now time.Time) []*wire.EntryStatus {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []*wire.EntryStatus
-	for name, e := range t.entries {
-		if now.Sub(e.at) > forgetEntry {
-			delete(t.entries, name)
+	for name, e := range t.lastReports {
+		if now.Sub(e.receivedAt) > entryRetention {
+			delete(t.lastReports, name)
 			continue
 		}
 		out = append(out, &wire.EntryStatus{
 			Name:     name,
 			Domain:   e.domain,
 			Version:  e.version,
-			SilentMs: now.Sub(e.at).Milliseconds(),
+			SilentMs: now.Sub(e.receivedAt).Milliseconds(),
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
--- a/measure/table_test.go
+++ b/measure/table_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestTailIsOverAllRequests holds the slide's tail to that over all callers, not to the worst of the small samples that it is put together from.
+// TestTailIsOverAllRequests checks that the percentile is that of all requests in the window, not the highest of the small samples that are merged.
 func TestTailIsOverAllRequests(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
 	table, now := measure.New(), time.Unix(1000, 0)
--- a/metric/doc.go
+++ b/metric/doc.go
@@ -1,2 +1,2 @@
-// Package metric serves a process's metrics, readiness and liveness to the platform, on a listener of their own.
+// Package metric serves a process's metrics, readiness and liveness to the platform on a separate listener.
 package metric
--- a/metric/server.go
+++ b/metric/server.go
@@ -20,12 +20,12 @@
 	closeTimeout  = 2 * time.Second
 )
 
-// Options says where a process shows its metrics and how it tells its health.
+// Options configures the admin listener and the health checks of a process.
 type Options struct {
-	Address string         // IP:port; port 0 takes a free one
-	Ready   func() error   // why the process is not ready for the balancer; nil means always ready
-	Live    func() error   // why the process should be restarted; nil means always live
-	Sets    []*metrics.Set // shown besides the process-wide metrics
+	Address string         // IP:port; port 0 selects a free port
+	Ready   func() error   // returns why the process is not ready for the load balancer; nil means always ready
+	Live    func() error   // returns why the process should be restarted; nil means always live
+	Sets    []*metrics.Set // served in addition to the process-wide metrics
 }
 
 // Server is the admin listener of one process.
@@ -36,7 +36,7 @@
 	running  group.Group
 }
 
-// New listens and serves until Close; its error says that the address can't be listened on.
+// New starts a server that runs until Close. It returns an error if it can't listen on the address.
 func New(o Options) (*Server, error) {
 	listener, err := net.Listen("tcp", o.Address)
 	if err != nil {
@@ -57,7 +57,7 @@
 	return s.listener.Addr().String()
 }
 
-// Close stops listening, waits for answers in progress for a while and cuts the rest.
+// Close stops listening and waits up to closeTimeout for responses in progress, then closes their connections.
 func (s *Server) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
@@ -84,7 +84,7 @@
 	}
 }
 
-// health answers 200 when check finds nothing, otherwise 503 with the reason.
+// health responds with 200 if check returns nil, otherwise with 503 and the reason.
 func health(check func() error) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		if check == nil {
--- a/watch/doc.go
+++ b/watch/doc.go
@@ -1,2 +1,2 @@
-// Package watch follows the accepted configuration at control's replicas and holds what is in force in the process, never an older one than before.
+// Package watch receives the accepted configuration from control's replicas and holds the one that is active in the process, whose version never decreases.
 package watch
--- a/watch/holder.go
+++ b/watch/holder.go
@@ -7,7 +7,7 @@
 	"daisyswitch/wire"
 )
 
-// Holder keeps the newest configuration that has reached the process.
+// Holder holds the newest configuration that the process has received.
 type Holder struct {
 	applied func(*wire.Configuration)
 
@@ -15,12 +15,12 @@
 	current *wire.Configuration
 }
 
-// NewHolder returns an empty holder that calls applied, in order of version, for each configuration it takes.
+// NewHolder returns an empty holder that calls applied, in order of version, for each configuration it accepts.
 func NewHolder(applied func(*wire.Configuration)) *Holder {
 	return &Holder{applied: applied}
 }
 
-// Offer takes c if it is newer than all before and reports whether it did.
+// Offer accepts c if it is newer than the current configuration and reports whether it was accepted.
 func (h *Holder) Offer(c *wire.Configuration, source string) bool {
 	if c == nil {
 		return false
@@ -36,14 +36,14 @@
 	return true
 }
 
-// Current returns the configuration in force, nil before the first.
+// Current returns the active configuration, nil before the first.
 func (h *Holder) Current() *wire.Configuration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.current
 }
 
-// Version returns the version in force, 0 before the first.
+// Version returns the active version, 0 before the first.
 func (h *Holder) Version() uint64 {
 	return h.Current().GetVersion()
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	silence    = 2 * time.Second        // a replica that knows a leader speaks each second
-	retryPause = 100 * time.Millisecond // doubled up to maxPause while no replica can be followed
-	maxPause   = 800 * time.Millisecond
+	streamTimeout = 2 * time.Second        // a replica that knows a leader sends a message each second
+	minBackoff    = 100 * time.Millisecond // doubled up to maxBackoff while no replica can be watched
+	maxBackoff    = 800 * time.Millisecond
 )
 
 // Options configures a Watch.
@@ -27,19 +27,19 @@
 	Holder   *Holder
 }
 
-// Watch follows the configuration at one replica and moves on to another when it falls silent.
+// Watch receives the configuration from one replica and switches to another when the stream fails or times out.
 type Watch struct {
 	options Options
 	cancel  context.CancelFunc
-	wait    group.Group
+	running group.Group
 }
 
-// New starts to follow, with the replicas of the own domain first.
+// New starts a watch that tries the replicas of its own domain first.
 func New(o Options) *Watch {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &Watch{options: o, cancel: cancel}
 	w.options.Replicas = ownDomainFirst(o.Replicas, o.Domain)
-	w.wait.Go(func() { w.run(ctx) })
+	w.running.Go(func() { w.run(ctx) })
 	return w
 }
 
@@ -56,26 +56,26 @@
 }
 
 func (w *Watch) run(ctx context.Context) {
-	pause := retryPause
+	backoff := minBackoff
 	for next := 0; ctx.Err() == nil; next++ {
 		replica := w.options.Replicas[next%len(w.options.Replicas)]
-		began := time.Now()
+		started := time.Now()
 		err := w.follow(ctx, replica)
-		pause = min(2*pause, maxPause)
-		if time.Since(began) > silence {
-			pause = retryPause
+		backoff = min(2*backoff, maxBackoff)
+		if time.Since(started) > streamTimeout {
+			backoff = minBackoff
 		}
-		if ctx.Err() == nil && pause == retryPause {
+		if ctx.Err() == nil && backoff == minBackoff {
 			event.WatchMoved.Info("replica", replica.ID, "reason", err.Error())
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(backoff):
 		}
 	}
 }
 
-// follow receives from one replica until it fails or falls silent.
+// follow receives from one replica until the stream fails or times out.
 func (w *Watch) follow(ctx context.Context, replica settings.Replica) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -84,8 +84,8 @@
 		return err
 	}
 	defer conn.Close()
-	alarm := time.AfterFunc(silence, cancel)
-	defer alarm.Stop()
+	timeout := time.AfterFunc(streamTimeout, cancel)
+	defer timeout.Stop()
 	request := &wire.WatchRequest{Entry: w.options.Entry, Domain: w.options.Domain, Version: w.options.Holder.Version()}
 	stream, err := wire.NewDRPCControlClient(conn).Watch(ctx, request)
 	if err != nil {
@@ -96,14 +96,14 @@
 		if err != nil {
 			return err
 		}
-		alarm.Reset(silence)
+		timeout.Reset(streamTimeout)
 		w.options.Holder.Offer(message.Configuration, replica.Inner)
 	}
 }
 
-// Close ends the watch and waits.
+// Close stops the watch and waits for it to finish.
 func (w *Watch) Close() error {
 	w.cancel()
-	w.wait.Wait()
+	w.running.Wait()
 	return nil
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -18,7 +18,7 @@
 	"storj.io/drpc/drpcserver"
 )
 
-// fakeReplica sends its configuration once and then, if it is alive, a sign of life each second.
+// fakeReplica sends its configuration once and then, if it is alive, an empty message each second.
 type fakeReplica struct {
 	wire.DRPCControlUnimplementedServer
 	version uint64
@@ -54,13 +54,13 @@
 		if err := wire.DRPCRegisterControl(mux, replica); err != nil {
 			return nil, err
 		}
-		near, far := net.Pipe()
-		go func() { _ = drpcserver.New(mux).ServeOne(ctx, far) }()
-		return drpcconn.New(near), nil
+		client, server := net.Pipe()
+		go func() { _ = drpcserver.New(mux).ServeOne(ctx, server) }()
+		return drpcconn.New(client), nil
 	}
 }
 
-// TestWatchLeavesASilentReplica has the replica of the own domain cut off from its leader: it holds an old version and falls silent.
+// TestWatchLeavesASilentReplica guards against staying with a stale replica: the one in the own domain is cut off from its leader, holds an old version and stops sending.
 func TestWatchLeavesASilentReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -80,7 +80,7 @@
 		time.Sleep(time.Second)
 		assert.Equal(t, holder.Version(), uint64(3), "the own domain's replica comes first")
 		time.Sleep(2 * time.Second)
-		assert.Equal(t, holder.Version(), uint64(7), "in force within 3 s although the near replica is silent")
+		assert.Equal(t, holder.Version(), uint64(7), "active within 3 s although the near replica is silent")
 		assert.NilError(t, w.Close())
 	})
 }
