--- a/admit/doc.go
+++ b/admit/doc.go
@@ -1,2 +1,2 @@
-// Package admit checks what jobs and workers say of themselves before the state takes them in.
+// Package admit validates jobs and announcements of workers before they enter the replicated state.
 package admit
--- a/admit/job.go
+++ b/admit/job.go
@@ -10,10 +10,10 @@
 	"daisyswitch/wire"
 )
 
-// MaxTasks bounds the tasks of one job.
+// MaxTasks is the largest number of tasks of one job.
 const MaxTasks = 20_000
 
-// Job returns why a job makes no sense in itself, nil if it does.
+// Job returns why a job is invalid in itself, nil if it is valid.
 func Job(spec *wire.Job) error {
 	if err := configuration.CheckName(spec.Program); err != nil {
 		return fmt.Errorf("program: %w", err)
@@ -33,7 +33,7 @@
 	return nil
 }
 
-// Quota refuses what the team's quota can never hold: one task of a batch job, all replicas of a service.
+// Quota refuses what can never fit in the team's quota: one task of a batch job, or all replicas of a service together.
 func Quota(spec *wire.Job, class *wire.Class, team *wire.Team) error {
 	size := resource.FromWire(spec.Size)
 	quota := resource.FromWire(team.Quota)
@@ -49,13 +49,14 @@
 	return nil
 }
 
-// fitsTimes reports whether n of size fit into room, without a product that could overflow.
+// fitsTimes reports whether n times size fits into room. It divides room instead of multiplying size, which could overflow.
 func fitsTimes(size, room resource.Size, n int64) bool {
 	share := resource.Size{MilliCPU: room.MilliCPU / n, MemoryMiB: room.MemoryMiB / n, Accelerators: room.Accelerators / n}
 	return size.Fits(share)
 }
 
-// Fits refuses a size that no worker which was ever seen can hold, or that fits in too few failure domains; without any worker there is nothing to say.
+// Fits refuses a size that fits on no known worker, or in fewer failure domains than the job requires.
+// It accepts any size while no worker is known.
 func Fits(spec *wire.Job, offers iter.Seq2[string, resource.Size]) error {
 	size := resource.FromWire(spec.Size)
 	domains := map[string]bool{}
--- a/admit/worker.go
+++ b/admit/worker.go
@@ -9,10 +9,10 @@
 	"daisyswitch/wire"
 )
 
-// MaxIncarnationBytes bounds the name of one start of a worker's process.
+// MaxIncarnationBytes is the longest incarnation, which identifies one start of a worker process.
 const MaxIncarnationBytes = 128
 
-// Worker returns why an announcement makes no sense, nil if it does.
+// Worker returns why an announcement is invalid, nil if it is valid.
 func Worker(r *wire.WorkerRecord) error {
 	if err := configuration.CheckName(r.GetName()); err != nil {
 		return fmt.Errorf("worker: %w", err)
@@ -34,7 +34,7 @@
 	return nil
 }
 
-// Record returns a worker's record with the capacity in force, beside what the worker offers where that is less.
+// Record returns a worker's record with its effective capacity, and with what it offers if that is less.
 func Record(r *wire.WorkerRecord, capacity, offered resource.Size) *wire.WorkerRecord {
 	next := &wire.WorkerRecord{
 		Name: r.Name, Domain: r.Domain, Rack: r.Rack, Incarnation: r.Incarnation, Capacity: capacity.Wire(),
--- a/answer/doc.go
+++ b/answer/doc.go
@@ -1,2 +1,2 @@
-// Package answer keeps the answers given to operators, so that a request sent again gets its first answer.
+// Package answer keeps the answers given to operators, so that a resent request gets its first answer.
 package answer
--- a/answer/table.go
+++ b/answer/table.go
@@ -12,48 +12,48 @@
 // Defaults of Options.
 const (
 	DefaultKeep      = 256  // answers per operator
-	DefaultOperators = 1024 // names of operators
+	DefaultOperators = 1024 // operators
 )
 
-// Options bounds a table; all replicas must have equal ones, since the table is part of their state.
+// Options sets the limits of a table. They must be equal on all replicas, since the table is part of the replicated state.
 type Options struct {
-	Keep      int // answers per operator, those with the highest sequence numbers; 0 for DefaultKeep
-	Operators int // names remembered; 0 for DefaultOperators
+	Keep      int // answers to keep per operator, those with the highest sequence numbers; 0 for DefaultKeep
+	Operators int // operators to keep; 0 for DefaultOperators
 }
 
-// Finding says what a table knows of a request.
+// Finding is the result of looking up a request.
 type Finding int
 
-// The findings.
+// Values of Finding.
 const (
-	Fresh   Finding = iota // not seen before, to be executed
-	Repeat                 // the same request again, to be given its first answer
-	Reused                 // another request has had this operator and sequence number
-	TooOld                 // below the range of sequence numbers that is kept, never to be executed
-	Crowded                // a new operator's name while the table holds as many as it may
+	Fresh   Finding = iota // not seen before; the request is executed
+	Repeat                 // the same request again; it gets its first answer
+	Reused                 // another request has used this operator and sequence number
+	TooOld                 // below the range of sequence numbers that are kept; never executed
+	Crowded                // the operator is unknown and the table already holds the maximum number of operators
 )
 
 // Table holds the answers of each operator in order of sequence number.
 type Table struct {
-	o         Options
+	options   Options
 	operators map[string][]*wire.AnswerRecord
 }
 
 // New returns an empty table.
-func New(o Options) *Table {
-	if o.Keep <= 0 {
-		o.Keep = DefaultKeep
+func New(options Options) *Table {
+	if options.Keep <= 0 {
+		options.Keep = DefaultKeep
 	}
-	if o.Operators <= 0 {
-		o.Operators = DefaultOperators
+	if options.Operators <= 0 {
+		options.Operators = DefaultOperators
 	}
-	return &Table{o: o, operators: map[string][]*wire.AnswerRecord{}}
+	return &Table{options: options, operators: map[string][]*wire.AnswerRecord{}}
 }
 
-// Find looks a request up by operator and sequence number; the record is the first answer of a Repeat or Reused one.
+// Find looks up a request by operator and sequence number. For Repeat and Reused it also returns the record of the first answer.
 func (t *Table) Find(operator string, sequence uint64, digest []byte) (Finding, *wire.AnswerRecord) {
 	records, known := t.operators[operator]
-	if !known && len(t.operators) >= t.o.Operators {
+	if !known && len(t.operators) >= t.options.Operators {
 		return Crowded, nil
 	}
 	at, found := search(records, sequence)
@@ -63,18 +63,18 @@
 	if found {
 		return Reused, records[at]
 	}
-	if at == 0 && len(records) >= t.o.Keep {
+	if at == 0 && len(records) >= t.options.Keep {
 		return TooOld, nil
 	}
 	return Fresh, nil
 }
 
-// Add keeps the answer of a Fresh request and drops the operator's lowest number if it has too many.
+// Add keeps the answer to a Fresh request, and drops the answer with the operator's lowest sequence number if there are too many.
 func (t *Table) Add(r *wire.AnswerRecord) {
 	records := t.operators[r.Operator]
 	at, _ := search(records, r.Sequence)
 	records = slices.Insert(records, at, r)
-	if len(records) > t.o.Keep {
+	if len(records) > t.options.Keep {
 		records = slices.Delete(records, 0, 1)
 	}
 	t.operators[r.Operator] = records
@@ -89,7 +89,7 @@
 	return all
 }
 
-// Restore replaces the table's content by what Records returned.
+// Restore replaces the content of the table by records in the order in which Records returns them.
 func (t *Table) Restore(records []*wire.AnswerRecord) {
 	t.operators = map[string][]*wire.AnswerRecord{}
 	for _, r := range records {
--- a/audit/doc.go
+++ b/audit/doc.go
@@ -1,2 +1,2 @@
-// Package audit keeps the trail of operators' changes, accepted and refused, that people read.
+// Package audit keeps the audit trail of operators' changes, both accepted and refused.
 package audit
--- a/audit/trail.go
+++ b/audit/trail.go
@@ -6,19 +6,19 @@
 	"daisyswitch/wire"
 )
 
-// DefaultKeep is how many records a trail keeps when Options names none.
+// DefaultKeep is the number of records that a trail keeps if Options sets none.
 const DefaultKeep = 10000
 
-// Options bounds a trail; all replicas must have equal ones, since the trail is part of their state.
+// Options sets the limits of a trail. They must be equal on all replicas, since the trail is part of the replicated state.
 type Options struct {
-	Keep int // records; 0 for DefaultKeep
+	Keep int // records to keep; 0 for DefaultKeep
 }
 
-// Trail holds the newest records in order of log index; records are never altered.
+// Trail holds the newest records in order of log index. Records are never modified.
 type Trail struct {
 	keep    int
 	records []*wire.AuditRecord
-	folded  uint64
+	dropped uint64
 	last    *wire.AuditRecord
 }
 
@@ -30,7 +30,7 @@
 	return &Trail{keep: o.Keep}
 }
 
-// Add appends a record and folds the oldest away if there are too many.
+// Add appends a record and drops the oldest one if there are too many.
 func (t *Trail) Add(r *wire.AuditRecord) {
 	if r.Outcome == wire.Outcome_OUTCOME_ACCEPTED && r.Operator != "" {
 		t.last = r
@@ -38,21 +38,23 @@
 	t.records = append(t.records, r)
 	if len(t.records) > t.keep {
 		t.records = t.records[1:]
-		t.folded++
+		t.dropped++
 	}
 }
 
-// Last returns the record of the last change that an operator made, nil if none did; announcements of domains are no such changes.
+// Last returns the record of the last accepted change by an operator, nil if there is none.
+// The addition of an announced failure domain is not an operator's change.
 func (t *Trail) Last() *wire.AuditRecord {
 	return t.last
 }
 
-// Folded returns how many of the oldest records are no longer kept.
+// Folded returns how many of the oldest records have been dropped.
 func (t *Trail) Folded() uint64 {
-	return t.folded
+	return t.dropped
 }
 
-// After returns about limit records with a log index above after, oldest first; records of one index stay together.
+// After returns records with a log index above after, oldest first.
+// It returns more than limit records if the last ones have the same index.
 func (t *Trail) After(after uint64, limit int) []*wire.AuditRecord {
 	from := sort.Search(len(t.records), func(i int) bool { return t.records[i].Index > after })
 	to := min(len(t.records), from+max(limit, 1))
@@ -62,14 +64,14 @@
 	return append([]*wire.AuditRecord(nil), t.records[from:to]...)
 }
 
-// Records returns all records that are kept, oldest first.
+// Records returns all records in the trail, oldest first.
 func (t *Trail) Records() []*wire.AuditRecord {
 	return append([]*wire.AuditRecord(nil), t.records...)
 }
 
-// Restore replaces the trail's content by that of a snapshot.
-func (t *Trail) Restore(records []*wire.AuditRecord, folded uint64, last *wire.AuditRecord) {
+// Restore replaces the content of the trail by that of a snapshot.
+func (t *Trail) Restore(records []*wire.AuditRecord, dropped uint64, last *wire.AuditRecord) {
 	t.records = append([]*wire.AuditRecord(nil), records...)
-	t.folded = folded
+	t.dropped = dropped
 	t.last = last
 }
--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -11,27 +11,27 @@
 	"daisyswitch/wire"
 )
 
-// Bounds of a configuration.
+// Limits of a configuration.
 const (
 	MaxNameBytes  = 63
 	MaxClasses    = 1000
 	MaxTeams      = 1000
 	MaxDomains    = 100
-	MaxP99US      = 60_000_000    // a minute, microseconds
+	MaxP99US      = 60_000_000    // one minute in microseconds
 	MaxVolume     = 1_000_000_000 // tasks per day
 	MinutesPerDay = 24 * 60
 )
 
-// ErrNoOperation is returned for a change that holds no operation.
+// ErrNoOperation is returned for a change without an operation.
 var ErrNoOperation = errors.New("the change holds no operation")
 
-// Usage tells how many jobs that have not ended use a class or team.
+// Usage has the functions that return how many unfinished jobs use a class or team.
 type Usage struct {
 	Class func(name string) int
 	Team  func(name string) int
 }
 
-// CheckName returns why s can't be the name of anything, nil if it can.
+// CheckName returns why s is not a valid name, nil if it is valid.
 func CheckName(s string) error {
 	if s == "" {
 		return errors.New("a name is empty")
@@ -40,22 +40,23 @@
 		return fmt.Errorf("name %.16q… is longer than %d bytes", s, MaxNameBytes)
 	}
 	for i, c := range []byte(s) {
-		if !nameByte(c, i == 0) {
+		if !isNameByte(c, i == 0) {
 			return fmt.Errorf("name %q: only letters, digits and inner . _ - are allowed", s)
 		}
 	}
 	return nil
 }
 
-// Clip bounds a text that came from outside, so that what is kept of it stays bounded; the result is valid UTF-8 if s is.
-func Clip(s string, most int) string {
-	if len(s) <= most {
+// Clip truncates a text to at most the given number of bytes plus an ellipsis, so that stored texts from outside stay bounded.
+// The result is valid UTF-8 if s is.
+func Clip(s string, limit int) string {
+	if len(s) <= limit {
 		return s
 	}
-	return strings.ToValidUTF8(s[:most], "") + "…"
+	return strings.ToValidUTF8(s[:limit], "") + "…"
 }
 
-func nameByte(c byte, first bool) bool {
+func isNameByte(c byte, first bool) bool {
 	switch {
 	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
 		return true
@@ -65,7 +66,7 @@
 	return false
 }
 
-// Apply returns the configuration after a change, with the next version; the error says why the change makes no sense.
+// Apply returns the configuration after a change, with the next version. The error says why the change is invalid.
 func Apply(c *wire.Configuration, change *wire.Change, usage Usage) (*wire.Configuration, error) {
 	next := &wire.Configuration{Version: c.Version + 1, Classes: c.Classes, Teams: c.Teams, Domains: c.Domains}
 	var err error
@@ -153,17 +154,17 @@
 	return put(domains, domain, MaxDomains)
 }
 
-// Class returns the class of that name, nil if there is none.
+// Class returns the class with the given name, nil if there is none.
 func Class(classes []*wire.Class, name string) *wire.Class {
 	return find(classes, name)
 }
 
-// Team returns the team of that name, nil if there is none.
+// Team returns the team with the given name, nil if there is none.
 func Team(teams []*wire.Team, name string) *wire.Team {
 	return find(teams, name)
 }
 
-// Domain returns the failure domain of that name, nil if there is none.
+// Domain returns the failure domain with the given name, nil if there is none.
 func Domain(domains []*wire.Domain, name string) *wire.Domain {
 	return find(domains, name)
 }
@@ -173,40 +174,40 @@
 	GetName() string
 }
 
-func search[T named](all []T, name string) (int, bool) {
-	return slices.BinarySearchFunc(all, name, func(x T, n string) int { return cmp.Compare(x.GetName(), n) })
+func search[T named](items []T, name string) (int, bool) {
+	return slices.BinarySearchFunc(items, name, func(x T, n string) int { return cmp.Compare(x.GetName(), n) })
 }
 
-func find[T named](all []T, name string) T {
+func find[T named](items []T, name string) T {
 	var none T
-	at, found := search(all, name)
+	at, found := search(items, name)
 	if !found {
 		return none
 	}
-	return all[at]
+	return items[at]
 }
 
-// put returns a copy of all, in order of name, that holds x.
-func put[T named](all []T, x T, most int) ([]T, error) {
-	at, found := search(all, x.GetName())
-	next := slices.Clone(all)
+// put returns a copy of items, ordered by name, in which x is added or replaces the item of the same name.
+func put[T named](items []T, x T, limit int) ([]T, error) {
+	at, found := search(items, x.GetName())
+	next := slices.Clone(items)
 	if found {
 		next[at] = x
 		return next, nil
 	}
-	if len(all) >= most {
-		return nil, fmt.Errorf("there are %d already, the most that are kept", most)
+	if len(items) >= limit {
+		return nil, fmt.Errorf("there are %d already, the most that are kept", limit)
 	}
 	return slices.Insert(next, at, x), nil
 }
 
-func remove[T named](all []T, kind, name string, users func(string) int) ([]T, error) {
-	at, found := search(all, name)
+func remove[T named](items []T, kind, name string, users func(string) int) ([]T, error) {
+	at, found := search(items, name)
 	if !found {
 		return nil, fmt.Errorf("there is no %s %q", kind, name)
 	}
 	if n := users(name); n > 0 {
 		return nil, fmt.Errorf("%s %s has %d jobs that have not ended", kind, name, n)
 	}
-	return slices.Delete(slices.Clone(all), at, at+1), nil
+	return slices.Delete(slices.Clone(items), at, at+1), nil
 }
--- a/control/chaos_test.go
+++ b/control/chaos_test.go
@@ -13,24 +13,24 @@
 	"gotest.tools/v3/assert"
 )
 
-// chaos is six workers under a control group, and what is seen of their tasks.
+// chaos is a control group with six workers, and a record of where their tasks run.
 type chaos struct {
 	*group
 	t       *testing.T
 	rng     *rand.Rand
 	workers []*fakeWorker
 
-	away chan struct{} // holds one while a control process is away; a mutex would stop virtual time
+	controlDown chan struct{} // semaphore: held while a control process is stopped. A mutex would stall synctest's virtual time
 
 	mu          sync.Mutex
-	live        map[string]*fakeWorker // by job and index
-	checkpoints map[string]uint64      // that the last start was to resume from
+	runningOn   map[string]*fakeWorker // worker that runs each task, by job and index
+	checkpoints map[string]uint64      // checkpoint of each task's last start order
 	starts      int
-	faults      []string
+	violations  []string
 }
 
 func newChaos(t *testing.T, seed uint64) *chaos {
-	c := &chaos{t: t, group: newGroup(t), rng: rand.New(rand.NewPCG(seed, 0)), away: make(chan struct{}, 1), live: map[string]*fakeWorker{}, checkpoints: map[string]uint64{}}
+	c := &chaos{t: t, group: newGroup(t), rng: rand.New(rand.NewPCG(seed, 0)), controlDown: make(chan struct{}, 1), runningOn: map[string]*fakeWorker{}, checkpoints: map[string]uint64{}}
 	for i := range 6 {
 		w := newWorker(c.group, fmt.Sprintf("w%d", i), domains[i%3], fmt.Sprintf("h%d", i))
 		w.runTime = 4 * time.Second
@@ -45,62 +45,62 @@
 }
 
 func (c *chaos) started(w *fakeWorker, order *wire.Order) {
-	c.runs(w, order.Task)
+	c.recordRunning(w, order.Task)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	task := taskOf(order.Task)
 	if order.Checkpoint < c.checkpoints[task] {
-		c.faults = append(c.faults, fmt.Sprintf("%s resumes from %d after %d", keyOf(order.Task), order.Checkpoint, c.checkpoints[task]))
+		c.violations = append(c.violations, fmt.Sprintf("%s resumes from checkpoint %d after one from %d", keyOf(order.Task), order.Checkpoint, c.checkpoints[task]))
 	}
 	c.checkpoints[task] = order.Checkpoint
 	c.starts++
 }
 
-// runs notes that a task runs on a worker from now on.
-func (c *chaos) runs(w *fakeWorker, ref *wire.TaskRef) {
+// recordRunning records that a task runs on a worker, and a violation if it still runs on another.
+func (c *chaos) recordRunning(w *fakeWorker, ref *wire.TaskRef) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if other := c.live[taskOf(ref)]; other != nil {
-		c.faults = append(c.faults, fmt.Sprintf("%s runs on %s while it runs on %s", keyOf(ref), w.name, other.name))
+	if previous := c.runningOn[taskOf(ref)]; previous != nil {
+		c.violations = append(c.violations, fmt.Sprintf("%s started on %s while it still runs on %s", keyOf(ref), w.name, previous.name))
 	}
-	c.live[taskOf(ref)] = w
+	c.runningOn[taskOf(ref)] = w
 }
 
 func (c *chaos) stopped(w *fakeWorker, ref *wire.TaskRef) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.live[taskOf(ref)] == w {
-		delete(c.live, taskOf(ref))
+	if c.runningOn[taskOf(ref)] == w {
+		delete(c.runningOn, taskOf(ref))
 	}
 }
 
-// cut separates a worker's host from control for a while.
-func (c *chaos) cut(w int, pause time.Duration) {
+// partitionWorker cuts a worker's host off from control for a while.
+func (c *chaos) partitionWorker(w int, pause time.Duration) {
 	host := fmt.Sprintf("h%d", w)
 	c.isolate(host)
 	time.Sleep(pause)
-	c.rejoin(host)
+	c.reconnect(host)
 }
 
-// freeze stops a worker from running, and with it its tasks; the first thing that it does when it thaws is to look at its lease.
+// freeze suspends a worker and its tasks for a while. When it resumes, it checks its lease first.
 func (c *chaos) freeze(w *fakeWorker, pause time.Duration) {
 	w.mu.Lock()
 	if w.frozen {
 		w.mu.Unlock()
 		return
 	}
-	c.setLive(w, false)
+	c.setTasksRunning(w, false)
 	w.frozen = true
 	w.mu.Unlock()
 	time.Sleep(pause)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.frozen = false
-	c.setLive(w, true)
-	w.keepLease()
+	c.setTasksRunning(w, true)
+	w.enforceLease()
 }
 
-func (c *chaos) setLive(w *fakeWorker, live bool) {
+func (c *chaos) setTasksRunning(w *fakeWorker, live bool) {
 	for _, task := range w.running {
 		if task.ended {
 			continue
@@ -108,50 +108,51 @@
 		if !live {
 			c.stopped(w, task.ref)
 		} else if time.Now().Before(w.leaseEnd) {
-			c.runs(w, task.ref)
+			c.recordRunning(w, task.ref)
 		}
 	}
 }
 
-// restart ends all that runs on a worker and lets it come back as another incarnation.
-func (c *chaos) restart(w *fakeWorker) {
+// restartWorker ends everything that runs on a worker and gives it a new incarnation.
+func (c *chaos) restartWorker(w *fakeWorker) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c.setLive(w, false)
+	c.setTasksRunning(w, false)
 	w.incarnation++
 	w.sequence = 0
 	w.leaseEnd = time.Time{}
 	w.running = map[string]*fakeTask{}
 }
 
-// restartControl has one control process after the other away for a while.
+// restartControl stops a control process for a while. Only one is stopped at any time.
 func (c *chaos) restartControl(id uint64, pause time.Duration) {
-	c.away <- struct{}{}
-	defer func() { <-c.away }()
+	c.controlDown <- struct{}{}
+	defer func() { <-c.controlDown }()
 	c.stop(id)
 	time.Sleep(pause)
 	c.start(id)
 }
 
-// act begins one fault; faults overlap.
-func (c *chaos) act(run func(func())) {
+// injectFault starts one random fault. Faults may overlap.
+func (c *chaos) injectFault(run func(func())) {
 	host := c.rng.IntN(len(c.workers))
 	w := c.workers[host]
 	id := uint64(1 + c.rng.IntN(3))
 	pause := time.Duration(500+c.rng.IntN(9000)) * time.Millisecond
 	switch c.rng.IntN(6) {
 	case 0, 1:
-		run(func() { c.cut(host, pause) })
+		run(func() { c.partitionWorker(host, pause) })
 	case 2:
 		run(func() { c.freeze(w, pause) })
 	case 3:
-		run(func() { c.restart(w) })
+		run(func() { c.restartWorker(w) })
 	default:
 		run(func() { c.restartControl(id, pause/4) })
 	}
 }
 
-// TestNoTaskRunsTwiceUnderFaults runs a job while workers are cut off, frozen and restarted and control loses replicas.
+// TestNoTaskRunsTwiceUnderFaults runs a job while workers are partitioned, frozen and restarted and control replicas are stopped.
+// No task may run on two workers at once or resume from an older checkpoint, and all tasks must finish.
 func TestNoTaskRunsTwiceUnderFaults(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -159,7 +160,7 @@
 				c := newChaos(t, seed)
 				defer c.close()
 				operator := c.client("e0")
-				prepare(t, operator)
+				createClassAndTeam(t, operator)
 				stop := make(chan struct{})
 				var polling sync.WaitGroup
 				for _, w := range c.workers {
@@ -167,36 +168,36 @@
 				}
 				time.Sleep(time.Second)
 				submit(t, operator, 600)
-				var acting sync.WaitGroup
+				var faults sync.WaitGroup
 				for range 40 {
 					time.Sleep(time.Duration(c.rng.IntN(2000)) * time.Millisecond)
-					c.act(acting.Go)
+					c.injectFault(faults.Go)
 				}
-				acting.Wait()
+				faults.Wait()
 				unfinished := waitDone(t, operator)
 				close(stop)
 				polling.Wait()
-				assert.Equal(t, unfinished, 0, "tasks of the job are not done")
-				t.Logf("%d starts of 600 tasks", c.starts)
-				for _, fault := range c.faults {
-					t.Error(fault)
+				assert.Equal(t, unfinished, 0, "number of tasks that did not finish")
+				t.Logf("%d starts for 600 tasks", c.starts)
+				for _, violation := range c.violations {
+					t.Error(violation)
 				}
 			})
 		})
 	}
 }
 
-// waitDone waits until the job has ended and returns how many of its tasks have not.
+// waitDone waits until the job has ended and returns how many of its tasks are unfinished.
 func waitDone(t *testing.T, operator *client) int {
-	left := 0
+	unfinished := 0
 	for range 600 {
 		status := operator.status(t)
 		tally := status.Classes[0].Tally
-		left = 600 - int(tally.GetDone())
-		if left == 0 {
+		unfinished = 600 - int(tally.GetDone())
+		if unfinished == 0 {
 			return 0
 		}
 		time.Sleep(time.Second)
 	}
-	return left
+	return unfinished
 }
--- a/control/control.go
+++ b/control/control.go
@@ -28,22 +28,22 @@
 	"storj.io/drpc/drpcmux"
 )
 
-const commitTime = 2 * time.Second // longest wait for a quorum
+const commitTimeout = 2 * time.Second // longest wait for a quorum to commit a command
 
 // Options configures a Control.
 type Options struct {
 	Settings *settings.Control
-	Dial     func(ctx context.Context, address string) (net.Conn, error) // to other replicas; TCP when nil
+	Dial     func(ctx context.Context, address string) (net.Conn, error) // connects to other replicas; TCP when nil
 	Listen   func(address string) (net.Listener, error)                  // TCP when nil
-	Boot     func() time.Duration                                        // clock of leases; the monotonic one when nil
-	Called   *Called                                                     // how workers are called; nil if all of them poll
-	Found    *Found                                                      // set if the settings' list of replicas only says where some may be found
+	Boot     func() time.Duration                                        // clock that leases are measured with; the monotonic clock when nil
+	Called   *Called                                                     // how this process calls workers; nil if all of them poll
+	Found    *Found                                                      // set if the replicas in the settings are only seed addresses
 }
 
-// Found says how a group of replicas forms and changes that no settings name in full.
+// Found describes how a group of replicas forms and changes when the settings don't list all of its members.
 type Found struct {
 	First  bool // no group has been formed yet
-	Losses int  // replicas that may be lost at once
+	Losses int  // replicas that may be lost at the same time
 }
 
 func (f *Found) losses() int {
@@ -53,36 +53,36 @@
 	return f.Losses
 }
 
-// Called says how workers are called, and how long their leases are.
+// Called configures the calls to workers and the length of their leases.
 type Called struct {
 	Calls        call.Functions
-	Lease        time.Duration // given to workers
-	LongestLease time.Duration // that any leader may have given
+	Lease        time.Duration // granted to workers
+	LongestLease time.Duration // the longest lease that any leader may have granted
 }
 
 // Control is one control process.
-// Locks are taken in the order mu, leases, state machine, workflows, and last one of measures, watchers, announced and the loops'.
+// Locks are acquired in the order mu, leases, state machine, workflows, and then at most one of measures, watchers, announcements and the locks of the loops.
 type Control struct {
-	settings  *settings.Control
-	replica   *replica.Replica
-	machine   *state.Machine
-	leases    *lease.Table
-	measures  *measure.Table
-	watchers  *watchers
-	schedule  *schedule.Loop
-	workflows *workflow.Table
-	dispatch  *dispatch.Loop // nil if all workers poll
-	announced announced
-	counters  *counters
-	server    *inner.Server
-	wait      group.Group
+	settings      *settings.Control
+	replica       *replica.Replica
+	machine       *state.Machine
+	leases        *lease.Table
+	measures      *measure.Table
+	watchers      *watchers
+	schedule      *schedule.Loop
+	workflows     *workflow.Table
+	dispatch      *dispatch.Loop // nil if all workers poll
+	announcements announcements
+	counters      *counters
+	server        *inner.Server
+	goroutines    group.Group
 
-	mu        sync.Mutex // guards what follows
-	stopLead  context.CancelFunc
-	loopEnded <-chan struct{} // closed when the last loop has ended
+	mu          sync.Mutex // guards the fields below
+	cancelLoops context.CancelFunc
+	loopsEnded  <-chan struct{} // closed when the loops of the latest leadership have ended
 }
 
-// New starts the replica on its data folder and serves the other processes.
+// New starts the replica on its data directory and listens for the other processes.
 func New(o Options) (*Control, error) {
 	s := o.Settings
 	if o.Dial == nil {
@@ -110,7 +110,7 @@
 		Leases:  c.leases,
 		Commit:  c.commit,
 		Decided: c.counters.decide.UpdateDuration,
-		Applied: c.counters.applied,
+		Applied: c.counters.countApplied,
 	})
 	c.newWorkflows(o)
 	if err := c.open(o); err != nil {
@@ -166,11 +166,11 @@
 	c.schedule.ConfigurationChanged(configuration)
 }
 
-// apply carries out one committed record; a record that cannot be read was never written by us.
+// apply applies one committed record. A record that cannot be decoded was not written by this software.
 func (c *Control) apply(index uint64, data []byte) any {
 	var command wire.Command
 	if err := proto.Unmarshal(data, &command); err != nil {
-		return fmt.Errorf("record %d: %w", index, err)
+		return fmt.Errorf("decode record at index %d: %w", index, err)
 	}
 	if command.GetWorkflow() != nil {
 		return c.workflows.Apply(command.GetTimeMs(), command.GetWorkflow())
@@ -191,7 +191,7 @@
 func (c *Control) restore(data []byte) error {
 	var s wire.State
 	if err := proto.Unmarshal(data, &s); err != nil {
-		return fmt.Errorf("snapshot: %w", err)
+		return fmt.Errorf("decode snapshot: %w", err)
 	}
 	if err := c.machine.Restore(&s); err != nil {
 		return err
@@ -199,13 +199,13 @@
 	return c.workflows.Restore(s.GetWorkflows())
 }
 
-// leading starts or ends the scheduling loop with the replica's leadership.
+// leading starts the loops when this replica becomes the leader and cancels them when it no longer is.
 func (c *Control) leading(leading bool, term uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stopLead != nil {
-		c.stopLead()
-		c.stopLead = nil
+	if c.cancelLoops != nil {
+		c.cancelLoops()
+		c.cancelLoops = nil
 	}
 	if !leading {
 		event.LeadershipLost.Info("term", term)
@@ -214,19 +214,19 @@
 	event.LeadershipGained.Info("term", term, "replica", c.settings.ID)
 	c.leases.Lead(time.Now())
 	ctx, cancel := context.WithCancel(context.Background())
-	c.stopLead = cancel
-	c.announced.clear()
-	c.runAfter(ctx, c.loopEnded, term)
+	c.cancelLoops = cancel
+	c.announcements.clear()
+	c.runLoops(ctx, c.loopsEnded, term)
 }
 
-// runAfter runs the loops once those of an earlier leadership have ended, since both use the same tables.
-func (c *Control) runAfter(ctx context.Context, earlier <-chan struct{}, term uint64) {
+// runLoops starts the loops after those of the previous leadership have ended, since both use the same tables.
+func (c *Control) runLoops(ctx context.Context, previous <-chan struct{}, term uint64) {
 	ended := make(chan struct{})
-	c.loopEnded = ended
-	c.wait.Go(func() {
+	c.loopsEnded = ended
+	c.goroutines.Go(func() {
 		defer close(ended)
-		if earlier != nil {
-			<-earlier
+		if previous != nil {
+			<-previous
 		}
 		var loops group.Group
 		loops.Go(func() { c.schedule.Run(ctx) })
@@ -237,15 +237,15 @@
 	})
 }
 
-// serves reports whether this replica may answer as the leader right now.
-func (c *Control) serves() bool {
+// isServingLeader reports whether this replica currently leads and may answer as the leader.
+func (c *Control) isServingLeader() bool {
 	c.mu.Lock()
-	begun := c.stopLead != nil
+	leads := c.cancelLoops != nil
 	c.mu.Unlock()
-	return begun && c.replica.IsLeader()
+	return leads && c.replica.IsLeader()
 }
 
-// commit has a command committed and returns what it did.
+// commit proposes a command, waits until it is committed and returns its result.
 func (c *Control) commit(ctx context.Context, command *wire.Command) (*wire.CommandResult, error) {
 	result, err := c.propose(ctx, command)
 	if err != nil {
@@ -254,7 +254,7 @@
 	return result.(*wire.CommandResult), nil
 }
 
-// propose has a command committed and returns what applying it returned.
+// propose proposes a command, waits until it is committed and returns what applying it returned.
 func (c *Control) propose(ctx context.Context, command *wire.Command) (any, error) {
 	if command.TimeMs == 0 {
 		command.TimeMs = time.Now().UnixMilli()
@@ -263,7 +263,7 @@
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, "command cannot be encoded", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, commitTime)
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	result, err := c.replica.Propose(ctx, data)
 	if err != nil {
@@ -275,41 +275,41 @@
 	return result, nil
 }
 
-// SetSeeds replaces the drpc addresses, by replica, where the group may be found.
+// SetSeeds replaces the drpc addresses, by replica ID, at which members of the group may be reached.
 func (c *Control) SetSeeds(seeds map[uint64]string) {
 	c.replica.SetSeeds(seeds)
 }
 
-// Ready says why the process is not ready for use, nil if it is.
+// Ready returns why the process is not ready for use, nil if it is.
 func (c *Control) Ready() error {
 	info := c.replica.Info()
 	if info.Err != nil {
-		return fmt.Errorf("replica %d takes no part any more: %w", c.settings.ID, info.Err)
+		return fmt.Errorf("replica %d has failed and no longer participates: %w", c.settings.ID, info.Err)
 	}
 	if info.Recovering {
-		return fmt.Errorf("replica %d has lost its disk and is not yet repaired", c.settings.ID)
+		return fmt.Errorf("replica %d lost its data directory and has not yet recovered", c.settings.ID)
 	}
 	if info.Leader == 0 {
-		return fmt.Errorf("replica %d knows no leader", c.settings.ID)
+		return fmt.Errorf("replica %d does not know a leader", c.settings.ID)
 	}
 	return nil
 }
 
-// Close ends the scheduling loop, the listeners and the replica, and waits.
+// Close hands leadership over, stops the loops, the listeners and the replica, and waits for all of them.
 func (c *Control) Close() error {
 	c.replica.HandOver(context.Background())
-	c.leadingEnds()
+	c.stopLoops()
 	c.watchers.close()
 	err := c.server.Close()
-	c.wait.Wait()
+	c.goroutines.Wait()
 	return errors.Join(err, c.replica.Close())
 }
 
-func (c *Control) leadingEnds() {
+func (c *Control) stopLoops() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stopLead != nil {
-		c.stopLead()
-		c.stopLead = nil
+	if c.cancelLoops != nil {
+		c.cancelLoops()
+		c.cancelLoops = nil
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -14,9 +14,9 @@
 	"gotest.tools/v3/assert"
 )
 
-const inForceWithin = 3 * time.Second
+const activationLimit = 3 * time.Second
 
-// TestChangesAreInForceEverywhere makes changes while a leader stops, and follows them at nine entries.
+// TestChangesAreInForceEverywhere commits changes, stops the leader half-way and checks that each change becomes active at nine entries in time and in order.
 func TestChangesAreInForceEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t)
@@ -34,10 +34,10 @@
 				g.stop(operator.status(t).Leader)
 			}
 			version := operator.mustChange(t, putClass(i))
-			delays = append(delays, waitInForce(t, followers, version))
+			delays = append(delays, waitActive(t, followers, version))
 		}
 		sort.Slice(delays, func(i, j int) bool { return delays[i] < delays[j] })
-		t.Logf("in force everywhere after: median %v, longest %v", delays[len(delays)/2], delays[len(delays)-1])
+		t.Logf("active at all entries after: median %v, longest %v", delays[len(delays)/2], delays[len(delays)-1])
 		assert.Assert(t, delays[len(delays)/2] < 100*time.Millisecond)
 		for _, f := range followers {
 			assert.Assert(t, sort.SliceIsSorted(f.applied, func(i, j int) bool { return f.applied[i] < f.applied[j] }))
@@ -45,8 +45,8 @@
 	})
 }
 
-// waitInForce returns how long a version took to be in force at all followers, and fails past the promise.
-func waitInForce(t *testing.T, followers []*follower, version uint64) time.Duration {
+// waitActive returns how long it took until a version was active at all followers, and fails the test after activationLimit.
+func waitActive(t *testing.T, followers []*follower, version uint64) time.Duration {
 	start := time.Now()
 	for {
 		behind := 0
@@ -58,64 +58,65 @@
 		if behind == 0 {
 			return time.Since(start)
 		}
-		if time.Since(start) > inForceWithin {
-			t.Fatalf("version %d is not in force at %d entries after %v", version, behind, inForceWithin)
+		if time.Since(start) > activationLimit {
+			t.Fatalf("version %d is still not active at %d entries after %v", version, behind, activationLimit)
 		}
 		time.Sleep(time.Millisecond)
 	}
 }
 
-// TestCutOffLeaderAcceptsNothing cuts the leader from the others but not from an entry beside it, for ten minutes.
+// TestCutOffLeaderAcceptsNothing partitions the leader from the other replicas for ten minutes while one entry can still reach it.
+// The old leader must not accept changes or grant leases, and its return must not force an election.
 func TestCutOffLeaderAcceptsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t)
 		defer g.close()
-		far := g.client("e0")
-		far.mustChange(t, putClass(0))
-		before := far.status(t)
+		majorityClient := g.client("e0")
+		majorityClient.mustChange(t, putClass(0))
+		before := majorityClient.status(t)
 		host := fmt.Sprintf("c%d", before.Leader)
-		near := g.client("e1", before.Leader)
+		isolatedClient := g.client("e1", before.Leader)
 		g.isolate(host)
-		far.mustChange(t, putClass(1))
+		majorityClient.mustChange(t, putClass(1))
 
 		for i := range 20 {
-			_, err := near.change(t, putClass(100+i))
-			assert.Assert(t, err != nil, "the cut-off leader accepted a change or answered a read")
+			_, err := isolatedClient.change(t, putClass(100+i))
+			assert.Assert(t, err != nil, "the partitioned leader accepted a change or answered a read")
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-			_, err = near.Report(ctx, &wire.ReportBatch{Entry: "e1", Reports: []*wire.WorkerReport{reportOf("w1", "cebu", uint64(i+1))}})
+			_, err = isolatedClient.Report(ctx, &wire.ReportBatch{Entry: "e1", Reports: []*wire.WorkerReport{reportOf("w1", "cebu", uint64(i+1))}})
 			cancel()
-			assert.Assert(t, err != nil, "the cut-off leader granted a lease")
+			assert.Assert(t, err != nil, "the partitioned leader granted a lease")
 			time.Sleep(30 * time.Second)
 		}
-		during := far.status(t)
-		g.rejoin(host)
+		during := majorityClient.status(t)
+		g.reconnect(host)
 		time.Sleep(10 * time.Second)
-		after := far.status(t)
-		assert.Equal(t, after.Term, during.Term, "the return of the replica disturbed the others")
+		after := majorityClient.status(t)
+		assert.Equal(t, after.Term, during.Term, "the return of the replica caused an election")
 		assert.Equal(t, after.Leader, during.Leader)
 		assert.Equal(t, len(after.Configuration.Classes), 2)
 	})
 }
 
-// TestReadNeverComesFromADeposedLeader reads through a cut-off leader at once, before it can know of the cut.
+// TestReadNeverComesFromADeposedLeader reads from a leader right after it is partitioned, before it can have noticed.
 func TestReadNeverComesFromADeposedLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t)
 		defer g.close()
-		far := g.client("e0")
-		far.mustChange(t, putClass(0))
-		leader := far.status(t).Leader
-		near := g.client("e1", leader)
+		majorityClient := g.client("e0")
+		majorityClient.mustChange(t, putClass(0))
+		leader := majorityClient.status(t).Leader
+		isolatedClient := g.client("e1", leader)
 		g.isolate(fmt.Sprintf("c%d", leader))
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		_, err := near.Read(ctx, &wire.ReadRequest{Kind: wire.ReadKind_READ_KIND_STATUS})
+		_, err := isolatedClient.Read(ctx, &wire.ReadRequest{Kind: wire.ReadKind_READ_KIND_STATUS})
 		assert.Assert(t, err != nil)
 		assert.Assert(t, verdict.Of(err) != verdict.Ran)
 	})
 }
 
-// TestSecondDiskLostRightAfterRepair loses one disk and, as soon as that replica is back, another.
+// TestSecondDiskLostRightAfterRepair loses one disk and, as soon as that replica has recovered, the next one. No accepted change may be lost.
 func TestSecondDiskLostRightAfterRepair(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t)
@@ -134,7 +135,7 @@
 	})
 }
 
-// waitReady waits until a replica that lost its disk is a full member again.
+// waitReady waits until a replica that lost its disk has recovered.
 func waitReady(g *group, id uint64) error {
 	var err error
 	for range 600 {
--- a/control/doc.go
+++ b/control/doc.go
@@ -1,2 +1,3 @@
-// Package control is the control process: a replica of the log, the state that it carries, and on the leader the scheduling loop and the answers to workers; it speaks drpc to entries.
+// Package control implements the control process: a replica of the log with its state machine and, on the leader, the scheduling loop and the replies to workers.
+// It serves entries over drpc.
 package control
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -20,11 +20,11 @@
 	"storj.io/drpc/drpcconn"
 )
 
-const oneWay = time.Millisecond // delay between instances
+const oneWayDelay = time.Millisecond // network delay between instances
 
 var domains = []string{"cebu", "bohol", "leyte"}
 
-// group is three control processes on a fabric, one in each failure domain.
+// group is three control processes on a simulated network, one in each failure domain.
 type group struct {
 	t        *testing.T
 	fabric   *fabric.Fabric
@@ -34,7 +34,7 @@
 }
 
 func newGroup(t *testing.T) *group {
-	g := &group{t: t, fabric: fabric.New(oneWay), dir: t.TempDir(), controls: map[uint64]*control.Control{}}
+	g := &group{t: t, fabric: fabric.New(oneWayDelay), dir: t.TempDir(), controls: map[uint64]*control.Control{}}
 	for i, domain := range domains {
 		g.replicas = append(g.replicas, settings.Replica{ID: uint64(i + 1), Inner: fmt.Sprintf("c%d:1", i+1), Domain: domain})
 	}
@@ -76,7 +76,7 @@
 	delete(g.controls, id)
 }
 
-// loseDisk stops a replica and starts it again with an empty data folder.
+// loseDisk stops a replica and restarts it with an empty data directory.
 func (g *group) loseDisk(id uint64) {
 	g.stop(id)
 	assert.NilError(g.t, os.RemoveAll(g.data(id)))
@@ -89,16 +89,16 @@
 	}
 }
 
-// isolate cuts a host from all replicas but those named.
-func (g *group) isolate(host string, but ...string) {
+// isolate cuts a host off from all replicas except those listed.
+func (g *group) isolate(host string, except ...string) {
 	for _, other := range []string{"c1", "c2", "c3"} {
-		if other != host && !contains(but, other) {
+		if other != host && !contains(except, other) {
 			g.fabric.Cut(host, other)
 		}
 	}
 }
 
-func (g *group) rejoin(host string) {
+func (g *group) reconnect(host string) {
 	for _, other := range []string{"c1", "c2", "c3"} {
 		g.fabric.Heal(host, other)
 	}
@@ -113,7 +113,7 @@
 	return false
 }
 
-// client is an entry's way to control, from a host of its own.
+// client is an entry's connection to control, from its own host.
 type client struct {
 	*leader.Leader
 	pool     *inner.Pool
@@ -141,7 +141,7 @@
 	return false
 }
 
-// change makes one change from the current version and returns its result.
+// change proposes one change based on the current version and returns its result.
 func (c *client) change(t *testing.T, change *wire.Change) (*wire.ChangeResult, error) {
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
@@ -176,7 +176,7 @@
 	return reply.Status
 }
 
-// follower is an entry's watch, from a host of its own.
+// follower is an entry's watch of the configuration, from its own host.
 type follower struct {
 	*watch.Holder
 	*watch.Watch
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -4,7 +4,7 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// counters are what the process counts of its own work.
+// counters holds the metrics of the control process.
 type counters struct {
 	set     *metrics.Set
 	reports *metrics.Counter
@@ -17,7 +17,7 @@
 func (c *Control) newCounters() *counters {
 	set := metrics.NewSet()
 	set.NewGauge("daisyswitch_control_leads", func() float64 {
-		if c.serves() {
+		if c.isServingLeader() {
 			return 1
 		}
 		return 0
@@ -36,17 +36,17 @@
 	}
 }
 
-// Metrics returns the process's metrics, for its admin listener.
+// Metrics returns the metrics of the process, which its admin listener serves.
 func (c *Control) Metrics() *metrics.Set {
 	return c.counters.set
 }
 
-// Live says why the process should be replaced, nil if it should not.
+// Live returns why the process should be replaced, nil if it should not.
 func (c *Control) Live() error {
 	return c.replica.Info().Err
 }
 
-func (c *counters) applied(starts, events int) {
+func (c *counters) countApplied(starts, events int) {
 	c.starts.Add(starts)
 	c.events.Add(events)
 }
--- a/control/read.go
+++ b/control/read.go
@@ -11,10 +11,10 @@
 	"daisyswitch/wire"
 )
 
-// Read answers what the leader holds, once a quorum has confirmed that it leads.
+// Read answers from the leader's state after a quorum has confirmed that it still leads.
 func (c *Control) Read(ctx context.Context, request *wire.ReadRequest) (*wire.ReadReply, error) {
-	if !c.serves() {
-		return &wire.ReadReply{Failure: c.notLeader()}, nil
+	if !c.isServingLeader() {
+		return &wire.ReadReply{Failure: c.notLeaderFailure()}, nil
 	}
 	if err := c.replica.Confirm(ctx); err != nil {
 		return &wire.ReadReply{Failure: c.failure(err)}, nil
@@ -26,9 +26,9 @@
 		records, folded := c.machine.Audit(request.After, int(request.Limit))
 		return &wire.ReadReply{Audit: records, AuditFolded: folded}, nil
 	case wire.ReadKind_READ_KIND_JOB:
-		return &wire.ReadReply{Job: c.job(ctx, request.Job)}, nil
+		return &wire.ReadReply{Job: c.jobWithWaitReasons(ctx, request.Job)}, nil
 	default:
-		return nil, fmt.Errorf("read of unknown kind %v", request.Kind)
+		return nil, fmt.Errorf("read request: unknown kind %v", request.Kind)
 	}
 }
 
@@ -72,12 +72,12 @@
 
 func (c *Control) classStatuses(now time.Time, configuration *wire.Configuration) []*wire.ClassStatus {
 	byName := map[string]*wire.ClassStatus{}
-	var out []*wire.ClassStatus
+	var statuses []*wire.ClassStatus
 	for _, class := range configuration.GetClasses() {
-		seen := c.measures.Class(now, class.Name)
-		s := &wire.ClassStatus{Class: class, P99Us: seen.P99US, Requests: seen.Requests}
+		measured := c.measures.Class(now, class.Name)
+		s := &wire.ClassStatus{Class: class, P99Us: measured.P99US, Requests: measured.Requests}
 		byName[class.Name] = s
-		out = append(out, s)
+		statuses = append(statuses, s)
 	}
 	c.machine.Each(func(j *wire.Job, t *wire.Task) {
 		s := byName[j.Class]
@@ -96,11 +96,11 @@
 			s.Tally = tally
 		}
 	}
-	return out
+	return statuses
 }
 
-// job returns a copy of a job's record in which waiting tasks say why they wait.
-func (c *Control) job(ctx context.Context, id string) *wire.JobRecord {
+// jobWithWaitReasons returns a job's record, with the reason filled in for each queued task.
+func (c *Control) jobWithWaitReasons(ctx context.Context, id string) *wire.JobRecord {
 	record := c.machine.Job(id)
 	if record == nil {
 		return nil
--- a/control/service.go
+++ b/control/service.go
@@ -12,14 +12,14 @@
 	"daisyswitch/wire"
 )
 
-const keepAliveEvery = time.Second // an entry that hears nothing for two of these moves on
+const keepAliveInterval = time.Second // an entry that receives nothing for two intervals switches to another replica
 
 // Propose commits an operator's command.
 func (c *Control) Propose(ctx context.Context, request *wire.ProposeRequest) (*wire.ProposeReply, error) {
-	if !c.serves() {
-		return &wire.ProposeReply{Failure: c.notLeader()}, nil
+	if !c.isServingLeader() {
+		return &wire.ProposeReply{Failure: c.notLeaderFailure()}, nil
 	}
-	result, err := c.commit(ctx, operatorsPart(request.Command))
+	result, err := c.commit(ctx, operatorCommand(request.Command))
 	if err != nil {
 		return &wire.ProposeReply{Failure: c.failure(err)}, nil
 	}
@@ -27,8 +27,8 @@
 	return &wire.ProposeReply{Result: result}, nil
 }
 
-// operatorsPart keeps out of a command what only the leader itself may propose.
-func operatorsPart(c *wire.Command) *wire.Command {
+// operatorCommand copies only the parts that an operator may propose and leaves out those reserved for the leader.
+func operatorCommand(c *wire.Command) *wire.Command {
 	return &wire.Command{TimeMs: c.GetTimeMs(), Change: c.GetChange(), Submit: c.GetSubmit(), Cancel: c.GetCancel()}
 }
 
@@ -39,7 +39,7 @@
 	}
 }
 
-func (c *Control) notLeader() *wire.Failure {
+func (c *Control) notLeaderFailure() *wire.Failure {
 	return c.failure(verdict.New(verdict.NotRun, "this replica does not lead", nil))
 }
 
@@ -51,30 +51,30 @@
 	}
 }
 
-// Report takes in workers' reports, commits what they mean and answers each worker with its lease and orders.
+// Report processes a batch of worker reports, commits their effects and replies to each worker with its lease and orders.
 func (c *Control) Report(ctx context.Context, batch *wire.ReportBatch) (*wire.ReportBatchReply, error) {
-	if !c.serves() {
-		return &wire.ReportBatchReply{Failure: c.notLeader()}, nil
+	if !c.isServingLeader() {
+		return &wire.ReportBatchReply{Failure: c.notLeaderFailure()}, nil
 	}
 	now := time.Now()
 	c.measures.Heard(now, batch)
 	for _, s := range batch.Samples {
 		c.schedule.Sampled(batch.Domain, s)
 	}
-	outcomes, command := c.receive(now, batch)
+	outcomes, command := c.receiveReports(now, batch)
 	if len(command.Events) > 0 || len(command.Workers) > 0 {
 		if _, err := c.commit(ctx, command); err != nil {
 			return &wire.ReportBatchReply{Failure: c.failure(err)}, nil
 		}
 	}
-	if !c.serves() {
-		return &wire.ReportBatchReply{Failure: c.notLeader()}, nil
+	if !c.isServingLeader() {
+		return &wire.ReportBatchReply{Failure: c.notLeaderFailure()}, nil
 	}
-	return &wire.ReportBatchReply{Replies: c.answers(batch, outcomes)}, nil
+	return &wire.ReportBatchReply{Replies: c.workerReplies(batch, outcomes)}, nil
 }
 
-// receive gathers what all reports of a batch mean into one command.
-func (c *Control) receive(now time.Time, batch *wire.ReportBatch) ([]lease.Outcome, *wire.Command) {
+// receiveReports collects the effects of all reports of a batch in one command.
+func (c *Control) receiveReports(now time.Time, batch *wire.ReportBatch) ([]lease.Outcome, *wire.Command) {
 	command := &wire.Command{}
 	outcomes := make([]lease.Outcome, len(batch.Reports))
 	for i, r := range batch.Reports {
@@ -95,7 +95,7 @@
 	return outcomes, command
 }
 
-func (c *Control) answers(batch *wire.ReportBatch, outcomes []lease.Outcome) []*wire.WorkerReply {
+func (c *Control) workerReplies(batch *wire.ReportBatch, outcomes []lease.Outcome) []*wire.WorkerReply {
 	now := time.Now()
 	out := outDomains(c.machine.Configuration())
 	throttles := c.schedule.Throttles()
@@ -119,13 +119,13 @@
 	return func(domain string) bool { return out[domain] }
 }
 
-var errBehind = errors.New("this replica knows no leader or has lost its disk, and may be behind")
+var errStale = errors.New("this replica has no leader or is recovering its data, so its configuration may be stale")
 
-// Watch sends each accepted configuration as it comes, and a sign of life each second; it ends when this replica may be behind.
+// Watch sends each accepted configuration and a keep-alive message every second. It ends when this replica may be stale.
 func (c *Control) Watch(request *wire.WatchRequest, stream wire.DRPCControl_WatchStream) error {
 	updates, cancel := c.watchers.add()
 	defer cancel()
-	ticker := time.NewTicker(keepAliveEvery)
+	ticker := time.NewTicker(keepAliveInterval)
 	defer ticker.Stop()
 	version := request.Version
 	for {
@@ -134,7 +134,7 @@
 			return err
 		}
 		if !current {
-			return errBehind
+			return errStale
 		}
 		select {
 		case <-stream.Context().Done():
@@ -148,8 +148,8 @@
 	}
 }
 
-// watchEvent returns what a watch that was sent version is sent now, and whether this replica is one to follow.
-// What a replica without its former disk holds is not sent at all.
+// watchEvent returns the next message for a watch that has received version, and whether this replica is up to date enough to follow.
+// A replica that is recovering from the loss of its disk sends no configuration.
 func (c *Control) watchEvent(version *uint64) (message *wire.WatchEvent, current bool) {
 	info := c.replica.Info()
 	if info.Recovering || info.Applied == 0 {
--- a/control/watchers.go
+++ b/control/watchers.go
@@ -2,15 +2,15 @@
 
 import "sync"
 
-// watchers wakes every open watch when a configuration was accepted.
+// watchers notifies every open watch when a configuration is accepted.
 type watchers struct {
-	mu     sync.Mutex
-	open   map[chan struct{}]bool
-	closed bool
+	mu       sync.Mutex
+	channels map[chan struct{}]bool
+	closed   bool
 }
 
 func newWatchers() *watchers {
-	return &watchers{open: map[chan struct{}]bool{}}
+	return &watchers{channels: map[chan struct{}]bool{}}
 }
 
 func (w *watchers) add() (<-chan struct{}, func()) {
@@ -21,20 +21,20 @@
 		close(updates)
 		return updates, func() {}
 	}
-	w.open[updates] = true
+	w.channels[updates] = true
 	return updates, func() { w.remove(updates) }
 }
 
 func (w *watchers) remove(updates chan struct{}) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.open, updates)
+	delete(w.channels, updates)
 }
 
 func (w *watchers) publish() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for updates := range w.open {
+	for updates := range w.channels {
 		select {
 		case updates <- struct{}{}:
 		default:
@@ -46,8 +46,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.closed = true
-	for updates := range w.open {
+	for updates := range w.channels {
 		close(updates)
 	}
-	w.open = map[chan struct{}]bool{}
+	w.channels = map[chan struct{}]bool{}
 }
--- a/control/worker_test.go
+++ b/control/worker_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 )
 
-const startWithin = 3 * time.Second // of the poll that a start answers
+const startTimeout = 3 * time.Second // longest time from a poll to a start order that it may still obey
 
 func reportOf(name, domain string, sequence uint64, tasks ...*wire.TaskReport) *wire.WorkerReport {
 	return &wire.WorkerReport{
@@ -29,27 +29,27 @@
 	}
 }
 
-// fakeWorker polls each 200 ms, runs each task for some time and keeps its lease.
+// fakeWorker polls every 200 ms, runs each task for a fixed time and stops its tasks when its lease ends.
 type fakeWorker struct {
 	name, domain string
 	client       *client
 
-	mu          sync.Mutex
-	incarnation int
-	sequence    uint64
-	leaseEnd    time.Time
-	frozen      bool
-	runTime     time.Duration
-	running     map[string]*fakeTask
-	starts      []time.Time
-	done        int
-	started     func(w *fakeWorker, order *wire.Order) // told of each start, with no lock held
-	stopped     func(w *fakeWorker, ref *wire.TaskRef)
+	mu             sync.Mutex
+	incarnation    int
+	sequence       uint64
+	leaseEnd       time.Time
+	frozen         bool
+	runTime        time.Duration
+	running        map[string]*fakeTask
+	starts         []time.Time
+	forgottenTasks int
+	started        func(w *fakeWorker, order *wire.Order) // called on each start, with mu locked
+	stopped        func(w *fakeWorker, ref *wire.TaskRef)
 }
 
 type fakeTask struct {
 	ref        *wire.TaskRef
-	began      time.Time
+	startedAt  time.Time
 	checkpoint uint64
 	ended      bool
 }
@@ -67,7 +67,7 @@
 }
 
 func (w *fakeWorker) poll(t *testing.T) {
-	report, frozen := w.compose()
+	report, frozen := w.buildReport()
 	if frozen {
 		return
 	}
@@ -77,38 +77,38 @@
 	reply, err := w.client.Report(ctx, &wire.ReportBatch{Entry: w.name, Domain: w.domain, Reports: []*wire.WorkerReport{report}})
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err != nil || w.frozen || w.sequence != report.Sequence || report.Worker.Incarnation != w.identity() {
+	if err != nil || w.frozen || w.sequence != report.Sequence || report.Worker.Incarnation != w.incarnationName() {
 		return
 	}
 	if lease := reply.Replies[0].LeaseMs; lease > 0 {
 		w.leaseEnd = sent.Add(time.Duration(lease) * time.Millisecond)
 	}
 	for _, order := range reply.Replies[0].Orders {
-		w.obey(order, time.Since(sent))
+		w.handleOrder(order, time.Since(sent))
 	}
 }
 
-func (w *fakeWorker) compose() (report *wire.WorkerReport, frozen bool) {
+func (w *fakeWorker) buildReport() (report *wire.WorkerReport, frozen bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.frozen {
 		return nil, true
 	}
-	w.keepLease()
+	w.enforceLease()
 	w.sequence++
-	report = reportOf(w.name, w.domain, w.sequence, w.reports()...)
-	report.Worker.Incarnation = w.identity()
+	report = reportOf(w.name, w.domain, w.sequence, w.taskReports()...)
+	report.Worker.Incarnation = w.incarnationName()
 	return report, false
 }
 
-func (w *fakeWorker) identity() string {
+func (w *fakeWorker) incarnationName() string {
 	return fmt.Sprintf("i%d", w.incarnation)
 }
 
-func (w *fakeWorker) reports() []*wire.TaskReport {
+func (w *fakeWorker) taskReports() []*wire.TaskReport {
 	var tasks []*wire.TaskReport
 	for _, task := range w.running {
-		age := time.Since(task.began)
+		age := time.Since(task.startedAt)
 		task.checkpoint = max(task.checkpoint, uint64(age/(300*time.Millisecond)))
 		phase := wire.TaskEventKind_TASK_EVENT_KIND_RUNNING
 		switch {
@@ -123,8 +123,8 @@
 	return tasks
 }
 
-// keepLease stops everything once the lease has ended.
-func (w *fakeWorker) keepLease() {
+// enforceLease stops all tasks once the lease has ended.
+func (w *fakeWorker) enforceLease() {
 	if time.Now().Before(w.leaseEnd) {
 		return
 	}
@@ -151,18 +151,18 @@
 	return fmt.Sprint(ref.Job, "/", ref.Index, "/", ref.Attempt)
 }
 
-func (w *fakeWorker) obey(order *wire.Order, age time.Duration) {
+func (w *fakeWorker) handleOrder(order *wire.Order, age time.Duration) {
 	key := keyOf(order.Task)
 	switch order.Kind {
 	case wire.OrderKind_ORDER_KIND_START:
-		if w.running[key] != nil || age > startWithin || !time.Now().Before(w.leaseEnd) {
+		if w.running[key] != nil || age > startTimeout || !time.Now().Before(w.leaseEnd) {
 			return
 		}
-		w.running[key] = &fakeTask{ref: order.Task, began: time.Now(), checkpoint: order.Checkpoint}
+		w.running[key] = &fakeTask{ref: order.Task, startedAt: time.Now(), checkpoint: order.Checkpoint}
 		w.starts = append(w.starts, time.Now())
 		w.started(w, order)
 	case wire.OrderKind_ORDER_KIND_FORGET:
-		w.done++
+		w.forgottenTasks++
 		delete(w.running, key)
 	case wire.OrderKind_ORDER_KIND_STOP, wire.OrderKind_ORDER_KIND_CHECKPOINT:
 		if task := w.running[key]; task != nil && !task.ended {
@@ -172,13 +172,14 @@
 	}
 }
 
-// TestNoStartInADomainThatIsOut takes a domain out while starts in it are committed but not yet sent, and stops the leader at that moment.
+// TestNoStartInADomainThatIsOut takes a domain out of service while starts in it are committed but not yet sent, and stops the leader at that moment.
+// The next leader must not send these starts until the domain is back.
 func TestNoStartInADomainThatIsOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t)
 		defer g.close()
 		operator := g.client("e0")
-		prepare(t, operator)
+		createClassAndTeam(t, operator)
 		workers := []*fakeWorker{
 			newWorker(g, "w1", "cebu", "e1"),
 			newWorker(g, "w2", "bohol", "e2"),
@@ -188,7 +189,7 @@
 		}
 		submit(t, operator, 2000)
 		time.Sleep(200 * time.Millisecond)
-		assert.Assert(t, operator.starting(t, "w1") > 0, "no start was in flight")
+		assert.Assert(t, operator.countStarting(t, "w1") > 0, "no start was committed and unreported when the domain was taken out")
 		setDomain(t, operator, "cebu", true)
 		out := time.Now()
 		g.stop(operator.status(t).Leader)
@@ -205,9 +206,9 @@
 		close(stop)
 		polling.Wait()
 
-		assert.Equal(t, workers[0].startsBetween(out, in), 0, "starts in a domain that was out")
+		assert.Equal(t, workers[0].startsBetween(out, in), 0, "number of starts in a domain that was out")
 		assert.Assert(t, workers[0].startsBetween(in, time.Now()) > 0, "no start once the domain was back")
-		assert.Assert(t, workers[1].done > 100, "the other domain did %d tasks", workers[1].done)
+		assert.Assert(t, workers[1].forgottenTasks > 100, "the worker in the other domain finished only %d tasks", workers[1].forgottenTasks)
 	})
 }
 
@@ -225,8 +226,8 @@
 	operator.mustChange(t, &wire.Change{Operation: &wire.Change_SetDomain{SetDomain: &wire.Domain{Name: name, Out: out}}})
 }
 
-// starting counts the tasks of the job that are committed to a worker and not yet reported by it.
-func (c *client) starting(t *testing.T, worker string) int {
+// countStarting counts the tasks of the job that are committed to a worker but not yet reported by it.
+func (c *client) countStarting(t *testing.T, worker string) int {
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	reply, err := c.Read(ctx, &wire.ReadRequest{Kind: wire.ReadKind_READ_KIND_JOB, Job: "j1"})
@@ -240,8 +241,8 @@
 	return n
 }
 
-// prepare makes the class and the team of the job.
-func prepare(t *testing.T, operator *client) {
+// createClassAndTeam creates the class and the team that the job uses.
+func createClassAndTeam(t *testing.T, operator *client) {
 	class := &wire.Class{Name: "refunds", Kind: wire.ClassKind_CLASS_KIND_BATCH, TargetVolume: 1000, DueMinute: 1380}
 	operator.mustChange(t, &wire.Change{Operation: &wire.Change_PutClass{PutClass: class}})
 	team := &wire.Team{Name: "ledger", Quota: &wire.Size{MilliCpu: 1_000_000, MemoryMib: 1_000_000}}
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -36,7 +36,7 @@
 	c.dispatch.SetTable(c.workflows)
 }
 
-// commitWorkflow has a command about workflows committed and returns what it did.
+// commitWorkflow proposes a workflow command, waits until it is committed and returns its result.
 func (c *Control) commitWorkflow(ctx context.Context, command *wire.WorkflowCommand) (*workflow.Result, error) {
 	result, err := c.propose(ctx, &wire.Command{Workflow: command})
 	if err != nil {
@@ -45,17 +45,17 @@
 	return result.(*workflow.Result), nil
 }
 
-// leads returns an error that names the leader unless this replica leads right now.
-func (c *Control) leads() error {
-	if c.serves() {
+// checkLeader returns an error that names the leader unless this replica currently leads.
+func (c *Control) checkLeader() error {
+	if c.isServingLeader() {
 		return nil
 	}
 	info := c.replica.Info()
-	not := &NotLeader{}
+	cause := &NotLeader{}
 	if info.Leader != c.settings.ID {
-		not.Leader = info.LeaderAddress
+		cause.Leader = info.LeaderAddress
 	}
-	return verdict.New(verdict.NotRun, "this replica does not lead", not)
+	return verdict.New(verdict.NotRun, "this replica does not lead", cause)
 }
 
 // NotLeader is the cause of a refusal by a replica that does not lead.
@@ -63,7 +63,7 @@
 	Leader string // drpc address, empty if unknown
 }
 
-// Error names the leader if it is known.
+// Error gives the leader's address if it is known.
 func (e *NotLeader) Error() string {
 	if e.Leader == "" {
 		return "no leader is known"
@@ -71,40 +71,40 @@
 	return "the leader is at " + e.Leader
 }
 
-// announced is what this leader has last heard of each worker.
-type announced struct {
-	mu   sync.Mutex
-	last map[string]announcement
+// announcements holds the latest announcement of each worker that this leader has received.
+type announcements struct {
+	mu     sync.Mutex
+	latest map[string]announcement
 }
 
 type announcement struct {
 	born, sequence int64
 }
 
-func (a *announced) clear() {
+func (a *announcements) clear() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.last = map[string]announcement{}
+	a.latest = map[string]announcement{}
 }
 
-// newer notes an announcement and returns false if a later one was heard.
-func (a *announced) newer(worker string, born, sequence int64) bool {
+// recordIfNewer records an announcement and returns true, unless a later one from the same worker was already received.
+func (a *announcements) recordIfNewer(worker string, born, sequence int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	last, known := a.last[worker]
-	if known && (born < last.born || born == last.born && sequence < last.sequence) {
+	latest, known := a.latest[worker]
+	if known && (born < latest.born || born == latest.born && sequence < latest.sequence) {
 		return false
 	}
-	a.last[worker] = announcement{born, sequence}
+	a.latest[worker] = announcement{born, sequence}
 	return true
 }
 
-// Announce takes in what a worker says of itself; an overtaken announcement changes nothing.
+// Announce processes a worker's announcement of itself. An announcement older than the latest one is ignored.
 func (c *Control) Announce(ctx context.Context, w *wire.CalledWorker, sequence int64) error {
-	if err := c.leads(); err != nil {
+	if err := c.checkLeader(); err != nil {
 		return err
 	}
-	if !c.announced.newer(w.GetId(), w.GetBorn(), sequence) {
+	if !c.announcements.recordIfNewer(w.GetId(), w.GetBorn(), sequence) {
 		event.AnnouncementOvertaken.Info("worker", w.GetId(), "born", w.GetBorn(), "sequence", sequence)
 		return nil
 	}
@@ -118,9 +118,9 @@
 	return err
 }
 
-// Leave notes that a worker has ended.
+// Leave records that a worker has ended.
 func (c *Control) Leave(ctx context.Context, id string, born int64) error {
-	if err := c.leads(); err != nil {
+	if err := c.checkLeader(); err != nil {
 		return err
 	}
 	var gone *wire.CalledWorker
@@ -137,37 +137,37 @@
 	return err
 }
 
-// PutQueues puts a whole configuration of the queues in force unless one at least as new is.
+// PutQueues replaces the queue configuration, unless the current one has the same or a newer version.
 func (c *Control) PutQueues(ctx context.Context, q *wire.QueueSet) error {
-	if err := c.leads(); err != nil {
+	if err := c.checkLeader(); err != nil {
 		return err
 	}
-	var held uint64
-	c.workflows.View(func(t *workflow.Tables) { held = t.Queues.GetVersion() })
-	event.QueuesOffered.Info("version", q.GetVersion(), "held", held, "queues", len(q.GetQueues()))
-	if q.GetVersion() <= held {
+	var current uint64
+	c.workflows.View(func(t *workflow.Tables) { current = t.Queues.GetVersion() })
+	event.QueuesOffered.Info("version", q.GetVersion(), "held", current, "queues", len(q.GetQueues()))
+	if q.GetVersion() <= current {
 		return nil
 	}
 	_, err := c.commitWorkflow(ctx, &wire.WorkflowCommand{Queues: q})
 	return err
 }
 
-// Queues returns the newest configuration of the queues, nil before the first.
+// Queues returns the newest queue configuration, nil if there is none yet.
 func (c *Control) Queues(context.Context) (*wire.QueueSet, error) {
-	if err := c.leads(); err != nil {
+	if err := c.checkLeader(); err != nil {
 		return nil, err
 	}
 	var queues *wire.QueueSet
 	c.workflows.View(func(t *workflow.Tables) { queues = t.Queues })
-	if !c.serves() {
-		return nil, c.leads()
+	if !c.isServingLeader() {
+		return nil, c.checkLeader()
 	}
 	return queues, nil
 }
 
-// SetDomainOut takes a failure domain out or back.
+// SetDomainOut takes a failure domain out of service or returns it to service.
 func (c *Control) SetDomainOut(ctx context.Context, domain string, out bool) error {
-	if err := c.leads(); err != nil {
+	if err := c.checkLeader(); err != nil {
 		return err
 	}
 	event.DomainOrdered.Info("domain", domain, "out", out)
@@ -175,9 +175,9 @@
 	return err
 }
 
-// StartWave takes in an order for upkeep of machines.
+// StartWave commits an order for upkeep of a set of machines.
 func (c *Control) StartWave(ctx context.Context, w *wire.Wave) error {
-	if err := c.leads(); err != nil {
+	if err := c.checkLeader(); err != nil {
 		return err
 	}
 	event.WaveOrdered.Info("wave", w.GetNumber(), "machines", len(w.GetMachines()), "at_once", w.GetAtOnce())
@@ -186,9 +186,9 @@
 	return err
 }
 
-// WaveDone says whether the upkeep of all machines of a wave has begun; known is false for a wave that nobody ordered.
+// WaveDone reports whether upkeep has begun on all machines of a wave. known is false if no wave with this number was ordered.
 func (c *Control) WaveDone(_ context.Context, number int64) (done, known bool, err error) {
-	if err := c.leads(); err != nil {
+	if err := c.checkLeader(); err != nil {
 		return false, false, err
 	}
 	c.workflows.View(func(t *workflow.Tables) {
@@ -208,17 +208,17 @@
 		if err != nil {
 			return err
 		}
-		if err := s.take(request); err != nil {
+		if err := s.handle(request); err != nil {
 			return err
 		}
 	}
 }
 
-// workflowStream sends the answers to one gateway.
+// workflowStream sends replies to one gateway.
 type workflowStream struct {
 	c      *Control
 	stream wire.DRPCControl_WorkflowsStream
-	mu     sync.Mutex // one answer at a time
+	mu     sync.Mutex // serializes Send, which must not be called concurrently
 }
 
 func (s *workflowStream) send(r *wire.WorkflowReply) error {
@@ -227,14 +227,14 @@
 	return s.stream.Send(r)
 }
 
-// take answers a request at once if it only reads, and else when it is committed.
-func (s *workflowStream) take(request *wire.WorkflowRequest) error {
+// handle answers a read request immediately and any other request once its command is committed.
+func (s *workflowStream) handle(request *wire.WorkflowRequest) error {
 	reply := &wire.WorkflowReply{Number: request.GetNumber(), Answer: wire.WorkflowAnswer_WORKFLOW_ANSWER_OK}
 	if request.GetKind() == wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_HELLO {
 		reply.Replicas = s.c.replicaAddresses()
 	}
-	if !s.c.serves() {
-		reply.Answer, reply.Failure = wire.WorkflowAnswer_WORKFLOW_ANSWER_FAILURE, s.c.notLeader()
+	if !s.c.isServingLeader() {
+		reply.Answer, reply.Failure = wire.WorkflowAnswer_WORKFLOW_ANSWER_FAILURE, s.c.notLeaderFailure()
 		return s.send(reply)
 	}
 	if request.GetKind() == wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_HELLO {
@@ -244,7 +244,7 @@
 	if command == nil {
 		return s.send(reply)
 	}
-	s.c.wait.Go(func() {
+	s.c.goroutines.Go(func() {
 		s.c.answerByCommit(s.stream.Context(), request, command, reply)
 		if err := s.send(reply); err != nil {
 			event.AnswerNotSent.Error(err, "workflow", request.GetWorkflow().GetId(), "answer", reply.GetAnswer().String())
@@ -254,16 +254,16 @@
 }
 
 func (c *Control) replicaAddresses() []string {
-	var all []string
+	var addresses []string
 	for _, m := range c.replica.Info().Members.GetMembers() {
 		if m.GetAddress() != "" {
-			all = append(all, m.GetAddress())
+			addresses = append(addresses, m.GetAddress())
 		}
 	}
-	return all
+	return addresses
 }
 
-// answerFromState answers what the state can answer, and returns the command that has to be committed first otherwise.
+// answerFromState fills in the reply if the current state is enough. Otherwise it returns the command that has to be committed first.
 func (c *Control) answerFromState(request *wire.WorkflowRequest, reply *wire.WorkflowReply) *wire.WorkflowCommand {
 	var command *wire.WorkflowCommand
 	c.workflows.View(func(t *workflow.Tables) {
@@ -313,7 +313,7 @@
 	return nil
 }
 
-// answerByCommit answers once a command is committed.
+// answerByCommit commits a command and fills in the reply from its result.
 func (c *Control) answerByCommit(ctx context.Context, request *wire.WorkflowRequest, command *wire.WorkflowCommand, reply *wire.WorkflowReply) {
 	result, err := c.commitWorkflow(ctx, command)
 	if err != nil {
--- a/group/doc.go
+++ b/group/doc.go
@@ -1,2 +1,2 @@
-// Package group runs the goroutines of long-lived parts, so that their owner can wait for them and none can die unseen.
+// Package group runs the goroutines of long-running components. Their owner can wait for them, and a panic in any of them ends the process.
 package group
--- a/group/group.go
+++ b/group/group.go
@@ -11,12 +11,13 @@
 	"k8s.io/klog/v2"
 )
 
-const exitPanicked = 70
+const panicExitCode = 70
 
-// exit is a seam for the test of what a panic does.
+// exit is replaced in the test of a panic.
 var exit = os.Exit
 
-// Group is a conc.WaitGroup whose panics end the process at once, since a process with a dead loop would seem alive until someone waits.
+// Group is a conc.WaitGroup in which a panic ends the process at once.
+// Otherwise a process whose loop has ended would seem healthy until someone calls Wait.
 type Group struct {
 	conc.WaitGroup
 }
@@ -24,18 +25,18 @@
 // Go runs f in a goroutine that Wait waits for.
 func (g *Group) Go(f func()) {
 	g.WaitGroup.Go(func() {
-		defer endProcess()
+		defer exitOnPanic()
 		f()
 	})
 }
 
-func endProcess() {
+func exitOnPanic() {
 	cause := recover()
 	if cause == nil {
 		return
 	}
 	event.GoroutinePanicked.Error(fmt.Errorf("%v", cause), "stack", string(debug.Stack()))
 	klog.Flush()
-	fmt.Fprintln(os.Stderr, cause) // the log may not be written any more
-	exit(exitPanicked)
+	fmt.Fprintln(os.Stderr, cause) // the log may no longer be written
+	exit(panicExitCode)
 }
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -6,12 +6,12 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestPanicEndsTheProcess has a loop die while nobody waits for it.
+// TestPanicEndsTheProcess checks that a panic in a goroutine ends the process although nobody calls Wait.
 func TestPanicEndsTheProcess(t *testing.T) {
 	codes := make(chan int, 1)
 	exit = func(code int) { codes <- code }
 	var g Group
 	g.Go(func() { panic("nil dialer") })
-	assert.Equal(t, <-codes, exitPanicked)
+	assert.Equal(t, <-codes, panicExitCode)
 	g.Wait()
 }
--- a/job/doc.go
+++ b/job/doc.go
@@ -1,2 +1,2 @@
-// Package job is the part of the replicated state that holds jobs, their tasks and the workers that the tasks are committed to.
+// Package job holds the jobs, their tasks and the workers of the replicated state, and applies task events and starts to them.
 package job
--- a/job/fold.go
+++ b/job/fold.go
@@ -2,22 +2,22 @@
 
 import "daisyswitch/wire"
 
-// Fold forgets the jobs that ended and the workers that went longest ago, where there are too many.
+// Fold drops the jobs that ended first and the workers that left first, as far as there are more than the limits allow.
 func (tb *Table) Fold() {
-	for len(tb.ended) > KeepEndedJobs || (tb.endedTasks > KeepEndedTasks && len(tb.ended) > 1) {
-		j := tb.ended[0]
-		tb.ended = tb.ended[1:]
+	for len(tb.endedJobs) > KeepEndedJobs || (tb.endedTasks > KeepEndedTasks && len(tb.endedJobs) > 1) {
+		j := tb.endedJobs[0]
+		tb.endedJobs = tb.endedJobs[1:]
 		tb.endedTasks -= len(j.tasks)
 		delete(tb.jobs, j.Id)
 	}
-	for len(tb.gone) > KeepGone {
-		delete(tb.workers, tb.gone[0])
-		tb.gone = tb.gone[1:]
+	for len(tb.goneWorkers) > KeepGone {
+		delete(tb.workers, tb.goneWorkers[0])
+		tb.goneWorkers = tb.goneWorkers[1:]
 	}
 }
 
-// foldLost drops the oldest lost replica of a job that shows too many.
-func (tb *Table) foldLost(j *job) {
+// pruneLostReplicas drops the oldest lost replica of a job that has more than KeepLost of them.
+func (tb *Table) pruneLostReplicas(j *job) {
 	if j.lost <= KeepLost {
 		return
 	}
--- a/job/job.go
+++ b/job/job.go
@@ -12,20 +12,20 @@
 	"daisyswitch/wire"
 )
 
-// job is a job with its tasks in order of index; lost replicas may be missing.
+// job is a job with its tasks in order of index. Indexes can be missing, since old lost replicas are dropped.
 type job struct {
 	*wire.Job
-	number    uint64
-	tasks     []*wire.Task
-	open      int // tasks not ended
-	lost      int // lost replicas still shown
-	service   bool
-	cancelled bool
-	submitted int64 // Unix time, milliseconds
+	number     uint64
+	tasks      []*wire.Task
+	unfinished int // tasks that have not ended
+	lost       int // lost replicas still kept in tasks
+	service    bool
+	cancelled  bool
+	submitted  int64 // Unix time, milliseconds
 }
 
-// find returns where the task of that index stands, -1 if nowhere.
-func (j *job) find(index int32) int {
+// position returns the position in tasks of the task with that index, -1 if there is none.
+func (j *job) position(index int32) int {
 	at, found := slices.BinarySearchFunc(j.tasks, index, func(t *wire.Task, i int32) int { return cmp.Compare(t.Index, i) })
 	if !found {
 		return -1
@@ -33,63 +33,63 @@
 	return at
 }
 
-// Submit takes a job in under an id of its own, or refuses it at once with the reason.
+// Submit accepts a job under a new ID, or refuses it with a reason.
 func (tb *Table) Submit(spec *wire.Job) *wire.JobResult {
 	if err := tb.checkJob(spec); err != nil {
 		return Refused("", err.Error())
 	}
-	return tb.takeJob(spec)
+	return tb.addJob(spec)
 }
 
-func (tb *Table) takeJob(spec *wire.Job) *wire.JobResult {
-	own := &wire.Job{
+func (tb *Table) addJob(spec *wire.Job) *wire.JobResult {
+	accepted := &wire.Job{
 		Id: task.JobID(tb.nextJob), Team: spec.Team, Class: spec.Class, Program: spec.Program, Urgent: spec.Urgent,
 		Size: spec.Size, Tasks: spec.Tasks, ExpectedMs: spec.ExpectedMs, MinDomains: spec.MinDomains,
 	}
-	class := configuration.Class(tb.o.Configuration().Classes, spec.Class)
-	j := &job{Job: own, number: tb.nextJob, submitted: tb.now, service: class.Kind == wire.ClassKind_CLASS_KIND_SERVICE}
+	class := configuration.Class(tb.options.Configuration().Classes, spec.Class)
+	j := &job{Job: accepted, number: tb.nextJob, submitted: tb.commandTime, service: class.Kind == wire.ClassKind_CLASS_KIND_SERVICE}
 	tb.nextJob++
-	tb.jobs[own.Id] = j
-	tb.classJobs[own.Class]++
-	tb.teamJobs[own.Team]++
-	for i := range own.Tasks {
+	tb.jobs[accepted.Id] = j
+	tb.classJobs[accepted.Class]++
+	tb.teamJobs[accepted.Team]++
+	for i := range accepted.Tasks {
 		tb.addTask(j, i)
 	}
-	return &wire.JobResult{Outcome: wire.Outcome_OUTCOME_ACCEPTED, Job: own.Id}
+	return &wire.JobResult{Outcome: wire.Outcome_OUTCOME_ACCEPTED, Job: accepted.Id}
 }
 
 func (tb *Table) addTask(j *job, index int32) {
-	t := &wire.Task{Job: j.Id, Index: index, State: wire.TaskState_TASK_STATE_QUEUED, ChangedMs: tb.now}
+	t := &wire.Task{Job: j.Id, Index: index, State: wire.TaskState_TASK_STATE_QUEUED, ChangedMs: tb.commandTime}
 	j.tasks = append(j.tasks, t)
-	j.open++
-	tb.live++
-	tb.o.TaskChanged(j.Job, t)
+	j.unfinished++
+	tb.unfinishedTasks++
+	tb.options.TaskChanged(j.Job, t)
 }
 
-// checkJob returns why a job can never run, nil if it may.
+// checkJob returns why a job is refused, nil if it is accepted.
 func (tb *Table) checkJob(spec *wire.Job) error {
-	class := configuration.Class(tb.o.Configuration().Classes, spec.GetClass())
+	class := configuration.Class(tb.options.Configuration().Classes, spec.GetClass())
 	if class == nil {
 		return fmt.Errorf("there is no class %q", configuration.Clip(spec.GetClass(), configuration.MaxNameBytes))
 	}
-	team := configuration.Team(tb.o.Configuration().Teams, spec.Team)
+	team := configuration.Team(tb.options.Configuration().Teams, spec.Team)
 	if team == nil {
 		return fmt.Errorf("there is no team %q", configuration.Clip(spec.Team, configuration.MaxNameBytes))
 	}
 	if err := admit.Job(spec); err != nil {
 		return err
 	}
-	if tb.live+int(spec.Tasks) > MaxLiveTasks {
-		return fmt.Errorf("%d tasks have not ended; with this job they would pass %d", tb.live, MaxLiveTasks)
+	if tb.unfinishedTasks+int(spec.Tasks) > MaxLiveTasks {
+		return fmt.Errorf("%d tasks have not ended; with this job they would pass %d", tb.unfinishedTasks, MaxLiveTasks)
 	}
 	if err := admit.Quota(spec, class, team); err != nil {
 		return err
 	}
-	return admit.Fits(spec, tb.offers)
+	return admit.Fits(spec, tb.workerOffers)
 }
 
-// offers tells of the failure domain and the offered size of each worker that is known.
-func (tb *Table) offers(yield func(string, resource.Size) bool) {
+// workerOffers yields the failure domain and the offered capacity of each known worker.
+func (tb *Table) workerOffers(yield func(string, resource.Size) bool) {
 	for _, w := range tb.workers {
 		if !yield(w.record.Domain, w.offered) {
 			return
@@ -97,13 +97,13 @@
 	}
 }
 
-// Cancel ends a job's queued tasks at once and has the others stopped.
+// Cancel ends a job's queued tasks immediately and marks its other tasks to be stopped.
 func (tb *Table) Cancel(id, operator string) *wire.JobResult {
 	j := tb.jobs[id]
 	if j == nil {
 		return Refused(configuration.Clip(id, configuration.MaxNameBytes), "there is no such job, or it ended long ago")
 	}
-	if j.open == 0 {
+	if j.unfinished == 0 {
 		return Refused(j.Id, "the job has ended")
 	}
 	j.cancelled = true
@@ -118,17 +118,17 @@
 	t := j.tasks[at]
 	switch {
 	case task.Queued(t):
-		tb.end(j, at, task.Cancelled(t), reason)
+		tb.endTask(j, at, task.Cancelled(t), reason)
 	case task.Held(t):
 		next := task.Clone(t)
 		next.State = wire.TaskState_TASK_STATE_STOPPING
 		next.Cancelled = true
 		next.Reason = reason
-		tb.replace(j, at, next)
+		tb.replaceTask(j, at, next)
 	}
 }
 
-// Refused returns the answer to a request on jobs that had no effect.
+// Refused returns the result of a refused request on jobs.
 func Refused(id, reason string) *wire.JobResult {
 	return &wire.JobResult{Outcome: wire.Outcome_OUTCOME_REFUSED, Reason: configuration.Clip(reason, MaxReasonBytes), Job: id}
 }
--- a/job/read.go
+++ b/job/read.go
@@ -9,7 +9,7 @@
 	"daisyswitch/wire"
 )
 
-// Record returns a job with its tasks, nil if it is unknown or ended too long ago.
+// Record returns a job with its tasks, nil if it is unknown or no longer kept after its end.
 func (tb *Table) Record(id string) *wire.JobRecord {
 	j := tb.jobs[id]
 	if j == nil {
@@ -27,7 +27,7 @@
 	return w.record
 }
 
-// OnWorker returns the tasks committed to a worker, in order of job and index.
+// OnWorker returns the tasks committed to a worker, ordered by job and index.
 func (tb *Table) OnWorker(name string) []Held {
 	w := tb.workers[name]
 	if w == nil {
@@ -42,7 +42,7 @@
 
 // Each calls f for every task of the jobs that have not ended, in order of submission and index.
 func (tb *Table) Each(f func(*wire.Job, *wire.Task)) {
-	for _, j := range tb.open() {
+	for _, j := range tb.unfinished() {
 		for _, t := range j.tasks {
 			f(j.Job, t)
 		}
@@ -61,7 +61,7 @@
 	return tb.tallies.Records()
 }
 
-// Totals counts everything that status shows.
+// Totals counts what the status shows.
 func (tb *Table) Totals() tally.Totals {
 	var t tally.Totals
 	for _, w := range tb.workers {
@@ -73,26 +73,26 @@
 		t.Capacity = t.Capacity.Add(w.capacity)
 		t.Committed = t.Committed.Add(w.committed)
 	}
-	for _, c := range tb.o.Configuration().Classes {
+	for _, c := range tb.options.Configuration().Classes {
 		t.Classes = append(t.Classes, tb.classTotals(c.Name))
 	}
 	return t
 }
 
 func (tb *Table) classTotals(class string) tally.ClassTotals {
-	t := tally.ClassTotals{Class: class}
+	totals := tally.ClassTotals{Class: class}
 	for _, j := range tb.jobs {
-		if j.Class != class || j.open == 0 {
+		if j.Class != class || j.unfinished == 0 {
 			continue
 		}
-		for _, one := range j.tasks {
+		for _, item := range j.tasks {
 			switch {
-			case task.Queued(one):
-				t.Queued++
-			case task.Held(one):
-				t.Running++
+			case task.Queued(item):
+				totals.Queued++
+			case task.Held(item):
+				totals.Running++
 			}
 		}
 	}
-	return t
+	return totals
 }
--- a/job/snapshot.go
+++ b/job/snapshot.go
@@ -12,13 +12,13 @@
 	"daisyswitch/wire"
 )
 
-// Fill puts jobs, workers and tallies into a snapshot; what it points to is never altered.
+// Fill adds jobs, workers and tallies to a snapshot. The objects that the snapshot points to must not be modified.
 func (tb *Table) Fill(s *wire.State) {
 	s.NextJob = tb.nextJob
-	for _, j := range tb.open() {
+	for _, j := range tb.unfinished() {
 		s.Jobs = append(s.Jobs, j.record())
 	}
-	for _, j := range tb.ended {
+	for _, j := range tb.endedJobs {
 		s.Jobs = append(s.Jobs, j.record())
 	}
 	for _, name := range slices.Sorted(maps.Keys(tb.workers)) {
@@ -26,37 +26,37 @@
 			s.Workers = append(s.Workers, w.record)
 		}
 	}
-	for _, name := range tb.gone {
+	for _, name := range tb.goneWorkers {
 		s.Workers = append(s.Workers, tb.workers[name].record)
 	}
 	s.Tallies = tb.tallies.Records()
 }
 
-// open returns the jobs that have not ended in order of submission.
-func (tb *Table) open() []*job {
-	var open []*job
+// unfinished returns the jobs that have not ended, in order of submission.
+func (tb *Table) unfinished() []*job {
+	var unfinished []*job
 	for _, j := range tb.jobs {
-		if j.open > 0 {
-			open = append(open, j)
+		if j.unfinished > 0 {
+			unfinished = append(unfinished, j)
 		}
 	}
-	slices.SortFunc(open, func(a, b *job) int { return cmp.Compare(a.number, b.number) })
-	return open
+	slices.SortFunc(unfinished, func(a, b *job) int { return cmp.Compare(a.number, b.number) })
+	return unfinished
 }
 
 func (j *job) record() *wire.JobRecord {
 	return &wire.JobRecord{Job: j.Job, Tasks: slices.Clone(j.tasks), Cancelled: j.cancelled, SubmittedMs: j.submitted}
 }
 
-// TellAll tells of all workers and of the tasks of all jobs that have not ended.
+// TellAll calls the callbacks for all workers and for the tasks of all jobs that have not ended.
 func (tb *Table) TellAll() {
 	for _, name := range slices.Sorted(maps.Keys(tb.workers)) {
-		tb.o.WorkerChanged(tb.workers[name].record)
+		tb.options.WorkerChanged(tb.workers[name].record)
 	}
-	tb.Each(tb.o.TaskChanged)
+	tb.Each(tb.options.TaskChanged)
 }
 
-// Load fills an empty table from a snapshot, or says why the snapshot makes no sense.
+// Load fills an empty table from a snapshot, or returns why the snapshot is inconsistent.
 func (tb *Table) Load(s *wire.State) error {
 	tb.nextJob = s.NextJob
 	tb.tallies.Restore(s.Tallies)
@@ -68,7 +68,7 @@
 			return err
 		}
 	}
-	return tb.checkLoaded()
+	return tb.checkCommitments()
 }
 
 func (tb *Table) loadWorker(r *wire.WorkerRecord) {
@@ -78,7 +78,7 @@
 	}
 	tb.workers[r.Name] = w
 	if r.Gone {
-		tb.gone = append(tb.gone, r.Name)
+		tb.goneWorkers = append(tb.goneWorkers, r.Name)
 	}
 }
 
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	class := configuration.Class(tb.o.Configuration().Classes, r.Job.Class)
+	class := configuration.Class(tb.options.Configuration().Classes, r.Job.Class)
 	j := &job{
 		Job: r.Job, number: number, tasks: slices.Clone(r.Tasks), cancelled: r.Cancelled, submitted: r.SubmittedMs,
 		service: class.GetKind() == wire.ClassKind_CLASS_KIND_SERVICE,
@@ -98,9 +98,9 @@
 			return err
 		}
 	}
-	tb.live += j.open
-	if j.open == 0 {
-		tb.ended = append(tb.ended, j)
+	tb.unfinishedTasks += j.unfinished
+	if j.unfinished == 0 {
+		tb.endedJobs = append(tb.endedJobs, j)
 		tb.endedTasks += len(j.tasks)
 		return nil
 	}
@@ -114,22 +114,22 @@
 	case task.Held(t):
 		w := tb.workers[t.Worker]
 		if w == nil {
-			return fmt.Errorf("task %s/%d is held by the unknown worker %q", t.Job, t.Index, t.Worker)
+			return fmt.Errorf("task %s/%d is committed to the unknown worker %q", t.Job, t.Index, t.Worker)
 		}
 		w.hold(j, t)
-		j.open++
+		j.unfinished++
 	case task.Queued(t):
-		j.open++
+		j.unfinished++
 	case t.State == wire.TaskState_TASK_STATE_LOST:
 		j.lost++
 	}
 	return nil
 }
 
-func (tb *Table) checkLoaded() error {
+func (tb *Table) checkCommitments() error {
 	for name, w := range tb.workers {
 		if !w.committed.Fits(w.capacity) {
-			return fmt.Errorf("worker %s is committed beyond its capacity", name)
+			return fmt.Errorf("worker %s: the resources committed to it exceed its capacity", name)
 		}
 	}
 	return nil
--- a/job/table.go
+++ b/job/table.go
@@ -6,56 +6,56 @@
 	"daisyswitch/wire"
 )
 
-// Bounds of the table.
+// Limits of the table.
 const (
-	MaxLiveTasks   = 500_000 // tasks that have not ended, over all jobs
-	KeepEndedJobs  = 1000    // jobs shown after their end
-	KeepEndedTasks = 50_000  // tasks of those jobs
-	KeepLost       = 32      // lost replicas shown per job
-	KeepGone       = 256     // workers shown after they left or were lost
+	MaxLiveTasks   = 500_000 // tasks of all jobs that have not ended
+	KeepEndedJobs  = 1000    // ended jobs that are kept
+	KeepEndedTasks = 50_000  // tasks of the ended jobs that are kept
+	KeepLost       = 32      // lost replicas kept per job
+	KeepGone       = 256     // workers kept after they left or were lost
 	MaxReasonBytes = 512
 )
 
-// Failures after which a task has failed for good.
+// Number of failures after which a task fails permanently.
 const (
 	BatchFailures   = 8
 	ServiceFailures = 64
 )
 
-// Options is what the table asks of the rest of the state and whom it tells of transitions; none may be nil.
+// Options holds the functions that the table calls to read the configuration and to report state changes. None may be nil.
 type Options struct {
 	Configuration func() *wire.Configuration
-	MeetDomain    func(domain, worker string) // a worker announced a failure domain
+	MeetDomain    func(domain, worker string) // called for the failure domain of each announced worker
 	TaskChanged   func(*wire.Job, *wire.Task)
 	WorkerChanged func(*wire.WorkerRecord)
 }
 
-// Table holds jobs, tasks and workers; it has no lock of its own.
+// Table holds jobs, tasks and workers. Its caller must serialize access to it.
 type Table struct {
-	o          Options
-	now        int64 // time of the command in progress, Unix milliseconds
-	jobs       map[string]*job
-	nextJob    uint64
-	live       int            // tasks not ended
-	classJobs  map[string]int // jobs not ended, by class
-	teamJobs   map[string]int // jobs not ended, by team
-	ended      []*job         // in order of their end
-	endedTasks int
-	workers    map[string]*worker
-	gone       []string // names of workers gone, longest ago first
-	tallies    *tally.Table
+	options         Options
+	commandTime     int64 // time of the command being applied, Unix milliseconds
+	jobs            map[string]*job
+	nextJob         uint64
+	unfinishedTasks int            // tasks that have not ended
+	classJobs       map[string]int // jobs that have not ended, by class
+	teamJobs        map[string]int // jobs that have not ended, by team
+	endedJobs       []*job         // in the order in which they ended
+	endedTasks      int
+	workers         map[string]*worker
+	goneWorkers     []string // names of the workers that left or were lost, the earliest first
+	tallies         *tally.Table
 }
 
 // New returns an empty table.
-func New(o Options) *Table {
+func New(options Options) *Table {
 	return &Table{
-		o: o, jobs: map[string]*job{}, nextJob: 1, classJobs: map[string]int{}, teamJobs: map[string]int{},
+		options: options, jobs: map[string]*job{}, nextJob: 1, classJobs: map[string]int{}, teamJobs: map[string]int{},
 		workers: map[string]*worker{}, tallies: tally.New(),
 	}
 }
 
-// SetTime sets the time that the next transitions bear.
-func (tb *Table) SetTime(ms int64) { tb.now = ms }
+// SetTime sets the time that is recorded with the next state changes.
+func (tb *Table) SetTime(ms int64) { tb.commandTime = ms }
 
 // ClassUsers returns how many jobs of a class have not ended.
 func (tb *Table) ClassUsers(class string) int { return tb.classJobs[class] }
@@ -63,9 +63,9 @@
 // TeamUsers returns how many jobs of a team have not ended.
 func (tb *Table) TeamUsers(team string) int { return tb.teamJobs[team] }
 
-// DropTallies forgets the counts of classes that were removed.
+// DropTallies removes the counts of classes that are no longer configured.
 func (tb *Table) DropTallies() {
 	tb.tallies.Keep(func(class string) bool {
-		return configuration.Class(tb.o.Configuration().Classes, class) != nil
+		return configuration.Class(tb.options.Configuration().Classes, class) != nil
 	})
 }
--- a/state/answers_test.go
+++ b/state/answers_test.go
@@ -17,12 +17,12 @@
 	}}
 }
 
-func (r *run) change(c *wire.Change) *wire.ChangeResult {
+func (r *checkedMachine) change(c *wire.Change) *wire.ChangeResult {
 	return r.apply(&wire.Command{Change: proto.CloneOf(c)}).Change
 }
 
 func TestOneOfTwoOperatorsWins(t *testing.T) {
-	r := newRun()
+	r := newCheckedMachine()
 	won, lost := putClass("ana", 7, 1, 100), putClass("bea", 7, 1, 200)
 	first := r.change(won)
 	assert.Equal(t, first.Outcome, wire.Outcome_OUTCOME_ACCEPTED)
@@ -38,9 +38,10 @@
 	assert.Equal(t, r.Configuration().Classes[0].TargetP99Us, int64(300))
 }
 
-// TestAnnouncedDomainTakesNothingFromOperators has a worker of a new domain announce itself between an operator's read and change.
+// TestAnnouncedDomainTakesNothingFromOperators announces a worker in a new domain between an operator's read and its change.
+// The announcement increases the version, which must not make the change conflict.
 func TestAnnouncedDomainTakesNothingFromOperators(t *testing.T) {
-	r := newRun()
+	r := newCheckedMachine()
 	r.change(putClass("ana", 1, 1, 100))
 	r.apply(&wire.Command{Workers: []*wire.WorkerRecord{{Name: "new", Domain: "far", Rack: "r", Incarnation: "i", Capacity: &wire.Size{MilliCpu: 1}}}})
 	assert.Equal(t, r.Configuration().Version, uint64(3))
@@ -50,7 +51,7 @@
 }
 
 func TestTwoPeopleUnderOneNameAndNumber(t *testing.T) {
-	r := newRun()
+	r := newCheckedMachine()
 	r.change(putClass("ops", 1, 1, 100))
 	second := r.change(putClass("ops", 1, 2, 200))
 	assert.Equal(t, second.Outcome, wire.Outcome_OUTCOME_CONFLICT)
@@ -63,7 +64,7 @@
 }
 
 func TestConflictTellsOfTheLastChangeWhenAuditIsFolded(t *testing.T) {
-	r := &run{Machine: state.New(state.Options{AuditKeep: 2})}
+	r := &checkedMachine{Machine: state.New(state.Options{AuditKeep: 2})}
 	r.change(putClass("ana", 1, 1, 100))
 	for n := uint64(1); n < 9; n++ {
 		r.change(&wire.Change{Operator: "bea", Sequence: n, BaseVersion: 2, Operation: &wire.Change_RemoveTeam{RemoveTeam: "none"}})
@@ -76,8 +77,8 @@
 }
 
 func TestNumbersBelowTheKeptRangeAreNeverExecuted(t *testing.T) {
-	r := &run{Machine: state.New(state.Options{AnswersKeep: 3})}
-	for _, c := range setting() {
+	r := &checkedMachine{Machine: state.New(state.Options{AnswersKeep: 3})}
+	for _, c := range setupCommands() {
 		r.apply(c)
 	}
 	submit := func(n uint64) *wire.JobResult {
@@ -124,8 +125,8 @@
 		"change without a number":  {Operator: "nobody", Operation: &wire.Change_RemoveTeam{RemoveTeam: "oak"}},
 		"change without a person ": {Operator: " ", Operation: &wire.Change_RemoveTeam{RemoveTeam: "oak"}},
 	}
-	r := newRun()
-	for _, c := range setting() {
+	r := newCheckedMachine()
+	for _, c := range setupCommands() {
 		r.apply(c)
 	}
 	r.submit(t, "lots", 1)
@@ -143,8 +144,8 @@
 	}
 }
 
-// submit takes a job of tasks of one core in and returns its id.
-func (r *run) submit(t *testing.T, class string, tasks int32) string {
+// submit submits a job with tasks of one core each and returns its ID.
+func (r *checkedMachine) submit(t *testing.T, class string, tasks int32) string {
 	result := r.apply(&wire.Command{Submit: &wire.SubmitJob{Job: &wire.Job{
 		Class: class, Team: "oak", Program: "p", Size: &wire.Size{MilliCpu: 1000, MemoryMib: 1}, Tasks: tasks,
 	}}}).Job
--- a/state/bench_test.go
+++ b/state/bench_test.go
@@ -14,13 +14,13 @@
 const (
 	benchWorkers = 1700
 	benchTasks   = 35100
-	startsTarget = 1100 // starts a second at peak
+	startsTarget = 1100 // starts per second at peak load
 )
 
-// busy returns a state with the size of the two-year target: every task runs.
-func busy(b *testing.B) *run {
-	r := &run{Machine: state.New(state.Options{})}
-	for _, c := range setting()[:3] {
+// newBusyMachine returns a state of the size expected in two years, in which every task is committed to a worker.
+func newBusyMachine(b *testing.B) *checkedMachine {
+	r := &checkedMachine{Machine: state.New(state.Options{})}
+	for _, c := range setupCommands()[:3] {
 		r.apply(c)
 	}
 	workers := &wire.Command{}
@@ -31,7 +31,7 @@
 	}
 	r.apply(workers)
 	for n := range benchTasks / 100 {
-		id := r.take(b, 100)
+		id := r.submitTasks(b, 100)
 		for i := range int32(100) {
 			r.apply(&wire.Command{Starts: []*wire.Start{benchStart(id, i, (n*100+int(i))%benchWorkers)}})
 		}
@@ -39,7 +39,7 @@
 	return r
 }
 
-func (r *run) take(b *testing.B, tasks int32) string {
+func (r *checkedMachine) submitTasks(b *testing.B, tasks int32) string {
 	result := r.apply(&wire.Command{Submit: &wire.SubmitJob{Job: &wire.Job{
 		Class: "lots", Team: "oak", Program: "valuation", Size: &wire.Size{MilliCpu: 1000, MemoryMib: 1}, Tasks: tasks,
 	}}}).Job
@@ -53,14 +53,14 @@
 	return &wire.Start{Job: id, Index: index, Attempt: 1, Worker: fmt.Sprintf("worker-%04d", worker), Size: &wire.Size{MilliCpu: 1000, MemoryMib: 1}}
 }
 
-// BenchmarkTask is a task's way from its start over running to done, as three records of 100 each.
+// BenchmarkTask measures a task from its start through running to done, as three commands for 100 tasks each.
 func BenchmarkTask(b *testing.B) {
-	r := busy(b)
+	r := newBusyMachine(b)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for n := 0; n < b.N; n += 100 {
 		b.StopTimer()
-		id := r.take(b, 100)
+		id := r.submitTasks(b, 100)
 		starts, runs, ends := &wire.Command{}, &wire.Command{}, &wire.Command{}
 		for i := range int32(100) {
 			starts.Starts = append(starts.Starts, benchStart(id, i, (n+int(i)*7)%benchWorkers))
@@ -76,9 +76,9 @@
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)*startsTarget/1e7, "%core/1100starts")
 }
 
-// BenchmarkSnapshot takes, encodes and restores the busy state.
+// BenchmarkSnapshot measures taking, encoding and restoring a snapshot of the busy state.
 func BenchmarkSnapshot(b *testing.B) {
-	r := busy(b)
+	r := newBusyMachine(b)
 	var data []byte
 	b.Run("take", func(b *testing.B) {
 		for range b.N {
@@ -104,13 +104,13 @@
 	})
 }
 
-// BenchmarkMemory measures what a running task takes, workers included.
+// BenchmarkMemory measures the memory per running task, including its share of the workers.
 func BenchmarkMemory(b *testing.B) {
 	for range b.N {
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		r := busy(b)
+		r := newBusyMachine(b)
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/benchTasks, "bytes/task")
@@ -118,12 +118,12 @@
 	}
 }
 
-// BenchmarkCancelWave cancels a job of 10,000 queued tasks beside the busy state.
+// BenchmarkCancelWave measures the cancellation of a job of 10,000 queued tasks in the busy state.
 func BenchmarkCancelWave(b *testing.B) {
-	r := busy(b)
+	r := newBusyMachine(b)
 	for range b.N {
 		b.StopTimer()
-		id := r.take(b, 10000)
+		id := r.submitTasks(b, 10000)
 		b.StartTimer()
 		r.apply(&wire.Command{Cancel: &wire.CancelJob{Job: id}})
 	}
--- a/state/change.go
+++ b/state/change.go
@@ -9,10 +9,10 @@
 	"daisyswitch/wire"
 )
 
-// change answers an operator's change: the first answer again for a resend, else by the version that it was made from.
-func (m *Machine) change(c *wire.Change) *wire.ChangeResult {
+// applyChange answers an operator's change. A resend gets the first answer again. Any other change is accepted only if it is based on the current version.
+func (m *Machine) applyChange(c *wire.Change) *wire.ChangeResult {
 	text := configuration.Describe(m.configuration, c)
-	if err := checkIdentity(c.Operator, c.Sequence); err != nil {
+	if err := checkRequestID(c.Operator, c.Sequence); err != nil {
 		return m.refuse(c, text, err.Error())
 	}
 	digest := changeDigest(c, text)
@@ -21,16 +21,16 @@
 	case answer.Repeat:
 		return first.Change
 	case answer.Reused:
-		return m.reused(c, text, first)
+		return m.conflictReused(c, text, first)
 	case answer.TooOld, answer.Crowded:
 		return m.refuse(c, text, findingReason(finding))
 	}
-	result := m.decide(c, text)
+	result := m.applyIfCurrent(c, text)
 	m.answers.Add(&wire.AnswerRecord{Operator: c.Operator, Sequence: c.Sequence, Digest: digest, Change: result})
 	return result
 }
 
-func (m *Machine) decide(c *wire.Change, text configuration.Description) *wire.ChangeResult {
+func (m *Machine) applyIfCurrent(c *wire.Change, text configuration.Description) *wire.ChangeResult {
 	if !m.isCurrent(c.BaseVersion) {
 		reason := fmt.Sprintf("made from version %d, but the version is %d", c.BaseVersion, m.configuration.Version)
 		return m.conflict(c, text, reason, m.audit.Last())
@@ -39,21 +39,22 @@
 	if err != nil {
 		return m.refuse(c, text, err.Error())
 	}
-	m.configure(next)
+	m.setConfiguration(next)
 	m.jobs.DropTallies()
 	record := m.record(c, text, wire.Outcome_OUTCOME_ACCEPTED, "")
 	return &wire.ChangeResult{Outcome: wire.Outcome_OUTCOME_ACCEPTED, Version: next.Version, Winner: record}
 }
 
-// isCurrent reports whether no operator's change has come after a version; a domain that a worker announced since then takes nothing from anyone.
+// isCurrent reports whether no operator has changed the configuration since version base.
+// A domain added by a worker's announcement increases the version but conflicts with no operator's change.
 func (m *Machine) isCurrent(base uint64) bool {
 	changed := max(m.audit.Last().GetVersion(), firstVersion)
 	return changed <= base && base <= m.configuration.Version
 }
 
-func (m *Machine) configure(next *wire.Configuration) {
+func (m *Machine) setConfiguration(next *wire.Configuration) {
 	m.configuration = next
-	m.o.ConfigurationChanged(next)
+	m.options.ConfigurationChanged(next)
 }
 
 func (m *Machine) refuse(c *wire.Change, text configuration.Description, reason string) *wire.ChangeResult {
@@ -67,8 +68,8 @@
 	return &wire.ChangeResult{Outcome: wire.Outcome_OUTCOME_CONFLICT, Version: m.configuration.Version, Reason: reason, Winner: winner}
 }
 
-// reused answers a change under a sequence number that another request of that operator has had.
-func (m *Machine) reused(c *wire.Change, text configuration.Description, first *wire.AnswerRecord) *wire.ChangeResult {
+// conflictReused answers a change whose sequence number the operator has already used for another request.
+func (m *Machine) conflictReused(c *wire.Change, text configuration.Description, first *wire.AnswerRecord) *wire.ChangeResult {
 	reason := fmt.Sprintf("sequence %d of operator %s was used for another request", c.Sequence, c.Operator)
 	return m.conflict(c, text, reason, first.Change.GetWinner())
 }
@@ -76,7 +77,7 @@
 // record adds a change to the audit trail.
 func (m *Machine) record(c *wire.Change, text configuration.Description, outcome wire.Outcome, reason string) *wire.AuditRecord {
 	r := &wire.AuditRecord{
-		Index: m.index, TimeMs: m.now, Operator: configuration.Clip(c.Operator, configuration.MaxNameBytes), Sequence: c.Sequence,
+		Index: m.index, TimeMs: m.commandTime, Operator: configuration.Clip(c.Operator, configuration.MaxNameBytes), Sequence: c.Sequence,
 		Action: configuration.Clip(text.Action, MaxAuditBytes), Before: text.Before, After: configuration.Clip(text.After, MaxAuditBytes),
 		Version: m.configuration.Version, Outcome: outcome, Reason: reason,
 	}
@@ -84,8 +85,8 @@
 	return r
 }
 
-// meetDomain makes a failure domain known that a worker announced.
-func (m *Machine) meetDomain(name, worker string) {
+// addAnnouncedDomain adds a failure domain that a worker announced, unless it is already configured.
+func (m *Machine) addAnnouncedDomain(name, worker string) {
 	if configuration.Domain(m.configuration.Domains, name) != nil {
 		return
 	}
@@ -98,11 +99,11 @@
 		return
 	}
 	text := configuration.Describe(m.configuration, c)
-	m.configure(next)
+	m.setConfiguration(next)
 	m.record(c, text, wire.Outcome_OUTCOME_ACCEPTED, "announced by worker "+worker)
 }
 
-func checkIdentity(operator string, sequence uint64) error {
+func checkRequestID(operator string, sequence uint64) error {
 	if err := configuration.CheckName(operator); err != nil {
 		return fmt.Errorf("operator: %w", err)
 	}
@@ -119,7 +120,7 @@
 	return "too many operators are known to remember another"
 }
 
-// changeDigest tells a resend from another change under the same number.
+// changeDigest distinguishes a resend from another change with the same sequence number.
 func changeDigest(c *wire.Change, text configuration.Description) []byte {
 	sum := sha256.Sum256(fmt.Appendf(nil, "change %d %q %q", c.BaseVersion, text.Action, text.After))
 	return sum[:]
--- a/state/history_test.go
+++ b/state/history_test.go
@@ -22,22 +22,22 @@
 }
 
 type response struct {
-	known   bool // an answer reached the operator
-	outcome wire.Outcome
-	version uint64
+	received bool // an answer reached the operator
+	outcome  wire.Outcome
+	version  uint64
 }
 
-// believed is what operators may rely on: one version, and the first answer of each request.
-type believed struct {
+// modelState is what operators may rely on: a single version, and the first answer to each request.
+type modelState struct {
 	version uint64
 	first   map[request]response
 }
 
 var operators = porcupine.Model{
-	Init: func() any { return believed{version: 1} },
+	Init: func() any { return modelState{version: 1} },
 	Step: func(s, in, out any) (bool, any) {
-		b, q, a := s.(believed), in.(request), out.(response)
-		want := b.answer(q)
+		b, q, a := s.(modelState), in.(request), out.(response)
+		want := b.expected(q)
 		if want.outcome == wire.Outcome_OUTCOME_ACCEPTED && b.first[q] == (response{}) {
 			b.version++
 		}
@@ -45,26 +45,26 @@
 		if b.first == nil {
 			b.first = map[request]response{}
 		}
-		if b.taken(q) == (request{}) {
+		if b.firstUse(q) == (request{}) {
 			b.first[q] = want
 		}
-		return !a.known || a == want, b
+		return !a.received || a == want, b
 	},
 	Equal: reflect.DeepEqual,
 }
 
-func (b believed) answer(q request) response {
-	if first, again := b.first[q]; again {
+func (b modelState) expected(q request) response {
+	if first, repeated := b.first[q]; repeated {
 		return first
 	}
-	if q.base != b.version || b.taken(q) != (request{}) {
+	if q.base != b.version || b.firstUse(q) != (request{}) {
 		return response{true, wire.Outcome_OUTCOME_CONFLICT, b.version}
 	}
 	return response{true, wire.Outcome_OUTCOME_ACCEPTED, b.version + 1}
 }
 
-// taken returns the request that has had q's operator and number.
-func (b believed) taken(q request) request {
+// firstUse returns the request that first used q's operator and sequence number, or the zero request.
+func (b modelState) firstUse(q request) request {
 	for first := range b.first {
 		if first.operator == q.operator && first.sequence == q.sequence {
 			return first
@@ -73,8 +73,8 @@
 	return request{}
 }
 
-// race lets operators send, lose answers and resend over a log whose leader changes and whose replicas restart from snapshots.
-func race(rng *rand.Rand) []porcupine.Operation {
+// simulateRace lets operators send, lose answers and resend over a log whose leader changes and whose replicas restart from snapshots.
+func simulateRace(rng *rand.Rand) []porcupine.Operation {
 	machines := []*state.Machine{state.New(state.Options{}), state.New(state.Options{})}
 	var log []*wire.Command
 	leader, clock, version := 0, int64(0), uint64(1)
@@ -83,7 +83,7 @@
 		if rng.IntN(4) == 0 {
 			leader = 1 - leader
 		}
-		if rng.IntN(4) == 0 { // the other replica's disk has only a snapshot
+		if rng.IntN(4) == 0 { // the other replica restarts from a snapshot
 			machines[1-leader] = state.New(state.Options{})
 			if err := machines[1-leader].Restore(proto.CloneOf(machines[leader].Snapshot())); err != nil {
 				panic(err)
@@ -100,7 +100,7 @@
 	var sent []request
 	for range 60 {
 		clock++
-		if len(sent) > 0 && rng.IntN(6) == 0 { // an old copy arrives
+		if len(sent) > 0 && rng.IntN(6) == 0 { // a delayed duplicate arrives
 			deliver(sent[rng.IntN(len(sent))])
 		}
 		client := rng.IntN(4)
@@ -111,11 +111,11 @@
 			open[client] = &porcupine.Operation{ClientId: client, Input: q, Call: clock}
 			continue
 		}
-		if rng.IntN(3) == 0 { // lost on its way
+		if rng.IntN(3) == 0 { // the request is lost
 			continue
 		}
 		result := deliver(o.Input.(request))
-		if rng.IntN(3) == 0 { // the answer is lost, and the operator sends again later
+		if rng.IntN(3) == 0 { // the answer is lost; the operator resends later
 			continue
 		}
 		clock++
@@ -131,10 +131,10 @@
 	return operations
 }
 
-// TestRacingOperatorsSeeOneOrder holds promise 2 of the configuration.
+// TestRacingOperatorsSeeOneOrder checks promise 2 of the configuration: requests and answers of concurrent operators are linearizable.
 func TestRacingOperatorsSeeOneOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		history := race(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
+		history := simulateRace(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
 		assert.Assert(t, porcupine.CheckOperations(operators, history), "%v", history)
 	})
 }
--- a/state/jobs_test.go
+++ b/state/jobs_test.go
@@ -23,28 +23,28 @@
 	stopping   = wire.TaskEventKind_TASK_EVENT_KIND_STOPPING
 )
 
-func ready(t *testing.T) *run {
-	r := newRun()
-	for _, c := range setting() {
+func newReadyMachine(t *testing.T) *checkedMachine {
+	r := newCheckedMachine()
+	for _, c := range setupCommands() {
 		r.apply(c)
 	}
 	assert.Equal(t, len(r.Configuration().Domains), 2)
 	return r
 }
 
-func (r *run) start(id string, index int32, attempt uint32, worker string) bool {
+func (r *checkedMachine) start(id string, index int32, attempt uint32, worker string) bool {
 	return r.apply(&wire.Command{Starts: []*wire.Start{{
 		Job: id, Index: index, Attempt: attempt, Worker: worker, Size: &wire.Size{MilliCpu: 1000, MemoryMib: 1},
 	}}}).Starts[0]
 }
 
-func (r *run) tell(id string, index int32, attempt uint32, kind wire.TaskEventKind, sequence uint64, data string) bool {
+func (r *checkedMachine) applyEvent(id string, index int32, attempt uint32, kind wire.TaskEventKind, sequence uint64, data string) bool {
 	return r.apply(&wire.Command{Events: []*wire.TaskEvent{{
 		Task: &wire.TaskRef{Job: id, Index: index, Attempt: attempt}, Kind: kind, Checkpoint: sequence, CheckpointData: []byte(data), Reason: "told",
 	}}}).Events[0]
 }
 
-func (r *run) states(id string) []wire.TaskState {
+func (r *checkedMachine) states(id string) []wire.TaskState {
 	var all []wire.TaskState
 	for _, task := range r.Job(id).Tasks {
 		all = append(all, task.State)
@@ -53,42 +53,42 @@
 }
 
 func TestResumeFromTheLastAcceptedCheckpoint(t *testing.T) {
-	r := ready(t)
+	r := newReadyMachine(t)
 	id := r.submit(t, "lots", 1)
 	assert.Assert(t, r.start(id, 0, 1, "w1"))
-	assert.Assert(t, r.tell(id, 0, 1, running, 0, ""))
-	assert.Assert(t, r.tell(id, 0, 1, checkpoint, 2, "two"))
-	assert.Assert(t, !r.tell(id, 0, 1, checkpoint, 2, "again"), "equal sequence")
-	assert.Assert(t, !r.tell(id, 0, 1, checkpoint, 1, "one"), "older sequence")
-	assert.Assert(t, r.tell(id, 0, 1, stopping, 0, ""))
-	assert.Assert(t, r.tell(id, 0, 1, stopped, 3, "three"))
+	assert.Assert(t, r.applyEvent(id, 0, 1, running, 0, ""))
+	assert.Assert(t, r.applyEvent(id, 0, 1, checkpoint, 2, "two"))
+	assert.Assert(t, !r.applyEvent(id, 0, 1, checkpoint, 2, "again"), "checkpoint with the same sequence number")
+	assert.Assert(t, !r.applyEvent(id, 0, 1, checkpoint, 1, "one"), "checkpoint with an older sequence number")
+	assert.Assert(t, r.applyEvent(id, 0, 1, stopping, 0, ""))
+	assert.Assert(t, r.applyEvent(id, 0, 1, stopped, 3, "three"))
 	assert.DeepEqual(t, r.states(id), []wire.TaskState{wire.TaskState_TASK_STATE_CHECKPOINTED})
-	assert.Assert(t, !r.start(id, 0, 1, "w2"), "same attempt")
+	assert.Assert(t, !r.start(id, 0, 1, "w2"), "start with the same attempt number")
 	assert.Assert(t, r.start(id, 0, 2, "w2"))
 	assert.Assert(t, !r.start(id, 0, 3, "w1"), "twice")
-	assert.Assert(t, !r.tell(id, 0, 1, checkpoint, 9, "late"), "older attempt")
-	assert.Assert(t, !r.tell(id, 0, 1, done, 0, ""), "older attempt")
+	assert.Assert(t, !r.applyEvent(id, 0, 1, checkpoint, 9, "late"), "event of an older attempt")
+	assert.Assert(t, !r.applyEvent(id, 0, 1, done, 0, ""), "event of an older attempt")
 	task := r.OnWorker("w2")[0].Task
 	assert.Equal(t, string(task.CheckpointData), "three")
 	assert.Equal(t, task.Evictions, uint32(1))
-	assert.Assert(t, r.tell(id, 0, 2, workerLost, 0, ""))
+	assert.Assert(t, r.applyEvent(id, 0, 2, workerLost, 0, ""))
 	assert.Equal(t, r.Job(id).Tasks[0].Checkpoint, uint64(3))
 }
 
 func TestEndToldLateCountsUntilTheTaskStartsAgain(t *testing.T) {
-	r := ready(t)
+	r := newReadyMachine(t)
 	id := r.submit(t, "lots", 3)
 	for index := range int32(3) {
 		assert.Assert(t, r.start(id, index, 1, "w1"))
-		assert.Assert(t, r.tell(id, index, 1, running, 0, ""))
-		assert.Assert(t, r.tell(id, index, 1, workerLost, 0, ""))
+		assert.Assert(t, r.applyEvent(id, index, 1, running, 0, ""))
+		assert.Assert(t, r.applyEvent(id, index, 1, workerLost, 0, ""))
 	}
-	assert.Assert(t, r.tell(id, 0, 1, done, 0, ""))
-	assert.Assert(t, !r.start(id, 0, 2, "w1"), "its effect would happen twice")
-	assert.Assert(t, r.tell(id, 1, 1, stopped, 4, "four"))
-	assert.Assert(t, !r.tell(id, 1, 1, stopped, 4, "again"))
+	assert.Assert(t, r.applyEvent(id, 0, 1, done, 0, ""))
+	assert.Assert(t, !r.start(id, 0, 2, "w1"), "start of a task that is done")
+	assert.Assert(t, r.applyEvent(id, 1, 1, stopped, 4, "four"))
+	assert.Assert(t, !r.applyEvent(id, 1, 1, stopped, 4, "again"))
 	assert.Assert(t, r.start(id, 2, 2, "w1"))
-	assert.Assert(t, !r.tell(id, 2, 1, done, 0, ""), "started again")
+	assert.Assert(t, !r.applyEvent(id, 2, 1, done, 0, ""), "event of the attempt before the restart")
 	assert.DeepEqual(t, r.states(id), []wire.TaskState{
 		wire.TaskState_TASK_STATE_DONE, wire.TaskState_TASK_STATE_CHECKPOINTED, wire.TaskState_TASK_STATE_STARTING,
 	})
@@ -96,19 +96,19 @@
 }
 
 func TestCancelTellsWhatRan(t *testing.T) {
-	r := ready(t)
+	r := newReadyMachine(t)
 	id, other := r.submit(t, "lots", 6), r.submit(t, "lots", 1)
 	for i := range int32(4) {
 		assert.Assert(t, r.start(id, i, 1, "w1"))
 	}
-	r.tell(id, 1, 1, running, 0, "")
-	r.tell(id, 2, 1, running, 0, "")
-	r.tell(id, 3, 1, running, 0, "")
-	r.tell(id, 3, 1, stopped, 0, "") // queued again, but it ran
+	r.applyEvent(id, 1, 1, running, 0, "")
+	r.applyEvent(id, 2, 1, running, 0, "")
+	r.applyEvent(id, 3, 1, running, 0, "")
+	r.applyEvent(id, 3, 1, stopped, 0, "") // queued again after it has run
 	assert.Equal(t, r.apply(&wire.Command{Cancel: &wire.CancelJob{Operator: "ana", Sequence: 1, Job: id}}).Job.Outcome, wire.Outcome_OUTCOME_ACCEPTED)
-	r.tell(id, 0, 1, notStarted, 0, "")
-	r.tell(id, 1, 1, stopped, 0, "")
-	r.tell(id, 2, 1, done, 0, "")
+	r.applyEvent(id, 0, 1, notStarted, 0, "")
+	r.applyEvent(id, 1, 1, stopped, 0, "")
+	r.applyEvent(id, 2, 1, done, 0, "")
 	notRun, afterStart := wire.TaskState_TASK_STATE_CANCELLED_NOT_RUN, wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
 	assert.DeepEqual(t, r.states(id), []wire.TaskState{notRun, afterStart, wire.TaskState_TASK_STATE_DONE, afterStart, notRun, notRun})
 	assert.DeepEqual(t, r.states(other), []wire.TaskState{wire.TaskState_TASK_STATE_QUEUED})
@@ -117,7 +117,7 @@
 }
 
 func TestLostServiceReplicaIsReplacedByANewTask(t *testing.T) {
-	r := ready(t)
+	r := newReadyMachine(t)
 	id := r.submit(t, "bids", 2)
 	r.start(id, 0, 1, "w1")
 	r.start(id, 1, 1, "w2")
@@ -125,22 +125,22 @@
 	w.Gone = true
 	r.apply(&wire.Command{Workers: []*wire.WorkerRecord{w}})
 	assert.DeepEqual(t, r.states(id), []wire.TaskState{wire.TaskState_TASK_STATE_LOST, wire.TaskState_TASK_STATE_STARTING, wire.TaskState_TASK_STATE_QUEUED})
-	assert.Assert(t, !r.start(id, 0, 2, "w2"), "a lost replica is never started again")
-	assert.Assert(t, !r.start(id, 2, 1, "w1"), "gone worker")
+	assert.Assert(t, !r.start(id, 0, 2, "w2"), "start of a replica that was lost")
+	assert.Assert(t, !r.start(id, 2, 1, "w1"), "start on a worker that is gone")
 	for attempt := range uint32(100) {
 		r.start(id, 2+int32(attempt), 1, "w2")
-		r.tell(id, 2+int32(attempt), 1, workerLost, 0, "")
+		r.applyEvent(id, 2+int32(attempt), 1, workerLost, 0, "")
 	}
 	assert.Equal(t, len(r.Job(id).Tasks), job.KeepLost+2)
 	assert.Equal(t, r.Totals().Classes[0].Queued, int64(1))
 }
 
 func TestFailuresAreBounded(t *testing.T) {
-	r := ready(t)
+	r := newReadyMachine(t)
 	id := r.submit(t, "lots", 1)
 	for attempt := range uint32(job.BatchFailures) {
 		assert.Assert(t, r.start(id, 0, attempt+1, "w1"))
-		assert.Assert(t, r.tell(id, 0, attempt+1, failed, 0, ""))
+		assert.Assert(t, r.applyEvent(id, 0, attempt+1, failed, 0, ""))
 	}
 	task := r.Job(id).Tasks[0]
 	assert.Equal(t, task.State, wire.TaskState_TASK_STATE_FAILED)
@@ -149,7 +149,7 @@
 }
 
 func TestShrinkingWorkerFollowsWhatIsCommitted(t *testing.T) {
-	r := ready(t)
+	r := newReadyMachine(t)
 	id := r.submit(t, "lots", 4)
 	for i := range int32(4) {
 		r.start(id, i, 1, "w1")
@@ -159,14 +159,14 @@
 	assert.Equal(t, r.Worker("w1").Capacity.MilliCpu, int64(4000))
 	assert.Equal(t, r.Worker("w1").Offered.MilliCpu, int64(2000))
 	for i := range int32(3) {
-		r.tell(id, i, 1, done, 0, "")
+		r.applyEvent(id, i, 1, done, 0, "")
 	}
 	assert.Equal(t, r.Worker("w1").Capacity.MilliCpu, int64(2000))
 	assert.Assert(t, r.Worker("w1").Offered == nil)
 }
 
 func TestJobsThatCanNeverRunAreRefused(t *testing.T) {
-	r := ready(t)
+	r := newReadyMachine(t)
 	cases := map[string]*wire.Job{
 		"unknown class":       {Class: "none"},
 		"unknown team":        {Team: "none"},
@@ -192,11 +192,11 @@
 	out := &wire.Change{Operator: "ana", Sequence: 1, BaseVersion: r.Configuration().Version, Operation: &wire.Change_SetDomain{SetDomain: &wire.Domain{Name: "north", Out: true}}}
 	assert.Equal(t, r.change(out).Outcome, wire.Outcome_OUTCOME_ACCEPTED)
 	id := r.submit(t, "lots", 1)
-	assert.Assert(t, !r.start(id, 0, 1, "w1"), "domain out")
+	assert.Assert(t, !r.start(id, 0, 1, "w1"), "start in a domain that is out")
 }
 
 func TestEndedJobsAndGoneWorkersAreFolded(t *testing.T) {
-	r := ready(t)
+	r := newReadyMachine(t)
 	var last string
 	for range job.KeepEndedJobs + 50 {
 		last = r.submit(t, "lots", 1)
--- a/state/machine.go
+++ b/state/machine.go
@@ -11,62 +11,62 @@
 	"daisyswitch/wire"
 )
 
-// Bounds of what the state keeps of operators' texts.
+// Limits of the texts that the state keeps.
 const (
 	MaxReasonBytes = job.MaxReasonBytes
-	MaxAuditBytes  = 2048 // each text of an audit record
+	MaxAuditBytes  = 2048 // for each text of an audit record
 )
 
-// Ref names one attempt of a task.
+// Ref identifies one attempt of a task.
 type Ref = task.Ref
 
 // Held is a task that is committed to a worker, with its job.
 type Held = job.Held
 
-// Totals counts everything that status shows.
+// Totals counts what the status shows.
 type Totals = tally.Totals
 
 // firstVersion is the version of the empty configuration.
 const firstVersion = 1
 
-// Options says how much history is kept and who is told of transitions; all replicas must have equal numbers.
+// Options configures how much history is kept and the callbacks for state changes. The numbers must be equal on all replicas.
 type Options struct {
-	AuditKeep   int // audit records; 0 for audit.DefaultKeep
-	AnswersKeep int // answers per operator; 0 for answer.DefaultKeep
+	AuditKeep   int // audit records to keep; 0 for audit.DefaultKeep
+	AnswersKeep int // answers to keep per operator; 0 for answer.DefaultKeep
 
-	// The receivers are called with the machine locked and only append to a queue; their arguments are never altered.
+	// The callbacks run with the machine locked, so they must only append to a queue. Their arguments are never modified afterwards.
 	TaskChanged          func(*wire.Job, *wire.Task)
 	WorkerChanged        func(*wire.WorkerRecord)
 	ConfigurationChanged func(*wire.Configuration)
 }
 
-// Machine is the state of one replica; its mutex is the innermost but for the replica's.
+// Machine is the state of one replica. While its mutex is held, only the replica's may be acquired.
 type Machine struct {
-	o  Options
-	mu sync.RWMutex
+	options Options
+	mu      sync.RWMutex
 
-	index         uint64 // of the command applied last
-	now           int64  // its time, Unix milliseconds
+	index         uint64 // log index of the last command applied
+	commandTime   int64  // time of that command, Unix milliseconds
 	configuration *wire.Configuration
 	answers       *answer.Table
 	audit         *audit.Trail
 	jobs          *job.Table
 }
 
-// New returns the empty state, whose configuration has version 1.
-func New(o Options) *Machine {
-	if o.TaskChanged == nil {
-		o.TaskChanged = func(*wire.Job, *wire.Task) {}
+// New returns an empty state, whose configuration has version 1.
+func New(options Options) *Machine {
+	if options.TaskChanged == nil {
+		options.TaskChanged = func(*wire.Job, *wire.Task) {}
 	}
-	if o.WorkerChanged == nil {
-		o.WorkerChanged = func(*wire.WorkerRecord) {}
+	if options.WorkerChanged == nil {
+		options.WorkerChanged = func(*wire.WorkerRecord) {}
 	}
-	if o.ConfigurationChanged == nil {
-		o.ConfigurationChanged = func(*wire.Configuration) {}
+	if options.ConfigurationChanged == nil {
+		options.ConfigurationChanged = func(*wire.Configuration) {}
 	}
-	m := &Machine{o: o, configuration: &wire.Configuration{Version: firstVersion}}
-	m.answers = answer.New(answer.Options{Keep: o.AnswersKeep})
-	m.audit = audit.New(audit.Options{Keep: o.AuditKeep})
+	m := &Machine{options: options, configuration: &wire.Configuration{Version: firstVersion}}
+	m.answers = answer.New(answer.Options{Keep: options.AnswersKeep})
+	m.audit = audit.New(audit.Options{Keep: options.AuditKeep})
 	m.jobs = m.newJobs()
 	return m
 }
@@ -74,22 +74,22 @@
 func (m *Machine) newJobs() *job.Table {
 	return job.New(job.Options{
 		Configuration: func() *wire.Configuration { return m.configuration },
-		MeetDomain:    m.meetDomain,
-		TaskChanged:   m.o.TaskChanged,
-		WorkerChanged: m.o.WorkerChanged,
+		MeetDomain:    m.addAnnouncedDomain,
+		TaskChanged:   m.options.TaskChanged,
+		WorkerChanged: m.options.WorkerChanged,
 	})
 }
 
-// Apply executes one committed command: change, submission, cancellation, events, workers, then starts.
+// Apply executes one committed command. Its parts are applied in this order: change, submission, cancellation, events, workers, starts.
 func (m *Machine) Apply(index uint64, c *wire.Command) *wire.CommandResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.index = index
-	m.now = c.TimeMs
+	m.commandTime = c.TimeMs
 	m.jobs.SetTime(c.TimeMs)
 	result := &wire.CommandResult{}
 	if c.Change != nil {
-		result.Change = m.change(c.Change)
+		result.Change = m.applyChange(c.Change)
 	}
 	if c.Submit != nil {
 		result.Job = m.submit(c.Submit)
--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -13,38 +13,38 @@
 	"pgregory.net/rapid"
 )
 
-// run is a machine under random commands, with what it must never go back on.
-type run struct {
+// checkedMachine is a machine under random commands, with the history that its invariants are checked against.
+type checkedMachine struct {
 	*state.Machine
-	index    uint64
-	version  uint64
-	attempts map[string]uint32
-	ended    map[string]wire.TaskState
-	sent     []*wire.Command // of operators, with their first answers
-	answers  []*wire.CommandResult
-	told     map[string]*wire.Task
-	ran      map[string]bool // an attempt ran or may have
+	index      uint64
+	version    uint64
+	attempts   map[string]uint32
+	ended      map[string]wire.TaskState
+	sent       []*wire.Command // requests of operators; answers has the first answer to each
+	answers    []*wire.CommandResult
+	notified   map[string]*wire.Task
+	mayHaveRun map[string]bool // tasks of which an attempt ran or may have run
 }
 
 var options = state.Options{AnswersKeep: 64, AuditKeep: 50}
 
-func newRun() *run {
-	r := &run{attempts: map[string]uint32{}, ended: map[string]wire.TaskState{}, told: map[string]*wire.Task{}, ran: map[string]bool{}}
+func newCheckedMachine() *checkedMachine {
+	r := &checkedMachine{attempts: map[string]uint32{}, ended: map[string]wire.TaskState{}, notified: map[string]*wire.Task{}, mayHaveRun: map[string]bool{}}
 	o := options
-	o.TaskChanged = func(_ *wire.Job, t *wire.Task) { r.told[key(t)] = t }
+	o.TaskChanged = func(_ *wire.Job, t *wire.Task) { r.notified[taskKey(t)] = t }
 	r.Machine = state.New(o)
 	return r
 }
 
-func key(t *wire.Task) string { return fmt.Sprintf("%s/%d", t.Job, t.Index) }
+func taskKey(t *wire.Task) string { return fmt.Sprintf("%s/%d", t.Job, t.Index) }
 
-func (r *run) apply(c *wire.Command) *wire.CommandResult {
+func (r *checkedMachine) apply(c *wire.Command) *wire.CommandResult {
 	r.index++
 	c.TimeMs = int64(r.index) * 1000
 	return r.Apply(r.index, c)
 }
 
-// drawSize draws small sizes and now and then one that is nonsense.
+// drawSize draws small sizes and occasionally an invalid one.
 func drawSize(t *rapid.T) *wire.Size {
 	if rapid.IntRange(0, 9).Draw(t, "lie") == 0 {
 		return &wire.Size{MilliCpu: rapid.Int64Range(-1, 9).Draw(t, "cpu") * 1000}
@@ -88,8 +88,8 @@
 	}
 }
 
-// drawTask picks a task that has not ended, nil if there is none.
-func (r *run) drawTask(t *rapid.T) *wire.Task {
+// drawTask draws a task that has not ended, nil if there is none.
+func (r *checkedMachine) drawTask(t *rapid.T) *wire.Task {
 	var all []*wire.Task
 	r.Each(func(_ *wire.Job, task *wire.Task) { all = append(all, task) })
 	if len(all) == 0 {
@@ -98,7 +98,7 @@
 	return rapid.SampledFrom(all).Draw(t, "task")
 }
 
-func (r *run) drawStart(t *rapid.T, task *wire.Task) *wire.Start {
+func (r *checkedMachine) drawStart(t *rapid.T, task *wire.Task) *wire.Start {
 	return &wire.Start{
 		Job: task.Job, Index: task.Index, Attempt: task.Attempt + rapid.SampledFrom([]uint32{1, 1, 1, 0}).Draw(t, "next"),
 		Worker: rapid.SampledFrom([]string{"w1", "w2", "w3"}).Draw(t, "worker"), Size: drawSize(t),
@@ -114,7 +114,7 @@
 	}
 }
 
-func (r *run) command(t *rapid.T) *wire.Command {
+func (r *checkedMachine) drawCommand(t *rapid.T) *wire.Command {
 	task := r.drawTask(t)
 	switch kind := rapid.IntRange(0, 15).Draw(t, "command"); {
 	case kind <= 1:
@@ -133,60 +133,60 @@
 	return &wire.Command{Events: []*wire.TaskEvent{drawEvent(t, task)}}
 }
 
-// invariants checks what holds after every command, from the snapshot alone.
-func (r *run) invariants(t *rapid.T) {
+// checkInvariants checks what must hold after every command, from the snapshot alone.
+func (r *checkedMachine) checkInvariants(t *rapid.T) {
 	s := r.Snapshot()
 	if s.Configuration.Version < r.version {
-		t.Fatalf("version fell from %d to %d", r.version, s.Configuration.Version)
+		t.Fatalf("configuration version decreased from %d to %d", r.version, s.Configuration.Version)
 	}
 	r.version = s.Configuration.Version
 	committed := map[string]resource.Size{}
 	for _, j := range s.Jobs {
 		for _, task := range j.Tasks {
-			r.taskInvariants(t, task)
+			r.checkTask(t, task)
 			committed[task.Worker] = committed[task.Worker].Add(resource.FromWire(task.Committed))
 		}
 	}
 	for _, w := range s.Workers {
 		if !committed[w.Name].Fits(resource.FromWire(w.Capacity)) {
-			t.Fatalf("worker %s of %v is committed to %v", w.Name, w.Capacity, committed[w.Name])
+			t.Fatalf("worker %s with capacity %v has %v committed", w.Name, w.Capacity, committed[w.Name])
 		}
 		if w.Gone && committed[w.Name] != (resource.Size{}) {
-			t.Fatalf("worker %s is gone and holds %v", w.Name, committed[w.Name])
+			t.Fatalf("worker %s is gone but still has %v committed", w.Name, committed[w.Name])
 		}
 		delete(committed, w.Name)
 	}
 	delete(committed, "")
 	if len(committed) > 0 {
-		t.Fatalf("committed to unknown workers: %v", committed)
+		t.Fatalf("resources committed to unknown workers: %v", committed)
 	}
 }
 
-func (r *run) taskInvariants(t *rapid.T, task *wire.Task) {
-	k := key(task)
+func (r *checkedMachine) checkTask(t *rapid.T, task *wire.Task) {
+	k := taskKey(task)
 	if task.Attempt < r.attempts[k] {
 		t.Fatalf("task %s went from attempt %d to %d", k, r.attempts[k], task.Attempt)
 	}
 	r.attempts[k] = task.Attempt
-	if was, over := r.ended[k]; over && was != task.State {
-		t.Fatalf("task %s went from %v to %v", k, was, task.State)
+	if before, hasEnded := r.ended[k]; hasEnded && before != task.State {
+		t.Fatalf("task %s went from %v to %v", k, before, task.State)
 	}
 	if task.State >= wire.TaskState_TASK_STATE_DONE {
 		r.ended[k] = task.State
 	}
-	if task.State == wire.TaskState_TASK_STATE_CANCELLED_NOT_RUN && r.ran[k] {
-		t.Fatalf("task %s is told not to have run, but it may have", k)
+	if task.State == wire.TaskState_TASK_STATE_CANCELLED_NOT_RUN && r.mayHaveRun[k] {
+		t.Fatalf("task %s is reported as not run, but it may have run", k)
 	}
 	if (task.Worker != "") != (task.Committed != nil) {
-		t.Fatalf("task %s is on worker %q with %v", k, task.Worker, task.Committed)
+		t.Fatalf("task %s has worker %q but committed resources %v", k, task.Worker, task.Committed)
 	}
-	if !proto.Equal(r.told[k], task) {
-		t.Fatalf("task %s was told as %v, is %v", k, r.told[k], task)
+	if !proto.Equal(r.notified[k], task) {
+		t.Fatalf("task %s: callback received %v, state has %v", k, r.notified[k], task)
 	}
 }
 
-// rules checks a command against the states before and after it: what was applied was allowed, and nothing else moved.
-func (r *run) rules(t *rapid.T, before, after *wire.State, c *wire.Command, result *wire.CommandResult) {
+// checkTransition checks a command against the states before and after it: only permitted changes were applied.
+func (r *checkedMachine) checkTransition(t *rapid.T, before, after *wire.State, c *wire.Command, result *wire.CommandResult) {
 	old := tasks(before)
 	for k, task := range tasks(after) {
 		was := old[k]
@@ -197,7 +197,7 @@
 			t.Fatalf("task %s went from checkpoint %d to %d", k, was.Checkpoint, task.Checkpoint)
 		}
 		if task.Checkpoint == was.Checkpoint && string(task.CheckpointData) != string(was.CheckpointData) && task.State < wire.TaskState_TASK_STATE_DONE {
-			t.Fatalf("task %s has other data of checkpoint %d", k, task.Checkpoint)
+			t.Fatalf("task %s: data of checkpoint %d changed", k, task.Checkpoint)
 		}
 	}
 	if len(result.Starts) > 0 && result.Starts[0] {
@@ -205,16 +205,16 @@
 		was, w := old[fmt.Sprintf("%s/%d", s.Job, s.Index)], worker(before, s.Worker)
 		waits := was.State == wire.TaskState_TASK_STATE_QUEUED || was.State == wire.TaskState_TASK_STATE_CHECKPOINTED
 		if !waits || s.Attempt != was.Attempt+1 || w == nil || w.Gone || isOut(before, w.Domain) {
-			t.Fatalf("%v was committed to %v with the task at %v", s, w, was)
+			t.Fatalf("start %v was accepted on worker %v with the task in state %v", s, w, was)
 		}
 	}
 	if len(result.Events) > 0 && result.Events[0] {
 		e := c.Events[0]
 		was := old[fmt.Sprintf("%s/%d", e.Task.Job, e.Task.Index)]
 		if e.Task.Attempt != was.Attempt || was.State >= wire.TaskState_TASK_STATE_DONE {
-			t.Fatalf("%v was applied to %v", e, was)
+			t.Fatalf("event %v was applied to task %v", e, was)
 		}
-		r.ran[key(was)] = r.ran[key(was)] || tellsOfRun(e.Kind)
+		r.mayHaveRun[taskKey(was)] = r.mayHaveRun[taskKey(was)] || impliesRun(e.Kind)
 	}
 	for _, w := range c.Workers {
 		restarted := worker(before, w.Name).GetIncarnation() != w.Incarnation
@@ -222,15 +222,15 @@
 			if was.Worker != w.Name || restarted == w.Gone {
 				continue
 			}
-			r.ran[k] = true
+			r.mayHaveRun[k] = true
 			if tasks(after)[k].GetWorker() == w.Name {
-				t.Fatalf("task %s is still held after %v", k, w)
+				t.Fatalf("task %s is still committed to its worker after %v", k, w)
 			}
 		}
 	}
 }
 
-func tellsOfRun(kind wire.TaskEventKind) bool {
+func impliesRun(kind wire.TaskEventKind) bool {
 	return kind >= wire.TaskEventKind_TASK_EVENT_KIND_RUNNING && kind <= wire.TaskEventKind_TASK_EVENT_KIND_STOPPED || kind == wire.TaskEventKind_TASK_EVENT_KIND_WORKER_LOST
 }
 
@@ -238,7 +238,7 @@
 	all := map[string]*wire.Task{}
 	for _, j := range s.Jobs {
 		for _, task := range j.Tasks {
-			all[key(task)] = task
+			all[taskKey(task)] = task
 		}
 	}
 	return all
@@ -262,8 +262,8 @@
 	return false
 }
 
-// resend applies an operator's earlier request again and wants its first answer.
-func (r *run) resend(t *rapid.T) {
+// resend applies an earlier request of an operator again and checks that it gets its first answer without being executed.
+func (r *checkedMachine) resend(t *rapid.T) {
 	if len(r.sent) == 0 {
 		return
 	}
@@ -271,15 +271,15 @@
 	before := r.Configuration()
 	again := r.apply(proto.CloneOf(r.sent[i]))
 	if !proto.Equal(again, r.answers[i]) {
-		t.Fatalf("resend of %v: %v, first %v", r.sent[i], again, r.answers[i])
+		t.Fatalf("resend of %v was answered %v, at first %v", r.sent[i], again, r.answers[i])
 	}
 	if r.Configuration() != before {
 		t.Fatalf("resend of %v was executed again", r.sent[i])
 	}
 }
 
-// remember keeps a request whose answer was not "the number is taken".
-func (r *run) remember(c *wire.Command, result *wire.CommandResult, used map[string]bool) {
+// rememberRequest keeps the first request under each operator and sequence number, with its answer.
+func (r *checkedMachine) rememberRequest(c *wire.Command, result *wire.CommandResult, used map[string]bool) {
 	var id string
 	switch {
 	case c.Change != nil:
@@ -297,38 +297,38 @@
 	r.answers = append(r.answers, result)
 }
 
-// TestRandomCommands holds promise 1 of the scheduler and the answers' side of the configuration's over random histories.
+// TestRandomCommands checks promise 1 of the scheduler, and the answers' part of the configuration's promise, over random histories.
 func TestRandomCommands(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := newRun()
+		r := newCheckedMachine()
 		used := map[string]bool{}
-		for _, c := range setting() {
+		for _, c := range setupCommands() {
 			r.apply(c)
 		}
 		for range rapid.IntRange(20, 160).Draw(t, "commands") {
-			c := r.command(t)
+			c := r.drawCommand(t)
 			before := r.Snapshot()
 			var shadow *state.Machine
 			if rapid.IntRange(0, 4).Draw(t, "restore") == 0 {
-				shadow = restored(t, before)
+				shadow = restoreMachine(t, before)
 			}
 			result := r.apply(c)
-			r.remember(c, result, used)
-			r.rules(t, before, r.Snapshot(), c, result)
-			r.invariants(t)
+			r.rememberRequest(c, result, used)
+			r.checkTransition(t, before, r.Snapshot(), c, result)
+			r.checkInvariants(t)
 			if shadow != nil && !proto.Equal(shadow.Apply(r.index, proto.CloneOf(c)), result) {
-				t.Fatalf("after a restore %v gives another result than %v", c, result)
+				t.Fatalf("after a restore, %v does not give the result %v", c, result)
 			}
 			if shadow != nil && !proto.Equal(shadow.Snapshot(), r.Snapshot()) {
-				t.Fatalf("after a restore and %v:\n%v\nwithout:\n%v", c, shadow.Snapshot(), r.Snapshot())
+				t.Fatalf("state after a restore and %v:\n%v\nwithout the restore:\n%v", c, shadow.Snapshot(), r.Snapshot())
 			}
 			r.resend(t)
 		}
 	})
 }
 
-// restored returns a machine made from a snapshot that went through its encoding.
-func restored(t *rapid.T, s *wire.State) *state.Machine {
+// restoreMachine returns a machine restored from a snapshot that was encoded and decoded.
+func restoreMachine(t *rapid.T, s *wire.State) *state.Machine {
 	data, err := proto.Marshal(s)
 	assert.NilError(t, err)
 	decoded := &wire.State{}
@@ -338,8 +338,8 @@
 	return m
 }
 
-// setting is two classes, a team and two workers, made by an operator who does nothing else.
-func setting() []*wire.Command {
+// setupCommands creates two classes, a team and two workers, under an operator that makes no other requests.
+func setupCommands() []*wire.Command {
 	change := func(n uint64, c *wire.Change) *wire.Command {
 		c.Operator, c.Sequence, c.BaseVersion = "root", n, n
 		return &wire.Command{Change: c}
--- a/state/main_test.go
+++ b/state/main_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// TestMain gives the random histories one seed, so that a verdict repeats; -rapid.seed names another.
+// TestMain sets a fixed seed for the random histories, so that results are reproducible. -rapid.seed overrides it.
 func TestMain(m *testing.M) {
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "250"} {
 		if err := flag.Set(name, value); err != nil {
--- a/state/read.go
+++ b/state/read.go
@@ -2,28 +2,29 @@
 
 import "daisyswitch/wire"
 
-// Configuration returns the configuration in force; it is never altered.
+// Configuration returns the current configuration, which must not be modified.
 func (m *Machine) Configuration() *wire.Configuration {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.configuration
 }
 
-// Index returns the log index of the command applied last.
+// Index returns the log index of the last command applied.
 func (m *Machine) Index() uint64 {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.index
 }
 
-// Audit returns about limit records with a log index above after, and how many of the oldest are no longer kept.
+// Audit returns the oldest records with a log index above after, and how many of the oldest records have been dropped.
+// It returns more than limit records if the last ones have the same index.
 func (m *Machine) Audit(after uint64, limit int) (records []*wire.AuditRecord, folded uint64) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.audit.After(after, limit), m.audit.Folded()
 }
 
-// Job returns a job with its tasks, nil if it is unknown or ended too long ago.
+// Job returns a job with its tasks, nil if it is unknown or no longer kept after its end.
 func (m *Machine) Job(id string) *wire.JobRecord {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -37,7 +38,7 @@
 	return m.jobs.Worker(name)
 }
 
-// OnWorker returns the tasks committed to a worker, in order of job and index.
+// OnWorker returns the tasks committed to a worker, ordered by job and index.
 func (m *Machine) OnWorker(name string) []Held {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -7,9 +7,9 @@
 	"daisyswitch/wire"
 )
 
-var errNoConfiguration = errors.New("the snapshot holds no configuration")
+var errNoConfiguration = errors.New("the snapshot has no configuration")
 
-// Snapshot returns the whole state; what it points to is never altered.
+// Snapshot returns the complete state. The objects that it points to must not be modified.
 func (m *Machine) Snapshot() *wire.State {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -21,24 +21,24 @@
 	return s
 }
 
-// Restore replaces everything by a snapshot, whole or not at all, and tells of all of it.
+// Restore replaces the state by a snapshot and calls the callbacks for everything in it. On error the state is unchanged.
 func (m *Machine) Restore(s *wire.State) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if s.GetConfiguration() == nil {
 		return fmt.Errorf("restore state: %w", errNoConfiguration)
 	}
-	last, jobs := m.configuration, m.newJobs()
+	previous, jobs := m.configuration, m.newJobs()
 	m.configuration = s.Configuration
 	if err := jobs.Load(s); err != nil {
-		m.configuration = last
+		m.configuration = previous
 		return fmt.Errorf("restore state at index %d: %w", s.Index, err)
 	}
 	m.jobs = jobs
 	m.index = s.Index
 	m.answers.Restore(s.Answers)
 	m.audit.Restore(s.Audit, s.AuditFolded, s.LastChange)
-	m.o.ConfigurationChanged(m.configuration)
+	m.options.ConfigurationChanged(m.configuration)
 	m.jobs.TellAll()
 	return nil
 }
--- a/state/submit.go
+++ b/state/submit.go
@@ -10,21 +10,21 @@
 	"daisyswitch/wire"
 )
 
-// submit takes a job in or refuses it at once; a sequence number of 0 is never remembered.
+// submit accepts or refuses a job. Answers to requests with sequence number 0 are not kept.
 func (m *Machine) submit(s *wire.SubmitJob) *wire.JobResult {
-	return m.remembered(s.Operator, s.Sequence, submitDigest(s), func() *wire.JobResult { return m.jobs.Submit(s.Job) })
+	return m.executeOnce(s.Operator, s.Sequence, submitDigest(s), func() *wire.JobResult { return m.jobs.Submit(s.Job) })
 }
 
 func (m *Machine) cancel(c *wire.CancelJob) *wire.JobResult {
-	return m.remembered(c.Operator, c.Sequence, cancelDigest(c), func() *wire.JobResult { return m.jobs.Cancel(c.Job, c.Operator) })
+	return m.executeOnce(c.Operator, c.Sequence, cancelDigest(c), func() *wire.JobResult { return m.jobs.Cancel(c.Job, c.Operator) })
 }
 
-// remembered answers a request on jobs under the same rules as a change, but for the base version.
-func (m *Machine) remembered(operator string, sequence uint64, digest []byte, execute func() *wire.JobResult) *wire.JobResult {
+// executeOnce executes a request on jobs at most once per sequence number. The rules are those for changes, but without a base version.
+func (m *Machine) executeOnce(operator string, sequence uint64, digest []byte, execute func() *wire.JobResult) *wire.JobResult {
 	if sequence == 0 {
 		return execute()
 	}
-	if err := checkIdentity(operator, sequence); err != nil {
+	if err := checkRequestID(operator, sequence); err != nil {
 		return job.Refused("", err.Error())
 	}
 	finding, first := m.answers.Find(operator, sequence, digest)
