--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -14,21 +14,21 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-var errNotNow = errors.New("not committed in a benchmark")
+var errNotCommitted = errors.New("not committed in a benchmark")
 
-// crowded returns a session over workers that are full of lasting tasks, with filling and short workflows that wait.
-func crowded(b testing.TB, workers, waiting int) *session {
+// newCrowdedSession returns a session whose workers are full of lasting and filling tasks, with waiting filling and short workflows.
+func newCrowdedSession(b testing.TB, workers, waiting int) *session {
 	table := workflow.New(workflow.Options{})
 	table.Apply(1, &wire.WorkflowCommand{Queues: &wire.QueueSet{Version: 1, Queues: []*wire.Queue{{Name: "lasting", Pool: "p"}, {Name: "filling", Pool: "p", Priority: 2, Stretch: 2, LatencyMs: 1000}, {Name: "short", Pool: "p", Stretch: 1.5}}}})
 	s := &session{
 		Options: Options{
 			Table: table, Leads: func() bool { return true }, Wall: time.Now,
 			Boot:   func() time.Duration { return time.Hour },
-			Commit: func(context.Context, *wire.WorkflowCommand) (*workflow.Result, error) { return nil, errNotNow },
+			Commit: func(context.Context, *wire.WorkflowCommand) (*workflow.Result, error) { return nil, errNotCommitted },
 		},
 		counters: newCounters(metrics.NewSet()), ctx: b.Context(),
-		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{},
-		tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{}, candidates: map[string]*candidate{}, shortages: map[ask]*shortage{},
+		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]struct{}{}, taskDuration: map[string]*taskDuration{},
+		headrooms: headroom.New(), initialPaces: map[runKey]int{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, shortages: map[shortageKey]*shortage{},
 	}
 	command := &wire.WorkflowCommand{}
 	for i := range workers {
@@ -50,8 +50,8 @@
 		lasting.Image, filling.Image = fmt.Sprint("l", i%5), fmt.Sprint("f", i%9)
 		submit(fmt.Sprint("l", i), "lasting", lasting)
 		submit(fmt.Sprint("f", i), "filling", filling)
-		fill(s, table, fmt.Sprint("l", i), i, 5)
-		fill(s, table, fmt.Sprint("f", i), i, 4)
+		placeAndList(s, table, fmt.Sprint("l", i), i, 5)
+		placeAndList(s, table, fmt.Sprint("f", i), i, 4)
 	}
 	for i := range waiting {
 		submit(fmt.Sprint("wf", i), "filling", &wire.Step{Count: 10, Size: &wire.Size{MilliCpu: 1800, MemoryMib: 1000}, Filling: true, Image: fmt.Sprint("f", i%9)})
@@ -60,8 +60,8 @@
 	return s
 }
 
-// fill commits the tasks of a workflow to a worker and has them listed.
-func fill(s *session, table *workflow.Table, id string, worker, count int) {
+// placeAndList commits the tasks of a workflow to a worker and marks them as listed.
+func placeAndList(s *session, table *workflow.Table, id string, worker, count int) {
 	l := s.links[fmt.Sprint("w", worker)]
 	for i := range count {
 		name := workflow.Name{Workflow: id, Index: int32(i)}
@@ -74,15 +74,15 @@
 		r := &run{runKey: runKey{name, 1}, task: task, link: l, worker: l.worker, phase: started, listed: true, pace: 100, image: s.imageNumber(task.Step.Spec.GetImage())}
 		s.runs[r.runKey], l.runs[r.runKey] = r, r
 		if task.Step.Spec.GetLasting() {
-			l.victims[r.runKey] = &victim{image: task.Step.Spec.GetImage(), imageNumber: r.image, base: headroom.Base{Now: 2, Low: 2}}
+			l.serving[r.runKey] = &servingTask{image: task.Step.Spec.GetImage(), imageNumber: r.image, baseline: headroom.Base{Now: 2, Low: 2}}
 		}
 	}
 }
 
-// BenchmarkRound is one round of placing at the size of the grown installations: nothing has room, so that all is looked at.
+// BenchmarkRound measures one placement round at the size of the largest installations, where nothing has room and every step is examined.
 func BenchmarkRound(b *testing.B) {
-	s := crowded(b, 490, 200)
+	s := newCrowdedSession(b, 490, 200)
 	for b.Loop() {
-		s.place()
+		s.placeWaiting()
 	}
 }
--- a/dispatch/candidate.go
+++ b/dispatch/candidate.go
@@ -9,32 +9,32 @@
 	"daisyswitch/workflow"
 )
 
-// candidate is a worker that may get something, with what this round has placed on it so far.
-// It is kept from round to round, so that only what has changed is worked out anew; the loop alone uses it.
+// candidate is a worker on which tasks may be placed, including what this round has already placed on it.
+// It is kept between rounds so that only what has changed is recomputed. Only the loop's goroutine uses it.
 type candidate struct {
 	*workflow.Worker
 	link      *link
 	free      resource.Size
 	unused    int64         // thousandths of a core that filling tasks may still use
-	passing   resource.Size // of tasks that neither last nor fill, which end by themselves
-	suspended bool          // it fails its tasks
-
-	seen    int  // latest round in which it was listed
-	changed int  // latest round in which it was listed with something else to offer than before
-	altered bool // a round has taken or kept room on it since it was listed
-
-	known     bool // whether what follows is worked out
-	margins   []margin
-	filling   []imageShare
-	shares    [useless + 1][]float64 // how much of the worker a filling image may take, by what its workflow can still reach; below 0 until asked for
-	worst     []float64              // most that a serving task here loses beside a filling image on the whole worker, by image
-	images    map[string]int         // of lasting tasks, with their number; nil until asked for
-	weighedIn int                    // round of meanWorst
-	meanWorst float64                // of worst over the filling tasks that wait
+	shortUse  resource.Size // used by tasks that are neither lasting nor filling, which end by themselves
+	suspended bool          // excluded from new work after failures, except for lasting tasks
+
+	listedRound  int  // latest round that updated it
+	changedRound int  // latest round in which its offer differed from the previous one
+	roomTaken    bool // a round has assigned or reserved room on it since the last update
+
+	derived            bool // whether the fields below are up to date
+	margins            []margin
+	fillingShares      []imageShare
+	availableShares    [useless + 1][]float64 // share of the worker that a filling image may add, by lateness and image; negative until computed
+	worstCost          []float64              // highest cost of a filling image to a serving task here, by image; NaN until computed
+	lastingCounts      map[string]int         // number of lasting tasks by image; nil until computed
+	meanWorstCostRound int                    // round for which meanWorstCost was computed
+	meanWorstCost      float64                // mean of worstCost over the waiting filling tasks
 }
 
-// gather lists the workers that may get something.
-func (r *round) gather() {
+// gatherCandidates collects the workers on which tasks may be placed.
+func (r *round) gatherCandidates() {
 	now := r.s.Boot()
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
@@ -48,7 +48,7 @@
 			c = &candidate{Worker: w, link: l}
 			r.s.candidates[id] = c
 		}
-		c.list(r.number, now)
+		c.update(r.number, now)
 		r.pools[w.GetPool()] = append(r.pools[w.GetPool()], c)
 	}
 	for id := range r.s.candidates {
@@ -61,119 +61,119 @@
 	}
 }
 
-// list brings a candidate up to date and notes whether anything has changed; the session's mutex is held.
-func (c *candidate) list(round int, now time.Duration) {
-	passing := c.Used.Sub(c.Lasting)
+// update refreshes a candidate and records whether its offer has changed. The caller holds the session's mutex.
+func (c *candidate) update(round int, now time.Duration) {
+	shortUse := c.Used.Sub(c.Lasting)
 	free := c.Free()
-	unused := c.Capacity.MilliCPU - int64(servingUse*float64(c.Lasting.MilliCPU)) - passing.MilliCPU - c.Fill.MilliCPU + c.link.spared
+	unused := c.Capacity.MilliCPU - int64(servingUtilization*float64(c.Lasting.MilliCPU)) - shortUse.MilliCPU - c.Fill.MilliCPU + c.link.sparedMilliCPU
 	suspended := now < c.link.health.suspended
-	same := c.seen == round-1 && !c.altered && !c.link.revised && free == c.free && unused == c.unused && suspended == c.suspended
-	c.free, c.unused, c.passing, c.suspended = free, unused, passing, suspended
-	c.seen, c.altered, c.link.revised = round, false, false
+	same := c.listedRound == round-1 && !c.roomTaken && !c.link.offerChanged && free == c.free && unused == c.unused && suspended == c.suspended
+	c.free, c.unused, c.shortUse, c.suspended = free, unused, shortUse, suspended
+	c.listedRound, c.roomTaken, c.link.offerChanged = round, false, false
 	if !same {
-		c.changed, c.known, c.images = round, false, nil
+		c.changedRound, c.derived, c.lastingCounts = round, false, nil
 	}
 }
 
-// shareOf returns a number of thousandths of a core as a share of the worker.
-func (c *candidate) shareOf(milliCPU int64) float64 {
+// cpuShareOf returns a number of thousandths of a core as a share of the worker's capacity.
+func (c *candidate) cpuShareOf(milliCPU int64) float64 {
 	return float64(milliCPU) / float64(max(1, c.Capacity.MilliCPU))
 }
 
-// know works out what the serving tasks of a worker bear.
-func (r *round) know(c *candidate) {
+// derive recomputes a candidate's cached margins and resets its cached shares and costs.
+func (r *round) derive(c *candidate) {
 	images := len(r.costs)
-	if c.known && len(c.worst) == images {
+	if c.derived && len(c.worstCost) == images {
 		return
 	}
 	r.s.mu.Lock()
-	c.filling = c.link.filling()
-	c.margins = c.link.margins(r.costs, c.filling)
+	c.fillingShares = c.link.fillingShares()
+	c.margins = c.link.margins(r.costs, c.fillingShares)
 	r.s.mu.Unlock()
-	c.known = true
-	if len(c.worst) != images {
-		all := make([]float64, (len(c.shares)+1)*images)
-		for i := range c.shares {
-			c.shares[i], all = all[:images], all[images:]
+	c.derived = true
+	if len(c.worstCost) != images {
+		all := make([]float64, (len(c.availableShares)+1)*images)
+		for i := range c.availableShares {
+			c.availableShares[i], all = all[:images], all[images:]
 		}
-		c.worst = all
+		c.worstCost = all
 	}
-	for i := range c.worst {
-		c.worst[i] = math.NaN()
+	for i := range c.worstCost {
+		c.worstCost[i] = math.NaN()
 	}
-	c.weighedIn = 0
-	c.forgetShares()
+	c.meanWorstCostRound = 0
+	c.resetAvailableShares()
 }
 
-// forgetShares has the shares worked out anew when they are next asked for.
-func (c *candidate) forgetShares() {
-	for _, shares := range c.shares {
-		for i := range shares {
-			shares[i] = -1
+// resetAvailableShares marks the available shares for recomputation on next use.
+func (c *candidate) resetAvailableShares() {
+	for _, availableShares := range c.availableShares {
+		for i := range availableShares {
+			availableShares[i] = -1
 		}
 	}
 }
 
-// shareFor returns how much of the worker a filling image may take, 0 if nothing.
-func (r *round) shareFor(c *candidate, image int, chance lateness) float64 {
-	r.know(c)
-	share := &c.shares[chance][image]
+// availableShare returns the share of the worker that a filling image may add, 0 if none.
+func (r *round) availableShare(c *candidate, image int, expected lateness) float64 {
+	r.derive(c)
+	share := &c.availableShares[expected][image]
 	if *share < 0 {
-		*share = max(0, mostShare(c.margins, r.costs, image, placeHeadroom[chance]))
+		*share = max(0, maxAddedShare(c.margins, r.costs, image, placementHeadroom[expected]))
 	}
 	return *share
 }
 
-// worstFor returns the most that a serving task of a worker loses beside a filling image on all of it.
-func (r *round) worstFor(c *candidate, image int) float64 {
-	r.know(c)
-	worst := &c.worst[image]
-	if math.IsNaN(*worst) {
-		*worst = worstCost(c.margins, r.costs, image)
+// worstCostOf returns the most headroom that a serving task of a worker loses beside a filling image that takes the whole worker.
+func (r *round) worstCostOf(c *candidate, image int) float64 {
+	r.derive(c)
+	worstCost := &c.worstCost[image]
+	if math.IsNaN(*worstCost) {
+		*worstCost = maxCost(c.margins, r.costs, image)
 	}
-	return *worst
+	return *worstCost
 }
 
-// harshness is by how much more the filling images that wait would hurt a worker's serving tasks than one of them does.
-func (r *round) harshness(c *candidate, image int) float64 {
-	worst := r.worstFor(c, image)
-	if c.weighedIn != r.number {
+// costAdvantage returns by how much the mean cost of the waiting filling images to a worker's serving tasks exceeds the cost of the given image.
+func (r *round) costAdvantage(c *candidate, image int) float64 {
+	worst := r.worstCostOf(c, image)
+	if c.meanWorstCostRound != r.number {
 		total, count := 0.0, 0
-		for other, tasks := range r.fills {
-			total += float64(tasks) * r.worstFor(c, other)
+		for other, tasks := range r.waitingFilling {
+			total += float64(tasks) * r.worstCostOf(c, other)
 			count += tasks
 		}
-		c.meanWorst, c.weighedIn = total/float64(max(1, count)), r.number
+		c.meanWorstCost, c.meanWorstCostRound = total/float64(max(1, count)), r.number
 	}
-	return c.meanWorst - worst
+	return c.meanWorstCost - worst
 }
 
-// lastingImages counts the lasting tasks of a worker by image.
-func (c *candidate) lastingImages() map[string]int {
-	if c.images != nil {
-		return c.images
+// lastingByImage counts the lasting tasks of a worker by image.
+func (c *candidate) lastingByImage() map[string]int {
+	if c.lastingCounts != nil {
+		return c.lastingCounts
 	}
-	c.images = map[string]int{}
+	c.lastingCounts = map[string]int{}
 	for task := range c.Tasks {
 		if task.Step.Spec.GetLasting() {
-			c.images[task.Step.Spec.GetImage()]++
+			c.lastingCounts[task.Step.Spec.GetImage()]++
 		}
 	}
-	return c.images
+	return c.lastingCounts
 }
 
-// likeness is higher the more of a worker's lasting tasks have an image, and below 0 where most have others.
-func (c *candidate) likeness(image string) float64 {
-	same, other := c.lastingImages()[image], 0
-	for _, count := range c.images {
+// imageAffinity grows with the share of a worker's lasting tasks that use an image, and is negative where most use others.
+func (c *candidate) imageAffinity(image string) float64 {
+	same, other := c.lastingByImage()[image], 0
+	for _, count := range c.lastingCounts {
 		other += count
 	}
 	other -= same
 	return float64(same-2*other) / float64(max(1, same+other))
 }
 
-// lost returns the headroom that a serving image would lose on a worker.
-func (r *round) lost(c *candidate, image int) float64 {
-	r.know(c)
-	return lost(r.costs, c.filling, image)
+// headroomLoss returns the headroom that a serving image would lose beside the filling tasks of a worker.
+func (r *round) headroomLoss(c *candidate, image int) float64 {
+	r.derive(c)
+	return headroomLoss(r.costs, c.fillingShares, image)
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -7,44 +7,44 @@
 	"daisyswitch/workflow"
 )
 
-// avoided returns the workers that failed a task; one that lasts has to run somewhere.
-func (r *round) avoided(task *workflow.Task) map[string]struct{} {
+// excludedWorkers returns the workers excluded for a task after failures, stalls or slowdowns. A lasting task excludes none, since it has to run somewhere.
+func (r *round) excludedWorkers(task *workflow.Task) map[string]struct{} {
 	if task.Step.Spec.GetLasting() {
 		return nil
 	}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
-	return maps.Clone(r.s.failedOn[task.Name()])
+	return maps.Clone(r.s.excluded[task.Name()])
 }
 
-// offer is what one worker offers to the tasks of a step.
+// offer describes how well one worker suits the tasks of a step.
 type offer struct {
 	c     *candidate
-	speed float64 // share of its full speed at which a task would work, 0 if it may not start
-	score float64 // at full speed; the highest is best
+	speed float64 // share of full speed at which a task would run, 0 if it may not start
+	score float64 // set only at full speed; higher is better
 }
 
-// chooser picks workers for the tasks of one step; the offers hold while only this step's tasks are placed.
+// chooser selects workers for the tasks of one step. Its offers stay valid only while no other step's tasks are placed.
 type chooser struct {
-	r      *round
-	step   *workflow.Step
-	image  int // its number in costs
-	chance lateness
-	since  int // round before which no worker had room, 0 if that is not known
-	offers []offer
+	r                *round
+	step             *workflow.Step
+	imageNumber      int // its index in costs
+	expectedLateness lateness
+	sinceRound       int // round as of which no worker had room, 0 if unknown
+	offers           []offer
 }
 
-// chooserFor works out what each worker offers to the tasks of a step, but for those that offered nothing when last looked at.
-func (r *round) chooserFor(step *workflow.Step) *chooser {
-	ch := &chooser{r: r, step: step, image: r.image(step), chance: r.chance[step.Job], offers: r.s.offers[:0]}
+// newChooser computes the offers of all workers for a step, skipping those that had no room at the last look and have not changed.
+func (r *round) newChooser(step *workflow.Step) *chooser {
+	ch := &chooser{r: r, step: step, imageNumber: r.imageNumber(step), expectedLateness: r.expectedLateness[step.Job], offers: r.s.offers[:0]}
 	if d := r.shortageFor(step); d != nil {
-		ch.since = d.round
+		ch.sinceRound = d.round
 	}
 	for _, c := range ch.pool() {
-		if c.changed <= ch.since {
+		if c.changedRound <= ch.sinceRound {
 			continue
 		}
-		if o := (offer{c: c}); ch.renew(&o) {
+		if o := (offer{c: c}); ch.refresh(&o) {
 			ch.offers = append(ch.offers, o)
 		}
 	}
@@ -56,11 +56,11 @@
 	return ch.r.pools[ch.step.Job.Queue.GetPool()]
 }
 
-// renew works out an offer anew, and returns false if there is none.
-func (ch *chooser) renew(o *offer) bool {
-	ch.r.s.looks.Inc()
+// refresh recomputes an offer and returns false if the task may not start there.
+func (ch *chooser) refresh(o *offer) bool {
+	ch.r.s.offerLooks.Inc()
 	o.speed, o.score = 0, 0
-	if !ch.r.allowed(ch.step, o.c) {
+	if !ch.r.mayStart(ch.step, o.c) {
 		return false
 	}
 	o.speed = ch.speed(o.c)
@@ -70,19 +70,19 @@
 	return o.speed > 0
 }
 
-// choose returns the best worker for a task and the pace at which it may work there, nil if there is none.
+// choose returns the best worker for a task and the pace in percent at which it may run there, or nil if no worker has room.
 func (ch *chooser) choose(task *workflow.Task) (*candidate, int) {
-	var best, slow *offer
-	avoided := ch.r.avoided(task)
+	var best, slowed *offer
+	excludedWorkers := ch.r.excludedWorkers(task)
 	for i := range ch.offers {
 		o := &ch.offers[i]
-		if _, failed := avoided[o.c.GetId()]; failed || o.speed == 0 {
+		if _, excluded := excludedWorkers[o.c.GetId()]; excluded || o.speed == 0 {
 			continue
 		}
 		switch {
 		case o.speed < 1:
-			if slow == nil || o.speed > slow.speed {
-				slow = o
+			if slowed == nil || o.speed > slowed.speed {
+				slowed = o
 			}
 		case best == nil || o.score > best.score:
 			best = o
@@ -91,27 +91,27 @@
 	if best != nil {
 		return best.c, 100
 	}
-	least := ch.r.leastSpeed(ch.step)
-	if slow != nil && (slow.speed >= least || least <= crawl) {
-		return slow.c, int(100*max(slow.speed, crawl)) / paceStep * paceStep
+	minStart := ch.r.minStartSpeed(ch.step)
+	if slowed != nil && (slowed.speed >= minStart || minStart <= minSpeed) {
+		return slowed.c, int(100*max(slowed.speed, minSpeed)) / paceStep * paceStep
 	}
-	if c := ch.crawler(avoided); least <= crawl && c != nil {
-		return c, 100 * crawl
+	if c := ch.minSpeedCandidate(excludedWorkers); minStart <= minSpeed && c != nil {
+		return c, 100 * minSpeed
 	}
-	if len(avoided) == 0 {
-		ch.noteShortage()
+	if len(excludedWorkers) == 0 {
+		ch.recordShortage()
 	}
 	return nil, 0
 }
 
-// crawler returns the worker with the most unused processors for a filling task for which no worker has any left, nil for other tasks.
-func (ch *chooser) crawler(avoided map[string]struct{}) *candidate {
+// minSpeedCandidate returns the eligible worker with the most unused processors, for a filling task that no worker can run faster. It returns nil for other tasks.
+func (ch *chooser) minSpeedCandidate(excludedWorkers map[string]struct{}) *candidate {
 	if !ch.step.Spec.GetFilling() {
 		return nil
 	}
 	var best *candidate
 	for _, c := range ch.pool() {
-		if _, failed := avoided[c.GetId()]; failed || !ch.r.allowed(ch.step, c) {
+		if _, excluded := excludedWorkers[c.GetId()]; excluded || !ch.r.mayStart(ch.step, c) {
 			continue
 		}
 		if best == nil || c.unused > best.unused {
@@ -121,27 +121,27 @@
 	return best
 }
 
-// placed renews the offer of a worker on which a task has just been placed.
+// placed recomputes the offer of a worker after a placement or reservation on it.
 func (ch *chooser) placed(c *candidate) {
 	for i := range ch.offers {
 		if ch.offers[i].c == c {
-			ch.renew(&ch.offers[i])
+			ch.refresh(&ch.offers[i])
 			return
 		}
 	}
 }
 
-// leastSpeed returns how slow a filling task may start: a workflow of which nothing runs gets one task to work in any case.
-func (r *round) leastSpeed(step *workflow.Step) float64 {
-	if r.idle(step.Job) {
-		return crawl
+// minStartSpeed returns the lowest speed at which a filling task may start. A late workflow with no running task may start one at minimum speed.
+func (r *round) minStartSpeed(step *workflow.Step) float64 {
+	if r.mayStartAtMinSpeed(step.Job) {
+		return minSpeed
 	}
 	return 1
 }
 
-// idle says whether nothing of a late workflow runs, or will by this round, and no workflow that can be in time wants the room.
-func (r *round) idle(j *workflow.Job) bool {
-	if r.chance[j] == inTime || r.wanting {
+// mayStartAtMinSpeed reports whether a late workflow has no task running or placed in this round, and no in-time workflow is waiting for the room.
+func (r *round) mayStartAtMinSpeed(j *workflow.Job) bool {
+	if r.expectedLateness[j] == inTime || r.inTimeWaits {
 		return false
 	}
 	for _, step := range j.Steps {
@@ -157,37 +157,37 @@
 	return true
 }
 
-// speed returns at what share of its speed a task may work on a worker; only filling tasks work at less than 1.
+// speed returns the share of full speed at which a task may run on a worker. Only filling tasks run below 1.
 func (ch *chooser) speed(c *candidate) float64 {
 	spec := ch.step.Spec
 	size := float64(spec.GetSize().GetMilliCpu())
 	if !spec.GetFilling() || size == 0 {
 		return 1
 	}
-	unused := float64(c.unused) / (roomShare * size)
-	share := ch.r.shareFor(c, ch.image, ch.chance) / (size / float64(max(1, c.Capacity.MilliCPU)))
+	unused := float64(c.unused) / (minUnusedShare * size)
+	share := ch.r.availableShare(c, ch.imageNumber, ch.expectedLateness) / (size / float64(max(1, c.Capacity.MilliCPU)))
 	return max(0, min(1, unused, share))
 }
 
-// allowed says whether a task may start on a worker at all.
-func (r *round) allowed(step *workflow.Step, c *candidate) bool {
+// mayStart reports whether a worker has room for a task and is eligible for it. A filling task needs no free processors for that.
+func (r *round) mayStart(step *workflow.Step, c *candidate) bool {
 	spec := step.Spec
 	size := resource.FromWire(spec.GetSize())
 	free := c.free
 	if spec.GetFilling() {
 		size.MilliCPU, free.MilliCPU = 0, max(0, free.MilliCPU)
 	}
-	return size.Fits(free) && r.suits(step, c)
+	return size.Fits(free) && r.isEligible(step, c)
 }
 
-// suits says whether a worker may run a task when it has room; one that fails its tasks may still run those that have to run somewhere.
-func (r *round) suits(step *workflow.Step, c *candidate) bool {
+// isEligible reports whether a worker may run a task, room aside. A suspended worker may still run lasting tasks, which have to run somewhere.
+func (r *round) isEligible(step *workflow.Step, c *candidate) bool {
 	spec := step.Spec
 	if c.suspended && !spec.GetLasting() || !hasLabel(c.GetLabels(), spec.GetRequires()) {
 		return false
 	}
 	limit := spec.GetMaxPerWorker()
-	return limit <= 0 || r.on(step, c) < limit
+	return limit <= 0 || r.countOn(step, c) < limit
 }
 
 func hasLabel(labels []string, label string) bool {
@@ -202,8 +202,8 @@
 	return false
 }
 
-// on counts the tasks of a step on a worker, with those placed in this round.
-func (r *round) on(step *workflow.Step, c *candidate) int32 {
+// countOn counts the tasks of a step on a worker, including those placed in this round.
+func (r *round) countOn(step *workflow.Step, c *candidate) int32 {
 	count := r.placed[step][c]
 	for _, task := range step.Tasks {
 		if task.Worker == c.Worker {
@@ -213,45 +213,45 @@
 	return count
 }
 
-// Weights of the score, each worth that much of a worker's free share.
+// Weights of the score, relative to a worker's unused share.
 const (
-	soundWeight = 100  // a worker that fails its tasks comes last
-	nearWeight  = 10.0 // a task away from its data or its step's rack takes several times as long
-	harshWeight = 0.1  // filling tasks go where others would hurt the serving ones more, for each unit of headroom on a whole worker
-	packWeight  = 1.0  // lasting tasks gather on few workers, so that some stay free for what hurts them
-	imageWeight = 2.0  // lasting tasks of one image gather, since a filling image is harmless to some images and not to others
-	apartWeight = 0.2  // lasting tasks of a step go apart, so that one lost worker takes few of them
+	healthWeight        = 100  // a suspended worker ranks last
+	localityWeight      = 10.0 // a task away from its data or its step's rack takes several times as long
+	costAdvantageWeight = 0.1  // for filling tasks, per unit of headroom on a whole worker: prefers workers where other waiting images would cost the serving tasks more
+	packWeight          = 1.0  // packs lasting tasks on few workers, so that others stay free for filling tasks that would slow them
+	imageAffinityWeight = 2.0  // groups lasting tasks by image, since the cost of a filling image differs between serving images
+	spreadWeight        = 0.2  // spreads the lasting tasks of a step, so that the loss of one worker ends few of them
 )
 
-// score says how well a worker suits a task that may start there; the highest is best.
+// score rates a worker for a task that may start there. Higher is better.
 func (ch *chooser) score(c *candidate) float64 {
 	r, step, spec := ch.r, ch.step, ch.step.Spec
-	score := c.shareOf(c.unused)
+	score := c.cpuShareOf(c.unused)
 	if c.suspended {
-		score -= soundWeight
+		score -= healthWeight
 	}
 	if rack := spec.GetRack(); rack != "" && hasLabel(c.GetLabels(), rack) {
-		score += nearWeight
+		score += localityWeight
 	}
 	if spec.GetSameRack() && r.rackOf(step) == c.GetRack() {
-		score += nearWeight
+		score += localityWeight
 	}
 	switch {
 	case spec.GetFilling():
-		score += harshWeight * r.harshness(c, ch.image)
+		score += costAdvantageWeight * r.costAdvantage(c, ch.imageNumber)
 	case spec.GetLasting():
-		score -= 2 * packWeight * c.shareOf(c.unused)
-		score += imageWeight*c.likeness(spec.GetImage()) - apartWeight*float64(r.on(step, c)) - r.lost(c, ch.image)
+		score -= 2 * packWeight * c.cpuShareOf(c.unused)
+		score += imageAffinityWeight*c.imageAffinity(spec.GetImage()) - spreadWeight*float64(r.countOn(step, c)) - r.headroomLoss(c, ch.imageNumber)
 	}
 	return score
 }
 
-// image returns the number of a step's image in costs.
-func (r *round) image(step *workflow.Step) int {
-	return r.numbers[step.Spec.GetImage()]
+// imageNumber returns the index of a step's image in costs.
+func (r *round) imageNumber(step *workflow.Step) int {
+	return r.imageNumbers[step.Spec.GetImage()]
 }
 
-// rackOf returns the rack of a step's tasks, empty if none is placed.
+// rackOf returns the rack of a step's tasks, or an empty string if none is placed.
 func (r *round) rackOf(step *workflow.Step) string {
 	if rack := r.racks[step]; rack != "" {
 		return rack
--- a/dispatch/counters.go
+++ b/dispatch/counters.go
@@ -9,51 +9,51 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// counters are what the loop counts and times.
+// counters holds the metrics of the loop.
 type counters struct {
-	started    *metrics.Counter
-	refused    *metrics.Counter
-	unanswered *metrics.Counter
-	stops      *metrics.Counter
-	paces      *metrics.Counter
-	lapses     *metrics.Counter
-	ends       map[wire.RunOutcome]*metrics.Counter
-	startCall  *metrics.Histogram
-	round      *metrics.Histogram
-	looks      *metrics.Counter // at what a worker offers to the tasks of a step
-	commit     *metrics.Histogram
-	set        *metrics.Set
-	wait       *metrics.Histogram // from a workflow's acceptance to its first start
+	started          *metrics.Counter
+	startsRefused    *metrics.Counter
+	startsUnanswered *metrics.Counter
+	stopsBegun       *metrics.Counter
+	paceCalls        *metrics.Counter
+	leaseLapses      *metrics.Counter
+	runEnds          map[wire.RunOutcome]*metrics.Counter
+	startCall        *metrics.Histogram
+	round            *metrics.Histogram
+	offerLooks       *metrics.Counter // computed offers of a worker to the tasks of a step
+	commitTime       *metrics.Histogram
+	set              *metrics.Set
+	firstStartWait   *metrics.Histogram // from a workflow's acceptance to its first placement
 }
 
 func newCounters(set *metrics.Set) *counters {
 	c := &counters{
-		set:        set,
-		started:    set.NewCounter("daisyswitch_runs_started_total"),
-		refused:    set.NewCounter("daisyswitch_starts_refused_total"),
-		unanswered: set.NewCounter("daisyswitch_starts_unanswered_total"),
-		stops:      set.NewCounter("daisyswitch_runs_stopped_total"),
-		paces:      set.NewCounter("daisyswitch_runs_paced_total"),
-		lapses:     set.NewCounter("daisyswitch_worker_leases_lapsed_total"),
-		ends:       map[wire.RunOutcome]*metrics.Counter{},
-		startCall:  set.NewHistogram("daisyswitch_start_call_seconds"),
-		round:      set.NewHistogram("daisyswitch_place_round_seconds"),
-		looks:      set.NewCounter("daisyswitch_place_looks_total"),
-		commit:     set.NewHistogram("daisyswitch_workflow_commit_seconds"),
-		wait:       set.NewHistogram("daisyswitch_workflow_first_start_seconds"),
+		set:              set,
+		started:          set.NewCounter("daisyswitch_runs_started_total"),
+		startsRefused:    set.NewCounter("daisyswitch_starts_refused_total"),
+		startsUnanswered: set.NewCounter("daisyswitch_starts_unanswered_total"),
+		stopsBegun:       set.NewCounter("daisyswitch_runs_stopped_total"),
+		paceCalls:        set.NewCounter("daisyswitch_runs_paced_total"),
+		leaseLapses:      set.NewCounter("daisyswitch_worker_leases_lapsed_total"),
+		runEnds:          map[wire.RunOutcome]*metrics.Counter{},
+		startCall:        set.NewHistogram("daisyswitch_start_call_seconds"),
+		round:            set.NewHistogram("daisyswitch_place_round_seconds"),
+		offerLooks:       set.NewCounter("daisyswitch_place_looks_total"),
+		commitTime:       set.NewHistogram("daisyswitch_workflow_commit_seconds"),
+		firstStartWait:   set.NewHistogram("daisyswitch_workflow_first_start_seconds"),
 	}
 	for outcome, name := range wire.RunOutcome_name {
-		c.ends[wire.RunOutcome(outcome)] = set.NewCounter(fmt.Sprintf("daisyswitch_runs_ended_total{outcome=%q}", name))
+		c.runEnds[wire.RunOutcome(outcome)] = set.NewCounter(fmt.Sprintf("daisyswitch_runs_ended_total{outcome=%q}", name))
 	}
 	return c
 }
 
-// reach counts the workflows of a queue by how they ended and whether that was in time.
-func (c *counters) reach(queue, state string, reached lateness) *metrics.Counter {
+// workflowsEnded returns the counter of ended workflows for a queue, end state and lateness.
+func (c *counters) workflowsEnded(queue, state string, reached lateness) *metrics.Counter {
 	return c.set.GetOrCreateCounter(fmt.Sprintf("daisyswitch_workflows_ended_total{queue=%q,state=%q,reached=%q}", queue, state, reached))
 }
 
-// since times what began at a moment.
-func since(h *metrics.Histogram, began time.Time) {
+// observeSince records the time elapsed since began.
+func observeSince(h *metrics.Histogram, began time.Time) {
 	h.Update(time.Since(began).Seconds())
 }
--- a/dispatch/counters_test.go
+++ b/dispatch/counters_test.go
@@ -13,10 +13,10 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestEndsOfWorkflowsAreCounted has one workflow completed and one cancelled.
+// TestEndsOfWorkflowsAreCounted completes one workflow and cancels one.
 func TestEndsOfWorkflowsAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, 2, big)
+		b := newTestBench(t, 2, big)
 		set := metrics.NewSet()
 		b.metrics = set
 		b.loop = b.newLoop()
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -1,4 +1,4 @@
-// Package dispatch is the leader's part for called workers: it decides which waiting task starts where, has it committed, and then calls the worker, whose lease it keeps.
+// Package dispatch is the leader's scheduler for called workers: it assigns waiting tasks to workers, commits the assignments, calls the workers and extends their leases.
 //
-// A start is sent only once it is committed, and a task moves only once its run is known to have ended or the worker's lease has surely ended.
+// A start is sent only after it is committed. A task moves only after its run is known to have ended or the worker's lease is known to have expired.
 package dispatch
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -6,70 +6,70 @@
 	"daisyswitch/wire"
 )
 
-// Bounds of records of ends.
+// Limits of records of run ends.
 const (
-	maxEnds       = 1000 // in one record; with their checkpoints well below the largest record
-	recordsOfEnds = 2    // on their way at once: while one is synced here and at the others, the next gathers
-	endsPerRecord = 8    // for which a record has memory at first: a thousand ends a second in some hundred records
+	maxEndsPerRecord        = 1000 // in one record; with their checkpoints well below the maximum record size
+	maxConcurrentEndRecords = 2    // being committed at once: while one is synced on this and the other replicas, the next is filled
+	initialEndCapacity      = 8    // initial capacity of a record: a thousand ends a second come in about a hundred records
 )
 
-// endBatch is a record of ends that gathers while earlier ones are on their way.
+// endBatch is a record of run ends that is filled while earlier records are being committed.
 type endBatch struct {
 	ends      []*wire.RunEnd
-	done      chan struct{} // closed once committed is known
+	done      chan struct{} // closed once committed is set
 	committed bool
 }
 
-// endRecords gathers the ends that workers list at about the same time into one record.
-type endRecords struct {
-	mu   sync.Mutex
-	next *endBatch // that still gathers, nil if none does
-	turn chan struct{}
+// endBatcher combines the run ends that workers list at about the same time into one record.
+type endBatcher struct {
+	mu    sync.Mutex
+	open  *endBatch // batch that still accepts ends, nil if none does
+	slots chan struct{}
 }
 
-func newEndRecords() *endRecords {
-	return &endRecords{turn: make(chan struct{}, recordsOfEnds)}
+func newEndBatcher() *endBatcher {
+	return &endBatcher{slots: make(chan struct{}, maxConcurrentEndRecords)}
 }
 
-// join adds ends to the batch that gathers; the caller that begins a batch has to commit it.
-func (e *endRecords) join(ends []*wire.RunEnd) (b *endBatch, begins bool) {
+// add adds ends to the open batch. The caller that opens a batch has to commit it.
+func (e *endBatcher) add(ends []*wire.RunEnd) (b *endBatch, begins bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.next == nil || len(e.next.ends)+len(ends) > maxEnds {
-		e.next = &endBatch{done: make(chan struct{}), ends: make([]*wire.RunEnd, 0, endsPerRecord)}
+	if e.open == nil || len(e.open.ends)+len(ends) > maxEndsPerRecord {
+		e.open = &endBatch{done: make(chan struct{}), ends: make([]*wire.RunEnd, 0, initialEndCapacity)}
 		begins = true
 	}
-	e.next.ends = append(e.next.ends, ends...)
-	return e.next, begins
+	e.open.ends = append(e.open.ends, ends...)
+	return e.open, begins
 }
 
-// close ends the gathering of a batch.
-func (e *endRecords) close(b *endBatch) {
+// close stops a batch from accepting more ends.
+func (e *endBatcher) close(b *endBatch) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.next == b {
-		e.next = nil
+	if e.open == b {
+		e.open = nil
 	}
 }
 
-// commitEnds has ends committed, again and again until they are or the leadership ends.
-// Whoever commits the ends of one worker waits for them before it commits later ones, since a later number takes note of all before.
+// commitEnds commits run ends, retrying until they are committed or the leadership ends.
+// The ends of one worker have to be committed one call after the other, since a noted end number acknowledges all lower ones.
 func (s *session) commitEnds(ends []*wire.RunEnd) bool {
-	b, begins := s.records.join(ends)
+	b, begins := s.endBatches.add(ends)
 	if begins {
-		s.commitBatch(b)
+		s.commitEndBatch(b)
 	}
 	<-b.done
 	return b.committed
 }
 
-func (s *session) commitBatch(b *endBatch) {
+func (s *session) commitEndBatch(b *endBatch) {
 	defer close(b.done)
 	select {
-	case s.records.turn <- struct{}{}:
-		defer func() { <-s.records.turn }()
+	case s.endBatches.slots <- struct{}{}:
+		defer func() { <-s.endBatches.slots }()
 	case <-s.ctx.Done():
 	}
-	s.records.close(b)
-	b.committed = s.commitSoon(&wire.WorkflowCommand{Ends: b.ends})
+	s.endBatches.close(b)
+	b.committed = s.commitWithRetry(&wire.WorkflowCommand{Ends: b.ends})
 }
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -22,36 +22,36 @@
 const (
 	commitDelay = 20 * time.Millisecond // two syncs and a round trip
 	lease       = 4 * time.Second
-	longest     = 6 * time.Second
+	maxLease    = 6 * time.Second
 	pool        = "pool"
 )
 
 var errNoAnswer = errors.New("no answer")
 
-// bench is a leader with its table, and workers that are called, in virtual time.
-type bench struct {
+// testBench is a leader with its table and fake workers, in virtual time.
+type testBench struct {
 	t       *testing.T
 	table   *workflow.Table
 	loop    *dispatch.Loop
 	began   time.Time
-	workers map[string]*worker
+	workers map[string]*fakeWorker
 	cancel  context.CancelFunc
 	ended   chan struct{}
 
-	mu      sync.Mutex // guards what follows, and the workers
-	leads   bool       // whether a quorum confirms the leader
-	running map[workflow.Name]int
-	ran     []string // every run that began, in order
-	twice   []string // tasks that ran twice at once
-	records int      // committed, with ends in them
+	mu          sync.Mutex // guards the fields below, and the workers
+	confirmed   bool       // whether a quorum confirms the leader
+	running     map[workflow.Name]int
+	begunRuns   []string // every run that began, in order
+	overlapping []string // tasks with two runs at the same time
+	endRecords  int      // committed records that contain ends
 
-	metrics      *metrics.Set // of loops made from now on, nil for none
-	slowTakeover atomic.Int64 // nanoseconds that a new leader's clock has moved on once it has looked at it; no lock is taken for a clock that is read under all others
+	metrics       *metrics.Set // for loops created from now on, nil for none
+	takeoverDelay atomic.Int64 // nanoseconds by which a new leader's clock advances after its first reading; atomic, since the clock is read under all other locks
 }
 
-// worker is one worker that is called.
-type worker struct {
-	b      *bench
+// fakeWorker is a called worker that serves the calls of the loop.
+type fakeWorker struct {
+	b      *testBench
 	record *wire.CalledWorker
 	runs   map[workflow.Name]*fakeRun
 	ended  []call.Ended
@@ -60,11 +60,11 @@
 	lease  time.Time
 	barred map[workflow.Name]int32
 
-	silent bool          // answers nothing and carries out nothing
-	late   time.Duration // carries out starts so much later, without an answer
-	fails  bool          // fails all that it starts
-	tail   func(name workflow.Name) float64
-	asked  []call.Hold // while it was silent
+	silent           bool          // answers no calls and carries out nothing
+	startDelay       time.Duration // delay after which it carries out a start without answering
+	failsTasks       bool          // fails every run
+	tailOf           func(name workflow.Name) float64
+	holdsWhileSilent []call.Hold // received while it was silent
 }
 
 type fakeRun struct {
@@ -75,9 +75,9 @@
 	timer   *time.Timer
 }
 
-// newBench returns a leader with workers of one size, and queues for short, lasting and filling tasks.
-func newBench(t *testing.T, workers int, size *wire.Size) *bench {
-	b := &bench{t: t, began: time.Now(), workers: map[string]*worker{}, running: map[workflow.Name]int{}, leads: true}
+// newTestBench returns a leader with workers of one size, and queues for short, lasting and filling tasks.
+func newTestBench(t *testing.T, workers int, size *wire.Size) *testBench {
+	b := &testBench{t: t, began: time.Now(), workers: map[string]*fakeWorker{}, running: map[workflow.Name]int{}, confirmed: true}
 	b.loop = b.newLoop()
 	b.table = workflow.New(workflow.Options{
 		Changed:  func() { b.loop.Changed() },
@@ -97,7 +97,7 @@
 	return b
 }
 
-func (b *bench) newLoop() *dispatch.Loop {
+func (b *testBench) newLoop() *dispatch.Loop {
 	looks := &atomic.Int64{}
 	return dispatch.New(dispatch.Options{
 		Calls:  call.Functions{Start: b.start, Stop: b.stop, Hold: b.hold, Pace: b.pace},
@@ -106,33 +106,33 @@
 		Boot: func() time.Duration {
 			now := time.Since(b.began) + time.Hour
 			if looks.Add(1) > 1 {
-				now += time.Duration(b.slowTakeover.Load())
+				now += time.Duration(b.takeoverDelay.Load())
 			}
 			return now
 		},
 		Wall:     time.Now,
 		Lease:    lease,
-		MaxLease: longest,
+		MaxLease: maxLease,
 		Metrics:  b.metrics,
 	})
 }
 
-func (b *bench) isLeader() bool {
+func (b *testBench) isLeader() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.leads
+	return b.confirmed
 }
 
-func (b *bench) addWorker(id string, size *wire.Size) *worker {
-	w := &worker{b: b, runs: map[workflow.Name]*fakeRun{}, barred: map[workflow.Name]int32{}}
+func (b *testBench) addWorker(id string, size *wire.Size) *fakeWorker {
+	w := &fakeWorker{b: b, runs: map[workflow.Name]*fakeRun{}, barred: map[workflow.Name]int32{}}
 	w.record = &wire.CalledWorker{Id: id, Born: 1, Address: id + ":1", Pool: pool, Domain: "d", Capacity: size}
 	b.workers[id] = w
 	b.apply(&wire.WorkflowCommand{Workers: []*wire.CalledWorker{w.record}})
 	return w
 }
 
-// lead runs the loop as a leader until the next one or the end.
-func (b *bench) lead(fence uint64) {
+// lead runs the loop as the leader until the next call of lead or depose.
+func (b *testBench) lead(fence uint64) {
 	b.depose()
 	if fence > 1 {
 		b.loop = b.newLoop()
@@ -147,7 +147,7 @@
 	}()
 }
 
-func (b *bench) depose() {
+func (b *testBench) depose() {
 	if b.cancel == nil {
 		return
 	}
@@ -156,39 +156,39 @@
 	b.cancel = nil
 }
 
-func (b *bench) apply(c *wire.WorkflowCommand) *workflow.Result {
+func (b *testBench) apply(c *wire.WorkflowCommand) *workflow.Result {
 	return b.table.Apply(time.Now().UnixMilli(), c)
 }
 
-func (b *bench) commit(ctx context.Context, c *wire.WorkflowCommand) (*workflow.Result, error) {
+func (b *testBench) commit(ctx context.Context, c *wire.WorkflowCommand) (*workflow.Result, error) {
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-time.After(commitDelay):
 	}
 	if len(c.GetEnds()) > 0 {
-		b.set(func() { b.records++ })
+		b.locked(func() { b.endRecords++ })
 	}
 	return b.apply(c), nil
 }
 
-func (b *bench) submit(queue, id string, steps ...*wire.Step) {
+func (b *testBench) submit(queue, id string, steps ...*wire.Step) {
 	result := b.apply(&wire.WorkflowCommand{Submit: &wire.Workflow{Id: id, Queue: queue, Payload: "p", Steps: steps}})
 	assert.Equal(b.t, result.Answer, wire.WorkflowAnswer_WORKFLOW_ANSWER_OK, result.Reason)
 }
 
-func (b *bench) state(id string) string {
+func (b *testBench) state(id string) string {
 	state := ""
 	b.table.View(func(t *workflow.Tables) { state = t.Jobs[id].State() })
 	return state
 }
 
-// begins counts the runs that have begun of a task.
-func (b *bench) begins(name string) int {
+// runCount counts the runs of a task that have begun.
+func (b *testBench) runCount(name string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	count := 0
-	for _, r := range b.ran {
+	for _, r := range b.begunRuns {
 		if r == name {
 			count++
 		}
@@ -196,7 +196,7 @@
 	return count
 }
 
-func (b *bench) runningOf(id string) int {
+func (b *testBench) runningOf(id string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	count := 0
@@ -208,27 +208,27 @@
 	return count
 }
 
-func (b *bench) set(change func()) {
+func (b *testBench) locked(change func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	change()
 }
 
-// together has the leader see several submissions at once.
-func (b *bench) together(submit func()) {
-	b.set(func() { b.leads = false })
+// submitTogether makes several submissions that the leader sees in one round.
+func (b *testBench) submitTogether(submit func()) {
+	b.locked(func() { b.confirmed = false })
 	submit()
-	b.set(func() { b.leads = true })
+	b.locked(func() { b.confirmed = true })
 }
 
-func (b *bench) noneTwice() {
+func (b *testBench) assertNoOverlap() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	assert.Equal(b.t, len(b.twice), 0, "%v", b.twice)
+	assert.Equal(b.t, len(b.overlapping), 0, "%v", b.overlapping)
 }
 
-// reach waits out the way to the worker and back, and says whether an answer comes.
-func (b *bench) reach(ctx context.Context, w *wire.CalledWorker) (*worker, error) {
+// reachWorker waits for the network delay and returns the worker, or an error if the worker is silent.
+func (b *testBench) reachWorker(ctx context.Context, w *wire.CalledWorker) (*fakeWorker, error) {
 	target := b.workers[w.GetId()]
 	time.Sleep(time.Millisecond)
 	b.mu.Lock()
@@ -241,9 +241,9 @@
 	return target, nil
 }
 
-func (w *worker) clock() int64 { return time.Since(w.b.began).Milliseconds() + 1000 }
+func (w *fakeWorker) clock() int64 { return time.Since(w.b.began).Milliseconds() + 1000 }
 
-func (w *worker) refuses(fence uint64) bool {
+func (w *fakeWorker) rejectsFence(fence uint64) bool {
 	if fence < w.fence {
 		return true
 	}
@@ -251,15 +251,15 @@
 	return false
 }
 
-func (w *worker) extend(deadlineMS int64) {
-	deadline := w.b.began.Add(time.Duration(min(deadlineMS, w.clock()+longest.Milliseconds())-1000) * time.Millisecond)
+func (w *fakeWorker) extend(deadlineMS int64) {
+	deadline := w.b.began.Add(time.Duration(min(deadlineMS, w.clock()+maxLease.Milliseconds())-1000) * time.Millisecond)
 	if deadline.After(w.lease) {
 		w.lease = deadline
 		time.AfterFunc(time.Until(deadline), w.lapse)
 	}
 }
 
-func (w *worker) lapse() {
+func (w *fakeWorker) lapse() {
 	w.b.mu.Lock()
 	defer w.b.mu.Unlock()
 	if time.Now().Before(w.lease) {
@@ -270,7 +270,7 @@
 	}
 }
 
-func (w *worker) end(name workflow.Name, outcome wire.RunOutcome) {
+func (w *fakeWorker) end(name workflow.Name, outcome wire.RunOutcome) {
 	r := w.runs[name]
 	if r == nil {
 		return
@@ -285,33 +285,33 @@
 	w.ended = append(w.ended, call.Ended{Number: w.number, Task: name, Run: r.number, Outcome: outcome})
 }
 
-func (b *bench) start(ctx context.Context, w *wire.CalledWorker, s *call.Start) (*call.Answer, error) {
-	target, err := b.reach(ctx, w)
+func (b *testBench) start(ctx context.Context, w *wire.CalledWorker, s *call.Start) (*call.Answer, error) {
+	target, err := b.reachWorker(ctx, w)
 	if err != nil {
 		return nil, err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if target.late > 0 {
+	if target.startDelay > 0 {
 		order := *s
-		time.AfterFunc(target.late, func() {
+		time.AfterFunc(target.startDelay, func() {
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			target.carryOut(&order)
+			target.acceptStart(&order)
 		})
 		b.mu.Unlock()
 		<-ctx.Done()
 		b.mu.Lock()
 		return nil, errNoAnswer
 	}
-	return &call.Answer{ClockMS: target.clock(), Refusal: target.carryOut(s)}, nil
+	return &call.Answer{ClockMS: target.clock(), Refusal: target.acceptStart(s)}, nil
 }
 
-// carryOut does what a worker does with a start, by the platform's rules.
-func (w *worker) carryOut(s *call.Start) call.Refusal {
+// acceptStart processes a start by the platform's rules.
+func (w *fakeWorker) acceptStart(s *call.Start) call.Refusal {
 	b := w.b
 	switch {
-	case w.refuses(s.Fence):
+	case w.rejectsFence(s.Fence):
 		return call.Deposed
 	case w.clock() > s.DeadlineMS:
 		return call.TooLate
@@ -323,13 +323,13 @@
 	w.extend(s.DeadlineMS)
 	r := &fakeRun{number: s.Run, begun: time.Now(), pace: 100}
 	w.runs[s.Task] = r
-	b.ran = append(b.ran, s.Task.String())
+	b.begunRuns = append(b.begunRuns, s.Task.String())
 	if b.running[s.Task]++; b.running[s.Task] > 1 {
-		b.twice = append(b.twice, s.Task.String())
+		b.overlapping = append(b.overlapping, s.Task.String())
 	}
-	if lasts := b.lengthOf(s.Task); lasts > 0 {
+	if lasts := b.durationOf(s.Task); lasts > 0 {
 		outcome := wire.RunOutcome_RUN_OUTCOME_DONE
-		if w.fails {
+		if w.failsTasks {
 			outcome = wire.RunOutcome_RUN_OUTCOME_FAILED
 		}
 		r.timer = time.AfterFunc(lasts, func() {
@@ -343,8 +343,8 @@
 	return call.Accepted
 }
 
-// lengthOf returns how long a task works, 0 for one that lasts.
-func (b *bench) lengthOf(name workflow.Name) time.Duration {
+// durationOf returns the run time of a task, 0 for a lasting one.
+func (b *testBench) durationOf(name workflow.Name) time.Duration {
 	var spec *wire.Step
 	b.table.View(func(t *workflow.Tables) { spec = t.Task(name).Step.Spec })
 	if spec.GetLasting() {
@@ -353,14 +353,14 @@
 	return time.Duration(spec.GetExpectedMs()) * time.Millisecond
 }
 
-func (b *bench) stop(ctx context.Context, w *wire.CalledWorker, s *call.Stop) (*call.Answer, error) {
-	target, err := b.reach(ctx, w)
+func (b *testBench) stop(ctx context.Context, w *wire.CalledWorker, s *call.Stop) (*call.Answer, error) {
+	target, err := b.reachWorker(ctx, w)
 	if err != nil {
 		return nil, err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if target.refuses(s.Fence) {
+	if target.rejectsFence(s.Fence) {
 		return &call.Answer{Refusal: call.Deposed}, nil
 	}
 	target.barred[s.Task] = max(target.barred[s.Task], s.Run)
@@ -370,8 +370,8 @@
 	return &call.Answer{ClockMS: target.clock()}, nil
 }
 
-func (b *bench) pace(ctx context.Context, w *wire.CalledWorker, p *call.Pace) (*call.Answer, error) {
-	target, err := b.reach(ctx, w)
+func (b *testBench) pace(ctx context.Context, w *wire.CalledWorker, p *call.Pace) (*call.Answer, error) {
+	target, err := b.reachWorker(ctx, w)
 	if err != nil {
 		return nil, err
 	}
@@ -383,32 +383,32 @@
 	return &call.Answer{ClockMS: target.clock()}, nil
 }
 
-// holdLook is how often a waiting hold looks for an end.
-const holdLook = 5 * time.Millisecond
+// holdPollInterval is how often a waiting hold checks for an ended run.
+const holdPollInterval = 5 * time.Millisecond
 
-func (b *bench) hold(ctx context.Context, w *wire.CalledWorker, h *call.Hold) (*call.Listing, error) {
-	b.set(func() {
+func (b *testBench) hold(ctx context.Context, w *wire.CalledWorker, h *call.Hold) (*call.Listing, error) {
+	b.locked(func() {
 		if target := b.workers[w.GetId()]; target.silent {
-			target.asked = append(target.asked, *h)
+			target.holdsWhileSilent = append(target.holdsWhileSilent, *h)
 		}
 	})
-	target, err := b.reach(ctx, w)
+	target, err := b.reachWorker(ctx, w)
 	if err != nil {
 		return nil, err
 	}
 	until := time.Now().Add(h.Wait)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if target.refuses(h.Fence) {
+	if target.rejectsFence(h.Fence) {
 		return &call.Listing{Answer: call.Answer{Refusal: call.Deposed}}, nil
 	}
 	if h.DeadlineMS > 0 {
 		target.extend(h.DeadlineMS)
 	}
-	target.forget(h.Noted)
+	target.dropNoted(h.Noted)
 	for len(target.ended) == 0 && time.Now().Before(until) {
 		b.mu.Unlock()
-		time.Sleep(holdLook)
+		time.Sleep(holdPollInterval)
 		b.mu.Lock()
 	}
 	if target.silent {
@@ -417,42 +417,42 @@
 	return target.list(), nil
 }
 
-func (w *worker) forget(noted int64) {
+func (w *fakeWorker) dropNoted(noted int64) {
 	for len(w.ended) > 0 && w.ended[0].Number <= noted {
 		w.ended = w.ended[1:]
 	}
 }
 
-func (w *worker) list() *call.Listing {
+func (w *fakeWorker) list() *call.Listing {
 	l := &call.Listing{Answer: call.Answer{ClockMS: w.clock()}, Ended: append([]call.Ended(nil), w.ended...)}
 	for name, r := range w.runs {
 		running := call.Running{Task: name, Run: r.number, Percent: w.percent(name, r)}
-		if w.tail != nil {
-			running.Figure = w.tail(name)
+		if w.tailOf != nil {
+			running.Figure = w.tailOf(name)
 		}
 		l.Running = append(l.Running, running)
 	}
 	return l
 }
 
-func (w *worker) percent(name workflow.Name, r *fakeRun) int {
-	if w.b.lengthOf(name) == 0 {
+func (w *fakeWorker) percent(name workflow.Name, r *fakeRun) int {
+	if w.b.durationOf(name) == 0 {
 		return 100
 	}
 	if r.pace > 0 {
-		r.percent = int(min(99, 100*time.Since(r.begun)/w.b.lengthOf(name)))
+		r.percent = int(min(99, 100*time.Since(r.begun)/w.b.durationOf(name)))
 	}
 	return r.percent
 }
 
-// inBench runs a test in virtual time.
-func inBench(t *testing.T, workers int, size *wire.Size, test func(*bench)) {
+// runOnBench runs a test in virtual time.
+func runOnBench(t *testing.T, workers int, size *wire.Size, test func(*testBench)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, workers, size)
+		b := newTestBench(t, workers, size)
 		b.lead(1)
 		defer b.depose()
 		time.Sleep(200 * time.Millisecond)
 		test(b)
-		b.noneTwice()
+		b.assertNoOverlap()
 	})
 }
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -9,140 +9,140 @@
 	"daisyswitch/workflow"
 )
 
-// Judging of workers; a failure is held against a worker only if several workflows fail there in a row.
+// Suspension of workers. A worker is suspended only if several workflows fail there in a row, without a success between.
 const (
-	suspectAfter = 2                // workflows that failed in a row on one worker; faults of tasks are a few in a hundred
-	suspendFirst = 4 * time.Second  // about as long as a worker's faults last
-	suspendMost  = 16 * time.Second // a worker that fails at each probe
-	stillTime    = 2 * time.Second  // without any progress, of tasks that take some seconds in all
+	suspendThreshold = 2                // workflows that failed in a row on one worker; a few percent of tasks fail by their own fault
+	minSuspension    = 4 * time.Second  // about as long as a worker's faults last
+	maxSuspension    = 16 * time.Second // reached by a worker that fails again after each suspension
+	stallTimeout     = 2 * time.Second  // without progress, for tasks that take some seconds in total
 )
 
-// health is what a leadership holds against a worker.
+// health is the failure history of a worker in this leadership.
 type health struct {
-	failed    map[string]struct{} // workflows that failed there since the last success
-	suspended time.Duration       // boot clock until which it gets nothing new
-	last      time.Duration       // length of the last suspension
+	failedWorkflows map[string]struct{} // workflows that failed there since the last success
+	suspended       time.Duration       // boot clock until which it gets no new tasks
+	lastSuspension  time.Duration       // length of the last suspension
 }
 
-// judge notes the end of a run.
-func (l *link) judge(e *call.Ended) {
+// recordOutcome updates the worker's health and the task statistics from the end of a run.
+func (l *link) recordOutcome(e *call.Ended) {
 	s := l.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := &l.health
 	switch e.Outcome {
 	case wire.RunOutcome_RUN_OUTCOME_DONE:
-		h.failed, h.last = nil, 0
-		s.learn(l.runs[runKey{e.Task, e.Run}])
+		h.failedWorkflows, h.lastSuspension = nil, 0
+		s.recordDuration(l.runs[runKey{e.Task, e.Run}])
 	case wire.RunOutcome_RUN_OUTCOME_FAILED:
-		s.avoid(e.Task, l.id)
-		if h.failed == nil {
-			h.failed = map[string]struct{}{}
+		s.exclude(e.Task, l.id)
+		if h.failedWorkflows == nil {
+			h.failedWorkflows = map[string]struct{}{}
 		}
-		h.failed[e.Task.Workflow] = struct{}{}
-		if len(h.failed) >= suspectAfter || h.last > 0 {
+		h.failedWorkflows[e.Task.Workflow] = struct{}{}
+		if len(h.failedWorkflows) >= suspendThreshold || h.lastSuspension > 0 {
 			l.suspend("it failed tasks of several workflows in a row")
 		}
 	}
 }
 
-// avoid keeps a task off a worker; the session's mutex is held.
-func (s *session) avoid(name workflow.Name, worker string) {
-	if s.failedOn[name] == nil {
-		s.failedOn[name] = map[string]struct{}{}
+// exclude keeps a task off a worker. The caller holds the session's mutex.
+func (s *session) exclude(name workflow.Name, worker string) {
+	if s.excluded[name] == nil {
+		s.excluded[name] = map[string]struct{}{}
 	}
-	s.failedOn[name][worker] = struct{}{}
+	s.excluded[name][worker] = struct{}{}
 }
 
-// suspend keeps new tasks off the worker for a while, longer each time; the session's mutex is held.
+// suspend keeps new tasks off the worker for a time that doubles with each suspension, up to maxSuspension. The caller holds the session's mutex.
 func (l *link) suspend(reason string) {
 	h := &l.health
-	h.last = min(max(suspendFirst, 2*h.last), suspendMost)
-	h.suspended = l.s.Boot() + h.last
-	event.CalledSuspended.Info("worker", l.id, "reason", reason, "workflows", len(h.failed), "for_ms", h.last.Milliseconds())
+	h.lastSuspension = min(max(minSuspension, 2*h.lastSuspension), maxSuspension)
+	h.suspended = l.s.Boot() + h.lastSuspension
+	event.CalledSuspended.Info("worker", l.id, "reason", reason, "workflows", len(h.failedWorkflows), "for_ms", h.lastSuspension.Milliseconds())
 }
 
-// pace is how long the work of a queue's tasks takes.
-type pace struct {
+// taskDuration is the mean run time of a queue's tasks.
+type taskDuration struct {
 	mean  time.Duration
 	count int
 }
 
-// How many tasks the mean of a queue remembers, and how many it needs: the first to end are the shortest.
+// Number of tasks over which a queue's mean run time is averaged, and the least number before it is used, since the first tasks to end are the shortest.
 const (
-	paceWeight = 64
-	paceLeast  = 24
+	durationWindow     = 64
+	minDurationSamples = 24
 )
 
-// learn notes how long a task took; the session's mutex is held.
-func (s *session) learn(r *run) {
+// recordDuration adds the run time of a task to its queue's mean. The caller holds the session's mutex.
+func (s *session) recordDuration(r *run) {
 	if r == nil || !r.listed || r.order.Checkpoint != "" {
 		return
 	}
 	queue := r.task.Step.Job.Spec.GetQueue()
-	p := s.pace[queue]
+	p := s.taskDuration[queue]
 	if p == nil {
-		p = &pace{}
-		s.pace[queue] = p
+		p = &taskDuration{}
+		s.taskDuration[queue] = p
 	}
-	p.count = min(p.count+1, paceWeight)
-	p.mean += (s.Boot() - r.beganAt - p.mean) / time.Duration(p.count)
+	p.count = min(p.count+1, durationWindow)
+	p.mean += (s.Boot() - r.firstListedAt - p.mean) / time.Duration(p.count)
 }
 
-// Moving of filling tasks that are slowed.
+// Conditions for moving a slowed filling task to another worker.
 const (
-	movedBelow    = 30          // percent of its speed
-	movedAfter    = time.Second // as long as a reading takes to follow an order on pace
-	movedProgress = 25          // percent of its work that a task without checkpoints may lose
+	movedBelowPace  = 30          // percent of its full speed
+	moveDelay       = time.Second // time until a reading reflects a change of pace
+	maxLostProgress = 25          // percent of its work that a task without checkpoints may lose
 )
 
-// moveSlowed stops filling tasks that serving ones have slowed, so that they go on elsewhere from their checkpoints.
+// moveSlowed stops filling tasks that are slowed for serving tasks, so that they continue on another worker from their checkpoints.
 func (s *session) moveSlowed() {
 	now := s.Boot()
 	var slowed []runKey
 	s.mu.Lock()
 	for key, r := range s.runs {
 		spec := r.task.Step.Spec
-		if r.phase != started || r.pace >= movedBelow || spec.GetGang() || now-r.pacedAt < movedAfter {
+		if r.phase != started || r.pace >= movedBelowPace || spec.GetGang() || now-r.pacedAt < moveDelay {
 			continue
 		}
-		if spec.GetCheckpointing() || r.percent < movedProgress {
+		if spec.GetCheckpointing() || r.percent < maxLostProgress {
 			slowed = append(slowed, key)
-			s.avoid(key.name, r.worker.GetId())
+			s.exclude(key.name, r.worker.GetId())
 		}
 	}
 	s.mu.Unlock()
 	for _, key := range slowed {
-		s.stopKey(key, "it is slowed and goes on elsewhere")
+		s.stopByKey(key, "it is slowed and continues on another worker")
 	}
 }
 
-// isStill says whether the worker has listed a run long enough without progress, for the pace that it was told.
-func (r *run) isStill() bool {
-	return r.listed && r.pace > 0 && (r.listedAt-r.percentAt)*time.Duration(r.pace)/100 >= stillTime
+// isStalled reports whether the worker has listed a run without progress for stallTimeout, scaled by its pace.
+func (r *run) isStalled() bool {
+	return r.listed && r.pace > 0 && (r.listedAt-r.progressAt)*time.Duration(r.pace)/100 >= stallTimeout
 }
 
-// stopStill stops tasks that make no progress, so that they go on elsewhere.
-func (s *session) stopStill() {
-	var still []runKey
+// stopStalled stops tasks that make no progress, so that they continue on another worker.
+func (s *session) stopStalled() {
+	var stalled []runKey
 	s.mu.Lock()
 	for key, r := range s.runs {
-		if r.phase != started || r.task.Step.Spec.GetGang() || r.percent >= 100 || !r.isStill() {
+		if r.phase != started || r.task.Step.Spec.GetGang() || r.percent >= 100 || !r.isStalled() {
 			continue
 		}
-		still = append(still, key)
-		s.avoid(key.name, r.worker.GetId())
+		stalled = append(stalled, key)
+		s.exclude(key.name, r.worker.GetId())
 		h := &r.link.health
-		if h.failed == nil {
-			h.failed = map[string]struct{}{}
+		if h.failedWorkflows == nil {
+			h.failedWorkflows = map[string]struct{}{}
 		}
-		h.failed[key.name.Workflow] = struct{}{}
-		if len(h.failed) >= suspectAfter {
+		h.failedWorkflows[key.name.Workflow] = struct{}{}
+		if len(h.failedWorkflows) >= suspendThreshold {
 			r.link.suspend("its tasks stand still")
 		}
 	}
 	s.mu.Unlock()
-	for _, key := range still {
-		s.stopKey(key, "it makes no progress")
+	for _, key := range stalled {
+		s.stopByKey(key, "it makes no progress")
 	}
 }
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -13,42 +13,42 @@
 	"daisyswitch/workflow"
 )
 
-// link is what a leadership knows of one life of a worker, and keeps its lease.
+// link holds this leadership's state of one incarnation of a worker, and extends the worker's lease.
 type link struct {
-	s          *session
-	id         string
-	ctx        context.Context
-	cancel     context.CancelFunc
-	runs       map[runKey]*run    // guarded by the session's mutex
-	health     health             // guarded by the session's mutex
-	victims    map[runKey]*victim // serving tasks; guarded by the session's mutex
-	listed     bool               // the worker has listed its runs to this leader; guarded by the session's mutex
-	revised    bool               // what it offers may have changed since it was last listed for placing; guarded by the session's mutex
-	spared     int64              // thousandths of a core that slowed filling tasks leave, as last listed; guarded by the session's mutex
-	processors int64              // thousandths of a core, at least 1
-	near       bool               // a serving task is near its target; guarded by the session's mutex
-
-	mu       sync.Mutex // guards what follows
-	worker   *wire.CalledWorker
-	clockMS  int64         // a reading of the worker's clock
-	readAt   time.Duration // boot clock, when the reading had surely been taken; 0 for never
-	leaseMS  int64         // worker's clock: latest deadline given in this leadership
-	lapsesAt time.Duration // boot clock: when the worker has surely lost all that runs, whoever gave the lease
-	heardAt  time.Duration // boot clock, of the last answer to a hold; 0 while it is silent
-	lapsed   bool          // its runs were committed as lapsed and it has not been heard since
-	coolTill time.Duration // boot clock until which nothing new is placed on it
-	strays   map[runKey]struct{}
+	s                *session
+	id               string
+	ctx              context.Context
+	cancel           context.CancelFunc
+	runs             map[runKey]*run         // guarded by the session's mutex
+	health           health                  // guarded by the session's mutex
+	serving          map[runKey]*servingTask // serving tasks; guarded by the session's mutex
+	runsListed       bool                    // the worker has listed its runs to this leader; guarded by the session's mutex
+	offerChanged     bool                    // the worker's offer may have changed since its candidate was updated; guarded by the session's mutex
+	sparedMilliCPU   int64                   // thousandths of a core that slowed filling tasks leave unused, as last listed; guarded by the session's mutex
+	capacityMilliCPU int64                   // thousandths of a core, at least 1
+	nearTarget       bool                    // a serving task beside filling tasks is near its target; guarded by the session's mutex
+
+	mu            sync.Mutex // guards the fields below
+	worker        *wire.CalledWorker
+	clockMS       int64         // a reading of the worker's clock
+	clockReadAt   time.Duration // boot clock by which the reading had certainly been taken; 0 for never
+	leaseMS       int64         // worker's clock: latest deadline granted in this leadership
+	lapsesAt      time.Duration // boot clock by which every lease has expired, whichever leader granted it, and nothing runs there
+	heardAt       time.Duration // boot clock, of the last answer to a hold; 0 while holds time out or fail
+	lapsed        bool          // its runs were committed as lapsed and it has not answered since
+	cooldownUntil time.Duration // boot clock until which no new tasks are placed on it
+	strays        map[runKey]struct{}
 }
 
 func newLink(s *session, w *wire.CalledWorker) *link {
-	l := &link{s: s, id: w.GetId(), worker: w, processors: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, victims: map[runKey]*victim{}, strays: map[runKey]struct{}{}}
+	l := &link{s: s, id: w.GetId(), worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
-	l.lapsesAt = s.Boot() + slow(s.MaxLease)
+	l.lapsesAt = s.Boot() + withMaxDrift(s.MaxLease)
 	return l
 }
 
-// slow returns how long a worker's clock may take for a time.
-func slow(d time.Duration) time.Duration {
+// withMaxDrift returns the longest time, on this process's clock, in which a worker's clock advances by d.
+func withMaxDrift(d time.Duration) time.Duration {
 	return d + d/(driftDivisor-1)
 }
 
@@ -58,88 +58,88 @@
 	l.worker = w
 }
 
-// current returns what the worker last said of itself.
-func (l *link) current() *wire.CalledWorker {
+// currentWorker returns the worker's latest committed record.
+func (l *link) currentWorker() *wire.CalledWorker {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.worker
 }
 
-// granted returns the lease's deadline on the worker's clock; ok is false while the worker is silent.
-func (l *link) granted() (deadline int64, ok bool) {
+// leaseDeadline returns the lease's deadline on the worker's clock. ok is false while the worker does not answer or has no lease.
+func (l *link) leaseDeadline() (deadline int64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.leaseMS, l.heardAt != 0 && l.leaseMS != 0
 }
 
-// usable says whether new tasks may be placed on the worker.
+// usable reports whether new tasks may be placed on the worker.
 func (l *link) usable(now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.heardAt != 0 && l.leaseMS != 0 && now >= l.coolTill
+	return l.heardAt != 0 && l.leaseMS != 0 && now >= l.cooldownUntil
 }
 
-// coolTimes are how long a worker gets nothing new after a refusal.
-var coolTimes = map[call.Refusal]time.Duration{
-	call.Unhealthy: time.Second,            // it said that it takes nothing now
-	call.NoRoom:    500 * time.Millisecond, // what it still stops ends within 900 ms
-	call.TooLate:   500 * time.Millisecond, // until the next hold has been answered
+// cooldowns holds how long a worker gets no new tasks after a refusal.
+var cooldowns = map[call.Refusal]time.Duration{
+	call.Unhealthy: time.Second,            // it reported that it accepts no tasks now
+	call.NoRoom:    500 * time.Millisecond, // runs that it is still stopping end within 900 ms
+	call.TooLate:   500 * time.Millisecond, // until the next hold has extended the lease
 }
 
-func (l *link) cool(refusal call.Refusal) {
+func (l *link) startCooldown(refusal call.Refusal) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.coolTill = max(l.coolTill, l.s.Boot()+coolTimes[refusal])
+	l.cooldownUntil = max(l.cooldownUntil, l.s.Boot()+cooldowns[refusal])
 }
 
-// otherLife notes that this life of the worker has ended.
-func (l *link) otherLife() {
-	w := l.current()
+// markReplaced commits that this incarnation of the worker has ended, and stops calling it.
+func (l *link) markReplaced() {
+	w := l.currentWorker()
 	event.WorkerReplaced.Info("worker", l.id, "born", w.GetBorn())
 	gone := &wire.CalledWorker{Id: w.GetId(), Born: w.GetBorn(), Address: w.GetAddress(), Gone: true}
-	l.s.tasks.Go(func() { l.s.commitSoon(&wire.WorkflowCommand{Workers: []*wire.CalledWorker{gone}}) })
+	l.s.tasks.Go(func() { l.s.commitWithRetry(&wire.WorkflowCommand{Workers: []*wire.CalledWorker{gone}}) })
 	l.cancel()
 }
 
-// run keeps the worker's lease until the worker is gone or the leadership ends.
-func (l *link) run() {
+// keepLease extends the worker's lease until the worker is gone or the leadership ends.
+func (l *link) keepLease() {
 	s := l.s
-	for s.awaitLive(l.ctx) {
+	for s.awaitMayCall(l.ctx) {
 		sent := s.Boot()
 		order := l.nextHold(sent)
-		ctx, cancel := context.WithTimeout(l.ctx, callTime+order.Wait)
-		listing, err := s.Calls.Hold(ctx, l.current(), order)
+		ctx, cancel := context.WithTimeout(l.ctx, callTimeout+order.Wait)
+		listing, err := s.Calls.Hold(ctx, l.currentWorker(), order)
 		cancel()
 		switch {
 		case errors.Is(err, call.ErrOtherLife):
-			l.otherLife()
+			l.markReplaced()
 			return
 		case err != nil:
-			l.silent(err)
-			s.pause(retryFirst)
+			l.recordSilence(err)
+			s.pause(minRetryDelay)
 		case listing.Refusal == call.Deposed:
 			event.WorkerObeysOther.Info("worker", l.id, "fence", s.fence)
-			s.pause(holdWait)
+			s.pause(longHoldWait)
 		case listing.Refusal != call.Accepted:
-			l.silent(fmt.Errorf("the hold was refused: %s", listing.Refusal))
-			s.pause(retryFirst)
+			l.recordSilence(fmt.Errorf("the worker refused the hold: %s", listing.Refusal))
+			s.pause(minRetryDelay)
 		default:
-			l.heard(listing)
-			l.take(sent, listing)
+			l.recordAnswer(listing)
+			l.processListing(sent, listing)
 		}
 	}
 }
 
-// nextHold returns the next order; one to a silent worker extends nothing, so that its lease ends at a known time,
-// and takes note of no end, since the worker may have started anew and counts its ends from 1 again.
+// nextHold returns the next hold. A hold to a worker that does not answer extends no lease, so that the lease expires at a known time.
+// It also acknowledges no ends, since the worker may have restarted and number its ends from 1 again.
 func (l *link) nextHold(now time.Duration) *call.Hold {
-	noted, born := int64(0), l.current().GetBorn()
+	noted, born := int64(0), l.currentWorker().GetBorn()
 	l.s.Table.View(func(t *workflow.Tables) {
 		if w := t.Workers[l.id]; w != nil && w.GetBorn() == born {
 			noted = w.Noted
 		}
 	})
-	wait := l.waitTime()
+	wait := l.holdWait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	order := &call.Hold{Fence: l.s.fence}
@@ -147,32 +147,32 @@
 		return order
 	}
 	order.Noted = noted
-	order.DeadlineMS = l.clockMS + (now - l.readAt + l.s.Lease).Milliseconds()
+	order.DeadlineMS = l.clockMS + (now - l.clockReadAt + l.s.Lease).Milliseconds()
 	if l.leaseMS != 0 {
 		order.Wait = wait
 	}
 	l.leaseMS = max(l.leaseMS, order.DeadlineMS)
-	l.boundLease()
+	l.updateLapse()
 	return order
 }
 
-// waitTime returns how long the worker may wait for an end before it answers.
-func (l *link) waitTime() time.Duration {
+// holdWait returns how long the worker may wait for a run to end before it answers.
+func (l *link) holdWait() time.Duration {
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
-	if l.near {
-		return watchWait
+	if l.nearTarget {
+		return shortHoldWait
 	}
-	return holdWait
+	return longHoldWait
 }
 
-// boundLease works out when the lease has surely ended: the worker's clock read at least clockMS at readAt and is little slower than ours.
-func (l *link) boundLease() {
+// updateLapse computes when the lease has certainly expired: the worker's clock read at least clockMS at clockReadAt and is slow by at most 1/driftDivisor.
+func (l *link) updateLapse() {
 	left := time.Duration(l.leaseMS-l.clockMS) * time.Millisecond
-	l.lapsesAt = l.readAt + slow(left)
+	l.lapsesAt = l.clockReadAt + withMaxDrift(left)
 }
 
-func (l *link) heard(listing *call.Listing) {
+func (l *link) recordAnswer(listing *call.Listing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.s.Boot()
@@ -182,12 +182,12 @@
 	l.heardAt = now
 	l.lapsed = false
 	if listing.ClockMS > 0 {
-		l.clockMS, l.readAt = listing.ClockMS, now
+		l.clockMS, l.clockReadAt = listing.ClockMS, now
 	}
 }
 
-// silent notes an unanswered hold and takes the worker's runs back once its lease has surely ended.
-func (l *link) silent(cause error) {
+// recordSilence records a failed hold, and ends the worker's runs once its lease has certainly expired.
+func (l *link) recordSilence(cause error) {
 	l.mu.Lock()
 	now := l.s.Boot()
 	if l.heardAt != 0 {
@@ -201,16 +201,16 @@
 	}
 	l.mu.Unlock()
 	if take {
-		l.lapse()
+		l.commitLapse()
 	}
 }
 
-// lapse commits that all runs on the worker have ended with its lease.
-func (l *link) lapse() {
+// commitLapse commits that all runs on the worker have ended with its lease.
+func (l *link) commitLapse() {
 	s := l.s
 	var ends []*wire.RunEnd
 	var keys []runKey
-	born := l.current().GetBorn()
+	born := l.currentWorker().GetBorn()
 	s.Table.View(func(t *workflow.Tables) {
 		w := t.Workers[l.id]
 		if w == nil || w.GetBorn() != born {
@@ -222,13 +222,13 @@
 			ends = append(ends, &wire.RunEnd{Task: key.name.Wire(), Run: key.number, Worker: l.id, Born: w.GetBorn(), Outcome: wire.RunOutcome_RUN_OUTCOME_LAPSED, Checkpoint: s.checkpointOf(key)})
 		}
 	})
-	s.lapses.Inc()
+	s.leaseLapses.Inc()
 	event.LeaseLapsed.Info("worker", l.id, "runs", len(ends))
 	if len(ends) == 0 || !s.commitEnds(ends) {
 		return
 	}
 	for _, key := range keys {
-		s.forget(key)
+		s.dropRun(key)
 	}
 }
 
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -17,62 +17,62 @@
 
 // Timing of the loop.
 const (
-	tick         = 100 * time.Millisecond // between looks at what time alone changes, such as due times; a tenth of the shortest delay that callers notice
-	commitRetry  = 50 * time.Millisecond  // after a record that was not committed; one election tick
-	roundGap     = 5 * time.Millisecond   // between rounds of placing; a fraction of a commit
-	roundShare   = 1                      // times as long as a round took, the loop leaves to others before the next
-	maxStarts    = 500                    // in one record, which bounds the time that others wait for it
-	callTime     = 600 * time.Millisecond // longest wait for an answer; workers are a few milliseconds away
-	retryFirst   = 50 * time.Millisecond  // before an order is sent again
-	retryMost    = 800 * time.Millisecond // below a worker's lease, so that a recovered worker is heard before it lapses
-	holdWait     = time.Second            // how long a worker may wait for an end before it answers
-	driftDivisor = 50                     // workers' clocks are at most a fiftieth slow
+	checkInterval    = 100 * time.Millisecond // between checks of what changes with time alone, such as due times; a tenth of the shortest delay that callers notice
+	commitRetryDelay = 50 * time.Millisecond  // after a record that was not committed; one election tick
+	minRoundGap      = 5 * time.Millisecond   // least pause between placement rounds; a fraction of a commit
+	roundGapFactor   = 1                      // pause after a round as a multiple of its duration, to leave time to other goroutines
+	maxStarts        = 500                    // in one record, which bounds how long other records wait for it
+	callTimeout      = 600 * time.Millisecond // longest wait for an answer; workers are a few milliseconds away
+	minRetryDelay    = 50 * time.Millisecond  // before a call is repeated
+	maxRetryDelay    = 800 * time.Millisecond // below a worker's lease, so that a recovered worker answers before it lapses
+	longHoldWait     = time.Second            // how long a worker may wait for a run to end before it answers
+	driftDivisor     = 50                     // workers' clocks are slow by at most a fiftieth
 )
 
-// Options says what a Loop works on.
+// Options configures a Loop.
 type Options struct {
 	Table    *workflow.Table
 	Calls    call.Functions
 	Commit   func(context.Context, *wire.WorkflowCommand) (*workflow.Result, error)
-	Leads    func() bool          // whether this process may act as the leader right now
-	Boot     func() time.Duration // clock that counts suspended time
+	Leads    func() bool          // whether this process may act as the leader now
+	Boot     func() time.Duration // clock that includes time in which the machine was suspended
 	Wall     func() time.Time
-	Lease    time.Duration // given to workers
-	MaxLease time.Duration // longest that any leader can have given
-	Metrics  *metrics.Set  // that the loop's counters are added to; nil for none
+	Lease    time.Duration // granted to workers
+	MaxLease time.Duration // longest lease that any leader can have granted
+	Metrics  *metrics.Set  // set to which the loop adds its metrics; nil for none
 }
 
-// Loop decides and calls while this replica leads.
+// Loop places tasks and calls workers while this replica leads.
 // Locks are taken in the order table, session, link.
 type Loop struct {
-	o        Options
+	options  Options
 	counters *counters
 	wake     chan struct{}
 
-	mu   sync.Mutex // guards what follows; may be taken with the table locked
-	runs bool       // whether news are taken in; a replica that does not lead tells of each record too
-	news
+	mu        sync.Mutex // guards the fields below; may be taken while the table is locked
+	listening bool       // whether updates are collected; the table's hooks also run on replicas that do not lead
+	updates
 }
 
-// news is what the state has told of since the loop last looked.
-type news struct {
+// updates holds the changes that the table's hooks reported since the loop last took them.
+type updates struct {
 	assigned []*workflow.Task
 	closed   []*workflow.Job
 	ended    []*workflow.Job
 }
 
-// New returns a loop that does nothing until Run.
-func New(o Options) *Loop {
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewSet()
+// New returns a loop that is idle until Run is called.
+func New(options Options) *Loop {
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewSet()
 	}
-	return &Loop{o: o, counters: newCounters(o.Metrics), wake: make(chan struct{}, 1)}
+	return &Loop{options: options, counters: newCounters(options.Metrics), wake: make(chan struct{}, 1)}
 }
 
-// SetTable names the state, whose hooks in turn name the loop.
-func (l *Loop) SetTable(t *workflow.Table) { l.o.Table = t }
+// SetTable sets the table after construction, since the table's hooks refer to the loop.
+func (l *Loop) SetTable(t *workflow.Table) { l.options.Table = t }
 
-// Changed has the loop look at the state again.
+// Changed wakes the loop to check the state again.
 func (l *Loop) Changed() {
 	select {
 	case l.wake <- struct{}{}:
@@ -80,125 +80,125 @@
 	}
 }
 
-// Assigned notes that a task was committed to a worker.
+// Assigned queues a task whose start on a worker was committed.
 func (l *Loop) Assigned(t *workflow.Task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.runs {
+	if l.listening {
 		l.assigned = append(l.assigned, t)
 	}
 }
 
-// Closed notes that nothing of a job may go on.
+// Closed queues a job of which nothing may continue to run.
 func (l *Loop) Closed(j *workflow.Job) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.runs {
+	if l.listening {
 		l.closed = append(l.closed, j)
 	}
 }
 
-// Ended notes that a job is completed, failed or cancelled.
+// Ended queues a job that has completed, failed or been cancelled.
 func (l *Loop) Ended(j *workflow.Job) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.runs {
+	if l.listening {
 		l.ended = append(l.ended, j)
 	}
 }
 
-// listen begins or ends to take in news.
-func (l *Loop) listen(on bool) {
+// setListening turns the collection of updates on or off and drops those collected so far.
+func (l *Loop) setListening(on bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs, l.news = on, news{}
+	l.listening, l.updates = on, updates{}
 }
 
-func (l *Loop) takeNews() news {
+func (l *Loop) takeUpdates() updates {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := l.news
-	l.news = news{}
+	n := l.updates
+	l.updates = updates{}
 	return n
 }
 
-// Run works with the given fencing token until ctx ends, and waits for its goroutines.
+// Run places tasks and calls workers with the given fencing token until ctx ends, and then waits for its goroutines.
 func (l *Loop) Run(ctx context.Context, fence uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &session{
-		Options: l.o, counters: l.counters, ctx: ctx, fence: fence,
-		links: map[string]*link{}, runs: map[runKey]*run{}, failedOn: map[workflow.Name]map[string]struct{}{}, pace: map[string]*pace{}, tails: headroom.New(), firstPace: map[runKey]int{}, images: map[string]int{}, candidates: map[string]*candidate{}, records: newEndRecords(), shortages: map[ask]*shortage{},
+		Options: l.options, counters: l.counters, ctx: ctx, fence: fence,
+		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]struct{}{}, taskDuration: map[string]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{},
 	}
 	defer s.tasks.Wait()
-	l.listen(true)
-	defer l.listen(false)
-	s.adopt()
-	ticker := time.NewTicker(tick)
+	l.setListening(true)
+	defer l.setListening(false)
+	s.adoptRuns()
+	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
-		s.work(l.takeNews())
+		s.process(l.takeUpdates())
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.wake:
 			s.pause(time.Until(s.nextRound))
 		case <-ticker.C:
-			s.stopStill()
+			s.stopStalled()
 			s.moveSlowed()
-			s.stopLeaving()
+			s.stopOnLeavingWorkers()
 			s.summarize()
 		}
 	}
 }
 
-// work does what has come up, and then decides what starts where.
-func (s *session) work(n news) {
-	s.linkWorkers()
+// process applies the collected updates and then runs a placement round.
+func (s *session) process(n updates) {
+	s.updateLinks()
 	for _, t := range n.assigned {
-		s.track(t, false)
+		s.trackRun(t, false)
 	}
 	for _, j := range n.closed {
 		s.stopJob(j)
 	}
 	for _, j := range n.ended {
-		s.noteEnd(j)
+		s.recordWorkflowEnd(j)
 	}
-	if !s.place() {
-		s.pause(commitRetry)
+	if !s.placeWaiting() {
+		s.pause(commitRetryDelay)
 	}
 }
 
-// session is one leadership.
+// session is the state of one leadership.
 type session struct {
 	Options
 	*counters
-	ctx           context.Context
-	fence         uint64
-	summaryAt     time.Duration                    // boot clock, of the next summary; the loop alone uses it
-	placings      int                              // rounds that had something to place; the loop alone uses it
-	candidates    map[string]*candidate            // by worker; the loop alone uses it
-	shortages     map[ask]*shortage                // the loop alone uses it
-	offers        []offer                          // of the step that is placed, used again for the next; the loop alone uses it
-	done          effort                           // since the last summary
-	nextRound     time.Time                        // before which nothing more is placed; the loop alone uses it
-	lastingSince  map[*workflow.Step]time.Duration // boot clock, since when steps that last have had waiting tasks; the loop alone uses it
-	workerChanges uint64                           // up to which links follow the table; the loop alone uses it
-	records       *endRecords
-	tasks         group.Group
+	ctx              context.Context
+	fence            uint64
+	nextSummary      time.Duration                    // boot clock, of the next summary; used by the loop's goroutine only
+	roundCount       int                              // rounds with waiting tasks so far; used by the loop's goroutine only
+	candidates       map[string]*candidate            // by worker; used by the loop's goroutine only
+	shortages        map[shortageKey]*shortage        // shortages by requirement; used by the loop's goroutine only
+	offers           []offer                          // buffer of the step being placed, reused for the next; used by the loop's goroutine only
+	done             loopStats                        // since the last summary
+	nextRound        time.Time                        // earliest start of the next round after a wake-up; used by the loop's goroutine only
+	lastingWaitSince map[*workflow.Step]time.Duration // boot clock, since when lasting steps have had waiting tasks; used by the loop's goroutine only
+	workerChanges    uint64                           // the table's WorkerChanges when links was last updated; used by the loop's goroutine only
+	endBatches       *endBatcher
+	tasks            group.Group
 
-	mu        sync.Mutex // guards what follows
-	links     map[string]*link
-	runs      map[runKey]*run
-	failedOn  map[workflow.Name]map[string]struct{} // workers that failed a task
-	pace      map[string]*pace                      // of work, by queue
-	tails     *headroom.Table
-	firstPace map[runKey]int // of runs that have not started
-	images    map[string]int // numbers of images in costs
+	mu              sync.Mutex // guards the fields below
+	links           map[string]*link
+	runs            map[runKey]*run
+	excluded        map[workflow.Name]map[string]struct{} // workers on which a task failed, stalled or was slowed
+	taskDuration    map[string]*taskDuration              // mean run times by queue
+	headrooms       *headroom.Table
+	initialPaces    map[runKey]int // paces in percent of runs that have not started
+	allImageNumbers map[string]int // indexes of images in costs
 }
 
-// adopt takes over what earlier leaders committed.
-func (s *session) adopt() {
+// adoptRuns takes over the runs that earlier leaders committed.
+func (s *session) adoptRuns() {
 	var tasks []*workflow.Task
 	s.Table.View(func(t *workflow.Tables) {
 		for _, w := range t.Workers {
@@ -208,9 +208,9 @@
 		}
 	})
 	event.RunsAdopted.Info("runs", len(tasks), "fence", s.fence)
-	s.linkWorkers()
+	s.updateLinks()
 	for _, task := range tasks {
-		s.track(task, true)
+		s.trackRun(task, true)
 	}
 }
 
@@ -225,45 +225,45 @@
 	}
 }
 
-// live says whether orders may be sent right now.
-func (s *session) live() bool {
+// mayCall reports whether workers may be called now.
+func (s *session) mayCall() bool {
 	return s.ctx.Err() == nil && s.Leads()
 }
 
-// leadGap is how often a leader that its quorum has not confirmed in time looks whether it has by now; a fifth of a tick.
-const leadGap = 10 * time.Millisecond
+// leadsPollInterval is how often a leader whose confirmation by the quorum is late checks for it again; a fifth of an election tick.
+const leadsPollInterval = 10 * time.Millisecond
 
-// awaitLive waits until orders may be sent, and returns false once ctx has ended.
-func (s *session) awaitLive(ctx context.Context) bool {
+// awaitMayCall waits until workers may be called, and returns false once ctx has ended.
+func (s *session) awaitMayCall(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		if s.Leads() {
 			return true
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(leadGap):
+		case <-time.After(leadsPollInterval):
 		}
 	}
 	return false
 }
 
-// commitSoon has a command committed, again and again until it is or the leadership ends.
-func (s *session) commitSoon(c *wire.WorkflowCommand) bool {
+// commitWithRetry commits a command, retrying until it is committed or the leadership ends.
+func (s *session) commitWithRetry(c *wire.WorkflowCommand) bool {
 	for s.ctx.Err() == nil {
 		began := time.Now()
 		_, err := s.Commit(s.ctx, c)
-		since(s.commit, began)
+		observeSince(s.commitTime, began)
 		if err == nil {
 			return true
 		}
 		event.RecordNotCommitted.Error(err, "ends", len(c.GetEnds()), "workers", len(c.GetWorkers()))
-		s.pause(commitRetry)
+		s.pause(commitRetryDelay)
 	}
 	return false
 }
 
-// linkWorkers begins to call the workers that are new and drops those that are gone.
-func (s *session) linkWorkers() {
+// updateLinks starts calling new workers and stops calling those that are gone.
+func (s *session) updateLinks() {
 	var current map[string]*wire.CalledWorker
 	s.Table.View(func(t *workflow.Tables) {
 		if t.WorkerChanges == s.workerChanges {
@@ -293,6 +293,6 @@
 		}
 		l := newLink(s, w)
 		s.links[id] = l
-		s.tasks.Go(l.run)
+		s.tasks.Go(l.keepLease)
 	}
 }
--- a/dispatch/loop_test.go
+++ b/dispatch/loop_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestReplicaThatDoesNotLeadKeepsNoNews guards against followers that keep each task that was ever started.
+// TestReplicaThatDoesNotLeadKeepsNoNews guards against followers that accumulate updates, which only a leader consumes.
 func TestReplicaThatDoesNotLeadKeepsNoNews(t *testing.T) {
 	l := New(Options{})
 	for range 100 {
@@ -16,6 +16,6 @@
 		l.Closed(&workflow.Job{})
 		l.Ended(&workflow.Job{})
 	}
-	kept := l.takeNews()
+	kept := l.takeUpdates()
 	assert.Equal(t, len(kept.assigned)+len(kept.closed)+len(kept.ended), 0)
 }
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -9,89 +9,89 @@
 	"daisyswitch/workflow"
 )
 
-// rank orders steps that can reach the same.
+// rank orders steps of equal lateness.
 type rank int
 
 const (
-	idleLasting rank = iota // the first task of a step that lasts: each such step that has one at work serves someone
-	longLasting             // further tasks of steps that last, once they have waited for lastingPatience
-	passing                 // steps that end
-	moreLasting             // further tasks of steps that last
+	firstLasting   rank = iota // first task of a lasting step: one running task already serves users
+	overdueLasting             // further tasks of lasting steps that have waited longer than maxLastingWait
+	nonLasting                 // steps that are not lasting
+	furtherLasting             // further tasks of other lasting steps
 )
 
-// lastingPatience is how long further tasks of a step that lasts may wait behind tasks that end, which by themselves never leave a whole piece of room;
-// the platform's pages allow 3 s in all, and tasks that end take up to 2 s to make room.
-const lastingPatience = time.Second
+// maxLastingWait is how long further tasks of a lasting step may wait behind tasks that end, which may never leave a large enough free piece on one worker by themselves.
+// The platform's documentation allows 3 s in total, and ending tasks take up to 2 s to make room.
+const maxLastingWait = time.Second
 
-// turn is a step's turn in a round.
+// turn is a position in the placement order of a round, for some or all tasks of a step.
 type turn struct {
-	step   *workflow.Step
-	chance lateness
-	rank   rank
-	most   int // tasks
+	step             *workflow.Step
+	expectedLateness lateness
+	rank             rank
+	maxTasks         int // most tasks to place in this turn
 }
 
-// turns returns when the tasks of a step, which has waited for some time, have their turns.
-func turns(step *workflow.Step, chance lateness, waited time.Duration) []turn {
+// turnsOf returns the turns of a step that has waited for some time.
+func turnsOf(step *workflow.Step, expectedLateness lateness, waited time.Duration) []turn {
 	all := len(step.Tasks)
 	if !step.Spec.GetLasting() {
-		return []turn{{step, chance, passing, all}}
+		return []turn{{step, expectedLateness, nonLasting, all}}
 	}
-	further := turn{step, chance, moreLasting, all}
-	if waited > lastingPatience {
-		further.rank = longLasting
+	further := turn{step, expectedLateness, furtherLasting, all}
+	if waited > maxLastingWait {
+		further.rank = overdueLasting
 	}
 	if slices.ContainsFunc(step.Tasks, func(t *workflow.Task) bool { return t.Worker != nil }) {
 		return []turn{further}
 	}
-	return []turn{{step, chance, idleLasting, 1}, further}
+	return []turn{{step, expectedLateness, firstLasting, 1}, further}
 }
 
-// noteWaiting keeps since when each step that lasts has had waiting tasks.
-func (s *session) noteWaiting(due []*workflow.Step) {
+// updateLastingWaits tracks since when each lasting step has had waiting tasks.
+func (s *session) updateLastingWaits(due []*workflow.Step) {
 	now, since := s.Boot(), map[*workflow.Step]time.Duration{}
 	for _, step := range due {
 		if !step.Spec.GetLasting() {
 			continue
 		}
-		began, waits := s.lastingSince[step]
+		began, waits := s.lastingWaitSince[step]
 		if !waits {
 			began = now
 		}
 		since[step] = began
 	}
-	s.lastingSince = since
+	s.lastingWaitSince = since
 }
 
-// order returns the steps that may start now, the most urgent first.
-func (r *round) order() []turn {
+// turnOrder returns the turns of the steps that are due, the most urgent first.
+func (r *round) turnOrder() []turn {
 	due := make([]*workflow.Step, 0, len(r.t.Waiting))
 	for step := range r.t.Waiting {
 		if step.Spec.GetFilling() {
-			r.fills[r.image(step)] += step.Waiting
+			r.waitingFilling[r.imageNumber(step)] += step.Waiting
 		}
 		if step.DueMS > r.nowMS {
 			continue
 		}
 		due = append(due, step)
-		chance, known := r.chance[step.Job]
-		if reached := r.s.reaches(step, r.nowMS); !known || reached < chance {
-			r.chance[step.Job] = reached
+		expectedLateness, known := r.expectedLateness[step.Job]
+		if reached := r.s.predictLateness(step, r.nowMS); !known || reached < expectedLateness {
+			r.expectedLateness[step.Job] = reached
 		}
 	}
-	r.s.noteWaiting(due)
-	order, now := make([]turn, 0, len(due)), r.s.Boot()
+	r.s.updateLastingWaits(due)
+	turnOrder, now := make([]turn, 0, len(due)), r.s.Boot()
 	for _, step := range due {
-		order = append(order, turns(step, r.chance[step.Job], now-r.s.lastingSince[step])...)
+		turnOrder = append(turnOrder, turnsOf(step, r.expectedLateness[step.Job], now-r.s.lastingWaitSince[step])...)
 	}
-	slices.SortFunc(order, compare)
-	return order
+	slices.SortFunc(turnOrder, compareTurns)
+	return turnOrder
 }
 
-// compare orders turns, the most urgent first.
-func compare(a, b turn) int {
+// compareTurns orders turns, the most urgent first.
+func compareTurns(a, b turn) int {
 	return cmp.Or(
-		cmp.Compare(a.chance, b.chance),
+		cmp.Compare(a.expectedLateness, b.expectedLateness),
 		cmp.Compare(a.rank, b.rank),
 		cmp.Compare(a.step.Job.Queue.GetPriority(), b.step.Job.Queue.GetPriority()),
 		cmp.Compare(a.step.Job.AcceptedMS, b.step.Job.AcceptedMS),
@@ -101,29 +101,29 @@
 	)
 }
 
-// lateFactor is up to how many times its objective a workflow still earns something, as the platform's pages say.
+// lateFactor is the multiple of its objective up to which a late workflow still has some value, by the platform's documentation.
 const lateFactor = 3
 
-// lateness is what a workflow can still reach.
+// lateness says when a workflow can still end, relative to its objective.
 type lateness int
 
 const (
 	inTime  lateness = iota // it can end within its objective
-	late                    // it can end while it still earns something
-	useless                 // it can no longer end in any time that counts
+	late                    // it can end within lateFactor times its objective, with some value left
+	useless                 // it can only end later, without value
 )
 
-// String returns the lateness for logs.
+// String returns the lateness as written in logs and metrics.
 func (l lateness) String() string {
 	return [...]string{"in time", "late", "useless"}[l]
 }
 
-// noteEnd logs and counts what a workflow reached.
-func (s *session) noteEnd(j *workflow.Job) {
+// recordWorkflowEnd logs and counts an ended workflow with its lateness.
+func (s *session) recordWorkflowEnd(j *workflow.Job) {
 	var state, queue string
 	var waited time.Duration
 	tasks, largest := 0, int64(0)
-	reached := inTime
+	reachedLateness := inTime
 	s.Table.View(func(*workflow.Tables) {
 		state, queue = j.State(), j.Spec.GetQueue()
 		waited = time.Duration(j.EndedMS-j.AcceptedMS) * time.Millisecond
@@ -132,24 +132,24 @@
 			largest = max(largest, step.Spec.GetSize().GetMilliCpu())
 		}
 		if last := j.Steps[len(j.Steps)-1]; state == workflow.StateCompleted && last.DueMS == 0 {
-			reached = s.reached(last, waited, 0)
+			reachedLateness = s.reachedLateness(last, waited, 0)
 		}
 	})
-	s.reach(queue, state, reached).Inc()
-	event.WorkflowEnded.Info("workflow", j.Spec.GetId(), "queue", queue, "state", state, "reached", reached.String(), "after_ms", waited.Milliseconds(), "tasks", tasks, "largest_milli_cpu", largest)
+	s.workflowsEnded(queue, state, reachedLateness).Inc()
+	event.WorkflowEnded.Info("workflow", j.Spec.GetId(), "queue", queue, "state", state, "reached", reachedLateness.String(), "after_ms", waited.Milliseconds(), "tasks", tasks, "largest_milli_cpu", largest)
 }
 
-// reaches says what the workflow of a step can still reach, if what remains takes as long as its queue's tasks do.
-func (s *session) reaches(step *workflow.Step, nowMS int64) lateness {
+// predictLateness predicts the lateness of a step's workflow, assuming that each remaining step takes the mean run time of its queue's tasks.
+func (s *session) predictLateness(step *workflow.Step, nowMS int64) lateness {
 	if step.DueMS > 0 {
 		return inTime
 	}
-	return s.reached(step, time.Duration(nowMS-step.Job.AcceptedMS)*time.Millisecond, len(step.Job.Spec.GetSteps())-int(step.Number))
+	return s.reachedLateness(step, time.Duration(nowMS-step.Job.AcceptedMS)*time.Millisecond, len(step.Job.Spec.GetSteps())-int(step.Number))
 }
 
-// reached says what a workflow reaches that has taken some time and still has a number of steps to go.
-func (s *session) reached(step *workflow.Step, taken time.Duration, steps int) lateness {
-	p := s.meanOf(step.Job.Spec.GetQueue())
+// reachedLateness returns the lateness of a workflow that has taken some time so far and has a number of steps left.
+func (s *session) reachedLateness(step *workflow.Step, taken time.Duration, steps int) lateness {
+	p := s.meanDuration(step.Job.Spec.GetQueue())
 	if step.Spec.GetLasting() || p == 0 {
 		return inTime
 	}
@@ -165,10 +165,10 @@
 	}
 }
 
-func (s *session) meanOf(queue string) time.Duration {
+func (s *session) meanDuration(queue string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := s.pace[queue]; p != nil && p.count >= paceLeast {
+	if p := s.taskDuration[queue]; p != nil && p.count >= minDurationSamples {
 		return p.mean
 	}
 	return 0
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -10,58 +10,58 @@
 	"daisyswitch/workflow"
 )
 
-// round is one look at all that waits.
+// round is one placement round over all waiting steps.
 type round struct {
-	s       *session
-	number  int // of the round within the leadership, from 1 on
-	t       *workflow.Tables
-	nowMS   int64
-	costs   costs
-	numbers map[string]int // of images in costs
-	pools   map[string][]*candidate
-	placed  map[*workflow.Step]map[*candidate]int32
-	starts  []*wire.RunStart
-	racks   map[*workflow.Step]string
-	fills   map[int]int // waiting filling tasks by the number of their image
-	chance  map[*workflow.Job]lateness
-	wanting bool                    // a workflow that can be in time has no room
-	done    map[*workflow.Task]bool // placed, or room is kept for it
+	s                *session
+	number           int // counts the rounds of the leadership from 1
+	t                *workflow.Tables
+	nowMS            int64
+	costs            costs
+	imageNumbers     map[string]int // indexes of images in costs
+	pools            map[string][]*candidate
+	placed           map[*workflow.Step]map[*candidate]int32
+	starts           []*wire.RunStart
+	racks            map[*workflow.Step]string
+	waitingFilling   map[int]int // waiting filling tasks by the index of their image
+	expectedLateness map[*workflow.Job]lateness
+	inTimeWaits      bool                    // a workflow that can still end in time found no room
+	done             map[*workflow.Task]bool // tasks that were placed, or that need no further look in this round
 }
 
-// place decides what starts where and has it committed; it returns false if the record was not.
-func (s *session) place() bool {
-	if !s.live() {
+// placeWaiting runs a placement round and commits its starts. It returns false if the record was not committed.
+func (s *session) placeWaiting() bool {
+	if !s.mayCall() {
 		return true
 	}
-	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, fills: map[int]int{}, chance: map[*workflow.Job]lateness{}, done: map[*workflow.Task]bool{}}
+	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, waitingFilling: map[int]int{}, expectedLateness: map[*workflow.Job]lateness{}, done: map[*workflow.Task]bool{}}
 	began := time.Now()
 	s.Table.View(func(t *workflow.Tables) {
 		r.t = t
 		if len(t.Waiting) == 0 {
-			s.lastingSince = nil
+			s.lastingWaitSince = nil
 			return
 		}
-		s.placings++
-		r.number = s.placings
+		s.roundCount++
+		r.number = s.roundCount
 		r.readCosts()
-		r.gather()
-		for _, t := range r.order() {
-			r.placeStep(t.step, t.most)
+		r.gatherCandidates()
+		for _, t := range r.turnOrder() {
+			r.placeStep(t.step, t.maxTasks)
 			if len(r.starts) >= maxStarts {
 				break
 			}
 		}
 	})
-	since(s.round, began)
+	observeSince(s.round, began)
 	s.done.rounds++
 	s.done.inRounds += time.Since(began)
-	s.nextRound = time.Now().Add(max(roundGap, roundShare*time.Since(began)))
+	s.nextRound = time.Now().Add(max(minRoundGap, roundGapFactor*time.Since(began)))
 	if len(r.starts) == 0 {
 		return true
 	}
 	began = time.Now()
 	result, err := s.Commit(s.ctx, &wire.WorkflowCommand{Starts: r.starts})
-	since(s.commit, began)
+	observeSince(s.commitTime, began)
 	s.done.inCommits += time.Since(began)
 	if err != nil {
 		event.RecordNotCommitted.Error(err, "starts", len(r.starts))
@@ -76,40 +76,40 @@
 	return true
 }
 
-// readCosts works out the costs of the images of the steps that wait and of what runs.
+// readCosts computes the costs between the images of all waiting steps and running tasks.
 func (r *round) readCosts() {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	for step := range r.t.Waiting {
 		r.s.imageNumber(step.Spec.GetImage())
 	}
-	r.costs, r.numbers = r.s.costsNow(), maps.Clone(r.s.images)
+	r.costs, r.imageNumbers = r.s.currentCosts(), maps.Clone(r.s.allImageNumbers)
 }
 
-// use returns how much of a worker's processors a task is expected to use, in thousandths of a core.
-func use(s *wire.Step) int64 {
+// expectedMilliCPU returns the processor use expected of a task, in thousandths of a core.
+func expectedMilliCPU(s *wire.Step) int64 {
 	if s.GetLasting() {
-		return int64(servingUse * float64(s.GetSize().GetMilliCpu()))
+		return int64(servingUtilization * float64(s.GetSize().GetMilliCpu()))
 	}
 	return s.GetSize().GetMilliCpu()
 }
 
-// serves says whether a step's tasks last and have a tail latency to keep.
-func serves(s *wire.Step) bool {
+// isServing reports whether a step's tasks are lasting and have a tail latency target.
+func isServing(s *wire.Step) bool {
 	return s.GetLasting() && s.GetTargetMs() > 0
 }
 
-// placeStep places as many waiting tasks of a step as have room, up to a number; a gang is placed whole or not at all.
+// placeStep places as many waiting tasks of a step as have room, up to a limit. A gang is placed whole or not at all.
 func (r *round) placeStep(step *workflow.Step, most int) {
-	if r.hopeless(step) {
-		r.wanting = r.wanting || r.chance[step.Job] == inTime
+	if r.knownWithoutRoom(step) {
+		r.inTimeWaits = r.inTimeWaits || r.expectedLateness[step.Job] == inTime
 		return
 	}
 	if step.Spec.GetGang() {
 		r.placeGang(step)
 		return
 	}
-	ch := r.chooserFor(step)
+	ch := r.newChooser(step)
 	for _, task := range step.Tasks {
 		if !task.Waits() || r.done[task] {
 			continue
@@ -120,7 +120,7 @@
 		c, pace := ch.choose(task)
 		switch {
 		case c != nil:
-			r.commit(task, task.Run+1, c, pace)
+			r.assign(task, task.Run+1, c, pace)
 			ch.placed(c)
 		case step.Spec.GetLasting():
 			r.done[task] = true
@@ -128,20 +128,20 @@
 				ch.placed(kept)
 			}
 		default:
-			r.wanting = r.wanting || r.chance[step.Job] == inTime
+			r.inTimeWaits = r.inTimeWaits || r.expectedLateness[step.Job] == inTime
 			return
 		}
 	}
 }
 
-// reserve keeps room for a lasting task on the worker where it will be free soonest, which it returns, since tasks that end are never more urgent.
+// reserve keeps room for a lasting task on the worker with the most free processors among those where it fits once the short tasks have ended. It returns that worker, or nil if there is none.
 func (r *round) reserve(task *workflow.Task) *candidate {
 	var best *candidate
 	most := int64(0)
 	size := resource.FromWire(task.Step.Spec.GetSize())
 	for _, c := range r.pools[task.Step.Job.Queue.GetPool()] {
-		soon := c.free.Add(c.passing)
-		if !size.Fits(soon) || !r.suits(task.Step, c) {
+		soon := c.free.Add(c.shortUse)
+		if !size.Fits(soon) || !r.isEligible(task.Step, c) {
 			continue
 		}
 		if best == nil || c.free.MilliCPU > most {
@@ -149,12 +149,12 @@
 		}
 	}
 	if best != nil {
-		best.free, best.altered = best.free.Sub(size), true
+		best.free, best.roomTaken = best.free.Sub(size), true
 	}
 	return best
 }
 
-// placeGang places all tasks of a gang under one number of run.
+// placeGang places all tasks of a gang under one run number, or none of them.
 func (r *round) placeGang(step *workflow.Step) {
 	run := int32(0)
 	for _, task := range step.Tasks {
@@ -165,13 +165,13 @@
 	}
 	before := len(r.starts)
 	undo := map[*candidate]candidate{}
-	ch := r.chooserFor(step)
+	ch := r.newChooser(step)
 	for _, task := range step.Tasks {
 		c, pace := ch.choose(task)
 		if c == nil {
 			for changed, was := range undo {
 				*changed = was
-				changed.altered, changed.known = true, false
+				changed.roomTaken, changed.derived = true, false
 			}
 			r.starts = r.starts[:before]
 			delete(r.placed, step)
@@ -181,35 +181,35 @@
 		if _, kept := undo[c]; !kept {
 			undo[c] = *c
 		}
-		r.commit(task, run+1, c, pace)
+		r.assign(task, run+1, c, pace)
 		ch.placed(c)
 	}
 }
 
-// commit takes room on a candidate for a task that is to work at a pace.
-func (r *round) commit(task *workflow.Task, run int32, c *candidate, pace int) {
+// assign places a task on a candidate at a pace and takes the room there.
+func (r *round) assign(task *workflow.Task, run int32, c *candidate, pace int) {
 	step := task.Step
 	r.done[task] = true
 	size := resource.FromWire(step.Spec.GetSize())
-	c.unused -= use(step.Spec) * int64(pace) / 100
+	c.unused -= expectedMilliCPU(step.Spec) * int64(pace) / 100
 	if !step.Job.Started {
-		r.s.wait.Update(float64(r.nowMS-step.Job.AcceptedMS) / 1000)
+		r.s.firstStartWait.Update(float64(r.nowMS-step.Job.AcceptedMS) / 1000)
 	}
-	event.TaskPlaced.Info("task", task.Name().String(), "run", run, "worker", c.GetId(), "chance", r.chance[step.Job].String(), "accepted_ms_ago", r.nowMS-step.Job.AcceptedMS,
+	event.TaskPlaced.Info("task", task.Name().String(), "run", run, "worker", c.GetId(), "chance", r.expectedLateness[step.Job].String(), "accepted_ms_ago", r.nowMS-step.Job.AcceptedMS,
 		"free_milli_cpu", c.free.MilliCPU, "unused_milli_cpu", c.unused, "serving", len(c.margins), "pace", pace)
 	if pace < 100 {
-		r.s.setFirstPace(runKey{task.Name(), run}, pace)
+		r.s.setInitialPace(runKey{task.Name(), run}, pace)
 	}
 	if step.Spec.GetLasting() {
-		c.lastingImages()[step.Spec.GetImage()]++
+		c.lastingByImage()[step.Spec.GetImage()]++
 	}
 	if step.Spec.GetFilling() {
-		r.know(c)
-		take(c.margins, r.costs, r.image(step), c.shareOf(size.MilliCPU*int64(pace)/100))
-		c.forgetShares()
+		r.derive(c)
+		reduceMargins(c.margins, r.costs, r.imageNumber(step), c.cpuShareOf(size.MilliCPU*int64(pace)/100))
+		c.resetAvailableShares()
 		size.MilliCPU = 0
 	}
-	c.free, c.altered = c.free.Sub(size), true
+	c.free, c.roomTaken = c.free.Sub(size), true
 	if r.placed[step] == nil {
 		r.placed[step] = map[*candidate]int32{}
 	}
@@ -220,8 +220,8 @@
 	r.starts = append(r.starts, &wire.RunStart{Task: task.Name().Wire(), Run: run, Worker: c.GetId(), Born: c.GetBorn()})
 }
 
-// stopLeaving stops lasting tasks on workers that are about to leave, so that they are at work elsewhere soon.
-func (s *session) stopLeaving() {
+// stopOnLeavingWorkers stops lasting tasks on workers that are about to leave, so that they restart elsewhere before then.
+func (s *session) stopOnLeavingWorkers() {
 	var keys []runKey
 	s.Table.View(func(t *workflow.Tables) {
 		for _, w := range t.Workers {
@@ -236,6 +236,6 @@
 		}
 	})
 	for _, key := range keys {
-		s.stopKey(key, "its worker leaves")
+		s.stopByKey(key, "its worker is leaving")
 	}
 }
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -12,135 +12,135 @@
 	"daisyswitch/wire"
 )
 
-// Sharing of workers between serving and filling tasks; headroom is target over tail, so that 1 is just on target.
+// Sharing of workers between serving and filling tasks. Headroom is target over tail latency, so that 1 is exactly on target.
 const (
-	slowHeadroom = 0.9                     // below which filling tasks are slowed
-	aimHeadroom  = 1.05                    // to which they are slowed
-	freeHeadroom = 1.05                    // that must be left when they are given back their speed
-	leastCost    = 0.5                     // assumed of each pair, since a cost that seems zero is never surely so
-	servingUse   = 0.45                    // of a serving task's processors, on average
-	roomShare    = 0.9                     // of a filling task's processors that must be unused
-	paceStep     = 10                      // percent
-	crawl        = 0.1                     // at which the only task of a workflow starts, whatever it costs; one step of pace
-	paceGap      = 600 * time.Millisecond  // between orders on one run: a reading covers half a second and an order works after a tenth
-	watchWait    = 300 * time.Millisecond  // of holds on a worker on which a serving task is near its target
-	lateTime     = 1500 * time.Millisecond // over target, after which all filling tasks are stopped short; well under the platform's bound on harm
+	slowHeadroom       = 0.9                     // below which filling tasks are slowed
+	targetHeadroom     = 1.05                    // at which slowing them aims
+	raiseHeadroom      = 1.05                    // that must remain when their speed is raised again
+	minCost            = 0.5                     // least cost assumed for each pair, since an estimate near zero is never certain
+	servingUtilization = 0.45                    // share of its processors that a serving task uses on average
+	minUnusedShare     = 0.9                     // share of a filling task's processors that must be unused on the worker
+	paceStep           = 10                      // percent
+	minSpeed           = 0.1                     // at which the only task of a late workflow may start whatever it costs; one step of pace
+	minPaceInterval    = 600 * time.Millisecond  // between raises of one run's pace: a reading covers 0.5 s, and a change takes effect after 0.1 s
+	shortHoldWait      = 300 * time.Millisecond  // hold wait of a worker on which a serving task is near its target
+	maxOverTarget      = 1500 * time.Millisecond // over target, after which all filling tasks get pace 0; well under the platform's bound on harm
 )
 
-// placeHeadroom is what serving tasks must keep when a filling task is placed; the later its workflow, the less is left for its sake.
-var placeHeadroom = map[lateness]float64{inTime: 1.2, late: 1.1, useless: 1.05}
+// placementHeadroom is the headroom that serving tasks must keep when a filling task is placed. It is lower the later the task's workflow is.
+var placementHeadroom = map[lateness]float64{inTime: 1.2, late: 1.1, useless: 1.05}
 
-// victim is a serving task as a link knows it.
-type victim struct {
-	image       string
-	imageNumber int
-	base        headroom.Base
-	headroom    float64       // latest reading
-	lateAt      time.Duration // boot clock since which it has been over its target, 0 if it is not
+// servingTask is a link's state of a serving task.
+type servingTask struct {
+	image           string
+	imageNumber     int
+	baseline        headroom.Base
+	headroom        float64       // latest reading
+	overTargetSince time.Duration // boot clock since which it has been over its target, 0 if it is not
 }
 
-// filler is a filling task on a worker.
-type filler struct {
-	r     *run
-	image string
-	share float64 // of the worker, at the present pace
+// fillingTask is a filling task on a worker.
+type fillingTask struct {
+	r        *run
+	image    string
+	cpuShare float64 // share of the worker's processors that it uses
 }
 
-// readTails learns from a listing and slows or frees the filling tasks of the worker; the session's mutex is not held.
-func (l *link) readTails(listing *call.Listing) {
+// processFigures updates the cost estimates from the figures of a listing and adjusts the paces of the worker's filling tasks. The caller does not hold the session's mutex.
+func (l *link) processFigures(listing *call.Listing) {
 	s := l.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	capacity := float64(l.processors)
-	var beside []headroom.Share
-	var fillers []filler
+	capacity := float64(l.capacityMilliCPU)
+	var colocated []headroom.Share
+	var fillers []fillingTask
 	for i := range listing.Running {
 		r := l.runs[runKey{listing.Running[i].Task, listing.Running[i].Run}]
 		if r == nil || !r.task.Step.Spec.GetFilling() {
 			continue
 		}
-		f := filler{r: r, image: r.task.Step.Spec.GetImage(), share: listing.Running[i].Figure / capacity}
-		r.share = f.share
+		f := fillingTask{r: r, image: r.task.Step.Spec.GetImage(), cpuShare: listing.Running[i].Figure / capacity}
+		r.cpuShare = f.cpuShare
 		fillers = append(fillers, f)
-		beside = append(beside, headroom.Share{Image: f.image, Share: f.share})
+		colocated = append(colocated, headroom.Share{Image: f.image, Share: f.cpuShare})
 	}
 	now := s.Boot()
-	l.near = false
-	l.spared = 0
+	l.nearTarget = false
+	l.sparedMilliCPU = 0
 	for _, f := range fillers {
-		l.spared += f.r.task.Step.Spec.GetSize().GetMilliCpu() * int64(100-f.r.pace) / 100
+		l.sparedMilliCPU += f.r.task.Step.Spec.GetSize().GetMilliCpu() * int64(100-f.r.pace) / 100
 	}
 	for i := range listing.Running {
 		key := runKey{listing.Running[i].Task, listing.Running[i].Run}
-		if r := l.runs[key]; r != nil && serves(r.task.Step.Spec) && listing.Running[i].Percent >= 100 && listing.Running[i].Figure > 0 {
-			l.readVictim(now, key, r.task.Step.Spec, listing.Running[i].Figure, beside)
+		if r := l.runs[key]; r != nil && isServing(r.task.Step.Spec) && listing.Running[i].Percent >= 100 && listing.Running[i].Figure > 0 {
+			l.updateServing(now, key, r.task.Step.Spec, listing.Running[i].Figure, colocated)
 		}
 	}
-	for key := range l.victims {
+	for key := range l.serving {
 		if l.runs[key] == nil {
-			delete(l.victims, key)
+			delete(l.serving, key)
 		}
 	}
-	l.revised = l.revised || len(l.victims) > 0 || len(fillers) > 0
-	l.slow(now, fillers)
+	l.offerChanged = l.offerChanged || len(l.serving) > 0 || len(fillers) > 0
+	l.adjustPaces(now, fillers)
 }
 
-func (l *link) readVictim(now time.Duration, key runKey, spec *wire.Step, tail float64, beside []headroom.Share) {
-	v := l.victims[key]
+func (l *link) updateServing(now time.Duration, key runKey, spec *wire.Step, tail float64, colocated []headroom.Share) {
+	v := l.serving[key]
 	if v == nil {
-		v = &victim{image: spec.GetImage(), imageNumber: l.s.imageNumber(spec.GetImage())}
-		l.victims[key] = v
+		v = &servingTask{image: spec.GetImage(), imageNumber: l.s.imageNumber(spec.GetImage())}
+		l.serving[key] = v
 	}
 	v.headroom = float64(spec.GetTargetMs()) / tail
-	v.base.Read(now, v.headroom, l.s.tails.Lost(v.image, beside))
-	l.s.tails.Learn(v.image, beside, v.headroom)
+	v.baseline.Read(now, v.headroom, l.s.headrooms.Lost(v.image, colocated))
+	l.s.headrooms.Learn(v.image, colocated, v.headroom)
 	switch {
 	case v.headroom >= 1:
-		v.lateAt = 0
-	case v.lateAt == 0:
-		v.lateAt = now
+		v.overTargetSince = 0
+	case v.overTargetSince == 0:
+		v.overTargetSince = now
 	}
-	if v.headroom < aimHeadroom && len(beside) > 0 {
-		l.near = true
+	if v.headroom < targetHeadroom && len(colocated) > 0 {
+		l.nearTarget = true
 	}
 }
 
-// slow decides the pace of each filling task on the worker and sends what has changed.
-func (l *link) slow(now time.Duration, fillers []filler) {
+// adjustPaces decides the pace of each filling task on the worker and sends the changes.
+func (l *link) adjustPaces(now time.Duration, fillers []fillingTask) {
 	for i := range fillers {
 		f := &fillers[i]
 		pace := l.paceFor(now, f, fillers)
-		if pace == f.r.pace || f.r.paceBusy || now-f.r.pacedAt < paceGap && pace > f.r.pace {
+		if pace == f.r.pace || f.r.pacePending || now-f.r.pacedAt < minPaceInterval && pace > f.r.pace {
 			continue
 		}
-		f.r.paceBusy = true
+		f.r.pacePending = true
 		l.s.tasks.Go(func() { l.sendPace(f.r, pace) })
 	}
 }
 
-// paceFor returns the pace of a filling task: the least that any serving task beside it needs.
-func (l *link) paceFor(now time.Duration, f *filler, fillers []filler) int {
-	pace := l.raised(f)
-	for _, v := range l.victims {
+// paceFor returns the pace of a filling task: the lowest that any serving task beside it requires.
+func (l *link) paceFor(now time.Duration, f *fillingTask, fillers []fillingTask) int {
+	pace := l.raisedPace(f)
+	for _, v := range l.serving {
 		switch {
-		case v.lateAt != 0 && now-v.lateAt > lateTime:
+		case v.overTargetSince != 0 && now-v.overTargetSince > maxOverTarget:
 			return 0
 		case v.headroom < slowHeadroom:
-			pace = min(pace, l.cut(v, f, fillers))
+			pace = min(pace, l.reducedPace(v, f, fillers))
 		}
 	}
 	return pace
 }
 
-// cut returns the pace at which a filling task gives back its part of what a serving task lacks; the costliest give first.
-func (l *link) cut(v *victim, f *filler, fillers []filler) int {
-	cost := func(f *filler) float64 { return max(leastCost, l.s.tails.Cost(v.image, f.image)) * f.share }
-	order := make([]*filler, len(fillers))
+// reducedPace returns the pace at which a filling task contributes its part of the headroom that a serving task lacks. The costliest tasks are slowed first.
+func (l *link) reducedPace(v *servingTask, f *fillingTask, fillers []fillingTask) int {
+	cost := func(f *fillingTask) float64 { return max(minCost, l.s.headrooms.Cost(v.image, f.image)) * f.cpuShare }
+	order := make([]*fillingTask, len(fillers))
 	for i := range fillers {
 		order[i] = &fillers[i]
 	}
 	sort.Slice(order, func(i, k int) bool { return cost(order[i]) > cost(order[k]) })
-	lacking := aimHeadroom - v.headroom
+	lacking := targetHeadroom - v.headroom
 	for _, other := range order {
 		lost := cost(other)
 		if other.r != f.r {
@@ -156,16 +156,16 @@
 	return f.r.pace
 }
 
-// raised returns the pace to which a slowed task may go back, a step at a time.
-func (l *link) raised(f *filler) int {
+// raisedPace returns the pace to which a slowed task may be raised, by at most three steps of pace at a time.
+func (l *link) raisedPace(f *fillingTask) int {
 	if f.r.pace >= 100 {
 		return 100
 	}
-	size := float64(f.r.task.Step.Spec.GetSize().GetMilliCpu()) / float64(l.processors)
+	size := float64(f.r.task.Step.Spec.GetSize().GetMilliCpu()) / float64(l.capacityMilliCPU)
 	next := min(100, f.r.pace+3*paceStep)
 	more := size * float64(next-f.r.pace) / 100
-	for _, v := range l.victims {
-		if v.headroom-max(leastCost, l.s.tails.Cost(v.image, f.image))*more < freeHeadroom {
+	for _, v := range l.serving {
+		if v.headroom-max(minCost, l.s.headrooms.Cost(v.image, f.image))*more < raiseHeadroom {
 			return f.r.pace
 		}
 	}
@@ -174,36 +174,36 @@
 
 func (l *link) sendPace(r *run, percent int) {
 	s := l.s
-	ctx, cancel := context.WithTimeout(l.ctx, callTime)
-	answer, err := s.Calls.Pace(ctx, l.current(), &call.Pace{Task: r.name, Run: r.number, Percent: percent, Fence: s.fence})
+	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+	answer, err := s.Calls.Pace(ctx, l.currentWorker(), &call.Pace{Task: r.name, Run: r.number, Percent: percent, Fence: s.fence})
 	cancel()
-	s.paces.Inc()
+	s.paceCalls.Inc()
 	accepted := err == nil && answer.Refusal == call.Accepted
 	event.RunPaced.Info("task", r.name.String(), "run", r.number, "worker", l.id, "percent", percent, "accepted", accepted)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.paceBusy = false
+	r.pacePending = false
 	r.pacedAt = s.Boot()
 	if accepted {
-		r.pace, r.percentAt = percent, r.pacedAt
-		r.link.revised = true
+		r.pace, r.progressAt = percent, r.pacedAt
+		r.link.offerChanged = true
 	}
 }
 
-// setFirstPace notes at what pace a run is to work once it has started.
-func (s *session) setFirstPace(key runKey, pace int) {
+// setInitialPace records the pace that a run gets once it has started.
+func (s *session) setInitialPace(key runKey, pace int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.firstPace[key] = pace
+	s.initialPaces[key] = pace
 }
 
-// paceFirst slows a run that has just started.
-func (s *session) paceFirst(r *run) {
+// applyInitialPace slows a run that has just started, if it was placed at less than full pace.
+func (s *session) applyInitialPace(r *run) {
 	s.mu.Lock()
-	pace, set := s.firstPace[r.runKey]
-	delete(s.firstPace, r.runKey)
+	pace, set := s.initialPaces[r.runKey]
+	delete(s.initialPaces, r.runKey)
 	if set {
-		r.paceBusy = true
+		r.pacePending = true
 	}
 	s.mu.Unlock()
 	if set {
@@ -211,52 +211,52 @@
 	}
 }
 
-// costs are the believed costs of pairs as of one round, by the numbers of the serving and of the filling image.
+// costs holds the estimated cost of each pair of images as of one round, indexed by serving and then by filling image.
 type costs [][]float64
 
-// imageNumber returns the number of an image in costs, which it gets when first named; the session's mutex is held.
+// imageNumber returns the index of an image in costs, which is assigned on first use. The caller holds the session's mutex.
 func (s *session) imageNumber(image string) int {
-	number, known := s.images[image]
+	number, known := s.allImageNumbers[image]
 	if !known {
-		number = len(s.images)
-		s.images[image] = number
+		number = len(s.allImageNumbers)
+		s.allImageNumbers[image] = number
 	}
 	return number
 }
 
-// costsNow returns the costs of all pairs; the session's mutex is held.
-func (s *session) costsNow() costs {
-	c := make(costs, len(s.images))
-	for serving, i := range s.images {
-		c[i] = make([]float64, len(s.images))
-		for filling, k := range s.images {
-			c[i][k] = max(leastCost, s.tails.Cost(serving, filling))
+// currentCosts returns the current costs of all pairs. The caller holds the session's mutex.
+func (s *session) currentCosts() costs {
+	c := make(costs, len(s.allImageNumbers))
+	for serving, i := range s.allImageNumbers {
+		c[i] = make([]float64, len(s.allImageNumbers))
+		for filling, k := range s.allImageNumbers {
+			c[i][k] = max(minCost, s.headrooms.Cost(serving, filling))
 		}
 	}
 	return c
 }
 
-// margin is what a serving task has left of its headroom beside the filling tasks of its worker.
+// margin is the headroom that remains to a serving task beside the filling tasks of its worker.
 type margin struct {
-	image int
-	left  float64
+	image     int
+	remaining float64
 }
 
-// imageShare is how much of a worker the filling tasks of an image take, at their paces.
+// imageShare is the share of a worker that the filling tasks of an image take at their paces.
 type imageShare struct {
 	image int
 	share float64
 }
 
-// filling returns what the filling tasks of a worker take; the session's mutex is held.
-func (l *link) filling() []imageShare {
+// fillingShares returns the shares of the worker that its filling tasks take, by image. The caller holds the session's mutex.
+func (l *link) fillingShares() []imageShare {
 	var all []imageShare
 	for _, r := range l.runs {
 		spec := r.task.Step.Spec
 		if !spec.GetFilling() {
 			continue
 		}
-		share := float64(spec.GetSize().GetMilliCpu()) / float64(l.processors) * float64(r.pace) / 100
+		share := float64(spec.GetSize().GetMilliCpu()) / float64(l.capacityMilliCPU) * float64(r.pace) / 100
 		i := slices.IndexFunc(all, func(s imageShare) bool { return s.image == r.image })
 		if i < 0 {
 			all = append(all, imageShare{r.image, share})
@@ -267,45 +267,45 @@
 	return all
 }
 
-// margins returns what each serving task of a worker has left beside filling tasks; the session's mutex is held.
+// margins returns the headroom that remains to each serving task beside the given filling tasks. The caller holds the session's mutex.
 func (l *link) margins(c costs, filling []imageShare) []margin {
-	if len(l.victims) == 0 {
+	if len(l.serving) == 0 {
 		return nil
 	}
-	margins := make([]margin, 0, len(l.victims))
-	for _, v := range l.victims {
-		margins = append(margins, margin{v.imageNumber, min(v.base.Now, v.base.Low+placeSlack) - lost(c, filling, v.imageNumber)})
+	margins := make([]margin, 0, len(l.serving))
+	for _, v := range l.serving {
+		margins = append(margins, margin{v.imageNumber, min(v.baseline.Now, v.baseline.Low+headroomAllowance) - headroomLoss(c, filling, v.imageNumber)})
 	}
 	return margins
 }
 
-// lost returns what a serving image loses beside filling tasks.
-func lost(c costs, filling []imageShare, image int) float64 {
-	lost := 0.0
+// headroomLoss returns the headroom that a serving image loses beside filling tasks.
+func headroomLoss(c costs, filling []imageShare, image int) float64 {
+	headroomLoss := 0.0
 	for _, f := range filling {
-		lost += c[image][f.image] * f.share
+		headroomLoss += c[image][f.image] * f.share
 	}
-	return lost
+	return headroomLoss
 }
 
-// mostShare returns how much of a worker a filling image may take more, so that every serving task there keeps a headroom.
-func mostShare(margins []margin, c costs, image int, kept float64) float64 {
+// maxAddedShare returns the share of a worker that a filling image may add while every serving task there keeps the given headroom.
+func maxAddedShare(margins []margin, c costs, image int, kept float64) float64 {
 	most := 1.0
 	for _, m := range margins {
-		most = min(most, (m.left-kept)/c[m.image][image])
+		most = min(most, (m.remaining-kept)/c[m.image][image])
 	}
 	return most
 }
 
-// take notes that a filling image takes a share of a worker.
-func take(margins []margin, c costs, image int, share float64) {
+// reduceMargins subtracts the cost of a filling image's share of the worker from its margins.
+func reduceMargins(margins []margin, c costs, image int, share float64) {
 	for i := range margins {
-		margins[i].left -= c[margins[i].image][image] * share
+		margins[i].remaining -= c[margins[i].image][image] * share
 	}
 }
 
-// worstCost returns the most that any serving task on a worker loses beside a filling image on all of it.
-func worstCost(margins []margin, c costs, image int) float64 {
+// maxCost returns the highest cost of a filling image to any serving task on a worker.
+func maxCost(margins []margin, c costs, image int) float64 {
 	worst := 0.0
 	for _, m := range margins {
 		worst = max(worst, c[m.image][image])
@@ -313,5 +313,5 @@
 	return worst
 }
 
-// placeSlack is by how much the headroom of a serving task may fall once more while a filling task runs; it is slowed then.
-const placeSlack = 0.3
+// headroomAllowance is how far above its recent low the headroom of a serving task is counted in placement. If it falls to that low again, the filling task is slowed.
+const headroomAllowance = 0.3
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -7,41 +7,41 @@
 	"daisyswitch/workflow"
 )
 
-// maxShortages bounds how many asks are remembered as without room; an installation has a few dozen images.
+// maxShortages bounds the number of remembered shortages; an installation has a few dozen images.
 const maxShortages = 10_000
 
-// ask names what steps that ask for the same have in common, but for the size.
-type ask struct {
-	pool    string
-	image   string
-	chance  lateness
-	filling bool
+// shortageKey identifies steps with the same requirements apart from size.
+type shortageKey struct {
+	pool             string
+	image            string
+	expectedLateness lateness
+	filling          bool
 }
 
-// shortage is what found no room on any worker, as of a round; since then only workers that have changed can have room for it.
+// shortage describes tasks that found no room on any worker as of a round. Afterwards only workers that have changed can have room for them.
 type shortage struct {
-	round int
-	most  int64           // thousandths of a core that the largest task with room could ask for at most
-	sizes []resource.Size // of tasks that found no room
+	round       int
+	maxMilliCPU int64           // upper bound, in thousandths of a core, of a task that could have had room
+	failedSizes []resource.Size // sizes up to maxMilliCPU that found no room
 }
 
-// covers says whether a task of a size asks for at least what found no room.
+// covers reports whether a task size is at least as large as one that found no room.
 func (d *shortage) covers(size resource.Size) bool {
-	return size.MilliCPU > d.most || slices.ContainsFunc(d.sizes, func(failed resource.Size) bool { return failed.Fits(size) })
+	return size.MilliCPU > d.maxMilliCPU || slices.ContainsFunc(d.failedSizes, func(failed resource.Size) bool { return failed.Fits(size) })
 }
 
-// askOf returns what a step asks for; ok is false for one that asks for more than room.
-func (r *round) askOf(step *workflow.Step) (a ask, ok bool) {
-	s, chance := step.Spec, r.chance[step.Job]
-	if s.GetLasting() || s.GetRequires() != "" || s.GetMaxPerWorker() > 0 || chance != inTime && !r.wanting {
-		return ask{}, false
+// shortageKeyOf returns the shortage key of a step. ok is false if the step's placement depends on more than room.
+func (r *round) shortageKeyOf(step *workflow.Step) (a shortageKey, ok bool) {
+	s, expectedLateness := step.Spec, r.expectedLateness[step.Job]
+	if s.GetLasting() || s.GetRequires() != "" || s.GetMaxPerWorker() > 0 || expectedLateness != inTime && !r.inTimeWaits {
+		return shortageKey{}, false
 	}
-	return ask{step.Job.Queue.GetPool(), s.GetImage(), chance, s.GetFilling()}, true
+	return shortageKey{step.Job.Queue.GetPool(), s.GetImage(), expectedLateness, s.GetFilling()}, true
 }
 
-// shortageFor returns the shortage that covers a step, nil if there is none.
+// shortageFor returns the shortage that covers a step, or nil if there is none.
 func (r *round) shortageFor(step *workflow.Step) *shortage {
-	a, ok := r.askOf(step)
+	a, ok := r.shortageKeyOf(step)
 	if !ok {
 		return nil
 	}
@@ -52,25 +52,25 @@
 	return d
 }
 
-// hopeless says whether a step asks for at least what found no room in this round; what follows in a round only takes room.
-func (r *round) hopeless(step *workflow.Step) bool {
+// knownWithoutRoom reports whether a step is covered by a shortage of this round. Room never grows within a round.
+func (r *round) knownWithoutRoom(step *workflow.Step) bool {
 	d := r.shortageFor(step)
 	return d != nil && d.round == r.number
 }
 
-// noteShortage remembers that a step found no room.
-func (ch *chooser) noteShortage() {
+// recordShortage records that a step found no room.
+func (ch *chooser) recordShortage() {
 	r := ch.r
-	a, ok := r.askOf(ch.step)
+	a, ok := r.shortageKeyOf(ch.step)
 	if !ok {
 		return
 	}
-	size, most := resource.FromWire(ch.step.Spec.GetSize()), ch.mostAsked()
+	size, maxMilliCPU := resource.FromWire(ch.step.Spec.GetSize()), ch.maxMilliCPUWithRoom()
 	d := r.s.shortages[a]
 	switch {
-	case d != nil && ch.since > 0:
-		most = max(most, d.most)
-		d.sizes = nil
+	case d != nil && ch.sinceRound > 0:
+		maxMilliCPU = max(maxMilliCPU, d.maxMilliCPU)
+		d.failedSizes = nil
 	case d == nil || d.round != r.number:
 		d = &shortage{}
 		if len(r.s.shortages) >= maxShortages {
@@ -78,27 +78,27 @@
 		}
 		r.s.shortages[a] = d
 	}
-	d.round, d.most = r.number, most
-	if size.MilliCPU <= most {
-		d.sizes = append(d.sizes, size)
+	d.round, d.maxMilliCPU = r.number, maxMilliCPU
+	if size.MilliCPU <= maxMilliCPU {
+		d.failedSizes = append(d.failedSizes, size)
 	}
 }
 
-// mostAsked returns the thousandths of a core that the largest task like the step's could ask for on the workers that were looked at, memory aside.
-func (ch *chooser) mostAsked() int64 {
+// maxMilliCPUWithRoom returns the most processors, in thousandths of a core, that a task like the step's could have had on the workers examined, memory aside.
+func (ch *chooser) maxMilliCPUWithRoom() int64 {
 	most := int64(0)
 	for _, c := range ch.pool() {
-		if c.changed > ch.since {
-			most = max(most, ch.mostOn(c))
+		if c.changedRound > ch.sinceRound {
+			most = max(most, ch.maxMilliCPUOn(c))
 		}
 	}
 	return most
 }
 
-func (ch *chooser) mostOn(c *candidate) int64 {
+func (ch *chooser) maxMilliCPUOn(c *candidate) int64 {
 	if !ch.step.Spec.GetFilling() {
 		return c.free.MilliCPU
 	}
-	share := ch.r.shareFor(c, ch.image, ch.chance)
-	return int64(min(float64(c.unused)/roomShare, share*float64(c.Capacity.MilliCPU)))
+	share := ch.r.availableShare(c, ch.imageNumber, ch.expectedLateness)
+	return int64(min(float64(c.unused)/minUnusedShare, share*float64(c.Capacity.MilliCPU)))
 }
