Reword the gateway and the calls to workers in standard terms

Names such as patience, worst, learn, sign and silence hid that the gateway sends heartbeats, times out and waits for a change of leader. They are now leaderWaitDeadline, requestError, updateReplicas, checkLeadership and helloTimeout, and the timing constants say what they bound. The comment on the longest wait for an answer said that it holds only without a deadline of the caller; it holds always. An incarnation of a worker is called so.

--- a/call/call.go
+++ b/call/call.go
@@ -9,22 +9,22 @@
 	"daisyswitch/workflow"
 )
 
-// ErrOtherLife says that another life of the worker answered, so that the one that was meant has ended.
-var ErrOtherLife = errors.New("another life of the worker answered")
+// ErrOtherLife reports that another incarnation of the worker answered, so the addressed one has ended.
+var ErrOtherLife = errors.New("another incarnation of the worker answered")
 
 // Refusal is why a worker did not carry out an order.
 type Refusal int
 
-// The refusals.
+// The refusals, and Accepted for an order that was not refused.
 const (
 	Accepted   Refusal = iota
-	Deposed            // an order with a higher fencing token has come
-	Overtaken          // a run that is not lower has been stopped or has ended there
+	Deposed            // the worker has seen a higher fencing token
+	Overtaken          // this run of the task, or a later one, has been stopped or has ended on the worker
 	TooLate            // the order's deadline has passed
-	NoRoom             // it does not fit
-	NoTicket           // the adviser's ticket is missing or no longer valid
-	Unhealthy          // the worker takes nothing now
-	Unreadable         // the worker could not read it
+	NoRoom             // the task does not fit into the worker's free capacity
+	NoTicket           // the adviser's ticket is missing or has expired
+	Unhealthy          // the worker accepts no orders at the moment
+	Unreadable         // the worker could not parse the order
 )
 
 var refusals = [...]string{"accepted", "deposed", "overtaken", "too late", "no room", "no ticket", "unhealthy", "unreadable"}
@@ -37,20 +37,20 @@
 	Task       workflow.Name
 	Run        int32
 	Payload    string
-	DeadlineMS int64 // worker's clock: lease of all that runs there
+	DeadlineMS int64 // lease expiry for all runs on the worker, by the worker's clock
 	Fence      uint64
 	Checkpoint string
 	Ticket     string
 }
 
-// Stop tells a worker to end a run, or never to begin it.
+// Stop tells a worker to end a run, or not to start it if it has not started yet.
 type Stop struct {
 	Task  workflow.Name
 	Run   int32
 	Fence uint64
 }
 
-// Pace tells a worker at what share of its speed a run works.
+// Pace tells a worker to throttle a run to a percentage of its full speed.
 type Pace struct {
 	Task    workflow.Name
 	Run     int32
@@ -58,30 +58,30 @@
 	Fence   uint64
 }
 
-// Hold renews a worker's lease and asks what runs and what has ended.
+// Hold renews a worker's lease and requests its running and ended runs.
 type Hold struct {
-	DeadlineMS int64 // worker's clock; 0 leaves the lease as it is
+	DeadlineMS int64 // by the worker's clock; 0 leaves the lease unchanged
 	Fence      uint64
-	Noted      int64         // ends up to this number are committed and may be forgotten
-	Wait       time.Duration // how long the worker may wait for an end before it answers
+	Noted      int64         // ended runs up to this number are committed, so the worker may discard them
+	Wait       time.Duration // longest time the worker may wait for a run to end before it answers (long poll)
 }
 
-// Answer is a worker's answer to a start, stop or pace.
+// Answer is a worker's response to a Start, Stop or Pace.
 type Answer struct {
-	ClockMS int64 // of the worker, 0 if unknown
+	ClockMS int64 // the worker's clock, 0 if unknown
 	Refusal Refusal
 }
 
-// Running is a run that a worker lists.
+// Running is a run in progress in a worker's listing.
 type Running struct {
 	Task       workflow.Name
 	Run        int32
 	Checkpoint string
 	Percent    int
-	Figure     float64 // tail latency in milliseconds of a lasting task with a target, thousandths of a core of others
+	Figure     float64 // tail latency in milliseconds for a lasting task with a target; CPU use in thousandths of a core for other tasks
 }
 
-// Ended is the end of a run that a worker lists.
+// Ended is an ended run in a worker's listing.
 type Ended struct {
 	Number     int64
 	Task       workflow.Name
@@ -90,14 +90,14 @@
 	Checkpoint string
 }
 
-// Listing is a worker's answer to a hold.
+// Listing is a worker's response to a Hold.
 type Listing struct {
 	Answer
 	Running []Running
 	Ended   []Ended
 }
 
-// Functions call workers; an error other than ErrOtherLife leaves open whether the order is carried out, now or later.
+// Functions call workers. After an error other than ErrOtherLife, the order may have been carried out or may still be carried out later.
 type Functions struct {
 	Start func(context.Context, *wire.CalledWorker, *Start) (*Answer, error)
 	Stop  func(context.Context, *wire.CalledWorker, *Stop) (*Answer, error)
--- a/call/doc.go
+++ b/call/doc.go
@@ -1,2 +1,2 @@
-// Package call holds what control says to a worker that it calls, and what the worker answers; package platform carries it.
+// Package call defines the requests that control sends to a called worker and the worker's responses. Package platform transports them.
 package call
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -1,3 +1,3 @@
-// Package gateway passes callers' workflows on to control's leader, over one stream, and finds that leader again when it changes.
-// It speaks drpc to control; its state is in memory only.
+// Package gateway forwards callers' workflow requests to control's leader over one stream, and finds the new leader after a change.
+// It calls control over drpc and keeps its state in memory only.
 package gateway
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,83 +13,83 @@
 	"daisyswitch/wire"
 )
 
-// Timing of the way to the leader.
+// Timeouts and intervals of the connection to the leader.
 const (
-	probeTime = 300 * time.Millisecond  // longest wait for a replica to say whether it leads; replicas are a few milliseconds away
-	probeGap  = 50 * time.Millisecond   // between rounds of probes; one election tick
-	helloGap  = 250 * time.Millisecond  // between signs of life on a quiet stream; half an election timeout
-	silence   = 750 * time.Millisecond  // without any, a stream is replaced; three signs
-	readyFor  = 2 * time.Second         // without a leader; elections take less
-	electFor  = time.Second             // after the leader was lost, requests wait for the next; a change of leader takes less
-	leaderFor = 50 * time.Millisecond   // a request waits for a leader at least, before it is refused as not run; a round of probes
-	answerFor = 2500 * time.Millisecond // longest wait for an answer when the caller names no deadline; a commit may take 2 s
+	probeTimeout  = 300 * time.Millisecond  // longest wait for a replica's answer whether it is the leader; the round trip takes a few milliseconds
+	probeInterval = 50 * time.Millisecond   // between rounds of probes; one election tick
+	helloInterval = 250 * time.Millisecond  // between heartbeats on a stream; half an election timeout
+	helloTimeout  = 750 * time.Millisecond  // a stream without replies for this long is replaced; three heartbeats
+	readyGrace    = 2 * time.Second         // the gateway stays ready this long without a leader; elections take less
+	electionWait  = time.Second             // after the leader is lost, requests wait this long for the next one; a change of leader takes less
+	minLeaderWait = 50 * time.Millisecond   // shortest wait for a leader before a request is refused as not run; one round of probes
+	maxAnswerWait = 2500 * time.Millisecond // longest wait for an answer, even if the caller's deadline is later; a commit may take 2 s
 )
 
-// Options says where control may be found.
+// Options configures how a Gateway finds control.
 type Options struct {
 	Seeds []string                                                    // drpc addresses
 	Dial  func(ctx context.Context, address string) (net.Conn, error) // TCP when nil
 }
 
-// Gateway is one process's way to the leader.
+// Gateway forwards a process's requests to the leader of control.
 type Gateway struct {
 	pool   *inner.Pool
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  group.Group
 
-	mu       sync.Mutex // guards what follows
-	seeds    []string
-	replicas []string      // as the last leader named them
-	leader   string        // that a refusal named last
-	link     *link         // to the leader, nil while there is none
-	linked   chan struct{} // closed when there is a link
-	lostAt   time.Time     // since when there has been none
-	number   uint64
+	mu         sync.Mutex // guards the fields below
+	seeds      []string
+	replicas   []string      // as last reported by a replica
+	leader     string        // as last named in a refusal
+	link       *link         // to the leader, nil while disconnected
+	linkReady  chan struct{} // closed when link is set
+	lostAt     time.Time     // when the last link was lost
+	lastNumber uint64
 }
 
-// New returns a gateway that looks for the leader until Close.
+// New returns a gateway that connects to the leader, and reconnects, until Close.
 func New(o Options) *Gateway {
-	g := &Gateway{pool: inner.New(inner.Options{Dial: o.Dial, DialTime: probeTime}), seeds: o.Seeds, linked: make(chan struct{})}
+	g := &Gateway{pool: inner.New(inner.Options{Dial: o.Dial, DialTime: probeTimeout}), seeds: o.Seeds, linkReady: make(chan struct{})}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	g.tasks.Go(g.follow)
+	g.tasks.Go(g.maintainLink)
 	return g
 }
 
-// SetSeeds replaces the addresses where control may be found.
+// SetSeeds replaces the addresses at which the gateway looks for control.
 func (g *Gateway) SetSeeds(seeds []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.seeds = seeds
 }
 
-// Ready says why the gateway cannot serve, nil if it can.
+// Ready returns why the gateway cannot serve requests, nil if it can.
 func (g *Gateway) Ready() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.link != nil || !g.lostAt.IsZero() && time.Since(g.lostAt) < readyFor {
+	if g.link != nil || !g.lostAt.IsZero() && time.Since(g.lostAt) < readyGrace {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, "no leader of control can be reached", nil)
 }
 
-// Close ends the way to the leader and waits.
+// Close closes the connections to control and waits for the gateway's goroutines.
 func (g *Gateway) Close() error {
 	g.cancel()
 	g.tasks.Wait()
 	return g.pool.Close()
 }
 
-// Do has a request answered by the leader; an error is a *verdict.Error that says whether the request may have run.
+// Do sends a request to the leader and returns its reply. An error is a *verdict.Error that tells whether the request may have run.
 func (g *Gateway) Do(ctx context.Context, request *wire.WorkflowRequest) (*wire.WorkflowReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, answerFor)
+	ctx, cancel := context.WithTimeout(ctx, maxAnswerWait)
 	defer cancel()
-	patience := g.patience()
+	leaderWaitDeadline := g.leaderWaitDeadline()
 	mayHaveRun := false
 	for {
-		l, err := g.wait(ctx, patience)
+		l, err := g.waitForLink(ctx, leaderWaitDeadline)
 		if err != nil {
-			return nil, worst(mayHaveRun, "no leader of control can be reached", err)
+			return nil, requestError(mayHaveRun, "no leader of control can be reached", err)
 		}
 		reply, err := l.do(ctx, request)
 		switch {
@@ -100,50 +100,50 @@
 		default:
 			err = verdict.New(inner.FromWire(reply.GetFailure().GetVerdict()), reply.GetFailure().GetReason(), nil)
 			mayHaveRun = mayHaveRun || verdict.Of(err) != verdict.NotRun
-			g.drop(l, reply.GetFailure().GetLeader())
+			g.dropLink(l, reply.GetFailure().GetLeader())
 		}
-		if ctx.Err() != nil || time.Now().After(patience) {
-			return nil, worst(mayHaveRun, "control gave no answer", err)
+		if ctx.Err() != nil || time.Now().After(leaderWaitDeadline) {
+			return nil, requestError(mayHaveRun, "control did not answer the request", err)
 		}
 	}
 }
 
-// patience returns until when a request may wait for a leader: through a change of leader, but not while none can be reached.
-func (g *Gateway) patience() time.Time {
+// leaderWaitDeadline returns how long a request may wait for a leader: long enough for a change of leader, but only briefly while none has been reachable for a while.
+func (g *Gateway) leaderWaitDeadline() time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	least := time.Now().Add(leaderFor)
+	earliest := time.Now().Add(minLeaderWait)
 	lost := g.lostAt
 	if g.link != nil {
 		lost = time.Now()
 	}
-	if until := lost.Add(electFor); until.After(least) {
+	if until := lost.Add(electionWait); until.After(earliest) {
 		return until
 	}
-	return least
+	return earliest
 }
 
-// worst says that a request may have run if any of its tries may have.
-func worst(mayHaveRun bool, reason string, cause error) error {
+// requestError returns a verdict over all attempts: unknown if any attempt may have run, else not run.
+func requestError(mayHaveRun bool, reason string, cause error) error {
 	if mayHaveRun {
 		return verdict.New(verdict.Unknown, reason, cause)
 	}
 	return verdict.New(verdict.NotRun, reason, cause)
 }
 
-// wait returns the link to the leader as soon as there is one.
-func (g *Gateway) wait(ctx context.Context, until time.Time) (*link, error) {
+// waitForLink waits until there is a link to the leader and returns it.
+func (g *Gateway) waitForLink(ctx context.Context, until time.Time) (*link, error) {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	for {
 		g.mu.Lock()
-		l, linked := g.link, g.linked
+		l, linkReady := g.link, g.linkReady
 		g.mu.Unlock()
 		if l != nil {
 			return l, nil
 		}
 		select {
-		case <-linked:
+		case <-linkReady:
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-g.ctx.Done():
@@ -152,19 +152,19 @@
 	}
 }
 
-// follow keeps a link to the leader.
-func (g *Gateway) follow() {
+// maintainLink connects to the leader and reconnects when the link is lost.
+func (g *Gateway) maintainLink() {
 	for g.ctx.Err() == nil {
-		l := g.find()
+		l := g.findLeader()
 		if l == nil {
-			g.pause(probeGap)
+			g.pause(probeInterval)
 			continue
 		}
-		g.set(l)
+		g.setLink(l)
 		event.LeaderFound.Info("address", l.address)
 		cause := l.run()
 		event.LeaderLinkLost.Error(cause, "address", l.address)
-		g.drop(l, "")
+		g.dropLink(l, "")
 	}
 }
 
@@ -175,18 +175,18 @@
 	}
 }
 
-func (g *Gateway) set(l *link) {
+func (g *Gateway) setLink(l *link) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.link = l
-	close(g.linked)
+	close(g.linkReady)
 }
 
-// drop ends a link that fails or whose replica leads no more.
-func (g *Gateway) drop(l *link, leader string) {
+// dropLink closes a link that failed or whose replica is no longer the leader.
+func (g *Gateway) dropLink(l *link, leader string) {
 	g.mu.Lock()
 	if g.link == l {
-		g.link, g.linked, g.lostAt = nil, make(chan struct{}), time.Now()
+		g.link, g.linkReady, g.lostAt = nil, make(chan struct{}), time.Now()
 	}
 	if leader != "" {
 		g.leader = leader
@@ -195,7 +195,7 @@
 	l.close()
 }
 
-// candidates returns where to look for the leader.
+// candidates returns the addresses to probe for the leader, without duplicates.
 func (g *Gateway) candidates() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -212,9 +212,9 @@
 	return all
 }
 
-// find asks all replicas at once and returns a link to the one that leads, nil if none says so.
-func (g *Gateway) find() *link {
-	ctx, cancel := context.WithTimeout(g.ctx, probeTime)
+// findLeader probes all candidates in parallel and returns a link to the leader, nil if none was found.
+func (g *Gateway) findLeader() *link {
+	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
 	defer cancel()
 	candidates := g.candidates()
 	found := make(chan *link, len(candidates))
@@ -236,7 +236,7 @@
 	return leader
 }
 
-// probe opens a link and returns it if the replica leads.
+// probe opens a link to a replica and returns it if the replica is the leader.
 func (g *Gateway) probe(ctx context.Context, address string) *link {
 	l, err := newLink(ctx, g, address)
 	if err != nil {
@@ -247,7 +247,7 @@
 		l.close()
 		return nil
 	}
-	g.learn(reply)
+	g.updateReplicas(reply)
 	if reply.GetAnswer() != wire.WorkflowAnswer_WORKFLOW_ANSWER_OK {
 		l.close()
 		return nil
@@ -255,8 +255,8 @@
 	return l
 }
 
-// learn keeps what a replica says of its group.
-func (g *Gateway) learn(reply *wire.WorkflowReply) {
+// updateReplicas records the group's replicas and leader from a replica's reply.
+func (g *Gateway) updateReplicas(reply *wire.WorkflowReply) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(reply.GetReplicas()) > 0 {
@@ -270,6 +270,6 @@
 func (g *Gateway) nextNumber() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.number++
-	return g.number
+	g.lastNumber++
+	return g.lastNumber
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -15,14 +15,14 @@
 	"storj.io/drpc/drpcmux"
 )
 
-// replica answers as a replica of control does.
+// replica is a fake replica of control.
 type replica struct {
 	wire.DRPCControlUnimplementedServer
-	server *inner.Server
-	leads  atomic.Bool
-	mute   atomic.Bool // takes requests in and answers none
-	leader atomic.Pointer[string]
-	served atomic.Int64
+	server       *inner.Server
+	leads        atomic.Bool
+	unresponsive atomic.Bool // receives requests but answers none
+	leader       atomic.Pointer[string]
+	served       atomic.Int64
 }
 
 func newReplica(t *testing.T) *replica {
@@ -52,7 +52,7 @@
 		}
 		if !hello {
 			r.served.Add(1)
-			if r.mute.Load() {
+			if r.unresponsive.Load() {
 				continue
 			}
 		}
@@ -68,21 +68,21 @@
 	return g
 }
 
-func ask(g *gateway.Gateway) (*wire.WorkflowReply, error) {
+func queryState(g *gateway.Gateway) (*wire.WorkflowReply, error) {
 	return g.Do(context.Background(), &wire.WorkflowRequest{Kind: wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_STATE})
 }
 
-func eventually(t *testing.T, what func() bool) {
+func eventually(t *testing.T, condition func() bool) {
 	for range 200 {
-		if what() {
+		if condition() {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	t.Fatal("not within 2 s")
+	t.Fatal("condition not met within 2 s")
 }
 
-// TestLeaderIsFoundThroughAnotherReplica: the only seed does not lead and names the one that does.
+// TestLeaderIsFoundThroughAnotherReplica covers a single seed that is a follower and names the leader.
 func TestLeaderIsFoundThroughAnotherReplica(t *testing.T) {
 	follower, leader := newReplica(t), newReplica(t)
 	leader.leads.Store(true)
@@ -90,7 +90,7 @@
 	follower.leader.Store(&address)
 	g := newGateway(t, follower.server.Address())
 	eventually(t, func() bool { return g.Ready() == nil })
-	reply, err := ask(g)
+	reply, err := queryState(g)
 	assert.NilError(t, err)
 	assert.Equal(t, reply.GetState(), "running")
 }
@@ -102,21 +102,21 @@
 	eventually(t, func() bool { return g.Ready() == nil })
 	a.leads.Store(false)
 	b.leads.Store(true)
-	eventually(t, func() bool { _, err := ask(g); return err == nil })
+	eventually(t, func() bool { _, err := queryState(g); return err == nil })
 	assert.Assert(t, b.served.Load() > 0)
 }
 
-// TestNoLeaderIsToldSoonAndTruly: without a leader a request is refused at once as not run.
+// TestNoLeaderIsToldSoonAndTruly checks that without a leader a request fails within a second, as not run.
 func TestNoLeaderIsToldSoonAndTruly(t *testing.T) {
 	g := newGateway(t, newReplica(t).server.Address())
 	began := time.Now()
-	_, err := ask(g)
+	_, err := queryState(g)
 	assert.Equal(t, verdict.Of(err), verdict.NotRun)
 	assert.Assert(t, time.Since(began) < time.Second)
 	assert.Assert(t, g.Ready() != nil)
 }
 
-// TestRequestWaitsThroughAChangeOfLeader: a leader steps down, and the next one leads half a second later.
+// TestRequestWaitsThroughAChangeOfLeader has a leader step down and the next one take over half a second later. The request must not fail in between.
 func TestRequestWaitsThroughAChangeOfLeader(t *testing.T) {
 	a, b := newReplica(t), newReplica(t)
 	a.leads.Store(true)
@@ -124,15 +124,15 @@
 	eventually(t, func() bool { return g.Ready() == nil })
 	a.leads.Store(false)
 	time.AfterFunc(500*time.Millisecond, func() { b.leads.Store(true) })
-	_, err := ask(g)
+	_, err := queryState(g)
 	assert.NilError(t, err)
 }
 
-// TestLostAnswerLeavesOpenWhetherItRan: the leader has taken a request in and dies before it answers.
+// TestLostAnswerLeavesOpenWhetherItRan checks that a request which the leader received but never answered has an unknown verdict.
 func TestLostAnswerLeavesOpenWhetherItRan(t *testing.T) {
 	r := newReplica(t)
 	r.leads.Store(true)
-	r.mute.Store(true)
+	r.unresponsive.Store(true)
 	g := newGateway(t, r.server.Address())
 	eventually(t, func() bool { return g.Ready() == nil })
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -15,35 +15,35 @@
 )
 
 var (
-	errSilent = errors.New("the replica has fallen silent")
-	errEnded  = errors.New("the connection to the replica has ended")
+	errReplicaTimeout = errors.New("no reply from the replica within 750 ms")
+	errLinkClosed     = errors.New("the connection to the replica was closed")
 )
 
-// link is one stream to a replica that led when it was opened.
+// link is a stream to a replica that is, or may be, the leader.
 type link struct {
-	g       *Gateway
+	gateway *Gateway
 	address string
 	conn    *drpcconn.Conn
 	stream  wire.DRPCControl_WorkflowsClient
 	cancel  context.CancelFunc
 	tasks   group.Group
-	ended   chan struct{} // closed when nothing more is received
+	ended   chan struct{} // closed when the receiver has stopped
 
-	sending sync.Mutex // one request at a time; taken before mu
+	sendMu sync.Mutex // serializes sends on the stream; locked before mu
 
-	mu      sync.Mutex // guards what follows
-	waiting map[uint64]chan *wire.WorkflowReply
-	heard   time.Time
-	err     error
+	mu        sync.Mutex // guards the fields below
+	waiting   map[uint64]chan *wire.WorkflowReply
+	lastReply time.Time
+	err       error
 }
 
-func newLink(ctx context.Context, g *Gateway, address string) (*link, error) {
-	conn, err := g.pool.Dial(ctx, address)
+func newLink(ctx context.Context, gateway *Gateway, address string) (*link, error) {
+	conn, err := gateway.pool.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	l := &link{g: g, address: address, conn: conn, ended: make(chan struct{}), waiting: map[uint64]chan *wire.WorkflowReply{}, heard: time.Now()}
-	streamCtx, cancel := context.WithCancel(g.ctx)
+	l := &link{gateway: gateway, address: address, conn: conn, ended: make(chan struct{}), waiting: map[uint64]chan *wire.WorkflowReply{}, lastReply: time.Now()}
+	streamCtx, cancel := context.WithCancel(gateway.ctx)
 	l.cancel = cancel
 	l.stream, err = wire.NewDRPCControlClient(conn).Workflows(streamCtx)
 	if err != nil {
@@ -55,7 +55,7 @@
 	return l, nil
 }
 
-// close ends the link without waiting for its receiver, which ends by it.
+// close closes the link without waiting for the receiver, which stops as a result.
 func (l *link) close() {
 	l.cancel()
 	l.conn.Close()
@@ -71,7 +71,7 @@
 			l.mu.Unlock()
 			return
 		}
-		l.heard = time.Now()
+		l.lastReply = time.Now()
 		answer := l.waiting[reply.GetNumber()]
 		delete(l.waiting, reply.GetNumber())
 		l.mu.Unlock()
@@ -81,9 +81,9 @@
 	}
 }
 
-// run sends signs of life until the link fails, and returns why it did.
+// run sends heartbeats until the link fails, and returns the cause.
 func (l *link) run() error {
-	ticker := time.NewTicker(helloGap)
+	ticker := time.NewTicker(helloInterval)
 	defer ticker.Stop()
 	defer l.close()
 	for {
@@ -92,35 +92,35 @@
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			return l.err
-		case <-l.g.ctx.Done():
-			return l.g.ctx.Err()
+		case <-l.gateway.ctx.Done():
+			return l.gateway.ctx.Err()
 		case <-ticker.C:
 		}
-		if l.silentFor() > silence {
-			return errSilent
+		if l.sinceLastReply() > helloTimeout {
+			return errReplicaTimeout
 		}
-		l.g.tasks.Go(l.sign)
+		l.gateway.tasks.Go(l.checkLeadership)
 	}
 }
 
-// sign asks whether the replica still leads.
-func (l *link) sign() {
-	ctx, cancel := context.WithTimeout(l.g.ctx, silence)
+// checkLeadership sends a heartbeat and drops the link if the replica is no longer the leader.
+func (l *link) checkLeadership() {
+	ctx, cancel := context.WithTimeout(l.gateway.ctx, helloTimeout)
 	defer cancel()
 	reply, err := l.hello(ctx)
 	if err != nil {
 		return
 	}
-	l.g.learn(reply)
+	l.gateway.updateReplicas(reply)
 	if reply.GetAnswer() != wire.WorkflowAnswer_WORKFLOW_ANSWER_OK {
-		l.g.drop(l, reply.GetFailure().GetLeader())
+		l.gateway.dropLink(l, reply.GetFailure().GetLeader())
 	}
 }
 
-func (l *link) silentFor() time.Duration {
+func (l *link) sinceLastReply() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Since(l.heard)
+	return time.Since(l.lastReply)
 }
 
 func (l *link) hello(ctx context.Context) (*wire.WorkflowReply, error) {
@@ -130,28 +130,28 @@
 // do sends a request and waits for its answer.
 func (l *link) do(ctx context.Context, request *wire.WorkflowRequest) (*wire.WorkflowReply, error) {
 	request = proto.CloneOf(request)
-	request.Number = l.g.nextNumber()
+	request.Number = l.gateway.nextNumber()
 	answer := make(chan *wire.WorkflowReply, 1)
 	l.mu.Lock()
 	l.waiting[request.Number] = answer
 	l.mu.Unlock()
 	defer l.forget(request.Number)
 	if err := l.send(request); err != nil {
-		return nil, verdict.New(verdict.Unknown, "the request may have been sent in part", err)
+		return nil, verdict.New(verdict.Unknown, "sending the request failed, part of it may have been sent", err)
 	}
 	select {
 	case reply := <-answer:
 		return reply, nil
 	case <-l.ended:
-		return nil, verdict.New(verdict.Unknown, "no answer from "+l.address, errEnded)
+		return nil, verdict.New(verdict.Unknown, "no answer from "+l.address, errLinkClosed)
 	case <-ctx.Done():
 		return nil, verdict.New(verdict.Unknown, "no answer from "+l.address, ctx.Err())
 	}
 }
 
 func (l *link) send(request *wire.WorkflowRequest) error {
-	l.sending.Lock()
-	defer l.sending.Unlock()
+	l.sendMu.Lock()
+	defer l.sendMu.Unlock()
 	return l.stream.Send(request)
 }
 
