Reword the installation and the transport between processes

Readers stumbled over fronts, processes found through the words of seeds, and take, put and drop of an unnamed thing. The HTTP server is now called server, and the pool has takeIdle, putIdle and closeIdle. The comment on closing a member now gives the order in which its parts close.

--- a/inner/doc.go
+++ b/inner/doc.go
@@ -1,2 +1,2 @@
-// Package inner carries drpc calls between the processes of daisyswitch: connections, listeners, and the way to control's leader.
+// Package inner implements the drpc transport between the processes of daisyswitch: connection pool, server, and verdicts in messages.
 package inner
--- a/inner/pool.go
+++ b/inner/pool.go
@@ -15,9 +15,9 @@
 // Options configures a Pool.
 type Options struct {
 	Dial     func(ctx context.Context, address string) (net.Conn, error) // TCP when nil
-	Idle     int                                                         // connections kept for each address
-	IdleFor  time.Duration                                               // age at which an idle connection is no longer trusted
-	DialTime time.Duration                                               // longest time to connect
+	Idle     int                                                         // most idle connections per address
+	IdleFor  time.Duration                                               // idle time after which a connection is closed instead of reused
+	DialTime time.Duration                                               // timeout for connecting
 }
 
 const (
@@ -26,7 +26,7 @@
 	defaultDialTime = time.Second
 )
 
-// Pool keeps idle connections, since a drpc connection carries one call at a time.
+// Pool keeps idle connections for reuse. A drpc connection carries only one call at a time.
 type Pool struct {
 	options Options
 
@@ -40,7 +40,7 @@
 	since time.Time
 }
 
-// New returns a pool without connections.
+// New returns an empty pool, with defaults for options that are not set.
 func New(o Options) *Pool {
 	if o.Dial == nil {
 		o.Dial = DialTCP
@@ -63,22 +63,22 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// Do runs call on a connection to address; its error says NotRun if no connection could be made and Unknown otherwise.
+// Do runs call on a connection to address. Its error has the verdict NotRun if the connection failed and Unknown otherwise.
 func (p *Pool) Do(ctx context.Context, address string, call func(*drpcconn.Conn) error) error {
 	conn, err := p.get(ctx, address)
 	if err != nil {
-		return verdict.New(verdict.NotRun, fmt.Sprintf("cannot reach %s", address), err)
+		return verdict.New(verdict.NotRun, fmt.Sprintf("cannot connect to %s", address), err)
 	}
 	if err := call(conn); err != nil {
 		conn.Close()
-		p.drop(address)
+		p.closeIdle(address)
 		return verdict.New(verdict.Unknown, fmt.Sprintf("no answer from %s", address), err)
 	}
-	p.put(address, conn)
+	p.putIdle(address, conn)
 	return nil
 }
 
-// Dial returns a new connection of its own, for a stream that stays open.
+// Dial returns a new connection outside the pool, for a long-lived stream.
 func (p *Pool) Dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.options.DialTime)
 	defer cancel()
@@ -90,13 +90,13 @@
 }
 
 func (p *Pool) get(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	if conn := p.take(address); conn != nil {
+	if conn := p.takeIdle(address); conn != nil {
 		return conn, nil
 	}
 	return p.Dial(ctx, address)
 }
 
-func (p *Pool) take(address string) *drpcconn.Conn {
+func (p *Pool) takeIdle(address string) *drpcconn.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
@@ -122,7 +122,7 @@
 	}
 }
 
-func (p *Pool) put(address string, conn *drpcconn.Conn) {
+func (p *Pool) putIdle(address string, conn *drpcconn.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle[address]) >= p.options.Idle {
@@ -132,8 +132,8 @@
 	p.idle[address] = append(p.idle[address], idleConn{conn, time.Now()})
 }
 
-// drop closes the idle connections to an address, since what broke one has often broken its siblings.
-func (p *Pool) drop(address string) {
+// closeIdle closes the idle connections to an address, because a failure of one often affects the others too.
+func (p *Pool) closeIdle(address string) {
 	p.mu.Lock()
 	conns := p.idle[address]
 	delete(p.idle, address)
@@ -143,7 +143,7 @@
 	}
 }
 
-// Close closes all idle connections; those in use close when their calls end.
+// Close closes all idle connections. Connections in use are closed when their calls end.
 func (p *Pool) Close() error {
 	p.mu.Lock()
 	idle := p.idle
--- a/inner/server.go
+++ b/inner/server.go
@@ -13,19 +13,19 @@
 	"storj.io/drpc/drpcserver"
 )
 
-// Server answers the drpc calls of other processes.
+// Server serves drpc calls from other processes.
 type Server struct {
 	listener net.Listener
 	cancel   context.CancelFunc
-	wait     group.Group
+	serving  group.Group
 }
 
-// ListenTCP takes connections over TCP.
+// ListenTCP returns a TCP listener on address.
 func ListenTCP(address string) (net.Listener, error) {
 	return net.Listen("tcp", address)
 }
 
-// Listen serves mux at address, taken by listen, until Close.
+// Listen serves mux on a listener that listen opens at address, until Close.
 func Listen(listen func(address string) (net.Listener, error), address string, mux *drpcmux.Mux) (*Server, error) {
 	listener, err := listen(address)
 	if err != nil {
@@ -34,7 +34,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{listener: listener, cancel: cancel}
 	server := drpcserver.New(mux)
-	s.wait.Go(func() {
+	s.serving.Go(func() {
 		err := server.Serve(ctx, listener)
 		if err != nil && !errors.Is(err, net.ErrClosed) && ctx.Err() == nil {
 			event.ListenFailed.Error(err, "address", address)
@@ -48,11 +48,11 @@
 	return s.listener.Addr().String()
 }
 
-// Close ends all calls and waits.
+// Close cancels all calls and waits for them to end.
 func (s *Server) Close() error {
 	s.cancel()
 	err := s.listener.Close()
-	s.wait.Wait()
+	s.serving.Wait()
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/inner/verdict.go
+++ b/inner/verdict.go
@@ -5,7 +5,7 @@
 	"daisyswitch/wire"
 )
 
-// FromWire returns the verdict that a message carries.
+// FromWire converts a verdict from its message form.
 func FromWire(v wire.Verdict) verdict.Verdict {
 	switch v {
 	case wire.Verdict_VERDICT_NOT_RUN:
@@ -17,7 +17,7 @@
 	}
 }
 
-// ToWire returns the message form of a verdict.
+// ToWire converts a verdict to its message form.
 func ToWire(v verdict.Verdict) wire.Verdict {
 	switch v {
 	case verdict.NotRun:
--- a/installation/gateway.go
+++ b/installation/gateway.go
@@ -11,25 +11,25 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// Gateway is a gateway with its front towards the platform.
+// Gateway is a gateway process with its HTTP server for the platform.
 type Gateway struct {
 	gateway *gateway.Gateway
-	front   *platform.Gateway
-	watch   *fileWatch
+	server  *platform.Gateway
+	watcher *fileWatcher
 	metrics *metrics.Set
 }
 
-// NewGateway starts a gateway; path names the file that its settings came from, which is read again whenever it changes.
+// NewGateway starts a gateway. The settings file at path is reloaded whenever it changes.
 func NewGateway(path string, s *settings.Gateway) (*Gateway, error) {
 	g := &Gateway{metrics: metrics.NewSet(), gateway: gateway.New(gateway.Options{Seeds: innerAddresses(s.Seeds, s.Inner)})}
 	var err error
-	g.front, err = platform.NewGateway(platform.GatewayOptions{
+	g.server, err = platform.NewGateway(platform.GatewayOptions{
 		Clients: s.Clients, Ready: s.Ready, Gateway: g.gateway, Drain: time.Duration(s.DrainMS) * time.Millisecond, Metrics: g.metrics,
 	})
 	if err != nil {
 		return nil, errors.Join(err, g.gateway.Close())
 	}
-	g.watch = watchFile(path, func(source []byte) error {
+	g.watcher = watchFile(path, func(source []byte) error {
 		changed, err := settings.ParseGateway(path, source)
 		if err != nil {
 			return err
@@ -40,13 +40,13 @@
 	return g, nil
 }
 
-// Close ends the front, then the way to control, and waits.
+// Close stops the HTTP server, then closes the connections to control, and waits.
 func (g *Gateway) Close() error {
-	g.watch.close()
-	return errors.Join(g.front.Close(), g.gateway.Close())
+	g.watcher.close()
+	return errors.Join(g.server.Close(), g.gateway.Close())
 }
 
-// Ready says why the gateway is not ready for callers, nil if it is.
+// Ready returns why the gateway is not ready for callers, nil if it is.
 func (g *Gateway) Ready() error { return g.gateway.Ready() }
 
 // Metrics returns the gateway's metrics.
--- a/installation/member.go
+++ b/installation/member.go
@@ -12,15 +12,15 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// Member is a control process with its front towards the platform.
+// Member is a control process with its HTTP server for the platform.
 type Member struct {
 	control *control.Control
-	front   *platform.Control
+	server  *platform.Control
 	client  *platform.Client
-	watch   *fileWatch
+	watcher *fileWatcher
 }
 
-// NewMember starts a member; path names the file that its settings came from, which is read again whenever it changes.
+// NewMember starts a member. The settings file at path is reloaded whenever it changes.
 func NewMember(path string, s *settings.Member) (*Member, error) {
 	m := &Member{client: platform.NewClient()}
 	c := &settings.Control{
@@ -43,11 +43,11 @@
 	if err != nil {
 		return nil, err
 	}
-	m.front, err = platform.NewControl(s.Announcements, m.control)
+	m.server, err = platform.NewControl(s.Announcements, m.control)
 	if err != nil {
 		return nil, errors.Join(err, m.control.Close())
 	}
-	m.watch = watchFile(path, func(source []byte) error {
+	m.watcher = watchFile(path, func(source []byte) error {
 		changed, err := settings.ParseMember(path, source)
 		if err != nil {
 			return err
@@ -58,19 +58,19 @@
 	return m, nil
 }
 
-// Ready says why the member is not ready for work, nil if it is.
+// Ready returns why the member is not ready, nil if it is.
 func (m *Member) Ready() error { return m.control.Ready() }
 
-// Live says why the member should be started again, nil if it should not.
+// Live returns why the member should be restarted, nil if it is healthy.
 func (m *Member) Live() error { return m.control.Live() }
 
 // Metrics returns the member's metrics.
 func (m *Member) Metrics() *metrics.Set { return m.control.Metrics() }
 
-// Close ends the front, then the control process, and waits.
+// Close stops the control process and the HTTP server, and waits.
 func (m *Member) Close() error {
-	m.watch.close()
-	err := errors.Join(m.control.Close(), m.front.Close())
+	m.watcher.close()
+	err := errors.Join(m.control.Close(), m.server.Close())
 	m.client.Close()
 	return err
 }
--- a/installation/seeds.go
+++ b/installation/seeds.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// seedReplicas returns the drpc addresses of the control processes that seeds name, by replica.
+// seedReplicas returns the drpc addresses of the control processes listed in seeds, by replica ID.
 func seedReplicas(seeds []settings.Seed, inner string) map[uint64]string {
 	replicas := map[uint64]string{}
 	for _, address := range innerAddresses(seeds, inner) {
@@ -17,12 +17,12 @@
 	return replicas
 }
 
-// replicaID returns the identity of the replica at a drpc address, which is never given to another disk.
+// replicaID derives a replica's ID from its drpc address. An ID must never be reused with another disk.
 func replicaID(address string) uint64 {
 	return xxhash.Sum64String(address) | 1
 }
 
-// innerAddresses returns the drpc addresses of the control processes that seeds name: their IPs with the port of inner, which is the same on all instances.
+// innerAddresses returns the drpc addresses of the control processes listed in seeds: the seeds' IPs with the port of inner, which is the same on all instances.
 func innerAddresses(seeds []settings.Seed, inner string) []string {
 	port := netip.MustParseAddrPort(inner).Port()
 	var all []string
--- a/installation/watch.go
+++ b/installation/watch.go
@@ -9,38 +9,38 @@
 	"daisyswitch/group"
 )
 
-// watchEvery is how often a settings file is looked at; a change need not be signalled.
-const watchEvery = time.Second
+// pollInterval is how often a settings file is checked for changes, so that no signal is needed.
+const pollInterval = time.Second
 
-// fileWatch reads a settings file again when it has changed.
-type fileWatch struct {
+// fileWatcher polls a settings file and reloads it when its content changes.
+type fileWatcher struct {
 	stop  chan struct{}
 	tasks group.Group
 }
 
-func watchFile(path string, changed func([]byte) error) *fileWatch {
-	w := &fileWatch{stop: make(chan struct{})}
+func watchFile(path string, changed func([]byte) error) *fileWatcher {
+	w := &fileWatcher{stop: make(chan struct{})}
 	last, err := os.ReadFile(path)
 	if err != nil {
 		event.SettingsFaulty.Error(err, "file", path)
 	}
 	w.tasks.Go(func() {
-		ticker := time.NewTicker(watchEvery)
+		ticker := time.NewTicker(pollInterval)
 		defer ticker.Stop()
 		for {
 			select {
 			case <-w.stop:
 				return
 			case <-ticker.C:
-				last = reread(path, last, changed)
+				last = reloadIfChanged(path, last, changed)
 			}
 		}
 	})
 	return w
 }
 
-// reread returns what the file holds and tells of it if it is new.
-func reread(path string, last []byte, changed func([]byte) error) []byte {
+// reloadIfChanged passes the file's content to changed if it differs from last, and returns the latest content.
+func reloadIfChanged(path string, last []byte, changed func([]byte) error) []byte {
 	source, err := os.ReadFile(path)
 	if err != nil || string(source) == string(last) {
 		return last
@@ -53,7 +53,7 @@
 	return source
 }
 
-func (w *fileWatch) close() {
+func (w *fileWatcher) close() {
 	close(w.stop)
 	w.tasks.Wait()
 }
