Reword the settings reader and the faults that it prints

Faults said that keys stand twice, that addresses clash and that no key tells the role. They now name duplicates, conflicts and unidentified roles, and the fault of a file without a role lists the keys of members and gateways too. Unexported names follow: numberRules, textRules, checkAddressConflicts, addFault and applyDefault.

--- a/settings/bounds.go
+++ b/settings/bounds.go
@@ -7,14 +7,14 @@
 	"regexp"
 )
 
-// bound is the default and the range of a whole number.
-type bound struct {
+// numberRule is the default and the allowed range of an integer setting.
+type numberRule struct {
 	Default  int64
 	Min, Max int64
-	Required bool // has no default
+	Required bool // the key must be set; there is no default
 }
 
-func (b bound) allowed() string {
+func (b numberRule) allowed() string {
 	return fmt.Sprintf("a whole number from %d to %d", b.Min, b.Max)
 }
 
@@ -23,8 +23,8 @@
 	mib      = 1 << 20
 )
 
-// bounds is the one table of defaults; units stand in the names of the keys.
-var bounds = map[string]bound{
+// numberRules holds the rule of each integer setting by its key. The key's suffix is the unit.
+var numberRules = map[string]numberRule{
 	"id":                        {Min: 1, Max: math.MaxInt32, Required: true},
 	"control[].id":              {Min: 1, Max: math.MaxInt32, Required: true},
 	"first":                     {Default: 0, Min: 0, Max: 1},
@@ -46,23 +46,23 @@
 	"answers_keep":              {Default: 1000, Min: 10, Max: 1000000},
 }
 
-// text is what a string may be.
-type text struct {
+// textRule is the rule for a string setting.
+type textRule struct {
 	allowed  string
 	valid    func(string) bool
-	optional bool // may be left out
+	optional bool // the key may be omitted
 }
 
 var labelPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
 var (
-	label   = text{"1 to 63 of a-z, 0-9, '.', '_' and '-', with a letter or digit first", labelPattern.MatchString, false}
-	address = text{"IP:port by numbers, such as 127.0.0.1:7000, with a port from 1 to 65535", validAddress, false}
-	folder  = text{"a folder's path", func(s string) bool { return s != "" }, false}
+	label     = textRule{"1 to 63 of a-z, 0-9, '.', '_' and '-', with a letter or digit first", labelPattern.MatchString, false}
+	address   = textRule{"a numeric IP:port, such as 127.0.0.1:7000, with a port from 1 to 65535", validAddress, false}
+	directory = textRule{"a directory path", func(s string) bool { return s != "" }, false}
 )
 
-// texts holds the rule of each string by the last part of its key.
-var texts = map[string]text{
+// textRules holds the rule of each string setting by the last part of its key.
+var textRules = map[string]textRule{
 	"name":      label,
 	"domain":    label,
 	"inner":     address,
@@ -70,7 +70,7 @@
 	"callers":   address,
 	"platform":  address,
 	"operators": address,
-	"data":      folder,
+	"data":      directory,
 
 	"inner_listen":  {address.allowed, address.valid, true},
 	"announcements": address,
@@ -84,8 +84,8 @@
 	return err == nil && a.Port() != 0
 }
 
-// clash reports whether two valid addresses can't be listened on at once.
-func clash(a, b string) bool {
+// addressesConflict reports whether two valid addresses can't both be listened on. An unspecified IP conflicts with every IP on the same port.
+func addressesConflict(a, b string) bool {
 	x, errX := netip.ParseAddrPort(a)
 	y, errY := netip.ParseAddrPort(b)
 	if errX != nil || errY != nil || x.Port() != y.Port() {
--- a/settings/check.go
+++ b/settings/check.go
@@ -2,125 +2,125 @@
 
 import "fmt"
 
-// place is an address together with the key that names it.
-type place struct {
+// keyedAddress is an address together with the key that sets it.
+type keyedAddress struct {
 	key     string
 	address string
 }
 
-// apart refuses every address that an earlier one of the list clashes with.
-func (r *reader) apart(places []place) {
+// checkAddressConflicts reports every address that conflicts with an earlier one in the list.
+func (r *reader) checkAddressConflicts(places []keyedAddress) {
 	for i, later := range places {
 		for _, earlier := range places[:i] {
-			if clash(earlier.address, later.address) {
-				r.fault(r.lineOf(later.key), later.key, fmt.Sprintf("%s clashes with %s on line %d", later.address, earlier.key, r.lineOf(earlier.key)), "an address that nothing else listens on")
+			if addressesConflict(earlier.address, later.address) {
+				r.addFault(r.lineOf(later.key), later.key, fmt.Sprintf("%s conflicts with %s on line %d", later.address, earlier.key, r.lineOf(earlier.key)), "an address that overlaps with no other key's address")
 				break
 			}
 		}
 	}
 }
 
-// replicas checks the list of control processes and returns their addresses.
-func (r *reader) replicas(list []Replica) []place {
+// checkReplicas validates the list of control processes and returns their addresses.
+func (r *reader) checkReplicas(list []Replica) []keyedAddress {
 	const most = 7
 	if len(list) == 0 || len(list) > most || len(list)%2 == 0 {
-		r.fault(r.lineOf("control"), "control", fmt.Sprintf("lists %d processes", len(list)), "an odd number from 1 to 7")
+		r.addFault(r.lineOf("control"), "control", fmt.Sprintf("lists %d processes", len(list)), "an odd number from 1 to 7")
 	}
 	first := map[uint64]string{}
-	var places []place
+	var places []keyedAddress
 	for i, replica := range list {
 		key := fmt.Sprintf("control[%d]", i)
 		if earlier, twice := first[replica.ID]; twice && replica.ID != 0 {
-			r.fault(r.lineOf(key+".id"), key+".id", fmt.Sprintf("%d stands twice, first on line %d", replica.ID, r.lineOf(earlier)), "an id of its own for each process")
+			r.addFault(r.lineOf(key+".id"), key+".id", fmt.Sprintf("%d is a duplicate, first used on line %d", replica.ID, r.lineOf(earlier)), "a unique id for each process")
 		} else {
 			first[replica.ID] = key + ".id"
 		}
-		places = append(places, place{key + ".inner", replica.Inner})
+		places = append(places, keyedAddress{key + ".inner", replica.Inner})
 	}
 	return places
 }
 
-// neighbors checks the list of entries and returns the addresses of all but own.
-func (r *reader) neighbors(list []Neighbor, own Common) []place {
+// checkNeighbors validates the list of entries and returns the addresses of all entries except own.
+func (r *reader) checkNeighbors(list []Neighbor, own Common) []keyedAddress {
 	first := map[string]string{}
-	var places []place
+	var places []keyedAddress
 	for i, neighbor := range list {
 		key := fmt.Sprintf("entries[%d]", i)
 		if earlier, twice := first[neighbor.Name]; twice && neighbor.Name != "" {
-			r.fault(r.lineOf(key+".name"), key+".name", fmt.Sprintf("%q stands twice, first on line %d", neighbor.Name, r.lineOf(earlier)), "a name of its own for each entry")
+			r.addFault(r.lineOf(key+".name"), key+".name", fmt.Sprintf("%q is a duplicate, first used on line %d", neighbor.Name, r.lineOf(earlier)), "a unique name for each entry")
 			continue
 		}
 		first[neighbor.Name] = key + ".name"
 		if neighbor.Name != own.Name {
-			places = append(places, place{key + ".inner", neighbor.Inner})
+			places = append(places, keyedAddress{key + ".inner", neighbor.Inner})
 			continue
 		}
-		r.same(key+".inner", neighbor.Inner, "inner", own.Inner)
-		r.same(key+".domain", neighbor.Domain, "domain", own.Domain)
+		r.checkSame(key+".inner", neighbor.Inner, "inner", own.Inner)
+		r.checkSame(key+".domain", neighbor.Domain, "domain", own.Domain)
 	}
 	return places
 }
 
-// same refuses a list's word about the process itself where it differs from the process's own key.
-func (r *reader) same(key, listed, ownKey, own string) {
+// checkSame reports a value that a list gives for the process itself if it differs from the process's own key.
+func (r *reader) checkSame(key, listed, ownKey, own string) {
 	if listed != own && listed != "" && own != "" {
-		r.fault(r.lineOf(key), key, fmt.Sprintf("is %q, but %s on line %d is %q", listed, ownKey, r.lineOf(ownKey), own), "the same in both")
+		r.addFault(r.lineOf(key), key, fmt.Sprintf("is %q, but %s on line %d is %q", listed, ownKey, r.lineOf(ownKey), own), "the same value in both")
 	}
 }
 
-func (r *reader) entry(e *Entry) {
-	places := []place{
+func (r *reader) checkEntry(e *Entry) {
+	places := []keyedAddress{
 		{"inner", e.Inner}, {"admin", e.Admin},
 		{"callers", e.Callers}, {"platform", e.Platform}, {"operators", e.Operators},
 	}
-	places = append(places, r.replicas(e.Control)...)
-	places = append(places, r.neighbors(e.Entries, e.Common)...)
-	r.apart(places)
+	places = append(places, r.checkReplicas(e.Control)...)
+	places = append(places, r.checkNeighbors(e.Entries, e.Common)...)
+	r.checkAddressConflicts(places)
 	if e.Limits.RequestTimeoutMS != 0 && e.Limits.QueueTimeoutMS > e.Limits.RequestTimeoutMS {
 		key := "limits.queue_timeout_ms"
-		r.fault(r.lineOf(key), key, fmt.Sprintf("is %d", e.Limits.QueueTimeoutMS), fmt.Sprintf("at most limits.request_timeout_ms, %d", e.Limits.RequestTimeoutMS))
+		r.addFault(r.lineOf(key), key, fmt.Sprintf("is %d", e.Limits.QueueTimeoutMS), fmt.Sprintf("at most limits.request_timeout_ms, %d", e.Limits.RequestTimeoutMS))
 	}
 }
 
-func (r *reader) control(c *Control) {
-	places := []place{{"inner", c.Inner}, {"admin", c.Admin}}
+func (r *reader) checkControl(c *Control) {
+	places := []keyedAddress{{"inner", c.Inner}, {"admin", c.Admin}}
 	listed := false
-	for i, p := range r.replicas(c.Control) {
+	for i, p := range r.checkReplicas(c.Control) {
 		if c.Control[i].ID != c.ID {
 			places = append(places, p)
 			continue
 		}
 		listed = true
 		key := fmt.Sprintf("control[%d]", i)
-		r.same(key+".inner", c.Control[i].Inner, "inner", c.Inner)
-		r.same(key+".domain", c.Control[i].Domain, "domain", c.Domain)
+		r.checkSame(key+".inner", c.Control[i].Inner, "inner", c.Inner)
+		r.checkSame(key+".domain", c.Control[i].Domain, "domain", c.Domain)
 	}
-	r.apart(places)
+	r.checkAddressConflicts(places)
 	if !listed && c.ID != 0 {
-		r.fault(r.lineOf("id"), "id", fmt.Sprintf("%d is not in the list control", c.ID), "the id of one of the processes listed there")
+		r.addFault(r.lineOf("id"), "id", fmt.Sprintf("%d is not an id in the list control", c.ID), "the id of one of the listed processes")
 	}
 	election := c.TickMS * c.ElectionTicks
 	if c.LeaseMS != 0 && c.LeaseMS < 2*election {
-		r.fault(r.lineOf("lease_ms"), "lease_ms", fmt.Sprintf("is %d", c.LeaseMS), fmt.Sprintf("at least two election timeouts (tick_ms times election_ticks), %d", 2*election))
+		r.addFault(r.lineOf("lease_ms"), "lease_ms", fmt.Sprintf("is %d", c.LeaseMS), fmt.Sprintf("at least two election timeouts (tick_ms times election_ticks), %d", 2*election))
 	}
 }
 
-// seeds refuses an empty list.
-func (r *reader) seeds(list []Seed) {
+// checkSeeds reports an empty list of seeds.
+func (r *reader) checkSeeds(list []Seed) {
 	if len(list) == 0 {
-		r.fault(r.lineOf("seeds"), "seeds", "lists no address", "at least one control process")
+		r.addFault(r.lineOf("seeds"), "seeds", "lists no address", "at least one control process's address")
 	}
 }
 
-func (r *reader) groupMember(m *Member) {
-	r.apart([]place{{"inner", m.Inner}, {"admin", m.Admin}, {"announcements", m.Announcements}})
-	r.seeds(m.Seeds)
+func (r *reader) checkMember(m *Member) {
+	r.checkAddressConflicts([]keyedAddress{{"inner", m.Inner}, {"admin", m.Admin}, {"announcements", m.Announcements}})
+	r.checkSeeds(m.Seeds)
 	if m.LongestLeaseMS != 0 && m.LeaseMS > m.LongestLeaseMS {
-		r.fault(r.lineOf("lease_ms"), "lease_ms", fmt.Sprintf("is %d", m.LeaseMS), fmt.Sprintf("at most longest_lease_ms, %d", m.LongestLeaseMS))
+		r.addFault(r.lineOf("lease_ms"), "lease_ms", fmt.Sprintf("is %d", m.LeaseMS), fmt.Sprintf("at most longest_lease_ms, %d", m.LongestLeaseMS))
 	}
 }
 
-func (r *reader) gateway(g *Gateway) {
-	r.apart([]place{{"admin", g.Admin}, {"clients", g.Clients}, {"ready", g.Ready}})
-	r.seeds(g.Seeds)
+func (r *reader) checkGateway(g *Gateway) {
+	r.checkAddressConflicts([]keyedAddress{{"admin", g.Admin}, {"clients", g.Clients}, {"ready", g.Ready}})
+	r.checkSeeds(g.Seeds)
 }
--- a/settings/doc.go
+++ b/settings/doc.go
@@ -1,2 +1,2 @@
-// Package settings reads and checks the settings files of the processes, JSON with comments.
+// Package settings reads and validates the settings files of the processes, which are JSON with comments.
 package settings
--- a/settings/fault.go
+++ b/settings/fault.go
@@ -6,18 +6,18 @@
 	"strings"
 )
 
-// Fault is one thing wrong with a settings file.
+// Fault is one error in a settings file.
 type Fault struct {
-	Line    int    // 1 and up
-	Key     string // path of the key, such as control[1].inner; empty for the file as a whole
+	Line    int    // starts at 1
+	Key     string // path of the key, such as control[1].inner; empty for an error of the whole file
 	Text    string // what is wrong
-	Allowed string // what is allowed there, empty if the text says it
+	Allowed string // allowed values, empty if Text already names them
 }
 
-// Error tells all faults of one settings file.
+// Error holds all faults of one settings file.
 type Error struct {
 	File   string
-	Faults []Fault // by line
+	Faults []Fault // sorted by line
 }
 
 // Error returns one line for each fault, with file, line and key.
@@ -29,7 +29,7 @@
 	return strings.Join(lines, "\n")
 }
 
-// String returns the fault without its file's name.
+// String returns the fault without the file name.
 func (f Fault) String() string {
 	line := fmt.Sprintf(":%d: ", f.Line)
 	if f.Key != "" {
--- a/settings/load.go
+++ b/settings/load.go
@@ -8,7 +8,7 @@
 	"github.com/tailscale/hujson"
 )
 
-// The roles that a settings file can be for.
+// The roles of processes, each with its own kind of settings file.
 const (
 	RoleEntry   = "entry"
 	RoleControl = "control"
@@ -16,7 +16,7 @@
 	RoleGateway = "gateway"
 )
 
-// roleKeys tells the roles apart; an entry's keys are looked for first.
+// roleKeys lists the keys that identify each role. The first role with a key in the file is chosen.
 var roleKeys = []struct {
 	role string
 	keys []string
@@ -27,7 +27,7 @@
 	{RoleControl, []string{"id", "data"}},
 }
 
-// LoadEntry reads the settings of an entry; its error is an *Error with every fault, or says why the file can't be read.
+// LoadEntry reads the settings of an entry. Its error is an *Error with every fault, or the error from reading the file.
 func LoadEntry(path string) (*Entry, error) {
 	source, err := os.ReadFile(path)
 	if err != nil {
@@ -36,7 +36,7 @@
 	return ParseEntry(path, source)
 }
 
-// LoadControl reads the settings of a control process; its error is an *Error with every fault, or says why the file can't be read.
+// LoadControl reads the settings of a control process. Its error is an *Error with every fault, or the error from reading the file.
 func LoadControl(path string) (*Control, error) {
 	source, err := os.ReadFile(path)
 	if err != nil {
@@ -45,35 +45,35 @@
 	return ParseControl(path, source)
 }
 
-// ParseEntry reads the settings of an entry from source, naming file in its errors.
+// ParseEntry parses the settings of an entry from source. The name file appears in its errors.
 func ParseEntry(file string, source []byte) (*Entry, error) {
 	e := &Entry{}
-	r, err := load(file, source, reflect.ValueOf(e).Elem())
+	r, err := readFields(file, source, reflect.ValueOf(e).Elem())
 	if err != nil {
 		return nil, err
 	}
-	r.entry(e)
-	if err := r.result(file); err != nil {
+	r.checkEntry(e)
+	if err := r.asError(file); err != nil {
 		return nil, err
 	}
 	return e, nil
 }
 
-// ParseControl reads the settings of a control process from source, naming file in its errors.
+// ParseControl parses the settings of a control process from source. The name file appears in its errors.
 func ParseControl(file string, source []byte) (*Control, error) {
 	c := &Control{}
-	r, err := load(file, source, reflect.ValueOf(c).Elem())
+	r, err := readFields(file, source, reflect.ValueOf(c).Elem())
 	if err != nil {
 		return nil, err
 	}
-	r.control(c)
-	if err := r.result(file); err != nil {
+	r.checkControl(c)
+	if err := r.asError(file); err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
-// LoadMember reads the settings of a control process that is found through seeds; its error is an *Error with every fault, or says why the file can't be read.
+// LoadMember reads the settings of a control process that finds its group through seeds. Its error is an *Error with every fault, or the error from reading the file.
 func LoadMember(path string) (*Member, error) {
 	source, err := os.ReadFile(path)
 	if err != nil {
@@ -82,7 +82,7 @@
 	return ParseMember(path, source)
 }
 
-// LoadGateway reads the settings of a gateway; its error is an *Error with every fault, or says why the file can't be read.
+// LoadGateway reads the settings of a gateway. Its error is an *Error with every fault, or the error from reading the file.
 func LoadGateway(path string) (*Gateway, error) {
 	source, err := os.ReadFile(path)
 	if err != nil {
@@ -91,35 +91,35 @@
 	return ParseGateway(path, source)
 }
 
-// ParseMember reads the settings of a control process that is found through seeds, naming file in its errors.
+// ParseMember parses the settings of a control process that finds its group through seeds. The name file appears in its errors.
 func ParseMember(file string, source []byte) (*Member, error) {
 	m := &Member{}
-	r, err := load(file, source, reflect.ValueOf(m).Elem())
+	r, err := readFields(file, source, reflect.ValueOf(m).Elem())
 	if err != nil {
 		return nil, err
 	}
-	r.groupMember(m)
-	if err := r.result(file); err != nil {
+	r.checkMember(m)
+	if err := r.asError(file); err != nil {
 		return nil, err
 	}
 	return m, nil
 }
 
-// ParseGateway reads the settings of a gateway, naming file in its errors.
+// ParseGateway parses the settings of a gateway. The name file appears in its errors.
 func ParseGateway(file string, source []byte) (*Gateway, error) {
 	g := &Gateway{}
-	r, err := load(file, source, reflect.ValueOf(g).Elem())
+	r, err := readFields(file, source, reflect.ValueOf(g).Elem())
 	if err != nil {
 		return nil, err
 	}
-	r.gateway(g)
-	if err := r.result(file); err != nil {
+	r.checkGateway(g)
+	if err := r.asError(file); err != nil {
 		return nil, err
 	}
 	return g, nil
 }
 
-func load(file string, source []byte, into reflect.Value) (*reader, error) {
+func readFields(file string, source []byte, into reflect.Value) (*reader, error) {
 	root, object, fault := parse(source)
 	if fault != nil {
 		return nil, &Error{File: file, Faults: []Fault{*fault}}
@@ -129,7 +129,7 @@
 	return r, nil
 }
 
-func (r *reader) result(file string) error {
+func (r *reader) asError(file string) error {
 	if len(r.faults) == 0 {
 		return nil
 	}
@@ -137,7 +137,7 @@
 	return &Error{File: file, Faults: r.faults}
 }
 
-// Check reads a settings file of either role without starting anything, and returns the role that its keys tell.
+// Check validates a settings file of any role without starting a process, and returns the role that its keys identify.
 func Check(path string) (role string, err error) {
 	source, err := os.ReadFile(path)
 	if err != nil {
@@ -157,7 +157,7 @@
 	case RoleGateway:
 		_, err = ParseGateway(path, source)
 	default:
-		err = &Error{File: path, Faults: []Fault{{Line: 1, Text: "no key tells the role", Allowed: "callers, platform and operators for an entry, or id and data for a control process"}}}
+		err = &Error{File: path, Faults: []Fault{{Line: 1, Text: "no key identifies the role", Allowed: "callers, platform and operators for an entry, id and data for a control process, announcements for a member, or clients for a gateway"}}}
 	}
 	return role, err
 }
--- a/settings/read.go
+++ b/settings/read.go
@@ -11,16 +11,16 @@
 	"github.com/tailscale/hujson"
 )
 
-// reader fills a struct from a parsed file and gathers every fault on the way.
+// reader fills a struct from a parsed file and collects all faults.
 type reader struct {
 	source []byte
 	faults []Fault
-	lines  map[string]int // line of each key in the file, by its path
+	lines  map[string]int // line of each key in the file, by path
 }
 
 var indexPattern = regexp.MustCompile(`\[\d+\]`)
 
-// parse returns the file's outermost object, or the one fault that keeps it from being read.
+// parse returns the file's top-level object, or the fault that prevents parsing.
 func parse(source []byte) (*hujson.Value, *hujson.Object, *Fault) {
 	root, err := hujson.Parse(source)
 	if err != nil {
@@ -28,7 +28,7 @@
 	}
 	object, ok := root.Value.(*hujson.Object)
 	if !ok {
-		return nil, nil, &Fault{Line: lineAt(source, root.StartOffset), Text: "the file holds no object", Allowed: "one object in braces"}
+		return nil, nil, &Fault{Line: lineAt(source, root.StartOffset), Text: "the top-level value is not an object", Allowed: "one object in braces"}
 	}
 	return &root, object, nil
 }
@@ -48,11 +48,11 @@
 	return 1 + bytes.Count(source[:min(offset, len(source))], []byte{'\n'})
 }
 
-func (r *reader) fault(line int, key, text, allowed string) {
+func (r *reader) addFault(line int, key, text, allowed string) {
 	r.faults = append(r.faults, Fault{Line: line, Key: key, Text: text, Allowed: allowed})
 }
 
-// lineOf returns the line of a key, or of the nearest object around it that stands in the file.
+// lineOf returns the line of a key, or of the closest enclosing key if the file does not contain it.
 func (r *reader) lineOf(key string) int {
 	for key != "" {
 		if line, ok := r.lines[key]; ok {
@@ -63,14 +63,14 @@
 	return r.lines[""]
 }
 
-func join(path, key string) string {
+func joinKey(path, key string) string {
 	if path == "" {
 		return key
 	}
 	return path + "." + key
 }
 
-// fields returns the fields of a struct by their keys, those of embedded structs included.
+// fields returns the fields of a struct by key, including those of embedded structs.
 func fields(into reflect.Value) ([]string, map[string]reflect.Value) {
 	var order []string
 	byKey := map[string]reflect.Value{}
@@ -91,7 +91,7 @@
 	return order, byKey
 }
 
-// object fills the struct into from the members of an object; members is nil where the file leaves it out.
+// object fills the struct into from the members of an object. The argument members is nil if the file does not contain the object.
 func (r *reader) object(path string, members *hujson.Object, into reflect.Value) {
 	order, byKey := fields(into)
 	seen := map[string]bool{}
@@ -102,21 +102,21 @@
 	}
 	for _, key := range order {
 		if !seen[key] {
-			r.absent(join(path, key), byKey[key])
+			r.applyDefault(joinKey(path, key), byKey[key])
 		}
 	}
 }
 
 func (r *reader) member(path string, m *hujson.ObjectMember, order []string, byKey map[string]reflect.Value, seen map[string]bool) {
 	name := m.Name.Value.(hujson.Literal).String()
-	key := join(path, name)
+	key := joinKey(path, name)
 	line := lineAt(r.source, m.Name.StartOffset)
 	into, known := byKey[name]
 	switch {
 	case !known:
-		r.fault(line, key, "unknown key", strings.Join(order, ", "))
+		r.addFault(line, key, "unknown key", strings.Join(order, ", "))
 	case seen[name]:
-		r.fault(line, key, fmt.Sprintf("the key stands twice, first on line %d", r.lines[key]), "")
+		r.addFault(line, key, fmt.Sprintf("duplicate key, first used on line %d", r.lines[key]), "")
 	default:
 		seen[name] = true
 		r.lines[key] = line
@@ -135,7 +135,7 @@
 	case reflect.Struct:
 		object, ok := v.Value.(*hujson.Object)
 		if !ok {
-			r.fault(line, key, "is "+kindOf(v), "an object in braces")
+			r.addFault(line, key, "is "+kindOf(v), "an object in braces")
 			return
 		}
 		r.object(key, object, into)
@@ -143,28 +143,28 @@
 }
 
 func (r *reader) text(key string, line int, v *hujson.Value, into reflect.Value) {
-	rule := texts[key[strings.LastIndex(key, ".")+1:]]
+	rule := textRules[key[strings.LastIndex(key, ".")+1:]]
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
-		r.fault(line, key, "is "+kindOf(v), rule.allowed)
+		r.addFault(line, key, "is "+kindOf(v), rule.allowed)
 		return
 	}
 	into.SetString(literal.String())
 	if !rule.valid(literal.String()) {
-		r.fault(line, key, fmt.Sprintf("is %q", literal.String()), rule.allowed)
+		r.addFault(line, key, fmt.Sprintf("is %q", literal.String()), rule.allowed)
 	}
 }
 
 func (r *reader) number(key string, line int, v *hujson.Value, into reflect.Value) {
-	rule := bounds[indexPattern.ReplaceAllString(key, "[]")]
+	rule := numberRules[indexPattern.ReplaceAllString(key, "[]")]
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '0' {
-		r.fault(line, key, "is "+kindOf(v), rule.allowed())
+		r.addFault(line, key, "is "+kindOf(v), rule.allowed())
 		return
 	}
 	number, err := strconv.ParseInt(string(literal), 10, 64)
 	if err != nil || number < rule.Min || number > rule.Max {
-		r.fault(line, key, "is "+string(literal), rule.allowed())
+		r.addFault(line, key, "is "+string(literal), rule.allowed())
 		return
 	}
 	setNumber(into, number)
@@ -181,7 +181,7 @@
 func (r *reader) list(key string, line int, v *hujson.Value, into reflect.Value) {
 	array, ok := v.Value.(*hujson.Array)
 	if !ok {
-		r.fault(line, key, "is "+kindOf(v), "a list of objects")
+		r.addFault(line, key, "is "+kindOf(v), "a list of objects")
 		return
 	}
 	into.Set(reflect.MakeSlice(into.Type(), len(array.Elements), len(array.Elements)))
@@ -193,20 +193,20 @@
 	}
 }
 
-// absent gives a key that the file leaves out its default, or says that it must be there.
-func (r *reader) absent(key string, into reflect.Value) {
-	rule, numeric := bounds[indexPattern.ReplaceAllString(key, "[]")]
+// applyDefault sets a key that the file omits to its default, or reports a required key as missing.
+func (r *reader) applyDefault(key string, into reflect.Value) {
+	rule, numeric := numberRules[indexPattern.ReplaceAllString(key, "[]")]
 	switch {
 	case into.Kind() == reflect.Struct:
 		r.object(key, nil, into)
 	case numeric && !rule.Required:
 		setNumber(into, rule.Default)
 	case numeric:
-		r.fault(r.lineOf(key), key, "is missing", rule.allowed())
-	case into.Kind() == reflect.String && texts[key].optional:
+		r.addFault(r.lineOf(key), key, "is missing", rule.allowed())
+	case into.Kind() == reflect.String && textRules[key].optional:
 		return
 	case into.Kind() == reflect.String:
-		r.fault(r.lineOf(key), key, "is missing", texts[key[strings.LastIndex(key, ".")+1:]].allowed)
+		r.addFault(r.lineOf(key), key, "is missing", textRules[key[strings.LastIndex(key, ".")+1:]].allowed)
 	}
 }
 
@@ -223,6 +223,6 @@
 	case 'n':
 		return "null"
 	default:
-		return "true or false"
+		return "a boolean"
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -40,8 +40,8 @@
 func TestKeysLeftOutHaveDefaults(t *testing.T) {
 	e, err := settings.LoadEntry("../examples/verhoeven/entry-1.json")
 	assert.NilError(t, err)
-	assert.Equal(t, e.Limits.QueueTimeoutMS, int64(200)) // from the file
-	assert.Equal(t, e.Limits.HeaderBytes, int64(65536))  // from the table
+	assert.Equal(t, e.Limits.QueueTimeoutMS, int64(200)) // set in the file
+	assert.Equal(t, e.Limits.HeaderBytes, int64(65536))  // default
 	assert.Equal(t, len(e.Entries), 8)
 	c, err := settings.LoadControl("../examples/verhoeven/control-1.json")
 	assert.NilError(t, err)
@@ -55,7 +55,7 @@
 	assert.ErrorContains(t, err, "testdata/absent.jsonc")
 }
 
-// FuzzParse holds every refusal to lines that exist, in order, and every acceptance to settings in range.
+// FuzzParse checks that rejected files report existing lines in ascending order, and that accepted files yield settings in range.
 func FuzzParse(f *testing.F) {
 	for _, pattern := range []string{"testdata/bad/*.jsonc", "../examples/*/*.json"} {
 		files, err := filepath.Glob(pattern)
@@ -94,11 +94,11 @@
 	page, err := os.ReadFile("../docs/operators/settings.md")
 	assert.NilError(t, err)
 	for key, row := range settings.Rows() {
-		assert.Assert(t, strings.Contains(string(page), row), "%s: no row begins with %s", key, row)
+		assert.Assert(t, strings.Contains(string(page), row), "%s: no row of docs/operators/settings.md starts with %s", key, row)
 	}
 }
 
-// TestProcessBehindAForwarderListensElsewhere: it listens where it is told to, or else where others reach it.
+// TestProcessBehindAForwarderListensElsewhere checks that a process listens on inner_listen if set, else on inner.
 func TestProcessBehindAForwarderListensElsewhere(t *testing.T) {
 	c := settings.Common{Inner: "127.0.0.1:7000"}
 	assert.Equal(t, c.InnerAddress(), "127.0.0.1:7000")
