Reword package pick in the terms of load balancing

Readers stumbled over "least", "fill", "excess", "far" and "keep" as names, and over comments such as "lets the upstream prove itself again".

The shape check shows that nothing but identifiers, comments and prose differs.

--- a/pick/candidate.go
+++ b/pick/candidate.go
@@ -1,12 +1,12 @@
 package pick
 
-// Candidate is what an entry knows of one upstream when it picks.
+// Candidate is the state of one upstream that an entry uses to select among upstreams.
 type Candidate struct {
 	Health
-	Barred bool  // not to be picked: leaving, out, or of another class
-	Slots  int32 // requests that the upstream runs at a time
-	Quota  int32 // slots that this entry takes before it borrows; the quotas of all entries add up to Slots
-	Limit  int32 // connections that this entry may hold
+	Barred bool  // not eligible: leaving, in a domain out of service, skipped, or not serving the class
+	Slots  int32 // requests that the upstream runs concurrently
+	Quota  int32 // slots that this entry uses before it borrows others; the quotas of all entries add up to Slots
+	Limit  int32 // maximum connections of this entry
 	Own    int32 // requests in flight from this entry
 	Others int32 // requests in flight from other entries, as last reported
 }
@@ -19,17 +19,17 @@
 	return c.usable() && c.Own < c.Quota
 }
 
-// mayBorrow admits a little beyond the quota, and more where a slot seems free.
+// mayBorrow allows quotaOvershoot requests above the quota, and more if the reported load leaves a slot free.
 func (c *Candidate) mayBorrow() bool {
-	return c.usable() && (c.Own < c.Quota+beyondQuota || c.Own+c.Others < c.Slots)
+	return c.usable() && (c.Own < c.Quota+quotaOvershoot || c.Own+c.Others < c.Slots)
 }
 
-// fill is the share of the quota in use with one request more, weighted by slowness.
-func (c *Candidate) fill() float64 {
+// quotaUtilization is the fraction of the quota in use after one more request, weighted by slowness.
+func (c *Candidate) quotaUtilization() float64 {
 	return float64(c.Own+1) / float64(c.Quota) * c.Slowness
 }
 
-// excess is the use above the quota with one request more, weighted by slowness, others counting a little.
-func (c *Candidate) excess() float64 {
+// overQuotaCost is the load above the quota after one more request, weighted by slowness; other entries' requests count with othersWeight.
+func (c *Candidate) overQuotaCost() float64 {
 	return float64(c.Own+1)*c.Slowness - float64(c.Quota) + othersWeight*float64(c.Others)
 }
--- a/pick/doc.go
+++ b/pick/doc.go
@@ -1,2 +1,2 @@
-// Package pick decides which upstream a request goes to: pure decisions over plain candidates, without clock, lock or I/O of its own.
+// Package pick selects the upstream for a request. Its functions are pure: they use no clock, locks or I/O.
 package pick
--- a/pick/health.go
+++ b/pick/health.go
@@ -5,34 +5,34 @@
 	"time"
 )
 
-// Health is the record of an upstream's latency and failures at one entry.
+// Health records an upstream's latency and failures as seen by one entry.
 type Health struct {
-	Latency      time.Duration // exponentially weighted mean of answers, 0 before the first
-	Slowness     float64       // Latency relative to the median of all, at least 1
-	Failures     int           // in a row
+	Latency      time.Duration // exponentially weighted moving average, 0 before the first response
+	Slowness     float64       // Latency relative to the median of all upstreams, at least 1
+	Failures     int           // consecutive
 	Ejected      bool
 	EjectedUntil time.Time
-	Ejections    int // in a row, doubles the time out
-	Samples      int // since the upstream came or came back
+	Ejections    int // consecutive; each doubles the time ejected
+	Samples      int // responses since the upstream was added or readmitted
 }
 
 const (
-	latencyWeight    = 0.1              // of the newest answer
-	failuresToEject  = 3                // in a row
-	slowToEject      = 4.0              // times the median latency
-	samplesToEject   = 20               // answers before latency counts
-	samplesToForgive = 200              // answers after which earlier ejections are forgotten
-	ejectionBase     = time.Second      // doubled with each ejection in a row
-	ejectionMost     = 16 * time.Second // longest ejection
-	// MaxEjectedPercent bounds the share of upstreams that may be ejected at a time, so that a bad measure cannot empty the table.
+	latencyWeight           = 0.1              // weight of the newest sample
+	failuresToEject         = 3                // consecutive
+	slownessToEject         = 4.0              // multiple of the median latency
+	samplesToEject          = 20               // responses before latency is considered
+	samplesToResetEjections = 200              // responses after which earlier ejections no longer count
+	baseEjection            = time.Second      // doubled with each consecutive ejection
+	maxEjection             = 16 * time.Second // longest ejection
+	// MaxEjectedPercent bounds the percentage of upstreams that may be ejected at a time, so that a misleading measurement cannot eject all of them.
 	MaxEjectedPercent = 20
 )
 
-// Answered records an answer after the given latency.
+// Answered records a response with its latency.
 func (h *Health) Answered(latency time.Duration) {
 	h.Failures = 0
 	h.Samples++
-	if h.Samples > samplesToForgive {
+	if h.Samples > samplesToResetEjections {
 		h.Ejections = 0
 	}
 	if h.Latency == 0 {
@@ -42,18 +42,18 @@
 	h.Latency += time.Duration(latencyWeight * float64(latency-h.Latency))
 }
 
-// Failed records a request that got no answer.
+// Failed records a request without a response.
 func (h *Health) Failed() {
 	h.Failures++
 }
 
-// Change tells of an upstream that was ejected or readmitted.
+// Change describes an upstream that was ejected or readmitted.
 type Change struct {
-	Index   int // of the candidate
+	Index   int // index of the candidate
 	Ejected bool
 }
 
-// Assess compares the candidates' records, readmits those whose time is over, ejects failing and slow ones, and returns what changed.
+// Assess compares the candidates' health, readmits those whose ejection has expired, ejects failing and slow ones, and returns the changes.
 func Assess(now time.Time, candidates []*Candidate) []Change {
 	var changes []Change
 	median := medianLatency(candidates)
@@ -68,7 +68,7 @@
 			ejected++
 		}
 	}
-	most := mostEjected(len(candidates))
+	most := maxEjected(len(candidates))
 	for i, c := range candidates {
 		if ejected < most && c.outlier() {
 			c.eject(now)
@@ -79,8 +79,8 @@
 	return changes
 }
 
-// mostEjected bounds how many of n may be ejected; of a few, one may always go.
-func mostEjected(n int) int {
+// maxEjected returns how many of n upstreams may be ejected: MaxEjectedPercent, but at least one of three or more.
+func maxEjected(n int) int {
 	if n < 3 {
 		return 0
 	}
@@ -112,16 +112,16 @@
 	if h.Ejected {
 		return false
 	}
-	return h.Failures >= failuresToEject || h.Samples >= samplesToEject && h.Slowness >= slowToEject
+	return h.Failures >= failuresToEject || h.Samples >= samplesToEject && h.Slowness >= slownessToEject
 }
 
 func (h *Health) eject(now time.Time) {
 	h.Ejected = true
-	h.EjectedUntil = now.Add(min(ejectionBase<<min(h.Ejections, 8), ejectionMost))
+	h.EjectedUntil = now.Add(min(baseEjection<<min(h.Ejections, 8), maxEjection))
 	h.Ejections++
 }
 
-// readmit lets the upstream prove itself again; one more failure ejects it at once.
+// readmit returns the upstream to service with fresh latency samples. If it was ejected for failures, one more ejects it at once.
 func (h *Health) readmit(median time.Duration) {
 	h.Ejected = false
 	h.Samples = 0
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -3,28 +3,28 @@
 import "math/rand/v2"
 
 const (
-	// None says that no candidate can take the request now.
+	// None means that no candidate can accept the request now.
 	None = -1
-	// othersWeight is what a request in flight from another entry counts for beside one's own, since reports of it are old.
+	// othersWeight is the weight of another entry's request in flight relative to one of this entry, since reports from other entries are delayed.
 	othersWeight = 0.1
-	// beyondQuota is how many requests an entry sends to an upstream above its quota without knowing of a free slot.
-	beyondQuota = 1
+	// quotaOvershoot is how many requests above its quota an entry sends to an upstream that has no free slot by the last reports.
+	quotaOvershoot = 1
 )
 
 // Choose returns the index of the candidate to send to, or None if the request should wait for a slot.
-// The entry's quotas are filled evenly first; only what exceeds them spills to slots that others may want.
+// It fills the entry's own quotas evenly first, and borrows slots of other entries only when no quota is left.
 func Choose(rng *rand.Rand, candidates []*Candidate) int {
-	if i := least(rng, candidates, (*Candidate).withinQuota, (*Candidate).fill); i != None {
+	if i := lowestCost(rng, candidates, (*Candidate).withinQuota, (*Candidate).quotaUtilization); i != None {
 		return i
 	}
-	return least(rng, candidates, (*Candidate).mayBorrow, (*Candidate).excess)
+	return lowestCost(rng, candidates, (*Candidate).mayBorrow, (*Candidate).overQuotaCost)
 }
 
-// least returns the admitted candidate with the smallest cost, ties broken at random.
-func least(rng *rand.Rand, candidates []*Candidate, admit func(*Candidate) bool, cost func(*Candidate) float64) int {
+// lowestCost returns the eligible candidate with the lowest cost and breaks ties at random.
+func lowestCost(rng *rand.Rand, candidates []*Candidate, eligible func(*Candidate) bool, cost func(*Candidate) float64) int {
 	best, bestCost, ties := None, 0.0, 0
 	for i, c := range candidates {
-		if !admit(c) {
+		if !eligible(c) {
 			continue
 		}
 		v := cost(c)
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -14,7 +14,7 @@
 	"pgregory.net/rapid"
 )
 
-// TestPickMeetsTargets holds the product's policy to its targets on one seed; all follows from the seed.
+// TestPickMeetsTargets checks the product's policy against its latency targets on one seed; the simulation is deterministic.
 func TestPickMeetsTargets(t *testing.T) {
 	const requests, seed = 80_000, 7
 	for _, sc := range simulation.Scenarios(50, 3) {
@@ -30,7 +30,7 @@
 	}
 }
 
-// BenchmarkPick prints the table of docs/design/03-requests.md: medians over the seeds.
+// BenchmarkPick prints the table of docs/design/03-requests.md, with medians over the seeds.
 func BenchmarkPick(b *testing.B) {
 	const requests, seeds = 100_000, 5
 	for _, size := range [][2]int{{50, 3}, {65, 4}} {
@@ -39,7 +39,7 @@
 			for b.Loop() {
 				for _, sc := range simulation.Scenarios(size[0], size[1]) {
 					for _, p := range append([]simulation.Policy{simulation.Ideal, simulation.Product, simulation.RoundRobin}, simulation.Others...) {
-						line, ms := row(sc, p, requests, seeds)
+						line, ms := tableRow(sc, p, requests, seeds)
 						fmt.Println(line)
 						p99[sc.Name+p.Name] = ms
 					}
@@ -51,7 +51,7 @@
 	}
 }
 
-func row(sc simulation.Scenario, p simulation.Policy, requests, seeds int) (line string, p99 float64) {
+func tableRow(sc simulation.Scenario, p simulation.Policy, requests, seeds int) (line string, p99 float64) {
 	runs := make([]simulation.Result, seeds)
 	var group sync.WaitGroup
 	for i := range runs {
@@ -79,8 +79,8 @@
 
 var epoch = time.Unix(1_000_000, 0)
 
-// TestEjectionIsBounded lets any set of upstreams fail or be slow, and expects that never more than the stated share is ejected,
-// that only outliers are, and that all come back.
+// TestEjectionIsBounded lets any set of upstreams fail or be slow. It expects that never more than MaxEjectedPercent are ejected,
+// that only outliers are ejected, and that all are readmitted.
 func TestEjectionIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 65).Draw(t, "upstreams")
@@ -91,7 +91,7 @@
 			candidates[i] = &pick.Candidate{}
 			faults[i] = rapid.IntRange(0, 2).Draw(t, "fault") // none, slow, failing
 		}
-		most := max(n*pick.MaxEjectedPercent/100, min(1, n/3))
+		maxEjected := max(n*pick.MaxEjectedPercent/100, min(1, n/3))
 		for range 100 {
 			now = now.Add(100 * time.Millisecond)
 			for i, c := range candidates {
@@ -112,7 +112,7 @@
 					assert.Assert(t, faults[i] != 0)
 				}
 			}
-			assert.Assert(t, ejected <= most, "%d of %d", ejected, n)
+			assert.Assert(t, ejected <= maxEjected, "%d of %d ejected", ejected, n)
 		}
 		now = now.Add(time.Minute)
 		for range 2 {
@@ -128,7 +128,8 @@
 	})
 }
 
-// TestQuotasDivideAllSlots expects of any entries and upstreams that each slot falls to exactly one entry, and that a near one is preferred where a domain has none to spare.
+// TestQuotasDivideAllSlots checks for any entries and upstreams that each slot is assigned to exactly one entry,
+// and that a domain without surplus slots keeps them for its own entries.
 func TestQuotasDivideAllSlots(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		domains := rapid.SampledFrom([]string{"a", "b", "c", "d"})
@@ -142,7 +143,7 @@
 		}
 		sums := make([]int32, len(upstreams))
 		for first, e := range entries {
-			known := slices.Concat(entries[first:], entries[:first]) // each knows them in an order of its own
+			known := slices.Concat(entries[first:], entries[:first]) // each entry lists them in a different order
 			for i, quota := range pick.Quotas(e, known, upstreams) {
 				sums[i] += quota
 			}
@@ -156,7 +157,7 @@
 	assert.DeepEqual(t, quotas, []int32{8, 0})
 }
 
-// TestOutlierIsEjected expects a failing and a slow upstream among ten to be out while the others serve.
+// TestOutlierIsEjected expects a failing and a slow upstream among ten to be ejected while the others stay.
 func TestOutlierIsEjected(t *testing.T) {
 	candidates := make([]*pick.Candidate, 10)
 	for i := range candidates {
