Reword packages queue, retry, refusal and verdict

Readers stumbled over a queue told as a line that one enters and leaves, over "pace", and over "surely" where a verdict means that something is known.

Renames that matter: the type line is classQueue, Queue.enter is takeOrEnqueue, Queue.aheadOf is hasWaiterAhead, Queue.serve is assignSlots, the type pace is departureRate with recordDeparture, skipInterval and estimateWait, and Budget.turn is advance.

Comments that had become stale are corrected: a class keeps its queue once it has had waiters, and Options.Take has no default.

--- a/queue/doc.go
+++ b/queue/doc.go
@@ -1,2 +1,2 @@
-// Package queue holds requests that wait for a slot, bounded by time: what cannot get one before its deadline is refused early.
+// Package queue holds requests that wait for a slot. A request that is not expected to get one within its longest wait is refused at once.
 package queue
--- a/queue/pace.go
+++ b/queue/pace.go
@@ -3,20 +3,20 @@
 import "time"
 
 const (
-	paceWeight = 0.1         // of the newest interval
-	paceIdle   = time.Second // an interval longer than this says nothing of the pace
+	intervalWeight = 0.1         // weight of the newest interval
+	maxInterval    = time.Second // longer intervals are not used for the estimate
 )
 
-// pace estimates how fast a line moves.
-type pace struct {
-	interval time.Duration // mean time between two departures, 0 if unknown
+// departureRate estimates the rate at which waiters leave a queue.
+type departureRate struct {
+	interval time.Duration // moving average of the time between two departures, 0 if unknown
 	last     time.Time
 }
 
-// left notes a departure.
-func (p *pace) left(now time.Time) {
+// recordDeparture records a departure.
+func (p *departureRate) recordDeparture(now time.Time) {
 	since := now.Sub(p.last)
-	known := !p.last.IsZero() && since < paceIdle
+	known := !p.last.IsZero() && since < maxInterval
 	p.last = now
 	if !known {
 		return
@@ -25,15 +25,15 @@
 		p.interval = since
 		return
 	}
-	p.interval += time.Duration(paceWeight * float64(since-p.interval))
+	p.interval += time.Duration(intervalWeight * float64(since-p.interval))
 }
 
-// pause says that the line is empty, so that the time to the next departure tells nothing.
-func (p *pace) pause() {
+// skipInterval excludes the interval up to the next departure from the estimate, since the queue is empty.
+func (p *departureRate) skipInterval() {
 	p.last = time.Time{}
 }
 
-// wait estimates how long one waits behind n others.
-func (p *pace) wait(n int) time.Duration {
+// estimateWait estimates how long a request waits behind n others.
+func (p *departureRate) estimateWait(n int) time.Duration {
 	return time.Duration(n) * p.interval
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -9,7 +9,7 @@
 	"daisyswitch/verdict"
 )
 
-// Reasons of refusals, as callers see them.
+// Errors of Acquire; callers see their reasons.
 var (
 	ErrAbsent  = verdict.New(verdict.NotRun, "no upstream serves the class", nil)
 	ErrTimeout = verdict.New(verdict.NotRun, "no slot became free in time", nil)
@@ -17,37 +17,37 @@
 	ErrGone    = verdict.New(verdict.NotRun, "the caller gave up while waiting", nil)
 )
 
-// Class orders classes: smaller ranks first, then those farther from their target.
+// Class determines the order between classes: lower ranks first, then those farther above their latency target.
 type Class struct {
 	Name     string
 	Rank     int     // 0 for latency-critical, 1 for batch
-	Distance float64 // measured tail latency in relation to the target, higher is more urgent
+	Distance float64 // measured tail latency relative to the target; higher is more urgent
 }
 
-// Request asks for a slot.
+// Request describes a request for a slot.
 type Request struct {
 	Class Class
-	Skip  []string      // upstreams not to use
+	Skip  []string      // IDs of upstreams not to use
 	Wait  time.Duration // longest wait
 }
 
-// Options says where slots come from; zero values take the defaults.
+// Options configures a Queue; Take allocates slots and is required.
 type Options[S any] struct {
 	Take func(class string, skip []string) (slot S, free, absent bool)
 }
 
-// Queue lets requests wait for slots in order of class and arrival. Its lock comes before that of Take.
+// Queue queues requests for slots in order of class and arrival. Its lock is acquired before any lock of Take.
 type Queue[S any] struct {
 	options Options[S]
 
-	mu    sync.Mutex
-	lines []*line[S] // one for each class that has waiters, in order
+	mu          sync.Mutex
+	classQueues []*classQueue[S] // one for each class that has had waiters, in order of priority
 }
 
-type line[S any] struct {
-	class   Class
-	waiters []*waiter[S]
-	pace    pace
+type classQueue[S any] struct {
+	class         Class
+	waiters       []*waiter[S]
+	departureRate departureRate
 }
 
 type waiter[S any] struct {
@@ -60,10 +60,10 @@
 	return &Queue[S]{options: o}
 }
 
-// Acquire returns a slot, or one of the errors of this package, all of which say that the request did not run.
+// Acquire returns a slot, or one of the errors of this package, all of which have the verdict not-run.
 func (q *Queue[S]) Acquire(ctx context.Context, r Request) (S, error) {
 	var none S
-	w, slot, err := q.enter(r)
+	w, slot, err := q.takeOrEnqueue(r)
 	if w == nil {
 		return slot, err
 	}
@@ -77,18 +77,18 @@
 	case <-timer.C:
 		err = ErrTimeout
 	}
-	if q.leave(w) {
+	if q.remove(w) {
 		return none, err
 	}
 	return <-w.ready, nil
 }
 
-// enter takes a slot at once if nobody of the same or a more urgent class waits, and otherwise joins the line.
-func (q *Queue[S]) enter(r Request) (*waiter[S], S, error) {
+// takeOrEnqueue takes a slot at once if no request of the same or a more urgent class is waiting, and otherwise enqueues the request.
+func (q *Queue[S]) takeOrEnqueue(r Request) (*waiter[S], S, error) {
 	var none S
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.aheadOf(r.Class) {
+	if !q.hasWaiterAhead(r.Class) {
 		slot, free, absent := q.options.Take(r.Class.Name, r.Skip)
 		if free {
 			return nil, slot, nil
@@ -97,8 +97,8 @@
 			return nil, none, ErrAbsent
 		}
 	}
-	l := q.line(r.Class)
-	if l.pace.wait(len(l.waiters)) > r.Wait {
+	l := q.classQueue(r.Class)
+	if l.departureRate.estimateWait(len(l.waiters)) > r.Wait {
 		return nil, none, ErrEarly
 	}
 	w := &waiter[S]{request: r, ready: make(chan S, 1)}
@@ -106,45 +106,45 @@
 	return w, none, nil
 }
 
-// aheadOf reports whether a waiter goes before a new one of the class; called with the lock held.
-func (q *Queue[S]) aheadOf(c Class) bool {
-	for _, l := range q.lines {
-		if len(l.waiters) > 0 && (l.class.Name == c.Name || before(l.class, c)) {
+// hasWaiterAhead reports whether a waiter has precedence over a new request of the class; called with the lock held.
+func (q *Queue[S]) hasWaiterAhead(c Class) bool {
+	for _, l := range q.classQueues {
+		if len(l.waiters) > 0 && (l.class.Name == c.Name || precedes(l.class, c)) {
 			return true
 		}
 	}
 	return false
 }
 
-func before(a, b Class) bool {
+func precedes(a, b Class) bool {
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
 	return a.Distance > b.Distance
 }
 
-// line returns the class's line with its order brought up to date; called with the lock held.
-func (q *Queue[S]) line(c Class) *line[S] {
-	var found *line[S]
-	for _, l := range q.lines {
+// classQueue returns the queue of the class, creating it if needed, and updates the order of all queues; called with the lock held.
+func (q *Queue[S]) classQueue(c Class) *classQueue[S] {
+	var found *classQueue[S]
+	for _, l := range q.classQueues {
 		if l.class.Name == c.Name {
 			found = l
 		}
 	}
 	if found == nil {
-		found = &line[S]{}
-		q.lines = append(q.lines, found)
+		found = &classQueue[S]{}
+		q.classQueues = append(q.classQueues, found)
 	}
 	found.class = c
-	sort.SliceStable(q.lines, func(i, j int) bool { return before(q.lines[i].class, q.lines[j].class) })
+	sort.SliceStable(q.classQueues, func(i, j int) bool { return precedes(q.classQueues[i].class, q.classQueues[j].class) })
 	return found
 }
 
-// leave takes a waiter out and reports whether it was still waiting.
-func (q *Queue[S]) leave(w *waiter[S]) bool {
+// remove removes a waiter and reports whether it was still waiting.
+func (q *Queue[S]) remove(w *waiter[S]) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, l := range q.lines {
+	for _, l := range q.classQueues {
 		for i, other := range l.waiters {
 			if other == w {
 				l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
@@ -155,18 +155,18 @@
 	return false
 }
 
-// Wake gives slots that became free to those who wait.
+// Wake assigns free slots to waiters.
 func (q *Queue[S]) Wake() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, l := range q.lines {
-		q.serve(l)
+	for _, l := range q.classQueues {
+		q.assignSlots(l)
 	}
 }
 
-// serve hands out slots along one line until there is none; called with the lock held.
-// A waiter that has upstreams to skip does not keep back those behind it.
-func (q *Queue[S]) serve(l *line[S]) {
+// assignSlots assigns slots to the waiters of one class until none is free; called with the lock held.
+// A waiter that skips upstreams does not block those behind it, which may use a slot on those upstreams.
+func (q *Queue[S]) assignSlots(l *classQueue[S]) {
 	kept := l.waiters[:0]
 	full := false
 	for _, w := range l.waiters {
@@ -180,22 +180,22 @@
 			kept = append(kept, w)
 			continue
 		}
-		l.pace.left(time.Now())
+		l.departureRate.recordDeparture(time.Now())
 		w.ready <- slot
 	}
 	clear(l.waiters[len(kept):])
 	l.waiters = kept
 	if len(kept) == 0 {
-		l.pace.pause()
+		l.departureRate.skipInterval()
 	}
 }
 
-// Waiting returns the number of requests in line.
+// Waiting returns the number of queued requests.
 func (q *Queue[S]) Waiting() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := 0
-	for _, l := range q.lines {
+	for _, l := range q.classQueues {
 		n += len(l.waiters)
 	}
 	return n
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -20,10 +20,10 @@
 	lots    = queue.Class{Name: "lots", Rank: 1, Distance: 9}
 )
 
-// pool hands out a number of slots.
-type pool struct{ free atomic.Int64 }
+// slotPool allocates a limited number of slots.
+type slotPool struct{ free atomic.Int64 }
 
-func (p *pool) take(string, []string) (slot int, free, absent bool) {
+func (p *slotPool) take(string, []string) (slot int, free, absent bool) {
 	if p.free.Add(-1) >= 0 {
 		return 0, true, false
 	}
@@ -31,12 +31,13 @@
 	return 0, false, false
 }
 
-func (p *pool) release() { p.free.Add(1) }
+func (p *slotPool) release() { p.free.Add(1) }
 
-// TestOrder lets requests of three classes wait and expects latency-critical ones first, those farther from their target before others, and each class in order of arrival.
+// TestOrder queues requests of three classes and expects latency-critical classes first, among them the one farther above its target,
+// and each class in order of arrival.
 func TestOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &pool{}
+		p := &slotPool{}
 		q := queue.New(queue.Options[int]{Take: p.take})
 		var served []string
 		for _, c := range []queue.Class{lots, watches, lots, bids, watches, bids} {
@@ -56,10 +57,10 @@
 	})
 }
 
-// TestNobodyOvertakes expects a request that arrives when a slot is free not to take it from one of its class that waits.
+// TestNobodyOvertakes checks that a request that arrives while a slot is free does not overtake a waiter of its class.
 func TestNobodyOvertakes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &pool{}
+		p := &slotPool{}
 		q := queue.New(queue.Options[int]{Take: p.take})
 		var served []int
 		for i := range 2 {
@@ -81,11 +82,11 @@
 	})
 }
 
-// TestEarlyRefusal presses 200 requests a second on a pace of 100, each with 500 ms to wait:
-// a request is either served in time or refused, and of those refused nearly all at once.
+// TestEarlyRefusal sends 200 requests per second to a capacity of 100, each with a longest wait of 500 ms.
+// Each request must be served in time or refused, and nearly all refusals must be immediate.
 func TestEarlyRefusal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &pool{}
+		p := &slotPool{}
 		p.release()
 		q := queue.New(queue.Options[int]{Take: p.take})
 		var served, early, late int
@@ -123,10 +124,11 @@
 	})
 }
 
-// TestQuietLineRefusesNobody lets single requests wait a moment, seldom, and then several at once, which the slots serve in time.
+// TestQuietLineRefusesNobody queues single requests at long intervals and then several at once.
+// The long intervals must not be taken for a slow departure rate, by which the burst would be refused.
 func TestQuietLineRefusesNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &pool{}
+		p := &slotPool{}
 		q := queue.New(queue.Options[int]{Take: p.take})
 		ask := func(n int) {
 			for range n {
@@ -149,10 +151,10 @@
 	})
 }
 
-// TestGoneCallerLeavesNoSlotBehind cancels a request as it is given a slot.
+// TestGoneCallerLeavesNoSlotBehind cancels a waiting request before a slot is released, and expects the slot to stay free.
 func TestGoneCallerLeavesNoSlotBehind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &pool{}
+		p := &slotPool{}
 		q := queue.New(queue.Options[int]{Take: p.take})
 		ctx, cancel := context.WithCancel(t.Context())
 		var err error
--- a/refusal/doc.go
+++ b/refusal/doc.go
@@ -1,2 +1,3 @@
-// Package refusal is the answer that callers get when it is not an upstream's own: a verdict, a code for programs and a reason for people.
+// Package refusal defines the error response that callers receive from the entry instead of an upstream's response:
+// a verdict, a machine-readable code and a human-readable reason.
 package refusal
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -8,13 +8,13 @@
 	"daisyswitch/verdict"
 )
 
-// Header carries the verdict of an answer that is not an upstream's own.
+// Header is the HTTP header that carries the verdict of a refusal.
 const Header = "Daisyswitch-Verdict"
 
-// Code names the reason of a refusal for programs.
+// Code is the machine-readable reason of a refusal.
 type Code string
 
-// The codes of refusals; docs/operators/requests.md says what to do about each.
+// Codes of refusals; docs/operators/requests.md describes how to respond to each.
 const (
 	BadRequest      Code = "bad_request"
 	UnknownClass    Code = "unknown_class"
@@ -31,10 +31,10 @@
 	BrokenAnswer    Code = "broken_answer"
 )
 
-// Refusal is the body of an answer that is not an upstream's own.
+// Refusal is the JSON body of an error response of the entry.
 type Refusal struct {
 	Verdict string `json:"verdict"` // not-run, ran or unknown
-	Reason  string `json:"reason"`  // one line for people
+	Reason  string `json:"reason"`  // one human-readable line
 	Code    Code   `json:"code"`
 	status  int
 }
@@ -44,12 +44,12 @@
 	return &Refusal{Verdict: v.String(), Reason: reason, Code: code, status: status}
 }
 
-// NotRun returns a refusal of a request that surely did not run.
+// NotRun returns a refusal of a request that is known not to have run.
 func NotRun(status int, code Code, reason string) *Refusal {
 	return New(status, verdict.NotRun, code, reason)
 }
 
-// Write answers with the refusal.
+// Write sends the refusal as the response.
 func (f *Refusal) Write(w http.ResponseWriter) {
 	body, err := json.Marshal(f)
 	if err != nil {
@@ -62,7 +62,7 @@
 	w.Write(body) //nolint:errcheck // the caller may be gone
 }
 
-// Raw returns the refusal as bytes for a connection that has no handler; the connection must be closed after it.
+// Raw returns the refusal as a complete HTTP/1.1 response, for connections without a handler. The connection must be closed after it.
 func (f *Refusal) Raw() []byte {
 	body, err := json.Marshal(f)
 	if err != nil {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -6,25 +6,25 @@
 )
 
 const (
-	slices = 10 // of a second each
-	slice  = time.Second
+	slices      = 10 // number of slices in the window
+	sliceLength = time.Second
 )
 
-// Budget bounds retries to a share of the requests of the last seconds, so that an outage is not made worse by them.
+// Budget limits retries to a percentage of the requests in a sliding window, so that retries don't amplify an outage.
 type Budget struct {
 	percent int64
 
 	mu      sync.Mutex
-	window  [slices]count
-	sum     count
-	present int64 // number of the slice that it is
+	window  [slices]counts
+	sum     counts
+	current int64 // number of the current slice
 }
 
-type count struct {
+type counts struct {
 	requests, retries int64
 }
 
-// New returns a budget of percent of the requests.
+// New returns a budget that allows retries up to percent of the requests.
 func New(percent int64) *Budget {
 	return &Budget{percent: percent}
 }
@@ -33,35 +33,35 @@
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.turn(now)
-	b.window[b.present%slices].requests++
+	b.advance(now)
+	b.window[b.current%slices].requests++
 	b.sum.requests++
 }
 
-// Retry takes one retry from the budget and reports whether there was one left.
+// Retry consumes one retry and reports whether the budget allows it.
 func (b *Budget) Retry(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.turn(now)
+	b.advance(now)
 	if (b.sum.retries+1)*100 > b.sum.requests*b.percent {
 		return false
 	}
-	b.window[b.present%slices].retries++
+	b.window[b.current%slices].retries++
 	b.sum.retries++
 	return true
 }
 
-// turn empties the slices that are too old; called with the lock held.
-func (b *Budget) turn(now time.Time) {
-	second := now.UnixNano() / int64(slice)
-	if second-b.present > slices {
-		b.present = second - slices
+// advance advances the window to now and clears expired slices; called with the lock held.
+func (b *Budget) advance(now time.Time) {
+	second := now.UnixNano() / int64(sliceLength)
+	if second-b.current > slices {
+		b.current = second - slices
 	}
-	for b.present < second {
-		b.present++
-		old := &b.window[b.present%slices]
-		b.sum.requests -= old.requests
-		b.sum.retries -= old.retries
-		*old = count{}
+	for b.current < second {
+		b.current++
+		expired := &b.window[b.current%slices]
+		b.sum.requests -= expired.requests
+		b.sum.retries -= expired.retries
+		*expired = counts{}
 	}
 }
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -1,2 +1,2 @@
-// Package retry bounds retries to a share of recent requests.
+// Package retry limits retries to a percentage of recent requests.
 package retry
--- a/verdict/doc.go
+++ b/verdict/doc.go
@@ -1,2 +1,2 @@
-// Package verdict says of a request that got no answer whether it may have run.
+// Package verdict describes whether a request without a successful response may have run.
 package verdict
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -5,24 +5,24 @@
 	"fmt"
 )
 
-// Verdict says whether a request may have had its effect.
+// Verdict says whether a request may have run.
 type Verdict int
 
-// The verdicts; the zero value is Unknown, so that a forgotten verdict never promises anything.
+// Verdicts; the zero value is Unknown, so that an unset verdict never asserts that a request did or did not run.
 const (
 	Unknown Verdict = iota // may have run
-	NotRun                 // surely did not run and never will
-	Ran                    // surely ran
+	NotRun                 // is known not to have run and will never run
+	Ran                    // is known to have run
 )
 
 var names = map[Verdict]string{Unknown: "unknown", NotRun: "not-run", Ran: "ran"}
 
-// String returns the form that callers see in headers and bodies.
+// String returns the verdict as written in headers and bodies.
 func (v Verdict) String() string {
 	return names[v]
 }
 
-// Parse returns the verdict of a header value; anything unfamiliar is Unknown.
+// Parse returns the verdict of a header value; other values give Unknown.
 func Parse(s string) Verdict {
 	for v, name := range names {
 		if name == s {
@@ -32,10 +32,10 @@
 	return Unknown
 }
 
-// Error is a failure together with what it says about the request's effect.
+// Error is an error with the verdict on its request.
 type Error struct {
 	Verdict Verdict
-	Reason  string // one line for people
+	Reason  string // one human-readable line
 	Err     error  // cause, may be nil
 }
 
@@ -47,7 +47,7 @@
 	return fmt.Sprintf("%s (%s): %v", e.Reason, e.Verdict, e.Err)
 }
 
-// Unwrap returns the cause.
+// Unwrap returns the cause of the error.
 func (e *Error) Unwrap() error {
 	return e.Err
 }
