Reword package transport in the terms of connection pools

Readers stumbled over connections that "go silent" or "show life", over "patience" and "suspect", and over Pool methods of one word (take, put, drop).

Error messages say what was sent or received.

--- a/transport/doc.go
+++ b/transport/doc.go
@@ -1,3 +1,3 @@
-// Package transport carries requests to one upstream over HTTP/1.1 connections that the entry fully controls.
-// It exists because net/http's client replays some requests by itself: here a request is written at most once, and what was written is counted.
+// Package transport sends requests to one upstream over a pool of HTTP/1.1 connections.
+// It replaces net/http's client, which replays some requests on its own: here a request is written at most once, and the bytes written are counted.
 package transport
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -11,17 +11,17 @@
 	"daisyswitch/verdict"
 )
 
-// Options says how an entry connects to its upstreams; zero values take the defaults.
+// Options configures connections to upstreams; zero values are replaced by Defaults.
 type Options struct {
 	Dial        func(ctx context.Context, address string) (net.Conn, error)
-	DialTimeout time.Duration // of one connection
-	IdleAge     time.Duration // longest time without use that a connection is kept
-	QuietBound  time.Duration // a connection quiet for longer carries no request that must have a fresh one
-	FirstByte   time.Duration // longest silence of a reused connection after a request
-	HeaderBytes int64         // of an answer
+	DialTimeout time.Duration // per connection
+	IdleAge     time.Duration // how long an idle connection is kept
+	QuietBound  time.Duration // a connection idle for longer is not used for requests that need a fresh one
+	FirstByte   time.Duration // how long a reused connection may take to deliver the first byte of a response
+	HeaderBytes int64         // limit on the head of a response
 }
 
-// Defaults are the values that stand for zero ones in Options.
+// Defaults are the values used for zero fields of Options.
 var Defaults = Options{
 	Dial:        dialTCP,
 	DialTimeout: 300 * time.Millisecond,
@@ -53,18 +53,18 @@
 	return o
 }
 
-// ErrDial is the cause when no connection could be opened.
-var ErrDial = errors.New("dial failed")
+// ErrDial is the cause of an error when no connection could be opened.
+var ErrDial = errors.New("dialing the upstream failed")
 
 // Pool holds the connections of one entry to one upstream.
 type Pool struct {
-	options Options
-	address string
-	proven  atomic.Int64 // when a connection of some age last showed life, Unix nanoseconds
+	options      Options
+	address      string
+	lastActivity atomic.Int64 // when a connection older than the first-byte timeout last delivered a byte, in Unix nanoseconds
 
 	mu     sync.Mutex
 	idle   []*conn // oldest first
-	open   int     // idle, in use and being dialled
+	open   int     // idle, in use or being dialed
 	limit  int
 	closed bool
 }
@@ -74,7 +74,7 @@
 	return &Pool{options: o.withDefaults(), address: address, limit: limit}
 }
 
-// SetLimit changes how many connections may be open; idle ones above it are closed at once.
+// SetLimit changes how many connections may be open; idle ones above the limit are closed at once.
 func (p *Pool) SetLimit(limit int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -84,7 +84,7 @@
 	}
 }
 
-// Open returns the number of connections held.
+// Open returns the number of open connections, including those being dialed.
 func (p *Pool) Open() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -95,12 +95,12 @@
 func (p *Pool) Prune(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 && now.Sub(p.idle[0].quiet) > p.options.IdleAge {
+	for len(p.idle) > 0 && now.Sub(p.idle[0].idleSince) > p.options.IdleAge {
 		p.closeOldest()
 	}
 }
 
-// Close closes the idle connections, and those in use as they finish.
+// Close closes the idle connections now and those in use when their exchanges end.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -118,14 +118,14 @@
 	c.Close()
 }
 
-// take returns a connection fit for the request; its errors say that the request did not run.
-func (p *Pool) take(ctx context.Context, fresh bool) (*conn, error) {
+// acquire returns an idle or a new connection; its errors have the verdict not-run.
+func (p *Pool) acquire(ctx context.Context, fresh bool) (*conn, error) {
 	bound := p.options.IdleAge
 	if fresh {
 		bound = p.options.QuietBound
 	}
 	for {
-		c, err := p.reuse(bound)
+		c, err := p.reuseIdle(bound)
 		if err != nil {
 			return nil, err
 		}
@@ -136,18 +136,18 @@
 			c.reused = true
 			return c, nil
 		}
-		p.drop(c)
+		p.discard(c)
 	}
 }
 
-// reuse returns the connection used last if it was quiet for less than bound, or nil with room reserved for a new one.
-func (p *Pool) reuse(bound time.Duration) (*conn, error) {
+// reuseIdle returns the connection used last if it has been idle for at most bound. Otherwise it reserves capacity for a new one and returns nil.
+func (p *Pool) reuseIdle(bound time.Duration) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return nil, verdict.New(verdict.NotRun, "upstream is gone", nil)
+		return nil, verdict.New(verdict.NotRun, "the upstream has been removed", nil)
 	}
-	if n := len(p.idle); n > 0 && time.Since(p.idle[n-1].quiet) <= bound {
+	if n := len(p.idle); n > 0 && time.Since(p.idle[n-1].idleSince) <= bound {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		return c, nil
@@ -167,26 +167,26 @@
 	defer cancel()
 	raw, err := p.options.Dial(dialCtx, p.address)
 	if err != nil {
-		p.release()
-		return nil, verdict.New(verdict.NotRun, "no connection to the upstream", errors.Join(ErrDial, err))
+		p.releaseCapacity()
+		return nil, verdict.New(verdict.NotRun, "no connection to the upstream could be opened", errors.Join(ErrDial, err))
 	}
 	return newConn(raw, p.options.HeaderBytes), nil
 }
 
-func (p *Pool) release() {
+func (p *Pool) releaseCapacity() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
 }
 
-func (p *Pool) drop(c *conn) {
+func (p *Pool) discard(c *conn) {
 	c.Close()
-	p.release()
+	p.releaseCapacity()
 }
 
-// put keeps a connection whose exchange ended cleanly.
-func (p *Pool) put(c *conn) {
-	c.quiet = time.Now()
+// returnIdle returns a connection to the pool after a complete exchange.
+func (p *Pool) returnIdle(c *conn) {
+	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.open > p.limit {
--- a/transport/silence.go
+++ b/transport/silence.go
@@ -7,44 +7,44 @@
 	"time"
 )
 
-// ErrSilent is the cause when a reused connection gave no byte in time and was given up.
-var ErrSilent = errors.New("connection went silent")
+// ErrSilent is the cause of an error when a reused connection delivered no byte in time and was abandoned.
+var ErrSilent = errors.New("reused connection delivered no byte within the first-byte timeout")
 
-// patience is how many times longer the first byte may take while other old connections to the upstream show life,
-// which tells of a slow answer rather than of a path that has lost track of its connections.
-const patience = 2
+// firstByteExtension is the factor by which the wait for the first byte is extended while other old connections to the upstream deliver bytes.
+// In that case the response is probably slow, and the network path has not dropped the state of its connections.
+const firstByteExtension = 2
 
-// awaitFirstByte bounds the silence of a reused connection.
+// awaitFirstByte waits a limited time for the first byte of a response on a reused connection.
 func (a *Answer) awaitFirstByte(ctx context.Context, r *Request) error {
 	c := a.conn
 	if !c.reused || r.Stream {
 		return nil
 	}
 	start := time.Now()
-	silent, err := a.silent(start, a.pool.options.FirstByte)
-	if silent && a.pool.aliveSince(start) {
-		silent, err = a.silent(start, patience*a.pool.options.FirstByte)
+	timedOut, err := a.timedOut(start, a.pool.options.FirstByte)
+	if timedOut && a.pool.activeSince(start) {
+		timedOut, err = a.timedOut(start, firstByteExtension*a.pool.options.FirstByte)
 	}
 	if err != nil {
 		return err
 	}
-	if silent && ctx.Err() == nil {
-		a.pool.suspect(start)
+	if timedOut && ctx.Err() == nil {
+		a.pool.closeIdleBefore(start)
 		if r.Idempotent && (r.GiveUp == nil || r.GiveUp()) {
 			return ErrSilent
 		}
 	}
-	if !silent {
-		a.pool.prove(c, time.Now())
+	if !timedOut {
+		a.pool.recordActivity(c, time.Now())
 	}
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
 		return err
 	}
-	return ctx.Err() // an interrupt may have been undone by the line above
+	return ctx.Err() // the line above may have undone an interrupt
 }
 
-// silent reports whether no byte came until bound after start; other failures are left to the reading of the answer.
-func (a *Answer) silent(start time.Time, bound time.Duration) (bool, error) {
+// timedOut reports whether no byte arrived until bound after start. Other read errors are left to the caller, which meets them when it reads the response.
+func (a *Answer) timedOut(start time.Time, bound time.Duration) (bool, error) {
 	if err := a.conn.SetReadDeadline(start.Add(bound)); err != nil {
 		return false, err
 	}
@@ -52,23 +52,23 @@
 	return errors.Is(err, os.ErrDeadlineExceeded), nil
 }
 
-// prove notes life on a connection that was dialled at least FirstByte ago.
-func (p *Pool) prove(c *conn, now time.Time) {
-	if now.Sub(c.dialled) > p.options.FirstByte {
-		p.proven.Store(now.UnixNano())
+// recordActivity records the time if a connection older than the first-byte timeout has delivered a byte.
+func (p *Pool) recordActivity(c *conn, now time.Time) {
+	if now.Sub(c.dialedAt) > p.options.FirstByte {
+		p.lastActivity.Store(now.UnixNano())
 	}
 }
 
-// aliveSince reports whether a connection dialled before start has shown life since.
-func (p *Pool) aliveSince(start time.Time) bool {
-	return p.proven.Load() > start.UnixNano()
+// activeSince reports whether an old connection has delivered a byte since start.
+func (p *Pool) activeSince(start time.Time) bool {
+	return p.lastActivity.Load() > start.UnixNano()
 }
 
-// suspect closes the idle connections that have shown no life since the given time, because another of the same path went silent.
-func (p *Pool) suspect(since time.Time) {
+// closeIdleBefore closes the connections that have been idle since before the given time, because another one on the same path stopped responding.
+func (p *Pool) closeIdleBefore(since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 && p.idle[0].quiet.Before(since) {
+	for len(p.idle) > 0 && p.idle[0].idleSince.Before(since) {
 		p.closeOldest()
 	}
 }
