Reword packages guard, class and neighbor

Readers stumbled over framing "given twice", over one-word names (feed, order, describe, talk, once, note) and over entries that speak and are told.

Renames that matter: headScan.feed and begun are scan and partial, Conn.handled is isServed, serverRefusal is serverErrorHeaders, Class.describe is configure, Table.table is classes, the type talk is exchangeLoop, Exchange.once is exchangeOnce, Exchange.note is recordGossip, and talker in tests is testEntry. The refusal of ambiguous framing names both headers.

--- a/class/class.go
+++ b/class/class.go
@@ -17,23 +17,23 @@
 const (
 	lowestLatencyUS  = 1
 	highestLatencyUS = int64(time.Hour / time.Microsecond)
-	latencyFigures   = 2 // significant
+	latencyDigits    = 2 // significant digits
 	p99              = 99
 )
 
-// Class is what an entry knows of one class.
+// Class holds the configuration, metrics and latency measurements of one class.
 type Class struct {
-	Name     string
-	Retries  *metrics.Counter
-	requests [3]*metrics.Counter // by verdict
-	duration *metrics.Histogram
-	order    atomic.Pointer[queue.Class]
-	median   atomic.Int64 // microseconds, of the last window
+	Name       string
+	Retries    *metrics.Counter
+	requests   [3]*metrics.Counter // by verdict
+	duration   *metrics.Histogram
+	queueClass atomic.Pointer[queue.Class]
+	medianUS   atomic.Int64 // in microseconds, of the last window
 
 	mu        sync.Mutex
 	histogram *hdrhistogram.Histogram
 	kind      wire.ClassKind
-	target    int64 // microseconds, 0 for none
+	targetUS  int64 // in microseconds, 0 for none
 }
 
 func newClass(name string) *Class {
@@ -41,7 +41,7 @@
 		Name:      name,
 		Retries:   metrics.GetOrCreateCounter(fmt.Sprintf(`daisyswitch_retries_total{class=%q}`, name)),
 		duration:  metrics.GetOrCreateHistogram(fmt.Sprintf(`daisyswitch_request_duration_seconds{class=%q}`, name)),
-		histogram: hdrhistogram.New(lowestLatencyUS, highestLatencyUS, latencyFigures),
+		histogram: hdrhistogram.New(lowestLatencyUS, highestLatencyUS, latencyDigits),
 	}
 	for _, v := range []verdict.Verdict{verdict.Unknown, verdict.NotRun, verdict.Ran} {
 		c.requests[v] = requestCounter(name, v)
@@ -53,35 +53,35 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`daisyswitch_requests_total{class=%q,verdict=%q}`, class, v))
 }
 
-// Order returns the class's place among others.
+// Order returns the parameters that order this class among others in the queue.
 func (c *Class) Order() queue.Class {
-	return *c.order.Load()
+	return *c.queueClass.Load()
 }
 
-// Usual returns the median latency of the last window, which a request needs at least when it leaves the queue.
+// Usual returns the median latency of the last window. A request that leaves the queue needs about this much time before its deadline.
 func (c *Class) Usual() time.Duration {
-	return time.Duration(c.median.Load()) * time.Microsecond
+	return time.Duration(c.medianUS.Load()) * time.Microsecond
 }
 
-// describe takes the class's kind and target from a configuration.
-func (c *Class) describe(w *wire.Class) {
+// configure sets the class's kind and target from a configuration.
+func (c *Class) configure(w *wire.Class) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.kind = w.GetKind()
-	c.target = w.GetTargetP99Us()
+	c.targetUS = w.GetTargetP99Us()
 	c.setOrder(0)
 }
 
 // setOrder is called with the lock held.
 func (c *Class) setOrder(p99US int64) {
-	order := &queue.Class{Name: c.Name, Rank: 1}
+	queueClass := &queue.Class{Name: c.Name, Rank: 1}
 	if c.kind == wire.ClassKind_CLASS_KIND_SERVICE {
-		order.Rank = 0
+		queueClass.Rank = 0
 	}
-	if c.target > 0 {
-		order.Distance = float64(p99US) / float64(c.target)
+	if c.targetUS > 0 {
+		queueClass.Distance = float64(p99US) / float64(c.targetUS)
 	}
-	c.order.Store(order)
+	c.queueClass.Store(queueClass)
 }
 
 func (c *Class) record(v verdict.Verdict, latency time.Duration) {
@@ -93,10 +93,10 @@
 	us := min(max(latency.Microseconds(), lowestLatencyUS), highestLatencyUS)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.histogram.RecordValue(us) //nolint:errcheck // the value is within the bounds
+	c.histogram.RecordValue(us) //nolint:errcheck // the value is clamped to the histogram's range
 }
 
-// sample returns the window's measurement and begins a new window; nil if nothing was measured.
+// sample returns the measurements of the current window and starts a new one; nil if there are none.
 func (c *Class) sample() *wire.ServiceSample {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -106,19 +106,19 @@
 	}
 	s := &wire.ServiceSample{Class: c.Name, Requests: count, P99Us: c.histogram.ValueAtPercentile(p99)}
 	if latencies, err := c.histogram.EncodeV2(); err == nil {
-		s.Latencies = latencies // without them the sample still tells its own tail
+		s.Latencies = latencies // without the histogram, the sample still has its 99th percentile
 	}
-	c.median.Store(c.histogram.ValueAtPercentile(50))
+	c.medianUS.Store(c.histogram.ValueAtPercentile(50))
 	c.setOrder(s.P99Us)
 	c.histogram.Reset()
 	return s
 }
 
-// Table is the table of classes in force.
+// Table holds the classes of the active configuration.
 type Table struct {
-	table atomic.Pointer[map[string]*Class]
+	classes atomic.Pointer[map[string]*Class]
 
-	mu      sync.Mutex // of changes
+	mu      sync.Mutex // held for changes
 	version uint64
 }
 
@@ -127,59 +127,59 @@
 	return &Table{}
 }
 
-// Set puts a configuration in force; classes that stay keep their measurements.
-func (c *Table) Set(configuration *wire.Configuration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	old := c.table.Load()
-	if old != nil && configuration.GetVersion() < c.version {
+// Set applies a configuration unless it is older than the active one; classes that remain keep their measurements.
+func (t *Table) Set(configuration *wire.Configuration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.classes.Load()
+	if current != nil && configuration.GetVersion() < t.version {
 		return
 	}
-	table := make(map[string]*Class, len(configuration.GetClasses()))
+	classes := make(map[string]*Class, len(configuration.GetClasses()))
 	for _, w := range configuration.GetClasses() {
-		known := c.Find(w.GetName())
+		known := t.Find(w.GetName())
 		if known == nil {
 			known = newClass(w.GetName())
 		}
-		known.describe(w)
-		table[w.GetName()] = known
+		known.configure(w)
+		classes[w.GetName()] = known
 	}
-	c.version = configuration.GetVersion()
-	c.table.Store(&table)
+	t.version = configuration.GetVersion()
+	t.classes.Store(&classes)
 }
 
-// Ready reports whether a configuration is in force.
-func (c *Table) Ready() bool {
-	return c.table.Load() != nil
+// Ready reports whether a configuration has been applied.
+func (t *Table) Ready() bool {
+	return t.classes.Load() != nil
 }
 
-// Find returns nil if the class is unknown.
-func (c *Table) Find(name string) *Class {
-	table := c.table.Load()
-	if table == nil {
+// Find returns the class with the name, or nil if there is none.
+func (t *Table) Find(name string) *Class {
+	classes := t.classes.Load()
+	if classes == nil {
 		return nil
 	}
-	return (*table)[name]
+	return (*classes)[name]
 }
 
-// Count notes the end of a request; a nil class stands for those that named none known.
-func (c *Table) Count(of *Class, v verdict.Verdict, latency time.Duration) {
-	if of == nil {
+// Count records the outcome and latency of a request; a nil class stands for requests without a configured class.
+func (t *Table) Count(class *Class, v verdict.Verdict, latency time.Duration) {
+	if class == nil {
 		requestCounter("", v).Inc()
 		return
 	}
-	of.record(v, latency)
+	class.record(v, latency)
 }
 
-// Samples returns what was measured for each class since the last call.
-func (c *Table) Samples() []*wire.ServiceSample {
-	table := c.table.Load()
-	if table == nil {
+// Samples returns the measurements of each class since the last call.
+func (t *Table) Samples() []*wire.ServiceSample {
+	classes := t.classes.Load()
+	if classes == nil {
 		return nil
 	}
 	var list []*wire.ServiceSample
-	for _, of := range *table {
-		if s := of.sample(); s != nil {
+	for _, class := range *classes {
+		if s := class.sample(); s != nil {
 			list = append(list, s)
 		}
 	}
--- a/class/doc.go
+++ b/class/doc.go
@@ -1,2 +1,2 @@
-// Package class keeps what an entry knows of each class: its kind and target from the configuration, and the latency measured where its requests pass.
+// Package class keeps an entry's state for each class: its kind and target from the configuration, and the latency of its requests measured at this entry.
 package class
--- a/guard/doc.go
+++ b/guard/doc.go
@@ -1,2 +1,3 @@
-// Package guard watches the bytes on callers' connections for what net/http hides from a handler, and gives net/http's own refusals a verdict.
+// Package guard inspects the bytes on callers' connections for request framing that net/http hides from handlers,
+// and adds a verdict to the errors that net/http sends itself.
 package guard
--- a/guard/listener.go
+++ b/guard/listener.go
@@ -13,12 +13,12 @@
 	"daisyswitch/refusal"
 )
 
-// Listener watches the bytes of its connections for what net/http hides: framing given twice, slow headers, and refusals of its own.
+// Listener wraps accepted connections in Conn, which detects ambiguous framing and slow headers, and rewrites error responses of net/http itself.
 type Listener struct {
 	net.Listener
 }
 
-// Accept waits for a caller.
+// Accept waits for a caller's connection.
 func (l *Listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
@@ -29,12 +29,12 @@
 
 type connKey struct{}
 
-// WithConn is the server's ConnContext, through which Of finds the connection.
+// WithConn stores the connection in the context of its requests; it is meant for http.Server.ConnContext.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Of returns the request's connection, nil if another listener accepted it.
+// Of returns the request's connection, or nil if it was not accepted by a Listener.
 func Of(r *http.Request) *Conn {
 	c, _ := r.Context().Value(connKey{}).(*Conn)
 	return c
@@ -46,41 +46,41 @@
 
 	mu     sync.Mutex
 	head   headScan
-	served bool // a handler has begun to serve the last head
+	served bool // a handler has started on the last request head
 }
 
-// Read scans heads as they pass, and answers a caller that is too slow with its head.
+// Read scans request heads as they are read, and sends a refusal if a head is not complete by the read deadline.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && !c.head.seen {
+	if n > 0 && !c.head.started {
 		c.served = false
 	}
-	c.head.feed(p[:n])
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.head.begun() {
-		c.Conn.Write(refusal.NotRun(http.StatusRequestTimeout, refusal.SlowCaller, "headers are sent too slowly").Raw()) //nolint:errcheck // the connection ends here
+	c.head.scan(p[:n])
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.head.partial() {
+		c.Conn.Write(refusal.NotRun(http.StatusRequestTimeout, refusal.SlowCaller, "request headers did not arrive before the header timeout").Raw()) //nolint:errcheck // the server closes the connection next
 	}
 	return n, err
 }
 
-// serverRefusal is how net/http begins a refusal of its own; an answer of a handler never looks so.
-const serverRefusal = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
+// serverErrorHeaders follows the status line in error responses of net/http itself; responses of handlers never contain it.
+const serverErrorHeaders = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
 
-// Write replaces net/http's own refusals by ones with a verdict.
+// Write replaces error responses of net/http itself by refusals with a verdict.
 func (c *Conn) Write(p []byte) (int, error) {
-	head, reason, found := bytes.Cut(p, []byte(serverRefusal))
-	if !found && !c.handled() {
-		head, _, found = bytes.Cut(p, []byte("\r\n")) // an answer of the server's own with other headers
+	head, reason, found := bytes.Cut(p, []byte(serverErrorHeaders))
+	if !found && !c.isServed() {
+		head, _, found = bytes.Cut(p, []byte("\r\n")) // an error response of the server with other headers
 		reason = head[min(len(head), len("HTTP/1.1 417 ")):]
 	}
-	status, ok := refusedStatus(head)
+	status, ok := parseStatusLine(head)
 	if !found || !ok {
 		return c.Conn.Write(p)
 	}
 	f := refusal.NotRun(status, refusal.BadRequest, string(reason))
 	if status == http.StatusRequestHeaderFieldsTooLarge {
-		f = refusal.NotRun(status, refusal.HeaderTooLarge, "headers are too large")
+		f = refusal.NotRun(status, refusal.HeaderTooLarge, "request headers exceed the size limit")
 	}
 	if _, err := c.Conn.Write(f.Raw()); err != nil {
 		return 0, err
@@ -88,8 +88,8 @@
 	return len(p), nil
 }
 
-// refusedStatus reads the status from a status line that stands alone.
-func refusedStatus(head []byte) (status int, ok bool) {
+// parseStatusLine parses the status code if head is a single status line.
+func parseStatusLine(head []byte) (status int, ok bool) {
 	line, found := bytes.CutPrefix(head, []byte("HTTP/1.1 "))
 	if !found || len(line) < 3 || bytes.IndexByte(line, '\n') >= 0 {
 		return 0, false
@@ -98,7 +98,7 @@
 	return status, err == nil
 }
 
-// Begin says that a handler serves the request, so that what is written now is an answer of its.
+// Begin marks that a handler serves the request, so that the following writes are its response.
 func (c *Conn) Begin() {
 	if c == nil {
 		return
@@ -108,26 +108,27 @@
 	c.served = true
 }
 
-func (c *Conn) handled() bool {
+func (c *Conn) isServed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.served
 }
 
-// CheckHead refuses a request whose framing was given twice. The request is rebuilt for the upstream in any case.
+// CheckHead rejects a request with both Content-Length and Transfer-Encoding.
+// This is an additional check: the request to the upstream is built anew in any case.
 func (c *Conn) CheckHead(r *http.Request) error {
 	if c == nil || len(r.TransferEncoding) == 0 {
 		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.head.lengths > 0 {
-		return errors.New("both Content-Length and Transfer-Encoding are given")
+	if c.head.contentLengths > 0 {
+		return errors.New("headers Content-Length and Transfer-Encoding must not be combined")
 	}
 	return nil
 }
 
-// Next expects the head of the next request.
+// Next resets the scan for the head of the next request.
 func (c *Conn) Next() {
 	if c == nil {
 		return
@@ -137,28 +138,28 @@
 	c.head = headScan{}
 }
 
-const lengthName = "content-length"
+const contentLengthName = "content-length"
 
-// headScan counts the lines of a request's head that tell its length.
+// headScan counts the Content-Length lines in a request's head.
 type headScan struct {
-	line    [len(lengthName) + 1]byte
-	n       int // bytes of the present line
-	seen    bool
-	done    bool
-	lengths int
+	line           [len(contentLengthName) + 1]byte
+	n              int // bytes of the current line
+	started        bool
+	done           bool
+	contentLengths int
 }
 
-// begun reports whether a part of a head has come, but not all.
-func (h *headScan) begun() bool {
-	return h.seen && !h.done
+// partial reports whether a part of a head has been received, but not all of it.
+func (h *headScan) partial() bool {
+	return h.started && !h.done
 }
 
-func (h *headScan) feed(p []byte) {
+func (h *headScan) scan(p []byte) {
 	for _, b := range p {
 		if h.done {
 			return
 		}
-		h.seen = true
+		h.started = true
 		h.byte(b)
 	}
 }
@@ -184,8 +185,8 @@
 	if h.n == 0 {
 		h.done = true
 	}
-	if h.n > len(lengthName) && string(h.line[:]) == lengthName+":" {
-		h.lengths++
+	if h.n > len(contentLengthName) && string(h.line[:]) == contentLengthName+":" {
+		h.contentLengths++
 	}
 	h.n = 0
 }
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -15,39 +15,39 @@
 )
 
 const (
-	defaultEvery = 500 * time.Millisecond
-	exchangeTime = time.Second
-	aliveFor     = 3 * time.Second
+	defaultInterval = 500 * time.Millisecond
+	exchangeTimeout = time.Second
+	aliveTimeout    = 3 * time.Second
 )
 
 // Options configures an Exchange.
 type Options struct {
 	Name      string
-	Neighbors []settings.Neighbor // the entry's own name is passed over
+	Neighbors []settings.Neighbor // may include this entry, which is ignored
 	Pool      *inner.Pool
 	Every     time.Duration
-	Ask       func(theirVersion uint64) *wire.Gossip // what to say to one that holds that configuration version
-	Answer    func(theirVersion uint64) *wire.Gossip // what to answer it
-	Asked     func(*wire.Gossip)                     // takes what another entry said unasked
-	Answered  func(asked time.Time, g *wire.Gossip)  // takes an answer, and when it was asked for
+	Ask       func(theirVersion uint64) *wire.Gossip // builds the message to an entry with that configuration version
+	Answer    func(theirVersion uint64) *wire.Gossip // builds the reply to an entry with that configuration version
+	Asked     func(*wire.Gossip)                     // receives the message of an exchange that another entry started
+	Answered  func(asked time.Time, g *wire.Gossip)  // receives a reply and the time at which it was requested
 }
 
-// Exchange talks to every other entry in turn and answers them.
+// Exchange exchanges gossip with every other entry periodically and serves their requests.
 type Exchange struct {
 	options Options
 	cancel  context.CancelFunc
 	wait    group.Group
-	talks   []talk
+	loops   []exchangeLoop
 
 	mu       sync.Mutex
-	versions map[string]uint64    // configuration version last heard, by entry
-	heard    map[string]time.Time // by entry
+	versions map[string]uint64    // last received configuration version, by entry
+	heard    map[string]time.Time // time of the last message, by entry
 }
 
-// New returns an exchange that answers, and speaks once it is started.
+// New returns an exchange that replies to other entries. It sends messages only after Start.
 func New(o Options) *Exchange {
 	if o.Every == 0 {
-		o.Every = defaultEvery
+		o.Every = defaultInterval
 	}
 	e := &Exchange{
 		options:  o,
@@ -57,92 +57,92 @@
 	}
 	for _, n := range o.Neighbors {
 		if n.Name != o.Name {
-			e.talks = append(e.talks, talk{neighbor: n, poke: make(chan struct{}, 1)})
+			e.loops = append(e.loops, exchangeLoop{neighbor: n, wake: make(chan struct{}, 1)})
 		}
 	}
 	return e
 }
 
-// Start begins to speak with each neighbor.
+// Start starts the periodic exchange with each neighbor.
 func (e *Exchange) Start() {
 	var ctx context.Context
 	ctx, e.cancel = context.WithCancel(context.Background())
-	for _, t := range e.talks {
-		e.wait.Go(func() { e.talk(ctx, t) })
+	for _, t := range e.loops {
+		e.wait.Go(func() { e.exchangeLoop(ctx, t) })
 	}
 }
 
-// Register serves the exchange to other entries.
+// Register registers the service for other entries with the mux.
 func (e *Exchange) Register(mux drpc.Mux) error {
 	return wire.DRPCRegisterNeighbor(mux, server{e})
 }
 
-// Poke has every neighbor told at once, when something should not wait for its turn.
+// Poke starts an exchange with every neighbor at once, for updates that should not wait for the next interval.
 func (e *Exchange) Poke() {
-	for _, t := range e.talks {
+	for _, t := range e.loops {
 		select {
-		case t.poke <- struct{}{}:
+		case t.wake <- struct{}{}:
 		default:
 		}
 	}
 }
 
-// Alive returns how many neighbors were heard lately.
+// Alive returns how many neighbors have sent a message recently.
 func (e *Exchange) Alive() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	n := 0
-	for _, at := range e.heard {
-		if time.Since(at) < aliveFor {
+	for _, lastHeard := range e.heard {
+		if time.Since(lastHeard) < aliveTimeout {
 			n++
 		}
 	}
 	return n
 }
 
-// talk is what one goroutine has with one neighbor.
-type talk struct {
+// exchangeLoop is the state of the goroutine that exchanges gossip with one neighbor.
+type exchangeLoop struct {
 	neighbor settings.Neighbor
-	poke     chan struct{}
+	wake     chan struct{}
 }
 
-func (e *Exchange) talk(ctx context.Context, t talk) {
+func (e *Exchange) exchangeLoop(ctx context.Context, t exchangeLoop) {
 	ticker := time.NewTicker(e.options.Every)
 	defer ticker.Stop()
 	for {
-		e.once(ctx, t.neighbor)
+		e.exchangeOnce(ctx, t.neighbor)
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.poke:
+		case <-t.wake:
 		case <-ticker.C:
 		}
 	}
 }
 
-func (e *Exchange) once(ctx context.Context, n settings.Neighbor) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTime)
+func (e *Exchange) exchangeOnce(ctx context.Context, n settings.Neighbor) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	message := e.options.Ask(e.version(n.Name))
+	message := e.options.Ask(e.knownVersion(n.Name))
 	asked := time.Now()
 	_ = e.options.Pool.Do(ctx, n.Inner, func(conn *drpcconn.Conn) error {
 		reply, err := wire.NewDRPCNeighborClient(conn).Exchange(ctx, message)
 		if err != nil {
 			return err
 		}
-		e.note(reply)
+		e.recordGossip(reply)
 		e.options.Answered(asked, reply)
 		return nil
 	})
 }
 
-func (e *Exchange) version(name string) uint64 {
+func (e *Exchange) knownVersion(name string) uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.versions[name]
 }
 
-func (e *Exchange) note(g *wire.Gossip) {
+func (e *Exchange) recordGossip(g *wire.Gossip) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.versions[g.Entry] = g.Version
@@ -153,14 +153,14 @@
 	exchange *Exchange
 }
 
-// Exchange takes in what another entry tells and answers with what this one knows.
+// Exchange processes another entry's gossip and replies with that of this entry.
 func (s server) Exchange(_ context.Context, g *wire.Gossip) (*wire.Gossip, error) {
-	s.exchange.note(g)
+	s.exchange.recordGossip(g)
 	s.exchange.options.Asked(g)
 	return s.exchange.options.Answer(g.Version), nil
 }
 
-// Close ends all exchanges and waits.
+// Close stops all exchanges and waits for them to end.
 func (e *Exchange) Close() error {
 	e.cancel()
 	e.wait.Wait()
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -18,22 +18,22 @@
 
 var entries = []settings.Neighbor{{Name: "e1", Inner: "e1:1"}, {Name: "e2", Inner: "e2:1"}, {Name: "e3", Inner: "e3:1"}}
 
-// talker is one entry and what it heard.
-type talker struct {
+// testEntry is one entry with what it has received.
+type testEntry struct {
 	*neighbor.Exchange
 	server *inner.Server
 
 	mu       sync.Mutex
 	version  uint64
 	answered int
-	late     int // answers whose asking time was not before they were written
+	late     int // replies whose reported request time was not before they were built
 }
 
-// newTalkers returns entries whose answers carry when they were written.
-func newTalkers(t *testing.T, f *fabric.Fabric) []*talker {
-	var all []*talker
+// newTestEntries returns entries whose replies contain the time at which they were built.
+func newTestEntries(t *testing.T, f *fabric.Fabric) []*testEntry {
+	var all []*testEntry
 	for _, n := range entries {
-		k := &talker{version: 1}
+		k := &testEntry{version: 1}
 		k.Exchange = neighbor.New(neighbor.Options{
 			Name:      n.Name,
 			Neighbors: entries,
@@ -44,8 +44,8 @@
 				g.Announcements = []*wire.Announcement{{AgeMs: time.Now().UnixMicro()}}
 				return g
 			},
-			Asked:    k.take,
-			Answered: k.answer,
+			Asked:    k.receiveGossip,
+			Answered: k.receiveReply,
 		})
 		mux := drpcmux.New()
 		assert.NilError(t, k.Register(mux))
@@ -57,20 +57,20 @@
 	return all
 }
 
-func (k *talker) gossip(name string) *wire.Gossip {
+func (k *testEntry) gossip(name string) *wire.Gossip {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return &wire.Gossip{Entry: name, Version: k.version}
 }
 
-func (k *talker) take(g *wire.Gossip) {
+func (k *testEntry) receiveGossip(g *wire.Gossip) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.version = max(k.version, g.Version)
 }
 
-func (k *talker) answer(asked time.Time, g *wire.Gossip) {
-	k.take(g)
+func (k *testEntry) receiveReply(asked time.Time, g *wire.Gossip) {
+	k.receiveGossip(g)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.answered++
@@ -79,42 +79,42 @@
 	}
 }
 
-func (k *talker) counts() (answered, late int) {
+func (k *testEntry) counts() (answered, late int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.answered, k.late
 }
 
-func (k *talker) setVersion(v uint64) {
+func (k *testEntry) setVersion(v uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.version = v
 }
 
-// TestExchange passes a version around a cut, at once, and tells when each answer was asked for.
+// TestExchange propagates a version around a network partition, and checks that each reply is reported with a request time before it was built.
 func TestExchange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := fabric.New(time.Millisecond)
-		all := newTalkers(t, f)
+		all := newTestEntries(t, f)
 		f.Cut("e1", "e3")
 		for _, k := range all {
 			k.Start()
 			defer k.server.Close()
 			defer k.Close()
 		}
-		time.Sleep(5*time.Second + 100*time.Millisecond) // between two turns
+		time.Sleep(5*time.Second + 100*time.Millisecond) // between two intervals
 		assert.Equal(t, all[0].Alive(), 1)
 		assert.Equal(t, all[1].Alive(), 2)
 		all[0].setVersion(9)
 		all[0].Poke()
 		time.Sleep(20 * time.Millisecond)
-		assert.Equal(t, all[1].gossip("").Version, uint64(9), "a neighbor is told at once")
+		assert.Equal(t, all[1].gossip("").Version, uint64(9), "a reachable neighbor must have the version at once")
 		time.Sleep(time.Second)
-		assert.Equal(t, all[2].gossip("").Version, uint64(9), "the neighbor beyond the cut is told in turn")
+		assert.Equal(t, all[2].gossip("").Version, uint64(9), "the neighbor behind the partition must have the version after the next interval")
 		for _, k := range all {
 			answered, late := k.counts()
 			assert.Assert(t, answered > 5)
-			assert.Equal(t, late, 0, "an answer is older than it was taken to be")
+			assert.Equal(t, late, 0, "replies were requested no earlier than they were built")
 		}
 	})
 }
