Reword package upstream in the terms of service registries

Readers stumbled over an "upstream's own word" that is taken, held up or brings something back, over entries that are "heard of", and over one-word names (accept, replaced, bar, note, renew).

Renames that matter: Registry.accept is applyAnnouncement, replaced is losesAddress, tooOld is alreadyExpired, lastWord is tombstone, expectExpiry is scheduleExpiry, bar is markIneligible, othersOf is othersInFlight, Slot.note is recordResult, Upstream.heard is announcedAt, and fleet in tests is entryGroup. Messages about announcements name the field and its limit.

--- a/pick/quota.go
+++ b/pick/quota.go
@@ -36,9 +36,9 @@
 // division holds how the slots of each domain are divided between its own entries and others.
 type division struct {
 	entries       []Member
-	local         map[string][]Member
-	reservedShare map[string]float64 // fraction of a domain's slots reserved for its own entries
-	deficit       map[string]float64 // slots that each entry of the domain lacks to its fair share
+	local         map[string][]Member // entries by domain
+	reservedShare map[string]float64  // fraction of a domain's slots reserved for its own entries
+	deficit       map[string]float64  // slots that each entry of the domain lacks to its fair share
 }
 
 func divide(entries []Member, upstreams []Share) *division {
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -9,10 +9,10 @@
 	"daisyswitch/wire"
 )
 
-// Path is where an upstream posts its announcement each second.
+// Path is the HTTP path to which an upstream posts its announcement each second.
 const Path = "/v1/upstreams"
 
-// Limits of an announcement's parts.
+// Limits and defaults of an announcement's fields.
 const (
 	MaxAnnouncementBytes = 64 << 10
 	maxNameBytes         = 256
@@ -22,37 +22,37 @@
 	defaultConnections   = 64
 )
 
-// Announcement is the body of a post to Path: an upstream's word about itself.
+// Announcement is the JSON body of a POST to Path, in which an upstream describes itself.
 type Announcement struct {
-	ID          string   `json:"id"`      // name and incarnation, new with each start
+	ID          string   `json:"id"`      // name and incarnation; a restarted upstream uses a new ID
 	Address     string   `json:"address"` // IP:port
 	Domain      string   `json:"domain"`
 	Classes     []string `json:"classes"`
-	Slots       int32    `json:"slots"`       // requests run at a time, 8 if left out
-	Connections int32    `json:"connections"` // open at a time from all entries together, 64 if left out
-	Sequence    uint64   `json:"sequence"`    // grows with each announcement
+	Slots       int32    `json:"slots"`       // requests run concurrently, 8 if omitted
+	Connections int32    `json:"connections"` // maximum open connections from all entries together, 64 if omitted
+	Sequence    uint64   `json:"sequence"`    // increases with each announcement
 	Leaving     bool     `json:"leaving,omitempty"`
-	Instance    string   `json:"instance,omitempty"` // worker whose machine it shares
+	Instance    string   `json:"instance,omitempty"` // worker on the same machine
 }
 
-// ParseAnnouncement reads and checks the body of a post.
+// ParseAnnouncement parses and validates the body of a POST to Path.
 func ParseAnnouncement(body []byte) (*Announcement, error) {
 	a := &Announcement{Slots: defaultSlots, Connections: defaultConnections}
 	if err := json.Unmarshal(body, a); err != nil {
 		return nil, fmt.Errorf("announcement: %w", err)
 	}
-	if err := a.check(); err != nil {
+	if err := a.validate(); err != nil {
 		return nil, fmt.Errorf("announcement: %w", err)
 	}
 	return a, nil
 }
 
-func (a *Announcement) check() error {
+func (a *Announcement) validate() error {
 	if !validName(a.ID) || !validName(a.Domain) {
 		return errors.New("id and domain must have 1 to 256 bytes")
 	}
 	if len(a.Instance) > maxNameBytes {
-		return errors.New("instance is too long")
+		return errors.New("instance must have at most 256 bytes")
 	}
 	if _, err := netip.ParseAddrPort(a.Address); err != nil {
 		return fmt.Errorf("address: %w", err)
@@ -61,11 +61,11 @@
 		return errors.New("slots and connections must be 1 to 65536")
 	}
 	if len(a.Classes) == 0 || len(a.Classes) > maxClasses {
-		return errors.New("1 to 256 classes are wanted")
+		return errors.New("classes must list 1 to 256 classes")
 	}
 	for _, class := range a.Classes {
 		if !validName(class) {
-			return errors.New("a class must have 1 to 256 bytes")
+			return errors.New("each class name must have 1 to 256 bytes")
 		}
 	}
 	return nil
--- a/upstream/counts.go
+++ b/upstream/counts.go
@@ -2,29 +2,29 @@
 
 import "time"
 
-// Counts sums up the upstreams that an entry knows.
+// Counts holds the numbers of upstreams by state, and this entry's load on them.
 type Counts struct {
-	Usable      int // get requests
-	Ejected     int // get none for a while, because they failed or were slow
-	Out         int // stand in domains out of service
-	Leaving     int // have said that they leave
-	InFlight    int // requests of this entry
-	Connections int // of this entry
+	Usable      int // eligible for requests
+	Ejected     int // temporarily excluded because they failed or were slow
+	Out         int // in domains that are out of service
+	Leaving     int // have announced that they are leaving
+	InFlight    int // requests of this entry in flight
+	Connections int // open connections of this entry
 }
 
-// Counts returns the present sums.
+// Counts returns the current counts.
 func (r *Registry) Counts() Counts {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(time.Now())
 	var c Counts
-	for _, u := range r.order {
+	for _, u := range r.sorted {
 		c.InFlight += int(u.Own)
 		c.Connections += u.pool.Open()
 		switch {
 		case u.Leaving:
 			c.Leaving++
-		case u.out:
+		case u.domainOut:
 			c.Out++
 		case u.Ejected:
 			c.Ejected++
--- a/upstream/doc.go
+++ b/upstream/doc.go
@@ -1,3 +1,3 @@
-// Package upstream is what an entry knows of the upstreams: who announced itself, who is leaving, how busy each is, and the connections to it.
-// It speaks to upstreams, which post announcements over HTTP, and shares what it hears with other entries through package neighbor.
+// Package upstream implements an entry's registry of upstreams: their announcements, whether they are leaving, their load, and the connections to them.
+// Upstreams post announcements over HTTP; entries share them through package neighbor.
 package upstream
--- a/upstream/handler.go
+++ b/upstream/handler.go
@@ -8,7 +8,7 @@
 	"daisyswitch/event"
 )
 
-// Handler returns the handler of posts to Path.
+// Handler returns the HTTP handler for POST requests to Path.
 func (r *Registry) Handler() http.Handler {
 	return http.HandlerFunc(r.serve)
 }
@@ -16,7 +16,7 @@
 func (r *Registry) serve(w http.ResponseWriter, req *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, MaxAnnouncementBytes))
 	if err != nil {
-		http.Error(w, "announcement is too long or incomplete", http.StatusBadRequest)
+		http.Error(w, "announcement is incomplete or exceeds 65536 bytes", http.StatusBadRequest)
 		return
 	}
 	a, err := ParseAnnouncement(body)
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -7,19 +7,19 @@
 	"daisyswitch/wire"
 )
 
-// entryLoads is what another entry last reported.
+// entryLoads is the load last reported by another entry.
 type entryLoads struct {
-	domain   string
-	at       time.Time
-	inFlight map[string]int32 // by upstream
+	domain     string
+	receivedAt time.Time
+	inFlight   map[string]int32 // by upstream
 }
 
-// Loads returns this entry's own load on each upstream that it uses.
+// Loads returns this entry's load on each upstream to which it has requests or connections.
 func (r *Registry) Loads() []*wire.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []*wire.Load
-	for _, u := range r.order {
+	for _, u := range r.sorted {
 		open := int32(u.pool.Open())
 		if u.Own > 0 || open > 0 {
 			list = append(list, &wire.Load{Id: u.ID, InFlight: u.Own, Connections: open})
@@ -28,17 +28,17 @@
 	return list
 }
 
-// SetLoads takes the loads of another entry, which also tells that the entry lives.
+// SetLoads stores the loads reported by another entry. A report also keeps that entry among those that share the slots.
 func (r *Registry) SetLoads(entry, domain string, now time.Time, loads []*wire.Load) {
-	l := &entryLoads{domain: domain, at: now, inFlight: make(map[string]int32, len(loads))}
+	l := &entryLoads{domain: domain, receivedAt: now, inFlight: make(map[string]int32, len(loads))}
 	for _, load := range loads {
 		l.inFlight[load.GetId()] = max(load.GetInFlight(), 0)
 	}
 	r.mu.Lock()
 	known := r.loads[entry]
 	r.loads[entry] = l
-	r.expectExpiry(now.Add(loadTTL))
-	r.countOthers()
+	r.scheduleExpiry(now.Add(loadTTL))
+	r.updateOthers()
 	if known == nil || known.domain != domain {
 		r.setQuotas()
 	}
@@ -46,30 +46,30 @@
 	r.changed()
 }
 
-// expireLoads forgets entries that went silent; called with the lock held.
+// expireLoads removes entries whose last report has expired; called with the lock held.
 func (r *Registry) expireLoads(now time.Time) {
 	removed := false
 	for entry, l := range r.loads {
-		if now.Sub(l.at) > loadTTL {
+		if now.Sub(l.receivedAt) > loadTTL {
 			delete(r.loads, entry)
 			removed = true
 			continue
 		}
-		r.expectExpiry(l.at.Add(loadTTL))
+		r.scheduleExpiry(l.receivedAt.Add(loadTTL))
 	}
 	if removed {
-		r.countOthers()
+		r.updateOthers()
 		r.setQuotas()
 	}
 }
 
-func (r *Registry) countOthers() {
-	for _, u := range r.order {
-		u.Others = r.othersOf(u.ID)
+func (r *Registry) updateOthers() {
+	for _, u := range r.sorted {
+		u.Others = r.othersInFlight(u.ID)
 	}
 }
 
-func (r *Registry) othersOf(id string) int32 {
+func (r *Registry) othersInFlight(id string) int32 {
 	var sum int32
 	for _, l := range r.loads {
 		sum += l.inFlight[id]
@@ -77,7 +77,7 @@
 	return sum
 }
 
-// setQuotas divides the slots of the upstreams that take requests among the live entries; called with the lock held.
+// setQuotas divides the slots of the upstreams that accept requests among the live entries; called with the lock held.
 func (r *Registry) setQuotas() {
 	self := pick.Member{Name: r.options.Name, Domain: r.options.Domain}
 	entries := []pick.Member{self}
@@ -86,9 +86,9 @@
 	}
 	var sharing []*Upstream
 	var shares []pick.Share
-	for _, u := range r.order {
+	for _, u := range r.sorted {
 		u.Quota = 0
-		if !u.Leaving && !u.out {
+		if !u.Leaving && !u.domainOut {
 			sharing = append(sharing, u)
 			shares = append(shares, pick.Share{ID: u.ID, Domain: u.Domain, Slots: u.Candidate.Slots})
 		}
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -13,78 +13,78 @@
 )
 
 const (
-	announcementTTL = 3 * time.Second
-	maintainEvery   = 200 * time.Millisecond
-	tombstoneTTL    = 60 * time.Second // how long a leaving upstream is remembered, so that an older word cannot bring it back
-	loadTTL         = 3 * time.Second  // after which another entry's loads, and its share of the slots, are forgotten
+	announcementTTL  = 3 * time.Second
+	maintainInterval = 200 * time.Millisecond
+	tombstoneTTL     = 60 * time.Second // how long a removed or leaving upstream is remembered, so that an older announcement cannot add it again
+	loadTTL          = 3 * time.Second  // after which another entry's reported loads and its quotas expire
 )
 
-// Options says who the entry is and how it connects; zero values take the defaults.
+// Options identifies the entry and configures its connections; zero values of Transport take its defaults.
 type Options struct {
 	Name      string // of this entry
 	Domain    string // of this entry
-	Entries   int    // configured entries, this one included; at least 1
-	Seed      uint64 // of ties between equal candidates
+	Entries   int    // number of configured entries including this one, at least 1
+	Seed      uint64 // seed for breaking ties between equal candidates
 	Transport transport.Options
 }
 
-// Registry holds the upstreams that an entry knows. Its lock comes before those of the pools.
+// Registry holds the upstreams known to an entry. Its lock is acquired before those of the connection pools.
 type Registry struct {
 	options Options
 	changed func()
 
-	mu            sync.Mutex
-	rng           *rand.Rand
-	upstreams     map[string]*Upstream // by id
-	order         []*Upstream          // by id, for stable picking
-	candidates    []*pick.Candidate    // of order
-	expired       map[string]lastWord  // upstreams that went silent, by id
-	loads         map[string]*entryLoads
-	entries       int
-	configuration *wire.Configuration
-	maintained    time.Time
-	nextExpiry    time.Time // no word expires before
-	started       time.Time
-	closed        bool
+	mu             sync.Mutex
+	rng            *rand.Rand
+	upstreams      map[string]*Upstream // by id
+	sorted         []*Upstream          // sorted by id, so that selection is deterministic
+	candidates     []*pick.Candidate    // in the order of sorted
+	tombstones     map[string]tombstone // removed upstreams, by id
+	loads          map[string]*entryLoads
+	entries        int
+	configuration  *wire.Configuration
+	lastMaintained time.Time
+	nextExpiry     time.Time // no announcement or load report expires before this time
+	started        time.Time
+	closed         bool
 }
 
 // New returns an empty registry.
 func New(o Options) *Registry {
 	return &Registry{
-		options:   o,
-		rng:       rand.New(rand.NewPCG(o.Seed, 0)),
-		upstreams: map[string]*Upstream{},
-		expired:   map[string]lastWord{},
-		loads:     map[string]*entryLoads{},
-		changed:   func() {},
-		entries:   max(o.Entries, 1),
-		started:   time.Now(),
+		options:    o,
+		rng:        rand.New(rand.NewPCG(o.Seed, 0)),
+		upstreams:  map[string]*Upstream{},
+		tombstones: map[string]tombstone{},
+		loads:      map[string]*entryLoads{},
+		changed:    func() {},
+		entries:    max(o.Entries, 1),
+		started:    time.Now(),
 	}
 }
 
-// SetChanged sets what is called, without locks held, when an upstream may have become free; it must be set before the registry is used.
+// SetChanged sets the callback for when a slot may have become free. It is called without locks held and must be set before the registry is used.
 func (r *Registry) SetChanged(changed func()) {
 	r.changed = changed
 }
 
-// SetEntries says how many entries are configured, which bounds the connections of each.
-// The count is of all configured entries, not of those heard of: the bound must also hold while a cut hides some.
+// SetEntries sets the number of configured entries, which limits the connections of each.
+// It counts all configured entries, not only the live ones, because the limit must also hold during a network partition.
 func (r *Registry) SetEntries(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.entries = max(n, 1)
-	for _, u := range r.order {
+	for _, u := range r.sorted {
 		r.setLimit(u)
 	}
 }
 
-// SetConfiguration takes the domains out from an accepted configuration; an older version is ignored.
+// SetConfiguration applies which domains are out of service from a committed configuration; an older version is ignored.
 func (r *Registry) SetConfiguration(c *wire.Configuration) {
 	r.mu.Lock()
 	if c.GetVersion() >= r.configuration.GetVersion() {
 		r.configuration = c
-		for _, u := range r.order {
-			u.out = r.isOut(u.Domain)
+		for _, u := range r.sorted {
+			u.domainOut = r.isDomainOut(u.Domain)
 		}
 		r.setQuotas()
 	}
@@ -92,8 +92,8 @@
 	r.changed()
 }
 
-// isOut is called with the lock held.
-func (r *Registry) isOut(domain string) bool {
+// isDomainOut reports whether the domain is out of service; called with the lock held.
+func (r *Registry) isDomainOut(domain string) bool {
 	for _, d := range r.configuration.GetDomains() {
 		if d.GetName() == domain {
 			return d.GetOut()
@@ -102,70 +102,71 @@
 	return false
 }
 
-// Announce takes an upstream's own word at the time that it arrived.
+// Announce applies an announcement received from the upstream itself at now.
 func (r *Registry) Announce(now time.Time, a *Announcement) {
 	r.mu.Lock()
-	r.accept(now, now, a)
+	r.applyAnnouncement(now, now, a)
 	r.mu.Unlock()
 	r.changed()
 }
 
-// Merge takes announcements relayed by another entry.
-// Since ages say nothing of the time on the way, asked must be a time before the other entry wrote its message, such as when this one asked for it.
+// Merge applies announcements relayed by another entry.
+// Their ages don't include the network delay. Therefore asked must be a time before the other entry built its message, such as when this one requested it.
 func (r *Registry) Merge(asked time.Time, relayed []*wire.Announcement) {
 	r.mu.Lock()
 	now := time.Now()
 	for _, m := range relayed {
 		a := fromWire(m)
-		if a.check() == nil && m.GetAgeMs() >= 0 {
-			r.accept(now, asked.Add(-time.Duration(m.GetAgeMs())*time.Millisecond), a)
+		if a.validate() == nil && m.GetAgeMs() >= 0 {
+			r.applyAnnouncement(now, asked.Add(-time.Duration(m.GetAgeMs())*time.Millisecond), a)
 		}
 	}
 	r.mu.Unlock()
 	r.changed()
 }
 
-// Announcements returns what is known with its age at now, leaving upstreams included.
+// Announcements returns all known announcements with their ages at now, including those of leaving upstreams.
 func (r *Registry) Announcements(now time.Time) []*wire.Announcement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
-	list := make([]*wire.Announcement, 0, len(r.order))
-	for _, u := range r.order {
-		age := now.Sub(u.heard).Milliseconds() + 1 // rounded up, since an age must never be too small
+	list := make([]*wire.Announcement, 0, len(r.sorted))
+	for _, u := range r.sorted {
+		age := now.Sub(u.announcedAt).Milliseconds() + 1 // rounded up, since an age must never be understated
 		list = append(list, u.wire(age))
 	}
 	return list
 }
 
-// accept is called with the lock held; heard is when the upstream itself spoke.
-func (r *Registry) accept(now, heard time.Time, a *Announcement) {
+// applyAnnouncement applies an announcement that the upstream sent at announcedAt; called with the lock held.
+func (r *Registry) applyAnnouncement(now, announcedAt time.Time, a *Announcement) {
 	r.expire(now)
 	u := r.upstreams[a.ID]
 	switch {
-	case u != nil && u.supersedes(a, heard):
+	case u != nil && u.supersedes(a, announcedAt):
 		return
 	case u != nil:
-		u.renew(a, heard)
+		u.update(a, announcedAt)
 		if u.Leaving {
 			r.setQuotas()
 		}
-	case now.Sub(heard) > ttl(a), r.closed, r.tooOld(a, heard.Before(now)), r.replaced(a, heard):
+	case now.Sub(announcedAt) > announcementLifetime(a), r.closed, r.alreadyExpired(a, announcedAt.Before(now)), r.losesAddress(a, announcedAt):
 		return
 	default:
-		u = r.add(a, heard)
+		u = r.addUpstream(a, announcedAt)
 	}
 	r.setLimit(u)
-	r.expectExpiry(u.heard.Add(ttl(&u.Announcement)))
+	r.scheduleExpiry(u.announcedAt.Add(announcementLifetime(&u.Announcement)))
 }
 
-// replaced settles which of two upstreams has an address: the one heard of last. It reports whether that is not a.
-func (r *Registry) replaced(a *Announcement, heard time.Time) bool {
-	for _, u := range r.order {
+// losesAddress resolves two upstreams with the same address in favor of the later announcement and marks the other as leaving.
+// It reports whether the later announcement is not a.
+func (r *Registry) losesAddress(a *Announcement, announcedAt time.Time) bool {
+	for _, u := range r.sorted {
 		if u.Address != a.Address {
 			continue
 		}
-		if !u.Leaving && u.heard.After(heard) {
+		if !u.Leaving && u.announcedAt.After(announcedAt) {
 			return true
 		}
 		u.Leaving = true
@@ -173,29 +174,29 @@
 	return false
 }
 
-func (r *Registry) add(a *Announcement, heard time.Time) *Upstream {
-	u := newUpstream(a, heard, r.options.Transport)
-	u.Others = r.othersOf(a.ID)
-	u.out = r.isOut(a.Domain)
+func (r *Registry) addUpstream(a *Announcement, announcedAt time.Time) *Upstream {
+	u := newUpstream(a, announcedAt, r.options.Transport)
+	u.Others = r.othersInFlight(a.ID)
+	u.domainOut = r.isDomainOut(a.Domain)
 	r.upstreams[a.ID] = u
-	r.reorder()
+	r.rebuildSorted()
 	event.UpstreamAdded.Info("upstream", a.ID, "address", a.Address, "domain", a.Domain)
 	return u
 }
 
-// lastWord is what is remembered of an upstream that went silent, so that no word from before, held up on its way, brings it back.
-type lastWord struct {
-	sequence uint64
-	at       time.Time
+// tombstone remembers a removed upstream. It prevents a delayed older announcement from adding the upstream again.
+type tombstone struct {
+	sequence  uint64
+	removedAt time.Time
 }
 
-// tooOld reports whether a newer word of the same upstream, or the same one relayed, has already expired; called with the lock held.
-func (r *Registry) tooOld(a *Announcement, relayed bool) bool {
-	last, known := r.expired[a.ID]
+// alreadyExpired reports whether a newer announcement of the upstream, or the same one if a is relayed, has already expired; called with the lock held.
+func (r *Registry) alreadyExpired(a *Announcement, relayed bool) bool {
+	last, known := r.tombstones[a.ID]
 	return known && (a.Sequence < last.sequence || relayed && a.Sequence == last.sequence)
 }
 
-// expire forgets what was not renewed in time; called with the lock held.
+// expire removes upstreams and load reports that were not renewed in time; called with the lock held.
 func (r *Registry) expire(now time.Time) {
 	r.maintain(now)
 	if !now.After(r.nextExpiry) {
@@ -204,43 +205,43 @@
 	r.nextExpiry = now.Add(announcementTTL)
 	removed := false
 	for id, u := range r.upstreams {
-		expiry := u.heard.Add(ttl(&u.Announcement))
+		expiry := u.announcedAt.Add(announcementLifetime(&u.Announcement))
 		if now.After(expiry) {
 			u.pool.Close()
 			delete(r.upstreams, id)
 			removed = true
-			r.expired[id] = lastWord{sequence: u.Sequence, at: now}
+			r.tombstones[id] = tombstone{sequence: u.Sequence, removedAt: now}
 			event.UpstreamRemoved.Info("upstream", id, "leaving", u.Leaving)
 			continue
 		}
-		r.expectExpiry(expiry)
+		r.scheduleExpiry(expiry)
 	}
 	if removed {
-		r.reorder()
+		r.rebuildSorted()
 	}
 	r.expireLoads(now)
 }
 
-// expectExpiry makes sure that the next look for expired words is not after the given time; called with the lock held.
-func (r *Registry) expectExpiry(at time.Time) {
+// scheduleExpiry ensures that the next check for expired state is no later than the given time; called with the lock held.
+func (r *Registry) scheduleExpiry(at time.Time) {
 	if at.Before(r.nextExpiry) {
 		r.nextExpiry = at
 	}
 }
 
-// maintain compares the upstreams' health and closes old idle connections, a few times a second; called with the lock held.
+// maintain assesses the upstreams' health, removes old tombstones and closes old idle connections a few times a second; called with the lock held.
 func (r *Registry) maintain(now time.Time) {
-	if now.Sub(r.maintained) < maintainEvery {
+	if now.Sub(r.lastMaintained) < maintainInterval {
 		return
 	}
-	r.maintained = now
-	for id, last := range r.expired {
-		if now.Sub(last.at) > tombstoneTTL {
-			delete(r.expired, id)
+	r.lastMaintained = now
+	for id, last := range r.tombstones {
+		if now.Sub(last.removedAt) > tombstoneTTL {
+			delete(r.tombstones, id)
 		}
 	}
 	r.assess(now)
-	for _, u := range r.order {
+	for _, u := range r.sorted {
 		u.pool.Prune(now)
 	}
 }
@@ -248,7 +249,7 @@
 // assess ejects and readmits upstreams; called with the lock held.
 func (r *Registry) assess(now time.Time) {
 	for _, change := range pick.Assess(now, r.candidates) {
-		u := r.order[change.Index]
+		u := r.sorted[change.Index]
 		if change.Ejected {
 			event.UpstreamEjected.Info("upstream", u.ID, "failures", u.Failures, "latency", u.Latency)
 		} else {
@@ -257,28 +258,28 @@
 	}
 }
 
-func ttl(a *Announcement) time.Duration {
+func announcementLifetime(a *Announcement) time.Duration {
 	if a.Leaving {
 		return tombstoneTTL
 	}
 	return announcementTTL
 }
 
-// reorder rebuilds the list of candidates and the shares of slots; called with the lock held.
-func (r *Registry) reorder() {
-	r.order = r.order[:0:0]
+// rebuildSorted rebuilds the sorted list, the candidates and the quotas; called with the lock held.
+func (r *Registry) rebuildSorted() {
+	r.sorted = r.sorted[:0:0]
 	for _, u := range r.upstreams {
-		r.order = append(r.order, u)
+		r.sorted = append(r.sorted, u)
 	}
-	sort.Slice(r.order, func(i, j int) bool { return r.order[i].ID < r.order[j].ID })
+	sort.Slice(r.sorted, func(i, j int) bool { return r.sorted[i].ID < r.sorted[j].ID })
 	r.candidates = r.candidates[:0:0]
-	for _, u := range r.order {
+	for _, u := range r.sorted {
 		r.candidates = append(r.candidates, &u.Candidate)
 	}
 	r.setQuotas()
 }
 
-// setLimit gives the entry its share of an upstream's connections; called with the lock held.
+// setLimit sets this entry's share of an upstream's connections; called with the lock held.
 func (r *Registry) setLimit(u *Upstream) {
 	limit := u.Connections / int32(r.entries)
 	u.Limit = limit
@@ -286,7 +287,7 @@
 	u.pool.SetLimit(int(limit))
 }
 
-// Close forgets all upstreams and closes idle connections; exchanges in progress end by themselves.
+// Close removes all upstreams and closes idle connections; exchanges in progress are not interrupted.
 func (r *Registry) Close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -295,5 +296,5 @@
 		u.pool.Close()
 		delete(r.upstreams, id)
 	}
-	r.reorder()
+	r.rebuildSorted()
 }
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -35,42 +35,42 @@
 	return &upstream.Announcement{ID: id, Address: "127.0.0.1:1", Domain: domain, Classes: []string{class}, Slots: 8, Connections: 64, Sequence: sequence}
 }
 
-// fleet is a few entries that exchange what they know each second, as package neighbor does.
-type fleet struct {
+// entryGroup is a group of entries that exchange announcements, as package neighbor does.
+type entryGroup struct {
 	entries []*upstream.Registry
 	dead    []bool
 	cut     func(a, b int) bool
-	delay   time.Duration // between the asking and the answer's arrival
+	delay   time.Duration // between a request and the arrival of the reply
 }
 
-func newFleet(n int, domains string) *fleet {
-	f := &fleet{dead: make([]bool, n), cut: func(_, _ int) bool { return false }}
+func newEntryGroup(n int, domains string) *entryGroup {
+	f := &entryGroup{dead: make([]bool, n), cut: func(_, _ int) bool { return false }}
 	for i := range n {
 		f.entries = append(f.entries, upstream.New(upstream.Options{Name: fmt.Sprint("e", i), Domain: string(domains[i%len(domains)]), Entries: n}))
 	}
 	return f
 }
 
-func (f *fleet) exchange() {
+func (f *entryGroup) exchange() {
 	for i, e := range f.entries {
 		for j, other := range f.entries {
 			if i == j || f.dead[i] || f.dead[j] || f.cut(i, j) {
 				continue
 			}
 			asked := time.Now()
-			told := other.Announcements(time.Now())
+			relayed := other.Announcements(time.Now())
 			time.Sleep(f.delay)
-			e.Merge(asked, told)
+			e.Merge(asked, relayed)
 		}
 	}
 }
 
-// TestLeavingUpstreamGetsNothingAfter3s lets only one entry hear that the upstream leaves; in half of the cases it then dies before it can tell.
-// Exchanges are slow, so that ages must count the time on the way.
+// TestLeavingUpstreamGetsNothingAfter3s lets only one entry receive the announcement that the upstream leaves. In one of two cases that entry fails before it can relay it.
+// Exchanges are slow, so that ages must include the network delay.
 func TestLeavingUpstreamGetsNothingAfter3s(t *testing.T) {
 	for _, dies := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(3, "aab")
+			f := newEntryGroup(3, "aab")
 			f.delay = 150 * time.Millisecond
 			for s := uint64(1); s <= 5; s++ {
 				f.entries[0].Announce(time.Now(), announcement("u", "a", s))
@@ -81,18 +81,18 @@
 				assert.Equal(t, availability, upstream.Free, "entry %d", i)
 				slot.Release()
 			}
-			said := time.Now()
+			leftAt := time.Now()
 			leaving := announcement("u", "a", 6)
 			leaving.Leaving = true
-			f.entries[0].Announce(said, leaving)
+			f.entries[0].Announce(leftAt, leaving)
 			f.dead[0] = dies
-			for time.Since(said) < 10*time.Second {
+			for time.Since(leftAt) < 10*time.Second {
 				f.exchange()
 				time.Sleep(50 * time.Millisecond)
 				for i, e := range f.entries {
 					_, availability := e.Take(class, nil)
-					if time.Since(said) > 3*time.Second {
-						assert.Equal(t, availability, upstream.Absent, "entry %d, %v after", i, time.Since(said))
+					if time.Since(leftAt) > 3*time.Second {
+						assert.Equal(t, availability, upstream.Absent, "entry %d, %v after the upstream announced that it leaves", i, time.Since(leftAt))
 					}
 				}
 			}
@@ -100,10 +100,10 @@
 	}
 }
 
-// TestOldWordCannotBringBack sends older, equal and delayed announcements after an upstream left.
+// TestOldWordCannotBringBack checks that older, equal and delayed announcements don't add an upstream again after it left or expired.
 func TestOldWordCannotBringBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		e := newFleet(1, "a").entries[0]
+		e := newEntryGroup(1, "a").entries[0]
 		_, availability := e.Take(class, nil)
 		assert.Equal(t, availability, upstream.Busy, "an entry that has just started must wait for announcements")
 		time.Sleep(3 * time.Second)
@@ -122,13 +122,13 @@
 		e.Merge(time.Now(), []*wire.Announcement{{Id: "w", Address: w.Address, Domain: "b", Classes: []string{class}, Slots: 8, Connections: 64, Sequence: 4}})
 		time.Sleep(2 * time.Second)
 		_, availability = e.Take(class, nil)
-		assert.Equal(t, availability, upstream.Absent, "an older word renewed")
+		assert.Equal(t, availability, upstream.Absent, "an older announcement must not renew the upstream")
 		e.Merge(time.Now(), []*wire.Announcement{{Id: "w", Address: w.Address, Domain: "b", Classes: []string{class}, Slots: 8, Connections: 64, Sequence: 5, AgeMs: 1}})
 		_, availability = e.Take(class, nil)
-		assert.Equal(t, availability, upstream.Absent, "a held-up word brought back")
+		assert.Equal(t, availability, upstream.Absent, "a delayed announcement must not add an expired upstream again")
 		e.Announce(time.Now(), w)
 		_, availability = e.Take(class, []string{"u"})
-		assert.Equal(t, availability, upstream.Free, "its own word was refused")
+		assert.Equal(t, availability, upstream.Free, "an announcement from the upstream itself must be accepted")
 		w.Leaving = true
 		e.Announce(time.Now(), w)
 		e.Merge(time.Now(), []*wire.Announcement{{Id: "v", Address: "127.0.0.1:2", Domain: "a", Classes: []string{class}, Slots: 8, Connections: 64, AgeMs: 2500}})
@@ -138,10 +138,10 @@
 	})
 }
 
-// TestRestartedUpstreamTakesOverItsAddress shows that of two incarnations at one address only the one heard of last gets requests.
+// TestRestartedUpstreamTakesOverItsAddress checks that of two incarnations at one address, only the one announced last receives requests.
 func TestRestartedUpstreamTakesOverItsAddress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		e := newFleet(1, "a").entries[0]
+		e := newEntryGroup(1, "a").entries[0]
 		e.Announce(time.Now(), announcement("u.1", "a", 9))
 		old := e.Announcements(time.Now())
 		time.Sleep(time.Second)
@@ -156,10 +156,11 @@
 	})
 }
 
-// TestCutOffDomainServesItsOwn cuts one domain of three off; it goes on with its own upstreams and configuration, and the cut's end changes neither.
+// TestCutOffDomainServesItsOwn partitions one domain of three from the others. Its entries must continue with their own upstreams and configuration.
+// After the partition heals, the other domains' upstreams must be usable again and an older configuration must be ignored.
 func TestCutOffDomainServesItsOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(9, "abc")
+		f := newEntryGroup(9, "abc")
 		f.cut = func(_, _ int) bool { return false }
 		sequence := uint64(0)
 		second := func() {
@@ -200,26 +201,26 @@
 	})
 }
 
-// TestConnectionsStayWithinTheUpstreams lets nine entries press far more requests on one upstream than it may have connections.
+// TestConnectionsStayWithinTheUpstreams lets nine entries send far more concurrent requests to one upstream than it allows connections.
 func TestConnectionsStayWithinTheUpstreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var open, most atomic.Int64
+		var open, maxOpen atomic.Int64
 		dial := func(context.Context, string) (net.Conn, error) {
 			time.Sleep(time.Millisecond)
-			near, far := net.Pipe()
-			most.Store(max(most.Load(), open.Add(1)))
+			client, server := net.Pipe()
+			maxOpen.Store(max(maxOpen.Load(), open.Add(1)))
 			go func() {
 				defer open.Add(-1)
 				buffer := make([]byte, 4096)
 				for {
-					if _, err := far.Read(buffer); err != nil {
+					if _, err := server.Read(buffer); err != nil {
 						return
 					}
 					time.Sleep(10 * time.Millisecond)
-					io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 				}
 			}()
-			return near, nil
+			return client, nil
 		}
 		var answered atomic.Int64
 		for i := range 9 {
@@ -228,7 +229,7 @@
 			for range 20 {
 				go func() {
 					for range 50 {
-						if press(r) {
+						if sendOne(r) {
 							answered.Add(1)
 						}
 						time.Sleep(time.Millisecond)
@@ -238,13 +239,13 @@
 			defer r.Close()
 		}
 		time.Sleep(2 * time.Second)
-		assert.Assert(t, most.Load() <= 64, "%d connections", most.Load())
+		assert.Assert(t, maxOpen.Load() <= 64, "%d connections", maxOpen.Load())
 		assert.Assert(t, answered.Load() > 500, "%d answers", answered.Load())
 	})
 }
 
-// press sends one request if there is a slot.
-func press(r *upstream.Registry) bool {
+// sendOne sends one request if a slot is free and reports whether it got a complete response.
+func sendOne(r *upstream.Registry) bool {
 	slot, availability := r.Take(class, nil)
 	if availability != upstream.Free {
 		return false
@@ -261,7 +262,7 @@
 }
 
 func TestHandlerChecksAnnouncements(t *testing.T) {
-	r := newFleet(1, "a").entries[0]
+	r := newEntryGroup(1, "a").entries[0]
 	post := func(body string) int {
 		w := httptest.NewRecorder()
 		r.Handler().ServeHTTP(w, httptest.NewRequest("POST", upstream.Path, bytes.NewBufferString(body)))
--- a/upstream/slot.go
+++ b/upstream/slot.go
@@ -11,34 +11,34 @@
 	"daisyswitch/verdict"
 )
 
-// Slot is the right to send one request to one upstream; Release must be called once.
+// Slot is the permission to send one request to one upstream. Release must be called exactly once.
 type Slot struct {
-	registry *Registry
-	upstream *Upstream
-	id       string
-	address  string
-	began    time.Time
+	registry  *Registry
+	upstream  *Upstream
+	id        string
+	address   string
+	startedAt time.Time
 }
 
-// Availability says how the upstreams stand for a class.
+// Availability describes whether a slot was available for a class.
 type Availability int
 
-// What Take finds.
+// Results of Take.
 const (
 	Absent Availability = iota // no upstream serves the class
-	Busy                       // some do, none has a slot free
+	Busy                       // upstreams serve the class, but none has a free slot
 	Free
 )
 
-// Take picks an upstream for the class, other than those skipped, and holds one of its slots.
+// Take selects an upstream for the class, other than those skipped, and reserves one of its slots.
 func (r *Registry) Take(class string, skip []string) (*Slot, Availability) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.expire(now)
-	found := r.bar(class, skip)
+	found := r.markIneligible(class, skip)
 	if !found && len(skip) == 0 && now.Sub(r.started) < announcementTTL {
-		return nil, Busy // those there are may not have been heard of yet
+		return nil, Busy // existing upstreams may not have announced themselves yet
 	}
 	if !found {
 		return nil, Absent
@@ -47,27 +47,27 @@
 	if i == pick.None {
 		return nil, Busy
 	}
-	u := r.order[i]
+	u := r.sorted[i]
 	u.Own++
-	return &Slot{registry: r, upstream: u, id: u.ID, address: u.Address, began: now}, Free
+	return &Slot{registry: r, upstream: u, id: u.ID, address: u.Address, startedAt: now}, Free
 }
 
-// bar marks the candidates that may not be picked and reports whether any other is left; called with the lock held.
-func (r *Registry) bar(class string, skip []string) bool {
+// markIneligible marks the candidates that are not eligible and reports whether any eligible one is left; called with the lock held.
+func (r *Registry) markIneligible(class string, skip []string) bool {
 	found := false
-	for _, u := range r.order {
+	for _, u := range r.sorted {
 		u.Barred = !u.serves(class) || slices.Contains(skip, u.ID)
 		found = found || !u.Barred
 	}
 	return found
 }
 
-// ID returns the id of the slot's upstream.
+// ID returns the ID of the slot's upstream.
 func (s *Slot) ID() string {
 	return s.id
 }
 
-// Address returns where the slot's upstream listens.
+// Address returns the address of the slot's upstream.
 func (s *Slot) Address() string {
 	return s.address
 }
@@ -75,19 +75,19 @@
 // Do sends the request over the entry's connections to the upstream; see transport.Pool.Do for its errors.
 func (s *Slot) Do(ctx context.Context, r *transport.Request) (*transport.Answer, error) {
 	answer, err := s.upstream.pool.Do(ctx, r)
-	s.note(ctx, err)
+	s.recordResult(ctx, err)
 	return answer, err
 }
 
-// note feeds the outcome to the upstream's health.
-func (s *Slot) note(ctx context.Context, err error) {
+// recordResult records the outcome in the upstream's health.
+func (s *Slot) recordResult(ctx context.Context, err error) {
 	if ctx.Err() != nil && errors.Is(err, context.Cause(ctx)) {
 		return
 	}
 	s.registry.mu.Lock()
 	defer s.registry.mu.Unlock()
 	if err == nil {
-		s.upstream.Answered(time.Since(s.began))
+		s.upstream.Answered(time.Since(s.startedAt))
 		return
 	}
 	if verdict.Of(err) != verdict.NotRun || errors.Is(err, transport.ErrDial) {
@@ -96,7 +96,7 @@
 	}
 }
 
-// Release gives the slot back.
+// Release releases the slot.
 func (s *Slot) Release() {
 	s.registry.mu.Lock()
 	s.upstream.Own--
