Name two more fields of neighbor and transport

Exchange.heard is lastReceived, the flag of a failed caller body is callerBody.failed, and the time of a request is requestedAt. The shape check shows that nothing but identifiers differs.

--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -39,9 +39,9 @@
 	wait    group.Group
 	loops   []exchangeLoop
 
-	mu       sync.Mutex
-	versions map[string]uint64    // last received configuration version, by entry
-	heard    map[string]time.Time // time of the last message, by entry
+	mu           sync.Mutex
+	versions     map[string]uint64    // last received configuration version, by entry
+	lastReceived map[string]time.Time // time of the last message, by entry
 }
 
 // New returns an exchange that replies to other entries. It sends messages only after Start.
@@ -50,10 +50,10 @@
 		o.Every = defaultInterval
 	}
 	e := &Exchange{
-		options:  o,
-		cancel:   func() {},
-		versions: map[string]uint64{},
-		heard:    map[string]time.Time{},
+		options:      o,
+		cancel:       func() {},
+		versions:     map[string]uint64{},
+		lastReceived: map[string]time.Time{},
 	}
 	for _, n := range o.Neighbors {
 		if n.Name != o.Name {
@@ -92,8 +92,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	n := 0
-	for _, lastHeard := range e.heard {
-		if time.Since(lastHeard) < aliveTimeout {
+	for _, at := range e.lastReceived {
+		if time.Since(at) < aliveTimeout {
 			n++
 		}
 	}
@@ -124,14 +124,14 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	message := e.options.Ask(e.knownVersion(n.Name))
-	asked := time.Now()
+	requestedAt := time.Now()
 	_ = e.options.Pool.Do(ctx, n.Inner, func(conn *drpcconn.Conn) error {
 		reply, err := wire.NewDRPCNeighborClient(conn).Exchange(ctx, message)
 		if err != nil {
 			return err
 		}
 		e.recordGossip(reply)
-		e.options.Answered(asked, reply)
+		e.options.Answered(requestedAt, reply)
 		return nil
 	})
 }
@@ -146,7 +146,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.versions[g.Entry] = g.Version
-	e.heard[g.Entry] = time.Now()
+	e.lastReceived[g.Entry] = time.Now()
 }
 
 type server struct {
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -68,7 +68,7 @@
 	r.Body = callerBody
 	a.sender.Go(func() {
 		err := a.conn.send(r.Request)
-		if callerBody.broken {
+		if callerBody.failed {
 			a.conn.SetDeadline(expiredDeadline) //nolint:errcheck // a closed connection needs no interrupt
 		}
 		a.sendResult <- err
@@ -159,14 +159,14 @@
 // callerBody records whether reading a streamed body failed, after which no response is awaited.
 type callerBody struct {
 	io.ReadCloser
-	broken bool
+	failed bool
 }
 
 // Read reads the caller's request body.
 func (s *callerBody) Read(p []byte) (int, error) {
 	n, err := s.ReadCloser.Read(p)
 	if err != nil && err != io.EOF {
-		s.broken = true
+		s.failed = true
 	}
 	return n, err
 }
