Reword package worker: polling protocol and batching of reports

Readers stumbled over what a phase, a lease or a size in a report refers to, and over unexported verbs that did not say what they act on. Renames that matter: Front.exchange to sendBatch, Front.take to takePending, Front.add to enqueue, Front.notify to wakeSender, toWire and fromWire to reportToWire and replyFromWire, reportTime to reportTimeout. The comment on OrderStart names the constant that exists, StartWithinMS.

--- a/worker/convert.go
+++ b/worker/convert.go
@@ -8,14 +8,14 @@
 	"daisyswitch/wire"
 )
 
-var phases = map[string]wire.TaskEventKind{
+var eventKinds = map[string]wire.TaskEventKind{
 	PhaseRunning: wire.TaskEventKind_TASK_EVENT_KIND_RUNNING,
 	PhaseDone:    wire.TaskEventKind_TASK_EVENT_KIND_DONE,
 	PhaseFailed:  wire.TaskEventKind_TASK_EVENT_KIND_FAILED,
 	PhaseStopped: wire.TaskEventKind_TASK_EVENT_KIND_STOPPED,
 }
 
-var orderKinds = map[wire.OrderKind]string{
+var orderNames = map[wire.OrderKind]string{
 	wire.OrderKind_ORDER_KIND_START:      OrderStart,
 	wire.OrderKind_ORDER_KIND_THROTTLE:   OrderThrottle,
 	wire.OrderKind_ORDER_KIND_CHECKPOINT: OrderCheckpoint,
@@ -24,12 +24,12 @@
 	wire.OrderKind_ORDER_KIND_RESIZE:     OrderResize,
 }
 
-func toWire(r *Report) (*wire.WorkerReport, error) {
+func reportToWire(r *Report) (*wire.WorkerReport, error) {
 	if r.Domain == "" || r.Incarnation == "" || r.Sequence == 0 {
 		return nil, errors.New("report: domain, incarnation and a sequence above 0 are required")
 	}
 	if !r.Capacity.Valid() {
-		return nil, errors.New("report: capacity must be above 0 in some resource and below 0 in none")
+		return nil, errors.New("report: capacity must be above 0 for at least one resource and must not be negative for any")
 	}
 	out := &wire.WorkerReport{
 		Worker: &wire.WorkerRecord{
@@ -53,9 +53,9 @@
 }
 
 func taskToWire(t *TaskReport) (*wire.TaskReport, error) {
-	phase, known := phases[t.Phase]
+	phase, known := eventKinds[t.Phase]
 	if !known {
-		return nil, fmt.Errorf("report: task %s/%d: phase %q is none of running, done, failed, stopped", t.Job, t.Index, t.Phase)
+		return nil, fmt.Errorf("report: task %s/%d: phase %q is not one of running, done, failed, stopped", t.Job, t.Index, t.Phase)
 	}
 	out := &wire.TaskReport{
 		Task:            &wire.TaskRef{Job: t.Job, Index: t.Index, Attempt: t.Attempt},
@@ -74,7 +74,7 @@
 	return out, nil
 }
 
-func fromWire(r *wire.WorkerReply) *Reply {
+func replyFromWire(r *wire.WorkerReply) *Reply {
 	out := &Reply{LeaseMS: r.LeaseMs, Refusal: r.Refusal, Orders: []Order{}}
 	for _, o := range r.Orders {
 		out.Orders = append(out.Orders, orderFromWire(o))
@@ -84,7 +84,7 @@
 
 func orderFromWire(o *wire.Order) Order {
 	out := Order{
-		Kind:            orderKinds[o.Kind],
+		Kind:            orderNames[o.Kind],
 		Job:             o.Task.GetJob(),
 		Index:           o.Task.GetIndex(),
 		Attempt:         o.Task.GetAttempt(),
--- a/worker/doc.go
+++ b/worker/doc.go
@@ -1,2 +1,2 @@
-// Package worker speaks to workers: the JSON bodies of their polls and the front of an entry that serves them.
+// Package worker defines the JSON polling protocol of workers and serves it in an entry process.
 package worker
--- a/worker/front.go
+++ b/worker/front.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	maxReportBytes = 8 << 20
-	heartbeatEvery = time.Second // a batch goes to control at least this often, with or without reports
-	reportTime     = 900 * time.Millisecond
-	maxSenders     = 2 // batches in progress; reports gather while all are busy
+	maxReportBytes    = 8 << 20
+	heartbeatInterval = time.Second // a batch without reports, which carries the latency samples, goes to control at this interval
+	reportTimeout     = 900 * time.Millisecond
+	maxSenders        = 2 // concurrent batches; polls wait for the next batch while all senders are busy
 )
 
 // Options configures a Front.
@@ -28,11 +28,11 @@
 	Entry   string
 	Domain  string
 	Report  func(context.Context, *wire.ReportBatch) (*wire.ReportBatchReply, error)
-	Version func() uint64                // configuration version in force at this entry
-	Samples func() []*wire.ServiceSample // what callers saw since the last call
+	Version func() uint64                // configuration version active at this entry
+	Samples func() []*wire.ServiceSample // latencies of callers' requests since the last call
 }
 
-// Front gathers workers' polls into batches, so that control's fan-in grows with entries and not with workers.
+// Front sends workers' polls to control in batches, so that control's request rate grows with the number of entries and not of workers.
 type Front struct {
 	options Options
 	cancel  context.CancelFunc
@@ -46,44 +46,44 @@
 
 type poll struct {
 	report *wire.WorkerReport
-	answer chan answer
+	result chan result
 }
 
-type answer struct {
+type result struct {
 	reply *wire.WorkerReply
 	err   error
 }
 
-// New starts the senders of a front.
+// New returns a front and starts its goroutines, which send batches to control until Close.
 func New(o Options) *Front {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Front{options: o, ctx: ctx, cancel: cancel, wake: make(chan struct{}, maxSenders)}
-	f.wait.Go(f.heartbeat)
+	f.wait.Go(f.sendHeartbeats)
 	for range maxSenders {
-		f.wait.Go(f.send)
+		f.wait.Go(f.sendPending)
 	}
 	return f
 }
 
 // Poll answers one worker's poll with its lease and orders.
 func (f *Front) Poll(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	report, err := decode(w, r, params.ByName("name"))
+	report, err := decodeReport(w, r, params.ByName("name"))
 	if err != nil {
-		fail(w, http.StatusBadRequest, verdict.New(verdict.NotRun, err.Error(), nil))
+		writeRefusal(w, http.StatusBadRequest, verdict.New(verdict.NotRun, err.Error(), nil))
 		return
 	}
-	p := &poll{report: report, answer: make(chan answer, 1)}
-	f.add(p)
+	p := &poll{report: report, result: make(chan result, 1)}
+	f.enqueue(p)
 	select {
-	case a := <-p.answer:
-		f.respond(w, a)
+	case a := <-p.result:
+		f.writeReply(w, a)
 	case <-r.Context().Done():
 	case <-f.ctx.Done():
-		fail(w, http.StatusServiceUnavailable, verdict.New(verdict.Unknown, "this entry is stopping", nil))
+		writeRefusal(w, http.StatusServiceUnavailable, verdict.New(verdict.Unknown, "this entry is stopping", nil))
 	}
 }
 
-func decode(w http.ResponseWriter, r *http.Request, name string) (*wire.WorkerReport, error) {
+func decodeReport(w http.ResponseWriter, r *http.Request, name string) (*wire.WorkerReport, error) {
 	var report Report
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxReportBytes))
 	decoder.DisallowUnknownFields()
@@ -91,64 +91,64 @@
 		return nil, fmt.Errorf("report: %w", err)
 	}
 	if report.Name != name {
-		return nil, fmt.Errorf("report: name %q is not the path's %q", report.Name, name)
+		return nil, fmt.Errorf("report: name %q does not match the name %q in the path", report.Name, name)
 	}
-	return toWire(&report)
+	return reportToWire(&report)
 }
 
-func (f *Front) respond(w http.ResponseWriter, a answer) {
+func (f *Front) writeReply(w http.ResponseWriter, a result) {
 	if a.err != nil {
 		var known *verdict.Error
 		if !errors.As(a.err, &known) {
 			known = verdict.New(verdict.Unknown, "control gave no answer", a.err)
 		}
-		fail(w, http.StatusServiceUnavailable, known)
+		writeRefusal(w, http.StatusServiceUnavailable, known)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(fromWire(a.reply))
+	_ = json.NewEncoder(w).Encode(replyFromWire(a.reply))
 }
 
-func fail(w http.ResponseWriter, status int, err *verdict.Error) {
+func writeRefusal(w http.ResponseWriter, status int, err *verdict.Error) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Daisyswitch-Verdict", err.Verdict.String())
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(Reply{Refusal: err.Error()})
 }
 
-func (f *Front) add(p *poll) {
+func (f *Front) enqueue(p *poll) {
 	f.mu.Lock()
 	f.pending = append(f.pending, p)
 	f.mu.Unlock()
-	f.notify()
+	f.wakeSender()
 }
 
-func (f *Front) notify() {
+func (f *Front) wakeSender() {
 	select {
 	case f.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (f *Front) heartbeat() {
-	ticker := time.NewTicker(heartbeatEvery)
+func (f *Front) sendHeartbeats() {
+	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			f.exchange(nil, f.options.Samples())
+			f.sendBatch(nil, f.options.Samples())
 		case <-f.ctx.Done():
 			return
 		}
 	}
 }
 
-func (f *Front) send() {
+func (f *Front) sendPending() {
 	for {
 		select {
 		case <-f.wake:
-			if polls := f.take(); len(polls) > 0 {
-				f.exchange(polls, nil)
+			if polls := f.takePending(); len(polls) > 0 {
+				f.sendBatch(polls, nil)
 			}
 		case <-f.ctx.Done():
 			return
@@ -156,7 +156,7 @@
 	}
 }
 
-func (f *Front) take() []*poll {
+func (f *Front) takePending() []*poll {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	polls := f.pending
@@ -164,9 +164,9 @@
 	return polls
 }
 
-// exchange sends one batch and hands each poll its own reply.
-func (f *Front) exchange(polls []*poll, samples []*wire.ServiceSample) {
-	ctx, cancel := context.WithTimeout(f.ctx, reportTime)
+// sendBatch sends one batch to control and delivers to each poll its own reply, or the error of the batch to all.
+func (f *Front) sendBatch(polls []*poll, samples []*wire.ServiceSample) {
+	ctx, cancel := context.WithTimeout(f.ctx, reportTimeout)
 	defer cancel()
 	batch := &wire.ReportBatch{Entry: f.options.Entry, Domain: f.options.Domain, Version: f.options.Version(), Samples: samples}
 	for _, p := range polls {
@@ -178,14 +178,14 @@
 	}
 	for i, p := range polls {
 		if err != nil {
-			p.answer <- answer{err: err}
+			p.result <- result{err: err}
 			continue
 		}
-		p.answer <- answer{reply: reply.Replies[i]}
+		p.result <- result{reply: reply.Replies[i]}
 	}
 }
 
-// Close ends the senders and waits.
+// Close stops the front's goroutines and waits for them; open polls are answered with 503.
 func (f *Front) Close() error {
 	f.cancel()
 	f.wait.Wait()
--- a/worker/front_test.go
+++ b/worker/front_test.go
@@ -21,7 +21,7 @@
 
 type reportFunc func(context.Context, *wire.ReportBatch) (*wire.ReportBatchReply, error)
 
-func front(t *testing.T, report reportFunc) http.Handler {
+func newHandler(t *testing.T, report reportFunc) http.Handler {
 	f := worker.New(worker.Options{
 		Entry:   "e1",
 		Domain:  "cebu",
@@ -41,13 +41,13 @@
 	return w
 }
 
-func body(name string) string {
+func reportBody(name string) string {
 	return fmt.Sprintf(`{"name": %q, "domain": "cebu", "incarnation": "i", "sequence": 1, "capacity": {"milli_cpu": 1000}, "tasks": []}`, name)
 }
 
-// TestEachPollGetsItsOwnReply has many workers poll at once; the reply to each names it.
+// TestEachPollGetsItsOwnReply guards against replies of a batch that reach the wrong poll: 100 workers poll at once, and each reply carries the worker's name.
 func TestEachPollGetsItsOwnReply(t *testing.T) {
-	h := front(t, func(_ context.Context, b *wire.ReportBatch) (*wire.ReportBatchReply, error) {
+	h := newHandler(t, func(_ context.Context, b *wire.ReportBatch) (*wire.ReportBatchReply, error) {
 		reply := &wire.ReportBatchReply{}
 		for _, r := range b.Reports {
 			reply.Replies = append(reply.Replies, &wire.WorkerReply{LeaseMs: 5000, Refusal: r.Worker.Name})
@@ -58,7 +58,7 @@
 	for i := range 100 {
 		wait.Go(func() {
 			name := fmt.Sprintf("w%d", i)
-			w := poll(h, name, body(name))
+			w := poll(h, name, reportBody(name))
 			var reply worker.Reply
 			assert.Check(t, json.Unmarshal(w.Body.Bytes(), &reply))
 			assert.Check(t, reply.Refusal == name && reply.LeaseMS == 5000, w.Body.String())
@@ -68,28 +68,28 @@
 }
 
 func TestNoAnswerGivesNoLease(t *testing.T) {
-	h := front(t, func(context.Context, *wire.ReportBatch) (*wire.ReportBatchReply, error) {
+	h := newHandler(t, func(context.Context, *wire.ReportBatch) (*wire.ReportBatchReply, error) {
 		return nil, verdict.New(verdict.Unknown, "lost", errors.New("reset"))
 	})
-	w := poll(h, "w1", body("w1"))
+	w := poll(h, "w1", reportBody("w1"))
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
 	assert.Equal(t, w.Header().Get("Daisyswitch-Verdict"), "unknown")
 	assert.Assert(t, strings.Contains(w.Body.String(), `"lease_ms":0`))
 }
 
 func TestBadReportsAreRefused(t *testing.T) {
-	h := front(t, func(context.Context, *wire.ReportBatch) (*wire.ReportBatchReply, error) {
-		t.Error("a bad report reached control")
+	h := newHandler(t, func(context.Context, *wire.ReportBatch) (*wire.ReportBatchReply, error) {
+		t.Error("an invalid report reached control")
 		return nil, errors.New("unexpected")
 	})
-	for _, bad := range []string{
-		"", "{", `{"name": "other"}`, body("w1")[:40], `{"nom": "w1"}`,
-		strings.Replace(body("w1"), "1000", "-5", 1),
-		strings.Replace(body("w1"), `"sequence": 1`, `"sequence": 0`, 1),
-		strings.Replace(body("w1"), `[]`, `[{"job": "j", "phase": "flying"}]`, 1),
+	for _, invalid := range []string{
+		"", "{", `{"name": "other"}`, reportBody("w1")[:40], `{"nom": "w1"}`,
+		strings.Replace(reportBody("w1"), "1000", "-5", 1),
+		strings.Replace(reportBody("w1"), `"sequence": 1`, `"sequence": 0`, 1),
+		strings.Replace(reportBody("w1"), `[]`, `[{"job": "j", "phase": "flying"}]`, 1),
 	} {
-		w := poll(h, "w1", bad)
-		assert.Equal(t, w.Code, http.StatusBadRequest, bad)
-		assert.Equal(t, w.Header().Get("Daisyswitch-Verdict"), "not-run", bad)
+		w := poll(h, "w1", invalid)
+		assert.Equal(t, w.Code, http.StatusBadRequest, invalid)
+		assert.Equal(t, w.Header().Get("Daisyswitch-Verdict"), "not-run", invalid)
 	}
 }
--- a/worker/protocol.go
+++ b/worker/protocol.go
@@ -2,27 +2,27 @@
 
 import "daisyswitch/resource"
 
-// PollPath is where a worker posts its report and is answered with orders.
+// PollPath is the path of the endpoint to which a worker posts its report and which replies with orders.
 const PollPath = "/v1/workers/:name/poll"
 
-// Report is the body of a poll: all that the worker holds and how it fares.
+// Report is the body of a poll: the worker's capacity and the state of all its attempts.
 type Report struct {
 	Name        string        `json:"name"`
 	Domain      string        `json:"domain"`
 	Rack        string        `json:"rack"`
 	Incarnation string        `json:"incarnation"` // new with each start of the worker's process
-	Sequence    uint64        `json:"sequence"`    // grows by one with each poll; one poll is open at a time
+	Sequence    uint64        `json:"sequence"`    // increases by one with each poll; a worker has one poll open at a time
 	Capacity    resource.Size `json:"capacity"`
 	Leaving     bool          `json:"leaving,omitempty"`
-	Tasks       []TaskReport  `json:"tasks"` // running ones, and ended ones until told to forget them
+	Tasks       []TaskReport  `json:"tasks"` // running attempts, and ended ones until an order to forget them
 }
 
-// The phases of a task as its worker knows it.
+// The phases of an attempt, as its worker reports them.
 const (
 	PhaseRunning = "running"
 	PhaseDone    = "done"
 	PhaseFailed  = "failed"
-	PhaseStopped = "stopped" // by order or at the lease's end, with its last checkpoint
+	PhaseStopped = "stopped" // by an order or because the lease expired; reported with the last checkpoint
 )
 
 // TaskReport is the state of one attempt on a worker.
@@ -31,37 +31,37 @@
 	Index           int32         `json:"index"`
 	Attempt         uint32        `json:"attempt"`
 	Phase           string        `json:"phase"`
-	Used            resource.Size `json:"used"`                       // measured some time ago
-	Size            resource.Size `json:"size,omitzero"`              // as last told; a worker that leaves it out is told of no other
+	Used            resource.Size `json:"used"`                       // usage; the measurement may be some time old
+	Size            resource.Size `json:"size,omitzero"`              // as last ordered; a worker that omits it receives no resize orders
 	Checkpoint      uint64        `json:"checkpoint,omitempty"`       // sequence of the last checkpoint, 0 for none
 	CheckpointData  []byte        `json:"checkpoint_data,omitempty"`  // base64
 	Reason          string        `json:"reason,omitempty"`           // of a failure
-	P99US           int64         `json:"p99_us,omitempty"`           // services: tail latency, microseconds
-	ProgressPPM     int64         `json:"progress_ppm,omitempty"`     // batch: speed against an undisturbed run, parts per million
-	ThrottlePercent int32         `json:"throttle_percent,omitempty"` // share of processors taken away
+	P99US           int64         `json:"p99_us,omitempty"`           // services: 99th percentile of latency, microseconds
+	ProgressPPM     int64         `json:"progress_ppm,omitempty"`     // batch: speed relative to a run without interference, parts per million
+	ThrottlePercent int32         `json:"throttle_percent,omitempty"` // share of its processors withheld from the attempt
 }
 
-// Reply answers a poll.
+// Reply is the response to a poll.
 type Reply struct {
-	LeaseMS int64   `json:"lease_ms"`          // counted from when the poll was sent, milliseconds
-	Refusal string  `json:"refusal,omitempty"` // why there is no lease
+	LeaseMS int64   `json:"lease_ms"`          // from the time at which the poll was sent, milliseconds
+	Refusal string  `json:"refusal,omitempty"` // why no lease is granted
 	Orders  []Order `json:"orders"`
 }
 
 // The kinds of orders.
 const (
-	OrderStart      = "start"      // dropped if the poll was sent more than StartWithin ago
-	OrderThrottle   = "throttle"   // take away a share of the processors
-	OrderCheckpoint = "checkpoint" // checkpoint, then stop
-	OrderStop       = "stop"       // stop at once
-	OrderForget     = "forget"     // the end of this attempt is recorded
-	OrderResize     = "resize"     // another size is committed for a running attempt; comes before starts that take the room
+	OrderStart      = "start"      // dropped if the poll was sent more than StartWithinMS ago
+	OrderThrottle   = "throttle"   // withhold a share of the processors
+	OrderCheckpoint = "checkpoint" // write a checkpoint, then stop
+	OrderStop       = "stop"       // stop immediately
+	OrderForget     = "forget"     // control has recorded the end of this attempt; stop reporting it
+	OrderResize     = "resize"     // another size is committed for a running attempt; precedes starts that use the freed capacity
 )
 
-// StartWithinMS is how old a poll may be, in milliseconds, when a start that answers it is carried out.
+// StartWithinMS is the highest age of a poll, in milliseconds, at which the worker still carries out a start order from its reply.
 const StartWithinMS = 3000
 
-// Order tells a worker what to do with one attempt.
+// Order is an instruction to a worker about one attempt.
 type Order struct {
 	Kind            string        `json:"kind"`
 	Job             string        `json:"job"`
@@ -69,7 +69,7 @@
 	Attempt         uint32        `json:"attempt"`
 	Class           string        `json:"class,omitempty"`
 	Program         string        `json:"program,omitempty"`
-	Service         bool          `json:"service,omitempty"` // keeps running past the lease's end
+	Service         bool          `json:"service,omitempty"` // keeps running after the lease expires
 	Size            resource.Size `json:"size,omitzero"`
 	ExpectedMS      int64         `json:"expected_ms,omitempty"`
 	ThrottlePercent int32         `json:"throttle_percent,omitempty"`
