Reword package entry: gossip between entries and shutdown

Readers stumbled over the pairs ask, answer, asked and answered, which did not say which message of an exchange they build or process. Renames that matter: Entry.ask and answer to composeRequest and composeReply, asked and answered to receiveRequest and receiveReply, configured to applyConfiguration, configuredEntries to countEntries, idleTime and finishMax to idleTimeout and shutdownTimeout.

--- a/entry/doc.go
+++ b/entry/doc.go
@@ -1,2 +1,2 @@
-// Package entry is the entry process: the fronts for callers, upstreams, workers and operators, wired to control and to the other entries; its state is in memory only.
+// Package entry assembles the entry process, which serves callers, upstreams, workers and operators and connects to control and to the other entries. It keeps its state in memory only.
 package entry
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,19 +50,19 @@
 	metrics   *metrics.Set
 }
 
-// New starts an entry with all its listeners; callers are refused until it has a configuration.
+// New starts an entry with all its listeners; callers' requests are refused until it has received a configuration.
 func New(o Options) (*Entry, error) {
 	s := o.Settings
 	e := &Entry{settings: s, pool: inner.New(inner.Options{})}
-	e.leader = leader.New(e.pool, addresses(s.Control))
+	e.leader = leader.New(e.pool, innerAddresses(s.Control))
 	e.upstreams = upstream.New(upstream.Options{
 		Name:    s.Name,
 		Domain:  s.Domain,
-		Entries: configuredEntries(s),
+		Entries: countEntries(s),
 		Seed:    uint64(time.Now().UnixNano()),
 	})
 	e.callers = caller.New(callerOptions(s.Limits, e.upstreams))
-	e.holder = watch.NewHolder(e.configured)
+	e.holder = watch.NewHolder(e.applyConfiguration)
 	e.workers = worker.New(worker.Options{
 		Entry:   s.Name,
 		Domain:  s.Domain,
@@ -74,10 +74,10 @@
 		Name:      s.Name,
 		Neighbors: s.Entries,
 		Pool:      e.pool,
-		Ask:       e.ask,
-		Answer:    e.answer,
-		Asked:     e.asked,
-		Answered:  e.answered,
+		Ask:       e.composeRequest,
+		Answer:    e.composeReply,
+		Asked:     e.receiveRequest,
+		Answered:  e.receiveReply,
 	})
 	e.watch = watch.New(watch.Options{
 		Entry:    s.Name,
@@ -106,7 +106,7 @@
 	}
 }
 
-func addresses(replicas []settings.Replica) []string {
+func innerAddresses(replicas []settings.Replica) []string {
 	var out []string
 	for _, r := range replicas {
 		out = append(out, r.Inner)
@@ -114,8 +114,8 @@
 	return out
 }
 
-// configuredEntries counts all entries, whether they can be reached or not, since one that is cut off still holds its connections.
-func configuredEntries(s *settings.Entry) int {
+// countEntries returns the number of all entries in the settings, reachable or not, since an entry that is partitioned from this one still holds its connections to upstreams.
+func countEntries(s *settings.Entry) int {
 	n := 1
 	for _, other := range s.Entries {
 		if other.Name != s.Name {
@@ -167,25 +167,25 @@
 	return nil
 }
 
-// configured puts a configuration in force in this process and passes it on.
-func (e *Entry) configured(c *wire.Configuration) {
+// applyConfiguration applies a new configuration to this process and triggers an exchange that sends it to the other entries.
+func (e *Entry) applyConfiguration(c *wire.Configuration) {
 	e.callers.SetConfiguration(c)
 	e.exchange.Poke()
 }
 
-// ask is what the entry says of its own accord: what must not wait to be asked for.
-func (e *Entry) ask(theirVersion uint64) *wire.Gossip {
-	return e.compose(theirVersion, leaving(e.upstreams.Announcements(time.Now())))
+// composeRequest returns the gossip that the entry sends in a request: only what must not wait until the other entry asks for it.
+func (e *Entry) composeRequest(theirVersion uint64) *wire.Gossip {
+	return e.composeGossip(theirVersion, leavingOnly(e.upstreams.Announcements(time.Now())))
 }
 
-// answer tells all that the entry knows of upstreams, since only an answer's age can be bounded by who gets it.
-func (e *Entry) answer(theirVersion uint64) *wire.Gossip {
-	g := e.compose(theirVersion, e.upstreams.Announcements(time.Now()))
+// composeReply returns the gossip that answers another entry's request, with all announcements and loads of upstreams. Only for a reply can the receiver bound the age.
+func (e *Entry) composeReply(theirVersion uint64) *wire.Gossip {
+	g := e.composeGossip(theirVersion, e.upstreams.Announcements(time.Now()))
 	g.Loads = e.upstreams.Loads()
 	return g
 }
 
-func (e *Entry) compose(theirVersion uint64, announcements []*wire.Announcement) *wire.Gossip {
+func (e *Entry) composeGossip(theirVersion uint64, announcements []*wire.Announcement) *wire.Gossip {
 	g := &wire.Gossip{
 		Entry:         e.settings.Name,
 		Domain:        e.settings.Domain,
@@ -200,19 +200,19 @@
 	return g
 }
 
-// asked takes what needs no time: a newer configuration, and upstreams that leave.
-func (e *Entry) asked(g *wire.Gossip) {
+// receiveRequest processes the gossip in another entry's request. It uses only what is valid at any age: a newer configuration, and upstreams that are leaving.
+func (e *Entry) receiveRequest(g *wire.Gossip) {
 	e.holder.Offer(g.Configuration, g.Entry)
-	e.upstreams.Merge(time.Now(), leaving(g.Announcements))
+	e.upstreams.Merge(time.Now(), leavingOnly(g.Announcements))
 }
 
-func (e *Entry) answered(asked time.Time, g *wire.Gossip) {
+func (e *Entry) receiveReply(asked time.Time, g *wire.Gossip) {
 	e.holder.Offer(g.Configuration, g.Entry)
 	e.upstreams.Merge(asked, g.Announcements)
 	e.upstreams.SetLoads(g.Entry, g.Domain, time.Now(), g.Loads)
 }
 
-func leaving(announcements []*wire.Announcement) []*wire.Announcement {
+func leavingOnly(announcements []*wire.Announcement) []*wire.Announcement {
 	var out []*wire.Announcement
 	for _, a := range announcements {
 		if a.Leaving {
@@ -222,7 +222,7 @@
 	return out
 }
 
-// Ready says why the balancer should send no callers, nil if it should.
+// Ready returns nil if the load balancer should route callers to this entry, otherwise the reason why not.
 func (e *Entry) Ready() error {
 	if e.stopping.Load() {
 		return errors.New("stopping")
@@ -233,7 +233,7 @@
 	return nil
 }
 
-// Close stops gracefully: not ready, a pause for the balancer to see it, no new requests, those in progress finished.
+// Close stops the entry gracefully: it reports not ready, waits DrainMS for the load balancer to notice, refuses new requests and finishes those in progress.
 func (e *Entry) Close() error {
 	e.stopping.Store(true)
 	e.callers.Drain()
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	idleTime  = 2 * time.Minute  // of a caller's connection between requests
-	finishMax = 30 * time.Second // longest wait for requests in progress at a stop
+	idleTimeout     = 2 * time.Minute  // longest time that a connection may stay open between requests
+	shutdownTimeout = 30 * time.Second // longest wait for requests in progress at shutdown
 )
 
-// listener is one HTTP listener of the entry.
+// listener is an HTTP server of the entry on its own address.
 type listener struct {
 	name   string
 	server *http.Server
@@ -30,7 +30,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMS) * time.Millisecond,
 		MaxHeaderBytes:    int(limits.HeaderBytes),
-		IdleTimeout:       idleTime,
+		IdleTimeout:       idleTimeout,
 	}}
 }
 
@@ -47,9 +47,9 @@
 	return nil
 }
 
-// close takes no new requests and waits for those in progress.
+// close stops accepting requests and waits for those in progress.
 func (l *listener) close() error {
-	ctx, cancel := context.WithTimeout(context.Background(), finishMax)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	err := l.server.Shutdown(ctx)
 	l.wait.Wait()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -12,7 +12,7 @@
 	return set
 }
 
-// Metrics returns the process's metrics, for its admin listener.
+// Metrics returns the metrics of the process, which its admin listener serves.
 func (e *Entry) Metrics() *metrics.Set {
 	return e.metrics
 }
