--- a/operator/client.go
+++ b/operator/client.go
@@ -14,27 +14,27 @@
 	"daisyswitch/verdict"
 )
 
-const clientTime = 8 * time.Second // longest wait for one entry's answer
+const requestTimeout = 8 * time.Second // for one request to one entry
 
 // Client calls the administration interface at any of several entries.
 type Client struct {
-	Entries  []string // host:port of entries' operator listeners
-	Operator string   // name that changes are made under
+	Entries  []string // host:port of the entries' operator listeners, tried in this order
+	Operator string   // name under which changes are recorded
 	HTTP     *http.Client
 }
 
-// Number identifies a change: resent with the same sequence, it gets its first answer.
+// Number identifies a change. A change that is sent again with the same sequence is not made twice but gets its first answer.
 type Number struct {
 	Sequence    uint64
 	BaseVersion uint64 // ignored for jobs
 }
 
-// Get reads path into out.
+// Get requests path from an entry and decodes the response into out.
 func (c *Client) Get(ctx context.Context, path string, out any) error {
 	return c.call(ctx, http.MethodGet, path, nil, nil, out)
 }
 
-// Change sends a change and returns its result, whatever the outcome; a lost answer is asked for again at the next entry.
+// Change sends a change and returns its result, whatever the outcome. If an entry does not answer, it sends the same change to the next one.
 func (c *Client) Change(ctx context.Context, method, path string, n Number, body any) (*Result, error) {
 	header := http.Header{}
 	header.Set(HeaderOperator, c.Operator)
@@ -47,35 +47,35 @@
 	return &result, nil
 }
 
-// call asks one entry after the other; reads and numbered changes may both be asked for twice.
+// call tries the entries in turn. It may send a request more than once, since reads and numbered changes are idempotent.
 func (c *Client) call(ctx context.Context, method, path string, header http.Header, body, out any) error {
 	if len(c.Entries) == 0 {
-		return errors.New("no entry is named")
+		return errors.New("no entry address is given")
 	}
 	unknown := false
 	var err error
 	for _, entry := range c.Entries {
-		err = c.once(ctx, entry, method, path, header, body, out)
-		if err == nil || final(err) {
+		err = c.tryEntry(ctx, entry, method, path, header, body, out)
+		if err == nil || isRefusal(err) {
 			return err
 		}
 		unknown = unknown || verdict.Of(err) != verdict.NotRun
 	}
 	if unknown && verdict.Of(err) == verdict.NotRun {
-		return verdict.New(verdict.Unknown, "an earlier attempt may have been made", err)
+		return verdict.New(verdict.Unknown, "an earlier attempt may have taken effect", err)
 	}
 	return err
 }
 
-// errRefused marks an answer that no other entry would give differently.
+// errRefused marks an error of the request itself, which every entry would refuse in the same way.
 var errRefused = errors.New("refused")
 
-func final(err error) bool {
+func isRefusal(err error) bool {
 	return errors.Is(err, errRefused)
 }
 
-func (c *Client) once(ctx context.Context, entry, method, path string, header http.Header, body, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, clientTime)
+func (c *Client) tryEntry(ctx context.Context, entry, method, path string, header http.Header, body, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	request, err := newRequest(ctx, entry, method, path, header, body)
 	if err != nil {
@@ -90,14 +90,14 @@
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusConflict, http.StatusUnprocessableEntity:
 		if err := decoder.Decode(out); err != nil {
-			return verdict.New(verdict.Unknown, fmt.Sprintf("broken answer from entry %s", entry), err)
+			return verdict.New(verdict.Unknown, fmt.Sprintf("response of entry %s cannot be decoded", entry), err)
 		}
 		return nil
 	}
-	return failed(response.StatusCode, decoder)
+	return responseError(response.StatusCode, decoder)
 }
 
-// sendVerdict says NotRun where no connection was made.
+// sendVerdict returns NotRun if no connection was made, otherwise Unknown.
 func sendVerdict(err error) verdict.Verdict {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -123,10 +123,10 @@
 	return request, nil
 }
 
-func failed(status int, decoder *json.Decoder) error {
+func responseError(status int, decoder *json.Decoder) error {
 	var failure Failure
 	if err := decoder.Decode(&failure); err != nil {
-		return verdict.New(verdict.Unknown, fmt.Sprintf("status %d without a reason", status), err)
+		return verdict.New(verdict.Unknown, fmt.Sprintf("response with status %d has no valid error body", status), err)
 	}
 	var cause error
 	if status < http.StatusInternalServerError {
--- a/operator/convert.go
+++ b/operator/convert.go
@@ -9,7 +9,7 @@
 	"daisyswitch/wire"
 )
 
-var kinds = map[string]wire.ClassKind{
+var classKinds = map[string]wire.ClassKind{
 	KindService: wire.ClassKind_CLASS_KIND_SERVICE,
 	KindBatch:   wire.ClassKind_CLASS_KIND_BATCH,
 }
@@ -21,7 +21,7 @@
 }
 
 func (c Class) wire() (*wire.Class, error) {
-	kind, known := kinds[c.Kind]
+	kind, known := classKinds[c.Kind]
 	if !known {
 		return nil, fmt.Errorf("kind %q is neither %q nor %q", c.Kind, KindService, KindBatch)
 	}
@@ -90,7 +90,7 @@
 	return out
 }
 
-func auditFromWire(r *wire.AuditRecord) *AuditRecord {
+func auditRecordFromWire(r *wire.AuditRecord) *AuditRecord {
 	if r == nil {
 		return nil
 	}
@@ -108,16 +108,16 @@
 	}
 }
 
-func changeResult(r *wire.ChangeResult) Result {
+func changeResultFromWire(r *wire.ChangeResult) Result {
 	return Result{
 		Outcome: outcomes[r.GetOutcome()],
 		Version: r.GetVersion(),
 		Reason:  r.GetReason(),
-		Winner:  auditFromWire(r.GetWinner()),
+		Winner:  auditRecordFromWire(r.GetWinner()),
 	}
 }
 
-func jobResult(r *wire.JobResult) Result {
+func jobResultFromWire(r *wire.JobResult) Result {
 	return Result{Outcome: outcomes[r.GetOutcome()], Job: r.GetJob(), Reason: r.GetReason()}
 }
 
--- a/operator/doc.go
+++ b/operator/doc.go
@@ -1,2 +1,2 @@
-// Package operator speaks to operators: the JSON bodies of the administration interface, the entry's front that serves it, and a client for it.
+// Package operator defines the JSON bodies of the administration interface, serves it in an entry process and provides a client for it.
 package operator
--- a/operator/front.go
+++ b/operator/front.go
@@ -17,18 +17,18 @@
 )
 
 const (
-	maxBodyBytes    = 1 << 20
-	answerTime      = 5 * time.Second // longest wait for control
-	auditLimit      = 1000            // records in one answer
-	maxNameBytes    = 128
-	statusNotLeader = http.StatusServiceUnavailable
+	maxBodyBytes      = 1 << 20
+	controlTimeout    = 5 * time.Second // for control's answer to one request
+	maxAuditRecords   = 1000            // records in one response
+	maxNameBytes      = 128
+	statusUnavailable = http.StatusServiceUnavailable
 )
 
 // Options configures a Front.
 type Options struct {
 	Propose func(context.Context, *wire.Command) (*wire.CommandResult, error)
 	Read    func(context.Context, *wire.ReadRequest) (*wire.ReadReply, error)
-	Current func() *wire.Configuration // in force at this entry, nil before the first
+	Current func() *wire.Configuration // active at this entry, nil before the first is received
 }
 
 // Front serves the administration interface.
@@ -40,7 +40,7 @@
 // New returns a front with all its routes.
 func New(o Options) *Front {
 	f := &Front{options: o, router: httprouter.New()}
-	f.router.PanicHandler = panicked
+	f.router.PanicHandler = handlePanic
 	f.router.GET("/v1/status", f.status)
 	f.router.GET("/v1/configuration", f.configuration)
 	f.router.GET("/v1/audit", f.audit)
@@ -55,44 +55,44 @@
 	return f
 }
 
-// ServeHTTP answers one request of an operator.
+// ServeHTTP serves one request of an operator.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.router.ServeHTTP(w, r)
 }
 
-func panicked(w http.ResponseWriter, _ *http.Request, cause any) {
+func handlePanic(w http.ResponseWriter, _ *http.Request, cause any) {
 	event.RequestPanicked.Error(fmt.Errorf("%v", cause))
-	write(w, http.StatusInternalServerError, Failure{"internal", verdict.Unknown.String(), "the entry failed; see its log"})
+	writeJSON(w, http.StatusInternalServerError, Failure{"internal", verdict.Unknown.String(), "internal error of the entry; its log has the cause"})
 }
 
 func (f *Front) status(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	reply, ok := f.read(w, r, &wire.ReadRequest{Kind: wire.ReadKind_READ_KIND_STATUS})
 	if ok {
-		write(w, http.StatusOK, statusFromWire(reply.Status))
+		writeJSON(w, http.StatusOK, statusFromWire(reply.Status))
 	}
 }
 
-// configuration answers what the leader holds or, for ?local=true, what is in force at this entry.
+// configuration writes the leader's configuration or, for ?local=true, the one active at this entry.
 func (f *Front) configuration(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	if r.URL.Query().Get("local") == "true" {
-		write(w, http.StatusOK, configurationFromWire(f.options.Current()))
+		writeJSON(w, http.StatusOK, configurationFromWire(f.options.Current()))
 		return
 	}
 	reply, ok := f.read(w, r, &wire.ReadRequest{Kind: wire.ReadKind_READ_KIND_STATUS})
 	if ok {
-		write(w, http.StatusOK, configurationFromWire(reply.Status.GetConfiguration()))
+		writeJSON(w, http.StatusOK, configurationFromWire(reply.Status.GetConfiguration()))
 	}
 }
 
 func (f *Front) audit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	after, err := number(r.URL.Query().Get("after"), 0)
+	after, err := parseNumber(r.URL.Query().Get("after"), 0)
 	if err != nil {
-		refuse(w, fmt.Errorf("after: %w", err))
+		writeBadRequest(w, fmt.Errorf("after: %w", err))
 		return
 	}
-	limit, err := number(r.URL.Query().Get("limit"), auditLimit)
-	if err != nil || limit > auditLimit {
-		refuse(w, fmt.Errorf("limit: a whole number up to %d is needed", auditLimit))
+	limit, err := parseNumber(r.URL.Query().Get("limit"), maxAuditRecords)
+	if err != nil || limit > maxAuditRecords {
+		writeBadRequest(w, fmt.Errorf("limit: must be a whole number up to %d", maxAuditRecords))
 		return
 	}
 	reply, ok := f.read(w, r, &wire.ReadRequest{Kind: wire.ReadKind_READ_KIND_AUDIT, After: after, Limit: int32(limit)})
@@ -101,9 +101,9 @@
 	}
 	out := Audit{Folded: reply.AuditFolded, Records: []AuditRecord{}}
 	for _, record := range reply.Audit {
-		out.Records = append(out.Records, *auditFromWire(record))
+		out.Records = append(out.Records, *auditRecordFromWire(record))
 	}
-	write(w, http.StatusOK, out)
+	writeJSON(w, http.StatusOK, out)
 }
 
 func (f *Front) job(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
@@ -113,48 +113,48 @@
 		return
 	}
 	if reply.Job == nil {
-		write(w, http.StatusNotFound, Failure{"not_found", verdict.NotRun.String(), fmt.Sprintf("no job %q", id)})
+		writeJSON(w, http.StatusNotFound, Failure{"not_found", verdict.NotRun.String(), fmt.Sprintf("no job %q", id)})
 		return
 	}
-	write(w, http.StatusOK, jobStatusFromWire(reply.Job))
+	writeJSON(w, http.StatusOK, jobStatusFromWire(reply.Job))
 }
 
 func (f *Front) read(w http.ResponseWriter, r *http.Request, request *wire.ReadRequest) (*wire.ReadReply, bool) {
-	ctx, cancel := context.WithTimeout(r.Context(), answerTime)
+	ctx, cancel := context.WithTimeout(r.Context(), controlTimeout)
 	defer cancel()
 	reply, err := f.options.Read(ctx, request)
 	if err != nil {
-		fail(w, verdict.NotRun, err)
+		writeUnavailable(w, verdict.NotRun, err)
 		return nil, false
 	}
 	return reply, true
 }
 
 func (f *Front) propose(w http.ResponseWriter, r *http.Request, c *wire.Command) (*wire.CommandResult, bool) {
-	ctx, cancel := context.WithTimeout(r.Context(), answerTime)
+	ctx, cancel := context.WithTimeout(r.Context(), controlTimeout)
 	defer cancel()
 	c.TimeMs = time.Now().UnixMilli()
 	result, err := f.options.Propose(ctx, c)
 	if err != nil {
-		fail(w, verdict.Of(err), err)
+		writeUnavailable(w, verdict.Of(err), err)
 		return nil, false
 	}
 	return result, true
 }
 
-func number(text string, missing uint64) (uint64, error) {
+func parseNumber(text string, missing uint64) (uint64, error) {
 	if text == "" {
 		return missing, nil
 	}
 	n, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return 0, errors.New("a whole number is needed")
+		return 0, errors.New("must be a whole number")
 	}
 	return n, nil
 }
 
-// parse reads a JSON body whole and refuses unknown fields and anything after it.
-func parse(w http.ResponseWriter, r *http.Request, into any) error {
+// parseBody decodes a JSON body; unknown fields and data after the first value are errors.
+func parseBody(w http.ResponseWriter, r *http.Request, into any) error {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
@@ -166,19 +166,19 @@
 	return nil
 }
 
-func refuse(w http.ResponseWriter, err error) {
-	write(w, http.StatusBadRequest, Failure{"bad_request", verdict.NotRun.String(), err.Error()})
+func writeBadRequest(w http.ResponseWriter, err error) {
+	writeJSON(w, http.StatusBadRequest, Failure{"bad_request", verdict.NotRun.String(), err.Error()})
 }
 
-func fail(w http.ResponseWriter, v verdict.Verdict, err error) {
+func writeUnavailable(w http.ResponseWriter, v verdict.Verdict, err error) {
 	code := "unavailable"
 	if v != verdict.NotRun {
 		code = "timeout"
 	}
-	write(w, statusNotLeader, Failure{code, v.String(), err.Error()})
+	writeJSON(w, statusUnavailable, Failure{code, v.String(), err.Error()})
 }
 
-func write(w http.ResponseWriter, status int, body any) {
+func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	if failure, ok := body.(Failure); ok {
 		w.Header().Set(HeaderVerdict, failure.Verdict)
--- a/operator/front_test.go
+++ b/operator/front_test.go
@@ -17,7 +17,7 @@
 	"gotest.tools/v3/golden"
 )
 
-// fakeControl takes every proposal as told.
+// fakeControl records proposals and answers each with the given result or error.
 type fakeControl struct {
 	proposed []*wire.Command
 	result   *wire.CommandResult
@@ -29,7 +29,7 @@
 	return f.result, f.err
 }
 
-func (f *fakeControl) front() *operator.Front {
+func (f *fakeControl) newFront() *operator.Front {
 	return operator.New(operator.Options{
 		Propose: f.propose,
 		Read: func(context.Context, *wire.ReadRequest) (*wire.ReadReply, error) {
@@ -56,7 +56,7 @@
 	return w
 }
 
-// TestBadRequests keeps the answers to what cannot be understood, none of which reaches control.
+// TestBadRequests checks the responses to invalid requests and that none of them reaches control.
 func TestBadRequests(t *testing.T) {
 	control := &fakeControl{}
 	var page strings.Builder
@@ -79,7 +79,7 @@
 		{"GET", "/v1/audit?limit=5000", "", ""},
 		{"GET", "/v1/jobs/nosuch", "", ""},
 	} {
-		w := send(control.front(), r)
+		w := send(control.newFront(), r)
 		assert.Equal(t, w.Header().Get(operator.HeaderVerdict), "not-run", r.path)
 		fmt.Fprintf(&page, "%s %s %s\n%d %s", r.method, r.path, r.body, w.Code, w.Body)
 	}
@@ -89,7 +89,7 @@
 
 func TestChangeReachesControlWhole(t *testing.T) {
 	control := &fakeControl{result: &wire.CommandResult{Change: &wire.ChangeResult{Outcome: wire.Outcome_OUTCOME_ACCEPTED, Version: 5}}}
-	w := send(control.front(), request{"PUT", "/v1/domains/cebu", author, `{"out": true}`})
+	w := send(control.newFront(), request{"PUT", "/v1/domains/cebu", author, `{"out": true}`})
 	assert.Equal(t, w.Code, http.StatusOK)
 	change := control.proposed[0].Change
 	assert.Equal(t, change.Operator, "ana")
@@ -99,7 +99,7 @@
 	assert.Equal(t, change.GetSetDomain().Out, true)
 }
 
-// TestClientTellsOfALostAnswer has the first entry lose the answer and the second surely do nothing.
+// TestClientTellsOfALostAnswer guards against a change reported as not made although it may have been: the first entry loses control's answer, and only the second is known to have done nothing.
 func TestClientTellsOfALostAnswer(t *testing.T) {
 	lost := &fakeControl{err: verdict.New(verdict.Unknown, "no answer", errors.New("reset"))}
 	down := &fakeControl{err: verdict.New(verdict.NotRun, "control cannot be reached", nil)}
@@ -109,7 +109,7 @@
 	assert.Equal(t, lost.proposed[0].Change.Sequence, down.proposed[0].Change.Sequence)
 }
 
-// TestClientStopsAtARefusal has a request that no entry would understand, so that only one is asked.
+// TestClientStopsAtARefusal sends a request that every entry refuses as invalid, so the client need not try another entry.
 func TestClientStopsAtARefusal(t *testing.T) {
 	first, second := &fakeControl{}, &fakeControl{}
 	client := client(t, first, second)
@@ -122,7 +122,7 @@
 func client(t *testing.T, controls ...*fakeControl) *operator.Client {
 	c := &operator.Client{Operator: "ana", HTTP: &http.Client{}}
 	for _, control := range controls {
-		server := httptest.NewServer(control.front())
+		server := httptest.NewServer(control.newFront())
 		t.Cleanup(server.Close)
 		c.Entries = append(c.Entries, strings.TrimPrefix(server.URL, "http://"))
 	}
--- a/operator/protocol.go
+++ b/operator/protocol.go
@@ -8,10 +8,10 @@
 
 // The headers of a change.
 const (
-	HeaderOperator    = "Daisyswitch-Operator"     // who asks; needed for every change
-	HeaderSequence    = "Daisyswitch-Sequence"     // the operator's number for the change; a resend carries the same
-	HeaderBaseVersion = "Daisyswitch-Base-Version" // configuration version that the change was made from
-	HeaderVerdict     = "Daisyswitch-Verdict"      // on failures: whether the change may have been made
+	HeaderOperator    = "Daisyswitch-Operator"     // name of the operator; required for every change
+	HeaderSequence    = "Daisyswitch-Sequence"     // the operator's number for the change; a retry carries the same
+	HeaderBaseVersion = "Daisyswitch-Base-Version" // configuration version that the change is based on
+	HeaderVerdict     = "Daisyswitch-Verdict"      // on errors: whether the change may have been made
 )
 
 // The kinds of classes.
@@ -24,12 +24,12 @@
 type Class struct {
 	Name         string `json:"name"`
 	Kind         string `json:"kind"`                    // KindService or KindBatch
-	TargetP99US  int64  `json:"target_p99_us,omitempty"` // services: tail latency, microseconds
-	TargetVolume int64  `json:"target_volume,omitempty"` // batch: tasks a day
-	DueMinute    int32  `json:"due_minute,omitempty"`    // batch: minute of the day, UTC
+	TargetP99US  int64  `json:"target_p99_us,omitempty"` // services: 99th percentile of latency, microseconds
+	TargetVolume int64  `json:"target_volume,omitempty"` // batch: tasks per day
+	DueMinute    int32  `json:"due_minute,omitempty"`    // batch: minute of the day by which the volume is due, UTC
 }
 
-// Team is a team and the most that its tasks may hold together.
+// Team is a team and the most resources that its tasks may hold in total.
 type Team struct {
 	Name  string        `json:"name"`
 	Quota resource.Size `json:"quota"`
@@ -41,7 +41,7 @@
 	Out  bool   `json:"out"`
 }
 
-// Configuration is all that operators have set.
+// Configuration is everything that operators have configured.
 type Configuration struct {
 	Version uint64   `json:"version"`
 	Classes []Class  `json:"classes"`
@@ -52,20 +52,20 @@
 // The outcomes of a change.
 const (
 	OutcomeAccepted = "accepted"
-	OutcomeConflict = "conflict" // another change won
-	OutcomeRefused  = "refused"  // the change makes no sense
+	OutcomeConflict = "conflict" // another change was made since the base version, or the sequence was used for another request
+	OutcomeRefused  = "refused"  // the change is invalid
 )
 
-// Result answers a change.
+// Result is the response to a change.
 type Result struct {
 	Outcome string       `json:"outcome"`
 	Version uint64       `json:"version,omitempty"` // configuration version after the change
 	Job     string       `json:"job,omitempty"`
 	Reason  string       `json:"reason,omitempty"`
-	Winner  *AuditRecord `json:"winner,omitempty"` // of a conflict
+	Winner  *AuditRecord `json:"winner,omitempty"` // on a conflict: the change that took precedence
 }
 
-// AuditRecord is one line of the audit trail.
+// AuditRecord is one record of the audit trail.
 type AuditRecord struct {
 	Index    uint64    `json:"index"` // log index
 	Time     time.Time `json:"time"`
@@ -79,15 +79,15 @@
 	Reason   string    `json:"reason,omitempty"`
 }
 
-// Audit is a part of the audit trail.
+// Audit is a page of the audit trail.
 type Audit struct {
-	Folded  uint64        `json:"folded"` // oldest records that are no longer kept
+	Folded  uint64        `json:"folded"` // number of oldest records that are no longer kept
 	Records []AuditRecord `json:"records"`
 }
 
-// Job is a request to run tasks, and its identity afterwards.
+// Job is a request to run tasks; control assigns its ID.
 type Job struct {
-	ID         string        `json:"id,omitempty"` // chosen by control
+	ID         string        `json:"id,omitempty"` // assigned by control
 	Team       string        `json:"team"`
 	Class      string        `json:"class"`
 	Program    string        `json:"program"`
@@ -107,7 +107,7 @@
 	Checkpoint uint64    `json:"checkpoint,omitempty"`
 	Failures   uint32    `json:"failures,omitempty"`
 	Evictions  uint32    `json:"evictions,omitempty"`
-	Reason     string    `json:"reason,omitempty"` // why it failed, cannot run, or waits
+	Reason     string    `json:"reason,omitempty"` // why the task failed, cannot run or is waiting
 	Changed    time.Time `json:"changed"`
 }
 
@@ -119,11 +119,11 @@
 	Tasks     []Task    `json:"tasks"`
 }
 
-// ClassStatus is one line of the slide: a class, its target and what it got.
+// ClassStatus is one row of the status table: a class, its target and its results.
 type ClassStatus struct {
 	Class
-	P99US     int64 `json:"p99_us"`   // services: measured over the last window, microseconds
-	Requests  int64 `json:"requests"` // services: in that window
+	P99US     int64 `json:"p99_us"`   // services: 99th percentile of latency over the last window, microseconds
+	Requests  int64 `json:"requests"` // services: number of requests in that window
 	Queued    int64 `json:"queued"`
 	Running   int64 `json:"running"`
 	Done      int64 `json:"done"`
@@ -136,7 +136,7 @@
 type Replica struct {
 	ID      uint64 `json:"id"`
 	Address string `json:"address"`
-	Match   uint64 `json:"match"` // log index that it is known to hold
+	Match   uint64 `json:"match"` // highest log index that the replica is known to hold
 	Active  bool   `json:"active"`
 }
 
@@ -144,17 +144,17 @@
 type Entry struct {
 	Name     string `json:"name"`
 	Domain   string `json:"domain"`
-	Version  uint64 `json:"version"` // configuration in force there
+	Version  uint64 `json:"version"` // version of the configuration active there
 	SilentMS int64  `json:"silent_ms"`
 }
 
-// Status is the slide and what stands behind it.
+// Status is the state of the cluster: classes against their targets, control, entries and workers.
 type Status struct {
 	Configuration Configuration `json:"configuration"`
 	Classes       []ClassStatus `json:"classes"`
 	Leader        uint64        `json:"leader"`
 	Term          uint64        `json:"term"`
-	Index         uint64        `json:"index"` // last applied log index
+	Index         uint64        `json:"index"` // index of the last applied log entry
 	Replicas      []Replica     `json:"replicas"`
 	Entries       []Entry       `json:"entries"`
 	Workers       int64         `json:"workers"`
@@ -163,7 +163,7 @@
 	Committed     resource.Size `json:"committed"`
 }
 
-// Failure is the body of every answer that is not a result.
+// Failure is the body of every error response.
 type Failure struct {
 	Code    string `json:"code"` // bad_request, not_found, unavailable, timeout
 	Verdict string `json:"verdict"`
