--- a/disk/bench_test.go
+++ b/disk/bench_test.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	benchRecords = 256 // in a group
-	benchBytes   = 200 // of a record
+	benchRecords = 256 // records per group
+	benchBytes   = 200 // size of a record
 )
 
-// benchEntries returns count entries from an index on.
+// benchEntries returns count entries, starting at index first.
 func benchEntries(first uint64, count int) []*wire.Entry {
 	list := make([]*wire.Entry, count)
 	for i := range list {
@@ -27,7 +27,7 @@
 	return list
 }
 
-// BenchmarkAppend compares records with one sync each and records that share a sync, in our files and in bbolt.
+// BenchmarkAppend compares one sync per record with one sync per group of records, for this package's files and for bbolt.
 func BenchmarkAppend(b *testing.B) {
 	d, _, err := disk.Open(disk.Options{Dir: b.TempDir()})
 	assert.NilError(b, err)
@@ -48,7 +48,7 @@
 	}
 }
 
-// rate returns the records a second of 200 groups.
+// rate returns the records written per second, over 200 groups.
 func rate(b *testing.B, write func([]*wire.Entry) error, group int) float64 {
 	const groups = 200
 	start := time.Now()
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -14,7 +14,7 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// defaultSegmentBytes is the size after which a new segment begins.
+// defaultSegmentBytes is the size from which on a segment is followed by a new one.
 const defaultSegmentBytes = 16 << 20
 
 const (
@@ -23,13 +23,13 @@
 	lockName   = "lock"
 )
 
-// ErrInUse says that another process holds the data folder.
+// ErrInUse is returned by Open if another process has locked the data folder.
 var ErrInUse = errors.New("data folder is in use by another process")
 
-// Operations are the writes of a disk, so that each can be made to fail.
+// Operations are the modifying file operations of a disk, replaceable so that tests can make each of them fail.
 type Operations struct {
 	Write  func(f *os.File, b []byte, offset int64) error
-	Sync   func(f *os.File) error // also of a folder
+	Sync   func(f *os.File) error // f may be a folder
 	Rename func(from, to string) error
 	Remove func(path string) error
 }
@@ -47,39 +47,39 @@
 	}
 }
 
-// Options says where a disk lies and how it is written.
+// Options configures a Disk.
 type Options struct {
 	Dir          string
 	SegmentBytes int64      // 0 for the default
 	Operations   Operations // the zero value for the operating system's
 }
 
-// Loaded is what a data folder held.
+// Loaded is the content of a data folder when it was opened.
 type Loaded struct {
 	State    *wire.HardState
 	Snapshot *wire.Snapshot // nil if there is none
 	Entries  []*wire.Entry  // after the snapshot
-	Torn     *Torn          // nil if the log ended whole
+	Torn     *Torn          // nil if the log ended with a complete frame
 }
 
-// Torn is the unsynced end of a segment that was cut off on opening.
+// Torn describes an incomplete, unsynced write at the end of a segment, which was cut off on opening.
 type Torn struct {
 	File   string
 	Offset int64
 	Bytes  int64
 }
 
-// Disk is one replica's data folder; one goroutine appends, and another may write snapshots meanwhile.
+// Disk is one replica's data folder. One goroutine may append while another writes snapshots.
 type Disk struct {
 	Operations
 	dir          string
 	segmentBytes int64
 	lock         *os.File
-	segments     []*segment // oldest first; the last one is appended to
+	segments     []*segment // oldest first; frames are appended to the last one
 	file         *os.File   // of the last segment
 	state        *wire.HardState
 	snapshot     uint64 // index of the newest snapshot
-	err          error  // first failure, which ends the disk for good
+	err          error  // first failure, after which every change fails
 }
 
 // segment is one file of the log.
@@ -87,11 +87,11 @@
 	number uint64
 	path   string
 	size   int64
-	last   uint64 // highest index of an entry in it
-	sealed bool   // says that another one follows
+	last   uint64 // highest index of its entries
+	sealed bool   // ends with a seal, which records that another segment follows
 }
 
-// Open reads the data folder and makes it if it is empty; a new folder gets an identity and has to recover.
+// Open loads the data folder or initializes it if it is empty. A new folder gets an identity and is marked as recovering.
 func Open(o Options) (*Disk, *Loaded, error) {
 	d := &Disk{Operations: o.Operations, dir: o.Dir, segmentBytes: o.SegmentBytes}
 	if d.Write == nil {
@@ -110,7 +110,7 @@
 	return d, loaded, nil
 }
 
-// acquire makes the folder and keeps other processes out of it.
+// acquire creates the folder if it is missing and locks it against other processes.
 func (d *Disk) acquire() error {
 	if err := os.MkdirAll(d.dir, folderMode); err != nil {
 		return fmt.Errorf("data folder: %w", err)
@@ -128,9 +128,9 @@
 }
 
 // Append makes a hard state and entries durable with one sync; either may be absent.
-// After an error nothing is durable any more that was not before, and every later call fails.
+// After an error nothing further becomes durable, and every later call fails.
 func (d *Disk) Append(state *wire.HardState, entries []*wire.Entry) error {
-	return d.do(func() error {
+	return d.apply(func() error {
 		if state != nil {
 			d.state = state
 		}
@@ -144,8 +144,8 @@
 	})
 }
 
-// do runs one change of the folder unless an earlier one failed; a failed sync must not be retried as if it had not happened.
-func (d *Disk) do(change func() error) error {
+// apply runs one change of the folder unless an earlier one failed. A failed sync must not be retried: the data may be lost although the second sync succeeds.
+func (d *Disk) apply(change func() error) error {
 	if d.err != nil {
 		return d.err
 	}
@@ -159,7 +159,7 @@
 	return d.segments[len(d.segments)-1]
 }
 
-// append writes one frame at the end of the current segment and syncs it.
+// append writes one group as a frame at the end of the current segment and syncs it.
 func (d *Disk) append(group *wire.LogGroup) error {
 	return d.appendTo(d.file, d.current(), group)
 }
@@ -169,7 +169,7 @@
 	if err != nil {
 		return fmt.Errorf("log group: %w", err)
 	}
-	b := frame(payload)
+	b := encodeFrame(payload)
 	if err := d.Write(file, b, s.size); err != nil {
 		return fmt.Errorf("write %s: %w", s.path, err)
 	}
@@ -183,7 +183,7 @@
 	return nil
 }
 
-// roll begins a new segment whose first group is the given one, and then seals the one before, so that the loss of the new one would show.
+// roll starts a new segment with the given group and then seals the previous segment, so that the loss of the new file is detected on loading.
 func (d *Disk) roll(first *wire.LogGroup) error {
 	before := d.file
 	if before != nil {
@@ -210,7 +210,7 @@
 	return d.seal(before, d.segments[len(d.segments)-2])
 }
 
-// seal says at the end of a segment that another one follows.
+// seal records at the end of a segment that another one follows.
 func (d *Disk) seal(file *os.File, s *segment) error {
 	s.sealed = true
 	return d.appendTo(file, s, &wire.LogGroup{Sealed: true})
@@ -228,12 +228,12 @@
 	return nil
 }
 
-// Err returns the failure that ended the disk, nil while it works.
+// Err returns the first failure, after which the disk accepts no more changes, or nil.
 func (d *Disk) Err() error {
 	return d.err
 }
 
-// Close lets go of the folder; what was appended is durable already.
+// Close closes the files and releases the lock on the folder; everything appended is durable already.
 func (d *Disk) Close() error {
 	if d.file != nil {
 		d.file.Close()
@@ -241,8 +241,8 @@
 	return d.lock.Close()
 }
 
-// identity draws the number that tells this data folder from any other.
-func identity() uint64 {
+// newIdentity returns a random number above 0 that distinguishes this data folder from any other.
+func newIdentity() uint64 {
 	var b [8]byte
 	for {
 		rand.Read(b[:])
--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -31,7 +31,7 @@
 	return list
 }
 
-// describe returns the log as index:term, after the snapshot's index in brackets.
+// describe formats the snapshot's index in brackets, followed by index:term of each entry.
 func describe(l *disk.Loaded) string {
 	text := fmt.Sprintf("[%d]", l.Snapshot.GetIndex())
 	for _, e := range l.Entries {
@@ -56,8 +56,8 @@
 	assert.Equal(t, loaded.State.GetDisk(), first.State.GetDisk())
 }
 
-// last returns the newest segment and its content.
-func last(t *testing.T, dir string) (string, []byte) {
+// lastSegment returns the path and the content of the newest segment.
+func lastSegment(t *testing.T, dir string) (string, []byte) {
 	t.Helper()
 	paths, err := filepath.Glob(filepath.Join(dir, "segment-*"))
 	assert.NilError(t, err)
@@ -67,12 +67,12 @@
 	return path, b
 }
 
-// twoGroups returns a folder with entries 1 and 2, and where the group of entry 2 begins in the last segment.
+// twoGroups returns a folder with entries 1 and 2, and the offset of the group of entry 2 in the last segment.
 func twoGroups(t *testing.T) (dir string, start int) {
 	dir = t.TempDir()
 	d, _ := open(t, dir)
 	assert.NilError(t, d.Append(nil, entries(1, 1)))
-	_, b := last(t, dir)
+	_, b := lastSegment(t, dir)
 	assert.NilError(t, d.Append(nil, entries(1, 2)))
 	assert.NilError(t, d.Close())
 	return dir, len(b)
@@ -80,7 +80,7 @@
 
 func TestTailTornAtEveryByteIsCutOff(t *testing.T) {
 	dir, start := twoGroups(t)
-	path, whole := last(t, dir)
+	path, whole := lastSegment(t, dir)
 	for end := start; end < len(whole); end++ {
 		assert.NilError(t, os.WriteFile(path, whole[:end], 0o600))
 		d, loaded := open(t, dir)
@@ -96,7 +96,7 @@
 
 func TestEveryFlippedByteIsRefused(t *testing.T) {
 	dir, start := twoGroups(t)
-	path, whole := last(t, dir)
+	path, whole := lastSegment(t, dir)
 	for at := range whole {
 		damaged := append([]byte(nil), whole...)
 		damaged[at] ^= 0x40
@@ -121,7 +121,7 @@
 	files, err := os.ReadDir(dir)
 	assert.NilError(t, err)
 	assert.Assert(t, len(files) > 5)
-	for _, file := range files[1:] { // the first is the lock
+	for _, file := range files[1:] { // the first is the lock file
 		path := filepath.Join(dir, file.Name())
 		assert.NilError(t, os.Rename(path, path+".away"))
 		_, _, err := disk.Open(disk.Options{Dir: dir})
@@ -140,7 +140,7 @@
 		assert.NilError(t, d.Append(nil, []*wire.Entry{e}))
 	}
 	assert.NilError(t, d.Close())
-	path, b := last(t, dir)
+	path, b := lastSegment(t, dir)
 	copy(b[512:1024], make([]byte, 512))
 	assert.NilError(t, os.WriteFile(path, b, 0o600))
 	_, _, err = disk.Open(disk.Options{Dir: dir})
@@ -151,9 +151,9 @@
 func TestCutBeforeTheLastSegmentIsRefused(t *testing.T) {
 	dir := t.TempDir()
 	d, _ := open(t, dir)
-	first, before := last(t, dir)
+	first, before := lastSegment(t, dir)
 	index := uint64(0)
-	for path := first; path == first; path, _ = last(t, dir) {
+	for path := first; path == first; path, _ = lastSegment(t, dir) {
 		before, _ = os.ReadFile(first)
 		index++
 		assert.NilError(t, d.Append(nil, entries(1, index)))
--- a/disk/doc.go
+++ b/disk/doc.go
@@ -1,2 +1,2 @@
-// Package disk keeps a replica's log, hard state and snapshots as plain files under one data folder. It speaks to the file system only.
+// Package disk stores a replica's log, hard state and snapshots in plain files of one data folder. It does no I/O but on the file system.
 package disk
--- a/disk/fault_test.go
+++ b/disk/fault_test.go
@@ -15,8 +15,8 @@
 
 var errFault = errors.New("injected")
 
-// history is the work whose every write, sync, rename and removal is made to fail in turn.
-func history() []func(*disk.Disk) error {
+// testSteps returns the changes of a disk during which the test makes every write, sync, rename and removal fail in turn.
+func testSteps() []func(*disk.Disk) error {
 	var steps []func(*disk.Disk) error
 	write := func(term uint64, indexes ...uint64) {
 		steps = append(steps, func(d *disk.Disk) error { return d.Append(nil, entries(term, indexes...)) })
@@ -39,20 +39,20 @@
 	return steps
 }
 
-// fault stops or fails the disk at its nth operation.
+// fault makes the nth operation of a disk fail, or simulates a crash at it.
 type fault struct {
-	countdown int
-	kill      bool // nothing works afterwards; otherwise only that one operation fails
-	power     bool // what was not synced is gone
-	half      bool // a write is done in part
-	dead      bool
-	unsynced  map[string]int64 // size up to which a file is synced, if it was written since
+	countdown    int
+	crash        bool // all later operations fail too; otherwise only the nth one
+	powerLoss    bool // unsynced data is lost
+	partialWrite bool // the failing write writes the first half of its data
+	crashed      bool
+	unsynced     map[string]int64 // synced size of each file that was written after its last sync
 }
 
-func (f *fault) hit() error {
+func (f *fault) countDown() error {
 	f.countdown--
-	if f.dead || f.countdown == 0 {
-		f.dead = f.kill
+	if f.crashed || f.countdown == 0 {
+		f.crashed = f.crash
 		return errFault
 	}
 	return nil
@@ -65,24 +65,24 @@
 			if _, written := f.unsynced[file.Name()]; !written {
 				f.unsynced[file.Name()] = offset
 			}
-			err := f.hit()
+			err := f.countDown()
 			if err == nil {
 				return system.Write(file, b, offset)
 			}
-			if f.half {
+			if f.partialWrite {
 				system.Write(file, b[:len(b)/2], offset)
 			}
 			return err
 		},
 		Sync: func(file *os.File) error {
-			if err := f.hit(); err != nil {
+			if err := f.countDown(); err != nil {
 				return err
 			}
 			delete(f.unsynced, file.Name())
 			return system.Sync(file)
 		},
 		Rename: func(from, to string) error {
-			if err := f.hit(); err != nil {
+			if err := f.countDown(); err != nil {
 				return err
 			}
 			if size, written := f.unsynced[from]; written {
@@ -91,7 +91,7 @@
 			return system.Rename(from, to)
 		},
 		Remove: func(path string) error {
-			if err := f.hit(); err != nil {
+			if err := f.countDown(); err != nil {
 				return err
 			}
 			return system.Remove(path)
@@ -99,30 +99,30 @@
 	}
 }
 
-// play runs the history in a folder and returns how many steps were done.
-func play(t *testing.T, dir string, operations disk.Operations) int {
+// runSteps runs the steps in a folder and returns how many succeeded before the first failure.
+func runSteps(t *testing.T, dir string, operations disk.Operations) int {
 	d, _, err := disk.Open(disk.Options{Dir: dir, SegmentBytes: segmentBytes, Operations: operations})
 	if err != nil {
 		return 0
 	}
 	defer d.Close()
-	for i, step := range history() {
+	for i, step := range testSteps() {
 		if step(d) != nil {
-			if i+1 < len(history()) && d.Err() != nil {
-				assert.ErrorIs(t, d.Append(nil, nil), errFault, "a disk that failed went on")
+			if i+1 < len(testSteps()) && d.Err() != nil {
+				assert.ErrorIs(t, d.Append(nil, nil), errFault, "append after a failure")
 			}
 			return i
 		}
 	}
-	return len(history())
+	return len(testSteps())
 }
 
-// outcomes returns what a folder holds after each step that succeeds.
-func outcomes(t *testing.T) []string {
+// expectedContents returns the content of a folder at the start and after each step.
+func expectedContents(t *testing.T) []string {
 	dir := t.TempDir()
 	d, loaded := open(t, dir)
 	found := []string{describe(loaded)}
-	for _, step := range history() {
+	for _, step := range testSteps() {
 		assert.NilError(t, step(d))
 		assert.NilError(t, d.Close())
 		d, loaded = open(t, dir)
@@ -133,24 +133,24 @@
 }
 
 func TestNothingSyncedIsLostAtAnyFault(t *testing.T) {
-	expected := outcomes(t)
+	expected := expectedContents(t)
 	assert.Equal(t, expected[len(expected)-1], "[90] 91:4 92:4")
-	for _, variant := range []fault{{kill: true}, {kill: true, half: true}, {kill: true, power: true}, {}, {half: true}} {
+	for _, variant := range []fault{{crash: true}, {crash: true, partialWrite: true}, {crash: true, powerLoss: true}, {}, {partialWrite: true}} {
 		points := 0
 		for point := 1; ; point++ {
 			f := variant
 			f.countdown, f.unsynced = point, map[string]int64{}
 			dir := t.TempDir()
-			done := play(t, dir, f.operations())
+			done := runSteps(t, dir, f.operations())
 			if f.countdown > 0 {
 				break
 			}
-			if f.power {
+			if f.powerLoss {
 				f.dropUnsynced(t)
 			}
 			d, loaded := open(t, dir)
 			after := expected[done : min(done+1, len(expected)-1)+1]
-			assert.Assert(t, slices.Contains(after, describe(loaded)), "point %d, %d steps done: %s, not %v", point, done, describe(loaded), after)
+			assert.Assert(t, slices.Contains(after, describe(loaded)), "operation %d failed, %d steps done: got %s, want one of %v", point, done, describe(loaded), after)
 			next := loaded.Snapshot.GetIndex() + uint64(len(loaded.Entries)) + 1
 			assert.NilError(t, d.Append(nil, entries(9, next)))
 			assert.NilError(t, d.Close())
@@ -159,11 +159,11 @@
 			assert.NilError(t, d.Close())
 			points++
 		}
-		assert.Assert(t, points > 2*len(history()), "only %d points", points)
+		assert.Assert(t, points > 2*len(testSteps()), "only %d operations were made to fail", points)
 	}
 }
 
-// dropUnsynced does to the files what a power cut may do.
+// dropUnsynced truncates the files to their synced size, as after a power failure.
 func (f *fault) dropUnsynced(t *testing.T) {
 	for path, size := range f.unsynced {
 		if _, err := os.Stat(path); err == nil {
--- a/disk/frame.go
+++ b/disk/frame.go
@@ -5,16 +5,16 @@
 	"hash/crc32"
 )
 
-// A frame is what one sync makes durable: length, checksum of the payload, checksum of the two, payload.
+// A frame is the unit that one sync makes durable. It consists of the payload's length, the payload's checksum, a checksum of these two fields, and the payload.
 const (
 	headerBytes = 12
-	sectorBytes = 512 // what a disk writes whole or not at all
+	sectorBytes = 512 // unit that a disk writes atomically
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// frame returns the payload with its header before it.
-func frame(payload []byte) []byte {
+// encodeFrame returns the payload preceded by its header.
+func encodeFrame(payload []byte) []byte {
 	b := make([]byte, headerBytes, headerBytes+len(payload))
 	binary.LittleEndian.PutUint32(b[0:], uint32(len(payload)))
 	binary.LittleEndian.PutUint32(b[4:], crc32.Checksum(payload, castagnoli))
@@ -22,9 +22,9 @@
 	return append(b, payload...)
 }
 
-// unframe returns the payload of the frame at the start of b and the frame's size; ok is false if there is no valid one.
-func unframe(b []byte) (payload []byte, size int, ok bool) {
-	length, ok := header(b)
+// decodeFrame returns the payload of the frame at the start of b and the frame's size; ok is false if there is no valid one.
+func decodeFrame(b []byte) (payload []byte, size int, ok bool) {
+	length, ok := decodeHeader(b)
 	if !ok || len(b)-headerBytes < length {
 		return nil, 0, false
 	}
@@ -33,8 +33,8 @@
 	return payload, headerBytes + length, crc32.Checksum(payload, castagnoli) == sum
 }
 
-// header returns the length of the payload that a valid header announces.
-func header(b []byte) (length int, ok bool) {
+// decodeHeader returns the payload's length and whether the bytes before the payload are complete and match their checksum.
+func decodeHeader(b []byte) (length int, ok bool) {
 	if len(b) < headerBytes {
 		return 0, false
 	}
@@ -43,22 +43,22 @@
 	return length, crc32.Checksum(b[:8], castagnoli) == sum
 }
 
-// torn says whether the bytes after the last valid frame, from offset on in their file, are a write that a crash cut short.
+// torn reports whether b, the bytes after the last valid frame, which start at offset in their file, are a write that a crash interrupted.
 // Such a write ends early or has sectors that were never written and read as zeros; anything else is corruption.
 func torn(b []byte, offset int) bool {
 	for at := 1; at+headerBytes <= len(b); at++ {
-		if _, _, ok := unframe(b[at:]); ok {
+		if _, _, ok := decodeFrame(b[at:]); ok {
 			return false
 		}
 	}
-	length, ok := header(b)
+	length, ok := decodeHeader(b)
 	if ok && len(b) < headerBytes+length {
 		return true
 	}
 	return len(b) < headerBytes || unwrittenSector(b, offset)
 }
 
-// unwrittenSector says whether a sector of the file, as far as it lies in b, is all zeros.
+// unwrittenSector reports whether the part within b of any sector of the file is all zeros.
 func unwrittenSector(b []byte, offset int) bool {
 	for start := 0; start < len(b); {
 		end := min(len(b), start+sectorBytes-(offset+start)%sectorBytes)
--- a/disk/load.go
+++ b/disk/load.go
@@ -14,13 +14,13 @@
 
 const temporarySuffix = ".tmp"
 
-// Corrupt names the place of damage that no crash of ours leaves behind; the replica must not start on it.
+// Corrupt is an error that gives the place of damage which no crash of the process can have caused; the replica must not start on such a folder.
 type Corrupt struct {
 	File   string
 	Offset int64
 }
 
-// Error names the file and the offset.
+// Error returns a message with the file and the offset.
 func (c *Corrupt) Error() string {
 	return fmt.Sprintf("corrupt: %s at offset %d", c.File, c.Offset)
 }
@@ -28,26 +28,26 @@
 func segmentName(number uint64) string { return fmt.Sprintf("segment-%016x.log", number) }
 func snapshotName(index uint64) string { return fmt.Sprintf("snapshot-%016x.bin", index) }
 
-// names is what a data folder holds, each in ascending order.
-type names struct {
+// folderFiles lists the files of a data folder: segment numbers and snapshot indexes in ascending order, and temporary files.
+type folderFiles struct {
 	segments, snapshots []uint64
 	temporary           []string
 }
 
-func (d *Disk) list() (*names, error) {
+func (d *Disk) listFiles() (*folderFiles, error) {
 	files, err := os.ReadDir(d.dir)
 	if err != nil {
 		return nil, fmt.Errorf("data folder: %w", err)
 	}
-	found := &names{}
+	found := &folderFiles{}
 	for _, f := range files {
 		var number uint64
 		switch {
 		case strings.HasSuffix(f.Name(), temporarySuffix):
 			found.temporary = append(found.temporary, f.Name())
-		case scan(f.Name(), "segment-%016x.log", &number):
+		case parseName(f.Name(), "segment-%016x.log", &number):
 			found.segments = append(found.segments, number)
-		case scan(f.Name(), "snapshot-%016x.bin", &number):
+		case parseName(f.Name(), "snapshot-%016x.bin", &number):
 			found.snapshots = append(found.snapshots, number)
 		}
 	}
@@ -56,14 +56,14 @@
 	return found, nil
 }
 
-func scan(name, format string, number *uint64) bool {
+func parseName(name, format string, number *uint64) bool {
 	_, err := fmt.Sscanf(name, format, number)
 	return err == nil && name == fmt.Sprintf(format, *number)
 }
 
 // load reads the newest snapshot and the log after it.
 func (d *Disk) load() (*Loaded, error) {
-	found, err := d.list()
+	found, err := d.listFiles()
 	if err != nil {
 		return nil, err
 	}
@@ -90,12 +90,12 @@
 	return l.finish()
 }
 
-// loader gathers what the files of a folder say.
+// loader holds the state of a folder that is being loaded.
 type loader struct {
 	*Disk
 	snapshot *wire.Snapshot
-	log      []*wire.Entry // contiguous
-	before   uint64        // index before the first of log
+	log      []*wire.Entry // contiguous indexes
+	before   uint64        // index before the first entry of log
 	tail     []byte        // last valid frame of the last segment
 	torn     *Torn
 }
@@ -114,7 +114,7 @@
 	return nil
 }
 
-// readSegment reads a segment that the given count of others follow.
+// readSegment reads a segment; following is the number of segments after it.
 func (l *loader) readSegment(number uint64, following int) error {
 	s := &segment{number: number, path: filepath.Join(l.dir, segmentName(number))}
 	b, err := os.ReadFile(s.path)
@@ -124,11 +124,11 @@
 	l.segments = append(l.segments, s)
 	l.tail = nil
 	for offset := 0; offset < len(b); {
-		payload, size, ok := unframe(b[offset:])
+		payload, size, ok := decodeFrame(b[offset:])
 		if !ok {
 			return l.endSegment(s, b, offset, following)
 		}
-		if !l.take(s, payload) {
+		if !l.applyGroup(s, payload) {
 			return &Corrupt{File: s.path, Offset: int64(offset)}
 		}
 		l.tail = b[offset : offset+size]
@@ -138,7 +138,7 @@
 	return nil
 }
 
-// endSegment accepts an invalid frame only as the torn end of the last segment, or as the torn seal of the one before it.
+// endSegment handles an invalid frame. It accepts only an interrupted write at the end of the last segment, or an interrupted seal at the end of the one before.
 func (l *loader) endSegment(s *segment, b []byte, offset, following int) error {
 	if following > 1 || s.sealed || !torn(b[offset:], offset) {
 		return &Corrupt{File: s.path, Offset: int64(offset)}
@@ -147,14 +147,14 @@
 	return nil
 }
 
-// take reads one group and says whether it makes sense after those before it.
-func (l *loader) take(s *segment, payload []byte) bool {
+// applyGroup applies one group to the loaded state and reports whether the group is consistent with the preceding ones.
+func (l *loader) applyGroup(s *segment, payload []byte) bool {
 	group := &wire.LogGroup{}
 	if proto.Unmarshal(payload, group) != nil {
 		return false
 	}
 	s.sealed = group.GetSealed()
-	if before := l.precursor(s); before != nil && s.size == 0 && before.size < group.GetPreviousBytes() {
+	if before := l.previousSegment(s); before != nil && s.size == 0 && before.size < group.GetPreviousBytes() {
 		return false
 	}
 	if group.GetState() != nil {
@@ -164,7 +164,7 @@
 		l.log, l.before = nil, group.GetResetIndex()
 	}
 	for _, e := range group.GetEntries() {
-		if !l.place(e) {
+		if !l.insertEntry(e) {
 			return false
 		}
 		s.last = max(s.last, e.GetIndex())
@@ -172,21 +172,21 @@
 	return true
 }
 
-// precursor returns the segment read before s, nil if s is the first one left.
-func (l *loader) precursor(s *segment) *segment {
+// previousSegment returns the segment read before s, or nil if s is the oldest one that still exists.
+func (l *loader) previousSegment(s *segment) *segment {
 	if l.segments[0] == s {
 		return nil
 	}
 	return l.segments[len(l.segments)-2]
 }
 
-// place puts an entry where its index says, in place of all from there on.
-func (l *loader) place(e *wire.Entry) bool {
+// insertEntry inserts an entry at its index and drops all entries from there on; it returns false if the index leaves a gap.
+func (l *loader) insertEntry(e *wire.Entry) bool {
 	if len(l.log) == 0 && l.before == 0 {
 		l.before = e.GetIndex() - 1
 	}
 	if e.GetIndex() <= l.before {
-		// What it replaces from here on was partly in segments that are removed already.
+		// Some of the entries that it replaces were in segments that have been removed.
 		l.log, l.before = nil, e.GetIndex()-1
 	}
 	at := e.GetIndex() - l.before - 1
@@ -197,14 +197,14 @@
 	return true
 }
 
-// finish joins log and snapshot and makes the end of the log writable.
+// finish connects the log to the snapshot and opens the end of the log for writing.
 func (l *loader) finish() (*Loaded, error) {
 	entries, joined, err := l.afterSnapshot()
 	if err != nil {
 		return nil, err
 	}
 	if l.state == nil {
-		return l.begin()
+		return l.initialize()
 	}
 	if err := l.reopen(); err != nil {
 		return nil, err
@@ -218,7 +218,7 @@
 	return &Loaded{State: l.state, Snapshot: l.snapshot, Entries: entries, Torn: l.torn}, nil
 }
 
-// afterSnapshot returns the entries that go on from the snapshot; joined is false if a leader's snapshot was installed over a log that does not lead up to it.
+// afterSnapshot returns the entries that follow the snapshot; joined is false if the log does not contain the snapshot's last entry, because a leader's snapshot was installed over it.
 func (l *loader) afterSnapshot() (entries []*wire.Entry, joined bool, err error) {
 	index, term := l.snapshot.GetIndex(), l.snapshot.GetTerm()
 	if l.before == index {
@@ -234,8 +234,8 @@
 	return l.log[at+1:], true, nil
 }
 
-// begin gives an empty folder its identity.
-func (l *loader) begin() (*Loaded, error) {
+// initialize initializes an empty folder with a new identity.
+func (l *loader) initialize() (*Loaded, error) {
 	if l.snapshot != nil || len(l.segments) > 1 {
 		return nil, &Corrupt{File: l.dir, Offset: 0}
 	}
@@ -245,31 +245,31 @@
 		}
 	}
 	l.segments = nil
-	l.state = &wire.HardState{Disk: identity(), Recovering: true}
+	l.state = &wire.HardState{Disk: newIdentity(), Recovering: true}
 	if err := l.roll(&wire.LogGroup{State: l.state}); err != nil {
 		return nil, err
 	}
 	return &Loaded{State: l.state}, nil
 }
 
-// reopen cuts off a torn end and writes the last frame once more, since after a failed sync it may be in memory only.
+// reopen removes an incomplete write at the end of the log and writes the last frame again, since after a failed sync that frame may be in the page cache only.
 func (l *loader) reopen() error {
 	s := l.current()
-	file, err := l.cut(s)
+	file, err := l.truncateTail(s)
 	if err != nil {
 		return err
 	}
 	l.file = file
-	before := l.precursor(s)
+	before := l.previousSegment(s)
 	if s.size == 0 {
-		// Every segment begins with the hard state, so that older ones can be removed.
+		// Every segment begins with the hard state, so that older segments can be removed.
 		first := &wire.LogGroup{State: l.state}
 		if before != nil {
 			first.PreviousBytes = before.size
 		}
 		err = l.append(first)
 	} else {
-		err = l.rewrite(file, s)
+		err = l.rewriteLastFrame(file, s)
 	}
 	if err != nil {
 		return err
@@ -277,11 +277,11 @@
 	if err := l.syncDir(); err != nil || before == nil || before.sealed {
 		return err
 	}
-	return l.reseal(before)
+	return l.restoreSeal(before)
 }
 
-// cut opens a segment and removes what lies after its last valid frame.
-func (l *loader) cut(s *segment) (*os.File, error) {
+// truncateTail opens a segment and truncates it after its last valid frame.
+func (l *loader) truncateTail(s *segment) (*os.File, error) {
 	file, err := os.OpenFile(s.path, os.O_RDWR, fileMode)
 	if err != nil {
 		return nil, fmt.Errorf("log: %w", err)
@@ -293,7 +293,7 @@
 	return file, nil
 }
 
-func (l *loader) rewrite(file *os.File, s *segment) error {
+func (l *loader) rewriteLastFrame(file *os.File, s *segment) error {
 	if err := l.Write(file, l.tail, s.size-int64(len(l.tail))); err != nil {
 		return fmt.Errorf("write %s: %w", s.path, err)
 	}
@@ -303,9 +303,9 @@
 	return nil
 }
 
-// reseal makes up for the seal that a crash kept from being written.
-func (l *loader) reseal(s *segment) error {
-	file, err := l.cut(s)
+// restoreSeal writes the seal that was not written because of a crash.
+func (l *loader) restoreSeal(s *segment) error {
+	file, err := l.truncateTail(s)
 	if err != nil {
 		return err
 	}
--- a/disk/snapshot.go
+++ b/disk/snapshot.go
@@ -10,14 +10,14 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// WriteSnapshot makes a snapshot durable under its own name, whole or not at all; the log is not touched.
+// WriteSnapshot atomically makes a snapshot durable in a file of its own; it does not change the log.
 func (d *Disk) WriteSnapshot(s *wire.Snapshot) error {
 	payload, err := proto.Marshal(s)
 	if err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
 	path := filepath.Join(d.dir, snapshotName(s.GetIndex()))
-	if err := d.writeTemporary(path+temporarySuffix, frame(payload)); err != nil {
+	if err := d.writeTemporary(path+temporarySuffix, encodeFrame(payload)); err != nil {
 		return err
 	}
 	if err := d.Rename(path+temporarySuffix, path); err != nil {
@@ -41,7 +41,7 @@
 	return nil
 }
 
-// ReadSnapshot returns the snapshot written last, for a follower that was left behind.
+// ReadSnapshot returns the newest snapshot, for a follower that lags behind the start of the log.
 func (d *Disk) ReadSnapshot() (*wire.Snapshot, error) {
 	return readSnapshot(filepath.Join(d.dir, snapshotName(d.snapshot)))
 }
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
-	payload, size, ok := unframe(b)
+	payload, size, ok := decodeFrame(b)
 	if !ok || size != len(b) {
 		return nil, &Corrupt{File: path, Offset: 0}
 	}
@@ -62,9 +62,9 @@
 	return s, nil
 }
 
-// Install makes a leader's snapshot durable and begins the log anew after it.
+// Install makes a leader's snapshot durable and restarts the log after it.
 func (d *Disk) Install(state *wire.HardState, s *wire.Snapshot) error {
-	return d.do(func() error {
+	return d.apply(func() error {
 		if state != nil {
 			d.state = state
 		}
@@ -80,9 +80,9 @@
 	})
 }
 
-// Compact removes older snapshots than the given one, which was written, and the segments that hold nothing after keepFrom.
+// Compact removes the snapshots older than the given one, which must have been written, and the segments that have no entry after keepFrom or the snapshot, whichever is lower.
 func (d *Disk) Compact(snapshot, keepFrom uint64) error {
-	return d.do(func() error {
+	return d.apply(func() error {
 		if snapshot <= d.snapshot {
 			return nil
 		}
@@ -101,7 +101,7 @@
 	return d.current().number
 }
 
-// prune removes, oldest first, the segments before a number and the snapshots before an index.
+// prune removes the segments before a number, oldest first, and the snapshots before an index.
 func (d *Disk) prune(segment, snapshot uint64) error {
 	for d.segments[0].number < segment {
 		if err := d.Remove(d.segments[0].path); err != nil {
@@ -109,7 +109,7 @@
 		}
 		d.segments = d.segments[1:]
 	}
-	names, err := d.list()
+	names, err := d.listFiles()
 	if err != nil {
 		return err
 	}
