Reword package command: roles, operators' commands and their errors

Readers stumbled over names such as leaf, got, outOf, named and numbered, and over error texts that did not say which option is required. Renames that matter: leaf and table to commandSpec and commandSpecs, numbered to changeOptions, session.change, sendJob and send to changeConfiguration, sendJobChange and sendChange, awaitEnd to waitForStop, readyLook and liveLook to readyInterval and liveInterval, memberGC to memberGCPercent.

--- a/command/change.go
+++ b/command/change.go
@@ -15,21 +15,21 @@
 	mibPerGib    = 1024
 )
 
-// named is the NAME that most commands take.
-type named struct {
+// nameArgument holds the positional argument NAME, which most commands take.
+type nameArgument struct {
 	Args struct {
 		Name string `positional-arg-name:"NAME" required:"yes"`
 	} `positional-args:"yes"`
 }
 
-func (n named) path(collection string) string {
+func (n nameArgument) path(collection string) string {
 	return "/v1/" + collection + "/" + url.PathEscape(n.Args.Name)
 }
 
 type classPut struct {
 	s *session
-	numbered
-	named
+	changeOptions
+	nameArgument
 	Kind   string        `long:"kind" choice:"service" choice:"batch" required:"yes" description:"latency-critical or batch"`
 	P99    time.Duration `long:"target-p99" value-name:"TIME" description:"service: tail latency that it must keep, such as 50ms"`
 	Volume int64         `long:"volume" value-name:"N" description:"batch: tasks a day"`
@@ -43,7 +43,7 @@
 		return &usageError{err}
 	}
 	body := operator.Class{Kind: c.Kind, TargetP99US: c.P99.Microseconds(), TargetVolume: c.Volume, DueMinute: due}
-	return c.s.change(c.numbered, http.MethodPut, c.path("classes"), body)
+	return c.s.changeConfiguration(c.changeOptions, http.MethodPut, c.path("classes"), body)
 }
 
 func minuteOfDay(text string) (int32, error) {
@@ -52,19 +52,19 @@
 	}
 	t, err := time.Parse("15:04", text)
 	if err != nil {
-		return 0, fmt.Errorf("--due: %q is no time of the day such as 23:00", text)
+		return 0, fmt.Errorf("--due: %q is not a time of the day as HH:MM, such as 23:00", text)
 	}
 	return int32(t.Hour()*60 + t.Minute()), nil
 }
 
-// sized are the options that give an amount of each resource.
-type sized struct {
+// sizeOptions holds the options that set the amount of each resource.
+type sizeOptions struct {
 	CPU          float64 `long:"cpu" value-name:"CORES" description:"processors"`
 	MemoryGiB    float64 `long:"memory-gib" value-name:"GIB" description:"memory"`
 	Accelerators int64   `long:"accelerators" value-name:"N" description:"accelerators"`
 }
 
-func (s sized) size() resource.Size {
+func (s sizeOptions) size() resource.Size {
 	return resource.Size{
 		MilliCPU:     int64(s.CPU * milliPerCore),
 		MemoryMiB:    int64(s.MemoryGiB * mibPerGib),
@@ -74,38 +74,38 @@
 
 type teamPut struct {
 	s *session
-	numbered
-	named
-	sized
+	changeOptions
+	nameArgument
+	sizeOptions
 }
 
 // Execute sends the change.
 func (c *teamPut) Execute([]string) error {
-	return c.s.change(c.numbered, http.MethodPut, c.path("teams"), operator.Team{Quota: c.size()})
+	return c.s.changeConfiguration(c.changeOptions, http.MethodPut, c.path("teams"), operator.Team{Quota: c.size()})
 }
 
-// remove is the command that removes a member of a collection of the administration interface.
-type remove struct {
+// removeCommand is the command that deletes an item from a collection of the administration interface.
+type removeCommand struct {
 	s          *session
 	collection string
-	numbered
-	named
+	changeOptions
+	nameArgument
 }
 
 // Execute sends the change.
-func (c *remove) Execute([]string) error {
-	return c.s.change(c.numbered, http.MethodDelete, c.path(c.collection), nil)
+func (c *removeCommand) Execute([]string) error {
+	return c.s.changeConfiguration(c.changeOptions, http.MethodDelete, c.path(c.collection), nil)
 }
 
-// domainPut is the command that takes a failure domain out of service or puts it back.
+// domainPut is the command that takes a failure domain out of service or back into service.
 type domainPut struct {
 	s   *session
 	out bool
-	numbered
-	named
+	changeOptions
+	nameArgument
 }
 
 // Execute sends the change.
 func (c *domainPut) Execute([]string) error {
-	return c.s.change(c.numbered, http.MethodPut, c.path("domains"), operator.Domain{Out: c.out})
+	return c.s.changeConfiguration(c.changeOptions, http.MethodPut, c.path("domains"), operator.Domain{Out: c.out})
 }
--- a/command/command.go
+++ b/command/command.go
@@ -21,9 +21,9 @@
 	ExitOK       = 0
 	ExitFailed   = 1 // nothing was done
 	ExitUsage    = 2 // the command line or a settings file is wrong
-	ExitConflict = 3 // another change won
-	ExitRefused  = 4 // the change makes no sense
-	ExitUnknown  = 5 // the change may have been made; send it again with the same --sequence
+	ExitConflict = 3 // another change was made first
+	ExitRefused  = 4 // the change is invalid
+	ExitUnknown  = 5 // the change may have been made; repeat it with the same --sequence
 )
 
 const version = "0.1.0"
@@ -34,7 +34,7 @@
 
 Example: daisyswitch --entry 127.0.0.1:7003 --operator ana class put bids --kind service --target-p99 50ms`
 
-// session is what every command is run with.
+// session holds the global options, the output and the exit code of one command line.
 type session struct {
 	Entry    []string `long:"entry" env:"DAISYSWITCH_ENTRY" env-delim:"," value-name:"HOST:PORT" description:"operators' address of an entry; several, given again or with commas, are tried in turn"`
 	Operator string   `long:"operator" env:"DAISYSWITCH_OPERATOR" value-name:"NAME" description:"name that changes are made under"`
@@ -44,8 +44,8 @@
 	code int
 }
 
-// leaf is one command: where it stands, what --help says, and the options that it runs with.
-type leaf struct {
+// commandSpec describes a command: its group ("" for none), its name, its help texts, and the options struct that executes it.
+type commandSpec struct {
 	group   string
 	name    string
 	summary string
@@ -53,8 +53,8 @@
 	data    any
 }
 
-func table(s *session) []leaf {
-	return []leaf{
+func commandSpecs(s *session) []commandSpec {
+	return []commandSpec{
 		{"", "entry", "Run an entry process.", "daisyswitch entry --settings examples/tibay/entry-1.json", &entryCommand{}},
 		{"", "control", "Run a control process.", "daisyswitch control --settings examples/tibay/control-1.json", &controlCommand{}},
 		{"", "member", "Run a control process that finds its group through seeds and calls its workers.", "daisyswitch member --settings member.json", &memberCommand{}},
@@ -64,19 +64,19 @@
 		{"", "status", "Print each class, its target and what it got.", "daisyswitch --entry 127.0.0.1:7003 status", &statusCommand{s: s}},
 		{"", "audit", "Print the audit trail.", "daisyswitch --entry 127.0.0.1:7003 audit --after 120", &auditCommand{s: s}},
 		{"class", "put", "Add or change a class and its target.", "daisyswitch class put bids --kind service --target-p99 50ms", &classPut{s: s}},
-		{"class", "remove", "Remove a class.", "daisyswitch class remove bids", &remove{s: s, collection: "classes"}},
+		{"class", "remove", "Remove a class.", "daisyswitch class remove bids", &removeCommand{s: s, collection: "classes"}},
 		{"team", "put", "Add or change a team and its quota.", "daisyswitch team put ledger --cpu 100 --memory-gib 400", &teamPut{s: s}},
-		{"team", "remove", "Remove a team.", "daisyswitch team remove ledger", &remove{s: s, collection: "teams"}},
+		{"team", "remove", "Remove a team.", "daisyswitch team remove ledger", &removeCommand{s: s, collection: "teams"}},
 		{"domain", "out", "Take a failure domain out of service.", "daisyswitch domain out cebu", &domainPut{s: s, out: true}},
 		{"domain", "in", "Put a failure domain back in service.", "daisyswitch domain in cebu", &domainPut{s: s}},
 		{"job", "submit", "Submit a job.", "daisyswitch job submit --team ledger --class refunds --program refund-run --tasks 20 --cpu 1 --memory-gib 2 --expected 90s", &jobSubmit{s: s}},
 		{"job", "show", "Print a job and the state of each task.", "daisyswitch job show j12", &jobShow{s: s}},
-		{"job", "explain", "Print what the logs of processes say of a workflow, in order of time.", "daisyswitch job explain 15ab3ded96258ea2 core-*.log front-*.log", &jobExplain{s: s}},
+		{"job", "explain", "Print the log lines of all processes about a workflow, in chronological order.", "daisyswitch job explain 15ab3ded96258ea2 core-*.log front-*.log", &jobExplain{s: s}},
 		{"job", "cancel", "Cancel a job.", "daisyswitch job cancel j12", &jobCancel{s: s}},
 	}
 }
 
-// Run carries out one command line and returns its exit code.
+// Run executes one command line and returns its exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	s := &session{out: stdout}
 	parser, err := newParser(s)
@@ -85,7 +85,7 @@
 		return ExitUsage
 	}
 	if _, err := parser.ParseArgs(args); err != nil {
-		return explain(err, stdout, stderr)
+		return reportError(err, stdout, stderr)
 	}
 	return s.code
 }
@@ -97,7 +97,7 @@
 		return nil, err
 	}
 	groups := map[string]*flags.Command{"": parser.Command}
-	for _, l := range table(s) {
+	for _, l := range commandSpecs(s) {
 		if groups[l.group] == nil {
 			summary := "Commands for a " + l.group + "."
 			group, err := parser.AddCommand(l.group, summary, summary+"\n\nExample: "+l.example, &struct{}{})
@@ -114,8 +114,8 @@
 	return parser, nil
 }
 
-// explain prints why a command line was not carried out.
-func explain(err error, stdout, stderr io.Writer) int {
+// reportError prints the error of a command line, or its help text, and returns the exit code.
+func reportError(err error, stdout, stderr io.Writer) int {
 	var usage *flags.Error
 	if errors.As(err, &usage) {
 		if usage.Type == flags.ErrHelp {
@@ -137,12 +137,12 @@
 	return ExitFailed
 }
 
-// usageError is a command line or file that cannot be carried out as it stands.
+// usageError is an error of the command line or of a settings file.
 type usageError struct {
 	err error
 }
 
-// Error returns the cause's text.
+// Error returns the message of the cause.
 func (e *usageError) Error() string {
 	return e.err.Error()
 }
@@ -158,7 +158,7 @@
 		entries = append(entries, strings.Split(e, ",")...)
 	}
 	if len(entries) == 0 {
-		return nil, &usageError{errors.New("--entry HOST:PORT is needed, or DAISYSWITCH_ENTRY")}
+		return nil, &usageError{errors.New("--entry HOST:PORT or DAISYSWITCH_ENTRY is required")}
 	}
 	return &operator.Client{Entries: entries, Operator: s.Operator, HTTP: &http.Client{}}, nil
 }
@@ -177,22 +177,22 @@
 	return encoder.Encode(v)
 }
 
-// numbered are the options of every change.
-type numbered struct {
+// changeOptions holds the options of a change: its sequence number and its base version.
+type changeOptions struct {
 	Sequence uint64 `long:"sequence" value-name:"N" description:"number of this change; give the same one again to ask for a lost answer"`
 	Base     uint64 `long:"base-version" value-name:"V" description:"configuration version that the change was made from (default: the current one)"`
 }
 
-func (n numbered) sequence() uint64 {
+func (n changeOptions) sequence() uint64 {
 	if n.Sequence != 0 {
 		return n.Sequence
 	}
 	return uint64(time.Now().UnixMicro())
 }
 
-// change sends a change of the configuration and prints its result.
-func (s *session) change(n numbered, method, path string, body any) error {
-	client, err := s.changer()
+// changeConfiguration sends a change of the configuration, based on the current version unless another is given, and prints its result.
+func (s *session) changeConfiguration(n changeOptions, method, path string, body any) error {
+	client, err := s.changeClient()
 	if err != nil {
 		return err
 	}
@@ -203,26 +203,26 @@
 		}
 		n.Base = current.Version
 	}
-	return s.send(client, n, method, path, body)
+	return s.sendChange(client, n, method, path, body)
 }
 
-// sendJob sends a change that concerns a job, which needs no configuration version.
-func (s *session) sendJob(n numbered, method, path string, body any) error {
-	client, err := s.changer()
+// sendJobChange sends a submission or cancellation of a job, which needs no configuration version, and prints its result.
+func (s *session) sendJobChange(n changeOptions, method, path string, body any) error {
+	client, err := s.changeClient()
 	if err != nil {
 		return err
 	}
-	return s.send(client, n, method, path, body)
+	return s.sendChange(client, n, method, path, body)
 }
 
-func (s *session) changer() (*operator.Client, error) {
+func (s *session) changeClient() (*operator.Client, error) {
 	if s.Operator == "" {
-		return nil, &usageError{errors.New("--operator NAME is needed for a change, or DAISYSWITCH_OPERATOR")}
+		return nil, &usageError{errors.New("--operator NAME or DAISYSWITCH_OPERATOR is required for a change")}
 	}
 	return s.client()
 }
 
-func (s *session) send(client *operator.Client, n numbered, method, path string, body any) error {
+func (s *session) sendChange(client *operator.Client, n changeOptions, method, path string, body any) error {
 	number := operator.Number{Sequence: n.sequence(), BaseVersion: n.Base}
 	result, err := client.Change(context.Background(), method, path, number, body)
 	if err != nil {
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -14,8 +14,8 @@
 	"gotest.tools/v3/golden"
 )
 
-// entry answers every read with a configuration and every change as told.
-func entry(t *testing.T, status int, body string) string {
+// newEntryServer starts a server that answers every read with a configuration and every change with the given status and body.
+func newEntryServer(t *testing.T, status int, body string) string {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet {
 			fmt.Fprint(w, `{"version": 4}`)
@@ -34,7 +34,7 @@
 	return code, buffer.String()
 }
 
-// TestExitCodes has every outcome of a change told by its exit code.
+// TestExitCodes checks the exit code for every outcome of a change.
 func TestExitCodes(t *testing.T) {
 	for _, c := range []struct {
 		status int
@@ -48,12 +48,12 @@
 		{503, `{"code": "timeout", "verdict": "unknown", "reason": "no answer"}`, command.ExitUnknown},
 		{200, `{"outcome": "acc`, command.ExitUnknown},
 	} {
-		code, out := run("--entry", entry(t, c.status, c.body), "--operator", "ana", "domain", "out", "cebu")
+		code, out := run("--entry", newEntryServer(t, c.status, c.body), "--operator", "ana", "domain", "out", "cebu")
 		assert.Equal(t, code, c.code, out)
 	}
 }
 
-// TestWrongCommandLines keeps what is said of each, and that it ends with the code for usage.
+// TestWrongCommandLines checks the message for each invalid command line and that it exits with ExitUsage.
 func TestWrongCommandLines(t *testing.T) {
 	var page strings.Builder
 	for _, line := range []string{
--- a/command/doc.go
+++ b/command/doc.go
@@ -1,2 +1,2 @@
-// Package command is the command line of daisyswitch: the processes' roles, and the operators' commands, which speak to any entry.
+// Package command implements the command line of daisyswitch: the roles that a process can run, and the operators' commands, which send requests to any entry.
 package command
--- a/command/explain.go
+++ b/command/explain.go
@@ -9,7 +9,7 @@
 	story "daisyswitch/explain"
 )
 
-var errNoStory = errors.New("no log names the workflow")
+var errNoLogLine = errors.New("no log line mentions the workflow")
 
 type jobExplain struct {
 	s    *session
@@ -19,7 +19,7 @@
 	} `positional-args:"yes"`
 }
 
-// Execute prints what the logs say of a workflow, in order of time.
+// Execute prints the log lines about a workflow in chronological order.
 func (c *jobExplain) Execute([]string) error {
 	logs := []io.Reader{os.Stdin}
 	if len(c.Args.Files) > 0 {
@@ -38,7 +38,7 @@
 		return err
 	}
 	if len(lines) == 0 {
-		return errNoStory
+		return errNoLogLine
 	}
 	for _, line := range lines {
 		fmt.Fprintln(c.s.out, line.Text)
--- a/command/job.go
+++ b/command/job.go
@@ -19,7 +19,7 @@
 	Expected   time.Duration `long:"expected" value-name:"TIME" description:"run time of a task"`
 	Urgent     bool          `long:"urgent" description:"start before all other work"`
 	MinDomains int32         `long:"min-domains" value-name:"N" description:"spread over at least so many failure domains"`
-	sized
+	sizeOptions
 }
 
 // Execute sends the job.
@@ -34,12 +34,12 @@
 		ExpectedMS: c.Expected.Milliseconds(),
 		MinDomains: c.MinDomains,
 	}
-	return c.s.sendJob(numbered{Sequence: c.Sequence}, http.MethodPost, "/v1/jobs", body)
+	return c.s.sendJobChange(changeOptions{Sequence: c.Sequence}, http.MethodPost, "/v1/jobs", body)
 }
 
 type jobShow struct {
 	s *session
-	named
+	nameArgument
 }
 
 // Execute prints the job.
@@ -68,10 +68,10 @@
 type jobCancel struct {
 	s        *session
 	Sequence uint64 `long:"sequence" value-name:"N" description:"number of this change; give the same one again to ask for a lost answer"`
-	named
+	nameArgument
 }
 
 // Execute sends the cancellation.
 func (c *jobCancel) Execute([]string) error {
-	return c.s.sendJob(numbered{Sequence: c.Sequence}, http.MethodDelete, c.path("jobs"), nil)
+	return c.s.sendJobChange(changeOptions{Sequence: c.Sequence}, http.MethodDelete, c.path("jobs"), nil)
 }
--- a/command/process.go
+++ b/command/process.go
@@ -59,9 +59,9 @@
 	})
 }
 
-// memberGC is by how many percent of what is in use the heap of a member may grow before garbage is collected:
-// a leader of 490 workers, which may take 200 MB, has some 35 MB in use beside its stacks.
-const memberGC = 150
+// memberGCPercent is the GOGC value of a member: the percentage by which the heap may grow over the live heap before the next collection.
+// A leader of 490 workers may use up to 200 MB, and its live heap is about 35 MB, stacks not counted.
+const memberGCPercent = 150
 
 type memberCommand struct {
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
@@ -73,7 +73,7 @@
 	if err != nil {
 		return &usageError{err}
 	}
-	debug.SetGCPercent(memberGC)
+	debug.SetGCPercent(memberGCPercent)
 	return run(s.Common, settings.RoleMember, func() (*process, error) {
 		m, err := installation.NewMember(c.Settings, s)
 		if err != nil {
@@ -105,22 +105,22 @@
 // process is a running role.
 type process struct {
 	ready   func() error
-	live    func() error // nil: always
+	live    func() error // nil if the role is always live
 	close   func() error
 	metrics *metrics.Set
 }
 
-// How often a process looks at itself.
+// The intervals between a process's checks of its own state.
 const (
-	readyLook = 100 * time.Millisecond // whether it is ready, while it starts; a tenth of what the balancer waits between its own looks
-	liveLook  = 500 * time.Millisecond // whether it can still do its part; well under the time that a group bears one loss
+	readyInterval = 100 * time.Millisecond // readiness, during the start; a tenth of the load balancer's check interval
+	liveInterval  = 500 * time.Millisecond // liveness; well under the time for which a group can run with one replica lost
 )
 
-// awaitEnd waits for a signal to stop, or for the process to fail, and tells once when it is ready.
-func awaitEnd(signals <-chan os.Signal, p *process, name string) (os.Signal, error) {
-	ready := time.NewTicker(readyLook)
+// waitForStop waits for a signal or for a failed liveness check. It logs once that the process is ready.
+func waitForStop(signals <-chan os.Signal, p *process, name string) (os.Signal, error) {
+	ready := time.NewTicker(readyInterval)
 	defer ready.Stop()
-	live := time.NewTicker(liveLook)
+	live := time.NewTicker(liveInterval)
 	defer live.Stop()
 	for {
 		select {
@@ -143,7 +143,7 @@
 	}
 }
 
-// run starts a role with its admin listener, waits for a signal to stop, and stops it gracefully.
+// run starts a role with its admin listener, waits for a signal or a failure, and stops the role gracefully.
 func run(s settings.Common, role string, start func() (*process, error)) error {
 	sink := event.NewSink(os.Stdout)
 	if err := sink.Use(); err != nil {
@@ -166,7 +166,7 @@
 	if err != nil {
 		return fmt.Errorf("start %s %s: %w", role, s.Name, errors.Join(err, p.close()))
 	}
-	received, failure := awaitEnd(signals, p, s.Name)
+	received, failure := waitForStop(signals, p, s.Name)
 	if failure != nil {
 		event.ProcessFailed.Error(failure, "role", role, "name", s.Name)
 	} else {
--- a/command/status.go
+++ b/command/status.go
@@ -44,7 +44,7 @@
 	s *session
 }
 
-// Execute prints the slide.
+// Execute prints the status of the classes, control and the entries.
 func (c *statusCommand) Execute([]string) error {
 	var status operator.Status
 	if err := c.s.get("/v1/status", &status); err != nil {
@@ -60,16 +60,16 @@
 	w := tabwriter.NewWriter(c.s.out, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(w, "CLASS\tKIND\tTARGET\tGOT\tRUNNING\tQUEUED\tEVICTED\tFAILED")
 	for _, class := range s.Classes {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", class.Name, class.Kind, target(class), got(class), class.Running, class.Queued, class.Evicted, class.Failed)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", class.Name, class.Kind, targetText(class), resultText(class), class.Running, class.Queued, class.Evicted, class.Failed)
 	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	fmt.Fprintf(c.s.out, "\nout of service: %s\n", outOf(s.Configuration.Domains))
+	fmt.Fprintf(c.s.out, "\nout of service: %s\n", outDomains(s.Configuration.Domains))
 	fmt.Fprintf(c.s.out, "workers: %d, %d gone; committed %s of %s\n", s.Workers, s.WorkersGone, sizeText(s.Committed), sizeText(s.Capacity))
 	fmt.Fprintf(c.s.out, "control: replica %d leads in term %d, configuration version %d, log index %d\n", s.Leader, s.Term, s.Configuration.Version, s.Index)
 	for _, r := range s.Replicas {
-		fmt.Fprintf(c.s.out, "  replica %d at %s: %s, %d records behind\n", r.ID, r.Address, activity(r.Active), behind(s.Index, r.Match))
+		fmt.Fprintf(c.s.out, "  replica %d at %s: %s, %d records behind\n", r.ID, r.Address, activityText(r.Active), recordsBehind(s.Index, r.Match))
 	}
 	for _, e := range s.Entries {
 		fmt.Fprintf(c.s.out, "  entry %s in %s: version %d, heard %s ago\n", e.Name, e.Domain, e.Version, time.Duration(e.SilentMS)*time.Millisecond)
@@ -77,21 +77,21 @@
 	return nil
 }
 
-func target(c operator.ClassStatus) string {
+func targetText(c operator.ClassStatus) string {
 	if c.Kind == operator.KindService {
 		return fmt.Sprintf("p99 %s", time.Duration(c.TargetP99US)*time.Microsecond)
 	}
 	return fmt.Sprintf("%d by %02d:%02d", c.TargetVolume, c.DueMinute/60, c.DueMinute%60)
 }
 
-func got(c operator.ClassStatus) string {
+func resultText(c operator.ClassStatus) string {
 	if c.Kind == operator.KindService {
 		return fmt.Sprintf("p99 %s of %d requests", time.Duration(c.P99US)*time.Microsecond, c.Requests)
 	}
 	return fmt.Sprintf("%d today, %d in all", c.DoneToday, c.Done)
 }
 
-func outOf(domains []operator.Domain) string {
+func outDomains(domains []operator.Domain) string {
 	var out []string
 	for _, d := range domains {
 		if d.Out {
@@ -108,14 +108,14 @@
 	return fmt.Sprintf("%.1f cores, %.1f GiB, %d accelerators", float64(s.MilliCPU)/milliPerCore, float64(s.MemoryMiB)/mibPerGib, s.Accelerators)
 }
 
-func activity(active bool) string {
+func activityText(active bool) string {
 	if active {
 		return "active"
 	}
 	return "silent"
 }
 
-func behind(index, match uint64) uint64 {
+func recordsBehind(index, match uint64) uint64 {
 	if match >= index {
 		return 0
 	}
@@ -128,7 +128,7 @@
 	Limit uint64 `long:"limit" value-name:"N" default:"200" description:"at most so many records"`
 }
 
-// Execute prints a part of the audit trail.
+// Execute prints a page of the audit trail.
 func (c *auditCommand) Execute([]string) error {
 	query := url.Values{}
 	query.Set("after", strconv.FormatUint(c.After, 10))
