--- a/cmd/plots/main.go
+++ b/cmd/plots/main.go
@@ -1,4 +1,4 @@
-// Command plots draws the tail of each way of picking an upstream against load.
+// Command plots draws the tail latency of each upstream selection policy against load.
 package main
 
 import (
@@ -12,7 +12,7 @@
 )
 
 const (
-	file       = "docs/latency.png"
+	outputFile = "docs/latency.png"
 	executors  = 50
 	domains    = 3
 	requests   = 50_000
@@ -32,18 +32,18 @@
 	var series []slope.Series
 	for _, p := range policies {
 		s := slope.Series{Name: p.Name}
-		for _, sc := range loads() {
+		for _, sc := range loadScenarios() {
 			result := simulation.Run(sc, p, seed, requests)
 			ms := float64(result.Latency.ValueAtPercentile(percentile)) / 1000
 			s.Points = append(s.Points, plotter.XY{X: 100 * sc.Load, Y: ms})
 		}
 		series = append(series, s)
 	}
-	return slope.Plot(file, "50 executors in 3 failure domains", "load, percent", "p99, milliseconds", series)
+	return slope.Plot(outputFile, "50 executors in 3 failure domains", "load, percent", "p99, milliseconds", series)
 }
 
-// loads returns the scenarios that differ in load only.
-func loads() []simulation.Scenario {
+// loadScenarios returns scenarios that differ only in their load.
+func loadScenarios() []simulation.Scenario {
 	first := simulation.Scenarios(executors, domains)[0]
 	var all []simulation.Scenario
 	for _, load := range []float64{0.5, 0.6, 0.7, 0.8, 0.9, 0.95} {
--- a/cmd/slopes/main.go
+++ b/cmd/slopes/main.go
@@ -1,4 +1,4 @@
-// Command slopes measures the costs of the roles and writes them into the page on capacity.
+// Command slopes measures how the cost of each role grows with size and writes the results into docs/CAPACITY.md and docs/slopes.png.
 package main
 
 import (
@@ -9,8 +9,8 @@
 )
 
 const (
-	page    = "docs/CAPACITY.md"
-	picture = "docs/slopes.png"
+	reportFile = "docs/CAPACITY.md"
+	plotFile   = "docs/slopes.png"
 )
 
 func main() {
@@ -20,9 +20,9 @@
 		fmt.Println(r.Row())
 		results = append(results, r)
 	}
-	err := slope.Write(page, results)
+	err := slope.Write(reportFile, results)
 	if err == nil {
-		err = slope.Plot(picture, "Costs of the roles", "size, share of the largest measured", "cost, share of the largest", slope.Shares(results))
+		err = slope.Plot(plotFile, "Costs of the roles", "size, share of the largest measured", "cost, share of the largest", slope.Shares(results))
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "slopes:", err)
--- a/cmd/standin/caller.go
+++ b/cmd/standin/caller.go
@@ -24,9 +24,9 @@
 	JSON      bool          `long:"json" description:"print the summary as JSON"`
 }
 
-// Execute makes the load and prints its summary; a wrong or missing answer is a failure.
+// Execute sends the requests and prints a summary; a wrong or missing response is an error.
 func (c *callerCommand) Execute([]string) error {
-	ctx, cancel := stopped()
+	ctx, cancel := signalContext()
 	defer cancel()
 	caller, err := fakecaller.New(fakecaller.Options{
 		Name:      c.Name,
@@ -54,7 +54,7 @@
 		summary.Print(os.Stdout)
 	}
 	if err == nil && summary.Failed() {
-		err = errors.New("an answer was wrong or never came")
+		err = errors.New("at least one response was wrong or missing")
 	}
 	return err
 }
--- a/cmd/standin/check.go
+++ b/cmd/standin/check.go
@@ -11,7 +11,7 @@
 	Journals string `long:"journals" required:"true" description:"folder with worker-*.jsonl, upstream-*.jsonl, caller-*.jsonl and events*.jsonl"`
 }
 
-// Execute prints the table of promises; a violation, or a promise that was not put to the test, is a failure.
+// Execute checks the journals and prints a table of promises; a violated promise, or one that the run did not exercise, is an error.
 func (c *checkCommand) Execute([]string) error {
 	records, err := promise.Read(c.Journals)
 	if err != nil {
@@ -20,7 +20,7 @@
 	results := promise.Check(records)
 	promise.Print(os.Stdout, results)
 	if !promise.OK(results) {
-		return errors.New("a promise was broken or not observed")
+		return errors.New("at least one promise was broken or not observed")
 	}
 	return nil
 }
--- a/cmd/standin/doc.go
+++ b/cmd/standin/doc.go
@@ -1,2 +1,2 @@
-// Command standin runs stand-ins for workers, upstreams and callers, and checks what they wrote down against the promises.
+// Command standin runs simulated workers, upstreams and callers for tests, and checks their journals against the promises of the scheduler.
 package main
--- a/cmd/standin/link.go
+++ b/cmd/standin/link.go
@@ -23,9 +23,9 @@
 	Admin   string   `long:"admin" required:"true" description:"IP:port of its own admin interface: PUT /v1/standin/mode {mode: pass, silent or forget}"`
 }
 
-// Execute forwards connections until it is told to stop.
+// Execute forwards connections until it receives a signal to stop.
 func (c *linkCommand) Execute([]string) error {
-	ctx, cancel := stopped()
+	ctx, cancel := signalContext()
 	defer cancel()
 	var forwards []fakelink.Forward
 	for _, f := range c.Forward {
--- a/cmd/standin/note.go
+++ b/cmd/standin/note.go
@@ -20,7 +20,7 @@
 	} `positional-args:"true"`
 }
 
-// Execute appends one happening.
+// Execute appends one event to the journal.
 func (c *noteCommand) Execute([]string) error {
 	journal, err := standin.OpenJournal(c.Journal)
 	if err != nil {
--- a/cmd/standin/upstream.go
+++ b/cmd/standin/upstream.go
@@ -29,9 +29,9 @@
 	Journal     string        `long:"journal" description:"file to append effects to, JSON lines"`
 }
 
-// Execute runs the upstream until it is told to stop or leave.
+// Execute runs the upstream until it receives a signal to stop or a request to leave.
 func (c *upstreamCommand) Execute([]string) error {
-	ctx, cancel := stopped()
+	ctx, cancel := signalContext()
 	defer cancel()
 	u, err := fakeupstream.New(fakeupstream.Options{
 		Name:        c.Name,
@@ -57,7 +57,7 @@
 	case <-ctx.Done():
 	case <-u.Told():
 	}
-	leaving, done := within(upstreamLeaveLimit)
+	leaving, done := timeoutContext(upstreamLeaveLimit)
 	defer done()
 	return errors.Join(u.Leave(leaving), u.Close())
 }
--- a/cmd/standin/watch.go
+++ b/cmd/standin/watch.go
@@ -26,9 +26,9 @@
 	Every   time.Duration `long:"every" default:"250ms" description:"time between looks"`
 }
 
-// Execute notes the configuration version in force at each entry until it is told to stop.
+// Execute records the active configuration version of each entry until it receives a signal to stop.
 func (c *watchCommand) Execute([]string) error {
-	ctx, cancel := stopped()
+	ctx, cancel := signalContext()
 	defer cancel()
 	journal, err := standin.OpenJournal(c.Journal)
 	if err != nil {
@@ -46,12 +46,12 @@
 	return journal.Close()
 }
 
-// watch looks at one entry; one that can't be reached has nothing in force to note.
+// watch polls one entry and records its configuration version; while the entry cannot be reached, nothing is recorded.
 func (c *watchCommand) watch(ctx context.Context, journal *standin.Journal, name, address string) {
 	client := &http.Client{Timeout: watchTimeout}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		version, err := inForce(ctx, client, address)
+		version, err := activeVersion(ctx, client, address)
 		if err == nil {
 			err = journal.Append(standin.Happening{Kind: standin.ConfigSeen, TimeUS: time.Now().UnixMicro(), Name: name, Version: version})
 			if err != nil {
@@ -66,7 +66,7 @@
 	}
 }
 
-func inForce(ctx context.Context, client *http.Client, address string) (uint64, error) {
+func activeVersion(ctx context.Context, client *http.Client, address string) (uint64, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+configurationPath, nil)
 	if err != nil {
 		return 0, err
--- a/cmd/standin/worker.go
+++ b/cmd/standin/worker.go
@@ -24,10 +24,10 @@
 	Journal      string        `long:"journal" description:"file to append effects to, JSON lines"`
 }
 
-// Execute runs the worker until it is told to stop.
+// Execute runs the worker until it receives a signal to stop.
 func (c *workerCommand) Execute([]string) error {
 	const milli, mibPerGiB = 1000, 1024
-	ctx, cancel := stopped()
+	ctx, cancel := signalContext()
 	defer cancel()
 	w, err := fakeworker.New(fakeworker.Options{
 		Name:     c.Name,
@@ -45,7 +45,7 @@
 		return err
 	}
 	<-ctx.Done()
-	leaving, done := within(workerLeaveLimit)
+	leaving, done := timeoutContext(workerLeaveLimit)
 	defer done()
 	err = w.Leave(leaving)
 	if closed := w.Close(); err == nil {
