--- a/entry/entry.go
+++ b/entry/entry.go
@@ -206,9 +206,9 @@
 	e.upstreams.Merge(time.Now(), leavingOnly(g.Announcements))
 }
 
-func (e *Entry) receiveReply(asked time.Time, g *wire.Gossip) {
+func (e *Entry) receiveReply(requestedAt time.Time, g *wire.Gossip) {
 	e.holder.Offer(g.Configuration, g.Entry)
-	e.upstreams.Merge(asked, g.Announcements)
+	e.upstreams.Merge(requestedAt, g.Announcements)
 	e.upstreams.SetLoads(g.Entry, g.Domain, time.Now(), g.Loads)
 }
 
--- a/operator/change.go
+++ b/operator/change.go
@@ -39,7 +39,7 @@
 
 // proposeChange proposes one change of the configuration to control and writes its result.
 func (f *Front) proposeChange(w http.ResponseWriter, r *http.Request, c *wire.Change) {
-	a, err := changeIDOf(r)
+	id, err := changeIDOf(r)
 	if err != nil {
 		writeBadRequest(w, err)
 		return
@@ -49,8 +49,8 @@
 		writeBadRequest(w, err)
 		return
 	}
-	c.Operator = a.operator
-	c.Sequence = a.sequence
+	c.Operator = id.operator
+	c.Sequence = id.sequence
 	c.BaseVersion = base
 	result, ok := f.propose(w, r, &wire.Command{Change: c})
 	if ok {
@@ -139,12 +139,12 @@
 		writeBadRequest(w, errors.New("job: id must be empty, since control assigns it"))
 		return
 	}
-	a, err := changeIDOf(r)
+	id, err := changeIDOf(r)
 	if err != nil {
 		writeBadRequest(w, err)
 		return
 	}
-	command := &wire.SubmitJob{Operator: a.operator, Sequence: a.sequence, Job: body.wire()}
+	command := &wire.SubmitJob{Operator: id.operator, Sequence: id.sequence, Job: body.wire()}
 	result, ok := f.propose(w, r, &wire.Command{Submit: command})
 	if ok {
 		writeResult(w, jobResultFromWire(result.GetJob()))
@@ -152,12 +152,12 @@
 }
 
 func (f *Front) cancel(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	a, err := changeIDOf(r)
+	id, err := changeIDOf(r)
 	if err != nil {
 		writeBadRequest(w, err)
 		return
 	}
-	command := &wire.CancelJob{Operator: a.operator, Sequence: a.sequence, Job: params.ByName("id")}
+	command := &wire.CancelJob{Operator: id.operator, Sequence: id.sequence, Job: params.ByName("id")}
 	result, ok := f.propose(w, r, &wire.Command{Cancel: command})
 	if ok {
 		writeResult(w, jobResultFromWire(result.GetJob()))
--- a/operator/front_test.go
+++ b/operator/front_test.go
@@ -43,7 +43,7 @@
 	method, path, headers, body string
 }
 
-const author = "Daisyswitch-Operator: ana\nDaisyswitch-Sequence: 7\nDaisyswitch-Base-Version: 4"
+const changeHeaders = "Daisyswitch-Operator: ana\nDaisyswitch-Sequence: 7\nDaisyswitch-Base-Version: 4"
 
 func send(h http.Handler, r request) *httptest.ResponseRecorder {
 	q := httptest.NewRequest(r.method, r.path, strings.NewReader(r.body))
@@ -65,15 +65,15 @@
 		{"PUT", "/v1/classes/bids", "Daisyswitch-Operator: ana", `{"kind": "service"}`},
 		{"PUT", "/v1/classes/bids", "Daisyswitch-Operator: ana\nDaisyswitch-Sequence: 0", `{"kind": "service"}`},
 		{"PUT", "/v1/classes/bids", "Daisyswitch-Operator: ana\nDaisyswitch-Sequence: 1", `{"kind": "service"}`},
-		{"PUT", "/v1/classes/bids", author, `{"kind": "quick"}`},
-		{"PUT", "/v1/classes/bids", author, `{"kind": "service", "weight": 3}`},
-		{"PUT", "/v1/classes/bids", author, `{"name": "offers", "kind": "service"}`},
-		{"PUT", "/v1/classes/bids", author, `{"kind": "service"} {}`},
-		{"PUT", "/v1/teams/ledger", author, `{"quota": 5}`},
-		{"PUT", "/v1/domains/cebu", author, ``},
-		{"POST", "/v1/jobs", author, `{"tasks": 0, "size": {"milli_cpu": 5}}`},
-		{"POST", "/v1/jobs", author, `{"tasks": 1, "size": {"milli_cpu": -5}}`},
-		{"POST", "/v1/jobs", author, `{"id": "mine", "tasks": 1, "size": {"milli_cpu": 5}}`},
+		{"PUT", "/v1/classes/bids", changeHeaders, `{"kind": "quick"}`},
+		{"PUT", "/v1/classes/bids", changeHeaders, `{"kind": "service", "weight": 3}`},
+		{"PUT", "/v1/classes/bids", changeHeaders, `{"name": "offers", "kind": "service"}`},
+		{"PUT", "/v1/classes/bids", changeHeaders, `{"kind": "service"} {}`},
+		{"PUT", "/v1/teams/ledger", changeHeaders, `{"quota": 5}`},
+		{"PUT", "/v1/domains/cebu", changeHeaders, ``},
+		{"POST", "/v1/jobs", changeHeaders, `{"tasks": 0, "size": {"milli_cpu": 5}}`},
+		{"POST", "/v1/jobs", changeHeaders, `{"tasks": 1, "size": {"milli_cpu": -5}}`},
+		{"POST", "/v1/jobs", changeHeaders, `{"id": "mine", "tasks": 1, "size": {"milli_cpu": 5}}`},
 		{"DELETE", "/v1/jobs/j-1", "", ""},
 		{"GET", "/v1/audit?after=x", "", ""},
 		{"GET", "/v1/audit?limit=5000", "", ""},
@@ -89,7 +89,7 @@
 
 func TestChangeReachesControlWhole(t *testing.T) {
 	control := &fakeControl{result: &wire.CommandResult{Change: &wire.ChangeResult{Outcome: wire.Outcome_OUTCOME_ACCEPTED, Version: 5}}}
-	w := send(control.newFront(), request{"PUT", "/v1/domains/cebu", author, `{"out": true}`})
+	w := send(control.newFront(), request{"PUT", "/v1/domains/cebu", changeHeaders, `{"out": true}`})
 	assert.Equal(t, w.Code, http.StatusOK)
 	change := control.proposed[0].Change
 	assert.Equal(t, change.Operator, "ana")
--- a/worker/front.go
+++ b/worker/front.go
@@ -75,8 +75,8 @@
 	p := &poll{report: report, result: make(chan result, 1)}
 	f.enqueue(p)
 	select {
-	case a := <-p.result:
-		f.writeReply(w, a)
+	case res := <-p.result:
+		f.writeReply(w, res)
 	case <-r.Context().Done():
 	case <-f.ctx.Done():
 		writeRefusal(w, http.StatusServiceUnavailable, verdict.New(verdict.Unknown, "this entry is stopping", nil))
@@ -96,17 +96,17 @@
 	return reportToWire(&report)
 }
 
-func (f *Front) writeReply(w http.ResponseWriter, a result) {
-	if a.err != nil {
+func (f *Front) writeReply(w http.ResponseWriter, res result) {
+	if res.err != nil {
 		var known *verdict.Error
-		if !errors.As(a.err, &known) {
-			known = verdict.New(verdict.Unknown, "control gave no answer", a.err)
+		if !errors.As(res.err, &known) {
+			known = verdict.New(verdict.Unknown, "control gave no answer", res.err)
 		}
 		writeRefusal(w, http.StatusServiceUnavailable, known)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(replyFromWire(a.reply))
+	_ = json.NewEncoder(w).Encode(replyFromWire(res.reply))
 }
 
 func writeRefusal(w http.ResponseWriter, status int, err *verdict.Error) {
