--- a/command/process.go
+++ b/command/process.go
@@ -25,7 +25,7 @@
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
 }
 
-// Execute runs an entry until it is told to stop.
+// Execute runs an entry until it receives a signal to stop or fails.
 func (c *entryCommand) Execute([]string) error {
 	s, err := settings.LoadEntry(c.Settings)
 	if err != nil {
@@ -44,7 +44,7 @@
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
 }
 
-// Execute runs a control process until it is told to stop.
+// Execute runs a control process until it receives a signal to stop or fails.
 func (c *controlCommand) Execute([]string) error {
 	s, err := settings.LoadControl(c.Settings)
 	if err != nil {
@@ -67,7 +67,7 @@
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
 }
 
-// Execute runs a control process that finds its group through seeds, until it is told to stop.
+// Execute runs a control process that finds its group through seeds until it receives a signal to stop or fails.
 func (c *memberCommand) Execute([]string) error {
 	s, err := settings.LoadMember(c.Settings)
 	if err != nil {
@@ -87,7 +87,7 @@
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings file"`
 }
 
-// Execute runs a gateway until it is told to stop.
+// Execute runs a gateway until it receives a signal to stop or fails.
 func (c *gatewayCommand) Execute([]string) error {
 	s, err := settings.LoadGateway(c.Settings)
 	if err != nil {
