--- a/admit/worker.go
+++ b/admit/worker.go
@@ -45,8 +45,8 @@
 	return next
 }
 
-// Larger returns the larger amount of each resource.
-func Larger(a, b resource.Size) resource.Size {
+// MaxSize returns the larger amount of each resource.
+func MaxSize(a, b resource.Size) resource.Size {
 	return resource.Size{
 		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
 		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
--- a/answer/table.go
+++ b/answer/table.go
@@ -21,16 +21,16 @@
 	Operators int // operators to keep; 0 for DefaultOperators
 }
 
-// Finding is the result of looking up a request.
-type Finding int
+// LookupResult is the result of looking up a request.
+type LookupResult int
 
-// Values of Finding.
+// Values of LookupResult.
 const (
-	Fresh   Finding = iota // not seen before; the request is executed
-	Repeat                 // the same request again; it gets its first answer
-	Reused                 // another request has used this operator and sequence number
-	TooOld                 // below the range of sequence numbers that are kept; never executed
-	Crowded                // the operator is unknown and the table already holds the maximum number of operators
+	Fresh            LookupResult = iota // not seen before; the request is executed
+	Repeat                               // the same request again; it gets its first answer
+	Reused                               // another request has used this operator and sequence number
+	TooOld                               // below the range of sequence numbers that are kept; never executed
+	TooManyOperators                     // the operator is unknown and the table already holds the maximum number of operators
 )
 
 // Table holds the answers of each operator in order of sequence number.
@@ -51,10 +51,10 @@
 }
 
 // Find looks up a request by operator and sequence number. For Repeat and Reused it also returns the record of the first answer.
-func (t *Table) Find(operator string, sequence uint64, digest []byte) (Finding, *wire.AnswerRecord) {
+func (t *Table) Find(operator string, sequence uint64, digest []byte) (LookupResult, *wire.AnswerRecord) {
 	records, known := t.operators[operator]
 	if !known && len(t.operators) >= t.options.Operators {
-		return Crowded, nil
+		return TooManyOperators, nil
 	}
 	at, found := search(records, sequence)
 	if found && bytes.Equal(records[at].Digest, digest) {
--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -47,9 +47,9 @@
 	return nil
 }
 
-// Clip truncates a text to at most the given number of bytes plus an ellipsis, so that stored texts from outside stay bounded.
+// Truncate truncates a text to at most the given number of bytes plus an ellipsis, so that stored texts from outside stay bounded.
 // The result is valid UTF-8 if s is.
-func Clip(s string, limit int) string {
+func Truncate(s string, limit int) string {
 	if len(s) <= limit {
 		return s
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -32,21 +32,21 @@
 
 // Options configures a Control.
 type Options struct {
-	Settings *settings.Control
-	Dial     func(ctx context.Context, address string) (net.Conn, error) // connects to other replicas; TCP when nil
-	Listen   func(address string) (net.Listener, error)                  // TCP when nil
-	Boot     func() time.Duration                                        // clock that leases are measured with; the monotonic clock when nil
-	Called   *Called                                                     // how this process calls workers; nil if all of them poll
-	Found    *Found                                                      // set if the replicas in the settings are only seed addresses
+	Settings       *settings.Control
+	Dial           func(ctx context.Context, address string) (net.Conn, error) // connects to other replicas; TCP when nil
+	Listen         func(address string) (net.Listener, error)                  // TCP when nil
+	SinceBoot      func() time.Duration                                        // clock that leases are measured with; the monotonic clock when nil
+	Called         *Called                                                     // how this process calls workers; nil if all of them poll
+	DynamicMembers *DynamicMembers                                             // set if the replicas in the settings are only seed addresses
 }
 
-// Found describes how a group of replicas forms and changes when the settings don't list all of its members.
-type Found struct {
-	First  bool // no group has been formed yet
-	Losses int  // replicas that may be lost at the same time
+// DynamicMembers describes how a group of replicas forms and changes when the settings don't list all of its members.
+type DynamicMembers struct {
+	Bootstrap bool // no group has been formed yet
+	Losses    int  // replicas that may be lost at the same time
 }
 
-func (f *Found) losses() int {
+func (f *DynamicMembers) losses() int {
 	if f == nil {
 		return 0
 	}
@@ -125,23 +125,23 @@
 		addresses[r.ID] = r.Inner
 	}
 	r, err := replica.New(replica.Options{
-		ID:            c.settings.ID,
-		Peers:         addresses,
-		Address:       c.settings.Inner,
-		Domain:        c.settings.Domain,
-		Found:         o.Found != nil,
-		First:         o.Found != nil && o.Found.First,
-		Losses:        o.Found.losses(),
-		Dir:           filepath.Clean(c.settings.Data),
-		Dial:          o.Dial,
-		Tick:          time.Duration(c.settings.TickMS) * time.Millisecond,
-		ElectionTicks: int(c.settings.ElectionTicks),
-		SnapshotEvery: c.settings.SnapshotEvery,
-		Boot:          o.Boot,
-		Apply:         c.apply,
-		Snapshot:      c.snapshot,
-		Restore:       c.restore,
-		Leading:       c.leading,
+		ID:                 c.settings.ID,
+		Peers:              addresses,
+		Address:            c.settings.Inner,
+		Domain:             c.settings.Domain,
+		DynamicMembers:     o.DynamicMembers != nil,
+		Bootstrap:          o.DynamicMembers != nil && o.DynamicMembers.Bootstrap,
+		Losses:             o.DynamicMembers.losses(),
+		Dir:                filepath.Clean(c.settings.Data),
+		Dial:               o.Dial,
+		Tick:               time.Duration(c.settings.TickMS) * time.Millisecond,
+		ElectionTicks:      int(c.settings.ElectionTicks),
+		SnapshotEvery:      c.settings.SnapshotEvery,
+		SinceBoot:          o.SinceBoot,
+		Apply:              c.apply,
+		Snapshot:           c.snapshot,
+		Restore:            c.restore,
+		OnLeadershipChange: c.leading,
 	})
 	if err != nil {
 		return fmt.Errorf("open replica: %w", err)
@@ -297,7 +297,7 @@
 
 // Close hands leadership over, stops the loops, the listeners and the replica, and waits for all of them.
 func (c *Control) Close() error {
-	c.replica.HandOver(context.Background())
+	c.replica.TransferLeadership(context.Background())
 	c.stopLoops()
 	c.watchers.close()
 	err := c.server.Close()
--- a/control/read.go
+++ b/control/read.go
@@ -61,7 +61,7 @@
 		s.Workers++
 		capacity = capacity.Add(resource.FromWire(w.Capacity))
 	})
-	c.machine.Each(func(_ *wire.Job, t *wire.Task) {
+	c.machine.EachTask(func(_ *wire.Job, t *wire.Task) {
 		if task.Held(t) {
 			committed = committed.Add(resource.FromWire(t.Committed))
 		}
@@ -79,7 +79,7 @@
 		byName[class.Name] = s
 		statuses = append(statuses, s)
 	}
-	c.machine.Each(func(j *wire.Job, t *wire.Task) {
+	c.machine.EachTask(func(j *wire.Job, t *wire.Task) {
 		s := byName[j.Class]
 		if s == nil {
 			return
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -17,20 +17,20 @@
 		c.workflows = workflow.New(workflow.Options{})
 		return
 	}
-	boot := o.Boot
+	boot := o.SinceBoot
 	if boot == nil {
 		started := time.Now()
 		boot = func() time.Duration { return time.Since(started) }
 	}
 	c.dispatch = dispatch.New(dispatch.Options{
-		Calls:    o.Called.Calls,
-		Commit:   c.commitWorkflow,
-		Leads:    func() bool { return c.replica.IsLeader() },
-		Boot:     boot,
-		Wall:     time.Now,
-		Lease:    o.Called.Lease,
-		MaxLease: o.Called.LongestLease,
-		Metrics:  c.counters.set,
+		Calls:     o.Called.Calls,
+		Commit:    c.commitWorkflow,
+		Leads:     func() bool { return c.replica.IsLeader() },
+		SinceBoot: boot,
+		Wall:      time.Now,
+		Lease:     o.Called.Lease,
+		MaxLease:  o.Called.LongestLease,
+		Metrics:   c.counters.set,
 	})
 	c.workflows = workflow.New(workflow.Options{Changed: c.dispatch.Changed, Assigned: c.dispatch.Assigned, Closed: c.dispatch.Closed, Ended: c.dispatch.Ended})
 	c.dispatch.SetTable(c.workflows)
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -98,6 +98,6 @@
 		}
 		l.offerChanged = true
 	case 2:
-		l.health.suspended = s.Boot() + 1 - l.health.suspended
+		l.health.suspended = s.SinceBoot() + 1 - l.health.suspended
 	}
 }
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -23,8 +23,8 @@
 	s := &session{
 		Options: Options{
 			Table: table, Leads: func() bool { return true }, Wall: time.Now,
-			Boot:   func() time.Duration { return time.Hour },
-			Commit: func(context.Context, *wire.WorkflowCommand) (*workflow.Result, error) { return nil, errNotCommitted },
+			SinceBoot: func() time.Duration { return time.Hour },
+			Commit:    func(context.Context, *wire.WorkflowCommand) (*workflow.Result, error) { return nil, errNotCommitted },
 		},
 		counters: newCounters(metrics.NewSet()), ctx: b.Context(),
 		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]struct{}{}, taskDuration: map[string]*taskDuration{},
--- a/dispatch/candidate.go
+++ b/dispatch/candidate.go
@@ -35,7 +35,7 @@
 
 // gatherCandidates collects the workers on which tasks may be placed.
 func (r *round) gatherCandidates() {
-	now := r.s.Boot()
+	now := r.s.SinceBoot()
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	for id, w := range r.t.Workers {
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -103,7 +103,7 @@
 		Calls:  call.Functions{Start: b.start, Stop: b.stop, Hold: b.hold, Pace: b.pace},
 		Commit: b.commit,
 		Leads:  b.isLeader,
-		Boot: func() time.Duration {
+		SinceBoot: func() time.Duration {
 			now := time.Since(b.began) + time.Hour
 			if looks.Add(1) > 1 {
 				now += time.Duration(b.takeoverDelay.Load())
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -58,7 +58,7 @@
 func (l *link) suspend(reason string) {
 	h := &l.health
 	h.lastSuspension = min(max(minSuspension, 2*h.lastSuspension), maxSuspension)
-	h.suspended = l.s.Boot() + h.lastSuspension
+	h.suspended = l.s.SinceBoot() + h.lastSuspension
 	event.CalledSuspended.Info("worker", l.id, "reason", reason, "workflows", len(h.failedWorkflows), "for_ms", h.lastSuspension.Milliseconds())
 }
 
@@ -86,7 +86,7 @@
 		s.taskDuration[queue] = p
 	}
 	p.count = min(p.count+1, durationWindow)
-	p.mean += (s.Boot() - r.firstListedAt - p.mean) / time.Duration(p.count)
+	p.mean += (s.SinceBoot() - r.firstListedAt - p.mean) / time.Duration(p.count)
 }
 
 // Conditions for moving a slowed filling task to another worker.
@@ -98,7 +98,7 @@
 
 // moveSlowed stops filling tasks that are slowed for serving tasks, so that they continue on another worker from their checkpoints.
 func (s *session) moveSlowed() {
-	now := s.Boot()
+	now := s.SinceBoot()
 	var slowed []runKey
 	s.mu.Lock()
 	for key, r := range s.runs {
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -43,7 +43,7 @@
 func newLink(s *session, w *wire.CalledWorker) *link {
 	l := &link{s: s, id: w.GetId(), worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
-	l.lapsesAt = s.Boot() + withMaxDrift(s.MaxLease)
+	l.lapsesAt = s.SinceBoot() + withMaxDrift(s.MaxLease)
 	return l
 }
 
@@ -89,7 +89,7 @@
 func (l *link) startCooldown(refusal call.Refusal) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cooldownUntil = max(l.cooldownUntil, l.s.Boot()+cooldowns[refusal])
+	l.cooldownUntil = max(l.cooldownUntil, l.s.SinceBoot()+cooldowns[refusal])
 }
 
 // markReplaced commits that this incarnation of the worker has ended, and stops calling it.
@@ -105,7 +105,7 @@
 func (l *link) keepLease() {
 	s := l.s
 	for s.awaitMayCall(l.ctx) {
-		sent := s.Boot()
+		sent := s.SinceBoot()
 		order := l.nextHold(sent)
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout+order.Wait)
 		listing, err := s.Calls.Hold(ctx, l.currentWorker(), order)
@@ -175,7 +175,7 @@
 func (l *link) recordAnswer(listing *call.Listing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.s.Boot()
+	now := l.s.SinceBoot()
 	if l.heardAt == 0 {
 		event.WorkerHeard.Info("worker", l.id, "address", l.worker.GetAddress(), "clock_ms", listing.ClockMS)
 	}
@@ -189,7 +189,7 @@
 // recordSilence records a failed hold, and ends the worker's runs once its lease has certainly expired.
 func (l *link) recordSilence(cause error) {
 	l.mu.Lock()
-	now := l.s.Boot()
+	now := l.s.SinceBoot()
 	if l.heardAt != 0 {
 		event.WorkerSilent.Error(cause, "worker", l.id, "address", l.worker.GetAddress(), "lapses_in_ms", (l.lapsesAt - now).Milliseconds())
 	}
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -38,7 +38,7 @@
 // processRunning updates a listed run, and stops one that is not known on this worker or whose workflow has ended.
 func (l *link) processRunning(key runKey, listed *call.Running) {
 	s := l.s
-	now := s.Boot()
+	now := s.SinceBoot()
 	s.mu.Lock()
 	r := l.runs[key]
 	if r != nil {
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -31,15 +31,15 @@
 
 // Options configures a Loop.
 type Options struct {
-	Table    *workflow.Table
-	Calls    call.Functions
-	Commit   func(context.Context, *wire.WorkflowCommand) (*workflow.Result, error)
-	Leads    func() bool          // whether this process may act as the leader now
-	Boot     func() time.Duration // clock that includes time in which the machine was suspended
-	Wall     func() time.Time
-	Lease    time.Duration // granted to workers
-	MaxLease time.Duration // longest lease that any leader can have granted
-	Metrics  *metrics.Set  // set to which the loop adds its metrics; nil for none
+	Table     *workflow.Table
+	Calls     call.Functions
+	Commit    func(context.Context, *wire.WorkflowCommand) (*workflow.Result, error)
+	Leads     func() bool          // whether this process may act as the leader now
+	SinceBoot func() time.Duration // clock that includes time in which the machine was suspended
+	Wall      func() time.Time
+	Lease     time.Duration // granted to workers
+	MaxLease  time.Duration // longest lease that any leader can have granted
+	Metrics   *metrics.Set  // set to which the loop adds its metrics; nil for none
 }
 
 // Loop places tasks and calls workers while this replica leads.
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -49,7 +49,7 @@
 
 // updateLastingWaits tracks since when each lasting step has had waiting tasks.
 func (s *session) updateLastingWaits(due []*workflow.Step) {
-	now, since := s.Boot(), map[*workflow.Step]time.Duration{}
+	now, since := s.SinceBoot(), map[*workflow.Step]time.Duration{}
 	for _, step := range due {
 		if !step.Spec.GetLasting() {
 			continue
@@ -80,7 +80,7 @@
 		}
 	}
 	r.s.updateLastingWaits(due)
-	turnOrder, now := make([]turn, 0, len(due)), r.s.Boot()
+	turnOrder, now := make([]turn, 0, len(due)), r.s.SinceBoot()
 	for _, step := range due {
 		turnOrder = append(turnOrder, turnsOf(step, r.expectedLateness[step.Job], now-r.s.lastingWaitSince[step])...)
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -70,7 +70,7 @@
 	l := s.links[r.worker.GetId()]
 	known := s.runs[r.runKey] != nil
 	if l != nil && !known {
-		r.link, r.phaseSince, r.checkpoint = l, s.Boot(), r.order.Checkpoint
+		r.link, r.phaseSince, r.checkpoint = l, s.SinceBoot(), r.order.Checkpoint
 		r.image, r.pace = s.imageNumber(t.Step.Spec.GetImage()), 100
 		s.runs[r.runKey] = r
 		l.runs[r.runKey], l.offerChanged = r, true
@@ -105,7 +105,7 @@
 func (s *session) setPhase(r *run, p phase) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.phase, r.phaseSince = p, s.Boot()
+	r.phase, r.phaseSince = p, s.SinceBoot()
 }
 
 // startRun sends a start until it is answered or the run no longer needs to start.
@@ -244,7 +244,7 @@
 		s.mu.Unlock()
 		return
 	}
-	r.phase, r.phaseSince = stopping, s.Boot()
+	r.phase, r.phaseSince = stopping, s.SinceBoot()
 	s.mu.Unlock()
 	s.stopsBegun.Inc()
 	event.RunStopping.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "reason", reason)
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -64,7 +64,7 @@
 		fillers = append(fillers, f)
 		colocated = append(colocated, headroom.Share{Image: f.image, Share: f.cpuShare})
 	}
-	now := s.Boot()
+	now := s.SinceBoot()
 	l.nearTarget = false
 	l.sparedMilliCPU = 0
 	for _, f := range fillers {
@@ -183,7 +183,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.pacePending = false
-	r.pacedAt = s.Boot()
+	r.pacedAt = s.SinceBoot()
 	if accepted {
 		r.pace, r.progressAt = percent, r.pacedAt
 		r.link.offerChanged = true
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -31,7 +31,7 @@
 
 // summarize logs the load of the workers, the waiting tasks and the loop's work.
 func (s *session) summarize() {
-	now := s.Boot()
+	now := s.SinceBoot()
 	if now < s.nextSummary {
 		return
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,18 +14,18 @@
 
 // Fleet is the complete view of the policy. It is not safe for concurrent use.
 type Fleet struct {
-	Now      time.Time // as last set by SetNow
-	Classes  map[string]*Class
-	Teams    map[string]*Team
-	Domains  []*Domain // sorted by name
-	Workers  map[string]*Worker
-	Jobs     map[string]*Job
-	Lanes    map[LaneKey]*Lane
-	Shapes   map[resource.Size]*Shape // by capacity, of all workers ever seen
-	Table    *interference.Table
-	Total    resource.Size // total capacity of the workers that are present
-	Changed  time.Time     // when the most recent new capacity appeared
-	Reserved []*Worker
+	Now        time.Time // as last set by SetNow
+	Classes    map[string]*Class
+	Teams      map[string]*Team
+	Domains    []*Domain // sorted by name
+	Workers    map[string]*Worker
+	Jobs       map[string]*Job
+	Lanes      map[LaneKey]*Lane
+	Shapes     map[resource.Size]*Shape // by capacity, of all workers ever seen
+	Table      *interference.Table
+	Total      resource.Size // total capacity of the workers that are present
+	NewShapeAt time.Time     // when the most recent new capacity appeared
+	Reserved   []*Worker
 
 	programs map[string]*sizing.Forecast
 }
@@ -57,8 +57,8 @@
 
 // Shape is a worker capacity that at least one worker has or had.
 type Shape struct {
-	Workers int
-	Gone    time.Time // when a worker of this capacity last joined or left
+	Workers   int
+	ChangedAt time.Time // when a worker of this capacity last joined or left
 }
 
 // New returns an empty fleet that uses table for interference costs.
@@ -78,9 +78,9 @@
 // SetNow sets the current time. Capacities that were added before the first call count as added at that time.
 func (f *Fleet) SetNow(now time.Time) {
 	if f.Now.IsZero() {
-		f.Changed = now
+		f.NewShapeAt = now
 		for _, s := range f.Shapes {
-			s.Gone = now
+			s.ChangedAt = now
 		}
 	}
 	f.Now = now
@@ -222,8 +222,8 @@
 	return !t.Limited || t.Used == (resource.Size{}) || t.Used.Add(j.Charge(size)).Fits(t.Quota)
 }
 
-// Dominant returns a team's dominant share: the largest share of any one resource of the fleet that it uses.
-func (f *Fleet) Dominant(t *Team) float64 {
+// DominantShare returns a team's dominant share: the largest share of any one resource of the fleet that it uses.
+func (f *Fleet) DominantShare(t *Team) float64 {
 	share := 0.0
 	for _, amounts := range [3][2]int64{
 		{t.Used.MilliCPU, f.Total.MilliCPU},
--- a/fleet/lane.go
+++ b/fleet/lane.go
@@ -39,8 +39,8 @@
 	return l.cursor
 }
 
-// Pass skips the current job, and reports whether another follows before the lane starts over.
-func (l *Lane) Pass() bool {
+// SkipCurrent skips the current job, and reports whether another follows before the lane starts over.
+func (l *Lane) SkipCurrent() bool {
 	l.cursor = l.cursor.next
 	return l.cursor != nil
 }
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -58,20 +58,20 @@
 	FailedOn  *Worker // worker of its last failure
 	Reserved  *Worker // worker that holds a reservation for it
 
-	Decision Decision
-	Decided  time.Time
-	Before   resource.Size // committed size before a pending resize
-
-	Used     resource.Size // last measured usage
-	Peak     sizing.Peak
-	Load     sizing.Peak // services: highest recent load
-	Measured time.Time   // time of the first measurement of this attempt
-	Sized    bool        // whether it is in the list of tasks to resize
-	Sampled  bool        // whether its peak is in its job's sample
-	Credited bool        // whether this attempt has run long enough to count as a success of its worker
-	Latency  bool        // whether its worker reports its tail latency
-	Ratio    float64     // services: smoothed logarithm of the ratio of tail latency to target
-	Throttle int32       // share of its processors taken away, in percent
+	Decision     Decision
+	Decided      time.Time
+	PreviousSize resource.Size // committed size before a pending resize
+
+	Used            resource.Size // last measured usage
+	Peak            sizing.Peak
+	RecentPeak      sizing.Peak // services: highest recent load
+	Measured        time.Time   // time of the first measurement of this attempt
+	ResizeQueued    bool        // whether it is in the list of tasks to resize
+	Sampled         bool        // whether its peak is in its job's sample
+	Credited        bool        // whether this attempt has run long enough to count as a success of its worker
+	ReportsLatency  bool        // whether its worker reports its tail latency
+	LogLatencyRatio float64     // services: smoothed logarithm of the ratio of tail latency to target
+	Throttle        int32       // share of its processors taken away, in percent
 
 	quotaCharge resource.Size // size counted towards its team's quota
 	slot        int32         // index in its worker's Tasks
@@ -159,6 +159,6 @@
 
 // ForgetMeasurements resets the measurements of an attempt that has ended.
 func (t *Task) ForgetMeasurements() {
-	t.Used, t.Peak, t.Load, t.Measured = resource.Size{}, sizing.Peak{}, sizing.Peak{}, time.Time{}
-	t.Ratio, t.Sampled, t.Credited = 0, false, false
+	t.Used, t.Peak, t.RecentPeak, t.Measured = resource.Size{}, sizing.Peak{}, sizing.Peak{}, time.Time{}
+	t.LogLatencyRatio, t.Sampled, t.Credited = 0, false, false
 }
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -20,12 +20,12 @@
 	Tasks    []*Task
 	Blame    blame.Worker
 
-	Shares []interference.Share // processor shares of the batch programs on it, maintained by package usage
-	Stale  bool                 // whether Shares must be recomputed
-	Used   resource.Size        // last measured usage of all its tasks
+	Shares      []interference.Share // processor shares of the batch programs on it, maintained by package usage
+	SharesStale bool                 // whether Shares must be recomputed
+	Used        resource.Size        // last measured usage of all its tasks
 
-	Pressed bool      // whether it is queued for relief in package pressure
-	Stepped time.Time // time of the last relief step
+	ReliefQueued bool      // whether it is queued for relief in package pressure
+	LastReliefAt time.Time // time of the last relief step
 
 	slot         int
 	reservedFor  *Task // urgent task or replica that capacity is reserved for
@@ -57,7 +57,7 @@
 func (f *Fleet) worker(name string) *Worker {
 	w := f.Workers[name]
 	if w == nil {
-		w = &Worker{Name: name, Stale: true}
+		w = &Worker{Name: name, SharesStale: true}
 		f.Workers[name] = w
 	}
 	return w
@@ -74,7 +74,7 @@
 	w.Free = w.Free.Add(capacity)
 	f.Total = f.Total.Add(capacity)
 	f.countShape(capacity, 1)
-	f.Offer(w)
+	f.UpdateIndex(w)
 }
 
 func (f *Fleet) detach(w *Worker) {
@@ -98,27 +98,27 @@
 	if s == nil {
 		s = &Shape{}
 		f.Shapes[capacity] = s
-		f.Changed = f.Now
+		f.NewShapeAt = f.Now
 	}
 	s.Workers += n
-	s.Gone = f.Now
+	s.ChangedAt = f.Now
 }
 
-// Offer updates the capacity index with the worker's free capacity that any task may use.
-func (f *Fleet) Offer(w *Worker) {
-	w.Stale = true
+// UpdateIndex updates the capacity index with the worker's free capacity that any task may use.
+func (f *Fleet) UpdateIndex(w *Worker) {
+	w.SharesStale = true
 	if w.Domain == nil {
 		return
 	}
-	open := w.Open()
+	open := w.UnreservedFree()
 	if w.Blame.Suspended() && !w.Blame.Probes(f.Now, len(w.Tasks)) {
 		open = noCapacity
 	}
 	w.Domain.Rooms.Set(w.slot, open)
 }
 
-// Open returns the free capacity that is not reserved.
-func (w *Worker) Open() resource.Size {
+// UnreservedFree returns the free capacity that is not reserved.
+func (w *Worker) UnreservedFree() resource.Size {
 	return w.Free.Sub(w.reservedSize)
 }
 
@@ -126,11 +126,11 @@
 func (f *Fleet) Reserve(w *Worker, t *Task, size resource.Size, until time.Time) {
 	w.reservedFor, w.reservedSize, w.until, t.Reserved = t, size, until, w
 	f.Reserved = append(f.Reserved, w)
-	f.Offer(w)
+	f.UpdateIndex(w)
 }
 
-// Kept returns the reserved capacity.
-func (w *Worker) Kept() resource.Size {
+// ReservedSize returns the reserved capacity.
+func (w *Worker) ReservedSize() resource.Size {
 	return w.reservedSize
 }
 
@@ -149,7 +149,7 @@
 	if i := slices.Index(f.Reserved, w); i >= 0 {
 		f.Reserved = slices.Delete(f.Reserved, i, i+1)
 	}
-	f.Offer(w)
+	f.UpdateIndex(w)
 }
 
 // ExpireReservations removes expired reservations.
@@ -169,11 +169,11 @@
 	t.slot = int32(len(w.Tasks))
 	w.Tasks = append(w.Tasks, t)
 	w.Free = w.Free.Sub(size)
-	f.Offer(w)
+	f.UpdateIndex(w)
 }
 
-// HoldNamed is Hold for a worker given by name, which need not be known yet.
-func (f *Fleet) HoldNamed(t *Task, worker string, size resource.Size) {
+// HoldByName is Hold for a worker given by name, which need not be known yet.
+func (f *Fleet) HoldByName(t *Task, worker string, size resource.Size) {
 	f.Hold(t, f.worker(worker), size)
 }
 
@@ -192,7 +192,7 @@
 	w.Tasks[last] = nil
 	w.Tasks = w.Tasks[:last]
 	w.Free = w.Free.Add(t.Committed)
-	f.Offer(w)
+	f.UpdateIndex(w)
 	f.removeIfUnused(w)
 }
 
@@ -201,7 +201,7 @@
 	t.charge(t.Job.Charge(size))
 	t.Worker.Free = t.Worker.Free.Add(t.Committed).Sub(size)
 	t.Committed = size
-	f.Offer(t.Worker)
+	f.UpdateIndex(t.Worker)
 }
 
 // Overloaded reports whether nearly all of the worker's processors are in use, so that its tasks slow each other regardless of their programs.
--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -8,7 +8,7 @@
 
 // priors are the estimates before the first reading. Readings are noisy, since load swings change headroom by about as much as a neighbor does.
 var priors = interference.Options{
-	Mean:     3.5,  // headroom lost to a filling task that uses a whole worker, between the values of harmless and harmful pairs on the standard days
+	Mean:     3.5,  // headroom lost to a filling task that uses a whole worker, between the values of harmless and harmful pairs under typical load
 	Variance: 9,    // variance of Mean
 	Noise:    0.5,  // variance of one reading, caused by load swings
 	Drift:    1e-3, // costs change over minutes
--- a/installation/member.go
+++ b/installation/member.go
@@ -32,8 +32,8 @@
 	}
 	var err error
 	m.control, err = control.New(control.Options{
-		Settings: c, Boot: clock.Boot,
-		Found: &control.Found{First: s.First == 1, Losses: int(s.Losses)},
+		Settings: c, SinceBoot: clock.SinceBoot,
+		DynamicMembers: &control.DynamicMembers{Bootstrap: s.Bootstrap == 1, Losses: int(s.Losses)},
 		Called: &control.Called{
 			Calls:        m.client.Calls(),
 			Lease:        time.Duration(s.LeaseMS) * time.Millisecond,
--- a/job/event.go
+++ b/job/event.go
@@ -38,7 +38,7 @@
 		tb.endTask(j, at, wire.TaskState_TASK_STATE_DONE, "")
 	case wire.TaskEventKind_TASK_EVENT_KIND_STOPPED:
 		next := task.Clone(j.tasks[at])
-		if !next.Started || !task.Accept(next, e) {
+		if !next.Started || !task.AcceptCheckpoint(next, e) {
 			return false
 		}
 		tb.requeueTask(j, at, next)
@@ -106,7 +106,7 @@
 
 func (tb *Table) applyCheckpoint(j *job, at int, e *wire.TaskEvent) bool {
 	next := task.Started(j.tasks[at])
-	if !task.Accept(next, e) {
+	if !task.AcceptCheckpoint(next, e) {
 		return false
 	}
 	if next.State == wire.TaskState_TASK_STATE_STARTING {
@@ -122,7 +122,7 @@
 	}
 	next := task.Clone(j.tasks[at])
 	next.State = wire.TaskState_TASK_STATE_STOPPING
-	next.Reason = configuration.Clip(e.Reason, MaxReasonBytes)
+	next.Reason = configuration.Truncate(e.Reason, MaxReasonBytes)
 	tb.replaceTask(j, at, next)
 	return true
 }
@@ -161,7 +161,7 @@
 		tb.finishTask(j, at, next)
 		return
 	}
-	next.Reason = configuration.Clip(e.Reason, MaxReasonBytes)
+	next.Reason = configuration.Truncate(e.Reason, MaxReasonBytes)
 	if next.Failures < failureLimit(j) {
 		tb.requeueTask(j, at, next)
 		return
@@ -179,7 +179,7 @@
 
 func (tb *Table) applyStopped(j *job, at int, e *wire.TaskEvent) {
 	next := task.Started(j.tasks[at])
-	task.Accept(next, e)
+	task.AcceptCheckpoint(next, e)
 	if next.Cancelled {
 		next.State = wire.TaskState_TASK_STATE_CANCELLED_AFTER_START
 		tb.finishTask(j, at, next)
@@ -187,7 +187,7 @@
 	}
 	if next.State == wire.TaskState_TASK_STATE_STOPPING {
 		next.Evictions++
-		tb.tallies.At(j.Class, tb.commandTime).Evicted++
+		tb.tallies.ClassCounts(j.Class, tb.commandTime).Evicted++
 	}
 	tb.requeueTask(j, at, next)
 }
@@ -201,7 +201,7 @@
 		tb.finishTask(j, at, next)
 		return
 	}
-	next.Reason = configuration.Clip(reason, MaxReasonBytes)
+	next.Reason = configuration.Truncate(reason, MaxReasonBytes)
 	if !j.service {
 		tb.requeueTask(j, at, next)
 		return
--- a/job/job.go
+++ b/job/job.go
@@ -70,11 +70,11 @@
 func (tb *Table) checkJob(spec *wire.Job) error {
 	class := configuration.Class(tb.options.Configuration().Classes, spec.GetClass())
 	if class == nil {
-		return fmt.Errorf("there is no class %q", configuration.Clip(spec.GetClass(), configuration.MaxNameBytes))
+		return fmt.Errorf("there is no class %q", configuration.Truncate(spec.GetClass(), configuration.MaxNameBytes))
 	}
 	team := configuration.Team(tb.options.Configuration().Teams, spec.Team)
 	if team == nil {
-		return fmt.Errorf("there is no team %q", configuration.Clip(spec.Team, configuration.MaxNameBytes))
+		return fmt.Errorf("there is no team %q", configuration.Truncate(spec.Team, configuration.MaxNameBytes))
 	}
 	if err := admit.Job(spec); err != nil {
 		return err
@@ -101,13 +101,13 @@
 func (tb *Table) Cancel(id, operator string) *wire.JobResult {
 	j := tb.jobs[id]
 	if j == nil {
-		return Refused(configuration.Clip(id, configuration.MaxNameBytes), "there is no such job, or it ended long ago")
+		return Refused(configuration.Truncate(id, configuration.MaxNameBytes), "there is no such job, or it ended long ago")
 	}
 	if j.unfinished == 0 {
 		return Refused(j.Id, "the job has ended")
 	}
 	j.cancelled = true
-	reason := "cancelled by " + configuration.Clip(operator, configuration.MaxNameBytes)
+	reason := "cancelled by " + configuration.Truncate(operator, configuration.MaxNameBytes)
 	for at := range j.tasks {
 		tb.cancelTask(j, at, reason)
 	}
@@ -130,5 +130,5 @@
 
 // Refused returns the result of a refused request on jobs.
 func Refused(id, reason string) *wire.JobResult {
-	return &wire.JobResult{Outcome: wire.Outcome_OUTCOME_REFUSED, Reason: configuration.Clip(reason, MaxReasonBytes), Job: id}
+	return &wire.JobResult{Outcome: wire.Outcome_OUTCOME_REFUSED, Reason: configuration.Truncate(reason, MaxReasonBytes), Job: id}
 }
--- a/job/read.go
+++ b/job/read.go
@@ -40,8 +40,8 @@
 	return all
 }
 
-// Each calls f for every task of the jobs that have not ended, in order of submission and index.
-func (tb *Table) Each(f func(*wire.Job, *wire.Task)) {
+// EachTask calls f for every task of the jobs that have not ended, in order of submission and index.
+func (tb *Table) EachTask(f func(*wire.Job, *wire.Task)) {
 	for _, j := range tb.unfinished() {
 		for _, t := range j.tasks {
 			f(j.Job, t)
--- a/job/snapshot.go
+++ b/job/snapshot.go
@@ -12,8 +12,8 @@
 	"daisyswitch/wire"
 )
 
-// Fill adds jobs, workers and tallies to a snapshot. The objects that the snapshot points to must not be modified.
-func (tb *Table) Fill(s *wire.State) {
+// FillSnapshot adds jobs, workers and tallies to a snapshot. The objects that the snapshot points to must not be modified.
+func (tb *Table) FillSnapshot(s *wire.State) {
 	s.NextJob = tb.nextJob
 	for _, j := range tb.unfinished() {
 		s.Jobs = append(s.Jobs, j.record())
@@ -48,16 +48,16 @@
 	return &wire.JobRecord{Job: j.Job, Tasks: slices.Clone(j.tasks), Cancelled: j.cancelled, SubmittedMs: j.submitted}
 }
 
-// TellAll calls the callbacks for all workers and for the tasks of all jobs that have not ended.
-func (tb *Table) TellAll() {
+// NotifyAll calls the callbacks for all workers and for the tasks of all jobs that have not ended.
+func (tb *Table) NotifyAll() {
 	for _, name := range slices.Sorted(maps.Keys(tb.workers)) {
 		tb.options.WorkerChanged(tb.workers[name].record)
 	}
-	tb.Each(tb.options.TaskChanged)
+	tb.EachTask(tb.options.TaskChanged)
 }
 
-// Load fills an empty table from a snapshot, or returns why the snapshot is inconsistent.
-func (tb *Table) Load(s *wire.State) error {
+// LoadSnapshot fills an empty table from a snapshot, or returns why the snapshot is inconsistent.
+func (tb *Table) LoadSnapshot(s *wire.State) error {
 	tb.nextJob = s.NextJob
 	tb.tallies.Restore(s.Tallies)
 	for _, r := range s.Workers {
--- a/job/table.go
+++ b/job/table.go
@@ -8,12 +8,12 @@
 
 // Limits of the table.
 const (
-	MaxLiveTasks   = 500_000 // tasks of all jobs that have not ended
-	KeepEndedJobs  = 1000    // ended jobs that are kept
-	KeepEndedTasks = 50_000  // tasks of the ended jobs that are kept
-	KeepLost       = 32      // lost replicas kept per job
-	KeepGone       = 256     // workers kept after they left or were lost
-	MaxReasonBytes = 512
+	MaxLiveTasks    = 500_000 // tasks of all jobs that have not ended
+	MaxEndedJobs    = 1000    // ended jobs that are kept
+	MaxEndedTasks   = 50_000  // tasks of the ended jobs that are kept
+	MaxLostReplicas = 32      // lost replicas kept per job
+	MaxGoneWorkers  = 256     // workers kept after they left or were lost
+	MaxReasonBytes  = 512
 )
 
 // Number of failures after which a task fails permanently.
@@ -24,10 +24,10 @@
 
 // Options holds the functions that the table calls to read the configuration and to report state changes. None may be nil.
 type Options struct {
-	Configuration func() *wire.Configuration
-	MeetDomain    func(domain, worker string) // called for the failure domain of each announced worker
-	TaskChanged   func(*wire.Job, *wire.Task)
-	WorkerChanged func(*wire.WorkerRecord)
+	Configuration   func() *wire.Configuration
+	DomainAnnounced func(domain, worker string) // called for the failure domain of each announced worker
+	TaskChanged     func(*wire.Job, *wire.Task)
+	WorkerChanged   func(*wire.WorkerRecord)
 }
 
 // Table holds jobs, tasks and workers. Its caller must serialize access to it.
@@ -65,7 +65,7 @@
 
 // DropTallies removes the counts of classes that are no longer configured.
 func (tb *Table) DropTallies() {
-	tb.tallies.Keep(func(class string) bool {
+	tb.tallies.DeleteUnknown(func(class string) bool {
 		return configuration.Class(tb.options.Configuration().Classes, class) != nil
 	})
 }
--- a/job/task.go
+++ b/job/task.go
@@ -78,7 +78,7 @@
 func (tb *Table) endTask(j *job, at int, s wire.TaskState, reason string) {
 	next := task.Clone(j.tasks[at])
 	next.State = s
-	next.Reason = configuration.Clip(reason, MaxReasonBytes)
+	next.Reason = configuration.Truncate(reason, MaxReasonBytes)
 	tb.finishTask(j, at, next)
 }
 
--- a/job/worker.go
+++ b/job/worker.go
@@ -65,7 +65,7 @@
 		tb.loseHeldTasks(w, "worker restarted")
 	}
 	tb.goneWorkers = slices.DeleteFunc(tb.goneWorkers, func(name string) bool { return name == r.Name })
-	tb.options.MeetDomain(r.Domain, r.Name)
+	tb.options.DomainAnnounced(r.Domain, r.Name)
 	w.offered = resource.FromWire(r.Capacity)
 	w.record = nil
 	tb.updateCapacity(w, r)
@@ -96,7 +96,7 @@
 // updateCapacity sets a worker's effective capacity to what it offers, but not below what is committed to it.
 // r provides the other fields of the worker's record.
 func (tb *Table) updateCapacity(w *worker, r *wire.WorkerRecord) {
-	capacity := admit.Larger(w.offered, w.committed)
+	capacity := admit.MaxSize(w.offered, w.committed)
 	if w.record != nil && capacity == w.capacity {
 		return
 	}
--- a/lease/world_run_test.go
+++ b/lease/world_run_test.go
@@ -66,7 +66,7 @@
 // submitBatchJobs submits a batch job whenever few tasks are left.
 func (w *simulation) submitBatchJobs() {
 	open := 0
-	w.replicas[w.leader].machine.Each(func(*wire.Job, *wire.Task) { open++ })
+	w.replicas[w.leader].machine.EachTask(func(*wire.Job, *wire.Task) { open++ })
 	if open < 8 && !w.noDisturbance {
 		w.submit("lots", 3)
 	}
@@ -137,7 +137,7 @@
 	for n := 0; n < 60 && open > 0; n++ {
 		w.run(w.now + leaseLength)
 		open = 0
-		w.replicas[w.leader].machine.Each(func(j *wire.Job, task *wire.Task) {
+		w.replicas[w.leader].machine.EachTask(func(j *wire.Job, task *wire.Task) {
 			if j.Class == "lots" && task.State < wire.TaskState_TASK_STATE_DONE {
 				open++
 			}
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -171,7 +171,7 @@
 
 func (w *simulation) decide(r *replica) *wire.Command {
 	c := &wire.Command{}
-	r.machine.Each(func(j *wire.Job, t *wire.Task) {
+	r.machine.EachTask(func(j *wire.Job, t *wire.Task) {
 		if !w.noDisturbance && !w.steady && w.rng.IntN(2000) == 0 {
 			c.Cancel = &wire.CancelJob{Job: j.Id}
 		}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -18,7 +18,7 @@
 type View struct {
 	Self     uint64
 	Members  *wire.Members
-	Others   []raft.Standing
+	Others   []raft.MemberProgress
 	Joining  []*wire.Member
 	Last     uint64        // last index of the log
 	Tick     time.Duration // unit of silence
@@ -65,13 +65,13 @@
 	return voters
 }
 
-func (v *View) silentFor(s *raft.Standing) time.Duration {
+func (v *View) silentFor(s *raft.MemberProgress) time.Duration {
 	return time.Duration(s.Silent) * v.Tick
 }
 
 // lostVoter returns the voter that has been silent longest, nil if none counts as lost.
-func (v *View) lostVoter() *raft.Standing {
-	var lost *raft.Standing
+func (v *View) lostVoter() *raft.MemberProgress {
+	var lost *raft.MemberProgress
 	for i := range v.Others {
 		s := &v.Others[i]
 		if s.GetVotes() && v.silentFor(s) > lostVoterTimeout && (lost == nil || s.Silent > lost.Silent) {
@@ -82,9 +82,9 @@
 }
 
 // surplusVoter returns the voter to give up when all answer: one whose failure domain has most voters.
-func (v *View) surplusVoter() *raft.Standing {
+func (v *View) surplusVoter() *raft.MemberProgress {
 	domains := v.voterDomains()
-	var spare *raft.Standing
+	var spare *raft.MemberProgress
 	for i := range v.Others {
 		s := &v.Others[i]
 		if s.GetVotes() && (spare == nil || domains[s.GetDomain()] > domains[spare.GetDomain()]) {
@@ -95,12 +95,12 @@
 }
 
 // successor returns the replica without a vote that holds everything and whose failure domain has fewest voters, nil if there is none.
-func (v *View) successor() *raft.Standing {
+func (v *View) successor() *raft.MemberProgress {
 	domains := v.voterDomains()
-	var best *raft.Standing
+	var best *raft.MemberProgress
 	for i := range v.Others {
 		s := &v.Others[i]
-		if s.GetVotes() || s.Repairs || s.Match == 0 || s.Match+maxSuccessorLag < v.Last || v.silentFor(s) > lostVoterTimeout/3 {
+		if s.GetVotes() || s.Recovering || s.Match == 0 || s.Match+maxSuccessorLag < v.Last || v.silentFor(s) > lostVoterTimeout/3 {
 			continue
 		}
 		if best == nil || domains[s.GetDomain()] < domains[best.GetDomain()] {
@@ -127,7 +127,7 @@
 }
 
 // silentNonVoter returns a member without a vote that is no more.
-func (v *View) silentNonVoter() *raft.Standing {
+func (v *View) silentNonVoter() *raft.MemberProgress {
 	for i := range v.Others {
 		s := &v.Others[i]
 		if !s.GetVotes() && v.silentFor(s) > removalTimeout {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -20,7 +20,7 @@
 	}}
 	v := &membership.View{Self: 1, Members: members, Last: 1000, Tick: tick, Losses: losses, Replaces: true}
 	for _, m := range members.GetMembers()[1:] {
-		v.Others = append(v.Others, raft.Standing{Member: m, Match: 1000})
+		v.Others = append(v.Others, raft.MemberProgress{Member: m, Match: 1000})
 	}
 	return v
 }
@@ -68,10 +68,10 @@
 }
 
 func TestVoterIsNotReplacedByOneThatHoldsLess(t *testing.T) {
-	for name, spoil := range map[string]func(*raft.Standing){
-		"behind":    func(s *raft.Standing) { s.Match = 100 },
-		"repairing": func(s *raft.Standing) { s.Repairs = true },
-		"silent":    func(s *raft.Standing) { s.Silent = int(time.Second / tick) },
+	for name, spoil := range map[string]func(*raft.MemberProgress){
+		"behind":    func(s *raft.MemberProgress) { s.Match = 100 },
+		"repairing": func(s *raft.MemberProgress) { s.Recovering = true },
+		"silent":    func(s *raft.MemberProgress) { s.Silent = int(time.Second / tick) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			v := newView(1)
@@ -90,7 +90,7 @@
 func TestSuccessorComesFromTheDomainWithFewestVoters(t *testing.T) {
 	v := newView(2)
 	v.Members.Members = append(v.Members.Members, &wire.Member{Id: 5, Domain: "d"})
-	v.Others = append(v.Others, raft.Standing{Member: v.Members.Members[4], Match: 1000})
+	v.Others = append(v.Others, raft.MemberProgress{Member: v.Members.Members[4], Match: 1000})
 	assert.DeepEqual(t, voterIDs(membership.Next(v)), []uint64{1, 2, 3, 5})
 }
 
--- a/peer/connections.go
+++ b/peer/connections.go
@@ -40,7 +40,7 @@
 func New(options Options) *Connections {
 	c := &Connections{options: options, started: time.Now(), peers: map[uint64]*peer{}, inbox: make(chan *wire.Message, inboxCapacity)}
 	for id, address := range options.Peers {
-		c.Know(id, address)
+		c.AddPeer(id, address)
 	}
 	return c
 }
@@ -55,8 +55,8 @@
 	}
 }
 
-// Know adds a peer at an address, and keeps a connection to it from now on.
-func (c *Connections) Know(id uint64, address string) {
+// AddPeer adds a peer at an address, and keeps a connection to it from now on.
+func (c *Connections) AddPeer(id uint64, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if id == c.options.ID || address == "" || c.peers[id] != nil {
@@ -112,8 +112,8 @@
 	}
 }
 
-// Watch replaces connections that have gone silent; it belongs into each tick.
-func (c *Connections) Watch() {
+// ReconnectStalled replaces connections that have gone silent; it belongs into each tick.
+func (c *Connections) ReconnectStalled() {
 	now := c.since()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -29,7 +29,7 @@
 			return fmt.Errorf("receive: %w", err)
 		}
 		if from == nil {
-			c.Know(m.GetFrom(), m.GetAddress())
+			c.AddPeer(m.GetFrom(), m.GetAddress())
 			if from = c.peer(m.GetFrom()); from == nil {
 				return fmt.Errorf("replica %d is not of this group", m.GetFrom())
 			}
--- a/place/choose.go
+++ b/place/choose.go
@@ -133,7 +133,7 @@
 		return score + w.Share(w.Free.MilliCPU)
 	}
 	if r.features.pairCosts {
-		score -= r.usage.Burden(t.Job, w, w.Share(size.MilliCPU))
+		score -= r.usage.HeadroomCost(t.Job, w, w.Share(size.MilliCPU))
 	}
 	return score
 }
--- a/place/decide.go
+++ b/place/decide.go
@@ -59,7 +59,7 @@
 		if l.Empty() {
 			continue
 		}
-		l.Distance, l.Share, l.Effort = r.fleet.Distance(l.Class), r.fleet.Dominant(l.Team), 0
+		l.Distance, l.Share, l.Effort = r.fleet.Distance(l.Class), r.fleet.DominantShare(l.Team), 0
 		lanes = append(lanes, l)
 	}
 	heap.Init(&lanes)
@@ -69,7 +69,7 @@
 			heap.Pop(&lanes)
 			continue
 		}
-		l.Share = r.fleet.Dominant(l.Team)
+		l.Share = r.fleet.DominantShare(l.Team)
 		heap.Fix(&lanes, 0)
 	}
 }
@@ -85,7 +85,7 @@
 		return !l.Done()
 	}
 	l.Effort += 1 + searchCost*(r.searches-searches)
-	return l.Pass() && l.Effort < r.options.Effort
+	return l.SkipCurrent() && l.Effort < r.options.Effort
 }
 
 // startOne decides on the first waiting task of a job, and reports whether the task left the queue.
@@ -120,8 +120,8 @@
 	if w == nil {
 		return false
 	}
-	if w.Domain != nil && !w.Domain.Out && w.Kept().Fits(w.Free) {
-		r.start(t, w, w.Kept())
+	if w.Domain != nil && !w.Domain.Out && w.ReservedSize().Fits(w.Free) {
+		r.start(t, w, w.ReservedSize())
 		return true
 	}
 	if !slices.ContainsFunc(w.Tasks, (*fleet.Task).Stopping) {
@@ -164,11 +164,11 @@
 
 // fitsNoWorker reports whether the job's tasks exceed the capacity of every worker: those that are known, in a domain that is out, or gone for less than Options.Return.
 func (p *Placer) fitsNoWorker(j *fleet.Job) bool {
-	if len(p.fleet.Shapes) == 0 || p.fleet.Now.Sub(p.fleet.Changed) < p.options.Settle {
+	if len(p.fleet.Shapes) == 0 || p.fleet.Now.Sub(p.fleet.NewShapeAt) < p.options.Settle {
 		return false
 	}
 	for capacity, s := range p.fleet.Shapes {
-		if s.Workers == 0 && p.fleet.Now.Sub(s.Gone) > p.options.Return {
+		if s.Workers == 0 && p.fleet.Now.Sub(s.ChangedAt) > p.options.Return {
 			continue
 		}
 		if j.Size.Fits(capacity) {
--- a/place/judge.go
+++ b/place/judge.go
@@ -35,7 +35,7 @@
 func (p *Placer) recordSuccess(w *fleet.Worker) {
 	if w.Blame.Succeeded(&p.options.Blame) {
 		event.WorkerTrusted.Info("worker", w.Name)
-		p.fleet.Offer(w)
+		p.fleet.UpdateIndex(w)
 	}
 }
 
@@ -45,7 +45,7 @@
 	if !suspected && w.Blame.Failed(p.fleet.Now, j.ID, &p.options.Blame) {
 		event.WorkerSuspended.Info("worker", w.Name)
 		p.suspended = append(p.suspended, w)
-		p.fleet.Offer(w)
+		p.fleet.UpdateIndex(w)
 	}
 	if !j.GivenUp && j.Blame.Bad(p.workerTrusted, &p.options.Blame) {
 		event.JobGivenUp.Info("job", j.ID)
--- a/place/pending.go
+++ b/place/pending.go
@@ -15,7 +15,7 @@
 // resolveDecision clears the pending decision of a task and returns the size that the task now holds. A pending growth stays pending and keeps its capacity if the transition does not include it.
 func (p *Placer) resolveDecision(t *fleet.Task, next *wire.Task) resource.Size {
 	committed := resource.FromWire(next.GetCommitted())
-	growing := t.Decision == fleet.DecidedResize && committed == t.Before
+	growing := t.Decision == fleet.DecidedResize && committed == t.PreviousSize
 	if growing && t.Attempt == next.GetAttempt() && fleet.Holding(next.GetState()) {
 		return t.Committed
 	}
@@ -38,7 +38,7 @@
 	p.pending = append(p.pending[:0], p.pending[expired:]...)
 	kept := p.suspended[:0]
 	for _, w := range p.suspended {
-		p.fleet.Offer(w)
+		p.fleet.UpdateIndex(w)
 		if w.Blame.Suspended() {
 			kept = append(kept, w)
 		}
@@ -57,7 +57,7 @@
 	case fleet.DecidedEnd:
 		p.fleet.Enqueue(t)
 	case fleet.DecidedResize:
-		p.fleet.Recommit(t, t.Before)
+		p.fleet.Recommit(t, t.PreviousSize)
 	}
 }
 
--- a/place/place.go
+++ b/place/place.go
@@ -161,7 +161,7 @@
 	case fleet.Waiting(t.State):
 		p.fleet.Enqueue(t)
 	case fleet.Holding(t.State):
-		p.fleet.HoldNamed(t, next.GetWorker(), committed)
+		p.fleet.HoldByName(t, next.GetWorker(), committed)
 	default:
 		p.fleet.CountDone(j.GetClass(), next)
 		p.fleet.Drop(t)
--- a/place/resize.go
+++ b/place/resize.go
@@ -9,19 +9,19 @@
 
 // resize moves the committed sizes of measured tasks towards their peaks, as far as their workers have free capacity.
 func (p *Placer) resize() {
-	for _, t := range p.usage.Outgrown {
-		t.Sized = false
+	for _, t := range p.usage.ResizeCandidates {
+		t.ResizeQueued = false
 		running := t.State == wire.TaskState_TASK_STATE_RUNNING && t.Decision == fleet.Undecided
 		if p.features.resize && running && t.Worker.Domain != nil && len(p.events) < p.options.MaxEvents {
 			p.resizeOne(t)
 		}
 	}
-	p.usage.Outgrown = p.usage.Outgrown[:0]
+	p.usage.ResizeCandidates = p.usage.ResizeCandidates[:0]
 }
 
 func (p *Placer) resizeOne(t *fleet.Task) {
 	wanted := p.usage.Wanted(t)
-	open := t.Worker.Open()
+	open := t.Worker.UnreservedFree()
 	if t.Job.Class.Service() {
 		open = t.Worker.Free
 	}
@@ -36,10 +36,10 @@
 			p.evict(victim, "a service on its worker needs the room")
 		}
 	}
-	if !sizing.Worth(t.Committed, size) {
+	if !sizing.WorthResizing(t.Committed, size) {
 		return
 	}
-	t.Before = t.Committed
+	t.PreviousSize = t.Committed
 	p.fleet.Recommit(t, sizing.Larger(t.Committed, size))
 	p.markDecided(t, fleet.DecidedResize)
 	p.addEvent(t, wire.TaskEventKind_TASK_EVENT_KIND_RESIZE, "measured usage", size.Wire())
--- a/place/why.go
+++ b/place/why.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		in = true
-		room = room || size.Fits(w.Open())
+		room = room || size.Fits(w.UnreservedFree())
 	}
 	switch {
 	case !in && out:
--- a/pressure/gauge.go
+++ b/pressure/gauge.go
@@ -56,15 +56,15 @@
 
 // Assess queues a newly measured worker for Relieve if it needs relief or has throttled tasks.
 func (g *Gauge) Assess(w *fleet.Worker) {
-	if w.Pressed {
+	if w.ReliefQueued {
 		return
 	}
 	need := memoryShort(w)
 	for _, t := range w.Tasks {
-		need = need || t.Throttle > 0 || t.Job.Class.Service() && t.Ratio > throttleAbove
+		need = need || t.Throttle > 0 || t.Job.Class.Service() && t.LogLatencyRatio > throttleAbove
 	}
 	if need {
-		w.Pressed = true
+		w.ReliefQueued = true
 		g.queued = append(g.queued, w)
 	}
 }
@@ -76,7 +76,7 @@
 // Relieve takes one step on each queued worker whose last step was at least one measurement lag ago.
 func (g *Gauge) Relieve() {
 	for _, w := range g.queued {
-		w.Pressed = false
+		w.ReliefQueued = false
 		if w.Domain != nil {
 			g.relieve(w)
 		}
@@ -85,7 +85,7 @@
 }
 
 func (g *Gauge) relieve(w *fleet.Worker) {
-	since := g.fleet.Now.Sub(w.Stepped)
+	since := g.fleet.Now.Sub(w.LastReliefAt)
 	if since < g.Lag {
 		return
 	}
@@ -97,17 +97,17 @@
 	switch {
 	case worst == nil:
 		g.reduceThrottling(w, nil, math.Inf(1))
-	case worst.Ratio > throttleAbove:
+	case worst.LogLatencyRatio > throttleAbove:
 		g.throttleOrEvict(w, worst)
-	case worst.Ratio < liftBelow && since >= 2*g.Lag:
-		g.reduceThrottling(w, worst, reliefGoal-worst.Ratio)
+	case worst.LogLatencyRatio < liftBelow && since >= 2*g.Lag:
+		g.reduceThrottling(w, worst, reliefGoal-worst.LogLatencyRatio)
 	}
 }
 
 func worstService(w *fleet.Worker) *fleet.Task {
 	var worst *fleet.Task
 	for _, t := range w.Tasks {
-		if t.Job.Class.Service() && t.Job.Class.GetTargetP99Us() > 0 && (worst == nil || t.Ratio > worst.Ratio) {
+		if t.Job.Class.Service() && t.Job.Class.GetTargetP99Us() > 0 && (worst == nil || t.LogLatencyRatio > worst.LogLatencyRatio) {
 			worst = t
 		}
 	}
@@ -120,7 +120,7 @@
 	if g.targetUnreachable(service, victims) {
 		return
 	}
-	excess := service.Ratio - reliefGoal
+	excess := service.LogLatencyRatio - reliefGoal
 	stepped := false
 	for _, t := range victims {
 		next := g.nextLevel(t.Throttle)
@@ -131,12 +131,12 @@
 		g.setThrottle(t, next)
 		stepped = true
 	}
-	if !stepped && service.Ratio > 0 && len(victims) > 0 {
+	if !stepped && service.LogLatencyRatio > 0 && len(victims) > 0 {
 		g.Evict(victims[0], "a service on its worker misses its target")
 		stepped = true
 	}
 	if stepped {
-		w.Stepped = g.fleet.Now
+		w.LastReliefAt = g.fleet.Now
 	}
 }
 
@@ -146,7 +146,7 @@
 	for _, t := range victims {
 		reach += effectFactor * g.effect(service, t)
 	}
-	return service.Ratio > reach
+	return service.LogLatencyRatio > reach
 }
 
 // Tolerances for uncertain estimates in targetUnreachable.
@@ -229,7 +229,7 @@
 			return
 		}
 		g.setThrottle(t, previousLevel)
-		w.Stepped = g.fleet.Now
+		w.LastReliefAt = g.fleet.Now
 	}
 }
 
@@ -243,7 +243,7 @@
 	}
 	if worst != nil {
 		g.Evict(worst, "its worker's memory runs out")
-		w.Stepped = g.fleet.Now
+		w.LastReliefAt = g.fleet.Now
 	}
 }
 
--- a/progress/follower.go
+++ b/progress/follower.go
@@ -4,13 +4,13 @@
 
 // Follower is what a leader knows of one follower.
 type Follower struct {
-	Match   uint64 // last index known to match
-	Next    uint64 // first index to send
-	Probing bool   // one append at a time until one is accepted
-	Acked   uint64 // last heartbeat round that it acknowledged
-	Votes   bool   // is a voting member of the group
-	Voter   bool   // counts for a quorum if it votes: its disk holds what it answered
-	Barrier uint64 // index that must be committed without it before it votes again
+	Match           uint64 // last index known to match
+	Next            uint64 // first index to send
+	Probing         bool   // one append at a time until one is accepted
+	Acked           uint64 // last heartbeat round that it acknowledged
+	Votes           bool   // is a voting member of the group
+	CountsForQuorum bool   // counts for a quorum if it votes: its disk holds what it answered
+	Barrier         uint64 // index that must be committed without it before it votes again
 
 	sentCommit      uint64   // commit index that was last sent to it
 	nextBeforeProbe uint64   // Next before the unanswered probe
@@ -22,14 +22,14 @@
 
 // New returns a follower that may hold anything before next.
 func New(next uint64) *Follower {
-	return &Follower{Next: next, Votes: true, Voter: true, Probing: true}
+	return &Follower{Next: next, Votes: true, CountsForQuorum: true, Probing: true}
 }
 
 // Silent returns the ticks since the follower last replied.
 func (f *Follower) Silent() int { return f.silentTicks }
 
-// Answer records a reply and returns false if the reply comes from a disk that the follower has lost.
-func (f *Follower) Answer(disk uint64, recovering bool) bool {
+// RecordReply records a reply and returns false if the reply comes from a disk that the follower has lost.
+func (f *Follower) RecordReply(disk uint64, recovering bool) bool {
 	if f.disk == 0 {
 		f.disk = disk
 	}
@@ -37,7 +37,7 @@
 		return false
 	}
 	f.silentTicks = 0
-	f.Voter = !recovering
+	f.CountsForQuorum = !recovering
 	return true
 }
 
@@ -70,18 +70,18 @@
 	return f.silentTicks < ticks
 }
 
-// Lacks reports whether there are entries up to last to send. Once the logs are known to match, at most ahead entries may be unacknowledged.
-func (f *Follower) Lacks(last, ahead uint64) bool {
+// HasPending reports whether there are entries up to last to send. Once the logs are known to match, at most ahead entries may be unacknowledged.
+func (f *Follower) HasPending(last, ahead uint64) bool {
 	return f.Next <= last && (f.Probing || f.Next <= f.Match+ahead)
 }
 
-// Waits reports whether a probe is unacknowledged, so that nothing more may be sent.
-func (f *Follower) Waits() bool {
+// AwaitsProbe reports whether a probe is unacknowledged, so that nothing more may be sent.
+func (f *Follower) AwaitsProbe() bool {
 	return f.Probing && f.sentRound > 0
 }
 
-// Sent records that the entries before next were sent in the given heartbeat round.
-func (f *Follower) Sent(next, round uint64) {
+// RecordSent records that the entries before next were sent in the given heartbeat round.
+func (f *Follower) RecordSent(next, round uint64) {
 	f.nextBeforeProbe, f.Next = f.Next, next
 	f.sentRound = round
 }
@@ -97,8 +97,8 @@
 	return true
 }
 
-// Agree records that the logs match up to index.
-func (f *Follower) Agree(index uint64) {
+// RecordMatch records that the logs match up to index.
+func (f *Follower) RecordMatch(index uint64) {
 	f.Match = max(f.Match, index)
 	if f.Next <= f.Match+1 {
 		f.Next = f.Match + 1
@@ -119,8 +119,8 @@
 	}
 }
 
-// Tell returns the commit index to send to the follower; ok is false if it was sent already.
-func (f *Follower) Tell(commit uint64) (known uint64, ok bool) {
+// NextCommit returns the commit index to send to the follower; ok is false if it was sent already.
+func (f *Follower) NextCommit(commit uint64) (known uint64, ok bool) {
 	known = min(f.Match, commit)
 	if known <= f.sentCommit {
 		return 0, false
--- a/progress/followers.go
+++ b/progress/followers.go
@@ -32,22 +32,22 @@
 func (f Followers) Active(ticks int) bool {
 	active := 1
 	for _, follower := range f {
-		if follower.Votes && follower.Voter && follower.Active(ticks) {
+		if follower.Votes && follower.CountsForQuorum && follower.Active(ticks) {
 			active++
 		}
 	}
 	return active >= f.quorum()
 }
 
-// Reached returns the highest value that a quorum of voters has reached, the leader's own among them.
-func (f Followers) Reached(own uint64, of func(*Follower) uint64) uint64 {
+// QuorumValue returns the highest value that a quorum of voters has reached, the leader's own among them.
+func (f Followers) QuorumValue(own uint64, of func(*Follower) uint64) uint64 {
 	values := []uint64{own}
 	for _, follower := range f {
 		if !follower.Votes {
 			continue
 		}
 		value := of(follower)
-		if !follower.Voter {
+		if !follower.CountsForQuorum {
 			value = 0
 		}
 		values = append(values, value)
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -101,12 +101,12 @@
 // replicate sends a follower the entries that it lacks, up to the limit on unacknowledged entries.
 func (n *Node) replicate(id uint64) {
 	f := n.followers[id]
-	for f.Lacks(n.log.Last(), maxUnacknowledged) {
+	for f.HasPending(n.log.Last(), maxUnacknowledged) {
 		if f.Next <= n.log.Offset {
 			n.sendSnapshot(id, f)
 			return
 		}
-		if f.Waits() {
+		if f.AwaitsProbe() {
 			return
 		}
 		n.sendAppend(id, f)
@@ -115,7 +115,7 @@
 
 func (n *Node) sendSnapshot(id uint64, f *progress.Follower) {
 	n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_SNAPSHOT, To: id, Term: n.term})
-	f.Sent(n.snapshotIndex+1, n.round)
+	f.RecordSent(n.snapshotIndex+1, n.round)
 	f.Probing = true
 }
 
@@ -124,7 +124,7 @@
 	term, _ := n.log.Term(previous)
 	entries := n.batch(f.Next)
 	n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_APPEND, To: id, Term: n.term, Index: previous, LogTerm: term, Commit: n.log.Commit, Entries: entries})
-	f.Sent(f.Next+uint64(len(entries)), n.round)
+	f.RecordSent(f.Next+uint64(len(entries)), n.round)
 }
 
 // batch returns the entries starting at first that fit into one message.
@@ -146,7 +146,7 @@
 		return nil
 	}
 	f := n.followers[m.GetFrom()]
-	if f == nil || !f.Answer(m.GetDisk(), m.GetRecovering()) {
+	if f == nil || !f.RecordReply(m.GetDisk(), m.GetRecovering()) {
 		return nil
 	}
 	return f
@@ -168,7 +168,7 @@
 }
 
 func (n *Node) recordMatch(id uint64, f *progress.Follower, index uint64) {
-	f.Agree(index)
+	f.RecordMatch(index)
 	n.advanceCommit()
 	n.sendCommit(id, f)
 	n.replicate(id)
@@ -176,7 +176,7 @@
 
 // sendCommit sends the commit index to a follower as soon as the follower holds the entries that it covers.
 func (n *Node) sendCommit(id uint64, f *progress.Follower) {
-	commit, ok := f.Tell(n.log.Commit)
+	commit, ok := f.NextCommit(n.log.Commit)
 	if !ok {
 		return
 	}
@@ -197,13 +197,13 @@
 // confirmRounds updates the last heartbeat round that a quorum acknowledged.
 func (n *Node) confirmRounds() {
 	acked := func(f *progress.Follower) uint64 { return f.Acked }
-	n.confirmed = max(n.confirmed, n.followers.Reached(n.round, acked))
+	n.confirmed = max(n.confirmed, n.followers.QuorumValue(n.round, acked))
 }
 
 // advanceCommit commits the entries that a quorum has on disk, if the last of them is of the current term.
 func (n *Node) advanceCommit() {
 	match := func(f *progress.Follower) uint64 { return f.Match }
-	index := n.followers.Reached(n.log.Synced, match)
+	index := n.followers.QuorumValue(n.log.Synced, match)
 	if index <= n.log.Commit {
 		return
 	}
--- a/raft/members.go
+++ b/raft/members.go
@@ -44,8 +44,8 @@
 	n.activateMembers()
 }
 
-// Alone reports whether the node is the only voter.
-func (n *Node) Alone() bool { return n.votes && n.voters == 1 }
+// SoleVoter reports whether the node is the only voter.
+func (n *Node) SoleVoter() bool { return n.votes && n.voters == 1 }
 
 // Members returns the active membership.
 func (n *Node) Members() *wire.Members {
@@ -202,22 +202,22 @@
 	}
 }
 
-// Standing is the leader's view of one other replica.
-type Standing struct {
+// MemberProgress is the leader's view of one other replica.
+type MemberProgress struct {
 	*wire.Member
-	Match   uint64 // last index up to which its log is known to match
-	Silent  int    // ticks since it last replied
-	Repairs bool   // it lost its disk and does not count towards a quorum yet
+	Match      uint64 // last index up to which its log is known to match
+	Silent     int    // ticks since it last replied
+	Recovering bool   // it lost its disk and does not count towards a quorum yet
 }
 
-// Standings returns the leader's view of the other members, and the replicas that have asked to join; both are nil if the node is not the leader.
-func (n *Node) Standings() (members []Standing, joining []*wire.Member) {
+// MembersAndJoining returns the leader's view of the other members, and the replicas that have asked to join; both are nil if the node is not the leader.
+func (n *Node) MembersAndJoining() (members []MemberProgress, joining []*wire.Member) {
 	if n.role != Leader {
 		return nil, nil
 	}
 	for _, m := range n.Members().GetMembers() {
 		if f := n.followers[m.GetId()]; f != nil {
-			members = append(members, Standing{Member: m, Match: f.Match, Silent: f.Silent(), Repairs: !f.Voter})
+			members = append(members, MemberProgress{Member: m, Match: f.Match, Silent: f.Silent(), Recovering: !f.CountsForQuorum})
 		}
 	}
 	for _, m := range n.joining {
@@ -227,14 +227,14 @@
 	return members, joining
 }
 
-// HandOver asks a voter that holds the whole log to start an election at once, and returns false if there is no such voter.
-func (n *Node) HandOver() bool {
+// TransferLeadership asks a voter that holds the whole log to start an election at once, and returns false if there is no such voter.
+func (n *Node) TransferLeadership() bool {
 	if n.role != Leader {
 		return false
 	}
 	for _, id := range n.others {
 		f := n.followers[id]
-		if f.Votes && f.Voter && f.Match == n.log.Last() && f.Active(n.electionTicks) {
+		if f.Votes && f.CountsForQuorum && f.Match == n.log.Last() && f.Active(n.electionTicks) {
 			n.send(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_TAKE_OVER, To: id, Term: n.term})
 			return true
 		}
--- a/raft/node.go
+++ b/raft/node.go
@@ -43,17 +43,17 @@
 
 // Ready holds the work that must be done after a step, in this order: sync the state, snapshot and entries, send the messages, apply the committed entries.
 type Ready struct {
-	Early    []*wire.Message // may be sent before the records are synced
-	State    *wire.HardState // nil if unchanged
-	Snapshot *wire.Snapshot  // replaces the log and the state machine; nil if there is none
-	Entries  []*wire.Entry   // replace the log starting at the first one's index
-	Messages []*wire.Message
-	Commit   []*wire.Entry // committed entries to apply, in order
+	EarlyMessages []*wire.Message // may be sent before the records are synced
+	State         *wire.HardState // nil if unchanged
+	Snapshot      *wire.Snapshot  // replaces the log and the state machine; nil if there is none
+	Entries       []*wire.Entry   // replace the log starting at the first one's index
+	Messages      []*wire.Message
+	Commit        []*wire.Entry // committed entries to apply, in order
 }
 
 // Empty reports whether there is nothing to do.
 func (r *Ready) Empty() bool {
-	return r.State == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Early) == 0 && len(r.Messages) == 0 && len(r.Commit) == 0
+	return r.State == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.EarlyMessages) == 0 && len(r.Messages) == 0 && len(r.Commit) == 0
 }
 
 // Node is the Raft state of one replica; it is not safe for concurrent use.
@@ -116,7 +116,7 @@
 	r.Entries = n.log.Slice(n.log.Synced+1, n.log.Last())
 	n.stampSender(r.Messages)
 	if n.role == Leader && r.State == nil && r.Snapshot == nil {
-		r.Early, r.Messages = splitAppends(r.Messages)
+		r.EarlyMessages, r.Messages = splitAppends(r.Messages)
 	}
 	r.Commit = n.nextCommitted()
 	return r
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -34,7 +34,7 @@
 	var found []*wire.Message
 	for r := n.Ready(); !r.Empty(); r = n.Ready() {
 		n.Synced()
-		for _, m := range append(r.Early, r.Messages...) {
+		for _, m := range append(r.EarlyMessages, r.Messages...) {
 			if m.GetKind() == kind {
 				found = append(found, m)
 			}
@@ -63,7 +63,7 @@
 	collectMessages(n, 0)
 	n.Propose([][]byte{{7}})
 	r := n.Ready()
-	assert.Equal(t, len(r.Early), 2)
+	assert.Equal(t, len(r.EarlyMessages), 2)
 	assert.Equal(t, len(r.Entries), 1)
 	acknowledge(n, 2, diskOf2, n.Last(), false)
 	assert.Equal(t, n.Commit(), n.Last()-1, "committed with the entry on one disk of three")
@@ -150,7 +150,7 @@
 	var all []*wire.Message
 	for r := n.Ready(); !r.Empty(); r = n.Ready() {
 		n.Synced()
-		all = append(append(all, r.Early...), r.Messages...)
+		all = append(append(all, r.EarlyMessages...), r.Messages...)
 	}
 	return all
 }
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -72,7 +72,7 @@
 		"read":    s.onLeaders(s.read),
 		"serve":   s.onLeaders(s.serve),
 		"members": s.onLeaders(s.changeMembers),
-		"yield":   s.onLeaders(func(_ *rapid.T, h *host) { h.node.HandOver() }),
+		"yield":   s.onLeaders(func(_ *rapid.T, h *host) { h.node.TransferLeadership() }),
 		"flush":   s.onHost(true, func(_ *rapid.T, h *host) { s.flush(h) }),
 		"crash":   s.onHost(true, s.crashOne),
 		"restart": s.onHost(false, func(_ *rapid.T, h *host) { s.boot(h) }),
@@ -149,7 +149,7 @@
 
 // changeMembers adds, promotes or demotes one replica, but keeps at least as many voters as the group had initially; static groups never change.
 func (s *simulation) changeMembers(t *rapid.T, h *host) {
-	members, joining := h.node.Standings()
+	members, joining := h.node.MembersAndJoining()
 	if s.voters == s.size || h.node.Role() != raft.Leader {
 		return
 	}
@@ -177,7 +177,7 @@
 // admitJoining adds, on each leader, the first replica that has asked to join.
 func (s *simulation) admitJoining() {
 	for _, h := range s.hosts {
-		if _, joining := h.node.Standings(); len(joining) > 0 {
+		if _, joining := h.node.MembersAndJoining(); len(joining) > 0 {
 			next := proto.CloneOf(h.node.Members())
 			next.Members = append(next.Members, joining[0])
 			h.node.Reconfigure(next)
@@ -186,10 +186,10 @@
 }
 
 // holdsAll reports whether a replica's log is known to match the leader's up to the commit index.
-func holdsAll(h *host, members []raft.Standing, id uint64) bool {
+func holdsAll(h *host, members []raft.MemberProgress, id uint64) bool {
 	for _, m := range members {
 		if m.GetId() == id {
-			return !m.Repairs && m.Match >= h.node.Commit()
+			return !m.Recovering && m.Match >= h.node.Commit()
 		}
 	}
 	return false
--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -97,7 +97,7 @@
 		return false
 	}
 	if f.Barrier == 0 {
-		f.Voter = false
+		f.CountsForQuorum = false
 		n.appendLocal(nil)
 		f.Barrier = n.log.Last()
 		n.broadcast()
--- a/raft/simulation_test.go
+++ b/raft/simulation_test.go
@@ -102,7 +102,7 @@
 func (s *simulation) flush(h *host) {
 	s.checkLeader(h)
 	for r := h.node.Ready(); !r.Empty(); r = h.node.Ready() {
-		s.enqueueMessages(h, r.Early)
+		s.enqueueMessages(h, r.EarlyMessages)
 		h.persist(&r, true)
 		h.node.Synced()
 		s.enqueueMessages(h, r.Messages)
@@ -122,7 +122,7 @@
 func (s *simulation) crash(h *host, point int) {
 	r := h.node.Ready()
 	if point > 0 {
-		s.enqueueMessages(h, r.Early)
+		s.enqueueMessages(h, r.EarlyMessages)
 	}
 	if point > 1 {
 		h.persist(&r, point > 2)
--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -77,10 +77,10 @@
 			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 			return &countingConn{conn, &p.bytes}, err
 		},
-		Apply:    func(uint64, []byte) any { return p.applied.Add(1) },
-		Snapshot: func() []byte { return nil },
-		Restore:  func([]byte) error { return nil },
-		Leading:  func(bool, uint64) {},
+		Apply:              func(uint64, []byte) any { return p.applied.Add(1) },
+		Snapshot:           func() []byte { return nil },
+		Restore:            func([]byte) error { return nil },
+		OnLeadershipChange: func(bool, uint64) {},
 	})
 	assert.NilError(b, err)
 	mux := drpcmux.New()
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -23,7 +23,7 @@
 	roundReads   []*pendingRead
 	rounds       []roundStart
 	leaderTerm   uint64 // term in which this replica leads, 0 if it does not
-	leading      bool   // told by Leading
+	leading      bool   // told by OnLeadershipChange
 	delivered    uint64 // last index handed to the applier
 	transferring bool   // hands its leadership on
 	lastLeader   uint64 // leader that was last told of
@@ -64,7 +64,7 @@
 	case <-ticks:
 		now = r.elapsed()
 		r.node.Tick()
-		r.peers.Watch()
+		r.peers.ReconnectStalled()
 		r.reconfigure()
 	case m := <-r.peers.Inbox():
 		now = r.elapsed()
@@ -122,7 +122,7 @@
 		if ready.Empty() {
 			break
 		}
-		if err := r.sendAll(ready.Early); err != nil {
+		if err := r.sendAll(ready.EarlyMessages); err != nil {
 			return r.fail(err)
 		}
 		if err := r.persist(&ready); err != nil {
@@ -222,7 +222,7 @@
 	if len(r.rounds) > 0 {
 		last = r.rounds[len(r.rounds)-1].round
 	}
-	if round := r.node.Round(); round > max(last, r.node.Confirmed()) || r.node.Alone() {
+	if round := r.node.Round(); round > max(last, r.node.Confirmed()) || r.node.SoleVoter() {
 		r.rounds = append(r.rounds, roundStart{round: round, at: now})
 		r.assignReads(round)
 	}
@@ -248,7 +248,7 @@
 	} else {
 		event.ReplicaStopsLead.Info("replica", r.options.ID, "term", term)
 	}
-	r.applier.Push(func() { r.options.Leading(leading, term) })
+	r.applier.Push(func() { r.options.OnLeadershipChange(leading, term) })
 }
 
 // compact removes the log before a snapshot, but for a tail for followers that are only a little behind.
@@ -277,9 +277,9 @@
 	r.publish()
 	if r.leading {
 		term := r.node.Term()
-		r.applier.Push(func() { r.options.Leading(false, term) })
+		r.applier.Push(func() { r.options.OnLeadershipChange(false, term) })
 	}
-	r.applier.Push(func() { r.options.Failed(err) })
+	r.applier.Push(func() { r.options.OnFailure(err) })
 	r.failPending("this replica failed")
 	return false
 }
--- a/replica/members.go
+++ b/replica/members.go
@@ -23,7 +23,7 @@
 
 func (r *Replica) useSeeds(seeds map[uint64]string) {
 	for id, address := range seeds {
-		r.peers.Know(id, address)
+		r.peers.AddPeer(id, address)
 	}
 	r.node.SetContacts(ids(seeds))
 }
@@ -31,16 +31,16 @@
 // connectMembers opens connections to the members of a group.
 func (r *Replica) connectMembers(members *wire.Members) {
 	for _, m := range members.GetMembers() {
-		r.peers.Know(m.GetId(), m.GetAddress())
+		r.peers.AddPeer(m.GetId(), m.GetAddress())
 	}
 }
 
 // reconfigure proposes the next change of the group, if one is due and the last one is committed.
 func (r *Replica) reconfigure() {
-	if !r.options.Found || r.node.Role() != raft.Leader || r.transferring {
+	if !r.options.DynamicMembers || r.node.Role() != raft.Leader || r.transferring {
 		return
 	}
-	standings, joining := r.node.Standings()
+	standings, joining := r.node.MembersAndJoining()
 	view := &membership.View{
 		Self: r.options.ID, Members: r.node.Members(), Others: standings, Joining: joining,
 		Last: r.node.Last(), Tick: r.options.Tick, Losses: r.options.Losses, Replaces: true,
@@ -78,8 +78,8 @@
 	return all
 }
 
-// HandOver ends this replica's leadership, if it leads, and returns once another leads or ctx ends.
-func (r *Replica) HandOver(ctx context.Context) {
+// TransferLeadership ends this replica's leadership, if it leads, and returns once another leads or ctx ends.
+func (r *Replica) TransferLeadership(ctx context.Context) {
 	if r.Info().Leader != r.options.ID {
 		return
 	}
@@ -106,6 +106,6 @@
 // tryTransfer hands the leadership on once all that was proposed is committed.
 func (r *Replica) tryTransfer() {
 	if r.transferring && len(r.pending) == 0 {
-		r.node.HandOver()
+		r.node.TransferLeadership()
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -35,26 +35,26 @@
 
 // Options says who the group is, where its data lies and what the log drives; Snapshot, Restore and Apply are called from one goroutine.
 type Options struct {
-	ID            uint64
-	Peers         map[uint64]string // drpc addresses of the replicas that the settings name, its own included if it is one of them
-	Address       string            // its own, as others reach it; needed only where Found is set
-	Domain        string            // its own failure domain
-	Found         bool              // Peers are only where some replicas may be found: the group grows and changes by itself
-	First         bool              // with Found: no group has been formed yet
-	Losses        int               // with Found: voters that may be lost at once
-	Dir           string
-	Dial          func(ctx context.Context, address string) (net.Conn, error)
-	Tick          time.Duration
-	ElectionTicks int
-	SnapshotEvery uint64                              // records
-	Seed          uint64                              // of the election timeouts, 0 for a random one
-	Boot          func() time.Duration                // clock of the leader's lease, which counts suspended time; the monotonic one when nil
-	Disk          disk.Options                        // its folder is Dir
-	Apply         func(index uint64, data []byte) any // in order, from one goroutine; nil data never reaches it
-	Snapshot      func() []byte                       // called between two Applies
-	Restore       func([]byte) error
-	Leading       func(leading bool, term uint64) // after a change of leadership, once the new leader has applied its own first record
-	Failed        func(error)                     // the disk failed or the log's rules were broken, which ends this replica's part in the group; may be nil
+	ID                 uint64
+	Peers              map[uint64]string // drpc addresses of the replicas that the settings name, its own included if it is one of them
+	Address            string            // its own, as others reach it; needed only where DynamicMembers is set
+	Domain             string            // its own failure domain
+	DynamicMembers     bool              // Peers are only where some replicas may be found: the group grows and changes by itself
+	Bootstrap          bool              // with DynamicMembers: no group has been formed yet
+	Losses             int               // with DynamicMembers: voters that may be lost at once
+	Dir                string
+	Dial               func(ctx context.Context, address string) (net.Conn, error)
+	Tick               time.Duration
+	ElectionTicks      int
+	SnapshotEvery      uint64                              // records
+	Seed               uint64                              // of the election timeouts, 0 for a random one
+	SinceBoot          func() time.Duration                // clock of the leader's lease, which counts suspended time; the monotonic one when nil
+	Disk               disk.Options                        // its folder is Dir
+	Apply              func(index uint64, data []byte) any // in order, from one goroutine; nil data never reaches it
+	Snapshot           func() []byte                       // called between two Applies
+	Restore            func([]byte) error
+	OnLeadershipChange func(leading bool, term uint64) // after a change of leadership, once the new leader has applied its own first record
+	OnFailure          func(error)                     // the disk failed or the log's rules were broken, which ends this replica's part in the group; may be nil
 }
 
 // Replica is one member of the group.
@@ -117,8 +117,8 @@
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
-	if o.Failed == nil {
-		o.Failed = func(error) {}
+	if o.OnFailure == nil {
+		o.OnFailure = func(error) {}
 	}
 	o.Disk.Dir = o.Dir
 	return o
@@ -136,8 +136,8 @@
 		seeds:          make(chan map[uint64]string),
 		transfers:      make(chan struct{}),
 	}
-	if options.Boot != nil {
-		r.startedBoot = options.Boot()
+	if options.SinceBoot != nil {
+		r.startedBoot = options.SinceBoot()
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.applier.Queue, r.applier.snapshotIndex = serial.New(), loaded.Snapshot.GetIndex()
@@ -145,7 +145,7 @@
 	r.node = raft.New(raft.Options{
 		ID:            options.ID,
 		Peers:         ids(options.Peers),
-		Joins:         options.Found && !options.First,
+		Joins:         options.DynamicMembers && !options.Bootstrap,
 		ElectionTicks: options.ElectionTicks,
 		Rand:          rand.New(rand.NewPCG(options.Seed, options.ID)),
 		State:         loaded.State,
@@ -203,8 +203,8 @@
 
 // elapsed returns the time elapsed the replica was started.
 func (r *Replica) elapsed() time.Duration {
-	if r.options.Boot != nil {
-		return r.options.Boot() - r.startedBoot
+	if r.options.SinceBoot != nil {
+		return r.options.SinceBoot() - r.startedBoot
 	}
 	return time.Since(r.started)
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -47,7 +47,7 @@
 	kill            context.CancelFunc
 	padding         int
 	restoreDelay    time.Duration // that a restore takes
-	notifiedLeading atomic.Bool   // as told by Leading
+	notifiedLeading atomic.Bool   // as told by OnLeadershipChange
 	applied         []string
 	mu              sync.Mutex
 }
@@ -70,11 +70,11 @@
 	}
 	r, err := replica.New(replica.Options{
 		ID: id, Peers: peers, Dir: dir, Seed: 7, SnapshotEvery: 100, Disk: g.disk,
-		Dial:     func(_ context.Context, to string) (net.Conn, error) { return g.dial(m.name, to) },
-		Apply:    m.apply,
-		Snapshot: m.snapshot,
-		Restore:  m.restore,
-		Leading:  func(leading bool, _ uint64) { m.notifiedLeading.Store(leading) },
+		Dial:               func(_ context.Context, to string) (net.Conn, error) { return g.dial(m.name, to) },
+		Apply:              m.apply,
+		Snapshot:           m.snapshot,
+		Restore:            m.restore,
+		OnLeadershipChange: func(leading bool, _ uint64) { m.notifiedLeading.Store(leading) },
 	})
 	assert.NilError(g.t, err)
 	mux := drpcmux.New()
--- a/schedule/loop.go
+++ b/schedule/loop.go
@@ -112,7 +112,7 @@
 	machine := l.options.Machine
 	l.placer.SetConfiguration(machine.Configuration())
 	machine.EachWorker(l.setWorker)
-	machine.Each(l.placer.SetTask)
+	machine.EachTask(l.placer.SetTask)
 }
 
 func (l *Loop) step(ctx context.Context, now time.Time) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -80,7 +80,7 @@
 	Announcements  string `json:"announcements"` // IP:port for workers' announcements and the platform's operators
 	Data           string `json:"data"`          // folder that holds the log and snapshots
 	Seeds          []Seed `json:"seeds"`         // may change while the process runs
-	First          int64  `json:"first"`         // 1 at the first start of the whole installation, else 0
+	Bootstrap      int64  `json:"first"`         // 1 at the first start of the whole installation, else 0
 	Losses         int64  `json:"losses"`        // control processes that may be lost at once
 	LeaseMS        int64  `json:"lease_ms"`      // of workers
 	LongestLeaseMS int64  `json:"longest_lease_ms"`
--- a/sizing/peak.go
+++ b/sizing/peak.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// Worth reports whether a resize is large enough to be worth a commit: CPU or memory must change by more than an eighth.
-func Worth(from, to resource.Size) bool {
+// WorthResizing reports whether a resize is large enough to be worth a commit: CPU or memory must change by more than an eighth.
+func WorthResizing(from, to resource.Size) bool {
 	return changedEnough(from.MilliCPU, to.MilliCPU) || changedEnough(from.MemoryMiB, to.MemoryMiB)
 }
 
--- a/slope/load.go
+++ b/slope/load.go
@@ -119,7 +119,7 @@
 // run reports all started tasks as running.
 func (c *cluster) run() {
 	var events []*wire.TaskEvent
-	c.machine.Each(func(j *wire.Job, t *wire.Task) {
+	c.machine.EachTask(func(j *wire.Job, t *wire.Task) {
 		if t.State != wire.TaskState_TASK_STATE_STARTING {
 			return
 		}
--- a/slope/roles.go
+++ b/slope/roles.go
@@ -131,7 +131,7 @@
 	const perRecord = 20 // as one batch of reports brings
 	var records [][]byte
 	command := &wire.Command{}
-	c.machine.Each(func(j *wire.Job, t *wire.Task) {
+	c.machine.EachTask(func(j *wire.Job, t *wire.Task) {
 		ref := &wire.TaskRef{Job: j.Id, Index: t.Index, Attempt: t.Attempt}
 		command.Events = append(command.Events, &wire.TaskEvent{Task: ref, Kind: kind, Checkpoint: 1})
 		if len(command.Events) == perRecord {
--- a/state/change.go
+++ b/state/change.go
@@ -22,7 +22,7 @@
 		return first.Change
 	case answer.Reused:
 		return m.conflictReused(c, text, first)
-	case answer.TooOld, answer.Crowded:
+	case answer.TooOld, answer.TooManyOperators:
 		return m.refuse(c, text, findingReason(finding))
 	}
 	result := m.applyIfCurrent(c, text)
@@ -58,7 +58,7 @@
 }
 
 func (m *Machine) refuse(c *wire.Change, text configuration.Description, reason string) *wire.ChangeResult {
-	reason = configuration.Clip(reason, MaxReasonBytes)
+	reason = configuration.Truncate(reason, MaxReasonBytes)
 	m.record(c, text, wire.Outcome_OUTCOME_REFUSED, reason)
 	return &wire.ChangeResult{Outcome: wire.Outcome_OUTCOME_REFUSED, Version: m.configuration.Version, Reason: reason}
 }
@@ -77,8 +77,8 @@
 // record adds a change to the audit trail.
 func (m *Machine) record(c *wire.Change, text configuration.Description, outcome wire.Outcome, reason string) *wire.AuditRecord {
 	r := &wire.AuditRecord{
-		Index: m.index, TimeMs: m.commandTime, Operator: configuration.Clip(c.Operator, configuration.MaxNameBytes), Sequence: c.Sequence,
-		Action: configuration.Clip(text.Action, MaxAuditBytes), Before: text.Before, After: configuration.Clip(text.After, MaxAuditBytes),
+		Index: m.index, TimeMs: m.commandTime, Operator: configuration.Truncate(c.Operator, configuration.MaxNameBytes), Sequence: c.Sequence,
+		Action: configuration.Truncate(text.Action, MaxAuditBytes), Before: text.Before, After: configuration.Truncate(text.After, MaxAuditBytes),
 		Version: m.configuration.Version, Outcome: outcome, Reason: reason,
 	}
 	m.audit.Add(r)
@@ -113,7 +113,7 @@
 	return nil
 }
 
-func findingReason(f answer.Finding) string {
+func findingReason(f answer.LookupResult) string {
 	if f == answer.TooOld {
 		return "the sequence number is below the range whose answers are kept"
 	}
--- a/state/jobs_test.go
+++ b/state/jobs_test.go
@@ -131,7 +131,7 @@
 		r.start(id, 2+int32(attempt), 1, "w2")
 		r.applyEvent(id, 2+int32(attempt), 1, workerLost, 0, "")
 	}
-	assert.Equal(t, len(r.Job(id).Tasks), job.KeepLost+2)
+	assert.Equal(t, len(r.Job(id).Tasks), job.MaxLostReplicas+2)
 	assert.Equal(t, r.Totals().Classes[0].Queued, int64(1))
 }
 
@@ -198,18 +198,18 @@
 func TestEndedJobsAndGoneWorkersAreFolded(t *testing.T) {
 	r := newReadyMachine(t)
 	var last string
-	for range job.KeepEndedJobs + 50 {
+	for range job.MaxEndedJobs + 50 {
 		last = r.submit(t, "lots", 1)
 		r.apply(&wire.Command{Cancel: &wire.CancelJob{Job: last}})
 	}
-	assert.Equal(t, len(r.Snapshot().Jobs), job.KeepEndedJobs)
+	assert.Equal(t, len(r.Snapshot().Jobs), job.MaxEndedJobs)
 	assert.Assert(t, r.Job("j1") == nil)
 	assert.Assert(t, r.Job(last) != nil)
-	for i := range job.KeepGone + 50 {
+	for i := range job.MaxGoneWorkers + 50 {
 		w := &wire.WorkerRecord{Name: fmt.Sprint("g", i), Domain: "north", Incarnation: "a", Capacity: &wire.Size{MilliCpu: 1}}
 		gone := proto.CloneOf(w)
 		gone.Gone = true
 		r.apply(&wire.Command{Workers: []*wire.WorkerRecord{w, gone}})
 	}
-	assert.Equal(t, len(r.Snapshot().Workers), job.KeepGone+2)
+	assert.Equal(t, len(r.Snapshot().Workers), job.MaxGoneWorkers+2)
 }
--- a/state/machine.go
+++ b/state/machine.go
@@ -73,10 +73,10 @@
 
 func (m *Machine) newJobs() *job.Table {
 	return job.New(job.Options{
-		Configuration: func() *wire.Configuration { return m.configuration },
-		MeetDomain:    m.addAnnouncedDomain,
-		TaskChanged:   m.options.TaskChanged,
-		WorkerChanged: m.options.WorkerChanged,
+		Configuration:   func() *wire.Configuration { return m.configuration },
+		DomainAnnounced: m.addAnnouncedDomain,
+		TaskChanged:     m.options.TaskChanged,
+		WorkerChanged:   m.options.WorkerChanged,
 	})
 }
 
@@ -106,6 +106,6 @@
 	for _, s := range c.Starts {
 		result.Starts = append(result.Starts, m.jobs.Start(s))
 	}
-	m.jobs.Fold()
+	m.jobs.Prune()
 	return result
 }
--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -91,7 +91,7 @@
 // drawTask draws a task that has not ended, nil if there is none.
 func (r *checkedMachine) drawTask(t *rapid.T) *wire.Task {
 	var all []*wire.Task
-	r.Each(func(_ *wire.Job, task *wire.Task) { all = append(all, task) })
+	r.EachTask(func(_ *wire.Job, task *wire.Task) { all = append(all, task) })
 	if len(all) == 0 {
 		return nil
 	}
--- a/state/read.go
+++ b/state/read.go
@@ -45,11 +45,11 @@
 	return m.jobs.OnWorker(name)
 }
 
-// Each calls f for every task of the jobs that have not ended, in order of submission and index.
-func (m *Machine) Each(f func(*wire.Job, *wire.Task)) {
+// EachTask calls f for every task of the jobs that have not ended, in order of submission and index.
+func (m *Machine) EachTask(f func(*wire.Job, *wire.Task)) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	m.jobs.Each(f)
+	m.jobs.EachTask(f)
 }
 
 // EachWorker calls f for every known worker in order of name.
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -17,7 +17,7 @@
 		Index: m.index, Configuration: m.configuration, Answers: m.answers.Records(), Audit: m.audit.Records(),
 		AuditFolded: m.audit.Folded(), LastChange: m.audit.Last(),
 	}
-	m.jobs.Fill(s)
+	m.jobs.FillSnapshot(s)
 	return s
 }
 
@@ -30,7 +30,7 @@
 	}
 	previous, jobs := m.configuration, m.newJobs()
 	m.configuration = s.Configuration
-	if err := jobs.Load(s); err != nil {
+	if err := jobs.LoadSnapshot(s); err != nil {
 		m.configuration = previous
 		return fmt.Errorf("restore state at index %d: %w", s.Index, err)
 	}
@@ -39,6 +39,6 @@
 	m.answers.Restore(s.Answers)
 	m.audit.Restore(s.Audit, s.AuditFolded, s.LastChange)
 	m.options.ConfigurationChanged(m.configuration)
-	m.jobs.TellAll()
+	m.jobs.NotifyAll()
 	return nil
 }
--- a/state/submit.go
+++ b/state/submit.go
@@ -34,7 +34,7 @@
 	case answer.Reused:
 		reason := fmt.Sprintf("sequence %d of operator %s was used for another request", sequence, operator)
 		return &wire.JobResult{Outcome: wire.Outcome_OUTCOME_CONFLICT, Reason: reason, Job: first.Job.GetJob()}
-	case answer.TooOld, answer.Crowded:
+	case answer.TooOld, answer.TooManyOperators:
 		return job.Refused("", findingReason(finding))
 	}
 	result := execute()
--- a/tally/table.go
+++ b/tally/table.go
@@ -19,8 +19,8 @@
 	return &Table{classes: map[string]*wire.Tally{}}
 }
 
-// At returns the counts of a class for the caller to modify. It resets the daily count when ms, a time in Unix milliseconds, is on a later UTC day.
-func (t *Table) At(class string, ms int64) *wire.Tally {
+// ClassCounts returns the counts of a class for the caller to modify. It resets the daily count when ms, a time in Unix milliseconds, is on a later UTC day.
+func (t *Table) ClassCounts(class string, ms int64) *wire.Tally {
 	c := t.classes[class]
 	if c == nil {
 		c = &wire.Tally{Class: class}
@@ -37,16 +37,16 @@
 func (t *Table) Count(class string, ms int64, s wire.TaskState) {
 	switch s {
 	case wire.TaskState_TASK_STATE_DONE:
-		c := t.At(class, ms)
+		c := t.ClassCounts(class, ms)
 		c.Done++
 		c.DoneToday++
 	case wire.TaskState_TASK_STATE_FAILED:
-		t.At(class, ms).Failed++
+		t.ClassCounts(class, ms).Failed++
 	}
 }
 
-// Keep removes the counts of classes for which exists returns false.
-func (t *Table) Keep(exists func(class string) bool) {
+// DeleteUnknown removes the counts of classes for which exists returns false.
+func (t *Table) DeleteUnknown(exists func(class string) bool) {
 	maps.DeleteFunc(t.classes, func(class string, _ *wire.Tally) bool { return !exists(class) })
 }
 
--- a/task/task.go
+++ b/task/task.go
@@ -53,8 +53,8 @@
 	return next
 }
 
-// Accept stores the event's checkpoint in t if it is newer than the last accepted one and not too large, and reports whether it did.
-func Accept(t *wire.Task, e *wire.TaskEvent) bool {
+// AcceptCheckpoint stores the event's checkpoint in t if it is newer than the last accepted one and not too large, and reports whether it did.
+func AcceptCheckpoint(t *wire.Task, e *wire.TaskEvent) bool {
 	if e.Checkpoint <= t.Checkpoint || len(e.CheckpointData) > MaxCheckpointBytes {
 		return false
 	}
--- a/usage/headroom.go
+++ b/usage/headroom.go
@@ -17,8 +17,8 @@
 // unmeasuredTimeout is how long after its start decision a task without measurements counts as unmeasured. It is bounded because some workers may report no usage.
 const unmeasuredTimeout = 30 * time.Second
 
-// Burden returns how much of the services' headroom on a worker a task of the job would use, given the task's share of the processors. It is infinite if the predicted latency of a service would exceed its planned limit, or if too much batch beside it is not measured yet. Neither applies to urgent jobs.
-func (u *Reader) Burden(j *fleet.Job, w *fleet.Worker, share float64) float64 {
+// HeadroomCost returns how much of the services' headroom on a worker a task of the job would use, given the task's share of the processors. It is infinite if the predicted latency of a service would exceed its planned limit, or if too much batch beside it is not measured yet. Neither applies to urgent jobs.
+func (u *Reader) HeadroomCost(j *fleet.Job, w *fleet.Worker, share float64) float64 {
 	sum, unmeasured, services := 0.0, 0.0, false
 	for _, t := range w.Tasks {
 		if !t.Job.Class.Service() {
@@ -47,7 +47,7 @@
 	if target <= 0 {
 		return math.Inf(1)
 	}
-	level := interference.Level(float64(t.Load.Value().MilliCPU))
+	level := interference.Level(float64(t.RecentPeak.Value().MilliCPU))
 	if _, known := u.fleet.Table.Base(t.Job.Program, level); !known {
 		return unknownHeadroom
 	}
@@ -60,7 +60,7 @@
 
 // neighbors returns the batch programs on a worker with their processor shares: peak usage, which throttling does not hide, or the committed size for a task that is not measured yet.
 func (u *Reader) neighbors(w *fleet.Worker) []interference.Share {
-	if !w.Stale {
+	if !w.SharesStale {
 		return w.Shares
 	}
 	w.Shares = w.Shares[:0]
@@ -74,7 +74,7 @@
 		}
 		w.Shares = addShare(w.Shares, t.Job.Program, w.Share(used))
 	}
-	w.Stale = false
+	w.SharesStale = false
 	return w.Shares
 }
 
--- a/usage/reader.go
+++ b/usage/reader.go
@@ -31,8 +31,8 @@
 // Reader applies reports to a fleet. It is not safe for concurrent use.
 type Reader struct {
 	Options
-	Credit   func(*fleet.Worker) // called once an attempt has run long enough to count as a success of its worker
-	Outgrown []*fleet.Task       // tasks to resize; the caller that resizes them empties the list
+	Credit           func(*fleet.Worker) // called once an attempt has run long enough to count as a success of its worker
+	ResizeCandidates []*fleet.Task       // tasks to resize; the caller that resizes them empties the list
 
 	fleet  *fleet.Fleet
 	shares []interference.Share // of the batch programs in the current report
@@ -85,7 +85,7 @@
 func smoothRatios(w *fleet.Worker, c *fleet.Class, reading float64) bool {
 	found := false
 	for _, t := range w.Tasks {
-		if t.Job.Class == c && !t.Latency {
+		if t.Job.Class == c && !t.ReportsLatency {
 			smoothRatio(t, reading)
 			found = true
 		}
@@ -116,13 +116,13 @@
 		t.Used = used
 		t.Peak.Add(u.fleet.Now, used, u.PeakHalf)
 		if t.Job.Class.Service() {
-			t.Load.Add(u.fleet.Now, used, u.LoadHalf)
+			t.RecentPeak.Add(u.fleet.Now, used, u.LoadHalf)
 		} else {
 			u.shares = addShare(u.shares, t.Job.Program, w.Share(used.MilliCPU))
 		}
 		u.age(t)
 	}
-	w.Stale = true
+	w.SharesStale = true
 }
 
 // age performs the steps that depend on how long a task has been measured.
@@ -138,9 +138,9 @@
 		t.Credited = true
 		u.Credit(t.Worker)
 	}
-	if !t.Sized && t.Decision == fleet.Undecided && sizing.Worth(t.Committed, u.Wanted(t)) {
-		t.Sized = true
-		u.Outgrown = append(u.Outgrown, t)
+	if !t.ResizeQueued && t.Decision == fleet.Undecided && sizing.WorthResizing(t.Committed, u.Wanted(t)) {
+		t.ResizeQueued = true
+		u.ResizeCandidates = append(u.ResizeCandidates, t)
 	}
 }
 
@@ -159,7 +159,7 @@
 	if target <= 0 {
 		return
 	}
-	t.Latency = true
+	t.ReportsLatency = true
 	reading := math.Log(float64(p99))
 	level := interference.Level(float64(t.Used.MilliCPU))
 	if !t.Worker.Overloaded() {
@@ -170,9 +170,9 @@
 
 // smoothRatio adds a tail latency reading, the logarithm of its ratio to the target, to the task's smoothed ratio.
 func smoothRatio(t *fleet.Task, reading float64) {
-	if t.Ratio == 0 {
-		t.Ratio = reading
+	if t.LogLatencyRatio == 0 {
+		t.LogLatencyRatio = reading
 		return
 	}
-	t.Ratio += smoothing * (reading - t.Ratio)
+	t.LogLatencyRatio += smoothing * (reading - t.LogLatencyRatio)
 }
