Rename exported identifiers of workflows, leases, events and headroom

Events carry the names that they are logged under (CalledWorkerSuspended, ReplicaStopsLeading, SettingsReloaded, SettingsNotReloaded). workflow: Validate (was Check), Recorded (was Known), Startable (was Waits, beside the count Waiting) and UsedByFilling (was Fill). lease: StartTerm (was Lead). headroom: Baseline, RecentMin, TotalLoss and AddReading, which was Read but reads nothing. measure: Record (was Heard). explain: History (was Story).

Comments follow the new names, and that of place's endWaiting says again what it asks for.

--- a/command/explain.go
+++ b/command/explain.go
@@ -33,7 +33,7 @@
 		defer file.Close()
 		logs = append(logs, file)
 	}
-	lines, err := story.Story(c.Args.ID, logs...)
+	lines, err := story.History(c.Args.ID, logs...)
 	if err != nil {
 		return err
 	}
--- a/command/process.go
+++ b/command/process.go
@@ -146,7 +146,7 @@
 // run starts a role with its admin listener, waits for a signal to stop, and stops it gracefully.
 func run(s settings.Common, role string, start func() (*process, error)) error {
 	sink := event.NewSink(os.Stdout)
-	if err := sink.Use(); err != nil {
+	if err := sink.Install(); err != nil {
 		return err
 	}
 	defer func() {
--- a/control/control.go
+++ b/control/control.go
@@ -212,7 +212,7 @@
 		return
 	}
 	event.LeadershipGained.Info("term", term, "replica", c.settings.ID)
-	c.leases.Lead(time.Now())
+	c.leases.StartTerm(time.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancelLoops = cancel
 	c.announcements.clear()
--- a/control/service.go
+++ b/control/service.go
@@ -57,7 +57,7 @@
 		return &wire.ReportBatchReply{Failure: c.notLeaderFailure()}, nil
 	}
 	now := time.Now()
-	c.measures.Heard(now, batch)
+	c.measures.Record(now, batch)
 	for _, s := range batch.Samples {
 		c.schedule.Sampled(batch.Domain, s)
 	}
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -109,7 +109,7 @@
 		return nil
 	}
 	known := false
-	c.workflows.View(func(t *workflow.Tables) { known = t.Known(w) })
+	c.workflows.View(func(t *workflow.Tables) { known = t.Recorded(w) })
 	if known {
 		return nil
 	}
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -66,7 +66,7 @@
 	s := newCrowdedSession(t, 10, 0)
 	for _, l := range s.links {
 		for _, v := range l.serving {
-			v.baseline.Now, v.baseline.Low = 1, 1
+			v.baseline.Now, v.baseline.RecentMin = 1, 1
 		}
 	}
 	s.taskDuration["filling"] = &taskDuration{mean: time.Second, count: durationWindow}
@@ -94,7 +94,7 @@
 	case 1:
 		headroom := 1 + 4*random.Float64() // the same for all, since the lowest decides
 		for _, v := range l.serving {
-			v.baseline.Now, v.baseline.Low = headroom, headroom
+			v.baseline.Now, v.baseline.RecentMin = headroom, headroom
 		}
 		l.offerChanged = true
 	case 2:
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -74,7 +74,7 @@
 		r := &run{runKey: runKey{name, 1}, task: task, link: l, worker: l.worker, phase: started, listed: true, pace: 100, image: s.imageNumber(task.Step.Spec.GetImage())}
 		s.runs[r.runKey], l.runs[r.runKey] = r, r
 		if task.Step.Spec.GetLasting() {
-			l.serving[r.runKey] = &servingTask{image: task.Step.Spec.GetImage(), imageNumber: r.image, baseline: headroom.Base{Now: 2, Low: 2}}
+			l.serving[r.runKey] = &servingTask{image: task.Step.Spec.GetImage(), imageNumber: r.image, baseline: headroom.Baseline{Now: 2, RecentMin: 2}}
 		}
 	}
 }
--- a/dispatch/candidate.go
+++ b/dispatch/candidate.go
@@ -65,7 +65,7 @@
 func (c *candidate) update(round int, now time.Duration) {
 	shortUse := c.Used.Sub(c.Lasting)
 	free := c.Free()
-	unused := c.Capacity.MilliCPU - int64(servingUtilization*float64(c.Lasting.MilliCPU)) - shortUse.MilliCPU - c.Fill.MilliCPU + c.link.sparedMilliCPU
+	unused := c.Capacity.MilliCPU - int64(servingUtilization*float64(c.Lasting.MilliCPU)) - shortUse.MilliCPU - c.UsedByFilling.MilliCPU + c.link.sparedMilliCPU
 	suspended := now < c.link.health.suspended
 	same := c.listedRound == round-1 && !c.roomTaken && !c.link.offerChanged && free == c.free && unused == c.unused && suspended == c.suspended
 	c.free, c.unused, c.shortUse, c.suspended = free, unused, shortUse, suspended
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -59,7 +59,7 @@
 	h := &l.health
 	h.lastSuspension = min(max(minSuspension, 2*h.lastSuspension), maxSuspension)
 	h.suspended = l.s.SinceBoot() + h.lastSuspension
-	event.CalledSuspended.Info("worker", l.id, "reason", reason, "workflows", len(h.failedWorkflows), "for_ms", h.lastSuspension.Milliseconds())
+	event.CalledWorkerSuspended.Info("worker", l.id, "reason", reason, "workflows", len(h.failedWorkflows), "for_ms", h.lastSuspension.Milliseconds())
 }
 
 // taskDuration is the mean run time of a queue's tasks.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -111,7 +111,7 @@
 	}
 	ch := r.newChooser(step)
 	for _, task := range step.Tasks {
-		if !task.Waits() || r.done[task] {
+		if !task.Startable() || r.done[task] {
 			continue
 		}
 		if most--; most < 0 {
@@ -158,7 +158,7 @@
 func (r *round) placeGang(step *workflow.Step) {
 	run := int32(0)
 	for _, task := range step.Tasks {
-		if !task.Waits() {
+		if !task.Startable() {
 			return
 		}
 		run = max(run, task.Run)
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -34,7 +34,7 @@
 type servingTask struct {
 	image           string
 	imageNumber     int
-	baseline        headroom.Base
+	baseline        headroom.Baseline
 	headroom        float64       // latest reading
 	overTargetSince time.Duration // boot clock since which it has been over its target, 0 if it is not
 }
@@ -92,7 +92,7 @@
 		l.serving[key] = v
 	}
 	v.headroom = float64(spec.GetTargetMs()) / tail
-	v.baseline.Read(now, v.headroom, l.s.headrooms.Lost(v.image, colocated))
+	v.baseline.AddReading(now, v.headroom, l.s.headrooms.TotalLoss(v.image, colocated))
 	l.s.headrooms.Learn(v.image, colocated, v.headroom)
 	switch {
 	case v.headroom >= 1:
@@ -274,7 +274,7 @@
 	}
 	margins := make([]margin, 0, len(l.serving))
 	for _, v := range l.serving {
-		margins = append(margins, margin{v.imageNumber, min(v.baseline.Now, v.baseline.Low+headroomAllowance) - headroomLoss(c, filling, v.imageNumber)})
+		margins = append(margins, margin{v.imageNumber, min(v.baseline.Now, v.baseline.RecentMin+headroomAllowance) - headroomLoss(c, filling, v.imageNumber)})
 	}
 	return margins
 }
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -62,7 +62,7 @@
 	sum.workers++
 	sum.capacity += w.Capacity.MilliCPU
 	sum.used += w.Used.MilliCPU
-	sum.fill += w.Fill.MilliCPU
+	sum.fill += w.UsedByFilling.MilliCPU
 	sum.running += len(w.Tasks)
 	for task := range w.Tasks {
 		if isServing(task.Step.Spec) {
--- a/event/replica.go
+++ b/event/replica.go
@@ -4,7 +4,7 @@
 var (
 	ReplicaStarted       = register(100, "replica_started", "A replica has read its data directory and participates in its group.")
 	ReplicaLeads         = register(101, "replica_leads", "A replica leads and has applied all records that were committed before.")
-	ReplicaStopsLead     = register(102, "replica_stops_leading", "A replica no longer leads.")
+	ReplicaStopsLeading  = register(102, "replica_stops_leading", "A replica no longer leads.")
 	ReplicaFollows       = register(103, "replica_follows", "A replica follows another leader or a newer term.")
 	ReplicaRecovering    = register(104, "replica_recovering", "A replica has an empty data directory; it neither votes nor counts towards a quorum until the other replicas have admitted it.")
 	ReplicaRecovered     = register(105, "replica_recovered", "A replica holds all committed records and is a full member.")
--- a/event/sink.go
+++ b/event/sink.go
@@ -111,8 +111,8 @@
 	s.running.Wait()
 }
 
-// Use redirects all events to the sink alone.
-func (s *Sink) Use() error {
+// Install redirects all events to the sink alone.
+func (s *Sink) Install() error {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	for name, value := range map[string]string{"logtostderr": "false", "one_output": "true", "stderrthreshold": "FATAL"} {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -19,7 +19,7 @@
 	gateway, err := os.Open("testdata/gateway.log")
 	assert.NilError(t, err)
 	defer gateway.Close()
-	story, err := explain.Story("15ab3ded96258ea2", leader, gateway)
+	story, err := explain.History("15ab3ded96258ea2", leader, gateway)
 	assert.NilError(t, err)
 	var text strings.Builder
 	for _, line := range story {
@@ -29,7 +29,7 @@
 }
 
 func TestUnknownWorkflowHasNoStory(t *testing.T) {
-	story, err := explain.Story("none", strings.NewReader("I0909 20:07:18.109252 1 a.go:1] \"E0469 task_placed\" task=\"a.0.0.0\"\n"))
+	story, err := explain.History("none", strings.NewReader("I0909 20:07:18.109252 1 a.go:1] \"E0469 task_placed\" task=\"a.0.0.0\"\n"))
 	assert.NilError(t, err)
 	assert.Equal(t, len(story), 0)
 }
--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -44,8 +44,8 @@
 	return t.pairs.Cost(t.pairs.Number(serving), t.pairs.Number(filling)).Mean
 }
 
-// Lost returns the estimated headroom that a serving image loses to all of the given shares.
-func (t *Table) Lost(serving string, beside []Share) float64 {
+// TotalLoss returns the estimated headroom that a serving image loses to all of the given shares.
+func (t *Table) TotalLoss(serving string, beside []Share) float64 {
 	lost := 0.0
 	for _, b := range beside {
 		lost += t.Cost(serving, b.Image) * b.Share
@@ -53,26 +53,26 @@
 	return lost
 }
 
-// Base tracks one serving task's headroom without filling tasks, which varies with its load.
-type Base struct {
+// Baseline tracks one serving task's headroom without filling tasks, which varies with its load.
+type Baseline struct {
 	Now         float64       // smoothed latest value
-	Low         float64       // recent minimum
+	RecentMin   float64       // recent minimum
 	lastReading time.Duration // time of the last reading
 }
 
-// Smoothing parameters of Base.
+// Smoothing parameters of Baseline.
 const (
 	smoothingWeight  = 0.5  // weight of the newest reading; readings are noisy and arrive once or twice a second
-	lowRisePerSecond = 0.12 // rise of Low per second; a load swing lasts about ten seconds
+	lowRisePerSecond = 0.12 // rise of RecentMin per second; a load swing lasts about ten seconds
 )
 
-// Read adds a reading of headroom, with the headroom that was lost to filling tasks at that time.
-func (b *Base) Read(now time.Duration, headroom, lost float64) {
+// AddReading adds a reading of headroom, with the headroom that was lost to filling tasks at that time.
+func (b *Baseline) AddReading(now time.Duration, headroom, lost float64) {
 	alone := headroom + lost
 	if b.lastReading == 0 {
-		b.Now, b.Low = alone, alone
+		b.Now, b.RecentMin = alone, alone
 	}
 	b.Now += smoothingWeight * (alone - b.Now)
-	b.Low = min(b.Now, b.Low+lowRisePerSecond*(now-b.lastReading).Seconds())
+	b.RecentMin = min(b.Now, b.RecentMin+lowRisePerSecond*(now-b.lastReading).Seconds())
 	b.lastReading = now
 }
--- a/headroom/headroom_test.go
+++ b/headroom/headroom_test.go
@@ -26,12 +26,12 @@
 
 // TestLowMarkFollowsTheSwing checks that the recent minimum falls at once and rises slowly.
 func TestLowMarkFollowsTheSwing(t *testing.T) {
-	var b headroom.Base
-	b.Read(time.Second, 3, 0)
+	var b headroom.Baseline
+	b.AddReading(time.Second, 3, 0)
 	for i := range 10 {
-		b.Read(time.Duration(2+i)*time.Second, 1, 0.5)
+		b.AddReading(time.Duration(2+i)*time.Second, 1, 0.5)
 	}
-	assert.Assert(t, b.Low < 1.6, "%v", b.Low)
-	b.Read(13*time.Second, 3, 0)
-	assert.Assert(t, b.Now > 2 && b.Low < 1.8, "%v", b)
+	assert.Assert(t, b.RecentMin < 1.6, "%v", b.RecentMin)
+	b.AddReading(13*time.Second, 3, 0)
+	assert.Assert(t, b.Now > 2 && b.RecentMin < 1.8, "%v", b)
 }
--- a/installation/watch.go
+++ b/installation/watch.go
@@ -22,7 +22,7 @@
 	w := &fileWatch{stop: make(chan struct{})}
 	last, err := os.ReadFile(path)
 	if err != nil {
-		event.SettingsFaulty.Error(err, "file", path)
+		event.SettingsNotReloaded.Error(err, "file", path)
 	}
 	w.tasks.Go(func() {
 		ticker := time.NewTicker(watchEvery)
@@ -46,10 +46,10 @@
 		return last
 	}
 	if err := changed(source); err != nil {
-		event.SettingsFaulty.Error(fmt.Errorf("settings: %w", err), "file", path)
+		event.SettingsNotReloaded.Error(fmt.Errorf("settings: %w", err), "file", path)
 		return source
 	}
-	event.SettingsLoaded.Info("file", path)
+	event.SettingsReloaded.Info("file", path)
 	return source
 }
 
--- a/lease/table.go
+++ b/lease/table.go
@@ -33,7 +33,7 @@
 	maxLength time.Duration // longest duration of a lease by the leader's clock, with the slowest worker's clock
 
 	mu           sync.Mutex
-	leadingSince time.Time // zero before the first Lead
+	leadingSince time.Time // zero before the first StartTerm
 	workers      map[string]*workerState
 }
 
@@ -64,7 +64,7 @@
 	notStarted  bool   // a NOT_STARTED event was issued, so its start is never sent again
 }
 
-// New returns an empty table, which grants no leases before Lead.
+// New returns an empty table, which grants no leases before StartTerm.
 func New(o Options) *Table {
 	if o.Length <= 0 {
 		o.Length = DefaultLength
@@ -83,8 +83,8 @@
 	return (ms*fast/slow + 1) * time.Millisecond
 }
 
-// Lead starts a term of leadership and discards the state of earlier terms. Leases granted by other leaders are assumed to last a full lease from now.
-func (t *Table) Lead(now time.Time) {
+// StartTerm starts a term of leadership and discards the state of earlier terms. Leases granted by other leaders are assumed to last a full lease from now.
+func (t *Table) StartTerm(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leadingSince = now
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -26,7 +26,7 @@
 func newLeadingTable() (*lease.Table, *wire.WorkerRecord) {
 	record := &wire.WorkerRecord{Name: "w", Domain: "north", Incarnation: "a", Capacity: &wire.Size{MilliCpu: 1000}}
 	t := lease.New(lease.Options{Length: leaseLength, DriftPPM: driftPPM})
-	t.Lead(startTime)
+	t.StartTerm(startTime)
 	t.SetWorker(record)
 	return t, record
 }
@@ -72,7 +72,7 @@
 	table.SetWorker(&wire.WorkerRecord{Name: "v", Incarnation: "a"})
 	assert.Equal(t, len(table.Expired(startTime.Add(leaseLength))), 0)
 	assert.DeepEqual(t, table.Expired(startTime.Add(2*leaseLength)), []string{"v", "w"})
-	table.Lead(startTime.Add(time.Hour))
+	table.StartTerm(startTime.Add(time.Hour))
 	table.SetWorker(record)
 	assert.Equal(t, len(table.Expired(startTime.Add(time.Hour+leaseLength))), 0)
 	assert.DeepEqual(t, table.Expired(startTime.Add(time.Hour+2*leaseLength)), []string{"w"})
@@ -82,7 +82,7 @@
 func TestEarlierLeadershipIsForgotten(t *testing.T) {
 	table, record := newLeadingTable()
 	table.SetWorker(lease.Gone(record))
-	table.Lead(startTime.Add(time.Hour))
+	table.StartTerm(startTime.Add(time.Hour))
 	again := &wire.WorkerRecord{Name: "w", Domain: "north", Incarnation: "b", Capacity: record.Capacity}
 	assert.Assert(t, table.Receive(startTime.Add(time.Hour), report(again, 1), nil, record).Refusal != "")
 }
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -123,7 +123,7 @@
 	for ; r.applied < len(w.log); r.applied++ {
 		r.machine.Apply(uint64(r.applied+1), w.log[r.applied])
 	}
-	r.table.Lead(r.read(w.now))
+	r.table.StartTerm(r.read(w.now))
 	r.changed = nil
 	r.machine.EachWorker(func(c *wire.WorkerRecord) { r.changed = append(r.changed, c) })
 }
--- a/measure/table.go
+++ b/measure/table.go
@@ -47,8 +47,8 @@
 	return &Table{lastReports: map[string]*entryReport{}}
 }
 
-// Heard records the samples and the state of an entry from a batch of reports.
-func (t *Table) Heard(now time.Time, batch *wire.ReportBatch) {
+// Record records the samples and the state of an entry from a batch of reports.
+func (t *Table) Record(now time.Time, batch *wire.ReportBatch) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.lastReports[batch.Entry]
--- a/measure/table_test.go
+++ b/measure/table_test.go
@@ -31,13 +31,13 @@
 			latencies, err := one.EncodeV2()
 			assert.NilError(t, err)
 			sample := &wire.ServiceSample{Class: "bids", Requests: 50, P99Us: one.ValueAtPercentile(99), Latencies: latencies}
-			table.Heard(now.Add(time.Duration(second)*time.Second), &wire.ReportBatch{Entry: entry, Samples: []*wire.ServiceSample{sample}})
+			table.Record(now.Add(time.Duration(second)*time.Second), &wire.ReportBatch{Entry: entry, Samples: []*wire.ServiceSample{sample}})
 		}
 	}
 	got := table.Class(now.Add(9*time.Second), "bids")
 	assert.Equal(t, got, measure.Class{Requests: 3000, P99US: all.ValueAtPercentile(99)})
 	assert.Assert(t, got.P99US < 10_000)
 	assert.Equal(t, table.Class(now.Add(30*time.Second), "bids"), measure.Class{})
-	table.Heard(now, &wire.ReportBatch{Entry: "old", Samples: []*wire.ServiceSample{{Class: "bids", Requests: 1, P99Us: 70_000}}})
+	table.Record(now, &wire.ReportBatch{Entry: "old", Samples: []*wire.ServiceSample{{Class: "bids", Requests: 1, P99Us: 70_000}}})
 	assert.Equal(t, table.Class(now, "bids").P99US, int64(70_000), "a sample without latencies")
 }
--- a/place/pending.go
+++ b/place/pending.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// endWaiting removes a waiting task from the queue and asks for its endWaiting.
+// endWaiting removes a waiting task from the queue and asks for the event that ends it.
 func (p *Placer) endWaiting(t *fleet.Task, kind wire.TaskEventKind, reason string) {
 	p.fleet.Dequeue(t)
 	p.markDecided(t, fleet.DecidedEnd)
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -246,7 +246,7 @@
 	if leading {
 		event.ReplicaLeads.Info("replica", r.options.ID, "term", term)
 	} else {
-		event.ReplicaStopsLead.Info("replica", r.options.ID, "term", term)
+		event.ReplicaStopsLeading.Info("replica", r.options.ID, "term", term)
 	}
 	r.applier.Push(func() { r.options.OnLeadershipChange(leading, term) })
 }
--- a/slope/roles.go
+++ b/slope/roles.go
@@ -51,7 +51,7 @@
 func reportCost(workers int) float64 {
 	c := running(workers, workers*tasksPerWorker)
 	table := lease.New(lease.Options{})
-	table.Lead(c.now)
+	table.StartTerm(c.now)
 	batches := make([][]byte, 0, workers*seconds)
 	for s := range seconds {
 		for i := range workers {
--- a/workflow/check.go
+++ b/workflow/check.go
@@ -14,8 +14,8 @@
 	maxIDBytes      = 64
 )
 
-// Check validates a workflow independently of the current state; nil means that it is valid.
-func Check(w *wire.Workflow) error {
+// Validate validates a workflow independently of the current state; nil means that it is valid.
+func Validate(w *wire.Workflow) error {
 	switch {
 	case w.GetId() == "" || len(w.GetId()) > maxIDBytes:
 		return fmt.Errorf("the id must have 1 to %d bytes", maxIDBytes)
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -14,7 +14,7 @@
 		result.Answer, result.Reason = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_QUEUE, "no such queue"
 		return
 	}
-	if err := Check(w); err != nil {
+	if err := Validate(w); err != nil {
 		result.Answer, result.Reason = wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID, err.Error()
 		return
 	}
@@ -83,7 +83,7 @@
 		return
 	}
 	for _, task := range s.Tasks {
-		if task.Waits() {
+		if task.Startable() {
 			s.Waiting++
 		}
 	}
--- a/workflow/run.go
+++ b/workflow/run.go
@@ -9,7 +9,7 @@
 	if task == nil || worker == nil || worker.GetBorn() != s.GetBorn() {
 		return false
 	}
-	if !task.Waits() || s.GetRun() <= task.Run || worker.GetLeaving() || t.Out[worker.GetDomain()] || !worker.Fits(task.Step.Spec) {
+	if !task.Startable() || s.GetRun() <= task.Run || worker.GetLeaving() || t.Out[worker.GetDomain()] || !worker.Fits(task.Step.Spec) {
 		return false
 	}
 	task.Run, task.Worker, task.Ticket = s.GetRun(), worker, s.GetTicket()
@@ -60,7 +60,7 @@
 func (t *Tables) releaseTask(task *Task) {
 	task.Worker.removeTask(task)
 	task.Worker, task.Ticket = nil, ""
-	if task.Waits() {
+	if task.Startable() {
 		task.Step.Waiting++
 	}
 	t.updateWaitingSet(task.Step)
--- a/workflow/types.go
+++ b/workflow/types.go
@@ -116,27 +116,27 @@
 	return Name{Workflow: t.Step.Job.Spec.GetId(), Occurrence: t.Step.Occurrence, Step: t.Step.Number, Index: t.Index}
 }
 
-// Waits reports whether the task may be started.
-func (t *Task) Waits() bool {
+// Startable reports whether the task may be started.
+func (t *Task) Startable() bool {
 	return !t.Done && t.Worker == nil && t.Step.Ready() && t.Step.Job.Open()
 }
 
 // Worker is one incarnation of a called worker.
 type Worker struct {
 	*wire.CalledWorker
-	Noted    int64         // number of the last run end that was recorded
-	Used     resource.Size // by tasks other than filling tasks
-	Lasting  resource.Size // the part of Used that is used by lasting tasks
-	Fill     resource.Size // by filling tasks; their memory and accelerators reduce Free, their CPU does not
-	Tasks    map[*Task]struct{}
-	Capacity resource.Size
+	Noted         int64         // number of the last run end that was recorded
+	Used          resource.Size // by tasks other than filling tasks
+	Lasting       resource.Size // the part of Used that is used by lasting tasks
+	UsedByFilling resource.Size // by filling tasks; their memory and accelerators reduce Free, their CPU does not
+	Tasks         map[*Task]struct{}
+	Capacity      resource.Size
 }
 
 // Free returns the worker's free capacity for tasks other than filling tasks.
 func (w *Worker) Free() resource.Size {
 	free := w.Capacity.Sub(w.Used)
-	free.MemoryMiB -= w.Fill.MemoryMiB
-	free.Accelerators -= w.Fill.Accelerators
+	free.MemoryMiB -= w.UsedByFilling.MemoryMiB
+	free.Accelerators -= w.UsedByFilling.Accelerators
 	return free
 }
 
@@ -153,7 +153,7 @@
 	w.Tasks[t] = struct{}{}
 	size := resource.FromWire(t.Step.Spec.GetSize())
 	if t.Step.Spec.GetFilling() {
-		w.Fill = w.Fill.Add(size)
+		w.UsedByFilling = w.UsedByFilling.Add(size)
 		return
 	}
 	w.Used = w.Used.Add(size)
@@ -166,7 +166,7 @@
 	delete(w.Tasks, t)
 	size := resource.FromWire(t.Step.Spec.GetSize())
 	if t.Step.Spec.GetFilling() {
-		w.Fill = w.Fill.Sub(size)
+		w.UsedByFilling = w.UsedByFilling.Sub(size)
 		return
 	}
 	w.Used = w.Used.Sub(size)
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -72,8 +72,8 @@
 	delete(t.Workers, w.GetId())
 }
 
-// Known reports whether an announcement contains nothing that is not already in the state.
-func (t *Tables) Known(w *wire.CalledWorker) bool {
+// Recorded reports whether an announcement contains nothing that is not already in the state.
+func (t *Tables) Recorded(w *wire.CalledWorker) bool {
 	if gone := t.gone[w.GetId()]; gone != nil && gone.GetBorn() >= w.GetBorn() {
 		return true
 	}
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -222,8 +222,8 @@
 func checkInvariants(t *rapid.T, s *workflow.Table) {
 	s.View(func(v *workflow.Tables) {
 		for _, w := range v.Workers {
-			if w.Used.MilliCPU > workerCapacity.GetMilliCpu() || w.Used.MemoryMiB+w.Fill.MemoryMiB > workerCapacity.GetMemoryMib() {
-				t.Fatalf("worker %s is committed beyond its capacity: %v by other tasks, %v by filling tasks", w.GetId(), w.Used, w.Fill)
+			if w.Used.MilliCPU > workerCapacity.GetMilliCpu() || w.Used.MemoryMiB+w.UsedByFilling.MemoryMiB > workerCapacity.GetMemoryMib() {
+				t.Fatalf("worker %s is committed beyond its capacity: %v by other tasks, %v by filling tasks", w.GetId(), w.Used, w.UsedByFilling)
 			}
 		}
 		for _, j := range v.Jobs {
@@ -244,7 +244,7 @@
 func checkStep(t *rapid.T, v *workflow.Tables, step *workflow.Step) {
 	waiting := 0
 	for _, task := range step.Tasks {
-		if task.Waits() {
+		if task.Startable() {
 			waiting++
 		}
 		if task.Worker != nil {
