--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -123,7 +123,7 @@
 	for ; r.applied < len(w.log); r.applied++ {
 		r.machine.Apply(uint64(r.applied+1), w.log[r.applied])
 	}
-	r.table.Lead(r.read(w.now))
+	r.table.StartTerm(r.read(w.now))
 	r.changed = nil
 	r.machine.EachWorker(func(c *wire.WorkerRecord) { r.changed = append(r.changed, c) })
 }
@@ -171,7 +171,7 @@
 
 func (w *simulation) decide(r *replica) *wire.Command {
 	c := &wire.Command{}
-	r.machine.Each(func(j *wire.Job, t *wire.Task) {
+	r.machine.EachTask(func(j *wire.Job, t *wire.Task) {
 		if !w.noDisturbance && !w.steady && w.rng.IntN(2000) == 0 {
 			c.Cancel = &wire.CancelJob{Job: j.Id}
 		}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -64,7 +64,7 @@
 	case <-ticks:
 		now = r.elapsed()
 		r.node.Tick()
-		r.peers.Watch()
+		r.peers.ReconnectStalled()
 		r.reconfigure()
 	case m := <-r.peers.Inbox():
 		now = r.elapsed()
@@ -122,7 +122,7 @@
 		if ready.Empty() {
 			break
 		}
-		if err := r.sendAll(ready.Early); err != nil {
+		if err := r.sendAll(ready.EarlyMessages); err != nil {
 			return r.fail(err)
 		}
 		if err := r.persist(&ready); err != nil {
@@ -222,7 +222,7 @@
 	if len(r.roundStarts) > 0 {
 		last = r.roundStarts[len(r.roundStarts)-1].round
 	}
-	if round := r.node.Round(); round > max(last, r.node.Confirmed()) || r.node.Alone() {
+	if round := r.node.Round(); round > max(last, r.node.Confirmed()) || r.node.SoleVoter() {
 		r.roundStarts = append(r.roundStarts, roundStart{round: round, at: now})
 		r.assignReads(round)
 	}
@@ -246,9 +246,9 @@
 	if leading {
 		event.ReplicaLeads.Info("replica", r.options.ID, "term", term)
 	} else {
-		event.ReplicaStopsLead.Info("replica", r.options.ID, "term", term)
+		event.ReplicaStopsLeading.Info("replica", r.options.ID, "term", term)
 	}
-	r.applier.Push(func() { r.options.Leading(leading, term) })
+	r.applier.Push(func() { r.options.OnLeadershipChange(leading, term) })
 }
 
 // compact removes the log up to a snapshot. It keeps the last entries, so that followers which are only slightly behind do not need the snapshot.
@@ -277,9 +277,9 @@
 	r.publishInfo()
 	if r.leading {
 		term := r.node.Term()
-		r.applier.Push(func() { r.options.Leading(false, term) })
+		r.applier.Push(func() { r.options.OnLeadershipChange(false, term) })
 	}
-	r.applier.Push(func() { r.options.Failed(err) })
+	r.applier.Push(func() { r.options.OnFailure(err) })
 	r.failPending("this replica failed before the record was committed")
 	return false
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -35,26 +35,26 @@
 
 // Options configures a replica: its group, its data folder and the state machine that the log drives. While the replica runs, Snapshot, Restore and Apply are called from one goroutine.
 type Options struct {
-	ID            uint64
-	Peers         map[uint64]string // drpc addresses of the replicas named in the settings, its own included if it is one of them
-	Address       string            // its own, as others reach it; needed only with dynamic membership
-	Domain        string            // its own failure domain
-	Found         bool              // dynamic membership: Peers are only initial contacts, and the group adds, removes and replaces its members by itself
-	First         bool              // with dynamic membership: no group exists yet, so this replica may form one
-	Losses        int               // with dynamic membership: number of voters whose simultaneous loss the group must survive
-	Dir           string
-	Dial          func(ctx context.Context, address string) (net.Conn, error)
-	Tick          time.Duration
-	ElectionTicks int
-	SnapshotEvery uint64                              // records between snapshots
-	Seed          uint64                              // of the election timeouts, 0 for a random one
-	Boot          func() time.Duration                // clock of the leader's lease that includes suspended time; the monotonic clock if nil
-	Disk          disk.Options                        // its Dir is replaced by the Dir above
-	Apply         func(index uint64, data []byte) any // called in log order; data is never empty
-	Snapshot      func() []byte                       // called between two calls of Apply
-	Restore       func([]byte) error
-	Leading       func(leading bool, term uint64) // called when this replica gains or loses leadership; a new leader is told after it has applied the first entry of its term
-	Failed        func(error)                     // called when the replica stops because of a disk or restore failure or a violated invariant of the log; may be nil
+	ID                 uint64
+	Peers              map[uint64]string // drpc addresses of the replicas named in the settings, its own included if it is one of them
+	Address            string            // its own, as others reach it; needed only with dynamic membership
+	Domain             string            // its own failure domain
+	DynamicMembers     bool              // dynamic membership: Peers are only initial contacts, and the group adds, removes and replaces its members by itself
+	Bootstrap          bool              // with dynamic membership: no group exists yet, so this replica may form one
+	Losses             int               // with dynamic membership: number of voters whose simultaneous loss the group must survive
+	Dir                string
+	Dial               func(ctx context.Context, address string) (net.Conn, error)
+	Tick               time.Duration
+	ElectionTicks      int
+	SnapshotEvery      uint64                              // records between snapshots
+	Seed               uint64                              // of the election timeouts, 0 for a random one
+	SinceBoot          func() time.Duration                // clock of the leader's lease that includes suspended time; the monotonic clock if nil
+	Disk               disk.Options                        // its Dir is replaced by the Dir above
+	Apply              func(index uint64, data []byte) any // called in log order; data is never empty
+	Snapshot           func() []byte                       // called between two calls of Apply
+	Restore            func([]byte) error
+	OnLeadershipChange func(leading bool, term uint64) // called when this replica gains or loses leadership; a new leader is told after it has applied the first entry of its term
+	OnFailure          func(error)                     // called when the replica stops because of a disk or restore failure or a violated invariant of the log; may be nil
 }
 
 // Replica is one member of the group.
@@ -117,8 +117,8 @@
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
-	if o.Failed == nil {
-		o.Failed = func(error) {}
+	if o.OnFailure == nil {
+		o.OnFailure = func(error) {}
 	}
 	o.Disk.Dir = o.Dir
 	return o
@@ -136,8 +136,8 @@
 		seeds:          make(chan map[uint64]string),
 		transfers:      make(chan struct{}),
 	}
-	if options.Boot != nil {
-		r.startedBoot = options.Boot()
+	if options.SinceBoot != nil {
+		r.startedBoot = options.SinceBoot()
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.applier.Queue, r.applier.snapshotIndex = serial.New(), loaded.Snapshot.GetIndex()
@@ -145,7 +145,7 @@
 	r.node = raft.New(raft.Options{
 		ID:            options.ID,
 		Peers:         peerIDs(options.Peers),
-		Joins:         options.Found && !options.First,
+		Joins:         options.DynamicMembers && !options.Bootstrap,
 		ElectionTicks: options.ElectionTicks,
 		Rand:          rand.New(rand.NewPCG(options.Seed, options.ID)),
 		State:         loaded.State,
@@ -203,8 +203,8 @@
 
 // elapsed returns the time since the replica was created, by the lease clock.
 func (r *Replica) elapsed() time.Duration {
-	if r.options.Boot != nil {
-		return r.options.Boot() - r.startedBoot
+	if r.options.SinceBoot != nil {
+		return r.options.SinceBoot() - r.startedBoot
 	}
 	return time.Since(r.started)
 }
