--- a/fabric/doc.go
+++ b/fabric/doc.go
@@ -1,2 +1,2 @@
-// Package fabric is a network in memory for tests in virtual time: hosts that can be cut from each other in silence, as a partition does.
+// Package fabric implements an in-memory network for tests in virtual time. Hosts can be cut off from each other without an error on either side, as by a network partition.
 package fabric
--- a/fabric/fabric.go
+++ b/fabric/fabric.go
@@ -9,16 +9,16 @@
 	"time"
 )
 
-// Fabric joins hosts; the host of an address is what stands before its colon.
+// Fabric connects hosts. The host of an address is the part before the colon.
 type Fabric struct {
-	delay time.Duration // of each write, one way
+	delay time.Duration // one-way delay of each write
 
 	mu        sync.Mutex
 	listeners map[string]*listener // by address
 	cuts      map[link]bool
 }
 
-// link is a pair of hosts in order of name.
+// link is a pair of hosts, ordered by name.
 type link struct {
 	a, b string
 }
@@ -30,19 +30,19 @@
 	return link{a, b}
 }
 
-// New returns a fabric on which each write takes delay.
+// New returns a fabric in which each write is delayed by delay.
 func New(delay time.Duration) *Fabric {
 	return &Fabric{delay: delay, listeners: map[string]*listener{}, cuts: map[link]bool{}}
 }
 
-// Cut lets nothing pass between two hosts: connections go silent for good and new ones hang.
+// Cut partitions two hosts. A connection that is written to meanwhile stays silent permanently, and new dials block.
 func (f *Fabric) Cut(a, b string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cuts[linkOf(a, b)] = true
 }
 
-// Heal lets new connections pass again; those that swallowed bytes stay silent.
+// Heal ends the partition of two hosts. Connections that have discarded data stay silent.
 func (f *Fabric) Heal(a, b string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -55,7 +55,7 @@
 	return f.cuts[linkOf(a, b)]
 }
 
-// Dialer returns how the host from connects.
+// Dialer returns the dial function of the host from.
 func (f *Fabric) Dialer(from string) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		to, _, _ := strings.Cut(address, ":")
@@ -81,7 +81,7 @@
 	}
 }
 
-// Listen takes connections to address.
+// Listen returns a listener for connections to address.
 func (f *Fabric) Listen(address string) (net.Listener, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -101,7 +101,7 @@
 	once     sync.Once
 }
 
-// Accept waits for a connection.
+// Accept waits for the next connection.
 func (l *listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.accepted:
@@ -111,7 +111,7 @@
 	}
 }
 
-// Close frees the address.
+// Close closes the listener and releases its address.
 func (l *listener) Close() error {
 	l.once.Do(func() {
 		l.fabric.mu.Lock()
@@ -129,13 +129,13 @@
 
 type address string
 
-// Network returns the name of this kind of network.
+// Network returns the network name "fabric".
 func (address) Network() string { return "fabric" }
 
-// String returns the address as dialled.
+// String returns the address in the form used for dialing.
 func (a address) String() string { return string(a) }
 
-// conn swallows all that is written from the first write into a cut on.
+// conn discards all data from the first write during a cut on.
 type conn struct {
 	net.Conn
 	fabric   *Fabric
@@ -145,7 +145,7 @@
 	silent bool
 }
 
-// Write passes bytes on, or swallows them.
+// Write delivers the data after the delay, or discards it once the connection is silent.
 func (c *conn) Write(b []byte) (int, error) {
 	if c.fabric.delay > 0 {
 		time.Sleep(c.fabric.delay)
--- a/fakecaller/balancer.go
+++ b/fakecaller/balancer.go
@@ -10,16 +10,16 @@
 )
 
 const (
-	checkEvery   = time.Second // on average, so that checks fall in step with nothing
+	checkEvery   = time.Second // mean interval; randomized so that checks don't synchronize with other periodic work
 	checkTimeout = 400 * time.Millisecond
 )
 
-// balancer spreads requests over the entries that say they are ready, as the platform's does.
+// balancer spreads requests over the entries that report ready, as the platform's load balancer does.
 type balancer struct {
-	entries []string
-	admins  []string
-	http    *http.Client
-	asked   atomic.Int64 // answers taken in
+	entries    []string
+	admins     []string
+	http       *http.Client
+	checksDone atomic.Int64 // number of completed readiness checks
 
 	mu    sync.Mutex // guards ready
 	ready map[string]bool
@@ -33,16 +33,16 @@
 	return b
 }
 
-// watch asks each entry for its readiness until ctx ends.
+// watch checks the readiness of each entry periodically until ctx is done.
 func (b *balancer) watch(ctx context.Context) {
 	defer b.http.CloseIdleConnections()
 	for {
 		for i, admin := range b.admins {
-			ready := b.ask(ctx, admin)
+			ready := b.checkReady(ctx, admin)
 			b.mu.Lock()
 			b.ready[b.entries[i]] = ready
 			b.mu.Unlock()
-			b.asked.Add(1)
+			b.checksDone.Add(1)
 		}
 		select {
 		case <-time.After(checkEvery/2 + rand.N(checkEvery)):
@@ -52,7 +52,7 @@
 	}
 }
 
-func (b *balancer) ask(ctx context.Context, admin string) bool {
+func (b *balancer) checkReady(ctx context.Context, admin string) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/ready", nil)
 	if err != nil {
 		return false
--- a/fakecaller/caller.go
+++ b/fakecaller/caller.go
@@ -18,48 +18,48 @@
 	"github.com/sourcegraph/conc"
 )
 
-// Options says what load to make.
+// Options configures the load.
 type Options struct {
-	Name      string   // begins each request id
-	Entries   []string // callers' addresses of the entries
-	Ready     []string // admin addresses in the same order, asked like a balancer would; empty to take all as ready
+	Name      string   // prefix of each request id
+	Entries   []string // addresses of the entries for callers
+	Ready     []string // admin addresses in the same order, for readiness checks; empty treats all entries as ready
 	Class     string
 	Rate      float64 // requests a second
 	Duration  time.Duration
 	PostShare float64 // of non-idempotent requests, 0 to 1
 	BodyBytes int     // of each POST
 	Timeout   time.Duration
-	Journal   string // file of what each request was told; empty for none
+	Journal   string // file that records the outcome of each request; empty for none
 	Seed      uint64
 }
 
 const (
-	hungGrace   = 3 * time.Second // after a request's own timeout
+	hungGrace   = 3 * time.Second // after the timeout of the request, before it counts as hung
 	idleTimeout = 2 * time.Second
 	dialTimeout = time.Second
 	idlePerHost = 64
 )
 
-// Caller is one load generator.
+// Caller is a load generator.
 type Caller struct {
 	options  Options
 	journal  *standin.Journal
 	http     *http.Client
 	balancer *balancer
-	run      string // tells the ids of two runs apart
+	run      string // part of each request id; differs between runs
 
 	mu      sync.Mutex // guards what follows
 	random  *rand.Rand
 	summary *Summary
 }
 
-// New prepares a load; its error says what is missing or can't be opened.
+// New returns a load generator. It fails if a required option is missing or the journal can't be opened.
 func New(o Options) (*Caller, error) {
 	if len(o.Entries) == 0 || o.Class == "" || o.Rate <= 0 {
-		return nil, errors.New("fakecaller: entries, a class and a rate are needed")
+		return nil, errors.New("fakecaller: Entries, Class and a Rate above 0 are required")
 	}
 	if len(o.Ready) > 0 && len(o.Ready) != len(o.Entries) {
-		return nil, errors.New("fakecaller: as many admin addresses as entries are needed")
+		return nil, errors.New("fakecaller: Ready must be empty or have one admin address per entry")
 	}
 	journal, err := standin.OpenJournal(o.Journal)
 	if err != nil {
@@ -81,7 +81,7 @@
 	}, nil
 }
 
-// Run makes the load until its duration or ctx ends, waits for every answer, and returns what came of it.
+// Run sends requests until the duration has passed or ctx is done, waits for all responses and returns the summary.
 func (c *Caller) Run(ctx context.Context) *Summary {
 	checks, stopChecks := context.WithCancel(context.Background())
 	var background, requests conc.WaitGroup
@@ -92,9 +92,9 @@
 		if !waitUntil(ctx, start.Add(due)) {
 			break
 		}
-		sequence, at, post := n, start.Add(due), c.chance() < c.options.PostShare
+		sequence, at, post := n, start.Add(due), c.randomFraction() < c.options.PostShare
 		requests.Go(func() { c.request(sequence, at, post) })
-		due += c.gap()
+		due += c.nextGap()
 	}
 	requests.Wait()
 	stopChecks()
@@ -110,14 +110,14 @@
 	return c.journal.Close()
 }
 
-func (c *Caller) chance() float64 {
+func (c *Caller) randomFraction() float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.random.Float64()
 }
 
-// gap returns the time to the next request, so that requests arrive independently of each other.
-func (c *Caller) gap() time.Duration {
+// nextGap returns an exponentially distributed time to the next request, so that requests arrive independently of each other.
+func (c *Caller) nextGap() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return time.Duration(c.random.ExpFloat64() / c.options.Rate * float64(time.Second))
@@ -132,7 +132,7 @@
 	}
 }
 
-// request sends one request that was due at at, and notes what it was told.
+// request sends one request that was due at at and records its outcome.
 func (c *Caller) request(sequence int, at time.Time, post bool) {
 	r := request{
 		id:     fmt.Sprintf("%s-%s-%d", c.options.Name, c.run, sequence),
--- a/fakecaller/caller_test.go
+++ b/fakecaller/caller_test.go
@@ -16,7 +16,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// load sends requests to one entry that answers each in the same way, and returns their count and outcomes.
+// load sends requests to the given entries and returns the summary.
 func load(t *testing.T, o Options, entries ...string) *Summary {
 	o.Name, o.Class, o.Rate, o.Duration, o.Timeout, o.PostShare, o.Entries = "c", "bids", 500, 100*time.Millisecond, time.Minute, 0.5, entries
 	c, err := New(o)
@@ -33,7 +33,7 @@
 	return server.Listener.Addr().String()
 }
 
-func own(w http.ResponseWriter, r *http.Request) {
+func answerCorrectly(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	w.Write(fakeupstream.NewAnswer(r.Header.Get(headerRequestID), body, 100))
 }
@@ -44,7 +44,7 @@
 		outcome string
 		failed  bool
 	}{
-		"own and whole": {own, standin.OutcomeOK, false},
+		"own and whole": {answerCorrectly, standin.OutcomeOK, false},
 		"another's": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Write(fakeupstream.NewAnswer("c-0", nil, 100))
 		}, standin.OutcomeWrong, true},
@@ -76,14 +76,14 @@
 }
 
 func TestOnlyRefusedConnectionsMoveToAnotherEntry(t *testing.T) {
-	closed := httptest.NewServer(http.HandlerFunc(own))
+	closed := httptest.NewServer(http.HandlerFunc(answerCorrectly))
 	gone := closed.Listener.Addr().String()
 	closed.Close()
-	s := load(t, Options{}, gone, serve(t, own))
+	s := load(t, Options{}, gone, serve(t, answerCorrectly))
 	assert.DeepEqual(t, s.Outcomes, map[string]int64{standin.OutcomeOK: s.Requests})
 	s = load(t, Options{}, gone)
 	assert.DeepEqual(t, s.Outcomes, map[string]int64{standin.OutcomeRefused: s.Requests})
-	s = load(t, Options{}, serve(t, own), serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	s = load(t, Options{}, serve(t, answerCorrectly), serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	assert.Assert(t, s.Outcomes[standin.OutcomeBroken] > 0 && s.Outcomes[standin.OutcomeOK] > 0)
 }
 
@@ -98,7 +98,7 @@
 			mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
-		own(w, r)
+		answerCorrectly(w, r)
 	})
 	load(t, Options{Journal: journal, BodyBytes: 10}, address)
 	mu.Lock()
@@ -118,7 +118,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); b.watch(ctx) }()
-	for b.asked.Load() < 3 {
+	for b.checksDone.Load() < 3 {
 		time.Sleep(time.Millisecond)
 	}
 	for range 100 {
--- a/fakecaller/doc.go
+++ b/fakecaller/doc.go
@@ -1,2 +1,2 @@
-// Package fakecaller stands in for callers: it loads entries at an open-loop rate, as the platform's balancer would spread it, and checks that each answer is whole and its own.
+// Package fakecaller implements a load generator. It sends requests to the entries at an open-loop rate, spread as by the platform's load balancer, and checks that each response is complete and belongs to its request.
 package fakecaller
--- a/fakecaller/send.go
+++ b/fakecaller/send.go
@@ -23,14 +23,14 @@
 	answerLimit     = 64 << 20
 )
 
-// request is what one request sends.
+// request is one request to send.
 type request struct {
 	id     string
 	method string
 	body   []byte
 }
 
-// send tries the entries until one takes the connection; only a refused connection moves on, as nothing can have run then.
+// send tries the entries until one accepts the connection. Only a refused connection moves on to the next entry, because the request can't have run then.
 func (c *Caller) send(r request) standin.Told {
 	var told standin.Told
 	sent := time.Now().UnixMicro()
@@ -50,28 +50,28 @@
 	defer cancel()
 	out, err := http.NewRequestWithContext(ctx, r.method, "http://"+entry+"/", bytes.NewReader(r.body))
 	if err != nil {
-		return failed(told, err)
+		return classifyError(told, err)
 	}
-	out.GetBody = nil // the client must not send a body twice by itself
+	out.GetBody = nil // prevents the HTTP client from resending the body on its own
 	out.Header.Set(headerClass, c.options.Class)
 	out.Header.Set(headerRequestID, r.id)
 	out.Header.Set(headerTimeout, strconv.FormatInt(c.options.Timeout.Milliseconds(), 10))
 	response, err := c.http.Do(out)
 	if err != nil {
-		return failed(told, err)
+		return classifyError(told, err)
 	}
 	defer response.Body.Close()
 	told.Status = response.StatusCode
 	told.Verdict = response.Header.Get(headerVerdict)
 	body, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
 	if err != nil {
-		return failed(told, err)
+		return classifyError(told, err)
 	}
-	return judge(told, body, r)
+	return classifyResponse(told, body, r)
 }
 
-// failed tells apart no connection at all, nothing in time, and a visible break.
-func failed(told standin.Told, err error) standin.Told {
+// classifyError classifies err as a refused connection, a hung request or a broken response.
+func classifyError(told standin.Told, err error) standin.Told {
 	told.Reason = cause(err)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -84,7 +84,7 @@
 	return told
 }
 
-// cause returns the innermost reason, without addresses, so that like failures count together.
+// cause returns the text of the innermost error, which contains no addresses, so that equal failures are counted together.
 func cause(err error) string {
 	for {
 		inner := errors.Unwrap(err)
@@ -95,15 +95,15 @@
 	}
 }
 
-// refusal is the body of an answer that is daisyswitch's own.
+// refusal is the body of a response that daisyswitch itself generated.
 type refusal struct {
 	Verdict string `json:"verdict"`
 	Reason  string `json:"reason"`
 	Code    string `json:"code"`
 }
 
-// judge reads a complete answer: a verdict of daisyswitch, or the upstream's word, which must be whole and its own.
-func judge(told standin.Told, body []byte, r request) standin.Told {
+// classifyResponse classifies a complete response: a verdict of daisyswitch, or the response of an upstream, which must be intact and belong to the request.
+func classifyResponse(told standin.Told, body []byte, r request) standin.Told {
 	if told.Verdict != "" {
 		told.Outcome = standin.OutcomeVerdict
 		var why refusal
--- a/fakelink/doc.go
+++ b/fakelink/doc.go
@@ -1,2 +1,2 @@
-// Package fakelink stands in for the network between failure domains: it forwards TCP connections and holds, delays, forgets or resets them when told to, as a partition, a full line or a forgetful middlebox does.
+// Package fakelink simulates the network between failure domains. It forwards TCP connections and can hold, delay, blackhole or reset them, as a partition, a congested link or a middlebox that loses its connection state does.
 package fakelink
--- a/fakelink/link.go
+++ b/fakelink/link.go
@@ -13,23 +13,23 @@
 	"github.com/sourcegraph/conc"
 )
 
-// Mode says what becomes of bytes.
+// Mode selects how the link treats the bytes of a connection.
 type Mode string
 
 // The modes of a link.
 const (
 	Pass   Mode = "pass"   // bytes are forwarded
-	Silent Mode = "silent" // no byte passes and nobody is told, until the mode changes; what was held then goes on
-	OneWay Mode = "oneway" // like silent, but only for bytes towards the forwarded address
+	Silent Mode = "silent" // bytes are held without notice to either side until the mode changes, then forwarded
+	OneWay Mode = "oneway" // like Silent, but only for bytes towards the forwarded address
 	Slow   Mode = "slow"   // bytes are forwarded after SlowTime
-	Forget Mode = "forget" // connections open now stay silent for good, new ones pass
-	Reset  Mode = "reset"  // connections open now are reset, new ones pass
+	Forget Mode = "forget" // connections open now stay silent permanently; new ones pass
+	Reset  Mode = "reset"  // connections open now are reset; new ones pass
 )
 
-// SlowTime is the delay of a slow link, one way; a hundred times that between failure domains.
+// SlowTime is the one-way delay of a slow link, a hundred times the usual delay between failure domains.
 const SlowTime = 50 * time.Millisecond
 
-// Everyone names all sources that no mode is set for.
+// Everyone is the source name under which the mode of all sources without their own mode is stored.
 const Everyone = ""
 
 const (
@@ -37,11 +37,11 @@
 	bufferBytes = 32 << 10
 )
 
-// Forward is one address that the link stands in for.
+// Forward is one address that the link listens on and its destination.
 type Forward struct {
-	Listen string                                       // IP:port; port 0 takes a free one
+	Listen string                                       // IP:port; port 0 selects a free port
 	To     string                                       // IP:port
-	From   func(from net.Addr, opened time.Time) string // names the source of a connection, asked once modes differ by source; nil if they need not be told apart
+	From   func(from net.Addr, opened time.Time) string // returns the name of a connection's source, called once modes differ by source; nil if sources need not be distinguished
 }
 
 // Link forwards connections to fixed addresses.
@@ -50,7 +50,7 @@
 	running   conc.WaitGroup
 	done      chan struct{} // closed by Close
 
-	differs atomic.Bool // whether modes differ by source
+	modesDiffer atomic.Bool // whether modes differ by source
 
 	mu      sync.Mutex      // guards what follows
 	modes   map[string]Mode // by source
@@ -58,14 +58,14 @@
 	open    map[*pair]struct{}
 }
 
-// pair is a connection and the one that it is forwarded to.
+// pair is an accepted connection with the connection it is forwarded to.
 type pair struct {
-	source    func() string // names who opened it
-	forgotten chan struct{} // closed when the link forgets the pair
-	reset     chan struct{} // closed when the link resets the pair
+	source    func() string // returns the name of the source that opened it
+	forgotten chan struct{} // closed by Forget
+	reset     chan struct{} // closed by Reset
 }
 
-// direction is the way that bytes go.
+// direction is the direction in which bytes are forwarded.
 type direction int
 
 const (
@@ -73,7 +73,7 @@
 	back
 )
 
-// New listens on every address; its error says which can't be listened on.
+// New listens on all addresses. It fails if one of them can't be listened on.
 func New(forwards []Forward) (*Link, error) {
 	l := &Link{done: make(chan struct{}), modes: map[string]Mode{Everyone: Pass}, changed: make(chan struct{}), open: map[*pair]struct{}{}}
 	for _, f := range forwards {
@@ -87,7 +87,7 @@
 	return l, nil
 }
 
-// Addresses returns what the link listens on, in the order of its forwards.
+// Addresses returns the listening addresses in the order of the forwards.
 func (l *Link) Addresses() []string {
 	addresses := make([]string, len(l.listeners))
 	for i, listener := range l.listeners {
@@ -100,20 +100,20 @@
 func (l *Link) Set(m Mode) error {
 	return l.set(m, func(*pair) bool { return true }, func() {
 		l.modes = map[string]Mode{Everyone: m}
-		l.differs.Store(false)
+		l.modesDiffer.Store(false)
 	})
 }
 
-// SetFrom changes the mode for one source; the mode of all others ends what was set for it.
+// SetFrom changes the mode for one source. Setting the mode that applies to all other sources removes its own mode.
 func (l *Link) SetFrom(source string, m Mode) error {
-	l.differs.Store(true)
-	l.nameSources()
+	l.modesDiffer.Store(true)
+	l.resolveSources()
 	return l.set(m, func(p *pair) bool { return p.source() == source }, func() {
 		l.modes[source] = m
 		if m == l.modes[Everyone] {
 			delete(l.modes, source)
 		}
-		l.differs.Store(len(l.modes) > 1)
+		l.modesDiffer.Store(len(l.modes) > 1)
 	})
 }
 
@@ -126,17 +126,17 @@
 		close(l.changed)
 		l.changed = make(chan struct{})
 	case Forget:
-		l.each(concerns, func(p *pair) { close(p.forgotten) })
+		l.removePairs(concerns, func(p *pair) { close(p.forgotten) })
 	case Reset:
-		l.each(concerns, func(p *pair) { close(p.reset) })
+		l.removePairs(concerns, func(p *pair) { close(p.reset) })
 	default:
 		return fmt.Errorf("fakelink: mode %q is not one of %s, %s, %s, %s, %s and %s", m, Pass, Silent, OneWay, Slow, Forget, Reset)
 	}
 	return nil
 }
 
-// nameSources has the sources of open pairs named, which may take a while and so needs the mutex free.
-func (l *Link) nameSources() {
+// resolveSources resolves the source names of all open pairs. This may be slow, so the mutex is not held meanwhile.
+func (l *Link) resolveSources() {
 	l.mu.Lock()
 	open := slices.Collect(maps.Keys(l.open))
 	l.mu.Unlock()
@@ -145,8 +145,8 @@
 	}
 }
 
-// each ends the link's care for the open pairs of some sources; the mutex is held.
-func (l *Link) each(concerns func(*pair) bool, end func(*pair)) {
+// removePairs calls end for the open pairs selected by concerns and removes them from the open set. The mutex must be held.
+func (l *Link) removePairs(concerns func(*pair) bool, end func(*pair)) {
 	for p := range l.open {
 		if concerns(p) {
 			end(p)
@@ -155,7 +155,7 @@
 	}
 }
 
-// mode returns the mode in force for a pair; the mutex is held.
+// mode returns the effective mode of a pair. The mutex must be held.
 func (l *Link) mode(p *pair) Mode {
 	if len(l.modes) > 1 {
 		if m, set := l.modes[p.source()]; set {
@@ -165,7 +165,7 @@
 	return l.modes[Everyone]
 }
 
-// Close ends all connections and waits.
+// Close closes all connections and waits for their goroutines.
 func (l *Link) Close() error {
 	close(l.done)
 	for _, listener := range l.listeners {
@@ -185,7 +185,7 @@
 	}
 }
 
-// forward joins near to a new connection; both are closed together, at the latest when the link is.
+// forward connects near to a new connection to the destination. Both are closed together, at the latest when the link is closed.
 func (l *Link) forward(near net.Conn, f Forward) {
 	defer near.Close()
 	p := &pair{forgotten: make(chan struct{}), reset: make(chan struct{}), source: func() string { return Everyone }}
@@ -221,10 +221,10 @@
 	both.Wait()
 }
 
-// abort has a connection reset when it is closed.
+// abort makes closing the connection send a reset.
 func abort(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		tcp.SetLinger(0) //nolint:errcheck // a connection that is closed already needs no reset
+		tcp.SetLinger(0) //nolint:errcheck // a connection that is already closed needs no reset
 	}
 }
 
@@ -234,7 +234,7 @@
 	delete(l.open, p)
 }
 
-// copy moves bytes one way; while the link is silent it holds them, and the end of the connection too.
+// copy forwards bytes in one direction. While the link is silent it holds both the bytes and the end of the connection.
 func (l *Link) copy(p *pair, to, from net.Conn, way direction, ended chan<- struct{}) {
 	buffer := make([]byte, bufferBytes)
 	for {
@@ -250,10 +250,10 @@
 	ended <- struct{}{}
 }
 
-// wait returns true once the link passes bytes of this pair that way, and false when it closes or resets them first.
+// wait blocks until the link forwards bytes of this pair in the given direction. It returns false if the link is closed or the pair is reset first.
 func (l *Link) wait(p *pair, way direction) bool {
 	for {
-		if l.differs.Load() {
+		if l.modesDiffer.Load() {
 			p.source()
 		}
 		l.mu.Lock()
@@ -283,7 +283,7 @@
 	}
 }
 
-// delay waits as long as a slow link takes, and returns false if the pair ends before.
+// delay waits for SlowTime and returns false if the pair ends earlier.
 func (l *Link) delay(p *pair) bool {
 	select {
 	case <-time.After(SlowTime):
--- a/fakelink/link_test.go
+++ b/fakelink/link_test.go
@@ -14,10 +14,10 @@
 	"gotest.tools/v3/assert"
 )
 
-// quiet is how long a read waits before the test takes the link as silent.
+// quiet is how long a read waits before the test considers the link silent.
 const quiet = 50 * time.Millisecond
 
-// echo starts a server that sends back what it gets, and a link to it.
+// echo starts an echo server and a link to it.
 func echo(t *testing.T) *fakelink.Link {
 	server, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/fakepath/doc.go
+++ b/fakepath/doc.go
@@ -1,3 +1,3 @@
-// Package fakepath stands in for upstreams at the end of in-memory connections, which can lose track of those that are open;
-// it serves tests in virtual time, as package fakelink does tests on sockets.
+// Package fakepath implements simulated upstreams behind in-memory connections. Open connections can be made silent,
+// as by a middlebox that loses its connection state. It serves tests in virtual time; package fakelink does the same on sockets.
 package fakepath
--- a/fakepath/path.go
+++ b/fakepath/path.go
@@ -11,13 +11,13 @@
 	"time"
 )
 
-// Answer is what every upstream answers, body "done".
+// Answer is the response of every upstream, with the body "done".
 const Answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 
-// Path leads to any number of upstreams, told apart by address. Its fields are set before it is used.
+// Path connects to any number of simulated upstreams, distinguished by address. Its fields must be set before use.
 type Path struct {
-	Service func(r *http.Request) time.Duration // how long a request takes
-	Broken  func(address string) bool           // whether an upstream closes the connection in place of an answer; may be nil
+	Service func(r *http.Request) time.Duration // returns the service time of a request
+	Broken  func(address string) bool           // reports whether an upstream closes the connection instead of responding; may be nil
 
 	requests atomic.Int64
 	mu       sync.Mutex
@@ -35,12 +35,12 @@
 	return here, nil
 }
 
-// Requests returns how many requests arrived.
+// Requests returns the number of requests received.
 func (p *Path) Requests() int64 {
 	return p.requests.Load()
 }
 
-// Lose makes every open connection silent for good.
+// Lose makes every open connection silent permanently.
 func (p *Path) Lose() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -71,13 +71,13 @@
 	}
 }
 
-// conn is one end of a connection.
+// conn is one end of an in-memory connection.
 type conn struct {
 	net.Conn
 	silent atomic.Bool
 }
 
-// Write swallows what is sent once the connection is silent.
+// Write discards the data and reports success once the connection is silent.
 func (c *conn) Write(p []byte) (int, error) {
 	if c.silent.Load() {
 		return len(p), nil
--- a/fakeupstream/announce.go
+++ b/fakeupstream/announce.go
@@ -11,10 +11,10 @@
 	announcePath    = "/v1/upstreams"
 	announceEvery   = time.Second
 	announceTimeout = 500 * time.Millisecond
-	announceRetry   = 50 * time.Millisecond // to the next entry, after a failure
+	announceRetry   = 50 * time.Millisecond // before trying the next entry after a failure
 )
 
-// announcement is the body that an upstream posts to an entry.
+// announcement is the body of an upstream's POST to an entry.
 type announcement struct {
 	ID          string   `json:"id"`
 	Address     string   `json:"address"`
@@ -27,7 +27,7 @@
 	Instance    string   `json:"instance,omitempty"`
 }
 
-// announce tells the entries about the upstream until ctx ends.
+// announce announces the upstream to the entries periodically until ctx is done.
 func (u *Upstream) announce(ctx context.Context) {
 	var last error
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
@@ -68,8 +68,8 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if leaving && u.left.IsZero() {
-		u.left = time.Now()
+	if leaving && u.leaveAcceptedAt.IsZero() {
+		u.leaveAcceptedAt = time.Now()
 	}
 	return nil
 }
--- a/fakeupstream/doc.go
+++ b/fakeupstream/doc.go
@@ -1,2 +1,2 @@
-// Package fakeupstream stands in for an upstream: it announces itself to the entries of its failure domain, serves requests in a few slots over a bounded number of connections, and misbehaves when told to.
+// Package fakeupstream implements a simulated upstream. It announces itself to the entries of its failure domain, serves requests with a limited number of slots and connections, and injects faults on request.
 package fakeupstream
--- a/fakeupstream/limit.go
+++ b/fakeupstream/limit.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 )
 
-// limited is a listener that closes connections beyond its limit at once.
-type limited struct {
+// limitedListener is a listener that immediately closes connections beyond its limit.
+type limitedListener struct {
 	net.Listener
 	most    int64
 	open    atomic.Int64
@@ -15,14 +15,14 @@
 }
 
 // Accept returns the next connection within the limit.
-func (l *limited) Accept() (net.Conn, error) {
+func (l *limitedListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
 		if l.open.Add(1) <= l.most {
-			return &counted{Conn: conn, listener: l}, nil
+			return &countedConn{Conn: conn, listener: l}, nil
 		}
 		l.open.Add(-1)
 		l.refused.Add(1)
@@ -30,15 +30,15 @@
 	}
 }
 
-// counted is a connection that gives its place back when closed.
-type counted struct {
+// countedConn is a connection that counts against the limit until it is closed.
+type countedConn struct {
 	net.Conn
-	listener *limited
+	listener *limitedListener
 	once     sync.Once
 }
 
-// Close closes the connection and frees its place.
-func (c *counted) Close() error {
+// Close closes the connection and releases its share of the limit.
+func (c *countedConn) Close() error {
 	c.once.Do(func() { c.listener.open.Add(-1) })
 	return c.Conn.Close()
 }
--- a/fakeupstream/mode.go
+++ b/fakeupstream/mode.go
@@ -10,15 +10,15 @@
 	"github.com/julienschmidt/httprouter"
 )
 
-// Mode says how the upstream misbehaves; its zero value is well-behaved.
+// Mode selects the faults that the upstream injects; the zero value injects none.
 type Mode struct {
 	SlowBy   int  `json:"slow_by,omitempty"` // factor on service times
-	Silent   bool `json:"silent,omitempty"`  // requests run and are never answered
+	Silent   bool `json:"silent,omitempty"`  // requests take a slot and stay unanswered until the mode changes
 	Truncate bool `json:"truncate,omitempty"`
-	Repeat   bool `json:"repeat,omitempty"` // each answer is sent twice over its connection, which stays open
+	Repeat   bool `json:"repeat,omitempty"` // each response is sent twice over its connection, which stays open
 }
 
-// SetMode changes how it answers from now on; requests held by silence are answered.
+// SetMode sets the mode for new requests. Requests held by silent mode are answered.
 func (u *Upstream) SetMode(m Mode) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -33,7 +33,7 @@
 	return u.mode, u.changed
 }
 
-// adminStatus is what the admin interface answers.
+// adminStatus is the response body of the admin interface.
 type adminStatus struct {
 	ID                 string `json:"id"`
 	Address            string `json:"address"`
@@ -67,12 +67,12 @@
 		Address:            u.Address(),
 		Mode:               u.mode,
 		Leaving:            u.leaving,
-		InProgress:         u.progress,
+		InProgress:         u.inProgress,
 		RefusedConnections: u.RefusedConnections(),
 	}
 	u.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(status) //nolint:errcheck // the asker is gone
+	json.NewEncoder(w).Encode(status) //nolint:errcheck // fails only if the client is gone
 }
 
 func (u *Upstream) putMode(w http.ResponseWriter, r *http.Request) {
@@ -89,6 +89,6 @@
 }
 
 func (u *Upstream) putLeave(w http.ResponseWriter, r *http.Request) {
-	u.toldOnce.Do(func() { close(u.told) })
+	u.leaveOnce.Do(func() { close(u.leaveRequested) })
 	u.showStatus(w, r)
 }
--- a/fakeupstream/serve.go
+++ b/fakeupstream/serve.go
@@ -24,11 +24,11 @@
 	repeatHold      = time.Second
 )
 
-// serve takes a slot, has the effect once, and answers as the mode says.
+// serve takes a slot, records the effect once and responds according to the mode.
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, bodyLimit))
 	if err != nil {
-		http.Error(w, "the request broke off", http.StatusBadRequest)
+		http.Error(w, "can't read the request body", http.StatusBadRequest)
 		return
 	}
 	if !u.takeSlot(r.Context()) {
@@ -50,7 +50,7 @@
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
-	w.Write(answer) //nolint:errcheck // the caller's side counts broken answers
+	w.Write(answer) //nolint:errcheck // the caller counts broken responses
 }
 
 func refuse(w http.ResponseWriter) {
@@ -68,7 +68,7 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.progress++
+	u.inProgress++
 	return true
 }
 
@@ -87,14 +87,14 @@
 
 func (u *Upstream) freeSlot() {
 	u.mu.Lock()
-	u.progress--
+	u.inProgress--
 	u.mu.Unlock()
 	<-u.slots
 }
 
 func (u *Upstream) recordRequest(kind string, r *http.Request) {
 	u.mu.Lock()
-	left := u.left
+	leaveAcceptedAt := u.leaveAcceptedAt
 	u.mu.Unlock()
 	e := standin.RequestEffect{
 		Kind:      kind,
@@ -102,13 +102,13 @@
 		Class:     r.Header.Get(headerClass),
 		Method:    r.Method,
 	}
-	if !left.IsZero() {
-		e.LeavingMS = max(time.Since(left).Milliseconds(), 1)
+	if !leaveAcceptedAt.IsZero() {
+		e.LeavingMS = max(time.Since(leaveAcceptedAt).Milliseconds(), 1)
 	}
 	u.record(e)
 }
 
-// work takes the service time, longer in slow mode and until the mode changes in silent mode.
+// work waits for the service time, multiplied by SlowBy. In silent mode it waits until the mode changes.
 func (u *Upstream) work(ctx context.Context, mode Mode, changed <-chan struct{}) {
 	if mode.Silent {
 		select {
@@ -124,17 +124,17 @@
 	}
 }
 
-// truncate sends half of what it announces, then cuts the connection.
+// truncate sends half of the announced content length, then aborts the connection.
 func truncate(w http.ResponseWriter, answer []byte) {
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
-	w.Write(answer[:len(answer)/2]) //nolint:errcheck // cut anyway
+	w.Write(answer[:len(answer)/2]) //nolint:errcheck // the connection is aborted anyway
 	if f, ok := w.(http.Flusher); ok {
 		f.Flush()
 	}
 	panic(http.ErrAbortHandler)
 }
 
-// repeat sends the answer twice and leaves the connection open for a while, without answering on it again.
+// repeat sends the response twice and keeps the connection open for repeatHold, but serves no further request on it.
 func (u *Upstream) repeat(w http.ResponseWriter, answer []byte) {
 	hijacker, ok := w.(http.Hijacker)
 	if !ok {
@@ -146,32 +146,32 @@
 	}
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n\r\n", len(answer))
 	one := append([]byte(head), answer...)
-	conn.Write(append(one, one...)) //nolint:errcheck // the caller's side counts broken answers
+	conn.Write(append(one, one...)) //nolint:errcheck // the caller counts broken responses
 	u.running.Go(func() { holdOpen(conn) })
 }
 
 func holdOpen(conn net.Conn) {
 	defer conn.Close()
 	conn.SetReadDeadline(time.Now().Add(repeatHold)) //nolint:errcheck // the read fails then
-	io.Copy(io.Discard, conn)                        //nolint:errcheck // any end will do
+	io.Copy(io.Discard, conn)                        //nolint:errcheck // returns at the deadline or when the connection is closed
 }
 
-// Answer is the first line of an upstream's body; as many bytes as Length follow it.
+// Answer is the first line of a response body; Length bytes of payload follow it.
 type Answer struct {
 	RequestID string `json:"request_id"`
-	Received  uint32 `json:"received"` // checksum of the request's body
+	Received  uint32 `json:"received"` // checksum of the request body
 	Length    int    `json:"length"`   // bytes that follow this line
-	Checksum  uint32 `json:"checksum"` // of these bytes
+	Checksum  uint32 `json:"checksum"` // checksum of these bytes
 }
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// Checksum is what requests and answers are compared by.
+// Checksum returns the CRC-32C by which request and response bodies are compared.
 func Checksum(data []byte) uint32 {
 	return crc32.Checksum(data, castagnoli)
 }
 
-// NewAnswer returns a body that CheckAnswer takes as the whole answer to this request.
+// NewAnswer returns a response body that CheckAnswer accepts for the request with this id and body.
 func NewAnswer(id string, received []byte, length int) []byte {
 	filling := make([]byte, length)
 	for i := range filling {
@@ -181,7 +181,7 @@
 	return append(append(line, '\n'), filling...)
 }
 
-// CheckAnswer says why an answer that looked complete is not whole, or not the one to the request with this id and body.
+// CheckAnswer returns an error if the response body is corrupt, incomplete or doesn't belong to the request with this id and body.
 func CheckAnswer(answer []byte, id string, sent []byte) error {
 	end := 0
 	for end < len(answer) && answer[end] != '\n' {
--- a/fakeupstream/service.go
+++ b/fakeupstream/service.go
@@ -6,14 +6,14 @@
 	"time"
 )
 
-// Distribution is how long requests take: around a median, with a heavy tail.
+// Distribution describes the service times of requests: spread around a median, with a heavy tail.
 type Distribution struct {
 	Median      time.Duration
-	TailPercent float64 // share of requests in the tail
-	Tail        float64 // factor on the median there
+	TailPercent float64 // percentage of requests in the tail
+	Tail        float64 // mean service time in the tail, as a multiple of the median
 }
 
-// sampler draws service times.
+// sampler draws random service times.
 type sampler struct {
 	mu           sync.Mutex
 	random       *rand.Rand
@@ -24,7 +24,7 @@
 	return &sampler{random: rand.New(rand.NewPCG(seed, seed)), distribution: d}
 }
 
-// next returns a time of half to one and a half medians, and in the tail an exponential one around the factor.
+// next returns a service time between 0.5 and 1.5 medians, or in the tail an exponentially distributed one with a mean of Tail medians.
 func (s *sampler) next() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/fakeupstream/upstream.go
+++ b/fakeupstream/upstream.go
@@ -16,56 +16,56 @@
 	"github.com/sourcegraph/conc"
 )
 
-// Options says what the upstream is and whom it announces itself to.
+// Options configures a simulated upstream.
 type Options struct {
-	Name        string   // its id; the process's start is added, so that each run has its own
-	Address     string   // IP:port for entries; port 0 takes a free one
-	Admin       string   // IP:port of its own admin interface; empty for none
+	Name        string   // prefix of its id; process id and start time are appended, so that each run has a unique id
+	Address     string   // IP:port for requests; port 0 selects a free port
+	Admin       string   // IP:port of the admin interface; empty for none
 	Domain      string   // failure domain
-	Instance    string   // worker whose machine it shares; empty for none
-	Classes     []string // classes that it serves
-	Entries     []string // platform addresses of its domain's entries
+	Instance    string   // worker on the same machine; empty for none
+	Classes     []string // classes served
+	Entries     []string // platform addresses of the entries of its domain
 	Slots       int
 	Connections int
-	QueueWait   time.Duration // longest wait for a slot before a refusal
-	LeaveWait   time.Duration // between saying that it leaves and closing
+	QueueWait   time.Duration // longest wait for a slot before the request is refused
+	LeaveWait   time.Duration // from announcing that it leaves to closing the listener
 	Service     Distribution
-	BodyBytes   int    // of each answer's filling
+	BodyBytes   int    // payload size of each response
 	Journal     string // file of effects; empty for none
 	Seed        uint64
 }
 
 const headerTimeout = 5 * time.Second
 
-// Upstream is one running stand-in.
+// Upstream is a running simulated upstream.
 type Upstream struct {
-	options  Options
-	id       string
-	listener *limited
-	http     http.Server
-	admin    *http.Server
-	journal  *standin.Journal
-	client   standin.Client
-	slots    chan struct{}
-	draw     *sampler
-	running  conc.WaitGroup
-	stop     context.CancelFunc
-	wake     chan struct{} // an announcement is due at once
-	told     chan struct{} // closed when told over the admin interface to leave
-	toldOnce sync.Once
+	options        Options
+	id             string
+	listener       *limitedListener
+	http           http.Server
+	admin          *http.Server
+	journal        *standin.Journal
+	client         standin.Client
+	slots          chan struct{}
+	draw           *sampler
+	running        conc.WaitGroup
+	stop           context.CancelFunc
+	wake           chan struct{} // triggers an immediate announcement
+	leaveRequested chan struct{} // closed when the admin interface receives a leave request
+	leaveOnce      sync.Once
 
-	mu       sync.Mutex // guards what follows
-	mode     Mode
-	changed  chan struct{} // closed when the mode changes
-	leaving  bool
-	left     time.Time // when an entry took the announcement that it leaves
-	progress int       // requests in a slot
+	mu              sync.Mutex // guards what follows
+	mode            Mode
+	changed         chan struct{} // closed when the mode changes
+	leaving         bool
+	leaveAcceptedAt time.Time // when an entry accepted the announcement that it leaves
+	inProgress      int       // number of requests that hold a slot
 }
 
-// New starts an upstream; its error says what can't be opened or listened on.
+// New starts an upstream. It fails if a required option is missing, or if the journal or an address can't be opened.
 func New(o Options) (*Upstream, error) {
 	if len(o.Entries) == 0 || o.Slots < 1 || o.Connections < 1 {
-		return nil, errors.New("fakeupstream: entries, slots and connections are needed")
+		return nil, errors.New("fakeupstream: Entries must not be empty, and Slots and Connections must be at least 1")
 	}
 	journal, err := standin.OpenJournal(o.Journal)
 	if err != nil {
@@ -77,17 +77,17 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	u := &Upstream{
-		options:  o,
-		id:       fmt.Sprintf("%s.%d.%d", o.Name, os.Getpid(), time.Now().UnixMilli()),
-		listener: &limited{Listener: listener, most: int64(o.Connections)},
-		journal:  journal,
-		client:   standin.Client{Entries: o.Entries},
-		slots:    make(chan struct{}, o.Slots),
-		draw:     newSampler(o.Service, o.Seed),
-		stop:     stop,
-		wake:     make(chan struct{}, 1),
-		told:     make(chan struct{}),
-		changed:  make(chan struct{}),
+		options:        o,
+		id:             fmt.Sprintf("%s.%d.%d", o.Name, os.Getpid(), time.Now().UnixMilli()),
+		listener:       &limitedListener{Listener: listener, most: int64(o.Connections)},
+		journal:        journal,
+		client:         standin.Client{Entries: o.Entries},
+		slots:          make(chan struct{}, o.Slots),
+		draw:           newSampler(o.Service, o.Seed),
+		stop:           stop,
+		wake:           make(chan struct{}, 1),
+		leaveRequested: make(chan struct{}),
+		changed:        make(chan struct{}),
 	}
 	u.http = http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: headerTimeout}
 	if err := u.listenAdmin(); err != nil {
@@ -100,19 +100,19 @@
 	return u, nil
 }
 
-// Address returns the IP:port that entries reach it by.
+// Address returns the IP:port on which the upstream serves requests.
 func (u *Upstream) Address() string {
 	return u.listener.Addr().String()
 }
 
-// RefusedConnections counts connections beyond the limit.
+// RefusedConnections returns the number of connections closed because of the limit.
 func (u *Upstream) RefusedConnections() int64 {
 	return u.listener.refused.Load()
 }
 
-// Told is closed when the upstream was told over its admin interface to leave; its owner then calls Leave.
+// Told returns a channel that is closed when the admin interface receives a leave request. The owner then calls Leave.
 func (u *Upstream) Told() <-chan struct{} {
-	return u.told
+	return u.leaveRequested
 }
 
 func (u *Upstream) serveOn(server *http.Server, listener net.Listener) {
@@ -121,7 +121,7 @@
 	}
 }
 
-// Leave says that it is leaving, waits while entries learn of it, and finishes what is in progress.
+// Leave announces that the upstream leaves, waits for LeaveWait so that the entries stop sending, and finishes the requests in progress.
 func (u *Upstream) Leave(ctx context.Context) error {
 	u.mu.Lock()
 	already := u.leaving
@@ -141,10 +141,10 @@
 	return u.http.Shutdown(ctx)
 }
 
-// Close ends the upstream, cutting what is still in progress, and waits.
+// Close stops the upstream, aborts the requests in progress and waits for its goroutines.
 func (u *Upstream) Close() error {
 	u.mu.Lock()
-	cut := u.progress
+	cut := u.inProgress
 	u.mu.Unlock()
 	u.record(standin.RequestEffect{Kind: standin.UpstreamStopped, InProgress: cut})
 	u.stop()
@@ -157,7 +157,7 @@
 	return errors.Join(err, u.client.Close(), u.journal.Close())
 }
 
-// record fills in what is common to all effects; a journal that fails ends the process.
+// record completes an effect with the fields common to all and appends it to the journal. A journal error ends the process.
 func (u *Upstream) record(e standin.RequestEffect) {
 	e.TimeUS = time.Now().UnixMicro()
 	e.Upstream = u.id
--- a/fakeupstream/upstream_test.go
+++ b/fakeupstream/upstream_test.go
@@ -20,7 +20,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// run starts an upstream that announces itself to an entry which passes on what it is told.
+// run starts an upstream and an entry, and returns the announcements that the entry receives.
 func run(t *testing.T, o Options) (*Upstream, chan announcement) {
 	told := make(chan announcement, 1000)
 	entry := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -36,7 +36,7 @@
 	return u, told
 }
 
-func ask(u *Upstream, id string) (int, []byte, error) {
+func sendRequest(u *Upstream, id string) (int, []byte, error) {
 	request, _ := http.NewRequest(http.MethodPost, "http://"+u.Address()+"/", strings.NewReader("body of "+id))
 	request.Header.Set(headerRequestID, id)
 	request.Close = true
@@ -49,18 +49,18 @@
 	return response.StatusCode, body, err
 }
 
-// await waits for the upstream to hold n requests in slots.
-func await(u *Upstream, n int) {
+// awaitInProgress waits until n requests hold a slot.
+func awaitInProgress(u *Upstream, n int) {
 	for held := -1; held != n; time.Sleep(time.Millisecond) {
 		u.mu.Lock()
-		held = u.progress
+		held = u.inProgress
 		u.mu.Unlock()
 	}
 }
 
 func TestAnswersAreTheirOwnAndWhole(t *testing.T) {
 	u, _ := run(t, Options{BodyBytes: 100})
-	_, body, err := ask(u, "a")
+	_, body, err := sendRequest(u, "a")
 	assert.NilError(t, err)
 	assert.NilError(t, CheckAnswer(body, "a", []byte("body of a")))
 	assert.ErrorContains(t, CheckAnswer(body, "b", []byte("body of a")), `the answer is to "a"`)
@@ -78,11 +78,11 @@
 	answered := make(chan int, 2)
 	for _, id := range []string{"a", "b"} {
 		go func() {
-			status, _, _ := ask(u, id)
+			status, _, _ := sendRequest(u, id)
 			answered <- status
 		}()
 	}
-	await(u, 2)
+	awaitInProgress(u, 2)
 	response, err := http.Get("http://" + u.Address())
 	assert.NilError(t, err)
 	response.Body.Close()
@@ -117,7 +117,7 @@
 func TestTruncatedAnswerBreaksVisibly(t *testing.T) {
 	u, _ := run(t, Options{BodyBytes: 1000})
 	u.SetMode(Mode{Truncate: true})
-	_, _, err := ask(u, "a")
+	_, _, err := sendRequest(u, "a")
 	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
 	assert.NilError(t, u.Close())
 }
@@ -149,10 +149,10 @@
 	u.SetMode(Mode{Silent: true})
 	answered := make(chan error, 1)
 	go func() {
-		_, body, err := ask(u, "a")
+		_, body, err := sendRequest(u, "a")
 		answered <- errors.Join(err, CheckAnswer(body, "a", []byte("body of a")))
 	}()
-	await(u, 1)
+	awaitInProgress(u, 1)
 	left := make(chan error, 1)
 	go func() { left <- u.Leave(context.Background()) }()
 	for a := range told {
--- a/fakeworker/doc.go
+++ b/fakeworker/doc.go
@@ -1,2 +1,2 @@
-// Package fakeworker stands in for a worker: it polls the entries of its failure domain for orders and runs fake tasks that disturb each other, under a lease that it really obeys.
+// Package fakeworker implements a simulated worker. It polls the entries of its failure domain for orders and runs simulated tasks that slow each other down. Its lease is enforced as on a real worker.
 package fakeworker
--- a/fakeworker/table.go
+++ b/fakeworker/table.go
@@ -11,34 +11,34 @@
 )
 
 const (
-	saveEvery     = time.Second // between checkpoints of a batch task
-	failAfter     = 100 * time.Millisecond
-	failingPrefix = "fail" // of programs that fail everywhere
-	baseP99       = 4 * time.Millisecond
-	startWithin   = worker.StartWithinMS * time.Millisecond
-	longestLease  = 24 * 60 * 60 * 1000    // milliseconds
-	stopMargin    = 100 * time.Millisecond // before the lease's end, for stopping itself
+	checkpointInterval = time.Second // between periodic checkpoints of a batch task
+	failAfter          = 100 * time.Millisecond
+	failingPrefix      = "fail" // of programs that fail on every worker
+	baseP99            = 4 * time.Millisecond
+	startWithin        = worker.StartWithinMS * time.Millisecond
+	longestLease       = 24 * 60 * 60 * 1000    // milliseconds
+	stopMargin         = 100 * time.Millisecond // before the end of the lease, to leave time for stopping the tasks
 )
 
-// table holds the attempts on a worker and its lease; it has no clock, goroutine or lock of its own.
+// table holds the attempts on a worker and its lease. It has no clock, goroutine or lock of its own.
 type table struct {
-	options Options
-	effect  func(standin.TaskEffect) // told of every effect as it happens
-	tasks   map[ref]*task
-	lease   time.Time // end of the lease, zero while there is none
-	last    time.Time // of the latest step
-	leaving bool      // starts are dropped
-	dropped int       // starts that came too late
+	options  Options
+	effect   func(standin.TaskEffect) // called for every effect as it happens
+	tasks    map[attemptKey]*task
+	lease    time.Time // end of the lease; zero without a lease
+	lastStep time.Time // time of the latest step
+	leaving  bool      // starts are dropped while set
+	dropped  int       // number of starts dropped by start
 }
 
 func newTable(o Options, effect func(standin.TaskEffect)) *table {
-	return &table{options: o, effect: effect, tasks: map[ref]*task{}}
+	return &table{options: o, effect: effect, tasks: map[attemptKey]*task{}}
 }
 
-// step runs every task up to now, and stops batch when the lease has ended.
+// step advances every task to now, and stops the batch tasks once the lease has expired.
 func (b *table) step(now time.Time) {
-	took := now.Sub(b.last)
-	b.last = now
+	took := now.Sub(b.lastStep)
+	b.lastStep = now
 	if !b.lease.IsZero() && !now.Before(b.lease) {
 		b.lease = time.Time{}
 		b.stopAll(now, standin.ReasonLeaseEnd, false)
@@ -51,20 +51,20 @@
 	}
 }
 
-func (b *table) advance(key ref, t *task, now time.Time, took time.Duration, speed float64) {
+func (b *table) advance(key attemptKey, t *task, now time.Time, took time.Duration, speed float64) {
 	finished := t.advance(took, speed)
-	t.measure(now, b.options.Lag)
+	t.recordUse(now, b.options.Lag)
 	switch {
-	case (t.fails() || b.options.FailAll) && t.done >= failAfter:
-		b.finish(key, t, worker.PhaseFailed, standin.ReasonFailed)
+	case (t.fails() || b.options.FailAll) && t.completedWork >= failAfter:
+		b.endAttempt(key, t, worker.PhaseFailed, standin.ReasonFailed)
 	case finished:
-		b.finish(key, t, worker.PhaseDone, standin.ReasonDone)
-	case !t.order.Service && !now.Before(t.saveAt):
-		t.save(now)
+		b.endAttempt(key, t, worker.PhaseDone, standin.ReasonDone)
+	case !t.order.Service && !now.Before(t.nextCheckpoint):
+		t.takeCheckpoint(now)
 	}
 }
 
-// stopAll checkpoints and stops batch, and services too if told.
+// stopAll checkpoints and stops all batch tasks, and also stops services if services is set.
 func (b *table) stopAll(now time.Time, reason string, services bool) {
 	for key, t := range b.tasks {
 		if t.running() && (services || !t.order.Service) {
@@ -73,24 +73,24 @@
 	}
 }
 
-// checkpoint saves a batch task and stops it; a service has nothing to save.
-func (b *table) checkpoint(key ref, t *task, now time.Time, reason string) {
+// checkpoint stops a task after a checkpoint. A service has no checkpoint and is only stopped.
+func (b *table) checkpoint(key attemptKey, t *task, now time.Time, reason string) {
 	if !t.order.Service {
-		t.save(now)
+		t.takeCheckpoint(now)
 	}
-	b.finish(key, t, worker.PhaseStopped, reason)
+	b.endAttempt(key, t, worker.PhaseStopped, reason)
 }
 
-func (b *table) finish(key ref, t *task, phase, reason string) {
+func (b *table) endAttempt(key attemptKey, t *task, phase, reason string) {
 	t.end(phase, reason)
 	kind := standin.TaskEnded
 	if phase == worker.PhaseStopped {
 		kind = standin.TaskStopped
 	}
-	b.tell(kind, key, t, reason)
+	b.emitEffect(kind, key, t, reason)
 }
 
-func (b *table) tell(kind string, key ref, t *task, reason string) {
+func (b *table) emitEffect(kind string, key attemptKey, t *task, reason string) {
 	b.effect(standin.TaskEffect{
 		Kind:       kind,
 		Job:        key.job,
@@ -104,7 +104,7 @@
 	})
 }
 
-// committed is the sum of what was last told about each running attempt.
+// committed returns the sum of the last ordered sizes of the running attempts.
 func (b *table) committed() resource.Size {
 	var sum resource.Size
 	for _, t := range b.tasks {
@@ -115,8 +115,8 @@
 	return sum
 }
 
-// take carries out the answer to a poll that was sent at sent.
-func (b *table) take(sent, now time.Time, reply worker.Reply) {
+// applyReply applies the reply to a poll that was sent at sent.
+func (b *table) applyReply(sent, now time.Time, reply worker.Reply) {
 	b.step(now)
 	if reply.LeaseMS <= 0 {
 		b.lease = time.Time{}
@@ -126,19 +126,19 @@
 	b.lease = sent.Add(min(time.Duration(reply.LeaseMS), longestLease)*time.Millisecond - stopMargin)
 	b.step(now)
 	for _, o := range reply.Orders {
-		b.obey(sent, now, o)
+		b.applyOrder(sent, now, o)
 	}
 }
 
-func (b *table) obey(sent, now time.Time, o worker.Order) {
+func (b *table) applyOrder(sent, now time.Time, o worker.Order) {
 	if o.Kind == worker.OrderStart {
 		b.start(sent, now, o)
 		return
 	}
-	key := refOf(o)
+	key := attemptKeyOf(o)
 	t, known := b.tasks[key]
 	if !known {
-		b.refuse(key, o)
+		b.stopUnknown(key, o)
 		return
 	}
 	if o.Size != (resource.Size{}) {
@@ -155,32 +155,32 @@
 		}
 	case worker.OrderStop:
 		if t.running() {
-			b.finish(key, t, worker.PhaseStopped, standin.ReasonStopped)
+			b.endAttempt(key, t, worker.PhaseStopped, standin.ReasonStopped)
 		}
 	}
 }
 
-// refuse answers a stop of an attempt that never came: it is reported as stopped and will not be started.
-func (b *table) refuse(key ref, o worker.Order) {
+// stopUnknown handles a stop for an attempt whose start has not arrived. The attempt is reported as stopped, and a later start of it is ignored.
+func (b *table) stopUnknown(key attemptKey, o worker.Order) {
 	if o.Kind == worker.OrderStop || o.Kind == worker.OrderCheckpoint {
-		b.tasks[key] = &task{order: o, phase: worker.PhaseStopped, reason: standin.ReasonStopped, never: true}
+		b.tasks[key] = &task{order: o, phase: worker.PhaseStopped, reason: standin.ReasonStopped, neverStarted: true}
 	}
 }
 
-func (b *table) forget(key ref, t *task) {
+func (b *table) forget(key attemptKey, t *task) {
 	delete(b.tasks, key)
-	if t.never {
+	if t.neverStarted {
 		return
 	}
 	if t.running() {
-		b.finish(key, t, worker.PhaseStopped, standin.ReasonForgotten)
+		b.endAttempt(key, t, worker.PhaseStopped, standin.ReasonForgotten)
 	}
-	b.tell(standin.TaskForgotten, key, t, "")
+	b.emitEffect(standin.TaskForgotten, key, t, "")
 }
 
-// start runs a new attempt, unless it is known already, came too late, the lease has ended or the worker leaves.
+// start runs a new attempt. It ignores an attempt that is already known, and drops the start if it arrived too late, the lease has expired or the worker is leaving.
 func (b *table) start(sent, now time.Time, o worker.Order) {
-	key := refOf(o)
+	key := attemptKeyOf(o)
 	if _, known := b.tasks[key]; known {
 		return
 	}
@@ -194,10 +194,10 @@
 	if o.Checkpoint > 0 {
 		kind = standin.TaskResumed
 	}
-	b.tell(kind, key, t, "")
+	b.emitEffect(kind, key, t, "")
 }
 
-// report returns what a poll sent now says of each attempt, in a steady order.
+// report returns the report of each attempt at now, sorted by job, index and attempt.
 func (b *table) report(now time.Time) []worker.TaskReport {
 	b.step(now)
 	speeds := b.speeds()
@@ -218,7 +218,7 @@
 	return reports
 }
 
-func (b *table) reportOf(key ref, t *task, now time.Time, speed float64) worker.TaskReport {
+func (b *table) reportOf(key attemptKey, t *task, now time.Time, speed float64) worker.TaskReport {
 	r := worker.TaskReport{
 		Job:             key.job,
 		Index:           key.index,
@@ -231,12 +231,12 @@
 		ThrottlePercent: t.throttle,
 	}
 	if t.checkpoint > 0 {
-		r.CheckpointData = strconv.AppendInt(nil, t.saved.Milliseconds(), 10)
+		r.CheckpointData = strconv.AppendInt(nil, t.checkpointWork.Milliseconds(), 10)
 	}
 	switch {
 	case !t.running():
 	case t.order.Service:
-		r.P99US = int64(float64(baseP99.Microseconds()) / max(speed, slowest))
+		r.P99US = int64(float64(baseP99.Microseconds()) / max(speed, minSpeed))
 	default:
 		r.ProgressPPM = int64(speed * 1e6)
 	}
--- a/fakeworker/table_test.go
+++ b/fakeworker/table_test.go
@@ -14,7 +14,7 @@
 
 const ms = time.Millisecond
 
-// bench is a table with a clock that only the test moves.
+// bench is a table with a clock that only the test advances.
 type bench struct {
 	*table
 	now     time.Time
@@ -25,20 +25,20 @@
 	b := &bench{now: time.Unix(1000, 0)}
 	o.Scale, o.Capacity = 1, resource.Size{MilliCPU: 8000, MemoryMiB: 8192}
 	b.table = newTable(o, func(e standin.TaskEffect) { b.effects = append(b.effects, e) })
-	b.last = b.now
+	b.lastStep = b.now
 	return b
 }
 
-// pass moves the clock in the steps that a worker takes.
-func (b *bench) pass(d time.Duration) {
+// advanceClock advances the clock by d in steps of the worker's interval.
+func (b *bench) advanceClock(d time.Duration) {
 	for end := b.now.Add(d); b.now.Before(end); {
-		b.now = b.now.Add(stepEvery)
+		b.now = b.now.Add(stepInterval)
 		b.step(b.now)
 	}
 }
 
 func (b *bench) answer(age time.Duration, lease time.Duration, orders ...worker.Order) {
-	b.take(b.now.Add(-age), b.now, worker.Reply{LeaseMS: lease.Milliseconds(), Orders: orders})
+	b.applyReply(b.now.Add(-age), b.now, worker.Reply{LeaseMS: lease.Milliseconds(), Orders: orders})
 }
 
 func (b *bench) latest(t *testing.T) standin.TaskEffect {
@@ -53,9 +53,9 @@
 func TestBatchStopsBeforeTheLeaseEndsAndServicesGoOn(t *testing.T) {
 	b := newBench(Options{})
 	b.answer(400*ms, time.Second, start("refunds", "refunds", time.Hour, false), start("bookings", "bookings", 0, true))
-	b.pass(480 * ms)
+	b.advanceClock(480 * ms)
 	assert.Equal(t, b.latest(t).Kind, standin.TaskStarted)
-	b.pass(20 * ms) // the lease counts from when the poll was sent and ends at 600 ms, less the margin
+	b.advanceClock(20 * ms) // the lease counts from when the poll was sent, so it ends at 600 ms, less the margin
 	assert.Equal(t, b.latest(t).Kind, standin.TaskStopped)
 	assert.Equal(t, b.latest(t).Job, "refunds")
 	assert.Equal(t, b.latest(t).Reason, standin.ReasonLeaseEnd)
@@ -76,7 +76,7 @@
 	b.answer(startWithin+ms, 10*time.Second, start("late", "refunds", time.Second, false))
 	assert.Equal(t, len(b.effects), 1)
 	b.answer(10*time.Second, 10*time.Second, start("after-lease", "refunds", time.Second, false))
-	assert.Equal(t, b.latest(t).Kind, standin.TaskStopped) // the one in time
+	assert.Equal(t, b.latest(t).Kind, standin.TaskStopped) // the task started in time
 	assert.Equal(t, len(b.effects), 2)
 	assert.Equal(t, b.dropped, 2)
 }
@@ -85,8 +85,8 @@
 	b := newBench(Options{})
 	order := start("refunds", "refunds", 100*ms, false)
 	b.answer(0, 10*time.Second, order)
-	b.pass(time.Second)
-	b.answer(0, 10*time.Second, order) // its end is not yet recorded by control
+	b.advanceClock(time.Second)
+	b.answer(0, 10*time.Second, order) // control has not yet recorded its end
 	assert.Equal(t, len(b.effects), 2)
 	assert.Equal(t, b.latest(t).Kind, standin.TaskEnded)
 	forget := order
@@ -99,7 +99,7 @@
 	b := newBench(Options{})
 	order := start("refunds", "refunds", 10*time.Second, false)
 	b.answer(0, time.Minute, order)
-	b.pass(2500 * ms)
+	b.advanceClock(2500 * ms)
 	evict := order
 	evict.Kind = worker.OrderCheckpoint
 	b.answer(0, time.Minute, evict)
@@ -114,8 +114,8 @@
 	whole, resumed := newBench(Options{}), other
 	order.Attempt, order.Checkpoint, order.CheckpointData = 1, 0, nil
 	whole.answer(0, time.Minute, order)
-	whole.pass(2500 * ms)
-	assert.Equal(t, whole.tasks[refOf(order)].done, resumed.tasks[ref{"refunds", 0, 2}].done)
+	whole.advanceClock(2500 * ms)
+	assert.Equal(t, whole.tasks[attemptKeyOf(order)].completedWork, resumed.tasks[attemptKey{"refunds", 0, 2}].completedWork)
 }
 
 func TestNeighboursAndThrottlesSlow(t *testing.T) {
@@ -137,21 +137,21 @@
 	first := start("a", "refunds", time.Hour, false)
 	first.Size.MilliCPU = 8000
 	b.answer(0, time.Minute, first)
-	used := b.tasks[refOf(first)].use()
+	used := b.tasks[attemptKeyOf(first)].currentUse()
 	resize := first
 	resize.Kind, resize.Size.MilliCPU = worker.OrderResize, 7000
 	b.answer(0, time.Minute, resize, start("b", "refunds", time.Hour, false))
 	assert.Equal(t, b.latest(t).Committed.MilliCPU, int64(8000))
 	assert.Equal(t, b.report(b.now)[0].Size.MilliCPU, int64(7000))
-	assert.Equal(t, b.tasks[refOf(first)].use(), used)
+	assert.Equal(t, b.tasks[attemptKeyOf(first)].currentUse(), used)
 }
 
 func TestUseIsReportedLate(t *testing.T) {
 	b := newBench(Options{Lag: time.Second})
 	b.answer(0, time.Minute, start("refunds", "refunds", time.Hour, false))
-	b.pass(980 * ms)
+	b.advanceClock(980 * ms)
 	assert.Equal(t, b.report(b.now)[0].Used, resource.Size{})
-	b.pass(40 * ms)
+	b.advanceClock(40 * ms)
 	assert.Assert(t, b.report(b.now)[0].Used.MilliCPU > 0)
 }
 
@@ -159,12 +159,12 @@
 	for program, o := range map[string]Options{"fail-always": {}, "refunds": {FailAll: true}} {
 		b := newBench(o)
 		b.answer(0, time.Minute, start("j", program, time.Hour, false))
-		b.pass(failAfter)
+		b.advanceClock(failAfter)
 		assert.Equal(t, b.latest(t).Reason, standin.ReasonFailed)
 	}
 }
 
-// FuzzReply holds the table to its rules whatever an entry answers.
+// FuzzReply checks that no reply makes the table run batch tasks without a lease.
 func FuzzReply(f *testing.F) {
 	f.Add([]byte(`{"lease_ms": 1000, "orders": [{"kind": "start", "job": "a", "size": {"milli_cpu": 1}}]}`))
 	f.Add([]byte(`{"lease_ms": 9223372036854775807, "orders": [{"kind": "start", "job": "a", "expected_ms": -1, "checkpoint": 3, "checkpoint_data": "LTE="}]}`))
@@ -175,10 +175,10 @@
 			return
 		}
 		b := newBench(Options{})
-		b.take(b.now, b.now, reply)
-		b.pass(2 * time.Second)
+		b.applyReply(b.now, b.now, reply)
+		b.advanceClock(2 * time.Second)
 		for key, task := range b.tasks {
-			assert.Assert(t, !b.lease.IsZero() || task.order.Service || !task.running(), "%v runs without a lease", key)
+			assert.Assert(t, !b.lease.IsZero() || task.order.Service || !task.running(), "batch task %v runs without a lease", key)
 		}
 		if reply.LeaseMS <= 0 {
 			assert.Equal(t, len(b.effects), 0)
@@ -186,7 +186,7 @@
 	})
 }
 
-// TestStopOfAnUnknownAttemptIsAnswered has a stop come for a start that was lost on its way.
+// TestStopOfAnUnknownAttemptIsAnswered sends a stop for an attempt whose start was lost in transit.
 func TestStopOfAnUnknownAttemptIsAnswered(t *testing.T) {
 	b := newBench(Options{})
 	o := start("refunds", "refunds", time.Hour, false)
@@ -197,7 +197,7 @@
 	assert.Equal(t, len(reports), 1)
 	assert.Equal(t, reports[0].Phase, worker.PhaseStopped)
 	b.answer(0, time.Second, o)
-	assert.Equal(t, len(b.effects), 0, "a start that comes after its stop is carried out")
+	assert.Equal(t, len(b.effects), 0, "a start that arrived after its stop was executed")
 	forget := o
 	forget.Kind = worker.OrderForget
 	b.answer(0, time.Second, forget)
--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -18,28 +18,28 @@
 	"github.com/sourcegraph/conc"
 )
 
-// Options says what the worker offers and whom it polls.
+// Options configures a simulated worker.
 type Options struct {
 	Name     string
 	Domain   string // failure domain
 	Rack     string
 	Capacity resource.Size
-	Entries  []string                                                             // platform addresses of its domain's entries
+	Entries  []string                                                             // platform addresses of the entries of its domain
 	Poll     time.Duration                                                        // between polls
-	Lag      time.Duration                                                        // of reported use
-	Scale    float64                                                              // on the declared run times
+	Lag      time.Duration                                                        // delay of the reported use
+	Scale    float64                                                              // factor on the declared run times
 	FailAll  bool                                                                 // every task fails
 	Journal  string                                                               // file of effects; empty for none
-	Dial     func(ctx context.Context, network, address string) (net.Conn, error) // nil for the network
+	Dial     func(ctx context.Context, network, address string) (net.Conn, error) // nil dials the network
 }
 
 const (
-	stepEvery   = 20 * time.Millisecond
-	pollTimeout = time.Second
-	pollRetry   = 50 * time.Millisecond // to the next entry, after a failure
+	stepInterval = 20 * time.Millisecond
+	pollTimeout  = time.Second
+	pollRetry    = 50 * time.Millisecond // before polling the next entry after a failure
 )
 
-// Worker is one running stand-in.
+// Worker is a running simulated worker.
 type Worker struct {
 	options     Options
 	incarnation string
@@ -53,10 +53,10 @@
 	sequence uint64
 }
 
-// New starts a worker; its error says what is missing or can't be opened.
+// New starts a worker. It fails if a required option is missing or the journal can't be opened.
 func New(o Options) (*Worker, error) {
 	if o.Name == "" || len(o.Entries) == 0 || !o.Capacity.Valid() {
-		return nil, errors.New("fakeworker: a name, entries and capacity are needed")
+		return nil, errors.New("fakeworker: Name, at least one of Entries and a valid Capacity are required")
 	}
 	journal, err := standin.OpenJournal(o.Journal)
 	if err != nil {
@@ -71,14 +71,14 @@
 		stop:        stop,
 	}
 	w.table = newTable(o, w.record)
-	w.table.last = time.Now()
+	w.table.lastStep = time.Now()
 	w.record(standin.TaskEffect{Kind: standin.TaskBooted})
-	w.running.Go(func() { w.steps(ctx) })
-	w.running.Go(func() { w.polls(ctx) })
+	w.running.Go(func() { w.runSteps(ctx) })
+	w.running.Go(func() { w.runPolls(ctx) })
 	return w, nil
 }
 
-// record fills in what is common to all effects; a journal that fails ends the process.
+// record completes an effect with the fields common to all and appends it to the journal. A journal error ends the process.
 func (w *Worker) record(e standin.TaskEffect) {
 	e.TimeUS = time.Now().UnixMicro()
 	e.Worker = w.options.Name
@@ -90,9 +90,9 @@
 	}
 }
 
-// steps runs the tasks, and with them the lease's end, whatever becomes of the polls.
-func (w *Worker) steps(ctx context.Context) {
-	ticker := time.NewTicker(stepEvery)
+// runSteps advances the tasks and enforces the lease at a fixed interval, independently of the polls.
+func (w *Worker) runSteps(ctx context.Context) {
+	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -114,8 +114,8 @@
 	}
 }
 
-// polls keeps one poll open at a time.
-func (w *Worker) polls(ctx context.Context) {
+// runPolls runPolls the entries in a loop, one poll at a time.
+func (w *Worker) runPolls(ctx context.Context) {
 	var last error
 	for ctx.Err() == nil {
 		wait := w.options.Poll
@@ -145,7 +145,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	dropped := w.table.dropped
-	w.table.take(sent, time.Now(), reply)
+	w.table.applyReply(sent, time.Now(), reply)
 	if w.table.dropped > dropped {
 		event.StandinStartDropped.Info("worker", w.options.Name, "starts", w.table.dropped-dropped)
 	}
@@ -171,7 +171,7 @@
 	}
 }
 
-// Leave checkpoints and stops all tasks and keeps reporting until control has recorded their ends, or ctx ends.
+// Leave checkpoints and stops all tasks, then keeps reporting until control has recorded their ends or ctx is done.
 func (w *Worker) Leave(ctx context.Context) error {
 	w.mu.Lock()
 	w.table.leaving = true
@@ -185,14 +185,14 @@
 			return nil
 		}
 		select {
-		case <-time.After(stepEvery):
+		case <-time.After(stepInterval):
 		case <-ctx.Done():
-			return fmt.Errorf("%d attempts are not yet forgotten: %w", left, ctx.Err())
+			return fmt.Errorf("control has not yet recorded the end of %d attempts: %w", left, ctx.Err())
 		}
 	}
 }
 
-// Close ends the worker and everything that runs on it, and waits.
+// Close stops the worker and all its tasks, and waits for its goroutines.
 func (w *Worker) Close() error {
 	w.stop()
 	w.running.Wait()
--- a/fakeworker/worker_test.go
+++ b/fakeworker/worker_test.go
@@ -20,8 +20,8 @@
 
 // entry serves polls over in-memory connections.
 type entry struct {
-	handler func(worker.Report) *worker.Reply // nil for no answer at all
-	polls   []time.Duration                   // since the test began
+	handler func(worker.Report) *worker.Reply // returns nil to leave a poll unanswered
+	polls   []time.Duration                   // arrival times, since the test began
 	open    atomic.Int32
 	most    int32
 	began   time.Time
@@ -40,7 +40,7 @@
 	<-r.Context().Done()
 }
 
-// pipes is a listener whose connections are dialled in memory.
+// pipes is a listener for in-memory connections.
 type pipes chan net.Conn
 
 func (p pipes) Accept() (net.Conn, error) {
@@ -53,7 +53,7 @@
 func (p pipes) Close() error   { close(p); return nil }
 func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
-// serve runs entries under their names until the returned function is called.
+// serve runs the entries, addressed by their keys, until the returned function is called.
 func serve(entries map[string]*entry) (dial func(context.Context, string, string) (net.Conn, error), stop func()) {
 	listeners := map[string]pipes{}
 	var servers []*http.Server
