--- a/promise/doc.go
+++ b/promise/doc.go
@@ -1,2 +1,2 @@
-// Package promise holds what workers, upstreams and callers wrote down against what daisyswitch must always hold.
+// Package promise checks the journals of workers, upstreams and callers against the guarantees of daisyswitch.
 package promise
--- a/promise/promise_test.go
+++ b/promise/promise_test.go
@@ -30,7 +30,7 @@
 	assert.Assert(t, promise.OK(results))
 }
 
-// TestEachViolationIsFound adds the records of one violation to the good run; just the promise that the folder's number names is broken.
+// TestEachViolationIsFound adds the records of one violation to those of the good run. The promise whose number begins the folder's name must be reported as violated.
 func TestEachViolationIsFound(t *testing.T) {
 	folders, err := filepath.Glob("testdata/violations/*")
 	assert.NilError(t, err)
@@ -50,7 +50,7 @@
 				}
 			}
 			golden.Assert(t, broken, filepath.Join("violations", name, "broken.golden"))
-			assert.Assert(t, strings.HasPrefix(broken, name[:2]), "not found")
+			assert.Assert(t, strings.HasPrefix(broken, name[:2]), "the violation of this promise was not reported")
 		})
 	}
 }
--- a/promise/records.go
+++ b/promise/records.go
@@ -8,7 +8,7 @@
 	"daisyswitch/standin"
 )
 
-// Records is all that was written down in one run.
+// Records holds all journal records of one run.
 type Records struct {
 	Tasks      []standin.TaskEffect
 	Requests   []standin.RequestEffect
@@ -16,27 +16,27 @@
 	Happenings []standin.Happening
 }
 
-// Read gathers the journals of a folder: worker-*.jsonl, upstream-*.jsonl, caller-*.jsonl and events*.jsonl, each in order of time.
+// Read reads the journals of a folder (worker-*.jsonl, upstream-*.jsonl, caller-*.jsonl and events*.jsonl) and sorts the records of each kind by time.
 func Read(folder string) (*Records, error) {
 	r := &Records{}
 	var err error
-	if r.Tasks, err = gather[standin.TaskEffect](folder, "worker-*.jsonl"); err != nil {
+	if r.Tasks, err = readJournals[standin.TaskEffect](folder, "worker-*.jsonl"); err != nil {
 		return nil, err
 	}
-	if r.Requests, err = gather[standin.RequestEffect](folder, "upstream-*.jsonl"); err != nil {
+	if r.Requests, err = readJournals[standin.RequestEffect](folder, "upstream-*.jsonl"); err != nil {
 		return nil, err
 	}
-	if r.Told, err = gather[standin.Told](folder, "caller-*.jsonl"); err != nil {
+	if r.Told, err = readJournals[standin.Told](folder, "caller-*.jsonl"); err != nil {
 		return nil, err
 	}
-	if r.Happenings, err = gather[standin.Happening](folder, "events*.jsonl"); err != nil {
+	if r.Happenings, err = readJournals[standin.Happening](folder, "events*.jsonl"); err != nil {
 		return nil, err
 	}
 	r.Sort()
 	return r, nil
 }
 
-func gather[T any](folder, pattern string) ([]T, error) {
+func readJournals[T any](folder, pattern string) ([]T, error) {
 	files, err := filepath.Glob(filepath.Join(folder, pattern))
 	if err != nil {
 		return nil, fmt.Errorf("promise: %w", err)
@@ -52,7 +52,7 @@
 	return all, nil
 }
 
-// Sort puts the records in order of time.
+// Sort sorts the records of each kind by time.
 func (r *Records) Sort() {
 	sort.SliceStable(r.Tasks, func(i, j int) bool { return r.Tasks[i].TimeUS < r.Tasks[j].TimeUS })
 	sort.SliceStable(r.Requests, func(i, j int) bool { return r.Requests[i].TimeUS < r.Requests[j].TimeUS })
@@ -60,8 +60,8 @@
 	sort.SliceStable(r.Happenings, func(i, j int) bool { return r.Happenings[i].TimeUS < r.Happenings[j].TimeUS })
 }
 
-// named returns the happenings of a kind.
-func (r *Records) named(kind string) []standin.Happening {
+// eventsOfKind returns the run's events of a kind.
+func (r *Records) eventsOfKind(kind string) []standin.Happening {
 	var some []standin.Happening
 	for _, h := range r.Happenings {
 		if h.Kind == kind {
@@ -71,8 +71,8 @@
 	return some
 }
 
-// first returns the time of the first happening of a kind with this name at or after a time, and whether there is one.
-func (r *Records) first(kind, name string, after int64) (int64, bool) {
+// firstEvent returns the time of the first event of a kind with this name at or after a time, and whether there is one.
+func (r *Records) firstEvent(kind, name string, after int64) (int64, bool) {
 	for _, h := range r.Happenings {
 		if h.Kind == kind && h.Name == name && h.TimeUS >= after {
 			return h.TimeUS, true
@@ -81,7 +81,7 @@
 	return 0, false
 }
 
-// ran counts the effects of each request id.
+// ran returns the number of executions by request id.
 func (r *Records) ran() map[string]int {
 	counts := map[string]int{}
 	for _, e := range r.Requests {
@@ -92,17 +92,17 @@
 	return counts
 }
 
-// cutOff reports whether a process was cut off from the others or frozen, or had been until a moment before.
+// cutOff reports whether a process was partitioned or frozen at a time, or within forceBoundUS before it.
 func (r *Records) cutOff(name string, at int64) bool {
-	return r.away(standin.CutOff, standin.Joined, name, at) || r.away(standin.Frozen, standin.Thawed, name, at)
+	return r.interruptedAt(standin.CutOff, standin.Joined, name, at) || r.interruptedAt(standin.Frozen, standin.Thawed, name, at)
 }
 
-func (r *Records) away(from, to, name string, at int64) bool {
-	for _, h := range r.named(from) {
+func (r *Records) interruptedAt(from, to, name string, at int64) bool {
+	for _, h := range r.eventsOfKind(from) {
 		if h.Name != name || h.TimeUS > at {
 			continue
 		}
-		back, isBack := r.first(to, name, h.TimeUS)
+		back, isBack := r.firstEvent(to, name, h.TimeUS)
 		if !isBack || at <= back+forceBoundUS {
 			return true
 		}
--- a/promise/requests.go
+++ b/promise/requests.go
@@ -8,17 +8,17 @@
 	"daisyswitch/verdict"
 )
 
-const leaveBoundMS = 3000 // after an entry took the announcement
+const leaveBoundMS = 3000 // after an entry accepted the leave announcement
 
-func whole(r *Records, result *Result) {
+func wholeAnswers(r *Records, result *Result) {
 	for _, t := range r.Told {
 		switch t.Outcome {
 		case standin.OutcomeOK:
 			result.Observed++
 		case standin.OutcomeWrong:
-			result.violate("%s through %s: %s", t.RequestID, t.Entry, t.Reason)
+			result.addViolation("%s through %s: %s", t.RequestID, t.Entry, t.Reason)
 		case standin.OutcomeHung:
-			result.violate("%s through %s: no answer by its deadline and a grace", t.RequestID, t.Entry)
+			result.addViolation("%s through %s: no answer by its deadline and a grace", t.RequestID, t.Entry)
 		}
 	}
 }
@@ -32,14 +32,14 @@
 		}
 		result.Observed++
 		if ran[t.RequestID] > 0 {
-			result.violate("%s was told not-run (%s) by %s, and ran", t.RequestID, t.Reason, t.Entry)
+			result.addViolation("%s was told not-run (%s) by %s, and ran", t.RequestID, t.Reason, t.Entry)
 		}
 	}
 	runs := r.runs()
-	for _, h := range r.named(standin.TaskNotRun) {
+	for _, h := range r.eventsOfKind(standin.TaskNotRun) {
 		result.Observed++
 		if started := runs[taskKey{h.Name, h.Index}]; len(started) > 0 {
-			result.violate("%s/%d was said not to have run; %s did", h.Name, h.Index, started[0])
+			result.addViolation("%s/%d was said not to have run; %s did", h.Name, h.Index, started[0])
 		}
 	}
 }
@@ -52,12 +52,12 @@
 		}
 		result.Observed++
 		if ran[t.RequestID] > 1 {
-			result.violate("%s ran %d times", t.RequestID, ran[t.RequestID])
+			result.addViolation("%s ran %d times", t.RequestID, ran[t.RequestID])
 		}
 	}
 }
 
-// leaving counts an upstream as observed if it stayed long enough after leaving to be given work wrongly.
+// leaving checks that no upstream receives requests after leaveBoundMS. An upstream counts as observed if it ran longer than that after it began to leave.
 func leaving(r *Records, result *Result) {
 	began := map[string]int64{}
 	for _, e := range r.Requests {
@@ -69,13 +69,13 @@
 				result.Observed++
 			}
 		case e.LeavingMS > leaveBoundMS:
-			result.violate("%s was given %s %d ms after it left", e.Upstream, e.RequestID, e.LeavingMS)
+			result.addViolation("%s was given %s %d ms after it left", e.Upstream, e.RequestID, e.LeavingMS)
 		}
 	}
 }
 
-// cut reports whether a request visibly broke off or was left in doubt.
-func cut(t standin.Told) bool {
+// failedVisibly reports whether a request failed visibly or its outcome is unknown.
+func failedVisibly(t standin.Told) bool {
 	switch t.Outcome {
 	case standin.OutcomeBroken, standin.OutcomeHung:
 		return true
@@ -86,13 +86,13 @@
 	}
 }
 
-// planned looks at every request that was in progress at the stopping process at some time during its stop.
-func planned(r *Records, result *Result) {
-	for _, began := range r.named(standin.StopBegan) {
-		ended, gone := r.first(standin.StopEnded, began.Name, began.TimeUS)
+// plannedStop checks every request that was in progress at a stopping process at some time during its planned stop.
+func plannedStop(r *Records, result *Result) {
+	for _, began := range r.eventsOfKind(standin.StopBegan) {
+		ended, gone := r.firstEvent(standin.StopEnded, began.Name, began.TimeUS)
 		if !gone {
 			ended = math.MaxInt64
-			result.violate("%s did not end its planned stop", began.Name)
+			result.addViolation("%s did not end its planned stop", began.Name)
 		}
 		through := r.through(began, ended)
 		for _, t := range r.Told {
@@ -100,19 +100,19 @@
 				continue
 			}
 			result.Observed++
-			if cut(t) && !r.killedUnder(t) {
-				result.violate("%s was cut (%s %s) during the stop of %s: %s", t.RequestID, t.Outcome, t.Verdict, began.Name, t.Reason)
+			if failedVisibly(t) && !r.killedUnder(t) {
+				result.addViolation("%s was cut (%s %s) during the stop of %s: %s", t.RequestID, t.Outcome, t.Verdict, began.Name, t.Reason)
 			}
 		}
 	}
-	for _, h := range r.named(standin.StopEnded) {
+	for _, h := range r.eventsOfKind(standin.StopEnded) {
 		if h.Code != 0 {
-			result.violate("%s ended its planned stop with code %d", h.Name, h.Code)
+			result.addViolation("%s ended its planned stop with code %d", h.Name, h.Code)
 		}
 	}
 }
 
-// through returns whether a request went through the process that stops: an entry by its callers' address, an upstream by its journal.
+// through returns a predicate that reports whether a request passed through the stopping process. An entry is identified by its address for callers, an upstream by the requests in its journal.
 func (r *Records) through(stop standin.Happening, ended int64) func(standin.Told) bool {
 	if stop.Address != "" {
 		return func(t standin.Told) bool { return t.Entry == stop.Address }
@@ -126,9 +126,9 @@
 	return func(t standin.Told) bool { return served[t.RequestID] }
 }
 
-// killedUnder reports whether the entry that the request went to was killed before it was answered.
+// killedUnder reports whether the entry that received the request was killed before it responded.
 func (r *Records) killedUnder(t standin.Told) bool {
-	for _, h := range r.named(standin.Killed) {
+	for _, h := range r.eventsOfKind(standin.Killed) {
 		if h.Address == t.Entry && h.TimeUS <= t.DoneUS {
 			return true
 		}
--- a/promise/result.go
+++ b/promise/result.go
@@ -8,40 +8,40 @@
 
 const (
 	secondUS     = 1000 * 1000
-	shownPerRule = 3 // examples in the table
+	shownPerRule = 3 // violations printed per rule
 )
 
-// Result is what the records say about one promise.
+// Result is the result of checking one promise.
 type Result struct {
 	Promise    string
-	Observed   int      // how many cases the verdict rests on
-	Violations []string // one line for people each
+	Observed   int      // number of cases checked
+	Violations []string // one human-readable line each
 }
 
-// OK reports whether the promise was put to the test and held.
+// OK reports whether the promise was observed at least once and never violated.
 func (r *Result) OK() bool {
 	return r.Observed > 0 && len(r.Violations) == 0
 }
 
-func (r *Result) violate(format string, a ...any) {
+func (r *Result) addViolation(format string, a ...any) {
 	r.Violations = append(r.Violations, fmt.Sprintf(format, a...))
 }
 
-// Check holds the records against every promise, in the order of the users' list.
+// Check checks the records against every promise, in the order of the users' list.
 func Check(r *Records) []*Result {
 	rules := []struct {
 		promise string
 		check   func(*Records, *Result)
 	}{
 		{"no instance committed beyond its capacity", capacity},
-		{"no task runs in two places at once", single},
+		{"no task runs in two places at once", singleRun},
 		{"evicted work resumes exactly once", resumes},
 		{"no start in a domain 3 s after it is out", domainOut},
-		{"every answer whole and its own", whole},
+		{"every answer whole and its own", wholeAnswers},
 		{"what was refused as not-run did not run", notRun},
 		{"a non-idempotent request runs at most once", atMostOnce},
 		{"no work for an upstream 3 s after it leaves", leaving},
-		{"a planned stop cuts no request", planned},
+		{"a planned stop cuts no request", plannedStop},
 		{"accepted configuration in force in 5 s, kept", configuration},
 	}
 	results := make([]*Result, len(rules))
@@ -53,7 +53,7 @@
 	return results
 }
 
-// OK reports whether every promise was put to the test and held.
+// OK reports whether every promise was observed at least once and never violated.
 func OK(results []*Result) bool {
 	for _, r := range results {
 		if !r.OK() {
@@ -63,7 +63,7 @@
 	return true
 }
 
-// Print writes the table of promises, with a few examples under each that was broken.
+// Print writes the table of promises, with the first few violations of each.
 func Print(w io.Writer, results []*Result) {
 	fmt.Fprintf(w, "    %-45s %10s %9s\n", "promise", "violations", "observed")
 	for i, r := range results {
--- a/promise/tasks.go
+++ b/promise/tasks.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	startBoundUS = 3 * secondUS // after a domain was taken out
-	thawUS       = secondUS     // for a worker to see that its lease ended while it was frozen
+	startBoundUS = 3 * secondUS // time after a domain is taken out in which starts are still allowed
+	thawUS       = secondUS     // time for a thawed worker to detect that its lease expired while it was frozen
 )
 
-// taskKey names a task across its attempts.
+// taskKey identifies a task across its attempts.
 type taskKey struct {
 	job   string
 	index int32
@@ -20,10 +20,10 @@
 
 // run is one attempt on a worker, from its start to its end.
 type run struct {
-	start standin.TaskEffect
-	end   standin.TaskEffect // its kind is empty while the attempt runs on
-	until int64              // microseconds; the far future while it runs on
-	known int64              // when control told the worker that it has recorded the end; the far future if never
+	start          standin.TaskEffect
+	end            standin.TaskEffect // its kind is empty while the attempt runs
+	effectiveEndUS int64              // microseconds; math.MaxInt64 while it runs
+	endRecordedUS  int64              // when control notified the worker that it has recorded the end; math.MaxInt64 if never
 }
 
 func (r run) String() string {
@@ -34,7 +34,7 @@
 	return e.Kind == standin.TaskStarted || e.Kind == standin.TaskResumed
 }
 
-// runs returns every attempt of each task in order of its start.
+// runs returns the attempts of each task in order of start.
 func (r *Records) runs() map[taskKey][]*run {
 	all := map[taskKey][]*run{}
 	open := map[string][]*run{} // by worker
@@ -42,11 +42,11 @@
 		switch {
 		case e.Kind == standin.TaskBooted:
 			for _, gone := range open[e.Worker] {
-				gone.until = min(gone.until, e.TimeUS)
+				gone.effectiveEndUS = min(gone.effectiveEndUS, e.TimeUS)
 			}
 			delete(open, e.Worker)
 		case isStart(e):
-			started := &run{start: e, until: r.diesAt(e.Worker, e.TimeUS), known: math.MaxInt64}
+			started := &run{start: e, effectiveEndUS: r.killedAt(e.Worker, e.TimeUS), endRecordedUS: math.MaxInt64}
 			key := taskKey{e.Job, e.Index}
 			all[key] = append(all[key], started)
 			open[e.Worker] = append(open[e.Worker], started)
@@ -57,15 +57,15 @@
 	return all
 }
 
-// diesAt returns when a worker is killed after a time, the far future if never.
-func (r *Records) diesAt(worker string, after int64) int64 {
-	if at, killed := r.first(standin.Killed, worker, after); killed {
+// killedAt returns the time of the first kill of a worker at or after a time, or math.MaxInt64 if there is none.
+func (r *Records) killedAt(worker string, after int64) int64 {
+	if at, killed := r.firstEvent(standin.Killed, worker, after); killed {
 		return at
 	}
 	return math.MaxInt64
 }
 
-// closeRun ends the latest run of the attempt that e is about, or notes that its end is known to control.
+// closeRun records the end of the latest run of e's attempt, or that control has recorded its end.
 func (r *Records) closeRun(open []*run, e standin.TaskEffect) {
 	for i := len(open) - 1; i >= 0; i-- {
 		s := open[i].start
@@ -73,24 +73,24 @@
 			continue
 		}
 		if e.Kind == standin.TaskForgotten {
-			open[i].known = min(open[i].known, e.TimeUS)
+			open[i].endRecordedUS = min(open[i].endRecordedUS, e.TimeUS)
 			return
 		}
 		if open[i].end.Kind == "" {
 			open[i].end = e
-			open[i].until = r.ranUntil(e)
+			open[i].effectiveEndUS = r.effectiveEnd(e)
 			return
 		}
 	}
 }
 
-// ranUntil returns when an attempt really ended: one whose lease ended while its worker was frozen did nothing after that.
-func (r *Records) ranUntil(e standin.TaskEffect) int64 {
+// effectiveEnd returns the time after which an attempt had no more effect. If its lease expired while the worker was frozen, that is the time of the freeze.
+func (r *Records) effectiveEnd(e standin.TaskEffect) int64 {
 	if e.Reason != standin.ReasonLeaseEnd {
 		return e.TimeUS
 	}
-	for _, h := range r.named(standin.Frozen) {
-		thawed, on := r.first(standin.Thawed, h.Name, h.TimeUS)
+	for _, h := range r.eventsOfKind(standin.Frozen) {
+		thawed, on := r.firstEvent(standin.Thawed, h.Name, h.TimeUS)
 		if h.Name == e.Worker && on && thawed <= e.TimeUS && e.TimeUS <= thawed+thawUS {
 			return h.TimeUS
 		}
@@ -105,33 +105,33 @@
 		}
 		result.Observed++
 		if !e.Committed.Fits(e.Capacity) {
-			result.violate("%s holds %+v of %+v after the start of %s/%d", e.Worker, e.Committed, e.Capacity, e.Job, e.Index)
+			result.addViolation("%s holds %+v of %+v after the start of %s/%d", e.Worker, e.Committed, e.Capacity, e.Job, e.Index)
 		}
 	}
 }
 
-func single(r *Records, result *Result) {
+func singleRun(r *Records, result *Result) {
 	for _, runs := range r.runs() {
 		var last *run
 		for _, next := range runs {
 			result.Observed++
-			if last != nil && next.start.TimeUS < last.until {
-				result.violate("%s began while %s was running", next, last)
+			if last != nil && next.start.TimeUS < last.effectiveEndUS {
+				result.addViolation("%s began while %s was running", next, last)
 			}
-			if last == nil || next.until > last.until {
+			if last == nil || next.effectiveEndUS > last.effectiveEndUS {
 				last = next
 			}
 		}
 	}
 }
 
-// resumes also holds that an attempt starts once, that attempts grow, and that nothing starts again once done.
+// resumes checks that evicted work resumes exactly once. It also checks that an attempt starts once, that attempt numbers increase and that no task starts again after it is done.
 func resumes(r *Records, result *Result) {
 	cancelled := map[string]bool{}
-	for _, h := range r.named(standin.JobCancelled) {
+	for _, h := range r.eventsOfKind(standin.JobCancelled) {
 		cancelled[h.Name] = true
 	}
-	finished := len(r.named(standin.Finished)) > 0
+	finished := len(r.eventsOfKind(standin.Finished)) > 0
 	for key, runs := range r.runs() {
 		for i, attempt := range runs {
 			interrupted := attempt.end.Kind == standin.TaskStopped && !attempt.start.Service
@@ -139,39 +139,39 @@
 				result.Observed++
 			}
 			if i+1 < len(runs) {
-				r.follows(attempt, runs[i+1], result)
+				r.checkSuccessor(attempt, runs[i+1], result)
 			} else if interrupted && finished && !cancelled[key.job] {
-				result.violate("%s was stopped (%s) and never resumed", attempt, attempt.end.Reason)
+				result.addViolation("%s was stopped (%s) and never resumed", attempt, attempt.end.Reason)
 			}
 		}
 	}
 }
 
-// follows holds the next attempt of a task against the one before it; an end that the worker could not report can't be held against control.
-func (r *Records) follows(before, next *run, result *Result) {
-	reported := before.known < next.start.TimeUS || !r.unreachable(before, next)
+// checkSuccessor checks an attempt of a task against the preceding one. An end that the worker could not report doesn't count as known to control.
+func (r *Records) checkSuccessor(before, next *run, result *Result) {
+	reported := before.endRecordedUS < next.start.TimeUS || !r.unreachable(before, next)
 	switch {
 	case next.start.Attempt <= before.start.Attempt:
-		result.violate("%s began after %s", next, before)
+		result.addViolation("%s began after %s", next, before)
 	case before.end.Reason == standin.ReasonDone && reported:
-		result.violate("%s began after %s was done", next, before)
+		result.addViolation("%s began after %s was done", next, before)
 	case before.end.Kind != standin.TaskStopped || before.start.Service:
 	case next.start.Checkpoint > before.end.Checkpoint,
 		before.end.Reason == standin.ReasonEvicted && reported && next.start.Checkpoint != before.end.Checkpoint:
-		result.violate("%s resumed from checkpoint %d, %s stopped at %d", next, next.start.Checkpoint, before, before.end.Checkpoint)
+		result.addViolation("%s resumed from checkpoint %d, %s stopped at %d", next, next.start.Checkpoint, before, before.end.Checkpoint)
 	}
 }
 
-// unreachable reports whether the worker was cut off when the attempt ended, or killed before the next one started.
+// unreachable reports whether the worker was cut off when the attempt ended, or killed before the next attempt started.
 func (r *Records) unreachable(before, next *run) bool {
 	worker := before.start.Worker
-	return r.cutOff(worker, before.until) || r.diesAt(worker, before.until) < next.start.TimeUS
+	return r.cutOff(worker, before.effectiveEndUS) || r.killedAt(worker, before.effectiveEndUS) < next.start.TimeUS
 }
 
 func domainOut(r *Records, result *Result) {
-	for _, out := range r.named(standin.DomainOut) {
+	for _, out := range r.eventsOfKind(standin.DomainOut) {
 		from, to := out.TimeUS+startBoundUS, int64(math.MaxInt64)
-		for _, in := range r.named(standin.DomainIn) {
+		for _, in := range r.eventsOfKind(standin.DomainIn) {
 			if in.Domain == out.Domain && in.TimeUS > out.TimeUS {
 				to = min(to, in.TimeUS)
 			}
@@ -182,7 +182,7 @@
 			}
 			result.Observed++
 			if e.Domain == out.Domain {
-				result.violate("%s/%d started on %s %d ms after %s was taken out", e.Job, e.Index, e.Worker, (e.TimeUS-out.TimeUS)/1000, e.Domain)
+				result.addViolation("%s/%d started on %s %d ms after %s was taken out", e.Job, e.Index, e.Worker, (e.TimeUS-out.TimeUS)/1000, e.Domain)
 			}
 		}
 	}
--- a/simulation/doc.go
+++ b/simulation/doc.go
@@ -1,3 +1,3 @@
-// Package simulation compares ways of picking upstreams in virtual time, with the product's own decisions from package pick among them.
-// No process uses it: it is what the choice in docs/design/03-requests.md rests on, and can size an installation.
+// Package simulation compares load-balancing policies in virtual time, among them the policy of package pick that entries run.
+// No process uses it. The choice of policy in docs/design/03-requests.md is based on its results, and it can be used to size an installation.
 package simulation
--- a/simulation/policy.go
+++ b/simulation/policy.go
@@ -2,15 +2,15 @@
 
 import "daisyswitch/pick"
 
-// Policy picks an executor for an entry; late policies may answer pick.None and keep the request in the entry's queue.
+// Policy picks an executor for an entry. It may return pick.None, which keeps the request in the entry's queue.
 type Policy struct {
 	Name   string
 	choose func(s *simulation, e *entry) int
-	ideal  bool // one entry without delay takes all requests
+	ideal  bool // a single entry without network delay receives all requests
 }
 
-// best returns the unbarred candidate with the lowest cost among those offered.
-func best(s *simulation, e *entry, offered []int, cost func(*pick.Candidate) int32) int {
+// lowestCost returns the candidate with the lowest cost among those offered that are not barred. If it was offered two and both are barred, it considers all candidates.
+func lowestCost(s *simulation, e *entry, offered []int, cost func(*pick.Candidate) int32) int {
 	chosen, least := pick.None, int32(0)
 	for _, x := range offered {
 		c := e.candidates[x]
@@ -22,15 +22,15 @@
 		}
 	}
 	if chosen == pick.None && len(offered) == 2 {
-		return best(s, e, s.rng.Perm(len(e.candidates)), cost)
+		return lowestCost(s, e, s.rng.Perm(len(e.candidates)), cost)
 	}
 	return chosen
 }
 
-func own(c *pick.Candidate) int32   { return c.Own }
-func total(c *pick.Candidate) int32 { return c.Own + c.Others }
+func ownCount(c *pick.Candidate) int32   { return c.Own }
+func totalCount(c *pick.Candidate) int32 { return c.Own + c.Others }
 
-func two(s *simulation, e *entry) []int {
+func twoRandom(s *simulation, e *entry) []int {
 	return []int{s.rng.IntN(len(e.candidates)), s.rng.IntN(len(e.candidates))}
 }
 
@@ -43,7 +43,7 @@
 	}
 }
 
-// central is the ideal: one entry that knows every slot, without delay on the way.
+// central implements Ideal: it knows the occupancy of every slot and picks a random executor with a free one.
 func central(s *simulation, e *entry) int {
 	start := s.rng.IntN(len(e.candidates))
 	for i := range e.candidates {
@@ -56,18 +56,18 @@
 }
 
 var (
-	all = func(s *simulation, e *entry) []int { return s.rng.Perm(len(e.candidates)) }
-	// Ideal is one central queue over all slots.
+	allCandidates = func(s *simulation, e *entry) []int { return s.rng.Perm(len(e.candidates)) }
+	// Ideal is a single central queue over all slots, without network delay.
 	Ideal = Policy{Name: "central queue (ideal)", choose: central, ideal: true}
-	// RoundRobin takes one after the other.
+	// RoundRobin picks the executors in turn.
 	RoundRobin = Policy{Name: "round robin", choose: roundRobin}
-	// Product is what entries run.
+	// Product is the policy that entries run.
 	Product = Policy{Name: "quota, then known load", choose: func(s *simulation, e *entry) int { return pick.Choose(s.rng, e.candidates) }}
-	// Others are further baselines.
+	// Others are additional baselines.
 	Others = []Policy{
-		{Name: "least in-flight", choose: func(s *simulation, e *entry) int { return best(s, e, all(s, e), own) }},
-		{Name: "two choices", choose: func(s *simulation, e *entry) int { return best(s, e, two(s, e), own) }},
-		{Name: "two choices, shared counts", choose: func(s *simulation, e *entry) int { return best(s, e, two(s, e), total) }},
-		{Name: "least in-flight, shared counts", choose: func(s *simulation, e *entry) int { return best(s, e, all(s, e), total) }},
+		{Name: "least in-flight", choose: func(s *simulation, e *entry) int { return lowestCost(s, e, allCandidates(s, e), ownCount) }},
+		{Name: "two choices", choose: func(s *simulation, e *entry) int { return lowestCost(s, e, twoRandom(s, e), ownCount) }},
+		{Name: "two choices, shared counts", choose: func(s *simulation, e *entry) int { return lowestCost(s, e, twoRandom(s, e), totalCount) }},
+		{Name: "least in-flight, shared counts", choose: func(s *simulation, e *entry) int { return lowestCost(s, e, allCandidates(s, e), totalCount) }},
 	}
 )
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -13,21 +13,21 @@
 )
 
 const (
-	slots       = 8
-	meanService = 20 * time.Millisecond
-	tailShape   = 1.5 // of the Pareto distribution of service times, cut at 200 times the least
-	farDelay    = 500 * time.Microsecond
-	loadsEvery  = 100 * time.Millisecond
-	longestWait = 2 * time.Second
-	highestUS   = int64(1e9)      // longest latency that is told apart, microseconds
-	deadEntry   = 3 * time.Second // until its last loads are forgotten
+	slots        = 8
+	meanService  = 20 * time.Millisecond
+	tailShape    = 1.5 // shape of the Pareto distribution of service times, truncated at 200 times the minimum
+	farDelay     = 500 * time.Microsecond
+	loadsEvery   = 100 * time.Millisecond
+	queueTimeout = 2 * time.Second
+	highestUS    = int64(1e9)      // upper bound of recorded latencies, microseconds
+	deadEntry    = 3 * time.Second // until the last reported counts of a dead entry are discarded
 )
 
 type entry struct {
 	index, next int
 	dead        bool
 	candidates  []*pick.Candidate
-	reported    []int32 // own counts at the last report
+	reported    []int32 // in-flight counts at the last report
 	waiting     []request
 }
 
@@ -64,13 +64,13 @@
 	return last
 }
 
-// Result is what came of a run.
+// Result holds the latencies and refusals of a run.
 type Result struct {
-	Latency *hdrhistogram.Histogram // microseconds, from the caller's side of an entry
-	Refused int                     // after the longest wait
+	Latency *hdrhistogram.Histogram // microseconds, from arrival at the entry to its response
+	Refused int                     // requests that waited longer than the limit
 }
 
-// simulation runs entries and executors in virtual time; everything follows from the seed.
+// simulation runs entries and executors in virtual time. A run is deterministic for a given seed.
 type simulation struct {
 	Scenario
 	Policy
@@ -89,12 +89,12 @@
 
 var epoch = time.Unix(1_000_000, 0)
 
-func (s *simulation) after(d time.Duration, do func()) {
+func (s *simulation) schedule(d time.Duration, do func()) {
 	s.ties++
 	heap.Push(&s.pending, event{s.now + d, do, s.ties})
 }
 
-// Run plays a scenario; everything follows from the seed.
+// Run simulates a scenario. The result is deterministic for a given seed.
 func Run(sc Scenario, p Policy, seed uint64, requests int) Result {
 	s := &simulation{Scenario: sc, Policy: p, latency: hdrhistogram.New(1, highestUS, 3),
 		arrivals: rand.New(rand.NewPCG(seed, 1)), rng: rand.New(rand.NewPCG(seed, 2)), executors: make([]executor, sc.Executors)}
@@ -107,37 +107,37 @@
 		}
 		s.entries = append(s.entries, e)
 	}
-	s.every(loadsEvery, s.share)
-	s.every(2*loadsEvery, s.assess)
-	s.every(10*time.Millisecond, func() { s.expire() })
+	s.scheduleEvery(loadsEvery, s.exchangeCounts)
+	s.scheduleEvery(2*loadsEvery, s.assess)
+	s.scheduleEvery(10*time.Millisecond, func() { s.expire() })
 	if sc.domainOut {
-		s.after(2*time.Second, func() { s.bar(true) })
-		s.after(4*time.Second, func() { s.bar(false) })
+		s.schedule(2*time.Second, func() { s.setDomainBarred(true) })
+		s.schedule(4*time.Second, func() { s.setDomainBarred(false) })
 	}
 	if sc.entryLost && !p.ideal {
-		s.after(2*time.Second, func() { s.entries[0].dead = true })
-		s.after(2*time.Second+deadEntry, func() { clear(s.entries[0].reported) })
+		s.schedule(2*time.Second, func() { s.entries[0].dead = true })
+		s.schedule(2*time.Second+deadEntry, func() { clear(s.entries[0].reported) })
 	}
 	gap := float64(meanService) / (sc.Load * slots * float64(sc.Executors))
 	var arrive func()
 	arrive = func() {
 		s.arrive()
 		if requests--; requests > 0 {
-			s.after(time.Duration(s.arrivals.ExpFloat64()*gap), arrive)
+			s.schedule(time.Duration(s.arrivals.ExpFloat64()*gap), arrive)
 		}
 	}
-	s.after(0, arrive)
+	s.schedule(0, arrive)
 	for requests > 0 {
 		next := heap.Pop(&s.pending).(event)
 		s.now = next.at
 		next.do()
 	}
-	s.end()
+	s.recordWaiting()
 	return Result{Latency: s.latency, Refused: s.refused}
 }
 
-// end records those still waiting with the time that they have waited, so that an endless queue is not left out.
-func (s *simulation) end() {
+// recordWaiting records the requests that still wait, with their waiting time so far, so that an unbounded queue shows in the latencies.
+func (s *simulation) recordWaiting() {
 	for _, x := range s.executors {
 		for _, r := range x.queue {
 			s.record(r)
@@ -150,11 +150,11 @@
 	}
 }
 
-func (s *simulation) every(d time.Duration, do func()) {
-	s.after(d, func() { do(); s.every(d, do) })
+func (s *simulation) scheduleEvery(d time.Duration, do func()) {
+	s.schedule(d, func() { do(); s.scheduleEvery(d, do) })
 }
 
-// quotas returns the division of all slots for each entry.
+// quotas returns the quota of each entry on each executor.
 func (sc Scenario) quotas() [][]int32 {
 	entries, shares := make([]pick.Member, entryCount), make([]pick.Share, sc.Executors)
 	for i := range entries {
@@ -171,7 +171,7 @@
 }
 
 func (s *simulation) service() time.Duration {
-	if s.even {
+	if s.constantService {
 		return meanService
 	}
 	least := float64(meanService) * (tailShape - 1) / tailShape / (1 - math.Pow(200, 1-tailShape))
@@ -181,7 +181,7 @@
 func (s *simulation) arrive() {
 	r := request{arrived: s.now, service: s.service()}
 	at := s.arrivals.IntN(entryCount)
-	if s.skew && s.arrivals.IntN(4) == 0 {
+	if s.skewedCallers && s.arrivals.IntN(4) == 0 {
 		at -= at % s.domains
 	}
 	if s.ideal {
@@ -204,7 +204,7 @@
 	}
 	e.candidates[x].Own++
 	r.target, r.sent = x, s.now
-	s.after(s.delay(e, x), func() { s.reach(r) })
+	s.schedule(s.delay(e, x), func() { s.deliver(r) })
 	return true
 }
 
@@ -218,7 +218,7 @@
 	return farDelay
 }
 
-func (s *simulation) reach(r request) {
+func (s *simulation) deliver(r request) {
 	x := &s.executors[r.target]
 	if x.busy == slots {
 		x.queue = append(x.queue, r)
@@ -229,14 +229,14 @@
 	if s.slow && r.target == 0 {
 		service *= 10
 	}
-	s.after(service, func() {
+	s.schedule(service, func() {
 		x.busy--
 		if len(x.queue) > 0 {
 			next := x.queue[0]
 			x.queue = x.queue[1:]
-			s.reach(next)
+			s.deliver(next)
 		}
-		s.after(s.delay(r.entry, r.target), func() { s.answer(r) })
+		s.schedule(s.delay(r.entry, r.target), func() { s.answer(r) })
 	})
 }
 
@@ -248,7 +248,7 @@
 	s.drain(r.entry)
 }
 
-// record leaves the first second out, in which the entries fill.
+// record adds the latency of a request. It omits the first second, the warm-up, and requests of dead entries.
 func (s *simulation) record(r request) {
 	if r.arrived > time.Second && !r.entry.dead {
 		s.latency.RecordValue(min(highestUS, (s.now - r.arrived).Microseconds())) //nolint:errcheck // the value is within the bounds
@@ -263,15 +263,15 @@
 
 func (s *simulation) expire() {
 	for _, e := range s.entries {
-		for len(e.waiting) > 0 && s.now-e.waiting[0].arrived > longestWait {
+		for len(e.waiting) > 0 && s.now-e.waiting[0].arrived > queueTimeout {
 			e.waiting = e.waiting[1:]
 			s.refused++
 		}
 	}
 }
 
-// share tells every entry the counts of the others.
-func (s *simulation) share() {
+// exchangeCounts exchanges the in-flight counts between the entries.
+func (s *simulation) exchangeCounts() {
 	for _, e := range s.entries {
 		for x, c := range e.candidates {
 			if !e.dead {
@@ -298,7 +298,7 @@
 	}
 }
 
-func (s *simulation) bar(out bool) {
+func (s *simulation) setDomainBarred(out bool) {
 	for _, e := range s.entries {
 		for x := 0; x < s.Executors; x += s.domains {
 			e.candidates[x].Barred = out
--- a/slope/doc.go
+++ b/slope/doc.go
@@ -1,2 +1,2 @@
-// Package slope measures what each role costs at several sizes, fits straight lines, and works out the cost at the size to design for; it speaks to no other process.
+// Package slope measures the cost of each role at several sizes, fits straight lines and extrapolates to the design size. It runs within one process.
 package slope
--- a/slope/fit.go
+++ b/slope/fit.go
@@ -6,11 +6,11 @@
 	"gonum.org/v1/gonum/stat"
 )
 
-// Line is a straight line fitted to measurements.
+// Line is a straight line fitted to measurements by least squares.
 type Line struct {
 	Base     float64 // at size 0
 	Slope    float64 // per unit of size
-	Residual float64 // root mean square distance from the line, as a share of the mean measurement
+	Residual float64 // root mean square error, relative to the mean measurement
 }
 
 // Fit returns the least-squares line through the points.
@@ -28,7 +28,7 @@
 	return Line{Base: base, Slope: slope, Residual: math.Sqrt(squares/float64(len(sizes))) / math.Abs(mean)}
 }
 
-// At returns the cost at a size.
+// At returns the cost that the line gives for a size.
 func (l Line) At(size float64) float64 {
 	return l.Base + l.Slope*size
 }
--- a/slope/load.go
+++ b/slope/load.go
@@ -9,7 +9,7 @@
 	"daisyswitch/wire"
 )
 
-// The size to design for, from the users' first letter.
+// The design size, from the users' first requirements.
 const (
 	designWorkers  = 1_700
 	designTasks    = 35_100 // 6,100 of services and 29,000 of batch
@@ -20,13 +20,13 @@
 	designChanges  = 670 // a day
 	designRestarts = 560 // a day
 	tasksPerWorker = designTasks / designWorkers
-	reportsPerS    = designWorkers // one poll a second each
+	reportsPerS    = designWorkers // each worker polls once a second
 	tasksPerJob    = 100
 )
 
 var workerSize = &wire.Size{MilliCpu: 64_000, MemoryMib: 250_000, Accelerators: 2}
 
-// cluster is a state machine with a placer beside it, as on a leader.
+// cluster is a state machine with the placer that follows it, as on a leader.
 type cluster struct {
 	machine *state.Machine
 	placer  *place.Placer
@@ -76,7 +76,7 @@
 	c.apply(&wire.Command{Change: change})
 }
 
-// submit queues tasks in jobs of a hundred.
+// submit submits the tasks in jobs of tasksPerJob.
 func (c *cluster) submit(tasks int) {
 	for tasks > 0 {
 		n := min(tasks, tasksPerJob)
@@ -95,9 +95,9 @@
 	}
 }
 
-// start has the placer place all queued tasks and commits them; it returns the records of that, and how many were committed.
-func (c *cluster) start() (records []*wire.Command, started int) {
-	const idleSteps = 500 // without a start, after which no more are expected
+// placeAndStart places all queued tasks and applies their starts. It returns the applied commands and the number of tasks started.
+func (c *cluster) placeAndStart() (records []*wire.Command, started int) {
+	const idleSteps = 500 // consecutive steps without a start, after which no more are expected
 	for idle := 0; idle < idleSteps; idle++ {
 		c.now = c.now.Add(20 * time.Millisecond)
 		starts := c.placer.Decide(c.now).Starts
@@ -116,8 +116,8 @@
 	return records, started
 }
 
-// run reports all started tasks as running.
-func (c *cluster) run() {
+// reportRunning applies an event for each started task that it is running.
+func (c *cluster) reportRunning() {
 	var events []*wire.TaskEvent
 	c.machine.Each(func(j *wire.Job, t *wire.Task) {
 		if t.State != wire.TaskState_TASK_STATE_STARTING {
@@ -129,16 +129,16 @@
 	c.apply(&wire.Command{Events: events})
 }
 
-// running returns a cluster in which so many tasks run.
-func running(workers, tasks int) *cluster {
+// newRunningCluster returns a cluster in which the given number of tasks runs.
+func newRunningCluster(workers, tasks int) *cluster {
 	c := newCluster(workers)
 	c.submit(tasks)
-	c.start()
-	c.run()
+	c.placeAndStart()
+	c.reportRunning()
 	return c
 }
 
-// report is what a worker with so many tasks sends each second.
+// report returns the report that a worker with the given number of tasks sends each second.
 func report(i, tasks int, sequence uint64) *wire.WorkerReport {
 	r := &wire.WorkerReport{Worker: workerRecord(i), Sequence: sequence}
 	for t := range tasks {
--- a/slope/measure.go
+++ b/slope/measure.go
@@ -8,26 +8,26 @@
 	"time"
 )
 
-// Measure is one cost that grows with one size.
+// Measure is a cost that is measured as a function of one size.
 type Measure struct {
 	Role  string
 	Name  string
-	Unit  string // of the cost
-	Per   string // what the size counts
+	Unit  string // unit of the cost
+	Per   string // what the size counts, in the singular
 	Sizes []int  // at least four
-	Runs  int    // of each size, the median counts
+	Runs  int    // measurements of each size, of which the median is used
 	Cost  func(size int) float64
-	Size  float64 // to design for
+	Size  float64 // design size
 }
 
-// Result is a measure with its line.
+// Result is a measure with its measured costs and the fitted line.
 type Result struct {
 	*Measure
 	Costs []float64
 	Line  Line
 }
 
-// Take measures the cost at each size.
+// Take measures the cost at each size and fits the line.
 func Take(m *Measure) Result {
 	var sizes, costs []float64
 	for _, size := range m.Sizes {
@@ -42,7 +42,7 @@
 	return Result{Measure: m, Costs: costs, Line: Fit(sizes, costs)}
 }
 
-// AtDesign returns the cost at the size to design for.
+// AtDesign returns the extrapolated cost at the design size.
 func (r Result) AtDesign() float64 {
 	return r.Line.At(r.Size)
 }
@@ -53,15 +53,15 @@
 		r.Role, r.Name, r.Sizes, r.Line.Base, r.Line.Slope, r.Per, 100*r.Line.Residual, r.Size, r.AtDesign(), r.Unit)
 }
 
-// cpuMillis returns the processor time that f takes, milliseconds.
+// cpuMillis returns the processor time used by f, in milliseconds.
 func cpuMillis(f func()) float64 {
 	runtime.GC()
-	before := cpu()
+	before := processCPUTime()
 	f()
-	return float64(cpu()-before) / float64(time.Millisecond)
+	return float64(processCPUTime()-before) / float64(time.Millisecond)
 }
 
-func cpu() time.Duration {
+func processCPUTime() time.Duration {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
 		return 0
@@ -69,7 +69,7 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// heapMiB returns by how much the heap grows with what f returns, mebibytes.
+// heapMiB returns the growth of the live heap by the value that f returns, in mebibytes.
 func heapMiB(f func() any) float64 {
 	before := liveHeap()
 	kept := f()
--- a/slope/page.go
+++ b/slope/page.go
@@ -7,10 +7,10 @@
 	"strings"
 )
 
-// The lines between which the page's generated part stands.
+// The markers around the generated part of the page.
 const (
-	begin = "<!-- slopes: written by make slopes -->"
-	end   = "<!-- end of slopes -->"
+	beginMarker = "<!-- slopes: written by make slopes -->"
+	endMarker   = "<!-- end of slopes -->"
 )
 
 // Table returns the results as a Markdown table.
@@ -30,12 +30,12 @@
 	if err != nil {
 		return fmt.Errorf("read page: %w", err)
 	}
-	before, rest, found := strings.Cut(string(page), begin)
-	_, after, closed := strings.Cut(rest, end)
+	before, rest, found := strings.Cut(string(page), beginMarker)
+	_, after, closed := strings.Cut(rest, endMarker)
 	if !found || !closed {
-		return errors.New("page has no place for the slopes")
+		return errors.New("page lacks the comments that mark the start and end of the generated table")
 	}
-	page = []byte(before + begin + "\n" + Table(results) + end + after)
+	page = []byte(before + beginMarker + "\n" + Table(results) + endMarker + after)
 	if err := os.WriteFile(file, page, 0o644); err != nil {
 		return fmt.Errorf("write page: %w", err)
 	}
--- a/slope/plot.go
+++ b/slope/plot.go
@@ -20,7 +20,7 @@
 	Points plotter.XYs
 }
 
-// Plot writes lines through points as a PNG file.
+// Plot writes a line plot of the series to file, in the format given by its extension.
 func Plot(file, title, x, y string, series []Series) error {
 	p := plot.New()
 	p.Title.Text = title
@@ -41,7 +41,7 @@
 	return nil
 }
 
-// Shares returns each result as a line of its share of the largest cost over the share of the largest size, so that all fit into one plot.
+// Shares returns each result as a series with sizes and costs relative to those at the largest size, so that all fit into one plot.
 func Shares(results []Result) []Series {
 	var all []Series
 	for _, r := range results {
--- a/slope/roles.go
+++ b/slope/roles.go
@@ -22,14 +22,14 @@
 )
 
 const (
-	leader   = "control leader"
-	follower = "control follower"
-	entry    = "entry"
-	nodes    = "worker's side"
-	seconds  = 5 // of load that one measurement of reports covers
+	leader     = "control leader"
+	follower   = "control follower"
+	entry      = "entry"
+	workerSide = "worker's side"
+	seconds    = 5 // of simulated load per measurement of reports
 )
 
-// Measures returns every measure of the page.
+// Measures returns all measures of the page.
 func Measures() []*Measure {
 	return []*Measure{
 		{Role: leader, Name: "processor time for one second of workers' reports", Unit: "ms/s", Per: "worker", Sizes: []int{100, 200, 400, 800}, Runs: 3, Cost: reportCost, Size: designWorkers},
@@ -43,13 +43,13 @@
 		{Role: entry, Name: "bytes of reports to control", Unit: "KiB/s", Per: "worker of the domain", Sizes: []int{25, 50, 100, 200}, Runs: 1, Cost: reportBytes, Size: designWorkers / designDomains},
 		{Role: entry, Name: "bytes of announcements in one exchange with one neighbor", Unit: "KiB", Per: "upstream", Sizes: []int{50, 100, 200, 400}, Runs: 1, Cost: gossipBytes, Size: designWorkers},
 		{Role: entry, Name: "memory of the table of upstreams", Unit: "MiB", Per: "upstream", Sizes: []int{50, 100, 200, 400}, Runs: 1, Cost: registryMemory, Size: designWorkers},
-		{Role: nodes, Name: "bytes of one poll", Unit: "KiB/s", Per: "task on the worker", Sizes: []int{5, 10, 20, 40}, Runs: 1, Cost: pollBytes, Size: tasksPerWorker},
+		{Role: workerSide, Name: "bytes of one poll", Unit: "KiB/s", Per: "task on the worker", Sizes: []int{5, 10, 20, 40}, Runs: 1, Cost: pollBytes, Size: tasksPerWorker},
 	}
 }
 
-// reportCost is what one second of reports takes on the leader, decoding to encoded replies.
+// reportCost returns the processor time of one second of reports on the leader, from decoding the reports to encoding the replies.
 func reportCost(workers int) float64 {
-	c := running(workers, workers*tasksPerWorker)
+	c := newRunningCluster(workers, workers*tasksPerWorker)
 	table := lease.New(lease.Options{})
 	table.Lead(c.now)
 	batches := make([][]byte, 0, workers*seconds)
@@ -77,7 +77,7 @@
 	}) / seconds
 }
 
-// report is what worker i sends of the tasks that the state holds for it.
+// report returns the report of worker i on the tasks that the state holds for it.
 func (c *cluster) report(i int, sequence uint64) *wire.WorkerReport {
 	r := report(i, 0, sequence)
 	for _, h := range c.machine.OnWorker(r.Worker.Name) {
@@ -98,22 +98,22 @@
 	c := newCluster(designWorkers)
 	c.submit(starts)
 	return cpuMillis(func() {
-		if _, started := c.start(); started != starts {
+		if _, started := c.placeAndStart(); started != starts {
 			panic(fmt.Sprintf("%d of %d tasks were started", started, starts))
 		}
 	})
 }
 
 func leaderMemory(tasks int) float64 {
-	return heapMiB(func() any { return running(designWorkers, tasks) })
+	return heapMiB(func() any { return newRunningCluster(designWorkers, tasks) })
 }
 
-// lifeRecords are the records of so many tasks from start to end, in batches as the scheduling loop makes them.
-func lifeRecords(tasks int) (*cluster, [][]byte) {
+// lifecycleRecords returns the log records of the given number of tasks from start to end, batched as by the scheduling loop.
+func lifecycleRecords(tasks int) (*cluster, [][]byte) {
 	c := newCluster(designWorkers)
 	c.submit(tasks)
 	var records [][]byte
-	commands, _ := c.start()
+	commands, _ := c.placeAndStart()
 	for _, command := range commands {
 		records = append(records, encode(command))
 	}
@@ -128,7 +128,7 @@
 }
 
 func (c *cluster) eventRecords(kind wire.TaskEventKind) [][]byte {
-	const perRecord = 20 // as one batch of reports brings
+	const perRecord = 20 // as from one batch of reports
 	var records [][]byte
 	command := &wire.Command{}
 	c.machine.Each(func(j *wire.Job, t *wire.Task) {
@@ -143,7 +143,7 @@
 }
 
 func recordBytes(starts int) float64 {
-	_, records := lifeRecords(starts)
+	_, records := lifecycleRecords(starts)
 	total := 0
 	for _, r := range records {
 		total += len(r)
@@ -152,7 +152,7 @@
 }
 
 func followerCost(starts int) float64 {
-	_, records := lifeRecords(starts)
+	_, records := lifecycleRecords(starts)
 	c := newCluster(designWorkers)
 	machine := state.New(state.Options{})
 	if err := machine.Restore(c.machine.Snapshot()); err != nil {
@@ -172,7 +172,7 @@
 }
 
 func followerMemory(tasks int) float64 {
-	snapshot := running(designWorkers, tasks).machine.Snapshot()
+	snapshot := newRunningCluster(designWorkers, tasks).machine.Snapshot()
 	data := encode(snapshot)
 	grown := heapMiB(func() any {
 		var own wire.State
@@ -191,14 +191,14 @@
 }
 
 func snapshotMiB(tasks int) float64 {
-	return float64(len(encode(running(designWorkers, tasks).machine.Snapshot()))) / (1 << 20)
+	return float64(len(encode(newRunningCluster(designWorkers, tasks).machine.Snapshot()))) / (1 << 20)
 }
 
 func pollBytes(tasks int) float64 {
 	return float64(len(pollBody(0, tasks, 1))) / 1024
 }
 
-// pollBody is the body of a worker's poll.
+// pollBody returns the body of a worker's poll.
 func pollBody(i, tasks int, sequence uint64) []byte {
 	record := workerRecord(i)
 	body := worker.Report{
@@ -226,10 +226,10 @@
 	return data
 }
 
-// pollCost is what one second of polls takes on an entry, without the connections.
+// pollCost returns the processor time of one second of polls on an entry, without the connections.
 func pollCost(workers int) float64 {
 	front := worker.New(worker.Options{
-		Report:  encodedReport,
+		Report:  stubControl,
 		Version: func() uint64 { return 1 },
 		Samples: func() []*wire.ServiceSample { return nil },
 	})
@@ -252,8 +252,8 @@
 	}) / seconds
 }
 
-// encodedReport stands for control, and takes the time of encoding the batch.
-func encodedReport(_ context.Context, batch *wire.ReportBatch) (*wire.ReportBatchReply, error) {
+// stubControl stands in for control. It encodes the batch so that this cost is included.
+func stubControl(_ context.Context, batch *wire.ReportBatch) (*wire.ReportBatchReply, error) {
 	encode(batch)
 	reply := &wire.ReportBatchReply{}
 	for range batch.Reports {
--- a/standin/client.go
+++ b/standin/client.go
@@ -13,16 +13,16 @@
 
 const answerLimit = 8 << 20
 
-// Client posts JSON to one of a domain's entries, staying with one until it fails and then trying the next.
+// Client posts JSON to the entries of a domain. It uses one entry until a request fails, then the next.
 type Client struct {
 	Entries []string                                                             // host:port
-	Dial    func(ctx context.Context, network, address string) (net.Conn, error) // nil for the network
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error) // nil dials the network
 
 	next int
 	http *http.Client
 }
 
-// Post sends body to path of the present entry within timeout and reads its answer into reply, which may be nil; any failure moves on to the next entry.
+// Post sends body to path at the current entry and decodes the response into reply, which may be nil. After any failure the next Post uses the next entry.
 func (c *Client) Post(ctx context.Context, path string, timeout time.Duration, body, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -1,2 +1,2 @@
-// Package standin holds what the stand-ins for workers, upstreams and callers share: journals of what really happened, and the list of entries that they try in turn.
+// Package standin holds what the simulated workers, upstreams and callers share: journals of the effects that occurred, and a client that fails over between entries.
 package standin
--- a/standin/journal.go
+++ b/standin/journal.go
@@ -8,13 +8,13 @@
 	"sync"
 )
 
-// Journal appends records to a file, one JSON line each, so that a kill loses none that was written.
+// Journal appends records to a file, one JSON line each. It is unbuffered, so that a killed process loses no written record.
 type Journal struct {
 	mu   sync.Mutex
 	file *os.File
 }
 
-// OpenJournal opens a journal for appending; an empty path gives one that drops its records.
+// OpenJournal opens a journal for appending. With an empty path, the journal discards its records.
 func OpenJournal(path string) (*Journal, error) {
 	if path == "" {
 		return &Journal{}, nil
@@ -26,7 +26,7 @@
 	return &Journal{file: file}, nil
 }
 
-// Append writes one record; what can't be written is an error, as a lost line would hide a violation.
+// Append writes one record. The caller must treat an error as fatal, because a lost record could hide a violation.
 func (j *Journal) Append(record any) error {
 	if j.file == nil {
 		return nil
@@ -53,7 +53,7 @@
 
 const longestLine = 1 << 20
 
-// ReadJournal returns all records of a journal; a line that is no record is an error that names file and line.
+// ReadJournal returns all records of a journal. An invalid line is an error that names the file and the line.
 func ReadJournal[T any](path string) ([]T, error) {
 	file, err := os.Open(path)
 	if err != nil {
--- a/standin/record.go
+++ b/standin/record.go
@@ -4,24 +4,24 @@
 
 // The kinds of task effects.
 const (
-	TaskBooted    = "boot"   // the worker's process started; nothing of an earlier one runs any more
-	TaskStarted   = "start"  // an attempt started from nothing
+	TaskBooted    = "boot"   // the worker process started; no attempt of an earlier process runs any more
+	TaskStarted   = "start"  // an attempt started without a checkpoint
 	TaskResumed   = "resume" // an attempt started from a checkpoint
-	TaskEnded     = "end"    // an attempt ended by itself
+	TaskEnded     = "end"    // an attempt ended on its own
 	TaskStopped   = "stop"   // an attempt was stopped
-	TaskForgotten = "forgot" // told that control has recorded the end of an attempt
+	TaskForgotten = "forgot" // control notified the worker that it has recorded the end of an attempt
 )
 
 // The reasons of ends and stops.
 const (
 	ReasonDone      = "done"
 	ReasonFailed    = "failed"
-	ReasonEvicted   = "evicted"   // told to checkpoint and stop
-	ReasonStopped   = "stopped"   // told to stop at once
-	ReasonLeaseEnd  = "lease_end" // no answer renewed the lease in time
-	ReasonNoLease   = "no_lease"  // an answer took the lease away
-	ReasonLeaving   = "leaving"   // the worker itself leaves
-	ReasonForgotten = "forgotten" // told to forget an attempt that was still running
+	ReasonEvicted   = "evicted"   // ordered to checkpoint and stop
+	ReasonStopped   = "stopped"   // ordered to stop immediately
+	ReasonLeaseEnd  = "lease_end" // the lease expired without renewal
+	ReasonNoLease   = "no_lease"  // a reply revoked the lease
+	ReasonLeaving   = "leaving"   // the worker is leaving
+	ReasonForgotten = "forgotten" // ordered to forget an attempt that was still running
 )
 
 // TaskEffect is one line of a worker's journal.
@@ -35,18 +35,18 @@
 	Index       int32         `json:"index"`
 	Attempt     uint32        `json:"attempt,omitempty"`
 	Service     bool          `json:"service,omitempty"`
-	Checkpoint  uint64        `json:"checkpoint,omitempty"` // resumed from, or stopped with
+	Checkpoint  uint64        `json:"checkpoint,omitempty"` // checkpoint resumed from, or last one at the end
 	Reason      string        `json:"reason,omitempty"`
-	Committed   resource.Size `json:"committed,omitzero"` // on the worker, after a start
+	Committed   resource.Size `json:"committed,omitzero"` // on the worker, after the effect
 	Capacity    resource.Size `json:"capacity,omitzero"`
 }
 
 // The kinds of request effects.
 const (
-	RequestRan      = "ran"     // the request had its effect
-	RequestRefused  = "refused" // refused by protocol, without effect
+	RequestRan      = "ran"     // the request was executed
+	RequestRefused  = "refused" // refused without being executed
 	UpstreamLeaving = "leaving" // the upstream began to leave
-	UpstreamStopped = "stopped" // the upstream's process ends
+	UpstreamStopped = "stopped" // the upstream process ends
 )
 
 // RequestEffect is one line of an upstream's journal.
@@ -57,21 +57,21 @@
 	RequestID  string `json:"request_id,omitempty"`
 	Class      string `json:"class,omitempty"`
 	Method     string `json:"method,omitempty"`
-	LeavingMS  int64  `json:"leaving_ms,omitempty"`  // since an entry took the announcement that it leaves, 0 before
-	InProgress int    `json:"in_progress,omitempty"` // requests cut when the process ended
+	LeavingMS  int64  `json:"leaving_ms,omitempty"`  // since an entry accepted the announcement that it leaves; 0 before
+	InProgress int    `json:"in_progress,omitempty"` // requests aborted when the process ended
 }
 
-// The outcomes of a request as its caller saw them.
+// The outcomes of a request as observed by its caller.
 const (
-	OutcomeOK      = "ok"      // a whole answer to its own request
-	OutcomeWrong   = "wrong"   // an answer that looked complete and was not whole or not its own
-	OutcomeBroken  = "broken"  // an answer or connection that visibly broke off
-	OutcomeRefused = "refused" // no entry took the connection
-	OutcomeVerdict = "verdict" // an answer of daisyswitch itself, with a verdict
-	OutcomeHung    = "hung"    // nothing by the deadline and a grace
+	OutcomeOK      = "ok"      // an intact response to this request
+	OutcomeWrong   = "wrong"   // a response that looked complete but was corrupt or belonged to another request
+	OutcomeBroken  = "broken"  // a response or connection that failed visibly
+	OutcomeRefused = "refused" // every entry refused the connection
+	OutcomeVerdict = "verdict" // a response of daisyswitch itself, with a verdict
+	OutcomeHung    = "hung"    // no response by the deadline and a grace period
 )
 
-// Told is one line of a caller's journal: what one request was answered.
+// Told is one line of a caller's journal: the outcome of one request.
 type Told struct {
 	RequestID  string `json:"request_id"`
 	Class      string `json:"class"`
@@ -86,30 +86,30 @@
 	Reason     string `json:"reason,omitempty"`
 }
 
-// The kinds of happenings.
+// The kinds of events in the journal of a demo or test driver.
 const (
-	DomainOut      = "domain_out"      // operators' command to take a domain out was accepted
-	DomainIn       = "domain_in"       // operators' command to take it back was accepted
-	Killed         = "killed"          // a process was killed without warning
+	DomainOut      = "domain_out"      // an operator's command to take a domain out was accepted
+	DomainIn       = "domain_in"       // an operator's command to take a domain back in was accepted
+	Killed         = "killed"          // a process was killed (SIGKILL)
 	StopBegan      = "stop_began"      // a planned stop began
-	StopEnded      = "stop_ended"      // the stopped process is gone
+	StopEnded      = "stop_ended"      // the stopped process exited
 	ConfigAccepted = "config_accepted" // a configuration version was accepted
-	ConfigSeen     = "config_seen"     // an entry had a configuration version in force
-	CutOff         = "cut_off"         // a process can't reach the others any more
-	Joined         = "joined"          // it can again
-	Frozen         = "frozen"          // a process was halted as a whole
-	Thawed         = "thawed"          // it goes on
-	JobCancelled   = "job_cancelled"   // operators cancelled a job
-	TaskNotRun     = "task_not_run"    // control said that a task never ran
-	Finished       = "finished"        // all jobs were given time to finish
+	ConfigSeen     = "config_seen"     // a configuration version was seen active at an entry
+	CutOff         = "cut_off"         // a process was partitioned from the others
+	Joined         = "joined"          // the partition of a process ended
+	Frozen         = "frozen"          // a process was suspended (SIGSTOP)
+	Thawed         = "thawed"          // a suspended process continued
+	JobCancelled   = "job_cancelled"   // an operator cancelled a job
+	TaskNotRun     = "task_not_run"    // control reported that a task never ran
+	Finished       = "finished"        // the driver has waited for all jobs to finish
 )
 
-// Happening is one line of the journal of whoever drives a demo or test.
+// Happening is one line of the journal of a demo or test driver.
 type Happening struct {
 	Kind    string `json:"kind"`
 	TimeUS  int64  `json:"time_us"`           // Unix time, microseconds
 	Name    string `json:"name,omitempty"`    // process, entry or job
-	Address string `json:"address,omitempty"` // where callers reach the entry
+	Address string `json:"address,omitempty"` // address of the entry for callers
 	Domain  string `json:"domain,omitempty"`
 	Version uint64 `json:"version,omitempty"`
 	Index   int32  `json:"index,omitempty"`
--- a/system/bench_test.go
+++ b/system/bench_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// BenchmarkEntryReady restarts an entry and waits until it is ready, with the configuration to be had from different places.
+// BenchmarkEntryReady restarts an entry and waits until it is ready, with the configuration available from the leader, a neighbor or a single replica.
 func BenchmarkEntryReady(b *testing.B) {
 	for _, from := range []struct {
 		name string
--- a/system/doc.go
+++ b/system/doc.go
@@ -1,2 +1,2 @@
-// Package system holds the tests with real processes on loopback: kills, freezes, restarts.
+// Package system holds the tests that run real processes on loopback and kill, freeze and restart them.
 package system
--- a/system/process_test.go
+++ b/system/process_test.go
@@ -17,12 +17,12 @@
 )
 
 const (
-	startTime  = 30 * time.Second // after which a process that is not ready has failed
-	pollEvery  = 20 * time.Millisecond
-	healthTime = time.Second
+	readyTimeout  = 30 * time.Second // a process that is not ready by then has failed
+	pollInterval  = 20 * time.Millisecond
+	healthTimeout = time.Second
 )
 
-// process is one running process of ours.
+// process is one daisyswitch process under test.
 type process struct {
 	Name  string
 	Admin string
@@ -49,10 +49,10 @@
 	return nil
 }
 
-// WaitReady returns once the process says that it is ready.
+// WaitReady waits until the process reports that it is ready.
 func (p *process) WaitReady() error {
-	client := &http.Client{Timeout: healthTime}
-	deadline := time.Now().Add(startTime)
+	client := &http.Client{Timeout: healthTimeout}
+	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) {
 		response, err := client.Get("http://" + p.Admin + "/ready")
 		if err == nil {
@@ -61,22 +61,22 @@
 				return nil
 			}
 		}
-		time.Sleep(pollEvery)
+		time.Sleep(pollInterval)
 	}
-	return fmt.Errorf("%s is not ready after %v", p.Name, startTime)
+	return fmt.Errorf("%s is not ready after %v", p.Name, readyTimeout)
 }
 
-// Kill ends the process at once and waits for it.
+// Kill kills the process (SIGKILL) and waits for its exit.
 func (p *process) Kill() error {
-	return p.end(syscall.SIGKILL)
+	return p.signalAndWait(syscall.SIGKILL)
 }
 
-// Stop has the process stop gracefully and waits for it; an exit code other than 0 is an error.
+// Stop stops the process gracefully (SIGTERM) and waits for its exit. An exit code other than 0 is an error.
 func (p *process) Stop() error {
-	return p.end(syscall.SIGTERM)
+	return p.signalAndWait(syscall.SIGTERM)
 }
 
-func (p *process) end(signal syscall.Signal) error {
+func (p *process) signalAndWait(signal syscall.Signal) error {
 	if p.cmd == nil {
 		return nil
 	}
@@ -92,7 +92,7 @@
 	return err
 }
 
-// Freeze stops the process from running, as a paused instance would, and returns once none of its threads runs.
+// Freeze suspends the process (SIGSTOP), as on a paused instance, and returns once all its threads are stopped.
 func (p *process) Freeze() error {
 	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 		return err
@@ -106,7 +106,7 @@
 	}
 }
 
-// isStopped reads the state of each thread, the first letter after the name in parentheses.
+// isStopped reports whether all threads are stopped. The state of a thread is the first letter after the name in parentheses.
 func (p *process) isStopped() (bool, error) {
 	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
 	if err != nil || len(files) == 0 {
@@ -125,19 +125,19 @@
 	return true, nil
 }
 
-// Thaw lets a frozen process run on.
+// Thaw resumes a frozen process (SIGCONT).
 func (p *process) Thaw() error {
 	return p.cmd.Process.Signal(syscall.SIGCONT)
 }
 
-// options says what a cluster is made of.
+// options configures a cluster.
 type options struct {
 	Bin     string // the daisyswitch program
-	Dir     string // for settings, data and logs
+	Dir     string // directory for settings, data and logs
 	Entries int
 }
 
-// cluster is three control processes and some entries, one failure domain after the other.
+// cluster is three control processes and some entries, assigned to the failure domains in turn.
 type cluster struct {
 	Controls []*process
 	Entries  []*process
@@ -147,7 +147,7 @@
 
 const replicas = 3
 
-// newCluster writes the settings of a cluster; nothing runs yet.
+// newCluster writes the settings of a cluster without starting its processes.
 func newCluster(o options) (*cluster, error) {
 	c := &cluster{}
 	ports, err := freePorts(2*replicas + 5*o.Entries)
@@ -215,7 +215,7 @@
 	return nil
 }
 
-// minimalEntry leaves out what has a default.
+// minimalEntry returns the settings of an entry without those that have a default.
 func minimalEntry(s *settings.Entry) map[string]any {
 	return map[string]any{
 		"name":      s.Name,
@@ -247,7 +247,7 @@
 	return p, os.WriteFile(p.file, data, 0o600)
 }
 
-// freePorts returns so many loopback addresses that nothing listens on.
+// freePorts returns n loopback addresses that are free.
 func freePorts(n int) ([]string, error) {
 	var addresses []string
 	for range n {
@@ -281,7 +281,7 @@
 	return nil
 }
 
-// Close kills what still runs and waits.
+// Close kills the processes that still run and waits for their exit.
 func (c *cluster) Close() error {
 	var failed error
 	for _, p := range c.All() {
--- a/system/system_test.go
+++ b/system/system_test.go
@@ -34,7 +34,7 @@
 	os.Exit(code)
 }
 
-func start(t *testing.T, entries int) *cluster {
+func startCluster(t *testing.T, entries int) *cluster {
 	c, err := newCluster(options{Bin: bin, Dir: t.TempDir(), Entries: entries})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.Check(t, c.Close()) })
@@ -42,28 +42,28 @@
 	return c
 }
 
-// ana makes numbered changes, one class after the other, and resends under the same number until answered.
-type ana struct {
+// testOperator is an operator that submits numbered changes, each of one class, and resends a change under the same number until it is answered.
+type testOperator struct {
 	t        *testing.T
 	client   *operator.Client
 	sequence uint64
-	base     uint64   // version that the first change is made from
+	base     uint64   // base version of the first change
 	accepted []uint64 // version by sequence, from 1
 }
 
-func newAna(t *testing.T, c *cluster) *ana {
-	return &ana{t: t, base: 1, client: &operator.Client{Entries: c.Operators(), Operator: "ana", HTTP: &http.Client{}}}
+func newTestOperator(t *testing.T, c *cluster) *testOperator {
+	return &testOperator{t: t, base: 1, client: &operator.Client{Entries: c.Operators(), Operator: "ana", HTTP: &http.Client{}}}
 }
 
-func (a *ana) change() {
+func (a *testOperator) change() {
 	a.sequence++
 	result := a.send(a.sequence)
 	assert.Equal(a.t, result.Outcome, operator.OutcomeAccepted, result.Reason)
 	a.accepted = append(a.accepted, result.Version)
 }
 
-// send sends the change of that number, the same each time.
-func (a *ana) send(sequence uint64) *operator.Result {
+// send sends the change with the given number; its content depends on the number alone.
+func (a *testOperator) send(sequence uint64) *operator.Result {
 	base := a.base
 	if sequence > 1 {
 		base = a.accepted[sequence-2]
@@ -78,11 +78,11 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	a.t.Fatalf("change %d was never answered", sequence)
+	a.t.Fatalf("change %d was not answered in 60 attempts", sequence)
 	return nil
 }
 
-func (a *ana) status() *operator.Status {
+func (a *testOperator) status() *operator.Status {
 	var s operator.Status
 	for range 60 {
 		if a.client.Get(a.t.Context(), "/v1/status", &s) == nil {
@@ -90,14 +90,14 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	a.t.Fatal("status was never answered")
+	a.t.Fatal("the status request was not answered in 60 attempts")
 	return nil
 }
 
-// TestAllControlKilled kills all control processes amid changes, twice, and one of them more often.
+// TestAllControlKilled kills all control processes between changes, twice, and the leader alone once. No accepted change may be lost.
 func TestAllControlKilled(t *testing.T) {
-	c := start(t, 2)
-	a := newAna(t, c)
+	c := startCluster(t, 2)
+	a := newTestOperator(t, c)
 	for round := range 3 {
 		for range 20 {
 			a.change()
@@ -118,22 +118,22 @@
 	for i, version := range a.accepted {
 		again := a.send(uint64(i + 1))
 		assert.Equal(t, again.Outcome, operator.OutcomeAccepted)
-		assert.Equal(t, again.Version, version, "a resend got another answer than the first")
+		assert.Equal(t, again.Version, version, "a resent change got another version than the first time")
 	}
 }
 
-// TestFrozenLeaderAnswersNothingStale freezes the leader, lets others be elected, and asks it the moment it thaws.
+// TestFrozenLeaderAnswersNothingStale freezes the leader until another one is elected. Requests sent to it while frozen must not get a stale read or a lease once it thaws.
 func TestFrozenLeaderAnswersNothingStale(t *testing.T) {
-	c := start(t, 1)
-	a := newAna(t, c)
+	c := startCluster(t, 1)
+	a := newTestOperator(t, c)
 	old := a.status().Leader
 	frozen := c.Controls[old-1]
 	address := c.Replicas[old-1].Inner
 	pool := inner.New(inner.Options{})
 	defer pool.Close()
-	sent := make(chan stale, 40)
+	sent := make(chan staleReply, 40)
 	assert.Assert(t, sendReport(pool, address, 1).leaseMS > 0)
-	a.base = a.status().Configuration.Version // the worker's domain is new
+	a.base = a.status().Configuration.Version // the report added the worker's domain
 	a.change()
 	assert.NilError(t, frozen.Freeze())
 	for i := range cap(sent) / 2 {
@@ -150,36 +150,36 @@
 	}
 }
 
-type stale struct {
+type staleReply struct {
 	read    bool
 	version uint64
 	leaseMS int64
 }
 
-const thawTime = 20 * time.Second // longest wait for a frozen process
+const replyTimeout = 20 * time.Second // longest wait for the reply of a frozen process
 
-func readStatus(pool *inner.Pool, address string) stale {
-	ctx, cancel := context.WithTimeout(context.Background(), thawTime)
+func readStatus(pool *inner.Pool, address string) staleReply {
+	ctx, cancel := context.WithTimeout(context.Background(), replyTimeout)
 	defer cancel()
-	var s stale
+	var s staleReply
 	_ = pool.Do(ctx, address, func(conn *drpcconn.Conn) error {
 		reply, err := wire.NewDRPCControlClient(conn).Read(ctx, &wire.ReadRequest{Kind: wire.ReadKind_READ_KIND_STATUS})
 		if reply.GetStatus() != nil {
-			s = stale{read: true, version: reply.Status.Configuration.Version}
+			s = staleReply{read: true, version: reply.Status.Configuration.Version}
 		}
 		return err
 	})
 	return s
 }
 
-func sendReport(pool *inner.Pool, address string, sequence uint64) stale {
-	ctx, cancel := context.WithTimeout(context.Background(), thawTime)
+func sendReport(pool *inner.Pool, address string, sequence uint64) staleReply {
+	ctx, cancel := context.WithTimeout(context.Background(), replyTimeout)
 	defer cancel()
 	report := &wire.WorkerReport{
 		Worker:   &wire.WorkerRecord{Name: "w1", Domain: "domain-1", Rack: "r", Incarnation: "i", Capacity: &wire.Size{MilliCpu: 1000, MemoryMib: 1000}},
 		Sequence: sequence,
 	}
-	var s stale
+	var s staleReply
 	_ = pool.Do(ctx, address, func(conn *drpcconn.Conn) error {
 		reply, err := wire.NewDRPCControlClient(conn).Report(ctx, &wire.ReportBatch{Entry: "e", Reports: []*wire.WorkerReport{report}})
 		for _, r := range reply.GetReplies() {
@@ -190,10 +190,10 @@
 	return s
 }
 
-// TestEntryCatchesUpAfterHundredsOfChanges restarts an entry and a replica that changes have passed by.
+// TestEntryCatchesUpAfterHundredsOfChanges restarts an entry and a replica that missed hundreds of changes.
 func TestEntryCatchesUpAfterHundredsOfChanges(t *testing.T) {
-	c := start(t, 2)
-	a := newAna(t, c)
+	c := startCluster(t, 2)
+	a := newTestOperator(t, c)
 	a.change()
 	assert.NilError(t, c.Entries[1].Kill())
 	follower := c.Controls[a.status().Leader%3]
@@ -205,11 +205,11 @@
 	assert.NilError(t, follower.WaitReady())
 	assert.NilError(t, c.Entries[1].Start())
 	assert.NilError(t, c.Entries[1].WaitReady())
-	waitInForce(t, c, a.accepted[len(a.accepted)-1])
+	waitActive(t, c, a.accepted[len(a.accepted)-1])
 }
 
-// waitInForce waits until a version is in force at the second entry, and fails if what is in force there ever reverts.
-func waitInForce(t *testing.T, c *cluster, version uint64) {
+// waitActive waits until a version is active at the second entry, and fails if the active version there ever decreases.
+func waitActive(t *testing.T, c *cluster, version uint64) {
 	entry := operator.Client{Entries: c.Operators()[1:2], HTTP: &http.Client{}}
 	for last := uint64(0); last < version; time.Sleep(10 * time.Millisecond) {
 		var local operator.Configuration
@@ -219,13 +219,13 @@
 	}
 }
 
-// TestFrozenEntryCatchesUp has changes pass by an entry that is frozen, and a new leader too.
+// TestFrozenEntryCatchesUp makes changes and replaces the leader while an entry is frozen.
 func TestFrozenEntryCatchesUp(t *testing.T) {
-	c := start(t, 2)
-	a := newAna(t, c)
+	c := startCluster(t, 2)
+	a := newTestOperator(t, c)
 	a.client.Entries = c.Operators()[:1]
 	a.change()
-	waitInForce(t, c, a.accepted[0])
+	waitActive(t, c, a.accepted[0])
 	assert.NilError(t, c.Entries[1].Freeze())
 	for range 50 {
 		a.change()
@@ -236,13 +236,13 @@
 		a.change()
 	}
 	assert.NilError(t, c.Entries[1].Thaw())
-	waitInForce(t, c, a.accepted[len(a.accepted)-1])
+	waitActive(t, c, a.accepted[len(a.accepted)-1])
 }
 
-// TestEntryRestartsWithoutControl has an entry start while all of control is away: its neighbor has what is in force.
+// TestEntryRestartsWithoutControl starts an entry while all control processes are down: it gets the active configuration from its neighbor.
 func TestEntryRestartsWithoutControl(t *testing.T) {
-	c := start(t, 2)
-	a := newAna(t, c)
+	c := startCluster(t, 2)
+	a := newTestOperator(t, c)
 	a.change()
 	a.change()
 	for _, p := range append(c.Controls, c.Entries[1]) {
@@ -258,8 +258,8 @@
 
 // TestGracefulStopExitsWithZero stops every process and expects exit code 0.
 func TestGracefulStopExitsWithZero(t *testing.T) {
-	c := start(t, 1)
-	newAna(t, c).change()
+	c := startCluster(t, 1)
+	newTestOperator(t, c).change()
 	for _, p := range []*process{c.Entries[0], c.Controls[0], c.Controls[1], c.Controls[2]} {
 		assert.NilError(t, p.Stop(), p.Name)
 	}
