--- a/slope/load.go
+++ b/slope/load.go
@@ -119,7 +119,7 @@
 // reportRunning applies an event for each started task that it is running.
 func (c *cluster) reportRunning() {
 	var events []*wire.TaskEvent
-	c.machine.Each(func(j *wire.Job, t *wire.Task) {
+	c.machine.EachTask(func(j *wire.Job, t *wire.Task) {
 		if t.State != wire.TaskState_TASK_STATE_STARTING {
 			return
 		}
