--- a/fakeworker/worker.go
+++ b/fakeworker/worker.go
@@ -114,7 +114,7 @@
 	}
 }
 
-// runPolls runPolls the entries in a loop, one poll at a time.
+// runPolls polls the entries in a loop, one poll at a time.
 func (w *Worker) runPolls(ctx context.Context) {
 	var last error
 	for ctx.Err() == nil {
