Rename exported identifiers of replicas, peers and their log

Replica.Confirm is ReadBarrier, the usual term for a linearizable read; LeaderOf is LeaderAddress, which it returns; Options.Silence and Redial of package peer are AnswerTimeout and RedialInterval; Connections.Receive is CheckAcknowledged, since it receives nothing; Log.UpToDate and Conflict are CandidateUpToDate and ConflictHint. The number of simultaneous failures to survive is ToleratedLosses in settings, control, replica and membership; its key in the settings stays.

place.Why gives its last reason in its former words, which operators read through the API.

--- a/control/control.go
+++ b/control/control.go
@@ -42,15 +42,15 @@
 
 // DynamicMembers describes how a group of replicas forms and changes when the settings don't list all of its members.
 type DynamicMembers struct {
-	Bootstrap bool // no group has been formed yet
-	Losses    int  // replicas that may be lost at the same time
+	Bootstrap       bool // no group has been formed yet
+	ToleratedLosses int  // replicas that may be lost at the same time
 }
 
 func (f *DynamicMembers) losses() int {
 	if f == nil {
 		return 0
 	}
-	return f.Losses
+	return f.ToleratedLosses
 }
 
 // Called configures the calls to workers and the length of their leases.
@@ -131,7 +131,7 @@
 		Domain:             c.settings.Domain,
 		DynamicMembers:     o.DynamicMembers != nil,
 		Bootstrap:          o.DynamicMembers != nil && o.DynamicMembers.Bootstrap,
-		Losses:             o.DynamicMembers.losses(),
+		ToleratedLosses:    o.DynamicMembers.losses(),
 		Dir:                filepath.Clean(c.settings.Data),
 		Dial:               o.Dial,
 		Tick:               time.Duration(c.settings.TickMS) * time.Millisecond,
--- a/control/read.go
+++ b/control/read.go
@@ -16,7 +16,7 @@
 	if !c.isServingLeader() {
 		return &wire.ReadReply{Failure: c.notLeaderFailure()}, nil
 	}
-	if err := c.replica.Confirm(ctx); err != nil {
+	if err := c.replica.ReadBarrier(ctx); err != nil {
 		return &wire.ReadReply{Failure: c.failure(err)}, nil
 	}
 	switch request.Kind {
--- a/entries/log.go
+++ b/entries/log.go
@@ -33,8 +33,8 @@
 	return term
 }
 
-// UpToDate reports whether a log whose last entry has the given index and term is at least as up to date as this one.
-func (l *Log) UpToDate(index, term uint64) bool {
+// CandidateUpToDate reports whether a log whose last entry has the given index and term is at least as up to date as this one.
+func (l *Log) CandidateUpToDate(index, term uint64) bool {
 	if term != l.LastTerm() {
 		return term > l.LastTerm()
 	}
@@ -82,8 +82,8 @@
 	l.Synced = min(l.Synced, index-1)
 }
 
-// Conflict returns the last index before index whose entry has another term, but does not search below Commit.
-func (l *Log) Conflict(index uint64) uint64 {
+// ConflictHint returns the last index before index whose entry has another term, but does not search below Commit.
+func (l *Log) ConflictHint(index uint64) uint64 {
 	term, _ := l.Term(index)
 	for index > l.Commit {
 		index--
--- a/installation/member.go
+++ b/installation/member.go
@@ -33,7 +33,7 @@
 	var err error
 	m.control, err = control.New(control.Options{
 		Settings: c, SinceBoot: clock.SinceBoot,
-		DynamicMembers: &control.DynamicMembers{Bootstrap: s.Bootstrap == 1, Losses: int(s.Losses)},
+		DynamicMembers: &control.DynamicMembers{Bootstrap: s.Bootstrap == 1, ToleratedLosses: int(s.ToleratedLosses)},
 		Called: &control.Called{
 			Calls:        m.client.Calls(),
 			Lease:        time.Duration(s.LeaseMS) * time.Millisecond,
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -16,26 +16,26 @@
 
 // View is a leader's view of its group.
 type View struct {
-	Self     uint64
-	Members  *wire.Members
-	Others   []raft.MemberProgress
-	Joining  []*wire.Member
-	Last     uint64        // last index of the log
-	Tick     time.Duration // unit in which the silence of members is counted
-	Losses   int           // number of voters whose simultaneous loss the group must survive
-	Replaces bool          // whether membership may change; false where the settings list the members
+	Self              uint64
+	Members           *wire.Members
+	Others            []raft.MemberProgress
+	Joining           []*wire.Member
+	Last              uint64        // last index of the log
+	Tick              time.Duration // unit in which the silence of members is counted
+	ToleratedLosses   int           // number of voters whose simultaneous loss the group must survive
+	DynamicMembership bool          // whether membership may change; false where the settings list the members
 }
 
 // Next returns the next membership, which differs from the current one in a single replica, or nil if no change is due.
 func Next(v *View) *wire.Members {
-	if !v.Replaces {
+	if !v.DynamicMembership {
 		return nil
 	}
 	if len(v.Joining) > 0 {
 		return withMember(v.Members, v.Joining[0])
 	}
 	voters := countVoters(v.Members)
-	wanted := 2*v.Losses + 1
+	wanted := 2*v.ToleratedLosses + 1
 	lost := v.lostVoter()
 	switch {
 	case voters > wanted && lost != nil:
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -18,7 +18,7 @@
 	members := &wire.Members{Members: []*wire.Member{
 		{Id: 1, Votes: true, Domain: "a"}, {Id: 2, Votes: true, Domain: "b"}, {Id: 3, Votes: true, Domain: "c"}, {Id: 4, Domain: "c"},
 	}}
-	v := &membership.View{Self: 1, Members: members, Last: 1000, Tick: tick, Losses: losses, Replaces: true}
+	v := &membership.View{Self: 1, Members: members, Last: 1000, Tick: tick, ToleratedLosses: losses, DynamicMembership: true}
 	for _, m := range members.GetMembers()[1:] {
 		v.Others = append(v.Others, raft.MemberProgress{Member: m, Match: 1000})
 	}
--- a/peer/connections.go
+++ b/peer/connections.go
@@ -14,14 +14,14 @@
 
 // Options configures the connections of one replica.
 type Options struct {
-	ID      uint64
-	Peers   map[uint64]string // drpc addresses of the initially known replicas, its own included
-	Address string            // its own, sent with each message
-	Domain  string            // its own failure domain, sent with each message
-	Dial    func(ctx context.Context, address string) (net.Conn, error)
-	Redial  time.Duration   // between attempts to connect
-	Silence time.Duration   // how long messages to a peer may stay unanswered before its connection is replaced; also the dial time-out
-	Ended   <-chan struct{} // closed when messages from Inbox are no longer received
+	ID             uint64
+	Peers          map[uint64]string // drpc addresses of the initially known replicas, its own included
+	Address        string            // its own, sent with each message
+	Domain         string            // its own failure domain, sent with each message
+	Dial           func(ctx context.Context, address string) (net.Conn, error)
+	RedialInterval time.Duration   // between attempts to connect
+	AnswerTimeout  time.Duration   // how long messages to a peer may stay unanswered before its connection is replaced; also the dial time-out
+	Ended          <-chan struct{} // closed when messages from Inbox are no longer received
 }
 
 // Connections holds the connections of one replica to all other replicas that it knows.
@@ -87,7 +87,7 @@
 	return c.peers[id]
 }
 
-// Inbox returns the channel of received messages, with snapshots reassembled. Each message must be passed to Receive.
+// Inbox returns the channel of received messages, with snapshots reassembled. Each message must be passed to CheckAcknowledged.
 func (c *Connections) Inbox() <-chan *wire.Message { return c.inbox }
 
 // Send queues a message for its peer. It drops the message if the queue is full; Raft's retransmission makes up for the loss.
@@ -103,8 +103,8 @@
 	}
 }
 
-// Receive replaces the connection to a leader whose heartbeats show that it no longer receives this replica's answers.
-func (c *Connections) Receive(m *wire.Message) {
+// CheckAcknowledged replaces the connection to a leader whose heartbeats show that it no longer receives this replica's answers.
+func (c *Connections) CheckAcknowledged(m *wire.Message) {
 	if m.GetKind() == wire.MessageKind_MESSAGE_KIND_HEARTBEAT && m.GetRound() > 0 {
 		if p := c.peer(m.GetFrom()); p != nil {
 			p.reconnectIfNotAcked(m, c.since())
@@ -119,7 +119,7 @@
 	defer c.mu.Unlock()
 	for _, p := range c.peers {
 		since := time.Duration(p.unansweredSince.Load())
-		if since != 0 && now-since > c.options.Silence {
+		if since != 0 && now-since > c.options.AnswerTimeout {
 			p.reconnect()
 		}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -37,13 +37,13 @@
 	return &peer{connections: connections, id: id, address: address, queue: make(chan *wire.Message, maxQueuedMessages)}
 }
 
-// reconnectIfNotAcked replaces the connection if the leader has acknowledged no new heartbeat answer of this replica for longer than Silence.
+// reconnectIfNotAcked replaces the connection if the leader has acknowledged no new heartbeat answer of this replica for longer than AnswerTimeout.
 func (p *peer) reconnectIfNotAcked(m *wire.Message, now time.Duration) {
 	if p.ackedTerm != m.GetTerm() || p.ackedRound != m.GetHint() {
 		p.ackedTerm, p.ackedRound, p.ackedAt = m.GetTerm(), m.GetHint(), now
 		return
 	}
-	if now-p.ackedAt > p.connections.options.Silence {
+	if now-p.ackedAt > p.connections.options.AnswerTimeout {
 		p.ackedAt = now
 		p.reconnect()
 	}
@@ -68,7 +68,7 @@
 		p.connect(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(p.connections.options.Redial):
+		case <-time.After(p.connections.options.RedialInterval):
 		}
 	}
 }
@@ -79,7 +79,7 @@
 	defer disconnect()
 	p.setDisconnect(disconnect)
 	defer p.setDisconnect(nil)
-	dialCtx, cancel := context.WithTimeout(ctx, p.connections.options.Silence)
+	dialCtx, cancel := context.WithTimeout(ctx, p.connections.options.AnswerTimeout)
 	defer cancel()
 	transport, err := p.connections.options.Dial(dialCtx, p.address)
 	if err != nil {
--- a/place/why.go
+++ b/place/why.go
@@ -55,5 +55,5 @@
 	case j.MinDomains > 1:
 		return fmt.Sprintf("room is free, but not in a failure domain that it must still spread to (at least %d)", j.MinDomains)
 	}
-	return "room is free, but only beside services that are near their latency target, or on workers that have failed this task or are suspended for failing others"
+	return "room is free, but beside services that are near their target, or on workers that fail what they start"
 }
--- a/raft/election.go
+++ b/raft/election.go
@@ -48,7 +48,7 @@
 
 func (n *Node) handlePreVote(m *wire.Message) {
 	reply := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, To: m.GetFrom(), Term: m.GetTerm()}
-	if m.GetTerm() <= n.term || n.leaseActive() || !n.log.UpToDate(m.GetIndex(), m.GetLogTerm()) {
+	if m.GetTerm() <= n.term || n.leaseActive() || !n.log.CandidateUpToDate(m.GetIndex(), m.GetLogTerm()) {
 		reply.Term, reply.Reject = n.term, true
 	}
 	n.send(reply)
@@ -56,7 +56,7 @@
 
 func (n *Node) handleVote(m *wire.Message) {
 	free := n.vote == 0 || n.vote == m.GetFrom()
-	grant := free && (!n.leaseActive() || m.GetForced()) && n.log.UpToDate(m.GetIndex(), m.GetLogTerm())
+	grant := free && (!n.leaseActive() || m.GetForced()) && n.log.CandidateUpToDate(m.GetIndex(), m.GetLogTerm())
 	if grant {
 		n.setTerm(n.term, m.GetFrom())
 		n.resetTimer()
--- a/raft/follower.go
+++ b/raft/follower.go
@@ -26,7 +26,7 @@
 		reply.Reject, reply.Index = true, previous
 		reply.Hint = n.log.Last()
 		if ok {
-			reply.Hint = n.log.Conflict(previous)
+			reply.Hint = n.log.ConflictHint(previous)
 		}
 		return
 	}
--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -112,7 +112,7 @@
 	}
 	for {
 		for i, p := range group {
-			if p.Confirm(context.Background()) == nil {
+			if p.ReadBarrier(context.Background()) == nil {
 				group[0], group[i] = group[i], group[0]
 				return group, dirs, peers
 			}
@@ -191,7 +191,7 @@
 		group, _, _ := startGroup(b)
 		start := time.Now()
 		group[0].close()
-		for group[1].Confirm(context.Background()) != nil && group[2].Confirm(context.Background()) != nil {
+		for group[1].ReadBarrier(context.Background()) != nil && group[2].ReadBarrier(context.Background()) != nil {
 			time.Sleep(time.Millisecond)
 		}
 		total += time.Since(start)
--- a/replica/confirm.go
+++ b/replica/confirm.go
@@ -14,8 +14,8 @@
 	done  chan error
 }
 
-// Confirm returns once a quorum has confirmed that this replica leads and every entry committed before that is applied.
-func (r *Replica) Confirm(ctx context.Context) error {
+// ReadBarrier returns once a quorum has confirmed that this replica leads and every entry committed before that is applied.
+func (r *Replica) ReadBarrier(ctx context.Context) error {
 	if !r.IsLeader() {
 		return r.notLeaderError(verdict.NotRun, "this replica does not lead")
 	}
--- a/replica/info.go
+++ b/replica/info.go
@@ -79,8 +79,8 @@
 	return "the leader is at " + e.Address
 }
 
-// LeaderOf returns the leader's address from a NotLeader in err, empty if there is none.
-func LeaderOf(err error) string {
+// LeaderAddress returns the leader's address from a NotLeader in err, empty if there is none.
+func LeaderAddress(err error) string {
 	var notLeader *NotLeader
 	if errors.As(err, &notLeader) {
 		return notLeader.Address
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -106,7 +106,7 @@
 }
 
 func (r *Replica) receive(m *wire.Message) {
-	r.peers.Receive(m)
+	r.peers.CheckAcknowledged(m)
 	r.connectMembers(m.GetMembers())
 	r.node.Step(m)
 }
--- a/replica/members.go
+++ b/replica/members.go
@@ -43,7 +43,7 @@
 	standings, joining := r.node.MembersAndJoining()
 	view := &membership.View{
 		Self: r.options.ID, Members: r.node.Members(), Others: standings, Joining: joining,
-		Last: r.node.Last(), Tick: r.options.Tick, Losses: r.options.Losses, Replaces: true,
+		Last: r.node.Last(), Tick: r.options.Tick, ToleratedLosses: r.options.ToleratedLosses, DynamicMembership: true,
 	}
 	next := membership.Next(view)
 	if next == nil || !r.node.Reconfigure(r.withAddresses(next)) {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -41,7 +41,7 @@
 	Domain             string            // its own failure domain
 	DynamicMembers     bool              // dynamic membership: Peers are only initial contacts, and the group adds, removes and replaces its members by itself
 	Bootstrap          bool              // with dynamic membership: no group exists yet, so this replica may form one
-	Losses             int               // with dynamic membership: number of voters whose simultaneous loss the group must survive
+	ToleratedLosses    int               // with dynamic membership: number of voters whose simultaneous loss the group must survive
 	Dir                string
 	Dial               func(ctx context.Context, address string) (net.Conn, error)
 	Tick               time.Duration
@@ -153,14 +153,14 @@
 		Entries:       loaded.Entries,
 	})
 	r.peers = peer.New(peer.Options{
-		ID:      options.ID,
-		Peers:   options.Peers,
-		Address: options.Address,
-		Domain:  options.Domain,
-		Dial:    options.Dial,
-		Redial:  redialTicks * options.Tick,
-		Silence: time.Duration(options.ElectionTicks) * options.Tick,
-		Ended:   r.ended,
+		ID:             options.ID,
+		Peers:          options.Peers,
+		Address:        options.Address,
+		Domain:         options.Domain,
+		Dial:           options.Dial,
+		RedialInterval: redialTicks * options.Tick,
+		AnswerTimeout:  time.Duration(options.ElectionTicks) * options.Tick,
+		Ended:          r.ended,
 	})
 	r.applier.members = loaded.Snapshot.GetMembers()
 	r.node.SetContacts(peerIDs(options.Peers))
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -205,7 +205,7 @@
 func (m *member) confirmsRead() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	return m.Confirm(ctx) == nil
+	return m.ReadBarrier(ctx) == nil
 }
 
 func TestElectsAndApplies(t *testing.T) {
@@ -224,7 +224,7 @@
 			if m != leader {
 				_, err := m.Propose(t.Context(), []byte("x"))
 				assert.Equal(t, verdict.Of(err), verdict.NotRun)
-				assert.Equal(t, replica.LeaderOf(err), leader.name)
+				assert.Equal(t, replica.LeaderAddress(err), leader.name)
 			}
 		}
 	})
@@ -257,7 +257,7 @@
 		assert.Assert(t, !old.IsLeader())
 		_, err := old.Propose(t.Context(), []byte("lost"))
 		assert.Equal(t, verdict.Of(err), verdict.NotRun)
-		assert.Assert(t, old.Confirm(t.Context()) != nil)
+		assert.Assert(t, old.ReadBarrier(t.Context()) != nil)
 
 		time.Sleep(time.Minute)
 		term := next.Info().Term
@@ -418,7 +418,7 @@
 		assert.Assert(t, !old.IsLeader())
 		_, err := old.Propose(t.Context(), []byte("x"))
 		assert.Equal(t, verdict.Of(err), verdict.NotRun)
-		assert.Assert(t, old.Confirm(t.Context()) != nil)
+		assert.Assert(t, old.ReadBarrier(t.Context()) != nil)
 		g.propose(1)
 		var unknown *verdict.Error
 		assert.Assert(t, errors.As(<-stuck, &unknown))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -77,16 +77,16 @@
 // Member holds the settings of a control process that finds its group through seeds and calls its workers.
 type Member struct {
 	Common
-	Announcements  string `json:"announcements"` // IP:port for workers' announcements and the platform's operators
-	Data           string `json:"data"`          // directory of the log and snapshots
-	Seeds          []Seed `json:"seeds"`         // may change while the process runs
-	Bootstrap      int64  `json:"first"`         // 1 on the first start of the whole installation, else 0
-	Losses         int64  `json:"losses"`        // control processes that may fail at the same time
-	LeaseMS        int64  `json:"lease_ms"`      // of workers
-	LongestLeaseMS int64  `json:"longest_lease_ms"`
-	TickMS         int64  `json:"tick_ms"`
-	ElectionTicks  int64  `json:"election_ticks"`
-	SnapshotEvery  uint64 `json:"snapshot_every"` // log records between snapshots
+	Announcements   string `json:"announcements"` // IP:port for workers' announcements and the platform's operators
+	Data            string `json:"data"`          // directory of the log and snapshots
+	Seeds           []Seed `json:"seeds"`         // may change while the process runs
+	Bootstrap       int64  `json:"first"`         // 1 on the first start of the whole installation, else 0
+	ToleratedLosses int64  `json:"losses"`        // control processes that may fail at the same time
+	LeaseMS         int64  `json:"lease_ms"`      // of workers
+	LongestLeaseMS  int64  `json:"longest_lease_ms"`
+	TickMS          int64  `json:"tick_ms"`
+	ElectionTicks   int64  `json:"election_ticks"`
+	SnapshotEvery   uint64 `json:"snapshot_every"` // log records between snapshots
 }
 
 // Gateway holds the settings of a gateway, which forwards callers' workflows to control.
