Rename exported identifiers of worker calls and inner connections

Reasons for which a worker refuses an order say what is wrong with it: Deposed, Overtaken, TooLate and NoTicket are StaleFence, StaleRun, DeadlinePassed and InvalidTicket. Running.Percent and Pace.Percent are ProgressPercent and SpeedPercent, since they measure different things; Running.Figure is LatencyOrCPU. platform.Client is WorkerClient, as it calls workers only. inner.Options.IdleFor and DialTime are MaxIdleTime and ConnectTimeout; settings.Check, which takes a path, is CheckFile.

--- a/call/call.go
+++ b/call/call.go
@@ -9,22 +9,22 @@
 	"daisyswitch/workflow"
 )
 
-// ErrOtherLife reports that another incarnation of the worker answered, so the addressed one has ended.
-var ErrOtherLife = errors.New("another incarnation of the worker answered")
+// ErrOtherIncarnation reports that another incarnation of the worker answered, so the addressed one has ended.
+var ErrOtherIncarnation = errors.New("another incarnation of the worker answered")
 
 // Refusal is why a worker did not carry out an order.
 type Refusal int
 
 // The refusals, and Accepted for an order that was not refused.
 const (
-	Accepted   Refusal = iota
-	Deposed            // the worker has seen a higher fencing token
-	Overtaken          // this run of the task, or a later one, has been stopped or has ended on the worker
-	TooLate            // the order's deadline has passed
-	NoRoom             // the task does not fit into the worker's free capacity
-	NoTicket           // the adviser's ticket is missing or has expired
-	Unhealthy          // the worker accepts no orders at the moment
-	Unreadable         // the worker could not parse the order
+	Accepted       Refusal = iota
+	StaleFence             // the worker has seen a higher fencing token
+	StaleRun               // this run of the task, or a later one, has been stopped or has ended on the worker
+	DeadlinePassed         // the order's deadline has passed
+	NoRoom                 // the task does not fit into the worker's free capacity
+	InvalidTicket          // the adviser's ticket is missing or has expired
+	Unhealthy              // the worker accepts no orders at the moment
+	Unreadable             // the worker could not parse the order
 )
 
 var refusals = [...]string{"accepted", "deposed", "overtaken", "too late", "no room", "no ticket", "unhealthy", "unreadable"}
@@ -52,10 +52,10 @@
 
 // Pace tells a worker to throttle a run to a percentage of its full speed.
 type Pace struct {
-	Task    workflow.Name
-	Run     int32
-	Percent int
-	Fence   uint64
+	Task         workflow.Name
+	Run          int32
+	SpeedPercent int
+	Fence        uint64
 }
 
 // Hold renews a worker's lease and requests its running and ended runs.
@@ -74,11 +74,11 @@
 
 // Running is a run in progress in a worker's listing.
 type Running struct {
-	Task       workflow.Name
-	Run        int32
-	Checkpoint string
-	Percent    int
-	Figure     float64 // tail latency in milliseconds for a lasting task with a target; CPU use in thousandths of a core for other tasks
+	Task            workflow.Name
+	Run             int32
+	Checkpoint      string
+	ProgressPercent int
+	LatencyOrCPU    float64 // tail latency in milliseconds for a lasting task with a target; CPU use in thousandths of a core for other tasks
 }
 
 // Ended is an ended run in a worker's listing.
@@ -97,7 +97,7 @@
 	Ended   []Ended
 }
 
-// Functions call workers. After an error other than ErrOtherLife, the order may have been carried out or may still be carried out later.
+// Functions call workers. After an error other than ErrOtherIncarnation, the order may have been carried out or may still be carried out later.
 type Functions struct {
 	Start func(context.Context, *wire.CalledWorker, *Start) (*Answer, error)
 	Stop  func(context.Context, *wire.CalledWorker, *Stop) (*Answer, error)
--- a/command/status.go
+++ b/command/status.go
@@ -32,7 +32,7 @@
 
 // Execute checks the file.
 func (c *checkCommand) Execute([]string) error {
-	role, err := settings.Check(c.Args.File)
+	role, err := settings.CheckFile(c.Args.File)
 	if err != nil {
 		return &usageError{err}
 	}
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -312,13 +312,13 @@
 	b := w.b
 	switch {
 	case w.rejectsFence(s.Fence):
-		return call.Deposed
+		return call.StaleFence
 	case w.clock() > s.DeadlineMS:
-		return call.TooLate
+		return call.DeadlinePassed
 	case w.runs[s.Task] != nil && w.runs[s.Task].number == s.Run:
 		return call.Accepted
 	case w.barred[s.Task] >= s.Run || w.runs[s.Task] != nil:
-		return call.Overtaken
+		return call.StaleRun
 	}
 	w.extend(s.DeadlineMS)
 	r := &fakeRun{number: s.Run, begun: time.Now(), pace: 100}
@@ -361,7 +361,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if target.rejectsFence(s.Fence) {
-		return &call.Answer{Refusal: call.Deposed}, nil
+		return &call.Answer{Refusal: call.StaleFence}, nil
 	}
 	target.barred[s.Task] = max(target.barred[s.Task], s.Run)
 	if r := target.runs[s.Task]; r != nil && r.number <= s.Run {
@@ -378,7 +378,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := target.runs[p.Task]; r != nil {
-		r.pace = p.Percent
+		r.pace = p.SpeedPercent
 	}
 	return &call.Answer{ClockMS: target.clock()}, nil
 }
@@ -400,7 +400,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if target.rejectsFence(h.Fence) {
-		return &call.Listing{Answer: call.Answer{Refusal: call.Deposed}}, nil
+		return &call.Listing{Answer: call.Answer{Refusal: call.StaleFence}}, nil
 	}
 	if h.DeadlineMS > 0 {
 		target.extend(h.DeadlineMS)
@@ -426,9 +426,9 @@
 func (w *fakeWorker) list() *call.Listing {
 	l := &call.Listing{Answer: call.Answer{ClockMS: w.clock()}, Ended: append([]call.Ended(nil), w.ended...)}
 	for name, r := range w.runs {
-		running := call.Running{Task: name, Run: r.number, Percent: w.percent(name, r)}
+		running := call.Running{Task: name, Run: r.number, ProgressPercent: w.percent(name, r)}
 		if w.tailOf != nil {
-			running.Figure = w.tailOf(name)
+			running.LatencyOrCPU = w.tailOf(name)
 		}
 		l.Running = append(l.Running, running)
 	}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -81,9 +81,9 @@
 
 // cooldowns holds how long a worker gets no new tasks after a refusal.
 var cooldowns = map[call.Refusal]time.Duration{
-	call.Unhealthy: time.Second,            // it reported that it accepts no tasks now
-	call.NoRoom:    500 * time.Millisecond, // runs that it is still stopping end within 900 ms
-	call.TooLate:   500 * time.Millisecond, // until the next hold has extended the lease
+	call.Unhealthy:      time.Second,            // it reported that it accepts no tasks now
+	call.NoRoom:         500 * time.Millisecond, // runs that it is still stopping end within 900 ms
+	call.DeadlinePassed: 500 * time.Millisecond, // until the next hold has extended the lease
 }
 
 func (l *link) startCooldown(refusal call.Refusal) {
@@ -111,13 +111,13 @@
 		listing, err := s.Calls.Hold(ctx, l.currentWorker(), order)
 		cancel()
 		switch {
-		case errors.Is(err, call.ErrOtherLife):
+		case errors.Is(err, call.ErrOtherIncarnation):
 			l.markReplaced()
 			return
 		case err != nil:
 			l.recordSilence(err)
 			s.pause(minRetryDelay)
-		case listing.Refusal == call.Deposed:
+		case listing.Refusal == call.StaleFence:
 			event.WorkerObeysOther.Info("worker", l.id, "fence", s.fence)
 			s.pause(longHoldWait)
 		case listing.Refusal != call.Accepted:
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -66,8 +66,8 @@
 	if r.phase == starting {
 		r.phase, r.phaseSince = started, now
 	}
-	if listed.Percent != r.percent {
-		r.percent, r.progressAt = listed.Percent, now
+	if listed.ProgressPercent != r.percent {
+		r.percent, r.progressAt = listed.ProgressPercent, now
 	}
 	if listed.Checkpoint != "" {
 		r.checkpoint = listed.Checkpoint
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -138,7 +138,7 @@
 		observeSince(s.startCall, began)
 		cancel()
 		switch {
-		case errors.Is(err, call.ErrOtherLife):
+		case errors.Is(err, call.ErrOtherIncarnation):
 			s.stopInReplacement(r)
 			r.link.markReplaced()
 			return
@@ -160,7 +160,7 @@
 		}
 		s.startsRefused.Inc()
 		event.StartRefused.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "refusal", answer.Refusal.String(), "try", try)
-		if answer.Refusal != call.Deposed {
+		if answer.Refusal != call.StaleFence {
 			r.link.startCooldown(answer.Refusal)
 			s.withdraw(r, try, answer.Refusal.String())
 		}
@@ -265,12 +265,12 @@
 		answer, err := s.Calls.Stop(ctx, l.currentWorker(), &call.Stop{Task: key.name, Run: key.number, Fence: s.fence})
 		cancel()
 		switch {
-		case errors.Is(err, call.ErrOtherLife):
+		case errors.Is(err, call.ErrOtherIncarnation):
 			l.markReplaced()
 			return false
 		case err == nil && answer.Refusal == call.Accepted:
 			return true
-		case err == nil && answer.Refusal == call.Deposed:
+		case err == nil && answer.Refusal == call.StaleFence:
 			return false
 		}
 		event.StopUnanswered.Error(err, "task", key.name.String(), "run", key.number, "worker", l.id)
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -59,7 +59,7 @@
 		if r == nil || !r.task.Step.Spec.GetFilling() {
 			continue
 		}
-		f := fillingTask{r: r, image: r.task.Step.Spec.GetImage(), cpuShare: listing.Running[i].Figure / capacity}
+		f := fillingTask{r: r, image: r.task.Step.Spec.GetImage(), cpuShare: listing.Running[i].LatencyOrCPU / capacity}
 		r.cpuShare = f.cpuShare
 		fillers = append(fillers, f)
 		colocated = append(colocated, headroom.Share{Image: f.image, Share: f.cpuShare})
@@ -72,8 +72,8 @@
 	}
 	for i := range listing.Running {
 		key := runKey{listing.Running[i].Task, listing.Running[i].Run}
-		if r := l.runs[key]; r != nil && isServing(r.task.Step.Spec) && listing.Running[i].Percent >= 100 && listing.Running[i].Figure > 0 {
-			l.updateServing(now, key, r.task.Step.Spec, listing.Running[i].Figure, colocated)
+		if r := l.runs[key]; r != nil && isServing(r.task.Step.Spec) && listing.Running[i].ProgressPercent >= 100 && listing.Running[i].LatencyOrCPU > 0 {
+			l.updateServing(now, key, r.task.Step.Spec, listing.Running[i].LatencyOrCPU, colocated)
 		}
 	}
 	for key := range l.serving {
@@ -175,7 +175,7 @@
 func (l *link) sendPace(r *run, percent int) {
 	s := l.s
 	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-	answer, err := s.Calls.Pace(ctx, l.currentWorker(), &call.Pace{Task: r.name, Run: r.number, Percent: percent, Fence: s.fence})
+	answer, err := s.Calls.Pace(ctx, l.currentWorker(), &call.Pace{Task: r.name, Run: r.number, SpeedPercent: percent, Fence: s.fence})
 	cancel()
 	s.paceCalls.Inc()
 	accepted := err == nil && answer.Refusal == call.Accepted
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,7 +50,7 @@
 
 // New returns a gateway that connects to the leader, and reconnects, until Close.
 func New(o Options) *Gateway {
-	g := &Gateway{pool: inner.New(inner.Options{Dial: o.Dial, DialTime: probeTimeout}), seeds: o.Seeds, linkReady: make(chan struct{})}
+	g := &Gateway{pool: inner.New(inner.Options{Dial: o.Dial, ConnectTimeout: probeTimeout}), seeds: o.Seeds, linkReady: make(chan struct{})}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.tasks.Go(g.maintainLink)
 	return g
--- a/inner/pool.go
+++ b/inner/pool.go
@@ -14,10 +14,10 @@
 
 // Options configures a Pool.
 type Options struct {
-	Dial     func(ctx context.Context, address string) (net.Conn, error) // TCP when nil
-	Idle     int                                                         // most idle connections per address
-	IdleFor  time.Duration                                               // idle time after which a connection is closed instead of reused
-	DialTime time.Duration                                               // timeout for connecting
+	Dial           func(ctx context.Context, address string) (net.Conn, error) // TCP when nil
+	Idle           int                                                         // most idle connections per address
+	MaxIdleTime    time.Duration                                               // idle time after which a connection is closed instead of reused
+	ConnectTimeout time.Duration
 }
 
 const (
@@ -48,11 +48,11 @@
 	if o.Idle == 0 {
 		o.Idle = defaultIdle
 	}
-	if o.IdleFor == 0 {
-		o.IdleFor = defaultIdleFor
+	if o.MaxIdleTime == 0 {
+		o.MaxIdleTime = defaultIdleFor
 	}
-	if o.DialTime == 0 {
-		o.DialTime = defaultDialTime
+	if o.ConnectTimeout == 0 {
+		o.ConnectTimeout = defaultDialTime
 	}
 	return &Pool{options: o, idle: map[string][]idleConn{}}
 }
@@ -80,7 +80,7 @@
 
 // Dial returns a new connection outside the pool, for a long-lived stream.
 func (p *Pool) Dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.options.DialTime)
+	ctx, cancel := context.WithTimeout(ctx, p.options.ConnectTimeout)
 	defer cancel()
 	raw, err := p.options.Dial(ctx, address)
 	if err != nil {
@@ -106,7 +106,7 @@
 		}
 		last := conns[len(conns)-1]
 		p.idle[address] = conns[:len(conns)-1]
-		if time.Since(last.since) < p.options.IdleFor && !isClosed(last.conn) {
+		if time.Since(last.since) < p.options.MaxIdleTime && !isClosed(last.conn) {
 			return last.conn
 		}
 		last.conn.Close()
--- a/installation/member.go
+++ b/installation/member.go
@@ -16,13 +16,13 @@
 type Member struct {
 	control *control.Control
 	server  *platform.Control
-	client  *platform.Client
+	client  *platform.WorkerClient
 	watcher *fileWatcher
 }
 
 // NewMember starts a member. The settings file at path is reloaded whenever it changes.
 func NewMember(path string, s *settings.Member) (*Member, error) {
-	m := &Member{client: platform.NewClient()}
+	m := &Member{client: platform.NewWorkerClient()}
 	c := &settings.Control{
 		Common: s.Common, ID: replicaID(s.Inner), Data: s.Data, TickMS: s.TickMS, ElectionTicks: s.ElectionTicks,
 		LeaseMS: s.LeaseMS, SnapshotEvery: s.SnapshotEvery,
--- a/settings/load.go
+++ b/settings/load.go
@@ -137,8 +137,8 @@
 	return &Error{File: file, Faults: r.faults}
 }
 
-// Check validates a settings file of any role without starting a process, and returns the role that its keys identify.
-func Check(path string) (role string, err error) {
+// CheckFile validates a settings file of any role without starting a process, and returns the role that its keys identify.
+func CheckFile(path string) (role string, err error) {
 	source, err := os.ReadFile(path)
 	if err != nil {
 		return "", fmt.Errorf("settings: %w", err)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -19,7 +19,7 @@
 	assert.Assert(t, len(files) > 0)
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
-			_, err := settings.Check(file)
+			_, err := settings.CheckFile(file)
 			assert.Assert(t, err != nil, "accepted")
 			golden.Assert(t, err.Error()+"\n", strings.TrimPrefix(file, "testdata/")+".golden")
 		})
@@ -31,7 +31,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(files), 4)
 	for _, file := range files {
-		role, err := settings.Check(file)
+		role, err := settings.CheckFile(file)
 		assert.NilError(t, err)
 		assert.Equal(t, role, strings.TrimSuffix(filepath.Base(file), "-1.json"))
 	}
@@ -50,7 +50,7 @@
 }
 
 func TestMissingFileIsNamed(t *testing.T) {
-	_, err := settings.Check("testdata/absent.jsonc")
+	_, err := settings.CheckFile("testdata/absent.jsonc")
 	assert.ErrorIs(t, err, os.ErrNotExist)
 	assert.ErrorContains(t, err, "testdata/absent.jsonc")
 }
