--- a/command/command.go
+++ b/command/command.go
@@ -223,7 +223,7 @@
 }
 
 func (s *session) sendChange(client *operator.Client, n changeOptions, method, path string, body any) error {
-	number := operator.Number{Sequence: n.sequence(), BaseVersion: n.Base}
+	number := operator.ChangeNumber{Sequence: n.sequence(), BaseVersion: n.Base}
 	result, err := client.Change(context.Background(), method, path, number, body)
 	if err != nil {
 		return fmt.Errorf("change %d: %w", number.Sequence, err)
@@ -246,7 +246,7 @@
 	return ExitOK
 }
 
-func (s *session) printResult(n operator.Number, r *operator.Result) {
+func (s *session) printResult(n operator.ChangeNumber, r *operator.Result) {
 	fmt.Fprintf(s.out, "%s (change %d", r.Outcome, n.Sequence)
 	if r.Version != 0 {
 		fmt.Fprintf(s.out, ", version %d", r.Version)
--- a/command/process_test.go
+++ b/command/process_test.go
@@ -29,8 +29,8 @@
 	})
 }
 
-// TestProcessThatIsSoundEndsBySignal checks that a live process exits on a signal, whether it is ready or not.
-func TestProcessThatIsSoundEndsBySignal(t *testing.T) {
+// TestLiveProcessEndsOnSignal checks that a live process exits on a signal, whether it is ready or not.
+func TestLiveProcessEndsOnSignal(t *testing.T) {
 	for _, ready := range []error{nil, errDisk} {
 		signals := make(chan os.Signal, 1)
 		time.AfterFunc(2*liveInterval, func() { signals <- syscall.SIGTERM })
--- a/command/status.go
+++ b/command/status.go
@@ -140,8 +140,8 @@
 	if c.s.JSON {
 		return c.s.printJSON(audit)
 	}
-	if audit.Folded > 0 {
-		fmt.Fprintf(c.s.out, "%d older records are no longer kept\n", audit.Folded)
+	if audit.Pruned > 0 {
+		fmt.Fprintf(c.s.out, "%d older records are no longer kept\n", audit.Pruned)
 	}
 	for _, r := range audit.Records {
 		fmt.Fprintf(c.s.out, "%d %s %s/%d %s %s version %d %s\n", r.Index, r.Time.Format(time.RFC3339), r.Operator, r.Sequence, r.Outcome, r.Action, r.Version, r.Reason)
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -56,14 +56,14 @@
 
 // Loaded is the content of a data folder when it was opened.
 type Loaded struct {
-	State    *wire.HardState
-	Snapshot *wire.Snapshot // nil if there is none
-	Entries  []*wire.Entry  // after the snapshot
-	Torn     *Torn          // nil if the log ended with a complete frame
+	State     *wire.HardState
+	Snapshot  *wire.Snapshot // nil if there is none
+	Entries   []*wire.Entry  // after the snapshot
+	TornWrite *TornWrite     // nil if the log ended with a complete frame
 }
 
-// Torn describes an incomplete, unsynced write at the end of a segment, which was cut off on opening.
-type Torn struct {
+// TornWrite describes an incomplete, unsynced write at the end of a segment, which was cut off on opening.
+type TornWrite struct {
 	File   string
 	Offset int64
 	Bytes  int64
--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -85,7 +85,7 @@
 		assert.NilError(t, os.WriteFile(path, whole[:end], 0o600))
 		d, loaded := open(t, dir)
 		assert.Equal(t, describe(loaded), "[0] 1:1", "cut at %d", end)
-		assert.Equal(t, loaded.Torn != nil, end > start)
+		assert.Equal(t, loaded.TornWrite != nil, end > start)
 		assert.NilError(t, d.Append(nil, entries(2, 2)))
 		assert.NilError(t, d.Close())
 		d, loaded = open(t, dir)
@@ -102,7 +102,7 @@
 		damaged[at] ^= 0x40
 		assert.NilError(t, os.WriteFile(path, damaged, 0o600))
 		_, _, err := disk.Open(disk.Options{Dir: dir})
-		var corrupt *disk.Corrupt
+		var corrupt *disk.CorruptError
 		assert.Assert(t, errors.As(err, &corrupt), "byte %d: %v", at, err)
 		assert.Equal(t, corrupt.File, path)
 		assert.Equal(t, corrupt.Offset >= int64(start), at >= start)
@@ -125,7 +125,7 @@
 		path := filepath.Join(dir, file.Name())
 		assert.NilError(t, os.Rename(path, path+".away"))
 		_, _, err := disk.Open(disk.Options{Dir: dir})
-		var corrupt *disk.Corrupt
+		var corrupt *disk.CorruptError
 		assert.Assert(t, errors.As(err, &corrupt), "without %s: %v", file.Name(), err)
 		assert.NilError(t, os.Rename(path+".away", path))
 	}
@@ -144,7 +144,7 @@
 	copy(b[512:1024], make([]byte, 512))
 	assert.NilError(t, os.WriteFile(path, b, 0o600))
 	_, _, err = disk.Open(disk.Options{Dir: dir})
-	var corrupt *disk.Corrupt
+	var corrupt *disk.CorruptError
 	assert.Assert(t, errors.As(err, &corrupt), "%v", err)
 }
 
@@ -161,6 +161,6 @@
 	assert.NilError(t, d.Close())
 	assert.NilError(t, os.WriteFile(first, before, 0o600))
 	_, _, err := disk.Open(disk.Options{Dir: dir})
-	var corrupt *disk.Corrupt
+	var corrupt *disk.CorruptError
 	assert.Assert(t, errors.As(err, &corrupt), "%v", err)
 }
--- a/disk/fault_test.go
+++ b/disk/fault_test.go
@@ -33,7 +33,7 @@
 		func(d *disk.Disk) error { return d.Compact(40, 28) })
 	write(3, 48, 49)
 	steps = append(steps, func(d *disk.Disk) error {
-		return d.Install(&wire.HardState{Term: 4}, &wire.Snapshot{Index: 90, Term: 4})
+		return d.InstallSnapshot(&wire.HardState{Term: 4}, &wire.Snapshot{Index: 90, Term: 4})
 	})
 	write(4, 91, 92)
 	return steps
--- a/disk/load.go
+++ b/disk/load.go
@@ -14,14 +14,14 @@
 
 const temporarySuffix = ".tmp"
 
-// Corrupt is an error that gives the place of damage which no crash of the process can have caused; the replica must not start on such a folder.
-type Corrupt struct {
+// CorruptError is an error that gives the place of damage which no crash of the process can have caused; the replica must not start on such a folder.
+type CorruptError struct {
 	File   string
 	Offset int64
 }
 
 // Error returns a message with the file and the offset.
-func (c *Corrupt) Error() string {
+func (c *CorruptError) Error() string {
 	return fmt.Sprintf("corrupt: %s at offset %d", c.File, c.Offset)
 }
 
@@ -78,14 +78,14 @@
 	}
 	for i, number := range found.segments {
 		if number != found.segments[0]+uint64(i) {
-			return nil, &Corrupt{File: filepath.Join(d.dir, segmentName(number-1)), Offset: 0}
+			return nil, &CorruptError{File: filepath.Join(d.dir, segmentName(number-1)), Offset: 0}
 		}
 		if err := l.readSegment(number, len(found.segments)-1-i); err != nil {
 			return nil, err
 		}
 	}
 	if len(l.segments) > 0 && l.current().sealed {
-		return nil, &Corrupt{File: filepath.Join(d.dir, segmentName(l.current().number+1)), Offset: 0}
+		return nil, &CorruptError{File: filepath.Join(d.dir, segmentName(l.current().number+1)), Offset: 0}
 	}
 	return l.finish()
 }
@@ -97,7 +97,7 @@
 	log      []*wire.Entry // contiguous indexes
 	before   uint64        // index before the first entry of log
 	tail     []byte        // last valid frame of the last segment
-	torn     *Torn
+	torn     *TornWrite
 }
 
 func (l *loader) readSnapshot(indexes []uint64) error {
@@ -129,7 +129,7 @@
 			return l.endSegment(s, b, offset, following)
 		}
 		if !l.applyGroup(s, payload) {
-			return &Corrupt{File: s.path, Offset: int64(offset)}
+			return &CorruptError{File: s.path, Offset: int64(offset)}
 		}
 		l.tail = b[offset : offset+size]
 		offset += size
@@ -141,9 +141,9 @@
 // endSegment handles an invalid frame. It accepts only an interrupted write at the end of the last segment, or an interrupted seal at the end of the one before.
 func (l *loader) endSegment(s *segment, b []byte, offset, following int) error {
 	if following > 1 || s.sealed || !torn(b[offset:], offset) {
-		return &Corrupt{File: s.path, Offset: int64(offset)}
+		return &CorruptError{File: s.path, Offset: int64(offset)}
 	}
-	l.torn = &Torn{File: s.path, Offset: int64(offset), Bytes: int64(len(b) - offset)}
+	l.torn = &TornWrite{File: s.path, Offset: int64(offset), Bytes: int64(len(b) - offset)}
 	return nil
 }
 
@@ -215,7 +215,7 @@
 			return nil, err
 		}
 	}
-	return &Loaded{State: l.state, Snapshot: l.snapshot, Entries: entries, Torn: l.torn}, nil
+	return &Loaded{State: l.state, Snapshot: l.snapshot, Entries: entries, TornWrite: l.torn}, nil
 }
 
 // afterSnapshot returns the entries that follow the snapshot; joined is false if the log does not contain the snapshot's last entry, because a leader's snapshot was installed over it.
@@ -225,7 +225,7 @@
 		return l.log, true, nil
 	}
 	if l.before > index {
-		return nil, false, &Corrupt{File: l.segments[0].path, Offset: 0}
+		return nil, false, &CorruptError{File: l.segments[0].path, Offset: 0}
 	}
 	at := index - l.before - 1
 	if at >= uint64(len(l.log)) || l.log[at].GetTerm() != term {
@@ -237,7 +237,7 @@
 // initialize initializes an empty folder with a new identity.
 func (l *loader) initialize() (*Loaded, error) {
 	if l.snapshot != nil || len(l.segments) > 1 {
-		return nil, &Corrupt{File: l.dir, Offset: 0}
+		return nil, &CorruptError{File: l.dir, Offset: 0}
 	}
 	for _, s := range l.segments {
 		if err := l.Remove(s.path); err != nil {
--- a/disk/snapshot.go
+++ b/disk/snapshot.go
@@ -53,17 +53,17 @@
 	}
 	payload, size, ok := decodeFrame(b)
 	if !ok || size != len(b) {
-		return nil, &Corrupt{File: path, Offset: 0}
+		return nil, &CorruptError{File: path, Offset: 0}
 	}
 	s := &wire.Snapshot{}
 	if err := proto.Unmarshal(payload, s); err != nil {
-		return nil, &Corrupt{File: path, Offset: headerBytes}
+		return nil, &CorruptError{File: path, Offset: headerBytes}
 	}
 	return s, nil
 }
 
-// Install makes a leader's snapshot durable and restarts the log after it.
-func (d *Disk) Install(state *wire.HardState, s *wire.Snapshot) error {
+// InstallSnapshot makes a leader's snapshot durable and restarts the log after it.
+func (d *Disk) InstallSnapshot(state *wire.HardState, s *wire.Snapshot) error {
 	return d.apply(func() error {
 		if state != nil {
 			d.state = state
--- a/fakeworker/table.go
+++ b/fakeworker/table.go
@@ -15,7 +15,7 @@
 	failAfter          = 100 * time.Millisecond
 	failingPrefix      = "fail" // of programs that fail on every worker
 	baseP99            = 4 * time.Millisecond
-	startWithin        = worker.StartWithinMS * time.Millisecond
+	startWithin        = worker.MaxStartAgeMS * time.Millisecond
 	longestLease       = 24 * 60 * 60 * 1000    // milliseconds
 	stopMargin         = 100 * time.Millisecond // before the end of the lease, to leave time for stopping the tasks
 )
--- a/operator/client.go
+++ b/operator/client.go
@@ -23,8 +23,8 @@
 	HTTP     *http.Client
 }
 
-// Number identifies a change. A change that is sent again with the same sequence is not made twice but gets its first answer.
-type Number struct {
+// ChangeNumber identifies a change. A change that is sent again with the same sequence is not made twice but gets its first answer.
+type ChangeNumber struct {
 	Sequence    uint64
 	BaseVersion uint64 // ignored for jobs
 }
@@ -35,7 +35,7 @@
 }
 
 // Change sends a change and returns its result, whatever the outcome. If an entry does not answer, it sends the same change to the next one.
-func (c *Client) Change(ctx context.Context, method, path string, n Number, body any) (*Result, error) {
+func (c *Client) Change(ctx context.Context, method, path string, n ChangeNumber, body any) (*Result, error) {
 	header := http.Header{}
 	header.Set(HeaderOperator, c.Operator)
 	header.Set(HeaderSequence, strconv.FormatUint(n.Sequence, 10))
--- a/operator/front.go
+++ b/operator/front.go
@@ -99,7 +99,7 @@
 	if !ok {
 		return
 	}
-	out := Audit{Folded: reply.AuditFolded, Records: []AuditRecord{}}
+	out := Audit{Pruned: reply.AuditFolded, Records: []AuditRecord{}}
 	for _, record := range reply.Audit {
 		out.Records = append(out.Records, *auditRecordFromWire(record))
 	}
--- a/operator/front_test.go
+++ b/operator/front_test.go
@@ -99,12 +99,12 @@
 	assert.Equal(t, change.GetSetDomain().Out, true)
 }
 
-// TestClientTellsOfALostAnswer guards against a change reported as not made although it may have been: the first entry loses control's answer, and only the second is known to have done nothing.
-func TestClientTellsOfALostAnswer(t *testing.T) {
+// TestClientReportsLostAnswer guards against a change reported as not made although it may have been: the first entry loses control's answer, and only the second is known to have done nothing.
+func TestClientReportsLostAnswer(t *testing.T) {
 	lost := &fakeControl{err: verdict.New(verdict.Unknown, "no answer", errors.New("reset"))}
 	down := &fakeControl{err: verdict.New(verdict.NotRun, "control cannot be reached", nil)}
 	client := client(t, lost, down)
-	_, err := client.Change(t.Context(), http.MethodDelete, "/v1/classes/bids", operator.Number{Sequence: 3, BaseVersion: 4}, nil)
+	_, err := client.Change(t.Context(), http.MethodDelete, "/v1/classes/bids", operator.ChangeNumber{Sequence: 3, BaseVersion: 4}, nil)
 	assert.Equal(t, verdict.Of(err), verdict.Unknown)
 	assert.Equal(t, lost.proposed[0].Change.Sequence, down.proposed[0].Change.Sequence)
 }
@@ -114,7 +114,7 @@
 	first, second := &fakeControl{}, &fakeControl{}
 	client := client(t, first, second)
 	client.Operator = ""
-	_, err := client.Change(t.Context(), http.MethodDelete, "/v1/classes/bids", operator.Number{Sequence: 3}, nil)
+	_, err := client.Change(t.Context(), http.MethodDelete, "/v1/classes/bids", operator.ChangeNumber{Sequence: 3}, nil)
 	assert.Equal(t, verdict.Of(err), verdict.NotRun)
 	assert.ErrorContains(t, err, "Daisyswitch-Operator")
 }
--- a/operator/protocol.go
+++ b/operator/protocol.go
@@ -81,7 +81,7 @@
 
 // Audit is a page of the audit trail.
 type Audit struct {
-	Folded  uint64        `json:"folded"` // number of oldest records that are no longer kept
+	Pruned  uint64        `json:"folded"` // number of oldest records that are no longer kept
 	Records []AuditRecord `json:"records"`
 }
 
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -144,7 +144,7 @@
 func (r *Replica) persist(ready *raft.Ready) error {
 	state := ready.State
 	if ready.Snapshot != nil {
-		if err := r.disk.Install(state, ready.Snapshot); err != nil {
+		if err := r.disk.InstallSnapshot(state, ready.Snapshot); err != nil {
 			return err
 		}
 		state = nil
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -90,8 +90,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("replica %d: %w", o.ID, err)
 	}
-	if loaded.Torn != nil {
-		event.ReplicaTailCut.Info("file", loaded.Torn.File, "offset", loaded.Torn.Offset, "bytes", loaded.Torn.Bytes)
+	if loaded.TornWrite != nil {
+		event.ReplicaTailCut.Info("file", loaded.TornWrite.File, "offset", loaded.TornWrite.Offset, "bytes", loaded.TornWrite.Bytes)
 	}
 	if loaded.Snapshot != nil {
 		if err := o.Restore(loaded.Snapshot.GetData()); err != nil {
--- a/system/system_test.go
+++ b/system/system_test.go
@@ -70,7 +70,7 @@
 	}
 	class := operator.Class{Kind: operator.KindService, TargetP99US: 50_000}
 	path := fmt.Sprintf("/v1/classes/class-%d", sequence)
-	number := operator.Number{Sequence: sequence, BaseVersion: base}
+	number := operator.ChangeNumber{Sequence: sequence, BaseVersion: base}
 	for range 60 {
 		result, err := a.client.Change(a.t.Context(), http.MethodPut, path, number, class)
 		if err == nil {
--- a/worker/protocol.go
+++ b/worker/protocol.go
@@ -50,7 +50,7 @@
 
 // The kinds of orders.
 const (
-	OrderStart      = "start"      // dropped if the poll was sent more than StartWithinMS ago
+	OrderStart      = "start"      // dropped if the poll was sent more than MaxStartAgeMS ago
 	OrderThrottle   = "throttle"   // withhold a share of the processors
 	OrderCheckpoint = "checkpoint" // write a checkpoint, then stop
 	OrderStop       = "stop"       // stop immediately
@@ -58,8 +58,8 @@
 	OrderResize     = "resize"     // another size is committed for a running attempt; precedes starts that use the freed capacity
 )
 
-// StartWithinMS is the highest age of a poll, in milliseconds, at which the worker still carries out a start order from its reply.
-const StartWithinMS = 3000
+// MaxStartAgeMS is the highest age of a poll, in milliseconds, at which the worker still carries out a start order from its reply.
+const MaxStartAgeMS = 3000
 
 // Order is an instruction to a worker about one attempt.
 type Order struct {
