Rename exported identifiers of the entry's request path

Health.Answered and Failed, which read like queries, are RecordResponse and RecordFailure; Candidate.Own, Others and Barred are OwnInFlight, OthersInFlight and Ineligible. Options of package transport say what they limit: FirstByteTimeout, FreshIdleLimit and IdleConnTimeLimit; its callbacks are OnInformational and MayRetryElsewhere. Callbacks of package neighbor say whether they build or receive a request or a reply, and Poke is ExchangeNow. Errors of package queue follow the refusal codes: ErrCallerGone, ErrNoUpstream and ErrQueueTooLong. Class.Usual is MedianLatency and guard.Of is ConnOf.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -72,7 +72,7 @@
 
 // admit validates the request and buffers its body, or the beginning of a long one, before a slot is taken.
 func (x *exchange) admit() *refusal.Refusal {
-	if err := errors.Join(checkForwardable(x.r), guard.Of(x.r).CheckHead(x.r)); err != nil {
+	if err := errors.Join(checkForwardable(x.r), guard.ConnOf(x.r).CheckHead(x.r)); err != nil {
 		return refusal.NotRun(http.StatusBadRequest, refusal.BadRequest, err.Error())
 	}
 	var err error
@@ -128,9 +128,9 @@
 func (x *exchange) acquireSlot(ctx context.Context) (*upstream.Slot, error) {
 	wait := x.front.options.QueueTimeout
 	if deadline, ok := ctx.Deadline(); ok {
-		wait = min(wait, time.Until(deadline)-x.class.Usual())
+		wait = min(wait, time.Until(deadline)-x.class.MedianLatency())
 	}
-	return x.front.queue.Acquire(ctx, queue.Request{Class: x.class.Order(), Skip: x.skip, Wait: wait})
+	return x.front.queue.Acquire(ctx, queue.Request{Class: x.class.QueueOrder(), Skip: x.skip, Wait: wait})
 }
 
 // acquireRefusal maps an error of the queue to a refusal. After a failed attempt, it returns that attempt's refusal instead.
@@ -139,9 +139,9 @@
 		return last
 	}
 	switch {
-	case errors.Is(err, queue.ErrAbsent):
+	case errors.Is(err, queue.ErrNoUpstream):
 		return refusal.NotRun(http.StatusServiceUnavailable, refusal.NoUpstream, publicReason(err))
-	case errors.Is(err, queue.ErrGone):
+	case errors.Is(err, queue.ErrCallerGone):
 		return refusal.NotRun(http.StatusServiceUnavailable, refusal.CallerGone, publicReason(err))
 	default:
 		return refusal.NotRun(http.StatusServiceUnavailable, refusal.Busy, publicReason(err))
@@ -195,7 +195,7 @@
 	if ctx.Err() != nil {
 		return refusal.New(http.StatusGatewayTimeout, v, refusal.Timeout, "the deadline passed before the upstream responded"), false
 	}
-	x.staleConnection = errors.Is(err, transport.ErrSilent)
+	x.staleConnection = errors.Is(err, transport.ErrFirstByteTimeout)
 	retry = x.staleConnection || x.idempotent && x.mayRetry() // transport has called mayRetry before it abandoned a stale connection
 	return refusal.New(http.StatusBadGateway, v, refusal.UpstreamFailed, publicReason(err)), retry
 }
--- a/caller/exchange_test.go
+++ b/caller/exchange_test.go
@@ -93,7 +93,7 @@
 	if want == verdict.NotRun {
 		budget = 1
 	}
-	e := newEntry(t, caller.Options{RetryPercent: budget}, upstream.Options{Transport: transport.Options{QuietBound: time.Hour}})
+	e := newEntry(t, caller.Options{RetryPercent: budget}, upstream.Options{Transport: transport.Options{FreshIdleLimit: time.Hour}})
 	e.announce("bad", bad.Addr())
 	if reused {
 		_, body := e.do(t, "POST", "/", "", caller.RequestIDHeader, "warm")
--- a/caller/front.go
+++ b/caller/front.go
@@ -130,7 +130,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Done()
-	conn := guard.Of(r)
+	conn := guard.ConnOf(r)
 	conn.Begin()
 	defer conn.Next()
 	if f.draining.Load() {
--- a/caller/outgoing.go
+++ b/caller/outgoing.go
@@ -32,12 +32,12 @@
 			ContentLength: length,
 			Trailer:       x.r.Trailer,
 		},
-		Idempotent: x.idempotent,
-		Fresh:      x.attempts > 0,
-		Stream:     x.body.streamed(),
-		Informed:   x.relayInformational,
-		Interrupt:  x.interruptBody,
-		GiveUp:     x.mayRetry,
+		Idempotent:        x.idempotent,
+		Fresh:             x.attempts > 0,
+		Stream:            x.body.streamed(),
+		OnInformational:   x.relayInformational,
+		Interrupt:         x.interruptBody,
+		MayRetryElsewhere: x.mayRetry,
 	}
 }
 
--- a/caller/silent_test.go
+++ b/caller/silent_test.go
@@ -33,7 +33,7 @@
 
 // newInMemoryFront returns a Front whose upstreams are all reached over the fake path. It must be called in a synctest bubble.
 func newInMemoryFront(t *testing.T, p *fakepath.Path, upstreams int, idleAge time.Duration, o caller.Options) (*caller.Front, *upstream.Registry) {
-	o.Registry = upstream.New(upstream.Options{Name: "e", Domain: "a", Entries: 1, Transport: transport.Options{Dial: p.Dial, IdleAge: idleAge}})
+	o.Registry = upstream.New(upstream.Options{Name: "e", Domain: "a", Entries: 1, Transport: transport.Options{Dial: p.Dial, IdleConnTimeLimit: idleAge}})
 	f := caller.New(o)
 	f.SetConfiguration(&wire.Configuration{Version: 1, Classes: []*wire.Class{
 		{Name: "bids", Kind: wire.ClassKind_CLASS_KIND_SERVICE}, {Name: "lots", Kind: wire.ClassKind_CLASS_KIND_BATCH}}})
@@ -83,7 +83,7 @@
 					began := time.Now()
 					w := serveRequest(f, method, "bids", "5000")
 					took := time.Since(began)
-					if method == "POST" && after > transport.Defaults.QuietBound {
+					if method == "POST" && after > transport.Defaults.FreshIdleLimit {
 						assert.Check(t, w.Code == http.StatusOK, "POST %v after the loss: status %d, body %s", after, w.Code, w.Body)
 					}
 					assert.Check(t, method == "POST" || after < 0 || w.Code == http.StatusOK && took <= time.Second, "%s %v after the loss took %v: status %d, want 200 within 1 s", method, after, took, w.Code)
--- a/class/class.go
+++ b/class/class.go
@@ -53,13 +53,13 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`daisyswitch_requests_total{class=%q,verdict=%q}`, class, v))
 }
 
-// Order returns the parameters that order this class among others in the queue.
-func (c *Class) Order() queue.Class {
+// QueueOrder returns the parameters that order this class among others in the queue.
+func (c *Class) QueueOrder() queue.Class {
 	return *c.queueClass.Load()
 }
 
-// Usual returns the median latency of the last window. A request that leaves the queue needs about this much time before its deadline.
-func (c *Class) Usual() time.Duration {
+// MedianLatency returns the median latency of the last window. A request that leaves the queue needs about this much time before its deadline.
+func (c *Class) MedianLatency() time.Duration {
 	return time.Duration(c.medianUS.Load()) * time.Microsecond
 }
 
@@ -79,7 +79,7 @@
 		queueClass.Rank = 0
 	}
 	if c.targetUS > 0 {
-		queueClass.Distance = float64(p99US) / float64(c.targetUS)
+		queueClass.LatencyRatio = float64(p99US) / float64(c.targetUS)
 	}
 	c.queueClass.Store(queueClass)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,13 +71,13 @@
 		Samples: e.callers.Samples,
 	})
 	e.exchange = neighbor.New(neighbor.Options{
-		Name:      s.Name,
-		Neighbors: s.Entries,
-		Pool:      e.pool,
-		Ask:       e.composeRequest,
-		Answer:    e.composeReply,
-		Asked:     e.receiveRequest,
-		Answered:  e.receiveReply,
+		Name:                 s.Name,
+		Neighbors:            s.Entries,
+		Pool:                 e.pool,
+		BuildExchangeRequest: e.composeRequest,
+		BuildExchangeReply:   e.composeReply,
+		OnExchangeRequest:    e.receiveRequest,
+		OnExchangeReply:      e.receiveReply,
 	})
 	e.watch = watch.New(watch.Options{
 		Entry:    s.Name,
@@ -170,7 +170,7 @@
 // applyConfiguration applies a new configuration to this process and triggers an exchange that sends it to the other entries.
 func (e *Entry) applyConfiguration(c *wire.Configuration) {
 	e.callers.SetConfiguration(c)
-	e.exchange.Poke()
+	e.exchange.ExchangeNow()
 }
 
 // composeRequest returns the gossip that the entry sends in a request: only what must not wait until the other entry asks for it.
--- a/guard/listener.go
+++ b/guard/listener.go
@@ -34,8 +34,8 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Of returns the request's connection, or nil if it was not accepted by a Listener.
-func Of(r *http.Request) *Conn {
+// ConnOf returns the request's connection, or nil if it was not accepted by a Listener.
+func ConnOf(r *http.Request) *Conn {
 	c, _ := r.Context().Value(connKey{}).(*Conn)
 	return c
 }
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -22,14 +22,14 @@
 
 // Options configures an Exchange.
 type Options struct {
-	Name      string
-	Neighbors []settings.Neighbor // may include this entry, which is ignored
-	Pool      *inner.Pool
-	Every     time.Duration
-	Ask       func(theirVersion uint64) *wire.Gossip // builds the message to an entry with that configuration version
-	Answer    func(theirVersion uint64) *wire.Gossip // builds the reply to an entry with that configuration version
-	Asked     func(*wire.Gossip)                     // receives the message of an exchange that another entry started
-	Answered  func(asked time.Time, g *wire.Gossip)  // receives a reply and the time at which it was requested
+	Name                 string
+	Neighbors            []settings.Neighbor // may include this entry, which is ignored
+	Pool                 *inner.Pool
+	Every                time.Duration
+	BuildExchangeRequest func(theirVersion uint64) *wire.Gossip // builds the message to an entry with that configuration version
+	BuildExchangeReply   func(theirVersion uint64) *wire.Gossip // builds the reply to an entry with that configuration version
+	OnExchangeRequest    func(*wire.Gossip)                     // receives the message of an exchange that another entry started
+	OnExchangeReply      func(asked time.Time, g *wire.Gossip)  // receives a reply and the time at which it was requested
 }
 
 // Exchange exchanges gossip with every other entry periodically and serves their requests.
@@ -77,8 +77,8 @@
 	return wire.DRPCRegisterNeighbor(mux, server{e})
 }
 
-// Poke starts an exchange with every neighbor at once, for updates that should not wait for the next interval.
-func (e *Exchange) Poke() {
+// ExchangeNow starts an exchange with every neighbor at once, for updates that should not wait for the next interval.
+func (e *Exchange) ExchangeNow() {
 	for _, t := range e.loops {
 		select {
 		case t.wake <- struct{}{}:
@@ -123,7 +123,7 @@
 func (e *Exchange) exchangeOnce(ctx context.Context, n settings.Neighbor) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	message := e.options.Ask(e.knownVersion(n.Name))
+	message := e.options.BuildExchangeRequest(e.knownVersion(n.Name))
 	requestedAt := time.Now()
 	_ = e.options.Pool.Do(ctx, n.Inner, func(conn *drpcconn.Conn) error {
 		reply, err := wire.NewDRPCNeighborClient(conn).Exchange(ctx, message)
@@ -131,7 +131,7 @@
 			return err
 		}
 		e.recordGossip(reply)
-		e.options.Answered(requestedAt, reply)
+		e.options.OnExchangeReply(requestedAt, reply)
 		return nil
 	})
 }
@@ -156,8 +156,8 @@
 // Exchange processes another entry's gossip and replies with that of this entry.
 func (s server) Exchange(_ context.Context, g *wire.Gossip) (*wire.Gossip, error) {
 	s.exchange.recordGossip(g)
-	s.exchange.options.Asked(g)
-	return s.exchange.options.Answer(g.Version), nil
+	s.exchange.options.OnExchangeRequest(g)
+	return s.exchange.options.BuildExchangeReply(g.Version), nil
 }
 
 // Close stops all exchanges and waits for them to end.
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -35,17 +35,17 @@
 	for _, n := range entries {
 		k := &testEntry{version: 1}
 		k.Exchange = neighbor.New(neighbor.Options{
-			Name:      n.Name,
-			Neighbors: entries,
-			Pool:      inner.New(inner.Options{Dial: f.Dialer(n.Name)}),
-			Ask:       func(uint64) *wire.Gossip { return k.gossip(n.Name) },
-			Answer: func(uint64) *wire.Gossip {
+			Name:                 n.Name,
+			Neighbors:            entries,
+			Pool:                 inner.New(inner.Options{Dial: f.Dialer(n.Name)}),
+			BuildExchangeRequest: func(uint64) *wire.Gossip { return k.gossip(n.Name) },
+			BuildExchangeReply: func(uint64) *wire.Gossip {
 				g := k.gossip(n.Name)
 				g.Announcements = []*wire.Announcement{{AgeMs: time.Now().UnixMicro()}}
 				return g
 			},
-			Asked:    k.receiveGossip,
-			Answered: k.receiveReply,
+			OnExchangeRequest: k.receiveGossip,
+			OnExchangeReply:   k.receiveReply,
 		})
 		mux := drpcmux.New()
 		assert.NilError(t, k.Register(mux))
@@ -106,7 +106,7 @@
 		assert.Equal(t, all[0].Alive(), 1)
 		assert.Equal(t, all[1].Alive(), 2)
 		all[0].setVersion(9)
-		all[0].Poke()
+		all[0].ExchangeNow()
 		time.Sleep(20 * time.Millisecond)
 		assert.Equal(t, all[1].gossip("").Version, uint64(9), "a reachable neighbor must have the version at once")
 		time.Sleep(time.Second)
--- a/pick/health.go
+++ b/pick/health.go
@@ -28,8 +28,8 @@
 	MaxEjectedPercent = 20
 )
 
-// Answered records a response with its latency.
-func (h *Health) Answered(latency time.Duration) {
+// RecordResponse records a response with its latency.
+func (h *Health) RecordResponse(latency time.Duration) {
 	h.Failures = 0
 	h.Samples++
 	if h.Samples > samplesToResetEjections {
@@ -42,8 +42,8 @@
 	h.Latency += time.Duration(latencyWeight * float64(latency-h.Latency))
 }
 
-// Failed records a request without a response.
-func (h *Health) Failed() {
+// RecordFailure records a request without a response.
+func (h *Health) RecordFailure() {
 	h.Failures++
 }
 
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -97,11 +97,11 @@
 			for i, c := range candidates {
 				switch faults[i] {
 				case 0:
-					c.Answered(20 * time.Millisecond)
+					c.RecordResponse(20 * time.Millisecond)
 				case 1:
-					c.Answered(200 * time.Millisecond)
+					c.RecordResponse(200 * time.Millisecond)
 				case 2:
-					c.Failed()
+					c.RecordFailure()
 				}
 			}
 			pick.Assess(now, candidates)
@@ -167,11 +167,11 @@
 		for i, c := range candidates {
 			switch i {
 			case 3:
-				c.Failed()
+				c.RecordFailure()
 			case 4:
-				c.Answered(time.Second)
+				c.RecordResponse(time.Second)
 			default:
-				c.Answered(20 * time.Millisecond)
+				c.RecordResponse(20 * time.Millisecond)
 			}
 		}
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -11,17 +11,17 @@
 
 // Errors of Acquire; callers see their reasons.
 var (
-	ErrAbsent  = verdict.New(verdict.NotRun, "no upstream serves the class", nil)
-	ErrTimeout = verdict.New(verdict.NotRun, "no slot became free in time", nil)
-	ErrEarly   = verdict.New(verdict.NotRun, "the queue is too long for the deadline", nil)
-	ErrGone    = verdict.New(verdict.NotRun, "the caller gave up while waiting", nil)
+	ErrNoUpstream   = verdict.New(verdict.NotRun, "no upstream serves the class", nil)
+	ErrTimeout      = verdict.New(verdict.NotRun, "no slot became free in time", nil)
+	ErrQueueTooLong = verdict.New(verdict.NotRun, "the queue is too long for the deadline", nil)
+	ErrCallerGone   = verdict.New(verdict.NotRun, "the caller gave up while waiting", nil)
 )
 
 // Class determines the order between classes: lower ranks first, then those farther above their latency target.
 type Class struct {
-	Name     string
-	Rank     int     // 0 for latency-critical, 1 for batch
-	Distance float64 // measured tail latency relative to the target; higher is more urgent
+	Name         string
+	Rank         int     // 0 for latency-critical, 1 for batch
+	LatencyRatio float64 // measured tail latency relative to the target; higher is more urgent
 }
 
 // Request describes a request for a slot.
@@ -73,7 +73,7 @@
 	case slot = <-w.ready:
 		return slot, nil
 	case <-ctx.Done():
-		err = ErrGone
+		err = ErrCallerGone
 	case <-timer.C:
 		err = ErrTimeout
 	}
@@ -94,12 +94,12 @@
 			return nil, slot, nil
 		}
 		if absent {
-			return nil, none, ErrAbsent
+			return nil, none, ErrNoUpstream
 		}
 	}
 	l := q.classQueue(r.Class)
 	if l.departureRate.estimateWait(len(l.waiters)) > r.Wait {
-		return nil, none, ErrEarly
+		return nil, none, ErrQueueTooLong
 	}
 	w := &waiter[S]{request: r, ready: make(chan S, 1)}
 	l.waiters = append(l.waiters, w)
@@ -120,7 +120,7 @@
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
-	return a.Distance > b.Distance
+	return a.LatencyRatio > b.LatencyRatio
 }
 
 // classQueue returns the queue of the class, creating it if needed, and updates the order of all queues; called with the lock held.
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -15,9 +15,9 @@
 )
 
 var (
-	bids    = queue.Class{Name: "bids", Rank: 0, Distance: 1.5}
-	watches = queue.Class{Name: "watches", Rank: 0, Distance: 0.5}
-	lots    = queue.Class{Name: "lots", Rank: 1, Distance: 9}
+	bids    = queue.Class{Name: "bids", Rank: 0, LatencyRatio: 1.5}
+	watches = queue.Class{Name: "watches", Rank: 0, LatencyRatio: 0.5}
+	lots    = queue.Class{Name: "lots", Rank: 1, LatencyRatio: 9}
 )
 
 // slotPool allocates a limited number of slots.
@@ -100,7 +100,7 @@
 				case err == nil:
 					served++
 					assert.Check(t, time.Since(began) <= 500*time.Millisecond)
-				case errors.Is(err, queue.ErrEarly):
+				case errors.Is(err, queue.ErrQueueTooLong):
 					early++
 					assert.Check(t, time.Since(began) == 0)
 				default:
@@ -162,7 +162,7 @@
 		synctest.Wait()
 		cancel()
 		synctest.Wait()
-		assert.ErrorIs(t, err, queue.ErrGone)
+		assert.ErrorIs(t, err, queue.ErrCallerGone)
 		p.release()
 		q.Wake()
 		assert.Equal(t, p.free.Load(), int64(1))
--- a/simulation/policy.go
+++ b/simulation/policy.go
@@ -14,7 +14,7 @@
 	chosen, least := pick.None, int32(0)
 	for _, x := range offered {
 		c := e.candidates[x]
-		if c.Barred {
+		if c.Ineligible {
 			continue
 		}
 		if v := cost(c); chosen == pick.None || v < least {
@@ -27,8 +27,8 @@
 	return chosen
 }
 
-func ownCount(c *pick.Candidate) int32   { return c.Own }
-func totalCount(c *pick.Candidate) int32 { return c.Own + c.Others }
+func ownCount(c *pick.Candidate) int32   { return c.OwnInFlight }
+func totalCount(c *pick.Candidate) int32 { return c.OwnInFlight + c.OthersInFlight }
 
 func twoRandom(s *simulation, e *entry) []int {
 	return []int{s.rng.IntN(len(e.candidates)), s.rng.IntN(len(e.candidates))}
@@ -37,7 +37,7 @@
 func roundRobin(_ *simulation, e *entry) int {
 	for {
 		e.next = (e.next + 1) % len(e.candidates)
-		if !e.candidates[e.next].Barred {
+		if !e.candidates[e.next].Ineligible {
 			return e.next
 		}
 	}
@@ -48,7 +48,7 @@
 	start := s.rng.IntN(len(e.candidates))
 	for i := range e.candidates {
 		x := (start + i) % len(e.candidates)
-		if c := e.candidates[x]; c.Own < slots && !c.Barred {
+		if c := e.candidates[x]; c.OwnInFlight < slots && !c.Ineligible {
 			return x
 		}
 	}
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -202,7 +202,7 @@
 	if x == pick.None {
 		return false
 	}
-	e.candidates[x].Own++
+	e.candidates[x].OwnInFlight++
 	r.target, r.sent = x, s.now
 	s.schedule(s.delay(e, x), func() { s.deliver(r) })
 	return true
@@ -242,8 +242,8 @@
 
 func (s *simulation) answer(r request) {
 	c := r.entry.candidates[r.target]
-	c.Own--
-	c.Answered(s.now - r.sent)
+	c.OwnInFlight--
+	c.RecordResponse(s.now - r.sent)
 	s.record(r)
 	s.drain(r.entry)
 }
@@ -275,16 +275,16 @@
 	for _, e := range s.entries {
 		for x, c := range e.candidates {
 			if !e.dead {
-				e.reported[x] = c.Own
+				e.reported[x] = c.OwnInFlight
 			}
 		}
 	}
 	for _, e := range s.entries {
 		for x, c := range e.candidates {
-			c.Others = 0
+			c.OthersInFlight = 0
 			for _, other := range s.entries {
 				if other != e {
-					c.Others += other.reported[x]
+					c.OthersInFlight += other.reported[x]
 				}
 			}
 		}
@@ -301,7 +301,7 @@
 func (s *simulation) setDomainBarred(out bool) {
 	for _, e := range s.entries {
 		for x := 0; x < s.Executors; x += s.domains {
-			e.candidates[x].Barred = out
+			e.candidates[x].Ineligible = out
 		}
 	}
 }
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -14,12 +14,12 @@
 // Request is a request to an upstream.
 type Request struct {
 	*http.Request
-	Idempotent bool
-	Fresh      bool                             // requires a connection that is new or was just in use, as every non-idempotent request does
-	Stream     bool                             // the body is read from the caller while it is sent
-	Informed   func(code int, head http.Header) // receives 1xx responses, may be nil
-	Interrupt  func()                           // unblocks a pending Read of a streamed body
-	GiveUp     func() bool                      // reports whether an idempotent request on an unresponsive connection may be sent elsewhere; nil means yes
+	Idempotent        bool
+	Fresh             bool                             // requires a connection that is new or was just in use, as every non-idempotent request does
+	Stream            bool                             // the body is read from the caller while it is sent
+	OnInformational   func(code int, head http.Header) // receives 1xx responses, may be nil
+	Interrupt         func()                           // unblocks a pending Read of a streamed body
+	MayRetryElsewhere func() bool                      // reports whether an idempotent request on an unresponsive connection may be sent elsewhere; nil means yes
 }
 
 // Answer is an upstream's response. Close must be called; it keeps the connection only if the response was read completely.
@@ -96,8 +96,8 @@
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return errors.New("unsolicited status 101 (switching protocols) from the upstream")
 		}
-		if r.Informed != nil && resp.StatusCode != http.StatusContinue {
-			r.Informed(resp.StatusCode, resp.Header)
+		if r.OnInformational != nil && resp.StatusCode != http.StatusContinue {
+			r.OnInformational(resp.StatusCode, resp.Header)
 		}
 	}
 }
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -13,22 +13,22 @@
 
 // Options configures connections to upstreams; zero values are replaced by Defaults.
 type Options struct {
-	Dial        func(ctx context.Context, address string) (net.Conn, error)
-	DialTimeout time.Duration // per connection
-	IdleAge     time.Duration // how long an idle connection is kept
-	QuietBound  time.Duration // a connection idle for longer is not used for requests that need a fresh one
-	FirstByte   time.Duration // how long a reused connection may take to deliver the first byte of a response
-	HeaderBytes int64         // limit on the head of a response
+	Dial              func(ctx context.Context, address string) (net.Conn, error)
+	DialTimeout       time.Duration // per connection
+	IdleConnTimeLimit time.Duration // how long an idle connection is kept
+	FreshIdleLimit    time.Duration // a connection idle for longer is not used for requests that need a fresh one
+	FirstByteTimeout  time.Duration // how long a reused connection may take to deliver the first byte of a response
+	HeaderBytes       int64         // limit on the head of a response
 }
 
 // Defaults are the values used for zero fields of Options.
 var Defaults = Options{
-	Dial:        dialTCP,
-	DialTimeout: 300 * time.Millisecond,
-	IdleAge:     500 * time.Millisecond,
-	QuietBound:  time.Millisecond,
-	FirstByte:   400 * time.Millisecond,
-	HeaderBytes: 64 << 10,
+	Dial:              dialTCP,
+	DialTimeout:       300 * time.Millisecond,
+	IdleConnTimeLimit: 500 * time.Millisecond,
+	FreshIdleLimit:    time.Millisecond,
+	FirstByteTimeout:  400 * time.Millisecond,
+	HeaderBytes:       64 << 10,
 }
 
 func (o Options) withDefaults() Options {
@@ -38,14 +38,14 @@
 	if o.DialTimeout == 0 {
 		o.DialTimeout = Defaults.DialTimeout
 	}
-	if o.IdleAge == 0 {
-		o.IdleAge = Defaults.IdleAge
+	if o.IdleConnTimeLimit == 0 {
+		o.IdleConnTimeLimit = Defaults.IdleConnTimeLimit
 	}
-	if o.QuietBound == 0 {
-		o.QuietBound = Defaults.QuietBound
+	if o.FreshIdleLimit == 0 {
+		o.FreshIdleLimit = Defaults.FreshIdleLimit
 	}
-	if o.FirstByte == 0 {
-		o.FirstByte = Defaults.FirstByte
+	if o.FirstByteTimeout == 0 {
+		o.FirstByteTimeout = Defaults.FirstByteTimeout
 	}
 	if o.HeaderBytes == 0 {
 		o.HeaderBytes = Defaults.HeaderBytes
@@ -95,7 +95,7 @@
 func (p *Pool) Prune(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 && now.Sub(p.idle[0].idleSince) > p.options.IdleAge {
+	for len(p.idle) > 0 && now.Sub(p.idle[0].idleSince) > p.options.IdleConnTimeLimit {
 		p.closeOldest()
 	}
 }
@@ -120,9 +120,9 @@
 
 // acquire returns an idle or a new connection; its errors have the verdict not-run.
 func (p *Pool) acquire(ctx context.Context, fresh bool) (*conn, error) {
-	bound := p.options.IdleAge
+	bound := p.options.IdleConnTimeLimit
 	if fresh {
-		bound = p.options.QuietBound
+		bound = p.options.FreshIdleLimit
 	}
 	for {
 		c, err := p.reuseIdle(bound)
--- a/transport/silence.go
+++ b/transport/silence.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// ErrSilent is the cause of an error when a reused connection delivered no byte in time and was abandoned.
-var ErrSilent = errors.New("reused connection delivered no byte within the first-byte timeout")
+// ErrFirstByteTimeout is the cause of an error when a reused connection delivered no byte in time and was abandoned.
+var ErrFirstByteTimeout = errors.New("reused connection delivered no byte within the first-byte timeout")
 
 // firstByteExtension is the factor by which the wait for the first byte is extended while other old connections to the upstream deliver bytes.
 // In that case the response is probably slow, and the network path has not dropped the state of its connections.
@@ -21,17 +21,17 @@
 		return nil
 	}
 	start := time.Now()
-	timedOut, err := a.timedOut(start, a.pool.options.FirstByte)
+	timedOut, err := a.timedOut(start, a.pool.options.FirstByteTimeout)
 	if timedOut && a.pool.activeSince(start) {
-		timedOut, err = a.timedOut(start, firstByteExtension*a.pool.options.FirstByte)
+		timedOut, err = a.timedOut(start, firstByteExtension*a.pool.options.FirstByteTimeout)
 	}
 	if err != nil {
 		return err
 	}
 	if timedOut && ctx.Err() == nil {
 		a.pool.closeIdleBefore(start)
-		if r.Idempotent && (r.GiveUp == nil || r.GiveUp()) {
-			return ErrSilent
+		if r.Idempotent && (r.MayRetryElsewhere == nil || r.MayRetryElsewhere()) {
+			return ErrFirstByteTimeout
 		}
 	}
 	if !timedOut {
@@ -54,7 +54,7 @@
 
 // recordActivity records the time if a connection older than the first-byte timeout has delivered a byte.
 func (p *Pool) recordActivity(c *conn, now time.Time) {
-	if now.Sub(c.dialedAt) > p.options.FirstByte {
+	if now.Sub(c.dialedAt) > p.options.FirstByteTimeout {
 		p.lastActivity.Store(now.UnixNano())
 	}
 }
--- a/upstream/counts.go
+++ b/upstream/counts.go
@@ -19,7 +19,7 @@
 	r.expire(time.Now())
 	var c Counts
 	for _, u := range r.sorted {
-		c.InFlight += int(u.Own)
+		c.InFlight += int(u.OwnInFlight)
 		c.Connections += u.pool.Open()
 		switch {
 		case u.Leaving:
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -21,8 +21,8 @@
 	var list []*wire.Load
 	for _, u := range r.sorted {
 		open := int32(u.pool.Open())
-		if u.Own > 0 || open > 0 {
-			list = append(list, &wire.Load{Id: u.ID, InFlight: u.Own, Connections: open})
+		if u.OwnInFlight > 0 || open > 0 {
+			list = append(list, &wire.Load{Id: u.ID, InFlight: u.OwnInFlight, Connections: open})
 		}
 	}
 	return list
@@ -65,7 +65,7 @@
 
 func (r *Registry) updateOthers() {
 	for _, u := range r.sorted {
-		u.Others = r.othersInFlight(u.ID)
+		u.OthersInFlight = r.othersInFlight(u.ID)
 	}
 }
 
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -176,7 +176,7 @@
 
 func (r *Registry) addUpstream(a *Announcement, announcedAt time.Time) *Upstream {
 	u := newUpstream(a, announcedAt, r.options.Transport)
-	u.Others = r.othersInFlight(a.ID)
+	u.OthersInFlight = r.othersInFlight(a.ID)
 	u.domainOut = r.isDomainOut(a.Domain)
 	r.upstreams[a.ID] = u
 	r.rebuildSorted()
--- a/upstream/slot.go
+++ b/upstream/slot.go
@@ -48,7 +48,7 @@
 		return nil, Busy
 	}
 	u := r.sorted[i]
-	u.Own++
+	u.OwnInFlight++
 	return &Slot{registry: r, upstream: u, id: u.ID, address: u.Address, startedAt: now}, Free
 }
 
@@ -56,8 +56,8 @@
 func (r *Registry) markIneligible(class string, skip []string) bool {
 	found := false
 	for _, u := range r.sorted {
-		u.Barred = !u.serves(class) || slices.Contains(skip, u.ID)
-		found = found || !u.Barred
+		u.Ineligible = !u.serves(class) || slices.Contains(skip, u.ID)
+		found = found || !u.Ineligible
 	}
 	return found
 }
@@ -87,11 +87,11 @@
 	s.registry.mu.Lock()
 	defer s.registry.mu.Unlock()
 	if err == nil {
-		s.upstream.Answered(time.Since(s.startedAt))
+		s.upstream.RecordResponse(time.Since(s.startedAt))
 		return
 	}
 	if verdict.Of(err) != verdict.NotRun || errors.Is(err, transport.ErrDial) {
-		s.upstream.Failed()
+		s.upstream.RecordFailure()
 		s.registry.assess(time.Now())
 	}
 }
@@ -99,7 +99,7 @@
 // Release releases the slot.
 func (s *Slot) Release() {
 	s.registry.mu.Lock()
-	s.upstream.Own--
+	s.upstream.OwnInFlight--
 	s.registry.mu.Unlock()
 	s.registry.changed()
 }
