Rename exported identifiers of the stand-ins and the cost report

Upstream.Told is LeaveRequested. The modes of fakelink say what they do: OneWay is SilentTowards, and Everyone is AllSources; the mode's text stays. Path.Lose and Broken are SilenceConnections and ClosesInstead. slope.Take, Write and Shares are RunMeasure, UpdatePage and RelativeSeries, and a measure has DesignSize and RunsPerSize. simulation.Product is EntryPolicy.

--- a/caller/silent_test.go
+++ b/caller/silent_test.go
@@ -110,7 +110,7 @@
 			load(time.Second, 5*time.Millisecond, time.Now().Add(time.Second))
 			time.Sleep(c.idle)
 			announceAll(registry, 8, 2)
-			p.Lose()
+			p.SilenceConnections()
 			lost := time.Now()
 			load(1050*time.Millisecond, c.step, lost)
 			burst(time.Since(lost))
@@ -162,7 +162,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := &fakepath.Path{Service: serviceTimes(5*time.Millisecond, 0)}
 		outage := true
-		p.Broken = func(address string) bool { return outage && address != "127.0.0.1:1" }
+		p.ClosesInstead = func(address string) bool { return outage && address != "127.0.0.1:1" }
 		f, registry := newInMemoryFront(t, p, 10, 0, caller.Options{})
 		const requests = 3000
 		answered := 0
--- a/cmd/plots/main.go
+++ b/cmd/plots/main.go
@@ -28,7 +28,7 @@
 }
 
 func draw() error {
-	policies := append([]simulation.Policy{simulation.Ideal, simulation.Product, simulation.RoundRobin}, simulation.Others...)
+	policies := append([]simulation.Policy{simulation.Ideal, simulation.EntryPolicy, simulation.RoundRobin}, simulation.Others...)
 	var series []slope.Series
 	for _, p := range policies {
 		s := slope.Series{Name: p.Name}
--- a/cmd/slopes/main.go
+++ b/cmd/slopes/main.go
@@ -16,13 +16,13 @@
 func main() {
 	var results []slope.Result
 	for _, m := range slope.Measures() {
-		r := slope.Take(m)
+		r := slope.RunMeasure(m)
 		fmt.Println(r.Row())
 		results = append(results, r)
 	}
-	err := slope.Write(reportFile, results)
+	err := slope.UpdatePage(reportFile, results)
 	if err == nil {
-		err = slope.Plot(plotFile, "Costs of the roles", "size, share of the largest measured", "cost, share of the largest", slope.Shares(results))
+		err = slope.Plot(plotFile, "Costs of the roles", "size, share of the largest measured", "cost, share of the largest", slope.RelativeSeries(results))
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "slopes:", err)
--- a/cmd/standin/note.go
+++ b/cmd/standin/note.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	noted := journal.Append(standin.Happening{
+	noted := journal.Append(standin.RunEvent{
 		Kind:    c.Args.Kind,
 		TimeUS:  time.Now().UnixMicro(),
 		Name:    c.Name,
--- a/cmd/standin/upstream.go
+++ b/cmd/standin/upstream.go
@@ -55,7 +55,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-u.Told():
+	case <-u.LeaveRequested():
 	}
 	leaving, done := timeoutContext(upstreamLeaveLimit)
 	defer done()
--- a/cmd/standin/watch.go
+++ b/cmd/standin/watch.go
@@ -53,7 +53,7 @@
 	for ctx.Err() == nil {
 		version, err := activeVersion(ctx, client, address)
 		if err == nil {
-			err = journal.Append(standin.Happening{Kind: standin.ConfigSeen, TimeUS: time.Now().UnixMicro(), Name: name, Version: version})
+			err = journal.Append(standin.RunEvent{Kind: standin.ConfigSeen, TimeUS: time.Now().UnixMicro(), Name: name, Version: version})
 			if err != nil {
 				event.StandinJournalFailed.Error(err)
 				return
--- a/fakelink/link.go
+++ b/fakelink/link.go
@@ -18,19 +18,19 @@
 
 // The modes of a link.
 const (
-	Pass   Mode = "pass"   // bytes are forwarded
-	Silent Mode = "silent" // bytes are held without notice to either side until the mode changes, then forwarded
-	OneWay Mode = "oneway" // like Silent, but only for bytes towards the forwarded address
-	Slow   Mode = "slow"   // bytes are forwarded after SlowTime
-	Forget Mode = "forget" // connections open now stay silent permanently; new ones pass
-	Reset  Mode = "reset"  // connections open now are reset; new ones pass
+	Pass          Mode = "pass"   // bytes are forwarded
+	Silent        Mode = "silent" // bytes are held without notice to either side until the mode changes, then forwarded
+	SilentTowards Mode = "oneway" // like Silent, but only for bytes towards the forwarded address
+	Slow          Mode = "slow"   // bytes are forwarded after SlowTime
+	Forget        Mode = "forget" // connections open now stay silent permanently; new ones pass
+	Reset         Mode = "reset"  // connections open now are reset; new ones pass
 )
 
 // SlowTime is the one-way delay of a slow link, a hundred times the usual delay between failure domains.
 const SlowTime = 50 * time.Millisecond
 
-// Everyone is the source name under which the mode of all sources without their own mode is stored.
-const Everyone = ""
+// AllSources is the source name under which the mode of all sources without their own mode is stored.
+const AllSources = ""
 
 const (
 	dialTimeout = time.Second
@@ -75,7 +75,7 @@
 
 // New listens on all addresses. It fails if one of them can't be listened on.
 func New(forwards []Forward) (*Link, error) {
-	l := &Link{done: make(chan struct{}), modes: map[string]Mode{Everyone: Pass}, changed: make(chan struct{}), open: map[*pair]struct{}{}}
+	l := &Link{done: make(chan struct{}), modes: map[string]Mode{AllSources: Pass}, changed: make(chan struct{}), open: map[*pair]struct{}{}}
 	for _, f := range forwards {
 		listener, err := net.Listen("tcp", f.Listen)
 		if err != nil {
@@ -99,7 +99,7 @@
 // Set changes the mode for all sources.
 func (l *Link) Set(m Mode) error {
 	return l.set(m, func(*pair) bool { return true }, func() {
-		l.modes = map[string]Mode{Everyone: m}
+		l.modes = map[string]Mode{AllSources: m}
 		l.modesDiffer.Store(false)
 	})
 }
@@ -110,7 +110,7 @@
 	l.resolveSources()
 	return l.set(m, func(p *pair) bool { return p.source() == source }, func() {
 		l.modes[source] = m
-		if m == l.modes[Everyone] {
+		if m == l.modes[AllSources] {
 			delete(l.modes, source)
 		}
 		l.modesDiffer.Store(len(l.modes) > 1)
@@ -121,7 +121,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch m {
-	case Pass, Silent, OneWay, Slow:
+	case Pass, Silent, SilentTowards, Slow:
 		keep()
 		close(l.changed)
 		l.changed = make(chan struct{})
@@ -130,7 +130,7 @@
 	case Reset:
 		l.removePairs(concerns, func(p *pair) { close(p.reset) })
 	default:
-		return fmt.Errorf("fakelink: mode %q is not one of %s, %s, %s, %s, %s and %s", m, Pass, Silent, OneWay, Slow, Forget, Reset)
+		return fmt.Errorf("fakelink: mode %q is not one of %s, %s, %s, %s, %s and %s", m, Pass, Silent, SilentTowards, Slow, Forget, Reset)
 	}
 	return nil
 }
@@ -162,7 +162,7 @@
 			return m
 		}
 	}
-	return l.modes[Everyone]
+	return l.modes[AllSources]
 }
 
 // Close closes all connections and waits for their goroutines.
@@ -188,7 +188,7 @@
 // forward connects near to a new connection to the destination. Both are closed together, at the latest when the link is closed.
 func (l *Link) forward(near net.Conn, f Forward) {
 	defer near.Close()
-	p := &pair{forgotten: make(chan struct{}), reset: make(chan struct{}), source: func() string { return Everyone }}
+	p := &pair{forgotten: make(chan struct{}), reset: make(chan struct{}), source: func() string { return AllSources }}
 	if f.From != nil {
 		opened := time.Now()
 		p.source = sync.OnceValue(func() string { return f.From(near.RemoteAddr(), opened) })
@@ -268,7 +268,7 @@
 		default:
 		}
 		switch {
-		case mode == Pass || mode == OneWay && way == back:
+		case mode == Pass || mode == SilentTowards && way == back:
 			return true
 		case mode == Slow:
 			return l.delay(p)
--- a/fakelink/link_test.go
+++ b/fakelink/link_test.go
@@ -105,7 +105,7 @@
 	conn := dial(t, l)
 	write(t, conn, "a")
 	expect(t, conn, "a")
-	assert.NilError(t, l.Set(fakelink.OneWay))
+	assert.NilError(t, l.Set(fakelink.SilentTowards))
 	write(t, conn, "b")
 	expectNothing(t, conn)
 	assert.NilError(t, l.Set(fakelink.Pass))
@@ -153,7 +153,7 @@
 }
 
 func TestCloseEndsConnectionsInEveryMode(t *testing.T) {
-	for _, mode := range []fakelink.Mode{fakelink.Pass, fakelink.Silent, fakelink.OneWay, fakelink.Slow, fakelink.Forget, fakelink.Reset} {
+	for _, mode := range []fakelink.Mode{fakelink.Pass, fakelink.Silent, fakelink.SilentTowards, fakelink.Slow, fakelink.Forget, fakelink.Reset} {
 		l := echo(t)
 		conn := dial(t, l)
 		assert.NilError(t, l.Set(mode))
--- a/fakepath/path.go
+++ b/fakepath/path.go
@@ -16,8 +16,8 @@
 
 // Path connects to any number of simulated upstreams, distinguished by address. Its fields must be set before use.
 type Path struct {
-	Service func(r *http.Request) time.Duration // returns the service time of a request
-	Broken  func(address string) bool           // reports whether an upstream closes the connection instead of responding; may be nil
+	Service       func(r *http.Request) time.Duration // returns the service time of a request
+	ClosesInstead func(address string) bool           // reports whether an upstream closes the connection instead of responding; may be nil
 
 	requests atomic.Int64
 	mu       sync.Mutex
@@ -40,8 +40,8 @@
 	return p.requests.Load()
 }
 
-// Lose makes every open connection silent permanently.
-func (p *Path) Lose() {
+// SilenceConnections makes every open connection silent permanently.
+func (p *Path) SilenceConnections() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.conns {
@@ -58,7 +58,7 @@
 			return
 		}
 		p.requests.Add(1)
-		if p.Broken != nil && p.Broken(address) {
+		if p.ClosesInstead != nil && p.ClosesInstead(address) {
 			return
 		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
--- a/fakeupstream/upstream.go
+++ b/fakeupstream/upstream.go
@@ -110,8 +110,8 @@
 	return u.listener.refused.Load()
 }
 
-// Told returns a channel that is closed when the admin interface receives a leave request. The owner then calls Leave.
-func (u *Upstream) Told() <-chan struct{} {
+// LeaveRequested returns a channel that is closed when the admin interface receives a leave request. The owner then calls Leave.
+func (u *Upstream) LeaveRequested() <-chan struct{} {
 	return u.leaveRequested
 }
 
--- a/fakeupstream/upstream_test.go
+++ b/fakeupstream/upstream_test.go
@@ -183,6 +183,6 @@
 	assert.Equal(t, put("/v1/standin/mode", `{"fast": true}`), http.StatusBadRequest)
 	assert.Equal(t, put("/v1/standin/leave", ""), http.StatusOK)
 	assert.Equal(t, put("/v1/standin/leave", ""), http.StatusOK)
-	<-u.Told()
+	<-u.LeaveRequested()
 	assert.NilError(t, u.Close())
 }
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -23,9 +23,9 @@
 		}
 		switch sc.Name {
 		case "80%", "80%, even service":
-			assert.Assert(t, p99(simulation.Product) <= 1.3*p99(simulation.Ideal), sc.Name)
+			assert.Assert(t, p99(simulation.EntryPolicy) <= 1.3*p99(simulation.Ideal), sc.Name)
 		case "80%, one slow":
-			assert.Assert(t, p99(simulation.Product) <= 0.5*p99(simulation.RoundRobin))
+			assert.Assert(t, p99(simulation.EntryPolicy) <= 0.5*p99(simulation.RoundRobin))
 		}
 	}
 }
@@ -38,15 +38,15 @@
 			p99 := map[string]float64{}
 			for b.Loop() {
 				for _, sc := range simulation.Scenarios(size[0], size[1]) {
-					for _, p := range append([]simulation.Policy{simulation.Ideal, simulation.Product, simulation.RoundRobin}, simulation.Others...) {
+					for _, p := range append([]simulation.Policy{simulation.Ideal, simulation.EntryPolicy, simulation.RoundRobin}, simulation.Others...) {
 						line, ms := tableRow(sc, p, requests, seeds)
 						fmt.Println(line)
 						p99[sc.Name+p.Name] = ms
 					}
 				}
 			}
-			b.ReportMetric(p99["80%"+simulation.Product.Name]/p99["80%"+simulation.Ideal.Name], "p99/ideal")
-			b.ReportMetric(p99["80%, one slow"+simulation.Product.Name]/p99["80%, one slow"+simulation.RoundRobin.Name], "slow-p99/robin")
+			b.ReportMetric(p99["80%"+simulation.EntryPolicy.Name]/p99["80%"+simulation.Ideal.Name], "p99/ideal")
+			b.ReportMetric(p99["80%, one slow"+simulation.EntryPolicy.Name]/p99["80%, one slow"+simulation.RoundRobin.Name], "slow-p99/robin")
 		})
 	}
 }
--- a/promise/configuration.go
+++ b/promise/configuration.go
@@ -6,7 +6,7 @@
 
 // configuration checks that accepted versions become active in time and are kept. It counts one observation for each entry and version that was seen active in time.
 func configuration(r *Records, result *Result) {
-	seen := map[string][]standin.Happening{}
+	seen := map[string][]standin.RunEvent{}
 	for _, h := range r.eventsOfKind(standin.ConfigSeen) {
 		seen[h.Name] = append(seen[h.Name], h)
 	}
@@ -19,7 +19,7 @@
 	r.checkFinalVersion(seen, result)
 }
 
-func checkMonotonic(name string, sightings []standin.Happening, result *Result) {
+func checkMonotonic(name string, sightings []standin.RunEvent, result *Result) {
 	highest := uint64(0)
 	for _, s := range sightings {
 		if s.Version < highest {
@@ -29,7 +29,7 @@
 	}
 }
 
-func (r *Records) checkActive(name string, sightings []standin.Happening, accepted standin.Happening, result *Result) {
+func (r *Records) checkActive(name string, sightings []standin.RunEvent, accepted standin.RunEvent, result *Result) {
 	for _, s := range sightings {
 		late := s.TimeUS > accepted.TimeUS+forceBoundUS
 		switch {
@@ -45,7 +45,7 @@
 }
 
 // checkFinalVersion checks that every entry that was seen, and was neither stopped nor killed, ends with the highest accepted version.
-func (r *Records) checkFinalVersion(seen map[string][]standin.Happening, result *Result) {
+func (r *Records) checkFinalVersion(seen map[string][]standin.RunEvent, result *Result) {
 	highest := uint64(0)
 	for _, accepted := range r.eventsOfKind(standin.ConfigAccepted) {
 		highest = max(highest, accepted.Version)
--- a/promise/promise_test.go
+++ b/promise/promise_test.go
@@ -41,7 +41,7 @@
 			records.Tasks = append(records.Tasks, more.Tasks...)
 			records.Requests = append(records.Requests, more.Requests...)
 			records.Told = append(records.Told, more.Told...)
-			records.Happenings = append(records.Happenings, more.Happenings...)
+			records.RunEvents = append(records.RunEvents, more.RunEvents...)
 			records.Sort()
 			broken := ""
 			for i, r := range promise.Check(records) {
--- a/promise/records.go
+++ b/promise/records.go
@@ -10,10 +10,10 @@
 
 // Records holds all journal records of one run.
 type Records struct {
-	Tasks      []standin.TaskEffect
-	Requests   []standin.RequestEffect
-	Told       []standin.Told
-	Happenings []standin.Happening
+	Tasks     []standin.TaskEffect
+	Requests  []standin.RequestEffect
+	Told      []standin.Told
+	RunEvents []standin.RunEvent
 }
 
 // Read reads the journals of a folder (worker-*.jsonl, upstream-*.jsonl, caller-*.jsonl and events*.jsonl) and sorts the records of each kind by time.
@@ -29,7 +29,7 @@
 	if r.Told, err = readJournals[standin.Told](folder, "caller-*.jsonl"); err != nil {
 		return nil, err
 	}
-	if r.Happenings, err = readJournals[standin.Happening](folder, "events*.jsonl"); err != nil {
+	if r.RunEvents, err = readJournals[standin.RunEvent](folder, "events*.jsonl"); err != nil {
 		return nil, err
 	}
 	r.Sort()
@@ -57,13 +57,13 @@
 	sort.SliceStable(r.Tasks, func(i, j int) bool { return r.Tasks[i].TimeUS < r.Tasks[j].TimeUS })
 	sort.SliceStable(r.Requests, func(i, j int) bool { return r.Requests[i].TimeUS < r.Requests[j].TimeUS })
 	sort.SliceStable(r.Told, func(i, j int) bool { return r.Told[i].SentUS < r.Told[j].SentUS })
-	sort.SliceStable(r.Happenings, func(i, j int) bool { return r.Happenings[i].TimeUS < r.Happenings[j].TimeUS })
+	sort.SliceStable(r.RunEvents, func(i, j int) bool { return r.RunEvents[i].TimeUS < r.RunEvents[j].TimeUS })
 }
 
 // eventsOfKind returns the run's events of a kind.
-func (r *Records) eventsOfKind(kind string) []standin.Happening {
-	var some []standin.Happening
-	for _, h := range r.Happenings {
+func (r *Records) eventsOfKind(kind string) []standin.RunEvent {
+	var some []standin.RunEvent
+	for _, h := range r.RunEvents {
 		if h.Kind == kind {
 			some = append(some, h)
 		}
@@ -73,7 +73,7 @@
 
 // firstEvent returns the time of the first event of a kind with this name at or after a time, and whether there is one.
 func (r *Records) firstEvent(kind, name string, after int64) (int64, bool) {
-	for _, h := range r.Happenings {
+	for _, h := range r.RunEvents {
 		if h.Kind == kind && h.Name == name && h.TimeUS >= after {
 			return h.TimeUS, true
 		}
--- a/promise/requests.go
+++ b/promise/requests.go
@@ -113,7 +113,7 @@
 }
 
 // through returns a predicate that reports whether a request passed through the stopping process. An entry is identified by its address for callers, an upstream by the requests in its journal.
-func (r *Records) through(stop standin.Happening, ended int64) func(standin.Told) bool {
+func (r *Records) through(stop standin.RunEvent, ended int64) func(standin.Told) bool {
 	if stop.Address != "" {
 		return func(t standin.Told) bool { return t.Entry == stop.Address }
 	}
--- a/simulation/policy.go
+++ b/simulation/policy.go
@@ -61,8 +61,8 @@
 	Ideal = Policy{Name: "central queue (ideal)", choose: central, ideal: true}
 	// RoundRobin picks the executors in turn.
 	RoundRobin = Policy{Name: "round robin", choose: roundRobin}
-	// Product is the policy that entries run.
-	Product = Policy{Name: "quota, then known load", choose: func(s *simulation, e *entry) int { return pick.Choose(s.rng, e.candidates) }}
+	// EntryPolicy is the policy that entries run.
+	EntryPolicy = Policy{Name: "quota, then known load", choose: func(s *simulation, e *entry) int { return pick.Choose(s.rng, e.candidates) }}
 	// Others are additional baselines.
 	Others = []Policy{
 		{Name: "least in-flight", choose: func(s *simulation, e *entry) int { return lowestCost(s, e, allCandidates(s, e), ownCount) }},
--- a/slope/measure.go
+++ b/slope/measure.go
@@ -10,14 +10,14 @@
 
 // Measure is a cost that is measured as a function of one size.
 type Measure struct {
-	Role  string
-	Name  string
-	Unit  string // unit of the cost
-	Per   string // what the size counts, in the singular
-	Sizes []int  // at least four
-	Runs  int    // measurements of each size, of which the median is used
-	Cost  func(size int) float64
-	Size  float64 // design size
+	Role        string
+	Name        string
+	Unit        string // unit of the cost
+	Per         string // what the size counts, in the singular
+	Sizes       []int  // at least four
+	RunsPerSize int    // measurements of each size, of which the median is used
+	Cost        func(size int) float64
+	DesignSize  float64
 }
 
 // Result is a measure with its measured costs and the fitted line.
@@ -27,11 +27,11 @@
 	Line  Line
 }
 
-// Take measures the cost at each size and fits the line.
-func Take(m *Measure) Result {
+// RunMeasure measures the cost at each size and fits the line.
+func RunMeasure(m *Measure) Result {
 	var sizes, costs []float64
 	for _, size := range m.Sizes {
-		runs := make([]float64, m.Runs)
+		runs := make([]float64, m.RunsPerSize)
 		for i := range runs {
 			runs[i] = m.Cost(size)
 		}
@@ -42,15 +42,15 @@
 	return Result{Measure: m, Costs: costs, Line: Fit(sizes, costs)}
 }
 
-// AtDesign returns the extrapolated cost at the design size.
-func (r Result) AtDesign() float64 {
-	return r.Line.At(r.Size)
+// CostAtDesignSize returns the extrapolated cost at the design size.
+func (r Result) CostAtDesignSize() float64 {
+	return r.Line.At(r.DesignSize)
 }
 
 // Row returns the result as a row of a Markdown table.
 func (r Result) Row() string {
 	return fmt.Sprintf("| %s | %s | %v | %.3g + %.3g per %s | %.1f%% | %.0f | %.4g %s |",
-		r.Role, r.Name, r.Sizes, r.Line.Base, r.Line.Slope, r.Per, 100*r.Line.Residual, r.Size, r.AtDesign(), r.Unit)
+		r.Role, r.Name, r.Sizes, r.Line.Base, r.Line.Slope, r.Per, 100*r.Line.Residual, r.DesignSize, r.CostAtDesignSize(), r.Unit)
 }
 
 // cpuMillis returns the processor time used by f, in milliseconds.
--- a/slope/page.go
+++ b/slope/page.go
@@ -24,8 +24,8 @@
 	return b.String()
 }
 
-// Write replaces the generated part of the page in file.
-func Write(file string, results []Result) error {
+// UpdatePage replaces the generated part of the page in file.
+func UpdatePage(file string, results []Result) error {
 	page, err := os.ReadFile(file)
 	if err != nil {
 		return fmt.Errorf("read page: %w", err)
--- a/slope/plot.go
+++ b/slope/plot.go
@@ -41,8 +41,8 @@
 	return nil
 }
 
-// Shares returns each result as a series with sizes and costs relative to those at the largest size, so that all fit into one plot.
-func Shares(results []Result) []Series {
+// RelativeSeries returns each result as a series with sizes and costs relative to those at the largest size, so that all fit into one plot.
+func RelativeSeries(results []Result) []Series {
 	var all []Series
 	for _, r := range results {
 		s := Series{Name: r.Role + ": " + r.Unit + " per " + r.Per}
--- a/slope/roles.go
+++ b/slope/roles.go
@@ -32,18 +32,18 @@
 // Measures returns all measures of the page.
 func Measures() []*Measure {
 	return []*Measure{
-		{Role: leader, Name: "processor time for one second of workers' reports", Unit: "ms/s", Per: "worker", Sizes: []int{100, 200, 400, 800}, Runs: 3, Cost: reportCost, Size: designWorkers},
-		{Role: leader, Name: "processor time to decide and apply starts", Unit: "ms", Per: "start", Sizes: []int{1000, 2000, 4000, 8000}, Runs: 3, Cost: startCost, Size: designStarts},
-		{Role: leader, Name: "memory of state and policy", Unit: "MiB", Per: "running task", Sizes: []int{2000, 4000, 8000, 16000}, Runs: 1, Cost: leaderMemory, Size: designTasks},
-		{Role: leader, Name: "records to each follower for one second of starts, each started, checkpointed and done", Unit: "KiB/s", Per: "start a second", Sizes: []int{100, 200, 400, 800}, Runs: 1, Cost: recordBytes, Size: designStarts},
-		{Role: follower, Name: "processor time to apply one second of starts, each started, checkpointed and done", Unit: "ms/s", Per: "start a second", Sizes: []int{1000, 2000, 4000, 8000}, Runs: 3, Cost: followerCost, Size: designStarts},
-		{Role: follower, Name: "memory of the state", Unit: "MiB", Per: "running task", Sizes: []int{2000, 4000, 8000, 16000}, Runs: 1, Cost: followerMemory, Size: designTasks},
-		{Role: follower, Name: "snapshot", Unit: "MiB", Per: "running task", Sizes: []int{2000, 4000, 8000, 16000}, Runs: 1, Cost: snapshotMiB, Size: designTasks},
-		{Role: entry, Name: "processor time for one second of workers' polls, decoded, passed on and answered", Unit: "ms/s", Per: "worker of the domain", Sizes: []int{25, 50, 100, 200}, Runs: 3, Cost: pollCost, Size: designWorkers / designDomains},
-		{Role: entry, Name: "bytes of reports to control", Unit: "KiB/s", Per: "worker of the domain", Sizes: []int{25, 50, 100, 200}, Runs: 1, Cost: reportBytes, Size: designWorkers / designDomains},
-		{Role: entry, Name: "bytes of announcements in one exchange with one neighbor", Unit: "KiB", Per: "upstream", Sizes: []int{50, 100, 200, 400}, Runs: 1, Cost: gossipBytes, Size: designWorkers},
-		{Role: entry, Name: "memory of the table of upstreams", Unit: "MiB", Per: "upstream", Sizes: []int{50, 100, 200, 400}, Runs: 1, Cost: registryMemory, Size: designWorkers},
-		{Role: workerSide, Name: "bytes of one poll", Unit: "KiB/s", Per: "task on the worker", Sizes: []int{5, 10, 20, 40}, Runs: 1, Cost: pollBytes, Size: tasksPerWorker},
+		{Role: leader, Name: "processor time for one second of workers' reports", Unit: "ms/s", Per: "worker", Sizes: []int{100, 200, 400, 800}, RunsPerSize: 3, Cost: reportCost, DesignSize: designWorkers},
+		{Role: leader, Name: "processor time to decide and apply starts", Unit: "ms", Per: "start", Sizes: []int{1000, 2000, 4000, 8000}, RunsPerSize: 3, Cost: startCost, DesignSize: designStarts},
+		{Role: leader, Name: "memory of state and policy", Unit: "MiB", Per: "running task", Sizes: []int{2000, 4000, 8000, 16000}, RunsPerSize: 1, Cost: leaderMemory, DesignSize: designTasks},
+		{Role: leader, Name: "records to each follower for one second of starts, each started, checkpointed and done", Unit: "KiB/s", Per: "start a second", Sizes: []int{100, 200, 400, 800}, RunsPerSize: 1, Cost: recordBytes, DesignSize: designStarts},
+		{Role: follower, Name: "processor time to apply one second of starts, each started, checkpointed and done", Unit: "ms/s", Per: "start a second", Sizes: []int{1000, 2000, 4000, 8000}, RunsPerSize: 3, Cost: followerCost, DesignSize: designStarts},
+		{Role: follower, Name: "memory of the state", Unit: "MiB", Per: "running task", Sizes: []int{2000, 4000, 8000, 16000}, RunsPerSize: 1, Cost: followerMemory, DesignSize: designTasks},
+		{Role: follower, Name: "snapshot", Unit: "MiB", Per: "running task", Sizes: []int{2000, 4000, 8000, 16000}, RunsPerSize: 1, Cost: snapshotMiB, DesignSize: designTasks},
+		{Role: entry, Name: "processor time for one second of workers' polls, decoded, passed on and answered", Unit: "ms/s", Per: "worker of the domain", Sizes: []int{25, 50, 100, 200}, RunsPerSize: 3, Cost: pollCost, DesignSize: designWorkers / designDomains},
+		{Role: entry, Name: "bytes of reports to control", Unit: "KiB/s", Per: "worker of the domain", Sizes: []int{25, 50, 100, 200}, RunsPerSize: 1, Cost: reportBytes, DesignSize: designWorkers / designDomains},
+		{Role: entry, Name: "bytes of announcements in one exchange with one neighbor", Unit: "KiB", Per: "upstream", Sizes: []int{50, 100, 200, 400}, RunsPerSize: 1, Cost: gossipBytes, DesignSize: designWorkers},
+		{Role: entry, Name: "memory of the table of upstreams", Unit: "MiB", Per: "upstream", Sizes: []int{50, 100, 200, 400}, RunsPerSize: 1, Cost: registryMemory, DesignSize: designWorkers},
+		{Role: workerSide, Name: "bytes of one poll", Unit: "KiB/s", Per: "task on the worker", Sizes: []int{5, 10, 20, 40}, RunsPerSize: 1, Cost: pollBytes, DesignSize: tasksPerWorker},
 	}
 }
 
--- a/standin/record.go
+++ b/standin/record.go
@@ -104,8 +104,8 @@
 	Finished       = "finished"        // the driver has waited for all jobs to finish
 )
 
-// Happening is one line of the journal of a demo or test driver.
-type Happening struct {
+// RunEvent is one line of the journal of a demo or test driver.
+type RunEvent struct {
 	Kind    string `json:"kind"`
 	TimeUS  int64  `json:"time_us"`           // Unix time, microseconds
 	Name    string `json:"name,omitempty"`    // process, entry or job
