--- a/demo/common.sh
+++ b/demo/common.sh
@@ -1,64 +1,64 @@
-# Functions that the scenarios share: processes on loopback, what is noted about them, and the report.
+# Functions shared by the scenarios: they run processes on loopback, record events in a journal and print the report.
 # shellcheck shell=bash
 
 readonly DOMAINS=(east west north)
-readonly OUT=demo/out
+readonly OUT_DIR=demo/out
 readonly DAISYSWITCH=bin/daisyswitch
 readonly STANDIN=bin/standin
-readonly EVENTS=$OUT/events.jsonl
+readonly EVENTS_FILE=$OUT_DIR/events.jsonl
 
-declare -A PID=() # of every process that this script started, by name
-STARTED=$SECONDS
+declare -A PID_OF=() # process ids of the processes that this script started, by name
+STARTED_AT=$SECONDS
 
-say() { printf '[%3d s] %s\n' $((SECONDS - STARTED)) "$*"; }
+print_progress() { printf '[%3d s] %s\n' $((SECONDS - STARTED_AT)) "$*"; }
 
 fail() {
-  say "failed: $*"
+  print_progress "failed: $*"
   exit 1
 }
 
-# clean ends the processes that this script started, by their ids, and no others.
-clean() {
+# stop_all_processes ends only the processes that this script started, by their ids.
+stop_all_processes() {
   trap '' INT TERM
   local name
-  for name in "${!PID[@]}"; do
-    kill -TERM "${PID[$name]}" 2>/dev/null
-    kill -CONT "${PID[$name]}" 2>/dev/null # in case it is frozen
+  for name in "${!PID_OF[@]}"; do
+    kill -TERM "${PID_OF[$name]}" 2>/dev/null
+    kill -CONT "${PID_OF[$name]}" 2>/dev/null # in case it was stopped by SIGSTOP
   done
   for _ in {1..20}; do
-    alive || return 0
+    any_process_alive || return 0
     sleep 0.1
   done
-  for name in "${!PID[@]}"; do kill -KILL "${PID[$name]}" 2>/dev/null; done
+  for name in "${!PID_OF[@]}"; do kill -KILL "${PID_OF[$name]}" 2>/dev/null; done
 }
 
-alive() {
+any_process_alive() {
   local name
-  for name in "${!PID[@]}"; do
-    kill -0 "${PID[$name]}" 2>/dev/null && return 0
+  for name in "${!PID_OF[@]}"; do
+    kill -0 "${PID_OF[$name]}" 2>/dev/null && return 0
   done
   return 1
 }
 
-trap clean EXIT
+trap stop_all_processes EXIT
 trap 'exit 130' INT
 trap 'exit 143' TERM
 
-# start NAME COMMAND... runs a process of the demo with its log under demo/out.
-start() {
+# start_process NAME COMMAND... runs a process in the background, with its log under demo/out.
+start_process() {
   local name=$1
   shift
-  "$@" >>"$OUT/$name.log" 2>&1 &
-  PID[$name]=$!
+  "$@" >>"$OUT_DIR/$name.log" 2>&1 &
+  PID_OF[$name]=$!
 }
 
-note() { "$STANDIN" note --journal "$EVENTS" "$@" || fail "note $*"; }
+record_event() { "$STANDIN" note --journal "$EVENTS_FILE" "$@" || fail "note $*"; }
 
-# listening PORT succeeds if something takes connections there.
-listening() { (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
+# port_open PORT succeeds if the port accepts connections.
+port_open() { (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
 
-# ready PORT succeeds if the process with this admin port says that it is ready.
-ready() {
+# is_ready PORT succeeds if the process with this admin port reports ready.
+is_ready() {
   local status=''
   { exec 3<>"/dev/tcp/127.0.0.1/$1"; } 2>/dev/null || return 1
   printf 'GET /ready HTTP/1.0\r\n\r\n' >&3
@@ -67,14 +67,14 @@
   [ "$status" = 200 ]
 }
 
-# Each process has a block of ten ports.
-readonly BLOCK=10 BLOCKS=16
-free_base() {
+# Each process gets a block of ten ports.
+readonly PORTS_PER_PROCESS=10 PORT_BLOCKS=16
+free_base_port() {
   local try base port
   for try in {1..50}; do
-    base=$((10000 + (RANDOM % 120) * BLOCK * BLOCKS))
-    for ((port = base; port < base + BLOCK * BLOCKS; port++)); do
-      listening "$port" && continue 2
+    base=$((10000 + (RANDOM % 120) * PORTS_PER_PROCESS * PORT_BLOCKS))
+    for ((port = base; port < base + PORTS_PER_PROCESS * PORT_BLOCKS; port++)); do
+      port_open "$port" && continue 2
     done
     echo "$base"
     return
@@ -83,71 +83,71 @@
 }
 
 # The ports of control process 1 to 3 and entry 0 to 5.
-control_port() { echo $((BASE + ($1 - 1) * BLOCK + $2)); }
-entry_port() { echo $((BASE + (3 + $1) * BLOCK + $2)); }
-readonly INNER=0 ADMIN=1 CALLERS=2 PLATFORM=3 OPERATORS=4
+control_port() { echo $((BASE_PORT + ($1 - 1) * PORTS_PER_PROCESS + $2)); }
+entry_port() { echo $((BASE_PORT + (3 + $1) * PORTS_PER_PROCESS + $2)); }
+readonly INNER_PORT=0 ADMIN_PORT=1 CALLERS_PORT=2 PLATFORM_PORT=3 OPERATORS_PORT=4
 
 entry_name() { echo "${DOMAINS[$(($1 / 2))]}-$(($1 % 2 + 1))"; }
 
-upstream_admin() { echo $((BASE + 10 * BLOCK + $1)); }
+upstream_admin_port() { echo $((BASE_PORT + 10 * PORTS_PER_PROCESS + $1)); }
 
-# Scenarios that set LINKED to 1 put a link between north and the other domains; it stands in for the inner ports of both sides.
-LINKED=0
-readonly NORTH=2
-link_port() { echo $((BASE + 9 * BLOCK + $1)); }
+# Scenarios that set USE_LINK to 1 connect north to the other domains through a link process, which forwards to the inner ports on both sides.
+USE_LINK=0
+readonly NORTH_INDEX=2
+link_port() { echo $((BASE_PORT + 9 * PORTS_PER_PROCESS + $1)); }
 
-# inner VIEWER OWNER PORT LINK prints the address by which a process in domain VIEWER reaches this port of a process in domain OWNER.
-inner() {
-  if ((LINKED && ($1 == NORTH) != ($2 == NORTH))); then
+# inner_address VIEWER OWNER PORT LINK prints the address at which a process in domain VIEWER reaches this port of a process in domain OWNER.
+inner_address() {
+  if ((USE_LINK && ($1 == NORTH_INDEX) != ($2 == NORTH_INDEX))); then
     echo "127.0.0.1:$(link_port "$4")"
   else
     echo "127.0.0.1:$3"
   fi
 }
 
-# replicas and neighbors print the lists of control processes and entries as domain VIEWER reaches them.
-replicas() {
+# print_replicas VIEWER and print_neighbors VIEWER print the control processes and entries, with their addresses as seen from domain VIEWER.
+print_replicas() {
   local id
   for id in 1 2 3; do
-    echo "    {\"id\": $id, \"inner\": \"$(inner "$1" $((id - 1)) "$(control_port $id $INNER)" $((id - 1)))\", \"domain\": \"${DOMAINS[$((id - 1))]}\"},"
+    echo "    {\"id\": $id, \"inner\": \"$(inner_address "$1" $((id - 1)) "$(control_port $id $INNER_PORT)" $((id - 1)))\", \"domain\": \"${DOMAINS[$((id - 1))]}\"},"
   done
 }
 
-neighbors() {
+print_neighbors() {
   local i
   for i in {0..5}; do
-    echo "    {\"name\": \"$(entry_name "$i")\", \"inner\": \"$(inner "$1" $((i / 2)) "$(entry_port "$i" $INNER)" $((3 + i)))\", \"domain\": \"${DOMAINS[$((i / 2))]}\"},"
+    echo "    {\"name\": \"$(entry_name "$i")\", \"inner\": \"$(inner_address "$1" $((i / 2)) "$(entry_port "$i" $INNER_PORT)" $((3 + i)))\", \"domain\": \"${DOMAINS[$((i / 2))]}\"},"
   done
 }
 
 start_link() {
   local id i forwards=()
-  for id in 1 2 3; do forwards+=(--forward "127.0.0.1:$(link_port $((id - 1)))=127.0.0.1:$(control_port $id $INNER)"); done
-  for i in {0..5}; do forwards+=(--forward "127.0.0.1:$(link_port $((3 + i)))=127.0.0.1:$(entry_port "$i" $INNER)"); done
-  start link "$STANDIN" link "${forwards[@]}" --admin "127.0.0.1:$(link_port 9)"
+  for id in 1 2 3; do forwards+=(--forward "127.0.0.1:$(link_port $((id - 1)))=127.0.0.1:$(control_port $id $INNER_PORT)"); done
+  for i in {0..5}; do forwards+=(--forward "127.0.0.1:$(link_port $((3 + i)))=127.0.0.1:$(entry_port "$i" $INNER_PORT)"); done
+  start_process link "$STANDIN" link "${forwards[@]}" --admin "127.0.0.1:$(link_port 9)"
 }
 
-# tell PORT BODY changes the mode of a stand-in by its admin port.
-tell() {
+# set_mode PORT BODY changes the mode of a stand-in through its admin port.
+set_mode() {
   local status=''
   exec 3<>"/dev/tcp/127.0.0.1/$1" || fail "no admin interface at port $1"
   printf 'PUT /v1/standin/mode HTTP/1.0\r\nContent-Length: %d\r\n\r\n%s' ${#2} "$2" >&3
   read -r -t 2 _ status _ <&3
   exec 3<&- 3>&-
-  [ "$status" = 200 ] || fail "mode $2 was answered $status"
+  [ "$status" = 200 ] || fail "mode $2 was answered with status $status"
 }
 
 write_control() {
-  cat >"$OUT/control-$1.json" <<SETTINGS
+  cat >"$OUT_DIR/control-$1.json" <<SETTINGS
 {
   "name": "control-$1",
   "id": $1,
   "domain": "${DOMAINS[$(($1 - 1))]}",
-  "inner": "127.0.0.1:$(control_port "$1" $INNER)",
-  "admin": "127.0.0.1:$(control_port "$1" $ADMIN)",
-  "data": "$OUT/data-$1",
+  "inner": "127.0.0.1:$(control_port "$1" $INNER_PORT)",
+  "admin": "127.0.0.1:$(control_port "$1" $ADMIN_PORT)",
+  "data": "$OUT_DIR/data-$1",
   "control": [
-$(replicas $(($1 - 1)))
+$(print_replicas $(($1 - 1)))
   ],
   "lease_ms": 5000, // short, so that a demo sees what follows from its end
 }
@@ -155,201 +155,201 @@
 }
 
 write_entry() {
-  cat >"$OUT/$(entry_name "$1").json" <<SETTINGS
+  cat >"$OUT_DIR/$(entry_name "$1").json" <<SETTINGS
 {
   "name": "$(entry_name "$1")",
   "domain": "${DOMAINS[$(($1 / 2))]}",
-  "inner": "127.0.0.1:$(entry_port "$1" $INNER)",
-  "admin": "127.0.0.1:$(entry_port "$1" $ADMIN)",
-  "callers": "127.0.0.1:$(entry_port "$1" $CALLERS)",
-  "platform": "127.0.0.1:$(entry_port "$1" $PLATFORM)",
-  "operators": "127.0.0.1:$(entry_port "$1" $OPERATORS)",
+  "inner": "127.0.0.1:$(entry_port "$1" $INNER_PORT)",
+  "admin": "127.0.0.1:$(entry_port "$1" $ADMIN_PORT)",
+  "callers": "127.0.0.1:$(entry_port "$1" $CALLERS_PORT)",
+  "platform": "127.0.0.1:$(entry_port "$1" $PLATFORM_PORT)",
+  "operators": "127.0.0.1:$(entry_port "$1" $OPERATORS_PORT)",
   "control": [
-$(replicas $(($1 / 2)))
+$(print_replicas $(($1 / 2)))
   ],
   "entries": [
-$(neighbors $(($1 / 2)))
+$(print_neighbors $(($1 / 2)))
   ],
   "drain_ms": 2000,
 }
 SETTINGS
 }
 
-start_control() { start "control-$1" "$DAISYSWITCH" control --settings "$OUT/control-$1.json"; }
-start_entry() { start "$(entry_name "$1")" "$DAISYSWITCH" entry --settings "$OUT/$(entry_name "$1").json"; }
+start_control() { start_process "control-$1" "$DAISYSWITCH" control --settings "$OUT_DIR/control-$1.json"; }
+start_entry() { start_process "$(entry_name "$1")" "$DAISYSWITCH" entry --settings "$OUT_DIR/$(entry_name "$1").json"; }
 
-# operate runs an operators' command against any entry.
-operate() { "$DAISYSWITCH" --entry "$OPERATORS_OF_ALL" --operator demo "$@"; }
+# run_operator runs an operator command against any entry.
+run_operator() { "$DAISYSWITCH" --entry "$OPERATOR_ADDRESSES" --operator demo "$@"; }
 
-# change runs a command that changes the configuration and notes the version that it was accepted with.
-change() {
+# change_configuration runs a command that changes the configuration and records the accepted version.
+change_configuration() {
   local answer version
-  answer=$(operate --json "$@") || fail "$*: $answer"
+  answer=$(run_operator --json "$@") || fail "$*: $answer"
   version=$(sed -n 's/.*"version": *\([0-9]*\).*/\1/p' <<<"$answer" | head -1)
-  note --version "${version:-0}" config_accepted
+  record_event --version "${version:-0}" config_accepted
 }
 
-declare -A JOB=() # ids by what the demo calls the jobs
+declare -A JOB_ID=() # job ids by the names that the scenarios use
 
-# submit NAME OPTIONS... submits a job and remembers the id that it was given.
-submit() {
+# submit_job NAME OPTIONS... submits a job and stores its id under NAME.
+submit_job() {
   local name=$1 answer
   shift
-  answer=$(operate --json job submit --team ledger "$@" 2>>"$OUT/jobs.log") || fail "submit $*: $answer"
-  JOB[$name]=$(sed -n 's/.*"job": *"\([^"]*\)".*/\1/p' <<<"$answer" | head -1)
+  answer=$(run_operator --json job submit --team ledger "$@" 2>>"$OUT_DIR/jobs.log") || fail "submit $*: $answer"
+  JOB_ID[$name]=$(sed -n 's/.*"job": *"\([^"]*\)".*/\1/p' <<<"$answer" | head -1)
 }
 
-leader() { operate --json status | sed -n 's/.*"leader": *\([0-9]*\).*/\1/p' | head -1; }
+leader_id() { run_operator --json status | sed -n 's/.*"leader": *\([0-9]*\).*/\1/p' | head -1; }
 
 wait_ready() {
   local name=$1 port=$2
   for _ in {1..150}; do
-    ready "$port" && return 0
-    kill -0 "${PID[$name]}" 2>/dev/null || fail "$name ended: $(tail -1 "$OUT/$name.log")"
+    is_ready "$port" && return 0
+    kill -0 "${PID_OF[$name]}" 2>/dev/null || fail "$name ended: $(tail -1 "$OUT_DIR/$name.log")"
     sleep 0.1
   done
-  fail "$name was not ready in 15 s: $(tail -1 "$OUT/$name.log")"
+  fail "$name was not ready within 15 s: $(tail -1 "$OUT_DIR/$name.log")"
 }
 
-# stop NAME [note options] ends a process as planned and notes its exit code.
-stop() {
+# stop_process NAME [note options] shuts a process down gracefully and records its exit code.
+stop_process() {
   local name=$1 code
   shift
-  note --name "$name" "$@" stop_began
-  kill -TERM "${PID[$name]}"
-  wait "${PID[$name]}"
+  record_event --name "$name" "$@" stop_began
+  kill -TERM "${PID_OF[$name]}"
+  wait "${PID_OF[$name]}"
   code=$?
-  unset "PID[$name]"
-  note --name "$name" --code "$code" "$@" stop_ended
-  say "  $name ended with code $code"
+  unset "PID_OF[$name]"
+  record_event --name "$name" --code "$code" "$@" stop_ended
+  print_progress "  $name ended with code $code"
 }
 
-# murder NAME [note options] kills a process without warning.
-murder() {
+# kill_process NAME [note options] kills a process with SIGKILL.
+kill_process() {
   local name=$1
   shift
-  note --name "$name" "$@" killed
-  kill -KILL "${PID[$name]}"
-  wait "${PID[$name]}" 2>/dev/null
-  unset "PID[$name]"
+  record_event --name "$name" "$@" killed
+  kill -KILL "${PID_OF[$name]}"
+  wait "${PID_OF[$name]}" 2>/dev/null
+  unset "PID_OF[$name]"
 }
 
-# until_load SECOND waits until this second of the load.
-until_load() {
-  while ((SECONDS - LOAD_STARTED < $1)); do sleep 0.1; done
+# wait_until_load SECOND waits until SECOND seconds after the start of the load.
+wait_until_load() {
+  while ((SECONDS - LOAD_STARTED_AT < $1)); do sleep 0.1; done
 }
 
-unfinished() { operate --json job show "${JOB[$1]}" | grep -Ec '"state": *"(queued|starting|running|stopping|checkpointed)"'; }
+count_unfinished() { run_operator --json job show "${JOB_ID[$1]}" | grep -Ec '"state": *"(queued|starting|running|stopping|checkpointed)"'; }
 
 start_system() {
   local i id
   for id in 1 2 3; do write_control "$id"; start_control "$id"; done
   for i in {0..5}; do write_entry "$i"; start_entry "$i"; done
-  for i in {0..5}; do wait_ready "$(entry_name "$i")" "$(entry_port "$i" $ADMIN)"; done
+  for i in {0..5}; do wait_ready "$(entry_name "$i")" "$(entry_port "$i" $ADMIN_PORT)"; done
 }
 
-# platform_of I prints the options for the platform addresses of the entries of I's domain, first the one that stands beside it.
-platform_of() {
+# platform_options I prints the options for the platform addresses of both entries in I's domain, entry I first.
+platform_options() {
   local first=$(($1 / 2 * 2))
-  echo "--entry 127.0.0.1:$(entry_port "$1" $PLATFORM) --entry 127.0.0.1:$(entry_port $((first + 1 - $1 % 2)) $PLATFORM)"
+  echo "--entry 127.0.0.1:$(entry_port "$1" $PLATFORM_PORT) --entry 127.0.0.1:$(entry_port $((first + 1 - $1 % 2)) $PLATFORM_PORT)"
 }
 
 start_upstream() {
   # shellcheck disable=SC2046 # the options are words
-  start "upstream-$1" "$STANDIN" upstream --name "upstream-$1" --domain "${DOMAINS[$(($1 / 2))]}" $(platform_of "$1") \
-    --class bookings --seed "$1" --admin "127.0.0.1:$(upstream_admin "$1")" --journal "$OUT/upstream-$1.jsonl"
+  start_process "upstream-$1" "$STANDIN" upstream --name "upstream-$1" --domain "${DOMAINS[$(($1 / 2))]}" $(platform_options "$1") \
+    --class bookings --seed "$1" --admin "127.0.0.1:$(upstream_admin_port "$1")" --journal "$OUT_DIR/upstream-$1.jsonl"
 }
 
 start_worker() {
   local domain=${DOMAINS[$(($1 / 2))]}
   # shellcheck disable=SC2046 # the options are words
-  start "worker-$1" "$STANDIN" worker --name "worker-$1" --domain "$domain" --rack "$domain-rack" $(platform_of "$1") \
-    --cpu 8 --memory-gib 32 --journal "$OUT/worker-$1.jsonl"
+  start_process "worker-$1" "$STANDIN" worker --name "worker-$1" --domain "$domain" --rack "$domain-rack" $(platform_options "$1") \
+    --cpu 8 --memory-gib 32 --journal "$OUT_DIR/worker-$1.jsonl"
 }
 
 start_standins() {
-  local i watched=()
+  local i watched_entries=()
   for i in {0..5}; do
     start_upstream "$i"
     start_worker "$i"
-    watched+=(--entry "$(entry_name "$i")=127.0.0.1:$(entry_port "$i" $OPERATORS)")
+    watched_entries+=(--entry "$(entry_name "$i")=127.0.0.1:$(entry_port "$i" $OPERATORS_PORT)")
   done
-  start watch "$STANDIN" watch --journal "$OUT/events-watch.jsonl" "${watched[@]}"
+  start_process watch "$STANDIN" watch --journal "$OUT_DIR/events-watch.jsonl" "${watched_entries[@]}"
 }
 
 start_load() {
   local i entries=()
   for i in {0..5}; do
-    entries+=(--entry "127.0.0.1:$(entry_port "$i" $CALLERS)" --ready "127.0.0.1:$(entry_port "$i" $ADMIN)")
+    entries+=(--entry "127.0.0.1:$(entry_port "$i" $CALLERS_PORT)" --ready "127.0.0.1:$(entry_port "$i" $ADMIN_PORT)")
   done
-  start caller "$STANDIN" caller --class bookings "${entries[@]}" --rate 300 --duration ${LOAD_SECONDS}s --post-share 0.4 --journal "$OUT/caller-1.jsonl"
-  LOAD_STARTED=$SECONDS
+  start_process caller "$STANDIN" caller --class bookings "${entries[@]}" --rate 300 --duration ${LOAD_SECONDS}s --post-share 0.4 --journal "$OUT_DIR/caller-1.jsonl"
+  LOAD_STARTED_AT=$SECONDS
 }
 
-configure() {
-  change class put bookings --kind service --target-p99 50ms
-  change class put refunds --kind batch --volume 1000 --due 23:00
-  change team put ledger --cpu 100 --memory-gib 400 --accelerators 0
+create_configuration() {
+  change_configuration class put bookings --kind service --target-p99 50ms
+  change_configuration class put refunds --kind batch --volume 1000 --due 23:00
+  change_configuration team put ledger --cpu 100 --memory-gib 400 --accelerators 0
 }
 
-finish() {
+finish_run() {
   local code
-  say "load ends"
-  wait "${PID[caller]}"
+  print_progress "waiting for the end of the load"
+  wait "${PID_OF[caller]}"
   code=$?
-  unset "PID[caller]"
-  say "waits for batch to finish"
+  unset "PID_OF[caller]"
+  print_progress "waiting for the batch jobs to finish"
   for _ in {1..60}; do
-    [ "$(unfinished refunds)" = 0 ] && [ "$(unfinished urgent)" = 0 ] && break
+    [ "$(count_unfinished refunds)" = 0 ] && [ "$(count_unfinished urgent)" = 0 ] && break
     sleep 0.5
   done
-  note_not_run
-  note finished
+  record_tasks_not_run
+  record_event finished
   return $code
 }
 
-# note_not_run notes which tasks of the cancelled job control says never ran.
-note_not_run() {
+# record_tasks_not_run records the tasks of the cancelled job that control reports as never run.
+record_tasks_not_run() {
   local index
-  operate --json job show "${JOB[cancelled]}" >"$OUT/cancelled.json" || fail "job show"
-  tr -d ' \n' <"$OUT/cancelled.json" | grep -o '"index":[0-9]*,"state":"cancelled_not_run"' | sed 's/"index":\([0-9]*\).*/\1/' |
-    while read -r index; do note --name "${JOB[cancelled]}" --index "$index" task_not_run; done
+  run_operator --json job show "${JOB_ID[cancelled]}" >"$OUT_DIR/cancelled.json" || fail "job show"
+  tr -d ' \n' <"$OUT_DIR/cancelled.json" | grep -o '"index":[0-9]*,"state":"cancelled_not_run"' | sed 's/"index":\([0-9]*\).*/\1/' |
+    while read -r index; do record_event --name "${JOB_ID[cancelled]}" --index "$index" task_not_run; done
 }
 
-report() {
+print_report() {
   echo
-  operate status
+  run_operator status
   echo
-  cat "$OUT/caller.log"
+  cat "$OUT_DIR/caller.log"
   echo
-  "$STANDIN" check --journals "$OUT"
+  "$STANDIN" check --journals "$OUT_DIR"
 }
 
-prepare() {
-  rm -rf "$OUT"
-  mkdir -p "$OUT"
-  BASE=$(free_base) || fail "no free ports"
-  OPERATORS_OF_ALL=$(for i in {0..5}; do printf '127.0.0.1:%s,' "$(entry_port "$i" $OPERATORS)"; done)
-  OPERATORS_OF_ALL=${OPERATORS_OF_ALL%,}
+prepare_run() {
+  rm -rf "$OUT_DIR"
+  mkdir -p "$OUT_DIR"
+  BASE_PORT=$(free_base_port) || fail "no free ports"
+  OPERATOR_ADDRESSES=$(for i in {0..5}; do printf '127.0.0.1:%s,' "$(entry_port "$i" $OPERATORS_PORT)"; done)
+  OPERATOR_ADDRESSES=${OPERATOR_ADDRESSES%,}
 }
 
-# scenario runs the system, the function load under it, and the checks.
-scenario() {
-  prepare
-  say "starts 3 control processes and 6 entries in ${DOMAINS[*]}, ports from $BASE, files in $OUT"
-  ((LINKED)) && start_link
+# run_scenario starts the system and the load, calls run_steps of the scenario, and runs the checks.
+run_scenario() {
+  prepare_run
+  print_progress "starts 3 control processes and 6 entries in ${DOMAINS[*]}, ports from $BASE_PORT, files in $OUT_DIR"
+  ((USE_LINK)) && start_link
   start_system
-  say "creates two classes and a team, starts 6 upstreams and 6 workers"
-  configure
+  print_progress "creates two classes and a team, starts 6 upstreams and 6 workers"
+  create_configuration
   start_standins
   sleep 3
-  say "loads bookings with 300 requests a second for $LOAD_SECONDS s and submits refunds"
+  print_progress "sends 300 requests a second to bookings for $LOAD_SECONDS s and submits refunds"
   start_load
-  load
-  finish
-  local answers=$?
-  report
-  local promises=$?
-  if [ $answers -ne 0 ] || [ $promises -ne 0 ]; then fail "see the table above and $OUT"; fi
-  say "every promise held"
+  run_steps
+  finish_run
+  local caller_code=$?
+  print_report
+  local check_code=$?
+  if [ $caller_code -ne 0 ] || [ $check_code -ne 0 ]; then fail "see the table above and $OUT_DIR"; fi
+  print_progress "all promises held"
 }
