--- a/review/standin/installation.go
+++ b/review/standin/installation.go
@@ -224,7 +224,7 @@
 		expected := in.closing
 		in.mu.Unlock()
 		if !expected {
-			in.broken("FAULT", "%s ended by itself: %v", p.name, err)
+			in.fail(fmt.Errorf("%s ended by itself: %w", p.name, err))
 		}
 	}()
 	return nil
--- a/review/standin/odd.go
+++ b/review/standin/odd.go
@@ -28,12 +28,33 @@
 		status, _, at := in.callFollowing(http.MethodPut, member, word("instances")+"i-00c0ffee", "", encode(report), time.Second, 2)
 		in.note("odd check-in", "member", at, "service", report["service"], "address", report["address"], "status", status)
 	}
-	time.Sleep(20 * time.Second)
+	time.Sleep(10 * time.Second)
+	for range 20 {
+		if err := in.submit(in.newID(workTime{shortest: time.Second}), step{count: 6, milliCPU: 4000}); err != nil {
+			return err
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(5 * time.Second)
 	in.state(0, id)
+	in.note("runs begun", "executor", busy.id, "all", in.runsOn(busy.id))
 	in.checkTogether()
 	return nil
 }
 
+// runsOn counts the runs that an executor has begun.
+func (in *installation) runsOn(executor string) int {
+	count := 0
+	for _, runs := range in.byTask() {
+		for _, seen := range runs {
+			if seen.executor == executor {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // executorOf returns an executor on which a task of a submission is at work.
 func (in *installation) executorOf(id string) *executor {
 	for task, runs := range in.byTask() {
--- a/review/standin/reborn.go
+++ b/review/standin/reborn.go
@@ -9,12 +9,12 @@
 // Crashes of the case reborn.
 const (
 	crashRounds = 8
-	crashEvery  = 3 * time.Second
+	crashPause  = 3 * time.Second // before each round
 	crashedFor  = time.Second
-	crashCount  = 3 // of 24 executors
+	crashCount  = 3 // of 48 executors
 )
 
-func init() { scenarios["reborn"] = scenario{sizes{2, []executorKind{{24, "a"}}}, reborn} }
+func init() { scenarios["reborn"] = scenario{sizes{2, []executorKind{{48, "a"}}}, reborn} }
 
 // reborn lets executors crash silently and start again under their ids a second later, while submissions come steadily.
 func reborn(in *installation) error {
@@ -23,18 +23,18 @@
 	go func() {
 		defer crashes.Done()
 		for round := range crashRounds {
-			time.Sleep(crashEvery)
+			time.Sleep(crashPause)
 			if in.trouble {
 				in.crashSome(round)
 			}
 		}
 	}()
-	for range 300 {
+	for range 500 {
 		id := in.newID(workTime{shortest: 1500 * time.Millisecond})
 		if err := in.submit(id, step{count: 6, milliCPU: 4000}); err != nil {
 			return err
 		}
-		time.Sleep(75 * time.Millisecond)
+		time.Sleep(40 * time.Millisecond)
 	}
 	crashes.Wait()
 	time.Sleep(5 * time.Second)
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -18,6 +18,7 @@
 	mu         sync.Mutex // guards the fields below
 	file       *os.File
 	violations []string
+	failure    error                 // why the case could not run to its end, nil if it did
 	runs       map[string][]*runSeen // by task
 }
 
@@ -152,12 +153,25 @@
 	return exitCannotRun
 }
 
+// fail notes that the case cannot be judged.
+func (r *record) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failure = err
+	r.write("failure", "cause", err)
+}
+
 // verdict returns the exit code.
 func (r *record) verdict() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.failure != nil {
+		r.write("cannot run", "cause", r.failure)
+		fmt.Fprintln(os.Stderr, "cannot run:", r.failure)
+		return exitCannotRun
+	}
 	if len(r.violations) == 0 {
-		r.write("all rules held")
+		r.write("the rule held")
 		return exitHeld
 	}
 	shown := r.violations[:min(len(r.violations), mostShown)]
--- a/review/standin/renamed.go
+++ b/review/standin/renamed.go
@@ -28,5 +28,9 @@
 			in.broken("LOST", "the state of submission %s was answered with 410 (at work: %v)", id, now)
 		}
 	}
+	in.request(http.MethodDelete, 0, prefix+id, nil)
+	time.Sleep(stopTimeout + time.Second)
+	ever, now := in.begun(id)
+	in.note("after the DELETE", "begun", ever, "at work", now)
 	return nil
 }
