Replicate that a workflow has begun, so that a new leader does not guess it

Cause: whether a start had been accepted was known to one leader only.

Ruled out: old state at a gateway; each asks the leader, and they agree.

Change: the leader commits that a workflow has begun, once a worker has accepted a start or listed a run, with the next record or within 0.1 s in one of its own. pending and the state go by that alone.

TestAttemptsAreCounted and TestWorkflowBeginsOnceAStartIsAccepted used the mark in memory that is gone; they check the same by the record, the second (renamed) a restored replica after each step as well.

--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -73,6 +73,54 @@
 	}
 }
 
+// TestWorkflowThatHasNotBegunWaitsAcrossLeaders guards against a new leader that counts a workflow as begun whose starts its predecessor committed, and no worker accepted, whenever the leadership changes.
+func TestWorkflowThatHasNotBegunWaitsAcrossLeaders(t *testing.T) {
+	const (
+		changeEvery = 200 * time.Millisecond
+		lastChange  = 9 * time.Second
+		finishTime  = 14 * time.Second // in which accepted work has to end
+	)
+	for name, change := range map[string]func(w *fakeWorker, on bool){
+		"refused":      func(w *fakeWorker, on bool) { w.refusesStarts = on },
+		"not answered": func(w *fakeWorker, on bool) { w.silent = on },
+	} {
+		for changeAt := time.Duration(0); changeAt < lastChange; changeAt += changeEvery {
+			for _, snapshot := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %v, snapshot %v", name, changeAt, snapshot), func(t *testing.T) {
+					runOnBench(t, 1, big, func(b *testBench) {
+						w := b.workers["w0"]
+						b.locked(func() { change(w, true) })
+						for i := range 6 {
+							b.submit("short", fmt.Sprint(i), short(1))
+						}
+						checkWaiting := func(until time.Time) {
+							for time.Now().Before(until) {
+								time.Sleep(10 * time.Millisecond)
+								assert.Equal(t, b.waitingJobs("short"), int64(6))
+								assert.Equal(t, b.state("0"), workflow.StateQueued)
+							}
+						}
+						checkWaiting(time.Now().Add(changeAt))
+						b.depose()
+						if snapshot {
+							assert.NilError(t, b.table.Restore(b.table.Snapshot()))
+						}
+						b.lead(2)
+						checkWaiting(time.Now().Add(withMargin(maxLease)))
+						b.locked(func() { change(w, false) })
+						time.Sleep(finishTime)
+						assert.Equal(t, b.waitingJobs("short"), int64(0))
+						assert.Equal(t, b.state("0"), workflow.StateCompleted)
+					})
+				})
+			}
+		}
+	}
+}
+
+// withMargin returns a time after which a lease of the given length has lapsed in the records.
+func withMargin(lease time.Duration) time.Duration { return lease + 2*time.Second }
+
 // TestWorkflowThatHasBegunStaysSo checks that a workflow of which a run has begun is not shown as queued again, whatever ends the run.
 func TestWorkflowThatHasBegunStaysSo(t *testing.T) {
 	for name, end := range map[string]func(b *testBench){
@@ -83,6 +131,16 @@
 			b.locked(func() { b.at[b.workers["w0"].record.GetAddress()] = b.newWorker("other", big) })
 		},
 		"another leader": func(b *testBench) { b.lead(2) },
+		"another leader, which its worker does not answer": func(b *testBench) {
+			b.locked(func() { b.workers["w0"].silent = true })
+			b.lead(2)
+		},
+		"another leader, from a snapshot, which its worker does not answer": func(b *testBench) {
+			b.locked(func() { b.workers["w0"].silent = true })
+			b.depose()
+			assert.NilError(b.t, b.table.Restore(b.table.Snapshot()))
+			b.lead(2)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runOnBench(t, 1, big, func(b *testBench) {
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -142,7 +142,7 @@
 	end := &wire.RunEnd{Task: key.name.Wire(), Run: key.number, Worker: l.id, Born: l.currentWorker().GetBorn(), Outcome: wire.RunOutcome_RUN_OUTCOME_LAPSED}
 	if r := l.runs[key]; r != nil {
 		end.Checkpoint = r.checkpoint
-		if r.phase == starting && !r.listed && !r.adopted {
+		if r.phase == starting && !r.begun {
 			end.Outcome = wire.RunOutcome_RUN_OUTCOME_NOT_RUN
 		}
 	}
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -70,6 +70,7 @@
 	r := l.runs[key]
 	if r != nil {
 		r.update(now, listed)
+		s.noteBegun(r)
 	}
 	again := r != nil && r.phase == stopped && now-r.phaseSince > stopTimeout
 	s.mu.Unlock()
@@ -89,7 +90,6 @@
 	if !r.listed {
 		r.listed, r.confirmed, r.firstListedAt, r.progressAt = true, true, now, now
 	}
-	r.task.Accepted()
 	r.listedAt = now
 	if r.phase == starting {
 		r.phase, r.phaseSince = started, now
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -156,7 +156,7 @@
 	defer cancel()
 	s := &session{
 		Options: l.options, counters: l.counters, ctx: ctx, fence: fence,
-		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, taskDuration: map[string]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{},
+		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, taskDuration: map[string]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, begun: map[string]struct{}{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{},
 	}
 	defer s.tasks.Wait()
 	l.session.Store(s)
@@ -177,6 +177,7 @@
 			s.stopStalled()
 			s.moveSlowed()
 			s.stopOnLeavingWorkers()
+			s.commitBegun()
 			s.summarize()
 		}
 	}
@@ -225,8 +226,9 @@
 	excluded        map[workflow.Name]map[string]exclusion // by task and worker
 	taskDuration    map[string]*taskDuration               // mean run times by queue
 	headrooms       *headroom.Table
-	initialPaces    map[runKey]int // paces in percent of runs that have not started
-	allImageNumbers map[string]int // indexes of images in costs
+	begun           map[string]struct{} // workflows of which a run has begun, to be committed
+	initialPaces    map[runKey]int      // paces in percent of runs that have not started
+	allImageNumbers map[string]int      // indexes of images in costs
 }
 
 // adoptRuns takes over the runs that earlier leaders committed.
@@ -281,6 +283,7 @@
 
 // commitWithRetry commits a command, retrying until it is committed or the leadership ends.
 func (s *session) commitWithRetry(c *wire.WorkflowCommand) bool {
+	c.Begun = append(c.Begun, s.takeBegun()...)
 	for s.ctx.Err() == nil {
 		began := time.Now()
 		_, err := s.Commit(s.ctx, c)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -66,11 +66,13 @@
 		return true
 	}
 	began = time.Now()
-	result, err := s.Commit(s.ctx, &wire.WorkflowCommand{Starts: r.starts})
+	begun := s.takeBegun()
+	result, err := s.Commit(s.ctx, &wire.WorkflowCommand{Starts: r.starts, Begun: begun})
 	observeSince(s.commitTime, began)
 	s.done.inCommits += time.Since(began)
 	if err != nil {
 		event.RecordNotCommitted.Error(err, "starts", len(r.starts))
+		s.returnBegun(begun)
 		return false
 	}
 	s.done.starts += len(r.starts)
@@ -198,7 +200,7 @@
 	r.done[task] = true
 	size := resource.FromWire(step.Spec.GetSize())
 	c.unused -= expectedMilliCPU(step.Spec) * int64(pace) / 100
-	if !step.Job.Begun() {
+	if !step.Job.Begun {
 		r.s.firstStartWait.Update(float64(r.nowMS-step.Job.AcceptedMS) / 1000)
 	}
 	event.TaskPlaced.Info("task", task.Name().String(), "run", run, "worker", c.GetId(), "chance", r.expectedLateness[step.Job].String(), "accepted_ms_ago", r.nowMS-step.Job.AcceptedMS,
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -27,7 +27,7 @@
 	stopped               // the worker accepted the stop; the run ends, or is barred from starting
 )
 
-// run is one run that is committed to a worker. The session's mutex guards the fields from sentAt on.
+// run is one run that is committed to a worker. The session's mutex guards the fields from begun on.
 type run struct {
 	runKey
 	task    *workflow.Task
@@ -36,6 +36,7 @@
 	order   call.Start
 	adopted bool // committed by an earlier leader, which may have sent its start
 
+	begun         bool          // the worker has accepted its start or listed it
 	sentAt        time.Duration // boot clock, when its start was last sent; 0 for never
 	confirmed     bool          // the worker's incarnation is known to have answered its start or to have listed it
 	phase         phase
@@ -76,9 +77,6 @@
 	if l != nil && !known {
 		r.link, r.phaseSince, r.checkpoint = l, s.SinceBoot(), r.order.Checkpoint
 		r.image, r.pace = s.imageNumber(t.Step.Spec.GetImage()), 100
-		if adopted {
-			t.Accepted()
-		}
 		s.runs[r.runKey] = r
 		l.runs[r.runKey], l.offerChanged = r, true
 	}
@@ -182,7 +180,7 @@
 func (s *session) recordStarted(r *run) {
 	event.RunStarted.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "fence", s.fence)
 	s.started.Inc()
-	r.task.Accepted()
+	s.recordBegun(r)
 	s.setPhase(r, started)
 	s.applyInitialPace(r)
 	if committed, startable := s.runStanding(r); committed && !startable {
--- a/event/dispatch.go
+++ b/event/dispatch.go
@@ -22,6 +22,7 @@
 	CalledWorkerSuspended = register(466, "called_worker_suspended", "A called worker gets no new tasks for some time.")
 	TaskExcluded          = register(473, "task_excluded", "A task is kept off a worker for some time, since it failed, stalled or was slowed there.")
 	CheckpointsDropped    = register(474, "checkpoints_dropped", "A worker lists checkpoints that are too long to be kept; its tasks would start from their beginning elsewhere.")
+	WorkflowBegun         = register(475, "workflow_begun", "A worker is known to have begun a workflow, which counts as running once this is committed.")
 	WorkflowEnded         = register(470, "workflow_ended", "A workflow completed, failed or was cancelled; logged with whether it met its target, judged by the mean duration of its queue's tasks, and with its size.")
 	RunPaced              = register(468, "run_paced", "A filling task was slowed down or sped up to protect the serving tasks on the same worker.")
 	LoadSummary           = register(467, "load_summary", "Every 2 s: utilization of the called workers, their free capacity by piece size, the number of waiting tasks and of those that can still be in time, and the time that the loop spent on rounds and commits.")
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -123,6 +123,15 @@
 	}
 }
 
+// markBegun records that runs of some jobs have begun.
+func (t *Tables) markBegun(ids []string) {
+	for _, id := range ids {
+		if j := t.Jobs[id]; j != nil {
+			j.Begun = true
+		}
+	}
+}
+
 // Task returns a task by name, or nil if it does not exist.
 func (t *Tables) Task(n Name) *Task {
 	j := t.Jobs[n.Workflow]
@@ -150,11 +159,11 @@
 	return queue, rest
 }
 
-// WaitingJobs counts a queue's open jobs of which no run has begun.
+// WaitingJobs counts a queue's open jobs of which no run is known to have begun.
 func (t *Tables) WaitingJobs(queue *wire.Queue) int64 {
 	count := int64(0)
 	for _, j := range t.Jobs {
-		if j.In(queue) && j.Open() && !j.Begun() {
+		if j.In(queue) && j.Open() && !j.Begun {
 			count++
 		}
 	}
--- a/workflow/run.go
+++ b/workflow/run.go
@@ -13,7 +13,6 @@
 		return false
 	}
 	task.Run, task.Worker, task.Born, task.Ticket = s.GetRun(), worker, worker.GetBorn(), s.GetTicket()
-	task.unaccepted.Store(true)
 	worker.addTask(task)
 	task.Step.Waiting--
 	t.updateWaitingSet(task.Step)
@@ -44,7 +43,7 @@
 		t.releaseTask(task)
 	}
 	if e.GetOutcome() != wire.RunOutcome_RUN_OUTCOME_NOT_RUN {
-		task.Step.Job.Started = true
+		task.Step.Job.Begun = true
 	}
 	t.applyOutcome(nowMS, task, e)
 }
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -38,7 +38,7 @@
 }
 
 func (j *Job) record() *wire.WorkflowRecord {
-	r := &wire.WorkflowRecord{Workflow: j.Spec, AcceptedMs: j.AcceptedMS, Cancelled: j.Cancelled, Failed: j.Failed, EndedMs: j.EndedMS, Queue: j.Queue, Started: j.Started}
+	r := &wire.WorkflowRecord{Workflow: j.Spec, AcceptedMs: j.AcceptedMS, Cancelled: j.Cancelled, Failed: j.Failed, EndedMs: j.EndedMS, Queue: j.Queue, Started: j.Begun}
 	for _, s := range j.Steps {
 		step := &wire.StepRecord{Failures: s.failures, FailedRun: s.failedRun}
 		for _, t := range s.Tasks {
@@ -95,7 +95,7 @@
 
 func (t *Tables) restoreJob(r *wire.WorkflowRecord) error {
 	j := newJob(r.GetWorkflow(), r.GetQueue(), r.GetAcceptedMs())
-	j.Cancelled, j.Failed, j.EndedMS, j.Started = r.GetCancelled(), r.GetFailed(), r.GetEndedMs(), r.GetStarted()
+	j.Cancelled, j.Failed, j.EndedMS, j.Begun = r.GetCancelled(), r.GetFailed(), r.GetEndedMs(), r.GetStarted()
 	if len(r.GetSteps()) != len(j.Steps) {
 		return fmt.Errorf("step count differs: %d in the snapshot, %d in the workflow's specification", len(r.GetSteps()), len(j.Steps))
 	}
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -101,6 +101,7 @@
 	for _, w := range c.GetWorkers() {
 		t.setWorker(w)
 	}
+	t.markBegun(c.GetBegun())
 	for _, e := range c.GetEnds() {
 		t.recordEnd(nowMS, e)
 	}
--- a/workflow/types.go
+++ b/workflow/types.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync/atomic"
 
 	"daisyswitch/resource"
 	"daisyswitch/wire"
@@ -48,7 +47,7 @@
 	EndedMS         int64       // 0 while the job is open
 	Cancelled       bool
 	Failed          bool
-	Started         bool // a run of the job that had begun has ended
+	Begun           bool // a run of the job is known to have begun
 	Steps           []*Step
 	unfinishedSteps int // steps that are not done
 }
@@ -63,21 +62,6 @@
 	return j.Spec.GetQueue() == q.GetName() || j.Queue.GetHost() == q.GetHost() && j.Queue.GetPathPrefix() == q.GetPathPrefix()
 }
 
-// Begun reports whether a run of the job has begun, as far as is known. A start that this replica committed counts only once its worker has accepted it.
-func (j *Job) Begun() bool {
-	if j.Started {
-		return true
-	}
-	for _, s := range j.Steps {
-		for _, t := range s.Tasks {
-			if t.Worker != nil && !t.unaccepted.Load() {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // State returns the job's state as reported to callers.
 func (j *Job) State() string {
 	switch {
@@ -87,7 +71,7 @@
 		return StateFailed
 	case j.unfinishedSteps == 0:
 		return StateCompleted
-	case j.Begun():
+	case j.Begun:
 		return StateRunning
 	default:
 		return StateQueued
@@ -124,12 +108,8 @@
 	Born       int64   // of the incarnation for which the run was committed; the worker may have restarted since
 	Checkpoint string
 	Ticket     string
-	unaccepted atomic.Bool // its start was committed since this replica started, and is not known to be accepted; not replicated
 }
 
-// Accepted records that the task's worker has accepted the start, or may have.
-func (t *Task) Accepted() { t.unaccepted.Store(false) }
-
 // Name returns the task's name.
 func (t *Task) Name() Name {
 	return Name{Workflow: t.Step.Job.Spec.GetId(), Occurrence: t.Step.Occurrence, Step: t.Step.Number, Index: t.Index}
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -55,6 +55,10 @@
 	t.Apply(4, &wire.WorkflowCommand{Ends: []*wire.RunEnd{{Task: task, Run: run, Worker: worker, Born: born, Number: number, Outcome: outcome}}})
 }
 
+func markBegun(t *workflow.Table, id string) {
+	t.Apply(4, &wire.WorkflowCommand{Begun: []string{id}})
+}
+
 func jobState(t *workflow.Table, id string) (jobState string) {
 	t.View(func(s *workflow.Tables) { jobState = s.Jobs[id].State() })
 	return jobState
@@ -117,31 +121,43 @@
 	submit(s, "a", &wire.Step{Count: 1, Size: taskSize})
 	for run, outcome := range []wire.RunOutcome{lapsed, stopped, failed, failed} {
 		assert.Assert(t, start(s, taskName("a", 0, 0), int32(run+1), "w", 1))
-		s.View(func(v *workflow.Tables) { v.Task(workflow.NameOf(taskName("a", 0, 0))).Accepted() })
+		markBegun(s, "a")
 		assert.Equal(t, jobState(s, "a"), workflow.StateRunning)
 		recordNextEnd(s, taskName("a", 0, 0), int32(run+1), "w", 1, outcome)
 	}
 	assert.Equal(t, jobState(s, "a"), workflow.StateFailed)
 }
 
-// TestWorkflowBeginsOnceAStartIsAccepted guards against counting a workflow as begun whose start was only committed, also after a replica has restarted.
-func TestWorkflowBeginsOnceAStartIsAccepted(t *testing.T) {
-	s := newTable()
-	submit(s, "a", &wire.Step{Count: 1, Size: taskSize})
-	for run := int32(1); run < 3; run++ {
-		assert.Assert(t, start(s, taskName("a", 0, 0), run, "w", 1))
-		assert.Equal(t, jobState(s, "a"), workflow.StateQueued)
-		s.View(func(v *workflow.Tables) { assert.Equal(t, v.WaitingJobs(&wire.Queue{Name: "q"}), int64(1)) })
-		recordEnd(s, taskName("a", 0, 0), run, "w", 1, 0, wire.RunOutcome_RUN_OUTCOME_NOT_RUN)
-		assert.Equal(t, jobState(s, "a"), workflow.StateQueued)
+// TestWorkflowBeginsOnceItsStartIsKnownToBeAccepted guards against counting a workflow as begun whose start was only committed, or forgetting that it has begun, also after a replica has restarted.
+func TestWorkflowBeginsOnceItsStartIsKnownToBeAccepted(t *testing.T) {
+	check := func(s *workflow.Table, state string, waiting int64) {
+		t.Helper()
+		restarted := workflow.New(workflow.Options{})
+		assert.NilError(t, restarted.Restore(s.Snapshot()))
+		for _, s := range []*workflow.Table{s, restarted} {
+			assert.Equal(t, jobState(s, "a"), state)
+			s.View(func(v *workflow.Tables) { assert.Equal(t, v.WaitingJobs(&wire.Queue{Name: "q"}), waiting) })
+		}
 	}
-	assert.Assert(t, start(s, taskName("a", 0, 0), 3, "w", 1))
-	recordEnd(s, taskName("a", 0, 0), 3, "w", 1, 0, lapsed)
-	restarted := workflow.New(workflow.Options{})
-	assert.NilError(t, restarted.Restore(s.Snapshot()))
-	for _, s := range []*workflow.Table{s, restarted} {
-		assert.Equal(t, jobState(s, "a"), workflow.StateRunning)
-		s.View(func(v *workflow.Tables) { assert.Equal(t, v.WaitingJobs(&wire.Queue{Name: "q"}), int64(0)) })
+	for name, begin := range map[string]func(s *workflow.Table){
+		"a worker accepted its start": func(s *workflow.Table) { markBegun(s, "a") },
+		"a run that had begun ended":  func(s *workflow.Table) { recordEnd(s, taskName("a", 0, 0), 3, "w", 1, 0, lapsed) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTable()
+			submit(s, "a", &wire.Step{Count: 1, Size: taskSize})
+			for run := int32(1); run < 3; run++ {
+				assert.Assert(t, start(s, taskName("a", 0, 0), run, "w", 1))
+				check(s, workflow.StateQueued, 1)
+				recordEnd(s, taskName("a", 0, 0), run, "w", 1, 0, wire.RunOutcome_RUN_OUTCOME_NOT_RUN)
+				check(s, workflow.StateQueued, 1)
+			}
+			assert.Assert(t, start(s, taskName("a", 0, 0), 3, "w", 1))
+			begin(s)
+			check(s, workflow.StateRunning, 0)
+			recordEnd(s, taskName("a", 0, 0), 3, "w", 1, 0, wire.RunOutcome_RUN_OUTCOME_NOT_RUN)
+			check(s, workflow.StateRunning, 0)
+		})
 	}
 }
 
