End a run as not run unless its worker is known to have begun it

Seen: a start whose first answer was lost and whose second try was refused is stopped before its task is free; if its worker falls silent then, the lapse of the lease counts it as a run that had begun. The workflow is shown as running and left out of pending for good, and nothing of it has begun.

Cause: lostRun went by the phase of the order: not run only while the start was being sent. Ruled out: the refusal itself, as the state stays queued up to the lapse.

Change: one function decides by whether the worker accepted the start or listed the run; lapses, replaced workers, withdrawn starts and missing runs use it. lease_lapsed says how many of the runs had not begun.

TestWithdrawnStartWhoseLeaseLapsesHasNotBegun on the former code: health_test.go:136: assertion failed: 0 (int64) != 1 (int64)

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -75,7 +75,9 @@
 	stopTime         time.Duration // from a stop to the end of the run
 	silent           bool          // answers no calls and carries out nothing
 	startDelay       time.Duration // delay after which it carries out a start without answering
+	losesStarts      bool          // neither carries out nor answers any start
 	refusesStarts    bool          // answers every start as unhealthy
+	refusedStarts    int           // as unhealthy
 	hidesClock       bool          // its answers to starts lack its clock
 	failsTasks       bool          // fails every run
 	tailOf           func(name workflow.Name) float64
@@ -367,7 +369,14 @@
 		b.mu.Lock()
 		return nil, errNoAnswer
 	}
+	if target.losesStarts {
+		b.mu.Unlock()
+		<-ctx.Done()
+		b.mu.Lock()
+		return nil, errNoAnswer
+	}
 	if target.refusesStarts {
+		target.refusedStarts++
 		return &call.Answer{Refusal: call.Unhealthy}, nil
 	}
 	if target.hidesClock {
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -118,6 +118,27 @@
 	}
 }
 
+// TestWithdrawnStartWhoseLeaseLapsesHasNotBegun guards against counting a workflow as begun whose start was withdrawn after a second try, once the lease of its silent worker has lapsed.
+func TestWithdrawnStartWhoseLeaseLapsesHasNotBegun(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		b.locked(func() { w.losesStarts = true })
+		b.submit("short", "job", short(1))
+		time.Sleep(300 * time.Millisecond)
+		b.locked(func() { w.losesStarts, w.refusesStarts = false, true })
+		for refused := false; !refused; {
+			time.Sleep(100 * time.Microsecond)
+			b.locked(func() { refused = w.refusedStarts > 0 })
+		}
+		b.locked(func() { w.silent = true })
+		for end := time.Now().Add(withMargin(maxLease)); time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+			assert.Equal(t, b.waitingJobs("short"), int64(1))
+			assert.Equal(t, b.state("job"), workflow.StateQueued)
+		}
+	})
+}
+
 // withMargin returns a time after which a lease of the given length has lapsed in the records.
 func withMargin(lease time.Duration) time.Duration { return lease + 2*time.Second }
 
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -139,16 +139,23 @@
 func (l *link) lostRun(key runKey) *wire.RunEnd {
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
-	end := &wire.RunEnd{Task: key.name.Wire(), Run: key.number, Worker: l.id, Born: l.currentWorker().GetBorn(), Outcome: wire.RunOutcome_RUN_OUTCOME_LAPSED}
+	end := &wire.RunEnd{Task: key.name.Wire(), Run: key.number, Worker: l.id, Born: l.currentWorker().GetBorn(), Outcome: wire.RunOutcome_RUN_OUTCOME_NOT_RUN}
 	if r := l.runs[key]; r != nil {
-		end.Checkpoint = r.checkpoint
-		if r.phase == starting && !r.begun {
-			end.Outcome = wire.RunOutcome_RUN_OUTCOME_NOT_RUN
-		}
+		end.Checkpoint, end.Outcome = r.checkpoint, r.lostOutcome()
 	}
 	return end
 }
 
+func countNotRun(ends []*wire.RunEnd) int {
+	count := 0
+	for _, e := range ends {
+		if e.GetOutcome() == wire.RunOutcome_RUN_OUTCOME_NOT_RUN {
+			count++
+		}
+	}
+	return count
+}
+
 // keepLease extends the worker's lease until the worker is gone or the leadership ends.
 func (l *link) keepLease() {
 	s := l.s
@@ -321,7 +328,7 @@
 	})
 	if len(ends) > 0 || len(unconfirmed) == 0 {
 		s.leaseLapses.Inc()
-		event.LeaseLapsed.Info("worker", l.id, "runs", len(ends), "unconfirmed", len(unconfirmed))
+		event.LeaseLapsed.Info("worker", l.id, "runs", len(ends), "not_begun", countNotRun(ends), "unconfirmed", len(unconfirmed))
 	}
 	if len(ends) > 0 && !s.commitEnds(ends) {
 		return false
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -184,11 +184,7 @@
 	}
 	s.mu.Unlock()
 	for _, r := range over {
-		outcome := wire.RunOutcome_RUN_OUTCOME_NOT_RUN
-		if s.isListed(r) {
-			outcome = wire.RunOutcome_RUN_OUTCOME_LAPSED
-		}
-		s.endRun(r, outcome, "it was stopped and the worker does not list it")
+		s.endRun(r, "it was stopped and the worker does not list it")
 	}
 	for _, r := range lost {
 		s.tasks.Go(func() { s.stopRun(r, "the worker does not list it") })
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -215,13 +215,24 @@
 		s.stopRun(r, reason)
 		return
 	}
-	s.endRun(r, wire.RunOutcome_RUN_OUTCOME_NOT_RUN, reason)
+	s.endRun(r, reason)
+}
+
+// lostOutcome returns the outcome of a run whose end no worker lists. The caller holds the session's mutex.
+func (r *run) lostOutcome() wire.RunOutcome {
+	if r.begun {
+		return wire.RunOutcome_RUN_OUTCOME_LAPSED
+	}
+	return wire.RunOutcome_RUN_OUTCOME_NOT_RUN
 }
 
 // endRun commits the end of a run that the worker does not list.
-func (s *session) endRun(r *run, outcome wire.RunOutcome, reason string) {
+func (s *session) endRun(r *run, reason string) {
+	s.mu.Lock()
+	outcome, checkpoint := r.lostOutcome(), r.checkpoint
+	s.mu.Unlock()
 	event.RunTakenBack.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "outcome", outcome.String(), "reason", reason)
-	end := &wire.RunEnd{Task: r.name.Wire(), Run: r.number, Worker: r.worker.GetId(), Born: r.worker.GetBorn(), Outcome: outcome, Checkpoint: r.checkpoint}
+	end := &wire.RunEnd{Task: r.name.Wire(), Run: r.number, Worker: r.worker.GetId(), Born: r.worker.GetBorn(), Outcome: outcome, Checkpoint: checkpoint}
 	if s.commitEnds([]*wire.RunEnd{end}) {
 		r.link.dropRun(r.runKey)
 	}
