Count a lasting task's absence from when it was last at work

Cause: the 4.5 s for which it leaves the room of a contested pool alone were counted anew after the wait for a lease, after a placement in vain and under a new leader.

Change: 4.5 s as before, and at most until 6 s after it was last listed; tasks that end make room within 3 s, and 9 s are allowed.

--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -40,9 +40,9 @@
 // withoutCaches returns a session over the same state without cached candidates and shortages.
 func withoutCaches(s *session) *session {
 	return &session{
-		Options: s.Options, counters: s.counters, ctx: s.ctx, links: s.links, runs: s.runs, excluded: s.excluded, taskDuration: s.taskDuration,
+		Options: s.Options, counters: s.counters, ctx: s.ctx, links: s.links, runs: s.runs, excluded: s.excluded, lastAtWork: s.lastAtWork, taskDuration: s.taskDuration,
 		headrooms: s.headrooms, initialPaces: map[runKey]int{}, allImageNumbers: s.allImageNumbers, candidates: map[string]*candidate{}, shortages: map[shortageKey]*shortage{},
-		contests: s.contests, awaySince: s.awaySince,
+		contests: s.contests, heldBackUntil: s.heldBackUntil,
 	}
 }
 
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -27,7 +27,7 @@
 			Commit:    func(context.Context, *wire.WorkflowCommand) (*workflow.Result, error) { return nil, errNotCommitted },
 		},
 		counters: newCounters(metrics.NewSet()), ctx: b.Context(),
-		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, taskDuration: map[string]*taskDuration{},
+		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, lastAtWork: map[*workflow.Task]time.Duration{}, taskDuration: map[string]*taskDuration{},
 		headrooms: headroom.New(), initialPaces: map[runKey]int{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, shortages: map[shortageKey]*shortage{},
 	}
 	command := &wire.WorkflowCommand{}
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -156,7 +156,7 @@
 	defer cancel()
 	s := &session{
 		Options: l.options, counters: l.counters, ctx: ctx, fence: fence,
-		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, taskDuration: map[string]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, begun: map[string]struct{}{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{},
+		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, lastAtWork: map[*workflow.Task]time.Duration{}, taskDuration: map[string]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, begun: map[string]struct{}{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{},
 	}
 	defer s.tasks.Wait()
 	l.session.Store(s)
@@ -214,7 +214,7 @@
 	done             loopStats                        // since the last summary
 	nextRound        time.Time                        // earliest start of the next round after a wake-up; used by the loop's goroutine only
 	lastingWaitSince map[*workflow.Step]time.Duration // boot clock, since when lasting steps have had waiting tasks; used by the loop's goroutine only
-	awaySince        map[*workflow.Task]time.Duration // boot clock, since when lasting tasks that have run before wait; used by the loop's goroutine only
+	heldBackUntil    map[*workflow.Task]time.Duration // boot clock, of the waiting lasting tasks that have run before; used by the loop's goroutine only
 	contests         map[string]*contest              // by pool; used by the loop's goroutine only
 	workerChanges    uint64                           // the table's WorkerChanges when links was last updated; used by the loop's goroutine only
 	endBatches       *endBatcher
@@ -224,6 +224,7 @@
 	links           map[string]*link
 	runs            map[runKey]*run
 	excluded        map[workflow.Name]map[string]exclusion // by task and worker
+	lastAtWork      map[*workflow.Task]time.Duration       // boot clock, when lasting tasks without a run were last known to run
 	taskDuration    map[string]*taskDuration               // mean run times by queue
 	headrooms       *headroom.Table
 	begun           map[string]struct{} // workflows of which a run has begun, to be committed
@@ -319,7 +320,10 @@
 		if w := current[id]; w == nil || w.GetBorn() != l.worker.GetBorn() {
 			l.cancel()
 			delete(s.links, id)
-			for key := range l.runs {
+			for key, r := range l.runs {
+				if r.listed {
+					s.recordAtWork(r, r.listedAt)
+				}
 				delete(s.runs, key)
 			}
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -40,7 +40,7 @@
 	s.Table.View(func(t *workflow.Tables) {
 		r.t = t
 		if len(t.Waiting) == 0 {
-			s.lastingWaitSince, s.awaySince = nil, nil
+			s.lastingWaitSince, s.heldBackUntil = nil, nil
 			return
 		}
 		s.roundCount++
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -12,7 +12,8 @@
 // Timing of lasting tasks that give their room to tasks that end.
 const (
 	contestTime   = 3 * time.Second         // a pool is contested for this long after a task that ends found no room
-	maxAway       = 4500 * time.Millisecond // after its last run a lasting task returns even to a contested pool; the platform's documentation allows 6 s
+	maxHeldBack   = 4500 * time.Millisecond // for which a lasting task leaves the room of a contested pool alone once it is free to return
+	maxAway       = 6 * time.Second         // after it was last at work, a lasting task wants its room back even in a contested pool; the platform's documentation allows 9 s, and tasks that end take up to 3 s to make room
 	minAtWork     = 2 * time.Second         // least time at work before a lasting task gives way again
 	preemptPeriod = 100 * time.Millisecond  // between choices of tasks to stop
 	maxDemand     = 8                       // steps whose demand is considered at a time
@@ -44,9 +45,23 @@
 	return c != nil && s.SinceBoot() < c.until
 }
 
-// updateAway tracks since when each lasting task that has run before waits to run again.
+// recordAtWork records when a lasting task was last known to run, at the end of a run or when it is taken over from an earlier leader. The caller holds the session's mutex.
+func (s *session) recordAtWork(r *run, at time.Duration) {
+	if r.task.Step.Spec.GetLasting() {
+		s.lastAtWork[r.task] = at
+	}
+}
+
+// updateAway tracks until when each waiting lasting task that has run before leaves the room of a contested pool alone. A placement that came to nothing does not count as a return.
 func (s *session) updateAway(due []*workflow.Step) {
 	now, away := s.SinceBoot(), map[*workflow.Task]time.Duration{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for task := range s.lastAtWork {
+		if !task.Step.Job.Open() {
+			delete(s.lastAtWork, task)
+		}
+	}
 	for _, step := range due {
 		if !step.Spec.GetLasting() {
 			continue
@@ -55,20 +70,23 @@
 			if !task.Startable() || task.Run == 0 {
 				continue
 			}
-			since, known := s.awaySince[task]
+			if _, known := s.lastAtWork[task]; !known {
+				s.lastAtWork[task] = now
+			}
+			until, known := s.heldBackUntil[task]
 			if !known {
-				since = now
+				until = now + maxHeldBack
 			}
-			away[task] = since
+			away[task] = min(until, s.lastAtWork[task]+maxAway)
 		}
 	}
-	s.awaySince = away
+	s.heldBackUntil = away
 }
 
 // heldBack reports whether a waiting lasting task leaves the room of a contested pool to tasks that end.
 func (r *round) heldBack(task *workflow.Task) bool {
-	since, away := r.s.awaySince[task]
-	return away && r.s.SinceBoot()-since < maxAway && r.s.isContested(task.Step.Job.Queue.GetPool()) && isAnyRunning(task.Step)
+	until, away := r.s.heldBackUntil[task]
+	return away && r.s.SinceBoot() < until && r.s.isContested(task.Step.Job.Queue.GetPool()) && isAnyRunning(task.Step)
 }
 
 func isAnyRunning(step *workflow.Step) bool {
@@ -160,7 +178,7 @@
 // preemptView returns a pool with the lasting tasks that may be stopped for tasks of a queue priority.
 func (r *round) preemptView(contested *contest, pool string, priority int32, tasks map[*preempt.Task]*workflow.Task) *preempt.Pool {
 	now := r.s.SinceBoot()
-	view := &preempt.Pool{Away: len(r.s.awaySince)}
+	view := &preempt.Pool{Away: len(r.s.heldBackUntil)}
 	steps := map[*workflow.Step]*preempt.Step{}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
@@ -187,7 +205,7 @@
 			view.Workers = append(view.Workers, w)
 		}
 	}
-	view.Lasting += len(r.s.awaySince)
+	view.Lasting += len(r.s.heldBackUntil)
 	return view
 }
 
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -77,6 +77,9 @@
 	if l != nil && !known {
 		r.link, r.phaseSince, r.checkpoint = l, s.SinceBoot(), r.order.Checkpoint
 		r.image, r.pace = s.imageNumber(t.Step.Spec.GetImage()), 100
+		if adopted {
+			s.recordAtWork(r, r.phaseSince)
+		}
 		s.runs[r.runKey] = r
 		l.runs[r.runKey], l.offerChanged = r, true
 	}
@@ -94,7 +97,10 @@
 func (l *link) dropRun(key runKey) {
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
-	if l.runs[key] != nil {
+	if r := l.runs[key]; r != nil {
+		if r.listed {
+			l.s.recordAtWork(r, r.listedAt)
+		}
 		delete(l.s.runs, key)
 		delete(l.runs, key)
 		l.offerChanged = true
