Wait for a change at the neighbor before control is killed in a test

Cause: the test. A change is due everywhere within 3 s of its acknowledgement and control was killed at once. Ruled out: an entry that starts with an old version; it had what its neighbor had.

The test now asks that the neighbor has the change within those 3 s, and then for the same version as before. Three more of the 320 plays failed as a process could not listen ("address already in use"): the ports were free ones of 127.0.0.1, which other tests and outgoing connections may take. A cluster has an IP of its own now.

--- a/system/process_test.go
+++ b/system/process_test.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -63,7 +65,18 @@
 		}
 		time.Sleep(pollInterval)
 	}
-	return fmt.Errorf("%s is not ready after %v", p.Name, readyTimeout)
+	return fmt.Errorf("%s is not ready after %v; the end of its log:\n%s", p.Name, readyTimeout, p.logEnd())
+}
+
+// logEnd returns the last lines of the process's log.
+func (p *process) logEnd() string {
+	const lines = 5
+	log, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	all := strings.Split(strings.TrimSpace(string(log)), "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
 }
 
 // Kill kills the process (SIGKILL) and waits for its exit.
@@ -150,13 +163,13 @@
 // newCluster writes the settings of a cluster without starting its processes.
 func newCluster(o options) (*cluster, error) {
 	c := &cluster{}
-	ports, err := freePorts(2*replicas + 5*o.Entries)
+	addresses, err := freeAddresses(2*replicas + 5*o.Entries)
 	if err != nil {
 		return nil, err
 	}
 	next := func() string {
-		address := ports[0]
-		ports = ports[1:]
+		address := addresses[0]
+		addresses = addresses[1:]
 		return address
 	}
 	for id := 1; id <= replicas; id++ {
@@ -247,18 +260,37 @@
 	return p, os.WriteFile(p.file, data, 0o600)
 }
 
-// freePorts returns n loopback addresses that are free.
-func freePorts(n int) ([]string, error) {
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+// firstPort is the first port of a cluster's addresses, below those that the system gives to outgoing connections.
+const firstPort = 7100
+
+// freeAddresses returns n addresses on an IP of their own, so that no other test, and no outgoing connection, takes one before its process listens there.
+func freeAddresses(n int) ([]string, error) {
+	const tries = 50
+	var failed error
+	for range tries {
+		ip := net.IPv4(127, byte(1+rand.IntN(254)), byte(rand.IntN(256)), byte(1+rand.IntN(254)))
+		addresses := make([]string, n)
+		for i := range addresses {
+			addresses[i] = net.JoinHostPort(ip.String(), strconv.Itoa(firstPort+i))
+		}
+		if failed = checkFree(addresses); failed == nil {
+			return addresses, nil
+		}
+	}
+	return nil, fmt.Errorf("find free addresses: %w", failed)
+}
+
+func checkFree(addresses []string) error {
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, fmt.Errorf("find a free port: %w", err)
+			return err
+		}
+		if err := l.Close(); err != nil {
+			return err
 		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
 	}
-	return addresses, nil
+	return nil
 }
 
 // All returns every process.
--- a/system/system_test.go
+++ b/system/system_test.go
@@ -239,21 +239,30 @@
 	waitActive(t, c, a.accepted[len(a.accepted)-1])
 }
 
+// localVersion returns the version of the configuration that an entry holds.
+func localVersion(t *testing.T, c *cluster, entry int) uint64 {
+	var local operator.Configuration
+	client := operator.Client{Entries: c.Operators()[entry : entry+1], HTTP: &http.Client{}}
+	assert.NilError(t, client.Get(t.Context(), "/v1/configuration?local=true", &local))
+	return local.Version
+}
+
 // TestEntryRestartsWithoutControl starts an entry while all control processes are down: it gets the active configuration from its neighbor.
 func TestEntryRestartsWithoutControl(t *testing.T) {
+	const effectiveTime = 3 * time.Second // in which an accepted change is effective everywhere
 	c := startCluster(t, 2)
 	a := newTestOperator(t, c)
 	a.change()
 	a.change()
+	for accepted := time.Now(); localVersion(t, c, 0) != a.accepted[1]; time.Sleep(pollInterval) {
+		assert.Assert(t, time.Since(accepted) < effectiveTime, "the neighbor does not have the change that was accepted")
+	}
 	for _, p := range append(c.Controls, c.Entries[1]) {
 		assert.NilError(t, p.Kill())
 	}
 	assert.NilError(t, c.Entries[1].Start())
 	assert.NilError(t, c.Entries[1].WaitReady())
-	late := operator.Client{Entries: c.Operators()[1:], HTTP: &http.Client{}}
-	var local operator.Configuration
-	assert.NilError(t, late.Get(t.Context(), "/v1/configuration?local=true", &local))
-	assert.Equal(t, local.Version, a.accepted[1])
+	assert.Equal(t, localVersion(t, c, 1), a.accepted[1])
 }
 
 // TestGracefulStopExitsWithZero stops every process and expects exit code 0.
