Have lasting tasks give way where what waits may run, and together

Cause: the choice of the tasks to stop knew sizes only, not which workers may run what waits, looked at one task at a time, and heard only of work that could still be in time.

Change: demand names its label; a step that no worker will have room for once all tasks that end have ended is blocked, and for it tasks of one worker are stopped together, also if it is late. The limits on how many are away stay.

--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -139,6 +139,21 @@
 	})
 }
 
+// TestStartWhoseAnswerIsLostCountsSoon checks that a workflow counts as begun soon after its worker has executed a start without answering it.
+func TestStartWhoseAnswerIsLostCountsSoon(t *testing.T) {
+	const allowed = 2 * time.Second // age that the platform's documentation allows of the number of pending workflows
+	runOnBench(t, 1, big, func(b *testBench) {
+		b.locked(func() { b.workers["w0"].startDelay = 100 * time.Millisecond })
+		b.submit("lasting", "job", &wire.Step{Count: 1, Size: unit, Lasting: true})
+		for b.runCount("job.0.0.0") == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(allowed)
+		assert.Equal(t, b.waitingJobs("lasting"), int64(0))
+		assert.Equal(t, b.state("job"), workflow.StateRunning)
+	})
+}
+
 // withMargin returns a time after which a lease of the given length has lapsed in the records.
 func withMargin(lease time.Duration) time.Duration { return lease + 2*time.Second }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -25,8 +25,11 @@
 	waitingFilling   map[int]int // waiting filling tasks by the index of their image
 	expectedLateness map[*workflow.Job]lateness
 	inTimeWaits      bool                        // a workflow that can still end in time found no room
-	lacking          map[string][]*workflow.Step // by pool, steps that end, could be in time and found no room
-	done             map[*workflow.Task]bool     // tasks that were placed, or that need no further look in this round
+	lacking          map[string][]*workflow.Step // by pool, steps that found no room and for which lasting tasks give way
+
+	roomBesideLasting map[labelledPool]resource.Size // at most, on one worker
+
+	done map[*workflow.Task]bool // tasks that were placed, or that need no further look in this round
 }
 
 // placeWaiting runs a placement round and commits its starts. It returns false if the record was not committed.
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -26,19 +26,40 @@
 	stopping  map[*workflow.Task]int32 // runs that were chosen to be stopped and have not ended
 }
 
-// recordLack notes that a step that ends could still be in time but found no room.
+// recordLack notes that a step found no room. Lasting tasks give way to it if it ends, and could still be in time or would never find room otherwise.
 func (r *round) recordLack(step *workflow.Step) {
-	if r.expectedLateness[step.Job] != inTime {
-		return
-	}
-	r.inTimeWaits = true
-	if step.Spec.GetFilling() || step.Spec.GetLasting() {
+	couldBeInTime := r.expectedLateness[step.Job] == inTime
+	r.inTimeWaits = r.inTimeWaits || couldBeInTime
+	if step.Spec.GetFilling() || step.Spec.GetLasting() || !couldBeInTime && !r.isBlockedByLasting(step) {
 		return
 	}
 	pool := step.Job.Queue.GetPool()
 	r.lacking[pool] = append(r.lacking[pool], step)
 }
 
+// labelledPool is the part of a pool's workers that have a label, or all if it is empty.
+type labelledPool struct{ pool, label string }
+
+// isBlockedByLasting reports whether no worker that may run a step's tasks will have room for one once all tasks that end have ended.
+func (r *round) isBlockedByLasting(step *workflow.Step) bool {
+	key := labelledPool{step.Job.Queue.GetPool(), step.Spec.GetRequires()}
+	most, known := r.roomBesideLasting[key]
+	if !known {
+		for _, c := range r.pools[key.pool] {
+			if c.suspended || !hasLabel(c.GetLabels(), key.label) {
+				continue
+			}
+			room := c.free.Add(c.shortUse)
+			most.MilliCPU, most.MemoryMiB, most.Accelerators = max(most.MilliCPU, room.MilliCPU), max(most.MemoryMiB, room.MemoryMiB), max(most.Accelerators, room.Accelerators)
+		}
+		if r.roomBesideLasting == nil {
+			r.roomBesideLasting = map[labelledPool]resource.Size{}
+		}
+		r.roomBesideLasting[key] = most
+	}
+	return !resource.FromWire(step.Spec.GetSize()).Fits(most)
+}
+
 // isContested reports whether tasks that end have lately found no room in a pool.
 func (s *session) isContested(pool string) bool {
 	c := s.contests[pool]
@@ -166,7 +187,7 @@
 			count++
 		}
 		if count > 0 {
-			demand = append(demand, preempt.Demand{Size: size, Count: count})
+			demand = append(demand, preempt.Demand{Size: size, Count: count, Requires: step.Spec.GetRequires(), Blocked: r.isBlockedByLasting(step)})
 		}
 		if len(demand) >= maxDemand {
 			break
@@ -183,7 +204,7 @@
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	for _, c := range r.pools[pool] {
-		w := &preempt.Worker{Free: c.free}
+		w := &preempt.Worker{Labels: c.GetLabels(), Free: c.free}
 		for task := range c.Tasks {
 			spec := task.Step.Spec
 			if !spec.GetLasting() {
--- a/dispatch/preemption_test.go
+++ b/dispatch/preemption_test.go
@@ -93,6 +93,29 @@
 	})
 }
 
+// TestLastingTasksGiveWayOnTheOnlyWorkerThatMayRunATask guards against a task that waits for ever, since lasting tasks that any worker may run hold the room of the only one with its label, where no single one of them makes enough.
+func TestLastingTasksGiveWayOnTheOnlyWorkerThatMayRunATask(t *testing.T) {
+	const finishTime = 14 * time.Second // in which accepted work has to end
+	large := &wire.Size{MilliCpu: 5000, MemoryMib: 1000}
+	for name, age := range map[string]time.Duration{"in time": 0, "late": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			runOnBench(t, 4, big, func(b *testBench) {
+				b.submit("short", "earlier", short(40))
+				b.workers["w1"].announceLabel("b")
+				time.Sleep(2 * time.Second)
+				b.submit("lasting", "feed", &wire.Step{Count: 20, Size: &wire.Size{MilliCpu: 3000, MemoryMib: 1000}, Lasting: true})
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, b.runningOf("feed"), 20)
+				submitted := &wire.Workflow{Id: "job", Queue: "short", Payload: "p", Steps: []*wire.Step{{Count: 2, Size: large, ExpectedMs: 500, Requires: "b"}}}
+				b.table.Apply(time.Now().Add(-age).UnixMilli(), &wire.WorkflowCommand{Submit: submitted})
+				time.Sleep(finishTime)
+				assert.Equal(t, b.state("job"), workflow.StateCompleted)
+				assert.Equal(t, b.runningOf("feed"), 20)
+			})
+		})
+	}
+}
+
 // TestTaskOfALostWorkerReturnsToAContestedPoolInTime guards against a lasting task that is kept away for short tasks after it has waited for its lost worker's lease, under a new leader.
 func TestTaskOfALostWorkerReturnsToAContestedPoolInTime(t *testing.T) {
 	const allowed = 9 * time.Second // by the platform's documentation: 3 s, from 6 s after the last run
--- a/preempt/preempt_test.go
+++ b/preempt/preempt_test.go
@@ -57,6 +57,30 @@
 	assert.Equal(t, len(chosen), 20, "a quarter of 80")
 }
 
+// TestTasksStopWhereTheDemandMayRun guards against stops that make room on workers without the label that the demand requires.
+func TestTasksStopWhereTheDemandMayRun(t *testing.T) {
+	p := newPool(40, cores(3), &preempt.Step{Count: 40})
+	p.Workers[7].Labels = []string{"b"}
+	only := p.Workers[7].Tasks[0]
+	chosen := preempt.Choose(p, []preempt.Demand{{Size: cores(2), Count: 5, Requires: "b"}})
+	assert.Equal(t, len(chosen), 1)
+	assert.Assert(t, chosen[0] == only)
+}
+
+// TestTasksMakeRoomTogether checks that tasks of one worker stop that make room for a larger one only together, on the worker where that takes least, and none if too many would have to.
+func TestTasksMakeRoomTogether(t *testing.T) {
+	p := newPool(40, cores(3), &preempt.Step{Count: 40}, &preempt.Step{Count: 40}, &preempt.Step{Count: 40})
+	p.Workers[7].Free = cores(2)
+	chosen := preempt.Choose(p, []preempt.Demand{{Size: cores(8), Count: 1, Blocked: true}})
+	assert.Equal(t, len(chosen), 2)
+	assert.Equal(t, p.Workers[7].Free, resource.Size{})
+	chosen = preempt.Choose(p, []preempt.Demand{{Size: cores(10), Count: 1, Blocked: true}})
+	assert.Equal(t, len(chosen), 0, "no worker has that much")
+	few := newPool(2, cores(3), &preempt.Step{Count: 2}, &preempt.Step{Count: 2}, &preempt.Step{Count: 2})
+	chosen = preempt.Choose(few, []preempt.Demand{{Size: cores(6), Count: 1, Blocked: true}})
+	assert.Equal(t, len(chosen), 0, "two of six are over a quarter")
+}
+
 // BenchmarkChoose chooses among the lasting tasks of 540 workers for 32 waiting steps.
 func BenchmarkChoose(b *testing.B) {
 	for b.Loop() {
