Let the lasting task that is away longest return first

Cause, as far as shown: waiting lasting steps that are overdue took room in the order of their workflows' acceptance, so tasks lost later went first. Ruled out: the hold-back; it had ended by 45.6 at the latest.

Change: among overdue lasting steps of one priority, the one with the task that is away longest goes first.

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -154,8 +154,11 @@
 }
 
 func (b *testBench) addWorker(id string, size *wire.Size) *fakeWorker {
-	w := b.newWorker(id, size)
-	b.at[w.record.GetAddress()] = w
+	var w *fakeWorker
+	b.locked(func() {
+		w = b.newWorker(id, size)
+		b.at[w.record.GetAddress()] = w
+	})
 	b.apply(&wire.WorkflowCommand{Workers: []*wire.CalledWorker{w.record}})
 	return w
 }
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -28,23 +28,38 @@
 	step             *workflow.Step
 	expectedLateness lateness
 	rank             rank
-	maxTasks         int // most tasks to place in this turn
+	maxTasks         int           // most tasks to place in this turn
+	awaySince        time.Duration // boot clock, of the task of an overdue lasting step that has been away longest; 0 for other steps
 }
 
-// turnsOf returns the turns of a step that has waited for some time.
-func turnsOf(step *workflow.Step, expectedLateness lateness, waited time.Duration) []turn {
-	all := len(step.Tasks)
+// turnsOf returns the turns of a step that has waited for some time and of which a task has been away since the given time.
+func turnsOf(step *workflow.Step, expectedLateness lateness, waited, awaySince time.Duration) []turn {
+	all := turn{step: step, expectedLateness: expectedLateness, maxTasks: len(step.Tasks)}
 	if !step.Spec.GetLasting() {
-		return []turn{{step, expectedLateness, nonLasting, all}}
+		all.rank = nonLasting
+		return []turn{all}
 	}
-	further := turn{step, expectedLateness, furtherLasting, all}
+	all.rank = furtherLasting
 	if waited > maxLastingWait {
-		further.rank = overdueLasting
+		all.rank, all.awaySince = overdueLasting, awaySince
 	}
 	if slices.ContainsFunc(step.Tasks, func(t *workflow.Task) bool { return t.Worker != nil }) {
-		return []turn{further}
+		return []turn{all}
 	}
-	return []turn{{step, expectedLateness, firstLasting, 1}, further}
+	return []turn{{step: step, expectedLateness: expectedLateness, rank: firstLasting, maxTasks: 1}, all}
+}
+
+// awaySince returns since when the task of a waiting lasting step that has been away longest is away, or since when the step has waited if none has run before.
+func (r *round) awaySince(step *workflow.Step) time.Duration {
+	since := r.s.lastingWaitSince[step]
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	for _, task := range step.Tasks {
+		if at, known := r.s.lastAtWork[task]; known && task.Startable() {
+			since = min(since, at)
+		}
+	}
+	return since
 }
 
 // updateLastingWaits tracks since when each lasting step has had waiting tasks.
@@ -83,7 +98,11 @@
 	r.s.updateAway(due)
 	turnOrder, now := make([]turn, 0, len(due)), r.s.SinceBoot()
 	for _, step := range due {
-		turnOrder = append(turnOrder, turnsOf(step, r.expectedLateness[step.Job], now-r.s.lastingWaitSince[step])...)
+		awaySince := time.Duration(0)
+		if step.Spec.GetLasting() {
+			awaySince = r.awaySince(step)
+		}
+		turnOrder = append(turnOrder, turnsOf(step, r.expectedLateness[step.Job], now-r.s.lastingWaitSince[step], awaySince)...)
 	}
 	slices.SortFunc(turnOrder, compareTurns)
 	return turnOrder
@@ -95,6 +114,7 @@
 		cmp.Compare(a.expectedLateness, b.expectedLateness),
 		cmp.Compare(a.rank, b.rank),
 		cmp.Compare(a.step.Job.Queue.GetPriority(), b.step.Job.Queue.GetPriority()),
+		cmp.Compare(a.awaySince, b.awaySince),
 		cmp.Compare(a.step.Job.AcceptedMS, b.step.Job.AcceptedMS),
 		cmp.Compare(a.step.Job.Spec.GetId(), b.step.Job.Spec.GetId()),
 		cmp.Compare(a.step.Occurrence, b.step.Occurrence),
--- a/dispatch/preemption_test.go
+++ b/dispatch/preemption_test.go
@@ -116,6 +116,34 @@
 	}
 }
 
+// TestLastingTaskThatIsAwayLongestReturnsFirst guards against a lasting task that is away for too long, since the tasks of workflows that were accepted earlier, lost later than it, take each room first.
+func TestLastingTaskThatIsAwayLongestReturnsFirst(t *testing.T) {
+	runOnBench(t, 4, big, func(b *testBench) {
+		lose := func(id string) {
+			w := b.workerOf(id)
+			b.locked(func() { w.silent = true })
+		}
+		for _, id := range []string{"earlier", "later"} {
+			b.submit("lasting", id, &wire.Step{Count: 2, Size: big, Lasting: true})
+			time.Sleep(500 * time.Millisecond)
+			assert.Equal(t, b.runningOf(id), 2)
+		}
+		lose("later")
+		time.Sleep(2 * time.Second)
+		lose("earlier")
+		time.Sleep(2 * maxLease)
+		b.addWorker("free", big)
+		time.Sleep(time.Second)
+		var returned []string
+		b.locked(func() {
+			for name := range b.workers["free"].runs {
+				returned = append(returned, name.Workflow)
+			}
+		})
+		assert.DeepEqual(t, returned, []string{"later"})
+	})
+}
+
 // TestTaskOfALostWorkerReturnsToAContestedPoolInTime guards against a lasting task that is kept away for short tasks after it has waited for its lost worker's lease, under a new leader.
 func TestTaskOfALostWorkerReturnsToAContestedPoolInTime(t *testing.T) {
 	const allowed = 9 * time.Second // by the platform's documentation: 3 s, from 6 s after the last run
