Stop no lasting task for work that no worker can hold

Found by reading recordLack again: a step whose label no usable worker has, or that is larger than any, counts as lacking room for as long as it could be in time, and since for ever, as no worker has room for it. Its pool stays contested, and lasting tasks that lost their worker leave free room alone for seconds, for tasks that can never start.

Change: only a step of which some worker that may run it could hold a task, if it were empty, has lasting tasks give way.

TestWorkThatNoWorkerCanHoldKeepsNoLastingTaskAway on the former code, by label and by size: preemption_test.go:141: assertion failed: 0 (running int) != 16 (int)

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -27,9 +27,8 @@
 	inTimeWaits      bool                        // a workflow that can still end in time found no room
 	lacking          map[string][]*workflow.Step // by pool, steps that found no room and for which lasting tasks give way
 
-	roomBesideLasting map[labelledPool]resource.Size // at most, on one worker
-
-	done map[*workflow.Task]bool // tasks that were placed, or that need no further look in this round
+	mostRooms map[labelledPool]mostRoom
+	done      map[*workflow.Task]bool // tasks that were placed, or that need no further look in this round
 }
 
 // placeWaiting runs a placement round and commits its starts. It returns false if the record was not committed.
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -26,11 +26,11 @@
 	stopping  map[*workflow.Task]int32 // runs that were chosen to be stopped and have not ended
 }
 
-// recordLack notes that a step found no room. Lasting tasks give way to it if it ends, and could still be in time or would never find room otherwise.
+// recordLack notes that a step found no room. Lasting tasks give way to it if it ends, some worker could hold one of its tasks, and it could still be in time or would never find room otherwise.
 func (r *round) recordLack(step *workflow.Step) {
 	couldBeInTime := r.expectedLateness[step.Job] == inTime
 	r.inTimeWaits = r.inTimeWaits || couldBeInTime
-	if step.Spec.GetFilling() || step.Spec.GetLasting() || !couldBeInTime && !r.isBlockedByLasting(step) {
+	if step.Spec.GetFilling() || step.Spec.GetLasting() || !r.couldEverFit(step) || !couldBeInTime && !r.isBlockedByLasting(step) {
 		return
 	}
 	pool := step.Job.Queue.GetPool()
@@ -40,24 +40,40 @@
 // labelledPool is the part of a pool's workers that have a label, or all if it is empty.
 type labelledPool struct{ pool, label string }
 
-// isBlockedByLasting reports whether no worker that may run a step's tasks will have room for one once all tasks that end have ended.
-func (r *round) isBlockedByLasting(step *workflow.Step) bool {
+// mostRoom is an upper bound of the room on any worker of a labelledPool.
+type mostRoom struct {
+	whole         resource.Size // of an empty worker
+	besideLasting resource.Size // once all tasks that end have ended
+}
+
+// mostRoomFor returns the room of the workers that may run a step's tasks.
+func (r *round) mostRoomFor(step *workflow.Step) mostRoom {
 	key := labelledPool{step.Job.Queue.GetPool(), step.Spec.GetRequires()}
-	most, known := r.roomBesideLasting[key]
-	if !known {
-		for _, c := range r.pools[key.pool] {
-			if c.suspended || !hasLabel(c.GetLabels(), key.label) {
-				continue
-			}
-			room := c.free.Add(c.shortUse)
-			most.MilliCPU, most.MemoryMiB, most.Accelerators = max(most.MilliCPU, room.MilliCPU), max(most.MemoryMiB, room.MemoryMiB), max(most.Accelerators, room.Accelerators)
-		}
-		if r.roomBesideLasting == nil {
-			r.roomBesideLasting = map[labelledPool]resource.Size{}
+	most, known := r.mostRooms[key]
+	if known {
+		return most
+	}
+	for _, c := range r.pools[key.pool] {
+		if !c.suspended && hasLabel(c.GetLabels(), key.label) {
+			most.whole = most.whole.Max(c.Capacity)
+			most.besideLasting = most.besideLasting.Max(c.free.Add(c.shortUse))
 		}
-		r.roomBesideLasting[key] = most
 	}
-	return !resource.FromWire(step.Spec.GetSize()).Fits(most)
+	if r.mostRooms == nil {
+		r.mostRooms = map[labelledPool]mostRoom{}
+	}
+	r.mostRooms[key] = most
+	return most
+}
+
+// couldEverFit reports whether a worker that may run a step's tasks could hold one if it were empty.
+func (r *round) couldEverFit(step *workflow.Step) bool {
+	return resource.FromWire(step.Spec.GetSize()).Fits(r.mostRoomFor(step).whole)
+}
+
+// isBlockedByLasting reports whether no worker that may run a step's tasks will have room for one once all tasks that end have ended.
+func (r *round) isBlockedByLasting(step *workflow.Step) bool {
+	return !resource.FromWire(step.Spec.GetSize()).Fits(r.mostRoomFor(step).besideLasting)
 }
 
 // isContested reports whether tasks that end have lately found no room in a pool.
--- a/dispatch/preemption_test.go
+++ b/dispatch/preemption_test.go
@@ -116,6 +116,34 @@
 	}
 }
 
+// TestWorkThatNoWorkerCanHoldKeepsNoLastingTaskAway guards against lasting tasks that stop for, or leave their room to, tasks that can never start, as no worker has the label that they require or is large enough.
+func TestWorkThatNoWorkerCanHoldKeepsNoLastingTaskAway(t *testing.T) {
+	for name, step := range map[string]*wire.Step{
+		"label": {Count: 2, Size: unit, ExpectedMs: 500, Requires: "none"},
+		"size":  {Count: 2, Size: &wire.Size{MilliCpu: 17000, MemoryMib: 1000}, ExpectedMs: 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runOnBench(t, 3, big, func(b *testBench) {
+				b.submit("short", "earlier", short(40))
+				time.Sleep(2 * time.Second)
+				fillWithLasting(b, 48, 0)
+				b.submit("short", "impossible", step)
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					assert.Equal(t, b.runningOf("feed"), 48)
+				}
+				lost := b.workerOf("feed")
+				b.locked(func() { lost.silent = true })
+				b.addWorker("free", big)
+				time.Sleep(lease + 1300*time.Millisecond) // less than lasting tasks may be held back
+				running := 0
+				b.locked(func() { running = len(b.workers["free"].runs) })
+				assert.Equal(t, running, 16)
+			})
+		})
+	}
+}
+
 // TestLastingTaskThatIsAwayLongestReturnsFirst guards against a lasting task that is away for too long, since the tasks of workflows that were accepted earlier, lost later than it, take each room first.
 func TestLastingTaskThatIsAwayLongestReturnsFirst(t *testing.T) {
 	runOnBench(t, 4, big, func(b *testBench) {
--- a/resource/size.go
+++ b/resource/size.go
@@ -19,6 +19,11 @@
 	return Size{s.MilliCPU - t.MilliCPU, s.MemoryMiB - t.MemoryMiB, s.Accelerators - t.Accelerators}
 }
 
+// Max returns the larger of the two sizes in each dimension.
+func (s Size) Max(t Size) Size {
+	return Size{max(s.MilliCPU, t.MilliCPU), max(s.MemoryMiB, t.MemoryMiB), max(s.Accelerators, t.Accelerators)}
+}
+
 // Fits reports whether s is at most room in every resource.
 func (s Size) Fits(room Size) bool {
 	return s.MilliCPU <= room.MilliCPU && s.MemoryMiB <= room.MemoryMiB && s.Accelerators <= room.Accelerators
