--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -13,7 +13,7 @@
 const (
 	contestTime   = 3 * time.Second         // a pool is contested for this long after a task that ends found no room
 	maxHeldBack   = 4500 * time.Millisecond // for which a lasting task leaves the room of a contested pool alone once it is free to return
-	maxAway       = 6 * time.Second         // after it was last at work, a lasting task wants its room back even in a contested pool; the platform's documentation allows 9 s, and tasks that end take up to 3 s to make room
+	maxAway       = 7500 * time.Millisecond // after it was last at work, a lasting task wants its room back even in a contested pool; the platform's documentation allows 9 s
 	minAtWork     = 2 * time.Second         // least time at work before a lasting task gives way again
 	preemptPeriod = 100 * time.Millisecond  // between choices of tasks to stop
 	maxDemand     = 8                       // steps whose demand is considered at a time
