--- a/control/metrics.go
+++ b/control/metrics.go
@@ -1,6 +1,11 @@
 package control
 
 import (
+	"fmt"
+
+	"daisyswitch/event"
+	"daisyswitch/wire"
+
 	"github.com/VictoriaMetrics/metrics"
 )
 
@@ -12,6 +17,14 @@
 	events  *metrics.Counter
 	refused *metrics.Counter
 	decide  *metrics.Histogram
+
+	refusedCallers map[wire.WorkflowAnswer]*metrics.Counter // by answer
+}
+
+// refusalCauses names the answers that refuse a caller for its key.
+var refusalCauses = map[wire.WorkflowAnswer]string{
+	wire.WorkflowAnswer_WORKFLOW_ANSWER_UNKNOWN_KEY:     "unknown_key",
+	wire.WorkflowAnswer_WORKFLOW_ANSWER_OTHER_WORKSPACE: "other_workspace",
 }
 
 func (c *Control) newCounters() *counters {
@@ -32,6 +45,10 @@
 	set.NewGauge("daisyswitch_control_commit_index", func() float64 { return float64(c.replica.Info().Commit) })
 	set.NewGauge("daisyswitch_control_applied_index", func() float64 { return float64(c.replica.Info().Applied) })
 	set.NewGauge("daisyswitch_configuration_version", func() float64 { return float64(c.machine.Configuration().GetVersion()) })
+	refusedCallers := map[wire.WorkflowAnswer]*metrics.Counter{}
+	for answer, cause := range refusalCauses {
+		refusedCallers[answer] = set.NewCounter(fmt.Sprintf("daisyswitch_callers_refused_total{cause=%q}", cause))
+	}
 	return &counters{
 		set:     set,
 		reports: set.NewCounter("daisyswitch_control_reports_total"),
@@ -39,7 +56,19 @@
 		events:  set.NewCounter("daisyswitch_control_task_events_total"),
 		refused: set.NewCounter("daisyswitch_control_reports_refused_total"),
 		decide:  set.NewHistogram("daisyswitch_control_decide_seconds"),
+
+		refusedCallers: refusedCallers,
+	}
+}
+
+// countRefusal logs and counts a request that is refused for its key.
+func (c *Control) countRefusal(request *wire.WorkflowRequest, reply *wire.WorkflowReply) {
+	counter := c.counters.refusedCallers[reply.GetAnswer()]
+	if counter == nil {
+		return
 	}
+	counter.Inc()
+	event.CallerRefused.Info("cause", refusalCauses[reply.GetAnswer()], "request", request.GetKind().String(), "host", request.GetHost(), "path", request.GetPath(), "key_given", request.GetKey() != "")
 }
 
 // Metrics returns the metrics of the process, which its admin listener serves.
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -185,10 +185,12 @@
 	}
 	command := s.c.answerFromState(request, reply)
 	if command == nil {
+		s.c.countRefusal(request, reply)
 		return s.send(reply)
 	}
 	s.c.goroutines.Go(func() {
 		s.c.answerByCommit(s.stream.Context(), request, command, reply)
+		s.c.countRefusal(request, reply)
 		if err := s.send(reply); err != nil {
 			event.AnswerNotSent.Error(err, "workflow", request.GetWorkflow().GetId(), "answer", reply.GetAnswer().String())
 		}
@@ -220,12 +222,20 @@
 			reply.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_QUEUE
 			return
 		}
-		command = answerInQueue(t, queue, id, request, reply)
+		workspace, allowed := t.Caller(queue, request.GetKey())
+		if !allowed {
+			reply.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_UNKNOWN_KEY
+			return
+		}
+		command = answerInQueue(t, queue, id, workspace, request, reply)
+		if command != nil && workspace != "" {
+			command.Key = request.GetKey()
+		}
 	})
 	return command
 }
 
-func answerInQueue(t *workflow.Tables, queue *wire.Queue, id string, request *wire.WorkflowRequest, reply *wire.WorkflowReply) *wire.WorkflowCommand {
+func answerInQueue(t *workflow.Tables, queue *wire.Queue, id, workspace string, request *wire.WorkflowRequest, reply *wire.WorkflowReply) *wire.WorkflowCommand {
 	job := t.Jobs[id]
 	if job != nil && !job.In(queue) {
 		if request.GetKind() == wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT {
@@ -234,6 +244,10 @@
 		}
 		job = nil
 	}
+	if job != nil && !t.MayReach(workspace, job) {
+		answerOtherWorkspace(request, reply)
+		return nil
+	}
 	switch request.GetKind() {
 	case wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT:
 		if job != nil {
@@ -243,7 +257,7 @@
 		if w == nil {
 			w = &wire.Workflow{}
 		}
-		w.Id, w.Queue = id, queue.GetName()
+		w.Id, w.Queue, w.Workspace = id, queue.GetName(), workspace
 		if err := admit.NewWorkflow(w); err != nil {
 			answerInvalid(reply, err.Error())
 			return nil
@@ -267,6 +281,15 @@
 	return nil
 }
 
+// answerOtherWorkspace refuses a request for a workflow of another workspace.
+func answerOtherWorkspace(request *wire.WorkflowRequest, reply *wire.WorkflowReply) {
+	if request.GetKind() == wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT {
+		answerInvalid(reply, workflow.ErrIDInUse.Error())
+		return
+	}
+	reply.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_OTHER_WORKSPACE
+}
+
 func answerInvalid(reply *wire.WorkflowReply, reason string) {
 	reply.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID
 	reply.Failure = &wire.Failure{Verdict: wire.Verdict_VERDICT_NOT_RUN, Reason: reason}
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -7,24 +7,32 @@
 	"daisyswitch/wire"
 )
 
-// ErrIDInUse refuses a workflow whose id belongs to a workflow of another queue, since workers know tasks by that id alone.
+// ErrIDInUse refuses a workflow whose id belongs to a workflow of another queue or workspace, since workers know tasks by that id alone.
 var ErrIDInUse = errors.New("the id is in use")
 
 // endedRetentionMS is how long an ended job is retained; callers may query it for 120 s.
 const endedRetentionMS = 150_000
 
-func (t *Tables) submit(nowMS int64, w *wire.Workflow, result *Result) {
-	if j := t.Jobs[w.GetId()]; j != nil {
-		if j.Spec.GetQueue() != w.GetQueue() && !j.In(t.queuesByName[w.GetQueue()]) {
-			result.Answer, result.Reason = wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID, ErrIDInUse.Error()
-		}
-		return
-	}
+// submit accepts a workflow. The key is checked here too, since a configuration without it may have been committed after the leader has checked it.
+func (t *Tables) submit(nowMS int64, w *wire.Workflow, key string, result *Result) {
 	queue := t.queuesByName[w.GetQueue()]
-	if queue == nil {
+	old := t.Jobs[w.GetId()]
+	if queue == nil && old == nil {
 		result.Answer, result.Reason = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_QUEUE, "no such queue"
 		return
 	}
+	workspace, allowed := t.Caller(queue, key)
+	if !allowed {
+		result.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_UNKNOWN_KEY
+		return
+	}
+	if old != nil {
+		if old.Spec.GetQueue() != w.GetQueue() && !old.In(queue) || !t.MayReach(workspace, old) {
+			result.Answer, result.Reason = wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID, ErrIDInUse.Error()
+		}
+		return
+	}
+	w.Workspace = workspace
 	if err := admit.Workflow(w); err != nil {
 		result.Answer, result.Reason = wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID, err.Error()
 		return
@@ -109,12 +117,20 @@
 	delete(t.Waiting, s)
 }
 
-func (t *Tables) cancel(nowMS int64, id string, result *Result) {
+// cancel cancels a workflow, if the key still allows it.
+func (t *Tables) cancel(nowMS int64, id, key string, result *Result) {
 	j := t.Jobs[id]
 	if j == nil {
 		result.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_WORKFLOW
 		return
 	}
+	if workspace, allowed := t.Caller(t.queueOf(j), key); !allowed {
+		result.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_UNKNOWN_KEY
+		return
+	} else if !t.MayReach(workspace, j) {
+		result.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_OTHER_WORKSPACE
+		return
+	}
 	if j.unfinishedSteps > 0 && !j.Failed && !j.Cancelled {
 		j.Cancelled, j.EndedMS = true, nowMS
 		t.recountJob(j)
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -33,6 +33,9 @@
 	gone         map[string]*wire.CalledWorker // ended incarnations, by id
 	queuesByName map[string]*wire.Queue
 
+	workspaces      map[string]*wire.Workspace // of the present configuration, by name
+	workspacesByKey map[string]*wire.Workspace
+
 	WorkerChanges uint64 // incremented whenever Workers or an announcement of a worker changes
 
 	onAssigned func(*Task)
@@ -93,10 +96,10 @@
 		t.setDomain(c.GetDomain())
 	}
 	if c.GetSubmit() != nil {
-		t.submit(nowMS, c.GetSubmit(), result)
+		t.submit(nowMS, c.GetSubmit(), c.GetKey(), result)
 	}
 	if c.GetCancel() != "" {
-		t.cancel(nowMS, c.GetCancel(), result)
+		t.cancel(nowMS, c.GetCancel(), c.GetKey(), result)
 	}
 	for _, w := range c.GetWorkers() {
 		t.setWorker(w)
@@ -121,6 +124,7 @@
 	for _, queue := range q.GetQueues() {
 		t.queuesByName[queue.GetName()] = queue
 	}
+	t.indexWorkspaces()
 	for _, j := range t.Jobs {
 		if queue := t.queuesByName[j.Spec.GetQueue()]; queue != nil {
 			j.Queue = queue
