--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -186,6 +186,7 @@
 			r.starts = r.starts[:before]
 			delete(r.placed, step)
 			delete(r.racks, step)
+			r.dropShortage(step)
 			return
 		}
 		if _, kept := undo[c]; !kept {
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// dropShortage forgets the shortage that a gang has recorded whose placements were undone: what it left free then is not what is free now.
+func (r *round) dropShortage(step *workflow.Step) {
+	if a, ok := r.shortageKeyOf(step); ok {
+		delete(r.s.shortages, a)
+	}
+}
+
 // maxMilliCPUWithRoom returns the most processors, in thousandths of a core, that a task like the step's could have had on the workers examined, memory aside.
 func (ch *chooser) maxMilliCPUWithRoom() int64 {
 	most := int64(0)
