--- a/installation/member.go
+++ b/installation/member.go
@@ -36,7 +36,7 @@
 		DynamicMembers: &control.DynamicMembers{Bootstrap: s.Bootstrap == 1, ToleratedLosses: int(s.ToleratedLosses)},
 		Called: &control.Called{
 			Calls:        m.client.Calls(),
-			Lease:        time.Duration(s.LeaseMS) * time.Millisecond,
+			Lease:        s.Lease(),
 			LongestLease: time.Duration(s.LongestLeaseMS) * time.Millisecond,
 		},
 	})
--- a/settings/bounds.go
+++ b/settings/bounds.go
@@ -30,6 +30,7 @@
 	"first":                     {Default: 0, Min: 0, Max: 1},
 	"losses":                    {Default: 1, Min: 0, Max: 3},
 	"longest_lease_ms":          {Default: 6000, Min: 1000, Max: 10 * minuteMS},
+	"lease_margin_ms":           {Default: 0, Min: 0, Max: 10 * minuteMS},
 	"drain_ms":                  {Default: 4000, Min: 0, Max: 10 * minuteMS},
 	"limits.header_bytes":       {Default: 64 << 10, Min: 4 << 10, Max: mib},
 	"limits.body_bytes":         {Default: 8 * mib, Min: 1 << 10, Max: 1024 * mib},
--- a/settings/check.go
+++ b/settings/check.go
@@ -115,7 +115,10 @@
 func (r *reader) checkMember(m *Member) {
 	r.checkAddressConflicts([]keyedAddress{{"inner", m.Inner}, {"admin", m.Admin}, {"announcements", m.Announcements}})
 	r.checkSeeds(m.Seeds)
-	if m.LongestLeaseMS != 0 && m.LeaseMS > m.LongestLeaseMS {
+	if m.LongestLeaseMS != 0 && m.LeaseMarginMS > 0 && m.LongestLeaseMS-m.LeaseMarginMS < numberRules["lease_ms"].Min {
+		r.addFault(r.lineOf("lease_margin_ms"), "lease_margin_ms", fmt.Sprintf("is %d", m.LeaseMarginMS), fmt.Sprintf("a margin that leaves a lease of at least %d of longest_lease_ms, %d", numberRules["lease_ms"].Min, m.LongestLeaseMS))
+	}
+	if m.LongestLeaseMS != 0 && m.LeaseMarginMS == 0 && m.LeaseMS > m.LongestLeaseMS {
 		r.addFault(r.lineOf("lease_ms"), "lease_ms", fmt.Sprintf("is %d", m.LeaseMS), fmt.Sprintf("at most longest_lease_ms, %d", m.LongestLeaseMS))
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,5 +1,7 @@
 package settings
 
+import "time"
+
 // Common holds the settings that all roles share.
 type Common struct {
 	Name   string `json:"name"`   // unique among all processes
@@ -84,11 +86,21 @@
 	ToleratedLosses int64  `json:"losses"`        // control processes that may fail at the same time
 	LeaseMS         int64  `json:"lease_ms"`      // of workers
 	LongestLeaseMS  int64  `json:"longest_lease_ms"`
+	LeaseMarginMS   int64  `json:"lease_margin_ms"` // above 0: leases are this much shorter than the longest, whatever LeaseMS is
 	TickMS          int64  `json:"tick_ms"`
 	ElectionTicks   int64  `json:"election_ticks"`
 	SnapshotEvery   uint64 `json:"snapshot_every"` // log records between snapshots
 }
 
+// Lease returns the length of the leases that the member grants.
+func (m *Member) Lease() time.Duration {
+	ms := m.LeaseMS
+	if m.LeaseMarginMS > 0 {
+		ms = m.LongestLeaseMS - m.LeaseMarginMS
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // Gateway holds the settings of a gateway, which forwards callers' workflows to control.
 type Gateway struct {
 	Common
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"daisyswitch/settings"
 
@@ -105,3 +106,22 @@
 	c.InnerListen = "127.0.0.1:7100"
 	assert.Equal(t, c.InnerAddress(), "127.0.0.1:7100")
 }
+
+// TestLeaseOfAMember guards against leases that are not shortened from the longest one by the margin, and against a margin that leaves none.
+func TestLeaseOfAMember(t *testing.T) {
+	member := func(leases string) (*settings.Member, error) {
+		return settings.ParseMember("member.json", []byte(`{"name": "m", "domain": "d", "inner": "127.0.0.1:1000", "admin": "127.0.0.1:1001",
+			"announcements": "127.0.0.1:1002", "data": "data", "seeds": [{"address": "127.0.0.1:1002"}], `+leases+`}`))
+	}
+	for leases, want := range map[string]time.Duration{
+		`"lease_ms": 3500`: 3500 * time.Millisecond,
+		`"longest_lease_ms": 6000, "lease_margin_ms": 2500`:                    3500 * time.Millisecond,
+		`"longest_lease_ms": 10000, "lease_margin_ms": 2500, "lease_ms": 1000`: 7500 * time.Millisecond,
+	} {
+		m, err := member(leases)
+		assert.NilError(t, err)
+		assert.Equal(t, m.Lease(), want)
+	}
+	_, err := member(`"longest_lease_ms": 3000, "lease_margin_ms": 2500`)
+	assert.ErrorContains(t, err, "lease_margin_ms")
+}
