--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -54,6 +54,7 @@
 	endRecords  int      // committed records that contain ends
 
 	metrics       *metrics.Set // for loops created from now on, nil for none
+	refusedStarts atomic.Int64 // starts that were proposed and refused when their record was applied
 	takeoverDelay atomic.Int64 // nanoseconds by which a new leader's clock advances after its first reading; atomic, since the clock is read under all other locks
 }
 
@@ -204,7 +205,13 @@
 	if len(c.GetEnds()) > 0 {
 		b.locked(func() { b.endRecords++ })
 	}
-	return b.apply(c), nil
+	result := b.apply(c)
+	for _, started := range result.Starts {
+		if !started {
+			b.refusedStarts.Add(1)
+		}
+	}
+	return result, nil
 }
 
 func (b *testBench) submit(queue, id string, steps ...*wire.Step) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -6,6 +6,7 @@
 
 	"daisyswitch/event"
 	"daisyswitch/resource"
+	"daisyswitch/share"
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
 )
@@ -28,6 +29,7 @@
 	lacking          map[string][]*workflow.Step // by pool, steps that found no room and for which lasting tasks give way
 
 	mostRooms map[labelledPool]mostRoom
+	inUse     map[string]share.Use    // by workspace, of those of which this round has placed tasks
 	done      map[*workflow.Task]bool // tasks that were placed, or that need no further look in this round
 }
 
@@ -109,8 +111,12 @@
 	return s.GetLasting() && s.GetTargetMs() > 0
 }
 
-// placeStep places as many waiting tasks of a step as have room, up to a limit. A gang is placed whole or not at all.
+// placeStep places as many waiting tasks of a step as have room and fit in the quota of its workspace, up to a limit. A gang is placed whole or not at all.
 func (r *round) placeStep(step *workflow.Step, most int) {
+	if r.isAtQuota(step) {
+		r.keepQuota(step, most)
+		return
+	}
 	if r.knownWithoutRoom(step) {
 		r.recordLack(step)
 		return
@@ -124,6 +130,10 @@
 		if !task.Startable() || r.done[task] || r.heldBack(task) {
 			continue
 		}
+		if r.isAtQuota(step) {
+			r.keepQuota(step, most)
+			return
+		}
 		if most--; most < 0 {
 			return
 		}
@@ -183,6 +193,7 @@
 				*changed = was
 				changed.roomTaken, changed.derived = true, false
 			}
+			r.countUse(step, int64(before-len(r.starts)))
 			r.starts = r.starts[:before]
 			delete(r.placed, step)
 			delete(r.racks, step)
@@ -221,6 +232,7 @@
 		size.MilliCPU = 0
 	}
 	c.free, c.roomTaken = c.free.Sub(size), true
+	r.countUse(step, 1)
 	if r.placed[step] == nil {
 		r.placed[step] = map[*candidate]int32{}
 	}
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -186,16 +186,20 @@
 	return keys
 }
 
-// demandOf returns the tasks of steps that found no room, less those that the given processors, in thousandths of a core, will hold once they are free.
+// demandOf returns the tasks of steps that found no room and fit in the quotas of their workspaces, less those that the given processors, in thousandths of a core, will hold once they are free.
 func (r *round) demandOf(steps []*workflow.Step, freed int64) []preempt.Demand {
 	var demand []preempt.Demand
 	for _, step := range steps {
 		size := resource.FromWire(step.Spec.GetSize())
-		count := 0
+		count, quotaRoom := 0, r.quotaRoom(step)
 		for _, task := range step.Tasks {
 			if !task.Startable() || r.done[task] {
 				continue
 			}
+			if quotaRoom--; quotaRoom < 0 {
+				break
+			}
+			r.countUse(step, 1)
 			if freed >= size.MilliCPU {
 				freed -= size.MilliCPU
 				continue
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -43,15 +43,27 @@
 	t.recountJob(j)
 }
 
-// removeOldJobs deletes jobs whose retention period has passed.
+// removeOldJobs deletes jobs whose retention period has passed. A job with a task that may be running is kept: a snapshot without it would lose what the task uses.
 func (t *Tables) removeOldJobs(nowMS int64) {
 	for id, j := range t.Jobs {
-		if j.EndedMS != 0 && j.EndedMS+endedRetentionMS < nowMS {
+		if j.EndedMS != 0 && j.EndedMS+endedRetentionMS < nowMS && !j.isCommitted() {
 			delete(t.Jobs, id)
 		}
 	}
 }
 
+// isCommitted reports whether a task of the job is committed to a worker.
+func (j *Job) isCommitted() bool {
+	for _, s := range j.Steps {
+		for _, task := range s.Tasks {
+			if task.Worker != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func newJob(w *wire.Workflow, queue *wire.Queue, nowMS int64) *Job {
 	j := &Job{Spec: w, Queue: queue, AcceptedMS: nowMS}
 	for occurrence := range max(1, w.GetOccurrences()) {
--- a/workflow/run.go
+++ b/workflow/run.go
@@ -2,18 +2,18 @@
 
 import "daisyswitch/wire"
 
-// commitStart commits a task to a worker. It refuses a start that does not fit or whose task or worker has changed since the decision.
+// commitStart commits a task to a worker. It refuses a start that does not fit, that would exceed the quota of its workspace, or whose task or worker has changed since the decision.
 func (t *Tables) commitStart(s *wire.RunStart) bool {
 	task := t.Task(NameOf(s.GetTask()))
 	worker := t.Workers[s.GetWorker()]
 	if task == nil || worker == nil || worker.GetBorn() != s.GetBorn() {
 		return false
 	}
-	if !task.Startable() || s.GetRun() <= task.Run || worker.GetLeaving() || t.Out[worker.GetDomain()] || !worker.Fits(task.Step.Spec) {
+	if !task.Startable() || s.GetRun() <= task.Run || worker.GetLeaving() || t.Out[worker.GetDomain()] || !worker.Fits(task.Step.Spec) || !t.withinQuota(task) {
 		return false
 	}
 	task.Run, task.Worker, task.Born, task.Ticket = s.GetRun(), worker, worker.GetBorn(), s.GetTicket()
-	worker.addTask(task)
+	t.addTask(worker, task)
 	task.Step.Waiting--
 	t.updateWaitingSet(task.Step)
 	t.onAssigned(task)
@@ -60,7 +60,7 @@
 
 // releaseTask releases a task from its worker.
 func (t *Tables) releaseTask(task *Task) {
-	task.Worker.removeTask(task)
+	t.removeTask(task)
 	task.Worker, task.Ticket = nil, ""
 	if task.Startable() {
 		task.Step.Waiting++
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -129,6 +129,6 @@
 	}
 	if w := t.Workers[r.GetWorker()]; w != nil && w.GetBorn() >= r.GetBorn() {
 		task.Worker, task.Born = w, r.GetBorn()
-		w.addTask(task)
+		t.addTask(w, task)
 	}
 }
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"daisyswitch/share"
 	"daisyswitch/wire"
 )
 
@@ -35,6 +36,7 @@
 
 	workspaces      map[string]*wire.Workspace // of the present configuration, by name
 	workspacesByKey map[string]*wire.Workspace
+	inUse           map[string]share.Use // by workspace, of the tasks that are committed to a worker
 
 	WorkerChanges uint64 // incremented whenever Workers or an announcement of a worker changes
 
@@ -72,7 +74,7 @@
 		onAssigned: o.Assigned, onClosed: o.Closed, onEnded: o.Ended,
 		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waiting: map[*Step]struct{}{},
 		Out: map[string]bool{}, Waves: map[int64]*wire.Wave{},
-		gone: map[string]*wire.CalledWorker{}, queuesByName: map[string]*wire.Queue{},
+		gone: map[string]*wire.CalledWorker{}, queuesByName: map[string]*wire.Queue{}, inUse: map[string]share.Use{},
 	}
 }
 
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -41,8 +41,9 @@
 		return
 	}
 	for task := range last.Tasks {
+		t.removeTask(task)
 		task.Worker = next
-		next.addTask(task)
+		t.addTask(next, task)
 		t.onAssigned(task)
 	}
 }
