--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -15,7 +15,7 @@
 
 // TestBacklogWithoutRoomIsNotLookedAtAgain guards against rounds whose duration grows with the number of waiting tasks.
 func TestBacklogWithoutRoomIsNotLookedAtAgain(t *testing.T) {
-	s := newCrowdedSession(t, 490, 200)
+	s := newCrowdedSession(t, 490, 200, 0)
 	s.placeWaiting()
 	before := s.offerLooks.Get()
 	for range 10 {
@@ -49,7 +49,7 @@
 // TestRememberedShortageHidesNoRoom guards against remembered shortages that keep a task waiting after a worker has gained room for it.
 func TestRememberedShortageHidesNoRoom(t *testing.T) {
 	for seed := range uint64(20) {
-		s := newCrowdedSession(t, 30, 12)
+		s := newCrowdedSession(t, 30, 12, 0)
 		random := rand.New(rand.NewPCG(seed, 1))
 		placed := 0
 		for range 40 {
@@ -64,7 +64,7 @@
 
 // TestLateWorkflowOfWhichNothingRunsGetsOneTaskWithoutHeadroom guards against late workflows that wait until all others have ended, because no worker has headroom for them.
 func TestLateWorkflowOfWhichNothingRunsGetsOneTaskWithoutHeadroom(t *testing.T) {
-	s := newCrowdedSession(t, 10, 0)
+	s := newCrowdedSession(t, 10, 0, 0)
 	for _, l := range s.links {
 		for _, v := range l.serving {
 			v.baseline.Now, v.baseline.RecentMin = 1, 1
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -16,10 +16,15 @@
 
 var errNotCommitted = errors.New("not committed in a benchmark")
 
-// newCrowdedSession returns a session whose workers are full of lasting and filling tasks, with waiting filling and short workflows.
-func newCrowdedSession(b testing.TB, workers, waiting int) *session {
+// newCrowdedSession returns a session whose workers are full of lasting and filling tasks, with waiting filling and short workflows, of a number of workspaces in turn.
+func newCrowdedSession(b testing.TB, workers, waiting, workspaces int) *session {
 	table := workflow.New(workflow.Options{})
-	table.Apply(1, &wire.WorkflowCommand{Queues: &wire.QueueSet{Version: 1, Queues: []*wire.Queue{{Name: "lasting", Pool: "p"}, {Name: "filling", Pool: "p", Priority: 2, Stretch: 2, LatencyMs: 1000}, {Name: "short", Pool: "p", Stretch: 1.5}}}})
+	set := &wire.QueueSet{Version: 1, Keyed: workspaces > 0}
+	for i := range workspaces {
+		set.Workspaces = append(set.Workspaces, &wire.Workspace{Name: fmt.Sprint("t", i), Keys: []string{fmt.Sprint("t", i)}, Weight: float64(1 + i), Quota: &wire.Size{MilliCpu: 1 << 40}})
+	}
+	set.Queues = []*wire.Queue{{Name: "lasting", Pool: "p"}, {Name: "filling", Pool: "p", Priority: 2, Stretch: 2, LatencyMs: 1000}, {Name: "short", Pool: "p", Stretch: 1.5}}
+	table.Apply(1, &wire.WorkflowCommand{Queues: set})
 	s := &session{
 		Options: Options{
 			Table: table, Leads: func() bool { return true }, Wall: time.Now,
@@ -40,8 +45,10 @@
 		s.links[id] = l
 	}
 	table.Apply(1, command)
+	submitted := 0
 	submit := func(id, queue string, step *wire.Step) {
-		table.Apply(time.Now().UnixMilli(), &wire.WorkflowCommand{Submit: &wire.Workflow{Id: id, Queue: queue, Steps: []*wire.Step{step}}})
+		submitted++
+		table.Apply(time.Now().UnixMilli(), &wire.WorkflowCommand{Submit: &wire.Workflow{Id: id, Queue: queue, Steps: []*wire.Step{step}}, Key: fmt.Sprint("t", submitted%max(1, workspaces))})
 	}
 	lasting := &wire.Step{Count: 5, Size: &wire.Size{MilliCpu: 3500, MemoryMib: 1000}, Lasting: true, TargetMs: 18}
 	filling := &wire.Step{Count: 4, Size: &wire.Size{MilliCpu: 1800, MemoryMib: 1000}, Filling: true}
@@ -81,8 +88,20 @@
 
 // BenchmarkRound measures one placement round at the size of the largest installations, where nothing has room and every step is examined.
 func BenchmarkRound(b *testing.B) {
-	s := newCrowdedSession(b, 490, 200)
+	s := newCrowdedSession(b, 490, 200, 0)
 	for b.Loop() {
 		s.placeWaiting()
 	}
 }
+
+// BenchmarkRoundOfWorkspaces measures the order among workspaces, beside the same round without them.
+func BenchmarkRoundOfWorkspaces(b *testing.B) {
+	for _, workspaces := range []int{0, 20} {
+		b.Run(fmt.Sprint(workspaces), func(b *testing.B) {
+			s := newCrowdedSession(b, 350, 500, workspaces)
+			for b.Loop() {
+				s.placeWaiting()
+			}
+		})
+	}
+}
--- a/dispatch/candidate.go
+++ b/dispatch/candidate.go
@@ -50,6 +50,7 @@
 		}
 		c.update(r.number, now)
 		r.pools[w.GetPool()] = append(r.pools[w.GetPool()], c)
+		r.capacity[w.GetPool()] = r.capacity[w.GetPool()].Add(w.Capacity)
 	}
 	for id := range r.s.candidates {
 		if r.t.Workers[id] == nil {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -29,8 +29,10 @@
 	lacking          map[string][]*workflow.Step // by pool, steps that found no room and for which lasting tasks give way
 
 	mostRooms map[labelledPool]mostRoom
-	inUse     map[string]share.Use    // by workspace, of those of which this round has placed tasks
-	done      map[*workflow.Task]bool // tasks that were placed, or that need no further look in this round
+	inUse     map[string]share.Use          // by workspace, of those of which this round has placed tasks
+	inPool    map[workspaceInPool]share.Use // the part of inUse in one pool
+	capacity  map[string]resource.Size      // by pool, of the workers on which tasks may be placed
+	done      map[*workflow.Task]bool       // tasks that were placed, or that need no further look in this round
 }
 
 // placeWaiting runs a placement round and commits its starts. It returns false if the record was not committed.
@@ -38,7 +40,7 @@
 	if !s.mayCall() {
 		return true
 	}
-	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, waitingFilling: map[int]int{}, expectedLateness: map[*workflow.Job]lateness{}, done: map[*workflow.Task]bool{}, lacking: map[string][]*workflow.Step{}}
+	r := &round{s: s, nowMS: s.Wall().UnixMilli(), pools: map[string][]*candidate{}, capacity: map[string]resource.Size{}, placed: map[*workflow.Step]map[*candidate]int32{}, racks: map[*workflow.Step]string{}, waitingFilling: map[int]int{}, expectedLateness: map[*workflow.Job]lateness{}, done: map[*workflow.Task]bool{}, lacking: map[string][]*workflow.Step{}}
 	began := time.Now()
 	var preempted []runKey
 	s.Table.View(func(t *workflow.Tables) {
@@ -51,12 +53,7 @@
 		r.number = s.roundCount
 		r.readCosts()
 		r.gatherCandidates()
-		for _, t := range r.turnOrder() {
-			r.placeStep(t.step, t.maxTasks)
-			if len(r.starts) >= maxStarts {
-				break
-			}
-		}
+		r.placeTurns(r.turnOrder())
 		preempted = r.choosePreempted()
 	})
 	for _, key := range preempted {
@@ -111,19 +108,19 @@
 	return s.GetLasting() && s.GetTargetMs() > 0
 }
 
-// placeStep places as many waiting tasks of a step as have room and fit in the quota of its workspace, up to a limit. A gang is placed whole or not at all.
-func (r *round) placeStep(step *workflow.Step, most int) {
+// placeStep places as many waiting tasks of a step as have room and fit in the quota of its workspace, up to a limit. It returns true if only the limit kept further tasks from being placed. A gang is placed whole or not at all.
+func (r *round) placeStep(step *workflow.Step, most int) (mayGoOn bool) {
 	if r.isAtQuota(step) {
 		r.keepQuota(step, most)
-		return
+		return false
 	}
 	if r.knownWithoutRoom(step) {
 		r.recordLack(step)
-		return
+		return false
 	}
 	if step.Spec.GetGang() {
 		r.placeGang(step)
-		return
+		return false
 	}
 	ch := r.newChooser(step)
 	for _, task := range step.Tasks {
@@ -132,10 +129,10 @@
 		}
 		if r.isAtQuota(step) {
 			r.keepQuota(step, most)
-			return
+			return false
 		}
 		if most--; most < 0 {
-			return
+			return true
 		}
 		c, pace := ch.choose(task)
 		switch {
@@ -149,9 +146,10 @@
 			}
 		default:
 			r.recordLack(step)
-			return
+			return false
 		}
 	}
+	return false
 }
 
 // reserve keeps room for a lasting task on the worker with the most free processors among those where it fits once the short tasks have ended. It returns that worker, or nil if there is none.
@@ -193,7 +191,7 @@
 				*changed = was
 				changed.roomTaken, changed.derived = true, false
 			}
-			r.countUse(step, int64(before-len(r.starts)))
+			r.countPlaced(step, int64(before-len(r.starts)))
 			r.starts = r.starts[:before]
 			delete(r.placed, step)
 			delete(r.racks, step)
@@ -232,7 +230,7 @@
 		size.MilliCPU = 0
 	}
 	c.free, c.roomTaken = c.free.Sub(size), true
-	r.countUse(step, 1)
+	r.countPlaced(step, 1)
 	if r.placed[step] == nil {
 		r.placed[step] = map[*candidate]int32{}
 	}
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"daisyswitch/event"
@@ -167,6 +169,10 @@
 		}
 		freed += task.Step.Spec.GetSize().GetMilliCpu()
 	}
+	// The order among workspaces may have put work of a lower priority first, for which fewer lasting tasks give way.
+	slices.SortStableFunc(steps, func(a, b *workflow.Step) int {
+		return cmp.Or(cmp.Compare(r.expectedLateness[a.Job], r.expectedLateness[b.Job]), cmp.Compare(a.Job.Queue.GetPriority(), b.Job.Queue.GetPriority()))
+	})
 	demand := r.demandOf(steps, freed)
 	if len(demand) == 0 {
 		return nil
--- /dev/null
+++ b/dispatch/workspace_test.go
@@ -0,0 +1,62 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisyswitch/wire"
+
+	"gotest.tools/v3/assert"
+)
+
+// runningFor counts the running tasks of a workspace, whose workflows have its name as their first letter.
+func (b *testBench) runningFor(workspace byte) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for name, n := range b.running {
+		if name.Workflow[0] == workspace {
+			count += n
+		}
+	}
+	return count
+}
+
+// TestFullPoolIsSharedByWeight guards against a workspace that gets more of a full pool than its weight because it sends more, or because its steps are larger or come first.
+func TestFullPoolIsSharedByWeight(t *testing.T) {
+	workspaces := []*wire.Workspace{{Name: "a", Weight: 1}, {Name: "b", Weight: 3}}
+	runOnSharedBench(t, 2, workspaces, func(b *testBench) {
+		own, all := 0.0, 0.0
+		for i := range 100 {
+			b.submitFor("a", "short", fmt.Sprint("a", i), short(30))
+			for k := range 8 {
+				b.submitFor("b", "short", fmt.Sprint("b", i, ".", k), short(1))
+			}
+			time.Sleep(100 * time.Millisecond)
+			if i >= 20 {
+				own += float64(b.runningFor('b'))
+				all += float64(b.runningFor('a') + b.runningFor('b'))
+			}
+		}
+		assert.Assert(t, all/80 >= 26, "%.1f of 32 cores are in use", all/80)
+		assert.Assert(t, own/all >= 0.7 && own/all <= 0.8, "a workspace with three quarters of the weight has %.2f of the cores in use", own/all)
+	})
+}
+
+// TestLentCapacityReturnsOnceTasksEnd guards against capacity that stays unused since it is another workspace's share, and against a workspace that must wait longer for its share than the tasks run that have it.
+func TestLentCapacityReturnsOnceTasksEnd(t *testing.T) {
+	workspaces := []*wire.Workspace{{Name: "a", Weight: 1}, {Name: "b", Weight: 3}}
+	runOnSharedBench(t, 2, workspaces, func(b *testBench) {
+		for i := range 20 {
+			b.submitFor("a", "short", fmt.Sprint("a", i), short(40))
+		}
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, b.runningFor('a') >= 30, "%d of 32 cores are lent", b.runningFor('a'))
+		for i := range 10 {
+			b.submitFor("b", "short", fmt.Sprint("b", i), short(10))
+		}
+		time.Sleep(700 * time.Millisecond)
+		assert.Assert(t, b.runningFor('b') >= 24-8, "%d of 24 cores have returned, where 8 tasks are placed at a time", b.runningFor('b'))
+	})
+}
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,163 @@
+package share_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"daisyswitch/resource"
+	"daisyswitch/share"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestRoom guards against counting a quota of 0 as none left, and against holding a task up for a resource that it does not need.
+func TestRoom(t *testing.T) {
+	quota := resource.Size{MilliCPU: 10, MemoryMiB: 100}
+	inUse := func(milliCPU, memoryMiB, tasks int64) share.Use {
+		return share.Use{Size: resource.Size{MilliCPU: milliCPU, MemoryMiB: memoryMiB, Accelerators: 7}, Tasks: tasks}
+	}
+	for _, c := range []struct {
+		use  share.Use
+		size resource.Size
+		room int64
+	}{
+		{inUse(0, 0, 0), resource.Size{MilliCPU: 3}, 3},
+		{inUse(4, 50, 1), resource.Size{MilliCPU: 3, MemoryMiB: 20}, 2},
+		{inUse(4, 99, 1), resource.Size{MilliCPU: 3, MemoryMiB: 20}, 0},
+		{inUse(4, 200, 1), resource.Size{MilliCPU: 3}, 2},
+		{inUse(12, 0, 1), resource.Size{MilliCPU: 1}, 0},
+		{inUse(0, 0, 0), resource.Size{MilliCPU: 30}, 1},
+		{inUse(0, 0, 1), resource.Size{MilliCPU: 30}, 0},
+		{inUse(10, 100, 1), resource.Size{Accelerators: 1}, math.MaxInt64},
+		{inUse(10, 100, 1), resource.Size{}, math.MaxInt64},
+	} {
+		assert.Equal(t, share.Room(quota, c.use, c.size), c.room, "beside %v for %v", c.use, c.size)
+	}
+}
+
+// TestLoadIsTheDominantShare guards against comparing workspaces by one resource only, and against a workspace without weight that goes first.
+func TestLoadIsTheDominantShare(t *testing.T) {
+	capacity := resource.Size{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 10}
+	assert.Equal(t, share.Load(resource.Size{MilliCPU: 500, Accelerators: 1}, capacity, 2), 0.25)
+	assert.Equal(t, share.Load(resource.Size{MilliCPU: 100, Accelerators: 5}, capacity, 2), 0.25)
+	assert.Equal(t, share.Load(resource.Size{MilliCPU: 100, MemoryMiB: 500}, capacity, 2), 0.25)
+	assert.Equal(t, share.Load(resource.Size{Accelerators: 5}, resource.Size{MilliCPU: 1000}, 2), 0.0)
+	assert.Assert(t, math.IsInf(share.Load(resource.Size{}, capacity, 0), 1))
+}
+
+// TestOrderAmongEquals guards against an order that depends on anything but load, priority and the order without workspaces.
+func TestOrderAmongEquals(t *testing.T) {
+	groups := []*share.Group{{Load: 0.5}, {Load: 0.2, Priority: 1}, {Load: 0.2}, {Load: 0.2}}
+	o := &share.Order{}
+	for item, g := range []int{0, 1, 3, 2, 0, 3} {
+		o.Add(groups[g], item)
+	}
+	var order []int
+	for {
+		item, g, ok := o.Next()
+		if !ok {
+			break
+		}
+		order = append(order, item)
+		if item == 2 {
+			g.Load = 0.6
+		}
+		o.Placed(g, true)
+	}
+	assert.DeepEqual(t, order, []int{2, 3, 1, 0, 4, 5})
+}
+
+// pool is a simulated pool of cores in which tasks of one core run for some rounds.
+type pool struct {
+	cores, chunk int
+	weights      []float64
+	waiting      []int   // by workspace
+	running      [][]int // by workspace, rounds left
+	underSince   []int   // by workspace, the round since which it has waited below its share, -1 if it does not
+}
+
+func (p *pool) free() int {
+	free := p.cores
+	for _, running := range p.running {
+		free -= len(running)
+	}
+	return free
+}
+
+func (p *pool) load(w int) float64 {
+	return share.Load(resource.Size{MilliCPU: int64(len(p.running[w]))}, resource.Size{MilliCPU: int64(p.cores)}, p.weights[w])
+}
+
+// round ends tasks and starts waiting ones in the order under test.
+func (p *pool) round(duration func() int) {
+	for w, running := range p.running {
+		for i := range running {
+			running[i]--
+		}
+		p.running[w] = slices.DeleteFunc(running, func(left int) bool { return left <= 0 })
+	}
+	o := &share.Order{}
+	for w, waiting := range p.waiting {
+		if waiting > 0 {
+			o.Add(&share.Group{Load: p.load(w)}, w)
+		}
+	}
+	for p.free() > 0 {
+		w, g, ok := o.Next()
+		if !ok {
+			return
+		}
+		for range min(p.chunk, p.waiting[w], p.free()) {
+			p.waiting[w]--
+			p.running[w] = append(p.running[w], duration())
+		}
+		g.Load = p.load(w)
+		o.Placed(g, p.waiting[w] == 0)
+	}
+}
+
+// TestSharesOfAFullPool checks under drawn loads that no core stays free while work waits, and that no workspace waits below its share for longer than the longest task runs. A pool is shared in chunks of tasks, so that each workspace may be one chunk off.
+func TestSharesOfAFullPool(t *testing.T) {
+	const longest = 60 // rounds of 50 ms, for tasks of up to 3 s
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(t, "workspaces")
+		p := &pool{cores: rapid.IntRange(50, 400).Draw(t, "cores"), chunk: rapid.IntRange(1, 8).Draw(t, "chunk"), waiting: make([]int, n), running: make([][]int, n), underSince: make([]int, n)}
+		total, rates := 0.0, make([]int, n)
+		for w := range n {
+			p.weights = append(p.weights, float64(rapid.IntRange(1, 20).Draw(t, fmt.Sprint("weight", w))))
+			total += p.weights[w]
+			p.underSince[w] = -1
+		}
+		seed := rapid.IntRange(0, 1<<30).Draw(t, "seed")
+		next := func(n int) int {
+			seed = (seed*1103515245 + 12345) % (1 << 31)
+			return (seed >> 8) % n
+		}
+		for now := range 600 {
+			if now%100 == 0 {
+				for w := range n {
+					rates[w] = rapid.IntRange(0, 40).Draw(t, "rate")
+				}
+			}
+			for w := range n {
+				p.waiting[w] += rates[w] * next(100) / 100
+			}
+			p.round(func() int { return 10 + next(longest-10) })
+			for w := range n {
+				if p.waiting[w] > 0 && p.free() > 0 {
+					t.Fatalf("round %d: %d cores are free while workspace %d waits", now, p.free(), w)
+				}
+				fair := float64(p.cores) * p.weights[w] / total
+				if p.waiting[w] == 0 || float64(len(p.running[w])+n*p.chunk) > fair {
+					p.underSince[w] = now
+				}
+				if now-p.underSince[w] > longest {
+					t.Fatalf("round %d: workspace %d has %d of its %.0f cores, and has waited below them since round %d", now, w, len(p.running[w]), fair, p.underSince[w])
+				}
+			}
+		}
+	})
+}
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -36,7 +36,9 @@
 
 	workspaces      map[string]*wire.Workspace // of the present configuration, by name
 	workspacesByKey map[string]*wire.Workspace
-	inUse           map[string]share.Use // by workspace, of the tasks that are committed to a worker
+	meanWeight      float64                       // of the workspaces
+	inUse           map[string]share.Use          // by workspace, of the tasks that are committed to a worker; "" for those of none
+	inPool          map[workspaceInPool]share.Use // the part of inUse on the workers of one pool
 
 	WorkerChanges uint64 // incremented whenever Workers or an announcement of a worker changes
 
@@ -74,7 +76,7 @@
 		onAssigned: o.Assigned, onClosed: o.Closed, onEnded: o.Ended,
 		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waiting: map[*Step]struct{}{},
 		Out: map[string]bool{}, Waves: map[int64]*wire.Wave{},
-		gone: map[string]*wire.CalledWorker{}, queuesByName: map[string]*wire.Queue{}, inUse: map[string]share.Use{},
+		gone: map[string]*wire.CalledWorker{}, queuesByName: map[string]*wire.Queue{}, inUse: map[string]share.Use{}, inPool: map[workspaceInPool]share.Use{},
 	}
 }
 
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -30,6 +30,7 @@
 		return
 	}
 	w.Leaving = w.GetLeaving() || last.GetLeaving()
+	t.changePool(last, w.GetPool())
 	last.CalledWorker, last.Capacity = w, resource.FromWire(w.GetCapacity())
 }
 
--- a/workflow/workspace.go
+++ b/workflow/workspace.go
@@ -9,7 +9,9 @@
 // indexWorkspaces rebuilds the lookup of workspaces by name and by key.
 func (t *Tables) indexWorkspaces() {
 	t.workspaces, t.workspacesByKey = map[string]*wire.Workspace{}, map[string]*wire.Workspace{}
+	t.meanWeight = 0
 	for _, w := range t.Queues.GetWorkspaces() {
+		t.meanWeight += w.GetWeight() / float64(len(t.Queues.GetWorkspaces()))
 		t.workspaces[w.GetName()] = w
 		for _, key := range w.GetKeys() {
 			t.workspacesByKey[key] = w
@@ -53,6 +55,24 @@
 	return t.inUse[workspace]
 }
 
+// InPool returns the part of a workspace's use that is on the workers of a pool. The empty name stands for the tasks of no workspace.
+func (t *Tables) InPool(workspace, pool string) share.Use {
+	return t.inPool[workspaceInPool{workspace, pool}]
+}
+
+// Weight returns the weight of a workspace. Callers of no workspace, and the tasks of a workspace that the configuration no longer has, count as a workspace of mean weight.
+func (t *Tables) Weight(workspace string) float64 {
+	if w := t.workspaces[workspace]; w != nil {
+		return w.GetWeight()
+	}
+	return t.meanWeight
+}
+
+// Priority returns the priority of a workspace, 0 for the highest.
+func (t *Tables) Priority(workspace string) int32 {
+	return t.workspaces[workspace].GetPriority()
+}
+
 // withinQuota reports whether a task may start within the quota of its workspace.
 func (t *Tables) withinQuota(task *Task) bool {
 	workspace := task.Step.Job.Spec.GetWorkspace()
@@ -65,25 +85,42 @@
 // addTask commits a task to a worker and counts its use for its workspace. Every change of what a worker's tasks use passes through here or removeTask.
 func (t *Tables) addTask(w *Worker, task *Task) {
 	w.addTask(task)
-	t.countUse(task, 1)
+	t.countUse(task, w.GetPool(), 1)
 }
 
 // removeTask takes a task from its worker and from the use of its workspace.
 func (t *Tables) removeTask(task *Task) {
 	task.Worker.removeTask(task)
-	t.countUse(task, -1)
+	t.countUse(task, task.Worker.GetPool(), -1)
 }
 
-// countUse adds a number of tasks to the use of a task's workspace. Only workspaces with tasks have an entry, so that those of dropped workspaces do not pile up.
-func (t *Tables) countUse(task *Task, tasks int64) {
-	workspace := task.Step.Job.Spec.GetWorkspace()
-	if workspace == "" {
+// changePool counts the use of a worker's tasks for another pool.
+func (t *Tables) changePool(w *Worker, pool string) {
+	if w.GetPool() == pool {
 		return
 	}
-	use := t.inUse[workspace].Plus(resource.FromWire(task.Step.Spec.GetSize()), task.Step.Spec.GetLasting(), tasks)
+	for task := range w.Tasks {
+		t.countUse(task, w.GetPool(), -1)
+		t.countUse(task, pool, 1)
+	}
+}
+
+// workspaceInPool is the part of a workspace that a pool runs.
+type workspaceInPool struct{ workspace, pool string }
+
+// countUse adds a number of tasks like the given one to the use of its workspace.
+func (t *Tables) countUse(task *Task, pool string, tasks int64) {
+	workspace, spec := task.Step.Job.Spec.GetWorkspace(), task.Step.Spec
+	addUse(t.inUse, workspace, spec, tasks)
+	addUse(t.inPool, workspaceInPool{workspace, pool}, spec, tasks)
+}
+
+// addUse adds a number of tasks of a step to an entry. Only entries with tasks are kept, so that those of dropped workspaces do not pile up.
+func addUse[K comparable](uses map[K]share.Use, key K, spec *wire.Step, tasks int64) {
+	use := uses[key].Plus(resource.FromWire(spec.GetSize()), spec.GetLasting(), tasks)
 	if use.Tasks == 0 {
-		delete(t.inUse, workspace)
+		delete(uses, key)
 		return
 	}
-	t.inUse[workspace] = use
+	uses[key] = use
 }
--- a/workflow/workspace_test.go
+++ b/workflow/workspace_test.go
@@ -203,6 +203,11 @@
 				born[worker]++
 				s.Apply(nowMS, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{calledWorker(worker, born[worker])}})
 			},
+			"move": func(t *rapid.T) {
+				w := calledWorker(worker(t), 0)
+				w.Born, w.Pool = born[w.GetId()], rapid.SampledFrom([]string{"p", "other"}).Draw(t, "pool")
+				s.Apply(nowMS, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{w}})
+			},
 			"depart": func(t *rapid.T) {
 				w := calledWorker(worker(t), 0)
 				w.Born, w.Gone = born[w.GetId()], true
@@ -224,17 +229,25 @@
 	if err := restored.Restore(s.Snapshot()); err != nil {
 		t.Fatal(err)
 	}
-	sums := map[string]share.Use{}
+	sums, inPools := map[string]share.Use{}, map[[2]string]share.Use{}
 	for _, table := range []*workflow.Table{restored, s} {
 		clear(sums)
+		clear(inPools)
 		table.View(func(v *workflow.Tables) {
 			for _, w := range v.Workers {
 				for task := range w.Tasks {
 					name := task.Step.Job.Spec.GetWorkspace()
-					sums[name] = sums[name].Plus(resource.FromWire(task.Step.Spec.GetSize()), task.Step.Spec.GetLasting(), 1)
+					size, lasting, inPool := resource.FromWire(task.Step.Spec.GetSize()), task.Step.Spec.GetLasting(), [2]string{name, w.GetPool()}
+					sums[name] = sums[name].Plus(size, lasting, 1)
+					inPools[inPool] = inPools[inPool].Plus(size, lasting, 1)
 				}
 			}
-			for _, name := range []string{"a", "b", "c"} {
+			for _, name := range []string{"a", "b", "c", ""} {
+				for _, pool := range []string{"p", "other"} {
+					if inPool := v.InPool(name, pool); inPool != inPools[[2]string{name, pool}] {
+						t.Fatalf("workspace %s uses %v of pool %s by its count, its tasks use %v", name, inPool, pool, inPools)
+					}
+				}
 				if v.InUse(name) != sums[name] {
 					t.Fatalf("workspace %s uses %v by its count, its tasks use %v", name, v.InUse(name), sums[name])
 				}
