--- a/control/announcement_test.go
+++ b/control/announcement_test.go
@@ -34,7 +34,11 @@
 			time.Sleep(max(h.Wait, time.Millisecond))
 			return &call.Listing{Answer: call.Answer{ClockMS: time.Since(began).Milliseconds() + 1}}, nil
 		}
-		g.group = newGroupCalling(t, &control.Called{Calls: call.Functions{Hold: hold}, Lease: 4 * time.Second, LongestLease: 6 * time.Second})
+		start := func(ctx context.Context, _ *wire.CalledWorker, _ *call.Start) (*call.Answer, error) {
+			<-ctx.Done() // the worker never answers, so that the run stays committed
+			return nil, ctx.Err()
+		}
+		g.group = newGroupCalling(t, &control.Called{Calls: call.Functions{Hold: hold, Start: start}, Lease: 4 * time.Second, LongestLease: 6 * time.Second})
 		defer g.close()
 		time.Sleep(3 * time.Second)
 		g.leader, _, _, _ = g.leaderAndFollower()
--- a/control/control.go
+++ b/control/control.go
@@ -66,7 +66,7 @@
 }
 
 // Control is one control process.
-// Locks are acquired in the order mu, leases, state machine, workflows, and then at most one of measures, watchers, announcements and the locks of the loops.
+// Locks are acquired in the order mu, leases, state machine, workflows, and then at most one of measures, watchers, announcements, admissions and the locks of the loops.
 type Control struct {
 	settings      *settings.Control
 	replica       *replica.Replica
@@ -78,6 +78,7 @@
 	workflows     *workflow.Table
 	dispatch      *dispatch.Loop // nil if all workers poll
 	announcements announcements
+	admissions    admissions
 	counters      *counters
 	server        *inner.Server
 	pool          *inner.Pool // to other replicas, for forwarded orders
@@ -232,6 +233,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancelLoops = cancel
 	c.announcements.clear()
+	c.admissions.clear()
 	c.runLoops(ctx, c.loopsEnded, term)
 }
 
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -211,6 +211,7 @@
 // answerFromState fills in the reply if the current state is enough. Otherwise it returns the command that has to be committed first.
 func (c *Control) answerFromState(request *wire.WorkflowRequest, reply *wire.WorkflowReply) *wire.WorkflowCommand {
 	var command *wire.WorkflowCommand
+	full, weight := false, 0.0
 	c.workflows.View(func(t *workflow.Tables) {
 		if t.Queues == nil {
 			reply.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_FAILURE
@@ -231,7 +232,14 @@
 		if command != nil && workspace != "" {
 			command.Key = request.GetKey()
 		}
+		if w := command.GetSubmit(); w != nil && workspace != "" {
+			full = c.dispatch != nil && c.dispatch.IsFull(queue.GetPool(), w)
+			weight = t.Weight(workspace)
+		}
 	})
+	if w := command.GetSubmit(); w.GetWorkspace() != "" && !c.admit(w, weight, full, reply) {
+		return nil
+	}
 	return command
 }
 
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -10,6 +10,7 @@
 	"daisyswitch/event"
 	"daisyswitch/group"
 	"daisyswitch/headroom"
+	"daisyswitch/share"
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
 
@@ -164,6 +165,7 @@
 	l.setListening(true)
 	defer l.setListening(false)
 	s.adoptRuns()
+	defer s.showUsages(nil)
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
@@ -206,17 +208,21 @@
 	*counters
 	ctx              context.Context
 	fence            uint64
-	nextSummary      time.Duration                    // boot clock, of the next summary; used by the loop's goroutine only
-	roundCount       int                              // rounds with waiting tasks so far; used by the loop's goroutine only
-	candidates       map[string]*candidate            // by worker; used by the loop's goroutine only
-	shortages        map[shortageKey]*shortage        // shortages by requirement; used by the loop's goroutine only
-	offers           []offer                          // buffer of the step being placed, reused for the next; used by the loop's goroutine only
-	done             loopStats                        // since the last summary
-	nextRound        time.Time                        // earliest start of the next round after a wake-up; used by the loop's goroutine only
-	lastingWaitSince map[*workflow.Step]time.Duration // boot clock, since when lasting steps have had waiting tasks; used by the loop's goroutine only
-	heldBackUntil    map[*workflow.Task]time.Duration // boot clock, of the waiting lasting tasks that have run before; used by the loop's goroutine only
-	contests         map[string]*contest              // by pool; used by the loop's goroutine only
-	workerChanges    uint64                           // the table's WorkerChanges when links was last updated; used by the loop's goroutine only
+	nextSummary      time.Duration                           // boot clock, of the next summary; used by the loop's goroutine only
+	roundCount       int                                     // rounds with waiting tasks so far; used by the loop's goroutine only
+	candidates       map[string]*candidate                   // by worker; used by the loop's goroutine only
+	shortages        map[shortageKey]*shortage               // shortages by requirement; used by the loop's goroutine only
+	offers           []offer                                 // buffer of the step being placed, reused for the next; used by the loop's goroutine only
+	done             loopStats                               // since the last summary
+	nextRound        time.Time                               // earliest start of the next round after a wake-up; used by the loop's goroutine only
+	lastingWaitSince map[*workflow.Step]time.Duration        // boot clock, since when lasting steps have had waiting tasks; used by the loop's goroutine only
+	heldBackUntil    map[*workflow.Task]time.Duration        // boot clock, of the waiting lasting tasks that have run before; used by the loop's goroutine only
+	waits            atomic.Pointer[map[string]*share.Waits] // by pool, after the latest round
+	waitingAtQuota   map[string]int                          // tasks by workspace after the latest round; used by the loop's goroutine only
+	shownMetrics     map[string]bool                         // metrics of workspaces; used by the loop's goroutine only
+	fullPools        map[string]bool                         // pools that were logged as full; used by the loop's goroutine only
+	contests         map[string]*contest                     // by pool; used by the loop's goroutine only
+	workerChanges    uint64                                  // the table's WorkerChanges when links was last updated; used by the loop's goroutine only
 	endBatches       *endBatcher
 	tasks            group.Group
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -31,6 +31,8 @@
 	mostRooms map[labelledPool]mostRoom
 	inUse     map[string]share.Use          // by workspace, of those of which this round has placed tasks
 	inPool    map[workspaceInPool]share.Use // the part of inUse in one pool
+	atQuota   map[*workflow.Step]int        // tasks that wait for the quota of their workspace
+	waiting   map[string][]resource.Size    // by pool, of tasks that are on time and found no room
 	capacity  map[string]resource.Size      // by pool, of the workers on which tasks may be placed
 	done      map[*workflow.Task]bool       // tasks that were placed, or that need no further look in this round
 }
@@ -56,6 +58,8 @@
 		r.placeTurns(r.turnOrder())
 		preempted = r.choosePreempted()
 	})
+	s.publishWaits(r.waiting)
+	s.waitingAtQuota = r.waitingAtQuota()
 	for _, key := range preempted {
 		s.stopByKey(key, "it gives its room to tasks that end")
 	}
@@ -111,6 +115,7 @@
 // placeStep places as many waiting tasks of a step as have room and fit in the quota of its workspace, up to a limit. It returns true if only the limit kept further tasks from being placed. A gang is placed whole or not at all.
 func (r *round) placeStep(step *workflow.Step, most int) (mayGoOn bool) {
 	if r.isAtQuota(step) {
+		r.noteAtQuota(step)
 		r.keepQuota(step, most)
 		return false
 	}
@@ -128,6 +133,7 @@
 			continue
 		}
 		if r.isAtQuota(step) {
+			r.noteAtQuota(step)
 			r.keepQuota(step, most)
 			return false
 		}
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -32,6 +32,9 @@
 func (r *round) recordLack(step *workflow.Step) {
 	couldBeInTime := r.expectedLateness[step.Job] == inTime
 	r.inTimeWaits = r.inTimeWaits || couldBeInTime
+	if couldBeInTime {
+		r.noteWaiting(step)
+	}
 	if step.Spec.GetFilling() || step.Spec.GetLasting() || !r.couldEverFit(step) || !couldBeInTime && !r.isBlockedByLasting(step) {
 		return
 	}
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -37,7 +37,9 @@
 	}
 	s.nextSummary = now + summaryInterval
 	sum := &summary{waiting: map[string]int{}, inTime: map[string]int{}}
+	var usages map[string]usage
 	s.Table.View(func(t *workflow.Tables) {
+		usages = s.usages(t)
 		for id, w := range t.Workers {
 			l := s.linkOf(id)
 			sum.addWorker(w, l != nil && l.usable(now))
@@ -50,6 +52,7 @@
 			}
 		}
 	})
+	s.showUsages(usages)
 	slowed, fillingUse := s.fillingUse()
 	done := s.done
 	s.done = loopStats{}
--- a/dispatch/workspace_test.go
+++ b/dispatch/workspace_test.go
@@ -60,3 +60,32 @@
 		assert.Assert(t, b.runningFor('b') >= 24-8, "%d of 24 cores have returned, where 8 tasks are placed at a time", b.runningFor('b'))
 	})
 }
+
+// TestPoolIsFullWhileWorkOnTimeWaits guards against a pool that counts as full while there is room for the workflow in question, and against one that stays full.
+func TestPoolIsFullWhileWorkOnTimeWaits(t *testing.T) {
+	workflowOf := func(step *wire.Step) *wire.Workflow { return &wire.Workflow{Steps: []*wire.Step{step}} }
+	small, large := workflowOf(short(1)), workflowOf(&wire.Step{Count: 1, Size: &wire.Size{MilliCpu: 6000, MemoryMib: 1000}})
+	runOnSharedBench(t, 1, []*wire.Workspace{{Name: "a", Weight: 1}}, func(b *testBench) {
+		check := func(full, fullForLarge bool) {
+			t.Helper()
+			assert.Equal(t, b.loop.Load().IsFull(pool, small), full)
+			assert.Equal(t, b.loop.Load().IsFull(pool, large), fullForLarge)
+		}
+		check(false, false)
+		b.submitFor("a", "short", "runs", &wire.Step{Count: 11, Size: unit, ExpectedMs: 3000})
+		b.submitFor("a", "short", "labelled", &wire.Step{Count: 12, Size: unit, ExpectedMs: 3000, Requires: "none"})
+		b.submitFor("a", "short", "spread", &wire.Step{Count: 2, Size: unit, ExpectedMs: 3000, MaxPerWorker: 1})
+		time.Sleep(time.Second)
+		check(false, false)
+		b.submitFor("a", "short", "large", &wire.Step{Count: 1, Size: &wire.Size{MilliCpu: 5000, MemoryMib: 1000}, ExpectedMs: 1000})
+		time.Sleep(150 * time.Millisecond)
+		check(false, false)
+		time.Sleep(250 * time.Millisecond)
+		check(false, true)
+		b.submitFor("a", "short", "fills", short(8))
+		time.Sleep(400 * time.Millisecond)
+		check(true, true)
+		time.Sleep(4 * time.Second)
+		check(false, false)
+	})
+}
--- a/event/dispatch.go
+++ b/event/dispatch.go
@@ -2,6 +2,9 @@
 
 // Events of called workers and their runs, 450 to 499.
 var (
+	WorkspaceAtQuota      = register(480, "workspace_at_quota", "Tasks of a workspace wait for its quota; logged with what it uses while that lasts.")
+	PoolFull              = register(481, "pool_full", "Work that is on time has waited for room in a pool; workspaces that send more than their share are refused from now on.")
+	PoolHasRoom           = register(482, "pool_has_room", "No work that is on time waits for room in a pool any more; nothing is refused.")
 	RunsAdopted           = register(450, "runs_adopted", "A new leader has taken over the runs that earlier leaders committed.")
 	RecordNotCommitted    = register(451, "record_not_committed", "A record about workflows could not be committed; it is proposed again or the decision is made again.")
 	TaskPlaced            = register(469, "task_placed", "The leader decided to start a task on a worker, from what the worker has free, what its filling and serving tasks use, and what the task's workflow can still reach.")
--- a/event/workflow.go
+++ b/event/workflow.go
@@ -16,5 +16,6 @@
 	OrderForwarded        = register(272, "order_forwarded", "An operator's order or question that came to a replica that does not lead was answered by the leader.")
 	OrderNotForwarded     = register(273, "order_not_forwarded", "An operator's order or question that came to a replica that does not lead got no answer of the leader in time.")
 	CallerRefused         = register(276, "caller_refused", "A caller's request was refused for its key: the key is missing or unknown, or the workflow belongs to another workspace.")
+	CallerOverShare       = register(277, "caller_over_share", "A workflow was refused, as its workspace has sent more than its share while the workers are full; logged with when it is admitted.")
 	OrderRefused          = register(267, "order_refused", "An operator's order or a worker's announcement could not be read or made no sense.")
 )
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"testing"
+	"time"
 
 	"daisyswitch/resource"
 	"daisyswitch/share"
@@ -161,3 +162,23 @@
 		}
 	})
 }
+
+// TestFullAfterAWait guards against a pool that counts as full after a moment's wait, or for tasks that are smaller than all that wait.
+func TestFullAfterAWait(t *testing.T) {
+	size := func(milliCPU, memoryMiB int64) resource.Size {
+		return resource.Size{MilliCPU: milliCPU, MemoryMiB: memoryMiB}
+	}
+	var sizes []resource.Size
+	for _, s := range []resource.Size{size(4, 4), size(6, 2), size(5, 5), size(3, 4)} {
+		sizes = share.AddWaiting(sizes, s)
+	}
+	assert.DeepEqual(t, sizes, []resource.Size{size(6, 2), size(3, 4)})
+	var none *share.Waits
+	assert.Assert(t, !none.Full(time.Second, size(9, 9)))
+	w := none.Next(time.Second, sizes)
+	assert.Assert(t, !w.Full(1200*time.Millisecond, size(9, 9)))
+	w = w.Next(1200*time.Millisecond, sizes)
+	for s, full := range map[resource.Size]bool{size(6, 2): true, size(3, 4): true, size(3, 3): false, size(5, 2): false} {
+		assert.Equal(t, w.Full(1250*time.Millisecond, s), full, "for %v", s)
+	}
+}
