--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"daisyswitch/event"
@@ -30,6 +32,9 @@
 func (r *round) recordLack(step *workflow.Step) {
 	couldBeInTime := r.expectedLateness[step.Job] == inTime
 	r.inTimeWaits = r.inTimeWaits || couldBeInTime
+	if couldBeInTime {
+		r.noteWaiting(step)
+	}
 	if step.Spec.GetFilling() || step.Spec.GetLasting() || !r.couldEverFit(step) || !couldBeInTime && !r.isBlockedByLasting(step) {
 		return
 	}
@@ -167,6 +172,10 @@
 		}
 		freed += task.Step.Spec.GetSize().GetMilliCpu()
 	}
+	// The order among workspaces may have put work of a lower priority first, for which fewer lasting tasks give way.
+	slices.SortStableFunc(steps, func(a, b *workflow.Step) int {
+		return cmp.Or(cmp.Compare(r.expectedLateness[a.Job], r.expectedLateness[b.Job]), cmp.Compare(a.Job.Queue.GetPriority(), b.Job.Queue.GetPriority()))
+	})
 	demand := r.demandOf(steps, freed)
 	if len(demand) == 0 {
 		return nil
@@ -186,16 +195,20 @@
 	return keys
 }
 
-// demandOf returns the tasks of steps that found no room, less those that the given processors, in thousandths of a core, will hold once they are free.
+// demandOf returns the tasks of steps that found no room and fit in the quotas of their workspaces, less those that the given processors, in thousandths of a core, will hold once they are free.
 func (r *round) demandOf(steps []*workflow.Step, freed int64) []preempt.Demand {
 	var demand []preempt.Demand
 	for _, step := range steps {
 		size := resource.FromWire(step.Spec.GetSize())
-		count := 0
+		count, quotaRoom := 0, r.quotaRoom(step)
 		for _, task := range step.Tasks {
 			if !task.Startable() || r.done[task] {
 				continue
 			}
+			if quotaRoom--; quotaRoom < 0 {
+				break
+			}
+			r.countUse(step, 1)
 			if freed >= size.MilliCPU {
 				freed -= size.MilliCPU
 				continue
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -30,6 +30,7 @@
 		return
 	}
 	w.Leaving = w.GetLeaving() || last.GetLeaving()
+	t.changePool(last, w.GetPool())
 	last.CalledWorker, last.Capacity = w, resource.FromWire(w.GetCapacity())
 }
 
@@ -41,8 +42,9 @@
 		return
 	}
 	for task := range last.Tasks {
+		t.removeTask(task)
 		task.Worker = next
-		next.addTask(task)
+		t.addTask(next, task)
 		t.onAssigned(task)
 	}
 }
