--- a/control/workflows.go
+++ b/control/workflows.go
@@ -120,27 +120,33 @@
 	return err
 }
 
-// Leave records that a worker has ended. A departure that names no incarnation, by a born of 0, counts only for a worker that is known to be leaving: a late one may be that of an earlier incarnation.
+// Leave records that a worker says that it has ended. A departure that names no incarnation, by a born of 0, counts only for a worker that is known to be leaving: a late one may be that of an earlier incarnation.
 func (c *Control) Leave(ctx context.Context, id string, born int64) error {
 	if err := c.checkLeader(); err != nil {
 		return err
 	}
-	var gone *wire.CalledWorker
+	known := false
 	c.workflows.View(func(t *workflow.Tables) {
 		if w := t.Workers[id]; w != nil && (w.GetBorn() == born || born == 0 && w.GetLeaving()) {
-			gone = &wire.CalledWorker{Id: id, Born: w.GetBorn(), Address: w.GetAddress(), Gone: true}
+			known, born = true, w.GetBorn()
 		}
 	})
-	if gone == nil {
+	if !known {
 		event.DepartureIgnored.Info("worker", id, "born", born)
 		return nil
 	}
-	event.WorkerAnnouncedItself.Info("worker", id, "born", gone.GetBorn(), "gone", true)
-	if c.dispatch != nil {
-		c.dispatch.AwaitListing(ctx, id)
+	event.WorkerDeparted.Info("worker", id, "born", born)
+	if c.dispatch == nil {
+		_, err := c.commitWorkflow(ctx, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{{Id: id, Born: born, Departed: true}}})
+		return err
 	}
-	_, err := c.commitWorkflow(ctx, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{gone}})
-	return err
+	if err := c.dispatch.Depart(ctx, id, born); err != nil {
+		if lost := c.checkLeader(); lost != nil {
+			return lost
+		}
+		return err
+	}
+	return nil
 }
 
 // Workflows answers the requests of one gateway until its connection ends.
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -49,9 +49,10 @@
 	mu          sync.Mutex // guards the fields below, and the workers
 	confirmed   bool       // whether a quorum confirms the leader
 	running     map[workflow.Name]int
-	begunRuns   []string // every run that began, in order
-	overlapping []string // tasks with two runs at the same time
-	endRecords  int      // committed records that contain ends
+	begunRuns   []string      // every run that began, in order
+	overlapping []string      // tasks with two runs at the same time
+	endRecords  int           // committed records that contain ends
+	endsDelay   time.Duration // by which records that contain ends are committed later than others
 
 	metrics       *metrics.Set // for loops created from now on, nil for none
 	takeoverDelay atomic.Int64 // nanoseconds by which a new leader's clock advances after its first reading; atomic, since the clock is read under all other locks
@@ -81,7 +82,11 @@
 	hidesClock       bool          // its answers to starts lack its clock
 	failsTasks       bool          // fails every run
 	tailOf           func(name workflow.Name) float64
-	holdsWhileSilent []call.Hold // received while it was silent
+	holdsWhileSilent []call.Hold   // received while it was silent
+	holdDelay        time.Duration // by which its answers to holds arrive late
+	lostAnswers      int           // answers to holds with ends that get lost from now on
+	gone             bool          // its process has ended; orders that arrive afterwards are counted in startsWhenGone
+	startsWhenGone   int
 }
 
 type fakeRun struct {
@@ -202,7 +207,9 @@
 		return nil, fmt.Errorf("the record has %d bytes", size)
 	}
 	if len(c.GetEnds()) > 0 {
-		b.locked(func() { b.endRecords++ })
+		delay := time.Duration(0)
+		b.locked(func() { b.endRecords++; delay = b.endsDelay })
+		time.Sleep(delay)
 	}
 	return b.apply(c), nil
 }
@@ -354,6 +361,11 @@
 }
 
 func (b *testBench) start(ctx context.Context, w *wire.CalledWorker, s *call.Start) (*call.Answer, error) {
+	b.locked(func() {
+		if target := b.at[w.GetAddress()]; target.gone && target.record.GetId() == w.GetId() {
+			target.startsWhenGone++
+		}
+	})
 	target, err := b.reachWorker(ctx, w)
 	if err != nil {
 		return nil, err
@@ -494,7 +506,7 @@
 		target.extend(h.DeadlineMS)
 	}
 	target.dropNoted(h.Noted)
-	for len(target.ended) == 0 && time.Now().Before(until) {
+	for len(target.ended) == 0 && time.Now().Before(until) && ctx.Err() == nil {
 		b.mu.Unlock()
 		time.Sleep(holdPollInterval)
 		b.mu.Lock()
@@ -511,7 +523,20 @@
 	if target.record.GetBorn()+target.born-1 != w.GetBorn() {
 		return nil, call.ErrRestarted
 	}
-	return target.list(), nil
+	listing := target.list()
+	if target.lostAnswers > 0 && len(listing.Ended) > 0 {
+		target.lostAnswers--
+		return nil, errNoAnswer
+	}
+	if delay := target.holdDelay; delay > 0 {
+		b.mu.Unlock()
+		time.Sleep(delay)
+		b.mu.Lock()
+	}
+	if ctx.Err() != nil {
+		return nil, errNoAnswer
+	}
+	return listing, nil
 }
 
 func (w *fakeWorker) dropNoted(noted int64) {
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -43,13 +43,13 @@
 	restarted     bool          // a later incarnation answered, which is not announced yet
 	cooldownUntil time.Duration // boot clock until which no new tasks are placed on it
 	strays        map[runKey]struct{}
-	moreEnds      bool          // the last listing was not complete
-	holdEnded     chan struct{} // closed once the hold in progress has ended and its listing was processed
-	cancelHold    func()        // of the hold in progress
+	departing     bool   // the worker says that it has ended
+	departListed  bool   // it has answered since with a complete listing
+	cancelHold    func() // of the hold in progress
 }
 
 func newLink(s *session, w *wire.CalledWorker) *link {
-	l := &link{s: s, id: w.GetId(), worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}, holdEnded: make(chan struct{}), cancelHold: func() {}}
+	l := &link{s: s, id: w.GetId(), worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}, departing: w.GetDeparted(), cancelHold: func() {}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	l.lapsesAt = s.SinceBoot() + withMaxDrift(s.MaxLease)
 	return l
@@ -69,6 +69,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.worker = w
+	if w.GetDeparted() && !l.departing {
+		l.departing = true
+		l.cancelHold()
+	}
 }
 
 // currentWorker returns the worker's latest committed record.
@@ -78,18 +82,18 @@
 	return l.worker
 }
 
-// leaseDeadline returns the lease's deadline on the worker's clock. ok is false while the worker does not answer or has no lease.
+// leaseDeadline returns the lease's deadline on the worker's clock. ok is false while the worker does not answer, has no lease or is departing.
 func (l *link) leaseDeadline() (deadline int64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.leaseMS, l.heardAt != 0 && l.leaseMS != 0
+	return l.leaseMS, l.heardAt != 0 && l.leaseMS != 0 && !l.departing
 }
 
 // usable reports whether new tasks may be placed on the worker.
 func (l *link) usable(now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.heardAt != 0 && l.leaseMS != 0 && now >= l.cooldownUntil
+	return l.heardAt != 0 && l.leaseMS != 0 && !l.departing && now >= l.cooldownUntil
 }
 
 // cooldowns holds how long a worker gets no new tasks after a refusal.
@@ -105,8 +109,11 @@
 	l.cooldownUntil = max(l.cooldownUntil, l.s.SinceBoot()+cooldowns[refusal])
 }
 
-// markReplaced commits that the worker has ended, since another worker answers at its address, and stops calling it.
+// markReplaced commits that the worker has ended, since another worker answers at its address, and stops calling it. It is no evidence of the ends of a departing worker, whose address may be given to another before they are known.
 func (l *link) markReplaced() {
+	if l.isDeparting() {
+		return
+	}
 	w := l.currentWorker()
 	event.WorkerReplaced.Info("worker", l.id, "born", w.GetBorn())
 	gone := &wire.CalledWorker{Id: w.GetId(), Born: w.GetBorn(), Address: w.GetAddress(), Gone: true}
@@ -161,12 +168,17 @@
 	s := l.s
 	for s.awaitMayCall(l.ctx) {
 		sent := s.SinceBoot()
-		order := l.nextHold(sent)
+		order, departing := l.nextHold(sent)
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout+order.Wait)
-		l.setCancelHold(cancel)
+		l.setCancelHold(cancel, departing)
 		listing, err := s.Calls.Hold(ctx, l.currentWorker(), order)
 		cancel()
 		switch {
+		case err != nil && !departing && l.isDeparting():
+			// the departure ended this hold
+		case errors.Is(err, call.ErrOtherWorker) && departing:
+			l.recordSilence(err)
+			s.pause(maxRetryDelay)
 		case errors.Is(err, call.ErrOtherWorker):
 			l.markReplaced()
 			return
@@ -185,16 +197,19 @@
 			s.pause(minRetryDelay)
 		default:
 			l.recordAnswer(sent, listing)
-			l.processListing(sent, listing)
+			l.processListing(sent, listing, departing)
 		}
-		l.signalHoldEnded()
 	}
 }
 
-func (l *link) setCancelHold(cancel func()) {
+// setCancelHold sets the function that ends the hold in progress, and calls it at once if the worker has departed since the hold was made.
+func (l *link) setCancelHold(cancel func(), departing bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cancelHold = cancel
+	if l.departing && !departing {
+		cancel()
+	}
 }
 
 // askAgain ends the hold in progress, so that the next one shows whose answers come from the worker's address.
@@ -204,29 +219,10 @@
 	l.cancelHold()
 }
 
-// signalHoldEnded wakes those who wait for the hold that was in progress.
-func (l *link) signalHoldEnded() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	close(l.holdEnded)
-	l.holdEnded = make(chan struct{})
-}
-
-func (l *link) currentHold() <-chan struct{} {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.holdEnded
-}
-
-func (l *link) hasMoreEnds() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.moreEnds
-}
-
 // nextHold returns the next hold. A hold to a worker that does not answer extends no lease, so that the lease expires at a known time.
 // It also acknowledges no ends, since the worker may have restarted and number its ends from 1 again.
-func (l *link) nextHold(now time.Duration) *call.Hold {
+// A departing worker's lease is not extended either, and it answers without a wait until it has listed its runs. The second result says that the worker is departing.
+func (l *link) nextHold(now time.Duration) (*call.Hold, bool) {
 	noted, born := int64(0), l.currentWorker().GetBorn()
 	l.s.Table.View(func(t *workflow.Tables) {
 		if w := t.Workers[l.id]; w != nil && w.GetBorn() == born {
@@ -238,16 +234,22 @@
 	defer l.mu.Unlock()
 	order := &call.Hold{Fence: l.s.fence}
 	if l.heardAt == 0 {
-		return order
+		return order, l.departing
 	}
 	order.Noted = noted
+	if l.departing {
+		if l.departListed {
+			order.Wait = shortHoldWait
+		}
+		return order, true
+	}
 	order.DeadlineMS = l.clockMS + (now - l.clockReadAt + l.s.Lease).Milliseconds()
 	if l.leaseMS != 0 {
 		order.Wait = wait
 	}
 	l.leaseMS = max(l.leaseMS, order.DeadlineMS)
 	l.updateLapse()
-	return order
+	return order, false
 }
 
 // holdWait returns how long the worker may wait for a run to end before it answers.
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -35,8 +35,8 @@
 	l.longCheckpoints = longest > 0
 }
 
-// processListing processes a worker's answer to a hold that was sent at the given time.
-func (l *link) processListing(sent time.Duration, listing *call.Listing) {
+// processListing processes a worker's answer to a hold that was sent at the given time. departing says that the hold was sent after the worker's departure.
+func (l *link) processListing(sent time.Duration, listing *call.Listing, departing bool) {
 	l.dropLongCheckpoints(listing)
 	listed := map[runKey]struct{}{}
 	for i := range listing.Running {
@@ -50,8 +50,12 @@
 	l.processFigures(listing)
 	l.setRunsListed()
 	l.ended(listing.Ended)
-	l.setMoreEnds(listing.MoreEnds)
-	if !listing.MoreEnds {
+	switch {
+	case listing.MoreEnds:
+	case departing:
+		l.endMissing(sent, listed)
+		l.setDepartListed()
+	default:
 		l.processMissing(sent, listed)
 	}
 }
@@ -160,10 +164,10 @@
 	}
 }
 
-func (l *link) setMoreEnds(more bool) {
+func (l *link) setDepartListed() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.moreEnds = more
+	l.departListed = true
 }
 
 // processMissing handles runs that a worker should list and does not; the listing has to be complete. A stopped run is committed as ended, since the stop bars it from starting later. Any other is stopped first.
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -110,31 +110,6 @@
 	}
 }
 
-// lastListingWait bounds how long a worker that leaves is kept for its last listing; an answer that is on its way arrives within milliseconds.
-const lastListingWait = 300 * time.Millisecond
-
-// AwaitListing waits until the hold in progress at a worker has ended and what it listed was committed, with the further ends that did not fit into its listing. A worker that leaves may have listed the end of a run just before, which must not start again elsewhere.
-func (l *Loop) AwaitListing(ctx context.Context, worker string) {
-	s := l.session.Load()
-	if s == nil {
-		return
-	}
-	link := s.linkOf(worker)
-	if link == nil {
-		return
-	}
-	timeout := time.After(lastListingWait)
-	for listed := false; !listed || link.hasMoreEnds(); listed = true {
-		select {
-		case <-link.currentHold():
-		case <-ctx.Done():
-			return
-		case <-timeout:
-			return
-		}
-	}
-}
-
 // setListening turns the collection of updates on or off and drops those collected so far.
 func (l *Loop) setListening(on bool) {
 	l.mu.Lock()
@@ -160,7 +135,7 @@
 	}
 	defer s.tasks.Wait()
 	l.session.Store(s)
-	defer l.session.Store(nil)
+	defer l.endSession()
 	l.setListening(true)
 	defer l.setListening(false)
 	s.adoptRuns()
--- a/event/dispatch.go
+++ b/event/dispatch.go
@@ -23,6 +23,8 @@
 	TaskExcluded          = register(473, "task_excluded", "A task is kept off a worker for some time, since it failed, stalled or was slowed there.")
 	CheckpointsDropped    = register(474, "checkpoints_dropped", "A worker lists checkpoints that are too long to be kept; its tasks would start from their beginning elsewhere.")
 	WorkflowBegun         = register(475, "workflow_begun", "A worker is known to have begun a workflow, which counts as running once this is committed.")
+	DepartureUnknown      = register(476, "departure_unknown", "A worker left without an answer that shows the ends of its runs; its tasks stay committed to it until their ends are known or its lease has expired.")
+	DepartedRunsFreed     = register(477, "departed_runs_freed", "A worker that left has listed its runs since, and these are not among them; their tasks may start elsewhere.")
 	WorkflowEnded         = register(470, "workflow_ended", "A workflow completed, failed or was cancelled; logged with whether it met its target, judged by the mean duration of its queue's tasks, and with its size.")
 	RunPaced              = register(468, "run_paced", "A filling task was slowed down or sped up to protect the serving tasks on the same worker.")
 	LoadSummary           = register(467, "load_summary", "Every 2 s: utilization of the called workers, their free capacity by piece size, the number of waiting tasks and of those that can still be in time, and the time that the loop spent on rounds and commits.")
--- a/event/workflow.go
+++ b/event/workflow.go
@@ -15,5 +15,6 @@
 	OrderFailed           = register(269, "order_failed", "An order or announcement could not be carried out, since no leader is known or nothing was committed.")
 	OrderForwarded        = register(272, "order_forwarded", "An operator's order or question that came to a replica that does not lead was answered by the leader.")
 	OrderNotForwarded     = register(273, "order_not_forwarded", "An operator's order or question that came to a replica that does not lead got no answer of the leader in time.")
+	WorkerDeparted        = register(274, "worker_departed", "A worker says that it has ended; it gets no new runs, and its tasks are freed once its runs are known to have ended.")
 	OrderRefused          = register(267, "order_refused", "An operator's order or a worker's announcement could not be read or made no sense.")
 )
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"daisyswitch/admit"
 	"daisyswitch/wire"
@@ -35,15 +36,25 @@
 	t.recountJob(j)
 }
 
-// removeOldJobs deletes jobs whose retention period has passed.
+// removeOldJobs deletes jobs whose retention period has passed. One of which a task is still committed to a worker is kept, since that task could never be released otherwise.
 func (t *Tables) removeOldJobs(nowMS int64) {
 	for id, j := range t.Jobs {
-		if j.EndedMS != 0 && j.EndedMS+endedRetentionMS < nowMS {
+		if j.EndedMS != 0 && j.EndedMS+endedRetentionMS < nowMS && !j.committed() {
 			delete(t.Jobs, id)
 		}
 	}
 }
 
+// committed reports whether a task of the job is committed to a worker.
+func (j *Job) committed() bool {
+	for _, s := range j.Steps {
+		if slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Worker != nil }) {
+			return true
+		}
+	}
+	return false
+}
+
 func newJob(w *wire.Workflow, queue *wire.Queue, nowMS int64) *Job {
 	j := &Job{Spec: w, Queue: queue, AcceptedMS: nowMS}
 	for occurrence := range max(1, w.GetOccurrences()) {
--- a/workflow/run.go
+++ b/workflow/run.go
@@ -58,10 +58,12 @@
 	}
 }
 
-// releaseTask releases a task from its worker.
+// releaseTask releases a task from its worker, and removes a departed worker with its last task.
 func (t *Tables) releaseTask(task *Task) {
-	task.Worker.removeTask(task)
+	worker := task.Worker
+	worker.removeTask(task)
 	task.Worker, task.Ticket = nil, ""
+	t.removeIfEnded(worker)
 	if task.Startable() {
 		task.Step.Waiting++
 	}
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -71,6 +71,9 @@
 			return fmt.Errorf("restore workflow %s: %w", r.GetWorkflow().GetId(), err)
 		}
 	}
+	for _, w := range restored.Workers {
+		restored.removeIfEnded(w)
+	}
 	for _, domain := range s.GetDomainsOut() {
 		restored.Out[domain] = true
 	}
@@ -89,7 +92,8 @@
 		t.gone[w.GetWorker().GetId()] = w.GetWorker()
 		return
 	}
-	t.setWorker(w.GetWorker())
+	t.WorkerChanges++
+	t.addIncarnation(w.GetWorker(), nil)
 	t.Workers[w.GetWorker().GetId()].Noted = w.GetNoted()
 }
 
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -10,12 +10,16 @@
 // maxGoneWorkers bounds the ended incarnations that are remembered so that a late announcement cannot revive them.
 const maxGoneWorkers = 20_000
 
-// setWorker applies a worker's announcement. It ends no other worker that has the same address, since any writer can name an address; only an answer from there shows whose it is.
+// setWorker applies a worker's announcement, or a leader's record that it has departed or is gone. It ends no other worker that has the same address, since any writer can name an address; only an answer from there shows whose it is.
 // A later incarnation may have accepted starts that were meant for an earlier one, so it inherits the tasks until it is known not to run them.
 func (t *Tables) setWorker(w *wire.CalledWorker) {
 	if gone := t.gone[w.GetId()]; gone != nil && gone.GetBorn() >= w.GetBorn() {
 		return
 	}
+	if w.GetDeparted() {
+		t.markDeparted(w)
+		return
+	}
 	last := t.Workers[w.GetId()]
 	if last != nil && last.GetBorn() > w.GetBorn() {
 		return
@@ -29,7 +33,7 @@
 		t.addIncarnation(w, last)
 		return
 	}
-	w.Leaving = w.GetLeaving() || last.GetLeaving()
+	w.Leaving, w.Departed = w.GetLeaving() || last.GetLeaving(), last.GetDeparted()
 	last.CalledWorker, last.Capacity = w, resource.FromWire(w.GetCapacity())
 }
 
@@ -59,10 +63,10 @@
 
 // removeWorker removes an ended incarnation and releases its tasks.
 func (t *Tables) removeWorker(w *Worker) {
+	delete(t.Workers, w.GetId())
 	for task := range w.Tasks {
 		t.releaseTask(task)
 	}
-	delete(t.Workers, w.GetId())
 }
 
 // MayAnnounce reports whether an announcement can be a worker's: its pool has to be used by a queue, or be the one that the worker had before.
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -292,6 +292,10 @@
 				worker := rapid.SampledFrom([]string{"w", "v"}).Draw(t, "worker")
 				recordNextEnd(s, drawTask(t, jobs), rapid.Int32Range(1, 4).Draw(t, "run"), worker, rapid.Int64Range(1, born[worker]).Draw(t, "born"), outcome)
 			},
+			"depart": func(t *rapid.T) {
+				worker := rapid.SampledFrom([]string{"w", "v"}).Draw(t, "worker")
+				depart(s, worker, rapid.Int64Range(1, born[worker]).Draw(t, "born"))
+			},
 			"cancel": func(t *rapid.T) {
 				s.Apply(6, &wire.WorkflowCommand{Cancel: fmt.Sprint(rapid.IntRange(1, 20).Draw(t, "job"))})
 			},
@@ -307,6 +311,9 @@
 func checkInvariants(t *rapid.T, s *workflow.Table) {
 	s.View(func(v *workflow.Tables) {
 		for _, w := range v.Workers {
+			if w.GetDeparted() && len(w.Tasks) == 0 {
+				t.Fatalf("worker %s has departed and has no tasks, but was not removed", w.GetId())
+			}
 			if w.Used.MilliCPU > workerCapacity.GetMilliCpu() || w.Used.MemoryMiB+w.UsedByFilling.MemoryMiB > workerCapacity.GetMemoryMib() {
 				t.Fatalf("worker %s is committed beyond its capacity: %v by other tasks, %v by filling tasks", w.GetId(), w.Used, w.UsedByFilling)
 			}
