--- a/control/control.go
+++ b/control/control.go
@@ -63,6 +63,7 @@
 	Calls        call.Functions
 	Lease        time.Duration // granted to workers
 	LongestLease time.Duration // the longest lease that any leader may have granted
+	Lookahead    bool          // whether capacity is kept for large tasks that found none
 }
 
 // Control is one control process.
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -26,6 +26,7 @@
 		Wall:      time.Now,
 		Lease:     o.Called.Lease,
 		MaxLease:  o.Called.LongestLease,
+		Lookahead: o.Called.Lookahead,
 		Metrics:   c.counters.set,
 	})
 	c.workflows = workflow.New(workflow.Options{Changed: c.dispatch.Changed, Assigned: c.dispatch.Assigned, Closed: c.dispatch.Closed, Ended: c.dispatch.Ended})
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"daisyswitch/headroom"
+	"daisyswitch/lookahead"
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
 
@@ -79,6 +82,72 @@
 	}
 }
 
+// BenchmarkLookahead measures rounds, one each 5 ms, in which large tasks and small ones wait at workers that are full of ending tasks: without lookahead, with it, and with a search for a reservation in every round.
+func BenchmarkLookahead(b *testing.B) {
+	for _, workers := range []int{350, 1700} {
+		for _, kind := range []string{"off", "on", "search"} {
+			b.Run(fmt.Sprintf("workers=%d/%s", workers, kind), func(b *testing.B) {
+				s := newDrainingSession(b, workers, 40)
+				s.ahead = newAhead(kind != "off")
+				if s.ahead != nil {
+					learn(s, "short", time.Second)
+				}
+				rounds := 0
+				s.SinceBoot = func() time.Duration { return time.Hour + time.Duration(rounds)*5*time.Millisecond }
+				changed := 0
+				for b.Loop() {
+					for range workers / 16 { // as runs of a second on average start and end there in 5 ms
+						changed = (changed + 7) % workers
+						s.links[fmt.Sprint("w", changed)].offerChanged = true
+					}
+					s.placeWaiting()
+					rounds = (rounds + 1) % 100
+					if s.ahead != nil && (rounds == 0 || kind == "search") {
+						clear(s.ahead.books)
+					}
+				}
+			})
+		}
+	}
+}
+
+// learn records run times around a mean for a queue.
+func learn(s *session, queue string, mean time.Duration) {
+	for i := range 100 {
+		s.ahead.durations.Record(lookahead.Key{Queue: queue}, mean*time.Duration(50+i)/100)
+	}
+}
+
+// newDrainingSession returns a session whose workers have a tenth of their processors free beside nine ending tasks each, with waiting large and small workflows of twelve tasks.
+func newDrainingSession(b testing.TB, workers, waiting int) *session {
+	s := newCrowdedSession(b, 0, 0)
+	command := &wire.WorkflowCommand{}
+	for i := range workers {
+		id := fmt.Sprintf("w%d", i)
+		w := &wire.CalledWorker{Id: id, Born: 1, Address: id, Pool: "p", Capacity: &wire.Size{MilliCpu: 10000, MemoryMib: 64000}}
+		command.Workers = append(command.Workers, w)
+		l := newLink(s, w)
+		l.heardAt, l.leaseMS = time.Hour, 1
+		s.links[id] = l
+	}
+	s.Table.Apply(1, command)
+	submit := func(id, image string, count int32, milliCPU int64) {
+		s.Table.Apply(time.Now().UnixMilli(), &wire.WorkflowCommand{Submit: &wire.Workflow{Id: id, Queue: "short", Steps: []*wire.Step{{Count: count, Image: image, Size: &wire.Size{MilliCpu: milliCPU, MemoryMib: 1000}}}}})
+	}
+	for i := range workers {
+		submit(fmt.Sprint("s", i), "", 9, 1000)
+		placeAndList(s, s.Table, fmt.Sprint("s", i), i, 9)
+	}
+	for i, r := range slices.Collect(maps.Values(s.runs)) {
+		r.firstListedAt = time.Hour - time.Duration(i%10)*100*time.Millisecond
+	}
+	for i := range waiting {
+		submit(fmt.Sprint("wl", i), fmt.Sprint("l", i%9), 12, 3000)
+		submit(fmt.Sprint("ws", i), fmt.Sprint("s", i%9), 12, 1100)
+	}
+	return s
+}
+
 // BenchmarkRound measures one placement round at the size of the largest installations, where nothing has room and every step is examined.
 func BenchmarkRound(b *testing.B) {
 	s := newCrowdedSession(b, 490, 200)
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -181,7 +181,7 @@
 func (r *round) mayStart(step *workflow.Step, c *candidate) bool {
 	spec := step.Spec
 	size := resource.FromWire(spec.GetSize())
-	free := c.free
+	free := r.freeFor(step, c)
 	if spec.GetFilling() {
 		size.MilliCPU, free.MilliCPU = 0, max(0, free.MilliCPU)
 	}
--- a/dispatch/counters.go
+++ b/dispatch/counters.go
@@ -23,6 +23,9 @@
 	offerLooks       *metrics.Counter // computed offers of a worker to the tasks of a step
 	commitTime       *metrics.Histogram
 	set              *metrics.Set
+	smallStartWait   *metrics.Histogram // from a workflow's acceptance to the placement of a task of its first steps that is not large
+	largeStartWait   *metrics.Histogram // the same for large tasks
+	reservationsMade *metrics.Counter
 	firstStartWait   *metrics.Histogram // from a workflow's acceptance to its first placement
 }
 
@@ -40,6 +43,9 @@
 		round:            set.NewHistogram("daisyswitch_place_round_seconds"),
 		offerLooks:       set.NewCounter("daisyswitch_place_looks_total"),
 		commitTime:       set.NewHistogram("daisyswitch_workflow_commit_seconds"),
+		smallStartWait:   set.NewHistogram(`daisyswitch_task_start_wait_seconds{size="small"}`),
+		largeStartWait:   set.NewHistogram(`daisyswitch_task_start_wait_seconds{size="large"}`),
+		reservationsMade: set.NewCounter("daisyswitch_reservations_made_total"),
 		firstStartWait:   set.NewHistogram("daisyswitch_workflow_first_start_seconds"),
 	}
 	for outcome, name := range wire.RunOutcome_name {
@@ -53,6 +59,11 @@
 	return c.set.GetOrCreateCounter(fmt.Sprintf("daisyswitch_workflows_ended_total{queue=%q,state=%q,reached=%q}", queue, state, reached))
 }
 
+// reservationsEnded returns the counter of ended reservations for an outcome.
+func (c *counters) reservationsEnded(outcome string) *metrics.Counter {
+	return c.set.GetOrCreateCounter(fmt.Sprintf("daisyswitch_reservations_ended_total{outcome=%q}", outcome))
+}
+
 // observeSince records the time elapsed since began.
 func observeSince(h *metrics.Histogram, began time.Time) {
 	h.Update(time.Since(began).Seconds())
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -53,6 +53,7 @@
 	overlapping []string // tasks with two runs at the same time
 	endRecords  int      // committed records that contain ends
 
+	lookahead     bool         // of loops created from now on
 	metrics       *metrics.Set // for loops created from now on, nil for none
 	takeoverDelay atomic.Int64 // nanoseconds by which a new leader's clock advances after its first reading; atomic, since the clock is read under all other locks
 }
@@ -133,10 +134,11 @@
 			}
 			return now
 		},
-		Wall:     time.Now,
-		Lease:    lease,
-		MaxLease: maxLease,
-		Metrics:  b.metrics,
+		Wall:      time.Now,
+		Lease:     lease,
+		MaxLease:  maxLease,
+		Metrics:   b.metrics,
+		Lookahead: b.lookahead,
 	})
 }
 
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -108,6 +108,9 @@
 		p = &taskDuration{}
 		s.taskDuration[queue] = p
 	}
+	if s.ahead != nil {
+		s.ahead.durations.Record(durationKey(r.task.Step), s.SinceBoot()-r.firstListedAt)
+	}
 	p.count = min(p.count+1, durationWindow)
 	p.mean += (s.SinceBoot() - r.firstListedAt - p.mean) / time.Duration(p.count)
 }
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -40,6 +40,7 @@
 	Wall      func() time.Time
 	Lease     time.Duration // granted to workers
 	MaxLease  time.Duration // longest lease that any leader can have granted
+	Lookahead bool          // whether capacity is kept for large tasks that found none
 	Metrics   *metrics.Set  // set to which the loop adds its metrics; nil for none
 }
 
@@ -156,7 +157,7 @@
 	defer cancel()
 	s := &session{
 		Options: l.options, counters: l.counters, ctx: ctx, fence: fence,
-		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, lastAtWork: map[*workflow.Task]time.Duration{}, taskDuration: map[string]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, begun: map[string]struct{}{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{},
+		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, lastAtWork: map[*workflow.Task]time.Duration{}, taskDuration: map[string]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, begun: map[string]struct{}{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{}, ahead: newAhead(l.options.Lookahead),
 	}
 	defer s.tasks.Wait()
 	l.session.Store(s)
@@ -217,6 +218,7 @@
 	heldBackUntil    map[*workflow.Task]time.Duration // boot clock, of the waiting lasting tasks that have run before; used by the loop's goroutine only
 	contests         map[string]*contest              // by pool; used by the loop's goroutine only
 	workerChanges    uint64                           // the table's WorkerChanges when links was last updated; used by the loop's goroutine only
+	ahead            *ahead                           // nil unless capacity is kept for large tasks
 	endBatches       *endBatcher
 	tasks            group.Group
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisyswitch/event"
+	"daisyswitch/lookahead"
 	"daisyswitch/resource"
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
@@ -27,8 +28,14 @@
 	inTimeWaits      bool                        // a workflow that can still end in time found no room
 	lacking          map[string][]*workflow.Step // by pool, steps that found no room and for which lasting tasks give way
 
-	mostRooms map[labelledPool]mostRoom
-	done      map[*workflow.Task]bool // tasks that were placed, or that need no further look in this round
+	mostRooms     map[labelledPool]mostRoom
+	largest       map[string]resource.Size                   // by pool, an upper bound of its workers' capacity
+	views         map[string]*lookahead.Pool[*workflow.Step] // by pool
+	durations     map[lookahead.Key]*lookahead.Distribution  // as used in this round
+	likelyStep    *workflow.Step                             // of the last look at likelyRunTime
+	likelyRunTime time.Duration
+	reserved      map[*workflow.Step]int  // tasks with a reservation
+	done          map[*workflow.Task]bool // tasks that were placed, or that need no further look in this round
 }
 
 // placeWaiting runs a placement round and commits its starts. It returns false if the record was not committed.
@@ -43,6 +50,7 @@
 		r.t = t
 		if len(t.Waiting) == 0 {
 			s.lastingWaitSince, s.heldBackUntil = nil, nil
+			r.settleReservations()
 			return
 		}
 		s.roundCount++
@@ -55,6 +63,7 @@
 				break
 			}
 		}
+		r.settleReservations()
 		preempted = r.choosePreempted()
 	})
 	for _, key := range preempted {
@@ -113,6 +122,7 @@
 func (r *round) placeStep(step *workflow.Step, most int) {
 	if r.knownWithoutRoom(step) {
 		r.recordLack(step)
+		r.keepCapacity(step)
 		return
 	}
 	if step.Spec.GetGang() {
@@ -139,6 +149,7 @@
 			}
 		default:
 			r.recordLack(step)
+			r.keepCapacity(step)
 			return
 		}
 	}
@@ -150,7 +161,7 @@
 	most := int64(0)
 	size := resource.FromWire(task.Step.Spec.GetSize())
 	for _, c := range r.pools[task.Step.Job.Queue.GetPool()] {
-		soon := c.free.Add(c.shortUse)
+		soon := c.soonFree()
 		if !size.Fits(soon) || !r.isEligible(task.Step, c) {
 			continue
 		}
@@ -220,6 +231,8 @@
 		size.MilliCPU = 0
 	}
 	c.free, c.roomTaken = c.free.Sub(size), true
+	r.recordReserved(step, c)
+	r.observeWait(step)
 	if r.placed[step] == nil {
 		r.placed[step] = map[*candidate]int32{}
 	}
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -56,7 +56,7 @@
 	for _, c := range r.pools[key.pool] {
 		if !c.suspended && hasLabel(c.GetLabels(), key.label) {
 			most.whole = most.whole.Max(c.Capacity)
-			most.besideLasting = most.besideLasting.Max(c.free.Add(c.shortUse))
+			most.besideLasting = most.besideLasting.Max(c.free.Add(c.withheld.now).Add(c.shortUse))
 		}
 	}
 	if r.mostRooms == nil {
@@ -186,16 +186,20 @@
 	return keys
 }
 
-// demandOf returns the tasks of steps that found no room, less those that the given processors, in thousandths of a core, will hold once they are free.
+// demandOf returns the tasks of steps that found no room, less those with a reservation and those that the given processors, in thousandths of a core, will hold once they are free.
 func (r *round) demandOf(steps []*workflow.Step, freed int64) []preempt.Demand {
 	var demand []preempt.Demand
 	for _, step := range steps {
 		size := resource.FromWire(step.Spec.GetSize())
-		count := 0
+		count, reserved := 0, r.reserved[step]
 		for _, task := range step.Tasks {
 			if !task.Startable() || r.done[task] {
 				continue
 			}
+			if reserved > 0 {
+				reserved--
+				continue
+			}
 			if freed >= size.MilliCPU {
 				freed -= size.MilliCPU
 				continue
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -7,6 +7,7 @@
 
 	"daisyswitch/call"
 	"daisyswitch/event"
+	"daisyswitch/lookahead"
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
 )
@@ -48,6 +49,8 @@
 	listedAt      time.Duration // boot clock, when the worker last listed it
 	firstListedAt time.Duration // boot clock, when it was first listed
 
+	distribution *lookahead.Distribution // of its duration, nil if not known yet
+
 	image       int           // its index in costs
 	pace        int           // percent of its full speed at which it runs
 	pacedAt     time.Duration // boot clock, of the last answer to a change of its pace
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -16,6 +16,7 @@
 	image            string
 	expectedLateness lateness
 	filling          bool
+	queue            string // empty unless capacity may be withheld, which depends on run times, and so on the queue
 }
 
 // shortage describes tasks that found no room on any worker as of a round. Afterwards only workers that have changed can have room for them.
@@ -36,7 +37,11 @@
 	if s.GetLasting() || s.GetRequires() != "" || s.GetMaxPerWorker() > 0 || expectedLateness != inTime && !r.inTimeWaits {
 		return shortageKey{}, false
 	}
-	return shortageKey{step.Job.Queue.GetPool(), s.GetImage(), expectedLateness, s.GetFilling()}, true
+	a = shortageKey{pool: step.Job.Queue.GetPool(), image: s.GetImage(), expectedLateness: expectedLateness, filling: s.GetFilling()}
+	if r.s.ahead != nil {
+		a.queue = step.Job.Spec.GetQueue()
+	}
+	return a, true
 }
 
 // shortageFor returns the shortage that covers a step, or nil if there is none.
@@ -97,7 +102,7 @@
 
 func (ch *chooser) maxMilliCPUOn(c *candidate) int64 {
 	if !ch.step.Spec.GetFilling() {
-		return c.free.MilliCPU
+		return ch.r.freeFor(ch.step, c).MilliCPU
 	}
 	share := ch.r.availableShare(c, ch.imageNumber, ch.expectedLateness)
 	return int64(min(float64(c.unused)/minUnusedShare, share*float64(c.Capacity.MilliCPU)))
--- a/event/dispatch.go
+++ b/event/dispatch.go
@@ -27,5 +27,8 @@
 	RunPaced              = register(468, "run_paced", "A filling task was slowed down or sped up to protect the serving tasks on the same worker.")
 	LoadSummary           = register(467, "load_summary", "Every 2 s: utilization of the called workers, their free capacity by piece size, the number of waiting tasks and of those that can still be in time, and the time that the loop spent on rounds and commits.")
 	LastingTasksPreempted = register(471, "lasting_tasks_preempted", "Lasting tasks are stopped for a few seconds, since tasks that end and could still be in time found no room.")
+	ReservationMade       = register(490, "reservation_made", "Capacity on a worker is kept for a large task that found none, until the time by which runs there will likely have released the rest.")
+	ReservationKept       = register(491, "reservation_kept", "A task was placed on the worker on which capacity was kept for it.")
+	ReservationGivenUp    = register(492, "reservation_given_up", "Capacity is no longer kept for a task: it found some elsewhere, its predicted start came to be too late, or enough was withheld for it.")
 	LeaseLapsed           = register(465, "lease_lapsed", "A silent worker's lease is known to have expired, and with it all of its runs have ended.")
 )
--- a/installation/member.go
+++ b/installation/member.go
@@ -38,6 +38,7 @@
 			Calls:        m.client.Calls(),
 			Lease:        time.Duration(s.LeaseMS) * time.Millisecond,
 			LongestLease: time.Duration(s.LongestLeaseMS) * time.Millisecond,
+			Lookahead:    s.Lookahead == 1,
 		},
 	})
 	if err != nil {
--- a/settings/bounds.go
+++ b/settings/bounds.go
@@ -29,6 +29,7 @@
 	"control[].id":              {Min: 1, Max: math.MaxInt32, Required: true},
 	"first":                     {Default: 0, Min: 0, Max: 1},
 	"losses":                    {Default: 1, Min: 0, Max: 3},
+	"lookahead":                 {Default: 0, Min: 0, Max: 1},
 	"longest_lease_ms":          {Default: 6000, Min: 1000, Max: 10 * minuteMS},
 	"drain_ms":                  {Default: 4000, Min: 0, Max: 10 * minuteMS},
 	"limits.header_bytes":       {Default: 64 << 10, Min: 4 << 10, Max: mib},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -84,6 +84,7 @@
 	ToleratedLosses int64  `json:"losses"`        // control processes that may fail at the same time
 	LeaseMS         int64  `json:"lease_ms"`      // of workers
 	LongestLeaseMS  int64  `json:"longest_lease_ms"`
+	Lookahead       int64  `json:"lookahead"` // 1 to keep capacity for large tasks that found none, else 0
 	TickMS          int64  `json:"tick_ms"`
 	ElectionTicks   int64  `json:"election_ticks"`
 	SnapshotEvery   uint64 `json:"snapshot_every"` // log records between snapshots
