--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -18,14 +18,20 @@
 	durations *lookahead.Durations                       // guarded by the session's mutex
 	releases  []lookahead.Release                        // buffer
 
+	copies   map[lookahead.Key]*lookahead.Distribution // of distributions, as used in rounds
+	copiedAt time.Duration                             // boot clock, since when copies are collected
+
 	lackingSince map[*workflow.Step]time.Duration // boot clock, since when the large tasks of waiting steps have lacked capacity
 }
 
+// copyInterval is how long rounds use the same copies of distributions, which change little within a few rounds.
+const copyInterval = 50 * time.Millisecond
+
 func newAhead(on bool) *ahead {
 	if !on {
 		return nil
 	}
-	return &ahead{books: map[string]*lookahead.Book[*workflow.Step]{}, durations: lookahead.NewDurations(), lackingSince: map[*workflow.Step]time.Duration{}}
+	return &ahead{books: map[string]*lookahead.Book[*workflow.Step]{}, durations: lookahead.NewDurations(), lackingSince: map[*workflow.Step]time.Duration{}, copies: map[lookahead.Key]*lookahead.Distribution{}}
 }
 
 // withheld is the capacity of a candidate that a reservation keeps in this round.
@@ -65,7 +71,7 @@
 // durationsOf returns the distribution of a step's run times, or nil if it is not known. It stays the same throughout the round, as the shortages of a round require.
 func (r *round) durationsOf(step *workflow.Step) *lookahead.Distribution {
 	key := durationKey(step)
-	if d, known := r.durations[key]; known {
+	if d, known := r.s.ahead.copies[key]; known {
 		return d
 	}
 	r.s.mu.Lock()
@@ -75,10 +81,7 @@
 		d = &copied
 	}
 	r.s.mu.Unlock()
-	if r.durations == nil {
-		r.durations = map[lookahead.Key]*lookahead.Distribution{}
-	}
-	r.durations[key] = d
+	r.s.ahead.copies[key] = d
 	return d
 }
 
@@ -265,6 +268,10 @@
 	if r.s.ahead == nil {
 		return
 	}
+	if a, now := r.s.ahead, r.s.SinceBoot(); now-a.copiedAt >= copyInterval {
+		clear(a.copies)
+		a.copiedAt = now
+	}
 	for step := range r.s.ahead.lackingSince {
 		if _, waiting := r.t.Waiting[step]; !waiting {
 			delete(r.s.ahead.lackingSince, step)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -31,7 +31,6 @@
 	mostRooms     map[labelledPool]mostRoom
 	largest       map[string]resource.Size                   // by pool, an upper bound of its workers' capacity
 	views         map[string]*lookahead.Pool[*workflow.Step] // by pool
-	durations     map[lookahead.Key]*lookahead.Distribution  // as used in this round
 	likelyStep    *workflow.Step                             // of the last look at likelyRunTime
 	likelyRunTime time.Duration
 	reserved      map[*workflow.Step]int  // tasks with a reservation
--- a/lookahead/book.go
+++ b/lookahead/book.go
@@ -9,7 +9,7 @@
 // Bounds of reservations.
 const (
 	workersPerReservation = 20                    // at most one reservation of a pool for each so many workers, but at least one, so that most capacity stays available to all
-	maxReservations       = 16                    // of a pool, which bounds the work of a round
+	maxReservations       = 8                     // of a pool, which bounds the work of a round
 	slipFactor            = 2                     // a reservation lasts at most this many times as long as its start was allowed to be ahead; run times that were learned may be half of the present ones
 	renewInterval         = 50 * time.Millisecond // after which a forecast is made again though nothing has changed on the worker, since runs that go on are expected to end later
 	searchInterval        = 20 * time.Millisecond // between searches in a pool, so that they take a small part of the time of rounds, which follow each other after 5 ms
