--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -21,6 +21,7 @@
 	copies   map[lookahead.Key]*lookahead.Distribution // of distributions, as used in rounds
 	copiedAt time.Duration                             // boot clock, since when copies are collected
 
+	queueNumbers map[string]int32                 // by name, from 1
 	lackingSince map[*workflow.Step]time.Duration // boot clock, since when the large tasks of waiting steps have lacked capacity
 }
 
@@ -31,18 +32,27 @@
 	if !on {
 		return nil
 	}
-	return &ahead{books: map[string]*lookahead.Book[*workflow.Step]{}, durations: lookahead.NewDurations(), lackingSince: map[*workflow.Step]time.Duration{}, copies: map[lookahead.Key]*lookahead.Distribution{}}
+	return &ahead{books: map[string]*lookahead.Book[*workflow.Step]{}, durations: lookahead.NewDurations(), lackingSince: map[*workflow.Step]time.Duration{}, copies: map[lookahead.Key]*lookahead.Distribution{}, queueNumbers: map[string]int32{}}
+}
+
+// queueNumber returns a number for a queue, which takes less time to compare than its name.
+func (a *ahead) queueNumber(queue string) int32 {
+	n := a.queueNumbers[queue]
+	if n == 0 {
+		n = int32(len(a.queueNumbers) + 1)
+		a.queueNumbers[queue] = n
+	}
+	return n
 }
 
 // withheld is the capacity of a candidate that a reservation keeps in this round.
 type withheld struct {
+	any      bool
 	now      resource.Size // part of what is free now, already taken from the candidate's free capacity
 	released resource.Size // part of what its runs will release
 	until    time.Duration // from now, after which the reserved task likely starts
 }
 
-func (c *candidate) isWithheld() bool { return c.withheld != withheld{} }
-
 // soonFree returns what will be free, less what is reserved, once all tasks that end have ended.
 func (c *candidate) soonFree() resource.Size {
 	return c.free.Add(c.shortUse).Sub(c.withheld.released)
@@ -50,7 +60,7 @@
 
 // freeFor returns a candidate's free capacity for a step's tasks, which includes what is withheld if they will likely have ended by the start of the reserved task.
 func (r *round) freeFor(step *workflow.Step, c *candidate) resource.Size {
-	if !c.isWithheld() || step.Spec.GetLasting() || step.Spec.GetFilling() || r.likelyRun(step) > c.withheld.until {
+	if !c.withheld.any || step.Spec.GetLasting() || step.Spec.GetFilling() || r.likelyRun(step) > c.withheld.until {
 		return c.free
 	}
 	return c.free.Add(c.withheld.now)
@@ -170,7 +180,7 @@
 		Forecast: func(i int, step *workflow.Step) (f lookahead.Forecast, usable, known bool) {
 			c := workers[i]
 			size := resource.FromWire(step.Spec.GetSize())
-			if c.isWithheld() || c.suspended || !r.isEligible(step, c) {
+			if c.withheld.any || c.suspended || !r.isEligible(step, c) {
 				return f, false, false
 			}
 			if !size.Fits(c.soonFree()) {
@@ -182,7 +192,7 @@
 		Hold: func(i int, f lookahead.Forecast) {
 			c := workers[i]
 			c.free, c.roomTaken = c.free.Sub(f.Held), true
-			c.withheld = withheld{now: f.Held, released: f.Released, until: f.In}
+			c.withheld = withheld{any: true, now: f.Held, released: f.Released, until: f.In}
 		},
 		Made: func(made *lookahead.Reservation[*workflow.Step], f lookahead.Forecast) {
 			r.s.reservationsMade.Inc()
--- a/dispatch/candidate.go
+++ b/dispatch/candidate.go
@@ -70,7 +70,10 @@
 	suspended := now < c.link.health.suspended
 	same := c.listedRound == round-1 && !c.roomTaken && !c.link.offerChanged && free == c.free && unused == c.unused && suspended == c.suspended
 	c.free, c.unused, c.shortUse, c.suspended = free, unused, shortUse, suspended
-	c.listedRound, c.roomTaken, c.link.offerChanged, c.withheld = round, false, false, withheld{}
+	c.listedRound, c.roomTaken, c.link.offerChanged = round, false, false
+	if c.withheld.any {
+		c.withheld = withheld{}
+	}
 	if !same {
 		c.changedRound, c.derived, c.lastingCounts = round, false, nil
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -181,7 +181,10 @@
 func (r *round) mayStart(step *workflow.Step, c *candidate) bool {
 	spec := step.Spec
 	size := resource.FromWire(spec.GetSize())
-	free := r.freeFor(step, c)
+	free := c.free
+	if c.withheld.any {
+		free = r.freeFor(step, c)
+	}
 	if spec.GetFilling() {
 		size.MilliCPU, free.MilliCPU = 0, max(0, free.MilliCPU)
 	}
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -16,7 +16,7 @@
 	image            string
 	expectedLateness lateness
 	filling          bool
-	queue            string // empty unless capacity may be withheld, which depends on run times, and so on the queue
+	queue            int32 // number of the queue, 0 unless capacity may be withheld, which depends on run times, and so on the queue
 }
 
 // shortage describes tasks that found no room on any worker as of a round. Afterwards only workers that have changed can have room for them.
@@ -39,7 +39,7 @@
 	}
 	a = shortageKey{pool: step.Job.Queue.GetPool(), image: s.GetImage(), expectedLateness: expectedLateness, filling: s.GetFilling()}
 	if r.s.ahead != nil {
-		a.queue = step.Job.Spec.GetQueue()
+		a.queue = r.s.ahead.queueNumber(step.Job.Spec.GetQueue())
 	}
 	return a, true
 }
