--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -54,6 +54,7 @@
 	endRecords  int           // committed records that contain ends
 	endsDelay   time.Duration // by which records that contain ends are committed later than others
 
+	lookahead     bool         // of loops created from now on
 	metrics       *metrics.Set // for loops created from now on, nil for none
 	refusedStarts atomic.Int64 // starts that were proposed and refused when their record was applied
 	takeoverDelay atomic.Int64 // nanoseconds by which a new leader's clock advances after its first reading; atomic, since the clock is read under all other locks
@@ -139,10 +140,11 @@
 			}
 			return now
 		},
-		Wall:     time.Now,
-		Lease:    lease,
-		MaxLease: maxLease,
-		Metrics:  b.metrics,
+		Wall:      time.Now,
+		Lease:     lease,
+		MaxLease:  maxLease,
+		Metrics:   b.metrics,
+		Lookahead: b.lookahead,
 	})
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisyswitch/event"
+	"daisyswitch/lookahead"
 	"daisyswitch/resource"
 	"daisyswitch/share"
 	"daisyswitch/wire"
@@ -28,13 +29,18 @@
 	inTimeWaits      bool                        // a workflow that can still end in time found no room
 	lacking          map[string][]*workflow.Step // by pool, steps that found no room and for which lasting tasks give way
 
-	mostRooms map[labelledPool]mostRoom
-	inUse     map[string]share.Use          // by workspace, of those of which this round has placed tasks
-	inPool    map[workspaceInPool]share.Use // the part of inUse in one pool
-	atQuota   map[*workflow.Step]int        // tasks that wait for the quota of their workspace
-	waiting   map[string][]resource.Size    // by pool, of tasks that are on time and found no room
-	capacity  map[string]resource.Size      // by pool, of the workers on which tasks may be placed
-	done      map[*workflow.Task]bool       // tasks that were placed, or that need no further look in this round
+	mostRooms     map[labelledPool]mostRoom
+	inUse         map[string]share.Use                       // by workspace, of those of which this round has placed tasks
+	inPool        map[workspaceInPool]share.Use              // the part of inUse in one pool
+	atQuota       map[*workflow.Step]int                     // tasks that wait for the quota of their workspace
+	waiting       map[string][]resource.Size                 // by pool, of tasks that are on time and found no room
+	capacity      map[string]resource.Size                   // by pool, of the workers on which tasks may be placed
+	largest       map[string]resource.Size                   // by pool, an upper bound of its workers' capacity
+	views         map[string]*lookahead.Pool[*workflow.Step] // by pool
+	likelyStep    *workflow.Step                             // of the last look at likelyRunTime
+	likelyRunTime time.Duration
+	reserved      map[*workflow.Step]int  // tasks with a reservation
+	done          map[*workflow.Task]bool // tasks that were placed, or that need no further look in this round
 }
 
 // placeWaiting runs a placement round and commits its starts. It returns false if the record was not committed.
@@ -49,6 +55,7 @@
 		r.t = t
 		if len(t.Waiting) == 0 {
 			s.lastingWaitSince, s.heldBackUntil = nil, nil
+			r.settleReservations()
 			return
 		}
 		s.roundCount++
@@ -56,6 +63,7 @@
 		r.readCosts()
 		r.gatherCandidates()
 		r.placeTurns(r.turnOrder())
+		r.settleReservations()
 		preempted = r.choosePreempted()
 	})
 	s.publishWaits(r.waiting)
@@ -121,6 +129,7 @@
 	}
 	if r.knownWithoutRoom(step) {
 		r.recordLack(step)
+		r.keepCapacity(step)
 		return false
 	}
 	if step.Spec.GetGang() {
@@ -152,6 +161,7 @@
 			}
 		default:
 			r.recordLack(step)
+			r.keepCapacity(step)
 			return false
 		}
 	}
@@ -164,7 +174,7 @@
 	most := int64(0)
 	size := resource.FromWire(task.Step.Spec.GetSize())
 	for _, c := range r.pools[task.Step.Job.Queue.GetPool()] {
-		soon := c.free.Add(c.shortUse)
+		soon := c.soonFree()
 		if !size.Fits(soon) || !r.isEligible(task.Step, c) {
 			continue
 		}
@@ -237,6 +247,8 @@
 	}
 	c.free, c.roomTaken = c.free.Sub(size), true
 	r.countPlaced(step, 1)
+	r.recordReserved(step, c)
+	r.observeWait(step)
 	if r.placed[step] == nil {
 		r.placed[step] = map[*candidate]int32{}
 	}
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -61,7 +61,7 @@
 	for _, c := range r.pools[key.pool] {
 		if !c.suspended && hasLabel(c.GetLabels(), key.label) {
 			most.whole = most.whole.Max(c.Capacity)
-			most.besideLasting = most.besideLasting.Max(c.free.Add(c.shortUse))
+			most.besideLasting = most.besideLasting.Max(c.free.Add(c.withheld.now).Add(c.shortUse))
 		}
 	}
 	if r.mostRooms == nil {
@@ -195,12 +195,12 @@
 	return keys
 }
 
-// demandOf returns the tasks of steps that found no room and fit in the quotas of their workspaces, less those that the given processors, in thousandths of a core, will hold once they are free.
+// demandOf returns the tasks of steps that found no room and fit in the quotas of their workspaces, less those with a reservation and those that the given processors, in thousandths of a core, will hold once they are free.
 func (r *round) demandOf(steps []*workflow.Step, freed int64) []preempt.Demand {
 	var demand []preempt.Demand
 	for _, step := range steps {
 		size := resource.FromWire(step.Spec.GetSize())
-		count, quotaRoom := 0, r.quotaRoom(step)
+		count, quotaRoom, reserved := 0, r.quotaRoom(step), r.reserved[step]
 		for _, task := range step.Tasks {
 			if !task.Startable() || r.done[task] {
 				continue
@@ -209,6 +209,10 @@
 				break
 			}
 			r.countUse(step, 1)
+			if reserved > 0 {
+				reserved--
+				continue
+			}
 			if freed >= size.MilliCPU {
 				freed -= size.MilliCPU
 				continue
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -87,6 +87,7 @@
 	LeaseMS         int64  `json:"lease_ms"`      // of workers
 	LongestLeaseMS  int64  `json:"longest_lease_ms"`
 	LeaseMarginMS   int64  `json:"lease_margin_ms"` // above 0: leases are this much shorter than the longest, whatever LeaseMS is
+	Lookahead       int64  `json:"lookahead"`       // 1 to keep capacity for large tasks that found none, else 0
 	TickMS          int64  `json:"tick_ms"`
 	ElectionTicks   int64  `json:"election_ticks"`
 	SnapshotEvery   uint64 `json:"snapshot_every"` // log records between snapshots
