--- a/dispatch/departure.go
+++ b/dispatch/departure.go
@@ -23,6 +23,9 @@
 	committed := make(chan struct{})
 	s := l.goInSession(func(s *session) {
 		defer close(committed)
+		if link := s.linkOf(worker); link != nil && link.currentWorker().GetBorn() == born {
+			link.depart()
+		}
 		s.commitWithRetry(command)
 	})
 	if s == nil { // the links of the next session learn of it from the state
@@ -32,9 +35,6 @@
 		return nil
 	}
 	link := s.linkOf(worker)
-	if link != nil && link.currentWorker().GetBorn() == born {
-		link.setDeparting()
-	}
 	select {
 	case <-committed:
 	case <-ctx.Done():
@@ -83,14 +83,21 @@
 	return count
 }
 
-// setDeparting stops starts and extensions of the lease, and ends the hold in progress so that the next one is sent at once.
-func (l *link) setDeparting() {
+// depart stops starts and extensions of the lease, and sends a hold at once. The hold in progress goes on, since its answer may be the last that a worker gives that is shutting down.
+func (l *link) depart() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.departing {
-		l.departing = true
-		l.cancelHold()
+	if l.departing {
+		return
 	}
+	l.departing, l.keeper = true, 1
+	l.s.tasks.Go(func() { l.keepLease(1) })
+}
+
+func (l *link) isKeeper(keeper int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keeper == keeper
 }
 
 func (l *link) isDeparting() bool {
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -46,13 +46,15 @@
 	ended   chan struct{}
 	current *atomic.Bool // whether the loop created last may commit
 
-	mu          sync.Mutex // guards the fields below, and the workers
-	confirmed   bool       // whether a quorum confirms the leader
-	running     map[workflow.Name]int
-	begunRuns   []string      // every run that began, in order
-	overlapping []string      // tasks with two runs at the same time
-	endRecords  int           // committed records that contain ends
-	endsDelay   time.Duration // by which records that contain ends are committed later than others
+	mu             sync.Mutex // guards the fields below, and the workers
+	confirmed      bool       // whether a quorum confirms the leader
+	running        map[workflow.Name]int
+	doneRuns       map[workflow.Name]int // runs that ended as done
+	begunRuns      []string              // every run that began, in order
+	overlapping    []string              // tasks with two runs at the same time
+	endRecords     int                   // committed records that contain ends
+	endsDelay      time.Duration         // by which records that contain ends are committed later than others
+	departureDelay time.Duration         // by which records of workers are committed later than others
 
 	metrics       *metrics.Set // for loops created from now on, nil for none
 	takeoverDelay atomic.Int64 // nanoseconds by which a new leader's clock advances after its first reading; atomic, since the clock is read under all other locks
@@ -99,7 +101,7 @@
 
 // newTestBench returns a leader with workers of one size, and queues for short, lasting and filling tasks.
 func newTestBench(t *testing.T, workers int, size *wire.Size) *testBench {
-	b := &testBench{t: t, began: time.Now(), workers: map[string]*fakeWorker{}, at: map[string]*fakeWorker{}, running: map[workflow.Name]int{}, confirmed: true, current: &atomic.Bool{}}
+	b := &testBench{t: t, began: time.Now(), workers: map[string]*fakeWorker{}, at: map[string]*fakeWorker{}, running: map[workflow.Name]int{}, doneRuns: map[workflow.Name]int{}, confirmed: true, current: &atomic.Bool{}}
 	b.current.Store(true)
 	b.loop.Store(b.newLoop())
 	b.table = workflow.New(workflow.Options{
@@ -211,6 +213,11 @@
 		b.locked(func() { b.endRecords++; delay = b.endsDelay })
 		time.Sleep(delay)
 	}
+	if len(c.GetWorkers()) > 0 {
+		delay := time.Duration(0)
+		b.locked(func() { delay = b.departureDelay })
+		time.Sleep(delay)
+	}
 	return b.apply(c), nil
 }
 
@@ -356,6 +363,9 @@
 	delete(w.runs, name)
 	w.barred[name] = max(w.barred[name], r.number)
 	w.b.running[name]--
+	if outcome == wire.RunOutcome_RUN_OUTCOME_DONE {
+		w.b.doneRuns[name]++
+	}
 	w.number++
 	w.ended = append(w.ended, call.Ended{Number: w.number, Task: name, Run: r.number, Outcome: outcome, Checkpoint: strings.Repeat("x", w.checkpointBytes)})
 }
--- a/dispatch/leave_test.go
+++ b/dispatch/leave_test.go
@@ -266,3 +266,55 @@
 		assert.Equal(t, b.runningOf("job"), 6)
 	})
 }
+
+// TestNoStartIsSentToADepartingWorker guards against a start that is sent again after the leader has learned of the departure and before that is committed.
+func TestNoStartIsSentToADepartingWorker(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		left := b.workers["w0"]
+		b.locked(func() { left.losesStarts, b.departureDelay = true, 5*time.Second })
+		b.submit("short", "job", short(3))
+		time.Sleep(100 * time.Millisecond)
+		left.depart()
+		b.locked(func() { left.gone = true })
+		time.Sleep(3 * time.Second)
+		b.locked(func() { assert.Equal(t, left.startsWhenGone, 0) })
+		b.addWorker("w1", big)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, b.state("job"), workflow.StateCompleted)
+		assert.Assert(t, !left.inState())
+	})
+}
+
+// TestLeaseOfADepartedWorkerThatAnswersIsNotExtended guards against a later leader that extends the lease of a worker that left and still runs tasks.
+func TestLeaseOfADepartedWorkerThatAnswersIsNotExtended(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		left := b.workers["w0"]
+		b.submit("lasting", "job", &wire.Step{Count: 6, Size: unit, Lasting: true})
+		time.Sleep(500 * time.Millisecond)
+		b.addWorker("w1", big)
+		b.locked(func() { left.stopTime = 10 * time.Second })
+		b.depose()
+		left.depart()
+		var expiry time.Time
+		b.locked(func() { expiry = left.lease })
+		b.lead(2)
+		time.Sleep(time.Until(expiry.Add(-10 * time.Millisecond)))
+		assert.Equal(t, b.runCount("job.0.0.0"), 1, "a run that is listed as running was taken for ended")
+		time.Sleep(time.Second)
+		b.locked(func() { assert.Assert(t, left.lease.Equal(expiry), "the lease was extended") })
+		assert.Equal(t, b.runCount("job.0.0.0"), 2)
+		assert.Assert(t, !left.inState())
+	})
+}
+
+// TestHoldInProgressIsHeardOutAsTheWorkerLeaves guards against an end that is lost because its worker answers the hold in progress but none that arrives after its departure.
+func TestHoldInProgressIsHeardOutAsTheWorkerLeaves(t *testing.T) {
+	runOnBench(t, 2, big, func(b *testBench) {
+		left := b.startAndEnd("job", func(w *fakeWorker) { b.locked(func() { w.holdDelay = 200 * time.Millisecond }) })
+		time.Sleep(70 * time.Millisecond)
+		b.locked(func() { left.silent = true }) // the answer with the end is on its way
+		left.depart()
+		time.Sleep(8 * time.Second)
+		left.assertRanOnce("job")
+	})
+}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -28,9 +28,11 @@
 	offerChanged     bool                    // the worker's offer may have changed since its candidate was updated; guarded by the session's mutex
 	sparedMilliCPU   int64                   // thousandths of a core that slowed filling tasks leave unused, as last listed; guarded by the session's mutex
 	capacityMilliCPU int64                   // thousandths of a core, at least 1
-	longCheckpoints  bool                    // the last listing had checkpoints that were dropped; used by keepLease only
+	longCheckpoints  bool                    // the last listing had checkpoints that were dropped; guarded by listings
 	nearTarget       bool                    // a serving task beside filling tasks is near its target; guarded by the session's mutex
 
+	listings chan struct{} // holds a value while a listing is processed, since the ends of one worker are committed one after the other
+
 	mu            sync.Mutex // guards the fields below
 	worker        *wire.CalledWorker
 	clockMS       int64         // a reading of the worker's clock
@@ -44,12 +46,13 @@
 	cooldownUntil time.Duration // boot clock until which no new tasks are placed on it
 	strays        map[runKey]struct{}
 	departing     bool   // the worker says that it has ended
+	keeper        int    // of its lease, counted from 0; the one before ends with its hold in progress
 	departListed  bool   // it has answered since with a complete listing
 	cancelHold    func() // of the hold in progress
 }
 
 func newLink(s *session, w *wire.CalledWorker) *link {
-	l := &link{s: s, id: w.GetId(), worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}, departing: w.GetDeparted(), cancelHold: func() {}}
+	l := &link{s: s, id: w.GetId(), worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}, departing: w.GetDeparted(), listings: make(chan struct{}, 1), cancelHold: func() {}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	l.lapsesAt = s.SinceBoot() + withMaxDrift(s.MaxLease)
 	return l
@@ -69,10 +72,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.worker = w
-	if w.GetDeparted() && !l.departing {
-		l.departing = true
-		l.cancelHold()
-	}
+	l.departing = l.departing || w.GetDeparted()
 }
 
 // currentWorker returns the worker's latest committed record.
@@ -163,19 +163,19 @@
 	return count
 }
 
-// keepLease extends the worker's lease until the worker is gone or the leadership ends.
-func (l *link) keepLease() {
+// keepLease extends the worker's lease until the worker is gone, another keeper takes over or the leadership ends.
+func (l *link) keepLease(keeper int) {
 	s := l.s
-	for s.awaitMayCall(l.ctx) {
+	for s.awaitMayCall(l.ctx) && l.isKeeper(keeper) {
 		sent := s.SinceBoot()
 		order, departing := l.nextHold(sent)
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout+order.Wait)
-		l.setCancelHold(cancel, departing)
+		l.setCancelHold(cancel)
 		listing, err := s.Calls.Hold(ctx, l.currentWorker(), order)
 		cancel()
 		switch {
 		case err != nil && !departing && l.isDeparting():
-			// the departure ended this hold
+			// the hold that was sent since shows whether the worker still answers
 		case errors.Is(err, call.ErrOtherWorker) && departing:
 			l.recordSilence(err)
 			s.pause(maxRetryDelay)
@@ -202,14 +202,10 @@
 	}
 }
 
-// setCancelHold sets the function that ends the hold in progress, and calls it at once if the worker has departed since the hold was made.
-func (l *link) setCancelHold(cancel func(), departing bool) {
+func (l *link) setCancelHold(cancel func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cancelHold = cancel
-	if l.departing && !departing {
-		cancel()
-	}
 }
 
 // askAgain ends the hold in progress, so that the next one shows whose answers come from the worker's address.
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -37,6 +37,8 @@
 
 // processListing processes a worker's answer to a hold that was sent at the given time. departing says that the hold was sent after the worker's departure.
 func (l *link) processListing(sent time.Duration, listing *call.Listing, departing bool) {
+	l.listings <- struct{}{}
+	defer func() { <-l.listings }()
 	l.dropLongCheckpoints(listing)
 	listed := map[runKey]struct{}{}
 	for i := range listing.Running {
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -311,7 +311,7 @@
 		}
 		l := newLink(s, w)
 		s.links[id] = l
-		s.tasks.Go(l.keepLease)
+		s.tasks.Go(func() { l.keepLease(0) })
 		added[w.GetAddress()] = id
 	}
 	for id, l := range s.links {
