--- a/review/standin/installation.go
+++ b/review/standin/installation.go
@@ -190,6 +190,7 @@
 		"{{listen.control|json}}", quoted(in.address(p.ip, controlPort)), "{{listen.front|json}}", quoted(in.address(p.ip, frontPort)),
 		"{{listen.ready|json}}", quoted(in.address(p.ip, readyPort)), "{{data-dir|json}}", quoted(filepath.Join(in.dir, p.name+"-data")),
 		"{{tolerate.machines}}", "1", "{{bounds.max-hold-ms}}", fmt.Sprint(longestLeaseMS),
+		"{{limits.memory-mb}}", "408", "{{limits.max-fds}}", "4096",
 	).Replace(text)
 	if strings.Contains(text, "{{") {
 		return fmt.Errorf("deploy/%s.json has a placeholder that this stand-in does not know: %s", p.role, text)
--- a/settings/bounds.go
+++ b/settings/bounds.go
@@ -27,6 +27,8 @@
 var numberRules = map[string]numberRule{
 	"id":                        {Min: 1, Max: math.MaxInt32, Required: true},
 	"control[].id":              {Min: 1, Max: math.MaxInt32, Required: true},
+	"memory_mb":                 {Default: 184, Min: 16, Max: mib},
+	"max_fds":                   {Default: 4096, Min: 64, Max: mib},
 	"first":                     {Default: 0, Min: 0, Max: 1},
 	"losses":                    {Default: 1, Min: 0, Max: 3},
 	"longest_lease_ms":          {Default: 6000, Min: 1000, Max: 10 * minuteMS},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,8 @@
 	Admin  string `json:"admin"`  // IP:port for metrics and health
 
 	InnerListen string `json:"inner_listen"` // IP:port to listen on if other processes connect through a forwarder; empty to listen on inner
+	MemoryMB    int64  `json:"memory_mb"`    // memory of the machine or of the process's share of it
+	MaxFDs      int64  `json:"max_fds"`      // descriptors that the process may open
 }
 
 // InnerAddress returns the IP:port to listen on for the other processes of daisyswitch.
