--- a/caller/body.go
+++ b/caller/body.go
@@ -92,7 +92,12 @@
 	if x.r.ContentLength > limit {
 		return bodyRefusal(errBodyTooLarge)
 	}
-	start, err := readPrefix(rest, x.r.ContentLength)
+	size := prefixSize(x.r.ContentLength)
+	if !x.front.options.Ingress.Hold(size) {
+		return refusal.NotRun(http.StatusServiceUnavailable, refusal.Busy, "too many large bodies at once")
+	}
+	x.heldBytes = size
+	start, err := readPrefix(rest, size)
 	if err == nil { // the body is longer than the buffer
 		x.body.start = start
 		return x.enableFullDuplex()
@@ -107,12 +112,21 @@
 	return nil
 }
 
-// readPrefix buffers the beginning of a body. It returns io.EOF if that is the complete body.
-func readPrefix(r io.Reader, length int64) ([]byte, error) {
-	size := length + 1
+// releaseBody returns the charge for the buffer of the body.
+func (x *exchange) releaseBody() {
+	x.front.options.Ingress.Release(x.heldBytes)
+}
+
+// prefixSize returns the size of the buffer for the beginning of a body.
+func prefixSize(length int64) int64 {
 	if length < 0 || length > maxBufferedBody {
-		size = maxBufferedBody
+		return maxBufferedBody
 	}
+	return length + 1
+}
+
+// readPrefix buffers the beginning of a body. It returns io.EOF if that is the complete body.
+func readPrefix(r io.Reader, size int64) ([]byte, error) {
 	buffer := make([]byte, size)
 	n := 0
 	for n < len(buffer) {
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -29,6 +29,7 @@
 	startedAt       time.Time
 	class           *class.Class
 	body            *requestBody
+	heldBytes       int64 // charged for the buffer of the body
 	attempts        int   // attempts that sent the request or a part of it, or may have
 	mayHaveRun      bool  // an attempt may have executed the request
 	staleConnection bool  // the last attempt failed because its connection went stale, not because of its upstream
--- a/caller/front.go
+++ b/caller/front.go
@@ -12,6 +12,7 @@
 	"daisyswitch/class"
 	"daisyswitch/event"
 	"daisyswitch/guard"
+	"daisyswitch/ingress"
 	"daisyswitch/queue"
 	"daisyswitch/retry"
 	"daisyswitch/upstream"
@@ -23,11 +24,13 @@
 	Registry       *upstream.Registry
 	HeaderBytes    int64
 	BodyBytes      int64
-	HeaderTimeout  time.Duration // for all headers of a request, and for the first bytes of its body
-	IdleTimeout    time.Duration // of a caller's connection between requests
-	RequestTimeout time.Duration // used if the request has no timeout header
-	QueueTimeout   time.Duration // longest wait for a slot
-	RetryPercent   int64         // retries allowed, in percent of recent requests
+	HeaderTimeout  time.Duration    // for all headers of a request, and for the first bytes of its body
+	IdleTimeout    time.Duration    // of a caller's connection between requests
+	RequestTimeout time.Duration    // used if the request has no timeout header
+	QueueTimeout   time.Duration    // longest wait for a slot
+	RetryPercent   int64            // retries allowed, in percent of recent requests
+	Ingress        *ingress.Process // limits for clients; ingress.Default if nil
+	Connections    int              // share of the process's connections, in eighths
 }
 
 // Defaults are the values used for zero fields of Options.
@@ -49,6 +52,10 @@
 	setDefault(&o.RequestTimeout, Defaults.RequestTimeout)
 	setDefault(&o.QueueTimeout, Defaults.QueueTimeout)
 	setDefault(&o.RetryPercent, Defaults.RetryPercent)
+	setDefault(&o.Connections, ingress.AllConnections)
+	if o.Ingress == nil {
+		o.Ingress = ingress.Default()
+	}
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -78,11 +85,16 @@
 	f.registry.SetChanged(f.queue.Wake)
 	f.registerGauges()
 	f.server = &http.Server{
-		Handler:           f,
+		Handler:           o.Ingress.Track(f),
 		ReadHeaderTimeout: o.HeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
 		MaxHeaderBytes:    int(o.HeaderBytes),
-		ConnContext:       guard.WithConn,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			if guarded, ok := c.(*guard.Conn); ok {
+				ctx = ingress.ConnContext(ctx, guarded.Conn)
+			}
+			return guard.WithConn(ctx, c)
+		},
 	}
 	return f
 }
@@ -105,7 +117,7 @@
 
 // Serve accepts callers on l until Close. It wraps l in a guard.Listener, which validates the raw bytes that net/http hides.
 func (f *Front) Serve(l net.Listener) error {
-	err := f.server.Serve(&guard.Listener{Listener: l})
+	err := f.server.Serve(&guard.Listener{Listener: f.options.Ingress.Listen(l, f.options.Connections)})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -137,5 +149,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{front: f, w: w, r: r, startedAt: time.Now(), control: http.NewResponseController(w)}
+	defer x.releaseBody()
 	x.serve()
 }
--- a/command/process.go
+++ b/command/process.go
@@ -14,6 +14,7 @@
 	"daisyswitch/disk"
 	"daisyswitch/entry"
 	"daisyswitch/event"
+	"daisyswitch/ingress"
 	"daisyswitch/installation"
 	"daisyswitch/metric"
 	"daisyswitch/settings"
@@ -32,8 +33,8 @@
 	if err != nil {
 		return &usageError{err}
 	}
-	return run(s.Common, "entry", func() (*process, error) {
-		e, err := entry.New(entry.Options{Settings: s})
+	return run(s.Common, "entry", func(limits *ingress.Process) (*process, error) {
+		e, err := entry.New(entry.Options{Settings: s, Ingress: limits})
 		if err != nil {
 			return nil, err
 		}
@@ -51,7 +52,7 @@
 	if err != nil {
 		return &usageError{err}
 	}
-	return run(s.Common, "control", func() (*process, error) {
+	return run(s.Common, "control", func(limits *ingress.Process) (*process, error) {
 		r, err := control.New(control.Options{Settings: s})
 		if err != nil {
 			return nil, err
@@ -75,8 +76,8 @@
 		return &usageError{err}
 	}
 	debug.SetGCPercent(memberGCPercent)
-	return run(s.Common, settings.RoleMember, func() (*process, error) {
-		m, err := installation.NewMember(c.Settings, s)
+	return run(s.Common, settings.RoleMember, func(limits *ingress.Process) (*process, error) {
+		m, err := installation.NewMember(c.Settings, s, limits)
 		if err != nil {
 			return nil, err
 		}
@@ -94,8 +95,8 @@
 	if err != nil {
 		return &usageError{err}
 	}
-	return run(s.Common, settings.RoleGateway, func() (*process, error) {
-		g, err := installation.NewGateway(c.Settings, s)
+	return run(s.Common, settings.RoleGateway, func(limits *ingress.Process) (*process, error) {
+		g, err := installation.NewGateway(c.Settings, s, limits)
 		if err != nil {
 			return nil, err
 		}
@@ -165,7 +166,10 @@
 }
 
 // run starts a role with its admin listener, waits for a signal or a failure, and stops the role gracefully.
-func run(s settings.Common, role string, start func() (*process, error)) error {
+func run(s settings.Common, role string, start func(*ingress.Process) (*process, error)) error {
+	bounds := ingress.LimitsFor(s.MemoryMB, s.MaxFDs)
+	debug.SetMemoryLimit(bounds.Soft)
+	limits := ingress.New(bounds)
 	sink := event.NewSink(os.Stdout)
 	if err := sink.Install(); err != nil {
 		return err
@@ -179,7 +183,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	event.ProcessStarted.Info("role", role, "name", s.Name, "domain", s.Domain, "version", version)
-	p, err := startWithRoom(start, signals, s.Name)
+	p, err := startWithRoom(func() (*process, error) { return start(limits) }, signals, s.Name)
 	if err != nil {
 		return fmt.Errorf("start %s %s: %w", role, s.Name, err)
 	}
@@ -187,7 +191,7 @@
 		event.ProcessStopped.Info("role", role, "name", s.Name)
 		return nil
 	}
-	admin, err := metric.New(metric.Options{Address: s.Admin, Ready: p.ready, Live: p.live, Sets: []*metrics.Set{p.metrics}})
+	admin, err := metric.New(metric.Options{Address: s.Admin, Ready: p.ready, Live: p.live, Sets: []*metrics.Set{p.metrics}, Ingress: limits})
 	if err != nil {
 		return fmt.Errorf("start %s %s: %w", role, s.Name, errors.Join(err, p.close()))
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"daisyswitch/caller"
 	"daisyswitch/group"
+	"daisyswitch/ingress"
 	"daisyswitch/inner"
 	"daisyswitch/leader"
 	"daisyswitch/neighbor"
@@ -30,11 +31,13 @@
 // Options configures an Entry.
 type Options struct {
 	Settings *settings.Entry
+	Ingress  *ingress.Process // limits for clients; ingress.Default if nil
 }
 
 // Entry is one entry process.
 type Entry struct {
 	settings  *settings.Entry
+	clients   *ingress.Process
 	pool      *inner.Pool
 	leader    *leader.Leader
 	holder    *watch.Holder
@@ -53,7 +56,10 @@
 // New starts an entry with all its listeners; callers' requests are refused until it has received a configuration.
 func New(o Options) (*Entry, error) {
 	s := o.Settings
-	e := &Entry{settings: s, pool: inner.New(inner.Options{})}
+	if o.Ingress == nil {
+		o.Ingress = ingress.Default()
+	}
+	e := &Entry{settings: s, clients: o.Ingress, pool: inner.New(inner.Options{})}
 	e.leader = leader.New(e.pool, innerAddresses(s.Control))
 	e.upstreams = upstream.New(upstream.Options{
 		Name:    s.Name,
@@ -61,7 +67,7 @@
 		Entries: countEntries(s),
 		Seed:    uint64(time.Now().UnixNano()),
 	})
-	e.callers = caller.New(callerOptions(s.Limits, e.upstreams))
+	e.callers = caller.New(callerOptions(s.Limits, e.upstreams, o.Ingress))
 	e.holder = watch.NewHolder(e.applyConfiguration)
 	e.workers = worker.New(worker.Options{
 		Entry:   s.Name,
@@ -94,7 +100,7 @@
 	return e, nil
 }
 
-func callerOptions(l settings.Limits, upstreams *upstream.Registry) caller.Options {
+func callerOptions(l settings.Limits, upstreams *upstream.Registry, clients *ingress.Process) caller.Options {
 	return caller.Options{
 		Registry:       upstreams,
 		HeaderBytes:    l.HeaderBytes,
@@ -103,6 +109,8 @@
 		RequestTimeout: time.Duration(l.RequestTimeoutMS) * time.Millisecond,
 		QueueTimeout:   time.Duration(l.QueueTimeoutMS) * time.Millisecond,
 		RetryPercent:   l.RetryPercent,
+		Ingress:        clients,
+		Connections:    callerShare,
 	}
 }
 
@@ -144,8 +152,8 @@
 	})
 	return errors.Join(
 		e.serveCallers(),
-		e.serve("platform", e.settings.Platform, platform),
-		e.serve("operators", e.settings.Operators, operators),
+		e.serve("platform", e.settings.Platform, platform, platformShare),
+		e.serve("operators", e.settings.Operators, operators, operatorShare),
 	)
 }
 
@@ -158,8 +166,8 @@
 	return nil
 }
 
-func (e *Entry) serve(name, address string, handler http.Handler) error {
-	l := newListener(name, handler, e.settings.Limits)
+func (e *Entry) serve(name, address string, handler http.Handler, share int) error {
+	l := newListener(name, handler, e.settings.Limits, e.clients, share)
 	if err := l.start(address); err != nil {
 		return err
 	}
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -10,24 +10,36 @@
 
 	"daisyswitch/event"
 	"daisyswitch/group"
+	"daisyswitch/ingress"
 	"daisyswitch/settings"
 )
 
 const (
 	idleTimeout     = 2 * time.Minute  // longest time that a connection may stay open between requests
 	shutdownTimeout = 30 * time.Second // longest wait for requests in progress at shutdown
+	maxBodyBytes    = 8 << 20          // on the addresses for the platform and operators; some handlers allow less
+)
+
+// The shares of the process's connections for clients, in eighths.
+const (
+	callerShare   = 4
+	platformShare = 3
+	operatorShare = 1
 )
 
 // listener is an HTTP server of the entry on its own address.
 type listener struct {
-	name   string
-	server *http.Server
-	wait   group.Group
+	name    string
+	clients *ingress.Process
+	share   int
+	server  *http.Server
+	wait    group.Group
 }
 
-func newListener(name string, handler http.Handler, limits settings.Limits) *listener {
-	return &listener{name: name, server: &http.Server{
-		Handler:           handler,
+func newListener(name string, handler http.Handler, limits settings.Limits, clients *ingress.Process, share int) *listener {
+	return &listener{name: name, clients: clients, share: share, server: &http.Server{
+		Handler:           clients.Handler(handler, maxBodyBytes),
+		ConnContext:       ingress.ConnContext,
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMS) * time.Millisecond,
 		MaxHeaderBytes:    int(limits.HeaderBytes),
 		IdleTimeout:       idleTimeout,
@@ -40,7 +52,7 @@
 		return fmt.Errorf("listen for %s: %w", l.name, err)
 	}
 	l.wait.Go(func() {
-		if err := l.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		if err := l.server.Serve(l.clients.Listen(socket, l.share)); !errors.Is(err, http.ErrServerClosed) {
 			event.ListenFailed.Error(err, "listener", l.name, "address", address)
 		}
 	})
--- a/event/process.go
+++ b/event/process.go
@@ -12,5 +12,6 @@
 	LinesOmitted      = register(8, "lines_omitted", "An event exceeded its limit of lines per second, and this number of lines was omitted.")
 	ListenFailed      = register(5, "listen_failed", "A listener failed with an error.")
 	CallPanicked      = register(11, "call_panicked", "A call from another process panicked; the call has failed, the process goes on.")
+	ClientsRefused    = register(12, "clients_refused", "Clients were refused or their connections closed at a limit; at most one line a second, with the cause of the last one and the number since the last line.")
 	GoroutinePanicked = register(6, "goroutine_panicked", "A goroutine panicked; the process exits at once, so that another can replace it.")
 )
--- a/installation/gateway.go
+++ b/installation/gateway.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisyswitch/gateway"
+	"daisyswitch/ingress"
 	"daisyswitch/platform"
 	"daisyswitch/settings"
 
@@ -20,11 +21,11 @@
 }
 
 // NewGateway starts a gateway. The settings file at path is reloaded whenever it changes.
-func NewGateway(path string, s *settings.Gateway) (*Gateway, error) {
+func NewGateway(path string, s *settings.Gateway, limits *ingress.Process) (*Gateway, error) {
 	g := &Gateway{metrics: metrics.NewSet(), gateway: gateway.New(gateway.Options{Seeds: innerAddresses(s.Seeds, s.Inner)})}
 	var err error
 	g.server, err = platform.NewGateway(platform.GatewayOptions{
-		Clients: s.Clients, Ready: s.Ready, Gateway: g.gateway, Drain: time.Duration(s.DrainMS) * time.Millisecond, Metrics: g.metrics,
+		Clients: s.Clients, Ready: s.Ready, Gateway: g.gateway, Drain: time.Duration(s.DrainMS) * time.Millisecond, Metrics: g.metrics, Ingress: limits,
 	})
 	if err != nil {
 		return nil, errors.Join(err, g.gateway.Close())
--- a/installation/member.go
+++ b/installation/member.go
@@ -6,6 +6,7 @@
 
 	"daisyswitch/clock"
 	"daisyswitch/control"
+	"daisyswitch/ingress"
 	"daisyswitch/platform"
 	"daisyswitch/settings"
 
@@ -21,7 +22,7 @@
 }
 
 // NewMember starts a member. The settings file at path is reloaded whenever it changes.
-func NewMember(path string, s *settings.Member) (*Member, error) {
+func NewMember(path string, s *settings.Member, limits *ingress.Process) (*Member, error) {
 	m := &Member{client: platform.NewWorkerClient()}
 	c := &settings.Control{
 		Common: s.Common, ID: replicaID(s.Inner), Data: s.Data, TickMS: s.TickMS, ElectionTicks: s.ElectionTicks,
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m.server, err = platform.NewControl(s.Announcements, m.control)
+	m.server, err = platform.NewControl(s.Announcements, m.control, limits)
 	if err != nil {
 		return nil, errors.Join(err, m.control.Close())
 	}
--- a/metric/server.go
+++ b/metric/server.go
@@ -10,6 +10,7 @@
 
 	"daisyswitch/event"
 	"daisyswitch/group"
+	"daisyswitch/ingress"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/julienschmidt/httprouter"
@@ -18,14 +19,16 @@
 const (
 	headerTimeout = 5 * time.Second
 	closeTimeout  = 2 * time.Second
+	maxBody       = 4 << 10 // bytes of a request, which has none
 )
 
 // Options configures the admin listener and the health checks of a process.
 type Options struct {
-	Address string         // IP:port; port 0 selects a free port
-	Ready   func() error   // returns why the process is not ready for the load balancer; nil means always ready
-	Live    func() error   // returns why the process should be restarted; nil means always live
-	Sets    []*metrics.Set // served in addition to the process-wide metrics
+	Address string           // IP:port; port 0 selects a free port
+	Ready   func() error     // returns why the process is not ready for the load balancer; nil means always ready
+	Live    func() error     // returns why the process should be restarted; nil means always live
+	Sets    []*metrics.Set   // served in addition to the process-wide metrics
+	Ingress *ingress.Process // limits for clients; ingress.Default if nil
 }
 
 // Server is the admin listener of one process.
@@ -42,12 +45,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("metric: %w", err)
 	}
-	s := &Server{options: o, listener: listener}
+	if o.Ingress == nil {
+		o.Ingress = ingress.Default()
+	}
+	s := &Server{options: o, listener: o.Ingress.ListenReserved(listener)}
 	router := httprouter.New()
 	router.HandlerFunc(http.MethodGet, "/metrics", s.metrics)
 	router.HandlerFunc(http.MethodGet, "/ready", health(o.Ready))
 	router.HandlerFunc(http.MethodGet, "/live", health(o.Live))
-	s.http = http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	s.http = http.Server{
+		Handler: o.Ingress.Handler(router, maxBody), ReadHeaderTimeout: headerTimeout, IdleTimeout: ingress.IdleTimeout, MaxHeaderBytes: ingress.MaxHeadBytes,
+		ConnContext: ingress.ConnContext,
+	}
 	s.running.Go(s.serve)
 	return s, nil
 }
--- a/settings/bounds.go
+++ b/settings/bounds.go
@@ -27,7 +27,7 @@
 var numberRules = map[string]numberRule{
 	"id":                        {Min: 1, Max: math.MaxInt32, Required: true},
 	"control[].id":              {Min: 1, Max: math.MaxInt32, Required: true},
-	"memory_mb":                 {Default: 184, Min: 16, Max: mib},
+	"memory_mb":                 {Default: 0, Min: 16, Max: mib},
 	"max_fds":                   {Default: 4096, Min: 64, Max: mib},
 	"first":                     {Default: 0, Min: 0, Max: 1},
 	"losses":                    {Default: 1, Min: 0, Max: 3},
