--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -29,6 +29,7 @@
 	lastRead atomic.Int64 // in nanoseconds, as time.Time.UnixNano
 	received atomic.Int64 // bytes
 	inBody   atomic.Bool
+	timed    atomic.Bool // whether answers have a time limit
 
 	mu        sync.Mutex // guards the following fields
 	headBytes int64
@@ -72,6 +73,14 @@
 	return n, err
 }
 
+// Write gives an answer that a Handler serves the time that it takes at the minimum rate, so that a client that does not read it keeps no connection for good.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.timed.Load() {
+		c.SetWriteDeadline(time.Now().Add(bodyStartTime + time.Duration(len(p))*time.Second/minBodyRate)) //nolint:errcheck // a closed connection fails the write
+	}
+	return c.Conn.Write(p)
+}
+
 // chargeHead charges the reading budget for a head beyond its free share. Bytes after a blank line belong to a body. Both searches use the processor's vector instructions.
 func (c *Conn) chargeHead(part []byte) bool {
 	c.mu.Lock()
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -55,6 +55,9 @@
 	c := connOf(r)
 	c.begin()
 	defer c.end()
+	if c != nil {
+		c.timed.Store(true)
+	}
 	if r.Body == nil || r.Body == http.NoBody {
 		h.pass(w, r, c)
 		return
@@ -156,6 +159,12 @@
 	if length >= 0 {
 		size = min(size, length)
 	}
+	if length > freeBodyBytes && b.r.Header.Get("Expect") != "" { // the first read asks the client for the body
+		if size = length; !b.handler.process.reading.take(size) {
+			return causeMemory
+		}
+		b.charged = size
+	}
 	b.buffer = make([]byte, 0, max(size, 1))
 	start, extended := time.Now(), 0
 	var wireStart int64
--- a/ingress/handler_test.go
+++ b/ingress/handler_test.go
@@ -298,3 +298,43 @@
 		})
 	}
 }
+
+// TestUnreadAnswerEnds guards against a client that requests long answers without reading them, and so keeps a connection that is never closed for another.
+func TestUnreadAnswerEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(roomy, 1<<20)
+		defer s.end()
+		failed := make(chan error, 1)
+		s.http.Handler = s.process.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, err := w.Write(make([]byte, 1<<20))
+			failed <- err
+		}), 1<<20)
+		ours, theirs := net.Pipe()
+		defer ours.Close()
+		s.pipes.conns <- &addressed{theirs}
+		io.WriteString(ours, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		select {
+		case err := <-failed:
+			assert.Assert(t, err != nil)
+		case <-time.After(5 * time.Minute):
+			t.Error("the handler still writes the answer")
+		}
+	})
+}
+
+// TestExpectationIsAnsweredByTheBudget guards against asking a client for a body for which there is no memory.
+func TestExpectationIsAnsweredByTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(roomy, 1<<20)
+		defer s.end()
+		s.process.reading.used = 1 << 40
+		refused := s.exchange(func(c net.Conn) { io.WriteString(c, post("Content-Length: 60000\r\nExpect: 100-continue")) })
+		assert.Assert(t, strings.HasPrefix(refused, "HTTP/1.1 503"), "%q", refused)
+		s.process.reading.used = 0
+		served := s.exchange(func(c net.Conn) {
+			io.WriteString(c, post("Content-Length: 60000\r\nExpect: 100-continue")+strings.Repeat(" ", 60000))
+		})
+		assert.Assert(t, strings.HasPrefix(served, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200"), "%q", served)
+		s.close(t)
+	})
+}
