--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -229,7 +229,7 @@
 	if cost <= freeDecodeCost {
 		return ""
 	}
-	if cost > b.handler.process.limits.OneDecoding {
+	if cost > min(b.handler.process.limits.OneDecoding, maxDecodeFactor*b.handler.maxBody) {
 		return causeCostly
 	}
 	if !b.handler.process.decoding.take(cost) {
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -31,6 +31,9 @@
 	elementCost    = 64                                     // per element of a list or object in a body
 )
 
+// maxDecodeFactor bounds the estimated memory for decoding one body, by the largest body that is allowed. The largest valid submission, of 1,000 steps, costs a twentieth of that.
+const maxDecodeFactor = 64
+
 const (
 	reservedFDs     = 200 // of a machine's descriptors
 	reservedClients = 32  // connections to each listener for health and metrics
@@ -64,9 +67,9 @@
 	memory := memoryMB << 20
 	return Limits{
 		Connections: int(max(1, min((maxFDs-min(reservedFDs, maxFDs/4))/2, memory/3/connectionCost))),
-		Reading:     memory / 8,
-		Decoding:    memory / 6,
-		OneDecoding: memory / 2,
+		Reading:     memory / 10,
+		Decoding:    memory / 8,
+		OneDecoding: memory / 3,
 		Soft:        soft,
 	}
 }
