--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -37,7 +37,7 @@
 const (
 	reservedFDs     = 200 // of a machine's descriptors
 	reservedClients = 32  // connections to each listener for health and metrics
-	memoryPercent   = 75  // of the memory, beyond which the runtime collects garbage more often
+	memoryPercent   = 65  // of the memory, beyond which the runtime collects garbage more often
 )
 
 // assumedFDs are the descriptors of a process if they are not set.
