--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -74,8 +74,9 @@
 }
 
 // Write gives an answer that a Handler serves the time that it takes at the minimum rate, so that a client that does not read it keeps no connection for good.
+// Short answers are written after the handler has returned, when the connection can be closed for another; they are spared the timer.
 func (c *Conn) Write(p []byte) (int, error) {
-	if c.timed.Load() {
+	if len(p) >= shortAnswer && c.timed.Load() {
 		c.SetWriteDeadline(time.Now().Add(bodyStartTime + time.Duration(len(p))*time.Second/minBodyRate)) //nolint:errcheck // a closed connection fails the write
 	}
 	return c.Conn.Write(p)
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -15,6 +15,7 @@
 	rateStep       = 16 << 10               // bytes after which the deadline of a body is extended
 	discardTime    = 500 * time.Millisecond // for reading what a refused client has sent already
 	maxFramingRate = 8                      // bytes on the wire per byte of a chunked body; chunks of one byte take 6
+	shortAnswer    = 2 << 10                // bytes of a write; net/http writes 4 KiB or more while the handler runs
 	framingAllowed = 64 << 10               // bytes on the wire of a chunked body in addition
 )
 
