--- a/settings/check.go
+++ b/settings/check.go
@@ -112,6 +112,20 @@
 	}
 }
 
+// CheckMachine returns why the memory or the descriptors are out of range, nil if they are not.
+func (c *Common) CheckMachine() error {
+	for _, value := range []struct {
+		key    string
+		number int64
+	}{{"memory_mb", c.MemoryMB}, {"max_fds", c.MaxFDs}} {
+		rule := numberRules[value.key]
+		if value.number != rule.Default && (value.number < rule.Min || value.number > rule.Max) {
+			return fmt.Errorf("%s is %d, allowed is %s", value.key, value.number, rule.allowed())
+		}
+	}
+	return nil
+}
+
 func (r *reader) checkMember(m *Member) {
 	r.checkAddressConflicts([]keyedAddress{{"inner", m.Inner}, {"admin", m.Admin}, {"announcements", m.Announcements}})
 	r.checkSeeds(m.Seeds)
