--- a/control/announcement_test.go
+++ b/control/announcement_test.go
@@ -9,6 +9,7 @@
 
 	"daisyswitch/call"
 	"daisyswitch/control"
+	"daisyswitch/descriptor"
 	"daisyswitch/wire"
 
 	"gotest.tools/v3/assert"
@@ -24,6 +25,10 @@
 }
 
 func runOnCalledGroup(t *testing.T, test func(*calledGroup)) {
+	runOnGroupWithShares(t, descriptor.Shares{}, test)
+}
+
+func runOnGroupWithShares(t *testing.T, shares descriptor.Shares, test func(*calledGroup)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := &calledGroup{asked: map[string]int{}}
 		began := time.Now()
@@ -34,7 +39,7 @@
 			time.Sleep(max(h.Wait, time.Millisecond))
 			return &call.Listing{Answer: call.Answer{ClockMS: time.Since(began).Milliseconds() + 1}}, nil
 		}
-		g.group = newGroupCalling(t, &control.Called{Calls: call.Functions{Hold: hold}, Lease: 4 * time.Second, LongestLease: 6 * time.Second})
+		g.group = newGroupCalling(t, &control.Called{Calls: call.Functions{Hold: hold}, Lease: 4 * time.Second, LongestLease: 6 * time.Second, Shares: shares})
 		defer g.close()
 		time.Sleep(3 * time.Second)
 		g.leader, _, _, _ = g.leaderAndFollower()
--- a/control/control.go
+++ b/control/control.go
@@ -11,6 +11,7 @@
 
 	"daisyswitch/call"
 	"daisyswitch/clock"
+	"daisyswitch/descriptor"
 	"daisyswitch/disk"
 	"daisyswitch/dispatch"
 	"daisyswitch/event"
@@ -18,6 +19,7 @@
 	"daisyswitch/inner"
 	"daisyswitch/lease"
 	"daisyswitch/measure"
+	"daisyswitch/relay"
 	"daisyswitch/replica"
 	"daisyswitch/schedule"
 	"daisyswitch/settings"
@@ -61,8 +63,16 @@
 // Called configures the calls to workers and the length of their leases.
 type Called struct {
 	Calls        call.Functions
-	Lease        time.Duration // granted to workers
-	LongestLease time.Duration // the longest lease that any leader may have granted
+	Lease        time.Duration     // granted to workers
+	LongestLease time.Duration     // the longest lease that any leader may have granted
+	Shares       descriptor.Shares // of connections; zero if they are not limited
+}
+
+func (f *Called) shares() descriptor.Shares {
+	if f == nil {
+		return descriptor.Shares{}
+	}
+	return f.Shares
 }
 
 // Control is one control process.
@@ -78,6 +88,10 @@
 	workflows     *workflow.Table
 	dispatch      *dispatch.Loop // nil if all workers poll
 	announcements announcements
+	announcers    announcers
+	maxAnnouncers int           // workers that may announce themselves to this replica
+	forwarding    chan struct{} // holds one element for each announcement that is being forwarded
+	assignment    *relay.Assignment
 	counters      *counters
 	server        *inner.Server
 	pool          *inner.Pool // to other replicas, for forwarded orders
@@ -105,6 +119,10 @@
 		measures: measure.New(),
 		watchers: newWatchers(),
 		pool:     inner.New(inner.Options{Dial: o.Dial, ConnectTimeout: forwardDialTimeout}),
+
+		maxAnnouncers: o.Called.shares().Announcements,
+		forwarding:    make(chan struct{}, maxForwarding),
+		assignment:    relay.NewAssignment(o.Called.shares().DirectWorkers()),
 	}
 	c.sinceBoot = o.SinceBoot
 	if c.sinceBoot == nil {
@@ -248,6 +266,7 @@
 		loops.Go(func() { c.schedule.Run(ctx) })
 		if c.dispatch != nil {
 			loops.Go(func() { c.dispatch.Run(ctx, term) })
+			loops.Go(func() { c.runAssignment(ctx) })
 		}
 		loops.Wait()
 	})
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -12,6 +12,9 @@
 	events  *metrics.Counter
 	refused *metrics.Counter
 	decide  *metrics.Histogram
+
+	announcementsHere      *metrics.Counter // recorded already, acknowledged by a replica that does not lead
+	announcementsForwarded *metrics.Counter
 }
 
 func (c *Control) newCounters() *counters {
@@ -39,6 +42,9 @@
 		events:  set.NewCounter("daisyswitch_control_task_events_total"),
 		refused: set.NewCounter("daisyswitch_control_reports_refused_total"),
 		decide:  set.NewHistogram("daisyswitch_control_decide_seconds"),
+
+		announcementsHere:      set.NewCounter("daisyswitch_announcements_acknowledged_here_total"),
+		announcementsForwarded: set.NewCounter("daisyswitch_announcements_forwarded_total"),
 	}
 }
 
--- a/control/orders.go
+++ b/control/orders.go
@@ -56,7 +56,7 @@
 }
 
 func isOrder(o *wire.ForwardedOrder) bool {
-	return o.GetQueues() != nil || o.GetDomain() != nil || o.GetWave() != nil
+	return o.GetQueues() != nil || o.GetDomain() != nil || o.GetWave() != nil || o.GetAnnouncement() != nil
 }
 
 func isQuestion(o *wire.ForwardedOrder) bool {
@@ -218,6 +218,9 @@
 	if err := c.checkLeader(); err != nil {
 		return nil, err
 	}
+	if a := o.GetAnnouncement(); a != nil {
+		return c.carryOutAnnouncement(ctx, a)
+	}
 	if isOrder(o) {
 		return &wire.ForwardedOrderReply{}, c.carryOutOrder(ctx, o)
 	}
--- a/installation/member.go
+++ b/installation/member.go
@@ -6,6 +6,7 @@
 
 	"daisyswitch/clock"
 	"daisyswitch/control"
+	"daisyswitch/descriptor"
 	"daisyswitch/platform"
 	"daisyswitch/settings"
 
@@ -38,6 +39,7 @@
 			Calls:        m.client.Calls(),
 			Lease:        time.Duration(s.LeaseMS) * time.Millisecond,
 			LongestLease: time.Duration(s.LongestLeaseMS) * time.Millisecond,
+			Shares:       descriptor.Divide(int(s.MaxFDs)),
 		},
 	})
 	if err != nil {
--- a/settings/bounds.go
+++ b/settings/bounds.go
@@ -43,6 +43,7 @@
 	"drift_ppm":                 {Default: 1000, Min: 1, Max: 100000},
 	"snapshot_every":            {Default: 10000, Min: 10, Max: 10000000},
 	"audit_keep":                {Default: 10000, Min: 10, Max: 10000000},
+	"max_fds":                   {Default: 4096, Min: 512, Max: math.MaxInt32},
 	"answers_keep":              {Default: 1000, Min: 10, Max: 1000000},
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -87,6 +87,7 @@
 	TickMS          int64  `json:"tick_ms"`
 	ElectionTicks   int64  `json:"election_ticks"`
 	SnapshotEvery   uint64 `json:"snapshot_every"` // log records between snapshots
+	MaxFDs          int64  `json:"max_fds"`        // file descriptors that the process may have open
 }
 
 // Gateway holds the settings of a gateway, which forwards callers' workflows to control.
