--- a/relay/assignment.go
+++ b/relay/assignment.go
@@ -120,7 +120,7 @@
 	a.load[address]++
 }
 
-// choose returns the leader itself as long as it has connections left, then the member with the fewest workers in the worker's failure domain, and then the one with the fewest of all.
+// choose returns the leader itself as long as it has connections left, then the member with the fewest workers in the worker's failure domain that can call another one, and then the one with the fewest of all.
 // A member through which a call of the worker has just failed is chosen only if there is no other.
 func (a *Assignment) choose(worker string) string {
 	if a.load[""] < a.direct || len(a.members) == 0 {
@@ -135,10 +135,10 @@
 	const tooMany, other = 1 << 20, 1 << 19
 	cost := a.load[address]
 	if a.failed[worker] == address {
-		cost += 4 * tooMany
+		cost += 2 * tooMany
 	}
 	if a.load[address] >= a.direct {
-		cost += tooMany
+		return cost + tooMany
 	}
 	if a.members[address].Domain != a.domains[worker] {
 		cost += other
