--- a/control/announce.go
+++ b/control/announce.go
@@ -43,7 +43,7 @@
 func (c *Control) hasManyWorkers() bool {
 	count := 0
 	c.workflows.View(func(t *workflow.Tables) { count = len(t.Workers) })
-	return c.assignment.Many(count)
+	return c.relays.Many(count)
 }
 
 func (c *Control) isRecorded(w *wire.CalledWorker) bool {
@@ -102,16 +102,16 @@
 	if !c.hasManyWorkers() {
 		return ""
 	}
-	return c.assignment.Place(w.GetId(), w.GetDomain())
+	return c.relays.Place(w.GetId(), w.GetDomain())
 }
 
-// runAssignment keeps the assignment of workers to replicas up to date while this replica leads.
-func (c *Control) runAssignment(ctx context.Context) {
-	defer c.assignment.Update(nil, nil)
+// assignWorkers keeps the assignment of workers to replicas up to date while this replica leads.
+func (c *Control) assignWorkers(ctx context.Context) {
+	defer c.relays.Refresh(nil, nil)
 	ticker := time.NewTicker(relayInterval)
 	defer ticker.Stop()
 	for {
-		c.assignment.Update(c.relayMembers(), c.workerDomains())
+		c.relays.Refresh(c.relayMembers(), c.workerDomains())
 		select {
 		case <-ctx.Done():
 			return
@@ -145,7 +145,7 @@
 func (c *Control) workerDomains() map[string]string {
 	var domains map[string]string
 	c.workflows.View(func(t *workflow.Tables) {
-		if !c.assignment.Needed(len(t.Workers)) {
+		if !c.relays.Needed(len(t.Workers)) {
 			return
 		}
 		domains = make(map[string]string, len(t.Workers))
--- a/control/control.go
+++ b/control/control.go
@@ -91,7 +91,8 @@
 	announcers    announcers
 	maxAnnouncers int           // workers that may announce themselves to this replica
 	forwarding    chan struct{} // holds one element for each announcement that is being forwarded
-	assignment    *relay.Assignment
+	relays        *relay.Client // the leader's calls to workers
+	relayed       *relay.Server // calls of another leader
 	counters      *counters
 	server        *inner.Server
 	pool          *inner.Pool // to other replicas, for forwarded orders
@@ -120,9 +121,7 @@
 		watchers: newWatchers(),
 		pool:     inner.New(inner.Options{Dial: o.Dial, ConnectTimeout: forwardDialTimeout}),
 
-		maxAnnouncers: o.Called.shares().Announcements,
-		forwarding:    make(chan struct{}, maxForwarding),
-		assignment:    relay.NewAssignment(o.Called.shares().DirectWorkers()),
+		forwarding: make(chan struct{}, maxForwarding),
 	}
 	c.sinceBoot = o.SinceBoot
 	if c.sinceBoot == nil {
@@ -144,6 +143,7 @@
 		Decided: c.counters.decide.UpdateDuration,
 		Applied: c.counters.countApplied,
 	})
+	c.newRelays(o)
 	c.newWorkflows(o)
 	c.pauses = clock.NewPauseDetector(c.sinceBoot, recentPause)
 	if err := c.open(o); err != nil {
@@ -266,7 +266,7 @@
 		loops.Go(func() { c.schedule.Run(ctx) })
 		if c.dispatch != nil {
 			loops.Go(func() { c.dispatch.Run(ctx, term) })
-			loops.Go(func() { c.runAssignment(ctx) })
+			loops.Go(func() { c.assignWorkers(ctx) })
 		}
 		loops.Wait()
 	})
@@ -340,6 +340,7 @@
 	c.watchers.close()
 	err := c.server.Close()
 	c.goroutines.Wait()
+	c.relays.Close()
 	c.pauses.Close()
 	return errors.Join(err, c.pool.Close(), c.replica.Close())
 }
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -19,7 +19,7 @@
 		return
 	}
 	c.dispatch = dispatch.New(dispatch.Options{
-		Calls:     o.Called.Calls,
+		Calls:     c.relays.Functions(),
 		Commit:    c.commitWorkflow,
 		Leads:     func() bool { return c.replica.IsLeader() },
 		SinceBoot: c.sinceBoot,
--- a/descriptor/limiter.go
+++ b/descriptor/limiter.go
@@ -19,38 +19,37 @@
 
 // Limiter bounds the connections that are open at the same time.
 type Limiter struct {
-	Dial func(ctx context.Context, address string) (net.Conn, error)
-	Wait time.Duration // longest wait for a connection to be closed
-	Shed func()        // closes connections that are idle
+	Shed func() // closes connections that are idle
 
 	purpose  string
+	wait     time.Duration
 	free     chan struct{}
 	shed     atomic.Int64
 	mu       sync.Mutex
 	reported time.Time
 }
 
-// NewLimiter returns a limiter for connections of the given purpose.
-func NewLimiter(purpose string, limit int) *Limiter {
-	l := &Limiter{purpose: purpose, free: make(chan struct{}, limit)}
+// NewLimiter returns a limiter for connections of the given purpose. At the limit, a new connection waits for another to be closed, for the given time at most.
+func NewLimiter(purpose string, limit int, wait time.Duration) *Limiter {
+	l := &Limiter{purpose: purpose, wait: wait, free: make(chan struct{}, limit)}
 	for range limit {
 		l.free <- struct{}{}
 	}
 	return l
 }
 
-// Open returns the number of connections that are open.
-func (l *Limiter) Open() int { return cap(l.free) - len(l.free) }
+// InUse returns the number of connections that are open or being opened.
+func (l *Limiter) InUse() int { return cap(l.free) - len(l.free) }
 
 // Sheds returns how often idle connections were closed because of the limit.
 func (l *Limiter) Sheds() int64 { return l.shed.Load() }
 
-// DialContext opens a connection. At the limit, it has idle ones closed first, and then waits for one that is in use.
-func (l *Limiter) DialContext(ctx context.Context, address string) (net.Conn, error) {
+// Open opens a connection with dial. At the limit, it has idle ones closed first, and then waits for one that is in use.
+func (l *Limiter) Open(ctx context.Context, dial func() (net.Conn, error)) (net.Conn, error) {
 	if err := l.acquire(ctx); err != nil {
 		return nil, err
 	}
-	raw, err := l.Dial(ctx, address)
+	raw, err := dial()
 	if err != nil {
 		l.free <- struct{}{}
 		return nil, err
@@ -67,7 +66,7 @@
 	l.shed.Add(1)
 	l.Shed()
 	l.report()
-	timer := time.NewTimer(l.Wait)
+	timer := time.NewTimer(l.wait)
 	defer timer.Stop()
 	select {
 	case <-l.free:
--- a/installation/member.go
+++ b/installation/member.go
@@ -23,7 +23,8 @@
 
 // NewMember starts a member. The settings file at path is reloaded whenever it changes.
 func NewMember(path string, s *settings.Member) (*Member, error) {
-	m := &Member{client: platform.NewWorkerClient()}
+	shares := descriptor.Divide(int(s.MaxFDs))
+	m := &Member{client: platform.NewLimitedWorkerClient(platform.WorkerOptions{MaxConnections: shares.Calls})}
 	c := &settings.Control{
 		Common: s.Common, ID: replicaID(s.Inner), Data: s.Data, TickMS: s.TickMS, ElectionTicks: s.ElectionTicks,
 		LeaseMS: s.LeaseMS, SnapshotEvery: s.SnapshotEvery,
@@ -39,12 +40,13 @@
 			Calls:        m.client.Calls(),
 			Lease:        time.Duration(s.LeaseMS) * time.Millisecond,
 			LongestLease: time.Duration(s.LongestLeaseMS) * time.Millisecond,
-			Shares:       descriptor.Divide(int(s.MaxFDs)),
+			Shares:       shares,
 		},
 	})
 	if err != nil {
 		return nil, err
 	}
+	m.client.AddMetrics(m.control.Metrics())
 	m.server, err = platform.NewControl(s.Announcements, m.control)
 	if err != nil {
 		return nil, errors.Join(err, m.control.Close())
