--- a/control/announcement_test.go
+++ b/control/announcement_test.go
@@ -9,6 +9,7 @@
 
 	"daisyswitch/call"
 	"daisyswitch/control"
+	"daisyswitch/descriptor"
 	"daisyswitch/wire"
 
 	"gotest.tools/v3/assert"
@@ -24,6 +25,10 @@
 }
 
 func runOnCalledGroup(t *testing.T, test func(*calledGroup)) {
+	runOnGroupWithShares(t, descriptor.Shares{}, test)
+}
+
+func runOnGroupWithShares(t *testing.T, shares descriptor.Shares, test func(*calledGroup)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := &calledGroup{asked: map[string]int{}}
 		began := time.Now()
@@ -38,7 +43,7 @@
 			<-ctx.Done() // the worker never answers, so that the run stays committed
 			return nil, ctx.Err()
 		}
-		g.group = newGroupCalling(t, &control.Called{Calls: call.Functions{Hold: hold, Start: start}, Lease: 4 * time.Second, LongestLease: 6 * time.Second})
+		g.group = newGroupCalling(t, &control.Called{Calls: call.Functions{Hold: hold, Start: start}, Lease: 4 * time.Second, LongestLease: 6 * time.Second, Shares: shares})
 		defer g.close()
 		time.Sleep(3 * time.Second)
 		g.leader, _, _, _ = g.leaderAndFollower()
--- a/control/control.go
+++ b/control/control.go
@@ -11,6 +11,7 @@
 
 	"daisyswitch/call"
 	"daisyswitch/clock"
+	"daisyswitch/descriptor"
 	"daisyswitch/disk"
 	"daisyswitch/dispatch"
 	"daisyswitch/event"
@@ -18,6 +19,7 @@
 	"daisyswitch/inner"
 	"daisyswitch/lease"
 	"daisyswitch/measure"
+	"daisyswitch/relay"
 	"daisyswitch/replica"
 	"daisyswitch/schedule"
 	"daisyswitch/settings"
@@ -61,9 +63,17 @@
 // Called configures the calls to workers and the length of their leases.
 type Called struct {
 	Calls        call.Functions
-	Lease        time.Duration // granted to workers
-	LongestLease time.Duration // the longest lease that any leader may have granted
-	Lookahead    bool          // whether capacity is kept for large tasks that found none
+	Lease        time.Duration     // granted to workers
+	LongestLease time.Duration     // the longest lease that any leader may have granted
+	Shares       descriptor.Shares // of connections; zero if they are not limited
+	Lookahead    bool              // whether capacity is kept for large tasks that found none
+}
+
+func (f *Called) shares() descriptor.Shares {
+	if f == nil {
+		return descriptor.Shares{}
+	}
+	return f.Shares
 }
 
 // Control is one control process.
@@ -80,6 +90,11 @@
 	dispatch      *dispatch.Loop // nil if all workers poll
 	announcements announcements
 	admissions    admissions
+	announcers    announcers
+	maxAnnouncers int           // workers that may announce themselves to this replica
+	forwarding    chan struct{} // holds one element for each announcement that is being forwarded
+	relays        *relay.Client // the leader's calls to workers
+	relayed       *relay.Server // calls of another leader
 	counters      *counters
 	server        *inner.Server
 	pool          *inner.Pool // to other replicas, for forwarded orders
@@ -107,6 +122,8 @@
 		measures: measure.New(),
 		watchers: newWatchers(),
 		pool:     inner.New(inner.Options{Dial: o.Dial, ConnectTimeout: forwardDialTimeout}),
+
+		forwarding: make(chan struct{}, maxForwarding),
 	}
 	c.sinceBoot = o.SinceBoot
 	if c.sinceBoot == nil {
@@ -128,6 +145,7 @@
 		Decided: c.counters.decide.UpdateDuration,
 		Applied: c.counters.countApplied,
 	})
+	c.newRelays(o)
 	c.newWorkflows(o)
 	c.pauses = clock.NewPauseDetector(c.sinceBoot, recentPause)
 	if err := c.open(o); err != nil {
@@ -251,6 +269,7 @@
 		loops.Go(func() { c.schedule.Run(ctx) })
 		if c.dispatch != nil {
 			loops.Go(func() { c.dispatch.Run(ctx, term) })
+			loops.Go(func() { c.assignWorkers(ctx) })
 		}
 		loops.Wait()
 	})
@@ -324,6 +343,7 @@
 	c.watchers.close()
 	err := c.server.Close()
 	c.goroutines.Wait()
+	c.relays.Close()
 	c.pauses.Close()
 	return errors.Join(err, c.pool.Close(), c.replica.Close())
 }
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -18,6 +18,9 @@
 	refused *metrics.Counter
 	decide  *metrics.Histogram
 
+	announcementsHere      *metrics.Counter // recorded already, acknowledged by a replica that does not lead
+	announcementsForwarded *metrics.Counter
+
 	refusedCallers map[wire.WorkflowAnswer]*metrics.Counter // by answer
 }
 
@@ -57,7 +60,9 @@
 		refused: set.NewCounter("daisyswitch_control_reports_refused_total"),
 		decide:  set.NewHistogram("daisyswitch_control_decide_seconds"),
 
-		refusedCallers: refusedCallers,
+		refusedCallers:         refusedCallers,
+		announcementsHere:      set.NewCounter("daisyswitch_announcements_acknowledged_here_total"),
+		announcementsForwarded: set.NewCounter("daisyswitch_announcements_forwarded_total"),
 	}
 }
 
--- a/installation/member.go
+++ b/installation/member.go
@@ -6,6 +6,7 @@
 
 	"daisyswitch/clock"
 	"daisyswitch/control"
+	"daisyswitch/descriptor"
 	"daisyswitch/ingress"
 	"daisyswitch/platform"
 	"daisyswitch/settings"
@@ -23,7 +24,8 @@
 
 // NewMember starts a member. The settings file at path is reloaded whenever it changes.
 func NewMember(path string, s *settings.Member, limits *ingress.Process) (*Member, error) {
-	m := &Member{client: platform.NewWorkerClient()}
+	shares := descriptor.Divide(int(s.MaxFDs))
+	m := &Member{client: platform.NewLimitedWorkerClient(platform.WorkerOptions{MaxConnections: shares.Calls})}
 	c := &settings.Control{
 		Common: s.Common, ID: replicaID(s.Inner), Data: s.Data, TickMS: s.TickMS, ElectionTicks: s.ElectionTicks,
 		LeaseMS: s.LeaseMS, SnapshotEvery: s.SnapshotEvery,
@@ -40,11 +42,13 @@
 			Lease:        s.Lease(),
 			LongestLease: time.Duration(s.LongestLeaseMS) * time.Millisecond,
 			Lookahead:    s.Lookahead == 1,
+			Shares:       shares,
 		},
 	})
 	if err != nil {
 		return nil, err
 	}
+	m.client.AddMetrics(m.control.Metrics())
 	m.server, err = platform.NewControl(s.Announcements, m.control, limits)
 	if err != nil {
 		return nil, errors.Join(err, m.control.Close())
