--- a/control/workflows.go
+++ b/control/workflows.go
@@ -252,7 +252,7 @@
 		}
 		job = nil
 	}
-	if job != nil && !t.MayReach(workspace, job) {
+	if job != nil && !t.MayReach(workspace, queue, job) {
 		answerOtherWorkspace(request, reply)
 		return nil
 	}
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -27,7 +27,7 @@
 		return
 	}
 	if old != nil {
-		if old.Spec.GetQueue() != w.GetQueue() && !old.In(queue) || !t.MayReach(workspace, old) {
+		if old.Spec.GetQueue() != w.GetQueue() && !old.In(queue) || !t.MayReach(workspace, queue, old) {
 			result.Answer, result.Reason = wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID, ErrIDInUse.Error()
 		}
 		return
@@ -136,10 +136,11 @@
 		result.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_WORKFLOW
 		return
 	}
-	if workspace, allowed := t.Caller(t.queueOf(j), key); !allowed {
+	queue := t.queueOf(j)
+	if workspace, allowed := t.Caller(queue, key); !allowed {
 		result.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_UNKNOWN_KEY
 		return
-	} else if !t.MayReach(workspace, j) {
+	} else if !t.MayReach(workspace, queue, j) {
 		result.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_OTHER_WORKSPACE
 		return
 	}
--- a/workflow/workspace.go
+++ b/workflow/workspace.go
@@ -28,10 +28,10 @@
 	return w.GetName(), w != nil || q.GetPublic()
 }
 
-// MayReach reports whether a caller of a workspace may read and cancel a job, which its own workspace or none has submitted.
-func (t *Tables) MayReach(workspace string, j *Job) bool {
+// MayReach reports whether a caller of a workspace may read and cancel a job through a queue. Through a public queue every caller may: it may have named its key with the submission and need not name it again.
+func (t *Tables) MayReach(workspace string, q *wire.Queue, j *Job) bool {
 	owner := j.Spec.GetWorkspace()
-	return owner == "" || owner == workspace || !t.Queues.GetKeyed()
+	return owner == "" || owner == workspace || q.GetPublic() || !t.Queues.GetKeyed()
 }
 
 // queueOf returns the queue by which callers reach a job in the present configuration, or the last one if there is none.
