--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -110,6 +110,7 @@
 	}
 	b.apply(&wire.WorkflowCommand{Queues: &wire.QueueSet{Version: 1, Queues: []*wire.Queue{
 		{Name: "short", Host: "h", PathPrefix: "/short/", Pool: pool, MaxAttempts: 3, Stretch: 1.5, LatencyMs: 250},
+		{Name: "patient", Host: "h", PathPrefix: "/patient/", Pool: pool, MaxAttempts: 3, Stretch: 1.5, LatencyMs: 60_000},
 		{Name: "lasting", Host: "h", PathPrefix: "/lasting/", Pool: pool, MaxAttempts: 2, Stretch: 2, LatencyMs: 2500},
 		{Name: "filling", Host: "h", PathPrefix: "/filling/", Pool: pool, Priority: 2, MaxAttempts: 3, Stretch: 2, LatencyMs: 1000},
 	}}})
--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -6,7 +6,7 @@
 	"daisyswitch/workflow"
 )
 
-// maxTasksAtOnce is how many tasks of a step are placed before another workspace may go first. Each further look at a step costs a look at all workers, and one task of a step does not upset the shares of a pool.
+// maxTasksAtOnce is how many tasks of a step are placed before another workspace may go first, of a workspace that has its share. Each further look at a step costs a look at all workers, and one task of a step does not upset the shares of a pool.
 const maxTasksAtOnce = 8
 
 // workspaceInPool is the part of a workspace that a pool runs.
@@ -16,7 +16,7 @@
 	return workspaceInPool{step.Job.Spec.GetWorkspace(), step.Job.Queue.GetPool()}
 }
 
-// placeTurns places tasks in the order of turns, as far as one record can hold their starts. Among turns of equal lateness and rank, workspaces take turns by their shares.
+// placeTurns places tasks in the order of turns, as far as one record can hold their starts. Among turns of equal lateness and rank, workspaces that use more than their share go after the others.
 func (r *round) placeTurns(turns []turn) {
 	if len(r.t.Queues.GetWorkspaces()) == 0 {
 		for _, t := range turns {
@@ -37,7 +37,7 @@
 	}
 }
 
-// placeByShare places tasks of turns of equal lateness and rank, of the workspace with the lowest use relative to its weight first. The order is kept up to date as tasks are placed.
+// placeByShare places tasks of turns of equal lateness and rank: first those of workspaces within their shares, step by step in the given order, then those of the workspace that exceeds its share least. The order is kept up to date as tasks are placed.
 func (r *round) placeByShare(turns []turn) {
 	groups, order := map[workspaceInPool]*share.Group{}, &share.Order{}
 	for i, t := range turns {
@@ -53,17 +53,23 @@
 			return
 		}
 		t := &turns[i]
-		most := min(t.maxTasks, maxTasksAtOnce)
+		key, most, before := workspaceInPoolOf(t.step), min(t.maxTasks, maxTasksAtOnce), len(r.starts)
+		if g.WithinShare() {
+			one := share.Load(resource.FromWire(t.step.Spec.GetSize()), r.capacity[key.pool], r.t.Share(key.workspace))
+			most = min(t.maxTasks, g.TasksWithinShare(one))
+		}
 		t.maxTasks -= most
 		mayGoOn := r.placeStep(t.step, most)
-		g.Load = r.loadOf(workspaceInPoolOf(t.step))
+		if len(r.starts) > before {
+			g.Load = r.loadOf(key)
+		}
 		order.Placed(g, !mayGoOn || t.maxTasks == 0)
 	}
 }
 
 // loadOf returns the use of a workspace in a pool relative to its share, with what this round has placed.
 func (r *round) loadOf(key workspaceInPool) float64 {
-	return share.Load(r.useInPool(key).Size, r.capacity[key.pool], r.t.Weight(key.workspace))
+	return share.Load(r.useInPool(key).Size, r.capacity[key.pool], r.t.Share(key.workspace))
 }
 
 // useInPool returns what a workspace uses in a pool, including what this round has placed.
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -37,6 +37,7 @@
 	workspaces      map[string]*wire.Workspace // of the present configuration, by name
 	workspacesByKey map[string]*wire.Workspace
 	meanWeight      float64                       // of the workspaces
+	totalWeight     float64                       // of the workspaces, and of the tasks of none if there are public queues
 	inUse           map[string]share.Use          // by workspace, of the tasks that are committed to a worker; "" for those of none
 	inPool          map[workspaceInPool]share.Use // the part of inUse on the workers of one pool
 
--- a/workflow/workspace.go
+++ b/workflow/workspace.go
@@ -1,6 +1,8 @@
 package workflow
 
 import (
+	"slices"
+
 	"daisyswitch/resource"
 	"daisyswitch/share"
 	"daisyswitch/wire"
@@ -9,14 +11,20 @@
 // indexWorkspaces rebuilds the lookup of workspaces by name and by key.
 func (t *Tables) indexWorkspaces() {
 	t.workspaces, t.workspacesByKey = map[string]*wire.Workspace{}, map[string]*wire.Workspace{}
-	t.meanWeight = 0
+	t.meanWeight, t.totalWeight = 0, 0
 	for _, w := range t.Queues.GetWorkspaces() {
-		t.meanWeight += w.GetWeight() / float64(len(t.Queues.GetWorkspaces()))
+		t.totalWeight += w.GetWeight()
 		t.workspaces[w.GetName()] = w
 		for _, key := range w.GetKeys() {
 			t.workspacesByKey[key] = w
 		}
 	}
+	if len(t.workspaces) > 0 {
+		t.meanWeight = t.totalWeight / float64(len(t.workspaces))
+	}
+	if slices.ContainsFunc(t.Queues.GetQueues(), (*wire.Queue).GetPublic) {
+		t.totalWeight += t.meanWeight
+	}
 }
 
 // Caller returns the name of the workspace that a caller of a queue identifies itself with, and whether the caller may use the queue. A public queue may be used without a workspace.
@@ -68,6 +76,14 @@
 	return t.meanWeight
 }
 
+// Share returns the part of each pool that a workspace is entitled to: its weight over that of all workspaces. If there are public queues, the tasks of no workspace count as one more workspace of mean weight.
+func (t *Tables) Share(workspace string) float64 {
+	if t.totalWeight <= 0 {
+		return 0
+	}
+	return t.Weight(workspace) / t.totalWeight
+}
+
 // Priority returns the priority of a workspace, 0 for the highest.
 func (t *Tables) Priority(workspace string) int32 {
 	return t.workspaces[workspace].GetPriority()
--- a/workflow/workspace_test.go
+++ b/workflow/workspace_test.go
@@ -108,6 +108,20 @@
 	assert.Equal(t, cancelWithKey(s, "three", ""), accepted)
 }
 
+// TestSharesOfAllWorkspacesAddUp guards against shares that promise more than a pool has, so that a workspace may wait below its share while no other exceeds its own.
+func TestSharesOfAllWorkspacesAddUp(t *testing.T) {
+	s := newTable()
+	putWorkspaces(s, &wire.Workspace{Name: "a", Weight: 1}, &wire.Workspace{Name: "b", Weight: 5}, &wire.Workspace{Name: "c"})
+	s.View(func(v *workflow.Tables) {
+		assert.Equal(t, v.Share("a"), 0.125)
+		assert.Equal(t, v.Share("b"), 0.625)
+		assert.Equal(t, v.Share("c"), 0.0)
+		assert.Equal(t, v.Share(""), 0.25, "the public queue serves callers of no workspace")
+	})
+	putWorkspaces(s, &wire.Workspace{Name: "c"})
+	s.View(func(v *workflow.Tables) { assert.Equal(t, v.Share("c"), 0.0) })
+}
+
 func limited(name string, milliCPU int64) *wire.Workspace {
 	return &wire.Workspace{Name: name, Keys: []string{name + "1"}, Weight: 1, Quota: &wire.Size{MilliCpu: milliCPU}}
 }
