--- a/Makefile
+++ b/Makefile
@@ -76,7 +76,7 @@
 SIDE ?= 4
 KEEP ?=
 soak:
-	go test ./platform/soak -run TestSeeds -count=1 -timeout 60m -parallel $(SIDE) -v -soak.seeds $(SEEDS) -soak.first $(FIRST) -soak.keep "$(KEEP)"
+	go test ./platform/soak -run 'TestSeeds|TestWorkspaces$$' -count=1 -timeout 60m -parallel $(SIDE) -v -soak.seeds $(SEEDS) -soak.first $(FIRST) -soak.keep "$(KEEP)"
 
 slopes:
 	go build -o bin/ ./cmd/slopes
