--- a/control/announce.go
+++ b/control/announce.go
@@ -25,15 +25,16 @@
 		err := c.Announce(ctx, w, sequence)
 		return c.announcementsOf(w), err
 	}
-	if !c.hasManyWorkers() {
+	// At a start, the workers that announce themselves here show that there are many before any is recorded.
+	announcing := c.announcers.add(w.GetId(), c.sinceBoot())
+	if !c.hasManyWorkers() && !c.relays.Many(announcing) {
 		return "", c.checkLeader()
 	}
 	if c.pauses.Recent() {
 		// What is read after a pause may be outdated, and its sender may have announced itself elsewhere.
 		return "", c.checkLeader()
 	}
-	overloaded := c.announcers.add(w.GetId(), c.sinceBoot()) > c.maxAnnouncers
-	if c.isRecorded(w) && !overloaded {
+	if overloaded := announcing > c.maxAnnouncers; c.isRecorded(w) && !overloaded {
 		c.counters.announcementsHere.Inc()
 		return "", nil
 	}
--- a/control/announce_test.go
+++ b/control/announce_test.go
@@ -90,6 +90,18 @@
 	})
 }
 
+// TestFollowerTakesAnnouncementsAtAStartWithManyWorkers guards against a start at which all workers are sent to the leader, since none is recorded yet, and take all connections that it accepts.
+func TestFollowerTakesAnnouncementsAtAStartWithManyWorkers(t *testing.T) {
+	runOnGroupWithShares(t, smallShares, func(g *calledGroup) {
+		g.putPool("p")
+		_, follower, _, _ := g.leaderAndFollower()
+		_, err := follower.ReceiveAnnouncement(g.t.Context(), workerOf(0, false), 1)
+		assert.Equal(g.t, verdict.Of(err), verdict.NotRun)
+		_, err = follower.ReceiveAnnouncement(g.t.Context(), workerOf(1, false), 1)
+		assert.NilError(g.t, err)
+	})
+}
+
 // TestPausedFollowerAcknowledgesNoAnnouncement guards against an announcement that a process reads after it was frozen, when its sender has announced itself elsewhere or is gone.
 func TestPausedFollowerAcknowledgesNoAnnouncement(t *testing.T) {
 	runOnGroupWithShares(t, smallShares, func(g *calledGroup) {
--- a/descriptor/shares.go
+++ b/descriptor/shares.go
@@ -3,8 +3,8 @@
 // reserved is the number of descriptors for listeners, files of the log, metrics and the runtime.
 const reserved = 200
 
-// callsPerWorker is the number of connections that a leader keeps to each worker that it calls itself: 1,711 in all to 300 workers, of which 300 carried announcements and about 60 other processes.
-const callsPerWorker = 4.5
+// callsPerWorker is the number of connections that a leader keeps to each worker that it calls itself: 3,255 in all at 645 workers, of which 645 carried announcements and about 400 came from other processes.
+const callsPerWorker = 3.5
 
 // Shares are the numbers of connections of each kind that a member may have.
 type Shares struct {
@@ -14,7 +14,7 @@
 }
 
 // Divide divides a member's descriptors.
-// At 4,096 descriptors, 2,435 connections reach 541 workers, and five members hold the announcements of 3,000 workers. The rest suffices for 270 gateways, the other members and forwarded announcements.
+// At 4,096 descriptors, 2,435 connections reach 695 workers, and five members hold the announcements of 3,000 workers. The rest suffices for 270 gateways, the other members and forwarded announcements.
 func Divide(maxFDs int) Shares {
 	usable := max(maxFDs-reserved, 0)
 	s := Shares{Calls: usable * 5 / 8, Announcements: usable / 5}
