--- a/replica/loop.go
+++ b/replica/loop.go
@@ -218,6 +218,7 @@
 	lease := time.Duration(r.options.ElectionTicks-leaseMarginTicks) * r.options.Tick
 	for len(r.roundStarts) > 0 && r.roundStarts[0].round <= r.node.Confirmed() {
 		if !r.transferring {
+			r.leaseTerm.Store(r.leaderTerm)
 			r.leaseUntil.Store(int64(r.roundStarts[0].at + lease))
 		}
 		r.roundStarts = r.roundStarts[1:]
@@ -237,7 +238,13 @@
 	} else {
 		event.ReplicaStopsLeading.Info("replica", r.options.ID, "term", term)
 	}
-	r.applier.Push(func() { r.options.OnLeadershipChange(leading, term) })
+	r.applier.Push(func() {
+		r.servedTerm.Store(0)
+		r.options.OnLeadershipChange(leading, term)
+		if leading {
+			r.servedTerm.Store(term)
+		}
+	})
 }
 
 // compact removes the log up to a snapshot. It keeps the last entries, so that followers which are only slightly behind do not need the snapshot.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -80,7 +80,9 @@
 	loopState
 	info       atomic.Pointer[Info]
 	applied    atomic.Uint64
-	leaseUntil atomic.Int64 // nanoseconds on the clock of elapsed; 0 without a lease
+	leaseUntil atomic.Int64  // nanoseconds on the clock of elapsed; 0 without a lease
+	leaseTerm  atomic.Uint64 // term of the lease; stored before leaseUntil
+	servedTerm atomic.Uint64 // term of the leadership of which the last callback told, 0 if it told that there is none
 }
 
 // New opens the data folder, restores the state machine and starts the replica. Its error wraps disk.ErrFull if the folder can be opened once the disk has room.
@@ -196,9 +198,10 @@
 	return r.peers.Register(mux)
 }
 
-// IsLeader reports whether this replica leads and holds the leader's lease: a quorum has answered recently enough that no other replica can have been elected.
+// IsLeader reports whether this replica leads, has applied its predecessors' records and holds the leader's lease: a quorum has answered recently enough that no other replica can have been elected.
+// The lease alone does not suffice: a replica that loses its leadership and regains it while records wait to be applied holds a lease, and has not been told of either change.
 func (r *Replica) IsLeader() bool {
-	return r.elapsed() < time.Duration(r.leaseUntil.Load())
+	return r.elapsed() < time.Duration(r.leaseUntil.Load()) && r.servedTerm.Load() == r.leaseTerm.Load()
 }
 
 // elapsed returns the time since the replica was created, by the lease clock.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -47,6 +47,7 @@
 	kill            context.CancelFunc
 	padding         int
 	restoreDelay    time.Duration // duration of a restore
+	applyDelay      atomic.Int64  // nanoseconds per record
 	notifiedLeading atomic.Bool   // last value given to the leadership callback
 	applied         []string
 	mu              sync.Mutex
@@ -88,6 +89,7 @@
 }
 
 func (m *member) apply(_ uint64, data []byte) any {
+	time.Sleep(time.Duration(m.applyDelay.Load()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applied = append(m.applied, string(data))
@@ -428,6 +430,36 @@
 	})
 }
 
+// TestLeaderThatRegainsItsLeadershipServesNothingStale guards against a replica that loses its leadership and regains it while a record waits to be applied: it answered from the state of its earlier leadership.
+func TestLeaderThatRegainsItsLeadershipServesNothingStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		slow := g.leader(5 * time.Second)
+		slow.applyDelay.Store(int64(20 * time.Second))
+		go slow.Propose(context.Background(), []byte("first"))
+		time.Sleep(time.Second)
+		g.isolate(slow, true)
+		time.Sleep(5 * time.Second)
+		other := g.leader(5 * time.Second)
+		_, err := other.Propose(context.Background(), []byte("second"))
+		assert.NilError(t, err)
+		for _, m := range g.members {
+			g.isolate(m, m != slow && m != other)
+		}
+		time.Sleep(time.Second)
+		other.TransferLeadership(t.Context())
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			assert.Assert(t, slow.count() == 2 || !slow.IsLeader(), "the replica serves without the record of its predecessor")
+		}
+		assert.Assert(t, slow.Info().Leader == slow.id && slow.count() < 2, "the replica does not lead with records to apply")
+		slow.applyDelay.Store(0)
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, slow.IsLeader() && slow.count() == 2)
+	})
+}
+
 func TestFailedSyncEndsTheReplicasPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 3)
