--- a/command/process.go
+++ b/command/process.go
@@ -194,14 +194,11 @@
 	}
 }
 
-// operatorConnections is how many connections a member accepts from operators and other clients beside those for announcements; its calls to workers and its links have the rest.
-const operatorConnections = 200
-
 // run starts a role with its admin listener, waits for a signal or a failure, and stops the role gracefully.
 func run(s settings.Common, role string, start func(*ingress.Process) (*process, error)) error {
 	bounds := ingress.LimitsFor(s.MemoryMB, s.MaxFDs)
 	if role == settings.RoleMember {
-		bounds.Connections = min(bounds.Connections, descriptor.Divide(int(s.MaxFDs)).Announcements+operatorConnections)
+		bounds.Connections = min(bounds.Connections, descriptor.Divide(int(s.MaxFDs)).Accepted())
 	}
 	debug.SetMemoryLimit(bounds.Soft)
 	limits := ingress.New(bounds)
--- a/descriptor/shares.go
+++ b/descriptor/shares.go
@@ -6,6 +6,9 @@
 // callsPerWorker is the number of connections that a leader keeps to each worker that it calls itself: 3,255 in all at 645 workers, of which 645 carried announcements and about 400 came from other processes.
 const callsPerWorker = 3.5
 
+// otherClients is how many connections a member accepts from operators and others beside those for announcements.
+const otherClients = 200
+
 // Shares are the numbers of connections of each kind that a member may have.
 type Shares struct {
 	Calls         int // to workers
@@ -29,3 +32,6 @@
 	}
 	return max(int(float64(s.Calls)/callsPerWorker), 1)
 }
+
+// Accepted returns how many connections of clients a member accepts.
+func (s Shares) Accepted() int { return s.Announcements + otherClients }
--- a/relay/assignment.go
+++ b/relay/assignment.go
@@ -9,6 +9,9 @@
 // maxMoves bounds the workers that one update moves between members to even out their loads. With four updates a second, a returned member is in use within seconds and no call finds all of its connections new.
 const maxMoves = 50
 
+// failuresBeforeMove is how many calls of a worker in a row fail through a member before the worker is moved. Calls also fail where the worker or the leader is slow, and each move costs the next member connections to the worker.
+const failuresBeforeMove = 3
+
 // Member is another member that can call workers.
 type Member struct {
 	Address string // of its drpc listener
@@ -25,7 +28,9 @@
 	domains map[string]string // of the workers, by id
 	via     map[string]string // the member's address by worker, empty for the leader itself
 	load    map[string]int    // workers by member, those of the leader under the empty address
-	failed  map[string]string // by worker, the address of the member through which its last call failed
+	failed  map[string]string // by worker, the address of the member from which it was moved last, as calls failed
+	inARow  map[string]int    // by worker, the calls that have failed through its member since the last that did not
+	moves   int               // workers that may still be moved for failed calls before the next update
 }
 
 // NewAssignment returns an assignment for a leader that can call direct workers itself, as can each other member. With 0 it calls all of them.
@@ -37,7 +42,7 @@
 
 func (a *Assignment) clear() {
 	a.members, a.domains = map[string]Member{}, map[string]string{}
-	a.via, a.load, a.failed = map[string]string{}, map[string]int{}, map[string]string{}
+	a.via, a.load, a.failed, a.inARow = map[string]string{}, map[string]int{}, map[string]string{}, map[string]int{}
 }
 
 // Many reports whether there are more workers than the leader calls itself.
@@ -68,7 +73,7 @@
 		a.clear()
 		return
 	}
-	a.members, a.domains = map[string]Member{}, workers
+	a.members, a.domains, a.moves = map[string]Member{}, workers, maxMoves
 	for _, m := range members {
 		a.members[m.Address] = m
 	}
@@ -112,6 +117,7 @@
 	a.load[a.via[worker]]--
 	delete(a.via, worker)
 	delete(a.failed, worker)
+	delete(a.inARow, worker)
 }
 
 func (a *Assignment) assign(worker string) {
@@ -188,13 +194,25 @@
 	return a.via[worker]
 }
 
-// Failed moves a worker to another member after a call through one has failed, or to the leader if there is no other. The worker may be reachable there.
+// Succeeded notes that a call of a worker was answered.
+func (a *Assignment) Succeeded(worker string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.inARow, worker)
+}
+
+// Failed notes that a call of a worker through a member has failed. After some failures in a row, the worker moves to another member, or to the leader if there is no other, as it may be reachable there.
 func (a *Assignment) Failed(worker, address string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if current, assigned := a.via[worker]; !assigned || current != address {
 		return
 	}
+	if a.inARow[worker]++; a.inARow[worker] < failuresBeforeMove || a.moves <= 0 {
+		return
+	}
+	a.moves--
+	delete(a.inARow, worker)
 	a.load[address]--
 	a.failed[worker] = address
 	next := a.choose(worker)
--- a/relay/assignment_test.go
+++ b/relay/assignment_test.go
@@ -63,7 +63,9 @@
 			if n > 0 && workers > direct {
 				w := fmt.Sprintf("w%d", rapid.IntRange(0, workers-1).Draw(t, "failed"))
 				before := a.Of(w)
-				a.Failed(w, before)
+				for range 3 {
+					a.Failed(w, before)
+				}
 				assert.Assert(t, n == 1 || before == "" || a.Of(w) != before, "a worker stays with the member through which it cannot be called")
 			}
 		}
@@ -94,3 +96,35 @@
 	}
 	assert.Assert(t, a.Loads()["m4:1"] > 300, "%v", a.Loads())
 }
+
+// TestSlowWorkersAreNotMovedAllAtOnce guards against workers that move on with each call that times out, as in an overloaded group, where every member comes to have connections to all of them.
+func TestSlowWorkersAreNotMovedAllAtOnce(t *testing.T) {
+	a, workers := relay.NewAssignment(100), 500
+	a.Update(membersOf(5), workersOf(workers))
+	before := map[string]string{}
+	for w := range workersOf(workers) {
+		before[w] = a.Of(w)
+	}
+	moved := func() int {
+		count := 0
+		for w, address := range before {
+			if a.Of(w) != address {
+				count++
+			}
+		}
+		return count
+	}
+	for w := range before {
+		a.Failed(w, a.Of(w))
+		a.Failed(w, a.Of(w))
+		a.Succeeded(w)
+		a.Failed(w, a.Of(w))
+	}
+	assert.Equal(t, moved(), 0, "workers whose calls did not fail three times in a row were moved")
+	for range 10 {
+		for w := range before {
+			a.Failed(w, a.Of(w))
+		}
+	}
+	assert.Assert(t, moved() > 0 && moved() <= 50, "%d workers were moved before the next update", moved())
+}
--- a/relay/client.go
+++ b/relay/client.go
@@ -173,14 +173,17 @@
 	return &l.Answer, nil
 }
 
-// relay sends a call through a link. If it fails, the worker's later calls take another way.
+// relay sends a call through a link. If several fail in a row, the worker's later calls take another way.
 func (c *Client) relay(ctx context.Context, l *link, address string, message *wire.RelayCall) (*call.Listing, error) {
 	reply, err := l.do(ctx, message)
 	var listing *call.Listing
 	if err == nil {
 		listing, err = answerOf(reply)
 	}
-	if err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, call.ErrOtherWorker) && !errors.Is(err, call.ErrRestarted) {
+	switch {
+	case err == nil:
+		c.Succeeded(message.GetWorker().GetId())
+	case !errors.Is(err, context.Canceled) && !errors.Is(err, call.ErrOtherWorker) && !errors.Is(err, call.ErrRestarted):
 		c.Failed(message.GetWorker().GetId(), address)
 	}
 	return listing, err
