Log what a restarted worker executed for its former incarnation

The logs could not tell whether a lease was prolonged by an order for a former incarnation, by one executed late, or whether a start was confirmed wrongly. former_order_executed (E0478) and its counter name each start that the later incarnation executed; run_started has the worker's clock, its birth and whether that incarnation is known to have answered; worker_heard and lease_lapsed have the birth and the times from which a lapse is computed.

--- a/dispatch/counters.go
+++ b/dispatch/counters.go
@@ -17,6 +17,7 @@
 	stopsBegun       *metrics.Counter
 	paceCalls        *metrics.Counter
 	leaseLapses      *metrics.Counter
+	formerOrders     *metrics.Counter // starts that a later incarnation of their worker executed
 	runEnds          map[wire.RunOutcome]*metrics.Counter
 	startCall        *metrics.Histogram
 	round            *metrics.Histogram
@@ -38,6 +39,7 @@
 		stopsBegun:       set.NewCounter("daisyswitch_runs_stopped_total"),
 		paceCalls:        set.NewCounter("daisyswitch_runs_paced_total"),
 		leaseLapses:      set.NewCounter("daisyswitch_worker_leases_lapsed_total"),
+		formerOrders:     set.NewCounter("daisyswitch_former_orders_executed_total"),
 		runEnds:          map[wire.RunOutcome]*metrics.Counter{},
 		startCall:        set.NewHistogram("daisyswitch_start_call_seconds"),
 		round:            set.NewHistogram("daisyswitch_place_round_seconds"),
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -30,6 +30,20 @@
 	return callTimeout + withMaxDrift(s.MaxLease)
 }
 
+// isUnlistedFormer reports whether a run was committed for an earlier incarnation and has not been listed by this one.
+func (l *link) isUnlistedFormer(key runKey) bool {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	r := l.runs[key]
+	return r != nil && r.former && !r.listed
+}
+
+// recordFormerOrder records that this incarnation has executed a start that was meant for an earlier one.
+func (l *link) recordFormerOrder(key runKey, state string) {
+	l.s.formerOrders.Inc()
+	event.FormerOrderExecuted.Info("worker", l.id, "born", l.currentWorker().GetBorn(), "task", key.name.String(), "run", key.number, "state", state)
+}
+
 // confirmStart records which incarnation accepted a start. It returns false if a later one did, which has then to be stopped.
 func (s *session) confirmStart(r *run, clockMS int64) bool {
 	s.mu.Lock()
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -269,12 +269,19 @@
 	l.lapsesAt = l.clockReadAt + withMaxDrift(left)
 }
 
+// leaseTimes returns by when every lease has expired and when the worker's clock was last read, both on the boot clock.
+func (l *link) leaseTimes() (lapsesAt, clockReadAt time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lapsesAt, l.clockReadAt
+}
+
 func (l *link) recordAnswer(sent time.Duration, listing *call.Listing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.s.SinceBoot()
 	if l.heardAt == 0 {
-		event.WorkerHeard.Info("worker", l.id, "address", l.worker.GetAddress(), "clock_ms", listing.ClockMS)
+		event.WorkerHeard.Info("worker", l.id, "born", l.worker.GetBorn(), "address", l.worker.GetAddress(), "clock_ms", listing.ClockMS)
 	}
 	l.heardAt = now
 	l.lapsed, l.restarted = false, false
@@ -307,6 +314,7 @@
 func (l *link) commitLapse(now time.Duration) bool {
 	s := l.s
 	unconfirmed := l.unconfirmedRuns(now)
+	lapsedAt, readAt := l.leaseTimes()
 	var ends []*wire.RunEnd
 	var keys []runKey
 	born := l.currentWorker().GetBorn()
@@ -326,7 +334,7 @@
 	})
 	if len(ends) > 0 || len(unconfirmed) == 0 {
 		s.leaseLapses.Inc()
-		event.LeaseLapsed.Info("worker", l.id, "runs", len(ends), "not_begun", countNotRun(ends), "unconfirmed", len(unconfirmed))
+		event.LeaseLapsed.Info("worker", l.id, "born", born, "lapsed_ms_ago", (now - lapsedAt).Milliseconds(), "clock_read_ms_ago", (now - readAt).Milliseconds(), "runs", len(ends), "not_begun", countNotRun(ends), "unconfirmed", len(unconfirmed))
 	}
 	if len(ends) > 0 && !s.commitEnds(ends) {
 		return false
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -74,12 +74,17 @@
 	now := s.SinceBoot()
 	s.mu.Lock()
 	r := l.runs[key]
+	former := false
 	if r != nil {
+		former = r.former && !r.listed
 		r.update(now, listed)
 		s.noteBegun(r)
 	}
 	again := r != nil && r.phase == stopped && now-r.phaseSince > stopTimeout
 	s.mu.Unlock()
+	if former {
+		l.recordFormerOrder(key, "running")
+	}
 	switch {
 	case r == nil:
 		l.stopStray(key)
@@ -153,6 +158,9 @@
 	born := l.currentWorker().GetBorn()
 	runEnds := make([]*wire.RunEnd, 0, len(ended))
 	for _, e := range ended {
+		if l.isUnlistedFormer(runKey{e.Task, e.Run}) {
+			l.recordFormerOrder(runKey{e.Task, e.Run}, "ended")
+		}
 		event.RunEnded.Info("task", e.Task.String(), "run", e.Run, "worker", l.id, "number", e.Number, "outcome", e.Outcome.String())
 		runEnds = append(runEnds, &wire.RunEnd{Task: e.Task.Wire(), Run: e.Run, Worker: l.id, Born: born, Number: e.Number, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
 		s.runEnds[e.Outcome].Inc()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -36,6 +36,7 @@
 	worker  *wire.CalledWorker
 	order   call.Start
 	adopted bool // committed by an earlier leader, which may have sent its start
+	former  bool // committed for an earlier incarnation of its worker
 
 	begun         bool          // the worker has accepted its start or listed it
 	sentAt        time.Duration // boot clock, when its start was last sent; 0 for never
@@ -61,12 +62,10 @@
 // trackRun starts sending a committed start, or stops a run that was committed for an earlier incarnation of its worker. adopted says that an earlier leader may have sent the start.
 func (s *session) trackRun(t *workflow.Task, adopted bool) {
 	var r *run
-	inherited := false
 	s.Table.View(func(*workflow.Tables) {
 		if t.Worker != nil {
-			inherited = t.Inherited()
 			r = &run{
-				runKey: runKey{t.Name(), t.Run}, task: t, worker: t.Worker.CalledWorker, adopted: adopted,
+				runKey: runKey{t.Name(), t.Run}, task: t, worker: t.Worker.CalledWorker, adopted: adopted, former: t.Inherited(),
 				order: call.Start{Task: t.Name(), Run: t.Run, Payload: t.Step.Job.Spec.GetPayload(), Fence: s.fence, Checkpoint: t.Checkpoint, Ticket: t.Ticket},
 			}
 		}
@@ -89,7 +88,7 @@
 	s.mu.Unlock()
 	switch {
 	case l == nil || known:
-	case inherited:
+	case r.former:
 		s.tasks.Go(func() { s.stopRun(r, "it was committed for an earlier incarnation of its worker") })
 	default:
 		s.tasks.Go(func() { s.startRun(r) })
@@ -173,7 +172,7 @@
 			if !s.confirmStart(r, answer.ClockMS) {
 				continue
 			}
-			s.recordStarted(r)
+			s.recordStarted(r, answer.ClockMS)
 			return
 		}
 		s.startsRefused.Inc()
@@ -186,8 +185,8 @@
 	}
 }
 
-func (s *session) recordStarted(r *run) {
-	event.RunStarted.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "fence", s.fence)
+func (s *session) recordStarted(r *run, clockMS int64) {
+	event.RunStarted.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "born", r.worker.GetBorn(), "clock_ms", clockMS, "confirmed", s.isConfirmed(r), "fence", s.fence)
 	s.started.Inc()
 	s.recordBegun(r)
 	s.setPhase(r, started)
@@ -203,6 +202,13 @@
 	r.sentAt = s.SinceBoot()
 }
 
+// isConfirmed reports whether the worker's incarnation is known to have answered the start of a run or to have listed it.
+func (s *session) isConfirmed(r *run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.confirmed
+}
+
 func (s *session) isListed(r *run) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/event/dispatch.go
+++ b/event/dispatch.go
@@ -21,6 +21,7 @@
 	WorkerSilent          = register(462, "worker_silent", "A worker does not answer; its runs are released once its lease is known to have expired.")
 	WorkerReplaced        = register(463, "worker_replaced", "Another worker answered at a worker's address, so the former one has ended.")
 	WorkerRestarted       = register(472, "worker_restarted", "A later incarnation under a worker's id answered; the former one's runs are released once the later one is known not to execute them.")
+	FormerOrderExecuted   = register(478, "former_order_executed", "A worker lists a run whose start was meant for its former incarnation; the deadline in that start has granted it a lease that this leader did not.")
 	WorkerObeysOther      = register(464, "worker_obeys_other", "A worker has seen a higher fencing token than this leader's.")
 	CalledWorkerSuspended = register(466, "called_worker_suspended", "A called worker gets no new tasks for some time.")
 	TaskExcluded          = register(473, "task_excluded", "A task is kept off a worker for some time, since it failed, stalled or was slowed there.")
