Show by failing tests what orders for a former incarnation leave behind

The fake worker extends its lease also for a start that it refuses as overtaken, as the platform's protocol says, and may execute holds late.

--- /dev/null
+++ b/dispatch/former_order_test.go
@@ -0,0 +1,115 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisyswitch/wire"
+	"daisyswitch/workflow"
+
+	"gotest.tools/v3/assert"
+)
+
+// restartUnderOrders has a worker restart under its id, gives it a start that was meant for its former incarnation, and announces it.
+func (b *testBench) restartUnderOrders(w *fakeWorker) {
+	time.Sleep(5 * time.Second)
+	b.locked(w.restart)
+	b.submit("lasting", "former", &wire.Step{Count: 4, Size: unit, Lasting: true})
+	time.Sleep(100 * time.Millisecond)
+	b.locked(func() {
+		assert.Assert(b.t, len(w.runs) > 0, "no order for the former incarnation reached the later one")
+	})
+	w.announce()
+}
+
+// startAndSilence has a worker that restarted start runs of its own and then fall silent.
+func (b *testBench) startAndSilence(w *fakeWorker) {
+	b.submit("lasting", "later", &wire.Step{Count: 8, Size: unit, Lasting: true})
+	time.Sleep(400 * time.Millisecond)
+	b.locked(func() {
+		assert.Assert(b.t, len(w.runs) > 0, "nothing runs on the later incarnation")
+		w.silent = true
+	})
+}
+
+// TestLeaseGrantedByAnOrderForTheFormerIncarnationIsWaitedFor guards against a second run of a task that began on a restarted worker while a start meant for the former incarnation had granted it a longer lease.
+func TestLeaseGrantedByAnOrderForTheFormerIncarnationIsWaitedFor(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new leader %v", newLeader), func(t *testing.T) {
+			runOnBench(t, 2, big, func(b *testBench) {
+				b.restartUnderOrders(b.workers["w0"])
+				time.Sleep(300 * time.Millisecond)
+				if newLeader {
+					b.lead(2)
+					time.Sleep(300 * time.Millisecond)
+				}
+				b.startAndSilence(b.workers["w0"])
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, b.runningOf("later"), 8)
+			})
+		})
+	}
+}
+
+// TestLateOrderForTheFormerIncarnationProlongsNoLease guards against a second run of a task on a restarted worker that executes a start for its former incarnation seconds after its first answers.
+func TestLateOrderForTheFormerIncarnationProlongsNoLease(t *testing.T) {
+	runOnBench(t, 2, big, func(b *testBench) {
+		w := b.workers["w0"]
+		time.Sleep(5 * time.Second)
+		b.locked(func() { w.startDelay = 3 * time.Second })
+		b.submit("lasting", "former", &wire.Step{Count: 4, Size: unit, Lasting: true})
+		time.Sleep(100 * time.Millisecond)
+		b.locked(func() { w.restart(); w.startDelay = 0 })
+		w.announce()
+		time.Sleep(2 * time.Second)
+		b.startAndSilence(w)
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, b.runningOf("later"), 8)
+	})
+}
+
+// TestLateHoldForTheFormerIncarnationForgetsNoEnds guards against a second run of a task that was done on a restarted worker, which a hold for its former incarnation had forget the end.
+func TestLateHoldForTheFormerIncarnationForgetsNoEnds(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		b.submit("short", "earlier", short(5))
+		time.Sleep(3 * time.Second)
+		b.locked(func() { w.executesHoldsAfter = 2 * time.Second })
+		time.Sleep(1200 * time.Millisecond)
+		b.locked(func() { w.restart(); w.executesHoldsAfter = 0 })
+		w.announce()
+		time.Sleep(500 * time.Millisecond)
+		b.locked(func() { w.lostAnswers = 100 })
+		b.submit("short", "later", short(5))
+		time.Sleep(3 * time.Second)
+		b.locked(func() { w.lostAnswers = 0 })
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, b.state("later"), workflow.StateCompleted)
+		for i := range 5 {
+			assert.Equal(t, b.runCount(fmt.Sprintf("later.0.0.%d", i)), 1, "the task ran again after it was done")
+		}
+	})
+}
+
+// TestRunsOfALaterIncarnationThatIsNeverHeardOutlastItsLastOrder guards against a second run of a task whose lease a later start for the former incarnation has prolonged, on a restarted worker that never lists its runs.
+func TestRunsOfALaterIncarnationThatIsNeverHeardOutlastItsLastOrder(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		b.locked(func() { w.hidesClock = true })
+		time.Sleep(5 * time.Second)
+		b.locked(w.restart)
+		b.submit("lasting", "first", &wire.Step{Count: 6, Size: unit, Lasting: true})
+		time.Sleep(1300 * time.Millisecond)
+		b.submit("lasting", "second", &wire.Step{Count: 6, Size: unit, Lasting: true})
+		time.Sleep(50 * time.Millisecond)
+		b.locked(func() {
+			assert.Equal(t, len(w.runs), 12)
+			w.silent = true
+		})
+		b.addWorker("w1", big)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, b.runningOf("first"), 6)
+		assert.Equal(t, b.runningOf("second"), 6)
+	})
+}
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -75,22 +75,23 @@
 	born   int64 // of its present incarnation
 	began  time.Time
 
-	checkpointBytes  int           // length of the checkpoint in each end
-	endsAtATime      int           // most ends in one listing, 0 for all
-	stopTime         time.Duration // from a stop to the end of the run
-	silent           bool          // answers no calls and carries out nothing
-	startDelay       time.Duration // delay after which it carries out a start without answering
-	losesStarts      bool          // neither carries out nor answers any start
-	refusesStarts    bool          // answers every start as unhealthy
-	refusedStarts    int           // as unhealthy
-	hidesClock       bool          // its answers to starts lack its clock
-	failsTasks       bool          // fails every run
-	tailOf           func(name workflow.Name) float64
-	holdsWhileSilent []call.Hold   // received while it was silent
-	holdDelay        time.Duration // by which its answers to holds arrive late
-	lostAnswers      int           // answers to holds with ends that get lost from now on
-	gone             bool          // its process has ended; orders that arrive afterwards are counted in startsWhenGone
-	startsWhenGone   int
+	checkpointBytes    int           // length of the checkpoint in each end
+	endsAtATime        int           // most ends in one listing, 0 for all
+	stopTime           time.Duration // from a stop to the end of the run
+	silent             bool          // answers no calls and carries out nothing
+	startDelay         time.Duration // delay after which it carries out a start without answering
+	losesStarts        bool          // neither carries out nor answers any start
+	refusesStarts      bool          // answers every start as unhealthy
+	refusedStarts      int           // as unhealthy
+	hidesClock         bool          // its answers to starts lack its clock
+	failsTasks         bool          // fails every run
+	tailOf             func(name workflow.Name) float64
+	holdsWhileSilent   []call.Hold   // received while it was silent
+	holdDelay          time.Duration // by which its answers to holds arrive late
+	executesHoldsAfter time.Duration // delay after which it executes a hold without answering
+	lostAnswers        int           // answers to holds with ends that get lost from now on
+	gone               bool          // its process has ended; orders that arrive afterwards are counted in startsWhenGone
+	startsWhenGone     int
 }
 
 type fakeRun struct {
@@ -431,6 +432,7 @@
 	case w.runs[s.Task] != nil && w.runs[s.Task].number == s.Run:
 		return call.Accepted
 	case w.barred[s.Task] >= s.Run || w.runs[s.Task] != nil:
+		w.extend(s.DeadlineMS)
 		return call.StaleRun
 	}
 	w.extend(s.DeadlineMS)
@@ -518,14 +520,18 @@
 	until := time.Now().Add(h.Wait)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if target.executesHoldsAfter > 0 {
+		order := *h
+		time.AfterFunc(target.executesHoldsAfter, func() { b.locked(func() { target.acceptHold(&order) }) })
+		b.mu.Unlock()
+		<-ctx.Done()
+		b.mu.Lock()
+		return nil, errNoAnswer
+	}
 	born := target.born
-	if target.rejectsFence(h.Fence) {
+	if !target.acceptHold(h) {
 		return &call.Listing{Answer: call.Answer{Refusal: call.StaleFence}}, nil
 	}
-	if h.DeadlineMS > 0 {
-		target.extend(h.DeadlineMS)
-	}
-	target.dropNoted(h.Noted)
 	for len(target.ended) == 0 && time.Now().Before(until) && ctx.Err() == nil {
 		b.mu.Unlock()
 		time.Sleep(holdPollInterval)
@@ -559,6 +565,18 @@
 	return listing, nil
 }
 
+// acceptHold processes a hold by the platform's rules. The caller holds the bench's mutex.
+func (w *fakeWorker) acceptHold(h *call.Hold) bool {
+	if w.rejectsFence(h.Fence) {
+		return false
+	}
+	if h.DeadlineMS > 0 {
+		w.extend(h.DeadlineMS)
+	}
+	w.dropNoted(h.Noted)
+	return true
+}
+
 func (w *fakeWorker) dropNoted(noted int64) {
 	for len(w.ended) > 0 && w.ended[0].Number <= noted {
 		w.ended = w.ended[1:]
