Give each incarnation of a worker a higher fencing token

Callers saw two runs of one task at a time, or a run after it was done, when a worker had restarted under its id and executed an order for its former incarnation seconds late: a start prolongs its lease beyond what the leader counts, and a hold makes it forget ends that nobody has recorded.

Cause: orders name a worker by its id, and their fencing token was the leader's term alone, the same for both incarnations, so the later one could not tell them apart at any time.

The state counts the incarnations under an id (CalledWorker.restarts); the token is the term plus that number. Once the later incarnation has answered one order, orders for the former have no effect. The number is in the state before the first order for an incarnation is sent, so no token of an earlier leader or incarnation is as high.

TestRestartsOfAWorkerAreNotForgotten guards the count. Relayed calls carry term and restarts apart, as relays drop calls of older terms.

--- a/call/call.go
+++ b/call/call.go
@@ -35,13 +35,23 @@
 // String returns the refusal for logs.
 func (r Refusal) String() string { return refusals[r] }
 
+// Fence is the fencing token of an order, which a worker obeys only if it has seen no higher one.
+// A later leadership has a higher one, and so has a later incarnation of the worker, which would otherwise execute late what was meant for an earlier one.
+type Fence struct {
+	Term     uint64 // of the leadership
+	Restarts uint64 // of the worker, by the replicated state, in which it grows before the first order for a later incarnation
+}
+
+// Token returns the number that is sent to the worker.
+func (f Fence) Token() uint64 { return f.Term + f.Restarts }
+
 // Start tells a worker to run a task.
 type Start struct {
 	Task       workflow.Name
 	Run        int32
 	Payload    string
 	DeadlineMS int64 // lease expiry for all runs on the worker, by the worker's clock
-	Fence      uint64
+	Fence      Fence
 	Checkpoint string
 	Ticket     string
 }
@@ -50,7 +60,7 @@
 type Stop struct {
 	Task  workflow.Name
 	Run   int32
-	Fence uint64
+	Fence Fence
 }
 
 // Pace tells a worker to throttle a run to a percentage of its full speed.
@@ -58,13 +68,13 @@
 	Task         workflow.Name
 	Run          int32
 	SpeedPercent int
-	Fence        uint64
+	Fence        Fence
 }
 
 // Hold renews a worker's lease and requests its running and ended runs.
 type Hold struct {
 	DeadlineMS int64 // by the worker's clock; 0 leaves the lease unchanged
-	Fence      uint64
+	Fence      Fence
 	Noted      int64         // ended runs up to this number are committed, so the worker may discard them
 	Wait       time.Duration // longest time the worker may wait for a run to end before it answers (long poll)
 }
--- a/dispatch/begun.go
+++ b/dispatch/begun.go
@@ -49,7 +49,7 @@
 		}
 	})
 	for _, id := range begun {
-		event.WorkflowBegun.Info("workflow", id, "fence", s.fence)
+		event.WorkflowBegun.Info("workflow", id, "term", s.term)
 	}
 	return begun
 }
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -336,11 +336,11 @@
 	w.b.apply(&wire.WorkflowCommand{Workers: []*wire.CalledWorker{record}})
 }
 
-func (w *fakeWorker) rejectsFence(fence uint64) bool {
-	if fence < w.fence {
+func (w *fakeWorker) rejectsFence(f call.Fence) bool {
+	if f.Token() < w.fence {
 		return true
 	}
-	w.fence = fence
+	w.fence = f.Token()
 	return false
 }
 
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -19,6 +19,7 @@
 type link struct {
 	s                *session
 	id               string
+	fence            call.Fence // of all orders for this incarnation
 	ctx              context.Context
 	cancel           context.CancelFunc
 	runs             map[runKey]*run         // guarded by the session's mutex
@@ -52,7 +53,7 @@
 }
 
 func newLink(s *session, w *wire.CalledWorker) *link {
-	l := &link{s: s, id: w.GetId(), worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}, departing: w.GetDeparted(), listings: make(chan struct{}, 1), cancelHold: func() {}}
+	l := &link{s: s, id: w.GetId(), fence: call.Fence{Term: s.term, Restarts: w.GetRestarts()}, worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}, departing: w.GetDeparted(), listings: make(chan struct{}, 1), cancelHold: func() {}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	l.lapsesAt = s.SinceBoot() + withMaxDrift(s.MaxLease)
 	return l
@@ -190,7 +191,7 @@
 			l.recordSilence(err)
 			s.pause(minRetryDelay)
 		case listing.Refusal == call.StaleFence:
-			event.WorkerObeysOther.Info("worker", l.id, "fence", s.fence)
+			event.WorkerObeysOther.Info("worker", l.id, "fence", l.fence.Token())
 			s.pause(longHoldWait)
 		case listing.Refusal != call.Accepted:
 			l.recordSilence(fmt.Errorf("the worker refused the hold: %s", listing.Refusal))
@@ -228,7 +229,7 @@
 	wait := l.holdWait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	order := &call.Hold{Fence: l.s.fence}
+	order := &call.Hold{Fence: l.fence}
 	if l.heardAt == 0 {
 		return order, l.departing
 	}
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -127,12 +127,12 @@
 	return n
 }
 
-// Run places tasks and calls workers with the given fencing token until ctx ends, and then waits for its goroutines.
-func (l *Loop) Run(ctx context.Context, fence uint64) {
+// Run places tasks and calls workers as the leader of the given term until ctx ends, and then waits for its goroutines.
+func (l *Loop) Run(ctx context.Context, term uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &session{
-		Options: l.options, counters: l.counters, ctx: ctx, fence: fence,
+		Options: l.options, counters: l.counters, ctx: ctx, term: term,
 		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, lastAtWork: map[*workflow.Task]time.Duration{}, taskDuration: map[string]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, begun: map[string]struct{}{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{}, ahead: newAhead(l.options.Lookahead),
 	}
 	defer s.tasks.Wait()
@@ -183,7 +183,7 @@
 	Options
 	*counters
 	ctx              context.Context
-	fence            uint64
+	term             uint64
 	nextSummary      time.Duration                           // boot clock, of the next summary; used by the loop's goroutine only
 	roundCount       int                                     // rounds with waiting tasks so far; used by the loop's goroutine only
 	candidates       map[string]*candidate                   // by worker; used by the loop's goroutine only
@@ -225,7 +225,7 @@
 			}
 		}
 	})
-	event.RunsAdopted.Info("runs", len(tasks), "fence", s.fence)
+	event.RunsAdopted.Info("runs", len(tasks), "term", s.term)
 	s.updateLinks()
 	for _, task := range tasks {
 		s.trackRun(task, true)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -66,7 +66,7 @@
 		if t.Worker != nil {
 			r = &run{
 				runKey: runKey{t.Name(), t.Run}, task: t, worker: t.Worker.CalledWorker, adopted: adopted, former: t.Inherited(),
-				order: call.Start{Task: t.Name(), Run: t.Run, Payload: t.Step.Job.Spec.GetPayload(), Fence: s.fence, Checkpoint: t.Checkpoint, Ticket: t.Ticket},
+				order: call.Start{Task: t.Name(), Run: t.Run, Payload: t.Step.Job.Spec.GetPayload(), Checkpoint: t.Checkpoint, Ticket: t.Ticket},
 			}
 		}
 	})
@@ -78,6 +78,7 @@
 	known := s.runs[r.runKey] != nil
 	if l != nil && !known {
 		r.link, r.phaseSince, r.checkpoint = l, s.SinceBoot(), r.order.Checkpoint
+		r.order.Fence = l.fence
 		r.image, r.pace = s.imageNumber(t.Step.Spec.GetImage()), 100
 		if adopted {
 			s.recordAtWork(r, r.phaseSince)
@@ -186,7 +187,7 @@
 }
 
 func (s *session) recordStarted(r *run, clockMS int64) {
-	event.RunStarted.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "born", r.worker.GetBorn(), "clock_ms", clockMS, "confirmed", s.isConfirmed(r), "fence", s.fence)
+	event.RunStarted.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "born", r.worker.GetBorn(), "clock_ms", clockMS, "confirmed", s.isConfirmed(r), "fence", r.order.Fence.Token())
 	s.started.Inc()
 	s.recordBegun(r)
 	s.setPhase(r, started)
@@ -306,7 +307,7 @@
 	wait := minRetryDelay
 	for s.awaitMayCall(l.ctx) && wanted() {
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-		answer, err := s.Calls.Stop(ctx, l.currentWorker(), &call.Stop{Task: key.name, Run: key.number, Fence: s.fence})
+		answer, err := s.Calls.Stop(ctx, l.currentWorker(), &call.Stop{Task: key.name, Run: key.number, Fence: l.fence})
 		cancel()
 		switch {
 		case errors.Is(err, call.ErrOtherWorker):
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -175,7 +175,7 @@
 func (l *link) sendPace(r *run, percent int) {
 	s := l.s
 	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-	answer, err := s.Calls.Pace(ctx, l.currentWorker(), &call.Pace{Task: r.name, Run: r.number, SpeedPercent: percent, Fence: s.fence})
+	answer, err := s.Calls.Pace(ctx, l.currentWorker(), &call.Pace{Task: r.name, Run: r.number, SpeedPercent: percent, Fence: l.fence})
 	cancel()
 	s.paceCalls.Inc()
 	accepted := err == nil && answer.Refusal == call.Accepted
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -12,8 +12,8 @@
 )
 
 // callOf returns a call without its number and expiry. Of the worker it has only what a transport needs.
-func callOf(kind wire.RelayCallKind, w *wire.CalledWorker, fence uint64) *wire.RelayCall {
-	return &wire.RelayCall{Kind: kind, Term: fence, Worker: &wire.CalledWorker{Id: w.GetId(), Born: w.GetBorn(), Address: w.GetAddress()}}
+func callOf(kind wire.RelayCallKind, w *wire.CalledWorker, fence call.Fence) *wire.RelayCall {
+	return &wire.RelayCall{Kind: kind, Term: fence.Term, Restarts: fence.Restarts, Worker: &wire.CalledWorker{Id: w.GetId(), Born: w.GetBorn(), Address: w.GetAddress()}}
 }
 
 func startCall(w *wire.CalledWorker, s *call.Start) *wire.RelayCall {
@@ -42,16 +42,16 @@
 
 // execute performs a relayed call.
 func execute(ctx context.Context, calls *call.Functions, c *wire.RelayCall) (*call.Listing, error) {
-	w, task := c.GetWorker(), workflow.NameOf(c.GetTask())
+	w, task, fence := c.GetWorker(), workflow.NameOf(c.GetTask()), call.Fence{Term: c.GetTerm(), Restarts: c.GetRestarts()}
 	switch c.GetKind() {
 	case wire.RelayCallKind_RELAY_CALL_KIND_START:
-		return listingOf(calls.Start(ctx, w, &call.Start{Task: task, Run: c.GetRun(), Payload: string(c.GetPayload()), DeadlineMS: c.GetDeadlineMs(), Fence: c.GetTerm(), Checkpoint: string(c.GetCheckpoint()), Ticket: string(c.GetTicket())}))
+		return listingOf(calls.Start(ctx, w, &call.Start{Task: task, Run: c.GetRun(), Payload: string(c.GetPayload()), DeadlineMS: c.GetDeadlineMs(), Fence: fence, Checkpoint: string(c.GetCheckpoint()), Ticket: string(c.GetTicket())}))
 	case wire.RelayCallKind_RELAY_CALL_KIND_STOP:
-		return listingOf(calls.Stop(ctx, w, &call.Stop{Task: task, Run: c.GetRun(), Fence: c.GetTerm()}))
+		return listingOf(calls.Stop(ctx, w, &call.Stop{Task: task, Run: c.GetRun(), Fence: fence}))
 	case wire.RelayCallKind_RELAY_CALL_KIND_PACE:
-		return listingOf(calls.Pace(ctx, w, &call.Pace{Task: task, Run: c.GetRun(), SpeedPercent: int(c.GetSpeedPercent()), Fence: c.GetTerm()}))
+		return listingOf(calls.Pace(ctx, w, &call.Pace{Task: task, Run: c.GetRun(), SpeedPercent: int(c.GetSpeedPercent()), Fence: fence}))
 	case wire.RelayCallKind_RELAY_CALL_KIND_HOLD:
-		return calls.Hold(ctx, w, &call.Hold{DeadlineMS: c.GetDeadlineMs(), Fence: c.GetTerm(), Noted: c.GetNoted(), Wait: time.Duration(c.GetWaitMs()) * time.Millisecond})
+		return calls.Hold(ctx, w, &call.Hold{DeadlineMS: c.GetDeadlineMs(), Fence: fence, Noted: c.GetNoted(), Wait: time.Duration(c.GetWaitMs()) * time.Millisecond})
 	default:
 		return nil, errors.New("the call is of an unknown kind")
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -42,6 +42,8 @@
 
 var workers = map[string]string{"w0": "za", "w1": "za", "w2": "zb"}
 
+var restarts = map[string]uint64{"w0": 2} // the calls to the others have a lower fencing token, but the same term
+
 func run(t *testing.T, test func(*testing.T, *testBench)) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &testBench{t: t, fabric: fabric.New(time.Millisecond)}
@@ -83,7 +85,7 @@
 			if process == 1 && b.fail.Load() {
 				return nil, errors.New("no route")
 			}
-			if s.Payload != "\xff" || s.Task.Workflow != "f" || s.DeadlineMS != 7 || w.GetAddress() != "a:1" {
+			if s.Fence.Term != 3 || s.Fence.Restarts != restarts[w.GetId()] || s.Payload != "\xff" || s.Task.Workflow != "f" || s.DeadlineMS != 7 || w.GetAddress() != "a:1" {
 				return nil, errors.New("the call has changed on its way")
 			}
 			return &call.Answer{ClockMS: 5, Refusal: call.NoRoom}, nil
@@ -104,7 +106,7 @@
 func (b *testBench) start(worker string) (*call.Answer, error) {
 	ctx, cancel := context.WithTimeout(b.t.Context(), 600*time.Millisecond)
 	defer cancel()
-	return b.client.Functions().Start(ctx, &wire.CalledWorker{Id: worker, Address: "a:1"}, &call.Start{Task: workflow.Name{Workflow: "f"}, Payload: "\xff", DeadlineMS: 7, Fence: 3})
+	return b.client.Functions().Start(ctx, &wire.CalledWorker{Id: worker, Address: "a:1"}, &call.Start{Task: workflow.Name{Workflow: "f"}, Payload: "\xff", DeadlineMS: 7, Fence: call.Fence{Term: 3, Restarts: restarts[worker]}})
 }
 
 // TestRelayedCallsReachTheWorkerUnchanged guards against fields that are lost on the way, and against a hold in progress that delays other calls on the stream.
@@ -113,7 +115,7 @@
 		assert.DeepEqual(t, []string{b.client.Of("w0"), b.client.Of("w1"), b.client.Of("w2")}, []string{"m1:1", "m2:1", ""})
 		held := make(chan *call.Listing)
 		go func() {
-			l, err := b.client.Functions().Hold(t.Context(), &wire.CalledWorker{Id: "w0"}, &call.Hold{Wait: time.Second, Fence: 3})
+			l, err := b.client.Functions().Hold(t.Context(), &wire.CalledWorker{Id: "w0"}, &call.Hold{Wait: time.Second, Fence: call.Fence{Term: 3}})
 			assert.Check(t, err)
 			held <- l
 		}()
@@ -151,7 +153,7 @@
 	run(t, func(t *testing.T, b *testBench) {
 		ctx, cancel := context.WithCancel(t.Context())
 		time.AfterFunc(100*time.Millisecond, cancel)
-		_, err := b.client.Functions().Hold(ctx, &wire.CalledWorker{Id: "w0"}, &call.Hold{Wait: time.Second, Fence: 3})
+		_, err := b.client.Functions().Hold(ctx, &wire.CalledWorker{Id: "w0"}, &call.Hold{Wait: time.Second, Fence: call.Fence{Term: 3}})
 		assert.ErrorIs(t, err, context.Canceled)
 		time.Sleep(50 * time.Millisecond)
 		assert.Equal(t, b.holding.Load(), int64(0))
--- a/workflow/departure_test.go
+++ b/workflow/departure_test.go
@@ -94,3 +94,36 @@
 	s.Apply(400_000, &wire.WorkflowCommand{Submit: &wire.Workflow{Id: "c", Queue: "q", Steps: []*wire.Step{{Count: 1}}}})
 	s.View(func(v *workflow.Tables) { assert.Assert(t, v.Jobs["a"] == nil) })
 }
+
+// TestRestartsOfAWorkerAreNotForgotten guards against a fencing token that is as low as for an earlier incarnation after the worker was removed, was announced again or a replica has restarted.
+func TestRestartsOfAWorkerAreNotForgotten(t *testing.T) {
+	s := newTable()
+	announce := func(born int64) {
+		s.Apply(4, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{calledWorker("w", born)}})
+	}
+	restore := func() {
+		restarted := workflow.New(workflow.Options{})
+		assert.NilError(t, restarted.Restore(s.Snapshot()))
+		s = restarted
+	}
+	restarts := func() (count uint64) {
+		s.View(func(v *workflow.Tables) { count = v.Workers["w"].GetRestarts() })
+		return count
+	}
+	announce(1)
+	assert.Equal(t, restarts(), uint64(0))
+	announce(1)
+	assert.Equal(t, restarts(), uint64(0))
+	announce(2)
+	assert.Equal(t, restarts(), uint64(1))
+	announce(1)
+	announce(2)
+	assert.Equal(t, restarts(), uint64(1))
+	depart(s, "w", 2)
+	restore()
+	announce(3)
+	assert.Equal(t, restarts(), uint64(2))
+	restore()
+	announce(3)
+	assert.Equal(t, restarts(), uint64(2))
+}
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -25,6 +25,7 @@
 		return
 	}
 	t.WorkerChanges++
+	w.Restarts = t.restartsBefore(w)
 	if w.GetGone() {
 		t.markGone(w, last)
 		return
@@ -38,6 +39,22 @@
 	last.CalledWorker, last.Capacity = w, resource.FromWire(w.GetCapacity())
 }
 
+// restartsBefore returns how many earlier incarnations under the id of a worker the state has seen.
+func (t *Tables) restartsBefore(w *wire.CalledWorker) uint64 {
+	former := t.gone[w.GetId()]
+	if last := t.Workers[w.GetId()]; last != nil {
+		former = last.CalledWorker
+	}
+	switch {
+	case former == nil:
+		return 0
+	case former.GetBorn() == w.GetBorn():
+		return former.GetRestarts()
+	default:
+		return former.GetRestarts() + 1
+	}
+}
+
 // addIncarnation adds a worker's incarnation, which inherits the tasks of the last one.
 func (t *Tables) addIncarnation(w *wire.CalledWorker, last *Worker) {
 	next := &Worker{CalledWorker: w, Tasks: map[*Task]struct{}{}, Capacity: resource.FromWire(w.GetCapacity())}
@@ -60,7 +77,7 @@
 	if len(t.gone) >= maxGoneWorkers {
 		t.gone = map[string]*wire.CalledWorker{}
 	}
-	t.gone[w.GetId()] = &wire.CalledWorker{Id: w.GetId(), Born: w.GetBorn(), Gone: true}
+	t.gone[w.GetId()] = &wire.CalledWorker{Id: w.GetId(), Born: w.GetBorn(), Gone: true, Restarts: w.GetRestarts()}
 }
 
 // removeWorker removes an ended incarnation and releases its tasks.
