Count a lease by the last order that prolongs it, not by each run's own start

A worker that restarted under its id, accepted two starts for its former incarnation and fell silent without an announcement ran the first task on while the leader started it elsewhere: the first start's own bound had passed, but the second start had prolonged the lease of both.

Runs that this incarnation is not known to have accepted now count until the longest lease after the last order that grants a lease.

--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -73,14 +73,31 @@
 	return clockMS >= leastMS && clockMS <= mostMS, clockMS < leastMS
 }
 
-// unconfirmedRuns returns the runs that this incarnation is not known to have accepted and whose last start was sent so recently that a later incarnation may execute it.
+// recordGrant records that a start is about to be sent, whose deadline prolongs the lease of all runs of the incarnation that receives it.
+func (l *link) recordGrant() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.grantsEndAt = max(l.grantsEndAt, l.s.SinceBoot()+callTimeout)
+}
+
+// grantsLapseAt returns by when a lease has expired that any order to this incarnation has granted to a later one.
+func (l *link) grantsLapseAt() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.grantsEndAt + withMaxDrift(l.s.MaxLease)
+}
+
+// unconfirmedRuns returns the runs whose starts a later incarnation may have accepted, as this one is not known to have done so, until each lease that such an incarnation can hold has expired.
 func (l *link) unconfirmedRuns(now time.Duration) map[runKey]struct{} {
+	unconfirmed := map[runKey]struct{}{}
+	if now >= l.grantsLapseAt() {
+		return unconfirmed
+	}
 	s := l.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	unconfirmed := map[runKey]struct{}{}
 	for key, r := range l.runs {
-		if !r.confirmed && r.sentAt != 0 && now < r.sentAt+s.longestStartLease() {
+		if !r.confirmed && r.sentAt != 0 {
 			unconfirmed[key] = struct{}{}
 		}
 	}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -43,6 +43,7 @@
 	lapsesAt      time.Duration // boot clock by which every lease has expired, whoever granted it, and nothing runs there
 	othersLapseAt time.Duration // boot clock by which the leases have expired that other leaders, or orders for an earlier incarnation, have granted
 	answered      bool          // it has answered a hold of this leader, so no order with a lower fencing token has any effect from then on
+	grantsEndAt   time.Duration // boot clock by which every order that grants a lease has been answered or given up
 	heardAt       time.Duration // boot clock, of the last answer to a hold; 0 while holds time out or fail
 	lapsed        bool          // its runs were committed as lapsed and it has not answered since
 	restarted     bool          // a later incarnation answered, which is not announced yet
@@ -248,6 +249,7 @@
 		order.Wait = wait
 	}
 	l.leaseMS = max(l.leaseMS, order.DeadlineMS)
+	l.grantsEndAt = max(l.grantsEndAt, now+callTimeout+order.Wait)
 	l.updateLapse()
 	return order, false
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -151,6 +151,7 @@
 		}
 		r.order.DeadlineMS = deadline
 		s.recordSent(r)
+		r.link.recordGrant()
 		ctx, cancel := context.WithTimeout(r.link.ctx, callTimeout)
 		began := time.Now()
 		answer, err := s.Calls.Start(ctx, r.link.currentWorker(), &r.order)
