--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -19,6 +19,7 @@
 type link struct {
 	s                *session
 	id               string
+	fence            call.Fence // of all orders for this incarnation
 	ctx              context.Context
 	cancel           context.CancelFunc
 	runs             map[runKey]*run         // guarded by the session's mutex
@@ -39,7 +40,10 @@
 	clockAskedAt  time.Duration // boot clock, after which the reading was taken
 	clockReadAt   time.Duration // boot clock by which the reading had certainly been taken; 0 for never
 	leaseMS       int64         // worker's clock: latest deadline granted in this leadership
-	lapsesAt      time.Duration // boot clock by which every lease has expired, whichever leader granted it, and nothing runs there
+	lapsesAt      time.Duration // boot clock by which every lease has expired, whoever granted it, and nothing runs there
+	othersLapseAt time.Duration // boot clock by which the leases have expired that other leaders, or orders for an earlier incarnation, have granted
+	answered      bool          // it has answered a hold of this leader, so no order with a lower fencing token has any effect from then on
+	grantsEndAt   time.Duration // boot clock by which every order that grants a lease has been answered or given up
 	heardAt       time.Duration // boot clock, of the last answer to a hold; 0 while holds time out or fail
 	lapsed        bool          // its runs were committed as lapsed and it has not answered since
 	restarted     bool          // a later incarnation answered, which is not announced yet
@@ -52,9 +56,10 @@
 }
 
 func newLink(s *session, w *wire.CalledWorker) *link {
-	l := &link{s: s, id: w.GetId(), worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}, departing: w.GetDeparted(), listings: make(chan struct{}, 1), cancelHold: func() {}}
+	l := &link{s: s, id: w.GetId(), fence: call.Fence{Term: s.term, Restarts: w.GetRestarts()}, worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}, departing: w.GetDeparted(), listings: make(chan struct{}, 1), cancelHold: func() {}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
-	l.lapsesAt = s.SinceBoot() + withMaxDrift(s.MaxLease)
+	l.othersLapseAt = s.SinceBoot() + s.longestStartLease()
+	l.lapsesAt = l.othersLapseAt
 	return l
 }
 
@@ -190,7 +195,7 @@
 			l.recordSilence(err)
 			s.pause(minRetryDelay)
 		case listing.Refusal == call.StaleFence:
-			event.WorkerObeysOther.Info("worker", l.id, "fence", s.fence)
+			event.WorkerObeysOther.Info("worker", l.id, "fence", l.fence.Token())
 			s.pause(longHoldWait)
 		case listing.Refusal != call.Accepted:
 			l.recordSilence(fmt.Errorf("the worker refused the hold: %s", listing.Refusal))
@@ -228,7 +233,7 @@
 	wait := l.holdWait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	order := &call.Hold{Fence: l.s.fence}
+	order := &call.Hold{Fence: l.fence}
 	if l.heardAt == 0 {
 		return order, l.departing
 	}
@@ -244,6 +249,7 @@
 		order.Wait = wait
 	}
 	l.leaseMS = max(l.leaseMS, order.DeadlineMS)
+	l.grantsEndAt = max(l.grantsEndAt, now+callTimeout+order.Wait)
 	l.updateLapse()
 	return order, false
 }
@@ -266,7 +272,14 @@
 // updateLapse computes when the lease has certainly expired: the worker's clock read at least clockMS at clockReadAt and is slow by at most 1/driftDivisor.
 func (l *link) updateLapse() {
 	left := time.Duration(l.leaseMS-l.clockMS) * time.Millisecond
-	l.lapsesAt = l.clockReadAt + withMaxDrift(left)
+	l.lapsesAt = max(l.othersLapseAt, l.clockReadAt+withMaxDrift(left))
+}
+
+// leaseTimes returns by when every lease has expired and when the worker's clock was last read, both on the boot clock.
+func (l *link) leaseTimes() (lapsesAt, clockReadAt time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lapsesAt, l.clockReadAt
 }
 
 func (l *link) recordAnswer(sent time.Duration, listing *call.Listing) {
@@ -274,15 +287,27 @@
 	defer l.mu.Unlock()
 	now := l.s.SinceBoot()
 	if l.heardAt == 0 {
-		event.WorkerHeard.Info("worker", l.id, "address", l.worker.GetAddress(), "clock_ms", listing.ClockMS)
+		event.WorkerHeard.Info("worker", l.id, "born", l.worker.GetBorn(), "address", l.worker.GetAddress(), "clock_ms", listing.ClockMS)
 	}
 	l.heardAt = now
 	l.lapsed, l.restarted = false, false
+	if !l.answered {
+		l.recordFirstAnswer(now)
+	}
 	if listing.ClockMS > 0 {
 		l.clockMS, l.clockAskedAt, l.clockReadAt = listing.ClockMS, sent, now
 	}
 }
 
+// recordFirstAnswer bounds the leases that others have granted by what can have been executed before now. An earlier leader has granted this incarnation no longer ones than this leader will; orders for an earlier incarnation may have granted the longest.
+func (l *link) recordFirstAnswer(now time.Duration) {
+	l.answered, l.othersLapseAt = true, 0
+	if l.fence.Restarts > 0 {
+		l.othersLapseAt = now + withMaxDrift(l.s.MaxLease)
+	}
+	l.lapsesAt = max(l.lapsesAt, l.othersLapseAt)
+}
+
 // recordSilence records a failed hold, and ends the worker's runs once its lease has certainly expired.
 func (l *link) recordSilence(cause error) {
 	l.mu.Lock()
@@ -307,6 +332,7 @@
 func (l *link) commitLapse(now time.Duration) bool {
 	s := l.s
 	unconfirmed := l.unconfirmedRuns(now)
+	lapsedAt, readAt := l.leaseTimes()
 	var ends []*wire.RunEnd
 	var keys []runKey
 	born := l.currentWorker().GetBorn()
@@ -326,7 +352,7 @@
 	})
 	if len(ends) > 0 || len(unconfirmed) == 0 {
 		s.leaseLapses.Inc()
-		event.LeaseLapsed.Info("worker", l.id, "runs", len(ends), "not_begun", countNotRun(ends), "unconfirmed", len(unconfirmed))
+		event.LeaseLapsed.Info("worker", l.id, "born", born, "lapsed_ms_ago", (now - lapsedAt).Milliseconds(), "clock_read_ms_ago", (now - readAt).Milliseconds(), "runs", len(ends), "not_begun", countNotRun(ends), "unconfirmed", len(unconfirmed))
 	}
 	if len(ends) > 0 && !s.commitEnds(ends) {
 		return false
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -36,6 +36,7 @@
 	worker  *wire.CalledWorker
 	order   call.Start
 	adopted bool // committed by an earlier leader, which may have sent its start
+	former  bool // committed for an earlier incarnation of its worker
 
 	begun         bool          // the worker has accepted its start or listed it
 	sentAt        time.Duration // boot clock, when its start was last sent; 0 for never
@@ -61,13 +62,11 @@
 // trackRun starts sending a committed start, or stops a run that was committed for an earlier incarnation of its worker. adopted says that an earlier leader may have sent the start.
 func (s *session) trackRun(t *workflow.Task, adopted bool) {
 	var r *run
-	inherited := false
 	s.Table.View(func(*workflow.Tables) {
 		if t.Worker != nil {
-			inherited = t.Inherited()
 			r = &run{
-				runKey: runKey{t.Name(), t.Run}, task: t, worker: t.Worker.CalledWorker, adopted: adopted,
-				order: call.Start{Task: t.Name(), Run: t.Run, Payload: t.Step.Job.Spec.GetPayload(), Fence: s.fence, Checkpoint: t.Checkpoint, Ticket: t.Ticket},
+				runKey: runKey{t.Name(), t.Run}, task: t, worker: t.Worker.CalledWorker, adopted: adopted, former: t.Inherited(),
+				order: call.Start{Task: t.Name(), Run: t.Run, Payload: t.Step.Job.Spec.GetPayload(), Checkpoint: t.Checkpoint, Ticket: t.Ticket},
 			}
 		}
 	})
@@ -79,6 +78,7 @@
 	known := s.runs[r.runKey] != nil
 	if l != nil && !known {
 		r.link, r.phaseSince, r.checkpoint = l, s.SinceBoot(), r.order.Checkpoint
+		r.order.Fence = l.fence
 		r.image, r.pace = s.imageNumber(t.Step.Spec.GetImage()), 100
 		if adopted {
 			s.recordAtWork(r, r.phaseSince)
@@ -89,7 +89,7 @@
 	s.mu.Unlock()
 	switch {
 	case l == nil || known:
-	case inherited:
+	case r.former:
 		s.tasks.Go(func() { s.stopRun(r, "it was committed for an earlier incarnation of its worker") })
 	default:
 		s.tasks.Go(func() { s.startRun(r) })
@@ -151,6 +151,7 @@
 		}
 		r.order.DeadlineMS = deadline
 		s.recordSent(r)
+		r.link.recordGrant()
 		ctx, cancel := context.WithTimeout(r.link.ctx, callTimeout)
 		began := time.Now()
 		answer, err := s.Calls.Start(ctx, r.link.currentWorker(), &r.order)
@@ -173,7 +174,7 @@
 			if !s.confirmStart(r, answer.ClockMS) {
 				continue
 			}
-			s.recordStarted(r)
+			s.recordStarted(r, answer.ClockMS)
 			return
 		}
 		s.startsRefused.Inc()
@@ -186,8 +187,8 @@
 	}
 }
 
-func (s *session) recordStarted(r *run) {
-	event.RunStarted.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "fence", s.fence)
+func (s *session) recordStarted(r *run, clockMS int64) {
+	event.RunStarted.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "born", r.worker.GetBorn(), "clock_ms", clockMS, "confirmed", s.isConfirmed(r), "fence", r.order.Fence.Token())
 	s.started.Inc()
 	s.recordBegun(r)
 	s.setPhase(r, started)
@@ -203,6 +204,13 @@
 	r.sentAt = s.SinceBoot()
 }
 
+// isConfirmed reports whether the worker's incarnation is known to have answered the start of a run or to have listed it.
+func (s *session) isConfirmed(r *run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.confirmed
+}
+
 func (s *session) isListed(r *run) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -300,7 +308,7 @@
 	wait := minRetryDelay
 	for s.awaitMayCall(l.ctx) && wanted() {
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-		answer, err := s.Calls.Stop(ctx, l.currentWorker(), &call.Stop{Task: key.name, Run: key.number, Fence: s.fence})
+		answer, err := s.Calls.Stop(ctx, l.currentWorker(), &call.Stop{Task: key.name, Run: key.number, Fence: l.fence})
 		cancel()
 		switch {
 		case errors.Is(err, call.ErrOtherWorker):
