Place nothing on a worker that lists runs which are not committed to it

They were being stopped, but their room counted as free, and what is being stopped still takes room.

A worker whose last listing has stray runs gets no new tasks until a listing has none.

TestStrayRunsOfAWorkerTakeItsRoom failed on the former code (26 tasks of one core on 16 cores), and passes.

--- a/dispatch/former_order_test.go
+++ b/dispatch/former_order_test.go
@@ -113,3 +113,27 @@
 		assert.Equal(t, b.runningOf("second"), 6)
 	})
 }
+
+// TestStrayRunsOfAWorkerTakeItsRoom guards against starts beyond the room of a worker that lists runs which are not committed to it, until they have been stopped.
+func TestStrayRunsOfAWorkerTakeItsRoom(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		time.Sleep(15 * time.Second)
+		b.locked(func() { w.startDelay, w.stopTime = 9*time.Second, 900*time.Millisecond })
+		b.submit("lasting", "former", &wire.Step{Count: 10, Size: unit, Lasting: true})
+		time.Sleep(100 * time.Millisecond)
+		b.locked(func() { w.restart(); w.startDelay, w.silent = 0, true })
+		time.Sleep(9500 * time.Millisecond)
+		b.locked(func() {
+			assert.Equal(t, len(w.runs), 10)
+			w.silent = false
+		})
+		b.apply(&wire.WorkflowCommand{Cancel: "former"})
+		w.announce()
+		b.submit("lasting", "other", &wire.Step{Count: 16, Size: unit, Lasting: true})
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			b.locked(func() { assert.Assert(b.t, len(w.runs) <= 16, "%d tasks of one core on 16 cores", len(w.runs)) })
+		}
+	})
+}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -48,7 +48,8 @@
 	lapsed        bool          // its runs were committed as lapsed and it has not answered since
 	restarted     bool          // a later incarnation answered, which is not announced yet
 	cooldownUntil time.Duration // boot clock until which no new tasks are placed on it
-	strays        map[runKey]struct{}
+	strays        map[runKey]struct{} // that are being stopped
+	listsStrays   bool                // the last listing has runs that are not committed to it, whose room is not counted
 	departing     bool   // the worker says that it has ended
 	keeper        int    // of its lease, counted from 0; the one before ends with its hold in progress
 	departListed  bool   // it has answered since with a complete listing
@@ -98,7 +99,7 @@
 func (l *link) usable(now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.heardAt != 0 && l.leaseMS != 0 && !l.departing && now >= l.cooldownUntil
+	return l.heardAt != 0 && l.leaseMS != 0 && !l.departing && !l.listsStrays && now >= l.cooldownUntil
 }
 
 // cooldowns holds how long a worker gets no new tasks after a refusal.
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -41,11 +41,13 @@
 	defer func() { <-l.listings }()
 	l.dropLongCheckpoints(listing)
 	listed := map[runKey]struct{}{}
+	strays := false
 	for i := range listing.Running {
 		key := runKey{listing.Running[i].Task, listing.Running[i].Run}
 		listed[key] = struct{}{}
-		l.processRunning(key, &listing.Running[i])
+		strays = l.processRunning(key, &listing.Running[i]) || strays
 	}
+	l.setListsStrays(strays)
 	for _, e := range listing.Ended {
 		listed[runKey{e.Task, e.Run}] = struct{}{}
 	}
@@ -68,8 +70,14 @@
 	l.runsListed = true
 }
 
-// processRunning updates a listed run, and stops one that is not known on this worker or whose workflow has ended.
-func (l *link) processRunning(key runKey, listed *call.Running) {
+func (l *link) setListsStrays(strays bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listsStrays = strays
+}
+
+// processRunning updates a listed run, and stops one that is not known on this worker or whose workflow has ended. It reports whether the run is not committed to the worker.
+func (l *link) processRunning(key runKey, listed *call.Running) (stray bool) {
 	s := l.s
 	now := s.SinceBoot()
 	s.mu.Lock()
@@ -87,13 +95,14 @@
 	}
 	switch {
 	case r == nil:
-		l.stopStray(key)
+		return l.stopStray(key)
 	case again:
 		s.setPhase(r, started)
 		s.stopByKey(key, "it still runs after it was stopped")
 	default:
 		l.stopIfUnwanted(r)
 	}
+	return false
 }
 
 // update applies what the worker reports about a run. The caller holds the session's mutex.
@@ -113,8 +122,8 @@
 	}
 }
 
-// stopStray stops a run unless the state commits it to this worker.
-func (l *link) stopStray(key runKey) {
+// stopStray stops a run unless the state commits it to this worker, and reports whether it is a stray one.
+func (l *link) stopStray(key runKey) (stray bool) {
 	s := l.s
 	committed := false
 	s.Table.View(func(t *workflow.Tables) {
@@ -128,7 +137,7 @@
 	}
 	l.mu.Unlock()
 	if committed || known {
-		return
+		return !committed
 	}
 	event.StrayRun.Info("task", key.name.String(), "run", key.number, "worker", l.id)
 	s.tasks.Go(func() {
@@ -138,6 +147,7 @@
 		delete(l.strays, key)
 		l.mu.Unlock()
 	})
+	return true
 }
 
 // stopIfUnwanted stops a run whose workflow has ended.
