Take a worker that refuses the fencing token for silent

A worker that had seen a higher token than the leader's refused its holds, but stayed usable: its tasks stayed committed to it for good, and others were placed there. Found by review.

A refused hold counts as silence now; the tasks are released with the lease. A leader that was deposed for real can't commit that.

TestWorkerThatRefusesTheFencingTokenGetsNoTasks and TestWorkerThatRefusesTheFencingTokenKeepsNoTasks failed on the former code (nothing ran after 60 s with a free worker beside), and pass.

--- a/dispatch/former_order_test.go
+++ b/dispatch/former_order_test.go
@@ -137,3 +137,39 @@
 		}
 	})
 }
+
+// TestWorkerThatRefusesTheFencingTokenGetsNoTasks guards against tasks that stay committed for good to a worker that answered before and refuses this leader's fencing token since.
+func TestWorkerThatRefusesTheFencingTokenGetsNoTasks(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		time.Sleep(3 * time.Second)
+		b.locked(func() { w.fence = 9 }) // as a relay of the build before would leave it: orders with a lower token
+		b.addWorker("w1", big)
+		time.Sleep(2 * time.Second)
+		b.submit("lasting", "stuck", &wire.Step{Count: 8, Size: unit, Lasting: true})
+		time.Sleep(60 * time.Second)
+		assert.Equal(t, b.runningOf("stuck"), 8)
+	})
+}
+
+// TestWorkerThatRefusesTheFencingTokenKeepsNoTasks guards against tasks that stay committed for good to a worker that refuses this leader's fencing token, as where a former leader's replica counted more restarts.
+func TestWorkerThatRefusesTheFencingTokenKeepsNoTasks(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		for range 4 {
+			time.Sleep(2 * time.Second)
+			b.locked(w.restart)
+			w.announce()
+		}
+		time.Sleep(time.Second)
+		b.submit("lasting", "held", &wire.Step{Count: 4, Size: unit, Lasting: true})
+		time.Sleep(time.Second)
+		assert.Equal(t, b.runningOf("held"), 4)
+		b.depose()
+		b.table.View(func(t *workflow.Tables) { t.Workers["w0"].Restarts = 1 }) // a replica that counts from an older snapshot
+		b.lead(2)
+		b.addWorker("w1", big)
+		time.Sleep(60 * time.Second)
+		assert.Equal(t, b.runningOf("held"), 4)
+	})
+}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -36,24 +36,24 @@
 
 	mu            sync.Mutex // guards the fields below
 	worker        *wire.CalledWorker
-	clockMS       int64         // a reading of the worker's clock
-	clockAskedAt  time.Duration // boot clock, after which the reading was taken
-	clockReadAt   time.Duration // boot clock by which the reading had certainly been taken; 0 for never
-	leaseMS       int64         // worker's clock: latest deadline granted in this leadership
-	lapsesAt      time.Duration // boot clock by which every lease has expired, whoever granted it, and nothing runs there
-	othersLapseAt time.Duration // boot clock by which the leases have expired that other leaders, or orders for an earlier incarnation, have granted
-	answered      bool          // it has answered a hold of this leader, so no order with a lower fencing token has any effect from then on
-	grantsEndAt   time.Duration // boot clock by which every order that grants a lease has been answered or given up
-	heardAt       time.Duration // boot clock, of the last answer to a hold; 0 while holds time out or fail
-	lapsed        bool          // its runs were committed as lapsed and it has not answered since
-	restarted     bool          // a later incarnation answered, which is not announced yet
-	cooldownUntil time.Duration // boot clock until which no new tasks are placed on it
+	clockMS       int64               // a reading of the worker's clock
+	clockAskedAt  time.Duration       // boot clock, after which the reading was taken
+	clockReadAt   time.Duration       // boot clock by which the reading had certainly been taken; 0 for never
+	leaseMS       int64               // worker's clock: latest deadline granted in this leadership
+	lapsesAt      time.Duration       // boot clock by which every lease has expired, whoever granted it, and nothing runs there
+	othersLapseAt time.Duration       // boot clock by which the leases have expired that other leaders, or orders for an earlier incarnation, have granted
+	answered      bool                // it has answered a hold of this leader, so no order with a lower fencing token has any effect from then on
+	grantsEndAt   time.Duration       // boot clock by which every order that grants a lease has been answered or given up
+	heardAt       time.Duration       // boot clock, of the last answer to a hold; 0 while holds time out or fail
+	lapsed        bool                // its runs were committed as lapsed and it has not answered since
+	restarted     bool                // a later incarnation answered, which is not announced yet
+	cooldownUntil time.Duration       // boot clock until which no new tasks are placed on it
 	strays        map[runKey]struct{} // that are being stopped
 	listsStrays   bool                // the last listing has runs that are not committed to it, whose room is not counted
-	departing     bool   // the worker says that it has ended
-	keeper        int    // of its lease, counted from 0; the one before ends with its hold in progress
-	departListed  bool   // it has answered since with a complete listing
-	cancelHold    func() // of the hold in progress
+	departing     bool                // the worker says that it has ended
+	keeper        int                 // of its lease, counted from 0; the one before ends with its hold in progress
+	departListed  bool                // it has answered since with a complete listing
+	cancelHold    func()              // of the hold in progress
 }
 
 func newLink(s *session, w *wire.CalledWorker) *link {
@@ -197,6 +197,7 @@
 			s.pause(minRetryDelay)
 		case listing.Refusal == call.StaleFence:
 			event.WorkerObeysOther.Info("worker", l.id, "fence", l.fence.Token())
+			l.recordSilence(errors.New("the worker has seen a higher fencing token"))
 			s.pause(longHoldWait)
 		case listing.Refusal != call.Accepted:
 			l.recordSilence(fmt.Errorf("the worker refused the hold: %s", listing.Refusal))
