Wait for orders that an announced incarnation may execute before it answers

The leader had counted the longest lease from when it began to call that incarnation, and 0.6 s, in which a hold in flight is not contained either.

Before an announced incarnation has answered, the bound counts from the last order to its predecessor; runs with starts that the predecessor has not answered wait for 12 s more, the delay that the platform's documentation names. A leader that adopts runs of an incarnation that has a predecessor waits for all of them.

TestLateStartOnAnAnnouncedIncarnationThatIsNeverHeardRunsAlone (10 tasks twice, with and without a change of leader) and TestHoldForTheFormerIncarnationInFlightIsWaitedFor failed on the former code, and pass.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -43,7 +43,7 @@
 		id := fmt.Sprintf("w%d", i)
 		w := &wire.CalledWorker{Id: id, Born: 1, Address: id, Pool: "p", Capacity: &wire.Size{MilliCpu: 18000, MemoryMib: 64000}}
 		command.Workers = append(command.Workers, w)
-		l := newLink(s, w)
+		l := newLink(s, w, predecessor{})
 		l.heardAt, l.leaseMS = time.Hour, 1
 		s.links[id] = l
 	}
@@ -133,7 +133,7 @@
 		id := fmt.Sprintf("w%d", i)
 		w := &wire.CalledWorker{Id: id, Born: 1, Address: id, Pool: "p", Capacity: &wire.Size{MilliCpu: 10000, MemoryMib: 64000}}
 		command.Workers = append(command.Workers, w)
-		l := newLink(s, w)
+		l := newLink(s, w, predecessor{})
 		l.heardAt, l.leaseMS = time.Hour, 1
 		s.links[id] = l
 	}
--- a/dispatch/former_order_test.go
+++ b/dispatch/former_order_test.go
@@ -173,3 +173,49 @@
 		assert.Equal(t, b.runningOf("held"), 4)
 	})
 }
+
+// TestLateStartOnAnAnnouncedIncarnationThatIsNeverHeardRunsAlone guards against a second run of a task whose start for the former incarnation is executed seconds late by a later one that was announced and has not answered.
+func TestLateStartOnAnAnnouncedIncarnationThatIsNeverHeardRunsAlone(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new leader %v", newLeader), func(t *testing.T) {
+			runOnBench(t, 2, big, func(b *testBench) {
+				w := b.workers["w0"]
+				time.Sleep(5 * time.Second)
+				b.locked(func() { w.startDelay = 6 * time.Second })
+				b.submit("lasting", "former", &wire.Step{Count: 10, Size: unit, Lasting: true})
+				time.Sleep(100 * time.Millisecond)
+				b.locked(func() { w.restart(); w.startDelay, w.silent = 0, true })
+				w.announce()
+				if newLeader {
+					b.lead(2)
+				}
+				time.Sleep(25 * time.Second)
+				assert.Equal(t, b.runningOf("former"), 10)
+			})
+		})
+	}
+}
+
+// TestHoldForTheFormerIncarnationInFlightIsWaitedFor guards against a second run where a hold for the former incarnation, which is still within its time limit, prolongs the lease of a later one that is announced and never answers.
+func TestHoldForTheFormerIncarnationInFlightIsWaitedFor(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		t.Run(map[bool]string{true: "new leader", false: "same leader"}[newLeader], func(t *testing.T) {
+			runOnBench(t, 1, big, func(b *testBench) {
+				w := b.workers["w0"]
+				time.Sleep(29700 * time.Millisecond)
+				b.locked(func() { w.executesHoldsAfter = 1550 * time.Millisecond })
+				time.Sleep(150 * time.Millisecond)
+				b.locked(func() { w.restart(); w.executesHoldsAfter = 0 })
+				b.submit("lasting", "former", &wire.Step{Count: 4, Size: unit, Lasting: true})
+				time.Sleep(60 * time.Millisecond)
+				b.locked(func() { assert.Equal(t, len(w.runs), 4); w.silent = true })
+				w.announce()
+				if newLeader {
+					b.lead(2)
+				}
+				b.addWorker("w1", big)
+				time.Sleep(15 * time.Second)
+			})
+		})
+	}
+}
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -7,9 +7,33 @@
 	"daisyswitch/event"
 )
 
-// An order names its worker by id alone, so a later incarnation under the same id may execute what was meant for an earlier one.
+// An order names its worker by id alone, so a later incarnation under the same id may execute what was meant for an earlier one, also seconds late.
 // Listings name their incarnation; answers to starts do not, but the worker's clock begins anew with each incarnation.
 
+// maxOrderDelay is the longest time after which a worker executes an order that it has not answered; the platform's documentation names 12 s.
+const maxOrderDelay = 12 * time.Second
+
+// predecessor is what the link of a worker's former incarnation leaves to the next one.
+type predecessor struct {
+	uncertain   map[runKey]struct{} // runs of which a start may still be executed
+	grantsEndAt time.Duration       // boot clock by which every order that grants a lease has been answered or given up
+}
+
+// predecessor returns what a later incarnation has to know. The caller holds the session's mutex.
+func (l *link) predecessor() predecessor {
+	now := l.s.SinceBoot()
+	p := predecessor{uncertain: map[runKey]struct{}{}}
+	for key, r := range l.runs {
+		if r.late || l.isUncertain(r, now) {
+			p.uncertain[key] = struct{}{}
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.grantsEndAt = l.grantsEndAt
+	return p
+}
+
 // recordRestart records that a later incarnation of the worker answered. It may execute what was meant for this one, under a lease of its own.
 // Its announcement hands the runs over to it; without one they end with the longest lease that it can hold.
 func (l *link) recordRestart(cause error) {
@@ -20,15 +44,10 @@
 		return
 	}
 	l.restarted = true
-	l.othersLapseAt = max(l.othersLapseAt, l.s.SinceBoot()+l.s.longestStartLease())
+	now := l.s.SinceBoot()
+	l.othersLapseAt = max(l.othersLapseAt, max(now, l.grantsEndAt)+withMaxDrift(l.s.MaxLease))
 	l.lapsesAt = max(l.lapsesAt, l.othersLapseAt)
-	event.WorkerRestarted.Error(cause, "worker", l.id, "born", l.worker.GetBorn(), "lapses_in_ms", l.s.longestStartLease().Milliseconds())
-}
-
-// longestStartLease is how long after a start was sent the runs of the incarnation that accepts it may last, if that is not the intended one.
-// The worker's clock begins anew with each incarnation, so the deadline in the start is only bounded by the longest lease.
-func (s *session) longestStartLease() time.Duration {
-	return callTimeout + withMaxDrift(s.MaxLease)
+	event.WorkerRestarted.Error(cause, "worker", l.id, "born", l.worker.GetBorn(), "lapses_in_ms", (l.lapsesAt - now).Milliseconds())
 }
 
 // isUnlistedFormer reports whether a run was committed for an earlier incarnation and has not been listed by this one.
@@ -80,24 +99,26 @@
 	l.grantsEndAt = max(l.grantsEndAt, l.s.SinceBoot()+callTimeout)
 }
 
-// grantsLapseAt returns by when a lease has expired that any order to this incarnation has granted to a later one.
-func (l *link) grantsLapseAt() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.grantsEndAt + withMaxDrift(l.s.MaxLease)
+// isUncertain reports whether a later incarnation may execute a start of a run: one that this incarnation is not known to have accepted, or an earlier one of the same run that was not answered. The caller holds the session's mutex.
+func (l *link) isUncertain(r *run, now time.Duration) bool {
+	if r.sentAt != 0 && !r.confirmed {
+		return true
+	}
+	return r.unansweredAt != 0 && now < r.unansweredAt+maxOrderDelay+withMaxDrift(l.s.MaxLease)
 }
 
-// unconfirmedRuns returns the runs whose starts a later incarnation may have accepted, as this one is not known to have done so, until each lease that such an incarnation can hold has expired.
+// unconfirmedRuns returns the runs that may go on after the leases that were granted to this incarnation: a later one may have accepted their starts, or this one may execute late what was meant for its predecessor. It returns them until each lease that such orders can grant has expired.
 func (l *link) unconfirmedRuns(now time.Duration) map[runKey]struct{} {
-	unconfirmed := map[runKey]struct{}{}
-	if now >= l.grantsLapseAt() {
-		return unconfirmed
-	}
+	l.mu.Lock()
+	later := now < l.grantsEndAt+withMaxDrift(l.s.MaxLease)
+	late := !l.answered && now < l.began+maxOrderDelay+withMaxDrift(l.s.MaxLease)
+	l.mu.Unlock()
 	s := l.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	unconfirmed := map[runKey]struct{}{}
 	for key, r := range l.runs {
-		if !r.confirmed && r.sentAt != 0 {
+		if later && r.sentAt != 0 && !r.confirmed || late && r.late {
 			unconfirmed[key] = struct{}{}
 		}
 	}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -22,6 +22,8 @@
 	fence            call.Fence // of all orders for this incarnation
 	ctx              context.Context
 	cancel           context.CancelFunc
+	began            time.Duration // boot clock, when this leader began to call it
+	former           predecessor
 	runs             map[runKey]*run         // guarded by the session's mutex
 	health           health                  // guarded by the session's mutex
 	serving          map[runKey]*servingTask // serving tasks; guarded by the session's mutex
@@ -56,10 +58,17 @@
 	cancelHold    func()              // of the hold in progress
 }
 
-func newLink(s *session, w *wire.CalledWorker) *link {
+func newLink(s *session, w *wire.CalledWorker, former predecessor) *link {
 	l := &link{s: s, id: w.GetId(), fence: call.Fence{Term: s.term, Restarts: w.GetRestarts()}, worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}, departing: w.GetDeparted(), listings: make(chan struct{}, 1), cancelHold: func() {}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
-	l.othersLapseAt = s.SinceBoot() + s.longestStartLease()
+	l.began, l.former = s.SinceBoot(), former
+	l.othersLapseAt = l.began + withMaxDrift(s.MaxLease)
+	switch {
+	case former.grantsEndAt != 0:
+		l.othersLapseAt = max(l.began, former.grantsEndAt) + withMaxDrift(s.MaxLease)
+	case w.GetRestarts() > 0: // an earlier leader's orders for the former incarnation
+		l.othersLapseAt += callTimeout + longHoldWait
+	}
 	l.lapsesAt = l.othersLapseAt
 	return l
 }
@@ -196,7 +205,7 @@
 			l.recordSilence(err)
 			s.pause(minRetryDelay)
 		case listing.Refusal == call.StaleFence:
-			event.WorkerObeysOther.Info("worker", l.id, "fence", l.fence.Token())
+			event.WorkerObeysOther.Info("worker", l.id, "fence", order.Fence.Token())
 			l.recordSilence(errors.New("the worker has seen a higher fencing token"))
 			s.pause(longHoldWait)
 		case listing.Refusal != call.Accepted:
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -299,10 +299,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	former := map[string]predecessor{}
 	for id, l := range s.links {
 		if w := current[id]; w == nil || w.GetBorn() != l.worker.GetBorn() {
 			l.cancel()
 			delete(s.links, id)
+			former[id] = l.predecessor()
 			for key, r := range l.runs {
 				if r.listed {
 					s.recordAtWork(r, r.listedAt)
@@ -317,7 +319,7 @@
 			l.setWorker(w)
 			continue
 		}
-		l := newLink(s, w)
+		l := newLink(s, w, former[id])
 		s.links[id] = l
 		s.tasks.Go(func() { l.keepLease(0) })
 		added[w.GetAddress()] = id
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -37,9 +37,11 @@
 	order   call.Start
 	adopted bool // committed by an earlier leader, which may have sent its start
 	former  bool // committed for an earlier incarnation of its worker
+	late    bool // and a start of it may not have been executed yet
 
 	begun         bool          // the worker has accepted its start or listed it
 	sentAt        time.Duration // boot clock, when its start was last sent; 0 for never
+	unansweredAt  time.Duration // boot clock, when a start was last sent that was not answered; 0 for none
 	confirmed     bool          // the worker's incarnation is known to have answered its start or to have listed it
 	phase         phase
 	phaseSince    time.Duration // boot clock, when the phase began
@@ -79,6 +81,8 @@
 	if l != nil && !known {
 		r.link, r.phaseSince, r.checkpoint = l, s.SinceBoot(), r.order.Checkpoint
 		r.order.Fence = l.fence
+		_, uncertain := l.former.uncertain[r.runKey]
+		r.late = r.former && (adopted || uncertain)
 		r.image, r.pace = s.imageNumber(t.Step.Spec.GetImage()), 100
 		if adopted {
 			s.recordAtWork(r, r.phaseSince)
@@ -157,6 +161,9 @@
 		answer, err := s.Calls.Start(ctx, r.link.currentWorker(), &r.order)
 		observeSince(s.startCall, began)
 		cancel()
+		if err != nil {
+			s.recordUnanswered(r)
+		}
 		switch {
 		case errors.Is(err, call.ErrOtherWorker):
 			r.link.markReplaced()
@@ -204,6 +211,12 @@
 	r.sentAt = s.SinceBoot()
 }
 
+func (s *session) recordUnanswered(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.unansweredAt = r.sentAt
+}
+
 // isConfirmed reports whether the worker's incarnation is known to have answered the start of a run or to have listed it.
 func (s *session) isConfirmed(r *run) bool {
 	s.mu.Lock()
