Count a run whose start was sent again as one that a later incarnation may execute

A start that was not answered and sent again was accepted at the second try, so the run counted as confirmed; the first try was executed by a later incarnation, and the run was released with the former's lease. Such a run now waits like one without an answer, as long as its first try may be executed.

TestRunAcceptedAtItsSecondTryOutlastsTheFirst failed on the former code, and passes.

--- a/dispatch/former_order_test.go
+++ b/dispatch/former_order_test.go
@@ -219,3 +219,28 @@
 		})
 	}
 }
+
+// TestRunAcceptedAtItsSecondTryOutlastsTheFirst guards against a second run where a run was accepted at the second try, and the first try is executed by a later incarnation that is not announced.
+func TestRunAcceptedAtItsSecondTryOutlastsTheFirst(t *testing.T) {
+	for _, announced := range []bool{false, true} {
+		t.Run(map[bool]string{true: "announced", false: "not announced"}[announced], func(t *testing.T) {
+			runOnBench(t, 1, big, func(b *testBench) {
+				w := b.workers["w0"]
+				time.Sleep(5 * time.Second)
+				b.locked(func() { w.startDelay = 2 * time.Second })
+				b.submit("lasting", "former", &wire.Step{Count: 4, Size: unit, Lasting: true})
+				time.Sleep(100 * time.Millisecond)
+				b.locked(func() { w.startDelay = 0 })
+				time.Sleep(1500 * time.Millisecond)
+				b.locked(w.restart)
+				time.Sleep(450 * time.Millisecond)
+				if announced {
+					w.announce()
+				}
+				b.locked(func() { w.silent = true })
+				b.addWorker("w1", big)
+				time.Sleep(15 * time.Second)
+			})
+		})
+	}
+}
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -118,7 +118,7 @@
 	defer s.mu.Unlock()
 	unconfirmed := map[runKey]struct{}{}
 	for key, r := range l.runs {
-		if later && r.sentAt != 0 && !r.confirmed || late && r.late {
+		if later && l.isUncertain(r, now) || late && r.late {
 			unconfirmed[key] = struct{}{}
 		}
 	}
