Bar late orders on a restarted worker that answers before it is announced

A restarted worker whose announcement was late answered holds, which carried the token for its former incarnation and so barred nothing; a start for that one, executed 9 s late, ran beside the second run of its task. Found by review.

Once a hold was answered by a later incarnation, the next ones carry its token, one higher than the former's and as high as the first one after the announcement. An order of the next leader is never lower, as its term is higher.

TestLateStartOnAnUnannouncedIncarnationThatAnswersRunsAlone failed on the former code, and passes.

--- a/dispatch/former_order_test.go
+++ b/dispatch/former_order_test.go
@@ -244,3 +244,18 @@
 		})
 	}
 }
+
+// TestLateStartOnAnUnannouncedIncarnationThatAnswersRunsAlone guards against a second run where a restarted worker, whose announcement is late but which answers holds, executes a start for its former incarnation after the lapse.
+func TestLateStartOnAnUnannouncedIncarnationThatAnswersRunsAlone(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		time.Sleep(30 * time.Second)
+		b.locked(func() { w.startDelay = 9 * time.Second })
+		b.submit("lasting", "former", &wire.Step{Count: 4, Size: unit, Lasting: true})
+		time.Sleep(100 * time.Millisecond)
+		b.locked(func() { w.restart(); w.startDelay, w.losesStarts = 0, true })
+		b.addWorker("w1", big)
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, w.fence > 0, "it has not answered the leader")
+	})
+}
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -50,6 +50,16 @@
 	event.WorkerRestarted.Error(cause, "worker", l.id, "born", l.worker.GetBorn(), "lapses_in_ms", (l.lapsesAt - now).Milliseconds())
 }
 
+// recordLaterAnswer records that a later incarnation has answered a hold. The next holds carry its fencing token, so that it executes nothing that was meant for this one, even if its announcement is late.
+func (l *link) recordLaterAnswer(barred bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.barsFormer = true
+	if barred && l.barredAt == 0 {
+		l.barredAt = l.s.SinceBoot()
+	}
+}
+
 // isUnlistedFormer reports whether a run was committed for an earlier incarnation and has not been listed by this one.
 func (l *link) isUnlistedFormer(key runKey) bool {
 	l.s.mu.Lock()
@@ -110,7 +120,7 @@
 // unconfirmedRuns returns the runs that may go on after the leases that were granted to this incarnation: a later one may have accepted their starts, or this one may execute late what was meant for its predecessor. It returns them until each lease that such orders can grant has expired.
 func (l *link) unconfirmedRuns(now time.Duration) map[runKey]struct{} {
 	l.mu.Lock()
-	later := now < l.grantsEndAt+withMaxDrift(l.s.MaxLease)
+	later := now < max(l.grantsEndAt, l.barredAt)+withMaxDrift(l.s.MaxLease)
 	late := !l.answered && now < l.began+maxOrderDelay+withMaxDrift(l.s.MaxLease)
 	l.mu.Unlock()
 	s := l.s
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -48,6 +48,8 @@
 	grantsEndAt   time.Duration       // boot clock by which every order that grants a lease has been answered or given up
 	heardAt       time.Duration       // boot clock, of the last answer to a hold; 0 while holds time out or fail
 	lapsed        bool                // its runs were committed as lapsed and it has not answered since
+	barsFormer    bool                // holds carry the fencing token of a later incarnation
+	barredAt      time.Duration       // boot clock, when a later incarnation first answered such a hold; 0 for never
 	restarted     bool                // a later incarnation answered, which is not announced yet
 	cooldownUntil time.Duration       // boot clock until which no new tasks are placed on it
 	strays        map[runKey]struct{} // that are being stopped
@@ -199,6 +201,7 @@
 			return
 		case errors.Is(err, call.ErrRestarted):
 			l.recordRestart(err)
+			l.recordLaterAnswer(order.Fence != l.fence)
 			l.recordSilence(err)
 			s.pause(maxRetryDelay)
 		case err != nil:
@@ -245,6 +248,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	order := &call.Hold{Fence: l.fence}
+	if l.barsFormer {
+		order.Fence.Restarts++
+	}
 	if l.heardAt == 0 {
 		return order, l.departing
 	}
