List three schedules in which a restarted worker's evidence dies with it

Found by review: an unanswered first try, a start whose run was stopped, and a hold in flight, each executed by a later incarnation before it has seen its own token.

--- a/dispatch/former_order_test.go
+++ b/dispatch/former_order_test.go
@@ -259,3 +259,66 @@
 		assert.Assert(t, w.fence > 0, "it has not answered the leader")
 	})
 }
+
+// TestLateFirstTryIsNotExecutedAfterTheRunWasDone guards against a start after a run has ended as done and was noted, where the first try of its start is executed late by a later incarnation.
+func TestLateFirstTryIsNotExecutedAfterTheRunWasDone(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		time.Sleep(5 * time.Second)
+		b.locked(func() { w.startDelay = 4 * time.Second })
+		b.submit("short", "former", short(1))
+		time.Sleep(100 * time.Millisecond)
+		b.locked(func() { w.startDelay = 0 })
+		time.Sleep(2900 * time.Millisecond)
+		assert.Equal(t, b.state("former"), workflow.StateCompleted)
+		b.locked(w.restart)
+		time.Sleep(1200 * time.Millisecond)
+		w.announce()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, b.runCount("former.0.0.0"), 1)
+	})
+}
+
+// TestStoppedRunDoesNotStartOnALaterIncarnation guards against a second run where the incarnation that was told to stop a run restarts, and the next one executes the start 2.7 s late, before it has answered anything.
+func TestStoppedRunDoesNotStartOnALaterIncarnation(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		time.Sleep(30 * time.Second)
+		b.locked(func() { w.startDelay = 2700 * time.Millisecond })
+		b.submit("lasting", "former", &wire.Step{Count: 4, Size: unit, Lasting: true})
+		time.Sleep(100 * time.Millisecond)
+		b.locked(func() { w.restart(); w.startDelay, w.refusesStarts = 0, true })
+		b.addWorker("w1", big)
+		w.announce()
+		time.Sleep(2 * time.Second) // its tasks are stopped, not listed and placed again
+		assert.Equal(t, b.runningOf("former"), 4)
+		b.locked(w.restart)
+		time.Sleep(time.Second)
+		w.announce()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// TestHoldInFlightForgetsNoEndsOfALaterIncarnation guards against a second run of a task that was done on a restarted worker, whose end a hold for the former incarnation acknowledged within its time limit.
+func TestHoldInFlightForgetsNoEndsOfALaterIncarnation(t *testing.T) {
+	for after := 100; after <= 1000; after += 100 {
+		t.Run(fmt.Sprintf("restart after %d ms", after), func(t *testing.T) {
+			runOnBench(t, 1, big, func(b *testBench) {
+				w := b.workers["w0"]
+				b.submit("short", "earlier", short(5))
+				time.Sleep(29700 * time.Millisecond)
+				b.locked(func() { w.executesHoldsAfter = 1550 * time.Millisecond })
+				time.Sleep(time.Duration(after) * time.Millisecond)
+				b.locked(func() { w.restart(); w.executesHoldsAfter = 0 })
+				b.submit("short", "later", short(2))
+				time.Sleep(1550 * time.Millisecond)
+				w.announce()
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, b.state("later"), workflow.StateCompleted)
+				for i := range 2 {
+					assert.Equal(t, b.runCount(fmt.Sprintf("later.0.0.%d", i)), 1, "the task ran again after it was done")
+				}
+			})
+		})
+	}
+}
