--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -103,10 +103,10 @@
 }
 
 // recordGrant records that a start is about to be sent, whose deadline prolongs the lease of all runs of the incarnation that receives it.
-func (l *link) recordGrant() {
+func (l *link) recordGrant(sent time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.grantsEndAt = max(l.grantsEndAt, l.s.SinceBoot()+callTimeout)
+	l.grantsEndAt = max(l.grantsEndAt, sent+callTimeout)
 }
 
 // isUncertain reports whether a later incarnation may execute a start of a run: one that this incarnation is not known to have accepted, or an earlier one of the same run that was not answered. The caller holds the session's mutex.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -155,7 +155,6 @@
 		}
 		r.order.DeadlineMS = deadline
 		s.recordSent(r)
-		r.link.recordGrant()
 		ctx, cancel := context.WithTimeout(r.link.ctx, callTimeout)
 		began := time.Now()
 		answer, err := s.Calls.Start(ctx, r.link.currentWorker(), &r.order)
@@ -209,6 +208,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.sentAt = s.SinceBoot()
+	r.link.recordGrant(r.sentAt)
 }
 
 func (s *session) recordUnanswered(r *run) {
