--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -19,7 +19,7 @@
 	grantsEndAt time.Duration       // boot clock by which every order that grants a lease has been answered or given up
 }
 
-// predecessor returns what a later incarnation has to know. The caller holds the session's mutex.
+// predecessor returns what the next incarnation's link has to know. The caller holds the session's mutex.
 func (l *link) predecessor() predecessor {
 	now := l.s.SinceBoot()
 	p := predecessor{uncertain: map[runKey]struct{}{}}
@@ -30,7 +30,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p.grantsEndAt = l.grantsEndAt
+	p.grantsEndAt = max(l.grantsEndAt, l.former.grantsEndAt)
 	return p
 }
 
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -23,7 +23,7 @@
 	ctx              context.Context
 	cancel           context.CancelFunc
 	began            time.Duration // boot clock, when this leader began to call it
-	former           predecessor
+	former           predecessor             // what the former incarnation left, empty without one
 	runs             map[runKey]*run         // guarded by the session's mutex
 	health           health                  // guarded by the session's mutex
 	serving          map[runKey]*servingTask // serving tasks; guarded by the session's mutex
@@ -64,13 +64,10 @@
 	l := &link{s: s, id: w.GetId(), fence: call.Fence{Term: s.term, Restarts: w.GetRestarts()}, worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}, departing: w.GetDeparted(), listings: make(chan struct{}, 1), cancelHold: func() {}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	l.began, l.former = s.SinceBoot(), former
-	l.othersLapseAt = l.began + withMaxDrift(s.MaxLease)
-	switch {
-	case former.grantsEndAt != 0:
-		l.othersLapseAt = max(l.began, former.grantsEndAt) + withMaxDrift(s.MaxLease)
-	case w.GetRestarts() > 0: // an earlier leader's orders for the former incarnation
-		l.othersLapseAt += callTimeout + longHoldWait
+	if w.GetRestarts() > 0 && former.grantsEndAt == 0 { // an earlier leader's
+		l.former.grantsEndAt = l.began + callTimeout + longHoldWait
 	}
+	l.othersLapseAt = max(l.began, l.former.grantsEndAt) + withMaxDrift(s.MaxLease)
 	l.lapsesAt = l.othersLapseAt
 	return l
 }
