--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -22,7 +22,7 @@
 	fence            call.Fence // of all orders for this incarnation
 	ctx              context.Context
 	cancel           context.CancelFunc
-	began            time.Duration // boot clock, when this leader began to call it
+	began            time.Duration           // boot clock, when this leader began to call it
 	former           predecessor             // what the former incarnation left, empty without one
 	runs             map[runKey]*run         // guarded by the session's mutex
 	health           health                  // guarded by the session's mutex
