Log the campaigns of replicas

The log showed who leads, but not who asked for votes and when, so a slow election could not be told from a leader that answers late. A replica logs E0118 replica_campaigns as it begins to ask for pre-votes and for votes, with the term and the stage. A stage that is begun again without a change of role between is not logged again.

--- a/event/replica.go
+++ b/event/replica.go
@@ -18,6 +18,7 @@
 	DiskHasRoom          = register(115, "disk_has_room", "A replica's disk has room again; the replica takes part in its group.")
 	SnapshotNotSaved     = register(116, "snapshot_not_saved", "A replica's disk had no room for a snapshot; the log is kept until the next one.")
 	MessageMalformed     = register(117, "message_malformed", "A message from another replica contradicts itself; the connection that it came on is closed.")
+	ReplicaCampaigns     = register(118, "replica_campaigns", "A replica has heard no leader for an election timeout, or was asked to take over, and asks the others for their votes; logged with the term and the stage, pre_vote or vote.")
 	PeerConnected        = register(110, "peer_connected", "A connection to another replica was opened.")
 	PeerDisconnected     = register(111, "peer_disconnected", "A connection to another replica was closed or timed out.")
 )
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -22,11 +22,12 @@
 	newReads      []*pendingRead
 	assignedReads []*pendingRead
 	roundStarts   []roundStart
-	leaderTerm    uint64 // term in which this replica leads, 0 if it does not
-	leading       bool   // last value queued for the leadership callback
-	delivered     uint64 // last index queued in the applier
-	transferring  bool   // is transferring its leadership
-	lastLeader    uint64 // leader seen by the last updateRole
+	leaderTerm    uint64    // term in which this replica leads, 0 if it does not
+	leading       bool      // last value queued for the leadership callback
+	delivered     uint64    // last index queued in the applier
+	transferring  bool      // is transferring its leadership
+	lastLeader    uint64    // leader seen by the last updateRole
+	lastRole      raft.Role // role seen by the last updateRole
 	recovering    bool
 	diskFull      bool
 	failures      chan error
@@ -176,7 +177,7 @@
 	r.applier.Push(func() { r.applyEntries(entries) })
 }
 
-// updateRole logs a new leader and the end of a recovery. When this replica gains or loses leadership, it resets the leader's state and fails the pending proposals and reads.
+// updateRole logs a campaign, a new leader and the end of a recovery. When this replica gains or loses leadership, it resets the leader's state and fails the pending proposals and reads.
 func (r *Replica) updateRole() {
 	leadingTerm := uint64(0)
 	if r.node.Role() == raft.Leader {
@@ -186,6 +187,7 @@
 		event.ReplicaFollows.Info("replica", r.options.ID, "leader", leader, "term", r.node.Term())
 	}
 	r.lastLeader = r.node.Leader()
+	r.logCampaign()
 	if r.recovering && !r.node.Recovering() {
 		r.recovering = false
 		event.ReplicaRecovered.Info("replica", r.options.ID, "commit", r.node.Commit())
@@ -202,6 +204,21 @@
 	r.rejectReads()
 }
 
+// logCampaign logs the stage of a campaign that has begun since the last call.
+func (r *Replica) logCampaign() {
+	role := r.node.Role()
+	if role == r.lastRole {
+		return
+	}
+	r.lastRole = role
+	switch role {
+	case raft.PreCandidate:
+		event.ReplicaCampaigns.Info("replica", r.options.ID, "term", r.node.Term()+1, "stage", "pre_vote")
+	case raft.Candidate:
+		event.ReplicaCampaigns.Info("replica", r.options.ID, "term", r.node.Term(), "stage", "vote")
+	}
+}
+
 // updateLease records when heartbeat rounds start and extends the leader's lease from the start of each round that a quorum has answered.
 func (r *Replica) updateLease(now time.Duration) {
 	if r.leaderTerm == 0 {
