Give way to a replica that campaigns at the same time

Votes refused under the former leader's lease and late forwarding were ruled out: no failing run shows either.

A pre-candidate that grants a pre-vote now gives its own campaign up if the sender is a voter whose log is more up to date, or is the same under a higher ID. It changes no term, no vote and nothing on disk; pre-votes that it is granted later are not counted, and its timer runs on, so it campaigns again if the other is not elected. To refuse the other's pre-vote instead was not taken: a replica whose messages reach only some of the others would remain a pre-candidate and refuse, again and again, the ones that could be elected.

TestReplicasThatCampaignAtOnceDoNotSplitTheVote and TestReplicaThatGivesItsCampaignUpCampaignsLater fail on the former code; TestReplicaThatHearsNothingDoesNotBlockElections passes on both and fails if the timer does not run on.

Not excluded: in a group of five, replicas whose timers expire less than a round trip apart, or whose links differ in delay, may still split the vote.

--- a/raft/election.go
+++ b/raft/election.go
@@ -72,10 +72,22 @@
 	reply := &wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, To: m.GetFrom(), Term: m.GetTerm()}
 	if m.GetTerm() <= n.term || n.leaseActive() || !n.log.CandidateUpToDate(m.GetIndex(), m.GetLogTerm()) {
 		reply.Term, reply.Reject = n.term, true
+	} else if n.role == PreCandidate && n.givesWayTo(m) {
+		n.role = Follower
 	}
 	n.send(reply)
 }
 
+// givesWayTo reports whether this node's campaign ends in favor of the sender of a pre-vote that it grants, so that replicas whose timers expire together do not each vote for themselves.
+// The more up-to-date log goes first, then the higher ID. The timer runs on, so this node campaigns again if the sender is not elected.
+func (n *Node) givesWayTo(m *wire.Message) bool {
+	if !n.voting[m.GetFrom()] {
+		return false
+	}
+	same := m.GetIndex() == n.log.Last() && m.GetLogTerm() == n.log.LastTerm()
+	return !same || m.GetFrom() > n.id
+}
+
 func (n *Node) handleVote(m *wire.Message) {
 	free := n.vote == 0 || n.vote == m.GetFrom()
 	grant := free && (!n.leaseActive() || m.GetForced()) && n.log.CandidateUpToDate(m.GetIndex(), m.GetLogTerm())
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -1,6 +1,7 @@
 package raft_test
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -232,6 +233,121 @@
 	assert.Equal(t, n.Term(), uint64(2))
 }
 
+// newGroup returns the living replicas of a group, by their IDs, with logs of the given lengths and with the timers that rng returns for each; the others are dead.
+func newGroup(size int, lengths map[uint64]uint64, rng func(id uint64) *rand.Rand) map[uint64]*raft.Node {
+	var peers []uint64
+	for peer := range size {
+		peers = append(peers, uint64(peer+1))
+	}
+	nodes := map[uint64]*raft.Node{}
+	for id, length := range lengths {
+		var entries []*wire.Entry
+		for index := range length {
+			entries = append(entries, &wire.Entry{Index: index + 1, Term: 1, Data: []byte{1}})
+		}
+		nodes[id] = raft.New(raft.Options{ID: id, Peers: peers, ElectionTicks: electionTicks, Rand: rng(id), State: &wire.HardState{Term: 1, Disk: id}, Entries: entries})
+	}
+	return nodes
+}
+
+// exchange delivers the messages among the nodes, and those that answer them, until there are none left; those of higher IDs go first. The deaf node, if there is one, is heard but gets no messages.
+func exchange(nodes map[uint64]*raft.Node, deaf uint64) {
+	for {
+		var inFlight []*wire.Message
+		for _, id := range slices.Backward(slices.Sorted(maps.Keys(nodes))) {
+			inFlight = append(inFlight, collectAll(nodes[id])...)
+		}
+		if len(inFlight) == 0 {
+			return
+		}
+		for _, m := range inFlight {
+			if n := nodes[m.GetTo()]; n != nil && m.GetTo() != deaf {
+				n.Step(m)
+			}
+		}
+	}
+}
+
+func leadersOf(nodes map[uint64]*raft.Node) []uint64 {
+	var leaders []uint64
+	for id, n := range nodes {
+		if n.Role() == raft.Leader {
+			leaders = append(leaders, id)
+		}
+	}
+	return leaders
+}
+
+// TestReplicasThatCampaignAtOnceDoNotSplitTheVote guards against elections that nobody wins because each candidate votes for itself.
+func TestReplicasThatCampaignAtOnceDoNotSplitTheVote(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		size    int
+		lengths map[uint64]uint64 // of the logs of the living replicas
+		leader  uint64
+	}{
+		{"two of three alive", 3, map[uint64]uint64{1: 1, 2: 1}, 2},
+		{"three of three alive", 3, map[uint64]uint64{1: 1, 2: 1, 3: 1}, 3},
+		{"two of three alive, longer log under the lower ID", 3, map[uint64]uint64{1: 2, 2: 1}, 1},
+		{"three of three alive, longer logs under the lower IDs", 3, map[uint64]uint64{1: 2, 2: 2, 3: 1}, 2},
+		{"three of five alive", 5, map[uint64]uint64{1: 1, 2: 1, 3: 1}, 3},
+		{"four of five alive", 5, map[uint64]uint64{1: 1, 2: 1, 3: 1, 5: 1}, 5},
+		{"four of five alive, longer log under the lowest ID", 5, map[uint64]uint64{1: 2, 2: 1, 3: 1, 5: 1}, 1},
+		{"four of five alive, longer logs under the lower IDs", 5, map[uint64]uint64{1: 2, 2: 2, 3: 1, 5: 1}, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			nodes := newGroup(test.size, test.lengths, func(uint64) *rand.Rand { return rand.New(rand.NewPCG(1, 1)) })
+			campaigned := false
+			for tick := 0; tick < 2*electionTicks && !campaigned; tick++ {
+				for _, n := range nodes {
+					n.Tick()
+				}
+				for _, n := range nodes {
+					campaigned = campaigned || n.Role() != raft.Follower
+				}
+				exchange(nodes, 0)
+			}
+			assert.DeepEqual(t, leadersOf(nodes), []uint64{test.leader})
+		})
+	}
+}
+
+// TestReplicaThatGivesItsCampaignUpCampaignsLater guards against a group that stays without a leader because the replica that was given way to fails.
+func TestReplicaThatGivesItsCampaignUpCampaignsLater(t *testing.T) {
+	n := newNode(&wire.HardState{Term: 1}, 1)
+	for n.Role() != raft.PreCandidate {
+		n.Tick()
+	}
+	collectMessages(n, 0)
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_PRE_VOTE, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1, Disk: diskOf2})
+	assert.Equal(t, n.Role(), raft.Follower)
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, From: 3, To: 1, Term: 2, Disk: diskOf3})
+	assert.Equal(t, n.Role(), raft.Follower, "a late pre-vote was counted")
+	assert.Equal(t, n.Term(), uint64(1))
+	for range 2 * electionTicks {
+		n.Tick()
+	}
+	assert.Equal(t, n.Role(), raft.PreCandidate)
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, From: 3, To: 1, Term: 2, Disk: diskOf3})
+	n.Step(&wire.Message{Kind: wire.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: 3, To: 1, Term: 2, Disk: diskOf3})
+	assert.Equal(t, n.Role(), raft.Leader)
+}
+
+// TestReplicaThatHearsNothingDoesNotBlockElections guards against replicas that give their campaigns up again and again for one that cannot be elected.
+func TestReplicaThatHearsNothingDoesNotBlockElections(t *testing.T) {
+	const deaf = 3
+	for seed := range uint64(100) {
+		nodes := newGroup(3, map[uint64]uint64{1: 1, 2: 1, deaf: 1}, func(id uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, id)) })
+		for tick := 0; tick < 20*electionTicks && len(leadersOf(nodes)) == 0; tick++ {
+			for _, n := range nodes {
+				n.Tick()
+			}
+			exchange(nodes, deaf)
+		}
+		assert.Equal(t, len(leadersOf(nodes)), 1, "seed %d", seed)
+	}
+}
+
 // groupOf returns members with the given IDs, of which the replica without a vote follows only; 0 names none.
 func groupOf(withoutVote uint64, ids ...uint64) *wire.Members {
 	members := &wire.Members{}
