Keep room for a lasting task where it likely comes first

A lasting task that found no room waited for seconds on a worker whose short tasks ran long, as that had the most free processors, while short tasks took what other workers released.

Room is now kept on the worker that will likely have enough first, by the progress that its runs showed between listings, or by the usual duration of the queue's tasks.

TestLastingTaskWaitsWhereRoomComesFirst fails on the former code, 3 of 3 runs: the task waits for 3 s and more beside tasks of 30 s.

--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -100,6 +100,7 @@
 func (r *run) update(now time.Duration, listed *call.Running) {
 	if !r.listed {
 		r.listed, r.confirmed, r.firstListedAt, r.progressAt = true, true, now, now
+		r.firstPercent = listed.ProgressPercent
 	}
 	r.listedAt = now
 	if r.phase == starting {
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -193,6 +193,7 @@
 	nextRound        time.Time                               // earliest start of the next round after a wake-up; used by the loop's goroutine only
 	lastingWaitSince map[*workflow.Step]time.Duration        // boot clock, since when lasting steps have had waiting tasks; used by the loop's goroutine only
 	heldBackUntil    map[*workflow.Task]time.Duration        // boot clock, of the waiting lasting tasks that have run before; used by the loop's goroutine only
+	keptOn           map[*workflow.Task]*workflow.Worker     // on which the latest round kept room for lasting tasks; used by the loop's goroutine only
 	waits            atomic.Pointer[map[string]*share.Waits] // by pool, after the latest round
 	waitingAtQuota   map[string]int                          // tasks by workspace after the latest round; used by the loop's goroutine only
 	shownMetrics     map[string]bool                         // metrics of workspaces; used by the loop's goroutine only
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -192,8 +192,5 @@
 func (s *session) meanDuration(queue string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := s.taskDuration[queue]; p != nil && p.count >= minDurationSamples {
-		return p.mean
-	}
-	return 0
+	return s.usualDuration(queue)
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -39,8 +39,10 @@
 	views         map[string]*lookahead.Pool[*workflow.Step] // by pool
 	likelyStep    *workflow.Step                             // of the last look at likelyRunTime
 	likelyRunTime time.Duration
-	reserved      map[*workflow.Step]int  // tasks with a reservation
-	done          map[*workflow.Task]bool // tasks that were placed, or that need no further look in this round
+	keptOn        map[*workflow.Task]*workflow.Worker // on which room is kept for lasting tasks
+	runEnds       map[*candidate][]lookahead.Release  // predicted, of the candidates examined for that
+	reserved      map[*workflow.Step]int              // tasks with a reservation
+	done          map[*workflow.Task]bool             // tasks that were placed, or that need no further look in this round
 }
 
 // placeWaiting runs a placement round and commits its starts. It returns false if the record was not committed.
@@ -54,7 +56,7 @@
 	s.Table.View(func(t *workflow.Tables) {
 		r.t = t
 		if len(t.Waiting) == 0 {
-			s.lastingWaitSince, s.heldBackUntil = nil, nil
+			s.lastingWaitSince, s.heldBackUntil, s.keptOn = nil, nil, nil
 			r.settleReservations()
 			return
 		}
@@ -63,6 +65,7 @@
 		r.readCosts()
 		r.gatherCandidates()
 		r.placeTurns(r.turnOrder())
+		s.keptOn = r.keptOn
 		r.settleReservations()
 		preempted = r.choosePreempted()
 	})
@@ -168,26 +171,6 @@
 	return false
 }
 
-// reserve keeps room for a lasting task on the worker with the most free processors among those where it fits once the short tasks have ended. It returns that worker, or nil if there is none.
-func (r *round) reserve(task *workflow.Task) *candidate {
-	var best *candidate
-	most := int64(0)
-	size := resource.FromWire(task.Step.Spec.GetSize())
-	for _, c := range r.pools[task.Step.Job.Queue.GetPool()] {
-		soon := c.soonFree()
-		if !size.Fits(soon) || !r.isEligible(task.Step, c) {
-			continue
-		}
-		if best == nil || c.free.MilliCPU > most {
-			best, most = c, c.free.MilliCPU
-		}
-	}
-	if best != nil {
-		best.free, best.roomTaken = best.free.Sub(size), true
-	}
-	return best
-}
-
 // placeGang places all tasks of a gang under one run number, or none of them.
 func (r *round) placeGang(step *workflow.Step) {
 	run := int32(0)
--- a/dispatch/preemption_test.go
+++ b/dispatch/preemption_test.go
@@ -203,3 +203,29 @@
 		}
 	})
 }
+
+// TestLastingTaskWaitsWhereRoomComesFirst guards against a lasting task that waits for long tasks, since room is kept for it on the worker that has most free, while short tasks take what is released elsewhere.
+func TestLastingTaskWaitsWhereRoomComesFirst(t *testing.T) {
+	const allowed = 3 * time.Second // by the platform's documentation, with room for it twice over
+	runOnBench(t, 2, big, func(b *testBench) {
+		b.workers["w0"].announceLabel("a")
+		b.workers["w1"].announceLabel("b")
+		b.submit("patient", "long", &wire.Step{Count: 12, Size: unit, ExpectedMs: 30_000, Requires: "a"})
+		time.Sleep(time.Second)
+		shorts := 0
+		submitShorts := func() {
+			b.submit("short", fmt.Sprint("short", shorts), &wire.Step{Count: 2, Size: unit, ExpectedMs: 500, Requires: "b"})
+			shorts++
+			time.Sleep(40 * time.Millisecond)
+		}
+		for range 50 {
+			submitShorts()
+		}
+		b.submit("lasting", "feed", &wire.Step{Count: 1, Size: &wire.Size{MilliCpu: 8000, MemoryMib: 1000}, Lasting: true})
+		began := time.Now()
+		for b.runningOf("feed") == 0 {
+			submitShorts()
+			assert.Assert(t, time.Since(began) < allowed, "waits for %v", time.Since(began))
+		}
+	})
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -49,6 +49,7 @@
 	progressAt    time.Duration // boot clock, when percent or the pace last changed
 	listedAt      time.Duration // boot clock, when the worker last listed it
 	firstListedAt time.Duration // boot clock, when it was first listed
+	firstPercent  int           // as first listed
 
 	distribution *lookahead.Distribution // of its duration, nil if not known yet
 
