Let lasting tasks take room that is kept for larger ones

Cause: room that gathers for a lasting task was kept from everything that came later in the round, also from smaller lasting tasks that it was large enough for, however long the larger one still had to wait.

Kept room is now kept from tasks that end only, which is what it is for.

--- a/dispatch/candidate.go
+++ b/dispatch/candidate.go
@@ -19,10 +19,11 @@
 	shortUse  resource.Size // used by tasks that are neither lasting nor filling, which end by themselves
 	suspended bool          // excluded from new work after failures, except for lasting tasks
 
-	listedRound  int      // latest round that updated it
-	changedRound int      // latest round in which its offer differed from the previous one
-	withheld     withheld // for a reservation in this round
-	roomTaken    bool     // a round has assigned or reserved room on it since the last update
+	listedRound  int           // latest round that updated it
+	changedRound int           // latest round in which its offer differed from the previous one
+	withheld     withheld      // for a reservation in this round
+	kept         resource.Size // room that this round keeps for lasting tasks, already taken from free
+	roomTaken    bool          // a round has assigned or reserved room on it since the last update
 
 	derived            bool // whether the fields below are up to date
 	margins            []margin
@@ -70,7 +71,7 @@
 	unused := c.Capacity.MilliCPU - int64(servingUtilization*float64(c.Lasting.MilliCPU)) - shortUse.MilliCPU - c.UsedByFilling.MilliCPU + c.link.sparedMilliCPU
 	suspended := now < c.link.health.suspended
 	same := c.listedRound == round-1 && !c.roomTaken && !c.link.offerChanged && free == c.free && unused == c.unused && suspended == c.suspended
-	c.free, c.unused, c.shortUse, c.suspended = free, unused, shortUse, suspended
+	c.free, c.unused, c.shortUse, c.suspended, c.kept = free, unused, shortUse, suspended, resource.Size{}
 	c.listedRound, c.roomTaken, c.link.offerChanged = round, false, false
 	if c.withheld.any {
 		c.withheld = withheld{}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -185,8 +185,11 @@
 	if c.withheld.any {
 		free = r.freeFor(step, c)
 	}
-	if spec.GetFilling() {
+	switch {
+	case spec.GetFilling():
 		size.MilliCPU, free.MilliCPU = 0, max(0, free.MilliCPU)
+	case spec.GetLasting():
+		free = free.Add(c.kept)
 	}
 	return size.Fits(free) && r.isEligible(step, c)
 }
--- a/dispatch/preemption_test.go
+++ b/dispatch/preemption_test.go
@@ -229,3 +229,17 @@
 		}
 	})
 }
+
+// TestLastingTaskTakesRoomKeptForALargerOne guards against lasting tasks that wait beside free room, since it is kept for a larger one that can't start yet.
+func TestLastingTaskTakesRoomKeptForALargerOne(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		b.submit("patient", "long", &wire.Step{Count: 8, Size: unit, ExpectedMs: 30_000})
+		time.Sleep(2 * time.Second)
+		b.submit("lasting", "large", &wire.Step{Count: 1, Size: &wire.Size{MilliCpu: 12_000, MemoryMib: 1000}, Lasting: true})
+		b.submit("lasting", "small", &wire.Step{Count: 1, Size: &wire.Size{MilliCpu: 4000, MemoryMib: 1000}, Lasting: true})
+		time.Sleep(3 * time.Second) // allowed by the platform's documentation, with room for it twice over
+		assert.Equal(t, b.runningOf("small"), 1)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, b.runningOf("large"), 1)
+	})
+}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -11,7 +11,7 @@
 // minReserveGain is by how much earlier another worker has to have room for the one kept so far to be given up, since predictions change with each listing.
 const minReserveGain = 300 * time.Millisecond
 
-// reserve keeps room for a lasting task on the worker that will likely have enough first, as the short tasks there end. It returns that worker, or nil if there is none.
+// reserve keeps room for a lasting task on the worker that will likely have enough first, as the short tasks there end. Other lasting tasks may take what is free of it. It returns that worker, or nil if there is none.
 func (r *round) reserve(task *workflow.Task) *candidate {
 	var best *candidate
 	var rated time.Duration
@@ -35,7 +35,7 @@
 	if best == nil {
 		return nil
 	}
-	best.free, best.roomTaken = best.free.Sub(size), true
+	best.free, best.kept, best.roomTaken = best.free.Sub(size), best.kept.Add(size), true
 	if r.keptOn == nil {
 		r.keptOn = map[*workflow.Task]*workflow.Worker{}
 	}
