--- a/dispatch/former_order_test.go
+++ b/dispatch/former_order_test.go
@@ -256,7 +256,7 @@
 		b.locked(func() { w.restart(); w.startDelay, w.losesStarts = 0, true })
 		b.addWorker("w1", big)
 		time.Sleep(20 * time.Second)
-		assert.Assert(t, w.fence > 0, "it has not answered the leader")
+		b.locked(func() { assert.Assert(t, w.fence > 0, "it has not answered the leader") })
 	})
 }
 
