Place the runs of the tests of former orders without a choice of worker

TestLeaseGrantedByAnOrderForTheFormerIncarnationIsWaitedFor failed in 4 of 30 runs with the race detector: all later tasks were placed on the other worker, so the test had nothing to look at. The other worker joins after the runs have begun now.

--- a/dispatch/former_order_test.go
+++ b/dispatch/former_order_test.go
@@ -23,7 +23,7 @@
 	w.announce()
 }
 
-// startAndSilence has a worker that restarted start runs of its own and then fall silent.
+// startAndSilence has a worker that restarted start runs of its own and then fall silent, beside another that is added then.
 func (b *testBench) startAndSilence(w *fakeWorker) {
 	b.submit("lasting", "later", &wire.Step{Count: 8, Size: unit, Lasting: true})
 	time.Sleep(400 * time.Millisecond)
@@ -31,13 +31,14 @@
 		assert.Assert(b.t, len(w.runs) > 0, "nothing runs on the later incarnation")
 		w.silent = true
 	})
+	b.addWorker("w1", big)
 }
 
 // TestLeaseGrantedByAnOrderForTheFormerIncarnationIsWaitedFor guards against a second run of a task that began on a restarted worker while a start meant for the former incarnation had granted it a longer lease.
 func TestLeaseGrantedByAnOrderForTheFormerIncarnationIsWaitedFor(t *testing.T) {
 	for _, newLeader := range []bool{false, true} {
 		t.Run(fmt.Sprintf("new leader %v", newLeader), func(t *testing.T) {
-			runOnBench(t, 2, big, func(b *testBench) {
+			runOnBench(t, 1, big, func(b *testBench) {
 				b.restartUnderOrders(b.workers["w0"])
 				time.Sleep(300 * time.Millisecond)
 				if newLeader {
@@ -54,7 +55,7 @@
 
 // TestLateOrderForTheFormerIncarnationProlongsNoLease guards against a second run of a task on a restarted worker that executes a start for its former incarnation seconds after its first answers.
 func TestLateOrderForTheFormerIncarnationProlongsNoLease(t *testing.T) {
-	runOnBench(t, 2, big, func(b *testBench) {
+	runOnBench(t, 1, big, func(b *testBench) {
 		w := b.workers["w0"]
 		time.Sleep(5 * time.Second)
 		b.locked(func() { w.startDelay = 3 * time.Second })
@@ -178,7 +179,7 @@
 func TestLateStartOnAnAnnouncedIncarnationThatIsNeverHeardRunsAlone(t *testing.T) {
 	for _, newLeader := range []bool{false, true} {
 		t.Run(fmt.Sprintf("new leader %v", newLeader), func(t *testing.T) {
-			runOnBench(t, 2, big, func(b *testBench) {
+			runOnBench(t, 1, big, func(b *testBench) {
 				w := b.workers["w0"]
 				time.Sleep(5 * time.Second)
 				b.locked(func() { w.startDelay = 6 * time.Second })
@@ -186,6 +187,7 @@
 				time.Sleep(100 * time.Millisecond)
 				b.locked(func() { w.restart(); w.startDelay, w.silent = 0, true })
 				w.announce()
+				b.addWorker("w1", big)
 				if newLeader {
 					b.lead(2)
 				}
