--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -50,7 +50,7 @@
 	event.WorkerRestarted.Error(cause, "worker", l.id, "born", l.worker.GetBorn(), "lapses_in_ms", (l.lapsesAt - now).Milliseconds())
 }
 
-// recordLaterAnswer records that a later incarnation has answered a hold. The next holds carry its fencing token, so that it executes nothing that was meant for this one, even if its announcement is late.
+// recordLaterAnswer records that a later incarnation has answered a hold. The next holds carry its fencing token, so that it executes nothing that was meant for this one, even if its announcement is late. barred says that the answered hold carried it already.
 func (l *link) recordLaterAnswer(barred bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -64,7 +64,7 @@
 	l := &link{s: s, id: w.GetId(), fence: call.Fence{Term: s.term, Restarts: w.GetRestarts()}, worker: w, capacityMilliCPU: max(1, w.GetCapacity().GetMilliCpu()), runs: map[runKey]*run{}, serving: map[runKey]*servingTask{}, strays: map[runKey]struct{}{}, departing: w.GetDeparted(), listings: make(chan struct{}, 1), cancelHold: func() {}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	l.began, l.former = s.SinceBoot(), former
-	if w.GetRestarts() > 0 && former.grantsEndAt == 0 { // an earlier leader's
+	if w.GetRestarts() > 0 && former.grantsEndAt == 0 { // an earlier leader's orders may be in flight
 		l.former.grantsEndAt = l.began + callTimeout + longHoldWait
 	}
 	l.othersLapseAt = max(l.began, l.former.grantsEndAt) + withMaxDrift(s.MaxLease)
