--- /dev/null
+++ b/review/rig/tasks.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// platform kills processes that use more memory than their machine has, and starts processes that have ended again.
+type platform struct {
+	r       *rig
+	stop    chan struct{}
+	running sync.WaitGroup
+	mu      sync.Mutex
+	killed  map[string]int
+}
+
+// Figures of the machines of members, from the users' pages.
+const (
+	memberMiB    = 280
+	restartDelay = 500 * time.Millisecond
+)
+
+func (r *rig) newPlatform() *platform {
+	p := &platform{r: r, stop: make(chan struct{}), killed: map[string]int{}}
+	p.running.Add(1)
+	go p.watch()
+	return p
+}
+
+// watch checks the memory of all members. They are started by this goroutine again, so it keeps its thread.
+func (p *platform) watch() {
+	defer p.running.Done()
+	starts := map[*process]time.Time{}
+	for {
+		select {
+		case <-p.stop:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		for _, m := range p.r.members {
+			if at, down := starts[m]; down {
+				if time.Now().After(at) {
+					delete(starts, m)
+					p.r.restart <- m
+				}
+				continue
+			}
+			if used := m.memoryMiB(); used > memberMiB {
+				p.mu.Lock()
+				p.killed[m.name]++
+				p.mu.Unlock()
+				p.r.note("platform: %s uses %d MiB of %d and is killed", m.name, used, memberMiB)
+				m.kill()
+				starts[m] = time.Now().Add(restartDelay)
+			}
+		}
+	}
+}
+
+// close ends the watch and returns how often each member was killed.
+func (p *platform) close() map[string]int {
+	close(p.stop)
+	p.running.Wait()
+	return p.killed
+}
+
+// tasksCase hands in many submissions of many small tasks within some seconds. No member may use more memory than its machine has, and what was accepted before must stay known.
+func tasksCase(r *rig) (bool, error) {
+	const submissions, tasks, callers = 2400, 2000, 8
+	q := queue{name: "r-d3zji9n", prefix: "/pufi791/", attempts: 2}
+	if err := r.configure(1, q); err != nil {
+		return false, err
+	}
+	for i := range 3 {
+		if _, err := r.newExecutor(i, 64000, "a"); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(3 * time.Second)
+	before := q.prefix + "5c0e7a21d94b36f8"
+	if err := r.submit(before, submission(work{MS: 20000, CPU: 1000}, object{"count": 1, "cpu": 1000, word("memory"): 256, word("estimate"): 20000})); err != nil {
+		return false, err
+	}
+	p := r.newPlatform()
+	var accepted atomic.Int64
+	var sending sync.WaitGroup
+	for caller := range callers {
+		if !r.trouble {
+			break
+		}
+		sending.Add(1)
+		go func() {
+			defer sending.Done()
+			accepted.Add(r.sendMany(q.prefix, caller*submissions/callers, submissions/callers, tasks))
+		}()
+	}
+	for until := time.Now().Add(45 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		r.restartMembers()
+	}
+	sending.Wait()
+	r.note("%d of %d submissions of %d tasks were accepted", accepted.Load(), submissions, tasks)
+	last := r.awaitState(before, 14*time.Second, "completed", "failed")
+	killed := p.close()
+	often := 0
+	for _, m := range r.members {
+		r.note("%s was over its memory %d times", m.name, killed[m.name])
+		if killed[m.name] >= 3 {
+			often++
+		}
+	}
+	r.note("submission %s, accepted before: %s", before, last)
+	return 2*often > len(r.members) || last != "completed", nil
+}
+
+// sendMany hands in a number of submissions, each once, and returns how many were accepted. It gives up after a while.
+func (r *rig) sendMany(prefix string, first, count, tasks int) int64 {
+	body := submission(work{MS: 2000, CPU: 4000}, object{"count": tasks, "cpu": 4000, word("memory"): 256, word("estimate"): 2000})
+	accepted := int64(0)
+	for n, until := first, time.Now().Add(30*time.Second); n < first+count && time.Now().Before(until); n++ {
+		status, _, err := r.ask(n%gates, http.MethodPost, fmt.Sprintf("%s%016x", prefix, 0x6c0e7a21d94b36f8+n), body, 3*time.Second)
+		if err == nil && status == http.StatusOK {
+			accepted++
+		}
+	}
+	return accepted
+}
+
+// restartMembers starts the members again that the platform has killed.
+func (r *rig) restartMembers() {
+	for {
+		select {
+		case m := <-r.restart:
+			m.settings["first"] = 0
+			if err := m.start(); err != nil {
+				r.note("%s could not be started: %v", m.name, err)
+			}
+		default:
+			return
+		}
+	}
+}
