--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -388,6 +388,9 @@
 	e.lastEnd++
 	e.ends = append(e.ends, endedRun{number: e.lastEnd, task: x.task, run: x.run, how: how, saved: x.saved})
 	e.r.note("%s ends %s run %d: %s", e.id, x.task, x.run, how)
+	if how == "failed" {
+		e.r.addFailure()
+	}
 	if how == "stopped" && x.working && !e.draining {
 		if others := e.r.away.ended(x.task, e.r.now()); others != nil {
 			e.r.note("%s was at work and was stopped while these were away: %v", x.task, others)
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -47,6 +47,7 @@
 	record    *os.File
 	executors []*executor
 	starts    []runStart
+	failures  []time.Duration          // when runs ended as failed
 	done      map[string]time.Duration // by task, when the end of a run that was done was noted
 }
 
@@ -210,6 +211,26 @@
 	r.starts = append(r.starts, s)
 }
 
+// addFailure keeps when a run ended as failed.
+func (r *rig) addFailure() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures = append(r.failures, r.now())
+}
+
+// failuresSince counts the runs that ended as failed after a time.
+func (r *rig) failuresSince(at time.Duration) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, f := range r.failures {
+		if f > at {
+			count++
+		}
+	}
+	return count
+}
+
 // addNoted keeps when the end of a run was noted, if the run was done.
 func (r *rig) addNoted(x endedRun) {
 	r.mu.Lock()
