--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 	"long":  longCase,
 	"fill":  fillCase,
 	"tasks": tasksCase,
+	"timed": timedCase,
 	"route": routeCase,
 }
 
--- a/review/rig/tasks.go
+++ b/review/rig/memory.go
@@ -68,9 +68,14 @@
 	return p.killed
 }
 
-// tasksCase hands in many submissions of many small tasks within some seconds. No member may use more memory than its machine has, and what was accepted before must stay known.
-func tasksCase(r *rig) (bool, error) {
-	const submissions, tasks, callers = 2400, 2000, 8
+// timedCase hands in a few timed submissions of many steps. No member may use more memory than its machine has, and what was accepted before must stay known.
+func timedCase(r *rig) (bool, error) { return r.playOverload((*rig).sendTimed) }
+
+// tasksCase does the same with many submissions of many small tasks, within some seconds.
+func tasksCase(r *rig) (bool, error) { return r.playOverload((*rig).sendTasks) }
+
+// playOverload has a submission accepted, and then others that use much memory, by a function that sends them.
+func (r *rig) playOverload(send func(*rig, queue)) (bool, error) {
 	q := queue{name: "r-d3zji9n", prefix: "/pufi791/", attempts: 2}
 	if err := r.configure(1, q); err != nil {
 		return false, err
@@ -86,23 +91,18 @@
 		return false, err
 	}
 	p := r.newPlatform()
-	var accepted atomic.Int64
 	var sending sync.WaitGroup
-	for caller := range callers {
-		if !r.trouble {
-			break
-		}
+	if r.trouble {
 		sending.Add(1)
 		go func() {
 			defer sending.Done()
-			accepted.Add(r.sendMany(q.prefix, caller*submissions/callers, submissions/callers, tasks))
+			send(r, q)
 		}()
 	}
 	for until := time.Now().Add(45 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		r.restartMembers()
 	}
 	sending.Wait()
-	r.note("%d of %d submissions of %d tasks were accepted", accepted.Load(), submissions, tasks)
 	last := r.awaitState(before, 14*time.Second, "completed", "failed")
 	killed := p.close()
 	often := 0
@@ -117,11 +117,54 @@
 	return 2*often > len(r.members) || !answered, nil
 }
 
+// longestSending is how long callers go on with what they send.
+const longestSending = 30 * time.Second
+
+// sendTimed hands in submissions of one caller, one after the other, each again until it is accepted. Each of their steps comes after all earlier ones, and the first of their times is tomorrow.
+func (r *rig) sendTimed(q queue) {
+	const submissions, steps, days, day = 12, 340, 58, 24 * time.Hour
+	all, earlier := []object{}, []int{}
+	for number := range steps {
+		step := object{"count": 1, "cpu": 1000, word("memory"): 256, word("estimate"): 1000}
+		if number > 0 {
+			step["after"] = slices.Clone(earlier)
+		}
+		all, earlier = append(all, step), append(earlier, number)
+	}
+	body := submission(work{MS: 1000, CPU: 1000}, all...)
+	body[word("times")], body[word("first time")], body[word("interval")] = days, time.Now().Add(day).UnixMilli(), day.Milliseconds()
+	accepted, tries := 0, 0
+	for until := time.Now().Add(longestSending); accepted < submissions && time.Now().Before(until); tries++ {
+		status, _, err := r.ask(tries%gates, http.MethodPost, fmt.Sprintf("%s%016x", q.prefix, 0x6c0e7a21d94b36f8+accepted), body, 3*time.Second)
+		if err == nil && status == http.StatusOK {
+			accepted++
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	r.note("%d of %d submissions of %d steps for %d days were accepted", accepted, submissions, steps, days)
+}
+
+// sendTasks hands in the submissions of eight callers, each once.
+func (r *rig) sendTasks(q queue) {
+	const submissions, tasks, callers = 2400, 2000, 8
+	var accepted atomic.Int64
+	var sending sync.WaitGroup
+	for caller := range callers {
+		sending.Add(1)
+		go func() {
+			defer sending.Done()
+			accepted.Add(r.sendMany(q.prefix, caller*submissions/callers, submissions/callers, tasks))
+		}()
+	}
+	sending.Wait()
+	r.note("%d of %d submissions of %d tasks were accepted", accepted.Load(), submissions, tasks)
+}
+
 // sendMany hands in a number of submissions, each once, and returns how many were accepted. It gives up after a while.
 func (r *rig) sendMany(prefix string, first, count, tasks int) int64 {
 	body := submission(work{MS: 2000, CPU: 4000}, object{"count": tasks, "cpu": 4000, word("memory"): 256, word("estimate"): 2000})
 	accepted := int64(0)
-	for n, until := first, time.Now().Add(30*time.Second); n < first+count && time.Now().Before(until); n++ {
+	for n, until := first, time.Now().Add(longestSending); n < first+count && time.Now().Before(until); n++ {
 		status, _, err := r.ask(n%gates, http.MethodPost, fmt.Sprintf("%s%016x", prefix, 0x6c0e7a21d94b36f8+n), body, 3*time.Second)
 		if err == nil && status == http.StatusOK {
 			accepted++
