Count a failed run once, whatever has become of its worker

Cause: two holds are in progress when a worker says that it has ended, and both answers list the end of its last run. What kept an end from counting twice was the number on the worker's record. The first listing releases the worker's last task, which removes that record, so the second one counted the same failure again as a late end.

A late failure of a run below one that is known counts for gangs too.

--- a/dispatch/leave_test.go
+++ b/dispatch/leave_test.go
@@ -318,3 +318,41 @@
 		left.assertRanOnce("job")
 	})
 }
+
+// failAsItsWorkerLeaves has the first run of a task fail on a worker that leaves some time later, so that both holds in progress list the end.
+func (b *testBench) failAsItsWorkerLeaves(id string, late time.Duration) *fakeWorker {
+	setFailing := func(on bool) {
+		b.locked(func() {
+			for _, w := range b.workers {
+				w.failsTasks = on
+			}
+		})
+	}
+	setFailing(true)
+	b.submit("lasting", id, short(1)) // a queue with two attempts
+	for b.workerOf(id) == nil {
+		time.Sleep(time.Millisecond)
+	}
+	setFailing(false)
+	left := b.workerOf(id)
+	b.locked(func() { left.holdDelay = 10 * time.Millisecond })
+	for b.workerOf(id) != nil {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(late)
+	left.leave(time.Second)
+	return left
+}
+
+// TestFailureListedByTwoHoldsAsTheWorkerLeavesCountsOnce guards against a workflow that fails before its attempts are used up, since the failed run that ends as its worker leaves is in the answers to both holds that are in progress then.
+func TestFailureListedByTwoHoldsAsTheWorkerLeavesCountsOnce(t *testing.T) {
+	for late := time.Duration(0); late < 30*time.Millisecond; late += 3 * time.Millisecond {
+		runOnBench(t, 2, big, func(b *testBench) {
+			left := b.failAsItsWorkerLeaves("job", late)
+			time.Sleep(3 * time.Second)
+			assert.Equal(t, b.state("job"), workflow.StateCompleted, "left %v after the end", late)
+			assert.Equal(t, b.runCount("job.0.0.0"), 2)
+			assert.Assert(t, !left.inState())
+		})
+	}
+}
--- a/workflow/departure_test.go
+++ b/workflow/departure_test.go
@@ -1,6 +1,8 @@
 package workflow_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"daisyswitch/wire"
@@ -127,3 +129,61 @@
 	announce(3)
 	assert.Equal(t, restarts(), uint64(2))
 }
+
+// TestFailureToldAgainAfterItsWorkerWasRemovedCountsOnce guards against a failed run that counts as two attempts, since its end is told again once its worker has been removed, has come back, or its replica has restarted.
+func TestFailureToldAgainAfterItsWorkerWasRemovedCountsOnce(t *testing.T) {
+	restart := func(s *workflow.Table) *workflow.Table {
+		restarted := workflow.New(workflow.Options{})
+		assert.NilError(t, restarted.Restore(s.Snapshot()))
+		return restarted
+	}
+	for name, between := range map[string]func(*workflow.Table) *workflow.Table{
+		"at once":           func(s *workflow.Table) *workflow.Table { return s },
+		"replica restarted": restart,
+		"worker forgotten": func(s *workflow.Table) *workflow.Table {
+			forgotten := s.Snapshot()
+			forgotten.Workers = slices.DeleteFunc(forgotten.Workers, func(w *wire.WorkerEnds) bool { return w.Worker.Id == "w" })
+			assert.NilError(t, s.Restore(forgotten))
+			s.Apply(4, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{calledWorker("w", 1)}})
+			return s
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTable()
+			submit(s, "a", &wire.Step{Count: 1, Size: taskSize})
+			assert.Assert(t, start(s, taskName("a", 0, 0), 1, "w", 1))
+			depart(s, "w", 1)
+			recordEnd(s, taskName("a", 0, 0), 1, "w", 1, 1, failed)
+			assert.Assert(t, !inState(s, "w"))
+			s = between(s)
+			recordEnd(s, taskName("a", 0, 0), 1, "w", 1, 1, failed)
+			assert.Assert(t, jobState(s, "a") != workflow.StateFailed, "one failed run was counted twice")
+			assert.Assert(t, start(s, taskName("a", 0, 0), 2, "v", 1))
+			recordEnd(s, taskName("a", 0, 0), 2, "v", 1, 1, failed)
+			assert.Equal(t, jobState(s, "a"), workflow.StateFailed)
+		})
+	}
+}
+
+// TestLateFailureCountsOnce guards against a failure that is told after its run was counted as lapsed, and is not counted, or counted each time that it is told, also of a run before one whose failure is known.
+func TestLateFailureCountsOnce(t *testing.T) {
+	s := newTable()
+	s.Apply(1, &wire.WorkflowCommand{Queues: &wire.QueueSet{Version: 4, Queues: []*wire.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 3}}}})
+	for _, gang := range []bool{false, true} {
+		id := fmt.Sprintf("gang-%v", gang)
+		submit(s, id, &wire.Step{Count: 1, Size: taskSize, Gang: gang})
+		for run := int32(1); run <= 2; run++ {
+			assert.Assert(t, start(s, taskName(id, 0, 0), run, "w", 1))
+			recordEnd(s, taskName(id, 0, 0), run, "w", 1, 0, lapsed)
+		}
+		for range 2 {
+			for run := int32(2); run >= 1; run-- {
+				recordNextEnd(s, taskName(id, 0, 0), run, "w", 1, failed)
+			}
+			assert.Assert(t, jobState(s, id) != workflow.StateFailed, "a failed run was counted twice")
+		}
+		assert.Assert(t, start(s, taskName(id, 0, 0), 3, "w", 1))
+		recordNextEnd(s, taskName(id, 0, 0), 3, "w", 1, failed)
+		assert.Equal(t, jobState(s, id), workflow.StateFailed, "a late failure was not counted")
+	}
+}
--- a/workflow/run.go
+++ b/workflow/run.go
@@ -75,16 +75,22 @@
 	case wire.RunOutcome_RUN_OUTCOME_DONE:
 		t.completeTask(nowMS, task)
 	case wire.RunOutcome_RUN_OUTCOME_FAILED:
-		task.Failures++
-		task.Step.recordFailedRun(e.GetRun())
-		t.failIfAttemptsExhausted(nowMS, task)
+		t.recordFailure(nowMS, task, e.GetRun())
 	}
 }
 
-// recordFailedRun counts a run of a gang as failed once, however many members it fails.
-func (s *Step) recordFailedRun(run int32) {
-	if s.Spec.GetGang() && run > s.failedRun {
-		s.failures, s.failedRun = s.failures+1, run
+// recordFailure counts a failed run, and fails the job once its task or gang has used up its attempts. Lasting tasks are retried without limit.
+func (t *Tables) recordFailure(nowMS int64, task *Task, run int32) {
+	if task.Step.Spec.GetLasting() {
+		return
+	}
+	a := &task.attempts
+	if task.Step.Spec.GetGang() {
+		a = &task.Step.attempts
+	}
+	a.recordFailure(run)
+	if j := task.Step.Job; a.Failures >= j.Queue.GetMaxAttempts() && j.Open() {
+		t.failJob(nowMS, j)
 	}
 }
 
@@ -125,15 +131,7 @@
 	}
 }
 
-// failIfAttemptsExhausted fails the job once a task has used up its attempts; lasting tasks are retried without limit.
-func (t *Tables) failIfAttemptsExhausted(nowMS int64, task *Task) {
-	j, failures := task.Step.Job, task.Failures
-	if task.Step.Spec.GetGang() {
-		failures = task.Step.failures
-	}
-	if task.Step.Spec.GetLasting() || failures < j.Queue.GetMaxAttempts() || !j.Open() {
-		return
-	}
+func (t *Tables) failJob(nowMS int64, j *Job) {
 	j.Failed, j.EndedMS = true, nowMS
 	t.recountJob(j)
 	t.onClosed(j)
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"daisyswitch/wire"
@@ -40,7 +41,10 @@
 func (j *Job) record() *wire.WorkflowRecord {
 	r := &wire.WorkflowRecord{Workflow: j.Spec, AcceptedMs: j.AcceptedMS, Cancelled: j.Cancelled, Failed: j.Failed, EndedMs: j.EndedMS, Queue: j.Queue, Started: j.Begun}
 	for _, s := range j.Steps {
-		step := &wire.StepRecord{Failures: s.failures, FailedRun: s.failedRun}
+		step := &wire.StepRecord{Failures: s.Failures, FailedRuns: s.failedRuns}
+		if len(s.failedRuns) > 0 {
+			step.FailedRun = slices.Max(s.failedRuns)
+		}
 		for _, t := range s.Tasks {
 			step.Tasks = append(step.Tasks, t.record())
 		}
@@ -50,7 +54,7 @@
 }
 
 func (t *Task) record() *wire.TaskRecord {
-	r := &wire.TaskRecord{Run: t.Run, Failures: t.Failures, Done: t.Done, Checkpoint: t.Checkpoint, Ticket: t.Ticket}
+	r := &wire.TaskRecord{Run: t.Run, Failures: t.Failures, FailedRuns: t.failedRuns, Done: t.Done, Checkpoint: t.Checkpoint, Ticket: t.Ticket}
 	if t.Worker != nil {
 		r.Worker, r.Born = t.Worker.GetId(), t.Born
 	}
@@ -107,7 +111,7 @@
 		if len(record.GetTasks()) != len(j.Steps[i].Tasks) {
 			return fmt.Errorf("task count of step %d differs: %d in the snapshot, %d in the workflow's specification", i, len(record.GetTasks()), len(j.Steps[i].Tasks))
 		}
-		j.Steps[i].failures, j.Steps[i].failedRun = record.GetFailures(), record.GetFailedRun()
+		j.Steps[i].attempts = restoreGangAttempts(record)
 		for k, task := range record.GetTasks() {
 			t.restoreTask(j.Steps[i].Tasks[k], task)
 		}
@@ -127,7 +131,8 @@
 }
 
 func (t *Tables) restoreTask(task *Task, r *wire.TaskRecord) {
-	task.Run, task.Failures, task.Done, task.Checkpoint, task.Ticket = r.GetRun(), r.GetFailures(), r.GetDone(), r.GetCheckpoint(), r.GetTicket()
+	task.Run, task.Done, task.Checkpoint, task.Ticket = r.GetRun(), r.GetDone(), r.GetCheckpoint(), r.GetTicket()
+	task.attempts = attempts{Failures: r.GetFailures(), failedRuns: slices.Clip(r.GetFailedRuns())}
 	if task.Done {
 		task.Step.unfinishedTasks--
 	}
@@ -136,3 +141,11 @@
 		t.addTask(w, task)
 	}
 }
+
+func restoreGangAttempts(r *wire.StepRecord) attempts {
+	a := attempts{Failures: r.GetFailures(), failedRuns: slices.Clip(r.GetFailedRuns())}
+	if a.Failures > 0 && len(a.failedRuns) == 0 { // an earlier build kept the highest run only
+		a.failedRuns = []int32{r.GetFailedRun()}
+	}
+	return a
+}
--- a/workflow/types.go
+++ b/workflow/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"daisyswitch/resource"
 	"daisyswitch/wire"
@@ -88,21 +89,34 @@
 	Tasks           []*Task
 	Waiting         int // tasks that may start, regardless of DueMS
 	unfinishedTasks int
-	failures        int32   // of a gang: runs that failed
-	failedRun       int32   // of a gang: the last of them
+	attempts                // of a gang
 	pending         int     // predecessors with unfinished tasks
 	successors      []*Step // steps that come after this one
 }
 
+// attempts counts the failed runs of a task or a gang. Each run counts once, since its end may be reported again by another leader, by a second hold, or after its worker's record is gone.
+type attempts struct {
+	Failures   int32
+	failedRuns []int32
+}
+
+func (a *attempts) recordFailure(run int32) {
+	if slices.Contains(a.failedRuns, run) {
+		return
+	}
+	a.Failures++
+	a.failedRuns = append(a.failedRuns, run)
+}
+
 // Ready reports whether all preceding steps are done.
 func (s *Step) Ready() bool { return s.pending == 0 }
 
 // Task is one task of a step.
 type Task struct {
-	Step       *Step
-	Index      int32
-	Run        int32 // highest run number used
-	Failures   int32
+	Step  *Step
+	Index int32
+	Run   int32 // highest run number used
+	attempts
 	Done       bool
 	Worker     *Worker // to which it is committed, nil if none
 	Born       int64   // of the incarnation for which the run was committed; the worker may have restarted since
