Record the end of a run once for each leadership

An end that two holds list, as its worker leaves, was logged, counted in the metrics, judged for the worker's health and committed once for each listing. So run_ended could not tell whether a task had failed once or twice, an excluded task stayed away longer, and each repeated listing cost a record.

A link takes up an end only if its number is above those that this leader has committed and those in the state.

TestEndListedByTwoHoldsIsRecordedOnce failed before: two ends in daisyswitch_runs_ended_total for one failed run.

--- a/dispatch/leave_test.go
+++ b/dispatch/leave_test.go
@@ -1,13 +1,17 @@
 package dispatch_test
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 )
 
@@ -356,3 +360,24 @@
 		})
 	}
 }
+
+// TestEndListedByTwoHoldsIsRecordedOnce guards against metrics and records that hold a run's end once for each hold that listed it.
+func TestEndListedByTwoHoldsIsRecordedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBench(t, 2, big)
+		b.metrics = metrics.NewSet()
+		b.loop.Store(b.newLoop())
+		b.loop.Load().SetTable(b.table)
+		b.lead(1)
+		defer b.depose()
+		time.Sleep(200 * time.Millisecond)
+		b.failAsItsWorkerLeaves("job", 0)
+		time.Sleep(3 * time.Second)
+		var out bytes.Buffer
+		b.metrics.WritePrometheus(&out)
+		for _, line := range []string{`{outcome="RUN_OUTCOME_FAILED"} 1`, `{outcome="RUN_OUTCOME_DONE"} 1`} {
+			assert.Assert(t, strings.Contains(out.String(), "daisyswitch_runs_ended_total"+line), out.String())
+		}
+		b.locked(func() { assert.Equal(t, b.endRecords, 2) })
+	})
+}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -34,6 +34,8 @@
 	longCheckpoints  bool                    // the last listing had checkpoints that were dropped; guarded by listings
 	nearTarget       bool                    // a serving task beside filling tasks is near its target; guarded by the session's mutex
 
+	committedEnds int64 // number of the last listed end that this leader has committed; guarded by listings
+
 	listings chan struct{} // holds a value while a listing is processed, since the ends of one worker are committed one after the other
 
 	mu            sync.Mutex // guards the fields below
@@ -235,12 +237,7 @@
 // It also acknowledges no ends, since the worker may have restarted and number its ends from 1 again.
 // A departing worker's lease is not extended either, and it answers without a wait until it has listed its runs. The second result says that the worker is departing.
 func (l *link) nextHold(now time.Duration) (*call.Hold, bool) {
-	noted, born := int64(0), l.currentWorker().GetBorn()
-	l.s.Table.View(func(t *workflow.Tables) {
-		if w := t.Workers[l.id]; w != nil && w.GetBorn() == born {
-			noted = w.Noted
-		}
-	})
+	noted := l.notedEnds()
 	wait := l.holdWait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -268,6 +265,17 @@
 	return order, false
 }
 
+// notedEnds returns the number of the worker's last end that is in the state, 0 if the worker is not.
+func (l *link) notedEnds() int64 {
+	noted, born := int64(0), l.currentWorker().GetBorn()
+	l.s.Table.View(func(t *workflow.Tables) {
+		if w := t.Workers[l.id]; w != nil && w.GetBorn() == born {
+			noted = w.Noted
+		}
+	})
+	return noted
+}
+
 // holdWait returns how long the worker may wait for a run to end before it answers.
 func (l *link) holdWait() time.Duration {
 	l.s.mu.Lock()
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"daisyswitch/call"
@@ -160,9 +161,16 @@
 	}
 }
 
+// newEnds returns the listed ends that are not committed yet. Two holds in progress may list the same end, and a worker lists its ends again until they are acknowledged.
+func (l *link) newEnds(listed []call.Ended) []call.Ended {
+	committed := max(l.committedEnds, l.notedEnds())
+	return slices.DeleteFunc(slices.Clone(listed), func(e call.Ended) bool { return 0 < e.Number && e.Number <= committed })
+}
+
 // ended commits the ends that the worker lists.
-func (l *link) ended(ended []call.Ended) {
+func (l *link) ended(listed []call.Ended) {
 	s := l.s
+	ended := l.newEnds(listed)
 	if len(ended) == 0 {
 		return
 	}
@@ -181,6 +189,7 @@
 		return
 	}
 	for _, e := range ended {
+		l.committedEnds = max(l.committedEnds, e.Number)
 		l.dropRun(runKey{e.Task, e.Run})
 	}
 }
