Acknowledge the end of a run only once no other try of its start can be executed

Cause: the leader sends a start again 0.6 s after a try without an answer. It acknowledged the end of the run at once, while the earlier try could be executed for 12 s more. A later incarnation has seen neither the end nor a fencing token, so it can't refuse that try if it is the first order that it sees.

Change: if a start was sent again, the end of its run is acknowledged 12.6 s after the last try. The task is marked in the replicated state before the second try is sent, and the number of its end with it, so that a later leader defers them too. While ends are deferred the worker is asked every 200 ms without a wait, and gets no further starts once its ends might not fit into one listing. Ruled out: a start that the leader sends after the end (its log has none), and an end that another hold acknowledged (it was in the state).

--- a/dispatch/counters.go
+++ b/dispatch/counters.go
@@ -19,6 +19,7 @@
 	leaseLapses      *metrics.Counter
 	formerOrders     *metrics.Counter // starts that a later incarnation of their worker executed
 	runEnds          map[wire.RunOutcome]*metrics.Counter
+	acksDeferred     *metrics.Counter // ends that are acknowledged late, as a start of their task may still be executed
 	startCall        *metrics.Histogram
 	round            *metrics.Histogram
 	offerLooks       *metrics.Counter // computed offers of a worker to the tasks of a step
@@ -41,6 +42,7 @@
 		leaseLapses:      set.NewCounter("daisyswitch_worker_leases_lapsed_total"),
 		formerOrders:     set.NewCounter("daisyswitch_former_orders_executed_total"),
 		runEnds:          map[wire.RunOutcome]*metrics.Counter{},
+		acksDeferred:     set.NewCounter("daisyswitch_end_acknowledgements_deferred_total"),
 		startCall:        set.NewHistogram("daisyswitch_start_call_seconds"),
 		round:            set.NewHistogram("daisyswitch_place_round_seconds"),
 		offerLooks:       set.NewCounter("daisyswitch_place_looks_total"),
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -52,9 +52,11 @@
 	doneRuns       map[workflow.Name]int // runs that ended as done
 	begunRuns      []string              // every run that began, in order
 	overlapping    []string              // tasks with two runs at the same time
-	endRecords     int                   // committed records that contain ends
-	endsDelay      time.Duration         // by which records that contain ends are committed later than others
-	departureDelay time.Duration         // by which records of workers are committed later than others
+	doneEnds       map[workflow.Name][]*doneEnd
+	startedAgain   []startAfterDone // starts of tasks that had a done run
+	endRecords     int              // committed records that contain ends
+	endsDelay      time.Duration    // by which records that contain ends are committed later than others
+	departureDelay time.Duration    // by which records of workers are committed later than others
 
 	lookahead     bool         // of loops created from now on
 	metrics       *metrics.Set // for loops created from now on, nil for none
@@ -62,6 +64,22 @@
 	takeoverDelay atomic.Int64 // nanoseconds by which a new leader's clock advances after its first reading; atomic, since the clock is read under all other locks
 }
 
+// doneEnd is the end of a run that was done, as its worker lists it.
+type doneEnd struct {
+	worker       string
+	number       int64
+	acknowledged bool // by a hold, while the worker's lease held
+	lost         bool // the worker's lease or its incarnation has ended, so that it can't be acknowledged any more
+}
+
+// startAfterDone is a start of a task after one of its runs was done.
+type startAfterDone struct {
+	name   workflow.Name
+	number int32
+	worker string
+	end    *doneEnd
+}
+
 // fakeWorker is a called worker that serves the calls of the loop.
 type fakeWorker struct {
 	b      *testBench
@@ -80,6 +98,7 @@
 	stopTime           time.Duration // from a stop to the end of the run
 	silent             bool          // answers no calls and carries out nothing
 	startDelay         time.Duration // delay after which it carries out a start without answering
+	losesHolds         bool          // neither carries out nor answers any hold
 	losesStarts        bool          // neither carries out nor answers any start
 	refusesStarts      bool          // answers every start as unhealthy
 	refusedStarts      int           // as unhealthy
@@ -87,6 +106,7 @@
 	failsTasks         bool          // fails every run
 	tailOf             func(name workflow.Name) float64
 	holdsWhileSilent   []call.Hold   // received while it was silent
+	holds              int           // received
 	holdDelay          time.Duration // by which its answers to holds arrive late
 	executesHoldsAfter time.Duration // delay after which it executes a hold without answering
 	lostAnswers        int           // answers to holds with ends that get lost from now on
@@ -104,7 +124,7 @@
 
 // newTestBench returns a leader with workers of one size, and queues for short, lasting and filling tasks.
 func newTestBench(t *testing.T, workers int, size *wire.Size) *testBench {
-	b := &testBench{t: t, began: time.Now(), workers: map[string]*fakeWorker{}, at: map[string]*fakeWorker{}, running: map[workflow.Name]int{}, doneRuns: map[workflow.Name]int{}, confirmed: true, current: &atomic.Bool{}}
+	b := &testBench{t: t, began: time.Now(), workers: map[string]*fakeWorker{}, at: map[string]*fakeWorker{}, running: map[workflow.Name]int{}, doneRuns: map[workflow.Name]int{}, doneEnds: map[workflow.Name][]*doneEnd{}, confirmed: true, current: &atomic.Bool{}}
 	b.current.Store(true)
 	b.loop.Store(b.newLoop())
 	b.table = workflow.New(workflow.Options{
@@ -285,6 +305,31 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	assert.Equal(b.t, len(b.overlapping), 0, "%v", b.overlapping)
+	for _, s := range b.startedAgain {
+		assert.Assert(b.t, !s.end.acknowledged, "run %d of %v began on %s after end %d of %s, which was acknowledged, had shown the task as done", s.number, s.name, s.worker, s.end.number, s.end.worker)
+	}
+}
+
+// recordStart records a start of a task that has been done. The caller holds the bench's mutex.
+func (w *fakeWorker) recordStart(name workflow.Name, number int32) {
+	for _, end := range w.b.doneEnds[name] {
+		w.b.startedAgain = append(w.b.startedAgain, startAfterDone{name: name, number: number, worker: w.record.GetId(), end: end})
+	}
+}
+
+// loseEnds records that the ends that the worker has listed can't be acknowledged any more. The caller holds the bench's mutex.
+func (w *fakeWorker) loseEnds() {
+	w.eachDoneEnd(func(e *doneEnd) { e.lost = true })
+}
+
+func (w *fakeWorker) eachDoneEnd(visit func(*doneEnd)) {
+	for _, ends := range w.b.doneEnds {
+		for _, e := range ends {
+			if e.worker == w.record.GetId() && !e.lost {
+				visit(e)
+			}
+		}
+	}
 }
 
 // reachWorker waits for the network delay and returns the worker, or an error if the worker is silent or another one has its address.
@@ -316,6 +361,7 @@
 	for name := range w.runs {
 		w.b.running[name]--
 	}
+	w.loseEnds()
 	w.runs, w.barred, w.ended = map[workflow.Name]*fakeRun{}, map[workflow.Name]int32{}, nil
 	w.number, w.fence, w.lease = 0, 0, time.Time{}
 	w.born, w.began, w.silent = w.born+1, time.Now(), false
@@ -358,6 +404,7 @@
 	if time.Now().Before(w.lease) {
 		return
 	}
+	w.loseEnds()
 	for name := range w.runs {
 		w.end(name, wire.RunOutcome_RUN_OUTCOME_LAPSED)
 	}
@@ -374,10 +421,11 @@
 	delete(w.runs, name)
 	w.barred[name] = max(w.barred[name], r.number)
 	w.b.running[name]--
+	w.number++
 	if outcome == wire.RunOutcome_RUN_OUTCOME_DONE {
 		w.b.doneRuns[name]++
+		w.b.doneEnds[name] = append(w.b.doneEnds[name], &doneEnd{worker: w.record.GetId(), number: w.number})
 	}
-	w.number++
 	w.ended = append(w.ended, call.Ended{Number: w.number, Task: name, Run: r.number, Outcome: outcome, Checkpoint: strings.Repeat("x", w.checkpointBytes)})
 }
 
@@ -439,6 +487,7 @@
 	r := &fakeRun{number: s.Run, begun: time.Now(), pace: 100}
 	w.runs[s.Task] = r
 	b.begunRuns = append(b.begunRuns, s.Task.String())
+	w.recordStart(s.Task, s.Run)
 	if b.running[s.Task]++; b.running[s.Task] > 1 {
 		b.overlapping = append(b.overlapping, s.Task.String())
 	}
@@ -509,7 +558,9 @@
 
 func (b *testBench) hold(ctx context.Context, w *wire.CalledWorker, h *call.Hold) (*call.Listing, error) {
 	b.locked(func() {
-		if target := b.at[w.GetAddress()]; target.silent {
+		target := b.at[w.GetAddress()]
+		target.holds++
+		if target.silent {
 			target.holdsWhileSilent = append(target.holdsWhileSilent, *h)
 		}
 	})
@@ -520,6 +571,12 @@
 	until := time.Now().Add(h.Wait)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if target.losesHolds {
+		b.mu.Unlock()
+		<-ctx.Done()
+		b.mu.Lock()
+		return nil, errNoAnswer
+	}
 	if target.executesHoldsAfter > 0 {
 		order := *h
 		time.AfterFunc(target.executesHoldsAfter, func() { b.locked(func() { target.acceptHold(&order) }) })
@@ -574,6 +631,7 @@
 		w.extend(h.DeadlineMS)
 	}
 	w.dropNoted(h.Noted)
+	w.eachDoneEnd(func(e *doneEnd) { e.acknowledged = e.acknowledged || e.number <= h.Noted })
 	return true
 }
 
--- /dev/null
+++ b/dispatch/late.go
@@ -0,0 +1,204 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"daisyswitch/call"
+	"daisyswitch/event"
+	"daisyswitch/wire"
+	"daisyswitch/workflow"
+)
+
+// A task must not start again once its end has been acknowledged. A start that was not answered may be executed up to maxOrderDelay later, also by a later incarnation, which can't tell that the run has ended.
+// So if a start was sent again, the end of its run is acknowledged only when the earlier ones can't be executed any more. Until then it is lost with the incarnation that lists it. Waiting with the second start instead would cost callers up to lateWindow for each lost order.
+
+const (
+	lateWindow           = callTimeout + maxOrderDelay // after a start was sent that was not answered, until it is certainly not executed
+	deferredHoldInterval = 200 * time.Millisecond      // between holds that are answered at once, since the worker lists ends that may not be acknowledged yet
+	maxDeferredEnds      = 400                         // ends and runs of a worker whose ends may not be acknowledged; it lists 500 ends at a time, and further ones only after these
+)
+
+// deferredEnd is a committed end of a run that may not be acknowledged yet.
+type deferredEnd struct {
+	number int64
+	until  time.Duration // boot clock
+}
+
+// adoptedEnds is what the state holds of a worker's ends when a leader begins to call it.
+type adoptedEnds struct {
+	noted int64   // number of the last one in the state
+	late  []int64 // numbers of those that may not be acknowledged while starts of their tasks may be late
+}
+
+// lateUntil returns until when an unanswered start of a run may be executed, 0 if there is none. Lasting tasks start again however they end. The caller holds the session's mutex.
+func (r *run) lateUntil() time.Duration {
+	var until time.Duration
+	if r.task.Step.Spec.GetLasting() {
+		return 0
+	}
+	if r.unansweredAt != 0 {
+		until = r.unansweredAt + lateWindow
+	}
+	if r.adopted {
+		until = max(until, r.link.began+lateWindow)
+	}
+	return until
+}
+
+// mayResend reports whether a start may be sent, though earlier ones of the run may still be executed. If so, it commits that there are such, so that later leaders know.
+func (s *session) mayResend(r *run) bool {
+	s.mu.Lock()
+	until := r.lateUntil()
+	if s.SinceBoot() >= until {
+		s.mu.Unlock()
+		return true
+	}
+	if r.link.mayNotListAll() {
+		s.mu.Unlock()
+		return false
+	}
+	committed := r.lateCommitted
+	s.mu.Unlock()
+	if !committed && !s.commitWithRetry(&wire.WorkflowCommand{LateStarts: []*wire.TaskName{r.name.Wire()}}) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.lateCommitted = true
+	return true
+}
+
+// recordResent defers the end of a run whose start is sent again. This try may be the one that is late, and an earlier one the one that is executed now. The caller holds the session's mutex.
+func (s *session) recordResent(r *run) {
+	until := r.sentAt + lateWindow
+	s.lateStarts[r.name] = until
+	r.link.deferEnds(until)
+}
+
+// dropLateStarts removes the late starts that are over.
+func (s *session) dropLateStarts() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.SinceBoot()
+	for name, until := range s.lateStarts {
+		if now >= until {
+			delete(s.lateStarts, name)
+		}
+	}
+}
+
+// mayNotListAll reports whether the ends of the link's runs might not fit into one listing, should none be acknowledged for some time. The caller holds the session's mutex.
+func (l *link) mayNotListAll() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(len(l.runs))+l.committedEnds-l.acknowledged >= maxDeferredEnds
+}
+
+// deferEnds records that ends of the worker's runs may not be acknowledged before some time.
+func (l *link) deferEnds(until time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endsDeferredUntil = max(l.endsDeferredUntil, until)
+}
+
+// hasRoomForEnds reports whether the worker can list the ends of further runs beside those that may not be acknowledged yet. The caller holds the session's mutex.
+func (l *link) hasRoomForEnds(now time.Duration) bool {
+	l.mu.Lock()
+	deferred := now < l.endsDeferredUntil
+	l.mu.Unlock()
+	return !deferred || !l.mayNotListAll()
+}
+
+// deferAcknowledgements finds the ends that may not be acknowledged yet. The starts of an earlier leader may be late for as long as if it had sent them when this one began.
+func (l *link) deferAcknowledgements(ends []call.Ended) {
+	s := l.s
+	late := make([]bool, len(ends))
+	s.Table.View(func(t *workflow.Tables) {
+		for i, e := range ends {
+			task := t.Task(e.Task)
+			late[i] = task != nil && task.LateStart
+		}
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.SinceBoot()
+	for i, e := range ends {
+		until := s.lateStarts[e.Task]
+		if late[i] {
+			until = max(until, l.began+lateWindow)
+		}
+		if now >= until {
+			continue
+		}
+		s.acksDeferred.Inc()
+		event.AcknowledgementDeferred.Info("worker", l.id, "number", e.Number, "task", e.Task.String(), "run", e.Run, "for_ms", (until - now).Milliseconds())
+		l.mu.Lock()
+		l.deferred = append(l.deferred, deferredEnd{number: e.Number, until: until})
+		l.endsDeferredUntil = max(l.endsDeferredUntil, until)
+		l.mu.Unlock()
+	}
+}
+
+// adoptEnds takes over which ends earlier leaders have committed, and which of them may not be acknowledged yet.
+func (l *link) adoptEnds(ends adoptedEnds) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.committedEnds = ends.noted
+	for _, number := range ends.late {
+		l.deferred = append(l.deferred, deferredEnd{number: number, until: l.began + lateWindow})
+		l.endsDeferredUntil = l.began + lateWindow
+	}
+	l.acknowledgeable(l.began, ends.noted)
+}
+
+func (l *link) recordCommittedEnds(ends []call.Ended) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range ends {
+		l.committedEnds = max(l.committedEnds, e.Number)
+	}
+}
+
+func (l *link) lastAcknowledged() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.acknowledged
+}
+
+// acknowledgeable returns up to which number the ends may be acknowledged, of those that are in the state. The caller holds the link's mutex.
+func (l *link) acknowledgeable(now time.Duration, noted int64) int64 {
+	l.deferred = slices.DeleteFunc(l.deferred, func(e deferredEnd) bool { return now >= e.until })
+	for _, e := range l.deferred {
+		noted = min(noted, e.number-1)
+	}
+	l.acknowledged = max(l.acknowledged, noted)
+	return noted
+}
+
+// awaitDeferred waits before the next hold if the worker would answer it at once with the ends that it has just listed, as none of them may be acknowledged yet.
+// A worker that lists its ends in parts shows the others only once these are acknowledged, which is more urgent.
+func (l *link) awaitDeferred(listing *call.Listing) {
+	l.mu.Lock()
+	wait := len(l.deferred) > 0 && len(listing.Ended) > 0
+	if wait {
+		last := listing.Ended[len(listing.Ended)-1].Number
+		wait = last <= l.committedEnds && !listing.MoreEnds
+		if listing.MoreEnds {
+			l.acknowledgeEarly(last)
+		}
+	}
+	l.mu.Unlock()
+	if wait {
+		l.s.pause(deferredHoldInterval)
+	}
+}
+
+// acknowledgeEarly defers no ends up to a number any more. The caller holds the link's mutex.
+func (l *link) acknowledgeEarly(number int64) {
+	before := len(l.deferred)
+	l.deferred = slices.DeleteFunc(l.deferred, func(e deferredEnd) bool { return e.number <= number })
+	if before > len(l.deferred) {
+		event.AcknowledgedEarly.Info("worker", l.id, "up_to", number, "ends", before-len(l.deferred))
+	}
+}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -34,8 +34,6 @@
 	longCheckpoints  bool                    // the last listing had checkpoints that were dropped; guarded by listings
 	nearTarget       bool                    // a serving task beside filling tasks is near its target; guarded by the session's mutex
 
-	committedEnds int64 // number of the last listed end that this leader has committed; guarded by listings
-
 	listings chan struct{} // holds a value while a listing is processed, since the ends of one worker are committed one after the other
 
 	mu            sync.Mutex // guards the fields below
@@ -60,6 +58,11 @@
 	keeper        int                 // of its lease, counted from 0; the one before ends with its hold in progress
 	departListed  bool                // it has answered since with a complete listing
 	cancelHold    func()              // of the hold in progress
+
+	committedEnds     int64         // number of the last listed end that this leader has committed
+	acknowledged      int64         // number of the last end that may be acknowledged
+	deferred          []deferredEnd // ends that may not be acknowledged yet
+	endsDeferredUntil time.Duration // boot clock, until when ends of its runs may not be acknowledged
 }
 
 func newLink(s *session, w *wire.CalledWorker, former predecessor) *link {
@@ -216,6 +219,7 @@
 		default:
 			l.recordAnswer(sent, listing)
 			l.processListing(sent, listing, departing)
+			l.awaitDeferred(listing)
 		}
 	}
 }
@@ -234,7 +238,7 @@
 }
 
 // nextHold returns the next hold. A hold to a worker that does not answer extends no lease, so that the lease expires at a known time.
-// It also acknowledges no ends, since the worker may have restarted and number its ends from 1 again.
+// It also acknowledges no ends, since the worker may have restarted and number its ends from 1 again, and no hold acknowledges an end while a start of its task may be executed late.
 // A departing worker's lease is not extended either, and it answers without a wait until it has listed its runs. The second result says that the worker is departing.
 func (l *link) nextHold(now time.Duration) (*call.Hold, bool) {
 	noted := l.notedEnds()
@@ -248,7 +252,7 @@
 	if l.heardAt == 0 {
 		return order, l.departing
 	}
-	order.Noted = noted
+	order.Noted = l.acknowledgeable(now, noted)
 	if l.departing {
 		if l.departListed {
 			order.Wait = shortHoldWait
@@ -256,7 +260,7 @@
 		return order, true
 	}
 	order.DeadlineMS = l.clockMS + (now - l.clockReadAt + l.s.Lease).Milliseconds()
-	if l.leaseMS != 0 {
+	if l.leaseMS != 0 && len(l.deferred) == 0 {
 		order.Wait = wait
 	}
 	l.leaseMS = max(l.leaseMS, order.DeadlineMS)
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -163,7 +163,9 @@
 
 // newEnds returns the listed ends that are not committed yet. Two holds in progress may list the same end, and a worker lists its ends again until they are acknowledged.
 func (l *link) newEnds(listed []call.Ended) []call.Ended {
-	committed := max(l.committedEnds, l.notedEnds())
+	l.mu.Lock()
+	committed := l.committedEnds
+	l.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(listed), func(e call.Ended) bool { return 0 < e.Number && e.Number <= committed })
 }
 
@@ -174,14 +176,15 @@
 	if len(ended) == 0 {
 		return
 	}
-	born := l.currentWorker().GetBorn()
+	l.deferAcknowledgements(ended)
+	born, acknowledged := l.currentWorker().GetBorn(), l.lastAcknowledged()
 	runEnds := make([]*wire.RunEnd, 0, len(ended))
 	for _, e := range ended {
 		if l.isUnlistedFormer(runKey{e.Task, e.Run}) {
 			l.recordFormerOrder(runKey{e.Task, e.Run}, "ended")
 		}
 		event.RunEnded.Info("task", e.Task.String(), "run", e.Run, "worker", l.id, "number", e.Number, "outcome", e.Outcome.String())
-		runEnds = append(runEnds, &wire.RunEnd{Task: e.Task.Wire(), Run: e.Run, Worker: l.id, Born: born, Number: e.Number, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
+		runEnds = append(runEnds, &wire.RunEnd{Task: e.Task.Wire(), Run: e.Run, Worker: l.id, Born: born, Number: e.Number, Outcome: e.Outcome, Checkpoint: e.Checkpoint, Acknowledged: acknowledged})
 		s.runEnds[e.Outcome].Inc()
 		l.recordOutcome(&e)
 	}
@@ -189,9 +192,9 @@
 		return
 	}
 	for _, e := range ended {
-		l.committedEnds = max(l.committedEnds, e.Number)
 		l.dropRun(runKey{e.Task, e.Run})
 	}
+	l.recordCommittedEnds(ended)
 }
 
 func (l *link) setDepartListed() {
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,7 +134,7 @@
 	defer cancel()
 	s := &session{
 		Options: l.options, counters: l.counters, ctx: ctx, term: term,
-		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, lastAtWork: map[*workflow.Task]time.Duration{}, taskDuration: map[string]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, begun: map[string]struct{}{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{}, ahead: newAhead(l.options.Lookahead),
+		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, lastAtWork: map[*workflow.Task]time.Duration{}, taskDuration: map[string]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, lateStarts: map[workflow.Name]time.Duration{}, begun: map[string]struct{}{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{}, ahead: newAhead(l.options.Lookahead),
 	}
 	defer s.tasks.Wait()
 	l.session.Store(s)
@@ -156,6 +157,7 @@
 			s.moveSlowed()
 			s.stopOnLeavingWorkers()
 			s.commitBegun()
+			s.dropLateStarts()
 			s.summarize()
 		}
 	}
@@ -211,9 +213,10 @@
 	lastAtWork      map[*workflow.Task]time.Duration       // boot clock, when lasting tasks without a run were last known to run
 	taskDuration    map[string]*taskDuration               // mean run times by queue
 	headrooms       *headroom.Table
-	begun           map[string]struct{} // workflows of which a run has begun, to be committed
-	initialPaces    map[runKey]int      // paces in percent of runs that have not started
-	allImageNumbers map[string]int      // indexes of images in costs
+	lateStarts      map[workflow.Name]time.Duration // boot clock, until when a start that was not answered may be executed, of tasks that were started again since
+	begun           map[string]struct{}             // workflows of which a run has begun, to be committed
+	initialPaces    map[runKey]int                  // paces in percent of runs that have not started
+	allImageNumbers map[string]int                  // indexes of images in costs
 }
 
 // adoptRuns takes over the runs that earlier leaders committed.
@@ -285,6 +288,7 @@
 // updateLinks starts calling new workers and stops calling those that are gone.
 func (s *session) updateLinks() {
 	var current map[string]*wire.CalledWorker
+	ends := map[string]adoptedEnds{}
 	s.Table.View(func(t *workflow.Tables) {
 		if t.WorkerChanges == s.workerChanges {
 			return
@@ -292,7 +296,7 @@
 		s.workerChanges = t.WorkerChanges
 		current = map[string]*wire.CalledWorker{}
 		for id, w := range t.Workers {
-			current[id] = w.CalledWorker
+			current[id], ends[id] = w.CalledWorker, adoptedEnds{w.Noted, slices.Clone(w.LateEnds)}
 		}
 	})
 	if current == nil {
@@ -321,6 +325,7 @@
 			continue
 		}
 		l := newLink(s, w, former[id])
+		l.adoptEnds(ends[id])
 		s.links[id] = l
 		s.tasks.Go(func() { l.keepLease(0) })
 		added[w.GetAddress()] = id
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -39,6 +39,8 @@
 	former  bool // committed for an earlier incarnation of its worker
 	late    bool // and a start of it may not have been executed yet
 
+	lateCommitted bool // the state holds that a start of it may be executed late; guarded by the session's mutex
+
 	begun         bool          // the worker has accepted its start or listed it
 	sentAt        time.Duration // boot clock, when its start was last sent; 0 for never
 	unansweredAt  time.Duration // boot clock, when a start was last sent that was not answered; 0 for none
@@ -139,7 +141,7 @@
 		if !committed || s.isListed(r) {
 			return
 		}
-		if !startable && s.mayBeListed(r) {
+		if s.mayBeListed(r) {
 			s.pause(minRetryDelay)
 			try--
 			continue
@@ -154,6 +156,11 @@
 			try--
 			continue
 		}
+		if !s.mayResend(r) {
+			s.pause(minRetryDelay)
+			try--
+			continue
+		}
 		r.order.DeadlineMS = deadline
 		s.recordSent(r)
 		ctx, cancel := context.WithTimeout(r.link.ctx, callTimeout)
@@ -210,6 +217,9 @@
 	defer s.mu.Unlock()
 	r.sentAt = s.SinceBoot()
 	r.link.recordGrant(r.sentAt)
+	if r.lateCommitted {
+		s.recordResent(r)
+	}
 }
 
 func (s *session) recordUnanswered(r *run) {
--- a/workflow/run.go
+++ b/workflow/run.go
@@ -22,7 +22,9 @@
 
 // recordEnd records the end of a run. If the task has no current run, a late end still counts for its checkpoint and outcome.
 func (t *Tables) recordEnd(nowMS int64, e *wire.RunEnd) {
-	if w := t.Workers[e.GetWorker()]; w != nil && w.GetBorn() == e.GetBorn() && e.GetNumber() > 0 {
+	w := t.Workers[e.GetWorker()]
+	listed := w != nil && w.GetBorn() == e.GetBorn() && e.GetNumber() > 0
+	if listed {
 		if e.GetNumber() <= w.Noted {
 			return
 		}
@@ -32,6 +34,9 @@
 	if task == nil || e.GetRun() > task.Run {
 		return
 	}
+	if listed {
+		w.recordLateEnd(task, e)
+	}
 	current := task.Worker != nil && task.Worker.GetId() == e.GetWorker() && task.Worker.GetBorn() == e.GetBorn() && task.Run == e.GetRun()
 	if !current && task.Worker != nil {
 		return
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -18,7 +18,7 @@
 	}
 	sort.Slice(s.Workflows, func(i, k int) bool { return s.Workflows[i].Workflow.Id < s.Workflows[k].Workflow.Id })
 	for _, w := range t.Workers {
-		s.Workers = append(s.Workers, &wire.WorkerEnds{Worker: w.CalledWorker, Noted: w.Noted})
+		s.Workers = append(s.Workers, &wire.WorkerEnds{Worker: w.CalledWorker, Noted: w.Noted, LateEnds: slices.Clone(w.LateEnds)})
 	}
 	for _, w := range t.gone {
 		s.Workers = append(s.Workers, &wire.WorkerEnds{Worker: w})
@@ -54,7 +54,7 @@
 }
 
 func (t *Task) record() *wire.TaskRecord {
-	r := &wire.TaskRecord{Run: t.Run, Failures: t.Failures, FailedRuns: t.failedRuns, Done: t.Done, Checkpoint: t.Checkpoint, Ticket: t.Ticket}
+	r := &wire.TaskRecord{Run: t.Run, Failures: t.Failures, FailedRuns: t.failedRuns, Done: t.Done, Checkpoint: t.Checkpoint, Ticket: t.Ticket, LateStart: t.LateStart}
 	if t.Worker != nil {
 		r.Worker, r.Born = t.Worker.GetId(), t.Born
 	}
@@ -98,7 +98,8 @@
 	}
 	t.WorkerChanges++
 	t.addIncarnation(w.GetWorker(), nil)
-	t.Workers[w.GetWorker().GetId()].Noted = w.GetNoted()
+	restored := t.Workers[w.GetWorker().GetId()]
+	restored.Noted, restored.LateEnds = w.GetNoted(), slices.Clone(w.GetLateEnds())
 }
 
 func (t *Tables) restoreJob(r *wire.WorkflowRecord) error {
@@ -131,7 +132,7 @@
 }
 
 func (t *Tables) restoreTask(task *Task, r *wire.TaskRecord) {
-	task.Run, task.Done, task.Checkpoint, task.Ticket = r.GetRun(), r.GetDone(), r.GetCheckpoint(), r.GetTicket()
+	task.Run, task.Done, task.Checkpoint, task.Ticket, task.LateStart = r.GetRun(), r.GetDone(), r.GetCheckpoint(), r.GetTicket(), r.GetLateStart()
 	task.attempts = attempts{Failures: r.GetFailures(), failedRuns: slices.Clip(r.GetFailedRuns())}
 	if task.Done {
 		task.Step.unfinishedTasks--
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -110,6 +110,7 @@
 		t.setWorker(w)
 	}
 	t.markBegun(c.GetBegun())
+	t.markLateStarts(c.GetLateStarts())
 	for _, e := range c.GetEnds() {
 		t.recordEnd(nowMS, e)
 	}
--- a/workflow/types.go
+++ b/workflow/types.go
@@ -122,6 +122,7 @@
 	Born       int64   // of the incarnation for which the run was committed; the worker may have restarted since
 	Checkpoint string
 	Ticket     string
+	LateStart  bool // a start was not answered and may have been executed late
 }
 
 // Name returns the task's name.
@@ -143,6 +144,7 @@
 type Worker struct {
 	*wire.CalledWorker
 	Noted         int64         // number of the last run end that was recorded
+	LateEnds      []int64       // numbers of recorded ends that may not be acknowledged while a start of their task may be executed late
 	Used          resource.Size // by tasks other than filling tasks
 	Lasting       resource.Size // the part of Used that is used by lasting tasks
 	UsedByFilling resource.Size // by filling tasks; their memory and accelerators reduce Free, their CPU does not
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -378,3 +378,25 @@
 		assert.Assert(t, queue == nil, "a queue that was removed is in use again")
 	})
 }
+
+// TestEndsThatMayNotBeAcknowledgedAreKept guards against a later leader, or one whose replica has restarted, that acknowledges the end of a run of which a start may still be executed.
+func TestEndsThatMayNotBeAcknowledgedAreKept(t *testing.T) {
+	s := newTable()
+	submit(s, "a", &wire.Step{Count: 3, Size: taskSize})
+	for i := range int32(3) {
+		assert.Assert(t, start(s, taskName("a", 0, i), 1, "w", 1))
+	}
+	s.Apply(4, &wire.WorkflowCommand{LateStarts: []*wire.TaskName{taskName("a", 0, 1), taskName("b", 0, 0)}})
+	lateEnds := func() (numbers []int64) {
+		s.View(func(v *workflow.Tables) { numbers = v.Workers["w"].LateEnds })
+		return numbers
+	}
+	for i, acknowledged := range []int64{0, 0, 2} {
+		restarted := workflow.New(workflow.Options{})
+		assert.NilError(t, restarted.Restore(s.Snapshot()))
+		s = restarted
+		s.Apply(4, &wire.WorkflowCommand{Ends: []*wire.RunEnd{{Task: taskName("a", 0, int32(i)), Run: 1, Worker: "w", Born: 1, Number: int64(i + 1), Outcome: done, Acknowledged: acknowledged}}})
+		assert.DeepEqual(t, lateEnds(), [][]int64{nil, {2}, {}}[i])
+	}
+	assert.Equal(t, jobState(s, "a"), workflow.StateCompleted)
+}
