Keep a withdrawn run while its unanswered start may still be executed

A task ran on two workers, or started after its end was acknowledged, where the run was taken back from a worker that had not answered its start, and that worker restarted within 12 s.

Cause: an accepted stop bars a run on one incarnation only, and the task was started elsewhere as soon as a listing did not show the run.

Such a run is released once its start can't be executed any more, or at once if its workflow has ended or its worker has restarted.

TestWithdrawnRunIsKeptWhileItsStartMayBeLate failed before, with the same and with a new leader.

--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -69,6 +69,15 @@
 	return true
 }
 
+// mayStartLate reports whether a later incarnation may still begin a run that its worker was told to stop and never began, so that its task must not start elsewhere. The present incarnation can't, and a run whose worker has restarted already is not waited for.
+func (s *session) mayStartLate(r *run) bool {
+	open := false
+	s.Table.View(func(*workflow.Tables) { open = r.task.Step.Job.Open() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return open && !r.begun && !r.former && s.SinceBoot() < r.lateUntil()
+}
+
 // recordResent defers the end of a run whose start is sent again. This try may be the one that is late, and an earlier one the one that is executed now. The caller holds the session's mutex.
 func (s *session) recordResent(r *run) {
 	until := r.sentAt + lateWindow
--- a/dispatch/late_start_test.go
+++ b/dispatch/late_start_test.go
@@ -8,6 +8,7 @@
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 )
 
@@ -115,3 +116,55 @@
 		assert.Equal(t, b.runCount("late.0.0.0"), 1)
 	})
 }
+
+// TestWithdrawnRunIsKeptWhileItsStartMayBeLate guards against a task that starts elsewhere, since its worker was told to stop a run whose start it had not answered, and that runs twice as a later incarnation of the worker executes the start.
+func TestWithdrawnRunIsKeptWhileItsStartMayBeLate(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new leader %v", newLeader), func(t *testing.T) {
+			runOnBench(t, 1, big, func(b *testBench) {
+				w := b.workers["w0"]
+				time.Sleep(30 * time.Second)
+				b.submitWithLateFirstTry(w, "job")
+				leaving := proto.CloneOf(w.record)
+				leaving.Leaving = true
+				b.apply(&wire.WorkflowCommand{Workers: []*wire.CalledWorker{leaving}})
+				b.addWorker("w1", big)
+				if newLeader {
+					time.Sleep(500 * time.Millisecond)
+					b.lead(2)
+				}
+				time.Sleep(2900 * time.Millisecond)
+				b.locked(func() { w.restart(); w.losesHolds = true })
+				time.Sleep(1200 * time.Millisecond)
+				b.locked(func() { w.losesHolds = false })
+				w.announce()
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, b.state("job"), workflow.StateCompleted)
+				time.Sleep(30 * time.Second)
+				b.locked(func() { assert.Equal(t, b.doneRuns[workflow.Name{Workflow: "job"}], 1) })
+			})
+		})
+	}
+}
+
+// TestWithdrawnRunIsReleasedOnceItsStartCannotBeLate guards against a task that waits for good, or a cancelled workflow whose room is kept, since the start of a run that was taken back had no answer.
+func TestWithdrawnRunIsReleasedOnceItsStartCannotBeLate(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		time.Sleep(30 * time.Second)
+		b.locked(func() { w.losesStarts = true })
+		b.submit("short", "job", short(1))
+		b.submit("short", "cancelled", short(1))
+		time.Sleep(time.Second)
+		b.addWorker("w1", big)
+		b.apply(&wire.WorkflowCommand{Domain: &wire.DomainOut{Domain: "d", Out: true}, Cancel: "cancelled"})
+		time.Sleep(2 * time.Second)
+		b.table.View(func(s *workflow.Tables) {
+			assert.Equal(t, len(s.Workers["w0"].Tasks), 1, "room of a cancelled workflow is kept")
+		})
+		b.apply(&wire.WorkflowCommand{Domain: &wire.DomainOut{Domain: "d"}})
+		b.locked(func() { w.losesStarts = false })
+		time.Sleep(13 * time.Second)
+		assert.Equal(t, b.state("job"), workflow.StateCompleted)
+	})
+}
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -221,7 +221,9 @@
 	}
 	s.mu.Unlock()
 	for _, r := range over {
-		s.endRun(r, "it was stopped and the worker does not list it")
+		if !s.mayStartLate(r) {
+			s.endRun(r, "it was stopped and the worker does not list it")
+		}
 	}
 	for _, r := range lost {
 		s.tasks.Go(func() { s.stopRun(r, "the worker does not list it") })
