Bar a later incarnation with the hold after its first answer

A worker that had restarted and was not announced yet executed orders for its former incarnation for 0.8 s after it had answered a hold: the next hold, whose token bars them, was sent only after the pause between calls to a worker that answers nothing useful.

That hold is sent at once now; the pause comes after it. TestLaterIncarnationIsBarredAtOnce failed before.

--- a/dispatch/late_start_test.go
+++ b/dispatch/late_start_test.go
@@ -168,3 +168,24 @@
 		assert.Equal(t, b.state("job"), workflow.StateCompleted)
 	})
 }
+
+// TestLaterIncarnationIsBarredAtOnce guards against orders for the former incarnation that a later one, which is not announced yet, executes after it has answered a hold.
+func TestLaterIncarnationIsBarredAtOnce(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		time.Sleep(30 * time.Second)
+		b.locked(w.restart)
+		awaitFence := func(token uint64) time.Time {
+			for {
+				fence := uint64(0)
+				b.locked(func() { fence = w.fence })
+				if fence >= token {
+					return time.Now()
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+		answered := awaitFence(1)
+		assert.Assert(t, awaitFence(2).Sub(answered) < 20*time.Millisecond)
+	})
+}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -202,10 +202,13 @@
 			l.markReplaced()
 			return
 		case errors.Is(err, call.ErrRestarted):
+			barred := order.Fence != l.fence
 			l.recordRestart(err)
-			l.recordLaterAnswer(order.Fence != l.fence)
+			l.recordLaterAnswer(barred)
 			l.recordSilence(err)
-			s.pause(maxRetryDelay)
+			if barred { // otherwise the next hold bars what was meant for this incarnation
+				s.pause(maxRetryDelay)
+			}
 		case err != nil:
 			l.recordSilence(err)
 			s.pause(minRetryDelay)
