Check again whether a start may be sent after its mark is committed

A start that was about to be sent again was sent after the record that marks it, which takes a commit, without a further look at the worker.

The mark is committed first, and all conditions are checked after it. The steps of a start are a function of their own.

--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -46,27 +46,24 @@
 	return until
 }
 
-// mayResend reports whether a start may be sent, though earlier ones of the run may still be executed. If so, it commits that there are such, so that later leaders know.
+// mayResend reports whether a start may be sent, though earlier ones of the run may still be executed: later leaders have to know that there are such, and the worker has to be able to list its ends until they are over.
 func (s *session) mayResend(r *run) bool {
 	s.mu.Lock()
-	until := r.lateUntil()
-	if s.SinceBoot() >= until {
-		s.mu.Unlock()
-		return true
-	}
-	if r.link.mayNotListAll() {
-		s.mu.Unlock()
-		return false
-	}
+	defer s.mu.Unlock()
+	return s.SinceBoot() >= r.lateUntil() || r.lateCommitted && !r.link.mayNotListAll()
+}
+
+// prepareResend commits that starts of a run may be executed late.
+func (s *session) prepareResend(r *run) {
+	s.mu.Lock()
 	committed := r.lateCommitted
 	s.mu.Unlock()
-	if !committed && !s.commitWithRetry(&wire.WorkflowCommand{LateStarts: []*wire.TaskName{r.name.Wire()}}) {
-		return false
+	if committed || !s.commitWithRetry(&wire.WorkflowCommand{LateStarts: []*wire.TaskName{r.name.Wire()}}) {
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.lateCommitted = true
-	return true
 }
 
 // mayStartLate reports whether a later incarnation may still begin a run that its worker was told to stop and never began, so that its task must not start elsewhere. The present incarnation can't, and a run whose worker has restarted already is not waited for.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -133,30 +133,49 @@
 	r.phase, r.phaseSince = p, s.SinceBoot()
 }
 
+// startStep is what has to be done next for a start.
+type startStep int
+
+const (
+	sendStart     startStep = iota
+	waitToStart             // it can't be sent now
+	withdrawStart           // the run may no longer start
+	finishStart             // the run has started or ended
+)
+
+// nextStartStep returns what has to be done next for a start, and the lease's deadline if that is to send it.
+func (s *session) nextStartStep(r *run) (deadline int64, next startStep) {
+	committed, startable := s.runStanding(r)
+	switch {
+	case !committed || s.isListed(r):
+		return 0, finishStart
+	case s.mayBeListed(r):
+		return 0, waitToStart
+	case !startable:
+		return 0, withdrawStart
+	case !s.mayResend(r):
+		s.prepareResend(r)
+		return 0, waitToStart
+	}
+	deadline, ok := r.link.leaseDeadline()
+	if !ok {
+		return 0, waitToStart
+	}
+	return deadline, sendStart
+}
+
 // startRun sends a start until it is answered or the run no longer needs to start.
 func (s *session) startRun(r *run) {
 	wait := minRetryDelay
 	for try := 1; s.awaitMayCall(r.link.ctx); try++ {
-		committed, startable := s.runStanding(r)
-		if !committed || s.isListed(r) {
+		deadline, next := s.nextStartStep(r)
+		switch next {
+		case finishStart:
 			return
-		}
-		if s.mayBeListed(r) {
-			s.pause(minRetryDelay)
-			try--
-			continue
-		}
-		if !startable {
+		case withdrawStart:
 			s.withdraw(r, try, "it may no longer start")
 			return
-		}
-		deadline, ok := r.link.leaseDeadline()
-		if !ok {
-			s.pause(minRetryDelay)
-			try--
-			continue
-		}
-		if !s.mayResend(r) {
+		case waitToStart:
 			s.pause(minRetryDelay)
 			try--
 			continue
