Let an ended process of a stand-in execute no starts

By the trace of the review a worker whose process had ended, so that its runs were gone without an end, carried out second tries of starts that were on their way: the stand-in answers on after its end, which is meant for listings only.

An ended process now neither executes nor answers starts, also those that it would have executed late.

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -446,14 +446,16 @@
 		time.AfterFunc(target.startDelay, func() {
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			target.acceptStart(&order)
+			if !target.gone {
+				target.acceptStart(&order)
+			}
 		})
 		b.mu.Unlock()
 		<-ctx.Done()
 		b.mu.Lock()
 		return nil, errNoAnswer
 	}
-	if target.losesStarts {
+	if target.losesStarts || target.gone { // an ended process executes nothing
 		b.mu.Unlock()
 		<-ctx.Done()
 		b.mu.Lock()
