Judge a run's progress by how long its task takes

Cause: a run counted as stalled if its percent was the same for 2 s. Workers list whole percents, so that holds for every task of more than 200 s. Ruled out: a worker that lists no progress (its percent grows by one each 3 s).

The time allowed is now three percents of the task's estimate, or of the time that its progress has taken, if that is more than 2 s, and doubles each time that the task was stopped for it, since estimates can be far off.

TestLongTaskIsNotTakenForStalled failed before, with a right estimate and with one that is 150 times too low.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -15,6 +15,8 @@
 	minSuspension    = 4 * time.Second  // about as long as a worker's faults last
 	maxSuspension    = 16 * time.Second // reached by a worker that fails again after each suspension
 	stallTimeout     = 2 * time.Second  // without progress, for tasks that take some seconds in total
+	stallPercents    = 3                // of a task's work; workers list whole percents
+	maxStallDoubling = 6                // of stallTimeout, for tasks that stalled wherever they ran
 )
 
 // health is the failure history of a worker in this leadership.
@@ -68,11 +70,12 @@
 	event.TaskExcluded.Info("task", name.String(), "worker", worker, "for_ms", length.Milliseconds())
 }
 
-// dropExclusions removes the exclusions of a job's tasks. The caller holds the session's mutex.
+// dropExclusions removes the exclusions and stalls of a job's tasks. The caller holds the session's mutex.
 func (s *session) dropExclusions(j *workflow.Job) {
 	for _, step := range j.Steps {
 		for _, t := range step.Tasks {
 			delete(s.excluded, t.Name())
+			delete(s.stalls, t.Name())
 		}
 	}
 }
@@ -143,9 +146,18 @@
 	}
 }
 
-// isStalled reports whether the worker has listed a run without progress for stallTimeout, scaled by its pace.
-func (r *run) isStalled() bool {
-	return r.listed && r.pace > 0 && (r.listedAt-r.progressAt)*time.Duration(r.pace)/100 >= stallTimeout
+// isStalled reports whether the worker has listed a run without progress for its stall time, scaled by its pace. The caller holds the session's mutex.
+func (s *session) isStalled(r *run) bool {
+	return r.listed && r.pace > 0 && (r.listedAt-r.progressAt)*time.Duration(r.pace)/100 >= s.stallTime(r)
+}
+
+// stallTime returns how long a run may be listed without progress. It covers some percents of the task's work, by its estimate or by the progress so far, whichever is slower. Estimates can be far off, so it doubles each time the task stalls. The caller holds the session's mutex.
+func (s *session) stallTime(r *run) time.Duration {
+	perPercent := time.Duration(r.task.Step.Spec.GetExpectedMs()) * time.Millisecond / 100
+	if done := r.percent - r.firstPercent; done > 0 {
+		perPercent = max(perPercent, (r.progressAt-r.firstListedAt)/time.Duration(done))
+	}
+	return max(stallTimeout<<min(s.stalls[r.name], maxStallDoubling), stallPercents*perPercent)
 }
 
 // stopStalled stops tasks that make no progress, so that they continue on another worker.
@@ -153,10 +165,11 @@
 	var stalled []runKey
 	s.mu.Lock()
 	for key, r := range s.runs {
-		if r.phase != started || r.task.Step.Spec.GetGang() || r.percent >= 100 || !r.isStalled() {
+		if r.phase != started || r.task.Step.Spec.GetGang() || r.percent >= 100 || !s.isStalled(r) {
 			continue
 		}
 		stalled = append(stalled, key)
+		s.stalls[key.name]++
 		s.exclude(key.name, r.worker.GetId())
 		h := &r.link.health
 		if h.failedWorkflows == nil {
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -192,3 +192,20 @@
 		})
 	}
 }
+
+// TestLongTaskIsNotTakenForStalled guards against a task that is stopped again and again on sound workers, since its progress, listed in whole percents, does not change for some seconds, whether its estimate says so or is far too low.
+func TestLongTaskIsNotTakenForStalled(t *testing.T) {
+	for _, c := range []struct {
+		estimate, slowdown, mostRuns int
+	}{{estimate: 300_000, slowdown: 1, mostRuns: 1}, {estimate: 2_000, slowdown: 150, mostRuns: 2}} {
+		t.Run(fmt.Sprintf("%d ms, %d times as long", c.estimate, c.slowdown), func(t *testing.T) {
+			runOnBench(t, 1, big, func(b *testBench) {
+				b.locked(func() { b.workers["w0"].slowdown = time.Duration(c.slowdown) })
+				b.submit("short", "long", &wire.Step{Count: 1, Size: unit, ExpectedMs: int64(c.estimate)})
+				time.Sleep(320 * time.Second)
+				assert.Equal(t, b.state("long"), workflow.StateCompleted)
+				assert.Assert(t, b.runCount("long.0.0.0") <= c.mostRuns, "it began %d times", b.runCount("long.0.0.0"))
+			})
+		})
+	}
+}
