Mark a start as late only while its worker answers

Starts in flight to a worker that fell silent were each marked in a record of their own, though none is sent again before the worker answers. The lease is looked at first. Two events have shorter identifiers, which leaves the catalogue's other lines as they were.

--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -138,7 +138,7 @@
 			continue
 		}
 		s.acksDeferred.Inc()
-		event.AcknowledgementDeferred.Info("worker", l.id, "number", e.Number, "task", e.Task.String(), "run", e.Run, "for_ms", (until - now).Milliseconds())
+		event.AckDeferred.Info("worker", l.id, "number", e.Number, "task", e.Task.String(), "run", e.Run, "for_ms", (until - now).Milliseconds())
 		l.mu.Lock()
 		l.deferred = append(l.deferred, deferredEnd{number: e.Number, until: until})
 		l.endsDeferredUntil = max(l.endsDeferredUntil, until)
@@ -205,6 +205,6 @@
 	before := len(l.deferred)
 	l.deferred = slices.DeleteFunc(l.deferred, func(e deferredEnd) bool { return e.number <= number })
 	if before > len(l.deferred) {
-		event.AcknowledgedEarly.Info("worker", l.id, "up_to", number, "ends", before-len(l.deferred))
+		event.AckedEarly.Info("worker", l.id, "up_to", number, "ends", before-len(l.deferred))
 	}
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -153,14 +153,15 @@
 		return 0, waitToStart
 	case !startable:
 		return 0, withdrawStart
-	case !s.mayResend(r):
-		s.prepareResend(r)
-		return 0, waitToStart
 	}
 	deadline, ok := r.link.leaseDeadline()
 	if !ok {
 		return 0, waitToStart
 	}
+	if !s.mayResend(r) {
+		s.prepareResend(r) // takes a commit, after which all is checked again
+		return 0, waitToStart
+	}
 	return deadline, sendStart
 }
 
