Hold nothing back where the ends of a worker do not fit into one listing

Cause: while ends may not be acknowledged, a worker got no starts, and none again, from 400 ends and runs on, so that all its ends fit into a listing. Ruled out: starts that wait for their mark, and runs that are kept for a late start.

The limits are taken back. All starts that wait on a worker are marked by one record.

--- a/dispatch/candidate.go
+++ b/dispatch/candidate.go
@@ -42,7 +42,7 @@
 	defer r.s.mu.Unlock()
 	for id, w := range r.t.Workers {
 		l := r.s.links[id]
-		if l == nil || w.GetLeaving() || r.t.Out[w.GetDomain()] || !l.usable(now) || !l.hasRoomForEnds(now) {
+		if l == nil || w.GetLeaving() || r.t.Out[w.GetDomain()] || !l.usable(now) {
 			continue
 		}
 		c := r.s.candidates[id]
--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -16,7 +16,6 @@
 const (
 	lateWindow           = callTimeout + maxOrderDelay // after a start was sent that was not answered, until it is certainly not executed
 	deferredHoldInterval = 200 * time.Millisecond      // between holds that are answered at once, since the worker lists ends that may not be acknowledged yet
-	maxDeferredEnds      = 400                         // ends and runs of a worker whose ends may not be acknowledged; it lists 500 ends at a time, and further ones only after these
 )
 
 // deferredEnd is a committed end of a run that may not be acknowledged yet.
@@ -46,24 +45,33 @@
 	return until
 }
 
-// mayResend reports whether a start may be sent, though earlier ones of the run may still be executed: later leaders have to know that there are such, and the worker has to be able to list its ends until they are over.
+// mayResend reports whether a start may be sent, though earlier ones of the run may still be executed: later leaders have to know that there are such.
 func (s *session) mayResend(r *run) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.SinceBoot() >= r.lateUntil() || r.lateCommitted && !r.link.mayNotListAll()
+	return r.lateCommitted || s.SinceBoot() >= r.lateUntil()
 }
 
-// prepareResend commits that starts of a run may be executed late.
+// prepareResend commits that starts of a run, and of the others on its worker that wait for the same, may be executed late. One record covers them all, since an overloaded worker leaves many starts unanswered.
 func (s *session) prepareResend(r *run) {
+	var waiting []*run
+	var names []*wire.TaskName
 	s.mu.Lock()
-	committed := r.lateCommitted
+	for _, other := range r.link.runs {
+		if other.phase == starting && !other.begun && !other.lateMarked && s.SinceBoot() < other.lateUntil() {
+			other.lateMarked = true
+			waiting, names = append(waiting, other), append(names, other.name.Wire())
+		}
+	}
 	s.mu.Unlock()
-	if committed || !s.commitWithRetry(&wire.WorkflowCommand{LateStarts: []*wire.TaskName{r.name.Wire()}}) {
+	if len(names) == 0 || !s.commitWithRetry(&wire.WorkflowCommand{LateStarts: names}) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.lateCommitted = true
+	for _, other := range waiting {
+		other.lateCommitted = true
+	}
 }
 
 // mayStartLate reports whether a later incarnation may still begin a run that its worker was told to stop and never began, so that its task must not start elsewhere. The present incarnation can't, and a run whose worker has restarted already is not waited for.
@@ -77,9 +85,7 @@
 
 // recordResent defers the end of a run whose start is sent again. This try may be the one that is late, and an earlier one the one that is executed now. The caller holds the session's mutex.
 func (s *session) recordResent(r *run) {
-	until := r.sentAt + lateWindow
-	s.lateStarts[r.name] = until
-	r.link.deferEnds(until)
+	s.lateStarts[r.name] = r.sentAt + lateWindow
 }
 
 // dropLateStarts removes the late starts that are over.
@@ -94,28 +100,6 @@
 	}
 }
 
-// mayNotListAll reports whether the ends of the link's runs might not fit into one listing, should none be acknowledged for some time. The caller holds the session's mutex.
-func (l *link) mayNotListAll() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return int64(len(l.runs))+l.committedEnds-l.acknowledged >= maxDeferredEnds
-}
-
-// deferEnds records that ends of the worker's runs may not be acknowledged before some time.
-func (l *link) deferEnds(until time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.endsDeferredUntil = max(l.endsDeferredUntil, until)
-}
-
-// hasRoomForEnds reports whether the worker can list the ends of further runs beside those that may not be acknowledged yet. The caller holds the session's mutex.
-func (l *link) hasRoomForEnds(now time.Duration) bool {
-	l.mu.Lock()
-	deferred := now < l.endsDeferredUntil
-	l.mu.Unlock()
-	return !deferred || !l.mayNotListAll()
-}
-
 // deferAcknowledgements finds the ends that may not be acknowledged yet. The starts of an earlier leader may be late for as long as if it had sent them when this one began.
 func (l *link) deferAcknowledgements(ends []call.Ended) {
 	s := l.s
@@ -141,7 +125,6 @@
 		event.AckDeferred.Info("worker", l.id, "number", e.Number, "task", e.Task.String(), "run", e.Run, "for_ms", (until - now).Milliseconds())
 		l.mu.Lock()
 		l.deferred = append(l.deferred, deferredEnd{number: e.Number, until: until})
-		l.endsDeferredUntil = max(l.endsDeferredUntil, until)
 		l.mu.Unlock()
 	}
 }
@@ -153,7 +136,6 @@
 	l.committedEnds = ends.noted
 	for _, number := range ends.late {
 		l.deferred = append(l.deferred, deferredEnd{number: number, until: l.began + lateWindow})
-		l.endsDeferredUntil = l.began + lateWindow
 	}
 	l.acknowledgeable(l.began, ends.noted)
 }
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -59,10 +59,9 @@
 	departListed  bool                // it has answered since with a complete listing
 	cancelHold    func()              // of the hold in progress
 
-	committedEnds     int64         // number of the last listed end that this leader has committed
-	acknowledged      int64         // number of the last end that may be acknowledged
-	deferred          []deferredEnd // ends that may not be acknowledged yet
-	endsDeferredUntil time.Duration // boot clock, until when ends of its runs may not be acknowledged
+	committedEnds int64         // number of the last listed end that this leader has committed
+	acknowledged  int64         // number of the last end that may be acknowledged
+	deferred      []deferredEnd // ends that may not be acknowledged yet
 }
 
 func newLink(s *session, w *wire.CalledWorker, former predecessor) *link {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -39,7 +39,8 @@
 	former  bool // committed for an earlier incarnation of its worker
 	late    bool // and a start of it may not have been executed yet
 
-	lateCommitted bool // the state holds that a start of it may be executed late; guarded by the session's mutex
+	lateMarked    bool // it is in a record, committed or not, that a start of it may be executed late; guarded by the session's mutex
+	lateCommitted bool // and that record is committed; guarded by the session's mutex
 
 	begun         bool          // the worker has accepted its start or listed it
 	sentAt        time.Duration // boot clock, when its start was last sent; 0 for never
