--- a/review/scene/deployment.go
+++ b/review/scene/deployment.go
@@ -7,6 +7,8 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync"
 	"time"
 )
 
@@ -43,12 +45,16 @@
 // deployment is the running system with its stand-ins.
 type deployment struct {
 	*record
-	program  string
-	folder   string
-	network  string // first two parts of all addresses
-	members  []*process
-	gateways []*process
-	workers  []*worker
+	program    string
+	folder     string
+	network    string // first two parts of all addresses
+	members    []*process
+	gateways   []*process
+	workers    []*worker
+	trigger    *trigger
+	forwarders []*forwarder
+	started    map[string]map[string]bool // tasks that have begun, by submission; guarded by startedMu
+	startedMu  sync.Mutex
 }
 
 // newDeployment starts three members and nine gateways, as on the small deployment.
@@ -57,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{record: r, program: program, folder: folder}
+	d := &deployment{record: r, program: program, folder: folder, trigger: &trigger{}, started: map[string]map[string]bool{}}
 	if err := d.chooseNetwork(); err != nil {
 		return nil, err
 	}
@@ -68,6 +74,9 @@
 	for i := range domains {
 		d.members = append(d.members, d.newMember(i, seeds))
 	}
+	if err := d.forwardMembers(d.trigger); err != nil {
+		return d, err
+	}
 	for i := range gateways {
 		d.gateways = append(d.gateways, d.newGateway(i, seeds))
 	}
@@ -93,7 +102,7 @@
 }
 
 func isFree(network string) bool {
-	for _, host := range []string{"1.1", "1.2", "1.3", "2.1", "2.2", "2.3", "3.1", "4.1"} {
+	for _, host := range []string{"1.1", "1.2", "1.3", "2.1", "2.2", "2.3", "3.1", "4.1", "6.1", "6.2", "6.3"} {
 		for _, port := range []int{callerPort, controlPort, readyPort, innerPort, adminPort, workerPort} {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s.%s:%d", network, host, port))
 			if err != nil {
@@ -131,6 +140,9 @@
 	for _, w := range d.workers {
 		w.crash()
 	}
+	for _, f := range d.forwarders {
+		f.close()
+	}
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(d.folder) //nolint:errcheck // a temporary folder
 	}
@@ -156,3 +168,21 @@
 	}
 	return nil
 }
+
+// recordBegun records that a task has begun.
+func (d *deployment) recordBegun(task string) {
+	id, _, _ := strings.Cut(task, ".")
+	d.startedMu.Lock()
+	defer d.startedMu.Unlock()
+	if d.started[id] == nil {
+		d.started[id] = map[string]bool{}
+	}
+	d.started[id][task] = true
+}
+
+// begun returns how many tasks of a submission have begun.
+func (d *deployment) begun(id string) int {
+	d.startedMu.Lock()
+	defer d.startedMu.Unlock()
+	return len(d.started[id])
+}
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(d *deployment, trouble bool) error{
 	"reused":  reused,
 	"dropped": dropped,
+	"refused": refused,
 }
 
 func main() {
--- a/review/scene/worker.go
+++ b/review/scene/worker.go
@@ -163,6 +163,7 @@
 	e := &execution{order: *o, began: time.Now()}
 	json.Unmarshal([]byte(o.Spec), &e.work) //nolint:errcheck // any other payload is work of no length
 	w.running[o.Task] = e
+	w.d.recordBegun(o.Task)
 	w.d.note("worker %s (%s): run %d of %s starts", w.id, w.pool, o.Run, o.Task)
 	return http.StatusOK, map[string]any{}
 }
