Identify queues by host and path prefix, not by name

A configuration had given the name of a dropped queue to another place.

Cause: the state identified queues by name in four places. An open workflow got the definition of the queue that had its name, was shown where name or place agreed, was cancelled with the key rules of the queue of that name, and was committed with the name only. Ruled out: outdated gateways (all nine answered 410), and a workflow missing from the state (its tasks ran on).

Now a place identifies a queue. Submissions are committed with their place, and records that this build proposes are marked, so that logs of the build before are replayed to the state that it reached.

TestWorkflowIsReachedAtItsPlaceOnly failed on in all four cases (reused, swapped, repeated, returned).

Tests that counted by a queue with a name and no place name its place.

--- a/control/queues_test.go
+++ b/control/queues_test.go
@@ -99,3 +99,51 @@
 		assert.Equal(t, c.do(state, "/a/5c0e", nil).GetState(), "cancelled")
 	})
 }
+
+// TestWorkflowIsReachedAtItsPlaceOnly guards against accepted workflows that get 410 at their place and are shown and cancelled at another one, since a configuration uses the name of their queue there, or for both.
+func TestWorkflowIsReachedAtItsPlaceOnly(t *testing.T) {
+	const (
+		submit = wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT
+		cancel = wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_CANCEL
+		state  = wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_STATE
+	)
+	w := func() *wire.Workflow {
+		return &wire.Workflow{Payload: "p", Steps: []*wire.Step{{Count: 1, Size: &wire.Size{MilliCpu: 1}}}}
+	}
+	for name, versions := range map[string][][2]string{ // the names of /a/ and /b/ in successive versions, empty where there is no queue
+		"reused":   {{"one", ""}, {"three", ""}, {"three", "one"}},
+		"swapped":  {{"one", "two"}, {"two", "one"}},
+		"repeated": {{"one", "one"}},
+		"returned": {{"one", "two"}, {"", "one"}, {"two", "one"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runOnGroup(t, func(t *testing.T, g *group) {
+				put := func(version int) {
+					set := &wire.QueueSet{Version: uint64(version + 1)}
+					for i, prefix := range []string{"/a/", "/b/"} {
+						if name := versions[version][i]; name != "" {
+							set.Queues = append(set.Queues, &wire.Queue{Name: name, Host: "h", PathPrefix: prefix, Pool: "p", MaxAttempts: 1})
+						}
+					}
+					g.putQueues(set)
+				}
+				put(0)
+				_, _, leaderID, _ := g.leaderAndFollower()
+				c := g.callers(g.replicas[leaderID-1].Inner)
+				assert.Equal(t, c.do(submit, "/a/5c0e", w()).GetAnswer(), wire.WorkflowAnswer_WORKFLOW_ANSWER_OK)
+				for version := 1; version < len(versions); version++ {
+					put(version)
+				}
+				assert.Equal(t, c.do(state, "/a/5c0e", nil).GetState(), "queued")
+				assert.Equal(t, c.do(state, "/a/", nil).GetWaiting(), int64(1))
+				assert.Equal(t, c.do(submit, "/a/5c0e", w()).GetAnswer(), wire.WorkflowAnswer_WORKFLOW_ANSWER_OK)
+				assert.Equal(t, c.do(state, "/b/5c0e", nil).GetAnswer(), wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_WORKFLOW)
+				assert.Equal(t, c.do(state, "/b/", nil).GetWaiting(), int64(0))
+				assert.Equal(t, c.do(submit, "/b/5c0e", w()).GetAnswer(), wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID)
+				assert.Equal(t, c.do(cancel, "/b/5c0e", nil).GetAnswer(), wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_WORKFLOW)
+				assert.Equal(t, c.do(cancel, "/a/5c0e", nil).GetAnswer(), wire.WorkflowAnswer_WORKFLOW_ANSWER_OK)
+				assert.Equal(t, c.do(state, "/a/5c0e", nil).GetState(), "cancelled")
+			})
+		})
+	}
+}
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -35,6 +35,7 @@
 
 // commitWorkflow proposes a workflow command, waits until it is committed and returns its result.
 func (c *Control) commitWorkflow(ctx context.Context, command *wire.WorkflowCommand) (*workflow.Result, error) {
+	command.ByPlace = true
 	result, err := c.propose(ctx, &wire.Command{Workflow: command})
 	if err != nil {
 		return nil, err
@@ -272,7 +273,7 @@
 		if w == nil {
 			w = &wire.Workflow{}
 		}
-		w.Id, w.Queue, w.Workspace = id, queue.GetName(), workspace
+		w.Id, w.Queue, w.Host, w.PathPrefix, w.Workspace = id, queue.GetName(), queue.GetHost(), queue.GetPathPrefix(), workspace
 		if err := admit.NewWorkflow(w); err != nil {
 			answerInvalid(reply, err.Error())
 			return nil
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -254,7 +254,7 @@
 }
 
 func (b *testBench) submit(queue, id string, steps ...*wire.Step) {
-	result := b.apply(&wire.WorkflowCommand{Submit: &wire.Workflow{Id: id, Queue: queue, Payload: "p", Steps: steps}})
+	result := b.apply(&wire.WorkflowCommand{ByPlace: true, Submit: &wire.Workflow{Id: id, Queue: queue, Host: "h", PathPrefix: "/" + queue + "/", Payload: "p", Steps: steps}})
 	assert.Equal(b.t, result.Answer, wire.WorkflowAnswer_WORKFLOW_ANSWER_OK, result.Reason)
 }
 
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -41,7 +41,7 @@
 }
 
 func (b *testBench) waitingJobs(queue string) (count int64) {
-	b.table.View(func(s *workflow.Tables) { count = s.WaitingJobs(&wire.Queue{Name: queue}) })
+	b.table.View(func(s *workflow.Tables) { count = s.WaitingJobs(&wire.Queue{Host: "h", PathPrefix: "/" + queue + "/"}) })
 	return count
 }
 
--- a/dispatch/quota_test.go
+++ b/dispatch/quota_test.go
@@ -23,7 +23,7 @@
 }
 
 func (b *testBench) submitFor(workspace, queue, id string, steps ...*wire.Step) {
-	result := b.apply(&wire.WorkflowCommand{Submit: &wire.Workflow{Id: id, Queue: queue, Payload: "p", Steps: steps}, Key: workspace})
+	result := b.apply(&wire.WorkflowCommand{ByPlace: true, Submit: &wire.Workflow{Id: id, Queue: queue, Host: "h", PathPrefix: "/" + queue + "/", Payload: "p", Steps: steps}, Key: workspace})
 	assert.Equal(b.t, result.Answer, wire.WorkflowAnswer_WORKFLOW_ANSWER_OK, result.Reason)
 }
 
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -14,20 +14,23 @@
 const endedRetentionMS = 150_000
 
 // submit accepts a workflow. The key is checked here too, since a configuration without it may have been committed after the leader has checked it.
-func (t *Tables) submit(nowMS int64, w *wire.Workflow, key string, result *Result) {
-	queue := t.queuesByName[w.GetQueue()]
-	old := t.Jobs[w.GetId()]
-	if queue == nil && old == nil {
+func (t *Tables) submit(nowMS int64, c *wire.WorkflowCommand, result *Result) {
+	w := c.GetSubmit()
+	queue, old := t.queueOfSubmission(w, c.GetByPlace()), t.Jobs[w.GetId()]
+	if queue == nil && old != nil && old.Place() == placeOfSubmission(w) {
+		queue = old.Queue // dropped after the leader's check; the workflow remains accepted
+	}
+	if queue == nil {
 		result.Answer, result.Reason = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_QUEUE, "no such queue"
 		return
 	}
-	workspace, allowed := t.Caller(queue, key)
+	workspace, allowed := t.Caller(queue, c.GetKey())
 	if !allowed {
 		result.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_UNKNOWN_KEY
 		return
 	}
 	if old != nil {
-		if old.Spec.GetQueue() != w.GetQueue() && !old.In(queue) || !t.MayReach(workspace, queue, old) {
+		if !old.In(queue) || !t.MayReach(workspace, queue, old) {
 			result.Answer, result.Reason = wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID, ErrIDInUse.Error()
 		}
 		return
@@ -130,14 +133,14 @@
 }
 
 // cancel cancels a workflow, if the key still allows it.
-func (t *Tables) cancel(nowMS int64, id, key string, result *Result) {
-	j := t.Jobs[id]
+func (t *Tables) cancel(nowMS int64, c *wire.WorkflowCommand, result *Result) {
+	j := t.Jobs[c.GetCancel()]
 	if j == nil {
 		result.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_WORKFLOW
 		return
 	}
-	queue := t.queueOf(j)
-	if workspace, allowed := t.Caller(queue, key); !allowed {
+	queue := t.queueOf(j, c.GetByPlace())
+	if workspace, allowed := t.Caller(queue, c.GetKey()); !allowed {
 		result.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_UNKNOWN_KEY
 		return
 	} else if !t.MayReach(workspace, queue, j) {
@@ -173,28 +176,3 @@
 	}
 	return j.Steps[stepIndex].Tasks[n.Index]
 }
-
-// QueueFor returns the queue with the longest path prefix that matches a request, and the rest of the path; nil if no queue matches.
-func (t *Tables) QueueFor(host, path string) (queue *wire.Queue, rest string) {
-	for _, q := range t.Queues.GetQueues() {
-		prefix := q.GetPathPrefix()
-		if q.GetHost() != host || len(path) < len(prefix) || path[:len(prefix)] != prefix {
-			continue
-		}
-		if queue == nil || len(prefix) > len(queue.GetPathPrefix()) {
-			queue, rest = q, path[len(prefix):]
-		}
-	}
-	return queue, rest
-}
-
-// WaitingJobs counts a queue's open jobs of which no run is known to have begun.
-func (t *Tables) WaitingJobs(queue *wire.Queue) int64 {
-	count := int64(0)
-	for _, j := range t.Jobs {
-		if j.In(queue) && j.Open() && !j.Begun {
-			count++
-		}
-	}
-	return count
-}
--- /dev/null
+++ b/workflow/queue.go
@@ -0,0 +1,95 @@
+package workflow
+
+import "daisyswitch/wire"
+
+// Place identifies a queue by what callers address. A configuration may give a place another name, and use a name for another place.
+type Place struct {
+	Host       string
+	PathPrefix string
+}
+
+// PlaceOf returns the place of a queue.
+func PlaceOf(q *wire.Queue) Place {
+	return Place{Host: q.GetHost(), PathPrefix: q.GetPathPrefix()}
+}
+
+// String returns the place as written in logs and metrics.
+func (p Place) String() string { return p.Host + p.PathPrefix }
+
+// Place returns the place at which the job was accepted.
+func (j *Job) Place() Place { return PlaceOf(j.Queue) }
+
+// In reports whether callers reach the job through a queue.
+func (j *Job) In(q *wire.Queue) bool { return j.Place() == PlaceOf(q) }
+
+// setQueues puts a configuration in force. Jobs take over the new definition of their queue, or keep the last one if the configuration has none.
+// In records of an earlier build, names identify queues, so that their replay leads to the state that replicas of that build have.
+func (t *Tables) setQueues(q *wire.QueueSet, byPlace bool) {
+	if q.GetVersion() <= t.Queues.GetVersion() {
+		return
+	}
+	t.Queues = q
+	t.queuesByPlace, t.queuesByName = map[Place]*wire.Queue{}, map[string]*wire.Queue{}
+	for _, queue := range q.GetQueues() {
+		t.queuesByPlace[PlaceOf(queue)] = queue
+		t.queuesByName[queue.GetName()] = queue
+	}
+	t.indexWorkspaces()
+	for _, j := range t.Jobs {
+		queue := t.queuesByPlace[j.Place()]
+		if !byPlace {
+			queue = t.queuesByName[j.Spec.GetQueue()]
+		}
+		if queue != nil {
+			j.Queue = queue
+		}
+	}
+}
+
+// queueOfSubmission returns the queue that a submission names, nil if the present configuration has none.
+func (t *Tables) queueOfSubmission(w *wire.Workflow, byPlace bool) *wire.Queue {
+	if !byPlace {
+		return t.queuesByName[w.GetQueue()]
+	}
+	return t.queuesByPlace[placeOfSubmission(w)]
+}
+
+func placeOfSubmission(w *wire.Workflow) Place {
+	return Place{Host: w.GetHost(), PathPrefix: w.GetPathPrefix()}
+}
+
+// queueOf returns a job's queue in the present configuration, or its last definition if there is none.
+func (t *Tables) queueOf(j *Job, byPlace bool) *wire.Queue {
+	if q := t.queuesByName[j.Spec.GetQueue()]; !byPlace && q != nil {
+		return q
+	}
+	if q := t.queuesByPlace[j.Place()]; q != nil {
+		return q
+	}
+	return j.Queue
+}
+
+// QueueFor returns the queue with the longest path prefix that matches a request, and the rest of the path; nil if no queue matches.
+func (t *Tables) QueueFor(host, path string) (queue *wire.Queue, rest string) {
+	for _, q := range t.Queues.GetQueues() {
+		prefix := q.GetPathPrefix()
+		if q.GetHost() != host || len(path) < len(prefix) || path[:len(prefix)] != prefix {
+			continue
+		}
+		if queue == nil || len(prefix) > len(queue.GetPathPrefix()) {
+			queue, rest = q, path[len(prefix):]
+		}
+	}
+	return queue, rest
+}
+
+// WaitingJobs counts a queue's open jobs of which no run is known to have begun.
+func (t *Tables) WaitingJobs(queue *wire.Queue) int64 {
+	count := int64(0)
+	for _, j := range t.Jobs {
+		if j.In(queue) && j.Open() && !j.Begun {
+			count++
+		}
+	}
+	return count
+}
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -65,7 +65,7 @@
 func (t *Table) Restore(s *wire.WorkflowState) error {
 	restored := emptyState(t.options)
 	if s.GetQueues() != nil {
-		restored.setQueues(s.GetQueues())
+		restored.setQueues(s.GetQueues(), true)
 	}
 	for _, w := range s.GetWorkers() {
 		restored.restoreWorker(w)
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -25,14 +25,15 @@
 
 // Tables is the content of a Table. It is read only within View and modified only by this package.
 type Tables struct {
-	Queues       *wire.QueueSet // highest accepted version, nil before the first
-	Jobs         map[string]*Job
-	Workers      map[string]*Worker // by id, without those that are gone
-	Waiting      map[*Step]struct{} // steps with tasks that may start
-	Out          map[string]bool    // failure domains that get no new tasks
-	Waves        map[int64]*wire.Wave
-	gone         map[string]*wire.CalledWorker // ended incarnations, by id
-	queuesByName map[string]*wire.Queue
+	Queues        *wire.QueueSet // highest accepted version, nil before the first
+	Jobs          map[string]*Job
+	Workers       map[string]*Worker // by id, without those that are gone
+	Waiting       map[*Step]struct{} // steps with tasks that may start
+	Out           map[string]bool    // failure domains that get no new tasks
+	Waves         map[int64]*wire.Wave
+	gone          map[string]*wire.CalledWorker // ended incarnations, by id
+	queuesByPlace map[Place]*wire.Queue
+	queuesByName  map[string]*wire.Queue // for records of an earlier build
 
 	workspaces      map[string]*wire.Workspace // of the present configuration, by name
 	workspacesByKey map[string]*wire.Workspace
@@ -77,7 +78,7 @@
 		onAssigned: o.Assigned, onClosed: o.Closed, onEnded: o.Ended,
 		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waiting: map[*Step]struct{}{},
 		Out: map[string]bool{}, Waves: map[int64]*wire.Wave{},
-		gone: map[string]*wire.CalledWorker{}, queuesByName: map[string]*wire.Queue{}, inUse: map[string]share.Use{}, inPool: map[workspaceInPool]share.Use{},
+		gone: map[string]*wire.CalledWorker{}, queuesByPlace: map[Place]*wire.Queue{}, queuesByName: map[string]*wire.Queue{}, inUse: map[string]share.Use{}, inPool: map[workspaceInPool]share.Use{},
 	}
 }
 
@@ -95,16 +96,16 @@
 	defer t.options.Changed()
 	result := &Result{Answer: wire.WorkflowAnswer_WORKFLOW_ANSWER_OK}
 	if c.GetQueues() != nil {
-		t.setQueues(c.GetQueues())
+		t.setQueues(c.GetQueues(), c.GetByPlace())
 	}
 	if c.GetDomain() != nil {
 		t.setDomain(c.GetDomain())
 	}
 	if c.GetSubmit() != nil {
-		t.submit(nowMS, c.GetSubmit(), c.GetKey(), result)
+		t.submit(nowMS, c, result)
 	}
 	if c.GetCancel() != "" {
-		t.cancel(nowMS, c.GetCancel(), c.GetKey(), result)
+		t.cancel(nowMS, c, result)
 	}
 	for _, w := range c.GetWorkers() {
 		t.setWorker(w)
@@ -121,23 +122,6 @@
 	return result
 }
 
-func (t *Tables) setQueues(q *wire.QueueSet) {
-	if q.GetVersion() <= t.Queues.GetVersion() {
-		return
-	}
-	t.Queues = q
-	t.queuesByName = map[string]*wire.Queue{}
-	for _, queue := range q.GetQueues() {
-		t.queuesByName[queue.GetName()] = queue
-	}
-	t.indexWorkspaces()
-	for _, j := range t.Jobs {
-		if queue := t.queuesByName[j.Spec.GetQueue()]; queue != nil {
-			j.Queue = queue
-		}
-	}
-}
-
 func (t *Tables) setDomain(d *wire.DomainOut) {
 	if d.GetOut() {
 		t.Out[d.GetDomain()] = true
--- a/workflow/types.go
+++ b/workflow/types.go
@@ -43,7 +43,7 @@
 // Job is an accepted workflow.
 type Job struct {
 	Spec            *wire.Workflow
-	Queue           *wire.Queue // from the newest configuration that defines it
+	Queue           *wire.Queue // from the newest configuration that defines it; its place is the one at which the job was accepted
 	AcceptedMS      int64       // leader's wall clock, Unix milliseconds
 	EndedMS         int64       // 0 while the job is open
 	Cancelled       bool
@@ -58,11 +58,6 @@
 	return !j.Cancelled && !j.Failed && j.unfinishedSteps > 0
 }
 
-// In reports whether callers reach the job through a queue: by its name, or by its place if a configuration has given that another name since.
-func (j *Job) In(q *wire.Queue) bool {
-	return j.Spec.GetQueue() == q.GetName() || j.Queue.GetHost() == q.GetHost() && j.Queue.GetPathPrefix() == q.GetPathPrefix()
-}
-
 // State returns the job's state as reported to callers.
 func (j *Job) State() string {
 	switch {
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -29,7 +29,7 @@
 }
 
 func submit(t *workflow.Table, id string, steps ...*wire.Step) *workflow.Result {
-	return t.Apply(2, &wire.WorkflowCommand{Submit: &wire.Workflow{Id: id, Queue: "q", Steps: steps}})
+	return t.Apply(2, &wire.WorkflowCommand{ByPlace: true, Submit: &wire.Workflow{Id: id, Queue: "q", Host: "h", PathPrefix: "/q/", Steps: steps}})
 }
 
 func taskName(id string, step, index int32) *wire.TaskName {
@@ -136,7 +136,9 @@
 		assert.NilError(t, restarted.Restore(s.Snapshot()))
 		for _, s := range []*workflow.Table{s, restarted} {
 			assert.Equal(t, jobState(s, "a"), state)
-			s.View(func(v *workflow.Tables) { assert.Equal(t, v.WaitingJobs(&wire.Queue{Name: "q"}), waiting) })
+			s.View(func(v *workflow.Tables) {
+				assert.Equal(t, v.WaitingJobs(&wire.Queue{Host: "h", PathPrefix: "/q/"}), waiting)
+			})
 		}
 	}
 	for name, begin := range map[string]func(s *workflow.Table){
--- a/workflow/workspace.go
+++ b/workflow/workspace.go
@@ -42,17 +42,6 @@
 	return owner == "" || owner == workspace || q.GetPublic() || !t.Queues.GetKeyed()
 }
 
-// queueOf returns the queue by which callers reach a job in the present configuration, or the last one if there is none.
-func (t *Tables) queueOf(j *Job) *wire.Queue {
-	if q := t.queuesByName[j.Spec.GetQueue()]; q != nil {
-		return q
-	}
-	if q, _ := t.QueueFor(j.Queue.GetHost(), j.Queue.GetPathPrefix()); q != nil && j.In(q) {
-		return q
-	}
-	return j.Queue
-}
-
 // Quota returns the most that the tasks of a workspace may use on all workers together, 0 of a resource for no limit. A workspace that is not in the configuration has no quota.
 func (t *Tables) Quota(workspace string) resource.Size {
 	return resource.FromWire(t.workspaces[workspace].GetQuota())
--- a/workflow/workspace_test.go
+++ b/workflow/workspace_test.go
@@ -35,12 +35,12 @@
 }
 
 func submitWithKey(t *workflow.Table, queue, id, key string) wire.WorkflowAnswer {
-	w := &wire.Workflow{Id: id, Queue: queue, Workspace: "forged", Steps: []*wire.Step{{Count: 4, Size: taskSize}}}
-	return t.Apply(2, &wire.WorkflowCommand{Submit: w, Key: key}).Answer
+	w := &wire.Workflow{Id: id, Queue: queue, Host: "h", PathPrefix: "/" + queue + "/", Workspace: "forged", Steps: []*wire.Step{{Count: 4, Size: taskSize}}}
+	return t.Apply(2, &wire.WorkflowCommand{ByPlace: true, Submit: w, Key: key}).Answer
 }
 
 func cancelWithKey(t *workflow.Table, id, key string) wire.WorkflowAnswer {
-	return t.Apply(2, &wire.WorkflowCommand{Cancel: id, Key: key}).Answer
+	return t.Apply(2, &wire.WorkflowCommand{ByPlace: true, Cancel: id, Key: key}).Answer
 }
 
 func workspaceOf(t *workflow.Table, id string) (name string) {
