Keep run times and counts of queues by place

Two queues of one name shared mean run times, lookahead's distributions, what is known to have no room, and the counts in load_summary and daisyswitch_workflows_ended_total. Workflows of the shorter one counted as late, and gave way, by the run times of the longer one.

Cause: these were kept by the name under which a workflow was accepted. They are kept by its place; the metric has the name and, as a further label, the place.

--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -21,7 +21,7 @@
 	copies   map[lookahead.Key]*lookahead.Distribution // of distributions, as used in rounds
 	copiedAt time.Duration                             // boot clock, since when copies are collected
 
-	queueNumbers map[string]int32                 // by name, from 1
+	queueNumbers map[workflow.Place]int32         // from 1
 	lackingSince map[*workflow.Step]time.Duration // boot clock, since when the large tasks of waiting steps have lacked capacity
 }
 
@@ -32,11 +32,11 @@
 	if !on {
 		return nil
 	}
-	return &ahead{books: map[string]*lookahead.Book[*workflow.Step]{}, durations: lookahead.NewDurations(), lackingSince: map[*workflow.Step]time.Duration{}, copies: map[lookahead.Key]*lookahead.Distribution{}, queueNumbers: map[string]int32{}}
+	return &ahead{books: map[string]*lookahead.Book[*workflow.Step]{}, durations: lookahead.NewDurations(), lackingSince: map[*workflow.Step]time.Duration{}, copies: map[lookahead.Key]*lookahead.Distribution{}, queueNumbers: map[workflow.Place]int32{}}
 }
 
-// queueNumber returns a number for a queue, which takes less time to compare than its name.
-func (a *ahead) queueNumber(queue string) int32 {
+// queueNumber returns a number for a queue, which takes less time to compare than its place.
+func (a *ahead) queueNumber(queue workflow.Place) int32 {
 	n := a.queueNumbers[queue]
 	if n == 0 {
 		n = int32(len(a.queueNumbers) + 1)
@@ -75,7 +75,7 @@
 }
 
 func durationKey(step *workflow.Step) lookahead.Key {
-	return lookahead.Key{Queue: step.Job.Spec.GetQueue(), Image: step.Spec.GetImage()}
+	return lookahead.Key{Queue: step.Job.Place().String(), Image: step.Spec.GetImage()}
 }
 
 // durationsOf returns the distribution of a step's run times, or nil if it is not known. It stays the same throughout the round, as the shortages of a round require.
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -70,7 +70,7 @@
 			v.baseline.Now, v.baseline.RecentMin = 1, 1
 		}
 	}
-	s.taskDuration["filling"] = &taskDuration{mean: time.Second, count: durationWindow}
+	s.taskDuration[workflow.Place{PathPrefix: "/filling/"}] = &taskDuration{mean: time.Second, count: durationWindow}
 	step := &wire.Step{Count: 4, Size: &wire.Size{MilliCpu: 1800, MemoryMib: 1000}, Filling: true, Image: "f1"}
 	s.Table.Apply(time.Now().Add(-5*time.Second).UnixMilli(), &wire.WorkflowCommand{Submit: &wire.Workflow{Id: "late", Queue: "filling", Steps: []*wire.Step{step}}})
 	s.Table.Apply(time.Now().UnixMilli(), &wire.WorkflowCommand{Submit: &wire.Workflow{Id: "new", Queue: "filling", Steps: []*wire.Step{step}}})
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -26,7 +26,7 @@
 	for i := range workspaces {
 		set.Workspaces = append(set.Workspaces, &wire.Workspace{Name: fmt.Sprint("t", i), Keys: []string{fmt.Sprint("t", i)}, Weight: float64(1 + i), Quota: &wire.Size{MilliCpu: 1 << 40}})
 	}
-	set.Queues = []*wire.Queue{{Name: "lasting", Pool: "p"}, {Name: "filling", Pool: "p", Priority: 2, Stretch: 2, LatencyMs: 1000}, {Name: "short", Pool: "p", Stretch: 1.5}}
+	set.Queues = []*wire.Queue{{Name: "lasting", PathPrefix: "/lasting/", Pool: "p"}, {Name: "filling", PathPrefix: "/filling/", Pool: "p", Priority: 2, Stretch: 2, LatencyMs: 1000}, {Name: "short", PathPrefix: "/short/", Pool: "p", Stretch: 1.5}}
 	table.Apply(1, &wire.WorkflowCommand{Queues: set})
 	s := &session{
 		Options: Options{
@@ -35,7 +35,7 @@
 			Commit:    func(context.Context, *wire.WorkflowCommand) (*workflow.Result, error) { return nil, errNotCommitted },
 		},
 		counters: newCounters(metrics.NewSet()), ctx: b.Context(),
-		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, lastAtWork: map[*workflow.Task]time.Duration{}, taskDuration: map[string]*taskDuration{},
+		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, lastAtWork: map[*workflow.Task]time.Duration{}, taskDuration: map[workflow.Place]*taskDuration{},
 		headrooms: headroom.New(), initialPaces: map[runKey]int{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, shortages: map[shortageKey]*shortage{},
 	}
 	command := &wire.WorkflowCommand{}
@@ -121,7 +121,7 @@
 // learn records run times around a mean for a queue.
 func learn(s *session, queue string, mean time.Duration) {
 	for i := range 100 {
-		s.ahead.durations.Record(lookahead.Key{Queue: queue}, mean*time.Duration(50+i)/100)
+		s.ahead.durations.Record(lookahead.Key{Queue: "/" + queue + "/"}, mean*time.Duration(50+i)/100)
 	}
 }
 
--- a/dispatch/counters.go
+++ b/dispatch/counters.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisyswitch/wire"
+	"daisyswitch/workflow"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -58,9 +59,9 @@
 	return c
 }
 
-// workflowsEnded returns the counter of ended workflows for a queue, end state and lateness.
-func (c *counters) workflowsEnded(queue, state string, reached lateness) *metrics.Counter {
-	return c.set.GetOrCreateCounter(fmt.Sprintf("daisyswitch_workflows_ended_total{queue=%q,state=%q,reached=%q}", queue, state, reached))
+// workflowsEnded returns the counter of ended workflows for a queue, by its name and place, end state and lateness.
+func (c *counters) workflowsEnded(name string, place workflow.Place, state string, reached lateness) *metrics.Counter {
+	return c.set.GetOrCreateCounter(fmt.Sprintf("daisyswitch_workflows_ended_total{queue=%q,place=%q,state=%q,reached=%q}", name, place, state, reached))
 }
 
 // reservationsEnded returns the counter of ended reservations for an outcome.
--- a/dispatch/counters_test.go
+++ b/dispatch/counters_test.go
@@ -31,7 +31,7 @@
 		time.Sleep(time.Second)
 		var out bytes.Buffer
 		set.WritePrometheus(&out)
-		for _, line := range []string{`{queue="short",state="completed",reached="in time"} 1`, `{queue="short",state="cancelled",reached="in time"} 1`} {
+		for _, line := range []string{`{queue="short",place="h/short/",state="completed",reached="in time"} 1`, `{queue="short",place="h/short/",state="cancelled",reached="in time"} 1`} {
 			assert.Assert(t, strings.Contains(out.String(), "daisyswitch_workflows_ended_total"+line), out.String())
 		}
 	})
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -105,7 +105,7 @@
 	if r == nil || !r.listed || r.order.Checkpoint != "" {
 		return
 	}
-	queue := r.task.Step.Job.Spec.GetQueue()
+	queue := r.task.Step.Job.Place()
 	p := s.taskDuration[queue]
 	if p == nil {
 		p = &taskDuration{}
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -134,7 +134,7 @@
 	defer cancel()
 	s := &session{
 		Options: l.options, counters: l.counters, ctx: ctx, term: term,
-		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, stalls: map[workflow.Name]int{}, lastAtWork: map[*workflow.Task]time.Duration{}, taskDuration: map[string]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, lateStarts: map[workflow.Name]time.Duration{}, begun: map[string]struct{}{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{}, ahead: newAhead(l.options.Lookahead),
+		links: map[string]*link{}, runs: map[runKey]*run{}, excluded: map[workflow.Name]map[string]exclusion{}, stalls: map[workflow.Name]int{}, lastAtWork: map[*workflow.Task]time.Duration{}, taskDuration: map[workflow.Place]*taskDuration{}, headrooms: headroom.New(), initialPaces: map[runKey]int{}, lateStarts: map[workflow.Name]time.Duration{}, begun: map[string]struct{}{}, allImageNumbers: map[string]int{}, candidates: map[string]*candidate{}, endBatches: newEndBatcher(), shortages: map[shortageKey]*shortage{}, ahead: newAhead(l.options.Lookahead),
 	}
 	defer s.tasks.Wait()
 	l.session.Store(s)
@@ -212,7 +212,7 @@
 	excluded        map[workflow.Name]map[string]exclusion // by task and worker
 	stalls          map[workflow.Name]int                  // how often a run of a task was stopped since it made no progress
 	lastAtWork      map[*workflow.Task]time.Duration       // boot clock, when lasting tasks without a run were last known to run
-	taskDuration    map[string]*taskDuration               // mean run times by queue
+	taskDuration    map[workflow.Place]*taskDuration       // mean run times by queue
 	headrooms       *headroom.Table
 	lateStarts      map[workflow.Name]time.Duration // boot clock, until when a start that was not answered may be executed, of tasks that were started again since
 	begun           map[string]struct{}             // workflows of which a run has begun, to be committed
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -141,12 +141,13 @@
 
 // recordWorkflowEnd logs and counts an ended workflow with its lateness.
 func (s *session) recordWorkflowEnd(j *workflow.Job) {
-	var state, queue string
+	var state, name string
+	var place workflow.Place
 	var waited time.Duration
 	tasks, largest := 0, int64(0)
 	reachedLateness := inTime
 	s.Table.View(func(*workflow.Tables) {
-		state, queue = j.State(), j.Spec.GetQueue()
+		state, name, place = j.State(), j.Queue.GetName(), j.Place()
 		waited = time.Duration(j.EndedMS-j.AcceptedMS) * time.Millisecond
 		for _, step := range j.Steps {
 			tasks += len(step.Tasks)
@@ -159,8 +160,8 @@
 	s.mu.Lock()
 	s.dropExclusions(j)
 	s.mu.Unlock()
-	s.workflowsEnded(queue, state, reachedLateness).Inc()
-	event.WorkflowEnded.Info("workflow", j.Spec.GetId(), "queue", queue, "state", state, "reached", reachedLateness.String(), "after_ms", waited.Milliseconds(), "tasks", tasks, "largest_milli_cpu", largest)
+	s.workflowsEnded(name, place, state, reachedLateness).Inc()
+	event.WorkflowEnded.Info("workflow", j.Spec.GetId(), "queue", name, "place", place.String(), "state", state, "reached", reachedLateness.String(), "after_ms", waited.Milliseconds(), "tasks", tasks, "largest_milli_cpu", largest)
 }
 
 // predictLateness predicts the lateness of a step's workflow, assuming that each remaining step takes the mean run time of its queue's tasks.
@@ -173,7 +174,7 @@
 
 // reachedLateness returns the lateness of a workflow that has taken some time so far and has a number of steps left.
 func (s *session) reachedLateness(step *workflow.Step, taken time.Duration, steps int) lateness {
-	p := s.meanDuration(step.Job.Spec.GetQueue())
+	p := s.meanDuration(step.Job.Place())
 	if step.Spec.GetLasting() || p == 0 {
 		return inTime
 	}
@@ -189,7 +190,7 @@
 	}
 }
 
-func (s *session) meanDuration(queue string) time.Duration {
+func (s *session) meanDuration(queue workflow.Place) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.usualDuration(queue)
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -57,7 +57,7 @@
 		if spec.GetLasting() || spec.GetFilling() {
 			continue
 		}
-		in := r.s.usualDuration(task.Step.Job.Spec.GetQueue())
+		in := r.s.usualDuration(task.Step.Job.Place())
 		if run := r.s.runs[runKey{task.Name(), task.Run}]; run != nil {
 			in = run.remaining(now, in)
 		}
@@ -84,7 +84,7 @@
 }
 
 // usualDuration returns the mean run time of a queue's tasks, or 0 if it is not known. The caller holds the session's mutex.
-func (s *session) usualDuration(queue string) time.Duration {
+func (s *session) usualDuration(queue workflow.Place) time.Duration {
 	if p := s.taskDuration[queue]; p != nil && p.count >= minDurationSamples {
 		return p.mean
 	}
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -39,7 +39,7 @@
 	}
 	a = shortageKey{pool: step.Job.Queue.GetPool(), image: s.GetImage(), expectedLateness: expectedLateness, filling: s.GetFilling()}
 	if r.s.ahead != nil {
-		a.queue = r.s.ahead.queueNumber(step.Job.Spec.GetQueue())
+		a.queue = r.s.ahead.queueNumber(step.Job.Place())
 	}
 	return a, true
 }
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -21,12 +21,24 @@
 	starts    int
 }
 
+// tasksByQueue counts tasks by queue.
+type tasksByQueue map[workflow.Place]int
+
+// byPlace returns the counts as written in logs.
+func (c tasksByQueue) byPlace() map[string]int {
+	counts := make(map[string]int, len(c))
+	for place, count := range c {
+		counts[place.String()] += count
+	}
+	return counts
+}
+
 // summary is the load of all workers and queues at one time.
 type summary struct {
 	capacity, used, fill, free        int64 // thousandths of a core; free counts usable workers only
 	workers, usable, running, serving int
 	pieces                            [len(pieceSizes)]int // workers with at least those sizes free
-	waiting, inTime                   map[string]int       // tasks by queue
+	waiting, inTime                   tasksByQueue
 }
 
 // summarize logs the load of the workers, the waiting tasks and the loop's work.
@@ -36,7 +48,7 @@
 		return
 	}
 	s.nextSummary = now + summaryInterval
-	sum := &summary{waiting: map[string]int{}, inTime: map[string]int{}}
+	sum := &summary{waiting: tasksByQueue{}, inTime: tasksByQueue{}}
 	var usages map[string]usage
 	s.Table.View(func(t *workflow.Tables) {
 		usages = s.usages(t)
@@ -45,7 +57,7 @@
 			sum.addWorker(w, l != nil && l.usable(now))
 		}
 		for step := range t.Waiting {
-			queue := step.Job.Spec.GetQueue()
+			queue := step.Job.Place()
 			sum.waiting[queue] += step.Waiting
 			if s.predictLateness(step, s.Wall().UnixMilli()) == inTime {
 				sum.inTime[queue] += step.Waiting
@@ -57,7 +69,7 @@
 	done := s.done
 	s.done = loopStats{}
 	event.LoadSummary.Info("workers", sum.workers, "usable", sum.usable, "cores", sum.capacity/1000, "used_cores", sum.used/1000, "filling_cores", sum.fill/1000, "filling_used_cores", int64(fillingUse),
-		"free_cores", sum.free/1000, "pieces", sum.pieces, "slowed", slowed, "running", sum.running, "serving", sum.serving, "waiting", sum.waiting, "in_time", sum.inTime,
+		"free_cores", sum.free/1000, "pieces", sum.pieces, "slowed", slowed, "running", sum.running, "serving", sum.serving, "waiting", sum.waiting.byPlace(), "in_time", sum.inTime.byPlace(),
 		"rounds", done.rounds, "rounds_ms", done.inRounds.Milliseconds(), "commits_ms", done.inCommits.Milliseconds(), "starts", done.starts)
 }
 
