Call the workers of open workflows whose queue is gone

Cause: an announcement with a pool that no queue uses counts as another writer's, and pools of open workflows were not looked at. Ruled out: placing, which uses workers that were there before.

--- a/control/announcement_test.go
+++ b/control/announcement_test.go
@@ -89,6 +89,36 @@
 	})
 }
 
+// TestWorkerOfAnOpenWorkflowIsCalledWithoutItsQueue guards against accepted workflows whose tasks wait for ever beside workers that announce themselves, since a configuration dropped their queue, and only until they end or their place has another pool.
+func TestWorkerOfAnOpenWorkflowIsCalledWithoutItsQueue(t *testing.T) {
+	runOnCalledGroup(t, func(g *calledGroup) {
+		put := func(version uint64, queues ...*wire.Queue) {
+			assert.NilError(g.t, g.leader.PutQueues(g.t.Context(), &wire.QueueSet{Version: version, Queues: queues}))
+		}
+		kept, dropped := queueAt("/kept/", "p"), queueAt("/dropped/", "side")
+		put(1, kept, dropped)
+		_, _, leaderID, _ := g.leaderAndFollower()
+		c := g.callers(g.replicas[leaderID-1].Inner)
+		w := &wire.Workflow{Payload: "p", Steps: []*wire.Step{{Count: 1, Size: &wire.Size{MilliCpu: 1}, Lasting: true}}}
+		assert.Equal(g.t, c.do(wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT, "/dropped/5c0e", w).GetAnswer(), wire.WorkflowAnswer_WORKFLOW_ANSWER_OK)
+		put(2, kept)
+		g.announce("first", "side", "s:1", 5, 1, false)
+		g.announce("foreign", "other", "f:1", 5, 1, false)
+		put(3, kept)
+		g.announce("second", "side", "s:2", 5, 1, false)
+		asked := g.takeAsked()
+		assert.Assert(g.t, asked["first at s:1"] > 0 && asked["second at s:2"] > 0, "called: %v", asked)
+		assert.Equal(g.t, asked["foreign at f:1"], 0)
+		put(4, kept, queueAt("/dropped/", "p"))
+		g.announce("third", "side", "s:3", 5, 1, false)
+		assert.Equal(g.t, g.takeAsked()["third at s:3"], 0, "nothing may start in its pool any more")
+	})
+}
+
+func queueAt(prefix, pool string) *wire.Queue {
+	return &wire.Queue{Name: prefix, Host: "h", PathPrefix: prefix, Pool: pool, MaxAttempts: 1}
+}
+
 // TestLateDepartureOfAnEarlierIncarnationEndsNoWorker guards against a departure that arrives after its sender has started again under its id, and ends the later incarnation in its place.
 func TestLateDepartureOfAnEarlierIncarnationEndsNoWorker(t *testing.T) {
 	runOnCalledGroup(t, func(g *calledGroup) {
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -97,7 +97,7 @@
 	return true
 }
 
-// Announce processes a worker's announcement of itself. An announcement older than the latest one is ignored, as is one of another writer, whose pool no queue uses.
+// Announce processes a worker's announcement of itself. An announcement older than the latest one is ignored, as is one of another writer, whose pool nothing uses.
 func (c *Control) Announce(ctx context.Context, w *wire.CalledWorker, sequence int64) error {
 	if err := c.checkLeader(); err != nil {
 		return err
--- a/workflow/queue.go
+++ b/workflow/queue.go
@@ -44,6 +44,20 @@
 			j.Queue = queue
 		}
 	}
+	t.indexPools()
+}
+
+// indexPools rebuilds the set of pools in which tasks may start. A workflow accepted later belongs to a queue, so its pool is among them.
+func (t *Tables) indexPools() {
+	t.pools = map[string]bool{}
+	for _, q := range t.Queues.GetQueues() {
+		t.pools[q.GetPool()] = true
+	}
+	for _, j := range t.Jobs {
+		if j.Open() {
+			t.pools[j.Queue.GetPool()] = true
+		}
+	}
 }
 
 // queueOfSubmission returns the queue that a submission names, nil if the present configuration has none.
--- a/workflow/queue_test.go
+++ b/workflow/queue_test.go
@@ -253,3 +253,23 @@
 		})
 	})
 }
+
+// TestPoolOfAnOpenWorkflowStaysInUse guards against refusing the workers of a workflow whose queue was dropped, also on a replica that has restored a snapshot, and against keeping their pool in use once the workflow has ended.
+func TestPoolOfAnOpenWorkflowStaysInUse(t *testing.T) {
+	mayAnnounce := func(s *workflow.Table, pool string) (may bool) {
+		s.View(func(v *workflow.Tables) { may = v.MayAnnounce(&wire.CalledWorker{Id: "w", Pool: pool}) })
+		return may
+	}
+	s := workflow.New(workflow.Options{})
+	putQueues(s, 1, queueAt("/a/", "x", "ours"), queueAt("/b/", "y", "theirs"))
+	assert.Equal(t, submitAt(s, "/a/", "x", "job"), accepted)
+	putQueues(s, 2, queueAt("/b/", "y", "theirs"))
+	for _, s := range []*workflow.Table{s, restarted(t, s)} {
+		assert.Assert(t, mayAnnounce(s, "ours"))
+		assert.Assert(t, mayAnnounce(s, "theirs"))
+		assert.Assert(t, !mayAnnounce(s, "foreign"))
+		s.Apply(3, &wire.WorkflowCommand{ByPlace: true, Cancel: "job"})
+		putQueues(s, 3, queueAt("/b/", "y", "theirs"))
+		assert.Assert(t, !mayAnnounce(s, "ours"))
+	}
+}
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -75,6 +75,7 @@
 			return fmt.Errorf("restore workflow %s: %w", r.GetWorkflow().GetId(), err)
 		}
 	}
+	restored.indexPools()
 	for _, w := range restored.Workers {
 		restored.removeIfEnded(w)
 	}
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -34,6 +34,7 @@
 	gone          map[string]*wire.CalledWorker // ended incarnations, by id
 	queuesByPlace map[Place]*wire.Queue
 	queuesByName  map[string]*wire.Queue // for records of an earlier build
+	pools         map[string]bool        // of the queues, and of jobs that were open when the configuration came into force
 
 	workspaces      map[string]*wire.Workspace // of the present configuration, by name
 	workspacesByKey map[string]*wire.Workspace
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -1,8 +1,6 @@
 package workflow
 
 import (
-	"slices"
-
 	"daisyswitch/resource"
 	"daisyswitch/wire"
 )
@@ -88,12 +86,12 @@
 	}
 }
 
-// MayAnnounce reports whether an announcement can be a worker's: its pool has to be used by a queue, or be the one that the worker had before.
+// MayAnnounce reports whether an announcement can be a worker's: its pool has to be used by a queue or by an open job of a former one, or be the one that the worker had before.
 func (t *Tables) MayAnnounce(w *wire.CalledWorker) bool {
 	if last := t.Workers[w.GetId()]; t.Queues == nil || last != nil && last.GetPool() == w.GetPool() {
 		return true
 	}
-	return slices.ContainsFunc(t.Queues.GetQueues(), func(q *wire.Queue) bool { return q.GetPool() == w.GetPool() })
+	return t.pools[w.GetPool()]
 }
 
 // Recorded reports whether an announcement contains nothing that is not already in the state.
