Answer a request over all tries of its gateway

Cause: the gateway kept that an earlier try may have run for failures only, and returned a refusal of a later try as the answer to the request. Ruled out: the leader accepting it for a queue that is gone.

Such a refusal now leaves open whether the request ran (504). Later tries are marked, and control answers them from the workflow at that place, if the caller may reach it, so callers mostly get 200.

--- a/control/queues_test.go
+++ b/control/queues_test.go
@@ -147,3 +147,48 @@
 		})
 	}
 }
+
+// TestResentRequestIsAnsweredFromItsWorkflow guards against refusing a request whose first try was accepted and not answered, since a configuration has dropped its queue between the tries, and against serving a caller that may not reach the workflow.
+func TestResentRequestIsAnsweredFromItsWorkflow(t *testing.T) {
+	runOnGroup(t, func(t *testing.T, g *group) {
+		workspaces := []*wire.Workspace{{Name: "a", Keys: []string{"a1"}}, {Name: "b", Keys: []string{"b1"}}}
+		g.putQueues(keyedQueues(1, workspaces...))
+		_, _, leaderID, _ := g.leaderAndFollower()
+		c := g.callers(g.replicas[leaderID-1].Inner)
+		do := func(kind wire.WorkflowRequestKind, path, key string, resent bool) wire.WorkflowAnswer {
+			request := &wire.WorkflowRequest{Number: 1, Kind: kind, Host: "h", Path: path, Key: key, Resent: resent}
+			if kind == submitKind {
+				request.Workflow = &wire.Workflow{Payload: "p", Steps: []*wire.Step{{Count: 1, Size: &wire.Size{MilliCpu: 1}}}}
+			}
+			assert.NilError(t, c.stream.Send(request))
+			reply, err := c.stream.Recv()
+			assert.NilError(t, err)
+			return reply.GetAnswer()
+		}
+		const (
+			cancel     = wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_CANCEL
+			state      = wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_STATE
+			ok         = wire.WorkflowAnswer_WORKFLOW_ANSWER_OK
+			noQueue    = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_QUEUE
+			unknownKey = wire.WorkflowAnswer_WORKFLOW_ANSWER_UNKNOWN_KEY
+		)
+		assert.Equal(t, do(submitKind, "/q/5c0e", "a1", false), ok)
+		assert.Equal(t, do(submitKind, "/q/5c0e", "x", true), unknownKey)
+		assert.Equal(t, do(submitKind, "/q/5c0e", "b1", true), wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID)
+		g.putQueues(&wire.QueueSet{Version: 2, Keyed: true, Workspaces: workspaces, Queues: []*wire.Queue{queueAt("/other/", "p")}})
+		assert.Equal(t, do(submitKind, "/q/5c0e", "a1", false), noQueue)
+		assert.Equal(t, do(submitKind, "/q/5c0e", "a1", true), ok)
+		assert.Equal(t, do(submitKind, "/q/5c0e", "b1", true), noQueue)
+		assert.Equal(t, do(submitKind, "/q/0000", "a1", true), noQueue)
+		assert.Equal(t, do(state, "/q/5c0e", "a1", true), noQueue)
+		assert.Equal(t, do(cancel, "/q/5c0e", "a1", false), noQueue)
+		assert.Equal(t, do(cancel, "/q/5c0e", "b1", true), noQueue)
+		assert.Equal(t, do(cancel, "/q/5c0e", "a1", true), ok)
+		g.putQueues(keyedQueues(3, workspaces...))
+		assert.Equal(t, c.doWithKey(state, "/q/5c0e", "a1"), ok)
+		assert.NilError(t, c.stream.Send(&wire.WorkflowRequest{Number: 1, Kind: state, Host: "h", Path: "/q/5c0e", Key: "a1"}))
+		reply, err := c.stream.Recv()
+		assert.NilError(t, err)
+		assert.Equal(t, reply.GetState(), "cancelled")
+	})
+}
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -226,6 +226,10 @@
 			reply.Failure = &wire.Failure{Verdict: wire.Verdict_VERDICT_NOT_RUN, Reason: "there is no configuration yet"}
 			return
 		}
+		var answered bool
+		if command, answered = answerResent(t, request); answered {
+			return
+		}
 		queue, id := t.QueueFor(request.GetHost(), request.GetPath())
 		if queue == nil {
 			reply.Answer = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_QUEUE
@@ -251,6 +255,25 @@
 	return command
 }
 
+// answerResent answers a request of which an earlier try may have run from the workflow that it names, since a configuration may have dropped the queue after that try. answered is false if there is no such workflow.
+func answerResent(t *workflow.Tables, request *wire.WorkflowRequest) (command *wire.WorkflowCommand, answered bool) {
+	if !request.GetResent() {
+		return nil, false
+	}
+	job := t.JobAt(request.GetHost(), request.GetPath())
+	if job == nil || !t.IsReachable(job, request.GetKey()) {
+		return nil, false
+	}
+	switch request.GetKind() {
+	case wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT:
+		return nil, true
+	case wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_CANCEL:
+		return &wire.WorkflowCommand{Cancel: job.Spec.GetId(), Key: request.GetKey()}, true
+	default:
+		return nil, false
+	}
+}
+
 func answerInQueue(t *workflow.Tables, queue *wire.Queue, id, workspace string, request *wire.WorkflowRequest, reply *wire.WorkflowReply) *wire.WorkflowCommand {
 	job := t.Jobs[id]
 	if job != nil && !job.In(queue) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,8 @@
 	"daisyswitch/inner"
 	"daisyswitch/verdict"
 	"daisyswitch/wire"
+
+	"google.golang.org/protobuf/proto"
 )
 
 // Timeouts and intervals of the connection to the leader.
@@ -85,16 +87,20 @@
 	ctx, cancel := context.WithTimeout(ctx, maxAnswerWait)
 	defer cancel()
 	leaderWaitDeadline := g.leaderWaitDeadline()
+	request = proto.CloneOf(request)
 	mayHaveRun := false
 	for {
 		l, err := g.waitForLink(ctx, leaderWaitDeadline)
 		if err != nil {
 			return nil, requestError(mayHaveRun, "no leader of control can be reached", err)
 		}
+		request.Resent = mayHaveRun
 		reply, err := l.do(ctx, request)
 		switch {
 		case err != nil:
 			mayHaveRun = mayHaveRun || verdict.Of(err) != verdict.NotRun
+		case mayHaveRun && isRefused(request, reply):
+			return nil, requestError(mayHaveRun, "an earlier try was not answered, and a later one was refused with "+reply.GetAnswer().String(), nil)
 		case reply.GetAnswer() != wire.WorkflowAnswer_WORKFLOW_ANSWER_FAILURE:
 			return reply, nil
 		default:
@@ -123,6 +129,21 @@
 	return earliest
 }
 
+// isRefused reports whether a submission or cancellation did not take effect. That a workflow does not exist holds for all tries of its cancellation.
+func isRefused(request *wire.WorkflowRequest, reply *wire.WorkflowReply) bool {
+	switch request.GetKind() {
+	case wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT, wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_CANCEL:
+	default:
+		return false
+	}
+	switch reply.GetAnswer() {
+	case wire.WorkflowAnswer_WORKFLOW_ANSWER_OK, wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_WORKFLOW, wire.WorkflowAnswer_WORKFLOW_ANSWER_FAILURE:
+		return false
+	default:
+		return true
+	}
+}
+
 // requestError returns a verdict over all attempts: unknown if any attempt may have run, else not run.
 func requestError(mayHaveRun bool, reason string, cause error) error {
 	if mayHaveRun {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,6 +24,9 @@
 	unresponsive atomic.Bool // receives requests but answers none
 	leader       atomic.Pointer[string]
 	served       atomic.Int64
+	lost         atomic.Int64 // further requests whose answer is lost with the stream
+	answer       atomic.Int32 // to requests, a wire.WorkflowAnswer; 0 for OK
+	resent       atomic.Bool  // whether the last request was marked as resent
 }
 
 func newReplica(t *testing.T) *replica {
@@ -52,9 +56,16 @@
 		}
 		if !hello {
 			r.served.Add(1)
+			r.resent.Store(request.GetResent())
 			if r.unresponsive.Load() {
 				continue
 			}
+			if r.lost.Add(-1) >= 0 {
+				return io.ErrUnexpectedEOF
+			}
+			if answer := r.answer.Load(); answer != 0 {
+				reply.Answer = wire.WorkflowAnswer(answer)
+			}
 		}
 		if err := stream.Send(reply); err != nil {
 			return err
@@ -141,3 +152,49 @@
 	assert.Equal(t, verdict.Of(err), verdict.Unknown)
 	assert.Equal(t, r.served.Load(), int64(1))
 }
+
+// TestRefusalAfterALostAnswerLeavesOpenWhetherItRan guards against telling a caller that nothing of its request ran, by the refusal of a later try, while the first one, whose answer was lost, has run.
+func TestRefusalAfterALostAnswerLeavesOpenWhetherItRan(t *testing.T) {
+	const (
+		submit = wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT
+		cancel = wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_CANCEL
+		state  = wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_STATE
+	)
+	r := newReplica(t)
+	r.leads.Store(true)
+	g := newGateway(t, r.server.Address())
+	for _, c := range []struct {
+		kind    wire.WorkflowRequestKind
+		answer  wire.WorkflowAnswer
+		unknown bool
+	}{
+		{submit, wire.WorkflowAnswer_WORKFLOW_ANSWER_OK, false},
+		{submit, wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_QUEUE, true},
+		{submit, wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID, true},
+		{submit, wire.WorkflowAnswer_WORKFLOW_ANSWER_UNKNOWN_KEY, true},
+		{submit, wire.WorkflowAnswer_WORKFLOW_ANSWER_OVER_SHARE, true},
+		{cancel, wire.WorkflowAnswer_WORKFLOW_ANSWER_OK, false},
+		{cancel, wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_QUEUE, true},
+		{cancel, wire.WorkflowAnswer_WORKFLOW_ANSWER_UNKNOWN_KEY, true},
+		{cancel, wire.WorkflowAnswer_WORKFLOW_ANSWER_OTHER_WORKSPACE, true},
+		{cancel, wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_WORKFLOW, false},
+		{state, wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_QUEUE, false},
+	} {
+		r.answer.Store(int32(c.answer))
+		for _, lost := range []bool{false, true} {
+			eventually(t, func() bool { return g.Ready() == nil })
+			r.lost.Store(0)
+			if lost {
+				r.lost.Store(1)
+			}
+			reply, err := g.Do(t.Context(), &wire.WorkflowRequest{Kind: c.kind})
+			assert.Equal(t, r.resent.Load(), lost, "%v, %v", c.kind, c.answer)
+			if lost && c.unknown {
+				assert.Equal(t, verdict.Of(err), verdict.Unknown, "%v, %v", c.kind, c.answer)
+				continue
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, reply.GetAnswer(), c.answer)
+		}
+	}
+}
--- a/workflow/queue.go
+++ b/workflow/queue.go
@@ -97,6 +97,23 @@
 	return queue, rest
 }
 
+// JobAt returns the job that callers reach by a host and path, also if no queue has its place any more; nil if there is none.
+func (t *Tables) JobAt(host, path string) *Job {
+	for i := range path {
+		if j := t.Jobs[path[i:]]; j != nil && j.Place() == (Place{Host: host, PathPrefix: path[:i]}) {
+			return j
+		}
+	}
+	return nil
+}
+
+// IsReachable reports whether a caller with a key may read and cancel a job at its place.
+func (t *Tables) IsReachable(j *Job, key string) bool {
+	queue := t.queueOf(j, true)
+	workspace, allowed := t.Caller(queue, key)
+	return allowed && t.MayReach(workspace, queue, j)
+}
+
 // WaitingJobs counts a queue's open jobs of which no run is known to have begun.
 func (t *Tables) WaitingJobs(queue *wire.Queue) int64 {
 	count := int64(0)
