--- a/entries/log.go
+++ b/entries/log.go
@@ -94,6 +94,20 @@
 	return index
 }
 
+// TailBefore returns the index after which the last entries up to index begin that are at most count and have at most the given bytes.
+func (l *Log) TailBefore(index, count, bytes uint64) uint64 {
+	index = min(index, l.Last())
+	for ; index > l.Offset && count > 0; count-- {
+		size := uint64(len(l.entries[index-l.Offset-1].GetData()))
+		if size > bytes {
+			break
+		}
+		bytes -= size
+		index--
+	}
+	return index
+}
+
 // Compact removes the entries up to index, which must be committed; otherwise it does nothing.
 func (l *Log) Compact(index uint64) {
 	if index <= l.Offset || index > l.Commit {
--- a/raft/node.go
+++ b/raft/node.go
@@ -233,6 +233,11 @@
 // Recovering reports whether the node started with a blank disk and may not vote yet.
 func (n *Node) Recovering() bool { return n.recovering }
 
+// TailBefore returns the index after which the last entries up to index begin that are at most count and have at most the given bytes.
+func (n *Node) TailBefore(index, count, bytes uint64) uint64 {
+	return n.log.TailBefore(index, count, bytes)
+}
+
 // Compact removes the entries up to keepFrom, but none after index, once a snapshot at index was saved.
 func (n *Node) Compact(index, keepFrom uint64) {
 	n.snapshotIndex = max(n.snapshotIndex, index)
--- a/replica/apply.go
+++ b/replica/apply.go
@@ -15,6 +15,7 @@
 type applier struct {
 	*serial.Queue
 	snapshotIndex      uint64        // index of the last snapshot that was started or restored
+	bytesSinceSnapshot uint64        // of the entries applied since then
 	members            *wire.Members // of the group, as of the last applied entry; nil until the log holds a configuration
 	snapshotInProgress atomic.Bool   // a snapshot is being written
 	restoreFailed      bool          // a snapshot could not be restored, so there is no state to apply later records to
@@ -47,13 +48,15 @@
 	}
 }
 
-// snapshotAfter takes a snapshot when SnapshotEvery entries have been applied since the last one. It is written in the background, so later entries do not wait for it.
+// snapshotAfter takes a snapshot when SnapshotEvery entries or SnapshotBytes of them have been applied since the last one. It is written in the background, so later entries do not wait for it.
 func (r *Replica) snapshotAfter(e *wire.Entry) {
 	a := &r.applier
-	if e.GetIndex() < a.snapshotIndex+r.options.SnapshotEvery || !a.snapshotInProgress.CompareAndSwap(false, true) {
+	a.bytesSinceSnapshot += uint64(len(e.GetData()))
+	isDue := e.GetIndex() >= a.snapshotIndex+r.options.SnapshotEvery || a.bytesSinceSnapshot >= r.options.SnapshotBytes
+	if !isDue || !a.snapshotInProgress.CompareAndSwap(false, true) {
 		return
 	}
-	a.snapshotIndex = e.GetIndex()
+	a.snapshotIndex, a.bytesSinceSnapshot = e.GetIndex(), 0
 	s := &wire.Snapshot{Index: e.GetIndex(), Term: e.GetTerm(), Data: r.options.Snapshot(), Members: a.members}
 	r.tasks.Go(func() {
 		defer a.snapshotInProgress.Store(false)
@@ -93,7 +96,7 @@
 		r.reportFailure(err)
 		return
 	}
-	r.applier.snapshotIndex = s.GetIndex()
+	r.applier.snapshotIndex, r.applier.bytesSinceSnapshot = s.GetIndex(), 0
 	if s.GetMembers() != nil {
 		r.applier.members = s.GetMembers()
 	}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -264,9 +264,9 @@
 	})
 }
 
-// compact removes the log up to a snapshot. It keeps the last entries, so that followers which are only slightly behind do not need the snapshot.
+// compact removes the log up to a snapshot. It keeps the last entries, half of those between two snapshots, so that followers which are only slightly behind do not need the snapshot.
 func (r *Replica) compact(index uint64) bool {
-	keepFrom := index - min(index, r.options.SnapshotEvery/2)
+	keepFrom := r.node.TailBefore(index, r.options.SnapshotEvery/2, r.options.SnapshotBytes/2)
 	if err := r.disk.Compact(index, keepFrom); err != nil {
 		return r.fail(err)
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -25,6 +25,7 @@
 	DefaultTick          = 50 * time.Millisecond
 	DefaultElectionTicks = 10
 	DefaultSnapshotEvery = 10_000
+	DefaultSnapshotBytes = 16 << 20
 )
 
 // redialTicks is how many ticks pass between attempts to connect to a peer.
@@ -47,6 +48,7 @@
 	Tick               time.Duration
 	ElectionTicks      int
 	SnapshotEvery      uint64                              // records between snapshots
+	SnapshotBytes      uint64                              // bytes of records between snapshots, whichever comes first
 	Seed               uint64                              // of the election timeouts, 0 for a random one
 	SinceBoot          func() time.Duration                // clock of the leader's lease that includes suspended time; the monotonic clock if nil
 	Disk               disk.Options                        // its Dir is replaced by the Dir above
@@ -116,6 +118,9 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -32,6 +32,7 @@
 	isolated       map[string]bool // by member name; its dials fail and its connections discard all bytes
 	conns          []*faultyConn
 	disk           disk.Options
+	snapshotBytes  uint64        // bytes of records between snapshots, 0 for the default
 	bytesPerSecond int           // of each connection, 0 for no limit
 	padding        int           // bytes appended to a snapshot by members started from now on
 	restoreDelay   time.Duration // duration of a restore in members started from now on
@@ -70,7 +71,7 @@
 		peers[uint64(other)] = address(uint64(other))
 	}
 	r, err := replica.New(replica.Options{
-		ID: id, Peers: peers, Dir: dir, Seed: 7, SnapshotEvery: 100, Disk: g.disk,
+		ID: id, Peers: peers, Dir: dir, Seed: 7, SnapshotEvery: 100, SnapshotBytes: g.snapshotBytes, Disk: g.disk,
 		Dial:               func(_ context.Context, to string) (net.Conn, error) { return g.dial(m.name, to) },
 		Apply:              m.apply,
 		Snapshot:           m.snapshot,
@@ -341,6 +342,56 @@
 	})
 }
 
+// TestLogOfLargeRecordsIsCut guards against a log that fills the disk with records too few to be cut by their count, also on replicas that start again; a replica that was away catches up.
+func TestLogOfLargeRecordsIsCut(t *testing.T) {
+	const (
+		snapshotBytes = 1 << 20
+		segmentBytes  = 256 << 10
+		recordBytes   = 64 << 10
+		records       = 90                               // fewer than between two snapshots by their count
+		maxBytes      = 2*snapshotBytes + 2*segmentBytes // since a snapshot and while it is written, and what segments hold beyond that
+	)
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 0)
+		defer g.close()
+		g.size, g.snapshotBytes, g.disk.SegmentBytes = 3, snapshotBytes, segmentBytes
+		for id := uint64(1); id <= 3; id++ {
+			g.start(id, t.TempDir())
+		}
+		record := make([]byte, recordBytes)
+		away := g.members[address(1)]
+		for i := range records {
+			switch i {
+			case records / 3:
+				g.stop(away)
+			case 2 * records / 3:
+				away = g.start(away.id, away.dir)
+			}
+			_, err := g.leader(5*time.Second).Propose(t.Context(), record)
+			assert.NilError(t, err)
+			time.Sleep(10 * time.Millisecond)
+			for _, m := range g.members {
+				assert.Assert(t, folderBytes(t, m.dir) <= maxBytes, "after %d records %s has %d bytes", i+1, m.name, folderBytes(t, m.dir))
+			}
+		}
+		g.assertConverged(records)
+	})
+}
+
+func folderBytes(t *testing.T, dir string) (total int64) {
+	files, err := os.ReadDir(dir)
+	assert.NilError(t, err)
+	for _, f := range files {
+		info, err := f.Info()
+		if errors.Is(err, os.ErrNotExist) {
+			continue // removed meanwhile
+		}
+		assert.NilError(t, err)
+		total += info.Size()
+	}
+	return total
+}
+
 func TestSnapshotThatTakesLongArrivesWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 3)
