Bound the memory that accepted workflows take

Cause: nothing bounded what all accepted workflows take together. Ruled out: decoding of bodies, since members were killed when nothing more came.

The leader estimates what a workflow takes on each replica, and refuses it before it is proposed if it does not fit into a quarter of the memory, with the time at which ended workflows will have made room. Workflows that are being committed count. Records are applied as before.

--- a/control/control.go
+++ b/control/control.go
@@ -45,6 +45,7 @@
 	SinceBoot      func() time.Duration                                        // clock that leases are measured with; the monotonic clock when nil
 	Called         *Called                                                     // how this process calls workers; nil if all of them poll
 	DynamicMembers *DynamicMembers                                             // set if the replicas in the settings are only seed addresses
+	MaxHeld        int64                                                       // bytes that all accepted workflows may take, 0 for no limit
 }
 
 // DynamicMembers describes how a group of replicas forms and changes when the settings don't list all of its members.
@@ -90,6 +91,7 @@
 	dispatch      *dispatch.Loop // nil if all workers poll
 	announcements announcements
 	admissions    admissions
+	memory        memory
 	announcers    announcers
 	maxAnnouncers int           // workers that may announce themselves to this replica
 	forwarding    chan struct{} // holds one element for each announcement that is being forwarded
@@ -137,6 +139,7 @@
 		WorkerChanged:        func(w *wire.WorkerRecord) { c.schedule.WorkerChanged(w) },
 		ConfigurationChanged: c.configurationChanged,
 	})
+	c.memory.limit = o.MaxHeld
 	c.counters = c.newCounters()
 	c.schedule = schedule.New(schedule.Options{
 		Machine: c.machine,
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -33,6 +33,7 @@
 	replicas []settings.Replica
 	controls map[uint64]*control.Control
 	called   *control.Called          // how the processes call workers, nil if they do not
+	maxHeld  int64                    // bytes that accepted workflows may take in processes started from now on, 0 for no limit
 	paused   map[uint64]*atomic.Int64 // by replica, nanoseconds by which its clock has jumped ahead, as after a suspension
 }
 
@@ -72,6 +73,7 @@
 			AnswersKeep:   100,
 		},
 		Called:    g.called,
+		MaxHeld:   g.maxHeld,
 		Dial:      g.fabric.Dialer(fmt.Sprintf("c%d", id)),
 		Listen:    g.fabric.Listen,
 		SinceBoot: func() time.Duration { return time.Since(began) + time.Duration(paused.Load()) + time.Hour },
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -5,6 +5,7 @@
 
 	"daisyswitch/event"
 	"daisyswitch/wire"
+	"daisyswitch/workflow"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -22,6 +23,7 @@
 	announcementsForwarded *metrics.Counter
 
 	refusedCallers map[wire.WorkflowAnswer]*metrics.Counter // by answer
+	withoutMemory  *metrics.Counter                         // workflows refused for want of memory
 }
 
 // refusalCauses names the answers that refuse a caller for its key.
@@ -48,6 +50,11 @@
 	set.NewGauge("daisyswitch_control_commit_index", func() float64 { return float64(c.replica.Info().Commit) })
 	set.NewGauge("daisyswitch_control_applied_index", func() float64 { return float64(c.replica.Info().Applied) })
 	set.NewGauge("daisyswitch_configuration_version", func() float64 { return float64(c.machine.Configuration().GetVersion()) })
+	set.NewGauge("daisyswitch_workflows_held_bytes", func() float64 {
+		held := int64(0)
+		c.workflows.View(func(t *workflow.Tables) { held = t.Held() })
+		return float64(held)
+	})
 	refusedCallers := map[wire.WorkflowAnswer]*metrics.Counter{}
 	for answer, cause := range refusalCauses {
 		refusedCallers[answer] = set.NewCounter(fmt.Sprintf("daisyswitch_callers_refused_total{cause=%q}", cause))
@@ -61,6 +68,7 @@
 		decide:  set.NewHistogram("daisyswitch_control_decide_seconds"),
 
 		refusedCallers:         refusedCallers,
+		withoutMemory:          set.NewCounter("daisyswitch_workflows_without_memory_total"),
 		announcementsHere:      set.NewCounter("daisyswitch_announcements_acknowledged_here_total"),
 		announcementsForwarded: set.NewCounter("daisyswitch_announcements_forwarded_total"),
 	}
--- a/control/queues_test.go
+++ b/control/queues_test.go
@@ -192,3 +192,55 @@
 		assert.Equal(t, reply.GetState(), "cancelled")
 	})
 }
+
+// TestWorkflowsBeyondTheMemoryAreRefused guards against accepted workflows that take more memory than the replicas have, again after each restart, and against a refusal of what is accepted already, for ever, or with a time to return at which it is refused again.
+func TestWorkflowsBeyondTheMemoryAreRefused(t *testing.T) {
+	const (
+		accepted   = wire.WorkflowAnswer_WORKFLOW_ANSWER_OK
+		noMemory   = wire.WorkflowAnswer_WORKFLOW_ANSWER_NO_MEMORY
+		submit     = wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT
+		cancel     = wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_CANCEL
+		maxHeld    = 500_000
+		tasks      = 1000 // about 130,000 bytes
+		maxTimeout = 3 * time.Minute
+	)
+	w := func(tasks int32) *wire.Workflow {
+		return &wire.Workflow{Payload: "p", Steps: []*wire.Step{{Count: tasks, Size: &wire.Size{MilliCpu: 1}}}}
+	}
+	runOnGroup(t, func(t *testing.T, g *group) {
+		g.maxHeld = maxHeld
+		for id := range uint64(len(g.replicas)) {
+			g.stop(id + 1)
+			g.start(id + 1)
+		}
+		time.Sleep(3 * time.Second)
+		g.putQueues(keyedQueues(1))
+		leaderCallers := func() (*callers, uint64) {
+			_, _, leaderID, _ := g.leaderAndFollower()
+			return g.callers(g.replicas[leaderID-1].Inner), leaderID
+		}
+		c, leaderID := leaderCallers()
+		for i := range 3 {
+			assert.Equal(t, c.do(submit, fmt.Sprint("/open/", i), w(tasks)).GetAnswer(), accepted)
+		}
+		refused := c.do(submit, "/open/3", w(tasks))
+		assert.Equal(t, refused.GetAnswer(), noMemory)
+		assert.Assert(t, refused.GetRetryAfterMs() > 0)
+		assert.Equal(t, c.do(submit, "/open/0", w(tasks)).GetAnswer(), accepted, "the same submission again")
+		assert.Equal(t, c.do(submit, "/open/small", w(1)).GetAnswer(), accepted)
+		tooLarge := c.do(submit, "/open/large", w(10*tasks))
+		assert.Equal(t, tooLarge.GetAnswer(), wire.WorkflowAnswer_WORKFLOW_ANSWER_INVALID, "it can never be accepted")
+		g.stop(leaderID)
+		g.start(leaderID)
+		time.Sleep(3 * time.Second)
+		c, _ = leaderCallers()
+		assert.Equal(t, c.do(submit, "/open/3", w(tasks)).GetAnswer(), noMemory)
+		assert.Equal(t, c.do(cancel, "/open/0", nil).GetAnswer(), accepted)
+		refused = c.do(submit, "/open/3", w(tasks))
+		assert.Equal(t, refused.GetAnswer(), noMemory, "callers may still ask for the cancelled one")
+		retryAfter := time.Duration(refused.GetRetryAfterMs()) * time.Millisecond
+		assert.Assert(t, retryAfter > 0 && retryAfter < maxTimeout)
+		time.Sleep(retryAfter)
+		assert.Equal(t, c.do(submit, "/open/3", w(tasks)).GetAnswer(), accepted)
+	})
+}
--- a/control/workflows.go
+++ b/control/workflows.go
@@ -198,6 +198,7 @@
 	}
 	s.c.goroutines.Go(func() {
 		s.c.answerByCommit(s.stream.Context(), request, command, reply)
+		s.c.memory.release(command.GetSubmit())
 		s.c.countRefusal(request, reply)
 		if err := s.send(reply); err != nil {
 			event.AnswerNotSent.Error(err, "workflow", request.GetWorkflow().GetId(), "answer", reply.GetAnswer().String())
@@ -252,6 +253,9 @@
 	if w := command.GetSubmit(); w.GetWorkspace() != "" && !c.admit(w, weight, full, reply) {
 		return nil
 	}
+	if w := command.GetSubmit(); w != nil && !c.reserveMemory(w, reply) {
+		return nil
+	}
 	return command
 }
 
--- a/event/workflow.go
+++ b/event/workflow.go
@@ -18,5 +18,6 @@
 	WorkerDeparted        = register(274, "worker_departed", "A worker says that it has ended; it gets no new runs, and its tasks are freed once its runs are known to have ended.")
 	CallerRefused         = register(276, "caller_refused", "A caller's request was refused for its key: the key is missing or unknown, or the workflow belongs to another workspace.")
 	CallerOverShare       = register(277, "caller_over_share", "A workflow was refused, as its workspace has sent more than its share while the workers are full; logged with when it is admitted.")
+	WorkflowWithoutMemory = register(278, "workflow_without_memory", "A workflow was refused, as the replicas have no memory for it beside what they hold; logged with when memory can be free.")
 	OrderRefused          = register(267, "order_refused", "An operator's order or a worker's announcement could not be read or made no sense.")
 )
--- a/installation/member.go
+++ b/installation/member.go
@@ -14,6 +14,9 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
+// heldPart is the part of a member's memory, one over it, that accepted workflows may take. A snapshot takes twice as much again while it is written or restored.
+const heldPart = 4
+
 // Member is a control process with its HTTP server for the platform.
 type Member struct {
 	control *control.Control
@@ -36,6 +39,7 @@
 	var err error
 	m.control, err = control.New(control.Options{
 		Settings: c, SinceBoot: clock.SinceBoot,
+		MaxHeld:        s.MemoryMB << 20 / heldPart,
 		DynamicMembers: &control.DynamicMembers{Bootstrap: s.Bootstrap == 1, ToleratedLosses: int(s.ToleratedLosses)},
 		Called: &control.Called{
 			Calls:        m.client.Calls(),
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -44,7 +44,12 @@
 	}
 	t.removeOldJobs(nowMS)
 	j := newJob(w, queue, nowMS)
-	t.Jobs[w.GetId()] = j
+	t.addJob(j)
+}
+
+func (t *Tables) addJob(j *Job) {
+	t.Jobs[j.Spec.GetId()] = j
+	t.held += j.cost
 	t.recountJob(j)
 }
 
@@ -53,6 +58,7 @@
 	for id, j := range t.Jobs {
 		if j.EndedMS != 0 && j.EndedMS+endedRetentionMS < nowMS && !j.isCommitted() {
 			delete(t.Jobs, id)
+			t.held -= j.cost
 		}
 	}
 }
@@ -70,7 +76,7 @@
 }
 
 func newJob(w *wire.Workflow, queue *wire.Queue, nowMS int64) *Job {
-	j := &Job{Spec: w, Queue: queue, AcceptedMS: nowMS}
+	j := &Job{Spec: w, Queue: queue, AcceptedMS: nowMS, cost: Cost(w)}
 	preceding := j.indexSuccessors()
 	for occurrence := range max(1, w.GetOccurrences()) {
 		j.addOccurrence(occurrence, preceding)
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -127,8 +127,7 @@
 			later.pending--
 		}
 	}
-	t.Jobs[j.Spec.GetId()] = j
-	t.recountJob(j)
+	t.addJob(j)
 	return nil
 }
 
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -36,6 +36,7 @@
 	queuesByName  map[string]*wire.Queue // for records of an earlier build
 	pools         map[string]bool        // of the queues, and of jobs that were open when the configuration came into force
 
+	held            int64                      // bytes of all jobs, estimated
 	workspaces      map[string]*wire.Workspace // of the present configuration, by name
 	workspacesByKey map[string]*wire.Workspace
 	meanWeight      float64                       // of the workspaces
--- a/workflow/types.go
+++ b/workflow/types.go
@@ -52,6 +52,7 @@
 	Steps           []*Step
 	unfinishedSteps int       // steps that are not done
 	successors      [][]int32 // by step number: the steps that come after it, in every occurrence
+	cost            int64     // bytes of memory, estimated
 }
 
 // Open reports whether tasks of the job may still start.
