--- a/control/control.go
+++ b/control/control.go
@@ -78,7 +78,7 @@
 }
 
 // Control is one control process.
-// Locks are acquired in the order mu, leases, state machine, workflows, and then at most one of measures, watchers, announcements, admissions and the locks of the loops.
+// Locks are acquired in the order mu, leases, state machine, workflows, and then at most one of measures, watchers, announcements, admissions, memory and the locks of the loops.
 type Control struct {
 	settings      *settings.Control
 	replica       *replica.Replica
--- a/control/memory.go
+++ b/control/memory.go
@@ -10,36 +10,35 @@
 	"daisyswitch/workflow"
 )
 
-// memory bounds the bytes that accepted workflows take on every replica. What was accepted is in the log, so a restart frees nothing of it.
+// memory bounds the bytes that accepted workflows take on every replica. They are in the log, so a restart would not free them.
 type memory struct {
-	limit int64 // 0 for none
-	mu    sync.Mutex
-	asked int64 // by submissions that are being committed
+	limit    int64 // 0 for none
+	mu       sync.Mutex
+	reserved int64 // for submissions that are being committed
 }
 
-// reserve adds what a submission takes to what is asked for, unless both exceed the limit together with what is held.
-// Otherwise it returns by how many bytes.
+// reserve reserves memory for a submission. If that would exceed the limit beside the memory that is held and reserved, it returns by how many bytes.
 func (m *memory) reserve(held, cost int64) (missing int64, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if missing = held + m.asked + cost - m.limit; m.limit > 0 && missing > 0 {
+	if missing = held + m.reserved + cost - m.limit; m.limit > 0 && missing > 0 {
 		return missing, false
 	}
-	m.asked += cost
+	m.reserved += cost
 	return 0, true
 }
 
-// release takes a submission that has been committed or refused from what is asked for. It may be nil.
+// release ends the reservation for a submission that was committed or failed; w may be nil.
 func (m *memory) release(w *wire.Workflow) {
 	if w == nil {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.asked -= workflow.Cost(w)
+	m.reserved -= workflow.Cost(w)
 }
 
-// reserveMemory reserves memory for a new workflow, and fills in the reply if there is none.
+// reserveMemory reserves memory for a new workflow until its command is committed, or fills in the reply if there is none.
 func (c *Control) reserveMemory(w *wire.Workflow, reply *wire.WorkflowReply) bool {
 	cost := workflow.Cost(w)
 	if c.memory.limit > 0 && cost > c.memory.limit {
@@ -53,7 +52,7 @@
 			return
 		}
 		if retryAfterMS = t.RoomAfterMS(time.Now().UnixMilli(), missing); retryAfterMS == 0 {
-			_, ok = c.memory.reserve(t.Held()-missing, cost) // the record of this submission removes what has been kept long enough
+			_, ok = c.memory.reserve(t.Held()-missing, cost) // applying the submission removes jobs whose retention has passed
 		}
 	})
 	if ok {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,7 +129,7 @@
 	return earliest
 }
 
-// isRefused reports whether a submission or cancellation did not take effect. That a workflow does not exist holds for all tries of its cancellation.
+// isRefused reports whether a try of a submission or cancellation was refused, so that only earlier tries may have taken effect. That a workflow does not exist is true of all tries of its cancellation.
 func isRefused(request *wire.WorkflowRequest, reply *wire.WorkflowReply) bool {
 	switch request.GetKind() {
 	case wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_SUBMIT, wire.WorkflowRequestKind_WORKFLOW_REQUEST_KIND_CANCEL:
--- a/installation/member.go
+++ b/installation/member.go
@@ -14,8 +14,8 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// heldPart is the part of a member's memory, one over it, that accepted workflows may take. A snapshot takes twice as much again while it is written or restored.
-const heldPart = 4
+// heldDivisor sets the part of a member's memory that accepted workflows may take. The rest is for snapshots, the log, runs and connections.
+const heldDivisor = 4
 
 // Member is a control process with its HTTP server for the platform.
 type Member struct {
@@ -39,7 +39,7 @@
 	var err error
 	m.control, err = control.New(control.Options{
 		Settings: c, SinceBoot: clock.SinceBoot,
-		MaxHeld:        s.MemoryMB << 20 / heldPart,
+		MaxHeld:        s.MemoryMB << 20 / heldDivisor,
 		DynamicMembers: &control.DynamicMembers{Bootstrap: s.Bootstrap == 1, ToleratedLosses: int(s.ToleratedLosses)},
 		Called: &control.Called{
 			Calls:        m.client.Calls(),
--- a/workflow/memory.go
+++ b/workflow/memory.go
@@ -32,8 +32,8 @@
 // Held returns the bytes that all jobs take by the estimate of Cost.
 func (t *Tables) Held() int64 { return t.held }
 
-// RoomAfterMS returns after how many milliseconds ended jobs that take the given bytes can be removed, 0 if they can be now.
-// If too few have ended, it returns the retention of those that may end now.
+// RoomAfterMS returns the milliseconds until ended jobs that take the given bytes can be removed, 0 if they can be now.
+// If too few jobs have ended, it returns the retention, since jobs that end now are kept for that long.
 func (t *Tables) RoomAfterMS(nowMS, bytes int64) int64 {
 	var ended []*Job
 	for _, j := range t.Jobs {
--- a/workflow/queue.go
+++ b/workflow/queue.go
@@ -2,7 +2,7 @@
 
 import "daisyswitch/wire"
 
-// Place identifies a queue by what callers address. A configuration may give a place another name, and use a name for another place.
+// Place identifies a queue by what callers address: a host and a path prefix. Names do not identify queues, since a configuration may rename a place, or use a name for another one.
 type Place struct {
 	Host       string
 	PathPrefix string
@@ -23,7 +23,7 @@
 func (j *Job) In(q *wire.Queue) bool { return j.Place() == PlaceOf(q) }
 
 // setQueues puts a configuration in force. Jobs take over the new definition of their queue, or keep the last one if the configuration has none.
-// In records of an earlier build, names identify queues, so that their replay leads to the state that replicas of that build have.
+// In records of an earlier build, which have byPlace unset, names identify queues, so that replaying them leads to the state that replicas of that build have.
 func (t *Tables) setQueues(q *wire.QueueSet, byPlace bool) {
 	if q.GetVersion() <= t.Queues.GetVersion() {
 		return
