Take a start whose connection could not be opened for one that was not sent

Such a start counted as one that its worker may still execute for 12 s, so the end of its run was acknowledged that much later, and its task was marked in the state before the next try. Nothing of the order was sent: the transport repeats no order of which a part was written.

The error of a call says so now (call.ErrNotSent), for calls that are not relayed. TestStartThatWasNeverSentDefersNoAcknowledgement failed before with 8 ends that were not acknowledged.

--- a/call/call.go
+++ b/call/call.go
@@ -15,6 +15,9 @@
 // ErrRestarted reports that a later incarnation under the worker's id answered. It may have executed this order and earlier ones.
 var ErrRestarted = errors.New("a later incarnation of the worker answered")
 
+// ErrNotSent reports that no connection to the worker could be opened, so no part of the order was sent.
+var ErrNotSent = errors.New("no connection to the worker")
+
 // Refusal is why a worker did not carry out an order.
 type Refusal int
 
@@ -111,7 +114,7 @@
 	MoreEnds bool // the worker may have further ends, which it lists once these are noted
 }
 
-// Functions call workers. After an error other than ErrOtherWorker, the order may have been carried out or may still be carried out later.
+// Functions call workers. After an error other than ErrOtherWorker and ErrNotSent, the order may have been carried out or may still be carried out later.
 type Functions struct {
 	Start func(context.Context, *wire.CalledWorker, *Start) (*Answer, error)
 	Stop  func(context.Context, *wire.CalledWorker, *Stop) (*Answer, error)
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -100,6 +100,7 @@
 	startDelay         time.Duration // delay after which it carries out a start without answering
 	losesHolds         bool          // neither carries out nor answers any hold
 	losesStarts        bool          // neither carries out nor answers any start
+	refusesConnections bool          // no start can be sent to it
 	refusesStarts      bool          // answers every start as unhealthy
 	refusedStarts      int           // as unhealthy
 	hidesClock         bool          // its answers to starts lack its clock
@@ -442,6 +443,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if target.refusesConnections {
+		return nil, call.ErrNotSent
+	}
 	if target.startDelay > 0 {
 		order := *s
 		time.AfterFunc(target.startDelay, func() {
--- a/dispatch/late_start_test.go
+++ b/dispatch/late_start_test.go
@@ -99,6 +99,22 @@
 	})
 }
 
+// TestStartThatWasNeverSentDefersNoAcknowledgement guards against ends that are acknowledged 12 s late since no connection could be opened for the first try of their start.
+func TestStartThatWasNeverSentDefersNoAcknowledgement(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		b.locked(func() { w.refusesConnections = true })
+		b.submit("short", "job", short(8))
+		time.Sleep(300 * time.Millisecond)
+		b.locked(func() { w.refusesConnections = false })
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, b.state("job"), workflow.StateCompleted)
+		b.locked(func() {
+			assert.Equal(t, len(w.ended), 0, "ends of runs whose start was sent once are not acknowledged")
+		})
+	})
+}
+
 // TestEndsBeyondAListingAreNotHeldBack guards against tasks that wait for seconds, or whose ends stay unseen, since a worker lists its ends in parts and those of starts that were sent again are acknowledged late.
 func TestEndsBeyondAListingAreNotHeldBack(t *testing.T) {
 	const tasks = 1400
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -189,7 +189,7 @@
 		answer, err := s.Calls.Start(ctx, r.link.currentWorker(), &r.order)
 		observeSince(s.startCall, began)
 		cancel()
-		if err != nil {
+		if err != nil && !errors.Is(err, call.ErrNotSent) {
 			s.recordUnanswered(r)
 		}
 		switch {
