Forget the workers that ended first, not all, at the limit

A worker that came back under its id just after 20,000 workers had ended was taken for the first incarnation: its restarts were 0, so its fencing token was no higher than that of orders for its former incarnation (lower, if that one had restarted, and then the worker refuses its orders until the term has caught up), and a leader did not count the longest lease for it. A late announcement of an incarnation that had ended just before put it back into the state.

Cause: Tables.gone, from which restarts are counted, was emptied when it reached 20,000 entries, whatever their age. Ids that end for good stay in it, so each replaced or departed worker with a new id brings the limit closer; 1,700 workers reach it with their twelfth replacement.

Ends are numbered (CalledWorker.ended), and at the limit the half with the lowest numbers is forgotten. So an id is remembered for at least 10,000 later ends, while orders for its former incarnation are executed 12 s late at most.

Weighed: a floor, the highest count that was ever forgotten plus one, for each id that is not remembered. Every new worker would then count as restarted, wait 2.5 s longer if it is lost early in a leadership, and a late announcement would still revive an ended incarnation.

--- a/control/workflows.go
+++ b/control/workflows.go
@@ -35,7 +35,7 @@
 
 // commitWorkflow proposes a workflow command, waits until it is committed and returns its result.
 func (c *Control) commitWorkflow(ctx context.Context, command *wire.WorkflowCommand) (*workflow.Result, error) {
-	command.ByPlace = true
+	command.ByPlace, command.ForgetOldest = true, true
 	result, err := c.propose(ctx, &wire.Command{Workflow: command})
 	if err != nil {
 		return nil, err
--- a/workflow/snapshot.go
+++ b/workflow/snapshot.go
@@ -94,7 +94,7 @@
 
 func (t *Tables) restoreWorker(w *wire.WorkerEnds) {
 	if w.GetWorker().GetGone() {
-		t.gone[w.GetWorker().GetId()] = w.GetWorker()
+		t.restoreGone(w.GetWorker())
 		return
 	}
 	t.WorkerChanges++
--- a/workflow/table.go
+++ b/workflow/table.go
@@ -32,6 +32,8 @@
 	Out           map[string]bool    // failure domains that get no new tasks
 	Waves         map[int64]*wire.Wave
 	gone          map[string]*wire.CalledWorker // ended incarnations, by id
+	lastEnded     uint64                        // the highest of their numbers
+	forgetsOldest bool                          // of the record that is being applied
 	queuesByPlace map[Place]*wire.Queue
 	queuesByName  map[string]*wire.Queue // for records of an earlier build
 	pools         map[string]bool        // of the queues, and of jobs that were open when the configuration came into force
@@ -97,6 +99,7 @@
 	defer t.mu.Unlock()
 	defer t.options.Changed()
 	result := &Result{Answer: wire.WorkflowAnswer_WORKFLOW_ANSWER_OK}
+	t.forgetsOldest = c.GetForgetOldest()
 	if c.GetQueues() != nil {
 		t.setQueues(c.GetQueues(), c.GetByPlace())
 	}
--- a/workflow/worker.go
+++ b/workflow/worker.go
@@ -5,9 +5,6 @@
 	"daisyswitch/wire"
 )
 
-// maxGoneWorkers bounds the ended incarnations that are remembered so that a late announcement cannot revive them.
-const maxGoneWorkers = 20_000
-
 // setWorker applies a worker's announcement, or a leader's record that it has departed or is gone. It ends no other worker that has the same address, since any writer can name an address; only an answer from there shows whose it is.
 // A later incarnation may have accepted starts that were meant for an earlier one, so it inherits the tasks until it is known not to run them.
 func (t *Tables) setWorker(w *wire.CalledWorker) {
@@ -68,16 +65,6 @@
 	}
 }
 
-func (t *Tables) markGone(w *wire.CalledWorker, last *Worker) {
-	if last != nil {
-		t.removeWorker(last)
-	}
-	if len(t.gone) >= maxGoneWorkers {
-		t.gone = map[string]*wire.CalledWorker{}
-	}
-	t.gone[w.GetId()] = &wire.CalledWorker{Id: w.GetId(), Born: w.GetBorn(), Gone: true, Restarts: w.GetRestarts()}
-}
-
 // removeWorker removes an ended incarnation and releases its tasks.
 func (t *Tables) removeWorker(w *Worker) {
 	delete(t.Workers, w.GetId())
