Test that each incarnation that was called is counted

The fencing token and the lease that a leader counts rely on CalledWorker.restarts. The cases: an incarnation that crashed, departed with or without tasks, was replaced, came back at another address, was announced late or out of order, or has the birth of another, each also with a replica that restarts in between.

--- a/workflow/gone_test.go
+++ b/workflow/gone_test.go
@@ -32,6 +32,68 @@
 	return restarts, in
 }
 
+// TestIncarnationsThatWereCalledAreCounted guards against an incarnation with the fencing token of one that was called before it, however that one ended and in whatever order the two were announced.
+func TestIncarnationsThatWereCalledAreCounted(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		history  func(s *workflow.Table)
+		born     int64 // of the incarnation that is then in the state
+		restarts uint64
+	}{
+		{"first", func(*workflow.Table) {}, 5, 0},
+		{"crashed", func(s *workflow.Table) { announce(s, "w", 9) }, 9, 1},
+		{"at another address", func(s *workflow.Table) {
+			moved := calledWorker("w", 9)
+			moved.Address = "elsewhere:1"
+			s.Apply(4, &wire.WorkflowCommand{Workers: []*wire.CalledWorker{moved}})
+		}, 9, 1},
+		{"removed without tasks", func(s *workflow.Table) { depart(s, "w", 5); announce(s, "w", 9) }, 9, 1},
+		{"removed with its last task", func(s *workflow.Table) {
+			assert.Assert(t, start(s, taskName("a", 0, 0), 1, "w", 5))
+			depart(s, "w", 5)
+			recordNextEnd(s, taskName("a", 0, 0), 1, "w", 5, done)
+			announce(s, "w", 9)
+		}, 9, 1},
+		{"departed with a task", func(s *workflow.Table) {
+			assert.Assert(t, start(s, taskName("a", 0, 0), 1, "w", 5))
+			depart(s, "w", 5)
+			announce(s, "w", 9)
+		}, 9, 1},
+		{"replaced", func(s *workflow.Table) { replace(s, "w", 5); announce(s, "w", 9) }, 9, 1},
+		{"ended twice", func(s *workflow.Table) {
+			replace(s, "w", 5)
+			announce(s, "w", 9)
+			depart(s, "w", 9)
+			announce(s, "w", 12)
+		}, 12, 2},
+		{"announced late", func(s *workflow.Table) { announce(s, "w", 9); announce(s, "w", 5) }, 9, 1},
+		{"announced late after the end", func(s *workflow.Table) { replace(s, "w", 5); announce(s, "w", 5); announce(s, "w", 9) }, 9, 1},
+		{"never announced before", func(s *workflow.Table) { announce(s, "w", 3) }, 5, 0},
+		{"born at the same time", func(s *workflow.Table) { announce(s, "w", 5) }, 5, 0},
+	} {
+		for _, restarts := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, replica restarts %v", c.name, restarts), func(t *testing.T) {
+				s := workflow.New(workflow.Options{})
+				s.Apply(1, &wire.WorkflowCommand{Queues: &wire.QueueSet{Version: 3, Queues: []*wire.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 2}}}})
+				submit(s, "a", &wire.Step{Count: 1, Size: taskSize})
+				announce(s, "w", 5)
+				if restarts {
+					s = restarted(t, s)
+				}
+				c.history(s)
+				if restarts {
+					s = restarted(t, s)
+				}
+				announce(s, "w", c.born)
+				s.View(func(v *workflow.Tables) {
+					assert.Equal(t, v.Workers["w"].GetBorn(), c.born)
+					assert.Equal(t, v.Workers["w"].GetRestarts(), c.restarts)
+				})
+			})
+		}
+	}
+}
+
 // goneAtOnce is how many ended workers the state remembers.
 const goneAtOnce = 20_000
 
