Log from which order a lease is counted

worker_silent, worker_restarted and lease_lapsed now name the origin of the lease that ends last (counted_from, counted_ms_ago) and the number of earlier incarnations (restarts); the counter of lapses has the origin as a label. run_lost names each run that is released without a listed end, with the reason; run_taken_back, run_ended, start_unanswered and departed_runs_freed name the incarnation, and run_ended whether the task is in a gang, whose first done member releases the others. Times are computed as before.

--- a/dispatch/counters.go
+++ b/dispatch/counters.go
@@ -17,7 +17,7 @@
 	startsUnanswered *metrics.Counter
 	stopsBegun       *metrics.Counter
 	paceCalls        *metrics.Counter
-	leaseLapses      *metrics.Counter
+	leaseLapses      map[leaseOrigin]*metrics.Counter
 	formerOrders     *metrics.Counter // starts that a later incarnation of their worker executed
 	runEnds          map[wire.RunOutcome]*metrics.Counter
 	acksDeferred     *metrics.Counter // ends that are acknowledged late, as a start of their task may still be executed
@@ -40,7 +40,7 @@
 		startsUnanswered: set.NewCounter("daisyswitch_starts_unanswered_total"),
 		stopsBegun:       set.NewCounter("daisyswitch_runs_stopped_total"),
 		paceCalls:        set.NewCounter("daisyswitch_runs_paced_total"),
-		leaseLapses:      set.NewCounter("daisyswitch_worker_leases_lapsed_total"),
+		leaseLapses:      map[leaseOrigin]*metrics.Counter{},
 		formerOrders:     set.NewCounter("daisyswitch_former_orders_executed_total"),
 		runEnds:          map[wire.RunOutcome]*metrics.Counter{},
 		acksDeferred:     set.NewCounter("daisyswitch_end_acknowledgements_deferred_total"),
@@ -53,6 +53,9 @@
 		reservationsMade: set.NewCounter("daisyswitch_reservations_made_total"),
 		firstStartWait:   set.NewHistogram("daisyswitch_workflow_first_start_seconds"),
 	}
+	for _, origin := range leaseOrigins {
+		c.leaseLapses[origin] = set.NewCounter(fmt.Sprintf("daisyswitch_worker_leases_lapsed_total{counted_from=%q}", origin))
+	}
 	for outcome, name := range wire.RunOutcome_name {
 		c.runEnds[wire.RunOutcome(outcome)] = set.NewCounter(fmt.Sprintf("daisyswitch_runs_ended_total{outcome=%q}", name))
 	}
--- a/dispatch/departure.go
+++ b/dispatch/departure.go
@@ -128,7 +128,8 @@
 	for _, key := range missing {
 		ends = append(ends, l.lostRun(key))
 	}
-	event.DepartedRunsFreed.Info("worker", l.id, "runs", len(ends), "not_begun", countNotRun(ends))
+	event.DepartedRunsFreed.Info("worker", l.id, "born", l.currentWorker().GetBorn(), "runs", len(ends), "not_begun", countNotRun(ends))
+	logLost(ends, "its worker has left and does not list it")
 	if !s.commitEnds(ends) {
 		return
 	}
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -45,9 +45,9 @@
 	}
 	l.restarted = true
 	now := l.s.SinceBoot()
-	l.othersLapseAt = max(l.othersLapseAt, max(now, l.grantsEndAt)+withMaxDrift(l.s.MaxLease))
-	l.lapsesAt = max(l.lapsesAt, l.othersLapseAt)
-	event.WorkerRestarted.Error(cause, "worker", l.id, "born", l.worker.GetBorn(), "lapses_in_ms", (l.lapsesAt - now).Milliseconds())
+	l.othersLapse = later(l.othersLapse, l.longestLease(laterRestart, max(now, l.grantsEndAt)))
+	l.lapse = later(l.lapse, l.othersLapse)
+	event.WorkerRestarted.Error(cause, "worker", l.id, "born", l.worker.GetBorn(), "restarts", l.fence.Restarts, "lapses_in_ms", (l.lapse.at - now).Milliseconds(), "counted_from", string(l.lapse.origin), "counted_ms_ago", (now - l.lapse.since).Milliseconds())
 }
 
 // recordLaterAnswer records that a later incarnation has answered a hold. The next holds carry its fencing token, so that it executes nothing that was meant for this one, even if its announcement is late. barred says that the answered hold carried it already.
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -42,8 +42,9 @@
 	clockAskedAt  time.Duration       // boot clock, after which the reading was taken
 	clockReadAt   time.Duration       // boot clock by which the reading had certainly been taken; 0 for never
 	leaseMS       int64               // worker's clock: latest deadline granted in this leadership
-	lapsesAt      time.Duration       // boot clock by which every lease has expired, whoever granted it, and nothing runs there
-	othersLapseAt time.Duration       // boot clock by which the leases have expired that other leaders, or orders for an earlier incarnation, have granted
+	grantedAt     time.Duration       // boot clock, when that deadline was sent
+	lapse         leaseEnd            // by which every lease has expired, whoever granted it, and nothing runs there
+	othersLapse   leaseEnd            // by which the leases have expired that other leaders, or orders for an earlier incarnation, have granted
 	answered      bool                // it has answered a hold of this leader, so no order with a lower fencing token has any effect from then on
 	grantsEndAt   time.Duration       // boot clock by which every order that grants a lease has been answered or given up
 	heardAt       time.Duration       // boot clock, of the last answer to a hold; 0 while holds time out or fail
@@ -71,8 +72,8 @@
 	if w.GetRestarts() > 0 && former.grantsEndAt == 0 { // an earlier leader's orders may be in flight
 		l.former.grantsEndAt = l.began + callTimeout + longHoldWait
 	}
-	l.othersLapseAt = max(l.began, l.former.grantsEndAt) + withMaxDrift(s.MaxLease)
-	l.lapsesAt = l.othersLapseAt
+	l.othersLapse = later(l.longestLease(firstCall, l.began), l.longestLease(formerOrder, l.former.grantsEndAt))
+	l.lapse = l.othersLapse
 	return l
 }
 
@@ -139,6 +140,7 @@
 	for _, key := range l.runKeys() {
 		ends = append(ends, l.lostRun(key))
 	}
+	logLost(ends, "another worker answers at its worker's address")
 	l.cancel()
 	l.setSilent()
 	l.s.tasks.Go(func() {
@@ -265,7 +267,9 @@
 	if l.leaseMS != 0 && len(l.deferred) == 0 {
 		order.Wait = wait
 	}
-	l.leaseMS = max(l.leaseMS, order.DeadlineMS)
+	if order.DeadlineMS > l.leaseMS {
+		l.leaseMS, l.grantedAt = order.DeadlineMS, now
+	}
 	l.grantsEndAt = max(l.grantsEndAt, now+callTimeout+order.Wait)
 	l.updateLapse()
 	return order, false
@@ -300,14 +304,14 @@
 // updateLapse computes when the lease has certainly expired: the worker's clock read at least clockMS at clockReadAt and is slow by at most 1/driftDivisor.
 func (l *link) updateLapse() {
 	left := time.Duration(l.leaseMS-l.clockMS) * time.Millisecond
-	l.lapsesAt = max(l.othersLapseAt, l.clockReadAt+withMaxDrift(left))
+	l.lapse = later(l.othersLapse, leaseEnd{at: l.clockReadAt + withMaxDrift(left), origin: ownGrant, since: l.grantedAt})
 }
 
-// leaseTimes returns by when every lease has expired and when the worker's clock was last read, both on the boot clock.
-func (l *link) leaseTimes() (lapsesAt, clockReadAt time.Duration) {
+// leaseTimes returns by when every lease has expired, and when the worker's clock was last read, on the boot clock.
+func (l *link) leaseTimes() (lapse leaseEnd, clockReadAt time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lapsesAt, l.clockReadAt
+	return l.lapse, l.clockReadAt
 }
 
 func (l *link) recordAnswer(sent time.Duration, listing *call.Listing) {
@@ -315,7 +319,7 @@
 	defer l.mu.Unlock()
 	now := l.s.SinceBoot()
 	if l.heardAt == 0 {
-		event.WorkerHeard.Info("worker", l.id, "born", l.worker.GetBorn(), "address", l.worker.GetAddress(), "clock_ms", listing.ClockMS)
+		event.WorkerHeard.Info("worker", l.id, "born", l.worker.GetBorn(), "restarts", l.fence.Restarts, "address", l.worker.GetAddress(), "clock_ms", listing.ClockMS)
 	}
 	l.heardAt = now
 	l.lapsed, l.restarted = false, false
@@ -329,11 +333,11 @@
 
 // recordFirstAnswer bounds the leases that others have granted by what can have been executed before now. An earlier leader has granted this incarnation no longer ones than this leader will; orders for an earlier incarnation may have granted the longest.
 func (l *link) recordFirstAnswer(now time.Duration) {
-	l.answered, l.othersLapseAt = true, 0
+	l.answered, l.othersLapse = true, leaseEnd{}
 	if l.fence.Restarts > 0 {
-		l.othersLapseAt = now + withMaxDrift(l.s.MaxLease)
+		l.othersLapse = l.longestLease(firstAnswer, now)
 	}
-	l.lapsesAt = max(l.lapsesAt, l.othersLapseAt)
+	l.lapse = later(l.lapse, l.othersLapse)
 }
 
 // recordSilence records a failed hold, and ends the worker's runs once its lease has certainly expired.
@@ -341,10 +345,10 @@
 	l.mu.Lock()
 	now := l.s.SinceBoot()
 	if l.heardAt != 0 {
-		event.WorkerSilent.Error(cause, "worker", l.id, "address", l.worker.GetAddress(), "lapses_in_ms", (l.lapsesAt - now).Milliseconds())
+		event.WorkerSilent.Error(cause, "worker", l.id, "born", l.worker.GetBorn(), "restarts", l.fence.Restarts, "address", l.worker.GetAddress(), "lapses_in_ms", (l.lapse.at - now).Milliseconds(), "counted_from", string(l.lapse.origin), "counted_ms_ago", (now - l.lapse.since).Milliseconds())
 	}
 	l.heardAt = 0
-	take := now >= l.lapsesAt && !l.lapsed
+	take := now >= l.lapse.at && !l.lapsed
 	if take {
 		l.leaseMS = 0
 	}
@@ -360,7 +364,7 @@
 func (l *link) commitLapse(now time.Duration) bool {
 	s := l.s
 	unconfirmed := l.unconfirmedRuns(now)
-	lapsedAt, readAt := l.leaseTimes()
+	lapse, readAt := l.leaseTimes()
 	var ends []*wire.RunEnd
 	var keys []runKey
 	born := l.currentWorker().GetBorn()
@@ -379,9 +383,10 @@
 		}
 	})
 	if len(ends) > 0 || len(unconfirmed) == 0 {
-		s.leaseLapses.Inc()
-		event.LeaseLapsed.Info("worker", l.id, "born", born, "lapsed_ms_ago", (now - lapsedAt).Milliseconds(), "clock_read_ms_ago", (now - readAt).Milliseconds(), "runs", len(ends), "not_begun", countNotRun(ends), "unconfirmed", len(unconfirmed))
+		s.leaseLapses[lapse.origin].Inc()
+		event.LeaseLapsed.Info("worker", l.id, "born", born, "restarts", l.fence.Restarts, "lapsed_ms_ago", (now - lapse.at).Milliseconds(), "counted_from", string(lapse.origin), "counted_ms_ago", (now - lapse.since).Milliseconds(), "clock_read_ms_ago", (now - readAt).Milliseconds(), "runs", len(ends), "not_begun", countNotRun(ends), "unconfirmed", len(unconfirmed))
 	}
+	logLost(ends, "its worker's lease has expired")
 	if len(ends) > 0 && !s.commitEnds(ends) {
 		return false
 	}
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -183,7 +183,7 @@
 		if l.isUnlistedFormer(runKey{e.Task, e.Run}) {
 			l.recordFormerOrder(runKey{e.Task, e.Run}, "ended")
 		}
-		event.RunEnded.Info("task", e.Task.String(), "run", e.Run, "worker", l.id, "number", e.Number, "outcome", e.Outcome.String())
+		event.RunEnded.Info("task", e.Task.String(), "run", e.Run, "worker", l.id, "born", born, "number", e.Number, "outcome", e.Outcome.String(), "gang", s.isInGang(e.Task))
 		runEnds = append(runEnds, &wire.RunEnd{Task: e.Task.Wire(), Run: e.Run, Worker: l.id, Born: born, Number: e.Number, Outcome: e.Outcome, Checkpoint: e.Checkpoint, Acknowledged: acknowledged})
 		s.runEnds[e.Outcome].Inc()
 		l.recordOutcome(&e)
@@ -197,6 +197,16 @@
 	l.recordCommittedEnds(ended)
 }
 
+// isInGang reports whether a task is a member of a gang, all of whose members are released and taken as done with the first that is done.
+func (s *session) isInGang(name workflow.Name) bool {
+	gang := false
+	s.Table.View(func(t *workflow.Tables) {
+		task := t.Task(name)
+		gang = task != nil && task.Step.Spec.GetGang()
+	})
+	return gang
+}
+
 func (l *link) setDepartListed() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -201,7 +201,7 @@
 			continue
 		case err != nil:
 			s.startsUnanswered.Inc()
-			event.StartUnanswered.Error(err, "task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "try", try)
+			event.StartUnanswered.Error(err, "task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "born", r.worker.GetBorn(), "try", try)
 			s.pause(wait)
 			wait = min(2*wait, maxRetryDelay)
 			continue
@@ -293,7 +293,7 @@
 	s.mu.Lock()
 	outcome, checkpoint := r.lostOutcome(), r.checkpoint
 	s.mu.Unlock()
-	event.RunTakenBack.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "outcome", outcome.String(), "reason", reason)
+	event.RunTakenBack.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "born", r.worker.GetBorn(), "outcome", outcome.String(), "reason", reason)
 	end := &wire.RunEnd{Task: r.name.Wire(), Run: r.number, Worker: r.worker.GetId(), Born: r.worker.GetBorn(), Outcome: outcome, Checkpoint: checkpoint}
 	if s.commitEnds([]*wire.RunEnd{end}) {
 		r.link.dropRun(r.runKey)
--- a/event/dispatch.go
+++ b/event/dispatch.go
@@ -3,6 +3,7 @@
 // Events of called workers and their runs, 450 to 499.
 var (
 	AckDeferred           = register(479, "acknowledgement_deferred", "A worker is told only later that the end of a run is recorded, since a start of the task that was not answered may still be executed.")
+	RunLost               = register(484, "run_lost", "A run is released without an end that its worker listed, since the worker's lease has expired, another worker answers at its address, or it has left and does not list the run.")
 	AckedEarly            = register(483, "acknowledged_early", "Ends are acknowledged though a start of their tasks may still be executed, as the worker lists its further ends only then.")
 	WorkspaceAtQuota      = register(480, "workspace_at_quota", "Tasks of a workspace wait for its quota; logged with what it uses while that lasts.")
 	PoolFull              = register(481, "pool_full", "Work that is on time has waited for room in a pool; workspaces that send more than their share are refused from now on.")
@@ -17,10 +18,10 @@
 	RunTakenBack          = register(456, "run_taken_back", "A run is released because its worker does not list it: it has ended or can no longer start.")
 	RunStopping           = register(457, "run_stopping", "The leader stops a run.")
 	StopUnanswered        = register(458, "stop_unanswered", "A worker did not execute a stop, which is sent again.")
-	RunEnded              = register(459, "run_ended", "A worker reported the end of a run.")
+	RunEnded              = register(459, "run_ended", "A worker reported the end of a run. The first member of a gang that is done releases the others, which have the same number.")
 	StrayRun              = register(460, "stray_run", "A worker executes a run that is not committed to it; the run is stopped.")
 	WorkerHeard           = register(461, "worker_heard", "A worker answers this leader for the first time, or again after a silence.")
-	WorkerSilent          = register(462, "worker_silent", "A worker does not answer; its runs are released once its lease is known to have expired.")
+	WorkerSilent          = register(462, "worker_silent", "A worker does not answer; its runs are released once its lease is known to have expired, which is counted as in lease_lapsed.")
 	WorkerReplaced        = register(463, "worker_replaced", "Another worker answered at a worker's address, so the former one has ended.")
 	WorkerRestarted       = register(472, "worker_restarted", "A later incarnation under a worker's id answered; the former one's runs are released once the later one is known not to execute them.")
 	FormerOrderExecuted   = register(478, "former_order_executed", "A worker lists a run whose start was meant for its former incarnation; the deadline in that start has granted it a lease that this leader did not.")
@@ -38,5 +39,5 @@
 	ReservationMade       = register(490, "reservation_made", "Capacity on a worker is kept for a large task that found none, until the time by which runs there will likely have released the rest.")
 	ReservationKept       = register(491, "reservation_kept", "A task was placed on the worker on which capacity was kept for it.")
 	ReservationGivenUp    = register(492, "reservation_given_up", "Capacity is no longer kept for a task: it found some elsewhere, its predicted start came to be too late, or enough was withheld for it.")
-	LeaseLapsed           = register(465, "lease_lapsed", "A silent worker's lease is known to have expired, and with it all of its runs have ended.")
+	LeaseLapsed           = register(465, "lease_lapsed", "A silent worker's lease is known to have expired, and with it all of its runs have ended. counted_from is the origin of the lease that ended last: own_grant (this leader's last order), first_call (the beginning of this leader's calls to the incarnation, before which other orders may have granted one), former_order (the last one to the former incarnation), first_answer (before it, an incarnation with a former one may have executed orders for that), or restart (a later incarnation answered); counted_ms_ago is its time, restarts the number of earlier incarnations.")
 )
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -24,7 +24,7 @@
 )
 
 // workerEvents are the events of a worker that affect all tasks on it.
-var workerEvents = []string{"worker_silent", "worker_heard", "worker_replaced", "lease_lapsed", "called_worker_suspended", "called_worker_announced", "worker_obeys_other"}
+var workerEvents = []string{"worker_silent", "worker_heard", "worker_replaced", "worker_restarted", "former_order_executed", "lease_lapsed", "called_worker_suspended", "called_worker_announced", "worker_obeys_other"}
 
 // History returns the log lines that name a workflow or one of its tasks, and the events meanwhile of the workers that ran them, in order of time.
 func History(id string, logs ...io.Reader) ([]Line, error) {
