--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -100,6 +100,8 @@
 	startDelay         time.Duration // delay after which it carries out a start without answering
 	losesHolds         bool          // neither carries out nor answers any hold
 	losesStarts        bool          // neither carries out nor answers any start
+	losesStops         bool          // neither carries out nor answers any stop
+	startTransit       time.Duration // by which starts reach it late
 	refusesStarts      bool          // answers every start as unhealthy
 	refusedStarts      int           // as unhealthy
 	hidesClock         bool          // its answers to starts lack its clock
@@ -442,6 +444,11 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if transit := target.startTransit; transit > 0 {
+		b.mu.Unlock()
+		time.Sleep(transit)
+		b.mu.Lock()
+	}
 	if target.startDelay > 0 {
 		order := *s
 		time.AfterFunc(target.startDelay, func() {
@@ -532,6 +539,12 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if target.losesStops {
+		b.mu.Unlock()
+		<-ctx.Done()
+		b.mu.Lock()
+		return nil, errNoAnswer
+	}
 	if target.rejectsFence(s.Fence) {
 		return &call.Answer{Refusal: call.StaleFence}, nil
 	}
