Wait for starts in flight as the leader changes

Callers saw two runs of a task at the same time for up to 0.6 s: a worker crashes and starts again under its id as the leader changes, a start that the former leader sent just before is executed by the later incarnation, which is not announced yet and is cut off.

Cause: a new leader counted the longest lease from its own beginning for a worker of which the state names no earlier incarnation. That bounds the grants to the incarnation in the state, but a later one that is not announced takes a lease from an order of the former leader for as long as that may be in flight.

Evidence: TestOrderInFlightAsTheLeaderChangesIsWaitedFor failed in its three cases in each run; start and hold pass now. With the end of a start's time limit as the beginning of the longest lease, an order that is executed within that limit is covered. An answer to this leader's first hold bars all earlier ones, so only workers that never answer it are waited for longer.

Price: tasks of a worker that is lost as the leader changes come back 0.5 s later, after 8.5 s in place of 8.0 in TestTaskOfALostWorkerReturnsToAContestedPoolInTime, of 9 allowed.

--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -71,7 +71,11 @@
 	if w.GetRestarts() > 0 && former.grantsEndAt == 0 { // an earlier leader's orders may be in flight
 		l.former.grantsEndAt = l.began + callTimeout + longHoldWait
 	}
-	l.othersLapseAt = max(l.began, l.former.grantsEndAt) + withMaxDrift(s.MaxLease)
+	ordersEndAt := max(l.began, l.former.grantsEndAt)
+	if l.former.grantsEndAt == 0 { // a later incarnation that is not announced may execute what an earlier leader has sent
+		ordersEndAt += callTimeout
+	}
+	l.othersLapseAt = ordersEndAt + withMaxDrift(s.MaxLease)
 	l.lapsesAt = l.othersLapseAt
 	return l
 }
