Free no run by a listing requested before it began

Callers saw two runs of a task at the same time: a worker departs and starts again under its id within half a second, and a start in flight begins a run there.

Cause: a complete listing that is requested after a departure frees the runs that it does not show. A run that is being stopped counted as missing even if it began after the listing was requested: the start is accepted while the listing is on its way, the leader stops the run at once, as its worker has departed, and the check of the time was left out for runs that are being stopped.

Evidence: in TestStartExecutedAfterTheDepartureIsNoMissingRun the starts are accepted 75 ms before the listing of the former incarnation arrives, departed_runs_freed names the four runs, and they start elsewhere 45 ms later, while the later incarnation is stopping them. The time when a run is known to have begun is kept now, and the listing has to be requested after it; a run that began earlier is freed as before.

--- a/dispatch/begun.go
+++ b/dispatch/begun.go
@@ -21,7 +21,7 @@
 // noteBegun notes that the worker of a run has accepted its start or listed it. The caller holds the session's mutex.
 func (s *session) noteBegun(r *run) {
 	if !r.begun {
-		r.begun = true
+		r.begun, r.begunAt = true, s.SinceBoot()
 		s.begun[r.name.Workflow] = struct{}{}
 	}
 }
--- a/dispatch/departure.go
+++ b/dispatch/departure.go
@@ -116,7 +116,7 @@
 		if _, ok := listed[key]; ok || r.phaseSince > sent && r.phase < stopping {
 			continue
 		}
-		if r.begun || r.phase == stopped && r.phaseSince <= sent || r.adopted && r.sentAt == 0 {
+		if r.begun && r.begunAt <= sent || r.phase == stopped && r.phaseSince <= sent || r.adopted && r.sentAt == 0 {
 			missing = append(missing, key)
 		}
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -43,6 +43,7 @@
 	lateCommitted bool // and that record is committed; guarded by the session's mutex
 
 	begun         bool          // the worker has accepted its start or listed it
+	begunAt       time.Duration // boot clock, when that was first known
 	sentAt        time.Duration // boot clock, when its start was last sent; 0 for never
 	unansweredAt  time.Duration // boot clock, when a start was last sent that was not answered; 0 for none
 	confirmed     bool          // the worker's incarnation is known to have answered its start or to have listed it
