Relay no call whose context has ended

A later incarnation of a worker could execute an order that the leader had given up before it was sent, without this leader's account holding it: what the link of the former incarnation leaves to the next one is computed as its calls are cancelled.

Cause: a relayed call waited for room in the queue to the relay and for its context in one select, which takes either if both are ready. A call that was made as its link had just been cancelled was relayed about every second time, and its cancellation after it.

Calls that are made directly check their context first.

--- a/relay/link.go
+++ b/relay/link.go
@@ -118,6 +118,9 @@
 
 // do sends a call and waits for its reply.
 func (l *link) do(ctx context.Context, c *wire.RelayCall) (*wire.RelayReply, error) {
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	waiting := make(chan *wire.RelayReply, 1)
 	if err := l.prepare(ctx, c, waiting); err != nil {
 		return nil, err
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -161,6 +161,20 @@
 	})
 }
 
+// TestCallOfAnEndedLeadershipIsNotRelayed guards against an order that is executed though its sender had given it up before, as the leadership had ended or a later incarnation of the worker was known.
+func TestCallOfAnEndedLeadershipIsNotRelayed(t *testing.T) {
+	run(t, func(t *testing.T, b *testBench) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		for range 20 {
+			_, err := b.client.Functions().Start(ctx, &wire.CalledWorker{Id: "w0", Address: "a:1"}, &call.Start{Fence: call.Fence{Term: 3}})
+			assert.ErrorIs(t, err, context.Canceled)
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Equal(t, b.called[1].Load(), int64(0))
+	})
+}
+
 // TestWorkersOfAFailedRelayAreCalledOtherwise guards against workers that stay without calls when their relay falls silent or cannot reach them.
 func TestWorkersOfAFailedRelayAreCalledOtherwise(t *testing.T) {
 	run(t, func(t *testing.T, b *testBench) {
