Test a second restart with a start within its time limit

The listed test had a start that is 3 s late only. The second try of a start that is in flight as the inheriting incarnation crashes begins the run on the next one as well, and the run is freed with the lease of the incarnation between. Found by random schedules with two restarts.

--- a/dispatch/rebirth_test.go
+++ b/dispatch/rebirth_test.go
@@ -52,20 +52,33 @@
 
 // TestInheritedRunOutlastsASecondRestart guards against a second run where a worker restarts twice, and its third incarnation executes a start that its second, which has answered a hold and inherited the run, can't execute any more.
 func TestInheritedRunOutlastsASecondRestart(t *testing.T) {
-	runOnBench(t, 1, big, func(b *testBench) {
-		w := b.workers["w0"]
-		time.Sleep(30 * time.Second)
-		b.locked(func() { w.startDelay = 3 * time.Second })
-		b.submit("lasting", "former", &wire.Step{Count: 4, Size: unit, Lasting: true})
-		time.Sleep(100 * time.Millisecond)
-		b.locked(func() { w.restart(); w.startDelay, w.losesStops = 0, true })
-		w.announce()
-		time.Sleep(200 * time.Millisecond)
-		b.locked(func() { w.restart(); w.losesHolds = true })
-		b.addWorker("w1", big)
-		time.Sleep(20 * time.Second)
-		assert.Equal(t, b.runningOf("former"), 4)
-	})
+	for _, start := range []struct {
+		name                        string
+		delay                       time.Duration // after which the worker executes each try
+		restart, announce, restart2 time.Duration // after the submission
+	}{
+		{"late", 3 * time.Second, 100 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond},
+		{"second_try_in_flight", 590 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond, 900 * time.Millisecond},
+	} {
+		t.Run(start.name, func(t *testing.T) {
+			runOnBench(t, 1, big, func(b *testBench) {
+				w := b.workers["w0"]
+				time.Sleep(30 * time.Second)
+				b.locked(func() { w.startDelay = start.delay })
+				b.submit("lasting", "former", &wire.Step{Count: 4, Size: unit, Lasting: true})
+				time.Sleep(start.restart)
+				b.locked(func() { w.restart(); w.losesStops, w.losesHolds = true, true })
+				time.Sleep(start.announce - start.restart)
+				b.locked(func() { w.startDelay, w.losesHolds = 0, false })
+				w.announce()
+				time.Sleep(start.restart2 - start.announce)
+				b.locked(func() { w.restart(); w.losesHolds = true })
+				b.addWorker("w1", big)
+				time.Sleep(20 * time.Second)
+				assert.Equal(t, b.runningOf("former"), 4)
+			})
+		})
+	}
 }
 
 // TestStartExecutedAfterTheDepartureIsNoMissingRun guards against a second run where a departed worker starts again under its id and accepts a start in flight, while the listing that was requested from the former incarnation is on its way.
