--- a/dispatch/rebirth_test.go
+++ b/dispatch/rebirth_test.go
@@ -101,6 +101,26 @@
 	})
 }
 
+// TestStartInFlightIsWaitedForAsAWorkerDepartsUnderANewLeader guards against a second run where a worker departs and starts again under its id as the leader changes, and accepts a start of the former leader after the departed incarnation has listed its runs.
+func TestStartInFlightIsWaitedForAsAWorkerDepartsUnderANewLeader(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		time.Sleep(30 * time.Second)
+		b.locked(func() { w.startDelay = 580 * time.Millisecond })
+		b.submit("lasting", "job", &wire.Step{Count: 4, Size: unit, Lasting: true})
+		time.Sleep(40 * time.Millisecond)
+		b.locked(func() { w.startDelay = 0 })
+		b.depose()
+		w.depart()
+		b.addWorker("w1", big)
+		b.lead(2)
+		time.Sleep(40 * time.Millisecond)
+		b.locked(w.restart)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, b.runningOf("job"), 4)
+	})
+}
+
 // TestFirstTryOfAnEndedRunOverlapsNoLaterRun guards against two runs where a run that began at its second try fails or is stopped, its task starts elsewhere, and a later incarnation of its worker executes the first try.
 func TestFirstTryOfAnEndedRunOverlapsNoLaterRun(t *testing.T) {
 	for _, fails := range []bool{false, true} {
