Wait for an earlier leader's starts before a departed worker's listing counts

Callers saw two runs of a task at the same time: a worker departs as the leader changes, and starts again under its id within 0.6 s.

Cause: the first complete listing after a departure freed the runs that an earlier leader may have started, since the hold's fencing token bars them. It bars them on the incarnation that has answered, and not on the next one under its id, which executes a start that is still in flight.

Such runs are freed now by a listing that is requested once no start of the former leader can be in flight within its time limit. If the departed incarnation has gone by then, they wait for the lease.

Price: only runs that are not listed, of a worker that departs within 0.6 s of a change of leader.

--- a/dispatch/departure.go
+++ b/dispatch/departure.go
@@ -107,15 +107,19 @@
 }
 
 // endMissing commits the ends of runs that a departed worker does not list. The listing has to be complete and requested after the departure.
-// A run whose start is unanswered may still begin; it is stopped first, as on any other worker. The start of an earlier leader can't, since the worker has seen a later fencing token.
+// A run whose start is unanswered may still begin; it is stopped first, as on any other worker. The start of an earlier leader can't, since the worker has seen a later fencing token; but one that is in flight may begin on the next incarnation under its id.
 func (l *link) endMissing(sent time.Duration, listed map[runKey]struct{}) {
 	s := l.s
 	var missing []runKey
+	adoptedInFlight := sent < l.began+callTimeout
 	s.mu.Lock()
 	for key, r := range l.runs {
 		if _, ok := listed[key]; ok || r.phaseSince > sent && r.phase < stopping {
 			continue
 		}
+		if r.adopted && !r.begun && adoptedInFlight {
+			continue
+		}
 		if r.begun && r.begunAt <= sent || r.phase == stopped && r.phaseSince <= sent || r.adopted && r.sentAt == 0 {
 			missing = append(missing, key)
 		}
