--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -72,7 +72,11 @@
 	if w.GetRestarts() > 0 && former.grantsEndAt == 0 { // an earlier leader's orders may be in flight
 		l.former.grantsEndAt = l.began + callTimeout + longHoldWait
 	}
-	l.othersLapse = later(l.longestLease(firstCall, l.began), l.longestLease(formerOrder, l.former.grantsEndAt))
+	callsBegin := l.began
+	if l.former.grantsEndAt == 0 { // a later incarnation that is not announced may execute what an earlier leader has sent
+		callsBegin += callTimeout
+	}
+	l.othersLapse = later(l.longestLease(firstCall, callsBegin), l.longestLease(formerOrder, l.former.grantsEndAt))
 	l.lapse = l.othersLapse
 	return l
 }
