Wait for the lease of a worker whose later incarnation never answered

Tasks ran twice: an announcement with a worker's id, a later birth and the address of another worker makes a link that calls this address. The other worker answers there that it is not the one meant, and that was taken for the end of the worker, which is at work at its former address.

The answer of another worker shows that the addressed incarnation is not there. It shows nothing of the former one, whose runs it has inherited, if the two may have different addresses. So such an incarnation is given up only once the lease has expired, unless it has answered before.

TestAnnouncementOfAnotherAddressStartsNoSecondRun failed before in both cases with 6 of 6 tasks running twice. A worker that was replaced for certain is given up at once as before (TestTasksOfAWorkerWhoseAddressAnotherHasMoveAtOnce).

--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// mayHaveMoved reports whether the runs may be at work at another address. An incarnation that has never answered has inherited them, so another worker at its address is no evidence that the former one has ended, which may have had another address.
+func (l *link) mayHaveMoved() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence.Restarts > 0 && !l.answered && !l.lapsed
+}
+
 // isUnlistedFormer reports whether a run was committed for an earlier incarnation and has not been listed by this one.
 func (l *link) isUnlistedFormer(key runKey) bool {
 	l.s.mu.Lock()
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -134,7 +134,7 @@
 
 // markReplaced commits that the worker has ended, since another worker answers at its address, and stops calling it. It is no evidence of the ends of a departing worker, whose address may be given to another before they are known.
 func (l *link) markReplaced() {
-	if l.isDeparting() {
+	if l.isDeparting() || l.mayHaveMoved() {
 		return
 	}
 	w := l.currentWorker()
@@ -200,7 +200,7 @@
 		switch {
 		case err != nil && !departing && l.isDeparting():
 			// the hold that was sent since shows whether the worker still answers
-		case errors.Is(err, call.ErrOtherWorker) && departing:
+		case errors.Is(err, call.ErrOtherWorker) && (departing || l.mayHaveMoved()):
 			l.recordSilence(err)
 			s.pause(maxRetryDelay)
 		case errors.Is(err, call.ErrOtherWorker):
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -8,6 +8,7 @@
 	"daisyswitch/wire"
 	"daisyswitch/workflow"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 )
 
@@ -84,6 +85,27 @@
 	})
 }
 
+// TestAnnouncementOfAnotherAddressStartsNoSecondRun guards against a second run of each task of a worker, when an announcement with its id and a later birth names the address of another worker.
+func TestAnnouncementOfAnotherAddressStartsNoSecondRun(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new leader %v", newLeader), func(t *testing.T) {
+			runOnBench(t, 2, big, func(b *testBench) {
+				b.submit("lasting", "job", &wire.Step{Count: 6, Size: unit, Lasting: true})
+				time.Sleep(5 * time.Second)
+				moved := proto.CloneOf(b.workers["w0"].record)
+				moved.Address, moved.Born = "w1:1", 9
+				b.apply(&wire.WorkflowCommand{Workers: []*wire.CalledWorker{moved}})
+				if newLeader {
+					b.lead(2)
+				}
+				time.Sleep(30 * time.Second)
+				assert.Equal(t, b.runningOf("job"), 6)
+				b.table.View(func(s *workflow.Tables) { assert.Assert(t, s.Workers["w0"] == nil, "it is called for good") })
+			})
+		})
+	}
+}
+
 // TestTasksOfAWorkerWhoseAddressAnotherHasMoveAtOnce guards against waiting for the lease of a worker that has ended for certain.
 func TestTasksOfAWorkerWhoseAddressAnotherHasMoveAtOnce(t *testing.T) {
 	runOnBench(t, 1, big, func(b *testBench) {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -357,7 +357,7 @@
 		answer, err := s.Calls.Stop(ctx, l.currentWorker(), &call.Stop{Task: key.name, Run: key.number, Fence: l.fence})
 		cancel()
 		switch {
-		case errors.Is(err, call.ErrOtherWorker):
+		case errors.Is(err, call.ErrOtherWorker) && !l.mayHaveMoved():
 			l.markReplaced()
 			return false
 		case errors.Is(err, call.ErrRestarted):
