Acknowledge only ends that the worker lists

Callers saw a task run again after it was done (TWICE), on workers that restart under their ids.

Every hold carried the number of the last end in the state. A later incarnation under the id numbers its ends from 1 again; if it executed a hold that was in flight as the former one crashed, it forgot its own ends up to that number, and the leader, which never saw them, started the tasks again.

A hold carries the number only if the worker's last listing shows ends that may be acknowledged. A worker lists its ends until it has executed such a hold, so one that was lost is repeated, and one in flight to a worker without listed ends forgets nothing. After a change of leader, nothing is acknowledged that the worker does not list any more.

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -108,9 +108,11 @@
 	tailOf             func(name workflow.Name) float64
 	holdsWhileSilent   []call.Hold   // received while it was silent
 	holds              int           // received
+	acknowledgements   []int64       // numbers in the holds received that acknowledge ends
 	holdDelay          time.Duration // by which its answers to holds arrive late
 	executesHoldsAfter time.Duration // delay after which it executes a hold without answering
 	lostAnswers        int           // answers to holds with ends that get lost from now on
+	losesAnswers       bool          // carries out holds without answering
 	gone               bool          // its process has ended; orders that arrive afterwards are counted in startsWhenGone
 	startsWhenGone     int
 }
@@ -568,6 +570,9 @@
 	b.locked(func() {
 		target := b.at[w.GetAddress()]
 		target.holds++
+		if h.Noted > 0 {
+			target.acknowledgements = append(target.acknowledgements, h.Noted)
+		}
 		if target.silent {
 			target.holdsWhileSilent = append(target.holdsWhileSilent, *h)
 		}
@@ -615,6 +620,12 @@
 		return nil, call.ErrRestarted
 	}
 	listing := target.list()
+	if target.losesAnswers {
+		b.mu.Unlock()
+		<-ctx.Done()
+		b.mu.Lock()
+		return nil, errNoAnswer
+	}
 	if target.lostAnswers > 0 && len(listing.Ended) > 0 {
 		target.lostAnswers--
 		return nil, errNoAnswer
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -61,6 +61,7 @@
 
 	committedEnds int64         // number of the last listed end that this leader has committed
 	acknowledged  int64         // number of the last end that may be acknowledged
+	firstListed   int64         // number of the first end in the last listing, 0 if it had none
 	deferred      []deferredEnd // ends that may not be acknowledged yet
 }
 
@@ -254,7 +255,7 @@
 	if l.heardAt == 0 {
 		return order, l.departing
 	}
-	order.Noted = l.acknowledgeable(now, noted)
+	order.Noted = l.acknowledgement(now, noted)
 	if l.departing {
 		if l.departListed {
 			order.Wait = shortHoldWait
@@ -319,6 +320,7 @@
 	}
 	l.heardAt = now
 	l.lapsed, l.restarted = false, false
+	l.recordListedEnds(listing.Ended)
 	if !l.answered {
 		l.recordFirstAnswer(now)
 	}
