Show which holds still have a restarted worker forget its ends

A hold that acknowledges the last ends of a worker may be in flight as the worker crashes. If the later incarnation under its id executes it after it has ended a run that was meant for the former one, it forgets that end, and the task runs again after it was done.

TestHoldThatAcknowledgesEndsForgetsNoneOfALaterIncarnation has the later incarnation answer its starts, TestHoldThatAcknowledgesEndsForgetsNoneAfterLostAnswersToStarts has these answers lost.

--- a/dispatch/acknowledgement_test.go
+++ b/dispatch/acknowledgement_test.go
@@ -14,7 +14,7 @@
 // awaitCompleted waits until a workflow is completed, when its last ends are about to be acknowledged.
 func (b *testBench) awaitCompleted(id string) {
 	for b.state(id) != workflow.StateCompleted {
-		time.Sleep(time.Millisecond)
+		time.Sleep(100 * time.Microsecond)
 	}
 }
 
@@ -58,3 +58,46 @@
 		})
 	}
 }
+
+// restartUnderAcknowledgement has a worker restart while a hold is in flight that acknowledges its last ends and is executed by the later incarnation, and checks that what this one has done is not done again.
+func restartUnderAcknowledgement(t *testing.T, losesStartAnswers bool) {
+	for after := 100; after <= 1000; after += 100 {
+		t.Run(fmt.Sprintf("restart after %d ms", after), func(t *testing.T) {
+			runOnBench(t, 1, big, func(b *testBench) {
+				w := b.workers["w0"]
+				time.Sleep(30 * time.Second)
+				b.submit("short", "earlier", short(5))
+				b.awaitCompleted("earlier")
+				b.locked(func() { w.executesHoldsAfter = 1550 * time.Millisecond })
+				time.Sleep(time.Duration(after) * time.Millisecond)
+				b.locked(func() {
+					w.restart()
+					w.executesHoldsAfter = 0
+					if losesStartAnswers {
+						w.startDelay = time.Millisecond
+					}
+				})
+				b.submit("short", "later", short(2))
+				time.Sleep(100 * time.Millisecond)
+				b.locked(func() { w.startDelay = 0 })
+				time.Sleep(1450 * time.Millisecond)
+				w.announce()
+				time.Sleep(20 * time.Second)
+				assert.Equal(t, b.state("later"), workflow.StateCompleted)
+				for i := range 2 {
+					assert.Equal(t, b.runCount(fmt.Sprintf("later.0.0.%d", i)), 1, "the task ran again after it was done")
+				}
+			})
+		})
+	}
+}
+
+// TestHoldThatAcknowledgesEndsForgetsNoneOfALaterIncarnation guards against a second run of a task that was done on a restarted worker, whose end a hold acknowledged that was sent for the last ends of the former incarnation.
+func TestHoldThatAcknowledgesEndsForgetsNoneOfALaterIncarnation(t *testing.T) {
+	restartUnderAcknowledgement(t, false)
+}
+
+// TestHoldThatAcknowledgesEndsForgetsNoneAfterLostAnswersToStarts guards against the same where the later incarnation's answers to the starts are lost, so that nothing shows it to the leader.
+func TestHoldThatAcknowledgesEndsForgetsNoneAfterLostAnswersToStarts(t *testing.T) {
+	restartUnderAcknowledgement(t, true)
+}
