Ask a worker again at once when an answer shows that it restarted

Callers saw a task run again after it was done (TWICE), on workers that restart under their ids: a hold for the last ends of the former incarnation was executed by the later one, which forgot an end of its own.

The answer to a start shows a later incarnation by its clock, and the leader recorded that, but the hold in progress went on for up to 1.6 s. Only the next ones find out whether orders for the former incarnation have to be barred, and carry the token that bars them.

A recorded restart ends the hold in progress.

--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -44,6 +44,7 @@
 		return
 	}
 	l.restarted = true
+	l.cancelHold() // the next ones bar orders for this incarnation
 	now := l.s.SinceBoot()
 	l.othersLapseAt = max(l.othersLapseAt, max(now, l.grantsEndAt)+withMaxDrift(l.s.MaxLease))
 	l.lapsesAt = max(l.lapsesAt, l.othersLapseAt)
