Take a refused start's clock as evidence that its worker restarted

Callers saw a task run again after it was done (TWICE), on workers that restart under their ids.

The answer to a start that was accepted shows a later incarnation by its clock; a refusal has the same clock, which was not looked at. If the first answers were lost and the runs had ended as the starts were sent again, the later incarnation refused these as overtaken. The leader took the runs back, and a hold for the former incarnation that was executed meanwhile had the later one forget their ends.

Each answer to a start is checked. A run that a later incarnation refuses as overtaken is kept until that one is announced and lists its end, or its lease has certainly expired.

--- a/dispatch/acknowledgement_test.go
+++ b/dispatch/acknowledgement_test.go
@@ -60,8 +60,8 @@
 }
 
 // restartUnderAcknowledgement has a worker restart while a hold is in flight that acknowledges its last ends and is executed by the later incarnation, and checks that what this one has done is not done again.
-func restartUnderAcknowledgement(t *testing.T, losesStartAnswers bool) {
-	for after := 100; after <= 1000; after += 100 {
+func restartUnderAcknowledgement(t *testing.T, latestMS int, losesStartAnswers bool) {
+	for after := 100; after <= latestMS; after += 100 {
 		t.Run(fmt.Sprintf("restart after %d ms", after), func(t *testing.T) {
 			runOnBench(t, 1, big, func(b *testBench) {
 				w := b.workers["w0"]
@@ -94,10 +94,15 @@
 
 // TestHoldThatAcknowledgesEndsForgetsNoneOfALaterIncarnation guards against a second run of a task that was done on a restarted worker, whose end a hold acknowledged that was sent for the last ends of the former incarnation.
 func TestHoldThatAcknowledgesEndsForgetsNoneOfALaterIncarnation(t *testing.T) {
-	restartUnderAcknowledgement(t, false)
+	restartUnderAcknowledgement(t, 1000, false)
 }
 
-// TestHoldThatAcknowledgesEndsForgetsNoneAfterLostAnswersToStarts guards against the same where the later incarnation's answers to the starts are lost, so that nothing shows it to the leader.
+// TestHoldThatAcknowledgesEndsForgetsNoneAfterLostAnswersToStarts guards against the same where the later incarnation's answers to the starts are lost.
 func TestHoldThatAcknowledgesEndsForgetsNoneAfterLostAnswersToStarts(t *testing.T) {
-	restartUnderAcknowledgement(t, true)
+	restartUnderAcknowledgement(t, 1000, true)
+}
+
+// TestRefusalByALaterIncarnationShowsTheRestart guards against a second run of a task that was done on a restarted worker, where only the refusal of a start that was sent again shows the restart before a late hold acknowledges the end.
+func TestRefusalByALaterIncarnationShowsTheRestart(t *testing.T) {
+	restartUnderAcknowledgement(t, 700, true)
 }
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -77,12 +77,8 @@
 
 // confirmStart records which incarnation accepted a start. It returns false if a later one did, which has then to be stopped.
 func (s *session) confirmStart(r *run, clockMS int64) bool {
-	s.mu.Lock()
-	sent := r.sentAt
-	s.mu.Unlock()
-	agrees, behind := r.link.checkClock(sent, clockMS)
-	if behind {
-		r.link.recordRestart(fmt.Errorf("its clock reads %d ms, which is before its last reading", clockMS))
+	agrees, later := s.checkAnswer(r, clockMS)
+	if later {
 		return false
 	}
 	s.mu.Lock()
@@ -91,6 +87,18 @@
 	return true
 }
 
+// checkAnswer reports by the clock in the answer to a start whether this incarnation or a later one gave it, and records a later one.
+func (s *session) checkAnswer(r *run, clockMS int64) (agrees, later bool) {
+	s.mu.Lock()
+	sent := r.sentAt
+	s.mu.Unlock()
+	agrees, later = r.link.checkClock(sent, clockMS)
+	if later {
+		r.link.recordRestart(fmt.Errorf("its clock reads %d ms, which is before its last reading", clockMS))
+	}
+	return agrees, later
+}
+
 // checkClock compares the clock in an answer to a start with this incarnation's, and reports whether they agree. A clock that is behind shows a later incarnation.
 func (l *link) checkClock(sent time.Duration, clockMS int64) (agrees, behind bool) {
 	l.mu.Lock()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -214,6 +214,9 @@
 		}
 		s.startsRefused.Inc()
 		event.StartRefused.Info("task", r.name.String(), "run", r.number, "worker", r.worker.GetId(), "refusal", answer.Refusal.String(), "try", try)
+		if _, later := s.checkAnswer(r, answer.ClockMS); later && answer.Refusal == call.StaleRun {
+			continue // the run has ended on the later incarnation, which lists it
+		}
 		if answer.Refusal != call.StaleFence {
 			r.link.startCooldown(answer.Refusal)
 			s.withdraw(r, try, answer.Refusal.String())
