--- a/fakelink/link.go
+++ b/fakelink/link.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -197,7 +198,7 @@
 	l.open[p] = struct{}{}
 	l.mu.Unlock()
 	defer l.remove(p)
-	if !l.wait(p, towards) {
+	if !l.wait(p, towards, near) {
 		return
 	}
 	far, err := net.DialTimeout("tcp", f.To, dialTimeout)
@@ -228,18 +229,35 @@
 	}
 }
 
+// wasReset reports whether the other side has reset the connection, with which the bytes are lost that were held.
+func wasReset(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	failure := 0
+	err = raw.Control(func(fd uintptr) {
+		failure, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+	})
+	return err != nil || failure == int(syscall.ECONNRESET)
+}
+
 func (l *Link) remove(p *pair) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, p)
 }
 
-// copy forwards bytes in one direction. While the link is silent it holds both the bytes and the end of the connection.
+// copy forwards bytes in one direction. While the link is silent it holds both the bytes and the end of the connection, and loses them if their sender resets it.
 func (l *Link) copy(p *pair, to, from net.Conn, way direction, ended chan<- struct{}) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, readErr := from.Read(buffer)
-		if !l.wait(p, way) {
+		if !l.wait(p, way, from) {
 			break
 		}
 		_, writeErr := to.Write(buffer[:n])
@@ -250,8 +268,9 @@
 	ended <- struct{}{}
 }
 
-// wait blocks until the link forwards bytes of this pair in the given direction. It returns false if the link is closed or the pair is reset first.
-func (l *Link) wait(p *pair, way direction) bool {
+// wait blocks until the link forwards bytes of this pair in the given direction. It returns false if the link is closed or the pair is reset first, or if the bytes were held and their sender has reset its connection.
+func (l *Link) wait(p *pair, way direction, from net.Conn) bool {
+	held := false
 	for {
 		if l.modesDiffer.Load() {
 			p.source()
@@ -269,10 +288,11 @@
 		}
 		switch {
 		case mode == Pass || mode == SilentTowards && way == back:
-			return true
+			return !held || !wasReset(from)
 		case mode == Slow:
-			return l.delay(p)
+			return l.delay(p) && (!held || !wasReset(from))
 		}
+		held = true
 		select {
 		case <-changed:
 		case <-p.forgotten:
--- a/fakelink/link_test.go
+++ b/fakelink/link_test.go
@@ -170,3 +170,44 @@
 	assert.ErrorContains(t, l.Set("loud"), "not one of")
 	assert.NilError(t, l.Close())
 }
+
+// TestBytesOfAResetConnectionAreNotDelivered guards against bytes that are delivered once a partition has ended, though their sender has reset the connection.
+func TestBytesOfAResetConnectionAreNotDelivered(t *testing.T) {
+	for _, opened := range []fakelink.Mode{fakelink.Pass, fakelink.Silent} {
+		t.Run("opened in mode "+string(opened), func(t *testing.T) {
+			server, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer server.Close()
+			received := make(chan string, 1)
+			go func() {
+				conn, err := server.Accept()
+				if err != nil {
+					received <- ""
+					return
+				}
+				b, _ := io.ReadAll(conn)
+				received <- string(b)
+			}()
+			l, err := fakelink.New([]fakelink.Forward{{Listen: "127.0.0.1:0", To: server.Addr().String()}})
+			assert.NilError(t, err)
+			defer l.Close()
+			assert.NilError(t, l.Set(opened))
+			conn := dial(t, l)
+			if opened == fakelink.Pass {
+				write(t, conn, "before ")
+				time.Sleep(quiet)
+			}
+			assert.NilError(t, l.Set(fakelink.Silent))
+			write(t, conn, "held")
+			time.Sleep(quiet)
+			assert.NilError(t, conn.(*net.TCPConn).SetLinger(0))
+			conn.Close()
+			time.Sleep(quiet)
+			assert.NilError(t, l.Set(fakelink.Pass))
+			time.Sleep(quiet)
+			server.Close()
+			got := <-received
+			assert.Assert(t, got == "" || got == "before ", "%q was delivered", got)
+		})
+	}
+}
