Keep tasks with unanswered starts past the lease

A worker's start that had no answer could be executed by its next incarnation after the task was done elsewhere: TWICE. The lapse of the lease ended every run of a silent worker, though it says nothing of a start that was not executed yet.

If the worker answers again, the start is sent again under the same run.

--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -32,10 +32,10 @@
 
 // lateUntil returns until when an unanswered start of a run may be executed, 0 if there is none. Lasting tasks start again however they end. The caller holds the session's mutex.
 func (r *run) lateUntil() time.Duration {
-	var until time.Duration
 	if r.task.Step.Spec.GetLasting() {
 		return 0
 	}
+	var until time.Duration
 	if r.unansweredAt != 0 {
 		until = r.unansweredAt + lateWindow
 	}
@@ -45,6 +45,40 @@
 	return until
 }
 
+// knownLateUntil returns until when a start of a run that this leader knows to be unanswered may be executed, 0 if there is none. A call in progress counts. The caller holds the session's mutex.
+func (r *run) knownLateUntil() time.Duration {
+	if r.task.Step.Spec.GetLasting() {
+		return 0
+	}
+	sent := r.unansweredAt
+	if r.calling {
+		sent = r.sentAt
+	}
+	if sent == 0 {
+		return 0
+	}
+	return sent + lateWindow
+}
+
+// lateRuns returns the runs that outlast the worker's lease, since a later incarnation may still execute a start of them. A departed worker is not expected to start again, and of a workflow that has ended nothing starts elsewhere.
+func (l *link) lateRuns(now time.Duration) map[runKey]struct{} {
+	lateRuns := map[runKey]struct{}{}
+	if l.isDeparting() {
+		return lateRuns
+	}
+	s := l.s
+	s.Table.View(func(*workflow.Tables) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for key, r := range l.runs {
+			if now < r.knownLateUntil() && r.task.Step.Job.Open() {
+				lateRuns[key] = struct{}{}
+			}
+		}
+	})
+	return lateRuns
+}
+
 // mayResend reports whether a start may be sent, though earlier ones of the run may still be executed: later leaders have to know that there are such.
 func (s *session) mayResend(r *run) bool {
 	s.mu.Lock()
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -356,10 +356,11 @@
 	}
 }
 
-// commitLapse commits that the runs on the worker have ended with its lease. It returns false if some may still run, as a later incarnation may have accepted their starts.
+// commitLapse commits that the runs on the worker have ended with its lease. It returns false if some may still run, as a later incarnation may have accepted their starts, or may do so.
 func (l *link) commitLapse(now time.Duration) bool {
 	s := l.s
 	unconfirmed := l.unconfirmedRuns(now)
+	maps.Copy(unconfirmed, l.lateRuns(now))
 	lapsedAt, readAt := l.leaseTimes()
 	var ends []*wire.RunEnd
 	var keys []runKey
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -44,6 +44,7 @@
 
 	begun         bool          // the worker has accepted its start or listed it
 	sentAt        time.Duration // boot clock, when its start was last sent; 0 for never
+	calling       bool          // the call of the start that was sent last has not ended
 	unansweredAt  time.Duration // boot clock, when a start was last sent that was not answered; 0 for none
 	confirmed     bool          // the worker's incarnation is known to have answered its start or to have listed it
 	phase         phase
@@ -189,9 +190,7 @@
 		answer, err := s.Calls.Start(ctx, r.link.currentWorker(), &r.order)
 		observeSince(s.startCall, began)
 		cancel()
-		if err != nil {
-			s.recordUnanswered(r)
-		}
+		s.recordCalled(r, err)
 		switch {
 		case errors.Is(err, call.ErrOtherWorker):
 			r.link.markReplaced()
@@ -236,17 +235,21 @@
 func (s *session) recordSent(r *run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.sentAt = s.SinceBoot()
+	r.sentAt, r.calling = s.SinceBoot(), true
 	r.link.recordGrant(r.sentAt)
 	if r.lateCommitted {
 		s.recordResent(r)
 	}
 }
 
-func (s *session) recordUnanswered(r *run) {
+// recordCalled records that the call of a start has ended, without an answer if err is not nil.
+func (s *session) recordCalled(r *run, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.unansweredAt = r.sentAt
+	r.calling = false
+	if err != nil {
+		r.unansweredAt = r.sentAt
+	}
 }
 
 // isConfirmed reports whether the worker's incarnation is known to have answered the start of a run or to have listed it.
