Keep a stopped run that a third incarnation may begin

A run that a restarted worker inherited was released as soon as that incarnation had accepted its stop and did not list it. A start that the first incarnation had not answered could still be executed by a third one, beside the task's next run: TWICE. The stop bars a run on one incarnation only.

The link of a later incarnation now takes over until when such a start may be late, calls in progress included, and a task that ends is not released before, unless its workflow has ended. Lasting tasks and starts of an earlier leader are released as before.

TestStoppedRunThatEndsDoesNotStartOnALaterIncarnation failed before with two runs of each of 4 tasks.

--- a/dispatch/held_start_test.go
+++ b/dispatch/held_start_test.go
@@ -48,6 +48,26 @@
 	}
 }
 
+// TestStoppedRunThatEndsDoesNotStartOnALaterIncarnation guards against a second run of a task that ends, where the incarnation that was told to stop its run restarts, and the next one executes the start 2.7 s late.
+func TestStoppedRunThatEndsDoesNotStartOnALaterIncarnation(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		time.Sleep(30 * time.Second)
+		b.locked(func() { w.startDelay = 2700 * time.Millisecond })
+		b.submit("short", "former", &wire.Step{Count: 4, Size: unit, ExpectedMs: 5000})
+		time.Sleep(100 * time.Millisecond)
+		b.locked(func() { w.restart(); w.startDelay, w.refusesStarts = 0, true })
+		b.addWorker("w1", big)
+		w.announce()
+		time.Sleep(2 * time.Second)
+		b.locked(w.restart)
+		time.Sleep(time.Second)
+		w.announce()
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, b.state("former"), workflow.StateCompleted)
+	})
+}
+
 // TestOnlyRunsWithUnansweredStartsOutlastTheLease guards against tasks that stay with a silent worker although it answered their starts, or they are lasting, or their workflow was cancelled, and against one with an unanswered start that stays for good.
 func TestOnlyRunsWithUnansweredStartsOutlastTheLease(t *testing.T) {
 	runOnBench(t, 1, big, func(b *testBench) {
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -15,15 +15,19 @@
 
 // predecessor is what the link of a worker's former incarnation leaves to the next one.
 type predecessor struct {
-	uncertain   map[runKey]struct{} // runs of which a start may still be executed
-	grantsEndAt time.Duration       // boot clock by which every order that grants a lease has been answered or given up
+	uncertain   map[runKey]struct{}      // runs of which a start may still be executed
+	lateUntil   map[runKey]time.Duration // boot clock until which unanswered starts of runs may be executed
+	grantsEndAt time.Duration            // boot clock by which every order that grants a lease has been answered or given up
 }
 
 // predecessor returns what the next incarnation's link has to know. The caller holds the session's mutex.
 func (l *link) predecessor() predecessor {
 	now := l.s.SinceBoot()
-	p := predecessor{uncertain: map[runKey]struct{}{}}
+	p := predecessor{uncertain: map[runKey]struct{}{}, lateUntil: map[runKey]time.Duration{}}
 	for key, r := range l.runs {
+		if until := r.knownLateUntil(); now < until {
+			p.lateUntil[key] = until
+		}
 		if r.late || l.isUncertain(r, now) {
 			p.uncertain[key] = struct{}{}
 		}
--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -35,11 +35,11 @@
 	if r.task.Step.Spec.GetLasting() {
 		return 0
 	}
-	var until time.Duration
+	until := r.formerLateUntil
 	if r.unansweredAt != 0 {
-		until = r.unansweredAt + lateWindow
+		until = max(until, r.unansweredAt+lateWindow)
 	}
-	if r.adopted {
+	if r.adopted && !r.former {
 		until = max(until, r.link.began+lateWindow)
 	}
 	return until
@@ -50,14 +50,14 @@
 	if r.task.Step.Spec.GetLasting() {
 		return 0
 	}
-	sent := r.unansweredAt
+	until, sent := r.formerLateUntil, r.unansweredAt
 	if r.calling {
 		sent = r.sentAt
 	}
-	if sent == 0 {
-		return 0
+	if sent != 0 {
+		until = max(until, sent+lateWindow)
 	}
-	return sent + lateWindow
+	return until
 }
 
 // lateRuns returns the runs that outlast the worker's lease, since a later incarnation may still execute a start of them. A departed worker is not expected to start again, and of a workflow that has ended nothing starts elsewhere.
@@ -108,13 +108,14 @@
 	}
 }
 
-// mayStartLate reports whether a later incarnation may still begin a run that its worker was told to stop and never began, so that its task must not start elsewhere. The present incarnation can't, and a run whose worker has restarted already is not waited for.
+// mayStartLate reports whether a later incarnation may still begin a run that its worker was told to stop and never began, so that its task must not start elsewhere. The present incarnation can't.
+// The starts of an earlier leader that a worker has inherited are not waited for, since that would keep all of its tasks.
 func (s *session) mayStartLate(r *run) bool {
 	open := false
 	s.Table.View(func(*workflow.Tables) { open = r.task.Step.Job.Open() })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return open && !r.begun && !r.former && s.SinceBoot() < r.lateUntil()
+	return open && !r.begun && s.SinceBoot() < r.lateUntil()
 }
 
 // recordResent defers the end of a run whose start is sent again. This try may be the one that is late, and an earlier one the one that is executed now. The caller holds the session's mutex.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -39,6 +39,8 @@
 	former  bool // committed for an earlier incarnation of its worker
 	late    bool // and a start of it may not have been executed yet
 
+	formerLateUntil time.Duration // boot clock until which a start for an earlier incarnation may be executed, 0 if none is known
+
 	lateMarked    bool // it is in a record, committed or not, that a start of it may be executed late; guarded by the session's mutex
 	lateCommitted bool // and that record is committed; guarded by the session's mutex
 
@@ -88,6 +90,7 @@
 		r.order.Fence = l.fence
 		_, uncertain := l.former.uncertain[r.runKey]
 		r.late = r.former && (adopted || uncertain)
+		r.formerLateUntil = l.former.lateUntil[r.runKey]
 		r.image, r.pace = s.imageNumber(t.Step.Spec.GetImage()), 100
 		if adopted {
 			s.recordAtWork(r, r.phaseSince)
