--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -32,19 +32,53 @@
 
 // lateUntil returns until when an unanswered start of a run may be executed, 0 if there is none. Lasting tasks start again however they end. The caller holds the session's mutex.
 func (r *run) lateUntil() time.Duration {
-	var until time.Duration
 	if r.task.Step.Spec.GetLasting() {
 		return 0
 	}
+	until := r.formerLateUntil
 	if r.unansweredAt != 0 {
-		until = r.unansweredAt + lateWindow
+		until = max(until, r.unansweredAt+lateWindow)
 	}
-	if r.adopted {
+	if r.adopted && !r.former {
 		until = max(until, r.link.began+lateWindow)
 	}
 	return until
 }
 
+// knownLateUntil returns until when a start of a run that this leader knows to be unanswered may be executed, 0 if there is none. A call in progress counts. The caller holds the session's mutex.
+func (r *run) knownLateUntil() time.Duration {
+	if r.task.Step.Spec.GetLasting() {
+		return 0
+	}
+	until, sent := r.formerLateUntil, r.unansweredAt
+	if r.calling {
+		sent = r.sentAt
+	}
+	if sent != 0 {
+		until = max(until, sent+lateWindow)
+	}
+	return until
+}
+
+// lateRuns returns the runs that outlast the worker's lease, since a later incarnation may still execute a start of them. A departed worker is not expected to start again, and of a workflow that has ended nothing starts elsewhere.
+func (l *link) lateRuns(now time.Duration) map[runKey]struct{} {
+	lateRuns := map[runKey]struct{}{}
+	if l.isDeparting() {
+		return lateRuns
+	}
+	s := l.s
+	s.Table.View(func(*workflow.Tables) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for key, r := range l.runs {
+			if now < r.knownLateUntil() && r.task.Step.Job.Open() {
+				lateRuns[key] = struct{}{}
+			}
+		}
+	})
+	return lateRuns
+}
+
 // mayResend reports whether a start may be sent, though earlier ones of the run may still be executed: later leaders have to know that there are such.
 func (s *session) mayResend(r *run) bool {
 	s.mu.Lock()
@@ -74,13 +108,14 @@
 	}
 }
 
-// mayStartLate reports whether a later incarnation may still begin a run that its worker was told to stop and never began, so that its task must not start elsewhere. The present incarnation can't, and a run whose worker has restarted already is not waited for.
+// mayStartLate reports whether a later incarnation may still begin a run that its worker was told to stop and never began, so that its task must not start elsewhere. The present incarnation can't.
+// The starts of an earlier leader that a worker has inherited are not waited for, since that would keep all of its tasks.
 func (s *session) mayStartLate(r *run) bool {
 	open := false
 	s.Table.View(func(*workflow.Tables) { open = r.task.Step.Job.Open() })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return open && !r.begun && !r.former && s.SinceBoot() < r.lateUntil()
+	return open && !r.begun && s.SinceBoot() < r.lateUntil()
 }
 
 // recordResent defers the end of a run whose start is sent again. This try may be the one that is late, and an earlier one the one that is executed now. The caller holds the session's mutex.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -39,12 +39,15 @@
 	former  bool // committed for an earlier incarnation of its worker
 	late    bool // and a start of it may not have been executed yet
 
+	formerLateUntil time.Duration // boot clock until which a start for an earlier incarnation may be executed, 0 if none is known
+
 	lateMarked    bool // it is in a record, committed or not, that a start of it may be executed late; guarded by the session's mutex
 	lateCommitted bool // and that record is committed; guarded by the session's mutex
 
 	begun         bool          // the worker has accepted its start or listed it
 	begunAt       time.Duration // boot clock, when that was first known
 	sentAt        time.Duration // boot clock, when its start was last sent; 0 for never
+	calling       bool          // the call of the start that was sent last has not ended
 	unansweredAt  time.Duration // boot clock, when a start was last sent that was not answered; 0 for none
 	confirmed     bool          // the worker's incarnation is known to have answered its start or to have listed it
 	phase         phase
@@ -88,6 +91,7 @@
 		r.order.Fence = l.fence
 		_, uncertain := l.former.uncertain[r.runKey]
 		r.late = r.former && (adopted || uncertain)
+		r.formerLateUntil = l.former.lateUntil[r.runKey]
 		r.image, r.pace = s.imageNumber(t.Step.Spec.GetImage()), 100
 		if adopted {
 			s.recordAtWork(r, r.phaseSince)
@@ -190,9 +194,7 @@
 		answer, err := s.Calls.Start(ctx, r.link.currentWorker(), &r.order)
 		observeSince(s.startCall, began)
 		cancel()
-		if err != nil && !errors.Is(err, call.ErrNotSent) {
-			s.recordUnanswered(r)
-		}
+		s.recordCalled(r, err)
 		switch {
 		case errors.Is(err, call.ErrOtherWorker):
 			r.link.markReplaced()
@@ -240,17 +242,21 @@
 func (s *session) recordSent(r *run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.sentAt = s.SinceBoot()
+	r.sentAt, r.calling = s.SinceBoot(), true
 	r.link.recordGrant(r.sentAt)
 	if r.lateCommitted {
 		s.recordResent(r)
 	}
 }
 
-func (s *session) recordUnanswered(r *run) {
+// recordCalled records that the call of a start has ended, with an error if it was not answered.
+func (s *session) recordCalled(r *run, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.unansweredAt = r.sentAt
+	r.calling = false
+	if err != nil && !errors.Is(err, call.ErrNotSent) {
+		r.unansweredAt = r.sentAt
+	}
 }
 
 // isConfirmed reports whether the worker's incarnation is known to have answered the start of a run or to have listed it.
