Wait for an earlier leader's late starts also if a worker restarts after the change

What callers would see: two runs of a task at the same time, where a worker restarts and is announced just after a change of leader, never answers, and executes a start of the former leader 6 s late.

Cause: design 06 says that a new leader, which does not know which starts were answered, waits for all of them. That held only for an incarnation that was in the state when the leader began. One that is announced later inherits its runs from the former one's link, which left behind only the starts that this leader had sent itself.

Change: the former link leaves every run of an earlier leader as uncertain, for as long as that leader's starts may be late. Once the announced incarnation has answered a hold, nothing is waited for, as before.

--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -22,9 +22,10 @@
 // predecessor returns what the next incarnation's link has to know. The caller holds the session's mutex.
 func (l *link) predecessor() predecessor {
 	now := l.s.SinceBoot()
+	adoptedLate := now < l.began+lateWindow // an earlier leader's starts may be unanswered
 	p := predecessor{uncertain: map[runKey]struct{}{}}
 	for key, r := range l.runs {
-		if r.late || l.isUncertain(r, now) {
+		if r.late || r.adopted && adoptedLate || l.isUncertain(r, now) {
 			p.uncertain[key] = struct{}{}
 		}
 	}
