Wait for an earlier leader's starts in flight also once the worker has answered

What callers would see: two runs of a task at the same time, where a worker answers a new leader and restarts within the next second, is neither announced nor answers, and executes a start of the former leader within its time limit.

Cause: a new leader counts the longest lease from the end of the time limit of its predecessor's starts, but dropped that with the worker's first answer. The answer bars earlier orders on that incarnation only; the next one has seen no fencing token. Runs whose starts this leader has sent and knows to be unanswered are kept for that case; of the predecessor's it knows nothing, also if the run was accepted again or withdrawn.

Change: on a silent worker, runs of an earlier leader are kept for the longest lease from the end of those starts' time limit after the change.

--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -139,13 +139,14 @@
 	l.mu.Lock()
 	later := now < max(l.grantsEndAt, l.barredAt)+withMaxDrift(l.s.MaxLease)
 	late := !l.answered && now < l.began+maxOrderDelay+withMaxDrift(l.s.MaxLease)
+	adopted := now < l.began+callTimeout+withMaxDrift(l.s.MaxLease) // a start of an earlier leader may have been in flight
 	l.mu.Unlock()
 	s := l.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	unconfirmed := map[runKey]struct{}{}
 	for key, r := range l.runs {
-		if later && l.isUncertain(r, now) || late && r.late {
+		if later && l.isUncertain(r, now) || late && r.late || adopted && r.adopted {
 			unconfirmed[key] = struct{}{}
 		}
 	}
--- a/dispatch/review_test.go
+++ b/dispatch/review_test.go
@@ -6,6 +6,7 @@
 
 	"daisyswitch/wire"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 )
 
@@ -40,3 +41,28 @@
 		})
 	}
 }
+
+// TestStartOfAnEarlierLeaderInFlightOutlastsTheFormersAnswer guards against a second run where a worker answers a new leader, restarts without an announcement and executes a start of the former leader within its time limit.
+func TestStartOfAnEarlierLeaderInFlightOutlastsTheFormersAnswer(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		t.Run(map[bool]string{true: "withdrawn", false: "accepted"}[leaving], func(t *testing.T) {
+			runOnBench(t, 1, big, func(b *testBench) {
+				w := b.workers["w0"]
+				time.Sleep(30 * time.Second)
+				b.locked(func() { w.startDelay = 420 * time.Millisecond })
+				b.submit("lasting", "job", &wire.Step{Count: 4, Size: unit, Lasting: true})
+				time.Sleep(180 * time.Millisecond)
+				b.locked(func() { w.startDelay, w.losesStops = 0, true })
+				record := proto.CloneOf(w.record)
+				record.Leaving = leaving
+				b.apply(&wire.WorkflowCommand{Workers: []*wire.CalledWorker{record}})
+				b.lead(2)
+				time.Sleep(200 * time.Millisecond)
+				b.locked(func() { w.restart(); w.losesHolds = true })
+				b.addWorker("w1", big)
+				time.Sleep(20 * time.Second)
+				assert.Equal(t, b.runningOf("job"), 4)
+			})
+		})
+	}
+}
