List a hold that prolongs an unannounced incarnation's lease late

A worker restarts, accepts a start in flight, is neither announced nor answers, and executes a hold of the same leader 4 s after it was sent, which prolongs the lease of that run; the task starts elsewhere meanwhile.

--- a/dispatch/review_test.go
+++ b/dispatch/review_test.go
@@ -66,3 +66,22 @@
 		})
 	}
 }
+
+// TestLateHoldProlongsNoLeaseOfAnUnannouncedIncarnation guards against a second run where a hold that is executed more than its time limit late prolongs the lease of a restarted worker, which is neither announced nor answers.
+func TestLateHoldProlongsNoLeaseOfAnUnannouncedIncarnation(t *testing.T) {
+	runOnBench(t, 1, big, func(b *testBench) {
+		w := b.workers["w0"]
+		time.Sleep(30 * time.Second)
+		b.locked(func() { w.startDelay, w.executesHoldsAfter = 100*time.Millisecond, 4*time.Second })
+		w.awaitHold()
+		b.submit("lasting", "job", &wire.Step{Count: 4, Size: unit, Lasting: true})
+		time.Sleep(40 * time.Millisecond)
+		b.locked(func() {
+			w.restart()
+			w.startDelay, w.executesHoldsAfter, w.losesHolds, w.losesStarts = 0, 0, true, true
+		})
+		b.addWorker("w1", big)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, b.runningOf("job"), 4)
+	})
+}
