--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -23,12 +23,13 @@
 // predecessor returns what the next incarnation's link has to know. The caller holds the session's mutex.
 func (l *link) predecessor() predecessor {
 	now := l.s.SinceBoot()
+	adoptedLate := now < l.began+lateWindow // an earlier leader's starts may be unanswered
 	p := predecessor{uncertain: map[runKey]struct{}{}, lateUntil: map[runKey]time.Duration{}}
 	for key, r := range l.runs {
 		if until := r.knownLateUntil(); now < until {
 			p.lateUntil[key] = until
 		}
-		if r.late || l.isUncertain(r, now) {
+		if r.late || r.adopted && adoptedLate || l.isUncertain(r, now) {
 			p.uncertain[key] = struct{}{}
 		}
 	}
@@ -142,13 +143,14 @@
 	l.mu.Lock()
 	later := now < max(l.grantsEndAt, l.barredAt)+withMaxDrift(l.s.MaxLease)
 	late := !l.answered && now < l.began+maxOrderDelay+withMaxDrift(l.s.MaxLease)
+	adopted := now < l.began+callTimeout+withMaxDrift(l.s.MaxLease) // a start of an earlier leader may have been in flight
 	l.mu.Unlock()
 	s := l.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	unconfirmed := map[runKey]struct{}{}
 	for key, r := range l.runs {
-		if later && l.isUncertain(r, now) || late && r.late {
+		if later && l.isUncertain(r, now) || late && r.late || adopted && r.adopted {
 			unconfirmed[key] = struct{}{}
 		}
 	}
