Keep no run of an earlier leader whose only start was executed

A run that the worker has listed has had its start executed; another one exists only where the state has the mark of a second try, or for lasting tasks, which are sent again without one.

--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -29,7 +29,7 @@
 		if until := r.knownLateUntil(); now < until {
 			p.lateUntil[key] = until
 		}
-		if r.late || r.adopted && adoptedLate || l.isUncertain(r, now) {
+		if r.late || adoptedLate && r.mayHaveEarlierStart() || l.isUncertain(r, now) {
 			p.uncertain[key] = struct{}{}
 		}
 	}
@@ -138,6 +138,11 @@
 	return r.unansweredAt != 0 && now < r.unansweredAt+maxOrderDelay+withMaxDrift(l.s.MaxLease)
 }
 
+// mayHaveEarlierStart reports whether an earlier leader has sent a start of a run that may not have been executed yet. The only start of a run that was listed has been executed. The caller holds the session's mutex.
+func (r *run) mayHaveEarlierStart() bool {
+	return r.adopted && (!r.listed || r.resentBefore)
+}
+
 // unconfirmedRuns returns the runs that may go on after the leases that were granted to this incarnation: a later one may have accepted their starts, or this one may execute late what was meant for its predecessor. It returns them until each lease that such orders can grant has expired.
 func (l *link) unconfirmedRuns(now time.Duration) map[runKey]struct{} {
 	l.mu.Lock()
@@ -150,7 +155,7 @@
 	defer s.mu.Unlock()
 	unconfirmed := map[runKey]struct{}{}
 	for key, r := range l.runs {
-		if later && l.isUncertain(r, now) || late && r.late || adopted && r.adopted {
+		if later && l.isUncertain(r, now) || late && r.late || adopted && r.mayHaveEarlierStart() {
 			unconfirmed[key] = struct{}{}
 		}
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -39,6 +39,7 @@
 	former  bool // committed for an earlier incarnation of its worker
 	late    bool // and a start of it may not have been executed yet
 
+	resentBefore    bool          // an earlier leader may have sent its start more than once; those of lasting tasks are sent again without a mark in the state
 	formerLateUntil time.Duration // boot clock until which a start for an earlier incarnation may be executed, 0 if none is known
 
 	lateMarked    bool // it is in a record, committed or not, that a start of it may be executed late; guarded by the session's mutex
@@ -76,7 +77,8 @@
 		if t.Worker != nil {
 			r = &run{
 				runKey: runKey{t.Name(), t.Run}, task: t, worker: t.Worker.CalledWorker, adopted: adopted, former: t.Inherited(),
-				order: call.Start{Task: t.Name(), Run: t.Run, Payload: t.Step.Job.Spec.GetPayload(), Checkpoint: t.Checkpoint, Ticket: t.Ticket},
+				resentBefore: adopted && (t.LateStart || t.Step.Spec.GetLasting()),
+				order:        call.Start{Task: t.Name(), Run: t.Run, Payload: t.Step.Job.Spec.GetPayload(), Checkpoint: t.Checkpoint, Ticket: t.Ticket},
 			}
 		}
 	})
