--- a/dispatch/acknowledgement.go
+++ b/dispatch/acknowledgement.go
@@ -9,8 +9,8 @@
 // A later incarnation that executes a hold late forgets its own ends up to the number in it. So a hold carries a number only if the last listing shows ends that may be acknowledged.
 // A worker lists its ends until it has executed such a hold. So one that was lost is repeated, and a new leader does not acknowledge again what its predecessor has.
 
-// acknowledgement returns up to which number the next hold acknowledges ends, 0 for none, if the state holds those up to noted. The caller holds the link's mutex.
-func (l *link) acknowledgement(now time.Duration, noted int64) int64 {
+// nextAcknowledgement returns up to which number the next hold acknowledges ends, 0 for none, if the state holds those up to noted. The caller holds the link's mutex.
+func (l *link) nextAcknowledgement(now time.Duration, noted int64) int64 {
 	noted = l.acknowledgeable(now, noted)
 	if l.firstListed == 0 || l.firstListed > noted {
 		return 0
--- a/dispatch/departure.go
+++ b/dispatch/departure.go
@@ -111,7 +111,7 @@
 func (l *link) endMissing(sent time.Duration, listed map[runKey]struct{}) {
 	s := l.s
 	var missing []runKey
-	adoptedInFlight := sent < l.began+callTimeout
+	adoptedInFlight := sent < l.began+callTimeout // starts of an earlier leader
 	s.mu.Lock()
 	for key, r := range l.runs {
 		if _, ok := listed[key]; ok || r.phaseSince > sent && r.phase < stopping {
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -51,8 +51,8 @@
 	l.restarted = true
 	l.cancelHold() // the next ones bar orders for this incarnation
 	now := l.s.SinceBoot()
-	l.othersLapse = later(l.othersLapse, l.longestLease(laterRestart, max(now, l.grantsEndAt)))
-	l.lapse = later(l.lapse, l.othersLapse)
+	l.othersLapse = laterEnd(l.othersLapse, l.longestLease(restart, max(now, l.grantsEndAt)))
+	l.lapse = laterEnd(l.lapse, l.othersLapse)
 	event.WorkerRestarted.Error(cause, "worker", l.id, "born", l.worker.GetBorn(), "restarts", l.fence.Restarts, "lapses_in_ms", (l.lapse.at - now).Milliseconds(), "counted_from", string(l.lapse.origin), "counted_ms_ago", (now - l.lapse.since).Milliseconds())
 }
 
@@ -66,7 +66,7 @@
 	}
 }
 
-// mayHaveMoved reports whether the runs may be at work at another address. An incarnation that has never answered has inherited them, so another worker at its address is no evidence that the former one has ended, which may have had another address.
+// mayHaveMoved reports whether the runs may be at work at another address. An announcement with the worker's id and a later birth may name any address, so while the incarnation has never answered, another worker there is no evidence that the former one has ended.
 func (l *link) mayHaveMoved() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/dispatch/lapse.go
+++ b/dispatch/lapse.go
@@ -12,14 +12,14 @@
 type leaseOrigin string
 
 const (
-	ownGrant     leaseOrigin = "own_grant"    // this leader's last order that extended the lease
-	firstCall    leaseOrigin = "first_call"   // the beginning of this leader's calls to the incarnation, before which orders of others, or for a former one, may have granted a lease
-	formerOrder  leaseOrigin = "former_order" // the last order to the former incarnation that may grant a lease was answered or given up
-	firstAnswer  leaseOrigin = "first_answer" // an incarnation with a former one first answered a hold
-	laterRestart leaseOrigin = "restart"      // a later incarnation answered
+	ownGrant    leaseOrigin = "own_grant"    // this leader's last order that extended the lease
+	firstCall   leaseOrigin = "first_call"   // this leader began to call the incarnation, to which earlier orders may have granted a lease
+	formerOrder leaseOrigin = "former_order" // the last order to the former incarnation that may grant a lease was answered or given up
+	firstAnswer leaseOrigin = "first_answer" // an incarnation with a former one first answered a hold
+	restart     leaseOrigin = "restart"      // a later incarnation answered
 )
 
-var leaseOrigins = []leaseOrigin{ownGrant, firstCall, formerOrder, firstAnswer, laterRestart}
+var leaseOrigins = []leaseOrigin{ownGrant, firstCall, formerOrder, firstAnswer, restart}
 
 // leaseEnd is a time by which leases have certainly expired.
 type leaseEnd struct {
@@ -33,8 +33,8 @@
 	return leaseEnd{at: since + withMaxDrift(l.s.MaxLease), origin: origin, since: since}
 }
 
-// later returns the later of two ends, the first if they are equal.
-func later(a, b leaseEnd) leaseEnd {
+// laterEnd returns the later of two ends, the first if they are equal.
+func laterEnd(a, b leaseEnd) leaseEnd {
 	if b.at > a.at {
 		return b
 	}
--- a/dispatch/link.go
+++ b/dispatch/link.go
@@ -73,11 +73,11 @@
 	if w.GetRestarts() > 0 && former.grantsEndAt == 0 { // an earlier leader's orders may be in flight
 		l.former.grantsEndAt = l.began + callTimeout + longHoldWait
 	}
-	callsBegin := l.began
-	if l.former.grantsEndAt == 0 { // a later incarnation that is not announced may execute what an earlier leader has sent
-		callsBegin += callTimeout
+	startsEndAt := l.began
+	if l.former.grantsEndAt == 0 { // no former incarnation is known; one that is not announced may execute a start of an earlier leader
+		startsEndAt += callTimeout
 	}
-	l.othersLapse = later(l.longestLease(firstCall, callsBegin), l.longestLease(formerOrder, l.former.grantsEndAt))
+	l.othersLapse = laterEnd(l.longestLease(firstCall, startsEndAt), l.longestLease(formerOrder, l.former.grantsEndAt))
 	l.lapse = l.othersLapse
 	return l
 }
@@ -261,7 +261,7 @@
 	if l.heardAt == 0 {
 		return order, l.departing
 	}
-	order.Noted = l.acknowledgement(now, noted)
+	order.Noted = l.nextAcknowledgement(now, noted)
 	if l.departing {
 		if l.departListed {
 			order.Wait = shortHoldWait
@@ -309,7 +309,7 @@
 // updateLapse computes when the lease has certainly expired: the worker's clock read at least clockMS at clockReadAt and is slow by at most 1/driftDivisor.
 func (l *link) updateLapse() {
 	left := time.Duration(l.leaseMS-l.clockMS) * time.Millisecond
-	l.lapse = later(l.othersLapse, leaseEnd{at: l.clockReadAt + withMaxDrift(left), origin: ownGrant, since: l.grantedAt})
+	l.lapse = laterEnd(l.othersLapse, leaseEnd{at: l.clockReadAt + withMaxDrift(left), origin: ownGrant, since: l.grantedAt})
 }
 
 // leaseTimes returns by when every lease has expired, and when the worker's clock was last read, on the boot clock.
@@ -343,7 +343,7 @@
 	if l.fence.Restarts > 0 {
 		l.othersLapse = l.longestLease(firstAnswer, now)
 	}
-	l.lapse = later(l.lapse, l.othersLapse)
+	l.lapse = laterEnd(l.lapse, l.othersLapse)
 }
 
 // recordSilence records a failed hold, and ends the worker's runs once its lease has certainly expired.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -37,9 +37,9 @@
 	order   call.Start
 	adopted bool // committed by an earlier leader, which may have sent its start
 	former  bool // committed for an earlier incarnation of its worker
-	late    bool // and a start of it may not have been executed yet
+	late    bool // committed for an earlier incarnation, and its start may not have been executed yet
 
-	resentBefore    bool          // an earlier leader may have sent its start more than once; those of lasting tasks are sent again without a mark in the state
+	resentBefore    bool          // an earlier leader may have sent its start more than once; starts of lasting tasks are sent again without a mark in the state
 	formerLateUntil time.Duration // boot clock until which a start for an earlier incarnation may be executed, 0 if none is known
 
 	lateMarked    bool // it is in a record, committed or not, that a start of it may be executed late; guarded by the session's mutex
--- a/workflow/gone.go
+++ b/workflow/gone.go
@@ -19,22 +19,22 @@
 	if len(t.gone) >= maxGoneWorkers {
 		t.forgetGone()
 	}
-	gone := &wire.CalledWorker{Id: w.GetId(), Born: w.GetBorn(), Gone: true, Restarts: w.GetRestarts(), Ended: t.gone[w.GetId()].GetEnded()}
+	gone := &wire.CalledWorker{Id: w.GetId(), Born: w.GetBorn(), Gone: true, Restarts: w.GetRestarts(), EndNumber: t.gone[w.GetId()].GetEndNumber()}
 	if t.forgetsOldest {
 		t.lastEnded++
-		gone.Ended = t.lastEnded
+		gone.EndNumber = t.lastEnded
 	}
 	t.gone[w.GetId()] = gone
 }
 
-// forgetGone forgets the half of the ended incarnations that ended first. An order for one of them is executed seconds late at most, so that it has no effect on a later incarnation that is taken for the first one.
+// forgetGone forgets the half of the ended incarnations that ended first. Orders for them are no longer in flight, so that later incarnations may be counted from 0 again.
 func (t *Tables) forgetGone() {
 	if !t.forgetsOldest {
 		t.gone, t.lastEnded = map[string]*wire.CalledWorker{}, 0
 		return
 	}
 	oldestFirst := slices.SortedFunc(maps.Values(t.gone), func(a, b *wire.CalledWorker) int {
-		return cmp.Or(cmp.Compare(a.GetEnded(), b.GetEnded()), cmp.Compare(a.GetId(), b.GetId()))
+		return cmp.Or(cmp.Compare(a.GetEndNumber(), b.GetEndNumber()), cmp.Compare(a.GetId(), b.GetId()))
 	})
 	for _, w := range oldestFirst[:len(oldestFirst)/2] {
 		delete(t.gone, w.GetId())
@@ -44,5 +44,5 @@
 // restoreGone restores an ended incarnation from a snapshot.
 func (t *Tables) restoreGone(w *wire.CalledWorker) {
 	t.gone[w.GetId()] = w
-	t.lastEnded = max(t.lastEnded, w.GetEnded())
+	t.lastEnded = max(t.lastEnded, w.GetEndNumber())
 }
